--- /dev/null
+++ b/include/damasklink/coordination/Router.h
@@ -0,0 +1,92 @@
+// The choice of a target for a prompt, as an interface that policies implement.
+#pragma once
+
+#include <vector>
+
+#include "damasklink/coordination/Target.h"
+#include "damasklink/state/Clock.h"
+#include "damasklink/state/ConfigTree.h"
+#include "damasklink/state/Error.h"
+
+namespace damasklink {
+
+// What a policy may know of a prompt.
+struct RouteRequest
+{
+  WorkspaceId workspace;
+  ModelName model;
+  // Empty: any version that the grants allow.
+  WeightVersion version;
+  AdapterName adapter;
+  std::vector<ModelGrant> grants;
+  ObjectiveWeights objective;
+  TokenCount promptTokens;
+  // Names of the prompt's whole blocks, from its start (BlockNames.h).
+  std::vector<Digest> blocks;
+  // Targets that this request has tried already.
+  std::vector<TargetId> excluded;
+  // Where a run goes on, it needs a target that decodes; a new one needs one that prefills.
+  bool continuation = false;
+};
+
+// Where a prompt goes and what is expected of it.
+struct RouteDecision
+{
+  TargetId target;
+  Endpoint endpoint;
+  WeightVersion version;
+  Duration expectedFirstToken{ 0 };
+  // Store to import from before the prompt is sent; empty for none.
+  StoreId importFrom;
+  // Blocks that the import brings.
+  std::uint64_t importBlocks = 0;
+};
+
+// Chooses targets and learns from what came of it. Not thread-safe: its owner holds the lock.
+class Router
+{
+public:
+  virtual ~Router() = default;
+
+  // Returns a target that serves the model in a granted version, or Unavailable.
+  virtual Result<RouteDecision> Choose(const RouteRequest& aRequest,
+                                       const std::vector<TargetRecord>& aTargets) = 0;
+
+  // Tells that the request was sent as decided.
+  virtual void OnSent(const RouteRequest& aRequest, const RouteDecision& aDecision) = 0;
+
+  // Tells that the first token came after aElapsed, with aReused prompt tokens not computed again.
+  virtual void OnFirstToken(const RouteRequest& aRequest,
+                            const RouteDecision& aDecision,
+                            Duration aElapsed,
+                            TokenCount aReused) = 0;
+
+  // Tells that the request is over, whole or not.
+  virtual void OnDone(const RouteRequest& aRequest,
+                      const RouteDecision& aDecision,
+                      bool aWhole) = 0;
+};
+
+// Takes the target with the fewest requests; the baseline that other policies are measured against.
+class LeastLoadedRouter final : public Router
+{
+public:
+  Result<RouteDecision> Choose(const RouteRequest& aRequest,
+                               const std::vector<TargetRecord>& aTargets) override;
+  void OnSent(const RouteRequest& aRequest, const RouteDecision& aDecision) override;
+  void OnFirstToken(const RouteRequest& aRequest,
+                    const RouteDecision& aDecision,
+                    Duration aElapsed,
+                    TokenCount aReused) override;
+  void OnDone(const RouteRequest& aRequest, const RouteDecision& aDecision, bool aWhole) override;
+
+private:
+  std::map<TargetId, std::uint64_t> outstanding;
+};
+
+// Returns the version in which the target may serve the request, or an empty one when it may not:
+// wrong kind or role, model not served or not granted, excluded.
+WeightVersion
+EligibleVersion(const RouteRequest& aRequest, const TargetRecord& aTarget);
+
+} // namespace damasklink
--- /dev/null
+++ b/include/damasklink/coordination/TargetRegistry.h
@@ -0,0 +1,50 @@
+// The targets that announced themselves, merged from any host in any order.
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "damasklink/coordination/Target.h"
+#include "damasklink/state/Clock.h"
+
+namespace damasklink {
+
+// Merges announcements and tells which targets may get new work.
+//
+//   TargetRegistry registry(clock, std::chrono::seconds(2));
+//   registry.Merge(record);
+//   for (const TargetRecord& target : registry.Usable()) ...
+//
+// A record replaces the one held only when its (incarnation, sequence) is higher. "Leaving" sticks
+// for an incarnation. A target not heard of for the silence limit is not usable; it is kept for a
+// while so that a late announcement of an older incarnation cannot revive it. Not thread-safe.
+class TargetRegistry
+{
+public:
+  TargetRegistry(const Clock& aClock, Duration aSilence);
+
+  // Takes an announcement, heard just now. Returns whether it was news that peers should hear.
+  bool Merge(const TargetRecord& aRecord);
+
+  // Returns the targets that may get new work, ordered by id.
+  std::vector<TargetRecord> Usable() const;
+
+  // Returns every target that is remembered, usable or not.
+  std::vector<TargetRecord> All() const;
+
+  // Forgets targets that have been silent for long. Requires to be called now and then.
+  void Expire();
+
+private:
+  struct Entry
+  {
+    TargetRecord record;
+    MonotonicTime heard;
+  };
+
+  const Clock& clock;
+  Duration silence;
+  std::map<TargetId, Entry> entries;
+};
+
+} // namespace damasklink
--- /dev/null
+++ b/src/coordination/DispatchRecord.cpp
@@ -0,0 +1,72 @@
+#include "damasklink/coordination/DispatchRecord.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace damasklink {
+namespace {
+
+bool
+MayMove(AttemptStage aFrom, AttemptStage aTo)
+{
+  switch (aFrom) {
+    case AttemptStage::Prepared:
+      return true;
+    case AttemptStage::Sending:
+      return aTo != AttemptStage::Prepared;
+    case AttemptStage::Answering:
+      return aTo == AttemptStage::Finished || aTo == AttemptStage::Lost;
+    case AttemptStage::Refused:
+    case AttemptStage::Finished:
+    case AttemptStage::Lost:
+      return false;
+  }
+  return false;
+}
+
+RunOutcome
+OutcomeOf(AttemptStage aStage)
+{
+  switch (aStage) {
+    case AttemptStage::Prepared:
+    case AttemptStage::Refused:
+      return RunOutcome::NotRun;
+    case AttemptStage::Finished:
+      return RunOutcome::Ran;
+    case AttemptStage::Sending:
+    case AttemptStage::Answering:
+    case AttemptStage::Lost:
+      return RunOutcome::MayHaveRun;
+  }
+  return RunOutcome::MayHaveRun;
+}
+
+} // namespace
+
+void
+DispatchRecord::Begin(AttemptId aAttempt, TargetId aTarget)
+{
+  this->attempts.push_back(
+    Attempt{ std::move(aAttempt), std::move(aTarget), AttemptStage::Prepared });
+}
+
+void
+DispatchRecord::Advance(AttemptStage aStage)
+{
+  AttemptStage& stage = this->attempts.back().stage;
+  if (MayMove(stage, aStage)) {
+    stage = aStage;
+  }
+}
+
+RunOutcome
+DispatchRecord::Outcome() const
+{
+  RunOutcome outcome = RunOutcome::NotRun;
+  for (const Attempt& attempt : this->attempts) {
+    outcome = std::max(outcome, OutcomeOf(attempt.stage));
+  }
+  return outcome;
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/src/program/CallerService.h
@@ -0,0 +1,47 @@
+// The callers' address: authentication, prompts, models and plain services.
+#pragma once
+
+#include <atomic>
+
+#include "CompletionRelay.h"
+
+namespace damasklink {
+
+// Handles the calls of callers on the traffic threads.
+class CallerService
+{
+public:
+  CallerService(const RelayContext& aContext, const HostSettings& aSettings);
+
+  // Adds all routes. The server must not outlive this object.
+  void AddRoutes(HttpServer& aServer);
+
+private:
+  HttpResponse Complete(const HttpRequest& aRequest, CompletionStyle aStyle);
+  HttpResponse ListModels(const HttpRequest& aRequest);
+  HttpResponse CallService(const HttpRequest& aRequest);
+
+  // Returns the policy of the caller's key; the view keeps it alive.
+  Result<const ResolvedPolicy*> Authenticate(const HttpRequest& aRequest,
+                                             const TrafficView& aView) const;
+  RequestId MakeRequestId();
+
+  const RelayContext& context;
+  const HostSettings& settings;
+  std::atomic<std::uint64_t> requestCounter{ 0 };
+  std::uint64_t processTag;
+};
+
+// Returns a response with the error's status, body and Retry-After.
+HttpResponse
+ErrorResponse(const CallerError& aError);
+
+// Returns the response for an error of a request that no target has seen.
+HttpResponse
+RefusalResponse(Error aError);
+
+// Returns the token of "authorization: Bearer <token>", empty when there is none.
+std::string
+BearerToken(const HttpRequest& aRequest);
+
+} // namespace damasklink
--- /dev/null
+++ b/src/program/RoutingDesk.h
@@ -0,0 +1,54 @@
+// Shares one Router between the traffic threads.
+#pragma once
+
+#include <memory>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include "damasklink/coordination/Router.h"
+
+namespace damasklink {
+
+// Holds the lock around a Router. Safe from any thread.
+class RoutingDesk
+{
+public:
+  explicit RoutingDesk(std::unique_ptr<Router> aRouter)
+    : router(std::move(aRouter))
+  {
+  }
+
+  // Chooses a target and counts the request as sent there.
+  Result<RouteDecision> ChooseAndSend(const RouteRequest& aRequest,
+                                      const std::vector<TargetRecord>& aTargets)
+  {
+    absl::MutexLock lock(&this->mutex);
+    auto decision = this->router->Choose(aRequest, aTargets);
+    if (decision) {
+      this->router->OnSent(aRequest, decision.value());
+    }
+    return decision;
+  }
+
+  void FirstToken(const RouteRequest& aRequest,
+                  const RouteDecision& aDecision,
+                  Duration aElapsed,
+                  TokenCount aReused)
+  {
+    absl::MutexLock lock(&this->mutex);
+    this->router->OnFirstToken(aRequest, aDecision, aElapsed, aReused);
+  }
+
+  void Done(const RouteRequest& aRequest, const RouteDecision& aDecision, bool aWhole)
+  {
+    absl::MutexLock lock(&this->mutex);
+    this->router->OnDone(aRequest, aDecision, aWhole);
+  }
+
+private:
+  absl::Mutex mutex;
+  std::unique_ptr<Router> router ABSL_GUARDED_BY(mutex);
+};
+
+} // namespace damasklink
--- /dev/null
+++ b/src/program/TargetsModule.h
@@ -0,0 +1,39 @@
+// Targets on the control thread: merges announcements, passes them on, publishes the usable ones.
+#pragma once
+
+#include <functional>
+
+#include "damasklink/coordination/TargetRegistry.h"
+#include "damasklink/transport/ControlLoop.h"
+
+namespace damasklink {
+
+// Owns the registry. All calls come on the control thread.
+class TargetsModule final : public ControlModule
+{
+public:
+  using Publish = std::function<void(std::vector<TargetRecord>)>;
+
+  TargetsModule(const Clock& aClock,
+                const HostSettings& aSettings,
+                PeerSender& aPeers,
+                Publish aPublish);
+
+  // Takes an announcement that a target made to this host, and passes news on to all peers.
+  void Announce(const TargetRecord& aRecord);
+
+  void OnPeerMessage(const HostId& aFrom, const PeerMessage& aMessage) override;
+  void OnTick(MonotonicTime aNow) override;
+
+private:
+  void PublishChanges();
+
+  const HostSettings& settings;
+  PeerSender& peers;
+  Publish publish;
+  TargetRegistry registry;
+  std::vector<TargetRecord> published;
+  MonotonicTime nextExpiry;
+};
+
+} // namespace damasklink
--- /dev/null
+++ b/src/program/TrafficView.h
@@ -0,0 +1,48 @@
+// The immutable picture of the control state that traffic threads read.
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include "damasklink/coordination/Target.h"
+#include "damasklink/state/ConfigTree.h"
+
+namespace damasklink {
+
+// One picture. Shared and never changed once published.
+struct TrafficView
+{
+  Revision revision;
+  // Whether the revision may be old because this host is cut off.
+  bool stale = false;
+  std::shared_ptr<const CallerDirectory> callers = std::make_shared<CallerDirectory>();
+  std::vector<TargetRecord> targets;
+};
+
+// Holds the newest picture. The control thread publishes, any thread reads.
+class TrafficViewHolder
+{
+public:
+  std::shared_ptr<const TrafficView> Get() const
+  {
+    absl::MutexLock lock(&this->mutex);
+    return this->view;
+  }
+
+  void Publish(TrafficView aView)
+  {
+    auto fresh = std::make_shared<const TrafficView>(std::move(aView));
+    absl::MutexLock lock(&this->mutex);
+    this->view.swap(fresh);
+  }
+
+private:
+  mutable absl::Mutex mutex;
+  std::shared_ptr<const TrafficView> view ABSL_GUARDED_BY(mutex) =
+    std::make_shared<const TrafficView>();
+};
+
+} // namespace damasklink
--- /dev/null
+++ b/src/protocol/EngineApi.cpp
@@ -0,0 +1,460 @@
+#include "damasklink/protocol/EngineApi.h"
+
+#include "damasklink/state/Text.h"
+#include <nlohmann/json.hpp>
+
+namespace damasklink {
+namespace {
+
+using Json = nlohmann::json;
+
+std::string
+Dump(const Json& aJson)
+{
+  return aJson.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+// Reads typed fields of one object and remembers the first that is wrong.
+class FieldReader
+{
+public:
+  explicit FieldReader(const Json& aObject)
+    : object(aObject)
+  {
+  }
+
+  std::string Text(const char* aName)
+  {
+    const Json* found = this->Find(aName);
+    if (found == nullptr) {
+      return "";
+    }
+    if (!found->is_string()) {
+      this->Note(aName, "is not a text");
+      return "";
+    }
+    return found->get<std::string>();
+  }
+
+  std::uint64_t Count(const char* aName)
+  {
+    const Json* found = this->Find(aName);
+    if (found == nullptr) {
+      return 0;
+    }
+    if (!found->is_number_unsigned()) {
+      this->Note(aName, "is not a whole number of at least zero");
+      return 0;
+    }
+    return found->get<std::uint64_t>();
+  }
+
+  double Number(const char* aName)
+  {
+    const Json* found = this->Find(aName);
+    if (found == nullptr) {
+      return 0;
+    }
+    if (!found->is_number() || found->get<double>() < 0) {
+      this->Note(aName, "is not a number of at least zero");
+      return 0;
+    }
+    return found->get<double>();
+  }
+
+  bool Flag(const char* aName)
+  {
+    const Json* found = this->Find(aName);
+    if (found == nullptr) {
+      return false;
+    }
+    if (!found->is_boolean()) {
+      this->Note(aName, "is neither true nor false");
+      return false;
+    }
+    return found->get<bool>();
+  }
+
+  // Returns the array under the name, or an empty one.
+  const Json& Items(const char* aName)
+  {
+    static const Json kNone = Json::array();
+    const Json* found = this->Find(aName);
+    if (found == nullptr) {
+      return kNone;
+    }
+    if (!found->is_array()) {
+      this->Note(aName, "is not a list");
+      return kNone;
+    }
+    return *found;
+  }
+
+  // Returns the object under the name, or an empty one.
+  const Json& Object(const char* aName)
+  {
+    static const Json kNone = Json::object();
+    const Json* found = this->Find(aName);
+    if (found == nullptr) {
+      return kNone;
+    }
+    if (!found->is_object()) {
+      this->Note(aName, "is not an object");
+      return kNone;
+    }
+    return *found;
+  }
+
+  void Note(std::string_view aName, std::string_view aProblem)
+  {
+    if (this->problem.empty()) {
+      this->problem = Concat("field '", aName, "' ", aProblem);
+    }
+  }
+
+  const std::string& Problem() const { return this->problem; }
+
+private:
+  const Json* Find(const char* aName)
+  {
+    const auto found = this->object.find(aName);
+    return found == this->object.end() || found->is_null() ? nullptr : &*found;
+  }
+
+  const Json& object;
+  std::string problem;
+};
+
+Error
+Invalid(std::string aProblem)
+{
+  return Error{ ErrorKind::InvalidArgument,
+                std::move(aProblem),
+                "compare the body with docs/API.md" };
+}
+
+Json
+UsageJson(const AnswerUsage& aUsage)
+{
+  return Json{ { "prompt", aUsage.prompt.Value() },
+               { "completion", aUsage.completion.Value() },
+               { "reused", aUsage.reused.Value() } };
+}
+
+std::string_view
+KindName(TargetKind aKind)
+{
+  switch (aKind) {
+    case TargetKind::Engine:
+      return "engine";
+    case TargetKind::Service:
+      return "service";
+    case TargetKind::Store:
+      return "store";
+  }
+  return "engine";
+}
+
+std::string_view
+RoleName(TargetRole aRole)
+{
+  switch (aRole) {
+    case TargetRole::Both:
+      return "both";
+    case TargetRole::Prefill:
+      return "prefill";
+    case TargetRole::Decode:
+      return "decode";
+  }
+  return "both";
+}
+
+TargetKind
+ReadKind(FieldReader& aReader)
+{
+  const std::string text = aReader.Text("kind");
+  for (const TargetKind kind : { TargetKind::Engine, TargetKind::Service, TargetKind::Store }) {
+    if (text == KindName(kind)) {
+      return kind;
+    }
+  }
+  aReader.Note("kind", "is none of engine, service, store");
+  return TargetKind::Engine;
+}
+
+TargetRole
+ReadRole(FieldReader& aReader)
+{
+  const std::string text = aReader.Text("role");
+  if (text.empty()) {
+    return TargetRole::Both;
+  }
+  for (const TargetRole role : { TargetRole::Both, TargetRole::Prefill, TargetRole::Decode }) {
+    if (text == RoleName(role)) {
+      return role;
+    }
+  }
+  aReader.Note("role", "is none of both, prefill, decode");
+  return TargetRole::Both;
+}
+
+Json
+ModelJson(const ServedModel& aModel)
+{
+  Json adapters = Json::array();
+  for (const AdapterName& adapter : aModel.adapters) {
+    adapters.push_back(adapter.Value());
+  }
+  return Json{ { "model", aModel.model.Value() },
+               { "version", aModel.version.Value() },
+               { "adapters", adapters } };
+}
+
+void
+ReadModels(FieldReader& aReader, std::vector<ServedModel>& aTo)
+{
+  for (const Json& item : aReader.Items("models")) {
+    if (!item.is_object()) {
+      aReader.Note("models", "has an entry that is not an object");
+      return;
+    }
+    FieldReader fields(item);
+    ServedModel& served = aTo.emplace_back();
+    served.model = ModelName(fields.Text("model"));
+    served.version = WeightVersion(fields.Text("version"));
+    for (const Json& adapter : fields.Items("adapters")) {
+      served.adapters.push_back(AdapterName(adapter.is_string() ? adapter.get<std::string>() : ""));
+    }
+    if (served.model.Empty() || served.version.Empty() || !fields.Problem().empty()) {
+      aReader.Note("models", "has an entry without model and version");
+    }
+  }
+}
+
+void
+ReadLoad(FieldReader& aReader, TargetLoad& aTo)
+{
+  FieldReader fields(aReader.Object("load"));
+  aTo.runningRequests = fields.Count("running");
+  aTo.queuedRequests = fields.Count("queued");
+  aTo.queuedPrefill = TokenCount(fields.Count("queued_prefill"));
+  aTo.slots = fields.Count("slots");
+  if (!fields.Problem().empty()) {
+    aReader.Note("load", "is wrong: " + fields.Problem());
+  }
+}
+
+void
+ReadStore(FieldReader& aReader, StoreDeclaration& aTo)
+{
+  FieldReader fields(aReader.Object("store"));
+  aTo.memory = ByteCount(fields.Count("memory"));
+  aTo.disk = ByteCount(fields.Count("disk"));
+  aTo.linkBytesPerSecond = ByteCount(fields.Count("link"));
+  aTo.bytesPerToken = ByteCount(fields.Count("bytes_per_token"));
+  if (!fields.Problem().empty()) {
+    aReader.Note("store", "is wrong: " + fields.Problem());
+  }
+}
+
+} // namespace
+
+std::string
+FormatEnginePrompt(const EnginePrompt& aPrompt)
+{
+  Json body = Json::parse(aPrompt.sampling, nullptr, false);
+  if (!body.is_object()) {
+    body = Json::object();
+  }
+  body["attempt"] = aPrompt.attempt.Value();
+  body["model"] = aPrompt.model.Value();
+  body["version"] = aPrompt.version.Value();
+  body["adapter"] = aPrompt.adapter.Value();
+  body["prompt"] = aPrompt.prompt;
+  body["max_tokens"] = aPrompt.maxTokens;
+  body["offset"] = aPrompt.offset;
+  body["delivered"] = aPrompt.delivered;
+  body["stream"] = true;
+  return Dump(body);
+}
+
+Result<EnginePrompt>
+ParseEnginePrompt(std::string_view aBody)
+{
+  const Json body = Json::parse(aBody, nullptr, false);
+  if (!body.is_object()) {
+    return Fail(Invalid("the prompt is not a JSON object"));
+  }
+  FieldReader fields(body);
+  EnginePrompt prompt;
+  prompt.attempt = AttemptId(fields.Text("attempt"));
+  prompt.model = ModelName(fields.Text("model"));
+  prompt.version = WeightVersion(fields.Text("version"));
+  prompt.adapter = AdapterName(fields.Text("adapter"));
+  prompt.prompt = fields.Text("prompt");
+  prompt.maxTokens = fields.Count("max_tokens");
+  prompt.offset = fields.Count("offset");
+  prompt.delivered = fields.Text("delivered");
+  if (!fields.Problem().empty()) {
+    return Fail(Invalid(fields.Problem()));
+  }
+  return prompt;
+}
+
+std::string
+FormatAnswerFrame(const AnswerFrame& aFrame)
+{
+  Json body{ { "attempt", aFrame.attempt.Value() },
+             { "offset", aFrame.offset },
+             { "tokens", aFrame.tokens },
+             { "text", aFrame.text } };
+  if (aFrame.end) {
+    body["end"] = true;
+    body["finish_reason"] = aFrame.finishReason;
+    body["usage"] = UsageJson(aFrame.usage);
+  }
+  return Dump(body);
+}
+
+Result<AnswerFrame>
+ParseAnswerFrame(std::string_view aText)
+{
+  const Json body = Json::parse(aText, nullptr, false);
+  if (!body.is_object()) {
+    return Fail(Invalid("the answer frame is not a JSON object"));
+  }
+  FieldReader fields(body);
+  AnswerFrame frame;
+  frame.attempt = AttemptId(fields.Text("attempt"));
+  frame.offset = fields.Count("offset");
+  frame.tokens = fields.Count("tokens");
+  frame.text = fields.Text("text");
+  frame.end = fields.Flag("end");
+  frame.finishReason = fields.Text("finish_reason");
+  FieldReader usage(fields.Object("usage"));
+  frame.usage.prompt = TokenCount(usage.Count("prompt"));
+  frame.usage.completion = TokenCount(usage.Count("completion"));
+  frame.usage.reused = TokenCount(usage.Count("reused"));
+  if (!usage.Problem().empty()) {
+    fields.Note("usage", "is wrong: " + usage.Problem());
+  }
+  if (!fields.Problem().empty()) {
+    return Fail(Invalid(fields.Problem()));
+  }
+  return frame;
+}
+
+std::string
+FormatTargetRecord(const TargetRecord& aRecord)
+{
+  Json models = Json::array();
+  for (const ServedModel& model : aRecord.models) {
+    models.push_back(ModelJson(model));
+  }
+  const Json load{ { "running", aRecord.load.runningRequests },
+                   { "queued", aRecord.load.queuedRequests },
+                   { "queued_prefill", aRecord.load.queuedPrefill.Value() },
+                   { "slots", aRecord.load.slots } };
+  const Json store{ { "memory", aRecord.store.memory.Value() },
+                    { "disk", aRecord.store.disk.Value() },
+                    { "link", aRecord.store.linkBytesPerSecond.Value() },
+                    { "bytes_per_token", aRecord.store.bytesPerToken.Value() } };
+  return Dump(Json{ { "id", aRecord.id.Value() },
+                    { "kind", KindName(aRecord.kind) },
+                    { "zone", aRecord.zone.Value() },
+                    { "endpoint", FormatEndpoint(aRecord.endpoint) },
+                    { "incarnation", aRecord.incarnation.Value() },
+                    { "sequence", aRecord.sequence.Value() },
+                    { "leaving", aRecord.leaving },
+                    { "checks_fencing", aRecord.checksFencing },
+                    { "role", RoleName(aRecord.role) },
+                    { "models", models },
+                    { "service", aRecord.service.Value() },
+                    { "load", load },
+                    { "prefill_rate", aRecord.rates.prefillTokensPerSecond },
+                    { "decode_rate", aRecord.rates.decodeTokensPerSecond },
+                    { "store", store } });
+}
+
+Result<TargetRecord>
+ParseTargetRecord(std::string_view aBody)
+{
+  const Json body = Json::parse(aBody, nullptr, false);
+  if (!body.is_object()) {
+    return Fail(Invalid("the announcement is not a JSON object"));
+  }
+  FieldReader fields(body);
+  TargetRecord record;
+  record.id = TargetId(fields.Text("id"));
+  record.kind = ReadKind(fields);
+  record.zone = ZoneId(fields.Text("zone"));
+  const auto endpoint = ParseEndpoint(fields.Text("endpoint"));
+  if (endpoint) {
+    record.endpoint = endpoint.value();
+  } else {
+    fields.Note("endpoint", endpoint.error().message);
+  }
+  record.incarnation = Incarnation(fields.Count("incarnation"));
+  record.sequence = Sequence(fields.Count("sequence"));
+  record.leaving = fields.Flag("leaving");
+  record.checksFencing = fields.Flag("checks_fencing");
+  record.role = ReadRole(fields);
+  ReadModels(fields, record.models);
+  record.service = ServiceName(fields.Text("service"));
+  ReadLoad(fields, record.load);
+  record.rates.prefillTokensPerSecond = fields.Number("prefill_rate");
+  record.rates.decodeTokensPerSecond = fields.Number("decode_rate");
+  ReadStore(fields, record.store);
+  if (record.id.Empty()) {
+    fields.Note("id", "is missing");
+  }
+  if (!fields.Problem().empty()) {
+    return Fail(Invalid(fields.Problem()));
+  }
+  return record;
+}
+
+Result<void>
+SseReader::Feed(std::string_view aBytes)
+{
+  this->buffer.erase(0, this->consumed);
+  this->consumed = 0;
+  this->buffer.append(aBytes);
+  const std::size_t lastBreak = this->buffer.rfind('\n');
+  const std::size_t unfinished =
+    lastBreak == std::string::npos ? this->buffer.size() : this->buffer.size() - lastBreak;
+  if (unfinished > this->mostLineBytes) {
+    return Fail(ErrorKind::Corrupt,
+                "an event of the answer exceeds the limit",
+                "check that the target speaks server-sent events");
+  }
+  return Success();
+}
+
+std::optional<std::string>
+SseReader::Next()
+{
+  constexpr std::string_view kPrefix = "data:";
+  while (true) {
+    const std::size_t lineEnd = this->buffer.find('\n', this->consumed);
+    if (lineEnd == std::string::npos) {
+      return std::nullopt;
+    }
+    std::string_view line(this->buffer);
+    line = line.substr(this->consumed, lineEnd - this->consumed);
+    this->consumed = lineEnd + 1;
+    if (!line.starts_with(kPrefix)) {
+      continue;
+    }
+    line.remove_prefix(kPrefix.size());
+    if (line.starts_with(' ')) {
+      line.remove_prefix(1);
+    }
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    return std::string(line);
+  }
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/src/transport/HttpServer.cpp
@@ -0,0 +1,212 @@
+#include "damasklink/transport/HttpServer.h"
+
+#include <atomic>
+#include <thread>
+
+#include <absl/strings/ascii.h>
+#include <httplib.h>
+
+#include "damasklink/protocol/ErrorBody.h"
+#include "damasklink/state/Text.h"
+#include "damasklink/transport/Log.h"
+
+namespace damasklink {
+namespace {
+
+constexpr std::string_view kNotFoundRemedy = "compare the path and method with docs/API.md";
+
+HttpRequest
+ReadRequest(const httplib::Request& aRequest)
+{
+  HttpRequest request;
+  request.method = aRequest.method;
+  request.path = aRequest.path;
+  request.body = aRequest.body;
+  for (const auto& [name, value] : aRequest.headers) {
+    request.headers.emplace(absl::AsciiStrToLower(name), value);
+  }
+  for (const auto& [name, value] : aRequest.params) {
+    request.query.emplace(name, value);
+  }
+  for (std::size_t index = 1; index < aRequest.matches.size(); ++index) {
+    request.groups.push_back(aRequest.matches[index].str());
+  }
+  return request;
+}
+
+class SinkWriter final : public StreamWriter
+{
+public:
+  explicit SinkWriter(httplib::DataSink& aSink)
+    : sink(aSink)
+  {
+  }
+
+  bool Write(std::string_view aBytes) override
+  {
+    return this->sink.write(aBytes.data(), aBytes.size());
+  }
+
+  bool IsOpen() const override { return this->sink.is_writable(); }
+
+private:
+  httplib::DataSink& sink;
+};
+
+void
+WriteResponse(HttpResponse aResponse, httplib::Response& aTo)
+{
+  aTo.status = aResponse.status;
+  for (const auto& [name, value] : aResponse.headers) {
+    aTo.set_header(name, value);
+  }
+  if (!aResponse.stream) {
+    aTo.set_content(aResponse.body, aResponse.contentType);
+    return;
+  }
+  auto provider = [stream = std::move(aResponse.stream)](std::size_t, httplib::DataSink& aSink) {
+    SinkWriter writer(aSink);
+    if (!stream(writer)) {
+      return false;
+    }
+    aSink.done();
+    return true;
+  };
+  aTo.set_chunked_content_provider(aResponse.contentType, std::move(provider));
+}
+
+// A body for what the library refuses by itself, such as unknown paths and huge bodies.
+void
+FillErrorBody(const httplib::Request& /*aRequest*/, httplib::Response& aResponse)
+{
+  if (!aResponse.body.empty()) {
+    return;
+  }
+  constexpr int kNotFound = 404;
+  constexpr int kTooLarge = 413;
+  CallerError error;
+  if (aResponse.status == kNotFound) {
+    error.error = { ErrorKind::NotFound, "no such path", std::string(kNotFoundRemedy) };
+  } else if (aResponse.status == kTooLarge) {
+    error.error = { ErrorKind::InvalidArgument, "the body is too large", "send a smaller body" };
+  } else {
+    error.error = { ErrorKind::InvalidArgument, "the request is malformed", "send valid HTTP" };
+  }
+  aResponse.set_content(FormatErrorBody(error), "application/json");
+}
+
+} // namespace
+
+std::string
+HttpRequest::Header(const std::string& aName) const
+{
+  const auto found = this->headers.find(aName);
+  return found == this->headers.end() ? "" : found->second;
+}
+
+std::string
+HttpRequest::Query(const std::string& aName) const
+{
+  const auto found = this->query.find(aName);
+  return found == this->query.end() ? "" : found->second;
+}
+
+class HttpServer::Impl
+{
+public:
+  explicit Impl(Options aOptions)
+    : options(std::move(aOptions))
+  {
+    const std::size_t threads = this->options.threads;
+    this->server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+    this->server.set_payload_max_length(this->options.mostBody.Value());
+    const auto idle = std::chrono::duration_cast<std::chrono::microseconds>(this->options.idle);
+    constexpr std::int64_t kMicros = 1'000'000;
+    this->server.set_read_timeout(idle.count() / kMicros, idle.count() % kMicros);
+    this->server.set_write_timeout(idle.count() / kMicros, idle.count() % kMicros);
+    this->server.set_keep_alive_max_count(1'000'000);
+    this->server.set_tcp_nodelay(true);
+    this->server.set_error_handler(FillErrorBody);
+  }
+
+  // Fills in the port where any will do.
+  bool Bind(Endpoint& aEndpoint)
+  {
+    const char* address = aEndpoint.address.c_str();
+    if (aEndpoint.port != 0) {
+      return this->server.bind_to_port(address, aEndpoint.port);
+    }
+    const int port = this->server.bind_to_any_port(address);
+    aEndpoint.port = static_cast<std::uint16_t>(port);
+    return port > 0;
+  }
+
+  httplib::Server server;
+  Options options;
+  std::thread thread;
+};
+
+HttpServer::HttpServer(Options aOptions)
+  : impl(std::make_unique<Impl>(std::move(aOptions)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+  this->Stop();
+}
+
+void
+HttpServer::Route(const std::string& aMethod, const std::string& aPattern, HttpHandler aHandler)
+{
+  auto adapter = [handler = std::move(aHandler)](const httplib::Request& aRequest,
+                                                 httplib::Response& aResponse) {
+    WriteResponse(handler(ReadRequest(aRequest)), aResponse);
+  };
+  httplib::Server& server = this->impl->server;
+  if (aMethod == "GET") {
+    server.Get(aPattern, std::move(adapter));
+  } else if (aMethod == "POST") {
+    server.Post(aPattern, std::move(adapter));
+  } else if (aMethod == "PUT") {
+    server.Put(aPattern, std::move(adapter));
+  } else if (aMethod == "PATCH") {
+    server.Patch(aPattern, std::move(adapter));
+  } else if (aMethod == "DELETE") {
+    server.Delete(aPattern, std::move(adapter));
+  }
+}
+
+Result<void>
+HttpServer::Start()
+{
+  Endpoint& endpoint = this->impl->options.endpoint;
+  if (!this->impl->Bind(endpoint)) {
+    return Fail(ErrorKind::Unavailable,
+                Concat("cannot listen on ", FormatEndpoint(endpoint)),
+                "end the process that holds the address, or choose another");
+  }
+  this->impl->thread = std::thread([this] { this->impl->server.listen_after_bind(); });
+  while (!this->impl->server.is_running()) {
+    std::this_thread::yield();
+  }
+  return Success();
+}
+
+Endpoint
+HttpServer::Address() const
+{
+  return this->impl->options.endpoint;
+}
+
+void
+HttpServer::Stop()
+{
+  if (!this->impl->thread.joinable()) {
+    return;
+  }
+  this->impl->server.stop();
+  this->impl->thread.join();
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/src/transport/PeerNetwork.cpp
@@ -0,0 +1,312 @@
+#include "damasklink/transport/PeerNetwork.h"
+
+#include <array>
+#include <deque>
+#include <map>
+#include <thread>
+
+#include <boost/asio.hpp>
+
+#include "damasklink/protocol/Envelope.h"
+#include "damasklink/state/Text.h"
+#include "damasklink/transport/Log.h"
+
+namespace damasklink {
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+constexpr std::size_t kMostFrameBytes = 64 * kMebibyte;
+constexpr std::size_t kMostQueuedBytes = 64 * kMebibyte;
+constexpr std::size_t kPrefixBytes = 4;
+constexpr Duration kReconnectDelay = std::chrono::milliseconds(200);
+
+std::array<unsigned char, kPrefixBytes>
+EncodeLength(std::size_t aLength)
+{
+  std::array<unsigned char, kPrefixBytes> prefix{};
+  for (std::size_t index = 0; index < kPrefixBytes; ++index) {
+    prefix[index] = static_cast<unsigned char>(aLength >> (8 * index));
+  }
+  return prefix;
+}
+
+std::size_t
+DecodeLength(const std::array<unsigned char, kPrefixBytes>& aPrefix)
+{
+  std::size_t length = 0;
+  for (std::size_t index = 0; index < kPrefixBytes; ++index) {
+    length |= static_cast<std::size_t>(aPrefix[index]) << (8 * index);
+  }
+  return length;
+}
+
+Tcp::endpoint
+AsioEndpoint(const Endpoint& aEndpoint)
+{
+  return Tcp::endpoint(asio::ip::make_address(aEndpoint.address), aEndpoint.port);
+}
+
+// Reads frames from one accepted connection. Lives as long as a read is pending.
+class IncomingLink : public std::enable_shared_from_this<IncomingLink>
+{
+public:
+  IncomingLink(Tcp::socket aSocket, const PeerNetwork::Handler& aHandler)
+    : socket(std::move(aSocket))
+    , handler(aHandler)
+  {
+  }
+
+  void ReadNext()
+  {
+    auto self = this->shared_from_this();
+    asio::async_read(
+      this->socket, asio::buffer(this->prefix), [self](const ErrorCode& aError, std::size_t) {
+        if (!aError) {
+          self->ReadBody();
+        }
+      });
+  }
+
+private:
+  void ReadBody()
+  {
+    const std::size_t length = DecodeLength(this->prefix);
+    if (length > kMostFrameBytes) {
+      LogEvent(LogLevel::Warning, "peer_frame_too_large").With("bytes", length);
+      return;
+    }
+    this->body.resize(length);
+    auto self = this->shared_from_this();
+    asio::async_read(
+      this->socket, asio::buffer(this->body), [self](const ErrorCode& aError, std::size_t) {
+        if (!aError && self->Deliver()) {
+          self->ReadNext();
+        }
+      });
+  }
+
+  bool Deliver()
+  {
+    auto envelope = DecodeEnvelope(this->body);
+    if (!envelope) {
+      LogEvent(LogLevel::Warning, "peer_frame_refused").With("error", envelope.error());
+      return false;
+    }
+    Envelope& decoded = envelope.value();
+    PeerMessage message;
+    message.channel = static_cast<Channel>(decoded.channel);
+    message.group = std::move(decoded.group);
+    message.payload = std::move(decoded.payload);
+    this->handler(std::move(decoded.from), std::move(message));
+    return true;
+  }
+
+  Tcp::socket socket;
+  const PeerNetwork::Handler& handler;
+  std::array<unsigned char, kPrefixBytes> prefix{};
+  std::string body;
+};
+
+// Keeps one connection to a peer and writes queued frames to it. On the network's thread only.
+class OutgoingLink
+{
+public:
+  OutgoingLink(asio::io_context& aContext, Endpoint aEndpoint)
+    : socket(aContext)
+    , timer(aContext)
+    , endpoint(std::move(aEndpoint))
+  {
+  }
+
+  void Send(std::string aFrame)
+  {
+    if (this->queuedBytes + aFrame.size() > kMostQueuedBytes) {
+      return;
+    }
+    if (!this->connected && !this->connecting) {
+      this->Connect();
+    }
+    this->queuedBytes += aFrame.size();
+    this->queue.push_back(std::move(aFrame));
+    this->WriteNext();
+  }
+
+private:
+  void Connect()
+  {
+    this->connecting = true;
+    this->socket.async_connect(AsioEndpoint(this->endpoint), [this](const ErrorCode& aError) {
+      this->connecting = false;
+      if (aError) {
+        this->Break();
+        return;
+      }
+      this->connected = true;
+      ErrorCode ignored;
+      this->socket.set_option(Tcp::no_delay(true), ignored);
+      this->WriteNext();
+    });
+  }
+
+  void WriteNext()
+  {
+    if (!this->connected || this->writing || this->queue.empty()) {
+      return;
+    }
+    this->writing = true;
+    this->prefix = EncodeLength(this->queue.front().size());
+    const std::array<asio::const_buffer, 2> buffers{ asio::buffer(this->prefix),
+                                                     asio::buffer(this->queue.front()) };
+    asio::async_write(this->socket, buffers, [this](const ErrorCode& aError, std::size_t) {
+      this->writing = false;
+      if (aError) {
+        this->Break();
+        return;
+      }
+      this->queuedBytes -= this->queue.front().size();
+      this->queue.pop_front();
+      this->WriteNext();
+    });
+  }
+
+  // Drops what was queued: the protocols above resend what still matters, and an old message
+  // after a long cut would only be noise.
+  void Break()
+  {
+    ErrorCode ignored;
+    this->socket.close(ignored);
+    this->connected = false;
+    this->queue.clear();
+    this->queuedBytes = 0;
+    // Holds further attempts back for a moment.
+    this->connecting = true;
+    this->timer.expires_after(kReconnectDelay);
+    this->timer.async_wait([this](const ErrorCode& aError) {
+      if (!aError) {
+        this->connecting = false;
+      }
+    });
+  }
+
+  Tcp::socket socket;
+  asio::steady_timer timer;
+  Endpoint endpoint;
+  bool connected = false;
+  bool connecting = false;
+  bool writing = false;
+  std::array<unsigned char, kPrefixBytes> prefix{};
+  std::deque<std::string> queue;
+  std::size_t queuedBytes = 0;
+};
+
+} // namespace
+
+class PeerNetwork::Impl
+{
+public:
+  Impl(const HostSettings& aSettings, Handler aHandler)
+    : self(aSettings.host)
+    , listenOn(aSettings.listen.peers)
+    , handler(std::move(aHandler))
+    , acceptor(this->context)
+    , work(asio::make_work_guard(this->context))
+  {
+    for (const PeerSettings& peer : aSettings.peers) {
+      if (peer.host != this->self) {
+        this->links.emplace(peer.host, std::make_unique<OutgoingLink>(this->context, peer.peers));
+      }
+    }
+  }
+
+  Result<void> Listen()
+  {
+    ErrorCode code;
+    const Tcp::endpoint endpoint = AsioEndpoint(this->listenOn);
+    this->acceptor.open(endpoint.protocol(), code);
+    this->acceptor.set_option(Tcp::acceptor::reuse_address(true), code);
+    this->acceptor.bind(endpoint, code);
+    if (!code) {
+      this->acceptor.listen(asio::socket_base::max_listen_connections, code);
+    }
+    if (code) {
+      return Fail(ErrorKind::Unavailable,
+                  Concat("cannot listen on ", FormatEndpoint(this->listenOn)),
+                  "end the process that holds the address, or choose another");
+    }
+    return Success();
+  }
+
+  void AcceptNext()
+  {
+    this->acceptor.async_accept([this](const ErrorCode& aError, Tcp::socket aSocket) {
+      if (!aError) {
+        std::make_shared<IncomingLink>(std::move(aSocket), this->handler)->ReadNext();
+      }
+      if (aError != asio::error::operation_aborted) {
+        this->AcceptNext();
+      }
+    });
+  }
+
+  HostId self;
+  Endpoint listenOn;
+  Handler handler;
+  asio::io_context context;
+  Tcp::acceptor acceptor;
+  asio::executor_work_guard<asio::io_context::executor_type> work;
+  std::map<HostId, std::unique_ptr<OutgoingLink>> links;
+  std::thread thread;
+};
+
+PeerNetwork::PeerNetwork(const HostSettings& aSettings, Handler aHandler)
+  : impl(std::make_unique<Impl>(aSettings, std::move(aHandler)))
+{
+}
+
+PeerNetwork::~PeerNetwork()
+{
+  this->Stop();
+}
+
+Result<void>
+PeerNetwork::Start()
+{
+  if (auto listening = this->impl->Listen(); !listening) {
+    return Fail(listening.error());
+  }
+  this->impl->AcceptNext();
+  this->impl->thread = std::thread([this] { this->impl->context.run(); });
+  return Success();
+}
+
+void
+PeerNetwork::Stop()
+{
+  this->impl->context.stop();
+  if (this->impl->thread.joinable()) {
+    this->impl->thread.join();
+  }
+}
+
+void
+PeerNetwork::Send(const HostId& aTo, PeerMessage aMessage)
+{
+  const auto found = this->impl->links.find(aTo);
+  if (found == this->impl->links.end()) {
+    return;
+  }
+  Envelope envelope;
+  envelope.from = this->impl->self;
+  envelope.channel = static_cast<std::uint8_t>(aMessage.channel);
+  envelope.group = std::move(aMessage.group);
+  envelope.payload = std::move(aMessage.payload);
+  asio::post(this->impl->context,
+             [link = found->second.get(), frame = EncodeEnvelope(envelope)]() mutable {
+               link->Send(std::move(frame));
+             });
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/standin/Engine.cpp
@@ -0,0 +1,138 @@
+#include "Engine.h"
+
+#include "damasklink/state/Text.h"
+#include <thread>
+
+namespace damasklink::standin {
+namespace {
+
+constexpr std::size_t kBytesPerToken = 4;
+constexpr std::size_t kBytesPerBlock = 64;
+constexpr int kStatusUnavailable = 503;
+constexpr int kStatusBadRequest = 400;
+
+void
+SleepSeconds(double aSeconds)
+{
+  std::this_thread::sleep_for(std::chrono::duration<double>(aSeconds));
+}
+
+} // namespace
+
+std::size_t
+PrefixCache::Touch(const std::string& aText)
+{
+  std::size_t known = 0;
+  bool prefix = true;
+  std::uint64_t chain = 0;
+  for (std::size_t at = 0; at + kBytesPerBlock <= aText.size(); at += kBytesPerBlock) {
+    const std::string_view block = std::string_view(aText).substr(at, kBytesPerBlock);
+    chain = chain * 1'099'511'628'211ULL + std::hash<std::string_view>{}(block);
+    const auto found = this->blocks.find(chain);
+    prefix = prefix && found != this->blocks.end();
+    if (prefix) {
+      known += kBytesPerBlock;
+    }
+    if (found != this->blocks.end()) {
+      this->order.erase(found->second);
+    }
+    this->order.push_front(chain);
+    this->blocks[chain] = this->order.begin();
+  }
+  while (this->blocks.size() > this->mostBlocks) {
+    this->blocks.erase(this->order.back());
+    this->order.pop_back();
+  }
+  return known;
+}
+
+Engine::Engine(EngineOptions aOptions)
+  : options(std::move(aOptions))
+  , cache(this->options.cacheBlocks)
+{
+}
+
+void
+Engine::AddRoutes(HttpServer& aServer)
+{
+  aServer.Route("POST", "/v1/completions", [this](const HttpRequest& aRequest) {
+    return this->Complete(aRequest);
+  });
+}
+
+TargetRecord
+Engine::Record() const
+{
+  TargetRecord record;
+  record.id = this->options.id;
+  record.kind = TargetKind::Engine;
+  record.zone = this->options.zone;
+  record.endpoint = this->options.listen;
+  record.models = this->options.models;
+  record.rates.prefillTokensPerSecond = this->options.prefillTokensPerSecond;
+  absl::MutexLock lock(&this->mutex);
+  record.load.runningRequests = this->running;
+  record.load.slots = this->options.slots;
+  return record;
+}
+
+HttpResponse
+Engine::Complete(const HttpRequest& aRequest)
+{
+  HttpResponse response;
+  auto prompt = ParseEnginePrompt(aRequest.body);
+  if (!prompt) {
+    response.status = kStatusBadRequest;
+    response.body = Describe(prompt.error());
+    return response;
+  }
+  {
+    absl::MutexLock lock(&this->mutex);
+    if (this->running >= this->options.slots) {
+      response.status = kStatusUnavailable;
+      return response;
+    }
+    ++this->running;
+  }
+  response.contentType = "text/event-stream";
+  response.stream = [this, taken = prompt.value()](StreamWriter& aWriter) {
+    const bool whole = this->Answer(taken, aWriter);
+    absl::MutexLock lock(&this->mutex);
+    --this->running;
+    return whole;
+  };
+  return response;
+}
+
+bool
+Engine::Answer(const EnginePrompt& aPrompt, StreamWriter& aWriter)
+{
+  std::size_t knownBytes = 0;
+  {
+    absl::MutexLock lock(&this->mutex);
+    knownBytes = this->cache.Touch(aPrompt.prompt);
+  }
+  const std::size_t prompt = aPrompt.prompt.size() / kBytesPerToken;
+  const std::size_t reused = knownBytes / kBytesPerToken;
+  SleepSeconds(static_cast<double>(prompt - reused) / this->options.prefillTokensPerSecond);
+  AnswerFrame frame;
+  frame.attempt = aPrompt.attempt;
+  for (std::uint64_t offset = aPrompt.offset; offset < aPrompt.maxTokens; ++offset) {
+    frame.offset = offset;
+    frame.tokens = 1;
+    frame.text = Concat("t", offset, " ");
+    if (!aWriter.Write(Concat("data: ", FormatAnswerFrame(frame), "\n\n"))) {
+      return false;
+    }
+    std::this_thread::sleep_for(this->options.tokenInterval);
+  }
+  frame.offset = aPrompt.maxTokens;
+  frame.tokens = 0;
+  frame.text.clear();
+  frame.end = true;
+  frame.finishReason = "length";
+  frame.usage = { TokenCount(prompt), TokenCount(aPrompt.maxTokens), TokenCount(reused) };
+  return aWriter.Write(Concat("data: ", FormatAnswerFrame(frame), "\n\ndata: [DONE]\n\n"));
+}
+
+} // namespace damasklink::standin
--- /dev/null
+++ b/standin/Main.cpp
@@ -0,0 +1,177 @@
+// Stand-ins for the targets that the platform gives; for demos, tests and benches only.
+#include <csignal>
+#include <iostream>
+#include <map>
+#include <memory>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <docopt/docopt.h>
+
+#include "Announcer.h"
+#include "Engine.h"
+#include "Service.h"
+#include "damasklink/state/Units.h"
+
+namespace {
+
+using namespace damasklink;
+using Arguments = std::map<std::string, docopt::value>;
+
+constexpr const char* kUsage = R"(damasklink-standin plays a target.
+
+Usage:
+  damasklink-standin engine --id ID --zone ZONE --listen ADDR --announce ADDRS [options]
+  damasklink-standin service --id ID --zone ZONE --listen ADDR --announce ADDRS [options]
+  damasklink-standin store --id ID --zone ZONE --listen ADDR --announce ADDRS [options]
+
+Options:
+  --id ID              Name of the target.
+  --zone ZONE          Availability zone of the target.
+  --listen ADDR        Address to serve, as IP:PORT.
+  --announce ADDRS     Target addresses of hosts, separated by commas.
+  --key KEY            Key of targets [default: target-key].
+  --model MODEL        Model as name@version [default: plates-7b@v1].
+  --service NAME       Name of the service [default: plates].
+  --prefill RATE       Prompt tokens a second [default: 20000].
+  --interval TIME      Time between tokens [default: 2ms].
+  --work TIME          Time one service call takes [default: 5ms].
+  --slots N            Requests at once [default: 64].
+  --memory SIZE        Memory of a store [default: 64MiB].
+  --link SIZE          Bytes a second over a store's link [default: 16MiB].
+)";
+
+constexpr std::size_t kSpareThreads = 16;
+
+std::string
+TextOf(const Arguments& aArguments, const std::string& aName)
+{
+  return aArguments.at(aName).asString();
+}
+
+std::uint64_t
+CountOf(const Arguments& aArguments, const std::string& aName)
+{
+  std::uint64_t number = 0;
+  if (!absl::SimpleAtoi(TextOf(aArguments, aName), &number)) {
+    throw std::invalid_argument(aName + " is not a whole number");
+  }
+  return number;
+}
+
+std::vector<Endpoint>
+EndpointsOf(const Arguments& aArguments, const std::string& aName)
+{
+  std::vector<Endpoint> endpoints;
+  const std::vector<std::string> pieces = absl::StrSplit(TextOf(aArguments, aName), ',');
+  endpoints.reserve(pieces.size());
+  for (const std::string& piece : pieces) {
+    endpoints.push_back(ParseEndpoint(piece).value());
+  }
+  return endpoints;
+}
+
+ServedModel
+ModelOf(const std::string& aText)
+{
+  const std::pair<std::string, std::string> parts = absl::StrSplit(aText, absl::MaxSplits('@', 1));
+  return ServedModel{ ModelName(parts.first), WeightVersion(parts.second), {} };
+}
+
+void
+WaitForStop()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  int signal = 0;
+  sigwait(&signals, &signal);
+}
+
+// Serves and announces until a signal comes.
+template<typename Target>
+int
+Play(Target& aTarget, const Arguments& aArguments, std::size_t aThreads)
+{
+  HttpServer::Options options;
+  options.endpoint = EndpointsOf(aArguments, "--listen").front();
+  options.threads = aThreads;
+  options.mostBody = ByteCount(64 * kMebibyte);
+  HttpServer server(options);
+  aTarget.AddRoutes(server);
+  if (auto started = server.Start(); !started) {
+    std::cerr << started.error() << '\n';
+    return 1;
+  }
+  const standin::Announcer announcer(
+    EndpointsOf(aArguments, "--announce"),
+    [&] { return aTarget.Record(); },
+    TextOf(aArguments, "--key"));
+  WaitForStop();
+  return 0;
+}
+
+int
+PlayEngine(const Arguments& aArguments)
+{
+  standin::EngineOptions options;
+  options.id = TargetId(TextOf(aArguments, "--id"));
+  options.zone = ZoneId(TextOf(aArguments, "--zone"));
+  options.listen = EndpointsOf(aArguments, "--listen").front();
+  options.models = { ModelOf(TextOf(aArguments, "--model")) };
+  options.prefillTokensPerSecond = static_cast<double>(CountOf(aArguments, "--prefill"));
+  options.tokenInterval = ParseDuration(TextOf(aArguments, "--interval")).value();
+  options.slots = CountOf(aArguments, "--slots");
+  standin::Engine engine(options);
+  return Play(engine, aArguments, options.slots + kSpareThreads);
+}
+
+int
+PlayService(const Arguments& aArguments)
+{
+  standin::ServiceOptions options;
+  options.id = TargetId(TextOf(aArguments, "--id"));
+  options.zone = ZoneId(TextOf(aArguments, "--zone"));
+  options.listen = EndpointsOf(aArguments, "--listen").front();
+  options.service = ServiceName(TextOf(aArguments, "--service"));
+  options.work = ParseDuration(TextOf(aArguments, "--work")).value();
+  standin::Service service(options);
+  return Play(service, aArguments, kSpareThreads);
+}
+
+int
+Run(const Arguments& aArguments)
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  if (aArguments.at("engine").asBool()) {
+    return PlayEngine(aArguments);
+  }
+  if (aArguments.at("service").asBool()) {
+    return PlayService(aArguments);
+  }
+  std::cerr << "the store is played from a later version on\n";
+  return 2;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  try {
+    const std::vector<std::string> words(aArguments + 1, aArguments + aCount);
+    return Run(docopt::docopt_parse(kUsage, words, true, false));
+  } catch (const docopt::DocoptExitHelp&) {
+    std::cout << kUsage;
+    return 0;
+  } catch (const std::exception& error) {
+    std::cerr << "damasklink-standin: " << error.what() << '\n';
+    return 2;
+  }
+}
--- /dev/null
+++ b/test/transport/HttpClientTest.cpp
@@ -0,0 +1,74 @@
+#include "damasklink/transport/HttpClient.h"
+
+#include <gtest/gtest.h>
+
+#include "damasklink/transport/HttpServer.h"
+
+namespace damasklink {
+namespace {
+
+// Serves one path with the handler while the test runs.
+class HttpClientTest : public testing::Test
+{
+protected:
+  void Serve(HttpHandler aHandler)
+  {
+    HttpServer::Options options;
+    options.endpoint.address = "127.0.0.1";
+    this->server = std::make_unique<HttpServer>(options);
+    this->server->Route("POST", "/x", std::move(aHandler));
+    ASSERT_TRUE(this->server->Start());
+  }
+
+  HttpCall MakeCall() const
+  {
+    HttpCall call;
+    call.endpoint = this->server->Address();
+    call.method = "POST";
+    call.path = "/x";
+    call.body = "question";
+    return call;
+  }
+
+  std::unique_ptr<HttpServer> server;
+};
+
+TEST_F(HttpClientTest, ReadsAnAnswerOfKnownLength)
+{
+  this->Serve([](const HttpRequest& aRequest) {
+    HttpResponse response;
+    response.body = "answer to " + aRequest.body;
+    return response;
+  });
+  const auto answer = CallHttp(MakeCall(), ByteCount(1024));
+  ASSERT_TRUE(answer) << answer.error();
+  EXPECT_EQ(answer.value().body, "answer to question");
+}
+
+TEST_F(HttpClientTest, StreamCutBeforeItsEndIsNotWhole)
+{
+  this->Serve([](const HttpRequest&) {
+    HttpResponse response;
+    response.stream = [](StreamWriter& aWriter) {
+      aWriter.Write("half");
+      return false;
+    };
+    return response;
+  });
+  const auto answer = CallHttp(MakeCall(), ByteCount(1024));
+  ASSERT_FALSE(answer);
+  EXPECT_EQ(answer.error().kind, ErrorKind::Interrupted);
+}
+
+TEST_F(HttpClientTest, RefusedConnectionIsUnavailable)
+{
+  this->Serve([](const HttpRequest&) { return HttpResponse(); });
+  const HttpCall call = MakeCall();
+  this->server->Stop();
+  const auto answer = CallHttp(call, ByteCount(1024));
+  ASSERT_FALSE(answer);
+  EXPECT_EQ(answer.error().kind, ErrorKind::Unavailable);
+}
+
+} // namespace
+} // namespace damasklink
