Headers between the parts: replication, reuse, metrics, and one part each in the host

Cause: five parts are to grow side by side; without seams they would all edit the same file. Change: Replication.h (machines, proposals and what each failure promises), PromptReuse.h, Metrics.h; HostProcess wires AgreementPart, ConfigurationPart, ReusePart, TrafficPart and OperatorPart, each with its own routes and modules. SoloReplicator applies in memory until the replicated log takes its place; it is no claim of durability.

--- a/include/damasklink/coordination/Router.h
+++ b/include/damasklink/coordination/Router.h
@@ -1,6 +1,7 @@
 // The choice of a target for a prompt, as an interface that policies implement.
 #pragma once
 
+#include <map>
 #include <vector>
 
 #include "damasklink/coordination/Target.h"
@@ -10,6 +11,18 @@
 
 namespace damasklink {
 
+// A prefix of the prompt that a store keeps.
+struct StoredPrefix
+{
+  StoreId store;
+  // Whole blocks from the start of the prompt.
+  std::uint64_t blocks = 0;
+  TokenCount tokens;
+  ByteCount bytes;
+  // What the store's link has left over for this import.
+  double freeBytesPerSecond = 0;
+};
+
 // What a policy may know of a prompt.
 struct RouteRequest
 {
@@ -23,6 +36,8 @@
   TokenCount promptTokens;
   // Names of the prompt's whole blocks, from its start (BlockNames.h).
   std::vector<Digest> blocks;
+  // Stores that keep a prefix, as the look-up found them.
+  std::vector<StoredPrefix> stored;
   // Targets that this request has tried already.
   std::vector<TargetId> excluded;
   // Where a run goes on, it needs a target that decodes; a new one needs one that prefills.
--- /dev/null
+++ b/include/damasklink/state/Metrics.h
@@ -0,0 +1,76 @@
+// What the system counts and measures, by name; the interface that every part records through.
+#pragma once
+
+#include <string>
+
+#include "damasklink/state/Clock.h"
+#include "damasklink/state/Ids.h"
+
+namespace damasklink {
+
+// Things that only grow.
+enum class Counter
+{
+  Requests,
+  Refusals, // kind: the error kind.
+  Failures, // kind: the error kind.
+  Retries,
+  PromptTokens,
+  ReusedTokens,
+  RecomputedTokens, // Computed again although they had been computed before.
+  AnswerTokens,
+  LinkBytesIn,  // Imports, store to engine.
+  LinkBytesOut, // Exports, engine to store.
+  ClaimsTaken,
+  ClaimsRepeated,
+  ConfigChanges,
+  Elections,
+  Orders,
+  PeerBytesOut,
+  PeerBytesIn,
+};
+
+// Durations of which quantiles are kept.
+enum class Sample
+{
+  FirstToken,
+  BetweenTokens,
+  WholeRequest,
+  QueueWait,
+  ClaimWait,
+  ConfigSpread,
+  RouteChoice,
+};
+
+// Which series: either field may be empty.
+struct MetricKey
+{
+  WorkspaceId workspace;
+  std::string kind;
+
+  auto operator<=>(const MetricKey&) const = default;
+};
+
+// Takes what is recorded. Safe from any thread; never waits for I/O.
+class Metrics
+{
+public:
+  virtual ~Metrics() = default;
+
+  virtual void Add(Counter aCounter, const MetricKey& aKey, std::uint64_t aAmount) = 0;
+  virtual void Observe(Sample aSample, const MetricKey& aKey, Duration aValue) = 0;
+
+  // Counts one request against the workspace's service-level objective.
+  virtual void CountServiceLevel(const WorkspaceId& aWorkspace, bool aGood) = 0;
+};
+
+// Records nothing; for tests and benches.
+class NoMetrics final : public Metrics
+{
+public:
+  void Add(Counter /*aCounter*/, const MetricKey& /*aKey*/, std::uint64_t /*aAmount*/) override {}
+  void Observe(Sample /*aSample*/, const MetricKey& /*aKey*/, Duration /*aValue*/) override {}
+  void CountServiceLevel(const WorkspaceId& /*aWorkspace*/, bool /*aGood*/) override {}
+};
+
+} // namespace damasklink
--- a/src/program/CallerService.cpp
+++ b/src/program/CallerService.cpp
@@ -1,8 +1,9 @@
 #include "CallerService.h"
 
+#include "Responses.h"
+
 #include <algorithm>
 
-#include <absl/strings/match.h>
 #include <absl/strings/str_format.h>
 
 #include "damasklink/state/Digests.h"
@@ -12,10 +13,6 @@
 namespace damasklink {
 namespace {
 
-constexpr int kStatusTooMany = 429;
-constexpr int kStatusUnavailable = 503;
-constexpr std::int64_t kMillisecondsPerSecond = 1000;
-
 const ServiceRoute*
 FindService(const ResolvedPolicy& aPolicy, const ServiceName& aName)
 {
@@ -40,41 +37,6 @@
 
 } // namespace
 
-HttpResponse
-ErrorResponse(const CallerError& aError)
-{
-  HttpResponse response;
-  response.status = HttpStatusOf(aError.error.kind);
-  response.body = FormatErrorBody(aError);
-  if (aError.retryAfter) {
-    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(*aError.retryAfter);
-    const std::int64_t seconds =
-      (wait.count() + kMillisecondsPerSecond - 1) / kMillisecondsPerSecond;
-    response.headers.emplace_back("retry-after", Concat(std::max<std::int64_t>(seconds, 1)));
-  }
-  return response;
-}
-
-HttpResponse
-RefusalResponse(Error aError)
-{
-  CallerError refusal;
-  refusal.error = std::move(aError);
-  refusal.outcome = RunOutcome::NotRun;
-  return ErrorResponse(refusal);
-}
-
-std::string
-BearerToken(const HttpRequest& aRequest)
-{
-  constexpr std::string_view kScheme = "Bearer ";
-  const std::string header = aRequest.Header("authorization");
-  if (!absl::StartsWithIgnoreCase(header, ForAbsl(kScheme))) {
-    return "";
-  }
-  return header.substr(kScheme.size());
-}
-
 CallerService::CallerService(const RelayContext& aContext, const HostSettings& aSettings)
   : context(aContext)
   , settings(aSettings)
--- a/src/program/CallerService.h
+++ b/src/program/CallerService.h
@@ -32,16 +32,4 @@
   std::uint64_t processTag;
 };
 
-// Returns a response with the error's status, body and Retry-After.
-HttpResponse
-ErrorResponse(const CallerError& aError);
-
-// Returns the response for an error of a request that no target has seen.
-HttpResponse
-RefusalResponse(Error aError);
-
-// Returns the token of "authorization: Bearer <token>", empty when there is none.
-std::string
-BearerToken(const HttpRequest& aRequest);
-
 } // namespace damasklink
--- a/src/program/CompletionRelay.cpp
+++ b/src/program/CompletionRelay.cpp
@@ -7,8 +7,6 @@
 namespace {
 
 constexpr int kMostAttempts = 3;
-// Engines count about four bytes of text as a token.
-constexpr std::size_t kBytesPerToken = 4;
 
 } // namespace
 
@@ -26,7 +24,7 @@
   this->route.adapter = this->request.adapter;
   this->route.grants = aPolicy.models;
   this->route.objective = aPolicy.objective;
-  this->route.promptTokens = TokenCount(this->request.prompt.size() / kBytesPerToken);
+  aContext.reuse.LookUp(this->request.prompt, this->route);
 }
 
 CompletionRelay::~CompletionRelay()
@@ -72,6 +70,8 @@
   this->outstanding = true;
   this->route.excluded.push_back(this->decision.target);
 
+  this->context.reuse.Bring(this->route, this->decision);
+
   EnginePrompt prompt;
   prompt.attempt = AttemptId(Concat(this->id.Value(), "-", this->record.Attempts().size() + 1));
   prompt.model = this->request.model;
@@ -125,6 +125,7 @@
     text = std::move(next.value());
   }
   const StreamAssembler& whole = this->stream->Assembled();
+  this->context.reuse.Keep(this->route, this->decision, whole.Usage());
   const bool sent = aWriter.Write(FormatEndEvents(header, whole.FinishReason(), whole.Usage()));
   this->Finish(sent);
   return sent;
@@ -142,6 +143,7 @@
     text += next.value();
   }
   const StreamAssembler& whole = this->stream->Assembled();
+  this->context.reuse.Keep(this->route, this->decision, whole.Usage());
   std::string body = FormatWholeAnswer(this->Header(), text, whole.FinishReason(), whole.Usage());
   this->Finish(true);
   return body;
--- a/src/program/CompletionRelay.h
+++ b/src/program/CompletionRelay.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "damasklink/coordination/DispatchRecord.h"
+#include "damasklink/coordination/PromptReuse.h"
 #include "damasklink/protocol/CallerApi.h"
 #include "damasklink/protocol/ErrorBody.h"
 #include "damasklink/transport/EngineStream.h"
@@ -21,6 +22,7 @@
   const Clock& clock;
   const HostTimeouts& timeouts;
   RoutingDesk& routing;
+  PromptReuse& reuse;
   const TrafficViewHolder& views;
 };
 
--- a/src/program/HostProcess.cpp
+++ b/src/program/HostProcess.cpp
@@ -2,13 +2,12 @@
 
 #include <absl/strings/str_cat.h>
 
-#include "CallerService.h"
-#include "RoutingDesk.h"
-#include "TargetsModule.h"
-#include "TrafficView.h"
-#include "damasklink/protocol/EngineApi.h"
-#include "damasklink/transport/ControlLoop.h"
-#include "damasklink/transport/HttpServer.h"
+#include "AgreementPart.h"
+#include "ConfigurationPart.h"
+#include "HostContext.h"
+#include "OperatorPart.h"
+#include "ReusePart.h"
+#include "TrafficPart.h"
 #include "damasklink/transport/Log.h"
 
 namespace damasklink {
@@ -36,21 +35,19 @@
 public:
   explicit Impl(HostSettings aSettings)
     : settings(std::move(aSettings))
-    , routing(std::make_unique<LeastLoadedRouter>())
-    , relay{ this->clock, this->settings.timeouts, this->routing, this->views }
-    , callers(this->relay, this->settings)
+    , publisher(this->views)
     , control(this->clock, kMailboxSize)
     , network(this->settings,
               [this](HostId aFrom, PeerMessage aMessage) {
                 this->control.PostPeerMessage(std::move(aFrom), std::move(aMessage));
               })
-    , targets(this->clock,
-              this->settings,
-              this->network,
-              [this](std::vector<TargetRecord> aTargets) {
-                this->view.targets = std::move(aTargets);
-                this->views.Publish(this->view);
-              })
+    , context{ this->settings, this->clock, this->metrics,   this->control,
+               this->network,  this->views, this->publisher, this->phase }
+    , agreement(this->context)
+    , configuration(this->context, this->agreement.Groups())
+    , reuse(this->context, this->agreement.Groups())
+    , traffic(this->context, this->agreement.Groups(), this->reuse)
+    , operators(this->context)
     , callerServer(ServerOptions(this->settings,
                                  this->settings.listen.callers,
                                  this->settings.limits.callerThreads))
@@ -60,70 +57,57 @@
   {
   }
 
-  Result<void> LoadInitialTree()
+  void AddRoutes()
   {
-    if (this->settings.initialTree.empty()) {
-      return Success();
-    }
-    auto text = ReadWholeFile(this->settings.initialTree);
-    if (!text) {
-      return Fail(text.error());
-    }
-    const auto parsed = ParseConfigTree(text.value(), this->settings.initialTree);
-    if (!parsed.Ok()) {
-      return Fail(ErrorKind::InvalidArgument,
-                  FormatFault(parsed.faults.front()),
-                  "run damasklink check for all faults");
-    }
-    this->view.callers = std::make_shared<CallerDirectory>(parsed.value);
-    this->views.Publish(this->view);
-    return Success();
+    const HostServers servers{ this->callerServer, this->operatorServer, this->targetServer };
+    this->agreement.AddRoutes(servers);
+    this->configuration.AddRoutes(servers);
+    this->reuse.AddRoutes(servers);
+    this->traffic.AddRoutes(servers);
+    this->operators.AddRoutes(servers);
   }
 
-  void AddRoutes()
+  Result<void> StartParts()
   {
-    this->callers.AddRoutes(this->callerServer);
-    const HttpHandler fine = [](const HttpRequest&) {
-      HttpResponse response;
-      response.contentType = "text/plain";
-      response.body = "ok\n";
-      return response;
-    };
-    this->operatorServer.Route("GET", "/healthz", fine);
-    this->operatorServer.Route("GET", "/readyz", fine);
-    this->targetServer.Route("POST", "/v1/targets/announce", [this](const HttpRequest& aRequest) {
-      return this->TakeAnnouncement(aRequest);
-    });
+    if (auto started = this->agreement.Start(); !started) {
+      return started;
+    }
+    if (auto started = this->configuration.Start(); !started) {
+      return started;
+    }
+    if (auto started = this->reuse.Start(); !started) {
+      return started;
+    }
+    return this->traffic.Start();
   }
 
-  HttpResponse TakeAnnouncement(const HttpRequest& aRequest)
+  Result<void> StartServers()
   {
-    auto record = ParseTargetRecord(aRequest.body);
-    if (!record) {
-      return RefusalResponse(record.error());
+    if (auto started = this->network.Start(); !started) {
+      return started;
     }
-    const bool posted =
-      this->control.Post([this, taken = record.value()] { this->targets.Announce(taken); });
-    if (!posted) {
-      return RefusalResponse(
-        Error{ ErrorKind::Overloaded, "the control thread is behind", "announce again shortly" });
+    for (HttpServer* server : { &this->targetServer, &this->operatorServer, &this->callerServer }) {
+      if (auto started = server->Start(); !started) {
+        return started;
+      }
     }
-    HttpResponse response;
-    response.body = "{}";
-    return response;
+    return Success();
   }
 
   HostSettings settings;
   SystemClock clock;
+  NoMetrics metrics;
   TrafficViewHolder views;
-  // The copy that the control thread changes and publishes.
-  TrafficView view;
-  RoutingDesk routing;
-  RelayContext relay;
-  CallerService callers;
+  ViewPublisher publisher;
+  std::atomic<HostPhase> phase{ HostPhase::Starting };
   ControlLoop control;
   PeerNetwork network;
-  TargetsModule targets;
+  HostContext context;
+  AgreementPart agreement;
+  ConfigurationPart configuration;
+  ReusePart reuse;
+  TrafficPart traffic;
+  OperatorPart operators;
   HttpServer callerServer;
   HttpServer operatorServer;
   HttpServer targetServer;
@@ -139,38 +123,36 @@
 Result<void>
 HostProcess::Start()
 {
-  if (auto loaded = this->impl->LoadInitialTree(); !loaded) {
-    return loaded;
-  }
-  this->impl->AddRoutes();
-  this->impl->control.Add(Channel::Targets, this->impl->targets);
-  this->impl->control.Start();
-  if (auto started = this->impl->network.Start(); !started) {
+  Impl& host = *this->impl;
+  if (auto started = host.StartParts(); !started) {
     return started;
   }
-  for (HttpServer* server :
-       { &this->impl->targetServer, &this->impl->operatorServer, &this->impl->callerServer }) {
-    if (auto started = server->Start(); !started) {
-      return started;
-    }
+  host.AddRoutes();
+  host.control.Start();
+  if (auto started = host.StartServers(); !started) {
+    return started;
   }
+  host.phase.store(HostPhase::Ready);
   LogEvent(LogLevel::Info, "host_started")
-    .With("host", this->impl->settings.host)
-    .With("zone", this->impl->settings.zone)
-    .With("callers", FormatEndpoint(this->impl->settings.listen.callers));
+    .With("host", host.settings.host)
+    .With("zone", host.settings.zone)
+    .With("callers", FormatEndpoint(host.settings.listen.callers));
   return Success();
 }
 
 void
 HostProcess::Stop()
 {
-  this->impl->control.AnnounceShutdown();
-  this->impl->callerServer.Stop();
-  this->impl->targetServer.Stop();
-  this->impl->operatorServer.Stop();
-  this->impl->network.Stop();
-  this->impl->control.Stop();
-  LogEvent(LogLevel::Info, "host_stopped").With("host", this->impl->settings.host);
+  Impl& host = *this->impl;
+  host.phase.store(HostPhase::Leaving);
+  host.control.AnnounceShutdown();
+  host.traffic.Drain();
+  host.callerServer.Stop();
+  host.targetServer.Stop();
+  host.operatorServer.Stop();
+  host.network.Stop();
+  host.control.Stop();
+  LogEvent(LogLevel::Info, "host_stopped").With("host", host.settings.host);
 }
 
 } // namespace damasklink
--- /dev/null
+++ b/src/program/Responses.h
@@ -0,0 +1,29 @@
+// Responses and credentials that the handlers of all addresses share.
+#pragma once
+
+#include "damasklink/protocol/ErrorBody.h"
+#include "damasklink/transport/HttpServer.h"
+
+namespace damasklink {
+
+// Returns a response with the error's status, body and Retry-After.
+HttpResponse
+ErrorResponse(const CallerError& aError);
+
+// Returns the response for an error of a request that no target has seen.
+HttpResponse
+RefusalResponse(Error aError);
+
+// Returns plain text with status 200.
+HttpResponse
+TextResponse(std::string aText);
+
+// Returns the token of "authorization: Bearer <token>", empty when there is none.
+std::string
+BearerToken(const HttpRequest& aRequest);
+
+// Checks the bearer token against digests, in constant time. Fails with Unauthenticated.
+Result<void>
+CheckKey(const HttpRequest& aRequest, const std::vector<Digest>& aAllowed);
+
+} // namespace damasklink
--- /dev/null
+++ b/src/program/TrafficPart.h
@@ -0,0 +1,32 @@
+// The life of requests on one host: callers, claims, admission, relay and shutdown.
+#pragma once
+
+#include "CallerService.h"
+#include "HostContext.h"
+#include "ReusePart.h"
+#include "damasklink/coordination/Replication.h"
+
+namespace damasklink {
+
+class TrafficPart
+{
+public:
+  TrafficPart(const HostContext& aContext, Replicator& aGroups, ReusePart& aReuse);
+
+  // Adds its modules to the control loop. Requires to be called before the loop starts.
+  Result<void> Start();
+
+  void AddRoutes(const HostServers& aServers);
+
+  // Refuses new work as "not run" and returns once running requests have ended, or the limit of
+  // the settings is over and the rest was ended with explicit errors.
+  void Drain();
+
+private:
+  const HostContext& context;
+  Replicator& groups;
+  RelayContext relay;
+  CallerService callers;
+};
+
+} // namespace damasklink
