One reader for JSON fields, and a table of benches

Cause: each part is about to read JSON and to add a bench of its own; the reader stood inside one file and there was no common way in. Change: src/protocol/JsonFields.h holds the reader; bench/Main.cpp holds the table.

--- /dev/null
+++ b/bench/Main.cpp
@@ -0,0 +1,45 @@
+// Runs one bench by name.
+#include <iostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Bench.h"
+
+namespace {
+
+struct BenchCommand
+{
+  std::string_view name;
+  std::string_view purpose;
+  int (*run)(const std::vector<std::string>& aArguments);
+};
+
+const std::vector<BenchCommand> kCommands{};
+
+int
+PrintUsage()
+{
+  std::cerr << "Usage: damasklink-bench COMMAND [ARGUMENT...]\n";
+  for (const BenchCommand& command : kCommands) {
+    std::cerr << "  " << command.name << "  " << command.purpose << '\n';
+  }
+  return 2;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  const std::vector<std::string> words(aArguments + 1, aArguments + aCount);
+  if (words.empty()) {
+    return PrintUsage();
+  }
+  for (const BenchCommand& command : kCommands) {
+    if (command.name == words.front()) {
+      return command.run({ words.begin() + 1, words.end() });
+    }
+  }
+  return PrintUsage();
+}
--- a/src/protocol/CallerApi.cpp
+++ b/src/protocol/CallerApi.cpp
@@ -2,13 +2,14 @@
 
 #include <array>
 
+#include "JsonFields.h"
 #include "damasklink/state/Text.h"
-#include <nlohmann/json.hpp>
 
 namespace damasklink {
 namespace {
 
-using Json = nlohmann::json;
+using internal::Dump;
+using internal::Json;
 
 constexpr std::uint64_t kMostAnswerTokens = 1'000'000;
 
@@ -24,12 +25,6 @@
     ErrorKind::InvalidArgument, Concat("field '", aField, "' ", aProblem), std::string(aRemedy));
 }
 
-std::string
-Dump(const Json& aJson)
-{
-  return aJson.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
 // Splits "name@version+adapter".
 void
 ReadModel(const std::string& aText, CompletionRequest& aTo)
--- a/src/protocol/EngineApi.cpp
+++ b/src/protocol/EngineApi.cpp
@@ -1,129 +1,14 @@
 #include "damasklink/protocol/EngineApi.h"
 
+#include "JsonFields.h"
 #include "damasklink/state/Text.h"
-#include <nlohmann/json.hpp>
 
 namespace damasklink {
 namespace {
 
-using Json = nlohmann::json;
-
-std::string
-Dump(const Json& aJson)
-{
-  return aJson.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
-// Reads typed fields of one object and remembers the first that is wrong.
-class FieldReader
-{
-public:
-  explicit FieldReader(const Json& aObject)
-    : object(aObject)
-  {
-  }
-
-  std::string Text(const char* aName)
-  {
-    const Json* found = this->Find(aName);
-    if (found == nullptr) {
-      return "";
-    }
-    if (!found->is_string()) {
-      this->Note(aName, "is not a text");
-      return "";
-    }
-    return found->get<std::string>();
-  }
-
-  std::uint64_t Count(const char* aName)
-  {
-    const Json* found = this->Find(aName);
-    if (found == nullptr) {
-      return 0;
-    }
-    if (!found->is_number_unsigned()) {
-      this->Note(aName, "is not a whole number of at least zero");
-      return 0;
-    }
-    return found->get<std::uint64_t>();
-  }
-
-  double Number(const char* aName)
-  {
-    const Json* found = this->Find(aName);
-    if (found == nullptr) {
-      return 0;
-    }
-    if (!found->is_number() || found->get<double>() < 0) {
-      this->Note(aName, "is not a number of at least zero");
-      return 0;
-    }
-    return found->get<double>();
-  }
-
-  bool Flag(const char* aName)
-  {
-    const Json* found = this->Find(aName);
-    if (found == nullptr) {
-      return false;
-    }
-    if (!found->is_boolean()) {
-      this->Note(aName, "is neither true nor false");
-      return false;
-    }
-    return found->get<bool>();
-  }
-
-  // Returns the array under the name, or an empty one.
-  const Json& Items(const char* aName)
-  {
-    static const Json kNone = Json::array();
-    const Json* found = this->Find(aName);
-    if (found == nullptr) {
-      return kNone;
-    }
-    if (!found->is_array()) {
-      this->Note(aName, "is not a list");
-      return kNone;
-    }
-    return *found;
-  }
-
-  // Returns the object under the name, or an empty one.
-  const Json& Object(const char* aName)
-  {
-    static const Json kNone = Json::object();
-    const Json* found = this->Find(aName);
-    if (found == nullptr) {
-      return kNone;
-    }
-    if (!found->is_object()) {
-      this->Note(aName, "is not an object");
-      return kNone;
-    }
-    return *found;
-  }
-
-  void Note(std::string_view aName, std::string_view aProblem)
-  {
-    if (this->problem.empty()) {
-      this->problem = Concat("field '", aName, "' ", aProblem);
-    }
-  }
-
-  const std::string& Problem() const { return this->problem; }
-
-private:
-  const Json* Find(const char* aName)
-  {
-    const auto found = this->object.find(aName);
-    return found == this->object.end() || found->is_null() ? nullptr : &*found;
-  }
-
-  const Json& object;
-  std::string problem;
-};
+using internal::Dump;
+using internal::FieldReader;
+using internal::Json;
 
 Error
 Invalid(std::string aProblem)
