--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -1,8 +1,13 @@
 // The benches of this project. Each prints its figures and returns 0 when it ran to its end.
 #pragma once
 
+#include <string>
+#include <vector>
+
 namespace damasklink::bench {
 
-// Adds one row to the table in Main.cpp for each bench; declare it here.
+// Slopes of state, processor time and bytes, for docs/CAPACITY.md.
+int
+RunSlopes(const std::vector<std::string>& aArguments);
 
 } // namespace damasklink::bench
--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -15,7 +15,9 @@
   int (*run)(const std::vector<std::string>& aArguments);
 };
 
-const std::vector<BenchCommand> kCommands{};
+const std::vector<BenchCommand> kCommands{
+  { "slopes", "state, processor time and bytes as they grow", damasklink::bench::RunSlopes },
+};
 
 int
 PrintUsage()
