A table of commands, each with its own usage text

Main.cpp held one usage text and one chain of ifs, so every new subcommand had to edit both. Ruled out: a base class per command (no state to hold).

--- a/src/program/ServeCommand.cpp
+++ b/src/program/ServeCommand.cpp
@@ -21,21 +21,28 @@
   return signals;
 }
 
-} // namespace
+constexpr std::string_view kUsage = R"(Usage:
+  damasklink serve --settings FILE [options]
+
+Options:
+  --settings FILE    Settings of this host.
+)";
 
 ExitCode
-RunServe(const std::string& aSettingsFile, const std::string& aLogLevel)
+Run(const Arguments& aArguments)
 {
-  auto parsed = LoadHostSettings(aSettingsFile);
+  auto parsed = LoadHostSettings(TextOf(aArguments, "--settings"));
   for (const Fault& fault : parsed.faults) {
     std::cerr << FormatFault(fault) << '\n';
   }
   if (!parsed.Ok()) {
     return ExitCode::Refused;
   }
-  LogLevel level = LogLevel::Info;
-  ParseLogLevel(aLogLevel.empty() ? parsed.value.logLevel : aLogLevel, level);
-  StartLogging(level);
+  if (TextOf(aArguments, "--log-level").empty()) {
+    LogLevel level = LogLevel::Info;
+    ParseLogLevel(parsed.value.logLevel, level);
+    SetLogLevel(level);
+  }
   const sigset_t signals = BlockStopSignals();
   HostProcess host(std::move(parsed.value));
   if (auto started = host.Start(); !started) {
@@ -48,4 +55,12 @@
   return ExitCode::Done;
 }
 
+} // namespace
+
+Command
+ServeCommand()
+{
+  return Command{ "serve", "Runs a host until SIGTERM or SIGINT.", kUsage, Run };
+}
+
 } // namespace damasklink
