Connections beyond the limit are refused at once; backlog of 1024

Cause: the HTTP library queues connections without bound behind its fixed pool, so with all threads on long streams a new caller waits unanswered, and it listens with a backlog of 5, so a burst loses connections to TCP's one second retry. Change: ConnectionThreads makes a thread for each connection up to the limit and keeps four that answer 429, "not run", Retry-After beyond it. The server listens again with 1024 (seen with ss: 5 before, 1024 after). Ruled out: a larger fixed pool, which only moves the point where callers wait. Seen without the refusing lane: ConnectionThreadsTest.RefusesBeyondTheLimitWithoutWaiting never ends.

--- a/include/damasklink/state/Settings.h
+++ b/include/damasklink/state/Settings.h
@@ -57,7 +57,7 @@
 // Bounds that keep one host's memory and threads flat.
 struct HostLimits
 {
-  std::uint64_t callerThreads = 64;
+  std::uint64_t callerThreads = 2000;
   ByteCount requestBody{ 8 * kMebibyte };
   std::uint64_t queuedRequests = 1024;
   ByteCount keptAnswer{ 256 * kKibibyte };
--- a/include/damasklink/transport/HttpServer.h
+++ b/include/damasklink/transport/HttpServer.h
@@ -57,7 +57,8 @@
 
 using HttpHandler = std::function<HttpResponse(const HttpRequest&)>;
 
-// Serves one address with a pool of threads, one for each open connection.
+// Serves one address with a thread for each open connection, up to the limit of the options; what
+// exceeds it is refused at once with status 429 and outcome "not_run".
 //
 //   HttpServer server({ endpoint, 16, limit, idle });
 //   server.Route("GET", "/healthz", [](const HttpRequest&) { return HttpResponse{}; });
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -8,11 +8,13 @@
 
 #include "damasklink/protocol/ErrorBody.h"
 #include "damasklink/state/Text.h"
+#include "damasklink/transport/ConnectionThreads.h"
 #include "damasklink/transport/Log.h"
 
 namespace damasklink {
 namespace {
 
+constexpr int kBacklog = 1024;
 constexpr std::string_view kNotFoundRemedy = "compare the path and method with docs/API.md";
 
 HttpRequest
@@ -75,6 +77,44 @@
   aTo.set_chunked_content_provider(aResponse.contentType, std::move(provider));
 }
 
+// Gives the library's connections to our threads.
+class ConnectionQueue final : public httplib::TaskQueue
+{
+public:
+  explicit ConnectionQueue(std::size_t aMost)
+    : threads(aMost)
+  {
+  }
+
+  // The library's names.
+  // NOLINTBEGIN(readability-identifier-naming)
+  void enqueue(std::function<void()> aTask) override { this->threads.Run(std::move(aTask)); }
+  void shutdown() override { this->threads.Shutdown(); }
+  // NOLINTEND(readability-identifier-naming)
+
+private:
+  ConnectionThreads threads;
+};
+
+// Answers at once where all threads are taken, in place of leaving the connection waiting.
+httplib::Server::HandlerResponse
+RefuseBeyondLimit(const httplib::Request& /*aRequest*/, httplib::Response& aResponse)
+{
+  if (!ConnectionThreads::MustRefuse()) {
+    return httplib::Server::HandlerResponse::Unhandled;
+  }
+  CallerError refusal;
+  refusal.error = { ErrorKind::Overloaded,
+                    "all connections of this host are taken",
+                    "come back after the time in Retry-After, or use another host" };
+  refusal.retryAfter = std::chrono::seconds(1);
+  aResponse.status = HttpStatusOf(refusal.error.kind);
+  aResponse.set_header("Retry-After", "1");
+  aResponse.set_header("Connection", "close");
+  aResponse.set_content(FormatErrorBody(refusal), "application/json");
+  return httplib::Server::HandlerResponse::Handled;
+}
+
 // A body for what the library refuses by itself, such as unknown paths and huge bodies.
 void
 FillErrorBody(const httplib::Request& /*aRequest*/, httplib::Response& aResponse)
@@ -118,7 +158,8 @@
     : options(std::move(aOptions))
   {
     const std::size_t threads = this->options.threads;
-    this->server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+    this->server.new_task_queue = [threads] { return new ConnectionQueue(threads); };
+    this->server.set_pre_routing_handler(RefuseBeyondLimit);
     this->server.set_payload_max_length(this->options.mostBody.Value());
     const auto idle = std::chrono::duration_cast<std::chrono::microseconds>(this->options.idle);
     constexpr std::int64_t kMicros = 1'000'000;
@@ -126,6 +167,10 @@
     this->server.set_write_timeout(idle.count() / kMicros, idle.count() % kMicros);
     this->server.set_keep_alive_max_count(1'000'000);
     this->server.set_tcp_nodelay(true);
+    this->server.set_socket_options([this](int aDescriptor) {
+      httplib::default_socket_options(aDescriptor);
+      this->listening = aDescriptor;
+    });
     this->server.set_error_handler(FillErrorBody);
   }
 
@@ -134,13 +179,19 @@
   {
     const char* address = aEndpoint.address.c_str();
     if (aEndpoint.port != 0) {
-      return this->server.bind_to_port(address, aEndpoint.port);
+      return this->server.bind_to_port(address, aEndpoint.port) && this->DeepenBacklog();
     }
     const int port = this->server.bind_to_any_port(address);
     aEndpoint.port = static_cast<std::uint16_t>(port);
-    return port > 0;
+    return port > 0 && this->DeepenBacklog();
   }
 
+  // The library listens with a backlog of 5, so that a burst of callers would lose connections and
+  // wait a second for TCP to try again; listening once more replaces it.
+  bool DeepenBacklog() const { return ::listen(this->listening, kBacklog) == 0; }
+
+  int listening = -1;
+
   httplib::Server server;
   Options options;
   std::thread thread;
