Peer links count their bytes by channel

Cause: the budget is 2 KB/s a node for control, and nothing could say what a host sends, or for what. Change: PeerNetwork records PeerBytesOut and PeerBytesIn with the channel's name.

--- a/include/damasklink/transport/PeerNetwork.h
+++ b/include/damasklink/transport/PeerNetwork.h
@@ -4,9 +4,11 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "damasklink/state/Error.h"
+#include "damasklink/state/Metrics.h"
 #include "damasklink/state/Settings.h"
 
 namespace damasklink {
@@ -23,6 +25,10 @@
   Admission = 7,     // Shares and load within a zone.
 };
 
+// Returns the lower-case name that logs and metrics use.
+std::string_view
+ChannelName(Channel aChannel);
+
 // A message between two hosts; the payload is the channel's own FlatBuffer.
 struct PeerMessage
 {
@@ -44,16 +50,17 @@
 
 // Connects to all peers of the settings over Boost.Asio, on one thread of its own.
 //
-//   PeerNetwork network(settings, [&](HostId aFrom, PeerMessage aMessage) { ... });
+//   PeerNetwork network(settings, metrics, [&](HostId aFrom, PeerMessage aMessage) { ... });
 //   auto started = network.Start();
 //
-// The handler runs on the network's thread and must not wait.
+// The handler runs on the network's thread and must not wait. Bytes are counted by channel, frame
+// and prefix included, TCP's own not.
 class PeerNetwork final : public PeerSender
 {
 public:
   using Handler = std::function<void(HostId, PeerMessage)>;
 
-  PeerNetwork(const HostSettings& aSettings, Handler aHandler);
+  PeerNetwork(const HostSettings& aSettings, Metrics& aMetrics, Handler aHandler);
   ~PeerNetwork() override;
 
   // Listens on the peers' address. Fails with Unavailable when it is taken.
--- a/src/program/HostProcess.cpp
+++ b/src/program/HostProcess.cpp
@@ -38,6 +38,7 @@
     , publisher(this->views)
     , control(this->clock, kMailboxSize)
     , network(this->settings,
+              this->metrics,
               [this](HostId aFrom, PeerMessage aMessage) {
                 this->control.PostPeerMessage(std::move(aFrom), std::move(aMessage));
               })
--- a/src/transport/PeerNetwork.cpp
+++ b/src/transport/PeerNetwork.cpp
@@ -53,8 +53,9 @@
 class IncomingLink : public std::enable_shared_from_this<IncomingLink>
 {
 public:
-  IncomingLink(Tcp::socket aSocket, const PeerNetwork::Handler& aHandler)
+  IncomingLink(Tcp::socket aSocket, Metrics& aMetrics, const PeerNetwork::Handler& aHandler)
     : socket(std::move(aSocket))
+    , metrics(aMetrics)
     , handler(aHandler)
   {
   }
@@ -100,11 +101,15 @@
     message.channel = static_cast<Channel>(decoded.channel);
     message.group = std::move(decoded.group);
     message.payload = std::move(decoded.payload);
+    this->metrics.Add(Counter::PeerBytesIn,
+                      MetricKey{ WorkspaceId(), std::string(ChannelName(message.channel)) },
+                      this->body.size() + kPrefixBytes);
     this->handler(std::move(decoded.from), std::move(message));
     return true;
   }
 
   Tcp::socket socket;
+  Metrics& metrics;
   const PeerNetwork::Handler& handler;
   std::array<unsigned char, kPrefixBytes> prefix{};
   std::string body;
@@ -207,8 +212,9 @@
 class PeerNetwork::Impl
 {
 public:
-  Impl(const HostSettings& aSettings, Handler aHandler)
+  Impl(const HostSettings& aSettings, Metrics& aMetrics, Handler aHandler)
     : self(aSettings.host)
+    , metrics(aMetrics)
     , listenOn(aSettings.listen.peers)
     , handler(std::move(aHandler))
     , acceptor(this->context)
@@ -243,7 +249,8 @@
   {
     this->acceptor.async_accept([this](const ErrorCode& aError, Tcp::socket aSocket) {
       if (!aError) {
-        std::make_shared<IncomingLink>(std::move(aSocket), this->handler)->ReadNext();
+        std::make_shared<IncomingLink>(std::move(aSocket), this->metrics, this->handler)
+          ->ReadNext();
       }
       if (aError != asio::error::operation_aborted) {
         this->AcceptNext();
@@ -252,6 +259,7 @@
   }
 
   HostId self;
+  Metrics& metrics;
   Endpoint listenOn;
   Handler handler;
   asio::io_context context;
@@ -261,8 +269,30 @@
   std::thread thread;
 };
 
-PeerNetwork::PeerNetwork(const HostSettings& aSettings, Handler aHandler)
-  : impl(std::make_unique<Impl>(aSettings, std::move(aHandler)))
+std::string_view
+ChannelName(Channel aChannel)
+{
+  switch (aChannel) {
+    case Channel::Membership:
+      return "membership";
+    case Channel::Targets:
+      return "targets";
+    case Channel::Agreement:
+      return "agreement";
+    case Channel::Configuration:
+      return "configuration";
+    case Channel::Claims:
+      return "claims";
+    case Channel::Stores:
+      return "stores";
+    case Channel::Admission:
+      return "admission";
+  }
+  return "unknown";
+}
+
+PeerNetwork::PeerNetwork(const HostSettings& aSettings, Metrics& aMetrics, Handler aHandler)
+  : impl(std::make_unique<Impl>(aSettings, aMetrics, std::move(aHandler)))
 {
 }
 
@@ -303,10 +333,13 @@
   envelope.channel = static_cast<std::uint8_t>(aMessage.channel);
   envelope.group = std::move(aMessage.group);
   envelope.payload = std::move(aMessage.payload);
-  asio::post(this->impl->context,
-             [link = found->second.get(), frame = EncodeEnvelope(envelope)]() mutable {
-               link->Send(std::move(frame));
-             });
+  std::string frame = EncodeEnvelope(envelope);
+  this->impl->metrics.Add(Counter::PeerBytesOut,
+                          MetricKey{ WorkspaceId(), std::string(ChannelName(aMessage.channel)) },
+                          frame.size() + kPrefixBytes);
+  asio::post(this->impl->context, [link = found->second.get(), frame = std::move(frame)]() mutable {
+    link->Send(std::move(frame));
+  });
 }
 
 } // namespace damasklink
--- /dev/null
+++ b/test/transport/PeerNetworkTest.cpp
@@ -0,0 +1,38 @@
+#include "damasklink/transport/PeerNetwork.h"
+
+#include <gtest/gtest.h>
+
+namespace damasklink {
+namespace {
+
+TEST(PeerNetworkTest, EveryChannelHasAName)
+{
+  for (int channel = 1; channel <= static_cast<int>(Channel::Admission); ++channel) {
+    EXPECT_NE(ChannelName(static_cast<Channel>(channel)), "unknown") << channel;
+  }
+}
+
+TEST(PeerNetworkTest, SendingToAnUnknownHostIsDropped)
+{
+  HostSettings settings;
+  settings.host = HostId("a");
+  NoMetrics metrics;
+  PeerNetwork network(settings, metrics, [](HostId, PeerMessage) {});
+  network.Send(HostId("nobody"), PeerMessage{ Channel::Claims, GroupId("g"), "x" });
+}
+
+TEST(PeerNetworkTest, AddressThatCannotBeBoundIsANamedError)
+{
+  HostSettings settings;
+  settings.host = HostId("a");
+  // An address for documentation, which no machine holds.
+  settings.listen.peers = Endpoint{ "203.0.113.1", 7000 };
+  NoMetrics metrics;
+  PeerNetwork network(settings, metrics, [](HostId, PeerMessage) {});
+  const auto started = network.Start();
+  ASSERT_FALSE(started);
+  EXPECT_EQ(started.error().kind, ErrorKind::Unavailable);
+}
+
+} // namespace
+} // namespace damasklink
