Metrics in bounded series, service-level burn, and operators' calls behind a key

Until now nothing was recorded (NoMetrics). MetricsRegistry keeps at most 512 series for each counter and sample and folds the rest into workspace "other", so 26,000 workspaces cost no more than 512. Quantiles come from Boost.Accumulators' extended P-square; as that algorithm cannot forget, two run side by side and the older restarts each five minutes. Ruled out: per-thread shards (P-square states cannot be merged) and rolling windows of raw values (memory grows with traffic).

Burn windows are rings of 30-second buckets on the monotonic clock. /metrics, /v1/burn and PUT /v1/log-level ask for an operator key; only health and readiness do not. report burn adds up all hosts it can reach.

Mutations, each seen to fail its test: removed the series bound -> MetricsRegistryTest.FoldsSeriesBeyondTheBoundAndLosesNoCount; rotate always -> RecentQuantilesTest.ForgetsWhatIsTwoHalfWindowsOld; no restart after silence -> RecentQuantilesTest.ForgetsAtOnceAfterALongSilence; stale buckets kept -> ServiceLevelWindowsTest.CountsMatchAListOfEvents; any key allowed -> OperatorPartTest.EverythingElseNeedsAnOperatorKey; level not set -> OperatorPartTest.LogLevelChangesWhileRunning; page without the short window -> BurnReportTest.LevelsNeedBothOfTheirWindows.

--- a/include/damasklink/state/ConfigTree.h
+++ b/include/damasklink/state/ConfigTree.h
@@ -157,8 +157,12 @@
   // Returns the policy, or nullptr when nobody holds the key.
   const ResolvedPolicy* Find(const Digest& aKey) const;
 
+  // Returns the objective of every workspace, as its own level sets or inherits it.
+  const std::map<WorkspaceId, ServiceLevel>& ServiceLevels() const { return this->serviceLevels; }
+
 private:
   std::map<Digest, ResolvedPolicy> byKey;
+  std::map<WorkspaceId, ServiceLevel> serviceLevels;
 };
 
 } // namespace damasklink
--- a/include/damasklink/state/Metrics.h
+++ b/include/damasklink/state/Metrics.h
@@ -1,6 +1,7 @@
 // What the system counts and measures, by name; the interface that every part records through.
 #pragma once
 
+#include <cstddef>
 #include <string>
 
 #include "damasklink/state/Clock.h"
@@ -30,6 +31,9 @@
   PeerBytesIn,
 };
 
+// How many counters there are; follows the last one.
+constexpr std::size_t kCounterCount = static_cast<std::size_t>(Counter::PeerBytesIn) + 1;
+
 // Durations of which quantiles are kept.
 enum class Sample
 {
@@ -42,6 +46,9 @@
   RouteChoice,
 };
 
+// How many samples there are; follows the last one.
+constexpr std::size_t kSampleCount = static_cast<std::size_t>(Sample::RouteChoice) + 1;
+
 // Which series: either field may be empty.
 struct MetricKey
 {
--- a/src/program/Commands.cpp
+++ b/src/program/Commands.cpp
@@ -117,6 +117,7 @@
   static const std::vector<Command> kCommands{
     ServeCommand(),
     CheckCommand(),
+    ReportCommand(),
   };
   return kCommands;
 }
--- a/src/program/Commands.h
+++ b/src/program/Commands.h
@@ -79,4 +79,8 @@
 Command
 CheckCommand();
 
+// Prints the service-level burn of each workspace from all hosts that can be reached.
+Command
+ReportCommand();
+
 } // namespace damasklink
--- a/src/program/HostProcess.cpp
+++ b/src/program/HostProcess.cpp
@@ -8,6 +8,8 @@
 #include "OperatorPart.h"
 #include "ReusePart.h"
 #include "TrafficPart.h"
+#include "damasklink/coordination/ServiceLevelWindows.h"
+#include "damasklink/state/MetricsRegistry.h"
 #include "damasklink/transport/Log.h"
 
 namespace damasklink {
@@ -48,7 +50,7 @@
     , configuration(this->context, this->agreement.Groups())
     , reuse(this->context, this->agreement.Groups())
     , traffic(this->context, this->agreement.Groups(), this->reuse)
-    , operators(this->context)
+    , operators(this->context, this->metrics, this->serviceLevels)
     , callerServer(ServerOptions(this->settings,
                                  this->settings.listen.callers,
                                  this->settings.limits.callerThreads))
@@ -97,7 +99,8 @@
 
   HostSettings settings;
   SystemClock clock;
-  NoMetrics metrics;
+  ServiceLevelWindows serviceLevels{ this->clock, kMostMetricSeries };
+  MetricsRegistry metrics{ this->clock, this->serviceLevels, kMostMetricSeries };
   TrafficViewHolder views;
   ViewPublisher publisher;
   std::atomic<HostPhase> phase{ HostPhase::Starting };
@@ -156,4 +159,14 @@
   LogEvent(LogLevel::Info, "host_stopped").With("host", host.settings.host);
 }
 
+ListenAddresses
+HostProcess::Addresses() const
+{
+  ListenAddresses addresses = this->impl->settings.listen;
+  addresses.callers = this->impl->callerServer.Address();
+  addresses.operators = this->impl->operatorServer.Address();
+  addresses.targets = this->impl->targetServer.Address();
+  return addresses;
+}
+
 } // namespace damasklink
--- a/src/program/HostProcess.h
+++ b/src/program/HostProcess.h
@@ -26,6 +26,10 @@
   // Refuses new work, lets running requests end within the limit of the settings, and stops.
   void Stop();
 
+  // Returns where it listens for callers, operators and targets, with the ports that were bound.
+  // Requires Start().
+  ListenAddresses Addresses() const;
+
 private:
   class Impl;
   std::unique_ptr<Impl> impl;
--- a/src/program/OperatorPart.h
+++ b/src/program/OperatorPart.h
@@ -2,18 +2,30 @@
 #pragma once
 
 #include "HostContext.h"
+#include "damasklink/coordination/ServiceLevelWindows.h"
+#include "damasklink/state/MetricsRegistry.h"
 
 namespace damasklink {
 
+// Adds its routes to the operators' address. All but /healthz and /readyz ask for an operator key.
 class OperatorPart
 {
 public:
-  explicit OperatorPart(const HostContext& aContext);
+  OperatorPart(const HostContext& aContext,
+               const MetricsRegistry& aMetrics,
+               const ServiceLevelWindows& aServiceLevels);
 
   void AddRoutes(const HostServers& aServers);
 
 private:
+  HttpResponse Readiness() const;
+  HttpResponse ServeMetrics() const;
+  HttpResponse ServeBurn() const;
+  HttpResponse ChangeLogLevel(const HttpRequest& aRequest) const;
+
   const HostContext& context;
+  const MetricsRegistry& metrics;
+  const ServiceLevelWindows& serviceLevels;
 };
 
 } // namespace damasklink
--- a/src/program/Responses.cpp
+++ b/src/program/Responses.cpp
@@ -76,4 +76,15 @@
   return Success();
 }
 
+HttpHandler
+RequireKey(const std::vector<Digest>& aAllowed, HttpHandler aHandler)
+{
+  return [&aAllowed, handler = std::move(aHandler)](const HttpRequest& aRequest) {
+    if (auto checked = CheckKey(aRequest, aAllowed); !checked) {
+      return RefusalResponse(checked.error());
+    }
+    return handler(aRequest);
+  };
+}
+
 } // namespace damasklink
--- a/src/program/Responses.h
+++ b/src/program/Responses.h
@@ -26,4 +26,9 @@
 Result<void>
 CheckKey(const HttpRequest& aRequest, const std::vector<Digest>& aAllowed);
 
+// Returns a handler that runs aHandler only for a bearer token that CheckKey() allows. The digests
+// must outlive it.
+HttpHandler
+RequireKey(const std::vector<Digest>& aAllowed, HttpHandler aHandler);
+
 } // namespace damasklink
--- a/src/state/ConfigTree.cpp
+++ b/src/state/ConfigTree.cpp
@@ -230,6 +230,8 @@
 CallerDirectory::CallerDirectory(const ConfigTree& aTree)
 {
   for (const auto& [workspaceId, workspace] : aTree.workspaces) {
+    const ServiceLevel inherited = aTree.defaults.serviceLevel.value_or(ServiceLevel{});
+    this->serviceLevels.emplace(workspaceId, workspace.policy.serviceLevel.value_or(inherited));
     for (const auto& [teamId, team] : workspace.teams) {
       for (const Digest& key : team.keys) {
         this->byKey.emplace(key, ResolvePolicy(aTree, workspaceId, teamId).value());
--- /dev/null
+++ b/test/coordination/BurnReportTest.cpp
@@ -0,0 +1,61 @@
+#include "damasklink/coordination/BurnReport.h"
+
+#include <gtest/gtest.h>
+
+namespace damasklink {
+namespace {
+
+constexpr std::uint64_t kTotal = 1000;
+
+// A row with 95 in 100 as objective and these failures of kTotal in each window.
+WorkspaceBurn
+RowWith(std::uint64_t aFiveMinutes, std::uint64_t aOneHour, std::uint64_t aSixHours)
+{
+  WorkspaceBurn row;
+  row.workspace = WorkspaceId("a");
+  row.windows = { ServiceLevelCount{ kTotal - aFiveMinutes, kTotal },
+                  ServiceLevelCount{ kTotal - aOneHour, kTotal },
+                  ServiceLevelCount{ kTotal - aSixHours, kTotal } };
+  return row;
+}
+
+TEST(BurnReportTest, BurnOfOneUsesUpTheObjectiveExactly)
+{
+  EXPECT_NEAR(BurnOf({ 950, kTotal }, ServiceLevel{}), 1.0, 1e-9);
+  EXPECT_NEAR(BurnOf({ 0, kTotal }, ServiceLevel{}), 20.0, 1e-9);
+  EXPECT_EQ(BurnOf({}, ServiceLevel{}), 0);
+}
+
+TEST(BurnReportTest, LevelsNeedBothOfTheirWindows)
+{
+  EXPECT_EQ(BurnLevelOf(RowWith(0, 0, 0)), BurnLevel::Calm);
+  EXPECT_EQ(BurnLevelOf(RowWith(0, 0, 60)), BurnLevel::Watch);
+  EXPECT_EQ(BurnLevelOf(RowWith(0, 310, 310)), BurnLevel::Act);
+  EXPECT_EQ(BurnLevelOf(RowWith(0, 310, 0)), BurnLevel::Calm) << "one bad hour alone";
+  EXPECT_EQ(BurnLevelOf(RowWith(730, 730, 0)), BurnLevel::Page);
+  EXPECT_EQ(BurnLevelOf(RowWith(0, 730, 0)), BurnLevel::Calm) << "over by now";
+  EXPECT_EQ(BurnLevelOf(RowWith(1000, 0, 0)), BurnLevel::Calm) << "five bad minutes alone";
+}
+
+TEST(BurnReportTest, MergeAddsCountsAndTakesTheStricterObjective)
+{
+  HostBurn first{ HostId("one"), { RowWith(1, 2, 3) } };
+  HostBurn second{ HostId("two"), { RowWith(10, 20, 30) } };
+  second.workspaces.front().objective.share = 0.99;
+  const auto rows = MergeBurn({ first, second });
+  ASSERT_EQ(rows.size(), 1U);
+  EXPECT_EQ(rows.front().windows.at(2), (ServiceLevelCount{ 2 * kTotal - 33, 2 * kTotal }));
+  EXPECT_EQ(rows.front().objective.share, 0.99);
+}
+
+TEST(BurnReportTest, JoinListsWorkspacesWithoutRequestsToo)
+{
+  const auto rows =
+    JoinBurn({ { WorkspaceId("a"), ServiceLevel{} } }, { { WorkspaceId("gone"), WindowCounts{} } });
+  ASSERT_EQ(rows.size(), 2U);
+  EXPECT_EQ(rows.at(0).workspace, WorkspaceId("a"));
+  EXPECT_EQ(rows.at(1).workspace, WorkspaceId("gone"));
+}
+
+} // namespace
+} // namespace damasklink
