--- a/src/program/OperatorCalls.cpp
+++ b/src/program/OperatorCalls.cpp
@@ -2,34 +2,51 @@
 
 #include <cstdlib>
 
-#include <absl/strings/str_split.h>
-
 #include "damasklink/state/Text.h"
 #include "damasklink/transport/HttpClient.h"
 
 namespace damasklink {
 namespace {
 
+constexpr const char* kOperatorKeyVariable = "DAMASKLINK_OPERATOR_KEY";
 constexpr ByteCount kMostAnswer{ 64 * kMebibyte };
 constexpr Duration kAnswerTimeout = std::chrono::seconds(5);
 constexpr int kStatusOk = 200;
 constexpr int kStatusUnauthenticated = 401;
 
 std::vector<Endpoint>
-HostsNamed(const std::string& aText)
+HostsNamed(const std::vector<std::string>& aAddresses)
 {
   std::vector<Endpoint> hosts;
-  const std::vector<std::string> pieces = absl::StrSplit(aText, ',');
-  for (const std::string& piece : pieces) {
-    auto host = ParseEndpoint(piece);
+  for (const std::string& address : aAddresses) {
+    auto host = ParseEndpoint(address);
     if (!host) {
-      throw WrongUseError(Concat("--host '", piece, "' ", Describe(host.error())));
+      throw WrongUseError(Concat("--host '", address, "' ", Describe(host.error())));
     }
     hosts.push_back(host.value());
   }
   return hosts;
 }
 
+std::string
+KeyOfFile(const std::string& aFile)
+{
+  auto text = ReadWholeFile(aFile);
+  if (!text) {
+    throw WrongUseError(Describe(text.error()));
+  }
+  return text.value();
+}
+
+std::string
+KeyOfEnvironment()
+{
+  // Subcommands that call hosts run on one thread, so nobody changes the environment meanwhile.
+  // NOLINTNEXTLINE(concurrency-mt-unsafe)
+  const char* key = std::getenv(kOperatorKeyVariable);
+  return key == nullptr ? "" : key;
+}
+
 std::vector<Endpoint>
 HostsOfSettings(const std::string& aFile)
 {
@@ -49,7 +66,7 @@
 std::vector<Endpoint>
 HostsOf(const Arguments& aArguments)
 {
-  const std::string hosts = TextOf(aArguments, "--host");
+  const std::vector<std::string>& hosts = aArguments.at("--host").asStringList();
   const std::string settings = TextOf(aArguments, "--settings");
   if (!hosts.empty()) {
     return HostsNamed(hosts);
@@ -61,13 +78,13 @@
 }
 
 std::string
-OperatorKey()
+OperatorKey(const Arguments& aArguments)
 {
-  // Subcommands that call hosts run on one thread, so nobody changes the environment meanwhile.
-  // NOLINTNEXTLINE(concurrency-mt-unsafe)
-  const char* key = std::getenv(kOperatorKeyVariable);
-  if (key == nullptr || *key == '\0') {
-    throw WrongUseError(Concat("no operator key; set ", kOperatorKeyVariable));
+  const std::string file = TextOf(aArguments, "--key-file");
+  std::string key = file.empty() ? KeyOfEnvironment() : KeyOfFile(file);
+  key.erase(key.find_last_not_of("\r\n ") + 1);
+  if (key.empty()) {
+    throw WrongUseError(Concat("no operator key; set ", kOperatorKeyVariable, " or --key-file"));
   }
   return key;
 }
--- a/src/program/OperatorCalls.h
+++ b/src/program/OperatorCalls.h
@@ -10,18 +10,16 @@
 
 namespace damasklink {
 
-// The environment variable that holds the operator key; a key on the command line would show in
-// the list of processes.
-constexpr const char* kOperatorKeyVariable = "DAMASKLINK_OPERATOR_KEY";
-
 // Returns the operators' addresses that `--host` or `--settings` names. Throws WrongUseError when
 // neither or a malformed one was given.
 std::vector<Endpoint>
 HostsOf(const Arguments& aArguments);
 
-// Returns the operator key. Throws WrongUseError when it is not set.
+// Returns the operator key from the file that `--key-file` names, else from the environment's
+// DAMASKLINK_OPERATOR_KEY: on the command line it would show in the list of processes. Throws
+// WrongUseError when there is none.
 std::string
-OperatorKey();
+OperatorKey(const Arguments& aArguments);
 
 // Calls GET on a host with the key and returns the body. Fails with what the host answered, or
 // Unavailable when it could not be reached.
--- a/src/program/ReportCommand.cpp
+++ b/src/program/ReportCommand.cpp
@@ -12,16 +12,16 @@
 
 constexpr std::string_view kUsage = R"(Usage:
   damasklink report burn --settings FILE [options]
-  damasklink report burn --host ADDRS [options]
+  damasklink report burn (--host ADDR)... [options]
 
 Prints how fast each workspace uses up its service-level objective, added up over all hosts that
-can be reached, and names those that cannot. The operator key is read from the environment
-variable DAMASKLINK_OPERATOR_KEY. Ends with 3 when a host could not be reached, with 1 when a host
-refused the key or gave no report.
+can be reached, and names those that cannot. Ends with 3 when a host could not be reached, with 1
+when a host refused the key or gave no report.
 
 Options:
   --settings FILE    Settings of any host; all its peers are asked.
-  --host ADDRS       Operators' addresses as IP:PORT, separated by commas.
+  --host ADDR        Operators' address of a host, as IP:PORT.
+  --key-file FILE    File with the operator key; else the environment's DAMASKLINK_OPERATOR_KEY.
   --output FORMAT    text or json [default: text].
 )";
 
@@ -89,7 +89,7 @@
 Run(const Arguments& aArguments)
 {
   const OutputFormat format = OutputOf(aArguments);
-  const Collected collected = Collect(HostsOf(aArguments), OperatorKey());
+  const Collected collected = Collect(HostsOf(aArguments), OperatorKey(aArguments));
   const std::vector<WorkspaceBurn> rows = MergeBurn(collected.burns);
   if (format == OutputFormat::Json) {
     std::cout << FormatBurnReport(rows, collected.reached, collected.unreached) << '\n';
--- a/test/program/OperatorPartTest.cpp
+++ b/test/program/OperatorPartTest.cpp
@@ -88,12 +88,16 @@
 class ReportCommandTest : public OperatorPartTest
 {
 protected:
-  ExitCode Report(const std::string& aHosts, const char* aKey)
+  ExitCode Report(const std::vector<std::string>& aHosts, const char* aKey)
   {
     ::setenv("DAMASKLINK_OPERATOR_KEY", aKey, 1);
     ::testing::internal::CaptureStdout();
     ::testing::internal::CaptureStderr();
-    const ExitCode code = RunProgram({ "report", "burn", "--host", aHosts });
+    std::vector<std::string> words{ "report", "burn" };
+    for (const std::string& host : aHosts) {
+      words.insert(words.end(), { "--host", host });
+    }
+    const ExitCode code = RunProgram(words);
     this->out = ::testing::internal::GetCapturedStdout();
     this->err = ::testing::internal::GetCapturedStderr();
     return code;
@@ -105,7 +109,8 @@
 
 TEST_F(ReportCommandTest, PrintsEachWorkspace)
 {
-  EXPECT_EQ(this->Report(FormatEndpoint(this->operators), kOperatorKey.c_str()), ExitCode::Done);
+  EXPECT_EQ(this->Report({ FormatEndpoint(this->operators) }, kOperatorKey.c_str()),
+            ExitCode::Done);
   EXPECT_THAT(this->out, HasSubstr("head-office"));
   EXPECT_THAT(this->out, HasSubstr("from 1 hosts"));
 }
@@ -117,7 +122,7 @@
   ASSERT_TRUE(gone.Start());
   const std::string absent = FormatEndpoint(gone.Address());
   gone.Stop();
-  EXPECT_EQ(this->Report(FormatEndpoint(this->operators) + "," + absent, kOperatorKey.c_str()),
+  EXPECT_EQ(this->Report({ FormatEndpoint(this->operators), absent }, kOperatorKey.c_str()),
             ExitCode::Unreachable);
   EXPECT_THAT(this->out, HasSubstr("head-office"));
   EXPECT_THAT(this->out, HasSubstr("unreached: " + absent));
@@ -125,14 +130,14 @@
 
 TEST_F(ReportCommandTest, RefusedKeyIsSaidWithItsRemedy)
 {
-  EXPECT_EQ(this->Report(FormatEndpoint(this->operators), "wrong"), ExitCode::Refused);
+  EXPECT_EQ(this->Report({ FormatEndpoint(this->operators) }, "wrong"), ExitCode::Refused);
   EXPECT_THAT(this->err, HasSubstr("compare the key"));
 }
 
 TEST_F(ReportCommandTest, WithoutKeyOrHostItIsWrongUse)
 {
-  EXPECT_EQ(this->Report(FormatEndpoint(this->operators), ""), ExitCode::WrongUse);
-  EXPECT_EQ(this->Report("localhost:1", kOperatorKey.c_str()), ExitCode::WrongUse);
+  EXPECT_EQ(this->Report({ FormatEndpoint(this->operators) }, ""), ExitCode::WrongUse);
+  EXPECT_EQ(this->Report({ "localhost:1" }, kOperatorKey.c_str()), ExitCode::WrongUse);
 }
 
 } // namespace
