--- /dev/null
+++ b/src/program/OperatorCalls.cpp
@@ -0,0 +1,117 @@
+#include "OperatorCalls.h"
+
+#include <cstdlib>
+
+#include "damasklink/state/Text.h"
+#include "damasklink/transport/HttpClient.h"
+
+namespace damasklink {
+namespace {
+
+constexpr const char* kOperatorKeyVariable = "DAMASKLINK_OPERATOR_KEY";
+constexpr ByteCount kMostAnswer{ 64 * kMebibyte };
+constexpr Duration kAnswerTimeout = std::chrono::seconds(5);
+constexpr int kStatusOk = 200;
+constexpr int kStatusUnauthenticated = 401;
+
+std::vector<Endpoint>
+HostsNamed(const std::vector<std::string>& aAddresses)
+{
+  std::vector<Endpoint> hosts;
+  for (const std::string& address : aAddresses) {
+    auto host = ParseEndpoint(address);
+    if (!host) {
+      throw WrongUseError(Concat("--host '", address, "' ", Describe(host.error())));
+    }
+    hosts.push_back(host.value());
+  }
+  return hosts;
+}
+
+std::string
+KeyOfFile(const std::string& aFile)
+{
+  auto text = ReadWholeFile(aFile);
+  if (!text) {
+    throw WrongUseError(Describe(text.error()));
+  }
+  return text.value();
+}
+
+std::string
+KeyOfEnvironment()
+{
+  // Subcommands that call hosts run on one thread, so nobody changes the environment meanwhile.
+  // NOLINTNEXTLINE(concurrency-mt-unsafe)
+  const char* key = std::getenv(kOperatorKeyVariable);
+  return key == nullptr ? "" : key;
+}
+
+std::vector<Endpoint>
+HostsOfSettings(const std::string& aFile)
+{
+  const auto parsed = LoadHostSettings(aFile);
+  if (!parsed.Ok()) {
+    throw WrongUseError(FormatFault(parsed.faults.front()));
+  }
+  std::vector<Endpoint> hosts;
+  for (const PeerSettings& peer : parsed.value.peers) {
+    hosts.push_back(peer.operators);
+  }
+  return hosts;
+}
+
+} // namespace
+
+std::vector<Endpoint>
+HostsOf(const Arguments& aArguments)
+{
+  const std::vector<std::string>& hosts = aArguments.at("--host").asStringList();
+  const std::string settings = TextOf(aArguments, "--settings");
+  if (!hosts.empty()) {
+    return HostsNamed(hosts);
+  }
+  if (!settings.empty()) {
+    return HostsOfSettings(settings);
+  }
+  throw WrongUseError("no host was named; give --settings or --host");
+}
+
+std::string
+OperatorKey(const Arguments& aArguments)
+{
+  const std::string file = TextOf(aArguments, "--key-file");
+  std::string key = file.empty() ? KeyOfEnvironment() : KeyOfFile(file);
+  key.erase(key.find_last_not_of("\r\n ") + 1);
+  if (key.empty()) {
+    throw WrongUseError(Concat("no operator key; set ", kOperatorKeyVariable, " or --key-file"));
+  }
+  return key;
+}
+
+Result<std::string>
+GetFromHost(const Endpoint& aHost, const std::string& aPath, const std::string& aKey)
+{
+  HttpCall call;
+  call.endpoint = aHost;
+  call.path = aPath;
+  call.headers = { { "authorization", Concat("Bearer ", aKey) } };
+  call.readTimeout = kAnswerTimeout;
+  auto answer = CallHttp(std::move(call), kMostAnswer);
+  if (!answer) {
+    return Fail(ErrorKind::Unavailable, answer.error().message, answer.error().remedy);
+  }
+  if (answer.value().status == kStatusUnauthenticated) {
+    return Fail(ErrorKind::Unauthenticated,
+                Concat(FormatEndpoint(aHost), " does not know the operator key"),
+                "compare the key with operator_keys in the host's settings");
+  }
+  if (answer.value().status != kStatusOk) {
+    return Fail(ErrorKind::Internal,
+                Concat(FormatEndpoint(aHost), " answered with status ", answer.value().status),
+                "read the host's log");
+  }
+  return std::move(answer.value().body);
+}
+
+} // namespace damasklink
