Hosts with a disk hold the control group and their zone's claims group

Replaces the replicator that kept everything in memory on one host. The log is written by a thread of its own with group commit.

--- a/include/damasklink/state/Settings.h
+++ b/include/damasklink/state/Settings.h
@@ -100,7 +100,8 @@
 Parsed<HostSettings>
 ParseHostSettings(const std::string& aText, const std::string& aFile);
 
-// Reads and parses a settings file; a file that cannot be read is one fault.
+// Reads and parses a settings file; a file that cannot be read is one fault. A relative data folder
+// is taken from the folder of the file.
 Parsed<HostSettings>
 LoadHostSettings(const std::string& aFile);
 
--- /dev/null
+++ b/src/program/AgreementModule.cpp
@@ -0,0 +1,334 @@
+#include "AgreementModule.h"
+
+#include <random>
+#include <utility>
+
+#include "damasklink/coordination/GroupPlacement.h"
+#include "damasklink/protocol/AgreementCodec.h"
+#include "damasklink/state/Text.h"
+#include "damasklink/transport/Log.h"
+
+namespace damasklink {
+namespace {
+
+constexpr Duration kRegistrationTimeout = std::chrono::seconds(5);
+
+// Returns a random number that is not zero.
+std::uint64_t
+RandomNumber()
+{
+  std::random_device device;
+  constexpr int kHalf = 32;
+  const std::uint64_t number = (std::uint64_t{ device() } << kHalf) | device();
+  return number == 0 ? 1 : number;
+}
+
+RaftTiming
+TimingOf(const HostTimeouts& aTimeouts)
+{
+  return RaftTiming{ aTimeouts.heartbeat, aTimeouts.electionLeast, aTimeouts.electionMost };
+}
+
+} // namespace
+
+AgreementModule::AgreementModule(const HostContext& aContext)
+  : context(aContext)
+  // An empty task wakes the control thread; the completions are taken in OnTick().
+  , writer([this] { this->context.control.Post([] {}); })
+  , tracker(aContext.clock, aContext.settings.host, RandomNumber())
+{
+}
+
+Result<void>
+AgreementModule::Open()
+{
+  const HostSettings& settings = this->context.settings;
+  if (settings.dataFolder.empty()) {
+    return Success();
+  }
+  if (auto made = this->disk.MakeFolder(settings.dataFolder); !made) {
+    return made;
+  }
+  auto locked = FileLock::Take(Concat(settings.dataFolder, "/lock"));
+  if (!locked) {
+    return Fail(locked.error());
+  }
+  this->lock = std::move(locked.value());
+  auto folder = OpenDataFolder(this->disk, settings.dataFolder, ReplicaId(RandomNumber()));
+  if (!folder) {
+    return Fail(folder.error());
+  }
+  for (const GroupId& group : GroupsOf(settings.peers, settings.host)) {
+    if (auto opened = this->OpenGroup(group, folder.value()); !opened) {
+      return opened;
+    }
+  }
+  this->writer.Start();
+  return Success();
+}
+
+Result<void>
+AgreementModule::OpenGroup(const GroupId& aGroup, const DataFolder& aFolder)
+{
+  auto store = std::make_unique<LogStore>(this->disk, aFolder.GroupFolder(aGroup));
+  auto recovered = store->Open();
+  if (!recovered) {
+    return Fail(recovered.error());
+  }
+  LogEvent(LogLevel::Info, "group_opened")
+    .With("group", aGroup)
+    .With("replica", aFolder.replica)
+    .With("formation", recovered.value().hardState.formation)
+    .With("term", recovered.value().hardState.term)
+    .With("entries", recovered.value().entries.size());
+  GroupOptions options;
+  options.raft.group = aGroup;
+  options.raft.host = this->context.settings.host;
+  options.raft.replica = aFolder.replica;
+  options.raft.timing = TimingOf(this->context.settings.timeouts);
+  options.raft.seed = RandomNumber();
+  options.listedVoters = ListedVoters(this->context.settings.peers, aGroup);
+  HeldGroup& held = this->groups[aGroup];
+  held.replica = std::make_unique<GroupReplica>(
+    this->context.clock, std::move(options), std::move(recovered.value()));
+  if (aGroup == ControlGroupId()) {
+    held.replica->Machines().Add(MachinePart::Groups, this->catalogue);
+  } else {
+    held.life = std::make_unique<GroupLife>();
+    held.replica->Machines().Add(MachinePart::Groups, *held.life);
+    held.replica->Machines().SetLife(*held.life);
+  }
+  for (const Registration& added : this->registrations) {
+    if (added.group == aGroup) {
+      held.replica->Machines().Add(added.part, *added.machine);
+    }
+  }
+  this->writer.Add(aGroup, std::move(store));
+  return Success();
+}
+
+void
+AgreementModule::AddMachine(const GroupId& aGroup, MachinePart aPart, ReplicatedMachine& aMachine)
+{
+  this->registrations.push_back(Registration{ aGroup, aPart, &aMachine });
+  const auto found = this->groups.find(aGroup);
+  if (found != this->groups.end()) {
+    found->second.replica->Machines().Add(aPart, aMachine);
+  }
+}
+
+void
+AgreementModule::Propose(const GroupId& aGroup,
+                         MachinePart aPart,
+                         std::string aCommand,
+                         Duration aTimeout,
+                         ProposalDone aDone)
+{
+  this->tracker.Start(aGroup,
+                      ListedVoters(this->context.settings.peers, aGroup),
+                      aPart,
+                      std::move(aCommand),
+                      aTimeout,
+                      std::move(aDone));
+}
+
+GroupStatus
+AgreementModule::Status(const GroupId& aGroup) const
+{
+  const auto found = this->groups.find(aGroup);
+  if (found != this->groups.end()) {
+    return found->second.replica->Status();
+  }
+  GroupStatus status;
+  status.group = aGroup;
+  status.leader = this->tracker.LastLeader(aGroup);
+  return status;
+}
+
+std::optional<Error>
+AgreementModule::FailureOf(const GroupId& aGroup) const
+{
+  const auto found = this->groups.find(aGroup);
+  return found == this->groups.end() ? std::nullopt : found->second.replica->Failure();
+}
+
+void
+AgreementModule::OnPeerMessage(const HostId& aFrom, const PeerMessage& aMessage)
+{
+  auto decoded = DecodeAgreementMessage(aMessage.payload);
+  if (!decoded) {
+    LogEvent(LogLevel::Warning, "agreement_message_refused")
+      .With("from", aFrom)
+      .With("error", decoded.error());
+    return;
+  }
+  AgreementMessage& message = decoded.value();
+  message.group = aMessage.group;
+  message.fromHost = aFrom;
+  message.toHost = this->context.settings.host;
+  this->Deliver(message);
+}
+
+void
+AgreementModule::OnTick(MonotonicTime /*aNow*/)
+{
+  this->TakeCompletions();
+  this->tracker.Tick();
+  for (auto& [group, held] : this->groups) {
+    held.replica->Tick();
+  }
+  this->Pump();
+  for (auto& [group, held] : this->groups) {
+    this->NoteChanges(group, held);
+    this->RegisterFounding(group, held);
+  }
+}
+
+void
+AgreementModule::OnShutdown()
+{
+  for (auto& [group, held] : this->groups) {
+    held.replica->HandOver();
+  }
+}
+
+void
+AgreementModule::TakeCompletions()
+{
+  for (const WriteCompletion& completion : this->writer.TakeCompletions()) {
+    GroupReplica& replica = *this->groups.at(completion.group).replica;
+    if (completion.failure) {
+      replica.Stop(*completion.failure);
+    } else {
+      replica.OnPersisted(completion.number);
+    }
+  }
+}
+
+// Moves messages until nothing is left that this host can do by itself.
+void
+AgreementModule::Pump()
+{
+  bool moved = true;
+  while (moved) {
+    moved = this->PumpTracker();
+    for (auto& [group, held] : this->groups) {
+      moved |= this->PumpGroup(group, held);
+    }
+    while (!this->toSelf.empty()) {
+      const AgreementMessage message = std::move(this->toSelf.front());
+      this->toSelf.pop_front();
+      this->Deliver(message);
+      moved = true;
+    }
+  }
+}
+
+bool
+AgreementModule::PumpGroup(const GroupId& aGroup, HeldGroup& aHeld)
+{
+  GroupActions actions = aHeld.replica->TakeActions();
+  const bool moved = actions.persist.has_value() || !actions.messages.empty();
+  if (actions.persist) {
+    this->writer.Write(aGroup, std::move(*actions.persist));
+  }
+  for (AgreementMessage& message : actions.messages) {
+    this->Send(std::move(message));
+  }
+  return moved;
+}
+
+bool
+AgreementModule::PumpTracker()
+{
+  std::vector<AgreementMessage> messages = this->tracker.TakeMessages();
+  for (AgreementMessage& message : messages) {
+    this->Send(std::move(message));
+  }
+  return !messages.empty();
+}
+
+void
+AgreementModule::Send(AgreementMessage aMessage)
+{
+  if (aMessage.toHost == this->context.settings.host) {
+    this->toSelf.push_back(std::move(aMessage));
+    return;
+  }
+  PeerMessage message{ Channel::Agreement, aMessage.group, EncodeAgreementMessage(aMessage) };
+  this->context.peers.Send(aMessage.toHost, std::move(message));
+}
+
+void
+AgreementModule::Deliver(const AgreementMessage& aMessage)
+{
+  const bool forTracker = std::holds_alternative<ProposalAnswer>(aMessage.body) ||
+                          std::holds_alternative<ProposalRefusal>(aMessage.body);
+  if (forTracker) {
+    this->tracker.Receive(aMessage);
+    return;
+  }
+  const auto found = this->groups.find(aMessage.group);
+  if (found != this->groups.end()) {
+    found->second.replica->Receive(aMessage);
+  }
+}
+
+void
+AgreementModule::NoteChanges(const GroupId& aGroup, HeldGroup& aHeld)
+{
+  const std::optional<Error>& failure = aHeld.replica->Failure();
+  if (failure && !aHeld.failureLogged) {
+    aHeld.failureLogged = true;
+    LogEvent(LogLevel::Error, "replica_stopped").With("group", aGroup).With("error", *failure);
+  }
+  const bool leading = aHeld.replica->Status().leading;
+  if (leading && !aHeld.wasLeading) {
+    this->context.metrics.Add(Counter::Elections, MetricKey{ {}, aGroup.Value() }, 1);
+    LogEvent(LogLevel::Info, "leader_elected")
+      .With("group", aGroup)
+      .With("term", aHeld.replica->Status().term);
+  }
+  aHeld.wasLeading = leading;
+}
+
+// The leader of a claims group learns from the control group which founding of the group it leads,
+// and then tells the group itself.
+void
+AgreementModule::RegisterFounding(const GroupId& aGroup, HeldGroup& aHeld)
+{
+  const bool known = aHeld.life == nullptr || aHeld.life->Current().incarnation != Incarnation();
+  if (known || aHeld.registering || !aHeld.replica->Core().LeaseHeld()) {
+    return;
+  }
+  aHeld.registering = true;
+  this->Propose(
+    ControlGroupId(),
+    MachinePart::Groups,
+    EncodeRegistration(aGroup, aHeld.replica->Core().Formation()),
+    kRegistrationTimeout,
+    [this, aGroup](const Result<std::string>& aAnswer) { this->TakeFounding(aGroup, aAnswer); });
+}
+
+void
+AgreementModule::TakeFounding(const GroupId& aGroup, const Result<std::string>& aAnswer)
+{
+  const auto founding =
+    aAnswer ? DecodeFounding(aAnswer.value()) : Result<Founding>(aAnswer.error());
+  if (!founding || founding.value().incarnation == Incarnation()) {
+    this->groups.at(aGroup).registering = false;
+    return;
+  }
+  LogEvent(LogLevel::Info, "group_registered")
+    .With("group", aGroup)
+    .With("incarnation", founding.value().incarnation);
+  this->Propose(aGroup,
+                MachinePart::Groups,
+                aAnswer.value(),
+                kRegistrationTimeout,
+                [this, aGroup](const Result<std::string>& /*aDone*/) {
+                  this->groups.at(aGroup).registering = false;
+                });
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/src/program/AgreementModule.h
@@ -0,0 +1,85 @@
+// The replicas of one host on the control thread, and its way to the groups of all other hosts.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "HostContext.h"
+#include "LogWriter.h"
+#include "damasklink/coordination/GroupReplica.h"
+#include "damasklink/coordination/ProposalTracker.h"
+#include "damasklink/state/DataFolder.h"
+
+namespace damasklink {
+
+// Moves messages, batches and completions between replicas, network and log writer.
+class AgreementModule final
+  : public ControlModule
+  , public Replicator
+{
+public:
+  explicit AgreementModule(const HostContext& aContext);
+
+  // Opens the data folder and the groups of this host, if it has a disk. Requires to be called
+  // before the control thread starts. Fails with the reason when a file is not as it must be.
+  Result<void> Open();
+
+  void AddMachine(const GroupId& aGroup, MachinePart aPart, ReplicatedMachine& aMachine) override;
+  void Propose(const GroupId& aGroup,
+               MachinePart aPart,
+               std::string aCommand,
+               Duration aTimeout,
+               ProposalDone aDone) override;
+  GroupStatus Status(const GroupId& aGroup) const override;
+
+  void OnPeerMessage(const HostId& aFrom, const PeerMessage& aMessage) override;
+  void OnTick(MonotonicTime aNow) override;
+  void OnShutdown() override;
+
+  // Returns why the group's replica on this host has stopped, nothing while it works.
+  std::optional<Error> FailureOf(const GroupId& aGroup) const;
+
+private:
+  struct HeldGroup
+  {
+    std::unique_ptr<GroupReplica> replica;
+    // The group's own machine: the catalogue in the control group, its founding elsewhere.
+    std::unique_ptr<GroupLife> life;
+    bool registering = false;
+    bool wasLeading = false;
+    bool failureLogged = false;
+  };
+
+  struct Registration
+  {
+    GroupId group;
+    MachinePart part;
+    ReplicatedMachine* machine;
+  };
+
+  Result<void> OpenGroup(const GroupId& aGroup, const DataFolder& aFolder);
+  void TakeCompletions();
+  void Pump();
+  bool PumpGroup(const GroupId& aGroup, HeldGroup& aHeld);
+  bool PumpTracker();
+  void Send(AgreementMessage aMessage);
+  void Deliver(const AgreementMessage& aMessage);
+  void NoteChanges(const GroupId& aGroup, HeldGroup& aHeld);
+  void RegisterFounding(const GroupId& aGroup, HeldGroup& aHeld);
+  void TakeFounding(const GroupId& aGroup, const Result<std::string>& aAnswer);
+
+  const HostContext& context;
+  PosixDisk disk;
+  std::unique_ptr<FileLock> lock;
+  LogWriter writer;
+  ProposalTracker tracker;
+  GroupCatalogue catalogue;
+  std::vector<Registration> registrations;
+  std::map<GroupId, HeldGroup> groups;
+  // Messages of this host to itself.
+  std::deque<AgreementMessage> toSelf;
+};
+
+} // namespace damasklink
--- a/src/program/HostProcess.cpp
+++ b/src/program/HostProcess.cpp
@@ -122,7 +122,12 @@
 {
 }
 
-HostProcess::~HostProcess() = default;
+HostProcess::~HostProcess()
+{
+  // After a failed Start() the threads may still run and use the parts.
+  this->impl->network.Stop();
+  this->impl->control.Stop();
+}
 
 Result<void>
 HostProcess::Start()
--- /dev/null
+++ b/src/program/LogWriter.cpp
@@ -0,0 +1,90 @@
+#include "LogWriter.h"
+
+#include <utility>
+
+namespace damasklink {
+
+LogWriter::LogWriter(std::function<void()> aWake)
+  : wake(std::move(aWake))
+{
+}
+
+LogWriter::~LogWriter()
+{
+  this->Stop();
+}
+
+void
+LogWriter::Add(const GroupId& aGroup, std::unique_ptr<LogStore> aStore)
+{
+  this->stores[aGroup] = std::move(aStore);
+}
+
+void
+LogWriter::Start()
+{
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void
+LogWriter::Stop()
+{
+  {
+    absl::MutexLock lock(&this->mutex);
+    this->stopped = true;
+  }
+  if (this->thread.joinable()) {
+    this->thread.join();
+  }
+}
+
+void
+LogWriter::Write(const GroupId& aGroup, PersistBatch aBatch)
+{
+  absl::MutexLock lock(&this->mutex);
+  this->work[aGroup].push_back(std::move(aBatch));
+}
+
+std::vector<WriteCompletion>
+LogWriter::TakeCompletions()
+{
+  absl::MutexLock lock(&this->mutex);
+  return std::exchange(this->completions, {});
+}
+
+void
+LogWriter::Run()
+{
+  const auto ready = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
+    return this->stopped || !this->work.empty();
+  };
+  while (true) {
+    Work taken;
+    {
+      absl::MutexLock lock(&this->mutex);
+      this->mutex.Await(absl::Condition(&ready));
+      taken = std::exchange(this->work, {});
+    }
+    if (taken.empty()) {
+      return;
+    }
+    for (const auto& [group, batches] : taken) {
+      WriteCompletion completion = this->WriteGroup(group, batches);
+      absl::MutexLock lock(&this->mutex);
+      this->completions.push_back(std::move(completion));
+    }
+    this->wake();
+  }
+}
+
+WriteCompletion
+LogWriter::WriteGroup(const GroupId& aGroup, const std::vector<PersistBatch>& aBatches)
+{
+  WriteCompletion completion{ aGroup, aBatches.back().number, std::nullopt };
+  if (auto written = this->stores.at(aGroup)->Write(aBatches); !written) {
+    completion.failure = written.error();
+  }
+  return completion;
+}
+
+} // namespace damasklink
--- a/src/state/Settings.cpp
+++ b/src/state/Settings.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <filesystem>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -248,7 +249,13 @@
     parsed.faults.push_back(Fault{ aFile, 0, "", text.error().message, text.error().remedy });
     return parsed;
   }
-  return ParseHostSettings(text.value(), aFile);
+  Parsed<HostSettings> parsed = ParseHostSettings(text.value(), aFile);
+  std::string& folder = parsed.value.dataFolder;
+  if (!folder.empty()) {
+    // An absolute path stays as it is.
+    folder = (std::filesystem::path(aFile).parent_path() / folder).string();
+  }
+  return parsed;
 }
 
 Result<std::string>
