--- a/test/program/TestHost.h
+++ b/test/program/TestHost.h
@@ -1,12 +1,14 @@
 // One host in this process on free ports, and plain HTTP calls to it.
 #pragma once
 
+#include <deque>
 #include <string>
 
 #include "damasklink/state/Digests.h"
 #include "damasklink/transport/HttpClient.h"
 #include "damasklink/transport/HttpServer.h"
 #include "program/HostProcess.h"
+#include "support/TempFolder.h"
 
 namespace damasklink::testing {
 
@@ -17,12 +19,22 @@
 inline const std::string kOperatorKey = "operator-key";
 inline const std::string kTargetKey = "target-key";
 
-// Returns the settings of the one-host sample with its tree, on any free ports.
+// Returns a new empty folder that lives as long as the test program.
+inline std::string
+FreshDataFolder()
+{
+  static std::deque<TempFolder> folders;
+  return folders.emplace_back().Path();
+}
+
+// Returns the settings of the one-host sample with its tree, on any free ports, with an empty data
+// folder.
 inline HostSettings
 SampleSettings()
 {
   HostSettings settings = LoadHostSettings(kSampleFolder + "host.yaml").value;
   settings.initialTree = kSampleFolder + "tree.yaml";
+  settings.dataFolder = FreshDataFolder();
   settings.listen.callers.port = 0;
   settings.listen.operators.port = 0;
   settings.listen.targets.port = 0;
