HTTP server: one process an address; the raw target for handlers

Cause: cpp-httplib sets SO_REUSEPORT, so a second process shares the address unseen, and calls go to either. Change: SO_REUSEADDR alone. Before: a second server on the same address started; after: it is refused with Unavailable. The request also carries its target as it came, for services. Mutation: library's own options -> HttpServerTest.AddressThatIsTakenIsRefused failed.

--- a/include/damasklink/transport/HttpServer.h
+++ b/include/damasklink/transport/HttpServer.h
@@ -19,6 +19,8 @@
 {
   std::string method;
   std::string path;
+  // Path and query as they came, still percent-encoded.
+  std::string target;
   std::string body;
   std::map<std::string, std::string> headers;
   std::map<std::string, std::string> query;
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/ascii.h>
 #include <httplib.h>
+#include <sys/socket.h>
 
 #include "damasklink/protocol/ErrorBody.h"
 #include "damasklink/state/Text.h"
@@ -23,6 +24,7 @@
   HttpRequest request;
   request.method = aRequest.method;
   request.path = aRequest.path;
+  request.target = aRequest.target;
   request.body = aRequest.body;
   for (const auto& [name, value] : aRequest.headers) {
     request.headers.emplace(absl::AsciiStrToLower(name), value);
@@ -168,7 +170,9 @@
     this->server.set_keep_alive_max_count(1'000'000);
     this->server.set_tcp_nodelay(true);
     this->server.set_socket_options([this](int aDescriptor) {
-      httplib::default_socket_options(aDescriptor);
+      // Not the library's own options, which let two processes share one address unseen.
+      const int enabled = 1;
+      ::setsockopt(aDescriptor, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
       this->listening = aDescriptor;
     });
     this->server.set_error_handler(FillErrorBody);
