Claims: an idempotency key runs at most once, through any host

Cause: a call whose answer got lost was sent again and ran twice. Change: ClaimLedger (typed decisions) behind ClaimMachine (FlatBuffers, in protocol, as a layer includes only those below it), ProposalRetrier (same command until answered), ClaimGate (traffic threads wait with a bound), ServiceRelay (claim before the first byte; one dispatch without a key), POST /v1/keys. A minted key carries home zone, birth and a checksum over its workspace; it is no signature, as a forged key reaches only claims of the forger's own workspace. Seams: ApplyContext gains the group's incarnation (1 unless the group was formed anew); DispatchRecord takes in what the ledger says of earlier calls. Ruled out: a MAC for minted keys, which needs a secret on all hosts and guards nothing more.

--- a/include/damasklink/coordination/DispatchRecord.h
+++ b/include/damasklink/coordination/DispatchRecord.h
@@ -45,6 +45,9 @@
   // (Sending back to Prepared, Answering to Refused) is ignored.
   void Advance(AttemptStage aStage);
 
+  // Takes in what the claim ledger says of earlier calls under the same idempotency key.
+  void NoteEarlier(RunOutcome aOutcome);
+
   // Returns what may be said of the request as a whole.
   RunOutcome Outcome() const;
 
@@ -52,6 +55,7 @@
 
 private:
   std::vector<Attempt> attempts;
+  RunOutcome earlier = RunOutcome::NotRun;
 };
 
 } // namespace damasklink
--- a/include/damasklink/coordination/Replication.h
+++ b/include/damasklink/coordination/Replication.h
@@ -37,6 +37,8 @@
   Term term;
   // The leader's wall clock when it proposed, never lower than that of an earlier entry.
   WallTime proposedAt;
+  // Life of the group: raised when it is formed anew after losing all its disks.
+  Incarnation incarnation{ 1 };
 };
 
 // State that a group replicates. Apply() must give the same answer and state on every replica:
--- a/include/damasklink/protocol/CallerApi.h
+++ b/include/damasklink/protocol/CallerApi.h
@@ -71,6 +71,10 @@
                   std::string_view aFinishReason,
                   const AnswerUsage& aUsage);
 
+// Returns the body of an answer to POST /v1/keys.
+std::string
+FormatMintedKey(const IdempotencyKey& aKey, Duration aRetention);
+
 // Returns the body of /v1/models.
 std::string
 FormatModelList(const std::vector<ModelName>& aModels);
--- /dev/null
+++ b/include/damasklink/protocol/ClaimMachine.h
@@ -0,0 +1,45 @@
+// The claim ledger as a replicated machine: encoding of its commands, answers and snapshots.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "damasklink/coordination/ClaimLedger.h"
+#include "damasklink/coordination/Replication.h"
+
+namespace damasklink {
+
+std::string
+EncodeClaimCommand(const ClaimCommand& aCommand);
+
+// Fails with Corrupt when the bytes do not verify.
+Result<ClaimCommand>
+DecodeClaimCommand(std::string_view aBytes);
+
+std::string
+EncodeClaimReply(const ClaimReply& aReply);
+
+// Fails with Corrupt when the bytes do not verify.
+Result<ClaimReply>
+DecodeClaimReply(std::string_view aBytes);
+
+// Puts a ClaimLedger behind the replicated log.
+//
+//   ClaimMachine machine;
+//   replicator.AddMachine(ClaimsGroupId(zone), MachinePart::Claims, machine);
+//
+// A command that does not decode is answered with the verdict Noted and changes nothing.
+class ClaimMachine final : public ReplicatedMachine
+{
+public:
+  std::string Apply(const ApplyContext& aContext, std::string_view aCommand) override;
+  std::string Save() const override;
+  Result<void> Load(std::string_view aSnapshot) override;
+
+  const ClaimLedger& Ledger() const { return this->ledger; }
+
+private:
+  ClaimLedger ledger;
+};
+
+} // namespace damasklink
--- /dev/null
+++ b/src/coordination/ClaimLedger.cpp
@@ -0,0 +1,311 @@
+#include "damasklink/coordination/ClaimLedger.h"
+
+#include <algorithm>
+
+#include "damasklink/state/Digests.h"
+#include "damasklink/state/Text.h"
+
+namespace damasklink {
+namespace {
+
+// How far the clocks of hosts may lie apart. Births are compared with the leader's clock.
+constexpr Duration kMostClockSkew = std::chrono::seconds(60);
+// Entries forgotten with each command, so that no command takes long.
+constexpr std::size_t kForgottenAtOnce = 64;
+
+ClaimName
+NameOf(const ClaimCommand& aCommand)
+{
+  const std::string& workspace = aCommand.workspace.Value();
+  // The length keeps "ab"+"c" and "a"+"bc" apart.
+  return DigestBytes(Concat(workspace.size(), "/", workspace, aCommand.key.Value()));
+}
+
+ClaimTag
+TagOf(std::string_view aText)
+{
+  const auto bytes = DigestBytes(aText);
+  ClaimTag tag{};
+  std::copy_n(bytes.begin(), tag.size(), tag.begin());
+  return tag;
+}
+
+std::int64_t
+SecondOf(WallTime aTime)
+{
+  return std::chrono::duration_cast<std::chrono::seconds>(aTime.time_since_epoch()).count();
+}
+
+WallTime
+After(WallTime aTime, Duration aStep)
+{
+  return aTime + std::chrono::duration_cast<WallTime::duration>(aStep);
+}
+
+ClaimReply
+Reply(ClaimVerdict aVerdict)
+{
+  return ClaimReply{ aVerdict, Duration(0), std::nullopt };
+}
+
+std::size_t
+SizeOf(const KeptAnswer& aAnswer)
+{
+  return aAnswer.body.size() + aAnswer.contentType.size();
+}
+
+} // namespace
+
+ClaimReply
+ClaimLedger::Apply(const ApplyContext& aContext, const ClaimCommand& aCommand)
+{
+  this->NoteIncarnation(aContext);
+  this->ForgetExpired(aContext.proposedAt);
+  if (aCommand.verb == ClaimVerb::Claim) {
+    return this->Claim(aContext, aCommand);
+  }
+  return this->Settle(aContext, aCommand);
+}
+
+ClaimReply
+ClaimLedger::Claim(const ApplyContext& aContext, const ClaimCommand& aCommand)
+{
+  const WallTime now = aContext.proposedAt;
+  if (aCommand.birth) {
+    if (*aCommand.birth > After(now, kMostClockSkew)) {
+      return Reply(ClaimVerdict::NotYetBorn);
+    }
+    if (now >= After(*aCommand.birth, aCommand.retention)) {
+      return Reply(ClaimVerdict::Expired);
+    }
+  }
+  const auto found = this->entries.find(NameOf(aCommand));
+  if (found != this->entries.end() && now < found->second.expiry) {
+    return this->ClaimKnown(aContext, aCommand, found);
+  }
+  return this->ClaimNew(aContext, aCommand);
+}
+
+ClaimReply
+ClaimLedger::ClaimNew(const ApplyContext& aContext, const ClaimCommand& aCommand)
+{
+  if (aCommand.birth && *aCommand.birth <= this->header.forgottenBirth) {
+    return Reply(ClaimVerdict::Expired);
+  }
+  if (this->MayPredateGroup(aContext, aCommand)) {
+    return Reply(ClaimVerdict::MayHaveRun);
+  }
+  const ClaimName name = NameOf(aCommand);
+  if (this->entries.size() >= this->limits.claims && this->entries.count(name) == 0) {
+    return Reply(ClaimVerdict::Full);
+  }
+  const auto entry = this->entries.try_emplace(name).first;
+  this->DropAnswer(entry);
+  return this->Grant(aContext, aCommand, entry);
+}
+
+ClaimReply
+ClaimLedger::ClaimKnown(const ApplyContext& aContext,
+                        const ClaimCommand& aCommand,
+                        Entries::iterator aFound)
+{
+  ClaimEntry& entry = aFound->second;
+  if (entry.bodyKnown && entry.body != TagOf(aCommand.body.Value())) {
+    return Reply(ClaimVerdict::OtherBody);
+  }
+  const bool own = entry.attempt == TagOf(aCommand.attempt.Value());
+  const bool leased = aContext.proposedAt < entry.leaseEnd;
+  switch (entry.state) {
+    case ClaimState::Released:
+      return own ? Reply(ClaimVerdict::Withdrawn) : this->Grant(aContext, aCommand, aFound);
+    case ClaimState::Finished:
+      if (entry.answer == nullptr) {
+        return Reply(ClaimVerdict::AnswerGone);
+      }
+      return ClaimReply{ ClaimVerdict::Kept, Duration(0), entry.answer->answer };
+    case ClaimState::Running:
+      if (own) {
+        return Reply(ClaimVerdict::Granted);
+      }
+      if (leased) {
+        return ClaimReply{ ClaimVerdict::Running, entry.leaseEnd - aContext.proposedAt, {} };
+      }
+      return Reply(ClaimVerdict::MayHaveRun);
+    case ClaimState::Unknown:
+      return Reply(ClaimVerdict::MayHaveRun);
+  }
+  return Reply(ClaimVerdict::MayHaveRun);
+}
+
+ClaimReply
+ClaimLedger::Grant(const ApplyContext& aContext,
+                   const ClaimCommand& aCommand,
+                   Entries::iterator aEntry)
+{
+  const WallTime now = aContext.proposedAt;
+  ClaimEntry& entry = aEntry->second;
+  entry.state = ClaimState::Running;
+  entry.body = TagOf(aCommand.body.Value());
+  entry.bodyKnown = true;
+  entry.attempt = TagOf(aCommand.attempt.Value());
+  entry.leaseEnd = After(now, aCommand.lease);
+  entry.birth = aCommand.birth.value_or(WallTime());
+  this->Extend(aEntry, After(aCommand.birth.value_or(now), aCommand.retention));
+  return Reply(ClaimVerdict::Granted);
+}
+
+ClaimReply
+ClaimLedger::Settle(const ApplyContext& aContext, const ClaimCommand& aCommand)
+{
+  const auto found = this->entries.find(NameOf(aCommand));
+  if (found == this->entries.end()) {
+    this->ReleaseUnknown(aContext, aCommand);
+    return Reply(ClaimVerdict::Noted);
+  }
+  ClaimEntry& entry = found->second;
+  const bool own = entry.attempt == TagOf(aCommand.attempt.Value());
+  const bool open = entry.state == ClaimState::Running || entry.state == ClaimState::Unknown;
+  if (!own || !open) {
+    return Reply(ClaimVerdict::Noted);
+  }
+  if (aCommand.verb == ClaimVerb::Finish) {
+    entry.state = ClaimState::Finished;
+    this->KeepAnswer(aContext.index, aCommand, found);
+  } else if (aCommand.verb == ClaimVerb::Abandon) {
+    entry.state = ClaimState::Unknown;
+  } else if (entry.state == ClaimState::Running) {
+    entry.state = ClaimState::Released;
+  }
+  return Reply(ClaimVerdict::Noted);
+}
+
+// A release that overtakes its claim is remembered, so that the claim cannot hold the key for
+// nobody when it comes at last.
+void
+ClaimLedger::ReleaseUnknown(const ApplyContext& aContext, const ClaimCommand& aCommand)
+{
+  const bool room = this->entries.size() < this->limits.claims;
+  if (aCommand.verb != ClaimVerb::Release || !room || aCommand.retention <= Duration(0)) {
+    return;
+  }
+  const WallTime now = aContext.proposedAt;
+  const WallTime expiry = After(aCommand.birth.value_or(now), aCommand.retention);
+  if (this->MayPredateGroup(aContext, aCommand) || now >= expiry) {
+    return;
+  }
+  const auto entry = this->entries.try_emplace(NameOf(aCommand)).first;
+  entry->second.state = ClaimState::Released;
+  entry->second.attempt = TagOf(aCommand.attempt.Value());
+  entry->second.birth = aCommand.birth.value_or(WallTime());
+  this->Extend(entry, expiry);
+}
+
+void
+ClaimLedger::KeepAnswer(LogIndex aIndex, const ClaimCommand& aCommand, Entries::iterator aEntry)
+{
+  if (!aCommand.answer) {
+    return;
+  }
+  aEntry->second.answer = std::make_unique<StoredAnswer>(StoredAnswer{ aIndex, *aCommand.answer });
+  this->answerBytes += SizeOf(*aCommand.answer);
+  this->answers[aIndex] = aEntry;
+  while (this->answerBytes > this->limits.answerBytes) {
+    this->DropAnswer(this->answers.begin()->second);
+  }
+}
+
+void
+ClaimLedger::DropAnswer(Entries::iterator aEntry)
+{
+  ClaimEntry& entry = aEntry->second;
+  if (entry.answer == nullptr) {
+    return;
+  }
+  this->answerBytes -= SizeOf(entry.answer->answer);
+  this->answers.erase(entry.answer->storedAt);
+  entry.answer.reset();
+}
+
+void
+ClaimLedger::Extend(Entries::iterator aEntry, WallTime aExpiry)
+{
+  ClaimEntry& entry = aEntry->second;
+  const bool fresh = entry.expiry == WallTime();
+  const std::int64_t before = SecondOf(entry.expiry);
+  entry.expiry = std::max(entry.expiry, aExpiry);
+  const std::int64_t after = SecondOf(entry.expiry);
+  if (fresh || after != before) {
+    this->endings[after].push_back(aEntry);
+  }
+}
+
+void
+ClaimLedger::ForgetExpired(WallTime aNow)
+{
+  const std::int64_t now = SecondOf(aNow);
+  std::size_t left = kForgottenAtOnce;
+  while (left > 0 && !this->endings.empty() && this->endings.begin()->first < now) {
+    const std::int64_t second = this->endings.begin()->first;
+    std::vector<Entries::iterator>& ending = this->endings.begin()->second;
+    while (left > 0 && !ending.empty()) {
+      const auto entry = ending.back();
+      ending.pop_back();
+      --left;
+      // One that was extended stands in a later second as well.
+      if (SecondOf(entry->second.expiry) == second) {
+        this->header.forgottenBirth = std::max(this->header.forgottenBirth, entry->second.birth);
+        this->DropAnswer(entry);
+        this->entries.erase(entry);
+      }
+    }
+    if (ending.empty()) {
+      this->endings.erase(this->endings.begin());
+    }
+  }
+}
+
+void
+ClaimLedger::NoteIncarnation(const ApplyContext& aContext)
+{
+  if (aContext.incarnation <= this->header.incarnation) {
+    return;
+  }
+  this->header.incarnation = aContext.incarnation;
+  this->header.reformedAt = aContext.proposedAt;
+}
+
+bool
+ClaimLedger::MayPredateGroup(const ApplyContext& aContext, const ClaimCommand& aCommand) const
+{
+  if (!this->header.reformedAt) {
+    return false;
+  }
+  const WallTime reformed = *this->header.reformedAt;
+  if (aCommand.birth) {
+    return *aCommand.birth <= After(reformed, kMostClockSkew);
+  }
+  return aContext.proposedAt < After(reformed, aCommand.retention);
+}
+
+void
+ClaimLedger::Visit(const std::function<void(const ClaimName&, const ClaimEntry&)>& aVisitor) const
+{
+  for (const auto& [name, entry] : this->entries) {
+    aVisitor(name, entry);
+  }
+}
+
+void
+ClaimLedger::Restore(const ClaimName& aName, ClaimEntry aEntry)
+{
+  const WallTime expiry = aEntry.expiry;
+  aEntry.expiry = WallTime();
+  const auto entry = this->entries.insert_or_assign(aName, std::move(aEntry)).first;
+  this->Extend(entry, expiry);
+  if (entry->second.answer != nullptr) {
+    this->answerBytes += SizeOf(entry->second.answer->answer);
+    this->answers[entry->second.answer->storedAt] = entry;
+  }
+}
+
+} // namespace damasklink
--- a/src/coordination/DispatchRecord.cpp
+++ b/src/coordination/DispatchRecord.cpp
@@ -59,10 +59,16 @@
   }
 }
 
+void
+DispatchRecord::NoteEarlier(RunOutcome aOutcome)
+{
+  this->earlier = std::max(this->earlier, aOutcome);
+}
+
 RunOutcome
 DispatchRecord::Outcome() const
 {
-  RunOutcome outcome = RunOutcome::NotRun;
+  RunOutcome outcome = this->earlier;
   for (const Attempt& attempt : this->attempts) {
     outcome = std::max(outcome, OutcomeOf(attempt.stage));
   }
--- a/src/program/CallerService.cpp
+++ b/src/program/CallerService.cpp
@@ -3,6 +3,7 @@
 #include "Responses.h"
 
 #include <algorithm>
+#include <random>
 
 #include <absl/strings/str_format.h>
 
@@ -24,23 +25,21 @@
   return nullptr;
 }
 
-const TargetRecord*
-FindServiceTarget(const TrafficView& aView, const ServiceName& aName)
+// Text of random digits, so that ids of two lives of a host differ whatever the clock says.
+std::string
+RandomTag()
 {
-  for (const TargetRecord& target : aView.targets) {
-    if (target.kind == TargetKind::Service && target.service == aName) {
-      return &target;
-    }
-  }
-  return nullptr;
+  std::random_device device;
+  return absl::StrFormat("%08x%08x", device(), device());
 }
 
 } // namespace
 
-CallerService::CallerService(const RelayContext& aContext, const HostSettings& aSettings)
+CallerService::CallerService(const RelayContext& aContext, ServiceContext aServices)
   : context(aContext)
-  , settings(aSettings)
-  , processTag(static_cast<std::uint64_t>(aContext.clock.WallNow().time_since_epoch().count()))
+  , services(aServices)
+  , settings(aServices.host.settings)
+  , processTag(RandomTag())
 {
 }
 
@@ -56,6 +55,8 @@
   aServer.Route("GET", "/v1/models", [this](const HttpRequest& aRequest) {
     return this->ListModels(aRequest);
   });
+  aServer.Route(
+    "POST", "/v1/keys", [this](const HttpRequest& aRequest) { return this->MintKey(aRequest); });
   for (const char* method : { "GET", "POST", "PUT", "PATCH", "DELETE" }) {
     aServer.Route(method, "/services/([^/]+)(/.*)?", [this](const HttpRequest& aRequest) {
       return this->CallService(aRequest);
@@ -119,6 +120,20 @@
   return response;
 }
 
+HttpResponse
+CallerService::MintKey(const HttpRequest& aRequest)
+{
+  const auto view = this->context.views.Get();
+  auto policy = this->Authenticate(aRequest, *view);
+  if (!policy) {
+    return RefusalResponse(policy.error());
+  }
+  HttpResponse response;
+  response.body = FormatMintedKey(this->services.claims.Mint(policy.value()->workspace),
+                                  this->settings.timeouts.keyRetention);
+  return response;
+}
+
 HttpResponse
 CallerService::CallService(const HttpRequest& aRequest)
 {
@@ -129,41 +144,14 @@
   }
   const ServiceName name(aRequest.groups.at(0));
   const ServiceRoute* service = FindService(*policy.value(), name);
-  const TargetRecord* target = FindServiceTarget(*view, name);
   if (service == nullptr) {
     return RefusalResponse(Error{ ErrorKind::NotFound,
                                   Concat("service '", name.Value(), "' is unknown here"),
                                   "ask the operator which services your team may call" });
   }
-  if (target == nullptr) {
-    return RefusalResponse(Error{ ErrorKind::Unavailable,
-                                  Concat("service '", name.Value(), "' has no target now"),
-                                  "try again shortly" });
-  }
-  HttpCall call;
-  call.endpoint = target->endpoint;
-  call.method = aRequest.method;
-  call.path = aRequest.groups.at(1).empty() ? "/" : aRequest.groups.at(1);
-  call.headers = { { "content-type", aRequest.Header("content-type") },
-                   { "x-workspace", policy.value()->workspace.Value() } };
-  call.body = aRequest.body;
-  call.connectTimeout = this->settings.timeouts.connect;
-  call.readTimeout = service->timeout;
-  DispatchRecord record;
-  record.Begin(AttemptId(this->MakeRequestId().Value()), target->id);
-  record.Advance(AttemptStage::Sending);
-  auto answer = CallHttp(std::move(call), ByteCount(this->settings.limits.requestBody));
-  if (!answer) {
-    if (answer.error().kind == ErrorKind::Unavailable) {
-      record.Advance(AttemptStage::Refused);
-    }
-    return ErrorResponse(CallerError{ answer.error(), record.Outcome(), std::nullopt });
-  }
-  HttpResponse response;
-  response.status = answer.value().status;
-  response.contentType = answer.value().headers.front().second;
-  response.body = std::move(answer.value().body);
-  return response;
+  ServiceRelay relay(this->services,
+                     ServiceCall{ aRequest, *policy.value(), *service, this->MakeRequestId() });
+  return relay.Run();
 }
 
 Result<const ResolvedPolicy*>
@@ -187,7 +175,7 @@
 RequestId
 CallerService::MakeRequestId()
 {
-  return RequestId(absl::StrFormat("req-%s-%x-%d",
+  return RequestId(absl::StrFormat("req-%s-%s-%d",
                                    this->settings.host.Value(),
                                    this->processTag,
                                    this->requestCounter.fetch_add(1)));
--- a/src/program/CallerService.h
+++ b/src/program/CallerService.h
@@ -4,6 +4,7 @@
 #include <atomic>
 
 #include "CompletionRelay.h"
+#include "ServiceRelay.h"
 
 namespace damasklink {
 
@@ -11,7 +12,7 @@
 class CallerService
 {
 public:
-  CallerService(const RelayContext& aContext, const HostSettings& aSettings);
+  CallerService(const RelayContext& aContext, ServiceContext aServices);
 
   // Adds all routes. The server must not outlive this object.
   void AddRoutes(HttpServer& aServer);
@@ -19,6 +20,7 @@
 private:
   HttpResponse Complete(const HttpRequest& aRequest, CompletionStyle aStyle);
   HttpResponse ListModels(const HttpRequest& aRequest);
+  HttpResponse MintKey(const HttpRequest& aRequest);
   HttpResponse CallService(const HttpRequest& aRequest);
 
   // Returns the policy of the caller's key; the view keeps it alive.
@@ -27,9 +29,10 @@
   RequestId MakeRequestId();
 
   const RelayContext& context;
+  ServiceContext services;
   const HostSettings& settings;
   std::atomic<std::uint64_t> requestCounter{ 0 };
-  std::uint64_t processTag;
+  std::string processTag;
 };
 
 } // namespace damasklink
--- /dev/null
+++ b/src/program/ClaimGate.h
@@ -0,0 +1,123 @@
+// The way from traffic threads to the claim ledgers of all zones.
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "HostContext.h"
+#include "damasklink/coordination/DispatchRecord.h"
+#include "damasklink/coordination/IdempotencyKeys.h"
+#include "damasklink/coordination/ProposalRetrier.h"
+#include "damasklink/protocol/ClaimMachine.h"
+
+namespace damasklink {
+
+// A call that carries an idempotency key.
+struct KeyedCall
+{
+  WorkspaceId workspace;
+  IdempotencyKey key;
+  AttemptId attempt;
+  // Of all that makes the call what it is.
+  Digest body;
+  // How long a run may take.
+  Duration lease{ 0 };
+  // Longest wait for the claim; the gate's own bound applies as well.
+  Duration wait{ 0 };
+};
+
+class ClaimGate;
+
+// The right to run one call. Settles the claim when destroyed: as released when the record says
+// that nothing ran, else as abandoned, unless Finish() came first.
+class ClaimTicket
+{
+public:
+  ClaimTicket(ClaimGate& aGate,
+              ZoneId aHome,
+              ClaimCommand aCommand,
+              const DispatchRecord& aRecord,
+              MonotonicTime aLeaseEnd);
+  ~ClaimTicket();
+  ClaimTicket(const ClaimTicket&) = delete;
+  ClaimTicket& operator=(const ClaimTicket&) = delete;
+
+  // Whether the lease still runs; a process that was frozen must not send after it.
+  bool Leased(MonotonicTime aNow) const { return aNow < this->leaseEnd; }
+
+  // Tells that the call ran with this answer; it is kept when it fits the limit.
+  void Finish(KeptAnswer aAnswer);
+
+private:
+  ClaimGate& gate;
+  ZoneId home;
+  ClaimCommand command;
+  const DispatchRecord& record;
+  MonotonicTime leaseEnd;
+  bool settled = false;
+};
+
+// What came of asking: a ticket, or a reply that says why not (or holds the kept answer).
+struct ClaimEntrance
+{
+  std::unique_ptr<ClaimTicket> ticket;
+  ClaimReply reply;
+};
+
+// Claims keys for traffic threads, which wait for the control thread with a bound.
+//
+//   auto entrance = gate.Enter(call, record);
+//   if (!entrance) ...                      // Surely not run: refuse.
+//   if (!entrance.value().ticket) ...       // Kept answer, or RefusalOf(reply).
+//
+// Requires that the record outlives the ticket.
+class ClaimGate final : public ControlModule
+{
+public:
+  ClaimGate(const HostContext& aContext, Replicator& aGroups);
+
+  // Adds the ledgers and itself to the control loop. Requires to be called before it starts.
+  void Start();
+
+  // Claims the call's key at its home. Returns once that is committed and synced there.
+  // Fails with InvalidArgument for a bad key and with Unavailable when the home did not answer in
+  // time; then nothing ran and nothing will.
+  Result<ClaimEntrance> Enter(const KeyedCall& aCall, const DispatchRecord& aRecord);
+
+  // Returns a fresh key that is homed in this zone, or in a neighbour that can home claims.
+  IdempotencyKey Mint(const WorkspaceId& aWorkspace);
+
+  // Sends Finish, Abandon or Release without waiting for it.
+  void Settle(const ZoneId& aHome, ClaimCommand aCommand);
+
+  // Returns how many settlements are on their way.
+  std::size_t Unsettled() const { return this->unsettled.load(); }
+
+  ByteCount MostKeptAnswer() const { return this->context.settings.limits.keptAnswer; }
+
+  void OnPeerMessage(const HostId& aFrom, const PeerMessage& aMessage) override;
+  void OnTick(MonotonicTime aNow) override;
+
+private:
+  struct Waiter;
+
+  Result<ZoneId> HomeOf(const KeyedCall& aCall, const KeyOrigin& aOrigin) const;
+  Result<ClaimReply> Ask(const ZoneId& aHome, const ClaimCommand& aCommand, Duration aWait);
+  void OnAsked(const std::shared_ptr<Waiter>& aWaiter,
+               const ZoneId& aHome,
+               const ClaimCommand& aCommand,
+               ProposalEnd aEnd);
+  void StartSettling(const ZoneId& aHome, const ClaimCommand& aCommand);
+
+  const HostContext& context;
+  Replicator& groups;
+  // Zones whose groups home claims, alike on every host.
+  std::vector<ZoneId> zones;
+  std::map<ZoneId, ClaimMachine> machines;
+  ProposalRetrier retrier;
+  std::atomic<std::size_t> unsettled{ 0 };
+};
+
+} // namespace damasklink
--- /dev/null
+++ b/src/program/ServiceRelay.cpp
@@ -0,0 +1,228 @@
+#include "ServiceRelay.h"
+
+#include <algorithm>
+
+#include "Responses.h"
+#include "damasklink/coordination/ClaimRefusal.h"
+#include "damasklink/state/Digests.h"
+#include "damasklink/state/Text.h"
+#include "damasklink/transport/Log.h"
+
+namespace damasklink {
+namespace {
+
+// Beyond the timeout of the route, for connecting and for the wait of the claim itself.
+constexpr Duration kLeaseSlack = std::chrono::seconds(10);
+constexpr std::string_view kServicesPrefix = "/services/";
+
+// Returns what the service sees as path and query: all behind "/services/<name>".
+std::string
+PathAtService(const HttpRequest& aRequest)
+{
+  const std::string_view target(aRequest.target);
+  const std::size_t slash = target.find('/', kServicesPrefix.size());
+  return slash == std::string_view::npos ? "/" : std::string(target.substr(slash));
+}
+
+Digest
+BodyDigest(const HttpRequest& aRequest)
+{
+  return DigestOf(Concat(aRequest.method, " ", aRequest.target, "\n", aRequest.body));
+}
+
+std::vector<TargetRecord>
+TargetsOf(const TrafficView& aView, const ServiceName& aName)
+{
+  std::vector<TargetRecord> targets;
+  for (const TargetRecord& target : aView.targets) {
+    if (target.kind == TargetKind::Service && target.service == aName) {
+      targets.push_back(target);
+    }
+  }
+  return targets;
+}
+
+HttpResponse
+ReplayResponse(const KeptAnswer& aAnswer)
+{
+  HttpResponse response;
+  response.status = aAnswer.status;
+  response.contentType = aAnswer.contentType;
+  response.body = aAnswer.body;
+  response.headers.emplace_back("idempotent-replay", "true");
+  return response;
+}
+
+} // namespace
+
+ServiceRelay::ServiceRelay(ServiceContext aContext, ServiceCall aCall)
+  : context(aContext)
+  , call(std::move(aCall))
+  , deadline(aContext.host.clock.MonotonicNow() + call.route.timeout)
+{
+}
+
+HttpResponse
+ServiceRelay::Run()
+{
+  const IdempotencyKey key(this->call.request.Header("idempotency-key"));
+  if (!key.Empty()) {
+    if (auto refused = this->ClaimKey(key)) {
+      return std::move(*refused);
+    }
+  }
+  auto answer = this->SendToSomeTarget();
+  if (!answer) {
+    return this->Failure(answer.error());
+  }
+  HttpResponse response;
+  response.status = answer.value().status;
+  response.contentType = answer.value().headers.front().second;
+  response.body = std::move(answer.value().body);
+  if (this->ticket != nullptr) {
+    this->ticket->Finish(KeptAnswer{ response.status, response.contentType, response.body });
+  }
+  return response;
+}
+
+std::optional<HttpResponse>
+ServiceRelay::ClaimKey(const IdempotencyKey& aKey)
+{
+  KeyedCall keyed;
+  keyed.workspace = this->call.policy.workspace;
+  keyed.key = aKey;
+  keyed.attempt = AttemptId(this->call.id.Value());
+  keyed.body = BodyDigest(this->call.request);
+  keyed.lease = this->call.route.timeout + kLeaseSlack;
+  keyed.wait = this->TimeLeft();
+  auto entrance = this->context.claims.Enter(keyed, this->record);
+  if (!entrance) {
+    return this->Failure(entrance.error(), std::chrono::seconds(1));
+  }
+  const ClaimReply& reply = entrance.value().reply;
+  if (reply.verdict == ClaimVerdict::Granted) {
+    this->ticket = std::move(entrance.value().ticket);
+    return std::nullopt;
+  }
+  if (reply.verdict == ClaimVerdict::Kept && reply.answer) {
+    return ReplayResponse(*reply.answer);
+  }
+  const ClaimRefusal refusal = RefusalOf(reply);
+  this->record.NoteEarlier(refusal.earlier);
+  return this->Failure(refusal.error, refusal.retryAfter);
+}
+
+Result<HttpAnswer>
+ServiceRelay::SendToSomeTarget()
+{
+  const auto view = this->context.host.views.Get();
+  const std::vector<TargetRecord> targets = TargetsOf(*view, this->call.route.name);
+  Error lastError{ ErrorKind::Unavailable,
+                   Concat("service '", this->call.route.name.Value(), "' has no target now"),
+                   "try again shortly" };
+  const std::size_t start =
+    targets.empty() ? 0 : std::hash<RequestId>{}(this->call.id) % targets.size();
+  for (std::size_t index = 0; index < targets.size(); ++index) {
+    auto answer = this->SendTo(targets[(start + index) % targets.size()]);
+    const bool mayRepeat = this->record.Outcome() == RunOutcome::NotRun;
+    if (answer || !mayRepeat || this->TimeLeft() <= Duration(0)) {
+      return answer;
+    }
+    lastError = answer.error();
+  }
+  return Fail(lastError);
+}
+
+Result<HttpAnswer>
+ServiceRelay::SendTo(const TargetRecord& aTarget)
+{
+  const std::size_t number = this->record.Attempts().size() + 1;
+  const AttemptId attempt(Concat(this->call.id.Value(), "-", number));
+  this->record.Begin(attempt, aTarget.id);
+  auto connected = HttpExchange::Connect(this->MakeCall(aTarget, attempt));
+  if (!connected) {
+    return Fail(connected.error());
+  }
+  const MonotonicTime now = this->context.host.clock.MonotonicNow();
+  if (this->ticket != nullptr && !this->ticket->Leased(now)) {
+    return Fail(ErrorKind::DeadlineExceeded, "the claim of the key ran out", "try again");
+  }
+  this->record.Advance(AttemptStage::Sending);
+  auto answer = this->Exchange(*connected.value());
+  this->record.Advance(answer ? AttemptStage::Finished : AttemptStage::Lost);
+  return answer;
+}
+
+// Reads the whole answer within the deadline of the call, however slowly it drips.
+Result<HttpAnswer>
+ServiceRelay::Exchange(HttpExchange& aExchange)
+{
+  if (auto sent = aExchange.Send(); !sent) {
+    return Fail(sent.error());
+  }
+  aExchange.SetReadTimeout(this->TimeLeft());
+  if (auto header = aExchange.ReadHeader(); !header) {
+    return Fail(header.error());
+  }
+  HttpAnswer answer;
+  answer.status = aExchange.Status();
+  answer.headers.emplace_back("content-type", aExchange.Header("content-type"));
+  const std::size_t mostBody = this->context.host.settings.limits.requestBody.Value();
+  while (answer.body.size() <= mostBody) {
+    if (this->TimeLeft() <= Duration(0)) {
+      return Fail(ErrorKind::DeadlineExceeded,
+                  "the service did not finish its answer in time",
+                  "raise the timeout of the service");
+    }
+    aExchange.SetReadTimeout(this->TimeLeft());
+    auto piece = aExchange.ReadSome();
+    if (!piece) {
+      return Fail(piece.error());
+    }
+    if (piece.value().empty()) {
+      return answer;
+    }
+    answer.body += piece.value();
+  }
+  return Fail(ErrorKind::Overloaded, "the answer is too large", "raise limits.request_body");
+}
+
+HttpCall
+ServiceRelay::MakeCall(const TargetRecord& aTarget, const AttemptId& aAttempt) const
+{
+  const HttpRequest& request = this->call.request;
+  HttpCall made;
+  made.endpoint = aTarget.endpoint;
+  made.method = request.method;
+  made.path = PathAtService(request);
+  made.headers = { { "content-type", request.Header("content-type") },
+                   { "x-workspace", this->call.policy.workspace.Value() },
+                   { "x-attempt-id", aAttempt.Value() } };
+  if (const std::string key = request.Header("idempotency-key"); !key.empty()) {
+    made.headers.emplace_back("idempotency-key", key);
+  }
+  made.body = request.body;
+  made.connectTimeout = std::min(this->context.host.settings.timeouts.connect, this->TimeLeft());
+  made.readTimeout = this->TimeLeft();
+  return made;
+}
+
+HttpResponse
+ServiceRelay::Failure(Error aError, std::optional<Duration> aRetryAfter) const
+{
+  LogEvent(LogLevel::Warning, "service_call_failed")
+    .With("request", this->call.id)
+    .With("service", this->call.route.name)
+    .With("outcome", RunOutcomeName(this->record.Outcome()))
+    .With("error", aError);
+  return ErrorResponse(CallerError{ std::move(aError), this->record.Outcome(), aRetryAfter });
+}
+
+Duration
+ServiceRelay::TimeLeft() const
+{
+  const Duration left = this->deadline - this->context.host.clock.MonotonicNow();
+  return std::max(left, Duration(0));
+}
+
+} // namespace damasklink
--- a/src/program/TrafficPart.cpp
+++ b/src/program/TrafficPart.cpp
@@ -4,19 +4,20 @@
 
 TrafficPart::TrafficPart(const HostContext& aContext, Replicator& aGroups, ReusePart& aReuse)
   : context(aContext)
-  , groups(aGroups)
+  , claims(aContext, aGroups)
   , relay{ aContext.clock,
            aContext.settings.timeouts,
            aReuse.Routing(),
            aReuse.Reuse(),
            aContext.views }
-  , callers(this->relay, aContext.settings)
+  , callers(this->relay, ServiceContext{ aContext, this->claims })
 {
 }
 
 Result<void>
 TrafficPart::Start()
 {
+  this->claims.Start();
   return Success();
 }
 
--- a/src/program/TrafficPart.h
+++ b/src/program/TrafficPart.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "CallerService.h"
+#include "ClaimGate.h"
 #include "HostContext.h"
 #include "ReusePart.h"
 #include "damasklink/coordination/Replication.h"
@@ -24,7 +25,7 @@
 
 private:
   const HostContext& context;
-  Replicator& groups;
+  ClaimGate claims;
   RelayContext relay;
   CallerService callers;
 };
--- a/src/protocol/CallerApi.cpp
+++ b/src/protocol/CallerApi.cpp
@@ -244,6 +244,14 @@
   return Dump(answer);
 }
 
+std::string
+FormatMintedKey(const IdempotencyKey& aKey, Duration aRetention)
+{
+  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(aRetention);
+  return Dump(Json{
+    { "object", "key" }, { "key", aKey.Value() }, { "remembered_seconds", seconds.count() } });
+}
+
 std::string
 FormatModelList(const std::vector<ModelName>& aModels)
 {
--- a/src/state/Digests.cpp
+++ b/src/state/Digests.cpp
@@ -12,12 +12,19 @@
 Digest
 DigestOf(std::string_view aText)
 {
-  std::array<unsigned char, SHA256_DIGEST_LENGTH> bytes{};
-  SHA256(reinterpret_cast<const unsigned char*>(aText.data()), aText.size(), bytes.data());
+  const auto bytes = DigestBytes(aText);
   const std::string_view raw(reinterpret_cast<const char*>(bytes.data()), bytes.size());
   return Digest(absl::BytesToHexString(ForAbsl(raw)));
 }
 
+std::array<std::uint8_t, 32>
+DigestBytes(std::string_view aText)
+{
+  std::array<std::uint8_t, SHA256_DIGEST_LENGTH> bytes{};
+  SHA256(reinterpret_cast<const unsigned char*>(aText.data()), aText.size(), bytes.data());
+  return bytes;
+}
+
 bool
 EqualInConstantTime(const Digest& aLeft, const Digest& aRight)
 {
--- /dev/null
+++ b/test/coordination/ClaimLedgerTest.cpp
@@ -0,0 +1,223 @@
+#include "damasklink/coordination/ClaimLedger.h"
+
+#include <gtest/gtest.h>
+
+namespace damasklink {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+class ClaimLedgerTest : public testing::Test
+{
+protected:
+  ClaimReply Apply(const ClaimCommand& aCommand)
+  {
+    this->context.index = this->context.index.Next();
+    return this->ledger.Apply(this->context, aCommand);
+  }
+
+  ClaimReply Claim(const std::string& aAttempt) { return this->Apply(this->Command(aAttempt)); }
+
+  ClaimReply Settle(ClaimVerb aVerb, const std::string& aAttempt)
+  {
+    ClaimCommand command = this->Command(aAttempt);
+    command.verb = aVerb;
+    return this->Apply(command);
+  }
+
+  ClaimCommand Command(const std::string& aAttempt) const
+  {
+    ClaimCommand command;
+    command.workspace = WorkspaceId("head-office");
+    command.key = IdempotencyKey("order-17");
+    command.attempt = AttemptId(aAttempt);
+    command.body = Digest("body");
+    command.birth = this->birth;
+    command.retention = hours(48);
+    command.lease = seconds(30);
+    command.answer = KeptAnswer{ 200, "text/plain", "plate 17" };
+    return command;
+  }
+
+  void Pass(Duration aTime)
+  {
+    this->context.proposedAt += std::chrono::duration_cast<WallTime::duration>(aTime);
+  }
+
+  ClaimLedger ledger{ ClaimLedger::Limits{ 3, 100 } };
+  ApplyContext context{ GroupId("claims/north"), {}, Term(1), WallTime(hours(500'000)) };
+  std::optional<WallTime> birth;
+};
+
+TEST_F(ClaimLedgerTest, SecondAttemptIsToldThatTheFirstRuns)
+{
+  EXPECT_EQ(this->Claim("a").verdict, ClaimVerdict::Granted);
+  this->Pass(seconds(10));
+  const ClaimReply second = this->Claim("b");
+  EXPECT_EQ(second.verdict, ClaimVerdict::Running);
+  EXPECT_EQ(second.comeBack, seconds(20));
+}
+
+TEST_F(ClaimLedgerTest, SameAttemptGetsTheSameAnswer)
+{
+  EXPECT_EQ(this->Claim("a").verdict, ClaimVerdict::Granted);
+  EXPECT_EQ(this->Claim("a").verdict, ClaimVerdict::Granted);
+}
+
+TEST_F(ClaimLedgerTest, FinishedRunHandsOutItsAnswer)
+{
+  this->Claim("a");
+  this->Settle(ClaimVerb::Finish, "a");
+  const ClaimReply second = this->Claim("b");
+  EXPECT_EQ(second.verdict, ClaimVerdict::Kept);
+  EXPECT_EQ(second.answer, KeptAnswer({ 200, "text/plain", "plate 17" }));
+}
+
+TEST_F(ClaimLedgerTest, RunLostWithItsHostMayHaveRun)
+{
+  this->Claim("a");
+  this->Pass(seconds(30));
+  EXPECT_EQ(this->Claim("b").verdict, ClaimVerdict::MayHaveRun);
+}
+
+TEST_F(ClaimLedgerTest, BrokenOffRunMayHaveRunAtOnce)
+{
+  this->Claim("a");
+  this->Settle(ClaimVerb::Abandon, "a");
+  EXPECT_EQ(this->Claim("b").verdict, ClaimVerdict::MayHaveRun);
+}
+
+TEST_F(ClaimLedgerTest, ReleasedClaimLetsAnotherAttemptRun)
+{
+  this->Claim("a");
+  this->Settle(ClaimVerb::Release, "a");
+  EXPECT_EQ(this->Claim("b").verdict, ClaimVerdict::Granted);
+}
+
+TEST_F(ClaimLedgerTest, LateReleaseOfAnEarlierAttemptFreesNothing)
+{
+  this->Claim("a");
+  this->Settle(ClaimVerb::Release, "a");
+  this->Claim("b");
+  this->Settle(ClaimVerb::Release, "a");
+  EXPECT_EQ(this->Claim("c").verdict, ClaimVerdict::Running);
+}
+
+TEST_F(ClaimLedgerTest, ClaimThatItsReleaseOvertookIsNotGranted)
+{
+  this->Settle(ClaimVerb::Release, "a");
+  EXPECT_EQ(this->Claim("a").verdict, ClaimVerdict::Withdrawn);
+  EXPECT_EQ(this->Claim("b").verdict, ClaimVerdict::Granted);
+}
+
+TEST_F(ClaimLedgerTest, SameKeyWithAnotherBodyIsRefused)
+{
+  this->Claim("a");
+  ClaimCommand other = this->Command("b");
+  other.body = Digest("other");
+  EXPECT_EQ(this->Apply(other).verdict, ClaimVerdict::OtherBody);
+}
+
+TEST_F(ClaimLedgerTest, KeysOfTwoWorkspacesAreTwoKeys)
+{
+  this->Claim("a");
+  this->Settle(ClaimVerb::Finish, "a");
+  ClaimCommand other = this->Command("b");
+  other.workspace = WorkspaceId("branch");
+  EXPECT_EQ(this->Apply(other).verdict, ClaimVerdict::Granted);
+}
+
+TEST_F(ClaimLedgerTest, ForgottenMintedKeyIsExpiredAndNotRunAgain)
+{
+  this->birth = this->context.proposedAt;
+  this->Claim("a");
+  this->Settle(ClaimVerb::Finish, "a");
+  this->Pass(hours(49));
+  EXPECT_EQ(this->Claim("b").verdict, ClaimVerdict::Expired);
+  EXPECT_EQ(this->ledger.Size(), 0U);
+  EXPECT_EQ(this->ledger.AnswerBytes(), 0U);
+}
+
+// A host whose settings remember keys for longer must not revive what the ledger forgot.
+TEST_F(ClaimLedgerTest, LongerRetentionDoesNotReviveAForgottenKey)
+{
+  this->birth = this->context.proposedAt;
+  this->Claim("a");
+  this->Pass(hours(49));
+  ClaimCommand longer = this->Command("b");
+  longer.retention = hours(100);
+  EXPECT_EQ(this->Apply(longer).verdict, ClaimVerdict::Expired);
+}
+
+TEST_F(ClaimLedgerTest, OldKeyThatWasNeverSeenIsExpired)
+{
+  this->birth = this->context.proposedAt - hours(48);
+  EXPECT_EQ(this->Claim("a").verdict, ClaimVerdict::Expired);
+}
+
+TEST_F(ClaimLedgerTest, ReleaseAfterTheRunEndedFreesNothing)
+{
+  for (const ClaimVerb end : { ClaimVerb::Finish, ClaimVerb::Abandon }) {
+    this->ledger = ClaimLedger();
+    this->Claim("a");
+    this->Settle(end, "a");
+    this->Settle(ClaimVerb::Release, "a");
+    EXPECT_NE(this->Claim("b").verdict, ClaimVerdict::Granted);
+  }
+}
+
+TEST_F(ClaimLedgerTest, KeyFromTheFutureIsRefused)
+{
+  this->birth = this->context.proposedAt + minutes(5);
+  EXPECT_EQ(this->Claim("a").verdict, ClaimVerdict::NotYetBorn);
+}
+
+TEST_F(ClaimLedgerTest, GroupFormedAnewRunsNoKeyFromBefore)
+{
+  this->birth = this->context.proposedAt - minutes(1);
+  this->context.incarnation = Incarnation(2);
+  EXPECT_EQ(this->Claim("a").verdict, ClaimVerdict::MayHaveRun);
+  this->Pass(hours(2));
+  this->birth = this->context.proposedAt;
+  EXPECT_EQ(this->Claim("a").verdict, ClaimVerdict::Granted);
+}
+
+TEST_F(ClaimLedgerTest, GroupFormedAnewRunsKeysWithoutABirthOnlyAfterTheRetention)
+{
+  this->context.incarnation = Incarnation(2);
+  EXPECT_EQ(this->Claim("a").verdict, ClaimVerdict::MayHaveRun);
+  this->Pass(hours(48));
+  EXPECT_EQ(this->Claim("a").verdict, ClaimVerdict::Granted);
+}
+
+TEST_F(ClaimLedgerTest, FullLedgerRefusesNewKeysAndKeepsTheOld)
+{
+  for (const char* key : { "k1", "k2", "k3", "k4" }) {
+    ClaimCommand command = this->Command("a");
+    command.key = IdempotencyKey(key);
+    const bool room = std::string(key) != "k4";
+    EXPECT_EQ(this->Apply(command).verdict, room ? ClaimVerdict::Granted : ClaimVerdict::Full);
+  }
+}
+
+TEST_F(ClaimLedgerTest, OldestAnswersGoFirstAndTheirKeysStay)
+{
+  for (const char* key : { "k1", "k2" }) {
+    ClaimCommand command = this->Command("a");
+    command.key = IdempotencyKey(key);
+    this->Apply(command);
+    command.verb = ClaimVerb::Finish;
+    command.answer->body = std::string(60, 'x');
+    this->Apply(command);
+  }
+  ClaimCommand again = this->Command("b");
+  again.key = IdempotencyKey("k1");
+  EXPECT_EQ(this->Apply(again).verdict, ClaimVerdict::AnswerGone);
+  again.key = IdempotencyKey("k2");
+  EXPECT_EQ(this->Apply(again).verdict, ClaimVerdict::Kept);
+}
+
+} // namespace
+} // namespace damasklink
--- /dev/null
+++ b/test/program/ServiceRelayTest.cpp
@@ -0,0 +1,160 @@
+#include "ServiceRelay.h"
+
+#include <thread>
+
+#include "TrafficFixture.h"
+
+namespace damasklink {
+namespace {
+
+class ServiceRelayTest : public TrafficFixture
+{
+protected:
+  // A service that counts its runs and then answers as told.
+  HttpHandler Counting(std::function<HttpResponse()> aAnswer)
+  {
+    return [this, answer = std::move(aAnswer)](const HttpRequest&) {
+      ++this->runs;
+      return answer();
+    };
+  }
+
+  static HttpResponse Pressed()
+  {
+    HttpResponse response;
+    response.body = "pressed";
+    return response;
+  }
+
+  // Breaks off in the middle of the answer.
+  static HttpResponse Cut()
+  {
+    HttpResponse response;
+    response.stream = [](StreamWriter& aWriter) {
+      aWriter.Write("pres");
+      return false;
+    };
+    return response;
+  }
+
+  // Makes calls while both targets break off, and expects each to be told so.
+  void PostToCutTargets(const std::string& aKey, int aCalls)
+  {
+    const ScriptedTarget one(this->Counting(Cut));
+    const ScriptedTarget other(this->Counting(Cut));
+    this->SetTargets(
+      { one.Record("s-1", TargetKind::Service), other.Record("s-2", TargetKind::Service) });
+    this->StartHost();
+    for (int index = 0; index < aCalls; ++index) {
+      const HttpAnswer answer = this->Post("/services/plates/jobs", "17", aKey);
+      EXPECT_NE(answer.body.find("may_have_run"), std::string::npos) << answer.body;
+    }
+  }
+
+  std::atomic<int> runs{ 0 };
+};
+
+constexpr int kConflict = 409;
+
+TEST_F(ServiceRelayTest, SecondCallWithTheSameKeyGetsTheKeptAnswer)
+{
+  const ScriptedTarget service(this->Counting(Pressed));
+  this->SetTargets({ service.Record("s-1", TargetKind::Service) });
+  this->StartHost();
+  EXPECT_EQ(this->Post("/services/plates/jobs", "17", "order-17").body, "pressed");
+  HttpAnswer second = this->Post("/services/plates/jobs", "17", "order-17");
+  // The end of the first run is committed without its caller waiting for it.
+  while (second.status == kConflict) {
+    second = this->Post("/services/plates/jobs", "17", "order-17");
+  }
+  EXPECT_EQ(second.body, "pressed");
+  EXPECT_EQ(this->runs, 1);
+}
+
+TEST_F(ServiceRelayTest, CallsWithOneKeyAtTheSameMomentRunOnce)
+{
+  const ScriptedTarget service(this->Counting(Pressed));
+  this->SetTargets({ service.Record("s-1", TargetKind::Service) });
+  this->StartHost();
+  std::vector<std::thread> callers;
+  for (int index = 0; index < 8; ++index) {
+    callers.emplace_back([this] { this->Post("/services/plates/jobs", "17", "order-17"); });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  EXPECT_EQ(this->runs, 1);
+}
+
+TEST_F(ServiceRelayTest, BrokenOffRunIsReportedAndNeverRepeated)
+{
+  this->PostToCutTargets("order-17", 3);
+  EXPECT_EQ(this->runs, 1);
+}
+
+TEST_F(ServiceRelayTest, CallWithoutAKeyIsSentOnce)
+{
+  this->PostToCutTargets("", 1);
+  EXPECT_EQ(this->runs, 1);
+}
+
+TEST_F(ServiceRelayTest, TargetThatIsGoneIsNotRunAndTheKeyMayRunLater)
+{
+  ScriptedTarget gone(this->Counting(Pressed));
+  const TargetRecord record = gone.Record("s-1", TargetKind::Service);
+  gone.Stop();
+  this->SetTargets({ record });
+  this->StartHost();
+  const HttpAnswer refused = this->Post("/services/plates/jobs", "17", "order-17");
+  EXPECT_NE(refused.body.find("\"not_run\""), std::string::npos) << refused.body;
+  const ScriptedTarget back(this->Counting(Pressed));
+  this->control.Post([&] { this->SetTargets({ back.Record("s-2", TargetKind::Service) }); });
+  HttpAnswer answer;
+  while (answer.body != "pressed") {
+    answer = this->Post("/services/plates/jobs", "17", "order-17");
+  }
+  EXPECT_EQ(this->runs, 1);
+}
+
+TEST_F(ServiceRelayTest, KeyOfAnotherWorkspaceIsAnotherKey)
+{
+  const ScriptedTarget service(this->Counting(Pressed));
+  this->SetTargets({ service.Record("s-1", TargetKind::Service) });
+  this->StartHost();
+  this->Post("/services/plates/jobs", "17", "order-17");
+  HttpCall call = this->MakeCall("/services/plates/jobs", "17");
+  call.headers = { { "authorization", "Bearer branch-key" }, { "idempotency-key", "order-17" } };
+  EXPECT_EQ(CallHttp(call, ByteCount(1024)).value().body, "pressed");
+  EXPECT_EQ(this->runs, 2);
+}
+
+TEST_F(ServiceRelayTest, MintedKeyWorksForItsWorkspaceOnly)
+{
+  const ScriptedTarget service(this->Counting(Pressed));
+  this->SetTargets({ service.Record("s-1", TargetKind::Service) });
+  this->StartHost();
+  const std::string body = this->Post("/v1/keys", "").body;
+  const std::size_t at = body.find("dk1~");
+  const std::string key = body.substr(at, body.find('"', at) - at);
+  HttpCall call = this->MakeCall("/services/plates/jobs", "17");
+  call.headers = { { "authorization", "Bearer branch-key" }, { "idempotency-key", key } };
+  EXPECT_EQ(CallHttp(call, ByteCount(1024)).value().status, 400);
+  EXPECT_EQ(this->Post("/services/plates/jobs", "17", key).body, "pressed");
+  EXPECT_EQ(this->runs, 1);
+}
+
+TEST_F(ServiceRelayTest, PassesPathAndQueryOn)
+{
+  std::string seen;
+  const ScriptedTarget service([&](const HttpRequest& aRequest) {
+    seen = aRequest.target;
+    return Pressed();
+  });
+  this->SetTargets({ service.Record("s-1", TargetKind::Service) });
+  this->StartHost();
+  this->Post("/services/plates/jobs/a%20b?plate=N%2017", "17");
+  EXPECT_EQ(seen, "/jobs/a%20b?plate=N%2017");
+}
+
+} // namespace
+} // namespace damasklink
