--- a/include/damasklink/coordination/ProposalTracker.h
+++ b/include/damasklink/coordination/ProposalTracker.h
@@ -38,6 +38,10 @@
   // Takes a ProposalAnswer or ProposalRefusal; ignores all else.
   void Receive(const AgreementMessage& aMessage);
 
+  // Sends what is pending to a leader that this host has learnt of otherwise; does nothing when it
+  // is empty or known.
+  void NoteLeader(const GroupId& aGroup, const HostId& aLeader);
+
   void Tick();
 
   std::vector<AgreementMessage> TakeMessages() { return std::exchange(this->outbox, {}); }
@@ -64,6 +68,8 @@
     std::size_t nextVoter = 0;
     // Empty: try the voters in turn.
     HostId leader;
+    // The one that NoteLeader() named last.
+    HostId notedLeader;
     Sequence lastSequence;
     std::map<Sequence, Pending> pending;
   };
--- a/src/coordination/ProposalTracker.cpp
+++ b/src/coordination/ProposalTracker.cpp
@@ -141,6 +141,23 @@
   pending.nextAttempt = this->clock.MonotonicNow() + kRefusalPause;
 }
 
+void
+ProposalTracker::NoteLeader(const GroupId& aGroup, const HostId& aLeader)
+{
+  const auto found = this->groups.find(aGroup);
+  if (found == this->groups.end() || aLeader.Empty() || found->second.notedLeader == aLeader) {
+    return;
+  }
+  found->second.notedLeader = aLeader;
+  if (found->second.leader == aLeader) {
+    return;
+  }
+  found->second.leader = aLeader;
+  for (auto& [sequence, pending] : found->second.pending) {
+    this->Send(aGroup, found->second, sequence, pending);
+  }
+}
+
 void
 ProposalTracker::Tick()
 {
--- a/src/program/AgreementModule.cpp
+++ b/src/program/AgreementModule.cpp
@@ -176,6 +176,7 @@
   this->tracker.Tick();
   for (auto& [group, held] : this->groups) {
     held.replica->Tick();
+    this->tracker.NoteLeader(group, held.replica->Status().leader);
   }
   this->Pump();
   for (auto& [group, held] : this->groups) {
