Tests of several hosts' agreement modules over real files; placement and proposals

Found: a proposal that every host had refused ended as deadline_exceeded, because the last attempt was still under way at the deadline. Nothing is sent any more in the last 200 ms of what was refused everywhere, so the truthful unavailable comes back.

--- a/src/coordination/ProposalTracker.cpp
+++ b/src/coordination/ProposalTracker.cpp
@@ -12,6 +12,8 @@
 constexpr Duration kAttemptTimeout = std::chrono::seconds(1);
 // The pause after a refusal that named no leader.
 constexpr Duration kRefusalPause = std::chrono::milliseconds(100);
+// So shortly before its deadline, what was refused everywhere is not sent again.
+constexpr Duration kLastAttempt = std::chrono::milliseconds(200);
 // Named leaders that are asked at once, one after the other.
 constexpr int kMostHints = 3;
 // A proposer is remembered for longer than this (ProposalTable.cpp).
@@ -174,6 +176,9 @@
   for (auto& [sequence, pending] : aState.pending) {
     if (now >= pending.deadline) {
       ended.push_back(sequence);
+    } else if (pending.unsettled.empty() && pending.deadline - now < kLastAttempt) {
+      // A further attempt would have no time to be refused and so make the outcome unknown.
+      continue;
     } else if (now >= pending.nextAttempt) {
       aState.leader = HostId();
       this->Send(aGroup, aState, sequence, pending);
--- a/src/program/AgreementModule.h
+++ b/src/program/AgreementModule.h
@@ -38,6 +38,9 @@
   void OnTick(MonotonicTime aNow) override;
   void OnShutdown() override;
 
+  // Returns once everything handed to the disk so far is synced; the next OnTick() acts on it.
+  void WaitForWrites() { this->writer.WaitUntilIdle(); }
+
   // Returns why the group's replica on this host has stopped, nothing while it works.
   std::optional<Error> FailureOf(const GroupId& aGroup) const;
 
--- a/src/program/LogWriter.cpp
+++ b/src/program/LogWriter.cpp
@@ -45,6 +45,16 @@
   this->work[aGroup].push_back(std::move(aBatch));
 }
 
+void
+LogWriter::WaitUntilIdle()
+{
+  const auto idle = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
+    return this->work.empty() && !this->writing;
+  };
+  absl::MutexLock lock(&this->mutex);
+  this->mutex.Await(absl::Condition(&idle));
+}
+
 std::vector<WriteCompletion>
 LogWriter::TakeCompletions()
 {
@@ -64,6 +74,7 @@
       absl::MutexLock lock(&this->mutex);
       this->mutex.Await(absl::Condition(&ready));
       taken = std::exchange(this->work, {});
+      this->writing = !taken.empty();
     }
     if (taken.empty()) {
       return;
@@ -73,6 +84,10 @@
       absl::MutexLock lock(&this->mutex);
       this->completions.push_back(std::move(completion));
     }
+    {
+      absl::MutexLock lock(&this->mutex);
+      this->writing = false;
+    }
     this->wake();
   }
 }
--- a/src/program/LogWriter.h
+++ b/src/program/LogWriter.h
@@ -44,6 +44,9 @@
 
   void Write(const GroupId& aGroup, PersistBatch aBatch);
 
+  // Returns once all that was handed in so far has its completion.
+  void WaitUntilIdle();
+
   std::vector<WriteCompletion> TakeCompletions();
 
 private:
@@ -58,6 +61,7 @@
   absl::Mutex mutex;
   Work work ABSL_GUARDED_BY(mutex);
   std::vector<WriteCompletion> completions ABSL_GUARDED_BY(mutex);
+  bool writing ABSL_GUARDED_BY(mutex) = false;
   bool stopped ABSL_GUARDED_BY(mutex) = false;
 };
 
--- /dev/null
+++ b/test/coordination/ProposalTrackerTest.cpp
@@ -0,0 +1,132 @@
+#include "damasklink/coordination/ProposalTracker.h"
+
+#include <gtest/gtest.h>
+
+namespace damasklink {
+namespace {
+
+const GroupId kGroup("control");
+const std::vector<HostId> kVoters{ HostId("a"), HostId("b") };
+
+class ProposalTrackerTest : public ::testing::Test
+{
+protected:
+  void Start()
+  {
+    this->tracker.Start(kGroup,
+                        kVoters,
+                        MachinePart::Configuration,
+                        "command",
+                        std::chrono::seconds(3),
+                        [this](const Result<std::string>& aAnswer) {
+                          this->ended = aAnswer ? aAnswer.value()
+                                                : std::string(ErrorKindName(aAnswer.error().kind));
+                        });
+  }
+
+  // Returns the only message that waits to be sent.
+  AgreementMessage Sent()
+  {
+    const auto messages = this->tracker.TakeMessages();
+    EXPECT_EQ(messages.size(), 1U);
+    return messages.empty() ? AgreementMessage{} : messages.front();
+  }
+
+  // Lets the host that got the message refuse it.
+  void Refuse(const AgreementMessage& aMessage, const HostId& aLeader = HostId())
+  {
+    const auto& proposal = std::get<ForwardedProposal>(aMessage.body);
+    AgreementMessage refusal;
+    refusal.group = kGroup;
+    refusal.fromHost = aMessage.toHost;
+    refusal.body = ProposalRefusal{ proposal.proposal, proposal.attempt, aLeader };
+    this->tracker.Receive(refusal);
+  }
+
+  void Advance(Duration aStep)
+  {
+    this->clock.Advance(aStep);
+    this->tracker.Tick();
+  }
+
+  ManualClock clock;
+  ProposalTracker tracker{ clock, HostId("c"), 7 };
+  std::string ended;
+};
+
+TEST_F(ProposalTrackerTest, AsksTheLeaderThatARefusalNames)
+{
+  this->Start();
+  const AgreementMessage first = this->Sent();
+  const HostId other = first.toHost == kVoters[0] ? kVoters[1] : kVoters[0];
+  this->Refuse(first, other);
+  EXPECT_EQ(this->Sent().toHost, other);
+}
+
+TEST_F(ProposalTrackerTest, SilentHostIsFollowedByAnother)
+{
+  this->Start();
+  const HostId first = this->Sent().toHost;
+  this->Advance(std::chrono::seconds(1));
+  EXPECT_NE(this->Sent().toHost, first);
+}
+
+TEST_F(ProposalTrackerTest, RefusedEverywhereIsSurelyNotApplied)
+{
+  this->Start();
+  for (int attempt = 0; attempt < 100 && this->ended.empty(); ++attempt) {
+    for (const AgreementMessage& message : this->tracker.TakeMessages()) {
+      this->Refuse(message);
+    }
+    this->Advance(std::chrono::milliseconds(100));
+  }
+  EXPECT_EQ(this->ended, "unavailable");
+}
+
+TEST_F(ProposalTrackerTest, OneSilentHostMakesTheOutcomeUnknown)
+{
+  this->Start();
+  this->tracker.TakeMessages();
+  this->Advance(std::chrono::seconds(1));
+  this->Refuse(this->Sent());
+  this->Advance(std::chrono::seconds(2));
+  EXPECT_EQ(this->ended, "deadline_exceeded");
+}
+
+TEST_F(ProposalTrackerTest, HostsThatNameEachOtherAreNotAskedWithoutPause)
+{
+  this->Start();
+  int sent = 0;
+  for (auto messages = this->tracker.TakeMessages(); !messages.empty() && sent < 100;
+       messages = this->tracker.TakeMessages()) {
+    ++sent;
+    const HostId asked = messages.front().toHost;
+    this->Refuse(messages.front(), asked == kVoters[0] ? kVoters[1] : kVoters[0]);
+  }
+  EXPECT_LT(sent, 10);
+}
+
+TEST_F(ProposalTrackerTest, AnswerEndsTheProposal)
+{
+  this->Start();
+  const AgreementMessage sent = this->Sent();
+  AgreementMessage answer;
+  answer.group = kGroup;
+  answer.fromHost = sent.toHost;
+  answer.body = ProposalAnswer{ std::get<ForwardedProposal>(sent.body).proposal, "done" };
+  this->tracker.Receive(answer);
+  EXPECT_EQ(this->ended, "done");
+  EXPECT_EQ(this->tracker.LastLeader(kGroup), sent.toHost);
+}
+
+TEST_F(ProposalTrackerTest, GroupWithoutHostsIsRefusedAtOnce)
+{
+  this->tracker.Start(
+    kGroup, {}, MachinePart::Claims, "", std::chrono::seconds(1), [this](const auto& aAnswer) {
+      this->ended = ErrorKindName(aAnswer.error().kind);
+    });
+  EXPECT_EQ(this->ended, "unavailable");
+}
+
+} // namespace
+} // namespace damasklink
--- /dev/null
+++ b/test/program/AgreementModuleTest.cpp
@@ -0,0 +1,200 @@
+#include "program/AgreementModule.h"
+
+#include <map>
+
+#include <gtest/gtest.h>
+
+#include "damasklink/coordination/GroupPlacement.h"
+#include "support/ListMachine.h"
+#include "support/TempFolder.h"
+
+namespace damasklink {
+namespace {
+
+using testing::ListMachine;
+using testing::TempFolder;
+
+const GroupId kClaims = ClaimsGroupId(ZoneId("north"));
+
+// Holds what hosts send each other until the test delivers it.
+class QueueSender final : public PeerSender
+{
+public:
+  void Send(const HostId& aTo, PeerMessage aMessage) override
+  {
+    this->queue.emplace_back(aTo, std::move(aMessage));
+  }
+
+  std::vector<std::pair<HostId, PeerMessage>> queue;
+};
+
+// A host without its threads but for the one that writes.
+struct TestHost
+{
+  TestHost(const HostSettings& aSettings, const Clock& aClock)
+    : settings(aSettings)
+    , control(aClock, 16)
+    , publisher(views)
+    , context{ settings, aClock, metrics, control, sender, views, publisher, phase }
+    , module(context)
+  {
+    this->module.AddMachine(ControlGroupId(), MachinePart::Configuration, this->configuration);
+    this->module.AddMachine(kClaims, MachinePart::Claims, this->claims);
+  }
+
+  HostSettings settings;
+  NoMetrics metrics;
+  ControlLoop control;
+  QueueSender sender;
+  TrafficViewHolder views;
+  ViewPublisher publisher;
+  std::atomic<HostPhase> phase{ HostPhase::Ready };
+  HostContext context;
+  ListMachine configuration;
+  ListMachine claims;
+  AgreementModule module;
+};
+
+// Zone north has host a with a disk and host d without; b and c have disks in other zones.
+class AgreementModuleTest : public ::testing::Test
+{
+protected:
+  AgreementModuleTest()
+  {
+    const std::map<std::string, std::string> zones{
+      { "a", "north" }, { "b", "south" }, { "c", "east" }, { "d", "north" }
+    };
+    for (const auto& [host, zone] : zones) {
+      PeerSettings peer;
+      peer.host = HostId(host);
+      peer.zone = ZoneId(zone);
+      peer.disk = host != "d";
+      this->peers.push_back(peer);
+    }
+    for (const PeerSettings& peer : this->peers) {
+      EXPECT_TRUE(this->Start(peer.host));
+    }
+  }
+
+  Result<void> Start(const HostId& aHost)
+  {
+    HostSettings settings;
+    settings.host = aHost;
+    settings.peers = this->peers;
+    if (aHost != HostId("d")) {
+      settings.dataFolder = this->folders[aHost].Path() + "/data";
+    }
+    auto host = std::make_unique<TestHost>(settings, this->clock);
+    auto opened = host->module.Open();
+    if (opened) {
+      this->hosts[aHost] = std::move(host);
+    }
+    return opened;
+  }
+
+  // Lets all hosts work for some time of the clock, their disks as fast as they need to be.
+  void Run(Duration aTime)
+  {
+    for (Duration passed{}; passed < aTime; passed += kControlTick) {
+      this->clock.Advance(kControlTick);
+      for (auto& [host, running] : this->hosts) {
+        running->module.OnTick(this->clock.MonotonicNow());
+        running->module.WaitForWrites();
+      }
+      for (auto& [host, running] : this->hosts) {
+        for (auto& [to, message] : std::exchange(running->sender.queue, {})) {
+          const auto found = this->hosts.find(to);
+          if (found != this->hosts.end()) {
+            found->second->module.OnPeerMessage(host, message);
+          }
+        }
+      }
+    }
+  }
+
+  // Returns the answer, or the name of the error.
+  std::string Propose(const std::string& aHost, const GroupId& aGroup, MachinePart aPart)
+  {
+    std::string ended;
+    this->hosts.at(HostId(aHost))
+      ->module.Propose(
+        aGroup, aPart, "command", std::chrono::seconds(4), [&](const Result<std::string>& aAnswer) {
+          ended = aAnswer ? aAnswer.value() : std::string(ErrorKindName(aAnswer.error().kind));
+        });
+    this->Run(std::chrono::seconds(5));
+    return ended;
+  }
+
+  TestHost& Host(const std::string& aHost) { return *this->hosts.at(HostId(aHost)); }
+
+  ManualClock clock;
+  std::vector<PeerSettings> peers;
+  std::map<HostId, TempFolder> folders;
+  std::map<HostId, std::unique_ptr<TestHost>> hosts;
+};
+
+TEST_F(AgreementModuleTest, HostWithoutDiskReachesEveryGroup)
+{
+  EXPECT_EQ(this->Propose("d", ControlGroupId(), MachinePart::Configuration), "command");
+  EXPECT_EQ(this->Propose("d", kClaims, MachinePart::Claims), "command");
+  EXPECT_EQ(this->Host("a").claims.commands.size(), 1U);
+  EXPECT_EQ(this->Host("c").configuration.commands.size(), 1U);
+  EXPECT_EQ(this->Host("d").module.Status(kClaims).leader, HostId("a"));
+}
+
+TEST_F(AgreementModuleTest, PartThatNoHostHoldsIsSurelyNotApplied)
+{
+  EXPECT_EQ(this->Propose("d", kClaims, MachinePart::Leases), "unavailable");
+}
+
+TEST_F(AgreementModuleTest, CutOffZoneGoesOnClaiming)
+{
+  this->Run(std::chrono::seconds(6));
+  this->hosts.erase(HostId("b"));
+  this->hosts.erase(HostId("c"));
+  this->Run(std::chrono::seconds(6));
+  EXPECT_EQ(this->Propose("d", kClaims, MachinePart::Claims), "command");
+  EXPECT_NE(this->Propose("a", ControlGroupId(), MachinePart::Configuration), "command");
+  EXPECT_FALSE(this->Host("a").module.Status(ControlGroupId()).leaseHeld);
+}
+
+TEST_F(AgreementModuleTest, RestartKeepsEverything)
+{
+  this->Propose("a", kClaims, MachinePart::Claims);
+  this->hosts.erase(HostId("a"));
+  ASSERT_TRUE(this->Start(HostId("a")));
+  this->Run(std::chrono::seconds(6));
+  EXPECT_EQ(this->Host("a").claims.commands.size(), 1U);
+  EXPECT_EQ(this->Propose("a", kClaims, MachinePart::Claims), "command");
+  EXPECT_EQ(this->Host("a").claims.last.incarnation, Incarnation(1));
+}
+
+TEST_F(AgreementModuleTest, ClaimsGroupThatLostItsDisksKnowsThatItIsAnother)
+{
+  this->Propose("a", kClaims, MachinePart::Claims);
+  const WallTime before = this->clock.WallNow();
+  this->hosts.erase(HostId("a"));
+  this->folders.erase(HostId("a"));
+  ASSERT_TRUE(this->Start(HostId("a")));
+  this->Run(std::chrono::seconds(10));
+  EXPECT_EQ(this->Propose("d", kClaims, MachinePart::Claims), "command");
+  EXPECT_EQ(this->Host("a").claims.last.incarnation, Incarnation(2));
+  EXPECT_GT(this->Host("a").claims.last.foundedAt, before);
+}
+
+TEST_F(AgreementModuleTest, DataFolderInUseIsRefused)
+{
+  auto second = this->Start(HostId("a"));
+  ASSERT_FALSE(second);
+  EXPECT_EQ(second.error().kind, ErrorKind::Conflict);
+}
+
+TEST_F(AgreementModuleTest, DamagedMessageIsBorne)
+{
+  this->Host("a").module.OnPeerMessage(
+    HostId("b"), PeerMessage{ Channel::Agreement, ControlGroupId(), "damaged" });
+  EXPECT_EQ(this->Propose("a", ControlGroupId(), MachinePart::Configuration), "command");
+}
+
+} // namespace
+} // namespace damasklink
