--- /dev/null
+++ b/test/protocol/UntrustedInputTest.cpp
@@ -0,0 +1,149 @@
+// What callers, targets and peers send: whatever the bytes are, the answer is a value or an error
+// of a kind that the caller of the parser expects, with a message and a remedy.
+#include <set>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "Mutations.h"
+#include "damasklink/protocol/BurnApi.h"
+#include "damasklink/protocol/CallerApi.h"
+#include "damasklink/protocol/EngineApi.h"
+#include "damasklink/protocol/Envelope.h"
+
+namespace damasklink::testing {
+namespace {
+
+template<typename T>
+void
+AssertValueOrError(const Result<T>& aResult, const std::set<ErrorKind>& aKinds)
+{
+  if (!aResult) {
+    RC_ASSERT(aKinds.contains(aResult.error().kind));
+    RC_ASSERT(!aResult.error().message.empty());
+    RC_ASSERT(!aResult.error().remedy.empty());
+  }
+}
+
+TargetRecord
+WholeRecord()
+{
+  TargetRecord record;
+  record.id = TargetId("engine-1");
+  record.zone = ZoneId("hall-north");
+  record.endpoint = Endpoint{ "127.0.0.1", 8000 };
+  record.incarnation = Incarnation(3);
+  record.sequence = Sequence(4);
+  record.models = { { ModelName("plates-7b"), WeightVersion("v1"), { AdapterName("a") } } };
+  record.load = { 1, 2, TokenCount(3), 4 };
+  record.rates = { 20'000, 400 };
+  return record;
+}
+
+RC_GTEST_PROP(UntrustedInputTest, CallerBodiesAreAPromptOrAnError, ())
+{
+  ForNearlyValid(
+    R"({"model":"plates-7b@v1+a","prompt":"x","max_tokens":9,"stream":true,"stop":["."]})",
+    [](const std::string& aBody) {
+      AssertValueOrError(ParseCompletionRequest(aBody, CompletionStyle::Text),
+                         { ErrorKind::InvalidArgument });
+    });
+  ForNearlyValid(
+    R"({"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"x"}]}],"n":1})",
+    [](const std::string& aBody) {
+      AssertValueOrError(ParseCompletionRequest(aBody, CompletionStyle::Chat),
+                         { ErrorKind::InvalidArgument });
+    });
+}
+
+RC_GTEST_PROP(UntrustedInputTest, AnnouncementsAreARecordOrAnError, ())
+{
+  ForNearlyValid(FormatTargetRecord(WholeRecord()), [](const std::string& aBody) {
+    AssertValueOrError(ParseTargetRecord(aBody), { ErrorKind::InvalidArgument });
+  });
+}
+
+RC_GTEST_PROP(UntrustedInputTest, AnswerFramesAreAFrameOrAnError, ())
+{
+  AnswerFrame frame;
+  frame.attempt = AttemptId("req-1-1");
+  frame.offset = 7;
+  frame.tokens = 1;
+  frame.text = "text";
+  frame.end = true;
+  frame.finishReason = "length";
+  ForNearlyValid(FormatAnswerFrame(frame), [](const std::string& aText) {
+    AssertValueOrError(ParseAnswerFrame(aText), { ErrorKind::Corrupt, ErrorKind::InvalidArgument });
+  });
+}
+
+RC_GTEST_PROP(UntrustedInputTest, EnginePromptsAreAPromptOrAnError, ())
+{
+  EnginePrompt prompt;
+  prompt.attempt = AttemptId("req-1-1");
+  prompt.model = ModelName("m");
+  prompt.prompt = "x";
+  ForNearlyValid(FormatEnginePrompt(prompt), [](const std::string& aBody) {
+    AssertValueOrError(ParseEnginePrompt(aBody), { ErrorKind::InvalidArgument });
+  });
+}
+
+RC_GTEST_PROP(UntrustedInputTest, PeerFramesAreAnEnvelopeOrAnError, ())
+{
+  const Envelope envelope{ HostId("hall-north-1"), 3, GroupId("control"), "payload" };
+  ForNearlyValid(EncodeEnvelope(envelope), [](const std::string& aBytes) {
+    AssertValueOrError(DecodeEnvelope(aBytes), { ErrorKind::Corrupt, ErrorKind::InvalidArgument });
+  });
+}
+
+RC_GTEST_PROP(UntrustedInputTest, BurnsAreABurnOrAnError, ())
+{
+  HostBurn burn;
+  burn.workspaces.resize(1);
+  ForNearlyValid(FormatHostBurn(burn), [](const std::string& aBody) {
+    AssertValueOrError(ParseHostBurn(aBody), { ErrorKind::Corrupt });
+  });
+}
+
+// However a stream is cut into pieces, the same texts come out.
+RC_GTEST_PROP(UntrustedInputTest, EventsDoNotDependOnHowTheyWereCut, ())
+{
+  const auto texts = *rc::gen::container<std::vector<std::string>>(
+    rc::gen::nonEmpty(rc::gen::string<std::string>()));
+  std::string bytes;
+  std::vector<std::string> expected;
+  for (std::string text : texts) {
+    std::erase_if(text, [](char aChar) { return aChar == '\n' || aChar == '\r'; });
+    bytes += "data: " + text + "\n\n";
+    expected.push_back(text);
+  }
+  constexpr std::size_t kMostLine = 4096;
+  SseReader reader(kMostLine);
+  std::vector<std::string> read;
+  std::size_t at = 0;
+  while (at < bytes.size()) {
+    const std::size_t count = *rc::gen::inRange<std::size_t>(1, 20);
+    RC_ASSERT(reader.Feed(bytes.substr(at, count)).has_value());
+    at += count;
+    while (auto text = reader.Next()) {
+      read.push_back(*text);
+    }
+  }
+  RC_ASSERT(read == expected);
+}
+
+TEST(UntrustedInputTest, EventWithoutEndIsRefusedAtTheLimit)
+{
+  constexpr std::size_t kMostLine = 1000;
+  SseReader reader(kMostLine);
+  std::size_t fed = 0;
+  const std::string piece(100, 'x');
+  while (reader.Feed(piece)) {
+    fed += piece.size();
+    ASSERT_LE(fed, kMostLine);
+    EXPECT_FALSE(reader.Next());
+  }
+}
+
+} // namespace
+} // namespace damasklink::testing
