bench relay: what relaying costs against the engine called directly

Seen besides: a host notices that a caller vanished at the next token only, so an engine that is silent for long keeps its slot that long.

--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -10,4 +10,8 @@
 int
 RunSlopes(const std::vector<std::string>& aArguments);
 
+// What relaying costs against the engine called directly; tools/bench-relay starts the processes.
+int
+RunRelay(const std::vector<std::string>& aArguments);
+
 } // namespace damasklink::bench
