--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -164,6 +164,8 @@
     , call(std::move(aCall))
   {
     this->socket.SetTimeout(this->call.readTimeout);
+    // Beast reads as much at once as the buffer holds, and 512 bytes where it holds none.
+    this->buffer.reserve(kPieceBytes);
     // Beast 1.74 takes "none" for zero.
     this->parser.body_limit(std::numeric_limits<std::uint64_t>::max());
   }
--- a/standin/Main.cpp
+++ b/standin/Main.cpp
@@ -10,6 +10,7 @@
 
 #include "Announcer.h"
 #include "Engine.h"
+#include "Relay.h"
 #include "Service.h"
 #include "damasklink/state/Units.h"
 
@@ -24,12 +25,15 @@
   damasklink-standin engine --id ID --zone ZONE --listen ADDR --announce ADDRS [options]
   damasklink-standin service --id ID --zone ZONE --listen ADDR --announce ADDRS [options]
   damasklink-standin store --id ID --zone ZONE --listen ADDR --announce ADDRS [options]
+  damasklink-standin relay --listen ADDR --to ADDR --control ADDR
 
 Options:
   --id ID              Name of the target.
   --zone ZONE          Availability zone of the target.
   --listen ADDR        Address to serve, as IP:PORT.
   --announce ADDRS     Target addresses of hosts, separated by commas.
+  --to ADDR            Where a relay passes connections on to.
+  --control ADDR       Where a relay is told to drop, by HTTP (standin/Relay.h).
   --key KEY            Key of targets [default: target-key].
   --model MODEL        Model as name@version [default: plates-7b@v1].
   --service NAME       Name of the service [default: plates].
@@ -140,6 +144,26 @@
   return Play(service, aArguments, kSpareThreads);
 }
 
+int
+PlayRelay(const Arguments& aArguments)
+{
+  standin::Relay relay(standin::RelayOptions{ EndpointsOf(aArguments, "--listen").front(),
+                                              EndpointsOf(aArguments, "--to").front() });
+  HttpServer::Options options;
+  options.endpoint = EndpointsOf(aArguments, "--control").front();
+  options.threads = 2;
+  HttpServer control(options);
+  relay.AddRoutes(control);
+  for (auto started : { relay.Start(), control.Start() }) {
+    if (!started) {
+      std::cerr << started.error() << '\n';
+      return 1;
+    }
+  }
+  WaitForStop();
+  return 0;
+}
+
 int
 Run(const Arguments& aArguments)
 {
@@ -152,6 +176,9 @@
   if (aArguments.at("engine").asBool()) {
     return PlayEngine(aArguments);
   }
+  if (aArguments.at("relay").asBool()) {
+    return PlayRelay(aArguments);
+  }
   if (aArguments.at("service").asBool()) {
     return PlayService(aArguments);
   }
--- /dev/null
+++ b/tools/fault_callers.py
@@ -0,0 +1,154 @@
+"""Callers of a fault run: they send without pause and keep what each request was told."""
+
+import collections
+import random
+import threading
+import time
+
+from local_system import call, stream
+
+ANSWER_TIMEOUT = 12
+# How long a caller that may not lose its job tries again with the same key.
+RETRY_LIMIT = 45
+RETRY_PAUSE = 0.1
+MODEL = "plates-7b"
+MOST_PROMPT_BYTES = 4000
+MOST_ANSWER_TOKENS = 24
+
+
+class Counts:
+    """Counts by name, from any thread."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.values = collections.Counter()
+        self.examples = collections.defaultdict(list)
+
+    def add(self, name, example=None):
+        with self.lock:
+            self.values[name] += 1
+            if example and len(self.examples[name]) < 3:
+                self.examples[name].append(example)
+
+    def __getitem__(self, name):
+        with self.lock:
+            return self.values[name]
+
+
+class Caller(threading.Thread):
+    """Sends until told to stop, or until it has sent `most` requests."""
+
+    def __init__(self, number, system, workspace, counts, seed, most=None):
+        super().__init__(daemon=True)
+        self.number = number
+        self.system = system
+        self.workspace = workspace
+        self.counts = counts
+        self.random = random.Random(f"{seed}-{number}")
+        self.most = most
+        self.stopping = threading.Event()
+
+    def run(self):
+        sent = 0
+        while not self.stopping.is_set() and (self.most is None or sent < self.most):
+            self.send(sent)
+            sent += 1
+
+    def hosts_in_some_order(self):
+        """As a balancer would: another host when one cannot be connected to."""
+        return self.random.sample(self.system.hosts, len(self.system.hosts))
+
+
+class PromptCaller(Caller):
+    """Sends prompts and checks that each answer is whole and its own."""
+
+    def send(self, sent):
+        length = self.random.randrange(8, MOST_PROMPT_BYTES)
+        tokens = self.random.randrange(1, MOST_ANSWER_TOKENS)
+        prompt = f"{self.workspace.name} {self.number} {sent} ".ljust(length, "x")
+        self.counts.add("prompt requests")
+        for host in self.hosts_in_some_order():
+            result = stream(
+                host.callers, prompt, tokens, self.workspace.key, timeout=ANSWER_TIMEOUT
+            )
+            if result.connected:
+                break
+        self.judge(result, prompt, tokens)
+
+    def judge(self, result, prompt, tokens):
+        if result.whole():
+            expected = "".join(f"t{index} " for index in range(tokens))
+            own = result.usage.get("prompt_tokens") == len(prompt) // 4
+            if result.text == expected and own:
+                self.counts.add("prompt whole")
+            else:
+                self.counts.add("wrong answer", f"{result.text[:80]!r} {result.usage}")
+            return
+        if result.done:
+            self.counts.add("wrong answer", f"end mark after {result.error}")
+            return
+        outcome = (result.error or {}).get("outcome", "")
+        self.counts.add(f"prompt {outcome}" if outcome else "prompt lost")
+
+
+class Job:
+    """A call that must not run twice, and what its caller was told."""
+
+    def __init__(self, body):
+        self.body = body
+        self.told = ""
+
+
+class JobCaller(Caller):
+    """Sends jobs under keys. Every other caller tries again with the same key until answered."""
+
+    def __init__(self, number, system, workspace, counts, seed, most=None):
+        super().__init__(number, system, workspace, counts, seed, most)
+        self.jobs = []
+        self.persistent = number % 2 == 0
+
+    def send(self, sent):
+        # Callers 0 and 2, 1 and 3 and so on are of two workspaces and use the same key texts, so
+        # that keys mixed up between workspaces would show.
+        key = f"job-{self.number // 4 * 2 + self.number % 2}-{sent}"
+        path = f"/jobs/{self.workspace.name}/{self.number}/{sent}"
+        job = Job(f"{self.workspace.name} job {self.number} {sent}")
+        self.jobs.append(job)
+        self.counts.add("job requests")
+        started = time.monotonic()
+        while True:
+            answer = self.try_once(key, path, job.body)
+            done = answer.status == 200
+            late = time.monotonic() - started > RETRY_LIMIT
+            if done or not self.persistent or late or answer.outcome() == "may_have_run":
+                break
+            time.sleep(RETRY_PAUSE)
+        self.judge(job, answer, path)
+
+    def try_once(self, key, path, body):
+        headers = {"Idempotency-Key": key}
+        for host in self.hosts_in_some_order():
+            answer = call(
+                host.callers,
+                "POST",
+                f"/services/plates{path}",
+                body,
+                self.workspace.key,
+                headers,
+                ANSWER_TIMEOUT,
+            )
+            if answer.connected:
+                break
+        return answer
+
+    def judge(self, job, answer, path):
+        if answer.status == 200:
+            job.told = "whole"
+            if answer.json().get("path") != path:
+                self.counts.add("wrong workspace or request", f"{path}: {answer.body[:120]!r}")
+        else:
+            job.told = answer.outcome() or "lost"
+            # A caller that tried before cannot take "not run" for its earlier tries.
+            if self.persistent and job.told == "not_run":
+                job.told = "given up"
+        self.counts.add(f"job {job.told}")
