A child of the tree narrows, at check time and at resolve time

Cause: a workspace or team could grant what its parent does not allow; the resolved policy took the child's list as it stood. Now both hold: check names file, line, key and remedy of each widening, and resolving takes what all levels allow together, so a parent that narrows later takes its children along. 'models: []' used to read as unset and so to inherit; it now allows nothing (found by the round-trip property). Keys in two teams, keys that are no digests, workspaces and services that stand twice are faults, also across files. Deployments are a part of the tree of their own.

Policies share the lists that they inherit, and the callers' directory stands in shards that successors share, so a change costs a few shards.

Mutation: left out the narrowing by the defaults in Resolve -> ConfigNarrowingTest.ResolvedPolicyIsWithinEveryLevel failed. initial_tree is now relative to the settings file.

--- a/bench/SlopesBench.cpp
+++ b/bench/SlopesBench.cpp
@@ -9,7 +9,7 @@
 #include "damasklink/protocol/CallerApi.h"
 #include "damasklink/protocol/EngineApi.h"
 #include "damasklink/protocol/Envelope.h"
-#include "damasklink/state/ConfigTree.h"
+#include "damasklink/state/CallerDirectory.h"
 #include "damasklink/state/Digests.h"
 #include "damasklink/state/Text.h"
 
--- a/include/damasklink/state/ConfigTree.h
+++ b/include/damasklink/state/ConfigTree.h
@@ -1,13 +1,16 @@
 // The configuration tree: what workspaces and their teams may use, and how they are served.
 //
 // Operators write it as YAML under version control, one file for each workspace subtree. A team
-// inherits from its workspace, a workspace from the defaults; a child narrows, never widens.
+// inherits from its workspace, a workspace from the defaults; a child narrows, never widens
+// (ConfigNarrowing.h). docs/CONFIGURATION.md lists every key.
 #pragma once
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 #include "damasklink/state/Clock.h"
@@ -105,36 +108,115 @@
   bool operator==(const WorkspaceNode&) const = default;
 };
 
+// The phase that a deployment's engines take; Keep leaves it as it is.
+enum class DeploymentRole
+{
+  Keep,
+  Both,
+  Prefill,
+  Decode,
+};
+
+// What engines are to serve: the wished end that orders bring about.
+struct Deployment
+{
+  ModelName model;
+  WeightVersion version;
+  std::vector<AdapterName> adapters;
+  DeploymentRole role = DeploymentRole::Keep;
+  // The engines meant.
+  std::vector<TargetId> targets;
+  // How many of them must go on serving the model while others load. At most one target less
+  // than there are, or nothing could ever be loaded.
+  std::uint64_t keepServing = 0;
+
+  bool operator==(const Deployment&) const = default;
+};
+
+using DeploymentName = StringId<struct DeploymentNameTag>;
+using DeploymentSet = std::map<DeploymentName, Deployment>;
+
 struct ConfigTree
 {
   SubtreePolicy defaults;
   std::map<WorkspaceId, WorkspaceNode> workspaces;
+  DeploymentSet deployments;
 
   bool operator==(const ConfigTree&) const = default;
 };
 
+// A list that the policies of many teams share; never changed once made.
+//
+// Shared because 26,000 workspaces mostly inherit the same few lists.
+template<typename T>
+class SharedList
+{
+public:
+  SharedList() = default;
+  // Implicit, so that a policy can be filled from a plain list.
+  SharedList(std::vector<T> aItems)
+    : items(std::make_shared<const std::vector<T>>(std::move(aItems)))
+  {
+  }
+
+  const std::vector<T>& Items() const
+  {
+    static const std::vector<T> kNone;
+    return this->items ? *this->items : kNone;
+  }
+  operator const std::vector<T>&() const { return this->Items(); }
+
+  // NOLINTBEGIN(readability-identifier-naming) Names that range-based loops and gtest ask for.
+  auto begin() const { return this->Items().begin(); }
+  auto end() const { return this->Items().end(); }
+  bool empty() const { return this->Items().empty(); }
+  std::size_t size() const { return this->Items().size(); }
+  // NOLINTEND(readability-identifier-naming)
+
+  bool operator==(const SharedList& aOther) const { return this->Items() == aOther.Items(); }
+
+private:
+  std::shared_ptr<const std::vector<T>> items;
+};
+
 // The policy of one team with everything inherited filled in.
 struct ResolvedPolicy
 {
   WorkspaceId workspace;
   TeamId team;
-  std::vector<ModelGrant> models;
-  std::vector<ServiceRoute> services;
+  SharedList<ModelGrant> models;
+  SharedList<ServiceRoute> services;
   std::uint64_t priority = 1;
   ObjectiveWeights objective;
   ServiceLevel serviceLevel;
   WhenStale whenStale = WhenStale::Serve;
   SubtreeLimits limits;
   std::uint64_t share = 1;
+
+  bool operator==(const ResolvedPolicy&) const = default;
 };
 
-// Parses a whole tree: `defaults:` and `workspaces:` with their `teams:`. All faults are returned.
+// One file of a tree.
+struct ConfigSource
+{
+  std::string file;
+  std::string text;
+};
+
+// Parses a tree that is spread over files, each with any of `defaults:`, `workspaces:` and
+// `deployments:`. A workspace in two files, a key in two teams and a child that widens its parent
+// are faults. Where no file holds the defaults, children are held against aDefaults.
 Parsed<ConfigTree>
-ParseConfigTree(const std::string& aText, const std::string& aFile);
+ParseConfigSources(const std::vector<ConfigSource>& aSources, const SubtreePolicy& aDefaults);
+
+// Returns the version that the file's subtree was made from (`made_from:`), as damasklink get
+// writes it; nothing when the file does not say.
+std::optional<Revision>
+ParseMadeFrom(const ConfigSource& aSource);
 
-// Returns the filled-in policy of a team, or NotFound.
-Result<ResolvedPolicy>
-ResolvePolicy(const ConfigTree& aTree, const WorkspaceId& aWorkspace, const TeamId& aTeam);
+// Parses a whole tree in one file. All faults are returned.
+Parsed<ConfigTree>
+ParseConfigTree(const std::string& aText, const std::string& aFile);
 
 // Returns whether the grants allow the model, in the version when one is named.
 bool
@@ -142,27 +224,4 @@
             const ModelName& aModel,
             const WeightVersion& aVersion);
 
-// Finds the team that a caller's key belongs to.
-//
-//   CallerDirectory directory(tree);
-//   const ResolvedPolicy* policy = directory.Find(DigestOf(key));
-//
-// Immutable once built, so that traffic threads share one.
-class CallerDirectory
-{
-public:
-  CallerDirectory() = default;
-  explicit CallerDirectory(const ConfigTree& aTree);
-
-  // Returns the policy, or nullptr when nobody holds the key.
-  const ResolvedPolicy* Find(const Digest& aKey) const;
-
-  // Returns the objective of every workspace, as its own level sets or inherits it.
-  const std::map<WorkspaceId, ServiceLevel>& ServiceLevels() const { return this->serviceLevels; }
-
-private:
-  std::map<Digest, ResolvedPolicy> byKey;
-  std::map<WorkspaceId, ServiceLevel> serviceLevels;
-};
-
 } // namespace damasklink
--- a/include/damasklink/state/Digests.h
+++ b/include/damasklink/state/Digests.h
@@ -1,6 +1,7 @@
 // SHA-256 digests of keys, and comparison that takes the same time whatever differs.
 #pragma once
 
+#include <array>
 #include <string_view>
 
 #include "damasklink/state/Ids.h"
@@ -11,6 +12,20 @@
 Digest
 DigestOf(std::string_view aText);
 
+// Returns whether the text is 64 lower-case hex digits.
+bool
+IsDigest(const Digest& aDigest);
+
+// A digest as it is kept in large tables: half the size of its text and no allocation.
+using DigestBytes = std::array<unsigned char, 32>;
+
+// Requires IsDigest(); anything else gives all zeros, which no key has.
+DigestBytes
+PackDigest(const Digest& aDigest);
+
+Digest
+UnpackDigest(const DigestBytes& aBytes);
+
 // Returns whether both digests are equal; the time taken tells nothing about where they differ.
 bool
 EqualInConstantTime(const Digest& aLeft, const Digest& aRight);
--- a/include/damasklink/state/Settings.h
+++ b/include/damasklink/state/Settings.h
@@ -89,7 +89,8 @@
   // Digests of the keys that operators and targets present.
   std::vector<Digest> operatorKeys;
   std::vector<Digest> targetKeys;
-  // File with the tree that the first leader applies while no tree exists; may be empty.
+  // File with the tree that the first leader applies while no tree exists; may be empty. Written
+  // relative to the settings file, which LoadHostSettings() resolves.
   std::string initialTree;
   std::string logLevel = "info";
   HostLimits limits;
--- a/src/program/TrafficView.h
+++ b/src/program/TrafficView.h
@@ -8,7 +8,7 @@
 #include <absl/synchronization/mutex.h>
 
 #include "damasklink/coordination/Target.h"
-#include "damasklink/state/ConfigTree.h"
+#include "damasklink/state/CallerDirectory.h"
 
 namespace damasklink {
 
--- a/src/state/ConfigTree.cpp
+++ b/src/state/ConfigTree.cpp
@@ -1,8 +1,13 @@
 #include "damasklink/state/ConfigTree.h"
 
 #include <algorithm>
+#include <array>
+#include <deque>
+#include <set>
 
 #include "YamlReader.h"
+#include "damasklink/state/ConfigNarrowing.h"
+#include "damasklink/state/Digests.h"
 #include "damasklink/state/Text.h"
 
 namespace damasklink {
@@ -15,6 +20,8 @@
 constexpr std::uint64_t kMostShare = 1'000;
 constexpr std::uint64_t kMostCount = 1'000'000'000;
 constexpr double kMostWeight = 1e6;
+constexpr double kMostServiceShare = 0.99999;
+constexpr std::uint64_t kMostTargets = 100'000;
 
 void
 ReadGrant(YamlSection& aSection, ModelGrant& aTo)
@@ -77,7 +84,7 @@
 ReadServiceLevel(YamlSection& aSection, ServiceLevel& aTo)
 {
   aSection.ReadDuration("first_token", aTo.firstToken);
-  aSection.ReadNumber("share", aTo.share, 0.0, 0.99999);
+  aSection.ReadNumber("share", aTo.share, 0.0, kMostServiceShare);
 }
 
 void
@@ -92,16 +99,16 @@
 void
 ReadPolicy(YamlSection& aSection, SubtreePolicy& aTo)
 {
-  aSection.ReadSections("models", [&](YamlSection& aGrant) {
-    if (!aTo.models) {
-      aTo.models.emplace();
-    }
-    ReadGrant(aGrant, aTo.models->emplace_back());
-  });
+  // An empty list is not an unset one: it allows nothing.
+  if (aSection.Has("models")) {
+    aTo.models.emplace();
+  }
+  if (aSection.Has("services")) {
+    aTo.services.emplace();
+  }
+  aSection.ReadSections(
+    "models", [&](YamlSection& aGrant) { ReadGrant(aGrant, aTo.models->emplace_back()); });
   aSection.ReadSections("services", [&](YamlSection& aService) {
-    if (!aTo.services) {
-      aTo.services.emplace();
-    }
     ReadService(aService, aTo.services->emplace_back());
   });
   ReadOptionalCount(aSection, "priority", aTo.priority, 0, kMostPriority);
@@ -116,97 +123,213 @@
                        [&](YamlSection& aLimits) { ReadSubtreeLimits(aLimits, aTo.limits); });
 }
 
-void
-ReadWorkspace(YamlSection& aSection, WorkspaceNode& aTo)
+// Reads the documents of one tree and holds them against each other.
+class TreeReader
 {
-  ReadPolicy(aSection, aTo.policy);
-  aSection.ReadNamedSections("teams", [&](const std::string& aName, YamlSection& aTeam) {
-    TeamNode& team = aTo.teams[TeamId(aName)];
-    ReadPolicy(aTeam, team.policy);
-    aTeam.ReadIds("keys", team.keys);
-  });
-}
+public:
+  explicit TreeReader(const SubtreePolicy& aDefaults)
+    : bounds(aDefaults)
+  {
+  }
 
-template<typename T>
-void
-InheritInto(T& aValue, const std::optional<T>& aOwn)
-{
-  if (aOwn) {
-    aValue = *aOwn;
+  void ReadDefaults(YamlSection& aSection)
+  {
+    if (!aSection.Has("defaults")) {
+      aSection.ReadSection("defaults", [](YamlSection&) {});
+      return;
+    }
+    if (this->defaultsRead) {
+      aSection.AddFault("defaults", "stand in another file too", "keep them in one file");
+    }
+    this->defaultsRead = true;
+    this->tree.defaults = SubtreePolicy();
+    aSection.ReadSection("defaults", [&](YamlSection& aNode) {
+      ReadPolicy(aNode, this->tree.defaults);
+      AddWidenings(FindWidening(SubtreePolicy(), this->tree.defaults), aNode);
+    });
+    this->bounds = this->tree.defaults;
   }
-}
 
-template<typename T>
-void
-NarrowInto(std::optional<T>& aValue, const std::optional<T>& aOwn)
-{
-  if (!aOwn) {
-    return;
+  void ReadRest(YamlSection& aSection)
+  {
+    aSection.ReadNamedSections("workspaces", [&](const std::string& aName, YamlSection& aNode) {
+      this->ReadWorkspace(WorkspaceId(aName), aNode);
+    });
+    aSection.ReadNamedSections("deployments", [&](const std::string& aName, YamlSection& aNode) {
+      this->ReadDeployment(DeploymentName(aName), aNode);
+    });
+    std::uint64_t madeFrom = 0;
+    aSection.ReadCount("made_from", madeFrom, 0, kMostCount);
+    aSection.Finish();
   }
-  aValue = aValue ? std::min(*aValue, *aOwn) : *aOwn;
-}
 
-void
-Overlay(ResolvedPolicy& aResolved, const SubtreePolicy& aOwn)
+  ConfigTree Take() { return std::move(this->tree); }
+
+private:
+  void ReadWorkspace(const WorkspaceId& aId, YamlSection& aSection)
+  {
+    const auto [position, isNew] = this->tree.workspaces.try_emplace(aId);
+    WorkspaceNode repeated;
+    WorkspaceNode& workspace = isNew ? position->second : repeated;
+    if (!isNew) {
+      aSection.AddFaultAt({}, "stands twice", "keep each workspace in one place");
+    }
+    ReadPolicy(aSection, workspace.policy);
+    aSection.ReadNamedSections("teams", [&](const std::string& aName, YamlSection& aTeam) {
+      TeamNode& team = workspace.teams[TeamId(aName)];
+      ReadPolicy(aTeam, team.policy);
+      aTeam.ReadIds("keys", team.keys);
+      this->CheckKeys(Concat(aId.Value(), "/", aName), team.keys, aTeam);
+    });
+    AddWidenings(FindWidening(this->bounds, workspace), aSection);
+  }
+
+  static void AddWidenings(const std::vector<Widening>& aWidenings, YamlSection& aSection)
+  {
+    for (const Widening& widening : aWidenings) {
+      aSection.AddFaultAt(widening.path, widening.problem, widening.remedy);
+    }
+  }
+
+  void CheckKeys(const std::string& aTeam, const std::vector<Digest>& aKeys, YamlSection& aSection)
+  {
+    for (std::size_t index = 0; index < aKeys.size(); ++index) {
+      const std::vector<std::string> path{ "keys", Concat(index) };
+      if (!IsDigest(aKeys[index])) {
+        aSection.AddFaultAt(path,
+                            "is not a SHA-256 digest",
+                            "write the 64 lower-case hex digits that sha256sum prints for the key");
+        continue;
+      }
+      const auto [holder, isNew] = this->keyHolders.try_emplace(aKeys[index], aTeam);
+      if (!isNew) {
+        aSection.AddFaultAt(path,
+                            Concat("is the key of team '", holder->second, "' too"),
+                            "give each team keys of its own");
+      }
+    }
+  }
+
+  void ReadDeployment(const DeploymentName& aName, YamlSection& aSection)
+  {
+    const auto [position, isNew] = this->tree.deployments.try_emplace(aName);
+    Deployment repeated;
+    Deployment& deployment = isNew ? position->second : repeated;
+    if (!isNew) {
+      aSection.AddFaultAt({}, "stands twice", "keep each deployment in one place");
+    }
+    aSection.Require("model", "name the model");
+    aSection.Require("version", "name the version of the weights");
+    aSection.Require("targets", "list the engines that are to serve it");
+    aSection.ReadId("model", deployment.model);
+    aSection.ReadId("version", deployment.version);
+    aSection.ReadIds("adapters", deployment.adapters);
+    aSection.ReadIds("targets", deployment.targets);
+    aSection.ReadCount("keep_serving", deployment.keepServing, 0, kMostTargets);
+    ReadRole(aSection, deployment.role);
+    for (std::size_t index = 0; index < deployment.targets.size(); ++index) {
+      const auto [holder, isFree] =
+        this->targetHolders.try_emplace(deployment.targets[index], aName);
+      if (!isFree) {
+        aSection.AddFaultAt({ "targets", Concat(index) },
+                            Concat("is in deployment '", holder->second.Value(), "' too"),
+                            "list each engine once");
+      }
+    }
+    if (!deployment.targets.empty() && deployment.keepServing >= deployment.targets.size()) {
+      aSection.AddFault("keep_serving",
+                        "leaves no engine that may load",
+                        Concat("write at most ", deployment.targets.size() - 1));
+    }
+  }
+
+  static void ReadRole(YamlSection& aSection, DeploymentRole& aTo)
+  {
+    std::string text;
+    aSection.ReadText("role", text);
+    const auto* found = std::find_if(
+      kRoles.begin(), kRoles.end(), [&](const auto& aRole) { return aRole.first == text; });
+    if (found != kRoles.end()) {
+      aTo = found->second;
+    } else if (!text.empty()) {
+      aSection.AddFault("role", "is unknown", "write keep, both, prefill or decode");
+    }
+  }
+
+  static constexpr std::array<std::pair<std::string_view, DeploymentRole>, 4> kRoles{
+    { { "keep", DeploymentRole::Keep },
+      { "both", DeploymentRole::Both },
+      { "prefill", DeploymentRole::Prefill },
+      { "decode", DeploymentRole::Decode } }
+  };
+
+  SubtreePolicy bounds;
+  bool defaultsRead = false;
+  ConfigTree tree;
+  std::map<Digest, std::string> keyHolders;
+  std::map<TargetId, DeploymentName> targetHolders;
+};
+
+// One file on its way into the tree.
+struct Document
 {
-  InheritInto(aResolved.models, aOwn.models);
-  InheritInto(aResolved.services, aOwn.services);
-  InheritInto(aResolved.priority, aOwn.priority);
-  InheritInto(aResolved.objective, aOwn.objective);
-  InheritInto(aResolved.serviceLevel, aOwn.serviceLevel);
-  InheritInto(aResolved.whenStale, aOwn.whenStale);
-  InheritInto(aResolved.share, aOwn.share);
-  NarrowInto(aResolved.limits.concurrentRequests, aOwn.limits.concurrentRequests);
-  NarrowInto(aResolved.limits.promptTokens, aOwn.limits.promptTokens);
-  NarrowInto(aResolved.limits.requestsPerSecond, aOwn.limits.requestsPerSecond);
-}
+  explicit Document(const ConfigSource& aSource)
+    : faults(aSource.file)
+    , root(internal::LoadYaml(aSource.text, this->faults))
+  {
+  }
+
+  FaultList faults;
+  YAML::Node root;
+};
 
 } // namespace
 
 Parsed<ConfigTree>
-ParseConfigTree(const std::string& aText, const std::string& aFile)
+ParseConfigSources(const std::vector<ConfigSource>& aSources, const SubtreePolicy& aDefaults)
 {
   Parsed<ConfigTree> parsed;
-  FaultList faults(aFile);
-  const YAML::Node root = internal::LoadYaml(aText, faults);
-  parsed.faults = faults.Take();
-  if (!parsed.Ok()) {
-    return parsed;
-  }
-  FaultList content(aFile);
-  YamlSection section(root, "", content);
-  section.ReadSection(
-    "defaults", [&](YamlSection& aDefaults) { ReadPolicy(aDefaults, parsed.value.defaults); });
-  section.ReadNamedSections("workspaces", [&](const std::string& aName, YamlSection& aNode) {
-    ReadWorkspace(aNode, parsed.value.workspaces[WorkspaceId(aName)]);
-  });
-  section.Finish();
-  parsed.faults = content.Take();
+  // Sections point at their document, so neither may move.
+  std::deque<Document> documents;
+  std::deque<YamlSection> sections;
+  TreeReader reader(aDefaults);
+  for (const ConfigSource& source : aSources) {
+    Document& document = documents.emplace_back(source);
+    parsed.faults = document.faults.Take();
+    if (!parsed.Ok()) {
+      return parsed;
+    }
+    reader.ReadDefaults(sections.emplace_back(document.root, "", document.faults));
+  }
+  for (YamlSection& section : sections) {
+    reader.ReadRest(section);
+  }
+  for (Document& document : documents) {
+    for (Fault& fault : document.faults.Take()) {
+      parsed.faults.push_back(std::move(fault));
+    }
+  }
+  parsed.value = reader.Take();
   return parsed;
 }
 
-Result<ResolvedPolicy>
-ResolvePolicy(const ConfigTree& aTree, const WorkspaceId& aWorkspace, const TeamId& aTeam)
+Parsed<ConfigTree>
+ParseConfigTree(const std::string& aText, const std::string& aFile)
 {
-  const auto workspace = aTree.workspaces.find(aWorkspace);
-  if (workspace == aTree.workspaces.end()) {
-    return Fail(ErrorKind::NotFound,
-                Concat("workspace '", aWorkspace.Value(), "' does not exist"),
-                "apply its subtree first");
-  }
-  const auto team = workspace->second.teams.find(aTeam);
-  if (team == workspace->second.teams.end()) {
-    return Fail(ErrorKind::NotFound,
-                Concat("team '", aTeam.Value(), "' does not exist"),
-                "add it to the workspace's subtree");
-  }
-  ResolvedPolicy resolved;
-  resolved.workspace = aWorkspace;
-  resolved.team = aTeam;
-  Overlay(resolved, aTree.defaults);
-  Overlay(resolved, workspace->second.policy);
-  Overlay(resolved, team->second.policy);
-  return resolved;
+  return ParseConfigSources({ ConfigSource{ aFile, aText } }, SubtreePolicy());
+}
+
+std::optional<Revision>
+ParseMadeFrom(const ConfigSource& aSource)
+{
+  Document document(aSource);
+  YamlSection section(document.root, "", document.faults);
+  if (!section.Has("made_from")) {
+    return std::nullopt;
+  }
+  std::uint64_t version = 0;
+  section.ReadCount("made_from", version, 0, kMostCount);
+  return Revision(version);
 }
 
 bool
@@ -227,24 +350,4 @@
   return std::any_of(aGrants.begin(), aGrants.end(), allows);
 }
 
-CallerDirectory::CallerDirectory(const ConfigTree& aTree)
-{
-  for (const auto& [workspaceId, workspace] : aTree.workspaces) {
-    const ServiceLevel inherited = aTree.defaults.serviceLevel.value_or(ServiceLevel{});
-    this->serviceLevels.emplace(workspaceId, workspace.policy.serviceLevel.value_or(inherited));
-    for (const auto& [teamId, team] : workspace.teams) {
-      for (const Digest& key : team.keys) {
-        this->byKey.emplace(key, ResolvePolicy(aTree, workspaceId, teamId).value());
-      }
-    }
-  }
-}
-
-const ResolvedPolicy*
-CallerDirectory::Find(const Digest& aKey) const
-{
-  const auto found = this->byKey.find(aKey);
-  return found == this->byKey.end() ? nullptr : &found->second;
-}
-
 } // namespace damasklink
--- a/src/state/Digests.cpp
+++ b/src/state/Digests.cpp
@@ -1,5 +1,6 @@
 #include "damasklink/state/Digests.h"
 
+#include <algorithm>
 #include <array>
 
 #include "damasklink/state/Text.h"
@@ -18,6 +19,32 @@
   return Digest(absl::BytesToHexString(ForAbsl(raw)));
 }
 
+bool
+IsDigest(const Digest& aDigest)
+{
+  constexpr std::size_t kDigits = 2 * sizeof(DigestBytes);
+  const std::string& text = aDigest.Value();
+  return text.size() == kDigits && text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+DigestBytes
+PackDigest(const Digest& aDigest)
+{
+  DigestBytes bytes{};
+  if (IsDigest(aDigest)) {
+    const std::string raw = absl::HexStringToBytes(aDigest.Value());
+    std::copy(raw.begin(), raw.end(), bytes.begin());
+  }
+  return bytes;
+}
+
+Digest
+UnpackDigest(const DigestBytes& aBytes)
+{
+  const std::string_view raw(reinterpret_cast<const char*>(aBytes.data()), aBytes.size());
+  return Digest(absl::BytesToHexString(ForAbsl(raw)));
+}
+
 bool
 EqualInConstantTime(const Digest& aLeft, const Digest& aRight)
 {
--- a/src/state/Settings.cpp
+++ b/src/state/Settings.cpp
@@ -12,6 +12,7 @@
 #include <arpa/inet.h>
 
 #include "YamlReader.h"
+#include "damasklink/state/Digests.h"
 #include "damasklink/state/Text.h"
 
 namespace damasklink {
@@ -22,7 +23,6 @@
 
 constexpr std::uint64_t kMostThreads = 20'000;
 constexpr std::uint64_t kMostQueued = 1'000'000;
-constexpr std::size_t kDigestDigits = 64;
 
 void
 ReadEndpoint(YamlSection& aSection, std::string_view aKey, Endpoint& aTo)
@@ -45,9 +45,7 @@
 {
   aSection.ReadIds(aKey, aTo);
   for (const Digest& digest : aTo) {
-    const std::string& text = digest.Value();
-    const bool isHex = text.find_first_not_of("0123456789abcdef") == std::string::npos;
-    if (text.size() != kDigestDigits || !isHex) {
+    if (!IsDigest(digest)) {
       aSection.AddFault(aKey,
                         "holds an entry that is not a SHA-256 digest",
                         "write the 64 lower-case hex digits that sha256sum prints for the key");
@@ -255,6 +253,10 @@
     // An absolute path stays as it is.
     folder = (std::filesystem::path(aFile).parent_path() / folder).string();
   }
+  std::string& initialTree = parsed.value.initialTree;
+  if (!initialTree.empty()) {
+    initialTree = (std::filesystem::path(aFile).parent_path() / initialTree).string();
+  }
   return parsed;
 }
 
--- a/src/state/YamlReader.cpp
+++ b/src/state/YamlReader.cpp
@@ -242,6 +242,30 @@
   this->faults.Add(line, this->PathOf(aKey), std::move(aProblem), std::move(aRemedy));
 }
 
+void
+YamlSection::AddFaultAt(const std::vector<std::string>& aPath,
+                        std::string aProblem,
+                        std::string aRemedy)
+{
+  YAML::Node place = this->node;
+  int line = LineOf(place);
+  std::string key = this->path;
+  for (const std::string& step : aPath) {
+    std::size_t index = 0;
+    const bool isItem = place.IsSequence() && absl::SimpleAtoi(step, &index);
+    key = isItem ? Concat(key, "[", index, "]") : Concat(key, key.empty() ? "" : ".", step);
+    const YAML::Node& readOnly = place;
+    const YAML::Node next = isItem ? readOnly[index] : readOnly[step];
+    if (!next.IsDefined()) {
+      break;
+    }
+    line = LineOf(next);
+    // Assignment would change the document, so the handle is pointed elsewhere.
+    place.reset(next);
+  }
+  this->faults.Add(line, key, std::move(aProblem), std::move(aRemedy));
+}
+
 bool
 YamlSection::Has(std::string_view aKey) const
 {
--- a/src/state/YamlReader.h
+++ b/src/state/YamlReader.h
@@ -98,6 +98,10 @@
   // Adds a fault at the line of the key (or of this section when it is missing).
   void AddFault(std::string_view aKey, std::string aProblem, std::string aRemedy);
 
+  // Adds a fault at the place that the keys lead down to; numbers count the items of a list. Where
+  // the place does not exist, the line is that of the nearest one above it.
+  void AddFaultAt(const std::vector<std::string>& aPath, std::string aProblem, std::string aRemedy);
+
   bool Has(std::string_view aKey) const;
   const std::string& Path() const { return this->path; }
 
