Spread of the configuration around the ring of hosts, and heartbeats

The ring costs each host one copy and each zone one entry; a ring that does not close within 1 s makes the leader ask everybody, heartbeats repair the rest.

Mutations, each seen to fail ConfigSpreadTest: lower trees installed -> LowerTreeAndLowerChangeAreNeverInstalled; joined without asking -> RestartWithEmptyMemoryInACutOffZoneTakesTheZonesRevision; no asking for a higher revision -> EveryHostEndsWithWhatWasAcceptedAndNoneGoesBack and two more; no asking when the ring stays open -> DeadHostInTheRingDelaysTheOthersByTheRingLimitOnly; passed on more than once -> ChangeIsPassedOnOnceAlsoWhenTheOwnLogHadItFirst.

--- /dev/null
+++ b/src/coordination/CallerIndex.cpp
@@ -0,0 +1,60 @@
+#include "damasklink/coordination/CallerIndex.h"
+
+namespace damasklink {
+namespace {
+
+std::vector<DigestBytes>
+KeysOf(const WorkspaceNode& aWorkspace)
+{
+  std::vector<DigestBytes> keys;
+  for (const auto& [id, team] : aWorkspace.teams) {
+    for (const Digest& key : team.keys) {
+      keys.push_back(PackDigest(key));
+    }
+  }
+  return keys;
+}
+
+} // namespace
+
+void
+CallerIndex::OnInstalled(const RevisionedTree& aTree,
+                         const TreeChange& aChange,
+                         const Subtree& aBefore)
+{
+  const SubtreeName& name = aChange.subtree.name;
+  if (name.kind == SubtreeKind::Defaults) {
+    this->OnReplaced(aTree);
+    return;
+  }
+  if (name.kind != SubtreeKind::Workspace) {
+    return;
+  }
+  std::vector<DigestBytes> gone;
+  if (const WorkspaceNode* before = WorkspaceOf(aBefore)) {
+    gone = KeysOf(*before);
+  }
+  std::vector<CallerEntry> added;
+  if (const WorkspaceNode* after = WorkspaceOf(aChange.subtree)) {
+    added = CallerEntriesOf(this->resolver, name.workspace, *after);
+  }
+  this->directory = this->directory.Replace(gone, std::move(added));
+}
+
+void
+CallerIndex::OnReplaced(const RevisionedTree& aTree)
+{
+  this->resolver = PolicyResolver(aTree.Defaults());
+  std::vector<CallerEntry> all;
+  for (const SubtreeName& name : aTree.Names()) {
+    const Subtree subtree = aTree.Get(name);
+    if (const WorkspaceNode* workspace = WorkspaceOf(subtree)) {
+      for (CallerEntry& entry : CallerEntriesOf(this->resolver, name.workspace, *workspace)) {
+        all.push_back(std::move(entry));
+      }
+    }
+  }
+  this->directory = CallerDirectory().Replace({}, std::move(all));
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/test/coordination/ConfigSpreadTest.cpp
@@ -0,0 +1,373 @@
+#include "damasklink/coordination/ConfigSpread.h"
+
+#include <set>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace damasklink {
+namespace {
+
+constexpr std::size_t kHosts = 9;
+constexpr std::size_t kHostsPerZone = 3;
+constexpr Duration kStep = std::chrono::milliseconds(100);
+
+HostId
+HostName(std::size_t aIndex)
+{
+  return HostId("h" + std::to_string(aIndex));
+}
+
+HostSettings
+SettingsOf(std::size_t aSelf)
+{
+  HostSettings settings;
+  for (std::size_t index = 0; index < kHosts; ++index) {
+    const ZoneId zone("z" + std::to_string(index / kHostsPerZone));
+    settings.peers.push_back(PeerSettings{ HostName(index), zone, {}, {}, false });
+  }
+  settings.host = settings.peers[aSelf].host;
+  settings.zone = settings.peers[aSelf].zone;
+  return settings;
+}
+
+TreeChange
+ChangeAt(std::uint64_t aRevision)
+{
+  WorkspaceNode workspace;
+  workspace.policy.share = aRevision;
+  return TreeChange{ Revision(aRevision),
+                     { WorkspaceSubtree(WorkspaceId("w" + std::to_string(aRevision % 5))),
+                       std::make_shared<const SubtreeContent>(workspace) } };
+}
+
+// Fails the test when a revision in force is followed by one that is not higher.
+class RisingObserver final : public TreeObserver
+{
+public:
+  void OnInstalled(const RevisionedTree& aTree, const TreeChange&, const Subtree&) override
+  {
+    this->Rise(aTree);
+  }
+  void OnReplaced(const RevisionedTree& aTree) override { this->Rise(aTree); }
+
+  bool wentBack = false;
+
+private:
+  void Rise(const RevisionedTree& aTree)
+  {
+    this->wentBack = this->wentBack || aTree.Current() < this->highest;
+    this->highest = aTree.Current();
+  }
+
+  Revision highest;
+};
+
+// One host's life, from its start to its kill.
+struct Node
+{
+  Node(const Clock& aClock, std::size_t aIndex, std::uint64_t aLife)
+    : settings(SettingsOf(aIndex))
+    , membership(aClock, this->settings, Incarnation(aLife))
+    , spread(aClock, this->settings, this->membership, this->observer)
+  {
+  }
+
+  HostSettings settings;
+  HostMembership membership;
+  RisingObserver observer;
+  ConfigSpread spread;
+};
+
+// Hosts, and the messages between them that a test may lose, delay, repeat and cut.
+class FakeHosts
+{
+public:
+  FakeHosts()
+  {
+    for (std::size_t index = 0; index < kHosts; ++index) {
+      this->Restart(index);
+    }
+  }
+
+  // Starts a host anew with nothing in its memory.
+  void Restart(std::size_t aIndex)
+  {
+    this->nodes.resize(kHosts);
+    this->nodes[aIndex] = std::make_unique<Node>(this->clock, aIndex, ++this->lives);
+  }
+
+  void Commit()
+  {
+    this->group.Apply(ChangeAt(this->group.Current().Next().Value()));
+    this->At(0).OnCommitted(ChangeAt(this->group.Current().Value()), true);
+  }
+
+  // One step of time: heartbeats, ticks, then deliveries. aDeliver tells how often a message
+  // arrives: 0, 1 or 2 times.
+  void Step(const std::function<int()>& aDeliver)
+  {
+    this->clock.Advance(kStep);
+    for (std::size_t index = 0; index < kHosts; ++index) {
+      Node& node = *this->nodes[index];
+      if (node.membership.TakeTurn()) {
+        Heartbeat beat = node.membership.MakeHeartbeat();
+        beat.revision = node.spread.Tree().Current();
+        beat.confirmedAge = node.spread.ConfirmedAge();
+        const std::size_t to = IndexOf(node.membership.Partner());
+        if (this->Reaches(index, to) && aDeliver() > 0) {
+          this->nodes[to]->membership.OnHeartbeat(HostName(index), beat);
+          this->At(to).OnPeerRevision(HostName(index), beat.revision, beat.confirmedAge);
+        }
+      }
+      node.spread.OnTick(index == 0 && this->leaderHoldsLease);
+    }
+    this->DeliverAll(aDeliver);
+  }
+
+  void Run(Duration aTime)
+  {
+    for (Duration passed{ 0 }; passed < aTime; passed += kStep) {
+      this->Step([] { return 1; });
+    }
+  }
+
+  // Passes messages on until none is left.
+  void DeliverAll(const std::function<int()>& aDeliver)
+  {
+    bool moved = true;
+    while (moved) {
+      moved = false;
+      for (std::size_t index = 0; index < kHosts; ++index) {
+        for (const OutgoingConfigMessage& outgoing : this->At(index).TakeOutgoing()) {
+          moved = true;
+          this->Deliver(index, outgoing, aDeliver());
+        }
+      }
+    }
+  }
+
+  void Deliver(std::size_t aFrom, const OutgoingConfigMessage& aOutgoing, int aTimes)
+  {
+    const std::size_t to = IndexOf(aOutgoing.to);
+    this->sent.push_back({ aFrom, to, aOutgoing.message.kind });
+    for (int time = 0; time < aTimes && this->Reaches(aFrom, to); ++time) {
+      this->At(to).OnMessage(HostName(aFrom), aOutgoing.message);
+    }
+  }
+
+  bool Reaches(std::size_t aFrom, std::size_t aTo) const
+  {
+    return this->cut.contains(aFrom) == this->cut.contains(aTo);
+  }
+
+  bool AllAt(Revision aRevision) const
+  {
+    return std::all_of(this->nodes.begin(), this->nodes.end(), [&](const auto& aNode) {
+      return aNode->spread.Joined() && aNode->spread.Tree().Current() == aRevision;
+    });
+  }
+
+  bool AnyWentBack() const
+  {
+    return std::any_of(this->nodes.begin(), this->nodes.end(), [](const auto& aNode) {
+      return aNode->observer.wentBack;
+    });
+  }
+
+  static std::size_t IndexOf(const HostId& aHost) { return std::stoul(aHost.Value().substr(1)); }
+
+  ConfigSpread& At(std::size_t aIndex) { return this->nodes[aIndex]->spread; }
+
+  struct Sent
+  {
+    std::size_t from;
+    std::size_t to;
+    ConfigMessageKind kind;
+  };
+
+  ManualClock clock;
+  std::uint64_t lives = 0;
+  std::vector<std::unique_ptr<Node>> nodes;
+  RevisionedTree group;
+  bool leaderHoldsLease = true;
+  std::set<std::size_t> cut;
+  std::vector<Sent> sent;
+};
+
+std::size_t
+CountDeltas(const FakeHosts& aHosts, const std::function<bool(const FakeHosts::Sent&)>& aWhich)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aHosts.sent.begin(), aHosts.sent.end(), [&](const FakeHosts::Sent& aSent) {
+      return aSent.kind == ConfigMessageKind::Delta && aWhich(aSent);
+    }));
+}
+
+TEST(ConfigSpreadTest, ChangeCostsOneCopyAHostAndEntersAZoneOnce)
+{
+  FakeHosts hosts;
+  hosts.Run(std::chrono::seconds(5));
+  hosts.sent.clear();
+  hosts.Commit();
+  hosts.DeliverAll([] { return 1; });
+  EXPECT_TRUE(hosts.AllAt(Revision(1)));
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    EXPECT_LE(CountDeltas(hosts, [&](const auto& aSent) { return aSent.from == host; }), 1U);
+  }
+  for (std::size_t zone = 0; zone < kHosts / kHostsPerZone; ++zone) {
+    EXPECT_LE(CountDeltas(hosts,
+                          [&](const auto& aSent) {
+                            return aSent.to / kHostsPerZone == zone &&
+                                   aSent.from / kHostsPerZone != zone;
+                          }),
+              1U);
+  }
+}
+
+std::size_t
+CountOutgoingDeltas(ConfigSpread& aSpread)
+{
+  const auto outgoing = aSpread.TakeOutgoing();
+  return static_cast<std::size_t>(
+    std::count_if(outgoing.begin(), outgoing.end(), [](const OutgoingConfigMessage& aOutgoing) {
+      return aOutgoing.message.kind == ConfigMessageKind::Delta;
+    }));
+}
+
+TEST(ConfigSpreadTest, ChangeIsPassedOnOnceAlsoWhenTheOwnLogHadItFirst)
+{
+  FakeHosts hosts;
+  hosts.Run(std::chrono::seconds(5));
+  ConfigMessage delta;
+  delta.kind = ConfigMessageKind::Delta;
+  delta.revision = Revision(1);
+  delta.origin = HostName(0);
+  delta.body = PackChange(ChangeAt(1));
+  hosts.At(3).OnCommitted(ChangeAt(1), false);
+  EXPECT_EQ(CountOutgoingDeltas(hosts.At(3)), 0U);
+  hosts.At(3).OnMessage(HostName(2), delta);
+  EXPECT_EQ(CountOutgoingDeltas(hosts.At(3)), 1U);
+  hosts.At(3).OnMessage(HostName(2), delta);
+  EXPECT_EQ(CountOutgoingDeltas(hosts.At(3)), 0U);
+}
+
+TEST(ConfigSpreadTest, DeadHostInTheRingDelaysTheOthersByTheRingLimitOnly)
+{
+  FakeHosts hosts;
+  hosts.Run(std::chrono::seconds(5));
+  hosts.cut = { 4 };
+  hosts.Commit();
+  hosts.Run(ConfigSpread::kRingLimit + std::chrono::milliseconds(200));
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    EXPECT_EQ(hosts.At(host).Tree().Current(), Revision(host == 4 ? 0 : 1)) << host;
+  }
+}
+
+TEST(ConfigSpreadTest, CutOffZoneServesTheLastRevisionAndKnowsItIsStale)
+{
+  FakeHosts hosts;
+  hosts.Commit();
+  hosts.Run(std::chrono::seconds(10));
+  EXPECT_FALSE(hosts.At(8).Stale());
+  hosts.cut = { 6, 7, 8 };
+  hosts.Run(std::chrono::seconds(5));
+  hosts.Commit();
+  hosts.Run(ConfigSpread::kStaleAfter);
+  EXPECT_EQ(hosts.At(8).Tree().Current(), Revision(1));
+  EXPECT_TRUE(hosts.At(8).Stale());
+  EXPECT_FALSE(hosts.At(1).Stale());
+  hosts.cut.clear();
+  hosts.Run(std::chrono::seconds(20));
+  EXPECT_EQ(hosts.At(8).Tree().Current(), Revision(2));
+  EXPECT_FALSE(hosts.At(8).Stale());
+}
+
+TEST(ConfigSpreadTest, RestartWithEmptyMemoryInACutOffZoneTakesTheZonesRevision)
+{
+  FakeHosts hosts;
+  hosts.Commit();
+  hosts.Run(std::chrono::seconds(10));
+  hosts.cut = { 6, 7, 8 };
+  hosts.Restart(7);
+  EXPECT_FALSE(hosts.At(7).Joined()) << "serves nobody before it has asked";
+  hosts.Run(ConfigSpread::kJoinLimit + kStep);
+  EXPECT_TRUE(hosts.At(7).Joined());
+  EXPECT_EQ(hosts.At(7).Tree().Current(), Revision(1));
+}
+
+TEST(ConfigSpreadTest, OldTreeFromDiskIsNotPutInForceBeforePeersWereAsked)
+{
+  FakeHosts hosts;
+  for (int change = 0; change < 3; ++change) {
+    hosts.Commit();
+  }
+  hosts.Run(std::chrono::seconds(10));
+  hosts.Restart(5);
+  RevisionedTree old;
+  old.Apply(ChangeAt(1));
+  hosts.At(5).OnTree(old);
+  EXPECT_FALSE(hosts.At(5).Joined());
+  hosts.Run(std::chrono::seconds(1));
+  EXPECT_TRUE(hosts.At(5).Joined());
+  EXPECT_EQ(hosts.At(5).Tree().Current(), Revision(3));
+}
+
+TEST(ConfigSpreadTest, LowerTreeAndLowerChangeAreNeverInstalled)
+{
+  FakeHosts hosts;
+  hosts.Commit();
+  hosts.Commit();
+  hosts.Run(std::chrono::seconds(5));
+  RevisionedTree old;
+  old.Apply(ChangeAt(1));
+  hosts.At(3).OnTree(old);
+  ConfigMessage whole;
+  whole.kind = ConfigMessageKind::Whole;
+  whole.revision = Revision(9);
+  CompactWriter writer;
+  old.Pack(writer);
+  whole.body = std::move(writer).Take();
+  hosts.At(3).OnMessage(HostName(1), whole);
+  hosts.At(3).OnCommitted(ChangeAt(1), false);
+  EXPECT_EQ(hosts.At(3).Tree().Current(), Revision(2));
+}
+
+const std::vector<std::set<std::size_t>> kCuts{ {}, { 6, 7, 8 }, { 3, 4, 5 }, { 1 }, { 8 } };
+
+// Changes, lost and repeated messages, restarts with empty memory and cuts, in any order: no host
+// goes back, and once all is well every host has what the group accepted.
+RC_GTEST_PROP(ConfigSpreadTest, EveryHostEndsWithWhatWasAcceptedAndNoneGoesBack, ())
+{
+  FakeHosts hosts;
+  hosts.Run(std::chrono::seconds(1));
+  const int steps = *rc::gen::inRange(1, 40);
+  for (int step = 0; step < steps; ++step) {
+    const int event = *rc::gen::inRange(0, 10);
+    if (event < 4) {
+      hosts.Commit();
+    } else if (event == 4) {
+      // Never the leader: its tree is the group's.
+      hosts.Restart(*rc::gen::inRange<std::size_t>(1, kHosts));
+    } else if (event == 5) {
+      hosts.cut = *rc::gen::elementOf(kCuts);
+    }
+    const int lossOf10 = *rc::gen::inRange(0, 8);
+    hosts.Step([&] { return *rc::gen::inRange(0, 10) < lossOf10 ? 0 : *rc::gen::inRange(1, 3); });
+    RC_ASSERT(!hosts.AnyWentBack());
+  }
+  hosts.cut.clear();
+  hosts.Run(std::chrono::seconds(20));
+  RC_ASSERT(!hosts.AnyWentBack());
+  RC_ASSERT(hosts.AllAt(hosts.group.Current()));
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    CompactWriter own;
+    CompactWriter expected;
+    hosts.At(host).Tree().Pack(own);
+    hosts.group.Pack(expected);
+    RC_ASSERT(std::move(own).Take() == std::move(expected).Take());
+  }
+}
+
+} // namespace
+} // namespace damasklink
--- /dev/null
+++ b/test/protocol/ConfigWireTest.cpp
@@ -0,0 +1,43 @@
+#include "damasklink/protocol/ConfigWire.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace damasklink {
+namespace {
+
+TEST(ConfigWireTest, DeltaReadsBack)
+{
+  ConfigMessage message;
+  message.kind = ConfigMessageKind::Delta;
+  message.revision = Revision(12);
+  message.confirmedAge = std::chrono::milliseconds(250);
+  message.origin = HostId("h1");
+  message.acceptedAt = WallTime(std::chrono::seconds(5));
+  message.body = std::string("\0x", 2);
+  EXPECT_EQ(DecodeConfigMessage(EncodeConfigMessage(message)).value(), message);
+}
+
+TEST(ConfigWireTest, HeartbeatReadsBack)
+{
+  Heartbeat beat;
+  beat.incarnation = Incarnation(1'700'000'000'000);
+  beat.sequence = Sequence(9);
+  beat.leaving = true;
+  beat.revision = Revision(3);
+  beat.confirmedAge = std::chrono::milliseconds(7);
+  beat.others = { HostSighting{ 5, Incarnation(4), Sequence(3), true },
+                  HostSighting{ 6, Incarnation(2), Sequence(1), false } };
+  EXPECT_EQ(DecodeHeartbeat(EncodeHeartbeat(beat)).value(), beat);
+}
+
+RC_GTEST_PROP(ConfigWireTest, AnyBytesAreRefusedOrRead, (const std::string& aBytes))
+{
+  const auto message = DecodeConfigMessage(aBytes);
+  const auto beat = DecodeHeartbeat(aBytes);
+  RC_ASSERT((message || message.error().kind == ErrorKind::Corrupt));
+  RC_ASSERT((beat || beat.error().kind == ErrorKind::Corrupt));
+}
+
+} // namespace
+} // namespace damasklink
