--- a/src/coordination/CallerIndex.cpp
+++ b/src/coordination/CallerIndex.cpp
@@ -35,10 +35,13 @@
     gone = KeysOf(*before);
   }
   std::vector<CallerEntry> added;
+  std::optional<ServiceLevel> level;
   if (const WorkspaceNode* after = WorkspaceOf(aChange.subtree)) {
+    level = ServiceLevelOf(aTree.Defaults(), *after);
     added = CallerEntriesOf(this->resolver, name.workspace, *after);
   }
   this->directory = this->directory.Replace(gone, std::move(added));
+  this->directory.SetServiceLevel(name.workspace, level);
 }
 
 void
@@ -46,15 +49,18 @@
 {
   this->resolver = PolicyResolver(aTree.Defaults());
   std::vector<CallerEntry> all;
+  CallerDirectory::WorkspaceLevels levels;
   for (const SubtreeName& name : aTree.Names()) {
     const Subtree subtree = aTree.Get(name);
     if (const WorkspaceNode* workspace = WorkspaceOf(subtree)) {
+      levels.emplace(name.workspace, ServiceLevelOf(aTree.Defaults(), *workspace));
       for (CallerEntry& entry : CallerEntriesOf(this->resolver, name.workspace, *workspace)) {
         all.push_back(std::move(entry));
       }
     }
   }
   this->directory = CallerDirectory().Replace({}, std::move(all));
+  this->directory.SetServiceLevels(std::move(levels));
 }
 
 } // namespace damasklink
--- a/src/program/CallerService.cpp
+++ b/src/program/CallerService.cpp
@@ -176,12 +176,7 @@
                 "send the header 'Authorization: Bearer <key>'");
   }
   // The look-up is by digest, so its time tells nothing about the key itself.
-  const ResolvedPolicy* policy = aView.callers->Find(DigestOf(token));
-  if (policy == nullptr) {
-    return Fail(
-      ErrorKind::Unauthenticated, "the key is unknown", "check the key with your operator");
-  }
-  return policy;
+  return FindCaller(aView, DigestOf(token));
 }
 
 RequestId
--- a/src/program/CheckCommand.cpp
+++ b/src/program/CheckCommand.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Commands.h"
+#include "ConfigClient.h"
 #include "damasklink/state/ConfigTree.h"
 #include "damasklink/state/Settings.h"
 
@@ -16,17 +17,33 @@
   return aText.starts_with("host:") || aText.find("\nhost:") != std::string::npos;
 }
 
+// Checks what one argument names: settings, a tree, or a folder whose trees belong together.
 std::vector<Fault>
-CheckFile(const std::string& aFile)
+CheckPath(const std::string& aPath, std::size_t& aFiles)
 {
-  const auto text = ReadWholeFile(aFile);
-  if (!text) {
-    return { Fault{ aFile, 0, "", text.error().message, text.error().remedy } };
+  auto sources = ReadConfigSources(aPath);
+  if (!sources) {
+    ++aFiles;
+    return { Fault{ aPath, 0, "", sources.error().message, sources.error().remedy } };
   }
-  if (LooksLikeSettings(text.value())) {
-    return ParseHostSettings(text.value(), aFile).faults;
+  aFiles += sources.value().size();
+  std::vector<Fault> faults;
+  std::vector<ConfigSource> trees;
+  for (ConfigSource& source : sources.value()) {
+    if (LooksLikeSettings(source.text)) {
+      for (Fault& fault : ParseHostSettings(source.text, source.file).faults) {
+        faults.push_back(std::move(fault));
+      }
+    } else {
+      trees.push_back(std::move(source));
+    }
+  }
+  if (!trees.empty()) {
+    for (Fault& fault : ParseConfigSources(trees, SubtreePolicy()).faults) {
+      faults.push_back(std::move(fault));
+    }
   }
-  return ParseConfigTree(text.value(), aFile).faults;
+  return faults;
 }
 
 void
@@ -56,6 +73,8 @@
 constexpr std::string_view kUsage = R"(Usage:
   damasklink check [options] FILE...
 
+A FILE is a settings file, a tree, or a folder; the trees below a folder are checked as one tree.
+
 Options:
   --output FORMAT    text or json [default: text].
 )";
@@ -66,14 +85,15 @@
   const OutputFormat format = OutputOf(aArguments);
   const std::vector<std::string>& files = aArguments.at("FILE").asStringList();
   std::vector<Fault> faults;
+  std::size_t count = 0;
   for (const std::string& file : files) {
-    std::vector<Fault> found = CheckFile(file);
+    std::vector<Fault> found = CheckPath(file, count);
     faults.insert(faults.end(), found.begin(), found.end());
   }
   if (format == OutputFormat::Json) {
-    PrintJson(faults, files.size());
+    PrintJson(faults, count);
   } else {
-    PrintText(faults, files.size());
+    PrintText(faults, count);
   }
   return faults.empty() ? ExitCode::Done : ExitCode::Refused;
 }
--- a/src/program/Commands.cpp
+++ b/src/program/Commands.cpp
@@ -115,9 +115,8 @@
 AllCommands()
 {
   static const std::vector<Command> kCommands{
-    ServeCommand(),
-    CheckCommand(),
-    ReportCommand(),
+    ServeCommand(), CheckCommand(),   ApplyCommand(),  DiffCommand(),
+    GetCommand(),   HistoryCommand(), StatusCommand(), ReportCommand(),
   };
   return kCommands;
 }
--- a/src/program/Commands.h
+++ b/src/program/Commands.h
@@ -79,6 +79,26 @@
 Command
 CheckCommand();
 
+// Applies subtrees. Each is accepted or refused as a whole; running it again resends.
+Command
+ApplyCommand();
+
+// Shows what apply would change.
+Command
+DiffCommand();
+
+// Prints a subtree as apply takes it, or the list of subtrees.
+Command
+GetCommand();
+
+// Prints accepted changes, newest first.
+Command
+HistoryCommand();
+
+// Prints what one host knows of the system.
+Command
+StatusCommand();
+
 // Prints the service-level burn of each workspace from all hosts that can be reached.
 Command
 ReportCommand();
--- /dev/null
+++ b/src/program/ConfigurationModule.h
@@ -0,0 +1,65 @@
+// The configuration on the control thread: machine, spread, and the picture of traffic threads.
+#pragma once
+
+#include <functional>
+
+#include "HostContext.h"
+#include "damasklink/coordination/CallerIndex.h"
+#include "damasklink/coordination/ConfigMachine.h"
+#include "damasklink/coordination/Replication.h"
+
+namespace damasklink {
+
+// Owns the replica's machine and the tree in force. All calls come on the control thread, but for
+// what the replicator does before the loop starts.
+class ConfigurationModule final
+  : public ControlModule
+  , public ConfigListener
+{
+public:
+  ConfigurationModule(const HostContext& aContext,
+                      Replicator& aGroups,
+                      const HostMembership& aMembership);
+
+  // Sets the tree that is applied while none exists.
+  void SetInitialTree(RevisionedTree aTree) { this->initialTree = std::move(aTree); }
+
+  // Takes a tree that this host kept on its disk.
+  void TakeStoredTree(const RevisionedTree& aTree) { this->spread.OnTree(aTree); }
+
+  void OnChange(const TreeChange& aChange) override;
+  void OnTree(const RevisionedTree& aTree) override;
+
+  void OnPeerMessage(const HostId& aFrom, const PeerMessage& aMessage) override;
+  void OnTick(MonotonicTime aNow) override;
+
+  // Puts a change through the control group and hands on its answer.
+  void Change(const ConfigChange& aChange, std::function<void(Result<ChangeAnswer>)> aDone);
+
+  void ReadHistory(const std::optional<SubtreeName>& aName,
+                   std::size_t aMost,
+                   std::function<void(Result<std::vector<HistoryEntry>>)> aDone);
+
+  ConfigSpread& Spread() { return this->spread; }
+  const ConfigSpread& Spread() const { return this->spread; }
+  GroupStatus ControlStatus() const { return this->groups.Status(ControlGroupId()); }
+
+private:
+  // Fills the empty tree of a new group.
+  void SeedWhenEmpty(bool aLeaseHeld);
+  void SendOutgoing();
+  void PublishChanges();
+
+  const HostContext& context;
+  Replicator& groups;
+  CallerIndex index;
+  ConfigSpread spread;
+  ConfigMachine machine;
+  std::optional<RevisionedTree> initialTree;
+  bool seeding = false;
+  bool published = false;
+  Revision publishedRevision;
+  bool publishedStale = false;
+};
+
+} // namespace damasklink
--- a/src/program/ConfigurationPart.cpp
+++ b/src/program/ConfigurationPart.cpp
@@ -1,47 +1,108 @@
 #include "ConfigurationPart.h"
 
+#include <thread>
+
 #include "Responses.h"
 #include "damasklink/protocol/EngineApi.h"
+#include "damasklink/transport/Log.h"
 
 namespace damasklink {
+namespace {
+
+// Longer than a group takes to elect its first leader.
+constexpr Duration kFirstTreeLimit = std::chrono::seconds(4);
+constexpr Duration kFirstTreePoll = std::chrono::milliseconds(5);
+
+// A later start has a later wall clock; should it have gone back, membership rises above.
+Incarnation
+IncarnationOf(WallTime aStart)
+{
+  const auto sinceEpoch = aStart.time_since_epoch();
+  const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+  return Incarnation(static_cast<std::uint64_t>(count));
+}
+
+// The tree of the initial file, one revision for each subtree.
+RevisionedTree
+TreeOf(const ConfigTree& aTree)
+{
+  RevisionedTree tree;
+  for (Subtree& subtree : SplitTree(aTree)) {
+    tree.Apply(TreeChange{ tree.Current().Next(), std::move(subtree) });
+  }
+  return tree;
+}
+
+} // namespace
 
 ConfigurationPart::ConfigurationPart(const HostContext& aContext, Replicator& aGroups)
   : context(aContext)
-  , groups(aGroups)
+  , membership(aContext.clock, aContext.settings, IncarnationOf(aContext.clock.WallNow()))
+  , configuration(aContext, aGroups, this->membership)
+  , heartbeats(aContext, this->membership, this->configuration.Spread())
   , targets(aContext.clock,
             aContext.settings,
             aContext.peers,
             [&publisher = aContext.publisher](std::vector<TargetRecord> aTargets) {
               publisher.Change([&](TrafficView& aView) { aView.targets = std::move(aTargets); });
             })
+  , api(aContext, this->configuration, [this](HostStatus& aStatus) { this->FillStatus(aStatus); })
 {
 }
 
 Result<void>
 ConfigurationPart::Start()
 {
+  if (auto loaded = this->LoadInitialTree(); !loaded) {
+    return loaded;
+  }
+  if (this->context.settings.targetKeys.empty()) {
+    LogEvent(LogLevel::Warning, "targets_unauthenticated")
+      .With("remedy", "list target_keys in the settings");
+  }
+  this->context.control.Add(Channel::Configuration, this->configuration);
+  this->context.control.Add(Channel::Membership, this->heartbeats);
   this->context.control.Add(Channel::Targets, this->targets);
-  if (this->context.settings.initialTree.empty()) {
+  return Success();
+}
+
+Result<void>
+ConfigurationPart::LoadInitialTree()
+{
+  const std::string& file = this->context.settings.initialTree;
+  if (file.empty()) {
     return Success();
   }
-  auto text = ReadWholeFile(this->context.settings.initialTree);
+  auto text = ReadWholeFile(file);
   if (!text) {
     return Fail(text.error());
   }
-  const auto parsed = ParseConfigTree(text.value(), this->context.settings.initialTree);
+  const auto parsed = ParseConfigTree(text.value(), file);
   if (!parsed.Ok()) {
     return Fail(ErrorKind::InvalidArgument,
                 FormatFault(parsed.faults.front()),
                 "run damasklink check for all faults");
   }
-  this->context.publisher.Change(
-    [&](TrafficView& aView) { aView.callers = std::make_shared<CallerDirectory>(parsed.value); });
+  this->configuration.SetInitialTree(TreeOf(parsed.value));
   return Success();
 }
 
+void
+ConfigurationPart::AwaitFirstTree() const
+{
+  const HostSettings& settings = this->context.settings;
+  const bool expected = !settings.initialTree.empty() || settings.peers.size() > 1;
+  const MonotonicTime until = this->context.clock.MonotonicNow() + kFirstTreeLimit;
+  while (expected && this->context.views.Get()->revision == Revision() &&
+         this->context.clock.MonotonicNow() < until) {
+    std::this_thread::sleep_for(kFirstTreePoll);
+  }
+}
+
 void
 ConfigurationPart::AddRoutes(const HostServers& aServers)
 {
+  this->api.AddRoutes(aServers.operators);
   aServers.targets.Route("POST", "/v1/targets/announce", [this](const HttpRequest& aRequest) {
     return this->TakeAnnouncement(aRequest);
   });
@@ -50,6 +111,10 @@
 HttpResponse
 ConfigurationPart::TakeAnnouncement(const HttpRequest& aRequest)
 {
+  const std::vector<Digest>& keys = this->context.settings.targetKeys;
+  if (auto allowed = CheckKey(aRequest, keys); !keys.empty() && !allowed) {
+    return RefusalResponse(allowed.error());
+  }
   auto record = ParseTargetRecord(aRequest.body);
   if (!record) {
     return RefusalResponse(record.error());
@@ -65,4 +130,20 @@
   return response;
 }
 
+void
+ConfigurationPart::FillStatus(HostStatus& aStatus) const
+{
+  // The API asks on the control thread, which owns all of this.
+  const auto& known = this->configuration.Spread().PeerRevisions();
+  for (const PeerSettings& peer : this->context.settings.peers) {
+    PeerStatus status{ peer.host, this->membership.IsUp(peer.host), aStatus.revision };
+    if (peer.host != this->context.settings.host) {
+      const auto found = known.find(peer.host);
+      status.revision = found == known.end() ? Revision() : found->second;
+    }
+    aStatus.peers.push_back(std::move(status));
+  }
+  this->targets.FillStatus(aStatus);
+}
+
 } // namespace damasklink
--- a/src/program/ConfigurationPart.h
+++ b/src/program/ConfigurationPart.h
@@ -1,7 +1,10 @@
 // Configuration, membership of hosts and targets, and orders to targets, on one host.
 #pragma once
 
+#include "ConfigurationApi.h"
+#include "ConfigurationModule.h"
 #include "HostContext.h"
+#include "MembershipModule.h"
 #include "TargetsModule.h"
 #include "damasklink/coordination/Replication.h"
 
@@ -18,12 +21,21 @@
 
   void AddRoutes(const HostServers& aServers);
 
+  // Waits until a tree is in force, a few seconds at most: a host that is announced as started
+  // should know its callers. Requires the control thread and the links between hosts to run.
+  void AwaitFirstTree() const;
+
 private:
+  Result<void> LoadInitialTree();
   HttpResponse TakeAnnouncement(const HttpRequest& aRequest);
+  void FillStatus(HostStatus& aStatus) const;
 
   const HostContext& context;
-  Replicator& groups;
+  HostMembership membership;
+  ConfigurationModule configuration;
+  MembershipModule heartbeats;
   TargetsModule targets;
+  ConfigurationApi api;
 };
 
 } // namespace damasklink
--- a/src/program/HostProcess.cpp
+++ b/src/program/HostProcess.cpp
@@ -141,6 +141,7 @@
   if (auto started = host.StartServers(); !started) {
     return started;
   }
+  host.configuration.AwaitFirstTree();
   host.phase.store(HostPhase::Ready);
   LogEvent(LogLevel::Info, "host_started")
     .With("host", host.settings.host)
--- a/src/program/TargetsModule.cpp
+++ b/src/program/TargetsModule.cpp
@@ -1,6 +1,9 @@
 #include "TargetsModule.h"
 
+#include <set>
+
 #include "damasklink/protocol/EngineApi.h"
+#include "damasklink/state/Text.h"
 #include "damasklink/transport/Log.h"
 
 namespace damasklink {
@@ -8,6 +11,30 @@
 
 constexpr Duration kExpiryInterval = std::chrono::seconds(1);
 
+std::string
+ModelsText(const std::vector<ServedModel>& aModels)
+{
+  std::string text;
+  for (const ServedModel& model : aModels) {
+    text += Concat(text.empty() ? "" : ",", model.model.Value(), "@", model.version.Value());
+  }
+  return text;
+}
+
+std::string_view
+KindText(TargetKind aKind)
+{
+  switch (aKind) {
+    case TargetKind::Engine:
+      return "engine";
+    case TargetKind::Service:
+      return "service";
+    case TargetKind::Store:
+      return "store";
+  }
+  return "unknown";
+}
+
 } // namespace
 
 TargetsModule::TargetsModule(const Clock& aClock,
@@ -36,6 +63,22 @@
   this->PublishChanges();
 }
 
+void
+TargetsModule::FillStatus(HostStatus& aStatus) const
+{
+  std::set<TargetId> usable;
+  for (const TargetRecord& record : this->registry.Usable()) {
+    usable.insert(record.id);
+  }
+  for (const TargetRecord& record : this->registry.All()) {
+    aStatus.targets.push_back(TargetStatus{ record.id.Value(),
+                                            std::string(KindText(record.kind)),
+                                            record.zone.Value(),
+                                            usable.contains(record.id),
+                                            ModelsText(record.models) });
+  }
+}
+
 void
 TargetsModule::OnPeerMessage(const HostId& aFrom, const PeerMessage& aMessage)
 {
--- a/src/program/TargetsModule.h
+++ b/src/program/TargetsModule.h
@@ -4,6 +4,7 @@
 #include <functional>
 
 #include "damasklink/coordination/TargetRegistry.h"
+#include "damasklink/protocol/OperatorApi.h"
 #include "damasklink/transport/ControlLoop.h"
 
 namespace damasklink {
@@ -22,6 +23,9 @@
   // Takes an announcement that a target made to this host, and passes news on to all peers.
   void Announce(const TargetRecord& aRecord);
 
+  // Adds the targets that this host knows.
+  void FillStatus(HostStatus& aStatus) const;
+
   void OnPeerMessage(const HostId& aFrom, const PeerMessage& aMessage) override;
   void OnTick(MonotonicTime aNow) override;
 
--- a/src/program/TrafficView.h
+++ b/src/program/TrafficView.h
@@ -22,6 +22,12 @@
   std::vector<TargetRecord> targets;
 };
 
+// Returns what the holder of the key may do, by this picture. Fails with Unauthenticated for an
+// unknown key, and with Unavailable where no tree is in force yet or the holder's subtree refuses
+// to be served by a revision that may be old.
+Result<const ResolvedPolicy*>
+FindCaller(const TrafficView& aView, const Digest& aKey);
+
 // Holds the newest picture. The control thread publishes, any thread reads.
 class TrafficViewHolder
 {
--- a/test/coordination/CallerIndexTest.cpp
+++ b/test/coordination/CallerIndexTest.cpp
@@ -41,6 +41,7 @@
   CallerIndex anew;
   anew.OnReplaced(tree);
   RC_ASSERT(index.Directory().Size() == anew.Directory().Size());
+  RC_ASSERT(index.Directory().ServiceLevels() == anew.Directory().ServiceLevels());
   for (const char* name : { "a", "b", "c" }) {
     for (const char* team : { "/team-0", "/team-1" }) {
       const Digest key = DigestOf(std::string(name) + team);
--- /dev/null
+++ b/test/program/TrafficViewTest.cpp
@@ -0,0 +1,41 @@
+#include "program/TrafficView.h"
+
+#include <gtest/gtest.h>
+
+namespace damasklink {
+namespace {
+
+// A view of one team that wants to be refused when the configuration may be old.
+TrafficView
+MakeView(WhenStale aWhenStale)
+{
+  ConfigTree tree;
+  WorkspaceNode& workspace = tree.workspaces[WorkspaceId("w")];
+  workspace.policy.whenStale = aWhenStale;
+  workspace.teams[TeamId("t")].keys = { DigestOf("key") };
+  TrafficView view;
+  view.revision = Revision(1);
+  view.callers = std::make_shared<const CallerDirectory>(tree);
+  return view;
+}
+
+TEST(TrafficViewTest, StaleHostRefusesOnlySubtreesThatAskForIt)
+{
+  TrafficView refusing = MakeView(WhenStale::Refuse);
+  EXPECT_TRUE(FindCaller(refusing, DigestOf("key")));
+  refusing.stale = true;
+  EXPECT_EQ(FindCaller(refusing, DigestOf("key")).error().kind, ErrorKind::Unavailable);
+  TrafficView serving = MakeView(WhenStale::Serve);
+  serving.stale = true;
+  EXPECT_TRUE(FindCaller(serving, DigestOf("key")));
+}
+
+TEST(TrafficViewTest, HostWithoutTreeDoesNotCallKeysUnknown)
+{
+  EXPECT_EQ(FindCaller(TrafficView(), DigestOf("key")).error().kind, ErrorKind::Unavailable);
+  EXPECT_EQ(FindCaller(MakeView(WhenStale::Serve), DigestOf("other")).error().kind,
+            ErrorKind::Unauthenticated);
+}
+
+} // namespace
+} // namespace damasklink
