--- a/src/state/SubtreeCodec.cpp
+++ b/src/state/SubtreeCodec.cpp
@@ -1,5 +1,5 @@
 // Packs subtrees into bytes. The numbers stand in stored files: fields are only ever added at the
-// end of kPolicyFields, and never change their meaning.
+// end of the list below, and never change their meaning.
 #include "damasklink/state/Digests.h"
 #include "damasklink/state/Subtree.h"
 
@@ -9,20 +9,17 @@
 constexpr std::uint64_t kDeleted = 0;
 
 // Bits that tell which fields of a policy are set.
-enum PolicyField : std::uint64_t
-{
-  kModels = 1U << 0U,
-  kServices = 1U << 1U,
-  kPriority = 1U << 2U,
-  kObjective = 1U << 3U,
-  kServiceLevel = 1U << 4U,
-  kWhenStale = 1U << 5U,
-  kConcurrentRequests = 1U << 6U,
-  kPromptTokens = 1U << 7U,
-  kRequestsPerSecond = 1U << 8U,
-  kShare = 1U << 9U,
-  kAfterLastField = 1U << 10U,
-};
+constexpr std::uint64_t kModels = 1U << 0U;
+constexpr std::uint64_t kServices = 1U << 1U;
+constexpr std::uint64_t kPriority = 1U << 2U;
+constexpr std::uint64_t kObjective = 1U << 3U;
+constexpr std::uint64_t kServiceLevel = 1U << 4U;
+constexpr std::uint64_t kWhenStale = 1U << 5U;
+constexpr std::uint64_t kConcurrentRequests = 1U << 6U;
+constexpr std::uint64_t kPromptTokens = 1U << 7U;
+constexpr std::uint64_t kRequestsPerSecond = 1U << 8U;
+constexpr std::uint64_t kShare = 1U << 9U;
+constexpr std::uint64_t kAfterLastField = 1U << 10U;
 
 template<typename T>
 std::uint64_t
