--- a/test/coordination/ConfigMachineTest.cpp
+++ b/test/coordination/ConfigMachineTest.cpp
@@ -28,7 +28,8 @@
 ChangeAnswer
 Apply(ConfigMachine& aMachine, const ConfigChange& aChange)
 {
-  const ApplyContext context{ ControlGroupId(), LogIndex(1), Term(1), WallTime() };
+  const ApplyContext context{ ControlGroupId(), LogIndex(1),    Term(1),
+                              WallTime(),       Incarnation(1), WallTime() };
   return UnpackChangeAnswer(aMachine.Apply(context, PackConfigChange(aChange))).value();
 }
 
@@ -130,7 +131,8 @@
 {
   RevisionedTree seed;
   seed.Apply({ Revision(7), { WorkspaceSubtree(WorkspaceId("w")), WorkspaceWithKey("w") } });
-  const ApplyContext context{ ControlGroupId(), LogIndex(1), Term(1), WallTime() };
+  const ApplyContext context{ ControlGroupId(), LogIndex(1),    Term(1),
+                              WallTime(),       Incarnation(1), WallTime() };
   const std::string command = PackConfigSeed(ChangeId("initial"), "host", seed);
   ConfigMachine machine;
   const auto first = UnpackChangeAnswer(machine.Apply(context, command));
