--- a/include/damasklink/state/Digests.h
+++ b/include/damasklink/state/Digests.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <array>
-#include <cstdint>
 #include <string_view>
 
 #include "damasklink/state/Ids.h"
@@ -13,9 +12,23 @@
 Digest
 DigestOf(std::string_view aText);
 
-// Returns the SHA-256 of the text as bytes, for tables that hold many.
-std::array<std::uint8_t, 32>
-DigestBytes(std::string_view aText);
+// Returns whether the text is 64 lower-case hex digits.
+bool
+IsDigest(const Digest& aDigest);
+
+// A digest as it is kept in large tables: half the size of its text and no allocation.
+using DigestBytes = std::array<unsigned char, 32>;
+
+// Returns the SHA-256 of the text as bytes.
+DigestBytes
+PackedDigestOf(std::string_view aText);
+
+// Requires IsDigest(); anything else gives all zeros, which no key has.
+DigestBytes
+PackDigest(const Digest& aDigest);
+
+Digest
+UnpackDigest(const DigestBytes& aBytes);
 
 // Returns whether both digests are equal; the time taken tells nothing about where they differ.
 bool
--- a/src/coordination/ClaimLedger.cpp
+++ b/src/coordination/ClaimLedger.cpp
@@ -18,13 +18,13 @@
 {
   const std::string& workspace = aCommand.workspace.Value();
   // The length keeps "ab"+"c" and "a"+"bc" apart.
-  return DigestBytes(Concat(workspace.size(), "/", workspace, aCommand.key.Value()));
+  return PackedDigestOf(Concat(workspace.size(), "/", workspace, aCommand.key.Value()));
 }
 
 ClaimTag
 TagOf(std::string_view aText)
 {
-  const auto bytes = DigestBytes(aText);
+  const auto bytes = PackedDigestOf(aText);
   ClaimTag tag{};
   std::copy_n(bytes.begin(), tag.size(), tag.begin());
   return tag;
--- a/test/program/TrafficFixture.h
+++ b/test/program/TrafficFixture.h
@@ -59,8 +59,10 @@
 protected:
   TrafficFixture()
   {
-    this->publisher.Change(
-      [](TrafficView& aView) { aView.callers = std::make_shared<CallerDirectory>(MakeTree()); });
+    this->publisher.Change([](TrafficView& aView) {
+      aView.revision = Revision(1);
+      aView.callers = std::make_shared<CallerDirectory>(MakeTree());
+    });
   }
 
   ~TrafficFixture() override
--- a/test/state/UntrustedFilesTest.cpp
+++ b/test/state/UntrustedFilesTest.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "Mutations.h"
+#include "damasklink/state/CallerDirectory.h"
 #include "damasklink/state/ConfigTree.h"
 #include "damasklink/state/Settings.h"
 
