Routing by expected cost, block names, cache views, store decisions, and their bench

Cause: prompts went to the target with the fewest requests, whatever it held.

Seams: RouteRequest names the version that its blocks are rooted in; a RouteDecision carries the expected prefill and the policy's own ticket.

--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -18,6 +18,7 @@
 const std::vector<BenchCommand> kCommands{
   { "slopes", "state, processor time and bytes as they grow", damasklink::bench::RunSlopes },
   { "relay", "what relaying costs; run it by tools/bench-relay", damasklink::bench::RunRelay },
+  { "policy", "routing and reuse against baselines", damasklink::bench::RunPolicyBench },
 };
 
 int
--- a/include/damasklink/coordination/Router.h
+++ b/include/damasklink/coordination/Router.h
@@ -36,6 +36,8 @@
   TokenCount promptTokens;
   // Names of the prompt's whole blocks, from its start (BlockNames.h).
   std::vector<Digest> blocks;
+  // The version that the names are rooted in; they mean nothing to a target of another one.
+  WeightVersion blocksVersion;
   // Stores that keep a prefix, as the look-up found them.
   std::vector<StoredPrefix> stored;
   // Targets that this request has tried already.
@@ -51,10 +53,14 @@
   Endpoint endpoint;
   WeightVersion version;
   Duration expectedFirstToken{ 0 };
+  // Prompt tokens that the target is expected to compute.
+  TokenCount expectedPrefill;
   // Store to import from before the prompt is sent; empty for none.
   StoreId importFrom;
   // Blocks that the import brings.
   std::uint64_t importBlocks = 0;
+  // The policy's own mark, by which it knows the decision again.
+  std::uint64_t ticket = 0;
 };
 
 // Chooses targets and learns from what came of it. Not thread-safe: its owner holds the lock.
--- /dev/null
+++ b/src/coordination/BlockDirectory.cpp
@@ -0,0 +1,510 @@
+#include "damasklink/coordination/BlockDirectory.h"
+
+#include <algorithm>
+#include <cstring>
+
+#include "damasklink/state/Digests.h"
+#include "damasklink/state/Text.h"
+#include <absl/strings/escaping.h>
+
+namespace damasklink {
+namespace {
+
+// Generations that one owner can give before it would reach those of the next one.
+constexpr unsigned kGenerationBits = 32;
+// Blocks used within this time rank alike.
+constexpr Duration kFreshAge = std::chrono::seconds(60);
+
+auto
+WrongState(std::string_view aWhat)
+{
+  return Fail(ErrorKind::Conflict,
+              Concat("the block is not ", aWhat, " in this generation"),
+              "give the export up; the prompt is computed again when it returns");
+}
+
+Result<void>
+Mismatch(std::string_view aField)
+{
+  return Fail(ErrorKind::Corrupt,
+              Concat("a block read from a store differs in its ", aField),
+              "drop it and compute the prompt; the store's slot was reused or damaged");
+}
+
+std::string
+ScopeText(const BlockScope& aScope)
+{
+  return Concat(aScope.workspace.Value(),
+                "\n",
+                aScope.model.Value(),
+                "\n",
+                aScope.version.Value(),
+                "\n",
+                aScope.adapter.Value());
+}
+
+} // namespace
+
+Checksum
+ChecksumOf(std::string_view aContent)
+{
+  constexpr std::size_t kHexDigits = 16;
+  constexpr int kHexBase = 16;
+  return Checksum(std::stoull(DigestOf(aContent).Value().substr(0, kHexDigits), nullptr, kHexBase));
+}
+
+Result<void>
+CheckBlock(const BlockHeader& aOrdered, const BlockHeader& aFound, std::string_view aContent)
+{
+  if (aOrdered.block != aFound.block) {
+    return Mismatch("name");
+  }
+  if (aOrdered.scope.workspace != aFound.scope.workspace) {
+    return Mismatch("workspace");
+  }
+  if (aOrdered.scope.version != aFound.scope.version) {
+    return Mismatch("weight version");
+  }
+  if (aOrdered.scope != aFound.scope) {
+    return Mismatch("model or adapter");
+  }
+  if (aOrdered.generation != aFound.generation) {
+    return Mismatch("generation");
+  }
+  if (aOrdered.length != aFound.length || aContent.size() != aOrdered.length.Value()) {
+    return Mismatch("length");
+  }
+  if (aOrdered.checksum != aFound.checksum || ChecksumOf(aContent) != aOrdered.checksum) {
+    return Mismatch("checksum");
+  }
+  return Success();
+}
+
+BlockDirectory::BlockDirectory(const Clock& aClock,
+                               FencingNumber aFencing,
+                               DirectoryOptions aOptions,
+                               const ReturnPredictor& aReturns)
+  : clock(aClock)
+  , options(aOptions)
+  , returns(aReturns)
+  , freeFrom(aClock.MonotonicNow())
+  , nextGeneration((aFencing.Value() << kGenerationBits) + 1)
+  , nextPin((aFencing.Value() << kGenerationBits) + 1)
+{
+}
+
+void
+BlockDirectory::Rebuild(const std::vector<BlockHeader>& aInventory)
+{
+  this->freeFrom = this->clock.MonotonicNow() + this->options.pinLease;
+  for (const BlockHeader& header : aInventory) {
+    // An honest store holds no generation that this owner has yet to give.
+    const bool fromLater = header.generation.Value() >= this->nextGeneration;
+    if (fromLater || this->slots.contains(NameOf(header.block))) {
+      continue;
+    }
+    const Slot slot = this->AddRecord(header.block, header.scope, PromptKind());
+    Record& record = this->records[slot];
+    record.generation = header.generation;
+    record.length = header.length.Value();
+    record.checksum = header.checksum;
+    record.used = this->clock.MonotonicNow();
+    record.state = BlockState::Sealed;
+    const bool fits = this->memoryUsed + record.length <= this->options.memory.Value();
+    record.tier = fits ? StoreTier::Memory : StoreTier::Disk;
+    this->UsedBytes(record.tier) += record.length;
+    this->Link(slot);
+  }
+}
+
+Result<ReservedBlock>
+BlockDirectory::Reserve(const Digest& aBlock,
+                        const BlockScope& aScope,
+                        ByteCount aLength,
+                        PromptKind aKind)
+{
+  if (this->slots.contains(NameOf(aBlock))) {
+    return Fail(ErrorKind::Conflict, "the block is kept already", "export only the others");
+  }
+  const double rank = this->RankOf(aKind, Duration(0));
+  if (!this->MakeRoom(StoreTier::Memory, aLength.Value(), rank)) {
+    return Fail(ErrorKind::Overloaded,
+                "the store has no room for the block",
+                "keep it elsewhere or give the store more memory or disk");
+  }
+  const Slot slot = this->AddRecord(aBlock, aScope, aKind);
+  Record& record = this->records[slot];
+  record.generation = Generation(this->nextGeneration++);
+  record.length = aLength.Value();
+  record.writeUntil = this->clock.MonotonicNow() + this->options.writeLease;
+  this->memoryUsed += record.length;
+  this->unsealed.push_back(slot);
+  return ReservedBlock{ aBlock, record.generation, aLength };
+}
+
+Result<void>
+BlockDirectory::BeginWriting(const Digest& aBlock, Generation aGeneration)
+{
+  Record* record = this->Find(aBlock, aGeneration);
+  if (record == nullptr || record->state != BlockState::Reserved) {
+    return WrongState("reserved");
+  }
+  record->state = BlockState::Writing;
+  return Success();
+}
+
+Result<void>
+BlockDirectory::Seal(const Digest& aBlock,
+                     Generation aGeneration,
+                     ByteCount aLength,
+                     Checksum aChecksum)
+{
+  Record* record = this->Find(aBlock, aGeneration);
+  if (record == nullptr || record->state != BlockState::Writing) {
+    return WrongState("being written");
+  }
+  if (record->length != aLength.Value()) {
+    this->Abandon(aBlock, aGeneration);
+    return WrongState("of this length");
+  }
+  record->state = BlockState::Sealed;
+  record->checksum = aChecksum;
+  record->used = this->clock.MonotonicNow();
+  const Slot slot = this->slots.at(record->name);
+  std::erase(this->unsealed, slot);
+  this->Link(slot);
+  return Success();
+}
+
+void
+BlockDirectory::Abandon(const Digest& aBlock, Generation aGeneration)
+{
+  Record* record = this->Find(aBlock, aGeneration);
+  if (record == nullptr || record->state == BlockState::Sealed ||
+      record->state == BlockState::Draining) {
+    return;
+  }
+  this->StartDraining(this->slots.at(record->name));
+}
+
+Result<PinnedBlock>
+BlockDirectory::Pin(const Digest& aBlock, const BlockScope& aScope)
+{
+  const Record* found = this->FindSealed(aBlock, aScope);
+  if (found == nullptr) {
+    return Fail(ErrorKind::NotFound, "the block is not kept", "compute the prompt");
+  }
+  const Slot slot = this->slots.at(found->name);
+  ++this->records[slot].pins;
+  const PinId pin(this->nextPin++);
+  const MonotonicTime until = this->clock.MonotonicNow() + this->options.pinLease;
+  this->pins.emplace(pin, Pinned{ slot, until });
+  const BlockHeader header{
+    aBlock, aScope, found->generation, ByteCount(found->length), found->checksum
+  };
+  return PinnedBlock{ pin, header, until };
+}
+
+void
+BlockDirectory::Unpin(PinId aPin)
+{
+  const auto found = this->pins.find(aPin);
+  if (found == this->pins.end()) {
+    return;
+  }
+  --this->records[found->second.slot].pins;
+  this->pins.erase(found);
+}
+
+void
+BlockDirectory::Drain(const Digest& aBlock, Generation aGeneration)
+{
+  const Record* record = this->Find(aBlock, aGeneration);
+  if (record != nullptr && record->state != BlockState::Draining) {
+    this->StartDraining(this->slots.at(record->name));
+  }
+}
+
+void
+BlockDirectory::DrainVersion(const ModelName& aModel, const WeightVersion& aVersion)
+{
+  std::vector<Slot> withdrawn;
+  for (const auto& [name, slot] : this->slots) {
+    const Record& record = this->records[slot];
+    const BlockScope& scope = this->scopes[record.scope];
+    const bool ofVersion = scope.model == aModel && scope.version == aVersion;
+    if (ofVersion && record.state != BlockState::Draining) {
+      withdrawn.push_back(slot);
+    }
+  }
+  for (const Slot slot : withdrawn) {
+    this->StartDraining(slot);
+  }
+}
+
+KeptPrefix
+BlockDirectory::LookUp(const std::vector<Digest>& aBlocks, const BlockScope& aScope)
+{
+  KeptPrefix kept;
+  const MonotonicTime now = this->clock.MonotonicNow();
+  for (const Digest& block : aBlocks) {
+    const Record* found = this->FindSealed(block, aScope);
+    if (found == nullptr) {
+      break;
+    }
+    const Slot slot = this->slots.at(found->name);
+    this->Unlink(slot);
+    this->records[slot].used = now;
+    this->Link(slot);
+    ++kept.blocks;
+    kept.bytes = ByteCount(kept.bytes.Value() + found->length);
+  }
+  return kept;
+}
+
+void
+BlockDirectory::Expire()
+{
+  const MonotonicTime now = this->clock.MonotonicNow();
+  std::vector<PinId> over;
+  for (const auto& [pin, pinned] : this->pins) {
+    if (pinned.until <= now) {
+      over.push_back(pin);
+    }
+  }
+  for (const PinId pin : over) {
+    this->Unpin(pin);
+  }
+  std::vector<Slot> late;
+  for (const Slot slot : this->unsealed) {
+    if (this->records[slot].writeUntil <= now) {
+      late.push_back(slot);
+    }
+  }
+  for (const Slot slot : late) {
+    this->StartDraining(slot);
+  }
+  const std::vector<Slot> waiting = std::move(this->draining);
+  this->draining.clear();
+  for (const Slot slot : waiting) {
+    this->FreeIfUnpinned(slot);
+  }
+}
+
+std::vector<BlockOrder>
+BlockDirectory::TakeFreed()
+{
+  return std::exchange(this->freed, {});
+}
+
+std::vector<BlockOrder>
+BlockDirectory::TakeDemoted()
+{
+  return std::exchange(this->demoted, {});
+}
+
+double
+BlockDirectory::RankOf(PromptKind aKind, Duration aAge) const
+{
+  const double seconds = std::chrono::duration<double>(std::max(aAge, kFreshAge)).count();
+  return this->returns.Share(aKind) / seconds;
+}
+
+ByteCount
+BlockDirectory::Used(StoreTier aTier) const
+{
+  return ByteCount(aTier == StoreTier::Memory ? this->memoryUsed : this->diskUsed);
+}
+
+BlockDirectory::Name
+BlockDirectory::NameOf(const Digest& aBlock)
+{
+  const std::string raw = absl::HexStringToBytes(ForAbsl(aBlock.Value()));
+  Name name{};
+  std::memcpy(name.data(), raw.data(), std::min(raw.size(), sizeof(name)));
+  return name;
+}
+
+Digest
+BlockDirectory::DigestOfName(const Name& aName)
+{
+  const std::string_view raw(reinterpret_cast<const char*>(aName.data()), sizeof(aName));
+  return Digest(absl::BytesToHexString(ForAbsl(raw)));
+}
+
+BlockDirectory::Record*
+BlockDirectory::Find(const Digest& aBlock, Generation aGeneration)
+{
+  const auto found = this->slots.find(NameOf(aBlock));
+  if (found == this->slots.end()) {
+    return nullptr;
+  }
+  Record& record = this->records[found->second];
+  return record.generation == aGeneration ? &record : nullptr;
+}
+
+const BlockDirectory::Record*
+BlockDirectory::FindSealed(const Digest& aBlock, const BlockScope& aScope) const
+{
+  const auto found = this->slots.find(NameOf(aBlock));
+  if (found == this->slots.end()) {
+    return nullptr;
+  }
+  const Record& record = this->records[found->second];
+  const bool readable = record.state == BlockState::Sealed && this->scopes[record.scope] == aScope;
+  return readable ? &record : nullptr;
+}
+
+std::uint32_t
+BlockDirectory::ScopeIndex(const BlockScope& aScope)
+{
+  const auto [found, fresh] = this->scopeIndexes.try_emplace(
+    ScopeText(aScope), static_cast<std::uint32_t>(this->scopes.size()));
+  if (fresh) {
+    this->scopes.push_back(aScope);
+  }
+  return found->second;
+}
+
+BlockDirectory::Slot
+BlockDirectory::AddRecord(const Digest& aBlock, const BlockScope& aScope, PromptKind aKind)
+{
+  Slot slot = static_cast<Slot>(this->records.size());
+  if (this->unusedRecords.empty()) {
+    this->records.emplace_back();
+  } else {
+    slot = this->unusedRecords.back();
+    this->unusedRecords.pop_back();
+    this->records[slot] = Record();
+  }
+  Record& record = this->records[slot];
+  record.name = NameOf(aBlock);
+  record.scope = this->ScopeIndex(aScope);
+  record.kind = aKind;
+  this->slots.emplace(record.name, slot);
+  return slot;
+}
+
+BlockDirectory::UseList&
+BlockDirectory::ListOf(const Record& aRecord)
+{
+  if (aRecord.kind >= this->lists.size()) {
+    this->lists.resize(aRecord.kind + std::size_t{ 1 });
+  }
+  return this->lists[aRecord.kind][static_cast<std::size_t>(aRecord.tier)];
+}
+
+void
+BlockDirectory::Link(Slot aSlot)
+{
+  Record& record = this->records[aSlot];
+  UseList& list = this->ListOf(record);
+  record.older = list.newest;
+  record.newer = kNone;
+  if (list.newest == kNone) {
+    list.oldest = aSlot;
+  } else {
+    this->records[list.newest].newer = aSlot;
+  }
+  list.newest = aSlot;
+}
+
+void
+BlockDirectory::Unlink(Slot aSlot)
+{
+  Record& record = this->records[aSlot];
+  UseList& list = this->ListOf(record);
+  (record.older == kNone ? list.oldest : this->records[record.older].newer) = record.newer;
+  (record.newer == kNone ? list.newest : this->records[record.newer].older) = record.older;
+  record.older = kNone;
+  record.newer = kNone;
+}
+
+bool
+BlockDirectory::MakeRoom(StoreTier aTier, std::uint64_t aBytes, double aRank)
+{
+  const bool toMemory = aTier == StoreTier::Memory;
+  const std::uint64_t most = (toMemory ? this->options.memory : this->options.disk).Value();
+  if (aBytes > most) {
+    return false;
+  }
+  while (this->UsedBytes(aTier) + aBytes > most) {
+    double rank = 0;
+    const Slot worst = this->Worst(aTier, rank);
+    if (worst == kNone || rank >= aRank) {
+      return false;
+    }
+    const std::uint64_t length = this->records[worst].length;
+    if (toMemory && this->MakeRoom(StoreTier::Disk, length, rank)) {
+      Record& record = this->records[worst];
+      this->Unlink(worst);
+      record.tier = StoreTier::Disk;
+      this->Link(worst);
+      this->memoryUsed -= length;
+      this->diskUsed += length;
+      this->demoted.push_back({ DigestOfName(record.name), record.generation });
+      continue;
+    }
+    // Draining gives no room yet while pins of an earlier owner may be alive.
+    if (this->clock.MonotonicNow() < this->freeFrom) {
+      return false;
+    }
+    this->StartDraining(worst);
+  }
+  return true;
+}
+
+BlockDirectory::Slot
+BlockDirectory::Worst(StoreTier aTier, double& aRank) const
+{
+  const MonotonicTime now = this->clock.MonotonicNow();
+  Slot worst = kNone;
+  for (std::size_t kind = 0; kind < this->lists.size(); ++kind) {
+    const Slot oldest = this->lists[kind][static_cast<std::size_t>(aTier)].oldest;
+    if (oldest == kNone) {
+      continue;
+    }
+    const double rank =
+      this->RankOf(static_cast<PromptKind>(kind), now - this->records[oldest].used);
+    if (worst == kNone || rank < aRank) {
+      worst = oldest;
+      aRank = rank;
+    }
+  }
+  return worst;
+}
+
+void
+BlockDirectory::StartDraining(Slot aSlot)
+{
+  Record& record = this->records[aSlot];
+  if (record.state == BlockState::Sealed) {
+    this->Unlink(aSlot);
+  } else {
+    std::erase(this->unsealed, aSlot);
+  }
+  record.state = BlockState::Draining;
+  this->FreeIfUnpinned(aSlot);
+}
+
+void
+BlockDirectory::FreeIfUnpinned(Slot aSlot)
+{
+  Record& record = this->records[aSlot];
+  if (record.pins > 0 || this->clock.MonotonicNow() < this->freeFrom) {
+    this->draining.push_back(aSlot);
+    return;
+  }
+  this->freed.push_back({ DigestOfName(record.name), record.generation });
+  this->UsedBytes(record.tier) -= record.length;
+  this->slots.erase(record.name);
+  this->unusedRecords.push_back(aSlot);
+}
+
+std::uint64_t&
+BlockDirectory::UsedBytes(StoreTier aTier)
+{
+  return aTier == StoreTier::Memory ? this->memoryUsed : this->diskUsed;
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/src/coordination/StoreOwner.cpp
@@ -0,0 +1,203 @@
+#include "damasklink/coordination/StoreOwner.h"
+
+#include <algorithm>
+
+#include "damasklink/state/Text.h"
+#include "damasklink/state/Units.h"
+
+namespace damasklink {
+namespace {
+
+constexpr double kTokensPerRecomputeUnit = 1000;
+
+DirectoryOptions
+DirectoryOptionsOf(const StoreOwnerOptions& aOptions)
+{
+  return {
+    aOptions.declared.memory, aOptions.declared.disk, aOptions.pinLease, aOptions.writeLease
+  };
+}
+
+auto
+LinkBusy()
+{
+  return Fail(
+    ErrorKind::Overloaded, "the store's link has nothing left now", "ask again in a moment");
+}
+
+} // namespace
+
+StoreOwner::StoreOwner(const Clock& aClock, FencingNumber aFencing, StoreOwnerOptions aOptions)
+  : options(std::move(aOptions))
+  , returns(this->options.returns)
+  , directory(aClock, aFencing, DirectoryOptionsOf(this->options), this->returns)
+  , link(aClock, this->options.declared.linkBytesPerSecond)
+{
+}
+
+StoredPrefix
+StoreOwner::LookUp(const BlockScope& aScope, const std::vector<Digest>& aBlocks)
+{
+  this->returns.OnPrompt(aBlocks);
+  const KeptPrefix kept = this->directory.LookUp(aBlocks, aScope);
+  StoredPrefix stored;
+  stored.store = this->options.store;
+  stored.blocks = kept.blocks;
+  stored.tokens = TokenCount(kept.blocks * kBlockTokens);
+  stored.bytes = kept.bytes;
+  stored.freeBytesPerSecond = this->link.RateFor(kept.bytes);
+  return stored;
+}
+
+Result<ImportGrant>
+StoreOwner::GrantImport(const BlockScope& aScope,
+                        const std::vector<Digest>& aBlocks,
+                        std::uint64_t aFrom,
+                        std::uint64_t aTo)
+{
+  ImportGrant grant;
+  const std::uint64_t end =
+    std::min({ aTo, aFrom + this->BlocksPerGrant(), std::uint64_t{ aBlocks.size() } });
+  std::uint64_t bytes = 0;
+  for (std::uint64_t at = aFrom; at < end; ++at) {
+    auto pinned = this->directory.Pin(aBlocks[at], aScope);
+    if (!pinned) {
+      break;
+    }
+    bytes += pinned.value().header.length.Value();
+    grant.blocks.push_back(pinned.value());
+  }
+  if (grant.blocks.empty()) {
+    return Fail(ErrorKind::NotFound, "the block is not kept", "compute the prompt");
+  }
+  grant.bytes = ByteCount(bytes);
+  if (!this->link.Take(Transfer::Import, grant.bytes)) {
+    for (const PinnedBlock& block : grant.blocks) {
+      this->directory.Unpin(block.pin);
+    }
+    return LinkBusy();
+  }
+  return grant;
+}
+
+void
+StoreOwner::OnImported(const ImportGrant& aGrant, Duration aElapsed)
+{
+  for (const PinnedBlock& block : aGrant.blocks) {
+    this->directory.Unpin(block.pin);
+  }
+  this->link.OnMoved(aGrant.bytes, aElapsed);
+}
+
+void
+StoreOwner::OnImportFailed(const ImportGrant& aGrant, const std::vector<Digest>& aWrong)
+{
+  for (const PinnedBlock& block : aGrant.blocks) {
+    this->directory.Unpin(block.pin);
+    if (std::find(aWrong.begin(), aWrong.end(), block.header.block) != aWrong.end()) {
+      this->directory.Drain(block.header.block, block.header.generation);
+    }
+  }
+  this->link.OnFailed(aGrant.bytes);
+}
+
+PromptKind
+StoreOwner::KindOf(const KeepOffer& aOffer)
+{
+  return this->returns.KindOf(aOffer.scope.workspace,
+                              TokenCount(aOffer.blocks.size() * kBlockTokens));
+}
+
+void
+StoreOwner::OnAnswered(const KeepOffer& aOffer)
+{
+  this->returns.OnAnswered(this->KindOf(aOffer), aOffer.blocks);
+}
+
+bool
+StoreOwner::IsWorthKeeping(const KeepOffer& aOffer, std::uint64_t aMissing, PromptKind aKind) const
+{
+  if (!this->options.choosy) {
+    return true;
+  }
+  const double share = this->returns.Share(aKind);
+  const auto tokens = static_cast<double>(aMissing * kBlockTokens);
+  const double seconds = aOffer.prefillRate > 0 ? tokens / aOffer.prefillRate : 0;
+  const double saved = share * ((aOffer.objective.time * seconds) +
+                                (aOffer.objective.recompute * tokens / kTokensPerRecomputeUnit));
+  const double mebibytes =
+    static_cast<double>(aMissing * this->BlockBytes()) / static_cast<double>(kMebibyte);
+  // Written once, and read again when it returns.
+  const double price = aOffer.objective.link * mebibytes * (1 + share);
+  return saved > price;
+}
+
+Result<ExportGrant>
+StoreOwner::GrantExport(const KeepOffer& aOffer)
+{
+  const PromptKind kind = this->KindOf(aOffer);
+  const std::uint64_t kept = this->directory.LookUp(aOffer.blocks, aOffer.scope).blocks;
+  const std::uint64_t missing = aOffer.blocks.size() - kept;
+  if (missing == 0 || !this->IsWorthKeeping(aOffer, missing, kind)) {
+    return Fail(ErrorKind::NotFound, "nothing is worth exporting", "");
+  }
+  const std::uint64_t count = std::min(missing, this->BlocksPerGrant());
+  const ByteCount length(this->BlockBytes());
+  const ByteCount wanted(count * length.Value());
+  if (!this->link.Take(Transfer::Export, wanted)) {
+    return LinkBusy();
+  }
+  ExportGrant grant;
+  for (std::uint64_t at = kept; at < kept + count; ++at) {
+    auto reserved = this->directory.Reserve(aOffer.blocks[at], aOffer.scope, length, kind);
+    if (reserved) {
+      grant.blocks.push_back(reserved.value());
+    } else if (reserved.error().kind == ErrorKind::Overloaded) {
+      break;
+    }
+  }
+  grant.bytes = ByteCount(grant.blocks.size() * length.Value());
+  this->link.OnUnused(ByteCount(wanted.Value() - grant.bytes.Value()));
+  if (grant.blocks.empty()) {
+    return Fail(ErrorKind::NotFound, "the store has no room for what it lacks", "");
+  }
+  for (const ReservedBlock& block : grant.blocks) {
+    (void)this->directory.BeginWriting(block.block, block.generation);
+  }
+  return grant;
+}
+
+void
+StoreOwner::OnExported(const ExportGrant& aGrant,
+                       const std::vector<ExportedBlock>& aExported,
+                       Duration aElapsed)
+{
+  for (const ExportedBlock& block : aExported) {
+    (void)this->directory.Seal(block.block, block.generation, block.length, block.checksum);
+  }
+  for (const ReservedBlock& block : aGrant.blocks) {
+    this->directory.Abandon(block.block, block.generation);
+  }
+  if (aExported.empty()) {
+    this->link.OnFailed(aGrant.bytes);
+  } else {
+    this->link.OnMoved(aGrant.bytes, aElapsed);
+  }
+}
+
+std::uint64_t
+StoreOwner::BlockBytes() const
+{
+  return this->options.declared.bytesPerToken.Value() * kBlockTokens;
+}
+
+std::uint64_t
+StoreOwner::BlocksPerGrant() const
+{
+  const double seconds = std::chrono::duration<double>(this->options.chunk).count();
+  const auto budget = static_cast<double>(this->options.declared.linkBytesPerSecond.Value());
+  const std::uint64_t bytes = std::max<std::uint64_t>(1, this->BlockBytes());
+  return std::max<std::uint64_t>(1, static_cast<std::uint64_t>(budget * seconds) / bytes);
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/test/coordination/PrefixViewTest.cpp
@@ -0,0 +1,161 @@
+#include "damasklink/coordination/PrefixView.h"
+
+#include <algorithm>
+#include <set>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "damasklink/state/Digests.h"
+#include "damasklink/state/Text.h"
+
+namespace damasklink {
+namespace {
+
+const TargetId kTarget("engine-1");
+const TargetId kOther("engine-2");
+
+std::vector<Digest>
+Blocks(int aFrom, int aTo)
+{
+  std::vector<Digest> blocks;
+  for (int number = aFrom; number < aTo; ++number) {
+    blocks.push_back(DigestOf(Concat("block ", number)));
+  }
+  return blocks;
+}
+
+CacheEvent
+Event(std::uint64_t aSequence, std::vector<Digest> aAdded, std::vector<Digest> aRemoved = {})
+{
+  return { kTarget, Incarnation(1), Sequence(aSequence), std::move(aAdded), std::move(aRemoved) };
+}
+
+std::uint64_t
+DepthAt(PrefixView& aView, const TargetId& aTarget, const std::vector<Digest>& aPrompt)
+{
+  aView.Match(aPrompt);
+  return aView.Depth(aView.IndexOf(aTarget));
+}
+
+TEST(PrefixViewTest, ExpectsWhatWasSent)
+{
+  PrefixView view(100);
+  view.OnSent(kTarget, Blocks(0, 4));
+  EXPECT_EQ(DepthAt(view, kTarget, Blocks(0, 6)), 4U);
+  EXPECT_EQ(DepthAt(view, kOther, Blocks(0, 6)), 0U);
+}
+
+TEST(PrefixViewTest, CountsLeadingBlocksOnly)
+{
+  PrefixView view(100);
+  view.OnSent(kTarget, Blocks(0, 4));
+  view.OnEvent(Event(1, {}, Blocks(1, 2)));
+  EXPECT_EQ(DepthAt(view, kTarget, Blocks(0, 4)), 1U);
+}
+
+TEST(PrefixViewTest, IgnoresAnEventThatComesTwice)
+{
+  PrefixView view(100);
+  view.OnEvent(Event(1, Blocks(0, 2)));
+  view.OnEvent(Event(2, {}, Blocks(0, 2)));
+  view.OnEvent(Event(1, Blocks(0, 2)));
+  EXPECT_EQ(DepthAt(view, kTarget, Blocks(0, 2)), 0U);
+}
+
+TEST(PrefixViewTest, GapMarksStaleUntilSnapshot)
+{
+  PrefixView view(100);
+  view.OnEvent(Event(1, Blocks(0, 2)));
+  view.OnEvent(Event(3, Blocks(2, 3)));
+  EXPECT_EQ(view.Stale(), std::vector<TargetId>{ kTarget });
+  view.OnSnapshot({ kTarget, Incarnation(1), Sequence(3), Blocks(5, 6) });
+  EXPECT_TRUE(view.Stale().empty());
+  EXPECT_EQ(DepthAt(view, kTarget, Blocks(0, 3)), 0U);
+  EXPECT_EQ(DepthAt(view, kTarget, Blocks(5, 6)), 1U);
+}
+
+TEST(PrefixViewTest, SnapshotOlderThanEventsIsIgnored)
+{
+  PrefixView view(100);
+  view.OnEvent(Event(1, Blocks(0, 1)));
+  view.OnEvent(Event(2, Blocks(1, 2)));
+  view.OnSnapshot({ kTarget, Incarnation(1), Sequence(1), Blocks(0, 1) });
+  EXPECT_EQ(DepthAt(view, kTarget, Blocks(0, 2)), 2U);
+}
+
+TEST(PrefixViewTest, RestartedTargetHoldsNothing)
+{
+  PrefixView view(100);
+  view.OnEvent(Event(1, Blocks(0, 2)));
+  CacheEvent reborn = Event(1, {});
+  reborn.incarnation = Incarnation(2);
+  view.OnEvent(reborn);
+  EXPECT_EQ(DepthAt(view, kTarget, Blocks(0, 2)), 0U);
+}
+
+TEST(PrefixViewTest, ForgottenTargetLeavesNothingToTheNext)
+{
+  PrefixView view(100);
+  view.OnSent(kTarget, Blocks(0, 2));
+  view.Forget(kTarget);
+  EXPECT_EQ(view.Size(), 0U);
+  EXPECT_EQ(DepthAt(view, kOther, Blocks(0, 2)), 0U);
+}
+
+// Whatever is lost, late, doubled or out of order: after a snapshot the view is the engine's cache.
+RC_GTEST_PROP(PrefixViewTest, AnyEventsThenSnapshotGiveTheEnginesCache, ())
+{
+  constexpr int kBlocks = 8;
+  PrefixView view(100);
+  std::set<int> truth;
+  std::vector<CacheEvent> sent;
+  const auto changes = *rc::gen::container<std::vector<std::pair<bool, int>>>(
+    rc::gen::pair(rc::gen::arbitrary<bool>(), rc::gen::inRange(0, kBlocks)));
+  for (const auto& [added, block] : changes) {
+    const auto one = Blocks(block, block + 1);
+    if (added) {
+      truth.insert(block);
+    } else {
+      truth.erase(block);
+    }
+    sent.push_back(Event(
+      sent.size() + 1, added ? one : std::vector<Digest>(), added ? std::vector<Digest>() : one));
+  }
+  const std::size_t total = sent.size();
+  const auto order = *rc::gen::container<std::vector<std::size_t>>(
+    rc::gen::inRange<std::size_t>(0, std::max<std::size_t>(1, total)));
+  bool complete = order.size() >= total;
+  for (std::size_t at = 0; at < order.size() && total > 0; ++at) {
+    complete = complete && (at >= total || order[at] == at);
+    view.OnEvent(sent[order[at]]);
+  }
+  if (!complete || total == 0) {
+    CacheSnapshot snapshot{ kTarget, Incarnation(1), Sequence(total), {} };
+    for (const int block : truth) {
+      snapshot.blocks.push_back(Blocks(block, block + 1).front());
+    }
+    view.OnSnapshot(snapshot);
+  }
+  RC_ASSERT(view.Size() == truth.size());
+  for (int block = 0; block < kBlocks; ++block) {
+    const std::uint64_t depth = DepthAt(view, kTarget, Blocks(block, block + 1));
+    RC_ASSERT(depth == truth.count(block));
+  }
+}
+
+RC_GTEST_PROP(PrefixViewTest, StaysWithinItsBound, ())
+{
+  constexpr std::uint64_t kMost = 10;
+  PrefixView view(kMost);
+  const auto starts = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 60));
+  for (const int start : starts) {
+    view.OnSent(kTarget, Blocks(start, start + 4));
+    RC_ASSERT(view.Size() <= kMost);
+    // The latest prompt is never what goes.
+    RC_ASSERT(DepthAt(view, kTarget, Blocks(start, start + 4)) == 4);
+  }
+}
+
+} // namespace
+} // namespace damasklink
