--- a/bench/PolicyJobs.cpp
+++ b/bench/PolicyJobs.cpp
@@ -49,6 +49,7 @@
     if (!this->IsCut(aPrompt.host, number)) {
       const StoredPrefix kept =
         this->stores[number].owner->LookUp(this->ScopeOf(*job), route.blocks);
+      job->returning = job->returning || kept.returning;
       if (kept.blocks > 0) {
         route.stored.push_back(kept);
       }
@@ -379,6 +380,7 @@
   offer.scope = this->ScopeOf(aJob);
   offer.blocks.assign(aJob.blocks->begin(),
                       aJob.blocks->begin() + static_cast<std::ptrdiff_t>(aBlocks));
+  offer.returning = aJob.returning;
   offer.objective = this->user.objective;
   offer.prefillRate = this->user.prefillRate;
   // The store that keeps most of it already, else the one whose link is less busy.
--- a/bench/PolicySimulation.h
+++ b/bench/PolicySimulation.h
@@ -21,6 +21,7 @@
   RouteRequest route;
   RouteDecision decision;
   std::uint32_t engine = 0;
+  bool returning = false;
   Duration sentAt{ 0 };
   // Tokens to compute, as of when it was queued.
   double work = 0;
--- a/bench/PolicyWorkload.cpp
+++ b/bench/PolicyWorkload.cpp
@@ -22,6 +22,9 @@
 constexpr double kWarmShare = 0.25;
 constexpr double kLeastGap = 5;
 constexpr double kMostGap = kHorizon;
+// Workspaces differ in how often their prompts return.
+constexpr double kLeastReturning = 0.25;
+constexpr double kMostReturns = 0.92;
 constexpr std::uint64_t kMostTokens = 60'000;
 
 double
@@ -65,6 +68,7 @@
     for (std::uint64_t workspace = 0; workspace < aUser.workspaces; ++workspace) {
       this->shared.push_back(LogUniform(this->random, aUser.sharedLeast, aUser.sharedMost));
       // A few large ones: each half as big as the one before it, down to a floor.
+      this->returning.push_back(kLeastReturning + Uniform(this->random));
       this->sizes.push_back(std::max(0.04, std::pow(0.5, static_cast<double>(workspace))));
     }
   }
@@ -136,7 +140,8 @@
       this->seenTokens += seen;
       seen = tokens + static_cast<double>(prompt.answerTokens);
       this->NameUpTo(aConversation, static_cast<std::uint64_t>(seen));
-      if (Uniform(this->random) > shape.returns) {
+      const double chance = shape.returns * this->returning[aConversation.workspace];
+      if (Uniform(this->random) > std::min(chance, kMostReturns)) {
         return;
       }
       tokens = seen + LogUniform(this->random, shape.addedLeast, shape.addedMost);
@@ -160,6 +165,8 @@
   Random random;
   std::vector<double> shared;
   std::vector<double> sizes;
+  // How much likelier than usual its prompts are to return, by workspace.
+  std::vector<double> returning;
   Trace trace;
   double freshTokens = 0;
   double seenTokens = 0;
@@ -206,7 +213,7 @@
                  ByteCount(128 * kGibibyte),
                  ByteCount(400'000'000),
                  ByteCount(32 * kKibibyte) };
-  user.objective = { 0.1, 1.0, 0.005 };
+  user.objective = { 0.3, 1.0, 0.0088 };
   user.sharedLeast = 500;
   user.sharedMost = 2000;
   user.conversations = {
--- a/include/damasklink/coordination/ReturnPredictor.h
+++ b/include/damasklink/coordination/ReturnPredictor.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <tuple>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -21,14 +22,15 @@
   std::uint64_t mostAwaited = 100'000;
 };
 
-// A kind of prompt: those of one workspace of about the same length.
+// A kind of prompt: those of one workspace, of about the same length, that go on with an earlier
+// prompt or do not.
 using PromptKind = std::uint16_t;
 
 // Counts, per kind, how many of the prompts that were answered were extended by a later one.
 //
 //   ReturnPredictor returns(ReturnPredictorOptions{});
-//   const PromptKind kind = returns.KindOf(workspace, tokens);
-//   returns.OnPrompt(blocks);           // Counts the earlier prompt that this one extends.
+//   const PromptKind kind = returns.KindOf(workspace, tokens, returning);
+//   const bool returning = returns.OnPrompt(blocks);
 //   returns.OnAnswered(kind, blocks);   // From now on it may return.
 //   returns.Share(kind);
 //
@@ -40,10 +42,11 @@
   explicit ReturnPredictor(ReturnPredictorOptions aOptions);
 
   // Returns the kind of a prompt.
-  PromptKind KindOf(const WorkspaceId& aWorkspace, TokenCount aTokens);
+  PromptKind KindOf(const WorkspaceId& aWorkspace, TokenCount aTokens, bool aReturning);
 
-  // Takes note of an arriving prompt by the names of its blocks.
-  void OnPrompt(const std::vector<Digest>& aBlocks);
+  // Takes note of an arriving prompt by the names of its blocks. Returns whether it goes on with an
+  // earlier one, which is then counted as returned.
+  bool OnPrompt(const std::vector<Digest>& aBlocks);
 
   // Takes note of a prompt that was answered.
   void OnAnswered(PromptKind aKind, const std::vector<Digest>& aBlocks);
@@ -59,7 +62,7 @@
   };
 
   ReturnPredictorOptions options;
-  absl::flat_hash_map<std::pair<WorkspaceId, int>, PromptKind> kinds;
+  absl::flat_hash_map<std::tuple<WorkspaceId, int, bool>, PromptKind> kinds;
   std::vector<Count> counts;
   // The last block of each prompt that may return, and its kind.
   absl::flat_hash_map<std::uint64_t, PromptKind> awaited;
--- a/include/damasklink/coordination/Router.h
+++ b/include/damasklink/coordination/Router.h
@@ -21,6 +21,8 @@
   ByteCount bytes;
   // What the store's link has left over for this import.
   double freeBytesPerSecond = 0;
+  // Whether the store's owner knows the prompt as one that goes on with an earlier one.
+  bool returning = false;
 };
 
 // What a policy may know of a prompt.
--- a/include/damasklink/coordination/StoreOwner.h
+++ b/include/damasklink/coordination/StoreOwner.h
@@ -28,6 +28,8 @@
 {
   BlockScope scope;
   std::vector<Digest> blocks;
+  // As the look-up said; see StoredPrefix.
+  bool returning = false;
   ObjectiveWeights objective;
   // Rate at which the prompt would be computed again, in tokens a second.
   double prefillRate = 0;
--- a/src/coordination/ReturnPredictor.cpp
+++ b/src/coordination/ReturnPredictor.cpp
@@ -26,9 +26,9 @@
 }
 
 PromptKind
-ReturnPredictor::KindOf(const WorkspaceId& aWorkspace, TokenCount aTokens)
+ReturnPredictor::KindOf(const WorkspaceId& aWorkspace, TokenCount aTokens, bool aReturning)
 {
-  const auto key = std::make_pair(aWorkspace, LengthClass(aTokens));
+  const auto key = std::make_tuple(aWorkspace, LengthClass(aTokens), aReturning);
   const auto found = this->kinds.find(key);
   if (found != this->kinds.end()) {
     return found->second;
@@ -42,7 +42,7 @@
   return kind;
 }
 
-void
+bool
 ReturnPredictor::OnPrompt(const std::vector<Digest>& aBlocks)
 {
   for (auto block = aBlocks.rbegin(); block != aBlocks.rend(); ++block) {
@@ -50,9 +50,10 @@
     if (found != this->awaited.end()) {
       this->counts[found->second].returned += 1;
       this->awaited.erase(found);
-      return;
+      return true;
     }
   }
+  return false;
 }
 
 void
--- a/src/coordination/StoreOwner.cpp
+++ b/src/coordination/StoreOwner.cpp
@@ -38,7 +38,7 @@
 StoredPrefix
 StoreOwner::LookUp(const BlockScope& aScope, const std::vector<Digest>& aBlocks)
 {
-  this->returns.OnPrompt(aBlocks);
+  const bool returning = this->returns.OnPrompt(aBlocks);
   const KeptPrefix kept = this->directory.LookUp(aBlocks, aScope);
   StoredPrefix stored;
   stored.store = this->options.store;
@@ -46,6 +46,7 @@
   stored.tokens = TokenCount(kept.blocks * kBlockTokens);
   stored.bytes = kept.bytes;
   stored.freeBytesPerSecond = this->link.RateFor(kept.bytes);
+  stored.returning = returning;
   return stored;
 }
 
@@ -104,8 +105,8 @@
 PromptKind
 StoreOwner::KindOf(const KeepOffer& aOffer)
 {
-  return this->returns.KindOf(aOffer.scope.workspace,
-                              TokenCount(aOffer.blocks.size() * kBlockTokens));
+  return this->returns.KindOf(
+    aOffer.scope.workspace, TokenCount(aOffer.blocks.size() * kBlockTokens), aOffer.returning);
 }
 
 void
--- /dev/null
+++ b/test/coordination/LinkBudgetTest.cpp
@@ -0,0 +1,104 @@
+#include "damasklink/coordination/LinkBudget.h"
+
+#include <deque>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace damasklink {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr ByteCount kBudget(1000);
+
+TEST(LinkBudgetTest, RefusesMoreThanASecondsWorth)
+{
+  ManualClock clock;
+  LinkBudget link(clock, kBudget);
+  EXPECT_FALSE(link.Take(Transfer::Import, ByteCount(1001)));
+  EXPECT_TRUE(link.Take(Transfer::Import, kBudget));
+  clock.Advance(milliseconds(999));
+  EXPECT_FALSE(link.Take(Transfer::Import, ByteCount(1)));
+  clock.Advance(milliseconds(1));
+  EXPECT_TRUE(link.Take(Transfer::Import, kBudget));
+}
+
+TEST(LinkBudgetTest, ExportsYieldToAWaitingImport)
+{
+  ManualClock clock;
+  LinkBudget link(clock, kBudget);
+  EXPECT_TRUE(link.Take(Transfer::Export, ByteCount(900)));
+  EXPECT_FALSE(link.Take(Transfer::Import, ByteCount(500)));
+  EXPECT_FALSE(link.Take(Transfer::Export, ByteCount(50)));
+  clock.Advance(std::chrono::seconds(1));
+  EXPECT_TRUE(link.Take(Transfer::Import, ByteCount(500)));
+}
+
+TEST(LinkBudgetTest, ExpectsLessOfALinkThatSlowedDown)
+{
+  ManualClock clock;
+  LinkBudget link(clock, kBudget);
+  for (int number = 0; number < 20; ++number) {
+    ASSERT_TRUE(link.Take(Transfer::Import, ByteCount(100)));
+    clock.Advance(std::chrono::seconds(10));
+    link.OnMoved(ByteCount(100), std::chrono::seconds(10));
+  }
+  EXPECT_NEAR(link.RateFor(ByteCount(100)), 10, 2);
+}
+
+TEST(LinkBudgetTest, SharesTheRateWithWhatIsUnderWay)
+{
+  ManualClock clock;
+  LinkBudget link(clock, kBudget);
+  EXPECT_EQ(link.RateFor(ByteCount(100)), 1000);
+  ASSERT_TRUE(link.Take(Transfer::Import, ByteCount(300)));
+  EXPECT_EQ(link.RateFor(ByteCount(100)), 250);
+  link.OnMoved(ByteCount(300), milliseconds(300));
+  EXPECT_EQ(link.RateFor(ByteCount(100)), 1000);
+}
+
+RC_GTEST_PROP(LinkBudgetTest, NoSecondExceedsTheBudget, ())
+{
+  ManualClock clock;
+  LinkBudget link(clock, kBudget);
+  std::deque<std::pair<MonotonicTime, std::uint64_t>> granted;
+  const auto steps = *rc::gen::container<std::vector<std::tuple<bool, int, int>>>(
+    rc::gen::tuple(rc::gen::arbitrary<bool>(), rc::gen::inRange(0, 700), rc::gen::inRange(0, 400)));
+  for (const auto& [isImport, bytes, wait] : steps) {
+    clock.Advance(milliseconds(wait));
+    const ByteCount wanted(static_cast<std::uint64_t>(bytes));
+    if (link.Take(isImport ? Transfer::Import : Transfer::Export, wanted)) {
+      granted.emplace_back(clock.MonotonicNow(), wanted.Value());
+    }
+    std::uint64_t lastSecond = 0;
+    for (const auto& [at, amount] : granted) {
+      lastSecond += clock.MonotonicNow() - at < std::chrono::seconds(1) ? amount : 0;
+    }
+    RC_ASSERT(lastSecond <= kBudget.Value());
+  }
+}
+
+TEST(ImportPatienceTest, EndsWhenComputingIsCheaper)
+{
+  // A second to compute, by time alone.
+  const ImportRest rest{ ByteCount(1000), TokenCount(1000), 999, 1000 };
+  const ObjectiveWeights time{ 1.0, 0.0, 0.0 };
+  EXPECT_EQ(ImportPatience(rest, time), std::chrono::seconds(1));
+  EXPECT_TRUE(ShouldAbandonImport(rest, time));
+  ImportRest faster = rest;
+  faster.bytesPerSecond = 1001;
+  EXPECT_FALSE(ShouldAbandonImport(faster, time));
+}
+
+TEST(ImportPatienceTest, IsLongerWhereRecomputingIsWeighed)
+{
+  const ImportRest rest{ ByteCount(1000), TokenCount(1000), 500, 1000 };
+  EXPECT_FALSE(ShouldAbandonImport(rest, { 1.0, 2.0, 0.0 }));
+  ImportRest stuck = rest;
+  stuck.bytesPerSecond = 0;
+  EXPECT_TRUE(ShouldAbandonImport(stuck, { 1.0, 2.0, 0.0 }));
+}
+
+} // namespace
+} // namespace damasklink
