--- a/src/coordination/BlockDirectory.cpp
+++ b/src/coordination/BlockDirectory.cpp
@@ -1,15 +1,17 @@
 #include "damasklink/coordination/BlockDirectory.h"
 
 #include <algorithm>
-#include <cstring>
+#include <charconv>
 
 #include "damasklink/state/Digests.h"
 #include "damasklink/state/Text.h"
-#include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
 
 namespace damasklink {
 namespace {
 
+constexpr std::size_t kHexDigitsPerWord = 16;
+constexpr int kHexBase = 16;
 // Generations that one owner can give before it would reach those of the next one.
 constexpr unsigned kGenerationBits = 32;
 // Blocks used within this time rank alike.
@@ -48,9 +50,10 @@
 Checksum
 ChecksumOf(std::string_view aContent)
 {
-  constexpr std::size_t kHexDigits = 16;
-  constexpr int kHexBase = 16;
-  return Checksum(std::stoull(DigestOf(aContent).Value().substr(0, kHexDigits), nullptr, kHexBase));
+  const std::string digits = DigestOf(aContent).Value();
+  std::uint64_t number = 0;
+  std::from_chars(digits.data(), digits.data() + kHexDigitsPerWord, number, kHexBase);
+  return Checksum(number);
 }
 
 Result<void>
@@ -319,17 +322,24 @@
 BlockDirectory::Name
 BlockDirectory::NameOf(const Digest& aBlock)
 {
-  const std::string raw = absl::HexStringToBytes(ForAbsl(aBlock.Value()));
   Name name{};
-  std::memcpy(name.data(), raw.data(), std::min(raw.size(), sizeof(name)));
+  const std::string& text = aBlock.Value();
+  const std::size_t words = std::min(name.size(), text.size() / kHexDigitsPerWord);
+  for (std::size_t word = 0; word < words; ++word) {
+    const char* digits = text.data() + (word * kHexDigitsPerWord);
+    std::from_chars(digits, digits + kHexDigitsPerWord, name[word], kHexBase);
+  }
   return name;
 }
 
 Digest
 BlockDirectory::DigestOfName(const Name& aName)
 {
-  const std::string_view raw(reinterpret_cast<const char*>(aName.data()), sizeof(aName));
-  return Digest(absl::BytesToHexString(ForAbsl(raw)));
+  std::string text;
+  for (const std::uint64_t word : aName) {
+    absl::StrAppend(&text, absl::Hex(word, absl::kZeroPad16));
+  }
+  return Digest(std::move(text));
 }
 
 BlockDirectory::Record*
