Reuse wired: owners of stores by lease, questions between hosts, import and export orders

Each zone's stores are owned by one of its hosts through the zone's claims group. The stand-in engine names its blocks as the system does and checks what it imports; the stand-in store keeps blocks behind a slow link, with faults on demand.

Seams: EnginePrompt carries the workspace, which is part of a block's name; RouteDecision tells how many blocks the target is believed to hold.

--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -13,6 +13,7 @@
 // What relaying costs against the engine called directly; tools/bench-relay starts the processes.
 int
 RunRelay(const std::vector<std::string>& aArguments);
+
 // Routing and reuse against baselines, under a virtual clock.
 int
 RunPolicyBench(const std::vector<std::string>& aArguments);
--- a/include/damasklink/coordination/BlockDirectory.h
+++ b/include/damasklink/coordination/BlockDirectory.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <limits>
+#include <set>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -154,6 +155,9 @@
   // Drains every block of a weight version.
   void DrainVersion(const ModelName& aModel, const WeightVersion& aVersion);
 
+  // Returns the models and weight versions that it has ever held blocks of.
+  std::set<std::pair<ModelName, WeightVersion>> Versions() const;
+
   // Returns how many leading blocks of a prompt are sealed here, and marks them as used now.
   KeptPrefix LookUp(const std::vector<Digest>& aBlocks, const BlockScope& aScope);
 
--- a/include/damasklink/coordination/CostRouter.h
+++ b/include/damasklink/coordination/CostRouter.h
@@ -141,6 +141,7 @@
     double firstToken = 0;
     double wait = 0;
     double prefill = 0;
+    std::uint64_t held = 0;
     const StoredPrefix* from = nullptr;
   };
 
--- a/include/damasklink/coordination/Router.h
+++ b/include/damasklink/coordination/Router.h
@@ -59,8 +59,10 @@
   TokenCount expectedPrefill;
   // Store to import from before the prompt is sent; empty for none.
   StoreId importFrom;
-  // Blocks that the import brings.
+  // The import brings the blocks from the first that the target is not believed to hold up to here.
   std::uint64_t importBlocks = 0;
+  // Leading blocks that the target is believed to hold.
+  std::uint64_t heldBlocks = 0;
   // The policy's own mark, by which it knows the decision again.
   std::uint64_t ticket = 0;
 };
--- a/include/damasklink/protocol/EngineApi.h
+++ b/include/damasklink/protocol/EngineApi.h
@@ -16,6 +16,8 @@
 struct EnginePrompt
 {
   AttemptId attempt;
+  // Part of the names of the prompt's blocks (BlockNames.h).
+  WorkspaceId workspace;
   ModelName model;
   WeightVersion version;
   AdapterName adapter;
--- a/src/coordination/BlockDirectory.cpp
+++ b/src/coordination/BlockDirectory.cpp
@@ -245,6 +245,16 @@
   }
 }
 
+std::set<std::pair<ModelName, WeightVersion>>
+BlockDirectory::Versions() const
+{
+  std::set<std::pair<ModelName, WeightVersion>> versions;
+  for (const BlockScope& scope : this->scopes) {
+    versions.emplace(scope.model, scope.version);
+  }
+  return versions;
+}
+
 KeptPrefix
 BlockDirectory::LookUp(const std::vector<Digest>& aBlocks, const BlockScope& aScope)
 {
--- a/src/coordination/CostRouter.cpp
+++ b/src/coordination/CostRouter.cpp
@@ -106,6 +106,7 @@
   decision.version = this->EligibilityOf(aRequest)[best->state].version;
   decision.expectedFirstToken = FromSeconds(estimate.firstToken);
   decision.expectedPrefill = TokenCount(static_cast<std::uint64_t>(estimate.prefill));
+  decision.heldBlocks = estimate.held;
   if (estimate.from != nullptr) {
     decision.importFrom = estimate.from->store;
     decision.importBlocks = estimate.from->blocks;
@@ -323,6 +324,7 @@
   };
   Estimate best;
   best.wait = wait;
+  best.held = depth;
   best.prefill = fresh;
   best.firstToken = wait + (best.prefill / rate);
   best.cost = cost(best.firstToken, best.prefill, 0);
@@ -338,6 +340,7 @@
     const double bytes = static_cast<double>(stored.bytes.Value()) * missing;
     Estimate import;
     import.wait = wait;
+    import.held = depth;
     import.prefill = std::max(0.0, prompt - static_cast<double>(stored.tokens.Value()));
     import.firstToken = std::max(wait, bytes / stored.freeBytesPerSecond) + (import.prefill / rate);
     import.cost = cost(import.firstToken, import.prefill, bytes);
--- a/src/coordination/StoreLeases.cpp
+++ b/src/coordination/StoreLeases.cpp
@@ -39,7 +39,7 @@
       this->rest = {};
       return {};
     }
-    const std::string text(this->rest.substr(colon + 1, size));
+    std::string text(this->rest.substr(colon + 1, size));
     this->rest.remove_prefix(colon + 1 + size);
     return text;
   }
--- a/src/program/CompletionRelay.cpp
+++ b/src/program/CompletionRelay.cpp
@@ -74,6 +74,7 @@
 
   EnginePrompt prompt;
   prompt.attempt = AttemptId(Concat(this->id.Value(), "-", this->record.Attempts().size() + 1));
+  prompt.workspace = this->route.workspace;
   prompt.model = this->request.model;
   prompt.version = this->decision.version;
   prompt.adapter = this->request.adapter;
--- a/src/program/ReusePart.cpp
+++ b/src/program/ReusePart.cpp
@@ -1,23 +1,65 @@
 #include "ReusePart.h"
 
+#include "Responses.h"
+
 namespace damasklink {
+namespace {
+
+constexpr std::size_t kMostCalls = 1024;
+// Answered prompts that wait to be exported; later ones are not kept.
+constexpr std::size_t kMostKept = 4096;
+
+} // namespace
 
 ReusePart::ReusePart(const HostContext& aContext, Replicator& aGroups)
   : context(aContext)
   , groups(aGroups)
-  , routing(std::make_unique<LeastLoadedRouter>())
+  , router(new CostRouter(aContext.clock, CostRouterOptions()))
+  , routing(std::unique_ptr<Router>(this->router))
+  , work(kMostCalls)
+  , stores{ aGroups, this->routing, *this->router, this->answers, this->work }
+  , module(aContext, this->stores)
+  , keeper(kMostKept)
+  , reuse(aContext, this->stores, this->module, this->keeper)
 {
 }
 
 Result<void>
 ReusePart::Start()
 {
+  this->groups.AddMachine(
+    ClaimsGroupId(this->context.settings.zone), MachinePart::Leases, this->leases);
+  this->context.control.Add(Channel::Stores, this->module);
+  this->work.Start();
+  this->keeper.Start();
   return Success();
 }
 
 void
-ReusePart::AddRoutes(const HostServers& /*aServers*/)
+ReusePart::AddRoutes(const HostServers& aServers)
+{
+  aServers.targets.Route("POST", kCacheEventPath, [this](const HttpRequest& aRequest) {
+    return this->TakeCacheEvent(aRequest);
+  });
+}
+
+HttpResponse
+ReusePart::TakeCacheEvent(const HttpRequest& aRequest)
 {
+  if (auto checked = CheckKey(aRequest, this->context.settings.targetKeys); !checked) {
+    return RefusalResponse(checked.error());
+  }
+  auto event = ParseCacheEvent(aRequest.body);
+  if (!event) {
+    return RefusalResponse(event.error());
+  }
+  const bool taken = this->context.control.Post(
+    [this, taken = std::move(event.value())] { this->module.TakeCacheEvent(taken); });
+  if (!taken) {
+    return RefusalResponse(
+      Error{ ErrorKind::Overloaded, "the host has no room for the event", "send it again" });
+  }
+  return TextResponse("{}");
 }
 
 } // namespace damasklink
--- a/src/program/ReusePart.h
+++ b/src/program/ReusePart.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "HostContext.h"
+#include "ReuseService.h"
 #include "RoutingDesk.h"
+#include "StoresModule.h"
 #include "damasklink/coordination/PromptReuse.h"
 #include "damasklink/coordination/Replication.h"
 
@@ -22,10 +24,20 @@
   void AddRoutes(const HostServers& aServers);
 
 private:
+  HttpResponse TakeCacheEvent(const HttpRequest& aRequest);
+
   const HostContext& context;
   Replicator& groups;
+  // Owned by the desk.
+  CostRouter* router;
   RoutingDesk routing;
-  NoReuse reuse;
+  StoreLeases leases;
+  StoreAnswers answers;
+  WorkThread work;
+  StoresContext stores;
+  StoresModule module;
+  WorkThread keeper;
+  ReuseService reuse;
 };
 
 } // namespace damasklink
--- a/src/program/RoutingDesk.h
+++ b/src/program/RoutingDesk.h
@@ -1,6 +1,7 @@
 // Shares one Router between the traffic threads.
 #pragma once
 
+#include <functional>
 #include <memory>
 
 #include <absl/base/thread_annotations.h>
@@ -46,6 +47,13 @@
     this->router->OnDone(aRequest, aDecision, aWhole);
   }
 
+  // Runs an action that uses the router besides, under the lock.
+  void Run(const std::function<void()>& aAction)
+  {
+    absl::MutexLock lock(&this->mutex);
+    aAction();
+  }
+
 private:
   absl::Mutex mutex;
   std::unique_ptr<Router> router ABSL_GUARDED_BY(mutex);
--- /dev/null
+++ b/src/program/StoresModule.cpp
@@ -0,0 +1,385 @@
+#include "StoresModule.h"
+
+#include "damasklink/protocol/StoresCodec.h"
+#include "damasklink/state/Text.h"
+#include "damasklink/state/Units.h"
+#include "damasklink/transport/HttpClient.h"
+#include "damasklink/transport/Log.h"
+
+namespace damasklink {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kShareEvery = milliseconds(100);
+constexpr Duration kCareEvery = seconds(1);
+constexpr Duration kLease = seconds(6);
+// The owner stops that much before its lease ends, by its own clock from when it asked.
+constexpr Duration kLeaseMargin = seconds(1);
+// An owner that was not heard of for so long may be gone; its lease decides.
+constexpr Duration kOwnerSilence = seconds(3);
+constexpr Duration kProposalTimeout = seconds(2);
+constexpr Duration kCallTimeout = seconds(2);
+constexpr ByteCount kMostInventory{ 256 * kMebibyte };
+constexpr int kOk = 200;
+
+HttpCall
+CallTo(const Endpoint& aEndpoint, const std::string& aMethod, const std::string& aPath)
+{
+  HttpCall call;
+  call.endpoint = aEndpoint;
+  call.method = aMethod;
+  call.path = aPath;
+  call.headers = { { "content-type", "application/json" } };
+  call.readTimeout = kCallTimeout;
+  return call;
+}
+
+} // namespace
+
+// Sorts messages by their kind.
+struct StoresModule::Receiver
+{
+  StoresModule& module;
+  const HostId& from;
+
+  void operator()(const OwnerNotice& aNotice) const { this->module.TakeOwnerNotice(aNotice); }
+
+  void operator()(const StoreQuestion& aQuestion) const
+  {
+    const auto owned = this->module.owned.find(aQuestion.store);
+    if (owned == this->module.owned.end()) {
+      StoreAnswer answer;
+      answer.number = aQuestion.number;
+      answer.status = AnswerStatus::NotOwner;
+      this->module.Send(this->from, answer);
+      return;
+    }
+    this->module.Send(this->from, owned->second->Answer(aQuestion));
+  }
+
+  void operator()(const StoreAnswer& aAnswer) const { this->module.stores.answers.Fulfil(aAnswer); }
+
+  void operator()(const StoreOutcome& aOutcome) const
+  {
+    const auto owned = this->module.owned.find(aOutcome.store);
+    if (owned != this->module.owned.end()) {
+      owned->second->OnOutcome(aOutcome);
+    }
+  }
+
+  void operator()(const SendsNotice& aSends) const
+  {
+    this->module.stores.routing.Run([&] { this->module.stores.router.OnPeerSends(aSends); });
+  }
+
+  void operator()(const CacheEvent& aEvent) const
+  {
+    this->module.stores.routing.Run([&] { this->module.stores.router.Caches().OnEvent(aEvent); });
+  }
+
+  void operator()(const CacheSnapshot& aSnapshot) const
+  {
+    this->module.stores.routing.Run(
+      [&] { this->module.stores.router.Caches().OnSnapshot(aSnapshot); });
+  }
+};
+
+StoresModule::StoresModule(const HostContext& aContext, const StoresContext& aStores)
+  : context(aContext)
+  , stores(aStores)
+{
+}
+
+void
+StoresModule::Ask(StoreQuestion aQuestion)
+{
+  const auto mine = this->owned.find(aQuestion.store);
+  if (mine != this->owned.end()) {
+    this->stores.answers.Fulfil(mine->second->Answer(aQuestion));
+    return;
+  }
+  const auto other = this->others.find(aQuestion.store);
+  if (other != this->others.end()) {
+    this->Send(other->second.host, std::move(aQuestion));
+    return;
+  }
+  StoreAnswer nobody;
+  nobody.number = aQuestion.number;
+  nobody.status = AnswerStatus::NotOwner;
+  this->stores.answers.Fulfil(nobody);
+}
+
+void
+StoresModule::Tell(const StoreOutcome& aOutcome)
+{
+  const auto mine = this->owned.find(aOutcome.store);
+  if (mine != this->owned.end()) {
+    mine->second->OnOutcome(aOutcome);
+    return;
+  }
+  const auto other = this->others.find(aOutcome.store);
+  if (other != this->others.end()) {
+    this->Send(other->second.host, aOutcome);
+  }
+}
+
+void
+StoresModule::TakeCacheEvent(const CacheEvent& aEvent)
+{
+  Receiver{ *this, this->context.settings.host }(aEvent);
+  this->Broadcast(aEvent);
+}
+
+void
+StoresModule::OnPeerMessage(const HostId& aFrom, const PeerMessage& aMessage)
+{
+  auto message = DecodeStoresMessage(aMessage.payload);
+  if (!message) {
+    LogEvent(LogLevel::Warning, "stores_message_dropped")
+      .With("from", aFrom)
+      .With("error", message.error());
+    return;
+  }
+  std::visit(Receiver{ *this, aFrom }, message.value());
+}
+
+void
+StoresModule::OnTick(MonotonicTime aNow)
+{
+  if (aNow >= this->nextShare) {
+    this->nextShare = aNow + kShareEvery;
+    this->ShareSends();
+    this->CareForOwned(aNow);
+  }
+  if (aNow >= this->nextCare && !this->leaving) {
+    this->nextCare = aNow + kCareEvery;
+    this->CareForLeases(aNow);
+    this->FetchSnapshots();
+  }
+}
+
+void
+StoresModule::OnShutdown()
+{
+  this->leaving = true;
+  for (const auto& [store, owned] : this->owned) {
+    this->AskLease(store, Duration(0));
+  }
+  this->owned.clear();
+}
+
+void
+StoresModule::TakeOwnerNotice(const OwnerNotice& aNotice)
+{
+  KnownOwner& known = this->others[aNotice.store];
+  if (aNotice.fencing < known.fencing) {
+    return;
+  }
+  known = { aNotice.owner, aNotice.fencing, this->context.clock.MonotonicNow() };
+  const auto mine = this->owned.find(aNotice.store);
+  if (mine != this->owned.end() && mine->second->Fencing() < aNotice.fencing) {
+    this->owned.erase(mine);
+  }
+}
+
+void
+StoresModule::ShareSends()
+{
+  SendsNotice sends;
+  this->stores.routing.Run([&] { sends = this->stores.router.TakeSends(); });
+  if (!sends.empty()) {
+    this->Broadcast(sends);
+  }
+}
+
+void
+StoresModule::CareForOwned(MonotonicTime /*aNow*/)
+{
+  std::set<ModelVersion> served;
+  for (const TargetRecord& target : this->context.publisher.Current().targets) {
+    for (const ServedModel& model : target.models) {
+      served.emplace(model.model, model.version);
+    }
+  }
+  for (const auto& [store, owned] : this->owned) {
+    owned->Expire();
+    owned->OnServed(served);
+    this->SendOrders(store, kFreePath, owned->Fencing(), owned->TakeFreed());
+    this->SendOrders(store, kDemotePath, owned->Fencing(), owned->TakeDemoted());
+  }
+}
+
+void
+StoresModule::CareForLeases(MonotonicTime aNow)
+{
+  std::erase_if(this->owned, [](const auto& aOwned) { return !aOwned.second->Holds(); });
+  for (const TargetRecord& target : this->context.publisher.Current().targets) {
+    if (target.kind != TargetKind::Store || target.zone != this->context.settings.zone) {
+      continue;
+    }
+    const StoreId store(target.id.Value());
+    const auto other = this->others.find(store);
+    const bool othersOwn =
+      other != this->others.end() && aNow - other->second.heard < kOwnerSilence;
+    const auto mine = this->owned.find(store);
+    if (mine != this->owned.end()) {
+      this->Broadcast(OwnerNotice{ store, this->context.settings.host, mine->second->Fencing() });
+    }
+    if (mine != this->owned.end() || !othersOwn) {
+      this->AskLease(store, kLease);
+    }
+  }
+}
+
+void
+StoresModule::AskLease(const StoreId& aStore, Duration aLength)
+{
+  const MonotonicTime asked = this->context.clock.MonotonicNow();
+  const LeaseCommand command{ aStore, this->context.settings.host, aLength };
+  this->stores.groups.Propose(ClaimsGroupId(this->context.settings.zone),
+                              MachinePart::Leases,
+                              EncodeLeaseCommand(command),
+                              kProposalTimeout,
+                              [this, aStore, asked](Result<std::string> aAnswer) {
+                                auto lease = aAnswer ? DecodeLease(aAnswer.value())
+                                                     : Result<StoreLease>(Fail(aAnswer.error()));
+                                if (lease) {
+                                  this->TakeLease(aStore, asked, lease.value());
+                                }
+                              });
+}
+
+void
+StoresModule::TakeLease(const StoreId& aStore, MonotonicTime aAsked, const StoreLease& aLease)
+{
+  const auto mine = this->owned.find(aStore);
+  if (this->leaving || aLease.owner != this->context.settings.host) {
+    if (mine != this->owned.end()) {
+      this->owned.erase(mine);
+    }
+    return;
+  }
+  const TargetRecord* store = this->FindStore(aStore);
+  if (store == nullptr) {
+    return;
+  }
+  if (mine == this->owned.end() || mine->second->Fencing() != aLease.fencing) {
+    this->Own(*store, aLease);
+  }
+  this->owned.at(aStore)->Renew(aAsked + kLease - kLeaseMargin);
+}
+
+void
+StoresModule::Own(const TargetRecord& aStore, const StoreLease& aLease)
+{
+  const StoreId store(aStore.id.Value());
+  StoreOwnerOptions options;
+  options.store = store;
+  options.declared = aStore.store;
+  this->owned[store] = std::make_unique<OwnedStore>(this->context.clock, aLease.fencing, options);
+  this->others.erase(store);
+  LogEvent(LogLevel::Info, "store_owned").With("store", store).With("fencing", aLease.fencing);
+  this->FetchInventory(store, aLease.fencing, aStore.endpoint);
+}
+
+void
+StoresModule::FetchInventory(const StoreId& aStore,
+                             FencingNumber aFencing,
+                             const Endpoint& aEndpoint)
+{
+  this->stores.work.Add([this, aStore, aFencing, aEndpoint] {
+    const auto answer = CallHttp(CallTo(aEndpoint, "GET", kBlocksPath), kMostInventory);
+    std::vector<BlockHeader> inventory;
+    if (answer && answer.value().status == kOk) {
+      auto parsed = ParseInventory(answer.value().body);
+      inventory = parsed ? std::move(parsed.value()) : std::vector<BlockHeader>();
+    }
+    // A store that does not tell what it holds is taken as empty: its blocks are lost to reuse.
+    this->context.control.Post([this, aStore, aFencing, blocks = std::move(inventory)] {
+      const auto mine = this->owned.find(aStore);
+      if (mine != this->owned.end() && mine->second->Fencing() == aFencing &&
+          !mine->second->IsReady()) {
+        mine->second->Rebuild(blocks);
+      }
+    });
+  });
+}
+
+void
+StoresModule::SendOrders(const StoreId& aStore,
+                         const char* aPath,
+                         FencingNumber aFencing,
+                         std::vector<BlockOrder> aBlocks)
+{
+  const TargetRecord* store = aBlocks.empty() ? nullptr : this->FindStore(aStore);
+  if (store == nullptr) {
+    return;
+  }
+  HttpCall call = CallTo(store->endpoint, "POST", aPath);
+  call.body = FormatStoreOrder({ aFencing, std::move(aBlocks) });
+  // An order that is lost leaves blocks behind at the store; the next owner finds them there.
+  this->stores.work.Add(
+    [call = std::move(call)]() mutable { (void)CallHttp(std::move(call), ByteCount(kMebibyte)); });
+}
+
+void
+StoresModule::FetchSnapshots()
+{
+  std::vector<TargetId> stale;
+  this->stores.routing.Run([&] { stale = this->stores.router.Caches().Stale(); });
+  for (const TargetId& target : stale) {
+    const TargetRecord* engine = this->FindTarget(target);
+    if (engine == nullptr) {
+      continue;
+    }
+    this->stores.work.Add([this, call = CallTo(engine->endpoint, "GET", kSnapshotPath)]() mutable {
+      const auto answer = CallHttp(std::move(call), kMostInventory);
+      if (!answer || answer.value().status != kOk) {
+        return;
+      }
+      if (const auto snapshot = ParseCacheSnapshot(answer.value().body)) {
+        this->stores.routing.Run(
+          [&] { this->stores.router.Caches().OnSnapshot(snapshot.value()); });
+      }
+    });
+  }
+}
+
+void
+StoresModule::Broadcast(const StoresMessage& aMessage)
+{
+  const std::string payload = EncodeStoresMessage(aMessage);
+  for (const PeerSettings& peer : this->context.settings.peers) {
+    if (peer.host != this->context.settings.host) {
+      this->context.peers.Send(peer.host, PeerMessage{ Channel::Stores, GroupId(), payload });
+    }
+  }
+}
+
+void
+StoresModule::Send(const HostId& aTo, const StoresMessage& aMessage)
+{
+  this->context.peers.Send(
+    aTo, PeerMessage{ Channel::Stores, GroupId(), EncodeStoresMessage(aMessage) });
+}
+
+const TargetRecord*
+StoresModule::FindTarget(const TargetId& aTarget) const
+{
+  for (const TargetRecord& target : this->context.publisher.Current().targets) {
+    if (target.id == aTarget) {
+      return &target;
+    }
+  }
+  return nullptr;
+}
+
+const TargetRecord*
+StoresModule::FindStore(const StoreId& aStore) const
+{
+  return this->FindTarget(TargetId(aStore.Value()));
+}
+
+} // namespace damasklink
--- a/src/protocol/EngineApi.cpp
+++ b/src/protocol/EngineApi.cpp
@@ -152,6 +152,7 @@
     body = Json::object();
   }
   body["attempt"] = aPrompt.attempt.Value();
+  body["workspace"] = aPrompt.workspace.Value();
   body["model"] = aPrompt.model.Value();
   body["version"] = aPrompt.version.Value();
   body["adapter"] = aPrompt.adapter.Value();
@@ -173,6 +174,7 @@
   FieldReader fields(body);
   EnginePrompt prompt;
   prompt.attempt = AttemptId(fields.Text("attempt"));
+  prompt.workspace = WorkspaceId(fields.Text("workspace"));
   prompt.model = ModelName(fields.Text("model"));
   prompt.version = WeightVersion(fields.Text("version"));
   prompt.adapter = AdapterName(fields.Text("adapter"));
--- a/standin/Engine.cpp
+++ b/standin/Engine.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr std::size_t kBytesPerToken = 4;
-constexpr std::size_t kBytesPerBlock = 64;
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusBadRequest = 400;
 
@@ -19,42 +18,16 @@
 
 } // namespace
 
-std::size_t
-PrefixCache::Touch(const std::string& aText)
-{
-  std::size_t known = 0;
-  bool prefix = true;
-  std::uint64_t chain = 0;
-  for (std::size_t at = 0; at + kBytesPerBlock <= aText.size(); at += kBytesPerBlock) {
-    const std::string_view block = std::string_view(aText).substr(at, kBytesPerBlock);
-    chain = chain * 1'099'511'628'211ULL + std::hash<std::string_view>{}(block);
-    const auto found = this->blocks.find(chain);
-    prefix = prefix && found != this->blocks.end();
-    if (prefix) {
-      known += kBytesPerBlock;
-    }
-    if (found != this->blocks.end()) {
-      this->order.erase(found->second);
-    }
-    this->order.push_front(chain);
-    this->blocks[chain] = this->order.begin();
-  }
-  while (this->blocks.size() > this->mostBlocks) {
-    this->blocks.erase(this->order.back());
-    this->order.pop_back();
-  }
-  return known;
-}
-
 Engine::Engine(EngineOptions aOptions)
   : options(std::move(aOptions))
-  , cache(this->options.cacheBlocks)
+  , cache(this->options.cache)
 {
 }
 
 void
 Engine::AddRoutes(HttpServer& aServer)
 {
+  this->cache.AddRoutes(aServer);
   aServer.Route("POST", "/v1/completions", [this](const HttpRequest& aRequest) {
     return this->Complete(aRequest);
   });
@@ -107,13 +80,9 @@
 bool
 Engine::Answer(const EnginePrompt& aPrompt, StreamWriter& aWriter)
 {
-  std::size_t knownBytes = 0;
-  {
-    absl::MutexLock lock(&this->mutex);
-    knownBytes = this->cache.Touch(aPrompt.prompt);
-  }
   const std::size_t prompt = aPrompt.prompt.size() / kBytesPerToken;
-  const std::size_t reused = knownBytes / kBytesPerToken;
+  const std::size_t reused = this->cache.Touch(
+    { aPrompt.workspace, aPrompt.model, aPrompt.version, aPrompt.adapter }, aPrompt.prompt);
   SleepSeconds(static_cast<double>(prompt - reused) / this->options.prefillTokensPerSecond);
   AnswerFrame frame;
   frame.attempt = aPrompt.attempt;
--- a/standin/Engine.h
+++ b/standin/Engine.h
@@ -1,12 +1,11 @@
 // A stand-in for a model engine: takes prompts, keeps a prefix cache, streams made-up tokens.
 #pragma once
 
-#include <list>
-#include <map>
 #include <string>
 
 #include <absl/synchronization/mutex.h>
 
+#include "EngineCache.h"
 #include "damasklink/protocol/EngineApi.h"
 #include "damasklink/transport/HttpServer.h"
 
@@ -21,25 +20,7 @@
   double prefillTokensPerSecond = 20'000;
   Duration tokenInterval = std::chrono::milliseconds(2);
   std::size_t slots = 64;
-  std::size_t cacheBlocks = 4096;
-};
-
-// Counts whole blocks at the start of a prompt that were seen before, least recently used dropped.
-class PrefixCache
-{
-public:
-  explicit PrefixCache(std::size_t aMostBlocks)
-    : mostBlocks(aMostBlocks)
-  {
-  }
-
-  // Returns how many bytes of the text were known, and remembers all of it.
-  std::size_t Touch(const std::string& aText);
-
-private:
-  std::size_t mostBlocks;
-  std::list<std::uint64_t> order;
-  std::map<std::uint64_t, std::list<std::uint64_t>::iterator> blocks;
+  EngineCacheOptions cache;
 };
 
 class Engine
@@ -56,7 +37,7 @@
 
   EngineOptions options;
   mutable absl::Mutex mutex;
-  PrefixCache cache;
+  EngineCache cache;
   std::uint64_t running = 0;
 };
 
--- a/standin/Main.cpp
+++ b/standin/Main.cpp
@@ -12,6 +12,7 @@
 #include "Engine.h"
 #include "Relay.h"
 #include "Service.h"
+#include "Store.h"
 #include "damasklink/state/Units.h"
 
 namespace {
@@ -41,7 +42,9 @@
   --interval TIME      Time between tokens [default: 2ms].
   --work TIME          Time one service call takes [default: 5ms].
   --slots N            Requests at once [default: 64].
+  --cache N            Blocks of an engine's prefix cache [default: 4096].
   --memory SIZE        Memory of a store [default: 64MiB].
+  --disk SIZE          Disk of a store [default: 256MiB].
   --link SIZE          Bytes a second over a store's link [default: 16MiB].
 )";
 
@@ -127,6 +130,10 @@
   options.prefillTokensPerSecond = static_cast<double>(CountOf(aArguments, "--prefill"));
   options.tokenInterval = ParseDuration(TextOf(aArguments, "--interval")).value();
   options.slots = CountOf(aArguments, "--slots");
+  options.cache.id = options.id;
+  options.cache.hosts = EndpointsOf(aArguments, "--announce");
+  options.cache.key = TextOf(aArguments, "--key");
+  options.cache.mostBlocks = CountOf(aArguments, "--cache");
   standin::Engine engine(options);
   return Play(engine, aArguments, options.slots + kSpareThreads);
 }
@@ -164,6 +171,19 @@
   return 0;
 }
 
+int
+PlayStore(const Arguments& aArguments)
+{
+  const auto size = [&](const char* aName) { return ParseSize(TextOf(aArguments, aName)).value(); };
+  standin::StoreOptions options;
+  options.id = TargetId(TextOf(aArguments, "--id"));
+  options.zone = ZoneId(TextOf(aArguments, "--zone"));
+  options.listen = EndpointsOf(aArguments, "--listen").front();
+  options.declared = { size("--memory"), size("--disk"), size("--link"), ByteCount(64) };
+  standin::Store store(options);
+  return Play(store, aArguments, kSpareThreads);
+}
+
 int
 Run(const Arguments& aArguments)
 {
@@ -182,8 +202,7 @@
   if (aArguments.at("service").asBool()) {
     return PlayService(aArguments);
   }
-  std::cerr << "the store is played from a later version on\n";
-  return 2;
+  return PlayStore(aArguments);
 }
 
 } // namespace
