--- a/standin/EngineCache.cpp
+++ b/standin/EngineCache.cpp
@@ -46,30 +46,54 @@
   return call;
 }
 
-std::string
-HeaderOf(const HttpAnswer& aAnswer, std::string_view aName)
+struct FoundBlock
+{
+  BlockHeader header;
+  std::string content;
+};
+
+// Reads what the store holds under the name.
+Result<FoundBlock>
+FetchBlock(HttpCall aCall)
 {
-  for (const auto& [name, value] : aAnswer.headers) {
-    if (name == aName) {
-      return value;
+  auto opened = HttpExchange::Connect(std::move(aCall));
+  if (!opened) {
+    return Fail(opened.error());
+  }
+  HttpExchange& exchange = *opened.value();
+  if (auto sent = exchange.Send(); !sent) {
+    return Fail(sent.error());
+  }
+  if (auto read = exchange.ReadHeader(); !read) {
+    return Fail(read.error());
+  }
+  auto header = ParseBlockHeader(exchange.Header(kBlockHeaderField));
+  if (exchange.Status() != kOk || !header) {
+    return Fail(ErrorKind::Corrupt, "the store does not hold the block", "compute the prompt");
+  }
+  FoundBlock found{ header.value(), "" };
+  while (found.content.size() <= kMostBlock.Value()) {
+    auto piece = exchange.ReadSome();
+    if (!piece) {
+      return Fail(piece.error());
     }
+    if (piece.value().empty()) {
+      return found;
+    }
+    found.content += piece.value();
   }
-  return "";
+  return Fail(ErrorKind::Corrupt, "the block has no end", "compute the prompt");
 }
 
 // Reads one block and checks it against the order.
 Result<void>
 ReadBlock(const ImportOrder& aOrder, const BlockHeader& aBlock, Duration aWithin)
 {
-  auto answer = CallHttp(BlockCall(aOrder.store, aBlock.block, aWithin), kMostBlock);
-  if (!answer) {
-    return Fail(answer.error());
-  }
-  auto header = ParseBlockHeader(HeaderOf(answer.value(), kBlockHeaderField));
-  if (answer.value().status != kOk || !header) {
-    return Fail(ErrorKind::Corrupt, "the store does not hold the block", "compute the prompt");
+  auto found = FetchBlock(BlockCall(aOrder.store, aBlock.block, aWithin));
+  if (!found) {
+    return Fail(found.error());
   }
-  return CheckBlock(aBlock, header.value(), answer.value().body);
+  return CheckBlock(aBlock, found.value().header, found.value().content);
 }
 
 } // namespace
