--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -14,4 +14,10 @@
 int
 RunRelay(const std::vector<std::string>& aArguments);
 
+// Routing and reuse against baselines, under a virtual clock.
+int
+RunPolicyBench(const std::vector<std::string>& aArguments);
+
+// Adds one row to the table in Main.cpp for each bench; declare it here.
+
 } // namespace damasklink::bench
--- a/include/damasklink/coordination/Router.h
+++ b/include/damasklink/coordination/Router.h
@@ -21,6 +21,8 @@
   ByteCount bytes;
   // What the store's link has left over for this import.
   double freeBytesPerSecond = 0;
+  // Whether the store's owner knows the prompt as one that goes on with an earlier one.
+  bool returning = false;
 };
 
 // What a policy may know of a prompt.
@@ -36,6 +38,8 @@
   TokenCount promptTokens;
   // Names of the prompt's whole blocks, from its start (BlockNames.h).
   std::vector<Digest> blocks;
+  // The version that the names are rooted in; they mean nothing to a target of another one.
+  WeightVersion blocksVersion;
   // Stores that keep a prefix, as the look-up found them.
   std::vector<StoredPrefix> stored;
   // Targets that this request has tried already.
@@ -51,10 +55,16 @@
   Endpoint endpoint;
   WeightVersion version;
   Duration expectedFirstToken{ 0 };
+  // Prompt tokens that the target is expected to compute.
+  TokenCount expectedPrefill;
   // Store to import from before the prompt is sent; empty for none.
   StoreId importFrom;
-  // Blocks that the import brings.
+  // The import brings the blocks from the first that the target is not believed to hold up to here.
   std::uint64_t importBlocks = 0;
+  // Leading blocks that the target is believed to hold.
+  std::uint64_t heldBlocks = 0;
+  // The policy's own mark, by which it knows the decision again.
+  std::uint64_t ticket = 0;
 };
 
 // Chooses targets and learns from what came of it. Not thread-safe: its owner holds the lock.
