--- a/tools/local_system.py
+++ b/tools/local_system.py
@@ -10,6 +10,7 @@
 import pathlib
 import signal
 import subprocess
+import sys
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -219,6 +220,8 @@
                 self.hosts.append(Host(name, zone, port, number <= disks_per_zone))
 
     def __enter__(self):
+        # So that an asked-for end takes the child processes along.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
         return self
 
     def __exit__(self, *_):
