A leader no longer spins while a replica is silent

The stack showed AgreementModule::Pump asking RaftCore for actions without end: SendNewEntries sent an append without entries to a replica not heard of lately, which moves nothing on, so the next round sent it again. New entries now go only to replicas that were heard of; heartbeats reach the others, as before. Ruled out: a storm of refused appends (probing replicas were left out already). GroupReplicaTest.LeaderRunsOutOfActionsWhileAReplicaIsSilent failed before.

--- a/src/coordination/RaftReplication.cpp
+++ b/src/coordination/RaftReplication.cpp
@@ -252,7 +252,8 @@
 {
   for (auto& [replica, peer] : this->progress) {
     const bool room = peer.next.Value() - peer.match.Value() < kMostInFlight;
-    if (!peer.probing && room && peer.next <= this->log.LastIndex()) {
+    const bool sendable = !peer.probing && this->IsFresh(peer);
+    if (sendable && room && peer.next <= this->log.LastIndex()) {
       this->SendAppend(replica, peer, false);
     }
   }
--- a/test/coordination/GroupReplicaTest.cpp
+++ b/test/coordination/GroupReplicaTest.cpp
@@ -326,6 +326,19 @@
   EXPECT_EQ(this->cluster.Acknowledged().size(), 4U);
 }
 
+// Whoever carries out the actions asks again until there are none.
+TEST_F(GroupReplicaTest, LeaderRunsOutOfActionsWhileAReplicaIsSilent)
+{
+  const std::size_t leader = this->Leader();
+  this->cluster.Kill(this->Follower(), false);
+  this->cluster.Run(std::chrono::seconds(5));
+  this->cluster.Propose(leader);
+  this->cluster.Run(std::chrono::milliseconds(100));
+  GroupReplica& group = *this->cluster.Node(leader).process->group;
+  group.TakeActions();
+  EXPECT_TRUE(group.TakeActions().messages.empty());
+}
+
 TEST_F(GroupReplicaTest, IdleGroupSendsOnlyHeartbeats)
 {
   const std::size_t before = this->cluster.MessagesSent();
