--- a/tools/fault_callers.py
+++ b/tools/fault_callers.py
@@ -108,9 +108,10 @@
         self.persistent = number % 2 == 0
 
     def send(self, sent):
-        # Callers 0 and 2, 1 and 3 and so on are of two workspaces and use the same key texts, so
-        # that keys mixed up between workspaces would show.
-        key = f"job-{self.number // 4 * 2 + self.number % 2}-{sent}"
+        # Callers that try again use minted keys, the others keys of their own. Callers 1 and 3, 5
+        # and 7 and so on are of two workspaces and use the same texts, so that keys mixed up
+        # between workspaces would show.
+        key = self.mint() if self.persistent else f"job-{self.number // 4}-{sent}"
         path = f"/jobs/{self.workspace.name}/{self.number}/{sent}"
         job = Job(f"{self.workspace.name} job {self.number} {sent}")
         self.jobs.append(job)
@@ -124,6 +125,23 @@
                 break
             time.sleep(RETRY_PAUSE)
         self.judge(job, answer, path)
+        if self.persistent and done:
+            self.send_again(key, path, job, answer)
+
+    def send_again(self, key, path, job, first):
+        """As a caller does that lost the answer: it must get the same one, or none."""
+        self.counts.add("job sent again")
+        again = self.try_once(key, path, job.body)
+        if again.status == 200 and again.body != first.body:
+            self.counts.add("wrong answer", f"{job.body}: {first.body[:60]!r}, {again.body[:60]!r}")
+
+    def mint(self):
+        while True:
+            for host in self.hosts_in_some_order():
+                answer = call(host.callers, "POST", "/v1/keys", key=self.workspace.key, timeout=5)
+                if answer.status == 200:
+                    return answer.json()["key"]
+            time.sleep(RETRY_PAUSE)
 
     def try_once(self, key, path, body):
         headers = {"Idempotency-Key": key}
--- a/tools/local_system.py
+++ b/tools/local_system.py
@@ -8,7 +8,9 @@
 import json
 import os
 import pathlib
+import random
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -20,6 +22,7 @@
 PORTS_PER_HOST = 10
 # Targets listen this far above the base port.
 TARGET_OFFSET = 500
+PORTS_PER_SYSTEM = 700
 
 
 def digest(key):
@@ -301,6 +304,24 @@
         return call(host.operators, "GET", "/readyz", timeout=1).status == 200
 
 
+def is_free(port):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+def free_base_port():
+    """Returns a base whose ports nobody holds, below those that the kernel hands out by itself."""
+    for base in random.sample(range(20000, 32000, PORTS_PER_SYSTEM), 15):
+        if all(is_free(base + offset) for offset in range(PORTS_PER_SYSTEM)):
+            return base
+    raise RuntimeError("no free range of ports; end other runs first")
+
+
 def wait_until(question, seconds, pause=0.02):
     """Asks until the answer is true; returns the seconds that took, or None when time is over."""
     started = time.monotonic()
