--- a/test/protocol/UntrustedInputTest.cpp
+++ b/test/protocol/UntrustedInputTest.cpp
@@ -6,8 +6,10 @@
 #include <rapidcheck/gtest.h>
 
 #include "Mutations.h"
+#include "damasklink/coordination/GroupLife.h"
 #include "damasklink/protocol/BurnApi.h"
 #include "damasklink/protocol/CallerApi.h"
+#include "damasklink/protocol/ClaimMachine.h"
 #include "damasklink/protocol/EngineApi.h"
 #include "damasklink/protocol/Envelope.h"
 
@@ -105,6 +107,66 @@
   });
 }
 
+// A machine that refuses a snapshot, or is given a command that nobody wrote, stays as it was.
+template<typename Machine>
+void
+AssertStaysWhole(const std::string& aSnapshot, const std::string& aCommand)
+{
+  ForNearlyValid(aSnapshot, [&](const std::string& aBytes) {
+    Machine machine;
+    RC_ASSERT(machine.Load(aSnapshot).has_value());
+    const auto loaded = machine.Load(aBytes);
+    AssertValueOrError(loaded, { ErrorKind::Corrupt });
+    if (!loaded) {
+      RC_ASSERT(machine.Save() == aSnapshot);
+    }
+  });
+  ForNearlyValid(aCommand, [&](const std::string& aBytes) {
+    Machine machine;
+    RC_ASSERT(machine.Load(aSnapshot).has_value());
+    machine.Apply(ApplyContext{}, aBytes);
+    RC_ASSERT(Machine().Load(machine.Save()).has_value());
+  });
+}
+
+ClaimCommand
+WholeCommand()
+{
+  ClaimCommand command;
+  command.workspace = WorkspaceId("head-office");
+  command.key = IdempotencyKey("job-1");
+  command.attempt = AttemptId("req-1-1");
+  command.body = Digest(std::string(64, 'a'));
+  return command;
+}
+
+RC_GTEST_PROP(UntrustedInputTest, ClaimsBearAnySnapshotAndCommand, ())
+{
+  ClaimMachine machine;
+  const std::string command = EncodeClaimCommand(WholeCommand());
+  machine.Apply(ApplyContext{}, command);
+  AssertStaysWhole<ClaimMachine>(machine.Save(), command);
+}
+
+RC_GTEST_PROP(UntrustedInputTest, GroupCatalogueBearsAnySnapshotAndCommand, ())
+{
+  GroupCatalogue machine;
+  const std::string command = EncodeRegistration(GroupId("claims/a"), FormationId(7));
+  machine.Apply(ApplyContext{}, command);
+  AssertStaysWhole<GroupCatalogue>(machine.Save(), command);
+}
+
+RC_GTEST_PROP(UntrustedInputTest, ClaimMessagesAreAValueOrAnError, ())
+{
+  ForNearlyValid(EncodeClaimCommand(WholeCommand()), [](const std::string& aBytes) {
+    AssertValueOrError(DecodeClaimCommand(aBytes), { ErrorKind::Corrupt });
+  });
+  const ClaimReply reply{ ClaimVerdict::Kept, Duration(0), KeptAnswer{} };
+  ForNearlyValid(EncodeClaimReply(reply), [](const std::string& aBytes) {
+    AssertValueOrError(DecodeClaimReply(aBytes), { ErrorKind::Corrupt });
+  });
+}
+
 // However a stream is cut into pieces, the same texts come out.
 RC_GTEST_PROP(UntrustedInputTest, EventsDoNotDependOnHowTheyWereCut, ())
 {
