--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -6,6 +6,11 @@
 
 namespace damasklink::bench {
 
+// Replicated log: changes a second, latency, idle cost, elections, restart. The first argument is
+// the folder on the disk to measure, by default that for temporary files.
+int
+RunAgreement(const std::vector<std::string>& aArguments);
+
 // Slopes of state, processor time and bytes, for docs/CAPACITY.md.
 int
 RunSlopes(const std::vector<std::string>& aArguments);
--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -16,6 +16,9 @@
 };
 
 const std::vector<BenchCommand> kCommands{
+  { "agreement",
+    "replicated log on real files and loopback links",
+    damasklink::bench::RunAgreement },
   { "slopes", "state, processor time and bytes as they grow", damasklink::bench::RunSlopes },
   { "relay", "what relaying costs; run it by tools/bench-relay", damasklink::bench::RunRelay },
 };
