A leader whose disk hangs gives way; unit tests of what is synced before it is said

A leader with a hung disk kept its quorum and lease, committed through the others and answered nobody: LeaderWhoseDiskHangsGivesWay failed, 3 of 4 commands acknowledged and the same leader after 12 s. It now steps down once its oldest batch has been under way for twice the longest election timeout.

--- a/include/damasklink/coordination/RaftCore.h
+++ b/include/damasklink/coordination/RaftCore.h
@@ -151,6 +151,15 @@
     AgreementMessage message;
   };
 
+  // A batch that was handed out and is not synced yet.
+  struct BatchUnderWay
+  {
+    std::uint64_t number = 0;
+    // The end of the log once it is synced.
+    LogIndex end;
+    MonotonicTime since;
+  };
+
   // Elections (RaftCore.cpp).
   void Handle(const AgreementMessage& aMessage, const PreVoteRequest& aBody);
   void Handle(const AgreementMessage& aMessage, const PreVoteAnswer& aBody);
@@ -192,6 +201,7 @@
   void MatchProgressToMembership();
   void AdvanceCommitted();
   void CheckQuorum();
+  bool DiskHangs() const;
   void FinishHandOver();
   // Returns the value that a quorum of voters reaches; aOwn stands for this replica.
   template<typename Value, typename Field>
@@ -241,10 +251,9 @@
   SnapshotPtr snapshotToPersist;
   bool snapshotReplacesLog = false;
   LogIndex unwrittenFrom;
-  // Batches: handed out, synced, and what the log's end was in each that is under way.
   std::uint64_t batchesTaken = 0;
   std::uint64_t batchesSynced = 0;
-  std::deque<std::pair<std::uint64_t, LogIndex>> batchEnds;
+  std::deque<BatchUnderWay> batchesUnderWay;
   LogIndex persistedIndex;
 
   std::vector<AgreementMessage> outbox;
--- a/src/coordination/RaftCore.cpp
+++ b/src/coordination/RaftCore.cpp
@@ -316,16 +316,17 @@
   }
   this->hardStateChanged = false;
   this->unwrittenFrom = this->log.LastIndex().Next();
-  this->batchEnds.emplace_back(batch.number, this->log.LastIndex());
+  this->batchesUnderWay.push_back(
+    BatchUnderWay{ batch.number, this->log.LastIndex(), this->clock.MonotonicNow() });
   return batch;
 }
 
 void
 RaftCore::OnPersisted(std::uint64_t aNumber)
 {
-  while (!this->batchEnds.empty() && this->batchEnds.front().first <= aNumber) {
-    this->persistedIndex = this->batchEnds.front().second;
-    this->batchEnds.pop_front();
+  while (!this->batchesUnderWay.empty() && this->batchesUnderWay.front().number <= aNumber) {
+    this->persistedIndex = this->batchesUnderWay.front().end;
+    this->batchesUnderWay.pop_front();
   }
   this->batchesSynced = std::max(this->batchesSynced, aNumber);
   while (!this->held.empty() && this->held.front().afterBatch <= this->batchesSynced) {
--- a/src/coordination/RaftReplication.cpp
+++ b/src/coordination/RaftReplication.cpp
@@ -87,8 +87,8 @@
 RaftCore::CutUnsynced(LogIndex aLast)
 {
   this->persistedIndex = std::min(this->persistedIndex, aLast);
-  for (auto& [number, end] : this->batchEnds) {
-    end = std::min(end, aLast);
+  for (BatchUnderWay& batch : this->batchesUnderWay) {
+    batch.end = std::min(batch.end, aLast);
   }
 }
 
@@ -158,8 +158,8 @@
   this->committed = snapshot->index;
   this->handedOut = snapshot->index;
   this->persistedIndex = snapshot->index;
-  for (auto& [number, end] : this->batchEnds) {
-    end = snapshot->index;
+  for (BatchUnderWay& batch : this->batchesUnderWay) {
+    batch.end = snapshot->index;
   }
   this->unwrittenFrom = snapshot->index.Next();
   this->toInstall = snapshot;
@@ -421,11 +421,21 @@
   const auto heard =
     this->QuorumValue<MonotonicTime>(now, [](const Progress& aPeer) { return aPeer.heardAt; });
   const bool handoverFailed = this->handingOver && now >= this->handoverEnds;
-  if (handoverFailed || now - heard >= this->options.timing.electionMost) {
+  const bool quorumLost = now - heard >= this->options.timing.electionMost;
+  if (handoverFailed || quorumLost || this->DiskHangs()) {
     this->BecomeFollower(this->hardState.term, ReplicaId());
   }
 }
 
+// A leader whose disk hangs could commit through the others but never answer anyone.
+bool
+RaftCore::DiskHangs() const
+{
+  return !this->batchesUnderWay.empty() &&
+         this->clock.MonotonicNow() - this->batchesUnderWay.front().since >=
+           this->options.timing.electionMost * 2;
+}
+
 bool
 RaftCore::LeaseHeld() const
 {
--- a/test/coordination/GroupReplicaTest.cpp
+++ b/test/coordination/GroupReplicaTest.cpp
@@ -326,6 +326,16 @@
   EXPECT_EQ(this->cluster.Acknowledged().size(), 4U);
 }
 
+TEST_F(GroupReplicaTest, LeaderWhoseDiskHangsGivesWay)
+{
+  const std::size_t slow = this->Leader();
+  this->cluster.Node(slow).diskHangs = true;
+  this->cluster.Propose((slow + 1) % 3);
+  this->cluster.Run(std::chrono::seconds(12));
+  EXPECT_NE(this->Leader(), slow);
+  EXPECT_EQ(this->cluster.Acknowledged().size(), 4U);
+}
+
 TEST_F(GroupReplicaTest, IdleGroupSendsOnlyHeartbeats)
 {
   const std::size_t before = this->cluster.MessagesSent();
--- /dev/null
+++ b/test/coordination/RaftCoreTest.cpp
@@ -0,0 +1,164 @@
+#include "damasklink/coordination/RaftCore.h"
+
+#include <gtest/gtest.h>
+
+namespace damasklink {
+namespace {
+
+// A clock whose calendar may jump back.
+class JumpingClock final : public Clock
+{
+public:
+  MonotonicTime MonotonicNow() const override { return this->monotonic; }
+  WallTime WallNow() const override { return this->wall; }
+
+  MonotonicTime monotonic{ std::chrono::hours(1) };
+  WallTime wall{ std::chrono::hours(1) };
+};
+
+constexpr ReplicaId kSelf(1);
+constexpr ReplicaId kPeer(2);
+
+RaftOptions
+MakeOptions()
+{
+  RaftOptions options;
+  options.group = GroupId("group");
+  options.host = HostId("self");
+  options.replica = kSelf;
+  return options;
+}
+
+RecoveredLog
+MakeLog(bool aWithPeer)
+{
+  LogEntry founding;
+  founding.index = LogIndex(1);
+  founding.term = Term(1);
+  founding.kind = EntryKind::Membership;
+  founding.membership.members = { Member{ HostId("self"), kSelf, true } };
+  if (aWithPeer) {
+    founding.membership.members.push_back(Member{ HostId("peer"), kPeer, true });
+  }
+  return RecoveredLog{ HardState{ FormationId(1), Term(1), kSelf }, nullptr, { founding } };
+}
+
+// Syncs everything until nothing is left to do, and returns the last committed entry.
+LogEntry
+SettleAlone(RaftCore& aCore)
+{
+  LogEntry last;
+  aCore.Tick();
+  for (int round = 0; round < 10; ++round) {
+    RaftActions actions = aCore.TakeActions();
+    if (actions.persist) {
+      aCore.OnPersisted(actions.persist->number);
+    }
+    if (!actions.committed.empty()) {
+      last = actions.committed.back();
+    }
+  }
+  return last;
+}
+
+AgreementMessage
+FromPeer(Term aTerm, AgreementBody aBody)
+{
+  AgreementMessage message;
+  message.formation = FormationId(1);
+  message.fromHost = HostId("peer");
+  message.from = kPeer;
+  message.to = kSelf;
+  message.term = aTerm;
+  message.body = std::move(aBody);
+  return message;
+}
+
+TEST(RaftCoreTest, EntriesNeverGoBackInTime)
+{
+  JumpingClock clock;
+  RaftCore core(clock, MakeOptions(), MakeLog(false));
+  SettleAlone(core);
+  ASSERT_TRUE(core.Propose(1, {}, "first"));
+  const WallTime first = SettleAlone(core).proposedAt;
+  clock.wall -= std::chrono::minutes(10);
+  ASSERT_TRUE(core.Propose(1, {}, "second"));
+  EXPECT_EQ(SettleAlone(core).command, "second");
+  EXPECT_GE(core.Log().At(core.Log().LastIndex()).proposedAt, first);
+}
+
+TEST(RaftCoreTest, NothingIsCommittedBeforeItIsSynced)
+{
+  JumpingClock clock;
+  RaftCore core(clock, MakeOptions(), MakeLog(false));
+  SettleAlone(core);
+  const LogIndex before = core.Committed();
+  ASSERT_TRUE(core.Propose(1, {}, "command"));
+  const RaftActions actions = core.TakeActions();
+  EXPECT_EQ(core.Committed(), before);
+  core.OnPersisted(actions.persist->number);
+  EXPECT_GT(core.Committed(), before);
+}
+
+TEST(RaftCoreTest, VoteLeavesOnlyOnceItIsSynced)
+{
+  JumpingClock clock;
+  RaftCore core(clock, MakeOptions(), MakeLog(true));
+  clock.monotonic += std::chrono::seconds(1);
+  core.Receive(FromPeer(Term(2), VoteRequest{ LogIndex(1), Term(1) }));
+  RaftActions actions = core.TakeActions();
+  EXPECT_TRUE(actions.messages.empty());
+  core.OnPersisted(actions.persist->number);
+  actions = core.TakeActions();
+  ASSERT_EQ(actions.messages.size(), 1U);
+  EXPECT_TRUE(std::get<VoteAnswer>(actions.messages[0].body).granted);
+}
+
+TEST(RaftCoreTest, EntriesAreAcknowledgedOnlyOnceTheyAreSynced)
+{
+  JumpingClock clock;
+  RaftCore core(clock, MakeOptions(), MakeLog(true));
+  LogEntry entry;
+  entry.index = LogIndex(2);
+  entry.term = Term(2);
+  core.Receive(FromPeer(Term(2), AppendRequest{ LogIndex(1), Term(1), LogIndex(), 0, { entry } }));
+  RaftActions actions = core.TakeActions();
+  EXPECT_TRUE(actions.messages.empty());
+  core.OnPersisted(actions.persist->number);
+  actions = core.TakeActions();
+  ASSERT_EQ(actions.messages.size(), 1U);
+  EXPECT_EQ(std::get<AppendAnswer>(actions.messages[0].body).index, LogIndex(2));
+}
+
+TEST(RaftCoreTest, VoterKeepsToALeaderAlsoAfterARestart)
+{
+  JumpingClock clock;
+  RaftCore core(clock, MakeOptions(), MakeLog(true));
+  const VoteRequest request{ LogIndex(1), Term(1) };
+  core.Receive(FromPeer(Term(2), request));
+  EXPECT_EQ(core.CurrentTerm(), Term(1));
+  clock.monotonic += RaftTiming().electionLeast;
+  core.Receive(FromPeer(Term(2), request));
+  EXPECT_EQ(core.CurrentTerm(), Term(2));
+}
+
+TEST(RaftCoreTest, VotesOnceInATerm)
+{
+  JumpingClock clock;
+  RaftCore core(clock, MakeOptions(), MakeLog(true));
+  clock.monotonic += RaftTiming().electionLeast;
+  const VoteRequest request{ LogIndex(1), Term(1) };
+  core.Receive(FromPeer(Term(2), request));
+  AgreementMessage another = FromPeer(Term(2), request);
+  another.from = ReplicaId(3);
+  core.Receive(another);
+  core.OnPersisted(core.TakeActions().persist->number);
+  int granted = 0;
+  for (const AgreementMessage& message : core.TakeActions().messages) {
+    granted += std::get<VoteAnswer>(message.body).granted ? 1 : 0;
+  }
+  EXPECT_EQ(granted, 1);
+}
+
+} // namespace
+} // namespace damasklink
--- a/test/support/GroupCluster.h
+++ b/test/support/GroupCluster.h
@@ -38,6 +38,7 @@
   std::unique_ptr<FakeDisk> disk = std::make_unique<FakeDisk>();
   std::unique_ptr<Process> process;
   bool frozen = false;
+  bool diskHangs = false;
 };
 
 // Asserts after every step what must always hold.
@@ -182,7 +183,8 @@
   void Sync(std::size_t aNode)
   {
     ClusterNode& node = this->nodes[aNode];
-    if (node.process == nullptr || node.frozen || node.process->unwritten.empty()) {
+    const bool idle = node.process == nullptr || node.process->unwritten.empty();
+    if (idle || node.frozen || node.diskHangs) {
       return;
     }
     const auto batches = std::exchange(node.process->unwritten, {});
