--- a/src/program/AgreementModule.cpp
+++ b/src/program/AgreementModule.cpp
@@ -23,6 +23,19 @@
   return number == 0 ? 1 : number;
 }
 
+// Returns "host:replica", with "(learner)" behind those that do not vote.
+std::string
+FormatMembership(const Membership& aMembership)
+{
+  std::string text;
+  for (const Member& member : aMembership.members) {
+    const std::string_view separator = text.empty() ? "" : " ";
+    const std::string_view role = member.voter ? "" : "(learner)";
+    text += Concat(separator, member.host.Value(), ":", member.replica.Value(), role);
+  }
+  return text;
+}
+
 RaftTiming
 TimingOf(const HostTimeouts& aTimeouts)
 {
@@ -291,6 +304,13 @@
       .With("term", aHeld.replica->Status().term);
   }
   aHeld.wasLeading = leading;
+  const Membership& membership = aHeld.replica->Core().Log().NewestMembership();
+  if (membership != aHeld.lastMembership) {
+    aHeld.lastMembership = membership;
+    LogEvent(LogLevel::Info, "membership_changed")
+      .With("group", aGroup)
+      .With("members", FormatMembership(membership));
+  }
 }
 
 // The leader of a claims group learns from the control group which founding of the group it leads,
--- a/src/program/AgreementModule.h
+++ b/src/program/AgreementModule.h
@@ -52,6 +52,7 @@
     std::unique_ptr<GroupLife> life;
     bool registering = false;
     bool wasLeading = false;
+    Membership lastMembership;
     bool failureLogged = false;
   };
 
