Proposers are forgotten by count, not by the calendar; unit tests that mutations asked for

Proposers were forgotten an hour of the leader's calendar after their last command: one jump of the clock would have let a copy under way be applied again.

--- a/include/damasklink/coordination/ProposalTable.h
+++ b/include/damasklink/coordination/ProposalTable.h
@@ -23,8 +23,10 @@
     Expired, // The proposer has given it up; it must not be applied any more.
   };
 
-  // Takes note of the proposer's floor and returns how the proposal stands.
-  Standing Note(const ProposalId& aProposal, WallTime aProposedAt);
+  // Takes note of the proposer's floor and returns how the proposal stands. aIndex is that of the
+  // entry. Beyond 4,096 proposers the one that has been silent for the longest is forgotten; each
+  // is the life of one process, so nothing of it can be under way any more.
+  Standing Note(const ProposalId& aProposal, LogIndex aIndex);
 
   // Keeps the answer of a proposal that was fresh.
   void Keep(const ProposalId& aProposal, std::string aAnswer);
@@ -40,10 +42,12 @@
   struct Proposer
   {
     Sequence floor;
-    WallTime lastAt;
+    LogIndex lastIndex;
     std::map<Sequence, std::string> answers;
   };
 
+  void ForgetOldest();
+
   std::map<std::uint64_t, Proposer> proposers;
 };
 
--- a/include/damasklink/coordination/Replication.h
+++ b/include/damasklink/coordination/Replication.h
@@ -25,7 +25,8 @@
 GroupId
 ControlGroupId();
 
-// Returns the group that homes the claims and store leases of a zone.
+// Returns the group of the disks of a zone. ClaimsHomeGroup() (GroupPlacement.h) says which group
+// homes the claims and store leases of a zone, also of one without a disk.
 GroupId
 ClaimsGroupId(const ZoneId& aZone);
 
--- a/src/coordination/GroupMachines.cpp
+++ b/src/coordination/GroupMachines.cpp
@@ -16,7 +16,7 @@
   if (aEntry.kind != EntryKind::Command) {
     return std::nullopt;
   }
-  const auto standing = this->proposals.Note(aEntry.proposal, aEntry.proposedAt);
+  const auto standing = this->proposals.Note(aEntry.proposal, aEntry.index);
   if (standing == ProposalTable::Standing::Expired) {
     return AppliedProposal{ aEntry.proposal, std::nullopt };
   }
--- a/src/coordination/ProposalTable.cpp
+++ b/src/coordination/ProposalTable.cpp
@@ -3,24 +3,22 @@
 #include <algorithm>
 
 #include "damasklink/state/Bytes.h"
-#include "damasklink/state/LogCodec.h"
 
 namespace damasklink {
 namespace {
 
-// A proposer that has been silent for this long has ended; no proposal lives as long.
-constexpr Duration kProposerLife = std::chrono::hours(1);
+constexpr std::size_t kMostProposers = 4096;
 
 } // namespace
 
 ProposalTable::Standing
-ProposalTable::Note(const ProposalId& aProposal, WallTime aProposedAt)
+ProposalTable::Note(const ProposalId& aProposal, LogIndex aIndex)
 {
-  std::erase_if(this->proposers, [&](const auto& aItem) {
-    return aItem.first != aProposal.proposer && aItem.second.lastAt + kProposerLife < aProposedAt;
-  });
+  if (!this->proposers.contains(aProposal.proposer) && this->proposers.size() >= kMostProposers) {
+    this->ForgetOldest();
+  }
   Proposer& proposer = this->proposers[aProposal.proposer];
-  proposer.lastAt = std::max(proposer.lastAt, aProposedAt);
+  proposer.lastIndex = aIndex;
   proposer.floor = std::max(proposer.floor, aProposal.floor);
   proposer.answers.erase(proposer.answers.begin(), proposer.answers.lower_bound(proposer.floor));
   if (aProposal.sequence < proposer.floor) {
@@ -29,6 +27,16 @@
   return proposer.answers.contains(aProposal.sequence) ? Standing::Applied : Standing::Fresh;
 }
 
+void
+ProposalTable::ForgetOldest()
+{
+  const auto oldest =
+    std::min_element(this->proposers.begin(), this->proposers.end(), [](auto& aOne, auto& aOther) {
+      return aOne.second.lastIndex < aOther.second.lastIndex;
+    });
+  this->proposers.erase(oldest);
+}
+
 void
 ProposalTable::Keep(const ProposalId& aProposal, std::string aAnswer)
 {
@@ -57,7 +65,7 @@
   for (const auto& [id, proposer] : this->proposers) {
     writer.Number(id);
     writer.Number(proposer.floor.Value());
-    writer.Number(EncodeWallTime(proposer.lastAt));
+    writer.Number(proposer.lastIndex.Value());
     writer.Number(proposer.answers.size());
     for (const auto& [sequence, answer] : proposer.answers) {
       writer.Number(sequence.Value());
@@ -76,7 +84,7 @@
   for (std::uint64_t index = 0; index < count && reader.Ok(); ++index) {
     Proposer& proposer = loaded[reader.Number()];
     proposer.floor = Sequence(reader.Number());
-    proposer.lastAt = DecodeWallTime(reader.Number());
+    proposer.lastIndex = LogIndex(reader.Number());
     const std::uint64_t answers = reader.Number();
     for (std::uint64_t kept = 0; kept < answers && reader.Ok(); ++kept) {
       const Sequence sequence(reader.Number());
--- a/src/coordination/ProposalTracker.cpp
+++ b/src/coordination/ProposalTracker.cpp
@@ -16,7 +16,7 @@
 constexpr Duration kLastAttempt = std::chrono::milliseconds(200);
 // Named leaders that are asked at once, one after the other.
 constexpr int kMostHints = 3;
-// A proposer is remembered for longer than this (ProposalTable.cpp).
+// Replicas forget who waits for an answer after twice this (GroupReplica.cpp).
 constexpr Duration kMostTimeout = std::chrono::minutes(5);
 
 Error
--- a/test/coordination/GroupReplicaTest.cpp
+++ b/test/coordination/GroupReplicaTest.cpp
@@ -6,6 +6,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "support/GroupCluster.h"
+#include "support/RaftLeader.h"
 
 namespace damasklink {
 namespace {
@@ -204,6 +205,35 @@
   cluster.HealAndCheck();
 }
 
+// The proposer was told "not taken", so a copy of that sending must stay without effect even when
+// the host leads by then.
+TEST(GroupReplicaProposalTest, LateCopyOfARefusedSendingIsDropped)
+{
+  ManualClock clock;
+  GroupOptions options;
+  options.raft = testing::MakeRaftOptions();
+  options.listedVoters = { HostId("self") };
+  GroupReplica replica(clock, options, RecoveredLog{});
+  testing::ListMachine machine;
+  replica.Machines().Add(MachinePart::Claims, machine);
+  const auto part = static_cast<std::uint8_t>(MachinePart::Claims);
+  const ForwardedProposal sent{ Sequence(1), part, { 7, Sequence(1), Sequence(1) }, "command" };
+  const auto settle = [&] {
+    for (int round = 0; round < 10; ++round) {
+      replica.Tick();
+      if (const auto batch = replica.TakeActions().persist) {
+        replica.OnPersisted(batch->number);
+      }
+    }
+  };
+  replica.Receive(testing::MessageFrom(ReplicaId(), Term(), sent));
+  settle();
+  ASSERT_TRUE(replica.Status().leaseHeld);
+  replica.Receive(testing::MessageFrom(ReplicaId(), Term(), sent));
+  settle();
+  EXPECT_TRUE(machine.commands.empty());
+}
+
 TEST(GroupFormationTest, SingleVoterFormsAtOnce)
 {
   GroupCluster cluster(1, 1);
--- a/test/coordination/ProposalTableTest.cpp
+++ b/test/coordination/ProposalTableTest.cpp
@@ -13,7 +13,7 @@
   return ProposalId{ aProposer, Sequence(aSequence), Sequence(aFloor) };
 }
 
-constexpr WallTime kStart{};
+constexpr LogIndex kStart(1);
 
 TEST(ProposalTableTest, CopyGetsTheFirstAnswer)
 {
@@ -39,14 +39,16 @@
   EXPECT_EQ(table.Note(MakeId(2, 2), kStart), Standing::Expired);
 }
 
-TEST(ProposalTableTest, ForgetsProposersThatEndedLongAgo)
+TEST(ProposalTableTest, ForgetsTheProposerThatIsSilentForLongest)
 {
   ProposalTable table;
   table.Note(MakeId(1), kStart);
   table.Keep(MakeId(1), "kept");
-  table.Note(MakeId(1, 1, 8), kStart + std::chrono::minutes(10));
+  for (std::uint64_t other = 100; other < 100 + 4095; ++other) {
+    table.Note(MakeId(1, 1, other), LogIndex(other));
+  }
   EXPECT_TRUE(table.Find(MakeId(1)).has_value());
-  table.Note(MakeId(2, 1, 8), kStart + std::chrono::hours(2));
+  table.Note(MakeId(1, 1, 9), LogIndex(9'000));
   EXPECT_FALSE(table.Find(MakeId(1)).has_value());
 }
 
--- a/test/coordination/RaftCoreTest.cpp
+++ b/test/coordination/RaftCoreTest.cpp
@@ -2,9 +2,18 @@
 
 #include <gtest/gtest.h>
 
+#include "support/RaftLeader.h"
+
 namespace damasklink {
 namespace {
 
+using testing::kPeer;
+using testing::kThird;
+using testing::MakeFoundedLog;
+using testing::MakeRaftOptions;
+using testing::MessageFrom;
+using testing::Settle;
+
 // A clock whose calendar may jump back.
 class JumpingClock final : public Clock
 {
@@ -16,84 +25,24 @@
   WallTime wall{ std::chrono::hours(1) };
 };
 
-constexpr ReplicaId kSelf(1);
-constexpr ReplicaId kPeer(2);
-constexpr ReplicaId kThird(3);
-
-RaftOptions
-MakeOptions()
-{
-  RaftOptions options;
-  options.group = GroupId("group");
-  options.host = HostId("self");
-  options.replica = kSelf;
-  return options;
-}
-
-RecoveredLog
-MakeLog(bool aWithPeer)
-{
-  LogEntry founding;
-  founding.index = LogIndex(1);
-  founding.term = Term(1);
-  founding.kind = EntryKind::Membership;
-  founding.membership.members = { Member{ HostId("self"), kSelf, true } };
-  if (aWithPeer) {
-    founding.membership.members.push_back(Member{ HostId("peer"), kPeer, true });
-    founding.membership.members.push_back(Member{ HostId("third"), kThird, true });
-  }
-  return RecoveredLog{ HardState{ FormationId(1), Term(1), kSelf }, nullptr, { founding } };
-}
-
-// Syncs everything until nothing is left to do, and returns the last committed entry.
-LogEntry
-SettleAlone(RaftCore& aCore)
-{
-  LogEntry last;
-  aCore.Tick();
-  for (int round = 0; round < 10; ++round) {
-    RaftActions actions = aCore.TakeActions();
-    if (actions.persist) {
-      aCore.OnPersisted(actions.persist->number);
-    }
-    if (!actions.committed.empty()) {
-      last = actions.committed.back();
-    }
-  }
-  return last;
-}
-
-AgreementMessage
-FromPeer(Term aTerm, AgreementBody aBody)
-{
-  AgreementMessage message;
-  message.formation = FormationId(1);
-  message.fromHost = HostId("peer");
-  message.from = kPeer;
-  message.to = kSelf;
-  message.term = aTerm;
-  message.body = std::move(aBody);
-  return message;
-}
-
 TEST(RaftCoreTest, EntriesNeverGoBackInTime)
 {
   JumpingClock clock;
-  RaftCore core(clock, MakeOptions(), MakeLog(false));
-  SettleAlone(core);
+  RaftCore core(clock, MakeRaftOptions(), MakeFoundedLog(false));
+  Settle(core);
   ASSERT_TRUE(core.Propose(1, {}, "first"));
-  const WallTime first = SettleAlone(core).proposedAt;
+  const WallTime first = Settle(core).proposedAt;
   clock.wall -= std::chrono::minutes(10);
   ASSERT_TRUE(core.Propose(1, {}, "second"));
-  EXPECT_EQ(SettleAlone(core).command, "second");
+  EXPECT_EQ(Settle(core).command, "second");
   EXPECT_GE(core.Log().At(core.Log().LastIndex()).proposedAt, first);
 }
 
 TEST(RaftCoreTest, NothingIsCommittedBeforeItIsSynced)
 {
   JumpingClock clock;
-  RaftCore core(clock, MakeOptions(), MakeLog(false));
-  SettleAlone(core);
+  RaftCore core(clock, MakeRaftOptions(), MakeFoundedLog(false));
+  Settle(core);
   const LogIndex before = core.Committed();
   ASSERT_TRUE(core.Propose(1, {}, "command"));
   const RaftActions actions = core.TakeActions();
@@ -105,9 +54,9 @@
 TEST(RaftCoreTest, VoteLeavesOnlyOnceItIsSynced)
 {
   JumpingClock clock;
-  RaftCore core(clock, MakeOptions(), MakeLog(true));
+  RaftCore core(clock, MakeRaftOptions(), MakeFoundedLog(true));
   clock.monotonic += std::chrono::seconds(1);
-  core.Receive(FromPeer(Term(2), VoteRequest{ LogIndex(1), Term(1) }));
+  core.Receive(MessageFrom(kPeer, Term(2), VoteRequest{ LogIndex(1), Term(1) }));
   RaftActions actions = core.TakeActions();
   EXPECT_TRUE(actions.messages.empty());
   core.OnPersisted(actions.persist->number);
@@ -119,11 +68,12 @@
 TEST(RaftCoreTest, EntriesAreAcknowledgedOnlyOnceTheyAreSynced)
 {
   JumpingClock clock;
-  RaftCore core(clock, MakeOptions(), MakeLog(true));
+  RaftCore core(clock, MakeRaftOptions(), MakeFoundedLog(true));
   LogEntry entry;
   entry.index = LogIndex(2);
   entry.term = Term(2);
-  core.Receive(FromPeer(Term(2), AppendRequest{ LogIndex(1), Term(1), LogIndex(), 0, { entry } }));
+  core.Receive(
+    MessageFrom(kPeer, Term(2), AppendRequest{ LogIndex(1), Term(1), LogIndex(), 0, { entry } }));
   RaftActions actions = core.TakeActions();
   EXPECT_TRUE(actions.messages.empty());
   core.OnPersisted(actions.persist->number);
@@ -138,57 +88,72 @@
 {
   aClock.monotonic += RaftTiming().electionMost;
   aCore.Tick();
-  aCore.Receive(FromPeer(Term(1), PreVoteAnswer{ Term(2), true }));
+  aCore.Receive(MessageFrom(kPeer, Term(1), PreVoteAnswer{ Term(2), true }));
   aCore.OnPersisted(aCore.TakeActions().persist->number);
-  aCore.Receive(FromPeer(Term(2), VoteAnswer{ true }));
+  aCore.Receive(MessageFrom(kPeer, Term(2), VoteAnswer{ true }));
   ASSERT_EQ(aCore.Role(), RaftRole::Leader);
 }
 
 TEST(RaftCoreTest, LeaderCountsItselfOnlyOnceItHasSynced)
 {
   JumpingClock clock;
-  RaftCore core(clock, MakeOptions(), MakeLog(true));
+  RaftCore core(clock, MakeRaftOptions(), MakeFoundedLog(true));
   Elect(core, clock);
   const RaftActions actions = core.TakeActions();
-  core.Receive(FromPeer(Term(2), AppendAnswer{ true, LogIndex(2), LogIndex(1), 0 }));
+  core.Receive(MessageFrom(kPeer, Term(2), AppendAnswer{ true, LogIndex(2), LogIndex(1), 0 }));
   EXPECT_EQ(core.Committed(), LogIndex());
   core.OnPersisted(actions.persist->number);
   EXPECT_EQ(core.Committed(), LogIndex(2));
 }
 
+TEST(RaftCoreTest, MembershipChangesOneStepAtATime)
+{
+  JumpingClock clock;
+  RaftCore core(clock, MakeRaftOptions(), MakeFoundedLog(true));
+  Elect(core, clock);
+  Membership next = core.Log().NewestMembership();
+  next.members.push_back(Member{ HostId("fourth"), ReplicaId(4), false });
+  // Nothing of its own term is committed yet: an older leader's change may still be under way.
+  EXPECT_FALSE(core.ProposeMembership(next));
+  core.OnPersisted(core.TakeActions().persist->number);
+  core.Receive(MessageFrom(kPeer, Term(2), AppendAnswer{ true, LogIndex(2), LogIndex(1), 0 }));
+  EXPECT_TRUE(core.ProposeMembership(next));
+  EXPECT_FALSE(core.ProposeMembership(next));
+}
+
 // Raft, figure 8: an entry of an earlier term on a majority may still be overwritten.
 TEST(RaftCoreTest, EntriesOfEarlierTermsAreCommittedOnlyWithOneOfItsOwn)
 {
   JumpingClock clock;
-  RaftCore core(clock, MakeOptions(), MakeLog(true));
+  RaftCore core(clock, MakeRaftOptions(), MakeFoundedLog(true));
   Elect(core, clock);
   core.OnPersisted(core.TakeActions().persist->number);
-  core.Receive(FromPeer(Term(2), AppendAnswer{ true, LogIndex(1), LogIndex(1), 0 }));
+  core.Receive(MessageFrom(kPeer, Term(2), AppendAnswer{ true, LogIndex(1), LogIndex(1), 0 }));
   EXPECT_EQ(core.Committed(), LogIndex());
-  core.Receive(FromPeer(Term(2), AppendAnswer{ true, LogIndex(2), LogIndex(1), 0 }));
+  core.Receive(MessageFrom(kPeer, Term(2), AppendAnswer{ true, LogIndex(2), LogIndex(1), 0 }));
   EXPECT_EQ(core.Committed(), LogIndex(2));
 }
 
 TEST(RaftCoreTest, VoterKeepsToALeaderAlsoAfterARestart)
 {
   JumpingClock clock;
-  RaftCore core(clock, MakeOptions(), MakeLog(true));
+  RaftCore core(clock, MakeRaftOptions(), MakeFoundedLog(true));
   const VoteRequest request{ LogIndex(1), Term(1) };
-  core.Receive(FromPeer(Term(2), request));
+  core.Receive(MessageFrom(kPeer, Term(2), request));
   EXPECT_EQ(core.CurrentTerm(), Term(1));
   clock.monotonic += RaftTiming().electionLeast;
-  core.Receive(FromPeer(Term(2), request));
+  core.Receive(MessageFrom(kPeer, Term(2), request));
   EXPECT_EQ(core.CurrentTerm(), Term(2));
 }
 
 TEST(RaftCoreTest, VotesOnceInATerm)
 {
   JumpingClock clock;
-  RaftCore core(clock, MakeOptions(), MakeLog(true));
+  RaftCore core(clock, MakeRaftOptions(), MakeFoundedLog(true));
   clock.monotonic += RaftTiming().electionLeast;
   const VoteRequest request{ LogIndex(1), Term(1) };
-  core.Receive(FromPeer(Term(2), request));
-  AgreementMessage another = FromPeer(Term(2), request);
+  core.Receive(MessageFrom(kPeer, Term(2), request));
+  AgreementMessage another = MessageFrom(kPeer, Term(2), request);
   another.from = kThird;
   core.Receive(another);
   core.OnPersisted(core.TakeActions().persist->number);
