--- a/test/coordination/GroupReplicaTest.cpp
+++ b/test/coordination/GroupReplicaTest.cpp
@@ -6,6 +6,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "support/GroupCluster.h"
+#include "support/RaftLeader.h"
 
 namespace damasklink {
 namespace {
@@ -40,8 +41,8 @@
   return rc::gen::scale(kLonger, rc::gen::container<std::vector<Step>>(step));
 }
 
-constexpr int kKinds = 19;
-constexpr int kKindsWithLostDisks = 21;
+constexpr int kKinds = 20;
+constexpr int kKindsWithLostDisks = 22;
 
 void
 Perform(GroupCluster& aCluster, const Step& aStep)
@@ -98,6 +99,9 @@
         aCluster.Start(each);
       }
       return;
+    case 19:
+      aCluster.Node(node).diskHangs = aStep.number % 2 == 0;
+      return;
     default:
       if (aCluster.Size() > 2 && aCluster.IsWhole()) {
         aCluster.Wipe(node);
@@ -201,6 +205,35 @@
   cluster.HealAndCheck();
 }
 
+// The proposer was told "not taken", so a copy of that sending must stay without effect even when
+// the host leads by then.
+TEST(GroupReplicaProposalTest, LateCopyOfARefusedSendingIsDropped)
+{
+  ManualClock clock;
+  GroupOptions options;
+  options.raft = testing::MakeRaftOptions();
+  options.listedVoters = { HostId("self") };
+  GroupReplica replica(clock, options, RecoveredLog{});
+  testing::ListMachine machine;
+  replica.Machines().Add(MachinePart::Claims, machine);
+  const auto part = static_cast<std::uint8_t>(MachinePart::Claims);
+  const ForwardedProposal sent{ Sequence(1), part, { 7, Sequence(1), Sequence(1) }, "command" };
+  const auto settle = [&] {
+    for (int round = 0; round < 10; ++round) {
+      replica.Tick();
+      if (const auto batch = replica.TakeActions().persist) {
+        replica.OnPersisted(batch->number);
+      }
+    }
+  };
+  replica.Receive(testing::MessageFrom(ReplicaId(), Term(), sent));
+  settle();
+  ASSERT_TRUE(replica.Status().leaseHeld);
+  replica.Receive(testing::MessageFrom(ReplicaId(), Term(), sent));
+  settle();
+  EXPECT_TRUE(machine.commands.empty());
+}
+
 TEST(GroupFormationTest, SingleVoterFormsAtOnce)
 {
   GroupCluster cluster(1, 1);
@@ -339,6 +372,16 @@
   EXPECT_TRUE(group.TakeActions().messages.empty());
 }
 
+TEST_F(GroupReplicaTest, LeaderWhoseDiskHangsGivesWay)
+{
+  const std::size_t slow = this->Leader();
+  this->cluster.Node(slow).diskHangs = true;
+  this->cluster.Propose((slow + 1) % 3);
+  this->cluster.Run(std::chrono::seconds(12));
+  EXPECT_NE(this->Leader(), slow);
+  EXPECT_EQ(this->cluster.Acknowledged().size(), 4U);
+}
+
 TEST_F(GroupReplicaTest, IdleGroupSendsOnlyHeartbeats)
 {
   const std::size_t before = this->cluster.MessagesSent();
--- /dev/null
+++ b/test/coordination/RaftCoreTest.cpp
@@ -0,0 +1,168 @@
+#include "damasklink/coordination/RaftCore.h"
+
+#include <gtest/gtest.h>
+
+#include "support/RaftLeader.h"
+
+namespace damasklink {
+namespace {
+
+using testing::kPeer;
+using testing::kThird;
+using testing::MakeFoundedLog;
+using testing::MakeRaftOptions;
+using testing::MessageFrom;
+using testing::Settle;
+
+// A clock whose calendar may jump back.
+class JumpingClock final : public Clock
+{
+public:
+  MonotonicTime MonotonicNow() const override { return this->monotonic; }
+  WallTime WallNow() const override { return this->wall; }
+
+  MonotonicTime monotonic{ std::chrono::hours(1) };
+  WallTime wall{ std::chrono::hours(1) };
+};
+
+TEST(RaftCoreTest, EntriesNeverGoBackInTime)
+{
+  JumpingClock clock;
+  RaftCore core(clock, MakeRaftOptions(), MakeFoundedLog(false));
+  Settle(core);
+  ASSERT_TRUE(core.Propose(1, {}, "first"));
+  const WallTime first = Settle(core).proposedAt;
+  clock.wall -= std::chrono::minutes(10);
+  ASSERT_TRUE(core.Propose(1, {}, "second"));
+  EXPECT_EQ(Settle(core).command, "second");
+  EXPECT_GE(core.Log().At(core.Log().LastIndex()).proposedAt, first);
+}
+
+TEST(RaftCoreTest, NothingIsCommittedBeforeItIsSynced)
+{
+  JumpingClock clock;
+  RaftCore core(clock, MakeRaftOptions(), MakeFoundedLog(false));
+  Settle(core);
+  const LogIndex before = core.Committed();
+  ASSERT_TRUE(core.Propose(1, {}, "command"));
+  const RaftActions actions = core.TakeActions();
+  EXPECT_EQ(core.Committed(), before);
+  core.OnPersisted(actions.persist->number);
+  EXPECT_GT(core.Committed(), before);
+}
+
+TEST(RaftCoreTest, VoteLeavesOnlyOnceItIsSynced)
+{
+  JumpingClock clock;
+  RaftCore core(clock, MakeRaftOptions(), MakeFoundedLog(true));
+  clock.monotonic += std::chrono::seconds(1);
+  core.Receive(MessageFrom(kPeer, Term(2), VoteRequest{ LogIndex(1), Term(1) }));
+  RaftActions actions = core.TakeActions();
+  EXPECT_TRUE(actions.messages.empty());
+  core.OnPersisted(actions.persist->number);
+  actions = core.TakeActions();
+  ASSERT_EQ(actions.messages.size(), 1U);
+  EXPECT_TRUE(std::get<VoteAnswer>(actions.messages[0].body).granted);
+}
+
+TEST(RaftCoreTest, EntriesAreAcknowledgedOnlyOnceTheyAreSynced)
+{
+  JumpingClock clock;
+  RaftCore core(clock, MakeRaftOptions(), MakeFoundedLog(true));
+  LogEntry entry;
+  entry.index = LogIndex(2);
+  entry.term = Term(2);
+  core.Receive(
+    MessageFrom(kPeer, Term(2), AppendRequest{ LogIndex(1), Term(1), LogIndex(), 0, { entry } }));
+  RaftActions actions = core.TakeActions();
+  EXPECT_TRUE(actions.messages.empty());
+  core.OnPersisted(actions.persist->number);
+  actions = core.TakeActions();
+  ASSERT_EQ(actions.messages.size(), 1U);
+  EXPECT_EQ(std::get<AppendAnswer>(actions.messages[0].body).index, LogIndex(2));
+}
+
+// Makes the replica leader of term 2 by the votes of its peer. Its first entry is not synced yet.
+void
+Elect(RaftCore& aCore, JumpingClock& aClock)
+{
+  aClock.monotonic += RaftTiming().electionMost;
+  aCore.Tick();
+  aCore.Receive(MessageFrom(kPeer, Term(1), PreVoteAnswer{ Term(2), true }));
+  aCore.OnPersisted(aCore.TakeActions().persist->number);
+  aCore.Receive(MessageFrom(kPeer, Term(2), VoteAnswer{ true }));
+  ASSERT_EQ(aCore.Role(), RaftRole::Leader);
+}
+
+TEST(RaftCoreTest, LeaderCountsItselfOnlyOnceItHasSynced)
+{
+  JumpingClock clock;
+  RaftCore core(clock, MakeRaftOptions(), MakeFoundedLog(true));
+  Elect(core, clock);
+  const RaftActions actions = core.TakeActions();
+  core.Receive(MessageFrom(kPeer, Term(2), AppendAnswer{ true, LogIndex(2), LogIndex(1), 0 }));
+  EXPECT_EQ(core.Committed(), LogIndex());
+  core.OnPersisted(actions.persist->number);
+  EXPECT_EQ(core.Committed(), LogIndex(2));
+}
+
+TEST(RaftCoreTest, MembershipChangesOneStepAtATime)
+{
+  JumpingClock clock;
+  RaftCore core(clock, MakeRaftOptions(), MakeFoundedLog(true));
+  Elect(core, clock);
+  Membership next = core.Log().NewestMembership();
+  next.members.push_back(Member{ HostId("fourth"), ReplicaId(4), false });
+  // Nothing of its own term is committed yet: an older leader's change may still be under way.
+  EXPECT_FALSE(core.ProposeMembership(next));
+  core.OnPersisted(core.TakeActions().persist->number);
+  core.Receive(MessageFrom(kPeer, Term(2), AppendAnswer{ true, LogIndex(2), LogIndex(1), 0 }));
+  EXPECT_TRUE(core.ProposeMembership(next));
+  EXPECT_FALSE(core.ProposeMembership(next));
+}
+
+// Raft, figure 8: an entry of an earlier term on a majority may still be overwritten.
+TEST(RaftCoreTest, EntriesOfEarlierTermsAreCommittedOnlyWithOneOfItsOwn)
+{
+  JumpingClock clock;
+  RaftCore core(clock, MakeRaftOptions(), MakeFoundedLog(true));
+  Elect(core, clock);
+  core.OnPersisted(core.TakeActions().persist->number);
+  core.Receive(MessageFrom(kPeer, Term(2), AppendAnswer{ true, LogIndex(1), LogIndex(1), 0 }));
+  EXPECT_EQ(core.Committed(), LogIndex());
+  core.Receive(MessageFrom(kPeer, Term(2), AppendAnswer{ true, LogIndex(2), LogIndex(1), 0 }));
+  EXPECT_EQ(core.Committed(), LogIndex(2));
+}
+
+TEST(RaftCoreTest, VoterKeepsToALeaderAlsoAfterARestart)
+{
+  JumpingClock clock;
+  RaftCore core(clock, MakeRaftOptions(), MakeFoundedLog(true));
+  const VoteRequest request{ LogIndex(1), Term(1) };
+  core.Receive(MessageFrom(kPeer, Term(2), request));
+  EXPECT_EQ(core.CurrentTerm(), Term(1));
+  clock.monotonic += RaftTiming().electionLeast;
+  core.Receive(MessageFrom(kPeer, Term(2), request));
+  EXPECT_EQ(core.CurrentTerm(), Term(2));
+}
+
+TEST(RaftCoreTest, VotesOnceInATerm)
+{
+  JumpingClock clock;
+  RaftCore core(clock, MakeRaftOptions(), MakeFoundedLog(true));
+  clock.monotonic += RaftTiming().electionLeast;
+  const VoteRequest request{ LogIndex(1), Term(1) };
+  core.Receive(MessageFrom(kPeer, Term(2), request));
+  AgreementMessage another = MessageFrom(kPeer, Term(2), request);
+  another.from = kThird;
+  core.Receive(another);
+  core.OnPersisted(core.TakeActions().persist->number);
+  int granted = 0;
+  for (const AgreementMessage& message : core.TakeActions().messages) {
+    granted += std::get<VoteAnswer>(message.body).granted ? 1 : 0;
+  }
+  EXPECT_EQ(granted, 1);
+}
+
+} // namespace
+} // namespace damasklink
