--- a/standin/Engine.h
+++ b/standin/Engine.h
@@ -7,6 +7,7 @@
 
 #include <absl/synchronization/mutex.h>
 
+#include "EngineOrders.h"
 #include "damasklink/protocol/EngineApi.h"
 #include "damasklink/transport/HttpServer.h"
 
@@ -22,6 +23,7 @@
   Duration tokenInterval = std::chrono::milliseconds(2);
   std::size_t slots = 64;
   std::size_t cacheBlocks = 4096;
+  EngineOrderOptions orders;
 };
 
 // Counts whole blocks at the start of a prompt that were seen before, least recently used dropped.
@@ -55,6 +57,7 @@
   bool Answer(const EnginePrompt& aPrompt, StreamWriter& aWriter);
 
   EngineOptions options;
+  EngineOrders orders;
   mutable absl::Mutex mutex;
   PrefixCache cache;
   std::uint64_t running = 0;
--- a/standin/Main.cpp
+++ b/standin/Main.cpp
@@ -40,6 +40,8 @@
   --prefill RATE       Prompt tokens a second [default: 20000].
   --interval TIME      Time between tokens [default: 2ms].
   --work TIME          Time one service call takes [default: 5ms].
+  --checks-fencing     The engine refuses orders that carry an old fencing number.
+  --load-time TIME     Time an ordered load takes [default: 200ms].
   --slots N            Requests at once [default: 64].
   --memory SIZE        Memory of a store [default: 64MiB].
   --link SIZE          Bytes a second over a store's link [default: 16MiB].
@@ -127,6 +129,8 @@
   options.prefillTokensPerSecond = static_cast<double>(CountOf(aArguments, "--prefill"));
   options.tokenInterval = ParseDuration(TextOf(aArguments, "--interval")).value();
   options.slots = CountOf(aArguments, "--slots");
+  options.orders.checksFencing = aArguments.at("--checks-fencing").asBool();
+  options.orders.loadTime = ParseDuration(TextOf(aArguments, "--load-time")).value();
   standin::Engine engine(options);
   return Play(engine, aArguments, options.slots + kSpareThreads);
 }
