--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -16,6 +16,9 @@
 };
 
 const std::vector<BenchCommand> kCommands{
+  { "configuration",
+    "a large tree, its changes and their spread",
+    damasklink::bench::RunConfiguration },
   { "slopes", "state, processor time and bytes as they grow", damasklink::bench::RunSlopes },
   { "relay", "what relaying costs; run it by tools/bench-relay", damasklink::bench::RunRelay },
 };
