--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -23,6 +23,8 @@
 int
 RunPolicyBench(const std::vector<std::string>& aArguments);
 
-// Adds one row to the table in Main.cpp for each bench; declare it here.
+// Memory, times and bytes of the configuration. The argument is the first of 90 free ports.
+int
+RunConfiguration(const std::vector<std::string>& aArguments);
 
 } // namespace damasklink::bench
--- a/standin/Engine.cpp
+++ b/standin/Engine.cpp
@@ -20,6 +20,7 @@
 
 Engine::Engine(EngineOptions aOptions)
   : options(std::move(aOptions))
+  , orders(this->options.models, this->options.orders)
   , cache(this->options.cache)
 {
 }
@@ -28,6 +29,7 @@
 Engine::AddRoutes(HttpServer& aServer)
 {
   this->cache.AddRoutes(aServer);
+  this->orders.AddRoutes(aServer);
   aServer.Route("POST", "/v1/completions", [this](const HttpRequest& aRequest) {
     return this->Complete(aRequest);
   });
@@ -41,7 +43,7 @@
   record.kind = TargetKind::Engine;
   record.zone = this->options.zone;
   record.endpoint = this->options.listen;
-  record.models = this->options.models;
+  this->orders.Describe(record);
   record.rates.prefillTokensPerSecond = this->options.prefillTokensPerSecond;
   absl::MutexLock lock(&this->mutex);
   record.load.runningRequests = this->running;
--- a/standin/Main.cpp
+++ b/standin/Main.cpp
@@ -41,6 +41,8 @@
   --prefill RATE       Prompt tokens a second [default: 20000].
   --interval TIME      Time between tokens [default: 2ms].
   --work TIME          Time one service call takes [default: 5ms].
+  --checks-fencing     The engine refuses orders that carry an old fencing number.
+  --load-time TIME     Time an ordered load takes [default: 200ms].
   --slots N            Requests at once [default: 64].
   --cache N            Blocks of an engine's prefix cache [default: 4096].
   --memory SIZE        Memory of a store [default: 64MiB].
@@ -134,6 +136,8 @@
   options.cache.hosts = EndpointsOf(aArguments, "--announce");
   options.cache.key = TextOf(aArguments, "--key");
   options.cache.mostBlocks = CountOf(aArguments, "--cache");
+  options.orders.checksFencing = aArguments.at("--checks-fencing").asBool();
+  options.orders.loadTime = ParseDuration(TextOf(aArguments, "--load-time")).value();
   standin::Engine engine(options);
   return Play(engine, aArguments, options.slots + kSpareThreads);
 }
