--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -25,4 +25,8 @@
 
 // Adds one row to the table in Main.cpp for each bench; declare it here.
 
+// What one record of a counter, a sample or a service level costs.
+int
+RunMetrics(const std::vector<std::string>& aArguments);
+
 } // namespace damasklink::bench
--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -22,6 +22,7 @@
   { "slopes", "state, processor time and bytes as they grow", damasklink::bench::RunSlopes },
   { "relay", "what relaying costs; run it by tools/bench-relay", damasklink::bench::RunRelay },
   { "policy", "routing and reuse against baselines", damasklink::bench::RunPolicyBench },
+  { "metrics", "what recording a metric costs", damasklink::bench::RunMetrics },
 };
 
 int
