--- a/src/program/Commands.cpp
+++ b/src/program/Commands.cpp
@@ -115,8 +115,8 @@
 AllCommands()
 {
   static const std::vector<Command> kCommands{
-    ServeCommand(), CheckCommand(),   ApplyCommand(),  DiffCommand(),
-    GetCommand(),   HistoryCommand(), StatusCommand(), ReportCommand(),
+    ServeCommand(),   CheckCommand(),  ApplyCommand(),  DiffCommand(),     GetCommand(),
+    HistoryCommand(), StatusCommand(), ReportCommand(), LogLevelCommand(),
   };
   return kCommands;
 }
--- a/src/program/Commands.h
+++ b/src/program/Commands.h
@@ -103,4 +103,8 @@
 Command
 ReportCommand();
 
+// Changes the log level of running hosts.
+Command
+LogLevelCommand();
+
 } // namespace damasklink
--- a/src/program/OperatorCalls.cpp
+++ b/src/program/OperatorCalls.cpp
@@ -90,12 +90,14 @@
 }
 
 Result<std::string>
-GetFromHost(const Endpoint& aHost, const std::string& aPath, const std::string& aKey)
+CallOperator(const OperatorCall& aCall)
 {
   HttpCall call;
-  call.endpoint = aHost;
-  call.path = aPath;
-  call.headers = { { "authorization", Concat("Bearer ", aKey) } };
+  call.endpoint = aCall.host;
+  call.method = aCall.method;
+  call.path = aCall.path;
+  call.headers = { { "authorization", Concat("Bearer ", aCall.key) } };
+  call.body = aCall.body;
   call.readTimeout = kAnswerTimeout;
   auto answer = CallHttp(std::move(call), kMostAnswer);
   if (!answer) {
@@ -103,12 +105,12 @@
   }
   if (answer.value().status == kStatusUnauthenticated) {
     return Fail(ErrorKind::Unauthenticated,
-                Concat(FormatEndpoint(aHost), " does not know the operator key"),
+                Concat(FormatEndpoint(aCall.host), " does not know the operator key"),
                 "compare the key with operator_keys in the host's settings");
   }
   if (answer.value().status != kStatusOk) {
     return Fail(ErrorKind::Internal,
-                Concat(FormatEndpoint(aHost), " answered with status ", answer.value().status),
+                Concat(FormatEndpoint(aCall.host), " answered with status ", answer.value().status),
                 "read the host's log");
   }
   return std::move(answer.value().body);
--- a/src/program/OperatorCalls.h
+++ b/src/program/OperatorCalls.h
@@ -21,9 +21,19 @@
 std::string
 OperatorKey(const Arguments& aArguments);
 
-// Calls GET on a host with the key and returns the body. Fails with what the host answered, or
+// A call to one host's operators' address.
+struct OperatorCall
+{
+  Endpoint host;
+  std::string method = "GET";
+  std::string path;
+  std::string key;
+  std::string body;
+};
+
+// Makes the call and returns the body of the answer. Fails with what the host answered, or
 // Unavailable when it could not be reached.
 Result<std::string>
-GetFromHost(const Endpoint& aHost, const std::string& aPath, const std::string& aKey);
+CallOperator(const OperatorCall& aCall);
 
 } // namespace damasklink
--- a/src/program/ReportCommand.cpp
+++ b/src/program/ReportCommand.cpp
@@ -39,7 +39,7 @@
 {
   Collected collected;
   for (const Endpoint& host : aHosts) {
-    auto body = GetFromHost(host, "/v1/burn", aKey);
+    auto body = CallOperator({ host, "GET", "/v1/burn", aKey, "" });
     if (!body && body.error().kind == ErrorKind::Unavailable) {
       collected.unreached.push_back(FormatEndpoint(host));
       continue;
--- a/test/program/OperatorPartTest.cpp
+++ b/test/program/OperatorPartTest.cpp
@@ -22,6 +22,11 @@
 protected:
   void SetUp() override
   {
+    static const bool kLogging = [] {
+      StartLogging(LogLevel::Info);
+      return true;
+    }();
+    ASSERT_TRUE(kLogging);
     ASSERT_TRUE(this->host.Start());
     this->operators = this->host.Addresses().operators;
   }
@@ -59,7 +64,6 @@
 
 TEST_F(OperatorPartTest, LogLevelChangesWhileRunning)
 {
-  StartLogging(LogLevel::Info);
   ::testing::internal::CaptureStderr();
   EXPECT_EQ(this->Ask("PUT", "/v1/log-level", kOperatorKey, R"({"level":"error"})").status, kOk);
   LogEvent(LogLevel::Info, "left_out");
@@ -134,6 +138,20 @@
   EXPECT_THAT(this->err, HasSubstr("compare the key"));
 }
 
+TEST_F(ReportCommandTest, LogLevelCommandChangesTheHostOrSaysWhyNot)
+{
+  const std::string host = FormatEndpoint(this->operators);
+  ::setenv("DAMASKLINK_OPERATOR_KEY", kOperatorKey.c_str(), 1);
+  ::testing::internal::CaptureStdout();
+  ::testing::internal::CaptureStderr();
+  EXPECT_EQ(RunProgram({ "log-level", "debug", "--host", host }), ExitCode::Done);
+  LogEvent(LogLevel::Debug, "now_written");
+  EXPECT_EQ(RunProgram({ "log-level", "info", "--host", host }), ExitCode::Done);
+  EXPECT_EQ(RunProgram({ "log-level", "loud", "--host", host }), ExitCode::WrongUse);
+  EXPECT_THAT(::testing::internal::GetCapturedStdout(), HasSubstr(host));
+  EXPECT_THAT(::testing::internal::GetCapturedStderr(), HasSubstr("now_written"));
+}
+
 TEST_F(ReportCommandTest, WithoutKeyOrHostItIsWrongUse)
 {
   EXPECT_EQ(this->Report({ FormatEndpoint(this->operators) }, ""), ExitCode::WrongUse);
