Fault runs hold their ports; properties over operators' and configuration messages

Two runs that start at once could have chosen the same ports; a socket on the base port now keeps others away.

--- a/test/protocol/UntrustedInputTest.cpp
+++ b/test/protocol/UntrustedInputTest.cpp
@@ -10,8 +10,10 @@
 #include "damasklink/protocol/BurnApi.h"
 #include "damasklink/protocol/CallerApi.h"
 #include "damasklink/protocol/ClaimMachine.h"
+#include "damasklink/protocol/ConfigWire.h"
 #include "damasklink/protocol/EngineApi.h"
 #include "damasklink/protocol/Envelope.h"
+#include "damasklink/protocol/OperatorApi.h"
 
 namespace damasklink::testing {
 namespace {
@@ -167,6 +169,41 @@
   });
 }
 
+RC_GTEST_PROP(UntrustedInputTest, ConfigurationMessagesAreAValueOrAnError, ())
+{
+  ConfigMessage message;
+  message.kind = ConfigMessageKind::Delta;
+  message.revision = Revision(12);
+  message.origin = HostId("h1");
+  message.body = "packed";
+  ForNearlyValid(EncodeConfigMessage(message), [](const std::string& aBytes) {
+    AssertValueOrError(DecodeConfigMessage(aBytes), { ErrorKind::Corrupt });
+  });
+  Heartbeat beat;
+  beat.others.resize(3);
+  ForNearlyValid(EncodeHeartbeat(beat), [](const std::string& aBytes) {
+    AssertValueOrError(DecodeHeartbeat(aBytes), { ErrorKind::Corrupt });
+  });
+}
+
+RC_GTEST_PROP(UntrustedInputTest, OperatorCallsAreAValueOrAnError, ())
+{
+  ChangeRequest request;
+  request.id = ChangeId("apply-1");
+  request.subtree = ParseSubtreeName("workspaces/head-office").value();
+  request.author = "operator";
+  request.content = "workspaces:\n  head-office: {}\n";
+  ForNearlyValid(FormatChangeRequest(request), [](const std::string& aBody) {
+    AssertValueOrError(ParseChangeRequest(aBody), { ErrorKind::InvalidArgument });
+  });
+  HostStatus status;
+  status.peers.resize(2);
+  status.targets.resize(1);
+  ForNearlyValid(FormatHostStatus(status), [](const std::string& aBody) {
+    AssertValueOrError(ParseHostStatus(aBody), { ErrorKind::InvalidArgument, ErrorKind::Corrupt });
+  });
+}
+
 // However a stream is cut into pieces, the same texts come out.
 RC_GTEST_PROP(UntrustedInputTest, EventsDoNotDependOnHowTheyWereCut, ())
 {
--- a/tools/local_system.py
+++ b/tools/local_system.py
@@ -304,21 +304,36 @@
         return call(host.operators, "GET", "/readyz", timeout=1).status == 200
 
 
+def listen_on(port):
+    """Returns a listening socket, or None when somebody holds the port."""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind(("127.0.0.1", port))
+        listener.listen()
+    except OSError:
+        listener.close()
+        return None
+    return listener
+
+
 def is_free(port):
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
+    listener = listen_on(port)
+    if listener:
+        listener.close()
+    return listener is not None
 
 
-def free_base_port():
-    """Returns a base whose ports nobody holds, below those that the kernel hands out by itself."""
+def hold_free_ports():
+    """Returns a base whose ports are free, below those that the kernel hands out by itself, and a
+    socket on the base itself: while it is open, other runs leave the range alone."""
     for base in random.sample(range(20000, 32000, PORTS_PER_SYSTEM), 15):
-        if all(is_free(base + offset) for offset in range(PORTS_PER_SYSTEM)):
-            return base
+        guard = listen_on(base)
+        if guard is None:
+            continue
+        if all(is_free(base + offset) for offset in range(1, PORTS_PER_SYSTEM)):
+            return base, guard
+        guard.close()
     raise RuntimeError("no free range of ports; end other runs first")
 
 
