--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -27,4 +27,8 @@
 int
 RunConfiguration(const std::vector<std::string>& aArguments);
 
+// What one record of a counter, a sample or a service level costs.
+int
+RunMetrics(const std::vector<std::string>& aArguments);
+
 } // namespace damasklink::bench
