A silent disk host that the settings no longer list leaves the membership

It stayed a voter for ever, so a group of three from which a host was retired lived on two of three. MembershipRepairTest.SilentHostThatIsNotListedAnyMoreIsRemoved failed before.

--- a/include/damasklink/coordination/MembershipRepair.h
+++ b/include/damasklink/coordination/MembershipRepair.h
@@ -11,6 +11,7 @@
 
 // A host whose disk was lost comes back as another replica: it is taken in as a learner, becomes a
 // voter once caught up, and then the replica that it was is removed. Each is one step of its own.
+// A silent host that the settings do not list any more is removed too.
 class MembershipRepair
 {
 public:
@@ -26,6 +27,8 @@
   std::optional<Membership> Next(const RaftCore& aCore);
 
 private:
+  bool IsListed(const HostId& aHost) const;
+  std::optional<Membership> RemoveRetired(const Membership& aNow, const RaftCore& aCore) const;
   std::optional<Membership> Promote(const Membership& aNow, const RaftCore& aCore) const;
   std::optional<Membership> RemoveReplaced(const Membership& aNow) const;
   std::optional<Membership> AddLearner(const Membership& aNow);
--- a/src/coordination/MembershipRepair.cpp
+++ b/src/coordination/MembershipRepair.cpp
@@ -10,10 +10,16 @@
 
 } // namespace
 
+bool
+MembershipRepair::IsListed(const HostId& aHost) const
+{
+  return std::find(this->listed.begin(), this->listed.end(), aHost) != this->listed.end();
+}
+
 void
 MembershipRepair::NoteJoin(const HostId& aHost, ReplicaId aReplica)
 {
-  if (std::find(this->listed.begin(), this->listed.end(), aHost) != this->listed.end()) {
+  if (this->IsListed(aHost)) {
     this->joining[aHost] = aReplica;
   }
 }
@@ -28,6 +34,9 @@
   if (auto promoted = this->Promote(now, aCore)) {
     return promoted;
   }
+  if (auto removed = this->RemoveRetired(now, aCore)) {
+    return removed;
+  }
   return this->AddLearner(now);
 }
 
@@ -65,6 +74,23 @@
   return std::nullopt;
 }
 
+// A silent host that the settings do not list any more will not come back. One that still answers
+// stays: the settings of this host may be the wrong ones.
+std::optional<Membership>
+MembershipRepair::RemoveRetired(const Membership& aNow, const RaftCore& aCore) const
+{
+  const auto retired =
+    std::find_if(aNow.members.begin(), aNow.members.end(), [&](const Member& aMember) {
+      return !this->IsListed(aMember.host) && !aCore.HeardFrom(aMember.replica);
+    });
+  if (retired == aNow.members.end()) {
+    return std::nullopt;
+  }
+  Membership next = aNow;
+  next.members.erase(next.members.begin() + (retired - aNow.members.begin()));
+  return next;
+}
+
 std::optional<Membership>
 MembershipRepair::AddLearner(const Membership& aNow)
 {
--- a/test/coordination/MembershipRepairTest.cpp
+++ b/test/coordination/MembershipRepairTest.cpp
@@ -91,6 +91,19 @@
   EXPECT_NE(this->Find(kNewerDisk), nullptr);
 }
 
+TEST_F(MembershipRepairTest, SilentHostThatIsNotListedAnyMoreIsRemoved)
+{
+  this->repair.NoteJoin(HostId("peer"), kNewDisk);
+  this->Step();
+  MembershipRepair without{ { HostId("self") } };
+  EXPECT_FALSE(without.Next(this->core).has_value());
+  this->clock.Advance(RaftTiming().electionMost);
+  const auto next = without.Next(this->core);
+  ASSERT_TRUE(next.has_value());
+  EXPECT_EQ(next->Find(kNewDisk), nullptr);
+  EXPECT_NE(next->Find(testing::kSelf), nullptr);
+}
+
 TEST_F(MembershipRepairTest, HostThatIsNotListedStaysOut)
 {
   this->repair.NoteJoin(HostId("stranger"), kNewDisk);
