--- a/include/damasklink/coordination/RaftCore.h
+++ b/include/damasklink/coordination/RaftCore.h
@@ -175,30 +175,27 @@
   bool IsUpToDate(LogIndex aLastIndex, Term aLastTerm) const;
   bool HeardLeaderLately() const;
 
-  // Replication (RaftReplication.cpp).
+  // As a follower (RaftFollower.cpp).
   void Handle(const AgreementMessage& aMessage, const AppendRequest& aBody);
-  void Handle(const AgreementMessage& aMessage, const AppendAnswer& aBody);
   void Handle(const AgreementMessage& aMessage, const SnapshotPiece& aBody);
-  void Handle(const AgreementMessage& aMessage, const SnapshotAnswer& aBody);
-  // Bodies that replicas do not handle.
-  template<typename Body>
-  void Handle(const AgreementMessage& /*aMessage*/, const Body& /*aBody*/)
-  {
-  }
   void AcceptLeader(const AgreementMessage& aMessage);
   void TakeEntries(const AppendRequest& aBody);
+  void CutUnsynced(LogIndex aLast);
   LogIndex RetryHint(const AppendRequest& aBody) const;
   void InstallSnapshot(const AgreementMessage& aMessage, const SnapshotPiece& aBody);
+
+  // As a leader (RaftLeader.cpp).
+  void Handle(const AgreementMessage& aMessage, const AppendAnswer& aBody);
+  void Handle(const AgreementMessage& aMessage, const SnapshotAnswer& aBody);
+  Progress* FindAnswering(const AgreementMessage& aMessage, std::uint64_t aSentAt);
+  bool IsFresh(const Progress& aProgress) const;
   void AppendOwn(LogEntry aEntry);
+  void MatchProgressToMembership();
+  void SendNewEntries();
+  void SendHeartbeats();
   void SendAppend(ReplicaId aTo, Progress& aProgress, bool aHeartbeat);
-  void CutUnsynced(LogIndex aLast);
-  bool IsFresh(const Progress& aProgress) const;
-  Progress* FindAnswering(const AgreementMessage& aMessage, std::uint64_t aSentAt);
   void StartSnapshot(Progress& aProgress);
   void SendSnapshotPiece(ReplicaId aTo, Progress& aProgress);
-  void SendNewEntries();
-  void SendHeartbeats();
-  void MatchProgressToMembership();
   void AdvanceCommitted();
   void CheckQuorum();
   bool DiskHangs() const;
@@ -207,6 +204,12 @@
   template<typename Value, typename Field>
   Value QuorumValue(Value aOwn, Field aField) const;
 
+  // Bodies that replicas do not handle.
+  template<typename Body>
+  void Handle(const AgreementMessage& /*aMessage*/, const Body& /*aBody*/)
+  {
+  }
+
   AgreementMessage Address(ReplicaId aTo, const HostId& aHost, AgreementBody aBody) const;
   void SendNow(ReplicaId aTo, const HostId& aHost, AgreementBody aBody);
   // Sends once all that has changed so far is synced.
--- a/include/damasklink/state/LogStore.h
+++ b/include/damasklink/state/LogStore.h
@@ -12,6 +12,18 @@
 
 namespace damasklink {
 
+namespace internal {
+
+// One log file.
+struct LogSegment
+{
+  std::uint64_t sequence = 0;
+  // The highest index of an entry inside.
+  LogIndex last;
+};
+
+} // namespace internal
+
 // Writes what a replica must not forget, and reads it back after a restart.
 //
 //   LogStore store(disk, folder);
@@ -33,36 +45,8 @@
   Result<void> Write(const std::vector<PersistBatch>& aBatches);
 
 private:
-  struct Segment
-  {
-    std::uint64_t sequence = 0;
-    // The highest index of an entry inside.
-    LogIndex last;
-  };
-
-  // How far a segment is known to be synced.
-  struct SyncedMark
-  {
-    std::uint64_t sequence = 0;
-    std::uint64_t length = 0;
-  };
-
-  class Replay;
-
   std::string PathOf(const std::string& aName) const;
-  std::string SegmentPath(std::uint64_t aSequence) const;
-  Result<SnapshotPtr> ReadSnapshot(const std::vector<std::string>& aNames);
-  Result<SyncedMark> ReadMark(const std::vector<std::string>& aNames);
-  Result<void> ReadSegments(const std::vector<std::string>& aNames,
-                            const SyncedMark& aMark,
-                            Replay& aReplay);
-  Result<void> ReadSegment(std::uint64_t aSequence,
-                           bool aLastOne,
-                           const SyncedMark& aMark,
-                           Replay& aReplay);
-  Result<void> SyncTail(const std::string& aPath);
   Result<void> OpenMark();
-  Result<void> CutTail(std::uint64_t aSequence, std::uint64_t aLength);
   Result<void> WriteAll(const std::vector<PersistBatch>& aBatches);
   void EncodeBatch(const PersistBatch& aBatch, std::string& aBytes);
   Result<void> StartSegment();
@@ -73,7 +57,7 @@
 
   Disk& disk;
   std::string folder;
-  std::deque<Segment> segments;
+  std::deque<internal::LogSegment> segments;
   std::unique_ptr<DiskFile> current;
   std::uint64_t currentLength = 0;
   std::unique_ptr<DiskFile> mark;
--- /dev/null
+++ b/src/coordination/RaftFollower.cpp
@@ -0,0 +1,149 @@
+// The follower's side of RaftCore: entries and snapshots that a leader sends.
+#include <algorithm>
+#include <cassert>
+
+#include "damasklink/coordination/RaftCore.h"
+#include "damasklink/state/LogCodec.h"
+
+namespace damasklink {
+
+void
+RaftCore::AcceptLeader(const AgreementMessage& aMessage)
+{
+  this->BecomeFollower(aMessage.term, aMessage.from);
+  this->leaderHost = aMessage.fromHost;
+  this->leaderHeardAt = this->clock.MonotonicNow();
+  this->ResetElectionTimer();
+}
+
+void
+RaftCore::Handle(const AgreementMessage& aMessage, const AppendRequest& aBody)
+{
+  AppendAnswer answer;
+  answer.previousIndex = aBody.previousIndex;
+  answer.sentAt = aBody.sentAt;
+  if (aMessage.term < this->hardState.term) {
+    this->SendNow(aMessage.from, aMessage.fromHost, answer);
+    return;
+  }
+  this->AcceptLeader(aMessage);
+  if (aBody.previousIndex < this->committed) {
+    // An old copy, or a leader that does not know yet how far this replica is.
+    answer.accepted = true;
+    answer.index = this->committed;
+  } else if (this->log.TermAt(aBody.previousIndex) != aBody.previousTerm) {
+    answer.index = this->RetryHint(aBody);
+  } else {
+    this->TakeEntries(aBody);
+    answer.accepted = true;
+    answer.index = LogIndex(aBody.previousIndex.Value() + aBody.entries.size());
+    this->committed = std::max(this->committed, std::min(aBody.committed, answer.index));
+  }
+  this->SendWhenPersisted(aMessage.from, aMessage.fromHost, answer);
+}
+
+void
+RaftCore::TakeEntries(const AppendRequest& aBody)
+{
+  for (const LogEntry& entry : aBody.entries) {
+    if (this->log.TermAt(entry.index) == entry.term) {
+      continue;
+    }
+    if (entry.index <= this->log.LastIndex()) {
+      assert(entry.index > this->committed);
+      this->log.TruncateFrom(entry.index);
+      this->unwrittenFrom = std::min(this->unwrittenFrom, entry.index);
+      this->CutUnsynced(this->log.LastIndex());
+    }
+    this->log.Append(entry);
+  }
+}
+
+// Entries above aLast are void, also in batches that are still being written.
+void
+RaftCore::CutUnsynced(LogIndex aLast)
+{
+  this->persistedIndex = std::min(this->persistedIndex, aLast);
+  for (BatchUnderWay& batch : this->batchesUnderWay) {
+    batch.end = std::min(batch.end, aLast);
+  }
+}
+
+// Skips back over the whole term that does not fit, so that the leader need not try each entry.
+LogIndex
+RaftCore::RetryHint(const AppendRequest& aBody) const
+{
+  if (aBody.previousIndex > this->log.LastIndex()) {
+    return this->log.LastIndex();
+  }
+  const std::optional<Term> wrong = this->log.TermAt(aBody.previousIndex);
+  LogIndex hint = aBody.previousIndex;
+  while (hint > this->committed && this->log.TermAt(hint) == wrong) {
+    hint = LogIndex(hint.Value() - 1);
+  }
+  return hint;
+}
+
+void
+RaftCore::Handle(const AgreementMessage& aMessage, const SnapshotPiece& aBody)
+{
+  if (aMessage.term < this->hardState.term) {
+    this->SendNow(aMessage.from, aMessage.fromHost, AppendAnswer{});
+    return;
+  }
+  this->AcceptLeader(aMessage);
+  if (this->log.TermAt(aBody.index) == aBody.snapshotTerm) {
+    // The entries are here already, and later ones may be acknowledged: nothing is replaced.
+    this->committed = std::max(this->committed, aBody.index);
+  }
+  if (aBody.index <= this->committed) {
+    this->incoming.clear();
+    const AppendAnswer answer{ true, this->committed, aBody.index, aBody.sentAt };
+    this->SendWhenPersisted(aMessage.from, aMessage.fromHost, answer);
+    return;
+  }
+  const bool continues =
+    this->incomingIndex == aBody.index && this->incomingTerm == aBody.snapshotTerm;
+  if (!continues) {
+    this->incoming.clear();
+    this->incomingIndex = aBody.index;
+    this->incomingTerm = aBody.snapshotTerm;
+  }
+  if (aBody.offset == this->incoming.size()) {
+    this->incoming.append(aBody.bytes);
+  }
+  if (this->incoming.size() == aBody.totalBytes) {
+    this->InstallSnapshot(aMessage, aBody);
+    return;
+  }
+  const SnapshotAnswer answer{ aBody.index, this->incoming.size(), aBody.sentAt };
+  this->SendNow(aMessage.from, aMessage.fromHost, answer);
+}
+
+void
+RaftCore::InstallSnapshot(const AgreementMessage& aMessage, const SnapshotPiece& aBody)
+{
+  auto decoded = DecodeSnapshot(this->incoming);
+  this->incoming.clear();
+  this->incomingIndex = LogIndex();
+  if (!decoded || decoded.value().index != aBody.index) {
+    // Begun anew with the next heartbeat.
+    return;
+  }
+  const auto snapshot = std::make_shared<const Snapshot>(std::move(decoded.value()));
+  this->log.Reset(snapshot);
+  this->committed = snapshot->index;
+  this->handedOut = snapshot->index;
+  this->persistedIndex = snapshot->index;
+  for (BatchUnderWay& batch : this->batchesUnderWay) {
+    batch.end = snapshot->index;
+  }
+  this->unwrittenFrom = snapshot->index.Next();
+  this->toInstall = snapshot;
+  this->snapshotToPersist = snapshot;
+  this->snapshotReplacesLog = true;
+  const AppendAnswer answer{ true, snapshot->index, snapshot->index, aBody.sentAt };
+  this->SendWhenPersisted(aMessage.from, aMessage.fromHost, answer);
+}
+
+} // namespace damasklink
--- a/test/state/LogStoreTest.cpp
+++ b/test/state/LogStoreTest.cpp
@@ -129,6 +129,40 @@
   EXPECT_EQ(recovered.error().kind, ErrorKind::Corrupt);
 }
 
+TEST(LogStoreTest, AcknowledgedRecordThatIsGoneIsNamed)
+{
+  FakeDisk disk;
+  LogStore store(disk, "g");
+  ASSERT_TRUE(store.Open());
+  ASSERT_TRUE(store.Write({ MakeBatch(1, 2) }));
+  std::string& log = disk.Content("g/log-0000000000000001");
+  const std::size_t before = log.size();
+  ASSERT_TRUE(store.Write({ MakeBatch(3, 3) }));
+  log.resize(before);
+  auto recovered = Reopen(disk);
+  ASSERT_FALSE(recovered);
+  EXPECT_EQ(recovered.error().kind, ErrorKind::Corrupt);
+}
+
+// The process died between its write and the sync. What the next one has read, it may acknowledge.
+TEST(LogStoreTest, WhatWasReadOnceSurvivesAPowerCut)
+{
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    FakeDisk disk;
+    LogStore store(disk, "g");
+    ASSERT_TRUE(store.Open());
+    disk.FailAfter(2);
+    ASSERT_FALSE(store.Write({ MakeBatch(1, 3) }));
+    disk.KillProcess();
+    ASSERT_EQ(Reopen(disk).value().entries.size(), 3U);
+    std::mt19937_64 random(seed);
+    disk.CutPower(random);
+    auto recovered = Reopen(disk);
+    ASSERT_TRUE(recovered) << recovered.error();
+    EXPECT_EQ(recovered.value().entries.size(), 3U);
+  }
+}
+
 TEST(LogStoreTest, OtherVersionIsNamed)
 {
   FakeDisk disk;
