Targets reach every host by changes, refreshes and questions

Now a change, leaving and silence go to all peers at once, load and signs of life in 32 bytes a target every 2 s, and a host that missed a record asks for it by its fingerprint. Ruled out: passing a digest along the ring (9 hops of 0.5 s exceed the 2 s in which a silent target must be out of use).

--- a/include/damasklink/coordination/TargetRegistry.h
+++ b/include/damasklink/coordination/TargetRegistry.h
@@ -26,6 +26,26 @@
   // Takes an announcement, heard just now. Returns whether it was news that peers should hear.
   bool Merge(const TargetRecord& aRecord);
 
+  // As above, for a target that may be silent for aSilence.
+  bool Merge(const TargetRecord& aRecord, Duration aSilence);
+
+  // Takes a sign of life of the incarnation that is held. Returns false, and does nothing, when
+  // another one is held or the target is unknown.
+  bool Refresh(const TargetId& aTarget,
+               Incarnation aIncarnation,
+               Sequence aSequence,
+               const TargetLoad& aLoad);
+
+  // Takes the word of the host that the target announces itself to: silent since aSequence. Does
+  // nothing when a later announcement is held.
+  void MarkSilent(const TargetId& aTarget, Incarnation aIncarnation, Sequence aSequence);
+
+  // Returns the record that is held, or nullptr.
+  const TargetRecord* Find(const TargetId& aTarget) const;
+
+  // Returns whether the target may get new work.
+  bool IsUsable(const TargetId& aTarget) const;
+
   // Returns the targets that may get new work, ordered by id.
   std::vector<TargetRecord> Usable() const;
 
@@ -40,8 +60,12 @@
   {
     TargetRecord record;
     MonotonicTime heard;
+    Duration silence{ 0 };
+    bool silent = false;
   };
 
+  bool IsUsable(const Entry& aEntry) const;
+
   const Clock& clock;
   Duration silence;
   std::map<TargetId, Entry> entries;
--- a/include/damasklink/state/Digests.h
+++ b/include/damasklink/state/Digests.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <array>
+#include <cstdint>
 #include <string_view>
 
 #include "damasklink/state/Ids.h"
@@ -34,4 +35,8 @@
 bool
 EqualInConstantTime(const Digest& aLeft, const Digest& aRight);
 
+// Returns 32 bits (FNV-1a) that are the same in all builds, to name things briefly on the wire.
+std::uint32_t
+ShortHash(std::string_view aText);
+
 } // namespace damasklink
--- a/src/coordination/HostMembership.cpp
+++ b/src/coordination/HostMembership.cpp
@@ -3,13 +3,11 @@
 #include <algorithm>
 #include <tuple>
 
+#include "damasklink/state/Digests.h"
+
 namespace damasklink {
 namespace {
 
-// FNV-1a, so that all builds agree.
-constexpr std::uint32_t kHashStart = 2'166'136'261U;
-constexpr std::uint32_t kHashFactor = 16'777'619U;
-
 bool
 StandsBefore(const PeerSettings& aLeft, const PeerSettings& aRight)
 {
@@ -21,12 +19,7 @@
 HostHash
 HashOfHost(const HostId& aHost)
 {
-  HostHash hash = kHashStart;
-  for (const char character : aHost.Value()) {
-    hash ^= static_cast<unsigned char>(character);
-    hash *= kHashFactor;
-  }
-  return hash;
+  return ShortHash(aHost.Value());
 }
 
 HostMembership::HostMembership(const Clock& aClock,
--- a/src/coordination/TargetRegistry.cpp
+++ b/src/coordination/TargetRegistry.cpp
@@ -24,6 +24,12 @@
 
 bool
 TargetRegistry::Merge(const TargetRecord& aRecord)
+{
+  return this->Merge(aRecord, this->silence);
+}
+
+bool
+TargetRegistry::Merge(const TargetRecord& aRecord, Duration aSilence)
 {
   const auto [position, isNew] = this->entries.try_emplace(aRecord.id);
   Entry& entry = position->second;
@@ -35,17 +41,72 @@
   entry.record = aRecord;
   entry.record.leaving = aRecord.leaving || stickyLeaving;
   entry.heard = this->clock.MonotonicNow();
+  entry.silence = aSilence;
+  entry.silent = false;
+  return true;
+}
+
+bool
+TargetRegistry::Refresh(const TargetId& aTarget,
+                        Incarnation aIncarnation,
+                        Sequence aSequence,
+                        const TargetLoad& aLoad)
+{
+  const auto found = this->entries.find(aTarget);
+  if (found == this->entries.end() || found->second.record.incarnation != aIncarnation) {
+    return false;
+  }
+  Entry& entry = found->second;
+  if (aSequence <= entry.record.sequence) {
+    // The same word again is no sign of life of the target, only of the host that passes it on.
+    return true;
+  }
+  entry.record.sequence = aSequence;
+  entry.record.load = aLoad;
+  entry.heard = this->clock.MonotonicNow();
+  entry.silent = false;
   return true;
 }
 
+void
+TargetRegistry::MarkSilent(const TargetId& aTarget, Incarnation aIncarnation, Sequence aSequence)
+{
+  const auto found = this->entries.find(aTarget);
+  if (found == this->entries.end()) {
+    return;
+  }
+  if (AgeOf(found->second.record) <= std::tie(aIncarnation, aSequence)) {
+    found->second.silent = true;
+  }
+}
+
+const TargetRecord*
+TargetRegistry::Find(const TargetId& aTarget) const
+{
+  const auto found = this->entries.find(aTarget);
+  return found == this->entries.end() ? nullptr : &found->second.record;
+}
+
+bool
+TargetRegistry::IsUsable(const Entry& aEntry) const
+{
+  const Duration quiet = this->clock.MonotonicNow() - aEntry.heard;
+  return !aEntry.silent && !aEntry.record.leaving && quiet < aEntry.silence;
+}
+
+bool
+TargetRegistry::IsUsable(const TargetId& aTarget) const
+{
+  const auto found = this->entries.find(aTarget);
+  return found != this->entries.end() && this->IsUsable(found->second);
+}
+
 std::vector<TargetRecord>
 TargetRegistry::Usable() const
 {
   std::vector<TargetRecord> usable;
-  const MonotonicTime now = this->clock.MonotonicNow();
   for (const auto& [id, entry] : this->entries) {
-    const bool silent = now - entry.heard >= this->silence;
-    if (!silent && !entry.record.leaving) {
+    if (this->IsUsable(entry)) {
       usable.push_back(entry.record);
     }
   }
--- /dev/null
+++ b/src/coordination/TargetSpread.cpp
@@ -0,0 +1,223 @@
+#include "damasklink/coordination/TargetSpread.h"
+
+#include "damasklink/state/CompactCodec.h"
+#include "damasklink/state/Digests.h"
+#include "damasklink/state/Text.h"
+
+namespace damasklink {
+namespace {
+
+// The home gives up on a target after this share of the limit, so that peers hear of it within.
+constexpr int kHomeSilenceParts = 3;
+constexpr int kSilenceParts = 4;
+
+} // namespace
+
+std::uint32_t
+FingerprintOfTarget(const TargetRecord& aRecord)
+{
+  CompactWriter writer;
+  writer.Id(aRecord.id).Number(static_cast<std::uint64_t>(aRecord.kind)).Id(aRecord.zone);
+  writer.Text(FormatEndpoint(aRecord.endpoint)).Id(aRecord.incarnation);
+  writer.Flag(aRecord.leaving).Flag(aRecord.checksFencing);
+  writer.Number(static_cast<std::uint64_t>(aRecord.role)).Id(aRecord.service);
+  for (const ServedModel& model : aRecord.models) {
+    writer.Id(model.model).Id(model.version).Number(model.adapters.size());
+    for (const AdapterName& adapter : model.adapters) {
+      writer.Id(adapter);
+    }
+  }
+  writer.Real(aRecord.rates.prefillTokensPerSecond).Real(aRecord.rates.decodeTokensPerSecond);
+  writer.Id(aRecord.store.memory).Id(aRecord.store.disk);
+  writer.Id(aRecord.store.linkBytesPerSecond).Id(aRecord.store.bytesPerToken);
+  return ShortHash(std::move(writer).Take());
+}
+
+TargetSpread::TargetSpread(const Clock& aClock, const HostSettings& aSettings)
+  : clock(aClock)
+  , self(aSettings.host)
+  , homeSilence(aSettings.timeouts.targetSilence * kHomeSilenceParts / kSilenceParts)
+  , registry(aClock, this->homeSilence)
+  , nextRefresh(aClock.MonotonicNow())
+{
+  for (const PeerSettings& peer : aSettings.peers) {
+    if (peer.host != this->self) {
+      this->peers.push_back(peer.host);
+    }
+  }
+}
+
+void
+TargetSpread::OnAnnouncement(const TargetRecord& aRecord)
+{
+  const TargetRecord* held = this->registry.Find(aRecord.id);
+  const std::uint32_t before = held == nullptr ? 0 : FingerprintOfTarget(*held);
+  const bool isNew = held == nullptr;
+  const bool wasUsable = this->registry.IsUsable(aRecord.id);
+  const bool wasOwn = this->IsOwn(aRecord.id);
+  if (!this->registry.Merge(aRecord, this->homeSilence)) {
+    return;
+  }
+  this->homes[aRecord.id] = this->self;
+  this->byHash[ShortHash(aRecord.id.Value())] = aRecord.id;
+  this->told.erase(aRecord.id);
+  const TargetRecord& merged = *this->registry.Find(aRecord.id);
+  const bool changed = isNew || FingerprintOfTarget(merged) != before;
+  if (changed || !wasOwn || !wasUsable) {
+    this->SendToAll(TargetsMessage{ TargetsMessageKind::Records, { merged }, {} });
+  }
+}
+
+void
+TargetSpread::OnMessage(const HostId& aFrom, const TargetsMessage& aMessage)
+{
+  if (aMessage.kind == TargetsMessageKind::Ask) {
+    this->outgoing.push_back({ aFrom, this->OwnRecords() });
+    return;
+  }
+  for (const TargetRecord& record : aMessage.records) {
+    this->TakeRecord(aFrom, record);
+  }
+  bool allKnown = true;
+  for (const TargetSign& sign : aMessage.signs) {
+    if (aMessage.kind == TargetsMessageKind::Silent) {
+      this->TakeSilence(aFrom, sign);
+    } else {
+      allKnown = this->TakeSign(aFrom, sign) && allKnown;
+    }
+  }
+  const MonotonicTime now = this->clock.MonotonicNow();
+  MonotonicTime& next = this->nextAsk[aFrom];
+  if (!allKnown && now >= next) {
+    next = now + kAskInterval;
+    this->outgoing.push_back({ aFrom, TargetsMessage() });
+  }
+}
+
+void
+TargetSpread::TakeRecord(const HostId& aFrom, const TargetRecord& aRecord)
+{
+  if (this->registry.Merge(aRecord, kRemoteSilence)) {
+    this->homes[aRecord.id] = aFrom;
+    this->byHash[ShortHash(aRecord.id.Value())] = aRecord.id;
+  }
+}
+
+bool
+TargetSpread::TakeSign(const HostId& aFrom, const TargetSign& aSign)
+{
+  const auto found = this->byHash.find(aSign.target);
+  const TargetRecord* held =
+    found == this->byHash.end() ? nullptr : this->registry.Find(found->second);
+  if (held == nullptr) {
+    return false;
+  }
+  if (this->homes[held->id] != aFrom) {
+    // Another host heard from the target later, unless this one never heard of the move.
+    return aSign.sequence <= held->sequence;
+  }
+  if (FingerprintOfTarget(*held) != aSign.fingerprint) {
+    return false;
+  }
+  return this->registry.Refresh(held->id, held->incarnation, aSign.sequence, aSign.load);
+}
+
+void
+TargetSpread::TakeSilence(const HostId& aFrom, const TargetSign& aSign)
+{
+  const auto found = this->byHash.find(aSign.target);
+  const TargetRecord* held =
+    found == this->byHash.end() ? nullptr : this->registry.Find(found->second);
+  if (held != nullptr && this->homes[held->id] == aFrom) {
+    this->registry.MarkSilent(held->id, held->incarnation, aSign.sequence);
+  }
+}
+
+void
+TargetSpread::OnTick()
+{
+  this->ReportSilence();
+  const MonotonicTime now = this->clock.MonotonicNow();
+  if (now >= this->nextRefresh) {
+    this->nextRefresh = now + kRefreshInterval;
+    this->SendRefresh();
+    this->registry.Expire();
+    std::erase_if(this->homes, [this](const auto& aItem) {
+      return this->registry.Find(aItem.first) == nullptr;
+    });
+  }
+}
+
+void
+TargetSpread::ReportSilence()
+{
+  TargetsMessage silence{ TargetsMessageKind::Silent, {}, {} };
+  for (const auto& [target, home] : this->homes) {
+    const bool silent = home == this->self && !this->registry.IsUsable(target);
+    const TargetRecord* record = silent ? this->registry.Find(target) : nullptr;
+    if (record != nullptr && !record->leaving && this->told.insert(target).second) {
+      silence.signs.push_back(this->SignOf(*record));
+    }
+  }
+  if (!silence.signs.empty()) {
+    this->SendToAll(silence);
+  }
+}
+
+void
+TargetSpread::SendRefresh()
+{
+  TargetsMessage refresh{ TargetsMessageKind::Refresh, {}, {} };
+  for (const auto& [target, home] : this->homes) {
+    if (home == this->self && this->registry.IsUsable(target)) {
+      refresh.signs.push_back(this->SignOf(*this->registry.Find(target)));
+    }
+  }
+  if (!refresh.signs.empty()) {
+    this->SendToAll(refresh);
+  }
+}
+
+std::vector<OutgoingTargetsMessage>
+TargetSpread::TakeOutgoing()
+{
+  return std::exchange(this->outgoing, {});
+}
+
+void
+TargetSpread::SendToAll(const TargetsMessage& aMessage)
+{
+  for (const HostId& peer : this->peers) {
+    this->outgoing.push_back({ peer, aMessage });
+  }
+}
+
+TargetsMessage
+TargetSpread::OwnRecords() const
+{
+  TargetsMessage message{ TargetsMessageKind::Records, {}, {} };
+  for (const auto& [target, home] : this->homes) {
+    const TargetRecord* record = home == this->self ? this->registry.Find(target) : nullptr;
+    if (record != nullptr) {
+      message.records.push_back(*record);
+    }
+  }
+  return message;
+}
+
+TargetSign
+TargetSpread::SignOf(const TargetRecord& aRecord) const
+{
+  return TargetSign{
+    ShortHash(aRecord.id.Value()), FingerprintOfTarget(aRecord), aRecord.sequence, aRecord.load
+  };
+}
+
+bool
+TargetSpread::IsOwn(const TargetId& aTarget) const
+{
+  const auto found = this->homes.find(aTarget);
+  return found != this->homes.end() && found->second == this->self;
+}
+
+} // namespace damasklink
--- a/src/program/TargetsModule.cpp
+++ b/src/program/TargetsModule.cpp
@@ -1,15 +1,14 @@
 #include "TargetsModule.h"
 
-#include <set>
-
-#include "damasklink/protocol/EngineApi.h"
+#include "damasklink/protocol/TargetsWire.h"
 #include "damasklink/state/Text.h"
 #include "damasklink/transport/Log.h"
 
 namespace damasklink {
 namespace {
 
-constexpr Duration kExpiryInterval = std::chrono::seconds(1);
+// Without news, only silence can change what is usable; a look that often is soon enough.
+constexpr Duration kPublishInterval = std::chrono::milliseconds(100);
 
 std::string
 ModelsText(const std::vector<ServedModel>& aModels)
@@ -41,40 +40,29 @@
                              const HostSettings& aSettings,
                              PeerSender& aPeers,
                              Publish aPublish)
-  : settings(aSettings)
+  : clock(aClock)
   , peers(aPeers)
   , publish(std::move(aPublish))
-  , registry(aClock, aSettings.timeouts.targetSilence)
+  , spread(aClock, aSettings)
 {
 }
 
 void
 TargetsModule::Announce(const TargetRecord& aRecord)
 {
-  if (!this->registry.Merge(aRecord)) {
-    return;
-  }
-  const std::string payload = FormatTargetRecord(aRecord);
-  for (const PeerSettings& peer : this->settings.peers) {
-    if (peer.host != this->settings.host) {
-      this->peers.Send(peer.host, PeerMessage{ Channel::Targets, GroupId(), payload });
-    }
-  }
+  this->spread.OnAnnouncement(aRecord);
+  this->SendOutgoing();
   this->PublishChanges();
 }
 
 void
 TargetsModule::FillStatus(HostStatus& aStatus) const
 {
-  std::set<TargetId> usable;
-  for (const TargetRecord& record : this->registry.Usable()) {
-    usable.insert(record.id);
-  }
-  for (const TargetRecord& record : this->registry.All()) {
+  for (const TargetRecord& record : this->Registry().All()) {
     aStatus.targets.push_back(TargetStatus{ record.id.Value(),
                                             std::string(KindText(record.kind)),
                                             record.zone.Value(),
-                                            usable.contains(record.id),
+                                            this->Registry().IsUsable(record.id),
                                             ModelsText(record.models) });
   }
 }
@@ -82,32 +70,43 @@
 void
 TargetsModule::OnPeerMessage(const HostId& aFrom, const PeerMessage& aMessage)
 {
-  auto record = ParseTargetRecord(aMessage.payload);
-  if (!record) {
+  auto message = DecodeTargetsMessage(aMessage.payload);
+  if (!message) {
     LogEvent(LogLevel::Warning, "announcement_refused")
       .With("from", aFrom)
-      .With("error", record.error());
+      .With("error", message.error());
     return;
   }
-  if (this->registry.Merge(record.value())) {
+  this->spread.OnMessage(aFrom, message.value());
+  this->SendOutgoing();
+  this->PublishChanges();
+}
+
+void
+TargetsModule::OnTick(MonotonicTime aNow)
+{
+  this->spread.OnTick();
+  this->SendOutgoing();
+  if (aNow >= this->nextPublish) {
     this->PublishChanges();
   }
 }
 
 void
-TargetsModule::OnTick(MonotonicTime aNow)
+TargetsModule::SendOutgoing()
 {
-  if (aNow >= this->nextExpiry) {
-    this->registry.Expire();
-    this->nextExpiry = aNow + kExpiryInterval;
+  for (OutgoingTargetsMessage& outgoing : this->spread.TakeOutgoing()) {
+    this->peers.Send(
+      outgoing.to,
+      PeerMessage{ Channel::Targets, GroupId(), EncodeTargetsMessage(outgoing.message) });
   }
-  this->PublishChanges();
 }
 
 void
 TargetsModule::PublishChanges()
 {
-  std::vector<TargetRecord> usable = this->registry.Usable();
+  this->nextPublish = this->clock.MonotonicNow() + kPublishInterval;
+  std::vector<TargetRecord> usable = this->Registry().Usable();
   if (usable == this->published) {
     return;
   }
--- a/src/program/TargetsModule.h
+++ b/src/program/TargetsModule.h
@@ -3,13 +3,13 @@
 
 #include <functional>
 
-#include "damasklink/coordination/TargetRegistry.h"
+#include "damasklink/coordination/TargetSpread.h"
 #include "damasklink/protocol/OperatorApi.h"
 #include "damasklink/transport/ControlLoop.h"
 
 namespace damasklink {
 
-// Owns the registry. All calls come on the control thread.
+// Owns what this host knows of targets. All calls come on the control thread.
 class TargetsModule final : public ControlModule
 {
 public:
@@ -20,7 +20,7 @@
                 PeerSender& aPeers,
                 Publish aPublish);
 
-  // Takes an announcement that a target made to this host, and passes news on to all peers.
+  // Takes an announcement that a target made to this host.
   void Announce(const TargetRecord& aRecord);
 
   // Adds the targets that this host knows.
@@ -29,15 +29,18 @@
   void OnPeerMessage(const HostId& aFrom, const PeerMessage& aMessage) override;
   void OnTick(MonotonicTime aNow) override;
 
+  const TargetRegistry& Registry() const { return this->spread.Registry(); }
+
 private:
+  void SendOutgoing();
   void PublishChanges();
 
-  const HostSettings& settings;
+  const Clock& clock;
   PeerSender& peers;
   Publish publish;
-  TargetRegistry registry;
+  TargetSpread spread;
   std::vector<TargetRecord> published;
-  MonotonicTime nextExpiry;
+  MonotonicTime nextPublish;
 };
 
 } // namespace damasklink
--- a/src/state/Digests.cpp
+++ b/src/state/Digests.cpp
@@ -59,4 +59,17 @@
   return CRYPTO_memcmp(aLeft.Value().data(), aRight.Value().data(), aLeft.Value().size()) == 0;
 }
 
+std::uint32_t
+ShortHash(std::string_view aText)
+{
+  constexpr std::uint32_t kStart = 2'166'136'261U;
+  constexpr std::uint32_t kFactor = 16'777'619U;
+  std::uint32_t hash = kStart;
+  for (const char character : aText) {
+    hash ^= static_cast<unsigned char>(character);
+    hash *= kFactor;
+  }
+  return hash;
+}
+
 } // namespace damasklink
--- /dev/null
+++ b/test/coordination/TargetSpreadTest.cpp
@@ -0,0 +1,193 @@
+#include "damasklink/coordination/TargetSpread.h"
+
+#include <functional>
+#include <memory>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace damasklink {
+namespace {
+
+constexpr std::size_t kHosts = 4;
+constexpr Duration kStep = std::chrono::milliseconds(100);
+constexpr Duration kAnnounced = std::chrono::milliseconds(300);
+constexpr Duration kSilenceLimit = std::chrono::seconds(2);
+const TargetId kTarget("engine-1");
+
+// Hosts that pass targets on to each other, and one target that announces itself to one of them.
+class FakeHosts
+{
+public:
+  FakeHosts()
+  {
+    HostSettings settings;
+    for (std::size_t index = 0; index < kHosts; ++index) {
+      settings.peers.push_back(PeerSettings{ NameOf(index), ZoneId("z"), {}, {}, false });
+    }
+    for (std::size_t index = 0; index < kHosts; ++index) {
+      settings.host = NameOf(index);
+      this->hosts.push_back(std::make_unique<TargetSpread>(this->clock, settings));
+    }
+    this->record.id = kTarget;
+    this->record.endpoint = Endpoint{ "127.0.0.1", 1 };
+    this->record.incarnation = Incarnation(5);
+  }
+
+  static HostId NameOf(std::size_t aIndex) { return HostId(std::to_string(aIndex)); }
+
+  void Announce(std::size_t aHome)
+  {
+    this->record.sequence = this->record.sequence.Next();
+    this->hosts[aHome]->OnAnnouncement(this->record);
+  }
+
+  void DeliverAll(const std::function<bool()>& aArrives)
+  {
+    bool moved = true;
+    while (moved) {
+      moved = false;
+      for (std::size_t from = 0; from < kHosts; ++from) {
+        for (const OutgoingTargetsMessage& outgoing : this->hosts[from]->TakeOutgoing()) {
+          moved = true;
+          const std::size_t to = std::stoul(outgoing.to.Value());
+          if (aArrives() && from != this->dead && to != this->dead) {
+            this->hosts[to]->OnMessage(NameOf(from), outgoing.message);
+          }
+        }
+      }
+    }
+  }
+
+  // Lets time pass; the target announces itself to aHome unless that is no host.
+  void Run(
+    Duration aTime,
+    std::size_t aHome,
+    const std::function<bool()>& aArrives = [] { return true; })
+  {
+    for (Duration passed{ 0 }; passed < aTime; passed += kStep) {
+      this->clock.Advance(kStep);
+      if (aHome < kHosts && passed % kAnnounced == Duration(0)) {
+        this->Announce(aHome);
+      }
+      for (auto& host : this->hosts) {
+        host->OnTick();
+      }
+      this->DeliverAll(aArrives);
+    }
+  }
+
+  std::size_t CountUsable() const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(this->hosts.begin(), this->hosts.end(), [](const auto& aHost) {
+        return aHost->Registry().IsUsable(kTarget);
+      }));
+  }
+
+  ManualClock clock;
+  std::vector<std::unique_ptr<TargetSpread>> hosts;
+  TargetRecord record;
+  std::size_t dead = kHosts;
+};
+
+TEST(TargetSpreadTest, AnnouncedTargetIsUsableEverywhereAndStaysSo)
+{
+  FakeHosts hosts;
+  hosts.Announce(0);
+  hosts.DeliverAll([] { return true; });
+  EXPECT_EQ(hosts.CountUsable(), kHosts);
+  hosts.Run(std::chrono::seconds(20), 0);
+  EXPECT_EQ(hosts.CountUsable(), kHosts);
+}
+
+TEST(TargetSpreadTest, SilentTargetGetsNoNewWorkAnywhereWithinTheLimit)
+{
+  FakeHosts hosts;
+  hosts.Run(std::chrono::seconds(5), 0);
+  hosts.Run(kSilenceLimit - kStep, kHosts);
+  EXPECT_EQ(hosts.CountUsable(), 0U);
+  hosts.Run(kStep, 0);
+  EXPECT_EQ(hosts.CountUsable(), kHosts) << "heard of again";
+}
+
+TEST(TargetSpreadTest, LeavingTargetGetsNoNewWorkAtOnce)
+{
+  FakeHosts hosts;
+  hosts.Run(std::chrono::seconds(5), 0);
+  hosts.record.leaving = true;
+  hosts.Announce(0);
+  hosts.DeliverAll([] { return true; });
+  EXPECT_EQ(hosts.CountUsable(), 0U);
+}
+
+TEST(TargetSpreadTest, TargetThatFellSilentWithItsHomeIsOutAfterTheRemoteLimit)
+{
+  FakeHosts hosts;
+  hosts.Run(std::chrono::seconds(5), 0);
+  hosts.dead = 0;
+  hosts.Run(TargetSpread::kRemoteSilence, kHosts);
+  EXPECT_EQ(hosts.CountUsable(), 0U);
+}
+
+TEST(TargetSpreadTest, TargetGoesOnWithAnotherHomeWithoutAGap)
+{
+  FakeHosts hosts;
+  hosts.Run(std::chrono::seconds(5), 0);
+  for (int step = 0; step < 60; ++step) {
+    hosts.Run(kStep, 2);
+    ASSERT_EQ(hosts.CountUsable(), kHosts) << step;
+  }
+}
+
+TEST(TargetSpreadTest, LateRecordOfAnOlderLifeNeverRevives)
+{
+  FakeHosts hosts;
+  hosts.Run(std::chrono::seconds(1), 0);
+  TargetRecord old = hosts.record;
+  hosts.record.incarnation = Incarnation(6);
+  hosts.record.leaving = true;
+  hosts.Announce(0);
+  hosts.DeliverAll([] { return true; });
+  old.sequence = Sequence(1000);
+  for (auto& host : hosts.hosts) {
+    host->OnMessage(FakeHosts::NameOf(3), { TargetsMessageKind::Records, { old }, {} });
+    host->OnAnnouncement(old);
+  }
+  EXPECT_EQ(hosts.CountUsable(), 0U);
+}
+
+TEST(TargetSpreadTest, LoadAloneIsPassedOnWithTheRefreshOnly)
+{
+  FakeHosts hosts;
+  hosts.Run(std::chrono::seconds(5), 0);
+  hosts.hosts[0]->TakeOutgoing();
+  hosts.record.load.runningRequests = 9;
+  hosts.Announce(0);
+  EXPECT_TRUE(hosts.hosts[0]->TakeOutgoing().empty());
+  hosts.Run(TargetSpread::kRefreshInterval, 0);
+  EXPECT_EQ(hosts.hosts[3]->Registry().Find(kTarget)->load.runningRequests, 9U);
+}
+
+// Whatever was lost, and wherever the target announced itself meanwhile: all know it in the end.
+RC_GTEST_PROP(TargetSpreadTest, HostThatMissedAnnouncementsGetsThemFromTheRefresh, ())
+{
+  FakeHosts hosts;
+  const int moves = *rc::gen::inRange(1, 5);
+  for (int move = 0; move < moves; ++move) {
+    hosts.record.models = { ServedModel{
+      ModelName("m"), WeightVersion(std::to_string(*rc::gen::inRange(0, 3))), {} } };
+    const int lossOf10 = *rc::gen::inRange(0, 11);
+    hosts.Run(kStep * *rc::gen::inRange(1, 30), *rc::gen::inRange<std::size_t>(0, kHosts), [&] {
+      return *rc::gen::inRange(0, 10) >= lossOf10;
+    });
+  }
+  hosts.Run(TargetSpread::kRefreshInterval * 3, *rc::gen::inRange<std::size_t>(0, kHosts));
+  RC_ASSERT(hosts.CountUsable() == kHosts);
+  for (const auto& host : hosts.hosts) {
+    RC_ASSERT(host->Registry().Find(kTarget)->models == hosts.record.models);
+  }
+}
+
+} // namespace
+} // namespace damasklink
--- /dev/null
+++ b/test/protocol/TargetsWireTest.cpp
@@ -0,0 +1,32 @@
+#include "damasklink/protocol/TargetsWire.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace damasklink {
+namespace {
+
+TEST(TargetsWireTest, RecordsAndSignsReadBack)
+{
+  TargetsMessage message;
+  message.kind = TargetsMessageKind::Refresh;
+  TargetRecord record;
+  record.id = TargetId("t");
+  record.endpoint = Endpoint{ "127.0.0.1", 80 };
+  record.incarnation = Incarnation(4);
+  message.records = { record };
+  TargetSign sign{ 1, 2, Sequence(3), {} };
+  sign.load.runningRequests = 5;
+  sign.load.queuedPrefill = TokenCount(1'000'000);
+  message.signs = { sign };
+  EXPECT_EQ(DecodeTargetsMessage(EncodeTargetsMessage(message)).value(), message);
+}
+
+RC_GTEST_PROP(TargetsWireTest, AnyBytesAreRefusedOrRead, (const std::string& aBytes))
+{
+  const auto message = DecodeTargetsMessage(aBytes);
+  RC_ASSERT((message || !message.error().message.empty()));
+}
+
+} // namespace
+} // namespace damasklink
