Orders to targets: fencing numbers, rollouts that stop by themselves, repair

The wished models stand in the tree (deployments:), so they are versioned and in the history like everything else; an API call of its own would have been a second way to change what runs. Orders state the wished end and what targets report is compared again and again, so a late old order is repaired without remembering it.

--- a/include/damasklink/state/ConfigTree.h
+++ b/include/damasklink/state/ConfigTree.h
@@ -129,6 +129,12 @@
   // How many of them must go on serving the model while others load. At most one target less
   // than there are, or nothing could ever be loaded.
   std::uint64_t keepServing = 0;
+  // Least time between two loads, whatever the deployment: what the weight store bears.
+  Duration loadInterval = std::chrono::seconds(5);
+  // An engine that does not report the wished end this long after its order has failed.
+  Duration loadLimit = std::chrono::minutes(5);
+  // Raised to try again after a rollout stopped.
+  std::uint64_t attempt = 0;
 
   bool operator==(const Deployment&) const = default;
 };
--- /dev/null
+++ b/src/coordination/TargetOrders.cpp
@@ -0,0 +1,285 @@
+#include "damasklink/coordination/TargetOrders.h"
+
+#include <algorithm>
+
+#include "damasklink/state/Text.h"
+
+namespace damasklink {
+namespace {
+
+bool
+HasRole(TargetRole aReported, DeploymentRole aWished)
+{
+  switch (aWished) {
+    case DeploymentRole::Keep:
+      return true;
+    case DeploymentRole::Both:
+      return aReported == TargetRole::Both;
+    case DeploymentRole::Prefill:
+      return aReported == TargetRole::Prefill;
+    case DeploymentRole::Decode:
+      return aReported == TargetRole::Decode;
+  }
+  return false;
+}
+
+bool
+HasAdapters(const ServedModel& aServed, const std::vector<AdapterName>& aWished)
+{
+  return std::all_of(aWished.begin(), aWished.end(), [&](const AdapterName& aAdapter) {
+    return std::find(aServed.adapters.begin(), aServed.adapters.end(), aAdapter) !=
+           aServed.adapters.end();
+  });
+}
+
+// Whether the target serves the model in any version.
+bool
+ServesModel(const TargetRecord& aRecord, const ModelName& aModel)
+{
+  return std::any_of(aRecord.models.begin(), aRecord.models.end(), [&](const ServedModel& aServed) {
+    return aServed.model == aModel;
+  });
+}
+
+} // namespace
+
+bool
+HasWishedEnd(const TargetRecord& aRecord, const Deployment& aDeployment)
+{
+  bool served = false;
+  for (const ServedModel& model : aRecord.models) {
+    if (model.model != aDeployment.model) {
+      continue;
+    }
+    if (model.version != aDeployment.version) {
+      return false;
+    }
+    served = served || HasAdapters(model, aDeployment.adapters);
+  }
+  return served && HasRole(aRecord.role, aDeployment.role);
+}
+
+TargetOrders::TargetOrders(const Clock& aClock, OrderLimits aLimits, const OrdersMachine& aMachine)
+  : clock(aClock)
+  , limits(aLimits)
+  , machine(aMachine)
+{
+}
+
+std::vector<OrderAction>
+TargetOrders::Plan(bool aLeaseHeld,
+                   const DeploymentSet& aDeployments,
+                   const TargetRegistry& aTargets)
+{
+  std::vector<OrderAction> actions;
+  if (!aLeaseHeld) {
+    this->leading = false;
+    return actions;
+  }
+  const MonotonicTime now = this->clock.MonotonicNow();
+  if (!this->leading) {
+    // What this host had under way when it led before is another leader's now.
+    this->open.clear();
+    this->stopping.clear();
+    this->leading = true;
+    this->ledSince = now;
+    // The former leader may have begun a load just now.
+    this->lastLoad = now;
+  }
+  std::erase_if(this->open, [&](const auto& aItem) {
+    const auto deployment = aDeployments.find(aItem.second.deployment);
+    return deployment == aDeployments.end() || HashOfWish(deployment->second) != aItem.second.wish;
+  });
+  for (const auto& [name, deployment] : aDeployments) {
+    this->PlanDeployment(name, deployment, aTargets, actions);
+  }
+  return actions;
+}
+
+void
+TargetOrders::PlanDeployment(const DeploymentName& aName,
+                             const Deployment& aDeployment,
+                             const TargetRegistry& aTargets,
+                             std::vector<OrderAction>& aTo)
+{
+  const WishHash wish = HashOfWish(aDeployment);
+  std::vector<const TargetRecord*> waiting;
+  for (const TargetId& target : aDeployment.targets) {
+    const TargetRecord* record = aTargets.Find(target);
+    if (record == nullptr) {
+      continue;
+    }
+    const bool ordered = this->Advance(*record, aDeployment, aTargets, aTo);
+    if (!ordered && !HasWishedEnd(*record, aDeployment) && aTargets.IsUsable(target)) {
+      waiting.push_back(record);
+    }
+  }
+  if (this->machine.FindStop(aName, wish) != nullptr) {
+    return;
+  }
+  if (const std::string failure = this->FindFailure(aName, wish); !failure.empty()) {
+    if (this->stopping.insert(aName).second) {
+      aTo.push_back(StopRollout{ aName, wish, failure });
+    }
+    return;
+  }
+  this->stopping.erase(aName);
+  for (const TargetRecord* record : waiting) {
+    const bool soon = this->clock.MonotonicNow() - this->lastLoad < aDeployment.loadInterval;
+    // Taking this engine out must leave enough; one that does not serve the model costs nothing.
+    const bool spare = !ServesModel(*record, aDeployment.model) ||
+                       this->CountServing(aDeployment, aTargets) > aDeployment.keepServing;
+    if (!soon && spare && this->MayOrder(*record)) {
+      this->Begin(aName, aDeployment, *record, aTo);
+    }
+  }
+}
+
+bool
+TargetOrders::Advance(const TargetRecord& aRecord,
+                      const Deployment& aDeployment,
+                      const TargetRegistry& aTargets,
+                      std::vector<OrderAction>& aTo)
+{
+  const auto found = this->open.find(aRecord.id);
+  if (found == this->open.end()) {
+    return false;
+  }
+  OpenOrder& order = found->second;
+  if (order.stage == OrderStage::Failed) {
+    return true;
+  }
+  if (order.stage == OrderStage::Issued && this->MayOrder(aRecord)) {
+    order.stage = OrderStage::Sending;
+    aTo.push_back(SendOrder{
+      TargetOrder{ aRecord.id,
+                   aRecord.endpoint,
+                   order.fencing,
+                   ServedModel{ aDeployment.model, aDeployment.version, aDeployment.adapters },
+                   aDeployment.role } });
+    return true;
+  }
+  if (order.stage == OrderStage::Taken && HasWishedEnd(aRecord, aDeployment)) {
+    this->open.erase(found);
+    return false;
+  }
+  const Duration elapsed = this->clock.MonotonicNow() - order.since;
+  if (order.stage == OrderStage::Taken && !aTargets.IsUsable(aRecord.id)) {
+    order.stage = OrderStage::Failed;
+    order.failure = "fell silent or left under its order";
+  } else if (order.stage == OrderStage::Taken && elapsed >= aDeployment.loadLimit) {
+    order.stage = OrderStage::Failed;
+    order.failure = "did not report the wished end within the load limit";
+  }
+  return true;
+}
+
+void
+TargetOrders::Begin(const DeploymentName& aName,
+                    const Deployment& aDeployment,
+                    const TargetRecord& aRecord,
+                    std::vector<OrderAction>& aTo)
+{
+  const MonotonicTime now = this->clock.MonotonicNow();
+  OpenOrder order;
+  order.deployment = aName;
+  order.wish = HashOfWish(aDeployment);
+  order.since = now;
+  this->open[aRecord.id] = std::move(order);
+  this->lastLoad = now;
+  aTo.push_back(IssueOrder{ aRecord.id });
+}
+
+bool
+TargetOrders::MayOrder(const TargetRecord& aRecord) const
+{
+  const Duration led = this->clock.MonotonicNow() - this->ledSince;
+  return aRecord.checksFencing || led >= this->limits.lease + this->limits.orderInFlight;
+}
+
+std::string
+TargetOrders::FindFailure(const DeploymentName& aName, WishHash aWish) const
+{
+  for (const auto& [target, order] : this->open) {
+    const bool failed = order.stage == OrderStage::Failed && order.wish == aWish;
+    if (failed && order.deployment == aName) {
+      return Concat("engine '", target.Value(), "' ", order.failure);
+    }
+  }
+  return "";
+}
+
+std::size_t
+TargetOrders::CountServing(const Deployment& aDeployment, const TargetRegistry& aTargets) const
+{
+  return static_cast<std::size_t>(std::count_if(
+    aDeployment.targets.begin(), aDeployment.targets.end(), [&](const TargetId& aTarget) {
+      return aTargets.IsUsable(aTarget) && !this->open.contains(aTarget);
+    }));
+}
+
+void
+TargetOrders::OnIssued(const TargetId& aTarget, const Result<FencingNumber>& aFencing)
+{
+  const auto found = this->open.find(aTarget);
+  if (found == this->open.end() || found->second.stage != OrderStage::Issuing) {
+    return;
+  }
+  if (!aFencing) {
+    this->open.erase(found);
+    return;
+  }
+  found->second.fencing = aFencing.value();
+  found->second.stage = OrderStage::Issued;
+}
+
+void
+TargetOrders::OnSent(const TargetId& aTarget, OrderOutcome aOutcome)
+{
+  const auto found = this->open.find(aTarget);
+  if (found == this->open.end() || found->second.stage != OrderStage::Sending) {
+    return;
+  }
+  switch (aOutcome) {
+    case OrderOutcome::Taken:
+    case OrderOutcome::NotKnown:
+    case OrderOutcome::LeaseEnded:
+      // Whether it did anything is read from what the target reports.
+      found->second.stage = OrderStage::Taken;
+      found->second.since = this->clock.MonotonicNow();
+      return;
+    case OrderOutcome::NotSent:
+      this->open.erase(found);
+      return;
+    case OrderOutcome::Refused:
+      found->second.stage = OrderStage::Failed;
+      found->second.failure = "refused its order";
+      return;
+  }
+}
+
+std::vector<DeploymentProgress>
+TargetOrders::Progress(const DeploymentSet& aDeployments, const TargetRegistry& aTargets) const
+{
+  std::vector<DeploymentProgress> all;
+  for (const auto& [name, deployment] : aDeployments) {
+    std::size_t done = 0;
+    for (const TargetId& target : deployment.targets) {
+      const TargetRecord* record = aTargets.Find(target);
+      done += record != nullptr && HasWishedEnd(*record, deployment) ? 1 : 0;
+    }
+    const std::string counts =
+      Concat(done, " of ", deployment.targets.size(), " engines as wished");
+    const RolloutStop* stop = this->machine.FindStop(name, HashOfWish(deployment));
+    if (stop != nullptr) {
+      all.push_back(
+        { name, "stopped", Concat(counts, "; ", stop->reason, "; raise attempt to try again") });
+    } else {
+      const bool complete = done == deployment.targets.size();
+      all.push_back({ name, complete ? "complete" : "under way", counts });
+    }
+  }
+  return all;
+}
+
+} // namespace damasklink
--- a/src/program/ConfigurationPart.cpp
+++ b/src/program/ConfigurationPart.cpp
@@ -46,6 +46,7 @@
             [&publisher = aContext.publisher](std::vector<TargetRecord> aTargets) {
               publisher.Change([&](TrafficView& aView) { aView.targets = std::move(aTargets); });
             })
+  , orders(aContext, aGroups, this->configuration.Spread(), this->targets.Registry())
   , api(aContext, this->configuration, [this](HostStatus& aStatus) { this->FillStatus(aStatus); })
 {
 }
@@ -63,6 +64,8 @@
   this->context.control.Add(Channel::Configuration, this->configuration);
   this->context.control.Add(Channel::Membership, this->heartbeats);
   this->context.control.Add(Channel::Targets, this->targets);
+  this->context.control.Add(Channel::Targets, this->orders);
+  this->orders.Start();
   return Success();
 }
 
@@ -144,6 +147,7 @@
     aStatus.peers.push_back(std::move(status));
   }
   this->targets.FillStatus(aStatus);
+  this->orders.FillStatus(aStatus);
 }
 
 } // namespace damasklink
--- a/src/program/ConfigurationPart.h
+++ b/src/program/ConfigurationPart.h
@@ -5,6 +5,7 @@
 #include "ConfigurationModule.h"
 #include "HostContext.h"
 #include "MembershipModule.h"
+#include "OrdersModule.h"
 #include "TargetsModule.h"
 #include "damasklink/coordination/Replication.h"
 
@@ -35,6 +36,7 @@
   ConfigurationModule configuration;
   MembershipModule heartbeats;
   TargetsModule targets;
+  OrdersModule orders;
   ConfigurationApi api;
 };
 
--- /dev/null
+++ b/src/program/OrdersModule.cpp
@@ -0,0 +1,128 @@
+#include "OrdersModule.h"
+
+#include "damasklink/transport/Log.h"
+
+namespace damasklink {
+namespace {
+
+constexpr Duration kPlanInterval = std::chrono::milliseconds(200);
+constexpr Duration kProposalTimeout = std::chrono::seconds(5);
+
+OrderLimits
+LimitsOf(const HostSettings& aSettings)
+{
+  OrderLimits limits;
+  limits.lease = aSettings.timeouts.electionMost;
+  return limits;
+}
+
+std::string_view
+OutcomeName(OrderOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case OrderOutcome::Taken:
+      return "taken";
+    case OrderOutcome::Refused:
+      return "refused";
+    case OrderOutcome::NotSent:
+      return "not_sent";
+    case OrderOutcome::NotKnown:
+      return "not_known";
+    case OrderOutcome::LeaseEnded:
+      return "lease_ended";
+  }
+  return "not_known";
+}
+
+} // namespace
+
+OrdersModule::OrdersModule(const HostContext& aContext,
+                           Replicator& aGroups,
+                           const ConfigSpread& aSpread,
+                           const TargetRegistry& aTargets)
+  : context(aContext)
+  , groups(aGroups)
+  , spread(aSpread)
+  , targets(aTargets)
+  , orders(aContext.clock, LimitsOf(aContext.settings), this->machine)
+  , lease(aContext.clock)
+  , sender(this->lease,
+           OrderLimits().orderInFlight,
+           [this](const TargetId& aTarget, OrderOutcome aOutcome) {
+             LogEvent(LogLevel::Info, "order_sent")
+               .With("target", aTarget)
+               .With("outcome", OutcomeName(aOutcome));
+             this->context.metrics.Add(Counter::Orders, MetricKey(), 1);
+             this->context.control.Post(
+               [this, aTarget, aOutcome] { this->orders.OnSent(aTarget, aOutcome); });
+           })
+{
+  this->groups.AddMachine(ControlGroupId(), MachinePart::Orders, this->machine);
+}
+
+void
+OrdersModule::OnTick(MonotonicTime aNow)
+{
+  const bool held = this->groups.Status(ControlGroupId()).leaseHeld;
+  this->lease.Set(held);
+  if (aNow < this->nextPlan) {
+    return;
+  }
+  this->nextPlan = aNow + kPlanInterval;
+  const bool mayAct = held && this->spread.Joined() && !this->spread.Stale();
+  for (const OrderAction& action :
+       this->orders.Plan(mayAct, this->spread.Tree().Deployments(), this->targets)) {
+    this->Carry(action);
+  }
+}
+
+void
+OrdersModule::FillStatus(HostStatus& aStatus) const
+{
+  for (const DeploymentProgress& progress :
+       this->orders.Progress(this->spread.Tree().Deployments(), this->targets)) {
+    aStatus.rollouts.push_back(
+      RolloutStatus{ progress.deployment.Value(), progress.state, progress.detail });
+  }
+}
+
+void
+OrdersModule::Carry(const OrderAction& aAction)
+{
+  if (const auto* issue = std::get_if<IssueOrder>(&aAction)) {
+    this->Issue(issue->target);
+  } else if (const auto* send = std::get_if<SendOrder>(&aAction)) {
+    this->sender.Send(send->order);
+  } else {
+    this->Stop(std::get<StopRollout>(aAction));
+  }
+}
+
+void
+OrdersModule::Issue(const TargetId& aTarget)
+{
+  this->groups.Propose(ControlGroupId(),
+                       MachinePart::Orders,
+                       PackIssueOrder(aTarget),
+                       kProposalTimeout,
+                       [this, aTarget](const Result<std::string>& aAnswer) {
+                         this->orders.OnIssued(aTarget,
+                                               aAnswer ? UnpackFencing(aAnswer.value())
+                                                       : Fail(aAnswer.error()));
+                       });
+}
+
+void
+OrdersModule::Stop(const StopRollout& aStop)
+{
+  LogEvent(LogLevel::Error, "rollout_stopped")
+    .With("deployment", aStop.deployment)
+    .With("reason", aStop.reason);
+  this->groups.Propose(ControlGroupId(),
+                       MachinePart::Orders,
+                       PackStopRollout(aStop.deployment, aStop.wish, aStop.reason),
+                       kProposalTimeout,
+                       [](const Result<std::string>&) {});
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/src/protocol/OrderApi.cpp
@@ -0,0 +1,68 @@
+#include "damasklink/protocol/OrderApi.h"
+
+#include <algorithm>
+#include <array>
+
+#include "JsonFields.h"
+
+namespace damasklink {
+namespace {
+
+using internal::Dump;
+using internal::FieldReader;
+using internal::Json;
+
+constexpr std::array<std::string_view, 4> kRoles{ "keep", "both", "prefill", "decode" };
+
+} // namespace
+
+std::string
+FormatTargetOrder(const TargetOrder& aOrder)
+{
+  Json adapters = Json::array();
+  for (const AdapterName& adapter : aOrder.wished.adapters) {
+    adapters.push_back(adapter.Value());
+  }
+  return Dump(Json{ { "fencing", aOrder.fencing.Value() },
+                    { "model", aOrder.wished.model.Value() },
+                    { "version", aOrder.wished.version.Value() },
+                    { "adapters", adapters },
+                    { "role", kRoles.at(static_cast<std::size_t>(aOrder.role)) } });
+}
+
+Result<TargetOrder>
+ParseTargetOrder(std::string_view aBody)
+{
+  const Json body = Json::parse(aBody, nullptr, false);
+  if (!body.is_object()) {
+    return Fail(ErrorKind::InvalidArgument, "the order is not a JSON object", "see docs/API.md");
+  }
+  FieldReader fields(body);
+  TargetOrder order;
+  order.fencing = FencingNumber(fields.Count("fencing"));
+  order.wished.model = ModelName(fields.Text("model"));
+  order.wished.version = WeightVersion(fields.Text("version"));
+  for (const Json& item : fields.Items("adapters")) {
+    if (!item.is_string()) {
+      fields.Note("adapters", "holds an entry that is not a text");
+      break;
+    }
+    order.wished.adapters.emplace_back(item.get<std::string>());
+  }
+  const std::string role = fields.Text("role");
+  const auto* const found = std::find(kRoles.begin(), kRoles.end(), role);
+  if (found == kRoles.end()) {
+    fields.Note("role", "is unknown");
+  } else {
+    order.role = static_cast<DeploymentRole>(found - kRoles.begin());
+  }
+  if (order.wished.model.Empty() || order.wished.version.Empty()) {
+    fields.Note("model", "and version must be given");
+  }
+  if (!fields.Problem().empty()) {
+    return Fail(ErrorKind::InvalidArgument, fields.Problem(), "see docs/API.md");
+  }
+  return order;
+}
+
+} // namespace damasklink
--- a/src/state/ConfigTree.cpp
+++ b/src/state/ConfigTree.cpp
@@ -226,6 +226,9 @@
     aSection.ReadIds("adapters", deployment.adapters);
     aSection.ReadIds("targets", deployment.targets);
     aSection.ReadCount("keep_serving", deployment.keepServing, 0, kMostTargets);
+    aSection.ReadDuration("load_interval", deployment.loadInterval);
+    aSection.ReadDuration("load_limit", deployment.loadLimit);
+    aSection.ReadCount("attempt", deployment.attempt, 0, kMostCount);
     ReadRole(aSection, deployment.role);
     for (std::size_t index = 0; index < deployment.targets.size(); ++index) {
       const auto [holder, isFree] =
--- a/src/state/SubtreeCodec.cpp
+++ b/src/state/SubtreeCodec.cpp
@@ -248,6 +248,9 @@
     aTo.Number(static_cast<std::uint64_t>(deployment.role));
     PackIds(deployment.targets, aTo);
     aTo.Number(deployment.keepServing);
+    PackDuration(deployment.loadInterval, aTo);
+    PackDuration(deployment.loadLimit, aTo);
+    aTo.Number(deployment.attempt);
   }
 }
 
@@ -269,6 +272,9 @@
     deployment.role = static_cast<DeploymentRole>(role);
     deployment.targets = UnpackIds<TargetId>(aFrom);
     deployment.keepServing = aFrom.Number();
+    deployment.loadInterval = UnpackDuration(aFrom);
+    deployment.loadLimit = UnpackDuration(aFrom);
+    deployment.attempt = aFrom.Number();
   }
   return set;
 }
--- a/src/state/SubtreeText.cpp
+++ b/src/state/SubtreeText.cpp
@@ -164,6 +164,9 @@
     WriteKey(aTo, "role", RoleText(deployment.role));
     WriteIds(aTo, "targets", deployment.targets);
     WriteKey(aTo, "keep_serving", deployment.keepServing);
+    WriteKey(aTo, "load_interval", FormatDuration(deployment.loadInterval));
+    WriteKey(aTo, "load_limit", FormatDuration(deployment.loadLimit));
+    WriteKey(aTo, "attempt", deployment.attempt);
     aTo << EndMap;
   }
   aTo << EndMap;
--- a/standin/Engine.cpp
+++ b/standin/Engine.cpp
@@ -20,6 +20,7 @@
 
 Engine::Engine(EngineOptions aOptions)
   : options(std::move(aOptions))
+  , orders(this->options.models, this->options.orders)
   , cache(this->options.cache)
 {
 }
@@ -27,6 +28,7 @@
 void
 Engine::AddRoutes(HttpServer& aServer)
 {
+  this->orders.AddRoutes(aServer);
   this->cache.AddRoutes(aServer);
   aServer.Route("POST", "/v1/completions", [this](const HttpRequest& aRequest) {
     return this->Complete(aRequest);
@@ -41,7 +43,7 @@
   record.kind = TargetKind::Engine;
   record.zone = this->options.zone;
   record.endpoint = this->options.listen;
-  record.models = this->options.models;
+  this->orders.Describe(record);
   record.rates.prefillTokensPerSecond = this->options.prefillTokensPerSecond;
   absl::MutexLock lock(&this->mutex);
   record.load.runningRequests = this->running;
--- a/standin/Engine.h
+++ b/standin/Engine.h
@@ -6,6 +6,7 @@
 #include <absl/synchronization/mutex.h>
 
 #include "EngineCache.h"
+#include "EngineOrders.h"
 #include "damasklink/protocol/EngineApi.h"
 #include "damasklink/transport/HttpServer.h"
 
@@ -21,6 +22,7 @@
   Duration tokenInterval = std::chrono::milliseconds(2);
   std::size_t slots = 64;
   EngineCacheOptions cache;
+  EngineOrderOptions orders;
 };
 
 class Engine
@@ -36,6 +38,7 @@
   bool Answer(const EnginePrompt& aPrompt, StreamWriter& aWriter);
 
   EngineOptions options;
+  EngineOrders orders;
   mutable absl::Mutex mutex;
   EngineCache cache;
   std::uint64_t running = 0;
--- a/standin/Main.cpp
+++ b/standin/Main.cpp
@@ -41,6 +41,8 @@
   --prefill RATE       Prompt tokens a second [default: 20000].
   --interval TIME      Time between tokens [default: 2ms].
   --work TIME          Time one service call takes [default: 5ms].
+  --checks-fencing     The engine refuses orders that carry an old fencing number.
+  --load-time TIME     Time an ordered load takes [default: 200ms].
   --slots N            Requests at once [default: 64].
   --cache N            Blocks of an engine's prefix cache [default: 4096].
   --memory SIZE        Memory of a store [default: 64MiB].
@@ -130,6 +132,8 @@
   options.prefillTokensPerSecond = static_cast<double>(CountOf(aArguments, "--prefill"));
   options.tokenInterval = ParseDuration(TextOf(aArguments, "--interval")).value();
   options.slots = CountOf(aArguments, "--slots");
+  options.orders.checksFencing = aArguments.at("--checks-fencing").asBool();
+  options.orders.loadTime = ParseDuration(TextOf(aArguments, "--load-time")).value();
   options.cache.id = options.id;
   options.cache.hosts = EndpointsOf(aArguments, "--announce");
   options.cache.key = TextOf(aArguments, "--key");
--- a/test/state/SubtreeTest.cpp
+++ b/test/state/SubtreeTest.cpp
@@ -19,6 +19,8 @@
   deployment.role = *rc::gen::element(DeploymentRole::Keep, DeploymentRole::Decode);
   deployment.targets = { TargetId("e1"), TargetId("#2") };
   deployment.keepServing = 1;
+  deployment.loadInterval = std::chrono::seconds(*rc::gen::inRange(0, 100));
+  deployment.attempt = *rc::gen::inRange<std::uint64_t>(0, 3);
   return set;
 }
 
