--- a/include/damasklink/coordination/TargetSpread.h
+++ b/include/damasklink/coordination/TargetSpread.h
@@ -55,14 +55,16 @@
 //
 // - The host that a target announces itself to is its home; a target keeps to one host and goes to
 //   the next when that one does not answer. The home alone speaks for the target.
-// - A change, leaving and silence go to all peers at once; load and signs of life every
-//   kRefreshInterval. A silent target is out of use after kHomeSilence of the limit at its home and
-//   on every host that the home reaches; where the home fell silent too, after kRemoteSilence.
+// - A change, leaving and silence go to all peers at once; load and signs of life go to the zone
+//   every kRefreshInterval and beyond it every kFarRefreshInterval. A silent target is out of use
+//   after kHomeSilence of the limit at its home and on every host that the home reaches; where the
+//   home fell silent too, after kRemoteSilence.
 // - A refresh names fingerprints: who misses a record asks for it.
 class TargetSpread
 {
 public:
   static constexpr Duration kRefreshInterval = std::chrono::seconds(2);
+  static constexpr Duration kFarRefreshInterval = std::chrono::milliseconds(3500);
   static constexpr Duration kRemoteSilence = std::chrono::milliseconds(4500);
   static constexpr Duration kAskInterval = std::chrono::milliseconds(500);
 
@@ -84,14 +86,17 @@
   bool TakeSign(const HostId& aFrom, const TargetSign& aSign);
   void TakeSilence(const HostId& aFrom, const TargetSign& aSign);
   void ReportSilence();
-  void SendRefresh();
+  void SendRefresh(const std::vector<HostId>& aPeers);
+  void Forget();
   TargetsMessage OwnRecords() const;
   TargetSign SignOf(const TargetRecord& aRecord) const;
   bool IsOwn(const TargetId& aTarget) const;
 
   const Clock& clock;
   HostId self;
-  std::vector<HostId> peers;
+  // Peers of this host's zone, and all others.
+  std::vector<HostId> near;
+  std::vector<HostId> far;
   Duration homeSilence;
   TargetRegistry registry;
   std::map<TargetId, HostId> homes;
@@ -99,6 +104,7 @@
   // Own targets whose silence was told.
   std::set<TargetId> told;
   MonotonicTime nextRefresh;
+  MonotonicTime nextFarRefresh;
   std::map<HostId, MonotonicTime> nextAsk;
   std::vector<OutgoingTargetsMessage> outgoing;
 };
--- a/src/coordination/TargetSpread.cpp
+++ b/src/coordination/TargetSpread.cpp
@@ -39,10 +39,11 @@
   , homeSilence(aSettings.timeouts.targetSilence * kHomeSilenceParts / kSilenceParts)
   , registry(aClock, this->homeSilence)
   , nextRefresh(aClock.MonotonicNow())
+  , nextFarRefresh(this->nextRefresh)
 {
   for (const PeerSettings& peer : aSettings.peers) {
     if (peer.host != this->self) {
-      this->peers.push_back(peer.host);
+      (peer.zone == aSettings.zone ? this->near : this->far).push_back(peer.host);
     }
   }
 }
@@ -140,12 +141,21 @@
   const MonotonicTime now = this->clock.MonotonicNow();
   if (now >= this->nextRefresh) {
     this->nextRefresh = now + kRefreshInterval;
-    this->SendRefresh();
-    this->registry.Expire();
-    std::erase_if(this->homes, [this](const auto& aItem) {
-      return this->registry.Find(aItem.first) == nullptr;
-    });
+    this->SendRefresh(this->near);
+    this->Forget();
   }
+  if (now >= this->nextFarRefresh) {
+    this->nextFarRefresh = now + kFarRefreshInterval;
+    this->SendRefresh(this->far);
+  }
+}
+
+void
+TargetSpread::Forget()
+{
+  this->registry.Expire();
+  std::erase_if(this->homes,
+                [this](const auto& aItem) { return this->registry.Find(aItem.first) == nullptr; });
 }
 
 void
@@ -165,7 +175,7 @@
 }
 
 void
-TargetSpread::SendRefresh()
+TargetSpread::SendRefresh(const std::vector<HostId>& aPeers)
 {
   TargetsMessage refresh{ TargetsMessageKind::Refresh, {}, {} };
   for (const auto& [target, home] : this->homes) {
@@ -173,8 +183,11 @@
       refresh.signs.push_back(this->SignOf(*this->registry.Find(target)));
     }
   }
-  if (!refresh.signs.empty()) {
-    this->SendToAll(refresh);
+  if (refresh.signs.empty()) {
+    return;
+  }
+  for (const HostId& peer : aPeers) {
+    this->outgoing.push_back({ peer, refresh });
   }
 }
 
@@ -187,8 +200,10 @@
 void
 TargetSpread::SendToAll(const TargetsMessage& aMessage)
 {
-  for (const HostId& peer : this->peers) {
-    this->outgoing.push_back({ peer, aMessage });
+  for (const std::vector<HostId>* group : { &this->near, &this->far }) {
+    for (const HostId& peer : *group) {
+      this->outgoing.push_back({ peer, aMessage });
+    }
   }
 }
 
--- a/src/protocol/TargetsWire.cpp
+++ b/src/protocol/TargetsWire.cpp
@@ -12,23 +12,24 @@
 namespace {
 
 // Counts above what the wire holds say "very many" as well.
-std::uint16_t
+template<typename T>
+T
 Narrow(std::uint64_t aCount)
 {
-  constexpr std::uint64_t kMost = std::numeric_limits<std::uint16_t>::max();
-  return static_cast<std::uint16_t>(std::min(aCount, kMost));
+  constexpr std::uint64_t kMost = std::numeric_limits<T>::max();
+  return static_cast<T>(std::min(aCount, kMost));
 }
 
 wire::Sign
 WireSign(const TargetSign& aSign)
 {
-  return wire::Sign(aSign.load.queuedPrefill.Value(),
+  return wire::Sign(Narrow<std::uint32_t>(aSign.load.queuedPrefill.Value()),
                     aSign.target,
                     aSign.fingerprint,
                     static_cast<std::uint32_t>(aSign.sequence.Value()),
-                    Narrow(aSign.load.runningRequests),
-                    Narrow(aSign.load.queuedRequests),
-                    Narrow(aSign.load.slots));
+                    Narrow<std::uint16_t>(aSign.load.runningRequests),
+                    Narrow<std::uint16_t>(aSign.load.queuedRequests),
+                    Narrow<std::uint16_t>(aSign.load.slots));
 }
 
 TargetSign
