--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -18,6 +18,7 @@
 // What relaying costs against the engine called directly; tools/bench-relay starts the processes.
 int
 RunRelay(const std::vector<std::string>& aArguments);
+
 // Memory, times and bytes of the configuration. The argument is the first of 90 free ports.
 int
 RunConfiguration(const std::vector<std::string>& aArguments);
