--- a/src/program/ConfigurationModule.cpp
+++ b/src/program/ConfigurationModule.cpp
@@ -21,6 +21,19 @@
   this->groups.AddMachine(ControlGroupId(), MachinePart::Configuration, this->machine);
 }
 
+Result<void>
+ConfigurationModule::UseStoredTree(const std::string& aFolder)
+{
+  this->keeper = std::make_unique<TreeKeeper>(this->context.clock, aFolder);
+  auto stored = this->keeper->Read();
+  if (!stored) {
+    return Fail(stored.error());
+  }
+  this->spread.OnTree(stored.value());
+  this->keeper->Start();
+  return Success();
+}
+
 void
 ConfigurationModule::OnChange(const TreeChange& aChange)
 {
@@ -148,6 +161,9 @@
       .With("stale", stale)
       .With("revision", revision);
   }
+  if (this->keeper != nullptr && revision != this->publishedRevision) {
+    this->keeper->Keep(this->spread.Tree());
+  }
   this->published = true;
   this->publishedRevision = revision;
   this->publishedStale = stale;
--- a/src/program/ConfigurationModule.h
+++ b/src/program/ConfigurationModule.h
@@ -4,6 +4,7 @@
 #include <functional>
 
 #include "HostContext.h"
+#include "TreeKeeper.h"
 #include "damasklink/coordination/CallerIndex.h"
 #include "damasklink/coordination/ConfigMachine.h"
 #include "damasklink/coordination/Replication.h"
@@ -24,8 +25,9 @@
   // Sets the tree that is applied while none exists.
   void SetInitialTree(RevisionedTree aTree) { this->initialTree = std::move(aTree); }
 
-  // Takes a tree that this host kept on its disk.
-  void TakeStoredTree(const RevisionedTree& aTree) { this->spread.OnTree(aTree); }
+  // Takes the tree that this host kept on its disk, and keeps later ones there. Fails with what is
+  // wrong with the file.
+  Result<void> UseStoredTree(const std::string& aFolder);
 
   void OnChange(const TreeChange& aChange) override;
   void OnTree(const RevisionedTree& aTree) override;
@@ -56,6 +58,8 @@
   ConfigSpread spread;
   ConfigMachine machine;
   std::optional<RevisionedTree> initialTree;
+  // Null on a host without a disk.
+  std::unique_ptr<TreeKeeper> keeper;
   bool seeding = false;
   bool published = false;
   Revision publishedRevision;
--- a/src/program/ConfigurationPart.cpp
+++ b/src/program/ConfigurationPart.cpp
@@ -57,6 +57,12 @@
   if (auto loaded = this->LoadInitialTree(); !loaded) {
     return loaded;
   }
+  const std::string& folder = this->context.settings.dataFolder;
+  if (!folder.empty()) {
+    if (auto stored = this->configuration.UseStoredTree(folder); !stored) {
+      return stored;
+    }
+  }
   if (this->context.settings.targetKeys.empty()) {
     LogEvent(LogLevel::Warning, "targets_unauthenticated")
       .With("remedy", "list target_keys in the settings");
--- /dev/null
+++ b/src/program/TreeKeeper.cpp
@@ -0,0 +1,74 @@
+#include "TreeKeeper.h"
+
+#include <absl/time/time.h>
+
+#include "damasklink/transport/Log.h"
+
+namespace damasklink {
+
+TreeKeeper::TreeKeeper(const Clock& aClock, const std::string& aFolder)
+  : clock(aClock)
+  , file(this->disk, aFolder)
+{
+}
+
+TreeKeeper::~TreeKeeper()
+{
+  {
+    absl::MutexLock lock(&this->mutex);
+    this->stopped = true;
+  }
+  if (this->thread.joinable()) {
+    this->thread.join();
+  }
+}
+
+void
+TreeKeeper::Start()
+{
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void
+TreeKeeper::Keep(const RevisionedTree& aTree)
+{
+  absl::MutexLock lock(&this->mutex);
+  this->next = aTree;
+}
+
+void
+TreeKeeper::Run()
+{
+  const auto ready = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
+    return this->stopped || this->next.has_value();
+  };
+  while (true) {
+    std::optional<RevisionedTree> tree;
+    {
+      absl::MutexLock lock(&this->mutex);
+      this->mutex.Await(absl::Condition(&ready));
+      tree.swap(this->next);
+    }
+    if (!tree) {
+      return;
+    }
+    const MonotonicTime start = this->clock.MonotonicNow();
+    this->Write(*tree);
+    const Duration rest = (this->clock.MonotonicNow() - start) * kRestFactor;
+    absl::MutexLock lock(&this->mutex);
+    this->mutex.AwaitWithTimeout(absl::Condition(&this->stopped), absl::FromChrono(rest));
+  }
+}
+
+void
+TreeKeeper::Write(const RevisionedTree& aTree)
+{
+  if (auto written = this->file.Write(aTree); !written) {
+    // The host goes on: its peers and the group's log hold the tree too.
+    LogEvent(LogLevel::Error, "tree_not_stored")
+      .With("revision", aTree.Current())
+      .With("error", written.error());
+  }
+}
+
+} // namespace damasklink
