--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -19,6 +19,10 @@
 int
 RunRelay(const std::vector<std::string>& aArguments);
 
+// Memory, times and bytes of the configuration. The argument is the first of 90 free ports.
+int
+RunConfiguration(const std::vector<std::string>& aArguments);
+
 // Routing and reuse against baselines, under a virtual clock.
 int
 RunPolicyBench(const std::vector<std::string>& aArguments);
--- a/standin/Engine.cpp
+++ b/standin/Engine.cpp
@@ -28,6 +28,7 @@
 void
 Engine::AddRoutes(HttpServer& aServer)
 {
+  this->orders.AddRoutes(aServer);
   this->cache.AddRoutes(aServer);
   this->orders.AddRoutes(aServer);
   aServer.Route("POST", "/v1/completions", [this](const HttpRequest& aRequest) {
--- a/standin/Main.cpp
+++ b/standin/Main.cpp
@@ -132,6 +132,8 @@
   options.prefillTokensPerSecond = static_cast<double>(CountOf(aArguments, "--prefill"));
   options.tokenInterval = ParseDuration(TextOf(aArguments, "--interval")).value();
   options.slots = CountOf(aArguments, "--slots");
+  options.orders.checksFencing = aArguments.at("--checks-fencing").asBool();
+  options.orders.loadTime = ParseDuration(TextOf(aArguments, "--load-time")).value();
   options.cache.id = options.id;
   options.cache.hosts = EndpointsOf(aArguments, "--announce");
   options.cache.key = TextOf(aArguments, "--key");
