--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -1,4 +1,5 @@
 // The benches of this project. Each prints its figures and returns 0 when it ran to its end.
+// To add one, declare it here and add its row to the table in Main.cpp.
 #pragma once
 
 #include <string>
@@ -23,8 +24,6 @@
 int
 RunPolicyBench(const std::vector<std::string>& aArguments);
 
-// Adds one row to the table in Main.cpp for each bench; declare it here.
-
 // What one record of a counter, a sample or a service level costs.
 int
 RunMetrics(const std::vector<std::string>& aArguments);
