--- a/tools/demo_steps.py
+++ b/tools/demo_steps.py
@@ -7,6 +7,7 @@
 
 from local_system import (
     CALLER_KEY,
+    OPERATOR_KEY,
     LocalSystem,
     call,
     digest,
@@ -53,17 +54,31 @@
         self.rows = []
         self.service_port = 0
         self.first = None
+        self.engines = []
 
     def start(self):
         system = self.system
         system.write_settings(TREE)
         for host in system.hosts:
             system.start_host(host)
-        speed = ["--interval", "15ms", "--prefill", "20000"]
-        system.start_target("engine", "engine-1", ZONES[0], *speed)
-        system.start_target("engine", "engine-2", ZONES[1], *speed)
+        self.start_engines("engine-1", "engine-2")
         _, self.service_port = system.start_target("service", "plates-1", ZONES[0])
-        self.store, _ = system.start_target("store", "store-1", ZONES[0])
+        system.start_target("store", "store-1", ZONES[0])
+
+    def start_engines(self, *names):
+        speed = ["--interval", "15ms", "--prefill", "20000"]
+        self.engines = [
+            self.system.start_target("engine", name, zone, *speed)[0]
+            for name, zone in zip(names, ZONES)
+        ]
+
+    def kept_in_store(self):
+        """Whether any host has had a prompt exported to the store."""
+        for host in self.system.hosts:
+            text = call(host.operators, "GET", "/metrics", key=OPERATOR_KEY).body.decode()
+            if "damasklink_link_out_bytes_total{" in text:
+                return True
+        return False
 
     def serving(self, host):
         """Whether the host relays prompts and service calls, tried with calls that leave no mark."""
@@ -88,7 +103,8 @@
         self.first = stream(self.system.hosts[0].callers, PROMPT, 8)
         measured = "no whole answer"
         if self.first.whole():
-            measured = f"{self.first.first_token * 1000:.1f} ms, {self.first.usage}"
+            prompt = self.first.usage.get("prompt_tokens")
+            measured = f"{self.first.first_token * 1000:.1f} ms, {prompt} tokens"
         self.row("first token of a prompt", measured, "a whole answer", self.first.whole())
 
     def step_returning(self):
@@ -102,6 +118,24 @@
             kept = reused * 10 >= prompt * 9 and again.first_token < self.first.first_token
         self.row("the same prompt, by another host", measured, "reused and sooner", kept)
 
+    def step_from_store(self):
+        exported = wait_until(self.kept_in_store, 10)
+        for engine in self.engines:
+            engine.terminate()
+            engine.wait(10)
+        self.start_engines("engine-3", "engine-4")
+        host = self.system.hosts[0]
+        wait_until(lambda: self.serving(host), START_LIMIT)
+        again = stream(host.callers, PROMPT, 8)
+        reused = again.usage.get("prompt_tokens_details", {}).get("cached_tokens", 0)
+        prompt = again.usage.get("prompt_tokens", 0)
+        measured = f"exported: {exported is not None}, no whole answer"
+        kept = again.whole() and exported is not None
+        if kept:
+            measured = f"{again.first_token * 1000:.1f} ms, {reused} of {prompt} tokens reused"
+            kept = reused * 10 >= prompt * 9 and again.first_token < self.first.first_token
+        self.row("the same prompt, both engines new", measured, "brought from the store", kept)
+
     def step_run_once(self):
         headers = {"Idempotency-Key": "plate-job-17"}
         body = '{"plate": "N 17-204 W"}'
@@ -178,6 +212,7 @@
             self.step_start,
             self.step_first_token,
             self.step_returning,
+            self.step_from_store,
             self.step_run_once,
             self.step_configuration,
             self.step_kill,
