--- a/test/coordination/GroupReplicaTest.cpp
+++ b/test/coordination/GroupReplicaTest.cpp
@@ -276,9 +276,10 @@
 TEST_F(GroupReplicaTest, SecondDiskLostRightAfterRepairLosesNothing)
 {
   this->cluster.Wipe(this->Follower());
-  while (!this->cluster.IsWhole()) {
+  for (int round = 0; round < 1'000 && !this->cluster.IsWhole(); ++round) {
     this->cluster.Run(std::chrono::milliseconds(50));
   }
+  ASSERT_TRUE(this->cluster.IsWhole());
   this->cluster.Wipe(this->Leader());
   this->cluster.HealAndCheck();
 }
