--- a/test/coordination/ProposalTrackerTest.cpp
+++ b/test/coordination/ProposalTrackerTest.cpp
@@ -71,6 +71,18 @@
   EXPECT_NE(this->Sent().toHost, first);
 }
 
+TEST_F(ProposalTrackerTest, LeaderThatIsLearntOfOtherwiseIsAskedAtOnce)
+{
+  this->Start();
+  const HostId first = this->Sent().toHost;
+  const HostId leader = first == kVoters[0] ? kVoters[1] : kVoters[0];
+  this->tracker.NoteLeader(kGroup, leader);
+  EXPECT_EQ(this->Sent().toHost, leader);
+  // Once only: it may refuse.
+  this->tracker.NoteLeader(kGroup, leader);
+  EXPECT_TRUE(this->tracker.TakeMessages().empty());
+}
+
 TEST_F(ProposalTrackerTest, RefusedEverywhereIsSurelyNotApplied)
 {
   this->Start();
