--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -25,6 +25,7 @@
   { "slopes", "state, processor time and bytes as they grow", damasklink::bench::RunSlopes },
   { "relay", "what relaying costs; run it by tools/bench-relay", damasklink::bench::RunRelay },
   { "policy", "routing and reuse against baselines", damasklink::bench::RunPolicyBench },
+  { "reuse", "time and memory of routing and block directory", damasklink::bench::RunReuseBench },
 };
 
 int
