--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -31,5 +31,8 @@
 // What one record of a counter, a sample or a service level costs.
 int
 RunMetrics(const std::vector<std::string>& aArguments);
+// What one routing decision, naming a prompt and keeping a directory take.
+int
+RunReuseBench(const std::vector<std::string>& aArguments);
 
 } // namespace damasklink::bench
--- a/src/coordination/CostRouter.cpp
+++ b/src/coordination/CostRouter.cpp
@@ -142,8 +142,9 @@
   if (least == this->candidates.end() || !this->options.spreadEqual) {
     return least == this->candidates.end() ? nullptr : &*least;
   }
-  const double limit = (least->estimate.cost * (1 + this->options.equalShare)) +
-                       (aRequest.objective.time * this->options.equalSeconds);
+  const double equal =
+    (this->options.equalShare * least->estimate.firstToken) + this->options.equalSeconds;
+  const double limit = least->estimate.cost + (aRequest.objective.time * equal);
   const std::uint64_t prompt = aRequest.blocks.empty() ? 0 : BlockHint(aRequest.blocks.back());
   const Candidate* best = nullptr;
   std::uint64_t bestAffinity = 0;
@@ -277,14 +278,15 @@
 double
 CostRouter::Wait(const TargetState& aState) const
 {
-  const double drained = Seconds(this->now - aState.loadAt) * this->RateOf(aState);
+  const double rate = this->RateOf(aState);
+  const double drained = Seconds(this->now - aState.loadAt) * rate;
   const auto reported = static_cast<double>(aState.load.queuedPrefill.Value());
   double waiting = std::max(0.0, reported + aState.sentPrefill - drained);
   if (this->options.correctByOwn) {
     // What has not answered yet is surely still there, whatever the report's age.
     waiting = std::max(waiting, aState.ownPrefill);
   }
-  return (waiting / this->RateOf(aState)) + this->SlotWait(aState);
+  return (waiting / rate) + this->SlotWait(aState);
 }
 
 double
