--- /dev/null
+++ b/include/damasklink/coordination/RetryBudget.h
@@ -0,0 +1,30 @@
+// Keeps retries a small share of requests, so that an outage is not made worse by them.
+#pragma once
+
+namespace damasklink {
+
+// Each request pays a share of a retry in; each retry takes a whole one out.
+//
+//   RetryBudget budget;
+//   budget.OnRequest();
+//   if (budget.TryTake()) ...   // Retry.
+//
+// Over any stretch of n requests at most kShare * n + kReserve retries are allowed. Not
+// thread-safe.
+class RetryBudget
+{
+public:
+  static constexpr double kShare = 0.08;
+  // Saved up at most, and given at the start, so that a quiet host can retry at all.
+  static constexpr double kReserve = 8;
+
+  void OnRequest();
+
+  // Returns whether a retry is allowed, and pays for it.
+  bool TryTake();
+
+private:
+  double balance = kReserve;
+};
+
+} // namespace damasklink
--- a/include/damasklink/transport/EngineStream.h
+++ b/include/damasklink/transport/EngineStream.h
@@ -11,53 +11,49 @@
 
 namespace damasklink {
 
-// Limits of one attempt.
-struct EngineStreamOptions
-{
-  Endpoint endpoint;
-  Duration connectTimeout = std::chrono::milliseconds(500);
-  Duration firstToken = std::chrono::seconds(30);
-  Duration betweenTokens = std::chrono::seconds(10);
-};
-
 // Reads the answer of one attempt in order, keeping the dispatch record up to date.
 //
-//   auto stream = EngineStream::Open(options, prompt, record);
+//   auto stream = EngineStream::Open(endpoint, connectTimeout, prompt, record);
 //   while (!stream.value()->Complete()) {
-//     auto text = stream.value()->Next();
+//     auto text = stream.value()->Poll(patience);
 //   }
 //
-// Destroying it before the end cancels the attempt at the engine. Not thread-safe.
+// The caller of Poll() decides how long silence may last. Holds one unfinished event at most, so
+// an engine that is ahead of the reader waits in its own socket. Destroying the stream before the
+// end cancels the attempt at the engine. Not thread-safe.
 class EngineStream
 {
 public:
-  // Connects and sends the prompt. Requires that the record's last attempt is this one. On failure
-  // the record tells whether the engine may have run it.
-  static Result<std::unique_ptr<EngineStream>> Open(const EngineStreamOptions& aOptions,
+  // Connects and sends the prompt. Requires that the record's last attempt is this one. Fails with
+  // Unavailable when no connection came to be; the record tells whether the engine may run it.
+  static Result<std::unique_ptr<EngineStream>> Open(const Endpoint& aEndpoint,
+                                                    Duration aConnectTimeout,
                                                     const EnginePrompt& aPrompt,
                                                     DispatchRecord& aRecord);
 
-  // Returns the next text, empty where frames were dropped or the answer ended.
-  // Fails with Interrupted or DeadlineExceeded when the answer broke off.
-  Result<std::string> Next();
+  // Returns the next text, empty when none came within aPatience, frames were dropped or the
+  // answer ended. Fails with Overloaded when the engine refused, and with Interrupted or Corrupt
+  // when the answer broke off.
+  Result<std::string> Poll(Duration aPatience);
 
   bool Complete() const { return this->assembler.Complete(); }
   const StreamAssembler& Assembled() const { return this->assembler; }
 
 private:
   EngineStream(std::unique_ptr<HttpExchange> aExchange,
-               const EngineStreamOptions& aOptions,
                const EnginePrompt& aPrompt,
                DispatchRecord& aRecord);
 
+  Result<void> ReadHeader();
+  Result<void> ReadPiece();
+  Result<std::string> TakeFrame(std::string_view aData);
   Result<std::string> Lose(Error aError);
 
   std::unique_ptr<HttpExchange> exchange;
-  EngineStreamOptions options;
   DispatchRecord& record;
   StreamAssembler assembler;
   SseReader reader;
-  bool answering = false;
+  bool headerRead = false;
 };
 
 } // namespace damasklink
--- a/include/damasklink/transport/HttpClient.h
+++ b/include/damasklink/transport/HttpClient.h
@@ -54,7 +54,8 @@
   // Sends the whole call. Fails with Interrupted.
   Result<void> Send();
 
-  // Waits for the status line and headers. Fails with Interrupted or DeadlineExceeded.
+  // Waits for the status line and headers. Fails with Interrupted or DeadlineExceeded; after the
+  // latter it may be called again.
   Result<void> ReadHeader();
 
   // Requires ReadHeader().
@@ -63,7 +64,8 @@
   std::string Header(std::string_view aName) const;
 
   // Returns the next piece of the body, empty at its proper end.
-  // Fails with Interrupted when the connection closes before that, or DeadlineExceeded.
+  // Fails with Interrupted when the connection closes before that, or with DeadlineExceeded; after
+  // the latter it may be called again.
   Result<std::string> ReadSome();
 
   // Replaces the longest wait for a piece.
--- a/src/program/CallerService.cpp
+++ b/src/program/CallerService.cpp
@@ -2,18 +2,21 @@
 
 #include "Responses.h"
 
-#include <algorithm>
 #include <random>
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_format.h>
 
 #include "damasklink/state/Digests.h"
 #include "damasklink/state/Text.h"
-#include "damasklink/transport/Log.h"
 
 namespace damasklink {
 namespace {
 
+// For callers that set no deadline.
+constexpr Duration kDefaultTimeLimit = std::chrono::minutes(10);
+constexpr std::uint64_t kMostDeadlineMs = 3'600'000;
+
 const ServiceRoute*
 FindService(const ResolvedPolicy& aPolicy, const ServiceName& aName)
 {
@@ -33,12 +36,38 @@
   return absl::StrFormat("%08x%08x", device(), device());
 }
 
+// Reads x-deadline-ms: how long the caller waits for the whole answer.
+Result<Duration>
+ReadTimeLimit(const HttpRequest& aRequest)
+{
+  const std::string text = aRequest.Header("x-deadline-ms");
+  if (text.empty()) {
+    return kDefaultTimeLimit;
+  }
+  std::uint64_t milliseconds = 0;
+  const bool readable = absl::SimpleAtoi(text, &milliseconds);
+  if (!readable || milliseconds == 0 || milliseconds > kMostDeadlineMs) {
+    return Fail(ErrorKind::InvalidArgument,
+                "header x-deadline-ms is not a whole number in range",
+                "send 1 to 3600000, the milliseconds that the answer may take");
+  }
+  return Duration(std::chrono::milliseconds(milliseconds));
+}
+
+HttpResponse
+LeavingResponse()
+{
+  CallerError refusal;
+  refusal.error =
+    Error{ ErrorKind::Unavailable, "this host is leaving", "send the call again, to any host" };
+  refusal.retryAfter = std::chrono::seconds(1);
+  return ErrorResponse(refusal);
+}
+
 } // namespace
 
-CallerService::CallerService(const RelayContext& aContext, ServiceContext aServices)
+CallerService::CallerService(const RelayContext& aContext)
   : context(aContext)
-  , services(aServices)
-  , settings(aServices.host.settings)
   , processTag(RandomTag())
 {
 }
@@ -46,73 +75,107 @@
 void
 CallerService::AddRoutes(HttpServer& aServer)
 {
-  aServer.Route("POST", "/v1/completions", [this](const HttpRequest& aRequest) {
-    return this->Complete(aRequest, CompletionStyle::Text);
-  });
-  aServer.Route("POST", "/v1/chat/completions", [this](const HttpRequest& aRequest) {
-    return this->Complete(aRequest, CompletionStyle::Chat);
-  });
-  aServer.Route("GET", "/v1/models", [this](const HttpRequest& aRequest) {
-    return this->ListModels(aRequest);
-  });
-  aServer.Route(
-    "POST", "/v1/keys", [this](const HttpRequest& aRequest) { return this->MintKey(aRequest); });
+  this->AddRoute(aServer, "POST", "/v1/completions", &CallerService::CompleteText);
+  this->AddRoute(aServer, "POST", "/v1/chat/completions", &CallerService::CompleteChat);
+  this->AddRoute(aServer, "GET", "/v1/models", &CallerService::ListModels);
+  this->AddRoute(aServer, "POST", "/v1/keys", &CallerService::MintKey);
   for (const char* method : { "GET", "POST", "PUT", "PATCH", "DELETE" }) {
-    aServer.Route(method, "/services/([^/]+)(/.*)?", [this](const HttpRequest& aRequest) {
-      return this->CallService(aRequest);
-    });
+    this->AddRoute(aServer, method, "/services/([^/]+)(/.*)?", &CallerService::CallService);
   }
 }
 
+void
+CallerService::AddRoute(HttpServer& aServer,
+                        const std::string& aMethod,
+                        const std::string& aPattern,
+                        CallerHandler aHandler)
+{
+  aServer.Route(aMethod, aPattern, [this, aHandler](const HttpRequest& aRequest) {
+    auto caller = this->Authenticate(aRequest);
+    if (!caller) {
+      return RefusalResponse(caller.error());
+    }
+    return (this->*aHandler)(aRequest, caller.value());
+  });
+}
+
 HttpResponse
-CallerService::Complete(const HttpRequest& aRequest, CompletionStyle aStyle)
+CallerService::CompleteText(const HttpRequest& aRequest, const Caller& aCaller)
+{
+  return this->Complete(aRequest, aCaller, CompletionStyle::Text);
+}
+
+HttpResponse
+CallerService::CompleteChat(const HttpRequest& aRequest, const Caller& aCaller)
+{
+  return this->Complete(aRequest, aCaller, CompletionStyle::Chat);
+}
+
+HttpResponse
+CallerService::Complete(const HttpRequest& aRequest, const Caller& aCaller, CompletionStyle aStyle)
 {
-  const auto view = this->context.views.Get();
-  auto policy = this->Authenticate(aRequest, *view);
-  if (!policy) {
-    return RefusalResponse(policy.error());
-  }
   auto parsed = ParseCompletionRequest(aRequest.body, aStyle);
   if (!parsed) {
     return RefusalResponse(parsed.error());
   }
   const CompletionRequest& prompt = parsed.value();
-  if (!AllowsModel(policy.value()->models, prompt.model, prompt.version)) {
+  if (!AllowsModel(aCaller.policy->models, prompt.model, prompt.version)) {
     return RefusalResponse(Error{ ErrorKind::NotFound,
                                   Concat("model '", prompt.model.Value(), "' is unknown here"),
                                   "name a model that /v1/models lists" });
   }
-  const bool streamed = prompt.stream;
-  auto relay = std::make_shared<CompletionRelay>(
-    this->context, std::move(parsed.value()), *policy.value(), this->MakeRequestId());
-  if (auto opened = relay->Open(); !opened) {
-    return ErrorResponse(relay->Describe(opened.error()));
+  auto timeLimit = ReadTimeLimit(aRequest);
+  if (!timeLimit) {
+    return RefusalResponse(timeLimit.error());
+  }
+  CompletionCall call;
+  call.request = prompt;
+  call.policy = *aCaller.policy;
+  call.id = this->MakeRequestId();
+  call.key = IdempotencyKey(aRequest.Header("idempotency-key"));
+  call.digest = CallDigest(aRequest);
+  call.timeLimit = timeLimit.value();
+  const bool keyed = !call.key.Empty();
+  return this->Run(
+    std::make_shared<CompletionRelay>(this->context, std::move(call)), keyed, prompt.stream);
+}
+
+HttpResponse
+CallerService::Run(std::shared_ptr<CompletionRelay> aRelay, bool aKeyed, bool aStreamed)
+{
+  if (!aRelay->Accepted()) {
+    return LeavingResponse();
+  }
+  if (aKeyed) {
+    if (auto ended = aRelay->Claim()) {
+      return std::move(*ended);
+    }
+  }
+  if (auto opened = aRelay->Open(); !opened) {
+    return ErrorResponse(aRelay->Describe(opened.error()));
   }
   HttpResponse response;
-  if (streamed) {
+  if (aStreamed) {
     response.contentType = "text/event-stream";
     // The server copies the function, so the relay is shared with it.
-    response.stream = [relay](StreamWriter& aWriter) { return relay->Stream(aWriter); };
+    response.stream = [relay = std::move(aRelay)](StreamWriter& aWriter) {
+      return relay->Stream(aWriter);
+    };
     return response;
   }
-  auto body = relay->Collect();
+  auto body = aRelay->Collect();
   if (!body) {
-    return ErrorResponse(relay->Describe(body.error()));
+    return ErrorResponse(aRelay->Describe(body.error()));
   }
   response.body = std::move(body.value());
   return response;
 }
 
 HttpResponse
-CallerService::ListModels(const HttpRequest& aRequest)
+CallerService::ListModels(const HttpRequest& /*aRequest*/, const Caller& aCaller)
 {
-  const auto view = this->context.views.Get();
-  auto policy = this->Authenticate(aRequest, *view);
-  if (!policy) {
-    return RefusalResponse(policy.error());
-  }
   std::vector<ModelName> models;
-  for (const ModelGrant& grant : policy.value()->models) {
+  for (const ModelGrant& grant : aCaller.policy->models) {
     models.push_back(grant.model);
   }
   HttpResponse response;
@@ -121,41 +184,31 @@
 }
 
 HttpResponse
-CallerService::MintKey(const HttpRequest& aRequest)
+CallerService::MintKey(const HttpRequest& /*aRequest*/, const Caller& aCaller)
 {
-  const auto view = this->context.views.Get();
-  auto policy = this->Authenticate(aRequest, *view);
-  if (!policy) {
-    return RefusalResponse(policy.error());
-  }
   HttpResponse response;
-  response.body = FormatMintedKey(this->services.claims.Mint(policy.value()->workspace),
-                                  this->settings.timeouts.keyRetention);
+  response.body = FormatMintedKey(this->context.claims.Mint(aCaller.policy->workspace),
+                                  this->context.host.settings.timeouts.keyRetention);
   return response;
 }
 
 HttpResponse
-CallerService::CallService(const HttpRequest& aRequest)
+CallerService::CallService(const HttpRequest& aRequest, const Caller& aCaller)
 {
-  const auto view = this->context.views.Get();
-  auto policy = this->Authenticate(aRequest, *view);
-  if (!policy) {
-    return RefusalResponse(policy.error());
-  }
   const ServiceName name(aRequest.groups.at(0));
-  const ServiceRoute* service = FindService(*policy.value(), name);
+  const ServiceRoute* service = FindService(*aCaller.policy, name);
   if (service == nullptr) {
     return RefusalResponse(Error{ ErrorKind::NotFound,
                                   Concat("service '", name.Value(), "' is unknown here"),
                                   "ask the operator which services your team may call" });
   }
-  ServiceRelay relay(this->services,
-                     ServiceCall{ aRequest, *policy.value(), *service, this->MakeRequestId() });
-  return relay.Run();
+  ServiceRelay relay(this->context,
+                     ServiceCall{ aRequest, *aCaller.policy, *service, this->MakeRequestId() });
+  return relay.Accepted() ? relay.Run() : LeavingResponse();
 }
 
-Result<const ResolvedPolicy*>
-CallerService::Authenticate(const HttpRequest& aRequest, const TrafficView& aView) const
+Result<CallerService::Caller>
+CallerService::Authenticate(const HttpRequest& aRequest) const
 {
   const std::string token = BearerToken(aRequest);
   if (token.empty()) {
@@ -163,15 +216,22 @@
                 "no key was sent",
                 "send the header 'Authorization: Bearer <key>'");
   }
+  Caller caller;
+  caller.view = this->context.host.views.Get();
   // The look-up is by digest, so its time tells nothing about the key itself.
-  return FindCaller(aView, DigestOf(token));
+  auto policy = FindCaller(*caller.view, DigestOf(token));
+  if (!policy) {
+    return Fail(policy.error());
+  }
+  caller.policy = policy.value();
+  return caller;
 }
 
 RequestId
 CallerService::MakeRequestId()
 {
   return RequestId(absl::StrFormat("req-%s-%s-%d",
-                                   this->settings.host.Value(),
+                                   this->context.host.settings.host.Value(),
                                    this->processTag,
                                    this->requestCounter.fetch_add(1)));
 }
--- a/src/program/CallerService.h
+++ b/src/program/CallerService.h
@@ -1,4 +1,4 @@
-// The callers' address: authentication, prompts, models and plain services.
+// The callers' address: authentication, prompts, models, keys and plain services.
 #pragma once
 
 #include <atomic>
@@ -12,25 +12,39 @@
 class CallerService
 {
 public:
-  CallerService(const RelayContext& aContext, ServiceContext aServices);
+  explicit CallerService(const RelayContext& aContext);
 
   // Adds all routes. The server must not outlive this object.
   void AddRoutes(HttpServer& aServer);
 
 private:
-  HttpResponse Complete(const HttpRequest& aRequest, CompletionStyle aStyle);
-  HttpResponse ListModels(const HttpRequest& aRequest);
-  HttpResponse MintKey(const HttpRequest& aRequest);
-  HttpResponse CallService(const HttpRequest& aRequest);
-
-  // Returns the policy of the caller's key; the view keeps it alive.
-  Result<const ResolvedPolicy*> Authenticate(const HttpRequest& aRequest,
-                                             const TrafficView& aView) const;
+  // Who calls; the view keeps the policy alive.
+  struct Caller
+  {
+    std::shared_ptr<const TrafficView> view;
+    const ResolvedPolicy* policy = nullptr;
+  };
+  using CallerHandler = HttpResponse (CallerService::*)(const HttpRequest&, const Caller&);
+
+  // Adds a route whose handler is called for known callers only.
+  void AddRoute(HttpServer& aServer,
+                const std::string& aMethod,
+                const std::string& aPattern,
+                CallerHandler aHandler);
+
+  HttpResponse CompleteText(const HttpRequest& aRequest, const Caller& aCaller);
+  HttpResponse CompleteChat(const HttpRequest& aRequest, const Caller& aCaller);
+  HttpResponse Complete(const HttpRequest& aRequest, const Caller& aCaller, CompletionStyle aStyle);
+  HttpResponse Run(std::shared_ptr<CompletionRelay> aRelay, bool aKeyed, bool aStreamed);
+  HttpResponse ListModels(const HttpRequest& aRequest, const Caller& aCaller);
+  HttpResponse MintKey(const HttpRequest& aRequest, const Caller& aCaller);
+  HttpResponse CallService(const HttpRequest& aRequest, const Caller& aCaller);
+
+  // Finds the caller by its key, and refuses one whose policy may be too old to be served.
+  Result<Caller> Authenticate(const HttpRequest& aRequest) const;
   RequestId MakeRequestId();
 
   const RelayContext& context;
-  ServiceContext services;
-  const HostSettings& settings;
   std::atomic<std::uint64_t> requestCounter{ 0 };
   std::string processTag;
 };
--- a/src/program/ClaimGate.cpp
+++ b/src/program/ClaimGate.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_format.h>
 #include <absl/time/time.h>
 
+#include "damasklink/coordination/ClaimRefusal.h"
 #include "damasklink/state/Text.h"
 #include "damasklink/transport/Log.h"
 
@@ -17,6 +18,7 @@
 constexpr Duration kBeyondElection = std::chrono::seconds(1);
 // How long the end of a run is offered to its group.
 constexpr Duration kSettleTime = std::chrono::seconds(60);
+constexpr Duration kHomeComeBack = std::chrono::seconds(1);
 // A traffic thread gives up on its own when the control thread does not come back by then.
 constexpr Duration kControlSlack = std::chrono::milliseconds(500);
 
@@ -77,11 +79,11 @@
 }
 
 void
-ClaimTicket::Finish(KeptAnswer aAnswer)
+ClaimTicket::Finish(std::optional<KeptAnswer> aAnswer)
 {
   this->settled = true;
   this->command.verb = ClaimVerb::Finish;
-  if (aAnswer.body.size() <= this->gate.MostKeptAnswer().Value()) {
+  if (aAnswer && aAnswer->body.size() <= this->gate.MostKeptAnswer().Value()) {
     this->command.answer = std::move(aAnswer);
   }
   this->gate.Settle(this->home, std::move(this->command));
@@ -113,8 +115,45 @@
   this->context.control.Add(Channel::Claims, *this);
 }
 
-Result<ClaimEntrance>
-ClaimGate::Enter(const KeyedCall& aCall, const DispatchRecord& aRecord)
+ClaimEntrance
+ClaimGate::Enter(const KeyedCall& aCall, DispatchRecord& aRecord)
+{
+  ClaimEntrance entrance;
+  const auto refuse = [&](Error aError, std::optional<Duration> aRetryAfter) {
+    entrance.refusal = CallerError{ std::move(aError), aRecord.Outcome(), aRetryAfter };
+    return std::move(entrance);
+  };
+  ZoneId home;
+  auto command = this->MakeClaim(aCall, home);
+  if (!command) {
+    return refuse(command.error(), std::nullopt);
+  }
+  const MonotonicTime asked = this->context.clock.MonotonicNow();
+  auto reply = this->Ask(home, command.value(), aCall.wait);
+  const MetricKey series{ aCall.workspace, "" };
+  this->context.metrics.Observe(
+    Sample::ClaimWait, series, this->context.clock.MonotonicNow() - asked);
+  if (!reply) {
+    return refuse(reply.error(), kHomeComeBack);
+  }
+  const bool granted = reply.value().verdict == ClaimVerdict::Granted;
+  this->context.metrics.Add(granted ? Counter::ClaimsTaken : Counter::ClaimsRepeated, series, 1);
+  if (granted) {
+    entrance.ticket = std::make_unique<ClaimTicket>(
+      *this, home, std::move(command.value()), aRecord, asked + aCall.lease);
+    return entrance;
+  }
+  if (reply.value().verdict == ClaimVerdict::Kept && reply.value().answer) {
+    entrance.kept = std::move(reply.value().answer);
+    return entrance;
+  }
+  const ClaimRefusal refusal = RefusalOf(reply.value());
+  aRecord.NoteEarlier(refusal.earlier);
+  return refuse(refusal.error, refusal.retryAfter);
+}
+
+Result<ClaimCommand>
+ClaimGate::MakeClaim(const KeyedCall& aCall, ZoneId& aHome) const
 {
   auto origin = ReadKeyOrigin(aCall.workspace, aCall.key);
   if (!origin) {
@@ -124,6 +163,7 @@
   if (!home) {
     return Fail(home.error());
   }
+  aHome = home.value();
   ClaimCommand command;
   command.verb = ClaimVerb::Claim;
   command.workspace = aCall.workspace;
@@ -133,24 +173,7 @@
   command.birth = origin.value().birth;
   command.retention = this->context.settings.timeouts.keyRetention;
   command.lease = aCall.lease;
-  const MonotonicTime asked = this->context.clock.MonotonicNow();
-  auto reply = this->Ask(home.value(), command, aCall.wait);
-  const MonotonicTime answered = this->context.clock.MonotonicNow();
-  this->context.metrics.Observe(
-    Sample::ClaimWait, MetricKey{ aCall.workspace, "" }, answered - asked);
-  if (!reply) {
-    return Fail(reply.error());
-  }
-  ClaimEntrance entrance;
-  entrance.reply = std::move(reply.value());
-  const bool granted = entrance.reply.verdict == ClaimVerdict::Granted;
-  this->context.metrics.Add(
-    granted ? Counter::ClaimsTaken : Counter::ClaimsRepeated, MetricKey{ aCall.workspace, "" }, 1);
-  if (granted) {
-    entrance.ticket = std::make_unique<ClaimTicket>(
-      *this, home.value(), std::move(command), aRecord, asked + aCall.lease);
-  }
-  return entrance;
+  return command;
 }
 
 Result<ZoneId>
--- a/src/program/ClaimGate.h
+++ b/src/program/ClaimGate.h
@@ -11,6 +11,7 @@
 #include "damasklink/coordination/IdempotencyKeys.h"
 #include "damasklink/coordination/ProposalRetrier.h"
 #include "damasklink/protocol/ClaimMachine.h"
+#include "damasklink/protocol/ErrorBody.h"
 
 namespace damasklink {
 
@@ -47,8 +48,8 @@
   // Whether the lease still runs; a process that was frozen must not send after it.
   bool Leased(MonotonicTime aNow) const { return aNow < this->leaseEnd; }
 
-  // Tells that the call ran with this answer; it is kept when it fits the limit.
-  void Finish(KeptAnswer aAnswer);
+  // Tells that the call ran; its answer, if given, is kept when it fits the limit.
+  void Finish(std::optional<KeptAnswer> aAnswer);
 
 private:
   ClaimGate& gate;
@@ -59,18 +60,18 @@
   bool settled = false;
 };
 
-// What came of asking: a ticket, or a reply that says why not (or holds the kept answer).
+// What came of asking; one of the three is set.
 struct ClaimEntrance
 {
   std::unique_ptr<ClaimTicket> ticket;
-  ClaimReply reply;
+  std::optional<KeptAnswer> kept;
+  std::optional<CallerError> refusal;
 };
 
 // Claims keys for traffic threads, which wait for the control thread with a bound.
 //
 //   auto entrance = gate.Enter(call, record);
-//   if (!entrance) ...                      // Surely not run: refuse.
-//   if (!entrance.value().ticket) ...       // Kept answer, or RefusalOf(reply).
+//   if (entrance.refusal) ...
 //
 // Requires that the record outlives the ticket.
 class ClaimGate final : public ControlModule
@@ -82,9 +83,9 @@
   void Start();
 
   // Claims the call's key at its home. Returns once that is committed and synced there.
-  // Fails with InvalidArgument for a bad key and with Unavailable when the home did not answer in
-  // time; then nothing ran and nothing will.
-  Result<ClaimEntrance> Enter(const KeyedCall& aCall, const DispatchRecord& aRecord);
+  // Refuses a bad key, a key whose home did not answer in time (then nothing ran and nothing will)
+  // and a key that another attempt has used; the record takes in what is known of that one.
+  ClaimEntrance Enter(const KeyedCall& aCall, DispatchRecord& aRecord);
 
   // Returns a fresh key that is homed in this zone, or in a neighbour that can home claims.
   IdempotencyKey Mint(const WorkspaceId& aWorkspace);
@@ -103,6 +104,7 @@
 private:
   struct Waiter;
 
+  Result<ClaimCommand> MakeClaim(const KeyedCall& aCall, ZoneId& aHome) const;
   Result<ZoneId> HomeOf(const KeyedCall& aCall, const KeyOrigin& aOrigin) const;
   Result<ClaimReply> Ask(const ZoneId& aHome, const ClaimCommand& aCommand, Duration aWait);
   void OnAsked(const std::shared_ptr<Waiter>& aWaiter,
--- a/src/program/CompletionRelay.cpp
+++ b/src/program/CompletionRelay.cpp
@@ -1,181 +1,384 @@
 #include "CompletionRelay.h"
 
+#include <algorithm>
+#include <random>
+#include <thread>
+#include <utility>
+
+#include "Responses.h"
 #include "damasklink/state/Text.h"
 #include "damasklink/transport/Log.h"
 
 namespace damasklink {
 namespace {
 
-constexpr int kMostAttempts = 3;
+// How soon a caller that left, a deadline or a stop is noticed while the engine is silent.
+constexpr Duration kPollPatience = std::chrono::milliseconds(100);
+// How long a refusal may still get a status of its own; afterwards the stream is open, and a
+// caller that leaves is noticed.
+constexpr Duration kOpenPatience = std::chrono::seconds(1);
+// Text held of one answer; a longer one can be resumed, but not continued on another engine.
+constexpr std::size_t kMostHeldBytes = 8 * kMebibyte;
+constexpr Duration kLeaseSlack = std::chrono::seconds(10);
+constexpr std::uint64_t kPauseLeast = 5;
+constexpr std::uint64_t kPauseMost = 25;
+
+// Spreads repeats of requests that failed together.
+void
+PauseBeforeRepeat(std::uint64_t aTries)
+{
+  thread_local std::minstd_rand random{ std::random_device{}() };
+  std::uniform_int_distribution<std::uint64_t> spread(kPauseLeast, kPauseMost << aTries);
+  std::this_thread::sleep_for(std::chrono::milliseconds(spread(random)));
+}
 
 } // namespace
 
-CompletionRelay::CompletionRelay(const RelayContext& aContext,
-                                 CompletionRequest aRequest,
-                                 const ResolvedPolicy& aPolicy,
-                                 RequestId aId)
+CompletionRelay::CompletionRelay(const RelayContext& aContext, CompletionCall aCall)
   : context(aContext)
-  , request(std::move(aRequest))
-  , id(std::move(aId))
+  , call(std::move(aCall))
+  , running(aContext.state)
+  , meter(aContext.host.metrics, aContext.host.clock, call.policy)
+  , deadline(aContext.host.clock.MonotonicNow() + call.timeLimit)
 {
-  this->route.workspace = aPolicy.workspace;
-  this->route.model = this->request.model;
-  this->route.version = this->request.version;
-  this->route.adapter = this->request.adapter;
-  this->route.grants = aPolicy.models;
-  this->route.objective = aPolicy.objective;
-  aContext.reuse.LookUp(this->request.prompt, this->route);
+  this->route.workspace = this->call.policy.workspace;
+  this->route.model = this->call.request.model;
+  this->route.version = this->call.request.version;
+  this->route.adapter = this->call.request.adapter;
+  this->route.grants = this->call.policy.models;
+  this->route.objective = this->call.policy.objective;
+  aContext.reuse.LookUp(this->call.request.prompt, this->route);
 }
 
 CompletionRelay::~CompletionRelay()
 {
-  this->Finish(false);
+  this->EndAttempt(false);
+}
+
+std::optional<HttpResponse>
+CompletionRelay::Claim()
+{
+  KeyedCall keyed;
+  keyed.workspace = this->route.workspace;
+  keyed.key = this->call.key;
+  keyed.attempt = AttemptId(this->call.id.Value());
+  keyed.body = this->call.digest;
+  keyed.lease = this->call.timeLimit + kLeaseSlack;
+  keyed.wait = this->TimeLeft();
+  ClaimEntrance entrance = this->context.claims.Enter(keyed, this->record);
+  if (entrance.refusal) {
+    this->meter.OnFailure(*entrance.refusal);
+    return ErrorResponse(*entrance.refusal);
+  }
+  if (entrance.kept) {
+    this->meter.OnServed();
+    return ReplayResponse(*entrance.kept);
+  }
+  this->ticket = std::move(entrance.ticket);
+  return std::nullopt;
 }
 
 Result<void>
 CompletionRelay::Open()
 {
-  Error lastError;
-  for (int attempt = 0; attempt < kMostAttempts; ++attempt) {
-    auto tried = this->TryTarget();
-    if (tried) {
+  if (auto started = this->StartElsewhere(); !started) {
+    if (!this->outstanding) {
+      return started;
+    }
+    if (auto recovered = this->Recover(started.error()); !recovered) {
+      return recovered;
+    }
+  }
+  const MonotonicTime until = this->context.host.clock.MonotonicNow() + kOpenPatience;
+  while (this->context.host.clock.MonotonicNow() < until) {
+    auto text = this->PollOnce(nullptr);
+    if (!text) {
+      if (auto recovered = this->Recover(text.error()); !recovered) {
+        return recovered;
+      }
+      continue;
+    }
+    if (!text.value().empty() || this->stream->Complete()) {
       return Success();
     }
-    const bool noTarget = tried.error().kind == ErrorKind::Unavailable && !this->outstanding;
-    // A failure of an earlier attempt tells more than "no other target".
-    if (!noTarget || attempt == 0) {
-      lastError = tried.error();
+  }
+  return Success();
+}
+
+Result<std::string>
+CompletionRelay::NextText(const StreamWriter* aCaller)
+{
+  while (this->pending.empty() && !this->stream->Complete()) {
+    auto text = this->PollOnce(aCaller);
+    if (text) {
+      continue;
     }
-    this->Finish(false);
-    if (noTarget) {
-      break;
+    if (auto recovered = this->Recover(text.error()); !recovered) {
+      return Fail(recovered.error());
     }
-    LogEvent(LogLevel::Warning, "attempt_failed")
-      .With("request", this->id)
-      .With("target", this->decision.target)
-      .With("error", lastError);
   }
-  return Fail(lastError);
+  return std::exchange(this->pending, {});
+}
+
+Result<std::string>
+CompletionRelay::PollOnce(const StreamWriter* aCaller)
+{
+  auto text = this->stream->Poll(std::min(kPollPatience, this->TimeLeft()));
+  if (!text) {
+    return text;
+  }
+  const MonotonicTime now = this->context.host.clock.MonotonicNow();
+  if (!text.value().empty() || this->stream->Complete()) {
+    this->lastHeard = now;
+    this->TakeText(text.value());
+    return text;
+  }
+  if (auto wanted = this->CheckStillWanted(aCaller); !wanted) {
+    return Fail(wanted.error());
+  }
+  const HostTimeouts& timeouts = this->context.host.settings.timeouts;
+  const Duration limit = this->tokens == 0 ? timeouts.firstToken : timeouts.betweenTokens;
+  if (now - this->lastHeard >= limit) {
+    return Fail(ErrorKind::DeadlineExceeded, "the engine fell silent", "try again");
+  }
+  return text;
 }
 
 Result<void>
-CompletionRelay::TryTarget()
+CompletionRelay::CheckStillWanted(const StreamWriter* aCaller) const
 {
-  const auto view = this->context.views.Get();
+  if (aCaller != nullptr && !aCaller->IsOpen()) {
+    return Fail(ErrorKind::Cancelled, "the caller left", "");
+  }
+  if (this->context.state.MustStop()) {
+    return Fail(ErrorKind::Unavailable, "this host is stopping", "send the prompt again");
+  }
+  if (this->TimeLeft() <= Duration(0)) {
+    return Fail(ErrorKind::DeadlineExceeded,
+                "the request's deadline passed",
+                "allow more time, or ask for fewer tokens");
+  }
+  return Success();
+}
+
+void
+CompletionRelay::TakeText(const std::string& aText)
+{
+  const std::uint64_t now = this->stream->Assembled().NextOffset();
+  if (this->tokens == 0 && now > 0) {
+    const Duration elapsed = this->context.host.clock.MonotonicNow() - this->attemptBegun;
+    this->context.routing.FirstToken(this->route, this->decision, elapsed, TokenCount());
+  }
+  this->meter.OnTokens(now - this->tokens);
+  this->tokens = now;
+  this->pending += aText;
+  this->held = this->held && this->answer.size() + aText.size() <= kMostHeldBytes;
+  if (this->held) {
+    this->answer += aText;
+  } else {
+    this->answer.clear();
+  }
+}
+
+Result<void>
+CompletionRelay::StartElsewhere()
+{
+  const auto view = this->context.host.views.Get();
   auto chosen = this->context.routing.ChooseAndSend(this->route, view->targets);
   if (!chosen) {
     return Fail(chosen.error());
   }
   this->decision = chosen.value();
   this->outstanding = true;
+  this->resumed = false;
   this->route.excluded.push_back(this->decision.target);
-
   this->context.reuse.Bring(this->route, this->decision);
+  const std::size_t number = this->record.Attempts().size() + 1;
+  return this->StartAttempt(AttemptId(Concat(this->call.id.Value(), "-", number)));
+}
 
+Result<void>
+CompletionRelay::StartAttempt(const AttemptId& aAttempt)
+{
   EnginePrompt prompt;
-  prompt.attempt = AttemptId(Concat(this->id.Value(), "-", this->record.Attempts().size() + 1));
+  prompt.attempt = aAttempt;
   prompt.workspace = this->route.workspace;
-  prompt.model = this->request.model;
+  prompt.model = this->call.request.model;
   prompt.version = this->decision.version;
-  prompt.adapter = this->request.adapter;
-  prompt.prompt = this->request.prompt;
-  prompt.maxTokens = this->request.maxTokens;
-  prompt.sampling = this->request.sampling;
+  prompt.adapter = this->call.request.adapter;
+  prompt.prompt = this->call.request.prompt;
+  prompt.maxTokens = this->call.request.maxTokens;
+  prompt.offset = this->tokens;
+  prompt.delivered = this->answer;
+  prompt.sampling = this->call.request.sampling;
   this->record.Begin(prompt.attempt, this->decision.target);
-
-  EngineStreamOptions options;
-  options.endpoint = this->decision.endpoint;
-  options.connectTimeout = this->context.timeouts.connect;
-  options.firstToken = this->context.timeouts.firstToken;
-  options.betweenTokens = this->context.timeouts.betweenTokens;
-  const MonotonicTime begun = this->context.clock.MonotonicNow();
-  auto opened = EngineStream::Open(options, prompt, this->record);
+  ++this->tries;
+  this->tokensAtStart = this->tokens;
+  this->attemptBegun = this->context.host.clock.MonotonicNow();
+  this->lastHeard = this->attemptBegun;
+  if (this->ticket != nullptr && !this->ticket->Leased(this->attemptBegun)) {
+    return Fail(ErrorKind::Conflict, "the claim of the key ran out", "try again");
+  }
+  const Duration connect = std::min(this->context.host.settings.timeouts.connect, this->TimeLeft());
+  auto opened = EngineStream::Open(this->decision.endpoint, connect, prompt, this->record);
   if (!opened) {
     return Fail(opened.error());
   }
   this->stream = std::move(opened.value());
-  auto text = this->stream->Next();
-  if (!text) {
-    return Fail(text.error());
-  }
-  this->firstText = std::move(text.value());
-  const Duration elapsed = this->context.clock.MonotonicNow() - begun;
-  this->context.routing.FirstToken(this->route, this->decision, elapsed, TokenCount());
   return Success();
 }
 
-bool
-CompletionRelay::Stream(StreamWriter& aWriter)
+Result<void>
+CompletionRelay::Recover(Error aError)
 {
-  const AnswerHeader header = this->Header();
-  std::string text = std::move(this->firstText);
   while (true) {
-    if (!text.empty() && !aWriter.Write(FormatDeltaEvent(header, text))) {
-      this->Finish(false);
-      return false;
+    LostAttempt lost;
+    lost.kind = aError.kind;
+    lost.outcome = this->record.Outcome();
+    lost.tokens = this->tokens;
+    lost.tokensAtStart = this->tokensAtStart;
+    lost.tries = this->tries;
+    lost.resumed = this->resumed;
+    lost.held = this->held;
+    lost.repeatable = this->ticket == nullptr;
+    lost.timeLeft = this->context.state.MustStop() ? Duration(0) : this->TimeLeft();
+    const RelayStep step = DecideRelayStep(lost);
+    const bool paid = step != RelayStep::Repeat || this->context.state.TakeRetry();
+    if (step == RelayStep::GiveUp || !paid) {
+      return Fail(std::move(aError));
     }
-    if (this->stream->Complete()) {
-      break;
+    LogEvent(LogLevel::Warning, "attempt_failed")
+      .With("request", this->call.id)
+      .With("target", this->decision.target)
+      .With("tokens", this->tokens)
+      .With("error", aError);
+    auto taken = this->TakeStep(step);
+    if (taken) {
+      this->meter.OnRetry();
+      return Success();
+    }
+    // That no other target is left tells less than why the last one failed.
+    if (!this->outstanding) {
+      return Fail(std::move(aError));
     }
-    auto next = this->stream->Next();
+    aError = taken.error();
+  }
+}
+
+Result<void>
+CompletionRelay::TakeStep(RelayStep aStep)
+{
+  if (aStep == RelayStep::Resume) {
+    this->stream.reset();
+    this->resumed = true;
+    return this->StartAttempt(this->record.Attempts().back().id);
+  }
+  this->EndAttempt(false);
+  if (aStep == RelayStep::Repeat) {
+    PauseBeforeRepeat(this->tries);
+  } else {
+    this->route.continuation = true;
+    this->route.version = this->decision.version;
+  }
+  return this->StartElsewhere();
+}
+
+bool
+CompletionRelay::Stream(StreamWriter& aWriter)
+{
+  const AnswerHeader header = this->Header();
+  while (!this->stream->Complete() || !this->pending.empty()) {
+    auto next = this->NextText(&aWriter);
     if (!next) {
       aWriter.Write(FormatErrorEvent(FormatErrorBody(this->Describe(next.error()))));
-      this->Finish(false);
       return false;
     }
-    text = std::move(next.value());
+    if (!next.value().empty() && !aWriter.Write(FormatDeltaEvent(header, next.value()))) {
+      this->Describe(Error{ ErrorKind::Cancelled, "the caller left", "" });
+      return false;
+    }
   }
   const StreamAssembler& whole = this->stream->Assembled();
-  this->context.reuse.Keep(this->route, this->decision, whole.Usage());
-  const bool sent = aWriter.Write(FormatEndEvents(header, whole.FinishReason(), whole.Usage()));
-  this->Finish(sent);
-  return sent;
+  const std::string end = FormatEndEvents(header, whole.FinishReason(), whole.Usage());
+  this->EndWhole("text/event-stream", [&] { return FormatDeltaEvent(header, this->answer) + end; });
+  return aWriter.Write(end);
 }
 
 Result<std::string>
 CompletionRelay::Collect()
 {
-  std::string text = std::move(this->firstText);
   while (!this->stream->Complete()) {
-    auto next = this->stream->Next();
-    if (!next) {
-      return Fail(next.error());
+    if (auto next = this->NextText(nullptr); !next) {
+      return next;
+    }
+    if (!this->held) {
+      return Fail(ErrorKind::InvalidArgument, "the answer is too large", "ask for it as a stream");
     }
-    text += next.value();
   }
   const StreamAssembler& whole = this->stream->Assembled();
-  this->context.reuse.Keep(this->route, this->decision, whole.Usage());
-  std::string body = FormatWholeAnswer(this->Header(), text, whole.FinishReason(), whole.Usage());
-  this->Finish(true);
+  std::string body =
+    FormatWholeAnswer(this->Header(), this->answer, whole.FinishReason(), whole.Usage());
+  this->EndWhole("application/json", [&] { return body; });
   return body;
 }
 
+void
+CompletionRelay::EndWhole(const std::string& aType, const std::function<std::string()>& aKept)
+{
+  const AnswerUsage& usage = this->stream->Assembled().Usage();
+  this->context.reuse.Keep(this->route, this->decision, usage);
+  this->meter.OnWhole(usage);
+  if (this->ticket != nullptr) {
+    std::optional<KeptAnswer> kept;
+    if (this->held) {
+      kept = KeptAnswer{ 200, aType, aKept() };
+    }
+    this->ticket->Finish(std::move(kept));
+  }
+  this->outstanding = false;
+  this->context.routing.Done(this->route, this->decision, true);
+}
+
 CallerError
-CompletionRelay::Describe(Error aError) const
+CompletionRelay::Describe(Error aError)
 {
   CallerError described;
   described.error = std::move(aError);
   described.outcome = this->record.Outcome();
+  if (described.outcome == RunOutcome::NotRun) {
+    described.retryAfter = std::chrono::seconds(1);
+  }
+  this->meter.OnFailure(described);
+  LogEvent(LogLevel::Warning, "request_failed")
+    .With("request", this->call.id)
+    .With("outcome", RunOutcomeName(described.outcome))
+    .With("error", described.error);
   return described;
 }
 
 AnswerHeader
 CompletionRelay::Header() const
 {
-  return AnswerHeader{
-    this->id, this->request.style, this->request.model, this->context.clock.WallNow()
-  };
+  return AnswerHeader{ this->call.id,
+                       this->call.request.style,
+                       this->call.request.model,
+                       this->context.host.clock.WallNow() };
+}
+
+Duration
+CompletionRelay::TimeLeft() const
+{
+  return std::max(this->deadline - this->context.host.clock.MonotonicNow(), Duration(0));
 }
 
 void
-CompletionRelay::Finish(bool aWhole)
+CompletionRelay::EndAttempt(bool aWhole)
 {
-  if (!this->outstanding) {
-    return;
-  }
-  this->outstanding = false;
   this->stream.reset();
-  this->context.routing.Done(this->route, this->decision, aWhole);
+  if (this->outstanding) {
+    this->outstanding = false;
+    this->context.routing.Done(this->route, this->decision, aWhole);
+  }
 }
 
 } // namespace damasklink
--- a/src/program/CompletionRelay.h
+++ b/src/program/CompletionRelay.h
@@ -4,46 +4,53 @@
 #include <memory>
 #include <string>
 
-#include "damasklink/coordination/DispatchRecord.h"
-#include "damasklink/coordination/PromptReuse.h"
+#include "RelayContext.h"
+#include "RequestMeter.h"
+#include "damasklink/coordination/RelayPlan.h"
 #include "damasklink/protocol/CallerApi.h"
-#include "damasklink/protocol/ErrorBody.h"
 #include "damasklink/transport/EngineStream.h"
-#include "damasklink/transport/HttpServer.h"
-
-#include "RoutingDesk.h"
-#include "TrafficView.h"
 
 namespace damasklink {
 
-// What every relay of one process shares.
-struct RelayContext
+// A caller's prompt with all that its handler knows of it.
+struct CompletionCall
 {
-  const Clock& clock;
-  const HostTimeouts& timeouts;
-  RoutingDesk& routing;
-  PromptReuse& reuse;
-  const TrafficViewHolder& views;
+  CompletionRequest request;
+  ResolvedPolicy policy;
+  RequestId id;
+  // Empty when the caller sent none.
+  IdempotencyKey key;
+  Digest digest;
+  // Longest time for the whole answer, as the caller asked.
+  Duration timeLimit{ 0 };
 };
 
 // One request from its dispatch to its end, on one traffic thread.
 //
-//   CompletionRelay relay(context, request, policy, id);
-//   auto opened = relay.Open();        // Returns once an engine has begun to answer.
-//   relay.Stream(writer);              // Or relay.Collect().
+//   CompletionRelay relay(context, call);
+//   if (auto kept = relay.Claim()) ...  // Only for a call with a key.
+//   auto opened = relay.Open();         // Returns once an engine has begun to answer, or is late.
+//   relay.Stream(writer);               // Or relay.Collect().
+//
+// A lost engine is made good as RelayPlan.h decides; the caller sees one whole answer or an
+// explicit error. Holds the answer's text up to a bound, so that another engine can go on behind
+// it.
 class CompletionRelay
 {
 public:
-  CompletionRelay(const RelayContext& aContext,
-                  CompletionRequest aRequest,
-                  const ResolvedPolicy& aPolicy,
-                  RequestId aId);
+  CompletionRelay(const RelayContext& aContext, CompletionCall aCall);
   ~CompletionRelay();
   CompletionRelay(const CompletionRelay&) = delete;
   CompletionRelay& operator=(const CompletionRelay&) = delete;
 
-  // Tries targets until one sends the first text. Only attempts that surely did not run, or that
-  // failed before any text was passed on, are followed by another.
+  // Whether this host still takes new work. Requires it of all that follows.
+  bool Accepted() const { return this->running.Begun(); }
+
+  // Claims the call's key. Returns the response when the prompt must not be run.
+  std::optional<HttpResponse> Claim();
+
+  // Begins the run and waits a moment for the first text, so that an early failure still gets a
+  // status of its own.
   Result<void> Open();
 
   // Passes the answer on as server-sent events. Returns whether it went out whole; an answer that
@@ -53,23 +60,52 @@
   // Returns the whole answer as one body.
   Result<std::string> Collect();
 
-  // Returns what is to be said of a failure of this request.
-  CallerError Describe(Error aError) const;
+  // Counts the failure and returns what is to be said of it.
+  CallerError Describe(Error aError);
 
 private:
-  Result<void> TryTarget();
+  // Returns the next text, empty only at the end of the answer. Requires Open().
+  Result<std::string> NextText(const StreamWriter* aCaller);
+  Result<std::string> PollOnce(const StreamWriter* aCaller);
+  Result<void> CheckStillWanted(const StreamWriter* aCaller) const;
+
+  // Begins on a target of the router's choice.
+  Result<void> StartElsewhere();
+  // Begins, or goes on, on the target in `decision`.
+  Result<void> StartAttempt(const AttemptId& aAttempt);
+  // Makes a lost attempt good. Fails with what the caller is to be told.
+  Result<void> Recover(Error aError);
+  Result<void> TakeStep(RelayStep aStep);
+
+  void TakeText(const std::string& aText);
+  void EndAttempt(bool aWhole);
+  // aKept makes the body that is kept for the claim, if there is one.
+  void EndWhole(const std::string& aType, const std::function<std::string()>& aKept);
   AnswerHeader Header() const;
-  void Finish(bool aWhole);
+  Duration TimeLeft() const;
 
   const RelayContext& context;
-  CompletionRequest request;
-  RequestId id;
+  CompletionCall call;
+  RunningRequest running;
+  RequestMeter meter;
+  MonotonicTime deadline;
   RouteRequest route;
   RouteDecision decision;
   DispatchRecord record;
+  // Settles the claim from the record, so it stands after it.
+  std::unique_ptr<ClaimTicket> ticket;
   std::unique_ptr<EngineStream> stream;
-  std::string firstText;
+  // The whole text so far, while it is held, and what the caller has yet to be sent.
+  std::string answer;
+  bool held = true;
+  std::string pending;
+  std::uint64_t tokens = 0;
+  std::uint64_t tokensAtStart = 0;
+  std::uint64_t tries = 0;
+  bool resumed = false;
   bool outstanding = false;
+  MonotonicTime attemptBegun;
+  MonotonicTime lastHeard;
 };
 
 } // namespace damasklink
--- a/src/program/HostProcess.cpp
+++ b/src/program/HostProcess.cpp
@@ -165,6 +165,12 @@
   LogEvent(LogLevel::Info, "host_stopped").With("host", host.settings.host);
 }
 
+void
+HostProcess::Hurry()
+{
+  this->impl->traffic.Hurry();
+}
+
 ListenAddresses
 HostProcess::Addresses() const
 {
--- a/src/program/HostProcess.h
+++ b/src/program/HostProcess.h
@@ -26,6 +26,9 @@
   // Refuses new work, lets running requests end within the limit of the settings, and stops.
   void Stop();
 
+  // Makes a running Stop() end what still runs with explicit errors. Safe from any thread.
+  void Hurry();
+
   // Returns where it listens for callers, operators and targets, with the ports that were bound.
   // Requires Start().
   ListenAddresses Addresses() const;
--- /dev/null
+++ b/src/program/RelayContext.h
@@ -0,0 +1,21 @@
+// What all requests of one process share.
+#pragma once
+
+#include "ClaimGate.h"
+#include "HostContext.h"
+#include "RoutingDesk.h"
+#include "TrafficState.h"
+#include "damasklink/coordination/PromptReuse.h"
+
+namespace damasklink {
+
+struct RelayContext
+{
+  const HostContext& host;
+  RoutingDesk& routing;
+  PromptReuse& reuse;
+  ClaimGate& claims;
+  TrafficState& state;
+};
+
+} // namespace damasklink
--- a/src/program/Responses.cpp
+++ b/src/program/Responses.cpp
@@ -38,6 +38,23 @@
   return ErrorResponse(refusal);
 }
 
+HttpResponse
+ReplayResponse(const KeptAnswer& aAnswer)
+{
+  HttpResponse response;
+  response.status = aAnswer.status;
+  response.contentType = aAnswer.contentType;
+  response.body = aAnswer.body;
+  response.headers.emplace_back("idempotent-replay", "true");
+  return response;
+}
+
+Digest
+CallDigest(const HttpRequest& aRequest)
+{
+  return DigestOf(Concat(aRequest.method, " ", aRequest.target, "\n", aRequest.body));
+}
+
 HttpResponse
 TextResponse(std::string aText)
 {
--- a/src/program/Responses.h
+++ b/src/program/Responses.h
@@ -1,6 +1,7 @@
 // Responses and credentials that the handlers of all addresses share.
 #pragma once
 
+#include "damasklink/coordination/ClaimLedger.h"
 #include "damasklink/protocol/ErrorBody.h"
 #include "damasklink/transport/HttpServer.h"
 
@@ -14,6 +15,14 @@
 HttpResponse
 RefusalResponse(Error aError);
 
+// Returns the answer of an earlier call under the same idempotency key, marked as such.
+HttpResponse
+ReplayResponse(const KeptAnswer& aAnswer);
+
+// Returns the digest of all that makes a call what it is: method, path, query and body.
+Digest
+CallDigest(const HttpRequest& aRequest);
+
 // Returns plain text with status 200.
 HttpResponse
 TextResponse(std::string aText);
--- a/src/program/ServeCommand.cpp
+++ b/src/program/ServeCommand.cpp
@@ -1,5 +1,7 @@
+#include <atomic>
 #include <csignal>
 #include <iostream>
+#include <thread>
 
 #include "Commands.h"
 #include "HostProcess.h"
@@ -21,6 +23,25 @@
   return signals;
 }
 
+// Lets running requests end; a second signal ends them with explicit errors.
+void
+StopGracefully(HostProcess& aHost, const sigset_t& aSignals)
+{
+  constexpr timespec kStep{ 0, 100'000'000 };
+  std::atomic<bool> stopped{ false };
+  std::thread stopping([&] {
+    aHost.Stop();
+    stopped.store(true);
+  });
+  while (!stopped.load()) {
+    if (sigtimedwait(&aSignals, nullptr, &kStep) > 0) {
+      LogEvent(LogLevel::Warning, "stop_hurried");
+      aHost.Hurry();
+    }
+  }
+  stopping.join();
+}
+
 constexpr std::string_view kUsage = R"(Usage:
   damasklink serve --settings FILE [options]
 
@@ -51,7 +72,7 @@
   }
   int signal = 0;
   sigwait(&signals, &signal);
-  host.Stop();
+  StopGracefully(host, signals);
   return ExitCode::Done;
 }
 
--- a/src/program/ServiceRelay.cpp
+++ b/src/program/ServiceRelay.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 
 #include "Responses.h"
-#include "damasklink/coordination/ClaimRefusal.h"
-#include "damasklink/state/Digests.h"
 #include "damasklink/state/Text.h"
 #include "damasklink/transport/Log.h"
 
@@ -24,12 +22,6 @@
   return slash == std::string_view::npos ? "/" : std::string(target.substr(slash));
 }
 
-Digest
-BodyDigest(const HttpRequest& aRequest)
-{
-  return DigestOf(Concat(aRequest.method, " ", aRequest.target, "\n", aRequest.body));
-}
-
 std::vector<TargetRecord>
 TargetsOf(const TrafficView& aView, const ServiceName& aName)
 {
@@ -42,22 +34,13 @@
   return targets;
 }
 
-HttpResponse
-ReplayResponse(const KeptAnswer& aAnswer)
-{
-  HttpResponse response;
-  response.status = aAnswer.status;
-  response.contentType = aAnswer.contentType;
-  response.body = aAnswer.body;
-  response.headers.emplace_back("idempotent-replay", "true");
-  return response;
-}
-
 } // namespace
 
-ServiceRelay::ServiceRelay(ServiceContext aContext, ServiceCall aCall)
+ServiceRelay::ServiceRelay(const RelayContext& aContext, ServiceCall aCall)
   : context(aContext)
   , call(std::move(aCall))
+  , running(aContext.state)
+  , meter(aContext.host.metrics, aContext.host.clock, call.policy)
   , deadline(aContext.host.clock.MonotonicNow() + call.route.timeout)
 {
 }
@@ -65,15 +48,12 @@
 HttpResponse
 ServiceRelay::Run()
 {
-  const IdempotencyKey key(this->call.request.Header("idempotency-key"));
-  if (!key.Empty()) {
-    if (auto refused = this->ClaimKey(key)) {
-      return std::move(*refused);
-    }
+  if (auto ended = this->ClaimKey()) {
+    return std::move(*ended);
   }
   auto answer = this->SendToSomeTarget();
   if (!answer) {
-    return this->Failure(answer.error());
+    return this->Failure(CallerError{ answer.error(), this->record.Outcome(), std::nullopt });
   }
   HttpResponse response;
   response.status = answer.value().status;
@@ -82,34 +62,33 @@
   if (this->ticket != nullptr) {
     this->ticket->Finish(KeptAnswer{ response.status, response.contentType, response.body });
   }
+  this->meter.OnServed();
   return response;
 }
 
 std::optional<HttpResponse>
-ServiceRelay::ClaimKey(const IdempotencyKey& aKey)
+ServiceRelay::ClaimKey()
 {
   KeyedCall keyed;
   keyed.workspace = this->call.policy.workspace;
-  keyed.key = aKey;
+  keyed.key = IdempotencyKey(this->call.request.Header("idempotency-key"));
   keyed.attempt = AttemptId(this->call.id.Value());
-  keyed.body = BodyDigest(this->call.request);
+  keyed.body = CallDigest(this->call.request);
   keyed.lease = this->call.route.timeout + kLeaseSlack;
   keyed.wait = this->TimeLeft();
-  auto entrance = this->context.claims.Enter(keyed, this->record);
-  if (!entrance) {
-    return this->Failure(entrance.error(), std::chrono::seconds(1));
-  }
-  const ClaimReply& reply = entrance.value().reply;
-  if (reply.verdict == ClaimVerdict::Granted) {
-    this->ticket = std::move(entrance.value().ticket);
+  if (keyed.key.Empty()) {
     return std::nullopt;
   }
-  if (reply.verdict == ClaimVerdict::Kept && reply.answer) {
-    return ReplayResponse(*reply.answer);
+  ClaimEntrance entrance = this->context.claims.Enter(keyed, this->record);
+  if (entrance.refusal) {
+    return this->Failure(std::move(*entrance.refusal));
+  }
+  if (entrance.kept) {
+    this->meter.OnServed();
+    return ReplayResponse(*entrance.kept);
   }
-  const ClaimRefusal refusal = RefusalOf(reply);
-  this->record.NoteEarlier(refusal.earlier);
-  return this->Failure(refusal.error, refusal.retryAfter);
+  this->ticket = std::move(entrance.ticket);
+  return std::nullopt;
 }
 
 Result<HttpAnswer>
@@ -208,14 +187,15 @@
 }
 
 HttpResponse
-ServiceRelay::Failure(Error aError, std::optional<Duration> aRetryAfter) const
+ServiceRelay::Failure(CallerError aFailure)
 {
+  this->meter.OnFailure(aFailure);
   LogEvent(LogLevel::Warning, "service_call_failed")
     .With("request", this->call.id)
     .With("service", this->call.route.name)
-    .With("outcome", RunOutcomeName(this->record.Outcome()))
-    .With("error", aError);
-  return ErrorResponse(CallerError{ std::move(aError), this->record.Outcome(), aRetryAfter });
+    .With("outcome", RunOutcomeName(aFailure.outcome))
+    .With("error", aFailure.error);
+  return ErrorResponse(aFailure);
 }
 
 Duration
--- a/src/program/ServiceRelay.h
+++ b/src/program/ServiceRelay.h
@@ -1,20 +1,12 @@
 // Carries one call to a plain service and its answer back to the caller.
 #pragma once
 
-#include "ClaimGate.h"
-#include "HostContext.h"
-#include "damasklink/protocol/ErrorBody.h"
+#include "RelayContext.h"
+#include "RequestMeter.h"
 #include "damasklink/transport/HttpClient.h"
 
 namespace damasklink {
 
-// What every service call of one process shares.
-struct ServiceContext
-{
-  const HostContext& host;
-  ClaimGate& claims;
-};
-
 // A caller's call, as its handler read it.
 struct ServiceCall
 {
@@ -34,22 +26,27 @@
 class ServiceRelay
 {
 public:
-  ServiceRelay(ServiceContext aContext, ServiceCall aCall);
+  ServiceRelay(const RelayContext& aContext, ServiceCall aCall);
+
+  // Whether this host still takes new work. Requires it of Run().
+  bool Accepted() const { return this->running.Begun(); }
 
   HttpResponse Run();
 
 private:
-  // Returns the response when the call must not be sent; else the ticket is held.
-  std::optional<HttpResponse> ClaimKey(const IdempotencyKey& aKey);
+  // Returns the response when the call must not be sent; else the ticket, if need be, is held.
+  std::optional<HttpResponse> ClaimKey();
   Result<HttpAnswer> SendToSomeTarget();
   Result<HttpAnswer> SendTo(const TargetRecord& aTarget);
   Result<HttpAnswer> Exchange(HttpExchange& aExchange);
   HttpCall MakeCall(const TargetRecord& aTarget, const AttemptId& aAttempt) const;
-  HttpResponse Failure(Error aError, std::optional<Duration> aRetryAfter = std::nullopt) const;
+  HttpResponse Failure(CallerError aFailure);
   Duration TimeLeft() const;
 
-  ServiceContext context;
+  const RelayContext& context;
   ServiceCall call;
+  RunningRequest running;
+  RequestMeter meter;
   MonotonicTime deadline;
   DispatchRecord record;
   // Settles the claim from the record, so it stands after it.
--- a/src/program/TrafficPart.cpp
+++ b/src/program/TrafficPart.cpp
@@ -1,16 +1,25 @@
 #include "TrafficPart.h"
 
+#include <thread>
+
+#include "damasklink/transport/Log.h"
+
 namespace damasklink {
+namespace {
+
+// For error events to reach their callers once all must end.
+constexpr Duration kEndPatience = std::chrono::seconds(3);
+// For the ends of claims to be committed before the process goes.
+constexpr Duration kSettlePatience = std::chrono::seconds(3);
+constexpr Duration kSettleStep = std::chrono::milliseconds(20);
+
+} // namespace
 
 TrafficPart::TrafficPart(const HostContext& aContext, Replicator& aGroups, ReusePart& aReuse)
   : context(aContext)
   , claims(aContext, aGroups)
-  , relay{ aContext.clock,
-           aContext.settings.timeouts,
-           aReuse.Routing(),
-           aReuse.Reuse(),
-           aContext.views }
-  , callers(this->relay, ServiceContext{ aContext, this->claims })
+  , relay{ aContext, aReuse.Routing(), aReuse.Reuse(), this->claims, this->state }
+  , callers(this->relay)
 {
 }
 
@@ -30,6 +39,16 @@
 void
 TrafficPart::Drain()
 {
+  this->state.Close();
+  if (!this->state.WaitUntilIdle(this->context.settings.limits.shutdown)) {
+    LogEvent(LogLevel::Warning, "drain_cut_short").With("host", this->context.settings.host);
+    this->state.StopNow();
+    this->state.WaitUntilEnded(kEndPatience);
+  }
+  const MonotonicTime until = this->context.clock.MonotonicNow() + kSettlePatience;
+  while (this->claims.Unsettled() > 0 && this->context.clock.MonotonicNow() < until) {
+    std::this_thread::sleep_for(kSettleStep);
+  }
 }
 
 } // namespace damasklink
--- a/src/program/TrafficPart.h
+++ b/src/program/TrafficPart.h
@@ -20,12 +20,16 @@
   void AddRoutes(const HostServers& aServers);
 
   // Refuses new work as "not run" and returns once running requests have ended, or the limit of
-  // the settings is over and the rest was ended with explicit errors.
+  // the settings is over, or Hurry() was called, and the rest was ended with explicit errors.
   void Drain();
 
+  // Ends a running Drain(), or the next one, at once. Safe from any thread.
+  void Hurry() { this->state.StopNow(); }
+
 private:
   const HostContext& context;
   ClaimGate claims;
+  TrafficState state;
   RelayContext relay;
   CallerService callers;
 };
--- a/src/transport/EngineStream.cpp
+++ b/src/transport/EngineStream.cpp
@@ -1,4 +1,5 @@
 #include "damasklink/transport/EngineStream.h"
+
 #include "damasklink/state/Text.h"
 
 namespace damasklink {
@@ -9,49 +10,78 @@
 // Statuses with which an engine says that it did not begin.
 constexpr int kStatusTooMany = 429;
 constexpr int kStatusUnavailable = 503;
+// For sending the prompt.
+constexpr Duration kSendTimeout = std::chrono::seconds(5);
+
+} // namespace
 
-Result<std::unique_ptr<HttpExchange>>
-SendPrompt(const EngineStreamOptions& aOptions,
-           const EnginePrompt& aPrompt,
-           DispatchRecord& aRecord)
+Result<std::unique_ptr<EngineStream>>
+EngineStream::Open(const Endpoint& aEndpoint,
+                   Duration aConnectTimeout,
+                   const EnginePrompt& aPrompt,
+                   DispatchRecord& aRecord)
 {
   HttpCall call;
-  call.endpoint = aOptions.endpoint;
+  call.endpoint = aEndpoint;
   call.method = "POST";
   call.path = "/v1/completions";
   call.headers = { { "content-type", "application/json" },
                    { "x-attempt-id", aPrompt.attempt.Value() } };
   call.body = FormatEnginePrompt(aPrompt);
-  call.connectTimeout = aOptions.connectTimeout;
-  call.readTimeout = aOptions.firstToken;
+  call.connectTimeout = aConnectTimeout;
+  call.readTimeout = kSendTimeout;
   auto connected = HttpExchange::Connect(std::move(call));
   if (!connected) {
-    return connected;
+    return Fail(connected.error());
   }
   aRecord.Advance(AttemptStage::Sending);
   if (auto sent = connected.value()->Send(); !sent) {
     return Fail(sent.error());
   }
-  if (auto header = connected.value()->ReadHeader(); !header) {
-    return Fail(header.error());
-  }
-  return connected;
+  return std::unique_ptr<EngineStream>(
+    new EngineStream(std::move(connected.value()), aPrompt, aRecord));
 }
 
-} // namespace
+EngineStream::EngineStream(std::unique_ptr<HttpExchange> aExchange,
+                           const EnginePrompt& aPrompt,
+                           DispatchRecord& aRecord)
+  : exchange(std::move(aExchange))
+  , record(aRecord)
+  , assembler(aPrompt.attempt, aPrompt.offset)
+  , reader(kMostEventBytes)
+{
+}
 
-Result<std::unique_ptr<EngineStream>>
-EngineStream::Open(const EngineStreamOptions& aOptions,
-                   const EnginePrompt& aPrompt,
-                   DispatchRecord& aRecord)
+Result<std::string>
+EngineStream::Poll(Duration aPatience)
 {
-  auto sent = SendPrompt(aOptions, aPrompt, aRecord);
-  if (!sent) {
-    return Fail(sent.error());
+  if (auto data = this->reader.Next()) {
+    return this->TakeFrame(*data);
+  }
+  this->exchange->SetReadTimeout(aPatience);
+  auto read = this->headerRead ? this->ReadPiece() : this->ReadHeader();
+  if (!read && read.error().kind == ErrorKind::DeadlineExceeded) {
+    return std::string();
+  }
+  if (!read) {
+    return this->Lose(read.error());
   }
-  const int status = sent.value()->Status();
+  if (auto data = this->reader.Next()) {
+    return this->TakeFrame(*data);
+  }
+  return std::string();
+}
+
+Result<void>
+EngineStream::ReadHeader()
+{
+  if (auto header = this->exchange->ReadHeader(); !header) {
+    return header;
+  }
+  this->headerRead = true;
+  const int status = this->exchange->Status();
   if (status == kStatusTooMany || status == kStatusUnavailable) {
-    aRecord.Advance(AttemptStage::Refused);
+    this->record.Advance(AttemptStage::Refused);
     return Fail(ErrorKind::Overloaded, "the engine is full", "try again shortly");
   }
   if (status != kStatusOk) {
@@ -59,60 +89,41 @@
                 Concat("the engine answered with status ", status),
                 "look at the engine's log");
   }
-  return std::unique_ptr<EngineStream>(
-    new EngineStream(std::move(sent.value()), aOptions, aPrompt, aRecord));
+  this->record.Advance(AttemptStage::Answering);
+  return Success();
 }
 
-EngineStream::EngineStream(std::unique_ptr<HttpExchange> aExchange,
-                           const EngineStreamOptions& aOptions,
-                           const EnginePrompt& aPrompt,
-                           DispatchRecord& aRecord)
-  : exchange(std::move(aExchange))
-  , options(aOptions)
-  , record(aRecord)
-  , assembler(aPrompt.attempt, aPrompt.offset)
-  , reader(kMostEventBytes)
+Result<void>
+EngineStream::ReadPiece()
 {
+  auto piece = this->exchange->ReadSome();
+  if (!piece) {
+    return Fail(piece.error());
+  }
+  if (piece.value().empty()) {
+    return Fail(ErrorKind::Interrupted, "the answer ended without its end mark", "try again");
+  }
+  return this->reader.Feed(piece.value());
 }
 
 Result<std::string>
-EngineStream::Next()
+EngineStream::TakeFrame(std::string_view aData)
 {
-  while (true) {
-    if (auto data = this->reader.Next()) {
-      if (*data == "[DONE]") {
-        continue;
-      }
-      auto frame = ParseAnswerFrame(*data);
-      if (!frame) {
-        return this->Lose(frame.error());
-      }
-      auto text = this->assembler.Accept(frame.value());
-      if (!text) {
-        return this->Lose(text.error());
-      }
-      if (this->Complete()) {
-        this->record.Advance(AttemptStage::Finished);
-      }
-      return text;
-    }
-    auto piece = this->exchange->ReadSome();
-    if (!piece) {
-      return this->Lose(piece.error());
-    }
-    if (piece.value().empty()) {
-      return this->Lose(
-        Error{ ErrorKind::Interrupted, "the answer ended without its end mark", "try again" });
-    }
-    if (!this->answering) {
-      this->answering = true;
-      this->record.Advance(AttemptStage::Answering);
-      this->exchange->SetReadTimeout(this->options.betweenTokens);
-    }
-    if (auto fed = this->reader.Feed(piece.value()); !fed) {
-      return this->Lose(fed.error());
-    }
+  if (aData == "[DONE]") {
+    return std::string();
+  }
+  auto frame = ParseAnswerFrame(aData);
+  if (!frame) {
+    return this->Lose(frame.error());
+  }
+  auto text = this->assembler.Accept(frame.value());
+  if (!text) {
+    return this->Lose(text.error());
+  }
+  if (this->Complete()) {
+    this->record.Advance(AttemptStage::Finished);
   }
+  return text;
 }
 
 Result<std::string>
--- a/standin/Engine.cpp
+++ b/standin/Engine.cpp
@@ -1,6 +1,7 @@
 #include "Engine.h"
 
 #include "damasklink/state/Text.h"
+#include <cstdlib>
 #include <thread>
 
 namespace damasklink::standin {
@@ -9,6 +10,18 @@
 constexpr std::size_t kBytesPerToken = 4;
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusBadRequest = 400;
+constexpr Duration kStallStep = std::chrono::milliseconds(50);
+
+std::string
+TokenEvent(const EnginePrompt& aPrompt, std::uint64_t aOffset)
+{
+  AnswerFrame frame;
+  frame.attempt = aPrompt.attempt;
+  frame.offset = aOffset;
+  frame.tokens = 1;
+  frame.text = Concat("t", aOffset, " ");
+  return Concat("data: ", FormatAnswerFrame(frame), "\n\n");
+}
 
 void
 SleepSeconds(double aSeconds)
@@ -59,17 +72,21 @@
     response.body = Describe(prompt.error());
     return response;
   }
+  EngineFault fault;
   {
     absl::MutexLock lock(&this->mutex);
-    if (this->running >= this->options.slots) {
+    if (this->answers++ % this->options.fault.every == 0) {
+      fault = this->options.fault;
+    }
+    if (this->running >= this->options.slots || fault.kind == FaultKind::Refuse) {
       response.status = kStatusUnavailable;
       return response;
     }
     ++this->running;
   }
   response.contentType = "text/event-stream";
-  response.stream = [this, taken = prompt.value()](StreamWriter& aWriter) {
-    const bool whole = this->Answer(taken, aWriter);
+  response.stream = [this, fault, taken = prompt.value()](StreamWriter& aWriter) {
+    const bool whole = this->Answer(taken, fault, aWriter);
     absl::MutexLock lock(&this->mutex);
     --this->running;
     return whole;
@@ -78,30 +95,57 @@
 }
 
 bool
-Engine::Answer(const EnginePrompt& aPrompt, StreamWriter& aWriter)
+Engine::Answer(const EnginePrompt& aPrompt, const EngineFault& aFault, StreamWriter& aWriter)
+{
+  const std::size_t reused = this->Prefill(aPrompt);
+  if (!this->SendTokens(aPrompt, aFault, aWriter)) {
+    return false;
+  }
+  AnswerFrame frame;
+  frame.attempt = aPrompt.attempt;
+  frame.offset = aPrompt.maxTokens;
+  frame.end = true;
+  frame.finishReason = "length";
+  frame.usage = { TokenCount(aPrompt.prompt.size() / kBytesPerToken),
+                  TokenCount(aPrompt.maxTokens),
+                  TokenCount(reused) };
+  return aWriter.Write(Concat("data: ", FormatAnswerFrame(frame), "\n\ndata: [DONE]\n\n"));
+}
+
+std::size_t
+Engine::Prefill(const EnginePrompt& aPrompt)
 {
   const std::size_t prompt = aPrompt.prompt.size() / kBytesPerToken;
   const std::size_t reused = this->cache.Touch(
     { aPrompt.workspace, aPrompt.model, aPrompt.version, aPrompt.adapter }, aPrompt.prompt);
   SleepSeconds(static_cast<double>(prompt - reused) / this->options.prefillTokensPerSecond);
-  AnswerFrame frame;
-  frame.attempt = aPrompt.attempt;
+  return reused;
+}
+
+bool
+Engine::SendTokens(const EnginePrompt& aPrompt, const EngineFault& aFault, StreamWriter& aWriter)
+{
   for (std::uint64_t offset = aPrompt.offset; offset < aPrompt.maxTokens; ++offset) {
-    frame.offset = offset;
-    frame.tokens = 1;
-    frame.text = Concat("t", offset, " ");
-    if (!aWriter.Write(Concat("data: ", FormatAnswerFrame(frame), "\n\n"))) {
+    const bool strikes = offset - aPrompt.offset == aFault.tokens;
+    if (strikes && aFault.kind == FaultKind::Die) {
+      std::_Exit(1);
+    }
+    if (strikes && aFault.kind == FaultKind::Cut) {
+      return false;
+    }
+    while (strikes && aFault.kind == FaultKind::Stall && aWriter.IsOpen()) {
+      std::this_thread::sleep_for(kStallStep);
+    }
+    const bool swapped = strikes && aFault.kind == FaultKind::Reorder;
+    const std::string frame = TokenEvent(aPrompt, offset);
+    const std::string other = swapped ? TokenEvent(aPrompt, offset + 1) : "";
+    const std::string doubled = aFault.kind == FaultKind::Double ? frame : "";
+    if (!aWriter.Write(Concat(other, frame, doubled))) {
       return false;
     }
     std::this_thread::sleep_for(this->options.tokenInterval);
   }
-  frame.offset = aPrompt.maxTokens;
-  frame.tokens = 0;
-  frame.text.clear();
-  frame.end = true;
-  frame.finishReason = "length";
-  frame.usage = { TokenCount(prompt), TokenCount(aPrompt.maxTokens), TokenCount(reused) };
-  return aWriter.Write(Concat("data: ", FormatAnswerFrame(frame), "\n\ndata: [DONE]\n\n"));
+  return true;
 }
 
 } // namespace damasklink::standin
--- a/standin/Engine.h
+++ b/standin/Engine.h
@@ -6,6 +6,7 @@
 #include <absl/synchronization/mutex.h>
 
 #include "EngineCache.h"
+#include "EngineFaults.h"
 #include "damasklink/protocol/EngineApi.h"
 #include "damasklink/transport/HttpServer.h"
 
@@ -21,6 +22,7 @@
   Duration tokenInterval = std::chrono::milliseconds(2);
   std::size_t slots = 64;
   EngineCacheOptions cache;
+  EngineFault fault;
 };
 
 class Engine
@@ -33,12 +35,16 @@
 
 private:
   HttpResponse Complete(const HttpRequest& aRequest);
-  bool Answer(const EnginePrompt& aPrompt, StreamWriter& aWriter);
+  bool Answer(const EnginePrompt& aPrompt, const EngineFault& aFault, StreamWriter& aWriter);
+  // Computes the prompt; returns how many of its tokens were known.
+  std::size_t Prefill(const EnginePrompt& aPrompt);
+  bool SendTokens(const EnginePrompt& aPrompt, const EngineFault& aFault, StreamWriter& aWriter);
 
   EngineOptions options;
   mutable absl::Mutex mutex;
   EngineCache cache;
   std::uint64_t running = 0;
+  std::uint64_t answers = 0;
 };
 
 } // namespace damasklink::standin
--- a/standin/Main.cpp
+++ b/standin/Main.cpp
@@ -41,6 +41,8 @@
   --prefill RATE       Prompt tokens a second [default: 20000].
   --interval TIME      Time between tokens [default: 2ms].
   --work TIME          Time one service call takes [default: 5ms].
+  --fault FAULT        What goes wrong: none, die, cut, stall, double, reorder or refuse, with the
+                       tokens before it and one answer in how many, as cut:20/3 [default: none].
   --slots N            Requests at once [default: 64].
   --cache N            Blocks of an engine's prefix cache [default: 4096].
   --memory SIZE        Memory of a store [default: 64MiB].
@@ -134,6 +136,7 @@
   options.cache.hosts = EndpointsOf(aArguments, "--announce");
   options.cache.key = TextOf(aArguments, "--key");
   options.cache.mostBlocks = CountOf(aArguments, "--cache");
+  options.fault = standin::ParseEngineFault(TextOf(aArguments, "--fault")).value();
   standin::Engine engine(options);
   return Play(engine, aArguments, options.slots + kSpareThreads);
 }
--- /dev/null
+++ b/test/program/DrainTest.cpp
@@ -0,0 +1,110 @@
+#include <thread>
+
+#include <absl/synchronization/notification.h>
+
+#include "TrafficFixture.h"
+
+namespace damasklink {
+namespace {
+
+const std::string kPrompt = R"({"model":"plates-7b","prompt":"x","stream":true})";
+
+std::string
+Event(const EnginePrompt& aPrompt, bool aEnd)
+{
+  AnswerFrame frame;
+  frame.attempt = aPrompt.attempt;
+  frame.offset = aEnd ? 1 : 0;
+  frame.tokens = aEnd ? 0 : 1;
+  frame.text = aEnd ? "" : "first";
+  frame.end = aEnd;
+  return "data: " + FormatAnswerFrame(frame) + "\n\n";
+}
+
+// An engine that sends its first token and ends its answer once released.
+class DrainTest : public TrafficFixture
+{
+protected:
+  DrainTest()
+    : engine([this](const HttpRequest& aRequest) {
+      HttpResponse response;
+      response.stream = [this,
+                         prompt = ParseEnginePrompt(aRequest.body).value()](StreamWriter& aWriter) {
+        aWriter.Write(Event(prompt, false));
+        while (!this->released.HasBeenNotified()) {
+          if (!aWriter.IsOpen()) {
+            return false;
+          }
+          this->released.WaitForNotificationWithTimeout(absl::Milliseconds(5));
+        }
+        return aWriter.Write(Event(prompt, true));
+      };
+      return response;
+    })
+  {
+    this->SetTargets({ this->engine.Record("e-1", TargetKind::Engine) });
+  }
+
+  // Begins a streamed answer and waits for its first token.
+  void OpenStream()
+  {
+    this->exchange = std::move(HttpExchange::Connect(MakeCall("/v1/completions", kPrompt)).value());
+    ASSERT_TRUE(this->exchange->Send());
+    ASSERT_TRUE(this->exchange->ReadHeader());
+    this->events = this->exchange->ReadSome().value();
+  }
+
+  std::string ReadRest()
+  {
+    auto piece = this->exchange->ReadSome();
+    while (piece && !piece.value().empty()) {
+      this->events += piece.value();
+      piece = this->exchange->ReadSome();
+    }
+    return this->events;
+  }
+
+  absl::Notification released;
+  ScriptedTarget engine;
+  std::unique_ptr<HttpExchange> exchange;
+  std::string events;
+};
+
+TEST_F(DrainTest, RunningStreamEndsWholeAndNewWorkIsNotRun)
+{
+  this->StartHost();
+  this->OpenStream();
+  std::thread draining([this] { this->traffic.Drain(); });
+  HttpAnswer refused = this->Post("/services/plates/x", "17");
+  while (refused.body.find("leaving") == std::string::npos) {
+    refused = this->Post("/services/plates/x", "17");
+  }
+  EXPECT_NE(refused.body.find("\"not_run\""), std::string::npos);
+  this->released.Notify();
+  EXPECT_NE(this->ReadRest().find("[DONE]"), std::string::npos);
+  draining.join();
+}
+
+TEST_F(DrainTest, HurriedDrainEndsStreamsWithAnExplicitError)
+{
+  this->StartHost();
+  this->OpenStream();
+  std::thread draining([this] { this->traffic.Drain(); });
+  this->traffic.Hurry();
+  const std::string rest = this->ReadRest();
+  EXPECT_EQ(rest.find("[DONE]"), std::string::npos);
+  EXPECT_NE(rest.find("this host is stopping"), std::string::npos);
+  draining.join();
+}
+
+TEST_F(DrainTest, LimitOfTheSettingsEndsStreamsWithAnExplicitError)
+{
+  this->settings.limits.shutdown = std::chrono::milliseconds(50);
+  this->StartHost();
+  this->OpenStream();
+  this->traffic.Drain();
+  EXPECT_NE(this->ReadRest().find("this host is stopping"), std::string::npos);
+}
+
+} // namespace
+} // namespace damasklink
