Admission: fair shares, deadlines, limits learnt per target, ejection with a floor

Cause: every request went out at once, so an overload turned into refusals of engines, late answers and repeats. Change: AdmissionQueue (start-time fair queueing over workspaces, bounded, early refusal with the time to come back), ConcurrencyLimit (additive increase, multiplicative decrease per target), TargetHealth (ejection, half-open return, floor of half the pool), SubtreeLimiter, AdmissionDesk around them; hosts of a zone tell each other once a second what workspaces got.

--- /dev/null
+++ b/src/coordination/AdmissionQueue.cpp
@@ -0,0 +1,256 @@
+#include "damasklink/coordination/AdmissionQueue.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace damasklink {
+namespace {
+
+constexpr Duration kLeastComeBack = std::chrono::milliseconds(100);
+// Weight of the newest request in the mean time.
+constexpr int kMeanOver = 16;
+// What a workspace may owe for use elsewhere, in costs of one request: beyond it the past is
+// forgotten, so that no workspace waits for long after others have gone.
+constexpr double kMostDebt = 64;
+// Accounts beyond this number are cleared of those that owe nothing.
+constexpr std::size_t kMostIdleAccounts = 4096;
+
+Error
+FullError()
+{
+  return Error{ ErrorKind::Overloaded, "the queue is full", "come back after the time given" };
+}
+
+} // namespace
+
+AdmissionQueue::AdmissionQueue(const Clock& aClock, std::size_t aMostWaiting)
+  : clock(aClock)
+  , mostWaiting(aMostWaiting)
+{
+}
+
+AdmissionId
+AdmissionQueue::Offer(const AdmissionRequest& aRequest)
+{
+  this->lastId = this->lastId.Next();
+  const AdmissionId id = this->lastId;
+  Pool& pool = this->pools[aRequest.pool];
+  this->accounts[aRequest.workspace].share = std::max<std::uint64_t>(aRequest.share, 1);
+  const Duration wait = this->ExpectedWait(aRequest);
+  if (this->clock.MonotonicNow() + wait + pool.meanTime > aRequest.deadline) {
+    this->Refuse(id,
+                 Error{ ErrorKind::Overloaded,
+                        "the deadline cannot be met now",
+                        "come back after the time given, or allow more time" },
+                 wait);
+    return id;
+  }
+  if (pool.running >= pool.capacity && this->waiting >= this->mostWaiting) {
+    this->MakeRoomFor(aRequest);
+  }
+  if (pool.running >= pool.capacity && this->waiting >= this->mostWaiting) {
+    this->Refuse(id, FullError(), wait);
+    return id;
+  }
+  this->Enqueue(pool, Queued{ id, aRequest });
+  this->AdmitWhatFits(pool);
+  return id;
+}
+
+// Takes the last request from the workspace that waits with the most for its weight, unless that
+// is the newcomer's own.
+void
+AdmissionQueue::MakeRoomFor(const AdmissionRequest& aRequest)
+{
+  const auto load = [](const Account& aAccount) {
+    return static_cast<double>(aAccount.waiting) / static_cast<double>(aAccount.share);
+  };
+  const auto greediest = std::max_element(
+    this->accounts.begin(), this->accounts.end(), [&](const auto& aLeft, const auto& aRight) {
+      return load(aLeft.second) < load(aRight.second);
+    });
+  Account own = this->accounts.at(aRequest.workspace);
+  ++own.waiting;
+  if (load(greediest->second) <= load(own)) {
+    return;
+  }
+  for (auto& [name, pool] : this->pools) {
+    const auto found = pool.waiting.find(greediest->first);
+    if (found == pool.waiting.end()) {
+      continue;
+    }
+    const Queued last = found->second.back();
+    const Duration wait = this->ExpectedWait(last.request);
+    this->Cancel(last.id);
+    this->Refuse(last.id, FullError(), wait);
+    return;
+  }
+}
+
+void
+AdmissionQueue::Enqueue(Pool& aPool, Queued aQueued)
+{
+  ++this->waiting;
+  ++this->accounts[aQueued.request.workspace].waiting;
+  std::deque<Queued>& queue = aPool.waiting[aQueued.request.workspace];
+  const auto later = [&](const Queued& aOther) {
+    return aOther.request.priority > aQueued.request.priority;
+  };
+  const auto place = std::find_if(queue.begin(), queue.end(), later);
+  queue.insert(place, std::move(aQueued));
+}
+
+void
+AdmissionQueue::AdmitWhatFits(Pool& aPool)
+{
+  while (aPool.running < aPool.capacity && !aPool.waiting.empty()) {
+    const auto next = this->FurthestBehind(aPool);
+    Queued queued = std::move(next->second.front());
+    next->second.pop_front();
+    if (next->second.empty()) {
+      aPool.waiting.erase(next);
+    }
+    --this->waiting;
+    --this->accounts[queued.request.workspace].waiting;
+    this->Admit(aPool, std::move(queued));
+  }
+}
+
+void
+AdmissionQueue::Admit(Pool& aPool, Queued aQueued)
+{
+  const AdmissionRequest& request = aQueued.request;
+  Account& account = this->accounts[request.workspace];
+  this->virtualTime = std::max(this->virtualTime, this->StartOf(request.workspace));
+  account.paidUntil =
+    this->StartOf(request.workspace) + request.cost / static_cast<double>(account.share);
+  this->localUse[request.workspace] += request.cost;
+  ++aPool.running;
+  this->running[aQueued.id] = Running{ request.pool, this->clock.MonotonicNow() };
+  this->decisions.push_back(AdmissionDecision{ aQueued.id, std::nullopt });
+}
+
+void
+AdmissionQueue::Refuse(AdmissionId aId, Error aError, Duration aRetryAfter)
+{
+  AdmissionRefusal refusal{ std::move(aError), std::max(aRetryAfter, kLeastComeBack) };
+  this->decisions.push_back(AdmissionDecision{ aId, std::move(refusal) });
+}
+
+std::map<WorkspaceId, std::deque<AdmissionQueue::Queued>>::iterator
+AdmissionQueue::FurthestBehind(Pool& aPool)
+{
+  return std::min_element(
+    aPool.waiting.begin(), aPool.waiting.end(), [&](const auto& aLeft, const auto& aRight) {
+      return this->StartOf(aLeft.first) < this->StartOf(aRight.first);
+    });
+}
+
+double
+AdmissionQueue::StartOf(const WorkspaceId& aWorkspace) const
+{
+  const auto found = this->accounts.find(aWorkspace);
+  const double paidUntil = found == this->accounts.end() ? 0 : found->second.paidUntil;
+  return std::max(this->virtualTime, paidUntil);
+}
+
+bool
+AdmissionQueue::Cancel(AdmissionId aId)
+{
+  for (auto& [name, pool] : this->pools) {
+    for (auto queue = pool.waiting.begin(); queue != pool.waiting.end(); ++queue) {
+      const auto found = std::find_if(queue->second.begin(),
+                                      queue->second.end(),
+                                      [&](const Queued& aQueued) { return aQueued.id == aId; });
+      if (found == queue->second.end()) {
+        continue;
+      }
+      --this->waiting;
+      --this->accounts[queue->first].waiting;
+      queue->second.erase(found);
+      if (queue->second.empty()) {
+        pool.waiting.erase(queue);
+      }
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+AdmissionQueue::Finish(AdmissionId aId)
+{
+  const auto found = this->running.find(aId);
+  if (found == this->running.end()) {
+    return;
+  }
+  Pool& pool = this->pools[found->second.pool];
+  const Duration took = this->clock.MonotonicNow() - found->second.since;
+  this->running.erase(found);
+  --pool.running;
+  const bool first = pool.meanTime == Duration(0);
+  pool.meanTime = first ? took : pool.meanTime + (took - pool.meanTime) / kMeanOver;
+  this->AdmitWhatFits(pool);
+}
+
+void
+AdmissionQueue::SetCapacity(const PoolId& aPool, std::size_t aCapacity)
+{
+  Pool& pool = this->pools[aPool];
+  pool.capacity = aCapacity;
+  this->AdmitWhatFits(pool);
+}
+
+void
+AdmissionQueue::AddRemoteUse(const WorkspaceId& aWorkspace, double aCost)
+{
+  Account& account = this->accounts[aWorkspace];
+  const double paidUntil = this->StartOf(aWorkspace) + aCost / static_cast<double>(account.share);
+  account.paidUntil = std::min(paidUntil, this->virtualTime + kMostDebt);
+}
+
+std::vector<AdmissionDecision>
+AdmissionQueue::TakeDecisions()
+{
+  return std::exchange(this->decisions, {});
+}
+
+std::map<WorkspaceId, double>
+AdmissionQueue::TakeLocalUse()
+{
+  if (this->accounts.size() > kMostIdleAccounts) {
+    std::erase_if(this->accounts, [&](const auto& aItem) {
+      return aItem.second.waiting == 0 && aItem.second.paidUntil <= this->virtualTime;
+    });
+  }
+  return std::exchange(this->localUse, {});
+}
+
+Duration
+AdmissionQueue::ExpectedWait(const AdmissionRequest& aRequest) const
+{
+  const auto found = this->pools.find(aRequest.pool);
+  if (found == this->pools.end()) {
+    return Duration(0);
+  }
+  const Pool& pool = found->second;
+  if (pool.running < pool.capacity || pool.capacity == 0) {
+    return Duration(0);
+  }
+  // The workspace's part of the pool is its share among those that wait.
+  std::size_t ahead = 1;
+  double shares = static_cast<double>(aRequest.share);
+  for (const auto& [workspace, queue] : pool.waiting) {
+    if (workspace == aRequest.workspace) {
+      ahead += queue.size();
+    } else {
+      shares += static_cast<double>(this->accounts.at(workspace).share);
+    }
+  }
+  const double part = static_cast<double>(aRequest.share) / shares;
+  const double turns = static_cast<double>(ahead) / (static_cast<double>(pool.capacity) * part);
+  return Duration(static_cast<std::int64_t>(static_cast<double>(pool.meanTime.count()) * turns));
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/src/coordination/SubtreeLimiter.cpp
@@ -0,0 +1,88 @@
+#include "damasklink/coordination/SubtreeLimiter.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "damasklink/state/Text.h"
+
+namespace damasklink {
+namespace {
+
+constexpr Duration kBusyComeBack = std::chrono::seconds(1);
+
+AdmissionRefusal
+TooLong(std::uint64_t aMost)
+{
+  return AdmissionRefusal{ Error{ ErrorKind::InvalidArgument,
+                                  Concat("the prompt is longer than ", aMost, " tokens"),
+                                  "shorten it, or ask the operator for a higher prompt_tokens" },
+                           Duration(0) };
+}
+
+AdmissionRefusal
+Busy(const char* aMessage, const char* aRemedy, Duration aComeBack)
+{
+  return AdmissionRefusal{ Error{ ErrorKind::Overloaded, aMessage, aRemedy }, aComeBack };
+}
+
+} // namespace
+
+double
+SubtreeLimiter::Part(std::uint64_t aLimit) const
+{
+  return std::ceil(static_cast<double>(aLimit) / static_cast<double>(this->hosts));
+}
+
+std::optional<AdmissionRefusal>
+SubtreeLimiter::Enter(const ResolvedPolicy& aPolicy, TokenCount aPromptTokens)
+{
+  const SubtreeLimits& limits = aPolicy.limits;
+  if (limits.promptTokens && aPromptTokens.Value() > *limits.promptTokens) {
+    return TooLong(*limits.promptTokens);
+  }
+  Team& team = this->teams[{ aPolicy.workspace, aPolicy.team }];
+  const bool bounded = limits.concurrentRequests.has_value();
+  if (bounded && static_cast<double>(team.running) >= this->Part(*limits.concurrentRequests)) {
+    return Busy("the team runs as many requests as its limit allows",
+                "wait for one to end, or ask the operator for a higher concurrent_requests",
+                kBusyComeBack);
+  }
+  if (limits.requestsPerSecond) {
+    if (const auto wait = this->TakeAllowance(team, *limits.requestsPerSecond)) {
+      return Busy("the team sends more requests a second than its limit allows",
+                  "send fewer, or ask the operator for a higher requests_per_second",
+                  *wait);
+    }
+  }
+  ++team.running;
+  return std::nullopt;
+}
+
+std::optional<Duration>
+SubtreeLimiter::TakeAllowance(Team& aTeam, std::uint64_t aPerSecond) const
+{
+  const double rate = this->Part(aPerSecond);
+  const MonotonicTime now = this->clock.MonotonicNow();
+  const std::chrono::duration<double> since = now - aTeam.refilled;
+  aTeam.allowance = std::min(rate, aTeam.allowance + since.count() * rate);
+  aTeam.refilled = now;
+  if (aTeam.allowance < 1) {
+    const std::chrono::duration<double> wait((1 - aTeam.allowance) / rate);
+    return std::chrono::duration_cast<Duration>(wait);
+  }
+  aTeam.allowance -= 1;
+  return std::nullopt;
+}
+
+void
+SubtreeLimiter::Leave(const ResolvedPolicy& aPolicy)
+{
+  const auto found = this->teams.find({ aPolicy.workspace, aPolicy.team });
+  --found->second.running;
+  // A team without a rate has nothing left to remember.
+  if (found->second.running == 0 && !aPolicy.limits.requestsPerSecond) {
+    this->teams.erase(found);
+  }
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/src/program/AdmissionDesk.cpp
@@ -0,0 +1,216 @@
+#include "AdmissionDesk.h"
+
+#include <algorithm>
+#include <limits>
+#include <random>
+
+#include <absl/time/time.h>
+
+#include "damasklink/protocol/UseReport.h"
+#include "damasklink/transport/Log.h"
+
+namespace damasklink {
+namespace {
+
+// How soon a waiting request notices that the host stops.
+constexpr absl::Duration kWaitStep = absl::Milliseconds(100);
+constexpr Duration kReportInterval = std::chrono::seconds(1);
+// Some 24 bytes each, so that a report stays below a kilobyte.
+constexpr std::size_t kMostReported = 32;
+constexpr Duration kStopComeBack = std::chrono::seconds(1);
+
+std::vector<HostId>
+ZonePeers(const HostSettings& aSettings)
+{
+  std::vector<HostId> peers;
+  for (const PeerSettings& peer : aSettings.peers) {
+    if (peer.zone == aSettings.zone && peer.host != aSettings.host) {
+      peers.push_back(peer.host);
+    }
+  }
+  return peers;
+}
+
+CallerError
+NotRun(const AdmissionRefusal& aRefusal)
+{
+  CallerError error;
+  // Nothing was dispatched yet, and an empty record says so.
+  error.outcome = DispatchRecord().Outcome();
+  error.error = aRefusal.error;
+  if (aRefusal.retryAfter > Duration(0)) {
+    error.retryAfter = aRefusal.retryAfter;
+  }
+  return error;
+}
+
+} // namespace
+
+AdmissionDesk::AdmissionDesk(const HostContext& aContext, const TrafficState& aState)
+  : context(aContext)
+  , state(aState)
+  , zonePeers(ZonePeers(aContext.settings))
+  , queue(aContext.clock, aContext.settings.limits.queuedRequests)
+  , limiter(aContext.clock, zonePeers.size() + 1)
+  , health(aContext.clock, std::random_device{}())
+{
+}
+
+std::optional<CallerError>
+AdmissionDesk::Enter(const AdmissionCall& aCall, AdmissionId& aId)
+{
+  const MonotonicTime begun = this->context.clock.MonotonicNow();
+  absl::MutexLock lock(&this->mutex);
+  if (const auto refusal = this->limiter.Enter(aCall.policy, aCall.promptTokens)) {
+    return NotRun(*refusal);
+  }
+  const auto refusal = this->WaitForTurn(aCall, aId);
+  this->context.metrics.Observe(Sample::QueueWait,
+                                MetricKey{ aCall.policy.workspace, "" },
+                                this->context.clock.MonotonicNow() - begun);
+  if (!refusal) {
+    return std::nullopt;
+  }
+  this->limiter.Leave(aCall.policy);
+  return NotRun(*refusal);
+}
+
+std::optional<AdmissionRefusal>
+AdmissionDesk::WaitForTurn(const AdmissionCall& aCall, AdmissionId& aId)
+{
+  this->SetCapacity(aCall);
+  AdmissionRequest request;
+  request.workspace = aCall.policy.workspace;
+  request.pool = aCall.pool;
+  request.share = aCall.policy.share;
+  request.priority = std::max(aCall.priority, aCall.policy.priority);
+  request.cost = aCall.cost;
+  request.deadline = aCall.deadline;
+  Waiter waiter;
+  aId = this->queue.Offer(request);
+  this->waiters[aId] = &waiter;
+  this->HandOut();
+  const auto decided = [&] { return waiter.decided; };
+  while (!this->mutex.AwaitWithTimeout(absl::Condition(&decided), kWaitStep)) {
+    const bool late = this->context.clock.MonotonicNow() >= aCall.deadline;
+    if (!late && !this->state.MustStop()) {
+      continue;
+    }
+    if (this->queue.Cancel(aId)) {
+      this->waiters.erase(aId);
+      const char* message = late ? "the deadline passed in the queue" : "this host is stopping";
+      return AdmissionRefusal{ Error{ ErrorKind::Overloaded, message, "send the call again" },
+                               late ? this->queue.ExpectedWait(request) : kStopComeBack };
+    }
+  }
+  return waiter.refusal;
+}
+
+void
+AdmissionDesk::Leave(const ResolvedPolicy& aPolicy, AdmissionId aId)
+{
+  absl::MutexLock lock(&this->mutex);
+  this->limiter.Leave(aPolicy);
+  this->queue.Finish(aId);
+  this->HandOut();
+}
+
+// The pool takes what its fit targets take together. A pool without any target has room for all:
+// the router then says what is missing.
+void
+AdmissionDesk::SetCapacity(const AdmissionCall& aCall)
+{
+  std::size_t capacity = 0;
+  for (const TargetRecord& target : this->health.Filter(aCall.targets)) {
+    capacity += this->limits[target.id].Limit();
+  }
+  this->queue.SetCapacity(
+    aCall.pool, aCall.targets.empty() ? std::numeric_limits<std::uint32_t>::max() : capacity);
+}
+
+void
+AdmissionDesk::HandOut()
+{
+  for (AdmissionDecision& decision : this->queue.TakeDecisions()) {
+    const auto found = this->waiters.find(decision.id);
+    if (found == this->waiters.end()) {
+      continue;
+    }
+    found->second->decided = true;
+    found->second->refusal = std::move(decision.refusal);
+    this->waiters.erase(found);
+  }
+}
+
+std::vector<TargetRecord>
+AdmissionDesk::Usable(const std::vector<TargetRecord>& aTargets) const
+{
+  absl::MutexLock lock(&this->mutex);
+  std::vector<TargetRecord> fit = this->health.Filter(aTargets);
+  std::vector<TargetRecord> free;
+  for (const TargetRecord& target : fit) {
+    const auto found = this->limits.find(target.id);
+    if (found == this->limits.end() || found->second.Free() > 0) {
+      free.push_back(target);
+    }
+  }
+  return free.empty() ? fit : free;
+}
+
+void
+AdmissionDesk::OnStart(const TargetId& aTarget)
+{
+  absl::MutexLock lock(&this->mutex);
+  this->limits[aTarget].OnStart();
+  this->health.OnStart(aTarget);
+}
+
+void
+AdmissionDesk::OnEnd(const TargetId& aTarget,
+                     AttemptLoad aLoad,
+                     HealthSign aSign,
+                     Duration aFirstToken)
+{
+  absl::MutexLock lock(&this->mutex);
+  this->limits[aTarget].OnEnd(aLoad, aFirstToken);
+  this->health.OnEnd(aTarget, aSign);
+}
+
+void
+AdmissionDesk::OnPeerMessage(const HostId& aFrom, const PeerMessage& aMessage)
+{
+  const auto use = DecodeUseReport(aMessage.payload);
+  const bool ofZone =
+    std::find(this->zonePeers.begin(), this->zonePeers.end(), aFrom) != this->zonePeers.end();
+  if (!use || !ofZone) {
+    LogEvent(LogLevel::Warning, "use_report_refused").With("from", aFrom);
+    return;
+  }
+  absl::MutexLock lock(&this->mutex);
+  for (const auto& [workspace, cost] : use.value()) {
+    this->queue.AddRemoteUse(workspace, cost);
+  }
+}
+
+void
+AdmissionDesk::OnTick(MonotonicTime aNow)
+{
+  if (aNow < this->nextReport) {
+    return;
+  }
+  this->nextReport = aNow + kReportInterval;
+  UseByWorkspace use;
+  {
+    absl::MutexLock lock(&this->mutex);
+    use = this->queue.TakeLocalUse();
+  }
+  if (use.empty()) {
+    return;
+  }
+  const std::string payload = EncodeUseReport(use, kMostReported);
+  for (const HostId& peer : this->zonePeers) {
+    this->context.peers.Send(peer, PeerMessage{ Channel::Admission, GroupId(), payload });
+  }
+}
+
+} // namespace damasklink
--- a/src/program/CallerService.cpp
+++ b/src/program/CallerService.cpp
@@ -16,6 +16,7 @@
 // For callers that set no deadline.
 constexpr Duration kDefaultTimeLimit = std::chrono::minutes(10);
 constexpr std::uint64_t kMostDeadlineMs = 3'600'000;
+constexpr std::uint64_t kMostPriority = 9;
 
 const ServiceRoute*
 FindService(const ResolvedPolicy& aPolicy, const ServiceName& aName)
@@ -54,6 +55,20 @@
   return Duration(std::chrono::milliseconds(milliseconds));
 }
 
+// Reads x-priority, which can lower a call's priority but not raise it above its policy's.
+Result<std::uint64_t>
+ReadPriority(const HttpRequest& aRequest)
+{
+  const std::string text = aRequest.Header("x-priority");
+  std::uint64_t priority = 0;
+  if (!text.empty() && (!absl::SimpleAtoi(text, &priority) || priority > kMostPriority)) {
+    return Fail(ErrorKind::InvalidArgument,
+                "header x-priority is not a whole number in range",
+                "send 0, which goes first, to 9");
+  }
+  return priority;
+}
+
 HttpResponse
 LeavingResponse()
 {
@@ -128,6 +143,10 @@
   if (!timeLimit) {
     return RefusalResponse(timeLimit.error());
   }
+  auto priority = ReadPriority(aRequest);
+  if (!priority) {
+    return RefusalResponse(priority.error());
+  }
   CompletionCall call;
   call.request = prompt;
   call.policy = *aCaller.policy;
@@ -135,6 +154,7 @@
   call.key = IdempotencyKey(aRequest.Header("idempotency-key"));
   call.digest = CallDigest(aRequest);
   call.timeLimit = timeLimit.value();
+  call.priority = priority.value();
   const bool keyed = !call.key.Empty();
   return this->Run(
     std::make_shared<CompletionRelay>(this->context, std::move(call)), keyed, prompt.stream);
@@ -146,6 +166,9 @@
   if (!aRelay->Accepted()) {
     return LeavingResponse();
   }
+  if (auto refusal = aRelay->Enter()) {
+    return ErrorResponse(*refusal);
+  }
   if (aKeyed) {
     if (auto ended = aRelay->Claim()) {
       return std::move(*ended);
@@ -202,8 +225,13 @@
                                   Concat("service '", name.Value(), "' is unknown here"),
                                   "ask the operator which services your team may call" });
   }
-  ServiceRelay relay(this->context,
-                     ServiceCall{ aRequest, *aCaller.policy, *service, this->MakeRequestId() });
+  auto priority = ReadPriority(aRequest);
+  if (!priority) {
+    return RefusalResponse(priority.error());
+  }
+  ServiceRelay relay(
+    this->context,
+    ServiceCall{ aRequest, *aCaller.policy, *service, this->MakeRequestId(), priority.value() });
   return relay.Accepted() ? relay.Run() : LeavingResponse();
 }
 
--- a/src/program/CompletionRelay.cpp
+++ b/src/program/CompletionRelay.cpp
@@ -19,6 +19,8 @@
 constexpr Duration kOpenPatience = std::chrono::seconds(1);
 // Text held of one answer; a longer one can be resumed, but not continued on another engine.
 constexpr std::size_t kMostHeldBytes = 8 * kMebibyte;
+// Prompt and answer tokens that cost as much as a request itself.
+constexpr double kTokensPerCost = 1000;
 constexpr Duration kLeaseSlack = std::chrono::seconds(10);
 constexpr std::uint64_t kPauseLeast = 5;
 constexpr std::uint64_t kPauseMost = 25;
@@ -40,6 +42,7 @@
   , running(aContext.state)
   , meter(aContext.host.metrics, aContext.host.clock, call.policy)
   , deadline(aContext.host.clock.MonotonicNow() + call.timeLimit)
+  , place(aContext.admission)
 {
   this->route.workspace = this->call.policy.workspace;
   this->route.model = this->call.request.model;
@@ -55,6 +58,24 @@
   this->EndAttempt(false);
 }
 
+std::optional<CallerError>
+CompletionRelay::Enter()
+{
+  const double tokens =
+    static_cast<double>(this->route.promptTokens.Value() + this->call.request.maxTokens);
+  AdmissionCall asked{ this->call.policy, PoolId("model/" + this->route.model.Value()) };
+  asked.targets = this->Eligible();
+  asked.priority = this->call.priority;
+  asked.promptTokens = this->route.promptTokens;
+  asked.cost = 1 + tokens / kTokensPerCost;
+  asked.deadline = this->deadline;
+  auto refusal = this->place.Enter(asked);
+  if (refusal) {
+    this->meter.OnFailure(*refusal);
+  }
+  return refusal;
+}
+
 std::optional<HttpResponse>
 CompletionRelay::Claim()
 {
@@ -166,8 +187,8 @@
 {
   const std::uint64_t now = this->stream->Assembled().NextOffset();
   if (this->tokens == 0 && now > 0) {
-    const Duration elapsed = this->context.host.clock.MonotonicNow() - this->attemptBegun;
-    this->context.routing.FirstToken(this->route, this->decision, elapsed, TokenCount());
+    this->firstToken = this->context.host.clock.MonotonicNow() - this->attemptBegun;
+    this->context.routing.FirstToken(this->route, this->decision, this->firstToken, TokenCount());
   }
   this->meter.OnTokens(now - this->tokens);
   this->tokens = now;
@@ -183,8 +204,8 @@
 Result<void>
 CompletionRelay::StartElsewhere()
 {
-  const auto view = this->context.host.views.Get();
-  auto chosen = this->context.routing.ChooseAndSend(this->route, view->targets);
+  const auto usable = this->context.admission.Usable(this->Eligible());
+  auto chosen = this->context.routing.ChooseAndSend(this->route, usable);
   if (!chosen) {
     return Fail(chosen.error());
   }
@@ -197,6 +218,39 @@
   return this->StartAttempt(AttemptId(Concat(this->call.id.Value(), "-", number)));
 }
 
+std::vector<TargetRecord>
+CompletionRelay::Eligible() const
+{
+  const auto view = this->context.host.views.Get();
+  std::vector<TargetRecord> eligible;
+  for (const TargetRecord& target : view->targets) {
+    if (!EligibleVersion(this->route, target).Empty()) {
+      eligible.push_back(target);
+    }
+  }
+  return eligible;
+}
+
+void
+CompletionRelay::CloseBooks(AttemptLoad aLoad, HealthSign aSign)
+{
+  if (this->booksOpen) {
+    this->booksOpen = false;
+    this->context.admission.OnEnd(this->decision.target, aLoad, aSign, this->firstToken);
+  }
+}
+
+void
+CompletionRelay::CloseBooksAfter(ErrorKind aFailure)
+{
+  if (aFailure == ErrorKind::Overloaded) {
+    return this->CloseBooks(AttemptLoad::Overloaded, HealthSign::Good);
+  }
+  const bool endedHere = aFailure == ErrorKind::Cancelled || aFailure == ErrorKind::Conflict ||
+                         this->TimeLeft() <= Duration(0) || this->context.state.MustStop();
+  this->CloseBooks(AttemptLoad::Failed, endedHere ? HealthSign::None : HealthSign::Bad);
+}
+
 Result<void>
 CompletionRelay::StartAttempt(const AttemptId& aAttempt)
 {
@@ -212,6 +266,8 @@
   prompt.delivered = this->answer;
   prompt.sampling = this->call.request.sampling;
   this->record.Begin(prompt.attempt, this->decision.target);
+  this->context.admission.OnStart(this->decision.target);
+  this->booksOpen = true;
   ++this->tries;
   this->tokensAtStart = this->tokens;
   this->attemptBegun = this->context.host.clock.MonotonicNow();
@@ -232,6 +288,7 @@
 CompletionRelay::Recover(Error aError)
 {
   while (true) {
+    this->CloseBooksAfter(aError.kind);
     LostAttempt lost;
     lost.kind = aError.kind;
     lost.outcome = this->record.Outcome();
@@ -335,6 +392,7 @@
     }
     this->ticket->Finish(std::move(kept));
   }
+  this->CloseBooks(AttemptLoad::Served, HealthSign::Good);
   this->outstanding = false;
   this->context.routing.Done(this->route, this->decision, true);
 }
@@ -375,6 +433,7 @@
 CompletionRelay::EndAttempt(bool aWhole)
 {
   this->stream.reset();
+  this->CloseBooks(AttemptLoad::Failed, HealthSign::None);
   if (this->outstanding) {
     this->outstanding = false;
     this->context.routing.Done(this->route, this->decision, aWhole);
--- a/src/program/CompletionRelay.h
+++ b/src/program/CompletionRelay.h
@@ -23,11 +23,14 @@
   Digest digest;
   // Longest time for the whole answer, as the caller asked.
   Duration timeLimit{ 0 };
+  // As the caller asked; 0 goes first.
+  std::uint64_t priority = 0;
 };
 
 // One request from its dispatch to its end, on one traffic thread.
 //
 //   CompletionRelay relay(context, call);
+//   if (auto refusal = relay.Enter()) ...
 //   if (auto kept = relay.Claim()) ...  // Only for a call with a key.
 //   auto opened = relay.Open();         // Returns once an engine has begun to answer, or is late.
 //   relay.Stream(writer);               // Or relay.Collect().
@@ -46,6 +49,9 @@
   // Whether this host still takes new work. Requires it of all that follows.
   bool Accepted() const { return this->running.Begun(); }
 
+  // Waits for the request's turn. Returns the refusal when it must not run.
+  std::optional<CallerError> Enter();
+
   // Claims the call's key. Returns the response when the prompt must not be run.
   std::optional<HttpResponse> Claim();
 
@@ -77,6 +83,12 @@
   Result<void> Recover(Error aError);
   Result<void> TakeStep(RelayStep aStep);
 
+  // Targets that could take the request, whatever their health.
+  std::vector<TargetRecord> Eligible() const;
+  // Closes the books on the attempt, if they are open.
+  void CloseBooks(AttemptLoad aLoad, HealthSign aSign);
+  void CloseBooksAfter(ErrorKind aFailure);
+
   void TakeText(const std::string& aText);
   void EndAttempt(bool aWhole);
   // aKept makes the body that is kept for the claim, if there is one.
@@ -89,6 +101,7 @@
   RunningRequest running;
   RequestMeter meter;
   MonotonicTime deadline;
+  AdmissionPlace place;
   RouteRequest route;
   RouteDecision decision;
   DispatchRecord record;
@@ -104,6 +117,8 @@
   std::uint64_t tries = 0;
   bool resumed = false;
   bool outstanding = false;
+  bool booksOpen = false;
+  Duration firstToken{ 0 };
   MonotonicTime attemptBegun;
   MonotonicTime lastHeard;
 };
--- a/src/program/RelayContext.h
+++ b/src/program/RelayContext.h
@@ -1,6 +1,7 @@
 // What all requests of one process share.
 #pragma once
 
+#include "AdmissionDesk.h"
 #include "ClaimGate.h"
 #include "HostContext.h"
 #include "RoutingDesk.h"
@@ -16,6 +17,7 @@
   PromptReuse& reuse;
   ClaimGate& claims;
   TrafficState& state;
+  AdmissionDesk& admission;
 };
 
 } // namespace damasklink
--- a/src/program/ServiceRelay.cpp
+++ b/src/program/ServiceRelay.cpp
@@ -42,12 +42,16 @@
   , running(aContext.state)
   , meter(aContext.host.metrics, aContext.host.clock, call.policy)
   , deadline(aContext.host.clock.MonotonicNow() + call.route.timeout)
+  , place(aContext.admission)
 {
 }
 
 HttpResponse
 ServiceRelay::Run()
 {
+  if (auto refused = this->Enter()) {
+    return std::move(*refused);
+  }
   if (auto ended = this->ClaimKey()) {
     return std::move(*ended);
   }
@@ -66,6 +70,26 @@
   return response;
 }
 
+std::optional<HttpResponse>
+ServiceRelay::Enter()
+{
+  AdmissionCall asked{ this->call.policy, PoolId("service/" + this->call.route.name.Value()) };
+  asked.targets = this->Targets();
+  asked.priority = this->call.priority;
+  asked.deadline = this->deadline;
+  auto refusal = this->place.Enter(asked);
+  if (!refusal) {
+    return std::nullopt;
+  }
+  return this->Failure(*refusal);
+}
+
+std::vector<TargetRecord>
+ServiceRelay::Targets() const
+{
+  return TargetsOf(*this->context.host.views.Get(), this->call.route.name);
+}
+
 std::optional<HttpResponse>
 ServiceRelay::ClaimKey()
 {
@@ -81,7 +105,7 @@
   }
   ClaimEntrance entrance = this->context.claims.Enter(keyed, this->record);
   if (entrance.refusal) {
-    return this->Failure(std::move(*entrance.refusal));
+    return this->Failure(*entrance.refusal);
   }
   if (entrance.kept) {
     this->meter.OnServed();
@@ -94,8 +118,7 @@
 Result<HttpAnswer>
 ServiceRelay::SendToSomeTarget()
 {
-  const auto view = this->context.host.views.Get();
-  const std::vector<TargetRecord> targets = TargetsOf(*view, this->call.route.name);
+  const std::vector<TargetRecord> targets = this->context.admission.Usable(this->Targets());
   Error lastError{ ErrorKind::Unavailable,
                    Concat("service '", this->call.route.name.Value(), "' has no target now"),
                    "try again shortly" };
@@ -103,32 +126,52 @@
     targets.empty() ? 0 : std::hash<RequestId>{}(this->call.id) % targets.size();
   for (std::size_t index = 0; index < targets.size(); ++index) {
     auto answer = this->SendTo(targets[(start + index) % targets.size()]);
-    const bool mayRepeat = this->record.Outcome() == RunOutcome::NotRun;
-    if (answer || !mayRepeat || this->TimeLeft() <= Duration(0)) {
+    if (answer || !this->MayRepeat()) {
       return answer;
     }
+    this->meter.OnRetry();
     lastError = answer.error();
   }
   return Fail(lastError);
 }
 
+// What surely did not run may be sent again, and so may what does no harm twice; both only within
+// the retry budget of this host.
+bool
+ServiceRelay::MayRepeat() const
+{
+  const bool notRun = this->record.Outcome() == RunOutcome::NotRun;
+  const bool harmless = this->call.route.idempotent && this->ticket == nullptr;
+  const bool wanted = this->TimeLeft() > Duration(0) && !this->context.state.MustStop();
+  return wanted && (notRun || harmless) && this->context.state.TakeRetry();
+}
+
 Result<HttpAnswer>
 ServiceRelay::SendTo(const TargetRecord& aTarget)
 {
   const std::size_t number = this->record.Attempts().size() + 1;
   const AttemptId attempt(Concat(this->call.id.Value(), "-", number));
   this->record.Begin(attempt, aTarget.id);
+  AdmissionDesk& desk = this->context.admission;
+  desk.OnStart(aTarget.id);
+  const MonotonicTime begun = this->context.host.clock.MonotonicNow();
   auto connected = HttpExchange::Connect(this->MakeCall(aTarget, attempt));
   if (!connected) {
+    desk.OnEnd(aTarget.id, AttemptLoad::Failed, HealthSign::Bad, Duration(0));
     return Fail(connected.error());
   }
   const MonotonicTime now = this->context.host.clock.MonotonicNow();
   if (this->ticket != nullptr && !this->ticket->Leased(now)) {
+    desk.OnEnd(aTarget.id, AttemptLoad::Failed, HealthSign::None, Duration(0));
     return Fail(ErrorKind::DeadlineExceeded, "the claim of the key ran out", "try again");
   }
   this->record.Advance(AttemptStage::Sending);
   auto answer = this->Exchange(*connected.value());
   this->record.Advance(answer ? AttemptStage::Finished : AttemptStage::Lost);
+  desk.OnEnd(aTarget.id,
+             answer ? AttemptLoad::Served : AttemptLoad::Failed,
+             answer ? HealthSign::Good : HealthSign::Bad,
+             this->context.host.clock.MonotonicNow() - begun);
   return answer;
 }
 
@@ -187,7 +230,7 @@
 }
 
 HttpResponse
-ServiceRelay::Failure(CallerError aFailure)
+ServiceRelay::Failure(const CallerError& aFailure)
 {
   this->meter.OnFailure(aFailure);
   LogEvent(LogLevel::Warning, "service_call_failed")
--- a/src/program/ServiceRelay.h
+++ b/src/program/ServiceRelay.h
@@ -14,6 +14,8 @@
   const ResolvedPolicy& policy;
   const ServiceRoute& route;
   RequestId id;
+  // As the caller asked; 0 goes first.
+  std::uint64_t priority = 0;
 };
 
 // One call from its claim to its end, on one traffic thread.
@@ -34,13 +36,18 @@
   HttpResponse Run();
 
 private:
+  // Waits for the call's turn. Returns the response when it must not be sent.
+  std::optional<HttpResponse> Enter();
+  std::vector<TargetRecord> Targets() const;
+
   // Returns the response when the call must not be sent; else the ticket, if need be, is held.
   std::optional<HttpResponse> ClaimKey();
   Result<HttpAnswer> SendToSomeTarget();
+  bool MayRepeat() const;
   Result<HttpAnswer> SendTo(const TargetRecord& aTarget);
   Result<HttpAnswer> Exchange(HttpExchange& aExchange);
   HttpCall MakeCall(const TargetRecord& aTarget, const AttemptId& aAttempt) const;
-  HttpResponse Failure(CallerError aFailure);
+  HttpResponse Failure(const CallerError& aFailure);
   Duration TimeLeft() const;
 
   const RelayContext& context;
@@ -48,6 +55,7 @@
   RunningRequest running;
   RequestMeter meter;
   MonotonicTime deadline;
+  AdmissionPlace place;
   DispatchRecord record;
   // Settles the claim from the record, so it stands after it.
   std::unique_ptr<ClaimTicket> ticket;
--- a/src/program/TrafficPart.cpp
+++ b/src/program/TrafficPart.cpp
@@ -18,7 +18,8 @@
 TrafficPart::TrafficPart(const HostContext& aContext, Replicator& aGroups, ReusePart& aReuse)
   : context(aContext)
   , claims(aContext, aGroups)
-  , relay{ aContext, aReuse.Routing(), aReuse.Reuse(), this->claims, this->state }
+  , admission(aContext, this->state)
+  , relay{ aContext, aReuse.Routing(), aReuse.Reuse(), this->claims, this->state, this->admission }
   , callers(this->relay)
 {
 }
@@ -27,6 +28,7 @@
 TrafficPart::Start()
 {
   this->claims.Start();
+  this->context.control.Add(Channel::Admission, this->admission);
   return Success();
 }
 
--- a/src/program/TrafficPart.h
+++ b/src/program/TrafficPart.h
@@ -30,6 +30,7 @@
   const HostContext& context;
   ClaimGate claims;
   TrafficState state;
+  AdmissionDesk admission;
   RelayContext relay;
   CallerService callers;
 };
--- /dev/null
+++ b/test/coordination/AdmissionQueueTest.cpp
@@ -0,0 +1,180 @@
+#include "damasklink/coordination/AdmissionQueue.h"
+
+#include <set>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace damasklink {
+namespace {
+
+const PoolId kPool("model/plates-7b");
+
+class AdmissionQueueTest : public testing::Test
+{
+protected:
+  AdmissionRequest Request(const std::string& aWorkspace, std::uint64_t aShare = 1) const
+  {
+    AdmissionRequest request;
+    request.workspace = WorkspaceId(aWorkspace);
+    request.pool = kPool;
+    request.share = aShare;
+    request.deadline = this->clock.MonotonicNow() + std::chrono::minutes(1);
+    return request;
+  }
+
+  // Returns the ids that were admitted, and the refusals, since the last call.
+  std::vector<AdmissionId> Admitted()
+  {
+    std::vector<AdmissionId> admitted;
+    for (const AdmissionDecision& decision : this->queue.TakeDecisions()) {
+      if (decision.refusal) {
+        this->refusals.push_back(*decision.refusal);
+      } else {
+        admitted.push_back(decision.id);
+      }
+    }
+    return admitted;
+  }
+
+  // Admits from a full pool one by one and counts by workspace.
+  std::map<std::string, int> AdmitInTurn(int aTurns)
+  {
+    std::map<std::string, int> counts;
+    for (int turn = 0; turn < aTurns; ++turn) {
+      this->queue.Finish(this->last);
+      const auto admitted = this->Admitted();
+      this->last = admitted.at(0);
+      ++counts[this->owners.at(this->last)];
+    }
+    return counts;
+  }
+
+  void Offer(const std::string& aWorkspace, std::uint64_t aShare, int aCount)
+  {
+    for (int index = 0; index < aCount; ++index) {
+      this->owners[this->queue.Offer(this->Request(aWorkspace, aShare))] = aWorkspace;
+    }
+  }
+
+  void FillPool()
+  {
+    this->queue.SetCapacity(kPool, 1);
+    this->last = this->queue.Offer(this->Request("filler"));
+    this->Admitted();
+  }
+
+  ManualClock clock;
+  AdmissionQueue queue{ clock, 8 };
+  AdmissionId last;
+  std::map<AdmissionId, std::string> owners;
+  std::vector<AdmissionRefusal> refusals;
+};
+
+TEST_F(AdmissionQueueTest, SharesAreKeptWhateverIsAskedFor)
+{
+  this->FillPool();
+  this->Offer("large", 1, 5);
+  this->Offer("small", 2, 3);
+  const auto counts = this->AdmitInTurn(3);
+  EXPECT_EQ(counts.at("small"), 2);
+  EXPECT_EQ(counts.at("large"), 1);
+}
+
+TEST_F(AdmissionQueueTest, PriorityOrdersTheRequestsOfOneWorkspace)
+{
+  this->FillPool();
+  this->Offer("office", 1, 1);
+  AdmissionRequest urgent = this->Request("office");
+  urgent.priority = 0;
+  const AdmissionId id = this->queue.Offer(urgent);
+  this->queue.Finish(this->last);
+  EXPECT_EQ(this->Admitted(), std::vector<AdmissionId>{ id });
+}
+
+TEST_F(AdmissionQueueTest, FullQueueTakesFromTheWorkspaceThatWaitsWithTheMost)
+{
+  this->FillPool();
+  this->Offer("large", 1, 8);
+  this->Offer("small", 1, 1);
+  EXPECT_TRUE(this->Admitted().empty());
+  ASSERT_EQ(this->refusals.size(), 1U);
+  EXPECT_EQ(this->queue.Waiting(), 8U);
+  EXPECT_EQ(this->AdmitInTurn(2).at("small"), 1);
+}
+
+TEST_F(AdmissionQueueTest, FullQueueRefusesItsLargestWorkspaceAtOnce)
+{
+  this->FillPool();
+  this->Offer("large", 1, 9);
+  this->Admitted();
+  ASSERT_EQ(this->refusals.size(), 1U);
+  EXPECT_EQ(this->refusals[0].error.kind, ErrorKind::Overloaded);
+  EXPECT_GT(this->refusals[0].retryAfter, Duration(0));
+}
+
+TEST_F(AdmissionQueueTest, RequestThatCannotMakeItsDeadlineIsRefusedAtOnceWithTheTimeToComeBack)
+{
+  this->FillPool();
+  this->clock.Advance(std::chrono::seconds(10));
+  this->queue.Finish(this->last);
+  this->Offer("office", 1, 4);
+  AdmissionRequest hurried = this->Request("office");
+  hurried.deadline = this->clock.MonotonicNow() + std::chrono::seconds(30);
+  this->queue.Offer(hurried);
+  this->Admitted();
+  ASSERT_EQ(this->refusals.size(), 1U);
+  EXPECT_EQ(this->refusals[0].retryAfter, std::chrono::seconds(40));
+}
+
+TEST_F(AdmissionQueueTest, UseOnAnotherHostCountsAgainstTheShare)
+{
+  this->FillPool();
+  this->queue.AddRemoteUse(WorkspaceId("elsewhere"), 4);
+  this->Offer("elsewhere", 1, 4);
+  this->Offer("here", 1, 4);
+  EXPECT_EQ(this->AdmitInTurn(4).at("here"), 4);
+}
+
+// Every request is decided once or withdrawn, never more run than the pool takes, and the bound of
+// the queue holds.
+RC_GTEST_PROP(AdmissionQueueProperty, EveryRequestIsDecidedOnceWithinTheBounds, ())
+{
+  ManualClock clock;
+  AdmissionQueue queue(clock, 5);
+  queue.SetCapacity(kPool, 3);
+  std::set<AdmissionId> open;
+  std::set<AdmissionId> running;
+  const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 60));
+  for (const int step : steps) {
+    AdmissionRequest request;
+    request.workspace = WorkspaceId(std::to_string(step % 4));
+    request.pool = kPool;
+    request.share = 1 + static_cast<std::uint64_t>(step) % 3;
+    request.priority = static_cast<std::uint64_t>(step) % 2;
+    request.deadline = clock.MonotonicNow() + std::chrono::seconds(step);
+    if (step % 5 == 0 && !running.empty()) {
+      queue.Finish(*running.begin());
+      running.erase(running.begin());
+    } else if (step % 7 == 0 && !open.empty()) {
+      RC_ASSERT(queue.Cancel(*open.begin()));
+      open.erase(open.begin());
+    } else {
+      open.insert(queue.Offer(request));
+    }
+    clock.Advance(std::chrono::milliseconds(step * 10));
+    for (const AdmissionDecision& decision : queue.TakeDecisions()) {
+      RC_ASSERT(open.erase(decision.id) == 1U);
+      if (!decision.refusal) {
+        running.insert(decision.id);
+      }
+    }
+    RC_ASSERT(running.size() <= 3U);
+    RC_ASSERT(queue.Waiting() == open.size());
+    RC_ASSERT(open.size() <= 5U);
+    RC_ASSERT(open.empty() || running.size() == 3U);
+  }
+}
+
+} // namespace
+} // namespace damasklink
--- /dev/null
+++ b/test/coordination/ConcurrencyLimitTest.cpp
@@ -0,0 +1,61 @@
+#include "damasklink/coordination/ConcurrencyLimit.h"
+
+#include <gtest/gtest.h>
+
+namespace damasklink {
+namespace {
+
+constexpr Duration kFast = std::chrono::milliseconds(100);
+
+// Runs rounds in which the limit is used up and every request ends alike.
+void
+RunRounds(ConcurrencyLimit& aLimit, int aRounds, AttemptLoad aLoad, Duration aFirstToken)
+{
+  for (int round = 0; round < aRounds; ++round) {
+    while (aLimit.Free() > 0) {
+      aLimit.OnStart();
+    }
+    while (aLimit.Running() > 0) {
+      aLimit.OnEnd(aLoad, aFirstToken);
+    }
+  }
+}
+
+TEST(ConcurrencyLimitTest, GrowsWhileTheTargetKeepsUp)
+{
+  ConcurrencyLimit limit;
+  const std::size_t before = limit.Limit();
+  RunRounds(limit, 50, AttemptLoad::Served, kFast);
+  EXPECT_GT(limit.Limit(), before);
+}
+
+TEST(ConcurrencyLimitTest, ShrinksWhenTheTargetRefuses)
+{
+  ConcurrencyLimit limit;
+  RunRounds(limit, 20, AttemptLoad::Overloaded, kFast);
+  EXPECT_LE(limit.Limit(), 2U);
+  EXPECT_GE(limit.Limit(), 1U);
+}
+
+TEST(ConcurrencyLimitTest, ShrinksWhenAnswersComeFarLaterThanUsual)
+{
+  ConcurrencyLimit limit;
+  RunRounds(limit, 20, AttemptLoad::Served, kFast);
+  const std::size_t before = limit.Limit();
+  RunRounds(limit, 5, AttemptLoad::Served, 10 * kFast);
+  EXPECT_LT(limit.Limit(), before);
+}
+
+TEST(ConcurrencyLimitTest, DoesNotGrowWhileItIsHardlyUsed)
+{
+  ConcurrencyLimit limit;
+  const std::size_t before = limit.Limit();
+  for (int index = 0; index < 1000; ++index) {
+    limit.OnStart();
+    limit.OnEnd(AttemptLoad::Served, kFast);
+  }
+  EXPECT_EQ(limit.Limit(), before);
+}
+
+} // namespace
+} // namespace damasklink
--- a/test/program/CompletionRelayTest.cpp
+++ b/test/program/CompletionRelayTest.cpp
@@ -212,6 +212,16 @@
   EXPECT_TRUE(HoldsWhole(this->Prompt()));
 }
 
+TEST_F(CompletionRelayTest, PromptThatAllEnginesRefusedIsNotRun)
+{
+  Behaviour full;
+  full.refuses = true;
+  const ScriptedEngine refusing({ full });
+  this->SetTargets({ refusing.Record("e-1") });
+  this->StartHost();
+  EXPECT_NE(this->Prompt("note-1").body.find("\"outcome\":\"not_run\""), std::string::npos);
+}
+
 TEST_F(CompletionRelayTest, PromptWithAKeyIsNotStartedOver)
 {
   const ScriptedEngine dying({ Behaviour{ 0 } });
--- a/test/program/DrainTest.cpp
+++ b/test/program/DrainTest.cpp
@@ -33,6 +33,7 @@
         aWriter.Write(Event(prompt, false));
         while (!this->released.HasBeenNotified()) {
           if (!aWriter.IsOpen()) {
+            this->cancelled.Notify();
             return false;
           }
           this->released.WaitForNotificationWithTimeout(absl::Milliseconds(5));
@@ -65,6 +66,7 @@
   }
 
   absl::Notification released;
+  absl::Notification cancelled;
   ScriptedTarget engine;
   std::unique_ptr<HttpExchange> exchange;
   std::string events;
@@ -80,6 +82,8 @@
     refused = this->Post("/services/plates/x", "17");
   }
   EXPECT_NE(refused.body.find("\"not_run\""), std::string::npos);
+  // Long enough for a relay that was told to stop to do so.
+  EXPECT_FALSE(this->cancelled.WaitForNotificationWithTimeout(absl::Milliseconds(400)));
   this->released.Notify();
   EXPECT_NE(this->ReadRest().find("[DONE]"), std::string::npos);
   draining.join();
