Admission measured: answers that can still be made, limits that see the target's own queue

Requests were let out with a mean answer time left, so half of them were cut off at their deadline and wasted what they used; and a slow first token counted only from four times the usual, so requests queued inside targets, where shares are not kept. Change: a request needs the mean time plus two mean deviations, when offered and when its turn comes; only whole answers count into that mean; a target is slow when the mean of its last first tokens is a 32nd above the usual, which is learnt anew when half the limit does not help; the slots that a target reports bound its limit.

--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -25,4 +25,8 @@
 
 // Adds one row to the table in Main.cpp for each bench; declare it here.
 
+// Admission, retries and claims: goodput under overload, recovery, fairness, claims a second.
+int
+RunRequests(const std::vector<std::string>& aArguments);
+
 } // namespace damasklink::bench
--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -20,6 +20,7 @@
     "replicated log on real files and loopback links",
     damasklink::bench::RunAgreement },
   { "slopes", "state, processor time and bytes as they grow", damasklink::bench::RunSlopes },
+  { "requests", "goodput, recovery, retries, fairness, claims", damasklink::bench::RunRequests },
   { "relay", "what relaying costs; run it by tools/bench-relay", damasklink::bench::RunRelay },
   { "policy", "routing and reuse against baselines", damasklink::bench::RunPolicyBench },
 };
--- a/include/damasklink/coordination/AdmissionQueue.h
+++ b/include/damasklink/coordination/AdmissionQueue.h
@@ -56,7 +56,7 @@
 //   queue.SetCapacity(pool, 32);
 //   AdmissionId id = queue.Offer(request);
 //   for (const AdmissionDecision& decision : queue.TakeDecisions()) ...
-//   queue.Finish(id);
+//   queue.Finish(id, true);
 //
 // Every request that was offered is decided exactly once, unless Cancel() came first; every one
 // that was admitted needs Finish(). Bounded: when the queue is full, the workspace that waits with
@@ -71,8 +71,8 @@
   // Withdraws a waiting request. Returns false when it was decided already.
   bool Cancel(AdmissionId aId);
 
-  // Frees the place of an admitted request.
-  void Finish(AdmissionId aId);
+  // Frees the place of an admitted request. Only one that was answered tells how long they take.
+  void Finish(AdmissionId aId, bool aAnswered);
 
   // Sets how many requests of the pool may run at once.
   void SetCapacity(const PoolId& aPool, std::size_t aCapacity);
@@ -106,8 +106,10 @@
   {
     std::size_t capacity = 0;
     std::size_t running = 0;
-    // Mean time from admission to Finish(), zero while unknown.
+    // Mean time from admission to the end of an answer, and mean distance from it; zero while
+    // unknown.
     Duration meanTime{ 0 };
+    Duration meanDeviation{ 0 };
     std::map<WorkspaceId, std::deque<Queued>> waiting;
   };
   struct Account
@@ -118,9 +120,12 @@
     std::size_t waiting = 0;
   };
 
+  // Whether a request that is sent after aWait will most likely be answered in time.
+  bool CanMakeIt(const Pool& aPool, const AdmissionRequest& aRequest, Duration aWait) const;
+  void RefuseAsTooLate(AdmissionId aId, Duration aRetryAfter);
   void Enqueue(Pool& aPool, Queued aQueued);
   void AdmitWhatFits(Pool& aPool);
-  void Admit(Pool& aPool, Queued aQueued);
+  void Admit(Pool& aPool, const Queued& aQueued);
   void Refuse(AdmissionId aId, Error aError, Duration aRetryAfter);
   void MakeRoomFor(const AdmissionRequest& aRequest);
   // Returns the next request of the workspace that is furthest behind its share.
--- a/include/damasklink/coordination/ConcurrencyLimit.h
+++ b/include/damasklink/coordination/ConcurrencyLimit.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 
 #include "damasklink/state/Clock.h"
 
@@ -33,6 +34,11 @@
   // aFirstToken is the time from sending to the first token; read with Served.
   void OnEnd(AttemptLoad aLoad, Duration aFirstToken);
 
+  // Takes in how many requests the target says that it can run at once, 0 when it does not say.
+  // The limit stays at or below it: what exceeds it would only wait inside the target, where
+  // shares are not kept.
+  void SetSlots(std::uint64_t aSlots);
+
   std::size_t Limit() const { return static_cast<std::size_t>(this->limit); }
   std::size_t Running() const { return this->running; }
   std::size_t Free() const
@@ -41,12 +47,18 @@
   }
 
 private:
+  // Whether first tokens have lately come later than usual.
   bool IsSlow(Duration aFirstToken);
 
   double limit = 16;
+  double most = kMost;
   std::size_t running = 0;
-  // Fastest recent first token; drifts up so that a slower normal is learnt.
+  // Mean of the last few first tokens, so that one long prompt is no sign of a queue.
+  Duration recent{ 0 };
+  // Lowest such mean; drifts up slowly, and is learnt anew when a lower limit does not help.
   Duration usual{ 0 };
+  // The limit when first tokens began to come late; zero while they do not.
+  double limitWhenSlow = 0;
   // Ends to let pass before the next decrease, so that one wave of bad news counts once.
   std::size_t quiet = 0;
 };
--- a/src/coordination/AdmissionQueue.cpp
+++ b/src/coordination/AdmissionQueue.cpp
@@ -10,6 +10,8 @@
 constexpr Duration kLeastComeBack = std::chrono::milliseconds(100);
 // Weight of the newest request in the mean time.
 constexpr int kMeanOver = 16;
+// Mean deviations that a request is given beyond the mean time.
+constexpr int kDeviations = 2;
 // What a workspace may owe for use elsewhere, in costs of one request: beyond it the past is
 // forgotten, so that no workspace waits for long after others have gone.
 constexpr double kMostDebt = 64;
@@ -38,12 +40,8 @@
   Pool& pool = this->pools[aRequest.pool];
   this->accounts[aRequest.workspace].share = std::max<std::uint64_t>(aRequest.share, 1);
   const Duration wait = this->ExpectedWait(aRequest);
-  if (this->clock.MonotonicNow() + wait + pool.meanTime > aRequest.deadline) {
-    this->Refuse(id,
-                 Error{ ErrorKind::Overloaded,
-                        "the deadline cannot be met now",
-                        "come back after the time given, or allow more time" },
-                 wait);
+  if (!this->CanMakeIt(pool, aRequest, wait)) {
+    this->RefuseAsTooLate(id, wait);
     return id;
   }
   if (pool.running >= pool.capacity && this->waiting >= this->mostWaiting) {
@@ -58,6 +56,24 @@
   return id;
 }
 
+bool
+AdmissionQueue::CanMakeIt(const Pool& aPool, const AdmissionRequest& aRequest, Duration aWait) const
+{
+  // A request that is cut off at its deadline wastes what it used, so the slower ones count too.
+  const Duration needed = aPool.meanTime + kDeviations * aPool.meanDeviation;
+  return this->clock.MonotonicNow() + aWait + needed <= aRequest.deadline;
+}
+
+void
+AdmissionQueue::RefuseAsTooLate(AdmissionId aId, Duration aRetryAfter)
+{
+  this->Refuse(aId,
+               Error{ ErrorKind::Overloaded,
+                      "the deadline cannot be met now",
+                      "come back after the time given, or allow more time" },
+               aRetryAfter);
+}
+
 // Takes the last request from the workspace that waits with the most for its weight, unless that
 // is the newcomer's own.
 void
@@ -113,12 +129,16 @@
     }
     --this->waiting;
     --this->accounts[queued.request.workspace].waiting;
-    this->Admit(aPool, std::move(queued));
+    if (this->CanMakeIt(aPool, queued.request, Duration(0))) {
+      this->Admit(aPool, queued);
+    } else {
+      this->RefuseAsTooLate(queued.id, this->ExpectedWait(queued.request));
+    }
   }
 }
 
 void
-AdmissionQueue::Admit(Pool& aPool, Queued aQueued)
+AdmissionQueue::Admit(Pool& aPool, const Queued& aQueued)
 {
   const AdmissionRequest& request = aQueued.request;
   Account& account = this->accounts[request.workspace];
@@ -179,7 +199,7 @@
 }
 
 void
-AdmissionQueue::Finish(AdmissionId aId)
+AdmissionQueue::Finish(AdmissionId aId, bool aAnswered)
 {
   const auto found = this->running.find(aId);
   if (found == this->running.end()) {
@@ -189,8 +209,13 @@
   const Duration took = this->clock.MonotonicNow() - found->second.since;
   this->running.erase(found);
   --pool.running;
-  const bool first = pool.meanTime == Duration(0);
-  pool.meanTime = first ? took : pool.meanTime + (took - pool.meanTime) / kMeanOver;
+  if (aAnswered && pool.meanTime == Duration(0)) {
+    pool.meanTime = took;
+  } else if (aAnswered) {
+    const Duration distance = took > pool.meanTime ? took - pool.meanTime : pool.meanTime - took;
+    pool.meanDeviation += (distance - pool.meanDeviation) / kMeanOver;
+    pool.meanTime += (took - pool.meanTime) / kMeanOver;
+  }
   this->AdmitWhatFits(pool);
 }
 
--- a/src/coordination/ConcurrencyLimit.cpp
+++ b/src/coordination/ConcurrencyLimit.cpp
@@ -6,16 +6,25 @@
 namespace {
 
 constexpr double kOnRefusal = 0.8;
-constexpr double kOnSlowness = 0.9;
-// Prompts differ in length, so only a first token far later than usual tells of a queue.
-constexpr int kSlowFactor = 4;
-constexpr Duration kNeverSlow = std::chrono::milliseconds(250);
-constexpr int kDriftPart = 500;
+constexpr double kOnSlowness = 0.95;
+// What the mean may exceed the usual by before it counts as slow, as a part of the usual.
+constexpr int kSlackPart = 32;
+constexpr int kMeanOver = 8;
+constexpr int kDriftPart = 50'000;
+// When so small a part of the limit does not make answers faster, their slowness is no queue.
+constexpr double kNoQueuePart = 0.5;
 // The limit grows only while it is nearly used.
 constexpr double kInUse = 0.75;
 
 } // namespace
 
+void
+ConcurrencyLimit::SetSlots(std::uint64_t aSlots)
+{
+  this->most = aSlots == 0 ? kMost : std::min(kMost, static_cast<double>(aSlots));
+  this->limit = std::min(this->limit, this->most);
+}
+
 void
 ConcurrencyLimit::OnEnd(AttemptLoad aLoad, Duration aFirstToken)
 {
@@ -34,19 +43,31 @@
     return;
   }
   if (inUse) {
-    this->limit = std::min(kMost, this->limit + 1 / this->limit);
+    this->limit = std::min(this->most, this->limit + 1 / this->limit);
   }
 }
 
 bool
 ConcurrencyLimit::IsSlow(Duration aFirstToken)
 {
-  if (this->usual == Duration(0) || aFirstToken < this->usual) {
+  if (this->usual == Duration(0)) {
+    this->recent = aFirstToken;
     this->usual = aFirstToken;
-  } else {
-    this->usual += this->usual / kDriftPart;
+    return false;
+  }
+  this->recent += (aFirstToken - this->recent) / kMeanOver;
+  this->usual = std::min(this->recent, this->usual + this->usual / kDriftPart);
+  if (this->recent <= this->usual + this->usual / kSlackPart) {
+    this->limitWhenSlow = 0;
+    return false;
+  }
+  this->limitWhenSlow = std::max(this->limitWhenSlow, this->limit);
+  if (this->limit < kNoQueuePart * this->limitWhenSlow) {
+    this->usual = this->recent;
+    this->limitWhenSlow = 0;
+    return false;
   }
-  return aFirstToken > kNeverSlow && aFirstToken > this->usual * kSlowFactor;
+  return true;
 }
 
 } // namespace damasklink
--- a/src/program/AdmissionDesk.cpp
+++ b/src/program/AdmissionDesk.cpp
@@ -107,11 +107,11 @@
 }
 
 void
-AdmissionDesk::Leave(const ResolvedPolicy& aPolicy, AdmissionId aId)
+AdmissionDesk::Leave(const ResolvedPolicy& aPolicy, AdmissionId aId, bool aAnswered)
 {
   absl::MutexLock lock(&this->mutex);
   this->limiter.Leave(aPolicy);
-  this->queue.Finish(aId);
+  this->queue.Finish(aId, aAnswered);
   this->HandOut();
 }
 
@@ -122,7 +122,9 @@
 {
   std::size_t capacity = 0;
   for (const TargetRecord& target : this->health.Filter(aCall.targets)) {
-    capacity += this->limits[target.id].Limit();
+    ConcurrencyLimit& limit = this->limits[target.id];
+    limit.SetSlots(target.load.slots);
+    capacity += limit.Limit();
   }
   this->queue.SetCapacity(
     aCall.pool, aCall.targets.empty() ? std::numeric_limits<std::uint32_t>::max() : capacity);
--- a/src/program/AdmissionDesk.h
+++ b/src/program/AdmissionDesk.h
@@ -44,7 +44,8 @@
   // Waits for the request's turn. Returns a refusal, which says "not run", or nothing: then Leave()
   // must follow with the id.
   std::optional<CallerError> Enter(const AdmissionCall& aCall, AdmissionId& aId);
-  void Leave(const ResolvedPolicy& aPolicy, AdmissionId aId);
+  // aAnswered tells whether the whole answer went out.
+  void Leave(const ResolvedPolicy& aPolicy, AdmissionId aId, bool aAnswered);
 
   // Returns the targets that are fit and have room; without any with room, all that are fit.
   std::vector<TargetRecord> Usable(const std::vector<TargetRecord>& aTargets) const;
@@ -91,7 +92,7 @@
   ~AdmissionPlace()
   {
     if (this->held) {
-      this->desk.Leave(this->policy, this->id);
+      this->desk.Leave(this->policy, this->id, this->answered);
     }
   }
   AdmissionPlace(const AdmissionPlace&) = delete;
@@ -106,11 +107,15 @@
     return refusal;
   }
 
+  // Tells that the whole answer went out.
+  void NoteAnswered() { this->answered = true; }
+
 private:
   AdmissionDesk& desk;
   ResolvedPolicy policy;
   AdmissionId id;
   bool held = false;
+  bool answered = false;
 };
 
 } // namespace damasklink
--- a/src/program/CompletionRelay.cpp
+++ b/src/program/CompletionRelay.cpp
@@ -385,6 +385,7 @@
   const AnswerUsage& usage = this->stream->Assembled().Usage();
   this->context.reuse.Keep(this->route, this->decision, usage);
   this->meter.OnWhole(usage);
+  this->place.NoteAnswered();
   if (this->ticket != nullptr) {
     std::optional<KeptAnswer> kept;
     if (this->held) {
--- a/src/program/ServiceRelay.cpp
+++ b/src/program/ServiceRelay.cpp
@@ -67,6 +67,7 @@
     this->ticket->Finish(KeptAnswer{ response.status, response.contentType, response.body });
   }
   this->meter.OnServed();
+  this->place.NoteAnswered();
   return response;
 }
 
--- a/test/coordination/AdmissionQueueTest.cpp
+++ b/test/coordination/AdmissionQueueTest.cpp
@@ -42,7 +42,7 @@
   {
     std::map<std::string, int> counts;
     for (int turn = 0; turn < aTurns; ++turn) {
-      this->queue.Finish(this->last);
+      this->queue.Finish(this->last, true);
       const auto admitted = this->Admitted();
       this->last = admitted.at(0);
       ++counts[this->owners.at(this->last)];
@@ -88,7 +88,7 @@
   AdmissionRequest urgent = this->Request("office");
   urgent.priority = 0;
   const AdmissionId id = this->queue.Offer(urgent);
-  this->queue.Finish(this->last);
+  this->queue.Finish(this->last, true);
   EXPECT_EQ(this->Admitted(), std::vector<AdmissionId>{ id });
 }
 
@@ -117,7 +117,7 @@
 {
   this->FillPool();
   this->clock.Advance(std::chrono::seconds(10));
-  this->queue.Finish(this->last);
+  this->queue.Finish(this->last, true);
   this->Offer("office", 1, 4);
   AdmissionRequest hurried = this->Request("office");
   hurried.deadline = this->clock.MonotonicNow() + std::chrono::seconds(30);
@@ -154,7 +154,7 @@
     request.priority = static_cast<std::uint64_t>(step) % 2;
     request.deadline = clock.MonotonicNow() + std::chrono::seconds(step);
     if (step % 5 == 0 && !running.empty()) {
-      queue.Finish(*running.begin());
+      queue.Finish(*running.begin(), step % 2 == 0);
       running.erase(running.begin());
     } else if (step % 7 == 0 && !open.empty()) {
       RC_ASSERT(queue.Cancel(*open.begin()));
--- a/test/coordination/ConcurrencyLimitTest.cpp
+++ b/test/coordination/ConcurrencyLimitTest.cpp
@@ -46,6 +46,16 @@
   EXPECT_LT(limit.Limit(), before);
 }
 
+// Longer prompts make every answer slower, and no lower limit would help against that.
+TEST(ConcurrencyLimitTest, LearnsASlowerNormal)
+{
+  ConcurrencyLimit limit;
+  RunRounds(limit, 20, AttemptLoad::Served, kFast);
+  const std::size_t before = limit.Limit();
+  RunRounds(limit, 200, AttemptLoad::Served, 10 * kFast);
+  EXPECT_GT(limit.Limit(), before / 2);
+}
+
 TEST(ConcurrencyLimitTest, DoesNotGrowWhileItIsHardlyUsed)
 {
   ConcurrencyLimit limit;
