--- a/src/program/CompletionRelay.cpp
+++ b/src/program/CompletionRelay.cpp
@@ -289,6 +289,10 @@
 {
   while (true) {
     this->CloseBooksAfter(aError.kind);
+    // Only tries in vain are counted against the request.
+    if (this->tokens > this->tokensAtStart) {
+      this->tries = 1;
+    }
     LostAttempt lost;
     lost.kind = aError.kind;
     lost.outcome = this->record.Outcome();
--- a/test/coordination/AdmissionQueueTest.cpp
+++ b/test/coordination/AdmissionQueueTest.cpp
@@ -127,6 +127,22 @@
   EXPECT_EQ(this->refusals[0].retryAfter, std::chrono::seconds(40));
 }
 
+// Sent with too little time left, it would only waste what it uses.
+TEST_F(AdmissionQueueTest, RequestWhoseTurnComesTooLateIsRefusedThen)
+{
+  this->FillPool();
+  this->clock.Advance(std::chrono::seconds(10));
+  this->queue.Finish(this->last, true);
+  this->FillPool();
+  AdmissionRequest request = this->Request("office");
+  request.deadline = this->clock.MonotonicNow() + std::chrono::seconds(25);
+  this->queue.Offer(request);
+  this->clock.Advance(std::chrono::seconds(20));
+  this->queue.Finish(this->last, false);
+  EXPECT_TRUE(this->Admitted().empty());
+  EXPECT_EQ(this->refusals.size(), 1U);
+}
+
 TEST_F(AdmissionQueueTest, UseOnAnotherHostCountsAgainstTheShare)
 {
   this->FillPool();
--- a/test/coordination/DispatchRecordTest.cpp
+++ b/test/coordination/DispatchRecordTest.cpp
@@ -37,5 +37,40 @@
   RC_ASSERT(record.Outcome() != RunOutcome::NotRun);
 }
 
+// Attempts in any number, each with its own fault; the target's own books say whether it acted.
+RC_GTEST_PROP(DispatchRecordProperty, NoScheduleOfFaultsHidesThatATargetActed, ())
+{
+  enum Fault
+  {
+    NoConnection,
+    LostBeforeItArrived,
+    LostAfterItArrived,
+    RefusedByTarget,
+    CutInTheAnswer,
+    None,
+    Count,
+  };
+  DispatchRecord record;
+  bool acted = false;
+  const auto faults = *rc::gen::container<std::vector<int>>(rc::gen::inRange<int>(0, Count));
+  for (const int fault : faults) {
+    record.Begin(AttemptId("a"), TargetId("t"));
+    if (fault == NoConnection) {
+      continue;
+    }
+    record.Advance(AttemptStage::Sending);
+    acted = acted || (fault != LostBeforeItArrived && fault != RefusedByTarget);
+    if (fault == RefusedByTarget) {
+      record.Advance(AttemptStage::Refused);
+    } else if (fault == CutInTheAnswer || fault == None) {
+      record.Advance(AttemptStage::Answering);
+      record.Advance(fault == None ? AttemptStage::Finished : AttemptStage::Lost);
+      // A late refusal of a target that has answered changes nothing.
+      record.Advance(AttemptStage::Refused);
+    }
+    RC_ASSERT(!acted || record.Outcome() != RunOutcome::NotRun);
+  }
+}
+
 } // namespace
 } // namespace damasklink
--- /dev/null
+++ b/test/program/AdmissionDeskTest.cpp
@@ -0,0 +1,69 @@
+#include "AdmissionDesk.h"
+
+#include <thread>
+
+#include <absl/synchronization/notification.h>
+
+#include "TrafficFixture.h"
+
+namespace damasklink {
+namespace {
+
+// A desk before one target that runs one request at a time.
+class AdmissionDeskTest : public TrafficFixture
+{
+protected:
+  AdmissionDeskTest()
+  {
+    TargetRecord& target = this->call.targets.emplace_back();
+    target.id = TargetId("e-1");
+    target.load.slots = 1;
+    this->policy.workspace = WorkspaceId("office");
+    this->call.deadline = this->clock.MonotonicNow() + std::chrono::minutes(1);
+  }
+
+  ResolvedPolicy policy;
+  AdmissionCall call{ policy, PoolId("model/m") };
+  TrafficState state;
+  AdmissionDesk desk{ context, state };
+};
+
+TEST_F(AdmissionDeskTest, WaitingRequestGoesWhenTheOneBeforeItEnds)
+{
+  auto first = std::make_unique<AdmissionPlace>(this->desk);
+  ASSERT_FALSE(first->Enter(this->call));
+  absl::Notification entered;
+  std::thread waiting([&] {
+    AdmissionPlace second(this->desk);
+    EXPECT_FALSE(second.Enter(this->call));
+    entered.Notify();
+  });
+  EXPECT_FALSE(entered.WaitForNotificationWithTimeout(absl::Milliseconds(50)));
+  first.reset();
+  waiting.join();
+  EXPECT_TRUE(entered.HasBeenNotified());
+}
+
+TEST_F(AdmissionDeskTest, RequestThatWaitsInAStoppingHostIsNotRun)
+{
+  AdmissionPlace first(this->desk);
+  ASSERT_FALSE(first.Enter(this->call));
+  this->state.StopNow();
+  AdmissionPlace second(this->desk);
+  const auto refusal = second.Enter(this->call);
+  ASSERT_TRUE(refusal);
+  EXPECT_EQ(refusal->outcome, RunOutcome::NotRun);
+  EXPECT_TRUE(refusal->retryAfter);
+}
+
+TEST_F(AdmissionDeskTest, RequestWhoseDeadlinePassesInTheQueueIsRefused)
+{
+  AdmissionPlace first(this->desk);
+  ASSERT_FALSE(first.Enter(this->call));
+  this->call.deadline = this->clock.MonotonicNow() + std::chrono::milliseconds(20);
+  AdmissionPlace second(this->desk);
+  EXPECT_TRUE(second.Enter(this->call));
+}
+
+} // namespace
+} // namespace damasklink
--- a/test/program/CompletionRelayTest.cpp
+++ b/test/program/CompletionRelayTest.cpp
@@ -7,8 +7,8 @@
 namespace damasklink {
 namespace {
 
-constexpr std::uint64_t kLength = 6;
-const std::string kWhole = "0,1,2,3,4,5,";
+constexpr std::uint64_t kLength = 10;
+const std::string kWhole = "0,1,2,3,4,5,6,7,8,9,";
 
 // What an engine does with one call.
 struct Behaviour
@@ -145,6 +145,14 @@
   EXPECT_EQ(engine.Prompts()[1].attempt, engine.Prompts()[0].attempt);
 }
 
+TEST_F(CompletionRelayTest, AnswerThatIsCutAtEveryTokenStillArrives)
+{
+  const ScriptedEngine engine({ Behaviour{ 1 } });
+  this->SetTargets({ engine.Record("e-1") });
+  this->StartHost();
+  EXPECT_TRUE(HoldsWhole(this->Prompt()));
+}
+
 TEST_F(CompletionRelayTest, DeadEngineIsContinuedElsewhereBehindWhatWasDelivered)
 {
   const ScriptedEngine dying({ Behaviour{ 2 }, Behaviour{ 0 } });
