--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -23,8 +23,6 @@
 int
 RunPolicyBench(const std::vector<std::string>& aArguments);
 
-// Adds one row to the table in Main.cpp for each bench; declare it here.
-
 // Admission, retries and claims: goodput under overload, recovery, fairness, claims a second.
 int
 RunRequests(const std::vector<std::string>& aArguments);
--- a/test/program/CompletionRelayTest.cpp
+++ b/test/program/CompletionRelayTest.cpp
@@ -38,6 +38,9 @@
     return this->target.Record(aId, TargetKind::Engine);
   }
 
+  // Set before the first call; runs at each.
+  std::function<void()> onCall;
+
   // The prompts that came, in order.
   std::vector<EnginePrompt> Prompts() const
   {
@@ -49,6 +52,9 @@
   HttpResponse Answer(const HttpRequest& aRequest)
   {
     const EnginePrompt prompt = ParseEnginePrompt(aRequest.body).value();
+    if (this->onCall) {
+      this->onCall();
+    }
     absl::MutexLock lock(&this->mutex);
     const std::size_t call = std::min(this->prompts.size(), this->script.size() - 1);
     const Behaviour behaviour = this->script[call];
@@ -128,6 +134,15 @@
     return events;
   }
 
+  // Lets the first engine have the first call; the other appears with it.
+  void StartWith(ScriptedEngine& aFirst, const TargetRecord& aOther)
+  {
+    const TargetRecord first = aFirst.Record("e-1");
+    aFirst.onCall = [=, this] { this->SetTargets({ first, aOther }); };
+    this->SetTargets({ first });
+    this->StartHost();
+  }
+
   static bool HoldsWhole(const HttpAnswer& aAnswer)
   {
     return aAnswer.body.find("\"text\":\"" + kWhole + "\"") != std::string::npos;
@@ -155,10 +170,9 @@
 
 TEST_F(CompletionRelayTest, DeadEngineIsContinuedElsewhereBehindWhatWasDelivered)
 {
-  const ScriptedEngine dying({ Behaviour{ 2 }, Behaviour{ 0 } });
+  ScriptedEngine dying({ Behaviour{ 2 }, Behaviour{ 0 } });
   const ScriptedEngine other({ Behaviour() });
-  this->SetTargets({ dying.Record("e-1"), other.Record("e-2") });
-  this->StartHost();
+  this->StartWith(dying, other.Record("e-2"));
   EXPECT_TRUE(HoldsWhole(this->Prompt()));
   ASSERT_EQ(other.Prompts().size(), 1U);
   EXPECT_EQ(other.Prompts()[0].delivered, "0,1,");
@@ -167,12 +181,11 @@
 
 TEST_F(CompletionRelayTest, RunIsNotContinuedOnAnotherWeightVersion)
 {
-  const ScriptedEngine dying({ Behaviour{ 2 }, Behaviour{ 0 } });
+  ScriptedEngine dying({ Behaviour{ 2 }, Behaviour{ 0 } });
   const ScriptedEngine other({ Behaviour() });
   TargetRecord newer = other.Record("e-2");
   newer.models[0].version = WeightVersion("v2");
-  this->SetTargets({ dying.Record("e-1"), newer });
-  this->StartHost();
+  this->StartWith(dying, newer);
   const HttpAnswer answer = this->Prompt();
   EXPECT_EQ(answer.status, 502);
   EXPECT_TRUE(other.Prompts().empty());
