--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -31,8 +31,13 @@
 // What one record of a counter, a sample or a service level costs.
 int
 RunMetrics(const std::vector<std::string>& aArguments);
+
 // What one routing decision, naming a prompt and keeping a directory take.
 int
 RunReuseBench(const std::vector<std::string>& aArguments);
 
+// Admission, retries and claims: goodput under overload, recovery, fairness, claims a second.
+int
+RunRequests(const std::vector<std::string>& aArguments);
+
 } // namespace damasklink::bench
--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -23,6 +23,7 @@
     "a large tree, its changes and their spread",
     damasklink::bench::RunConfiguration },
   { "slopes", "state, processor time and bytes as they grow", damasklink::bench::RunSlopes },
+  { "requests", "goodput, recovery, retries, fairness, claims", damasklink::bench::RunRequests },
   { "relay", "what relaying costs; run it by tools/bench-relay", damasklink::bench::RunRelay },
   { "policy", "routing and reuse against baselines", damasklink::bench::RunPolicyBench },
   { "metrics", "what recording a metric costs", damasklink::bench::RunMetrics },
--- a/src/program/ServiceRelay.cpp
+++ b/src/program/ServiceRelay.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 
 #include "Responses.h"
-#include "damasklink/coordination/ClaimRefusal.h"
-#include "damasklink/state/Digests.h"
 #include "damasklink/state/Text.h"
 #include "damasklink/transport/Log.h"
 
@@ -24,12 +22,6 @@
   return slash == std::string_view::npos ? "/" : std::string(target.substr(slash));
 }
 
-Digest
-BodyDigest(const HttpRequest& aRequest)
-{
-  return DigestOf(Concat(aRequest.method, " ", aRequest.target, "\n", aRequest.body));
-}
-
 std::vector<TargetRecord>
 TargetsOf(const TrafficView& aView, const ServiceName& aName)
 {
@@ -42,38 +34,30 @@
   return targets;
 }
 
-HttpResponse
-ReplayResponse(const KeptAnswer& aAnswer)
-{
-  HttpResponse response;
-  response.status = aAnswer.status;
-  response.contentType = aAnswer.contentType;
-  response.body = aAnswer.body;
-  response.headers.emplace_back("idempotent-replay", "true");
-  return response;
-}
-
 } // namespace
 
-ServiceRelay::ServiceRelay(ServiceContext aContext, ServiceCall aCall)
+ServiceRelay::ServiceRelay(const RelayContext& aContext, ServiceCall aCall)
   : context(aContext)
   , call(std::move(aCall))
+  , running(aContext.state)
+  , meter(aContext.host.metrics, aContext.host.clock, call.policy)
   , deadline(aContext.host.clock.MonotonicNow() + call.route.timeout)
+  , place(aContext.admission)
 {
 }
 
 HttpResponse
 ServiceRelay::Run()
 {
-  const IdempotencyKey key(this->call.request.Header("idempotency-key"));
-  if (!key.Empty()) {
-    if (auto refused = this->ClaimKey(key)) {
-      return std::move(*refused);
-    }
+  if (auto refused = this->Enter()) {
+    return std::move(*refused);
+  }
+  if (auto ended = this->ClaimKey()) {
+    return std::move(*ended);
   }
   auto answer = this->SendToSomeTarget();
   if (!answer) {
-    return this->Failure(answer.error());
+    return this->Failure(CallerError{ answer.error(), this->record.Outcome(), std::nullopt });
   }
   HttpResponse response;
   response.status = answer.value().status;
@@ -82,41 +66,60 @@
   if (this->ticket != nullptr) {
     this->ticket->Finish(KeptAnswer{ response.status, response.contentType, response.body });
   }
+  this->meter.OnServed();
+  this->place.NoteAnswered();
   return response;
 }
 
 std::optional<HttpResponse>
-ServiceRelay::ClaimKey(const IdempotencyKey& aKey)
+ServiceRelay::Enter()
+{
+  AdmissionCall asked{ this->call.policy, PoolId("service/" + this->call.route.name.Value()) };
+  asked.targets = this->Targets();
+  asked.priority = this->call.priority;
+  asked.deadline = this->deadline;
+  auto refusal = this->place.Enter(asked);
+  if (!refusal) {
+    return std::nullopt;
+  }
+  return this->Failure(*refusal);
+}
+
+std::vector<TargetRecord>
+ServiceRelay::Targets() const
+{
+  return TargetsOf(*this->context.host.views.Get(), this->call.route.name);
+}
+
+std::optional<HttpResponse>
+ServiceRelay::ClaimKey()
 {
   KeyedCall keyed;
   keyed.workspace = this->call.policy.workspace;
-  keyed.key = aKey;
+  keyed.key = IdempotencyKey(this->call.request.Header("idempotency-key"));
   keyed.attempt = AttemptId(this->call.id.Value());
-  keyed.body = BodyDigest(this->call.request);
+  keyed.body = CallDigest(this->call.request);
   keyed.lease = this->call.route.timeout + kLeaseSlack;
   keyed.wait = this->TimeLeft();
-  auto entrance = this->context.claims.Enter(keyed, this->record);
-  if (!entrance) {
-    return this->Failure(entrance.error(), std::chrono::seconds(1));
-  }
-  const ClaimReply& reply = entrance.value().reply;
-  if (reply.verdict == ClaimVerdict::Granted) {
-    this->ticket = std::move(entrance.value().ticket);
+  if (keyed.key.Empty()) {
     return std::nullopt;
   }
-  if (reply.verdict == ClaimVerdict::Kept && reply.answer) {
-    return ReplayResponse(*reply.answer);
+  ClaimEntrance entrance = this->context.claims.Enter(keyed, this->record);
+  if (entrance.refusal) {
+    return this->Failure(*entrance.refusal);
+  }
+  if (entrance.kept) {
+    this->meter.OnServed();
+    return ReplayResponse(*entrance.kept);
   }
-  const ClaimRefusal refusal = RefusalOf(reply);
-  this->record.NoteEarlier(refusal.earlier);
-  return this->Failure(refusal.error, refusal.retryAfter);
+  this->ticket = std::move(entrance.ticket);
+  return std::nullopt;
 }
 
 Result<HttpAnswer>
 ServiceRelay::SendToSomeTarget()
 {
-  const auto view = this->context.host.views.Get();
-  const std::vector<TargetRecord> targets = TargetsOf(*view, this->call.route.name);
+  const std::vector<TargetRecord> targets = this->context.admission.Usable(this->Targets());
   Error lastError{ ErrorKind::Unavailable,
                    Concat("service '", this->call.route.name.Value(), "' has no target now"),
                    "try again shortly" };
@@ -124,32 +127,52 @@
     targets.empty() ? 0 : std::hash<RequestId>{}(this->call.id) % targets.size();
   for (std::size_t index = 0; index < targets.size(); ++index) {
     auto answer = this->SendTo(targets[(start + index) % targets.size()]);
-    const bool mayRepeat = this->record.Outcome() == RunOutcome::NotRun;
-    if (answer || !mayRepeat || this->TimeLeft() <= Duration(0)) {
+    if (answer || !this->MayRepeat()) {
       return answer;
     }
+    this->meter.OnRetry();
     lastError = answer.error();
   }
   return Fail(lastError);
 }
 
+// What surely did not run may be sent again, and so may what does no harm twice; both only within
+// the retry budget of this host.
+bool
+ServiceRelay::MayRepeat() const
+{
+  const bool notRun = this->record.Outcome() == RunOutcome::NotRun;
+  const bool harmless = this->call.route.idempotent && this->ticket == nullptr;
+  const bool wanted = this->TimeLeft() > Duration(0) && !this->context.state.MustStop();
+  return wanted && (notRun || harmless) && this->context.state.TakeRetry();
+}
+
 Result<HttpAnswer>
 ServiceRelay::SendTo(const TargetRecord& aTarget)
 {
   const std::size_t number = this->record.Attempts().size() + 1;
   const AttemptId attempt(Concat(this->call.id.Value(), "-", number));
   this->record.Begin(attempt, aTarget.id);
+  AdmissionDesk& desk = this->context.admission;
+  desk.OnStart(aTarget.id);
+  const MonotonicTime begun = this->context.host.clock.MonotonicNow();
   auto connected = HttpExchange::Connect(this->MakeCall(aTarget, attempt));
   if (!connected) {
+    desk.OnEnd(aTarget.id, AttemptLoad::Failed, HealthSign::Bad, Duration(0));
     return Fail(connected.error());
   }
   const MonotonicTime now = this->context.host.clock.MonotonicNow();
   if (this->ticket != nullptr && !this->ticket->Leased(now)) {
+    desk.OnEnd(aTarget.id, AttemptLoad::Failed, HealthSign::None, Duration(0));
     return Fail(ErrorKind::DeadlineExceeded, "the claim of the key ran out", "try again");
   }
   this->record.Advance(AttemptStage::Sending);
   auto answer = this->Exchange(*connected.value());
   this->record.Advance(answer ? AttemptStage::Finished : AttemptStage::Lost);
+  desk.OnEnd(aTarget.id,
+             answer ? AttemptLoad::Served : AttemptLoad::Failed,
+             answer ? HealthSign::Good : HealthSign::Bad,
+             this->context.host.clock.MonotonicNow() - begun);
   return answer;
 }
 
@@ -208,14 +231,15 @@
 }
 
 HttpResponse
-ServiceRelay::Failure(Error aError, std::optional<Duration> aRetryAfter) const
+ServiceRelay::Failure(const CallerError& aFailure)
 {
+  this->meter.OnFailure(aFailure);
   LogEvent(LogLevel::Warning, "service_call_failed")
     .With("request", this->call.id)
     .With("service", this->call.route.name)
-    .With("outcome", RunOutcomeName(this->record.Outcome()))
-    .With("error", aError);
-  return ErrorResponse(CallerError{ std::move(aError), this->record.Outcome(), aRetryAfter });
+    .With("outcome", RunOutcomeName(aFailure.outcome))
+    .With("error", aFailure.error);
+  return ErrorResponse(aFailure);
 }
 
 Duration
