--- a/standin/Engine.cpp
+++ b/standin/Engine.cpp
@@ -29,6 +29,13 @@
   std::this_thread::sleep_for(std::chrono::duration<double>(aSeconds));
 }
 
+// Rounded up as the tokenizer does, or more tokens could be cached than there are.
+std::size_t
+CountTokens(const std::string& aText)
+{
+  return (aText.size() + kBytesPerToken - 1) / kBytesPerToken;
+}
+
 } // namespace
 
 Engine::Engine(EngineOptions aOptions)
@@ -109,7 +116,7 @@
   frame.offset = aPrompt.maxTokens;
   frame.end = true;
   frame.finishReason = "length";
-  frame.usage = { TokenCount(aPrompt.prompt.size() / kBytesPerToken),
+  frame.usage = { TokenCount(CountTokens(aPrompt.prompt)),
                   TokenCount(aPrompt.maxTokens),
                   TokenCount(reused) };
   return aWriter.Write(Concat("data: ", FormatAnswerFrame(frame), "\n\ndata: [DONE]\n\n"));
@@ -118,8 +125,7 @@
 std::size_t
 Engine::Prefill(const EnginePrompt& aPrompt)
 {
-  // Rounded up as the tokenizer does, or more tokens could be cached than there are.
-  const std::size_t prompt = (aPrompt.prompt.size() + kBytesPerToken - 1) / kBytesPerToken;
+  const std::size_t prompt = CountTokens(aPrompt.prompt);
   const std::size_t reused = this->cache.Touch(
     { aPrompt.workspace, aPrompt.model, aPrompt.version, aPrompt.adapter }, aPrompt.prompt);
   SleepSeconds(static_cast<double>(prompt - reused) / this->options.prefillTokensPerSecond);
