Prompts that fit other targets wait in a pool of their own

Cause: all prompts of a model shared one pool, and each set its capacity to that of its own targets, so a prompt for a version on one target held back prompts for all. Change: the pool is named by model, version and adapter, by the model alone while no target serves it. Ruled out: a pool for each set of targets, which would grow as targets come and go.

--- a/src/program/CompletionRelay.cpp
+++ b/src/program/CompletionRelay.cpp
@@ -63,8 +63,9 @@
 {
   const double tokens =
     static_cast<double>(this->route.promptTokens.Value() + this->call.request.maxTokens);
-  AdmissionCall asked{ this->call.policy, PoolId("model/" + this->route.model.Value()) };
-  asked.targets = this->Eligible();
+  std::vector<TargetRecord> eligible = this->Eligible();
+  AdmissionCall asked{ this->call.policy, this->Pool(eligible.empty()) };
+  asked.targets = std::move(eligible);
   asked.priority = this->call.priority;
   asked.promptTokens = this->route.promptTokens;
   asked.cost = 1 + tokens / kTokensPerCost;
@@ -76,6 +77,17 @@
   return refusal;
 }
 
+// Versions and adapters that no target has would make pools without end.
+PoolId
+CompletionRelay::Pool(bool aNoTarget) const
+{
+  const std::string model = "model/" + this->route.model.Value();
+  if (aNoTarget) {
+    return PoolId(model);
+  }
+  return PoolId(Concat(model, "@", this->route.version.Value(), "+", this->route.adapter.Value()));
+}
+
 std::optional<HttpResponse>
 CompletionRelay::Claim()
 {
--- a/src/program/CompletionRelay.h
+++ b/src/program/CompletionRelay.h
@@ -83,6 +83,8 @@
   Result<void> Recover(Error aError);
   Result<void> TakeStep(RelayStep aStep);
 
+  // Requests of one pool fit the same targets, but for what their grants allow.
+  PoolId Pool(bool aNoTarget) const;
   // Targets that could take the request, whatever their health.
   std::vector<TargetRecord> Eligible() const;
   // Closes the books on the attempt, if they are open.
