apply asks for the holders of keys before it sends anything

Cause: 'all checked before any is sent' did not hold for a key that a workspace outside the folder has; the group refused that subtree after others were in. Engines that are not usable no longer count as served in a rollout's progress.

--- a/include/damasklink/protocol/OperatorApi.h
+++ b/include/damasklink/protocol/OperatorApi.h
@@ -78,6 +78,26 @@
 Result<std::vector<HistoryEntry>>
 ParseHistory(std::string_view aBody);
 
+// Which workspace holds a key in the tree in force.
+struct KeyHolder
+{
+  Digest key;
+  WorkspaceId workspace;
+
+  bool operator==(const KeyHolder&) const = default;
+};
+
+// The question for the holders of keys; keys that nobody holds are left out of the answer.
+std::string
+FormatKeys(const std::vector<Digest>& aKeys);
+Result<std::vector<Digest>>
+ParseKeys(std::string_view aBody);
+
+std::string
+FormatKeyHolders(const std::vector<KeyHolder>& aHolders);
+Result<std::vector<KeyHolder>>
+ParseKeyHolders(std::string_view aBody);
+
 // Where a revision is in force, as far as the asked host could learn.
 struct InForceReport
 {
--- a/src/coordination/TargetOrders.cpp
+++ b/src/coordination/TargetOrders.cpp
@@ -266,7 +266,7 @@
     std::size_t done = 0;
     for (const TargetId& target : deployment.targets) {
       const TargetRecord* record = aTargets.Find(target);
-      done += record != nullptr && HasWishedEnd(*record, deployment) ? 1 : 0;
+      done += aTargets.IsUsable(target) && HasWishedEnd(*record, deployment) ? 1 : 0;
     }
     const std::string counts =
       Concat(done, " of ", deployment.targets.size(), " engines as wished");
--- a/src/program/ConfigClient.cpp
+++ b/src/program/ConfigClient.cpp
@@ -90,6 +90,16 @@
   return ParseSubtreeView(body.value());
 }
 
+Result<std::vector<KeyHolder>>
+ConfigClient::KeyHolders(const std::vector<Digest>& aKeys)
+{
+  auto body = this->Call("POST", "/v1/config/key-holders", FormatKeys(aKeys));
+  if (!body) {
+    return Fail(body.error());
+  }
+  return ParseKeyHolders(body.value());
+}
+
 Result<std::vector<HistoryEntry>>
 ConfigClient::History(const std::string& aSubtree, const std::string& aMost)
 {
@@ -191,6 +201,38 @@
   return made;
 }
 
+std::vector<Digest>
+KeysOf(const ConfigTree& aTree)
+{
+  std::vector<Digest> keys;
+  for (const auto& [id, workspace] : aTree.workspaces) {
+    for (const auto& [teamId, team] : workspace.teams) {
+      keys.insert(keys.end(), team.keys.begin(), team.keys.end());
+    }
+  }
+  return keys;
+}
+
+// Prints each key that a workspace outside the tree holds. Between the workspaces of the tree the
+// files themselves were checked.
+ExitCode
+CheckKeyHolders(ConfigClient& aClient, const ConfigTree& aTree)
+{
+  auto holders = aClient.KeyHolders(KeysOf(aTree));
+  if (!holders) {
+    return aClient.Report(holders.error());
+  }
+  ExitCode code = ExitCode::Done;
+  for (const KeyHolder& holder : holders.value()) {
+    if (!aTree.workspaces.contains(holder.workspace)) {
+      std::cerr << "key " << holder.key << " belongs to workspace '" << holder.workspace
+                << "'; give each team keys of its own\n";
+      code = ExitCode::Refused;
+    }
+  }
+  return code;
+}
+
 } // namespace
 
 ExitCode
@@ -213,6 +255,10 @@
     std::cerr << "damasklink: nothing was applied\n";
     return ExitCode::Refused;
   }
+  if (const ExitCode keys = CheckKeyHolders(aClient, parsed.value); keys != ExitCode::Done) {
+    std::cerr << "damasklink: nothing was applied\n";
+    return keys;
+  }
   const auto madeFrom = MadeFrom(sources.value(), defaults.value());
   for (Subtree& subtree : SplitTree(parsed.value)) {
     auto view = aClient.Get(subtree.name);
--- a/src/program/ConfigClient.h
+++ b/src/program/ConfigClient.h
@@ -25,6 +25,7 @@
   Result<Revision> Change(const ChangeRequest& aRequest);
   Result<SubtreeList> List();
   Result<SubtreeView> Get(const SubtreeName& aName);
+  Result<std::vector<KeyHolder>> KeyHolders(const std::vector<Digest>& aKeys);
   Result<std::vector<HistoryEntry>> History(const std::string& aSubtree, const std::string& aMost);
   Result<HostStatus> Status();
   Result<InForceReport> InForce(Revision aRevision, const std::string& aWait);
--- a/src/program/ConfigurationApi.cpp
+++ b/src/program/ConfigurationApi.cpp
@@ -73,6 +73,7 @@
   this->AddRoute(aOperators, "POST", "/v1/config/changes", &ConfigurationApi::Apply);
   this->AddRoute(aOperators, "GET", "/v1/config/subtrees", &ConfigurationApi::List);
   this->AddRoute(aOperators, "GET", "/v1/config/subtrees/(.+)", &ConfigurationApi::Get);
+  this->AddRoute(aOperators, "POST", "/v1/config/key-holders", &ConfigurationApi::KeyHolders);
   this->AddRoute(aOperators, "GET", "/v1/config/history", &ConfigurationApi::History);
   this->AddRoute(aOperators, "GET", "/v1/config/status", &ConfigurationApi::Status);
   this->AddRoute(aOperators, "GET", "/v1/config/in-force", &ConfigurationApi::InForce);
@@ -187,6 +188,24 @@
   return view ? JsonResponse(FormatSubtreeView(view.value())) : RefusalResponse(view.error());
 }
 
+HttpResponse
+ConfigurationApi::KeyHolders(const HttpRequest& aRequest)
+{
+  auto keys = ParseKeys(aRequest.body);
+  if (!keys) {
+    return RefusalResponse(keys.error());
+  }
+  // The picture of traffic threads is the tree in force, by key.
+  const auto view = this->context.views.Get();
+  std::vector<KeyHolder> holders;
+  for (const Digest& key : keys.value()) {
+    if (const ResolvedPolicy* policy = view->callers->Find(key)) {
+      holders.push_back(KeyHolder{ key, policy->workspace });
+    }
+  }
+  return JsonResponse(FormatKeyHolders(holders));
+}
+
 HttpResponse
 ConfigurationApi::History(const HttpRequest& aRequest)
 {
--- a/src/program/ConfigurationApi.h
+++ b/src/program/ConfigurationApi.h
@@ -32,6 +32,7 @@
   HttpResponse Apply(const HttpRequest& aRequest);
   HttpResponse List(const HttpRequest& aRequest);
   HttpResponse Get(const HttpRequest& aRequest);
+  HttpResponse KeyHolders(const HttpRequest& aRequest);
   HttpResponse History(const HttpRequest& aRequest);
   HttpResponse Status(const HttpRequest& aRequest);
   HttpResponse InForce(const HttpRequest& aRequest);
--- a/src/protocol/OperatorApi.cpp
+++ b/src/protocol/OperatorApi.cpp
@@ -69,18 +69,19 @@
   return list;
 }
 
-std::vector<HostId>
-ReadHosts(FieldReader& aFields, const char* aName)
+template<typename IdType>
+std::vector<IdType>
+ReadIds(FieldReader& aFields, const char* aName)
 {
-  std::vector<HostId> hosts;
+  std::vector<IdType> ids;
   for (const Json& item : aFields.Items(aName)) {
     if (!item.is_string()) {
       aFields.Note(aName, "holds an entry that is not a text");
       break;
     }
-    hosts.emplace_back(item.get<std::string>());
+    ids.emplace_back(item.get<std::string>());
   }
-  return hosts;
+  return ids;
 }
 
 // Reads a list of objects with aRead, and notes the first problem of any.
@@ -307,6 +308,43 @@
   return Finish(fields, std::move(entries));
 }
 
+std::string
+FormatKeys(const std::vector<Digest>& aKeys)
+{
+  return Dump(Json{ { "keys", IdsJson(aKeys) } });
+}
+
+Result<std::vector<Digest>>
+ParseKeys(std::string_view aBody)
+{
+  const Json body = ParseObject(aBody);
+  FieldReader fields(body);
+  auto keys = ReadIds<Digest>(fields, "keys");
+  return Finish(fields, std::move(keys));
+}
+
+std::string
+FormatKeyHolders(const std::vector<KeyHolder>& aHolders)
+{
+  Json list = Json::array();
+  for (const KeyHolder& holder : aHolders) {
+    list.push_back(
+      Json{ { "key", holder.key.Value() }, { "workspace", holder.workspace.Value() } });
+  }
+  return Dump(Json{ { "holders", list } });
+}
+
+Result<std::vector<KeyHolder>>
+ParseKeyHolders(std::string_view aBody)
+{
+  const Json body = ParseObject(aBody);
+  FieldReader fields(body);
+  auto holders = ReadObjects<KeyHolder>(fields, "holders", [](FieldReader& aItem) {
+    return KeyHolder{ Digest(aItem.Text("key")), WorkspaceId(aItem.Text("workspace")) };
+  });
+  return Finish(fields, std::move(holders));
+}
+
 std::string
 FormatInForceReport(const InForceReport& aReport)
 {
@@ -322,8 +360,8 @@
   FieldReader fields(body);
   InForceReport report;
   report.revision = Revision(fields.Count("revision"));
-  report.inForce = ReadHosts(fields, "in_force");
-  report.missing = ReadHosts(fields, "missing");
+  report.inForce = ReadIds<HostId>(fields, "in_force");
+  report.missing = ReadIds<HostId>(fields, "missing");
   return Finish(fields, std::move(report));
 }
 
