A peer's question is not its answer; only what is in force is reported

Cause: any message of a peer counted as its answer to a started host, also its own question. Of hosts that start together one could put an older tree from its disk in force before it had the newer one. Also: a host that has not joined no longer reports a revision as in force; a stop of a rollout that the group could not take is proposed again; hashes of forgotten targets are forgotten too.

Mutation: question taken for an answer -> ConfigSpreadTest.QuestionOfAPeerIsNotItsAnswer failed.

--- a/include/damasklink/coordination/ConfigSpread.h
+++ b/include/damasklink/coordination/ConfigSpread.h
@@ -115,6 +115,8 @@
   const RevisionedTree& Tree() const { return this->tree; }
   // Whether the tree is in force; before that this host serves nobody.
   bool Joined() const { return this->joined; }
+  // Returns the revision that is in force on this host, zero before it joined.
+  Revision InForce() const;
   // Returns how long ago the leader was known to agree with this host's revision.
   Duration ConfirmedAge() const;
   bool Stale() const { return this->ConfirmedAge() > kStaleAfter; }
--- a/include/damasklink/coordination/TargetOrders.h
+++ b/include/damasklink/coordination/TargetOrders.h
@@ -102,6 +102,9 @@
 
   void OnSent(const TargetId& aTarget, OrderOutcome aOutcome);
 
+  // The group could not remember the stop; it is asked again.
+  void OnStopLost(const DeploymentName& aDeployment) { this->stopping.erase(aDeployment); }
+
   std::vector<DeploymentProgress> Progress(const DeploymentSet& aDeployments,
                                            const TargetRegistry& aTargets) const;
 
--- a/src/coordination/ConfigSpread.cpp
+++ b/src/coordination/ConfigSpread.cpp
@@ -86,8 +86,12 @@
       this->TakeDelta(aFrom, aMessage);
       return;
     case ConfigMessageKind::Ask:
+      // What the asker holds need not be in force there, and it still owes its answer.
       this->Answer(aFrom, aMessage.revision);
-      break;
+      if (aMessage.revision > this->tree.Current()) {
+        this->AskLimited(aFrom);
+      }
+      return;
     case ConfigMessageKind::Deltas:
       this->TakeDeltas(aMessage);
       break;
@@ -173,6 +177,12 @@
   return std::exchange(this->outgoing, {});
 }
 
+Revision
+ConfigSpread::InForce() const
+{
+  return this->joined ? this->tree.Current() : Revision();
+}
+
 Duration
 ConfigSpread::ConfirmedAge() const
 {
@@ -275,7 +285,9 @@
 ConfigSpread::Answer(const HostId& aFrom, Revision aHeld)
 {
   if (aHeld >= this->tree.Current()) {
-    this->Send(aFrom, this->MakeMessage(ConfigMessageKind::Report));
+    ConfigMessage report = this->MakeMessage(ConfigMessageKind::Report);
+    report.revision = this->InForce();
+    this->Send(aFrom, std::move(report));
     return;
   }
   if (!this->CanCatchUp(aHeld)) {
--- a/src/coordination/TargetSpread.cpp
+++ b/src/coordination/TargetSpread.cpp
@@ -156,6 +156,8 @@
   this->registry.Expire();
   std::erase_if(this->homes,
                 [this](const auto& aItem) { return this->registry.Find(aItem.first) == nullptr; });
+  std::erase_if(this->byHash,
+                [this](const auto& aItem) { return this->registry.Find(aItem.second) == nullptr; });
 }
 
 void
--- a/src/program/ConfigurationApi.cpp
+++ b/src/program/ConfigurationApi.cpp
@@ -297,7 +297,7 @@
   InForceReport report;
   report.revision = aRevision;
   for (const PeerSettings& peer : this->context.settings.peers) {
-    Revision held = spread.Tree().Current();
+    Revision held = spread.InForce();
     if (peer.host != this->context.settings.host) {
       const auto found = spread.PeerRevisions().find(peer.host);
       held = found == spread.PeerRevisions().end() ? Revision() : found->second;
--- a/src/program/MembershipModule.cpp
+++ b/src/program/MembershipModule.cpp
@@ -51,7 +51,7 @@
 MembershipModule::Send(const HostId& aTo)
 {
   Heartbeat heartbeat = this->membership.MakeHeartbeat();
-  heartbeat.revision = this->spread.Tree().Current();
+  heartbeat.revision = this->spread.InForce();
   heartbeat.confirmedAge = this->spread.ConfirmedAge();
   this->context.peers.Send(
     aTo, PeerMessage{ Channel::Membership, GroupId(), EncodeHeartbeat(heartbeat) });
--- a/src/program/OrdersModule.cpp
+++ b/src/program/OrdersModule.cpp
@@ -122,7 +122,11 @@
                        MachinePart::Orders,
                        PackStopRollout(aStop.deployment, aStop.wish, aStop.reason),
                        kProposalTimeout,
-                       [](const Result<std::string>&) {});
+                       [this, name = aStop.deployment](const Result<std::string>& aAnswer) {
+                         if (!aAnswer) {
+                           this->orders.OnStopLost(name);
+                         }
+                       });
 }
 
 } // namespace damasklink
--- a/test/coordination/ConfigSpreadTest.cpp
+++ b/test/coordination/ConfigSpreadTest.cpp
@@ -112,7 +112,7 @@
       Node& node = *this->nodes[index];
       if (node.membership.TakeTurn()) {
         Heartbeat beat = node.membership.MakeHeartbeat();
-        beat.revision = node.spread.Tree().Current();
+        beat.revision = node.spread.InForce();
         beat.confirmedAge = node.spread.ConfirmedAge();
         const std::size_t to = IndexOf(node.membership.Partner());
         if (this->Reaches(index, to) && aDeliver() > 0) {
@@ -313,6 +313,23 @@
   EXPECT_EQ(hosts.At(5).Tree().Current(), Revision(3));
 }
 
+TEST(ConfigSpreadTest, QuestionOfAPeerIsNotItsAnswer)
+{
+  FakeHosts hosts;
+  RevisionedTree old;
+  old.Apply(ChangeAt(3));
+  hosts.At(3).OnTree(old);
+  ConfigMessage ask;
+  ask.kind = ConfigMessageKind::Ask;
+  ask.revision = Revision(9);
+  for (std::size_t peer = 0; peer < kHosts; ++peer) {
+    hosts.At(3).OnMessage(HostName(peer), ask);
+  }
+  hosts.At(3).OnTick(false);
+  EXPECT_FALSE(hosts.At(3).Joined()) << "revision 3 must not come into force";
+  EXPECT_EQ(hosts.At(3).InForce(), Revision());
+}
+
 TEST(ConfigSpreadTest, LowerTreeAndLowerChangeAreNeverInstalled)
 {
   FakeHosts hosts;
