--- a/tools/fault_callers.py
+++ b/tools/fault_callers.py
@@ -14,6 +14,9 @@
 MODEL = "plates-7b"
 MOST_PROMPT_BYTES = 4000
 MOST_ANSWER_TOKENS = 24
+# Prompts that return, out of the last ones that a caller sent.
+SHARE_RETURNING = 0.4
+MOST_EARLIER = 30
 
 
 class Counts:
@@ -60,12 +63,23 @@
 
 
 class PromptCaller(Caller):
-    """Sends prompts and checks that each answer is whole and its own."""
+    """Sends prompts, many of which return, and checks that each answer is whole and its own."""
 
-    def send(self, sent):
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.earlier = []
+
+    def choose_prompt(self, sent):
+        if self.earlier and self.random.random() < SHARE_RETURNING:
+            return self.random.choice(self.earlier)
         length = self.random.randrange(8, MOST_PROMPT_BYTES)
-        tokens = self.random.randrange(1, MOST_ANSWER_TOKENS)
         prompt = f"{self.workspace.name} {self.number} {sent} ".ljust(length, "x")
+        self.earlier = [*self.earlier[-MOST_EARLIER:], prompt]
+        return prompt
+
+    def send(self, sent):
+        tokens = self.random.randrange(1, MOST_ANSWER_TOKENS)
+        prompt = self.choose_prompt(sent)
         self.counts.add("prompt requests")
         for host in self.hosts_in_some_order():
             result = stream(
@@ -73,14 +87,16 @@
             )
             if result.connected:
                 break
-        self.judge(result, prompt, tokens)
+        self.judge(result, host, prompt, tokens)
 
-    def judge(self, result, prompt, tokens):
+    def judge(self, result, host, prompt, tokens):
         if result.whole():
             expected = "".join(f"t{index} " for index in range(tokens))
             own = result.usage.get("prompt_tokens") == len(prompt) // 4
             if result.text == expected and own:
                 self.counts.add("prompt whole")
+                if result.usage.get("prompt_tokens_details", {}).get("cached_tokens", 0) > 0:
+                    self.counts.add("prompt reused")
             else:
                 self.counts.add("wrong answer", f"{result.text[:80]!r} {result.usage}")
             return
@@ -88,7 +104,8 @@
             self.counts.add("wrong answer", f"end mark after {result.error}")
             return
         outcome = (result.error or {}).get("outcome", "")
-        self.counts.add(f"prompt {outcome}" if outcome else "prompt lost")
+        told = outcome or "lost"
+        self.counts.add(f"prompt {told}", f"{host.name}: {result.error}")
 
 
 class Job:
@@ -169,4 +186,4 @@
             # A caller that tried before cannot take "not run" for its earlier tries.
             if self.persistent and job.told == "not_run":
                 job.told = "given up"
-        self.counts.add(f"job {job.told}")
+        self.counts.add(f"job {job.told}", answer.error)
