The stand-in engine counts the last, partial token of a prompt

Found by the fault run once prompts return: a cached prompt whose length is 1 to 3 bytes short of a block was counted with more reused tokens than prompt tokens, the difference wrapped around and the engine slept for ever, so that its callers timed out and a graceful stop took 30 s. Its tokens are now rounded up like the tokenizer's.

--- a/standin/Engine.cpp
+++ b/standin/Engine.cpp
@@ -118,7 +118,8 @@
 std::size_t
 Engine::Prefill(const EnginePrompt& aPrompt)
 {
-  const std::size_t prompt = aPrompt.prompt.size() / kBytesPerToken;
+  // Rounded up as the tokenizer does, or more tokens could be cached than there are.
+  const std::size_t prompt = (aPrompt.prompt.size() + kBytesPerToken - 1) / kBytesPerToken;
   const std::size_t reused = this->cache.Touch(
     { aPrompt.workspace, aPrompt.model, aPrompt.version, aPrompt.adapter }, aPrompt.prompt);
   SleepSeconds(static_cast<double>(prompt - reused) / this->options.prefillTokensPerSecond);
--- a/tools/fault_callers.py
+++ b/tools/fault_callers.py
@@ -92,7 +92,7 @@
     def judge(self, result, host, prompt, tokens):
         if result.whole():
             expected = "".join(f"t{index} " for index in range(tokens))
-            own = result.usage.get("prompt_tokens") == len(prompt) // 4
+            own = result.usage.get("prompt_tokens") == (len(prompt) + 3) // 4
             if result.text == expected and own:
                 self.counts.add("prompt whole")
                 if result.usage.get("prompt_tokens_details", {}).get("cached_tokens", 0) > 0:
