Targets count as equal by the time to the first token, not by the whole cost

Cause: a quarter of the cost of a long prompt of a subtree that weighs recompute stood for seconds of waiting, so that busy targets passed for equal ones.

--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -27,6 +27,7 @@
 // Memory, times and bytes of the configuration. The argument is the first of 90 free ports.
 int
 RunConfiguration(const std::vector<std::string>& aArguments);
+
 // What one routing decision, naming a prompt and keeping a directory take.
 int
 RunReuseBench(const std::vector<std::string>& aArguments);
--- a/bench/ReuseBench.cpp
+++ b/bench/ReuseBench.cpp
@@ -154,7 +154,8 @@
   const double perBlock = bytes / static_cast<double>(kDirectoryBlocks);
   std::cout << "directory blocks=" << owned.Directory().Size() << " bytes_per_block=" << perBlock
             << " bytes_per_prompt_of_8000_tokens="
-            << perBlock * static_cast<double>(kPromptTokens / kBlockTokens) << '\n';
+            << perBlock * (static_cast<double>(kPromptTokens) / static_cast<double>(kBlockTokens))
+            << '\n';
   std::cout << "handover blocks=" << kDirectoryBlocks << " rebuild_s=" << seconds
             << " (besides: lease 6 s at most, and fetching the inventory)\n";
 }
--- a/include/damasklink/coordination/CostRouter.h
+++ b/include/damasklink/coordination/CostRouter.h
@@ -30,7 +30,8 @@
   Duration reportLag = std::chrono::milliseconds(150);
   // First tokens seen at a target before its learnt rate replaces the declared one.
   std::uint64_t learnAfter = 8;
-  // Targets whose costs differ by no more than this share and as many seconds count as equal.
+  // Targets whose costs differ by no more than this share of the first token's time, and as many
+  // seconds, count as equal.
   double equalShare = 0.25;
   double equalSeconds = 0.004;
   // Blocks believed of each target at most.
--- a/src/coordination/CostRouter.cpp
+++ b/src/coordination/CostRouter.cpp
@@ -142,8 +142,9 @@
   if (least == this->candidates.end() || !this->options.spreadEqual) {
     return least == this->candidates.end() ? nullptr : &*least;
   }
-  const double limit = (least->estimate.cost * (1 + this->options.equalShare)) +
-                       (aRequest.objective.time * this->options.equalSeconds);
+  const double equal =
+    (this->options.equalShare * least->estimate.firstToken) + this->options.equalSeconds;
+  const double limit = least->estimate.cost + (aRequest.objective.time * equal);
   const std::uint64_t prompt = aRequest.blocks.empty() ? 0 : BlockHint(aRequest.blocks.back());
   const Candidate* best = nullptr;
   std::uint64_t bestAffinity = 0;
--- a/test/coordination/CostRouterTest.cpp
+++ b/test/coordination/CostRouterTest.cpp
@@ -143,6 +143,41 @@
   EXPECT_EQ(used.size(), 4U);
 }
 
+TEST_F(CostRouterTest, OwnSendsCountAlthoughAReportLeavesThemOut)
+{
+  auto targets = Targets(2);
+  CostRouterOptions options;
+  options.useCaches = false;
+  CostRouter blind(this->clock, options);
+  const TargetId busy = this->Send(blind, Prompt("a"), targets).target;
+  this->clock.Advance(std::chrono::seconds(1));
+  for (TargetRecord& target : targets) {
+    target.sequence = Sequence(2);
+  }
+  EXPECT_NE(blind.Choose(Prompt("a"), targets).value().target, busy);
+}
+
+TEST_F(CostRouterTest, AnsweredSendsHoldTheirSlotsUntilReported)
+{
+  auto targets = Targets(2);
+  for (TargetRecord& target : targets) {
+    target.load.slots = 1;
+  }
+  CostRouterOptions options;
+  options.useCaches = false;
+  CostRouter blind(this->clock, options);
+  RouteDecision sent = this->Send(blind, Prompt("a"), targets);
+  blind.OnFirstToken(Prompt("a"), sent, milliseconds(2048), TokenCount());
+  this->clock.Advance(std::chrono::seconds(60));
+  blind.OnDone(Prompt("a"), sent, true);
+  for (TargetRecord& target : targets) {
+    target.sequence = Sequence(2);
+  }
+  sent = this->Send(blind, Prompt("a"), targets);
+  blind.OnFirstToken(Prompt("a"), sent, milliseconds(2048), TokenCount());
+  EXPECT_NE(blind.Choose(Prompt("a"), targets).value().target, sent.target);
+}
+
 TEST_F(CostRouterTest, HostsThatSeeTheSameReportDoNotHerd)
 {
   const auto targets = Targets(18);
