--- a/test/coordination/OwnedStoreTest.cpp
+++ b/test/coordination/OwnedStoreTest.cpp
@@ -143,6 +143,17 @@
   EXPECT_EQ(this->owned.Answer(Question(QuestionKind::LookUp)).kept.blocks, 4U);
 }
 
+TEST_F(OwnedStoreTest, AShortWhileWithoutAnEngineWithdrawsNothing)
+{
+  this->Export();
+  this->owned.OnServed({});
+  this->clock.Advance(seconds(61));
+  this->owned.OnServed({ { kModel, kVersion } });
+  this->clock.Advance(seconds(1));
+  this->owned.OnServed({});
+  EXPECT_EQ(this->owned.Answer(Question(QuestionKind::LookUp)).kept.blocks, 4U);
+}
+
 TEST_F(OwnedStoreTest, WithdrawnVersionIsDrainedAndFreed)
 {
   this->Export();
