--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -38,4 +38,12 @@
 int
 RunMetrics(const std::vector<std::string>& aArguments);
 
+// What one routing decision, naming a prompt and keeping a directory take.
+int
+RunReuseBench(const std::vector<std::string>& aArguments);
+
+// Admission, retries and claims: goodput under overload, recovery, fairness, claims a second.
+int
+RunRequests(const std::vector<std::string>& aArguments);
+
 } // namespace damasklink::bench
--- a/src/program/ServiceRelay.h
+++ b/src/program/ServiceRelay.h
@@ -1,20 +1,12 @@
 // Carries one call to a plain service and its answer back to the caller.
 #pragma once
 
-#include "ClaimGate.h"
-#include "HostContext.h"
-#include "damasklink/protocol/ErrorBody.h"
+#include "RelayContext.h"
+#include "RequestMeter.h"
 #include "damasklink/transport/HttpClient.h"
 
 namespace damasklink {
 
-// What every service call of one process shares.
-struct ServiceContext
-{
-  const HostContext& host;
-  ClaimGate& claims;
-};
-
 // A caller's call, as its handler read it.
 struct ServiceCall
 {
@@ -22,6 +14,8 @@
   const ResolvedPolicy& policy;
   const ServiceRoute& route;
   RequestId id;
+  // As the caller asked; 0 goes first.
+  std::uint64_t priority = 0;
 };
 
 // One call from its claim to its end, on one traffic thread.
@@ -34,23 +28,34 @@
 class ServiceRelay
 {
 public:
-  ServiceRelay(ServiceContext aContext, ServiceCall aCall);
+  ServiceRelay(const RelayContext& aContext, ServiceCall aCall);
+
+  // Whether this host still takes new work. Requires it of Run().
+  bool Accepted() const { return this->running.Begun(); }
 
   HttpResponse Run();
 
 private:
-  // Returns the response when the call must not be sent; else the ticket is held.
-  std::optional<HttpResponse> ClaimKey(const IdempotencyKey& aKey);
+  // Waits for the call's turn. Returns the response when it must not be sent.
+  std::optional<HttpResponse> Enter();
+  std::vector<TargetRecord> Targets() const;
+
+  // Returns the response when the call must not be sent; else the ticket, if need be, is held.
+  std::optional<HttpResponse> ClaimKey();
   Result<HttpAnswer> SendToSomeTarget();
+  bool MayRepeat() const;
   Result<HttpAnswer> SendTo(const TargetRecord& aTarget);
   Result<HttpAnswer> Exchange(HttpExchange& aExchange);
   HttpCall MakeCall(const TargetRecord& aTarget, const AttemptId& aAttempt) const;
-  HttpResponse Failure(Error aError, std::optional<Duration> aRetryAfter = std::nullopt) const;
+  HttpResponse Failure(const CallerError& aFailure);
   Duration TimeLeft() const;
 
-  ServiceContext context;
+  const RelayContext& context;
   ServiceCall call;
+  RunningRequest running;
+  RequestMeter meter;
   MonotonicTime deadline;
+  AdmissionPlace place;
   DispatchRecord record;
   // Settles the claim from the record, so it stands after it.
   std::unique_ptr<ClaimTicket> ticket;
--- a/standin/Main.cpp
+++ b/standin/Main.cpp
@@ -43,6 +43,8 @@
   --work TIME          Time one service call takes [default: 5ms].
   --checks-fencing     The engine refuses orders that carry an old fencing number.
   --load-time TIME     Time an ordered load takes [default: 200ms].
+  --fault FAULT        What goes wrong: none, die, cut, stall, double, reorder or refuse, with the
+                       tokens before it and one answer in how many, as cut:20/3 [default: none].
   --slots N            Requests at once [default: 64].
   --cache N            Blocks of an engine's prefix cache [default: 4096].
   --memory SIZE        Memory of a store [default: 64MiB].
@@ -140,6 +142,7 @@
   options.cache.mostBlocks = CountOf(aArguments, "--cache");
   options.orders.checksFencing = aArguments.at("--checks-fencing").asBool();
   options.orders.loadTime = ParseDuration(TextOf(aArguments, "--load-time")).value();
+  options.fault = standin::ParseEngineFault(TextOf(aArguments, "--fault")).value();
   standin::Engine engine(options);
   return Play(engine, aArguments, options.slots + kSpareThreads);
 }
