--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -28,12 +28,6 @@
 int
 RunConfiguration(const std::vector<std::string>& aArguments);
 
-// What one routing decision, naming a prompt and keeping a directory take.
-int
-RunReuseBench(const std::vector<std::string>& aArguments);
-
-// Adds one row to the table in Main.cpp for each bench; declare it here.
-
 // What one record of a counter, a sample or a service level costs.
 int
 RunMetrics(const std::vector<std::string>& aArguments);
