--- a/src/program/ClaimGate.cpp
+++ b/src/program/ClaimGate.cpp
@@ -18,6 +18,8 @@
 constexpr Duration kBeyondElection = std::chrono::seconds(1);
 // How long the end of a run is offered to its group.
 constexpr Duration kSettleTime = std::chrono::seconds(60);
+// Beyond the longest run, for connecting and for the wait of the claim itself.
+constexpr Duration kLeaseSlack = std::chrono::seconds(10);
 constexpr Duration kHomeComeBack = std::chrono::seconds(1);
 // A traffic thread gives up on its own when the control thread does not come back by then.
 constexpr Duration kControlSlack = std::chrono::milliseconds(500);
@@ -139,8 +141,9 @@
   const bool granted = reply.value().verdict == ClaimVerdict::Granted;
   this->context.metrics.Add(granted ? Counter::ClaimsTaken : Counter::ClaimsRepeated, series, 1);
   if (granted) {
-    entrance.ticket = std::make_unique<ClaimTicket>(
-      *this, home, std::move(command.value()), aRecord, asked + aCall.lease);
+    const MonotonicTime leaseEnd = asked + command.value().lease;
+    entrance.ticket =
+      std::make_unique<ClaimTicket>(*this, home, std::move(command.value()), aRecord, leaseEnd);
     return entrance;
   }
   if (reply.value().verdict == ClaimVerdict::Kept && reply.value().answer) {
@@ -172,7 +175,7 @@
   command.body = aCall.body;
   command.birth = origin.value().birth;
   command.retention = this->context.settings.timeouts.keyRetention;
-  command.lease = aCall.lease;
+  command.lease = aCall.longestRun + kLeaseSlack;
   return command;
 }
 
--- a/src/program/ClaimGate.h
+++ b/src/program/ClaimGate.h
@@ -24,7 +24,7 @@
   // Of all that makes the call what it is.
   Digest body;
   // How long a run may take.
-  Duration lease{ 0 };
+  Duration longestRun{ 0 };
   // Longest wait for the claim; the gate's own bound applies as well.
   Duration wait{ 0 };
 };
--- /dev/null
+++ b/src/program/CompletionRun.cpp
@@ -0,0 +1,341 @@
+#include "CompletionRun.h"
+
+#include <algorithm>
+#include <random>
+#include <thread>
+#include <utility>
+
+#include "damasklink/state/Text.h"
+#include "damasklink/transport/Log.h"
+
+namespace damasklink {
+namespace {
+
+// How soon a caller that left, a deadline or a stop is noticed while the engine is silent.
+constexpr Duration kPollPatience = std::chrono::milliseconds(100);
+// How long a refusal may still get a status of its own; afterwards the stream is open, and a
+// caller that leaves is noticed.
+constexpr Duration kOpenPatience = std::chrono::seconds(1);
+// Text held of one answer; a longer one can be resumed, but not continued on another engine.
+constexpr std::size_t kMostHeldBytes = 8 * kMebibyte;
+constexpr std::uint64_t kPauseLeast = 5;
+constexpr std::uint64_t kPauseMost = 25;
+
+// Spreads repeats of requests that failed together.
+void
+PauseBeforeRepeat(std::uint64_t aTries)
+{
+  thread_local std::minstd_rand random{ std::random_device{}() };
+  std::uniform_int_distribution<std::uint64_t> spread(kPauseLeast, kPauseMost << aTries);
+  std::this_thread::sleep_for(std::chrono::milliseconds(spread(random)));
+}
+
+} // namespace
+
+CompletionRun::CompletionRun(const RelayContext& aContext,
+                             const CompletionCall& aCall,
+                             RequestMeter& aMeter,
+                             DispatchRecord& aRecord)
+  : context(aContext)
+  , call(aCall)
+  , meter(aMeter)
+  , record(aRecord)
+  , deadline(aContext.host.clock.MonotonicNow() + aCall.timeLimit)
+{
+  this->route.workspace = this->call.policy.workspace;
+  this->route.model = this->call.request.model;
+  this->route.version = this->call.request.version;
+  this->route.adapter = this->call.request.adapter;
+  this->route.grants = this->call.policy.models;
+  this->route.objective = this->call.policy.objective;
+  aContext.reuse.LookUp(this->call.request.prompt, this->route);
+}
+
+CompletionRun::~CompletionRun()
+{
+  this->EndAttempt(false);
+}
+
+void
+CompletionRun::End()
+{
+  this->context.reuse.Keep(this->route, this->decision, this->stream->Assembled().Usage());
+  this->CloseBooks(AttemptLoad::Served, HealthSign::Good);
+  this->outstanding = false;
+  this->context.routing.Done(this->route, this->decision, true);
+}
+
+// Versions and adapters that no target has would make pools without end.
+PoolId
+CompletionRun::Pool(bool aNoTarget) const
+{
+  const std::string model = "model/" + this->route.model.Value();
+  if (aNoTarget) {
+    return PoolId(model);
+  }
+  return PoolId(Concat(model, "@", this->route.version.Value(), "+", this->route.adapter.Value()));
+}
+
+std::vector<TargetRecord>
+CompletionRun::Eligible() const
+{
+  const auto view = this->context.host.views.Get();
+  std::vector<TargetRecord> eligible;
+  for (const TargetRecord& target : view->targets) {
+    if (!EligibleVersion(this->route, target).Empty()) {
+      eligible.push_back(target);
+    }
+  }
+  return eligible;
+}
+
+Result<void>
+CompletionRun::Open()
+{
+  if (auto started = this->StartElsewhere(); !started) {
+    if (!this->outstanding) {
+      return started;
+    }
+    if (auto recovered = this->Recover(started.error()); !recovered) {
+      return recovered;
+    }
+  }
+  const MonotonicTime until = this->context.host.clock.MonotonicNow() + kOpenPatience;
+  while (this->context.host.clock.MonotonicNow() < until) {
+    auto text = this->PollOnce(nullptr);
+    if (!text) {
+      if (auto recovered = this->Recover(text.error()); !recovered) {
+        return recovered;
+      }
+      continue;
+    }
+    if (!text.value().empty() || this->stream->Complete()) {
+      return Success();
+    }
+  }
+  return Success();
+}
+
+Result<std::string>
+CompletionRun::NextText(const StreamWriter* aCaller)
+{
+  while (this->pending.empty() && !this->stream->Complete()) {
+    auto text = this->PollOnce(aCaller);
+    if (text) {
+      continue;
+    }
+    if (auto recovered = this->Recover(text.error()); !recovered) {
+      return Fail(recovered.error());
+    }
+  }
+  return std::exchange(this->pending, {});
+}
+
+Result<std::string>
+CompletionRun::PollOnce(const StreamWriter* aCaller)
+{
+  auto text = this->stream->Poll(std::min(kPollPatience, this->TimeLeft()));
+  if (!text) {
+    return text;
+  }
+  const MonotonicTime now = this->context.host.clock.MonotonicNow();
+  if (!text.value().empty() || this->stream->Complete()) {
+    this->lastHeard = now;
+    this->TakeText(text.value());
+    return text;
+  }
+  if (auto wanted = this->CheckStillWanted(aCaller); !wanted) {
+    return Fail(wanted.error());
+  }
+  const HostTimeouts& timeouts = this->context.host.settings.timeouts;
+  const Duration limit = this->tokens == 0 ? timeouts.firstToken : timeouts.betweenTokens;
+  if (now - this->lastHeard >= limit) {
+    return Fail(ErrorKind::DeadlineExceeded, "the engine fell silent", "try again");
+  }
+  return text;
+}
+
+Result<void>
+CompletionRun::CheckStillWanted(const StreamWriter* aCaller) const
+{
+  if (aCaller != nullptr && !aCaller->IsOpen()) {
+    return Fail(ErrorKind::Cancelled, "the caller left", "");
+  }
+  if (this->context.state.MustStop()) {
+    return Fail(ErrorKind::Unavailable, "this host is stopping", "send the prompt again");
+  }
+  if (this->TimeLeft() <= Duration(0)) {
+    return Fail(ErrorKind::DeadlineExceeded,
+                "the request's deadline passed",
+                "allow more time, or ask for fewer tokens");
+  }
+  return Success();
+}
+
+void
+CompletionRun::TakeText(const std::string& aText)
+{
+  const std::uint64_t now = this->stream->Assembled().NextOffset();
+  if (this->tokens == 0 && now > 0) {
+    this->firstToken = this->context.host.clock.MonotonicNow() - this->attemptBegun;
+    this->context.routing.FirstToken(this->route, this->decision, this->firstToken, TokenCount());
+  }
+  this->meter.OnTokens(now - this->tokens);
+  this->tokens = now;
+  this->pending += aText;
+  this->held = this->held && this->answer.size() + aText.size() <= kMostHeldBytes;
+  if (this->held) {
+    this->answer += aText;
+  } else {
+    this->answer.clear();
+  }
+}
+
+Result<void>
+CompletionRun::StartElsewhere()
+{
+  const auto usable = this->context.admission.Usable(this->Eligible());
+  auto chosen = this->context.routing.ChooseAndSend(this->route, usable);
+  if (!chosen) {
+    return Fail(chosen.error());
+  }
+  this->decision = chosen.value();
+  this->outstanding = true;
+  this->resumed = false;
+  this->route.excluded.push_back(this->decision.target);
+  this->context.reuse.Bring(this->route, this->decision);
+  const std::size_t number = this->record.Attempts().size() + 1;
+  return this->StartAttempt(AttemptId(Concat(this->call.id.Value(), "-", number)));
+}
+
+Result<void>
+CompletionRun::StartAttempt(const AttemptId& aAttempt)
+{
+  EnginePrompt prompt;
+  prompt.attempt = aAttempt;
+  prompt.workspace = this->route.workspace;
+  prompt.model = this->call.request.model;
+  prompt.version = this->decision.version;
+  prompt.adapter = this->call.request.adapter;
+  prompt.prompt = this->call.request.prompt;
+  prompt.maxTokens = this->call.request.maxTokens;
+  prompt.offset = this->tokens;
+  prompt.delivered = this->answer;
+  prompt.sampling = this->call.request.sampling;
+  this->record.Begin(prompt.attempt, this->decision.target);
+  this->context.admission.OnStart(this->decision.target);
+  this->booksOpen = true;
+  ++this->tries;
+  this->tokensAtStart = this->tokens;
+  this->attemptBegun = this->context.host.clock.MonotonicNow();
+  this->lastHeard = this->attemptBegun;
+  if (this->ticket != nullptr && !this->ticket->Leased(this->attemptBegun)) {
+    return Fail(ErrorKind::Conflict, "the claim of the key ran out", "try again");
+  }
+  const Duration connect = std::min(this->context.host.settings.timeouts.connect, this->TimeLeft());
+  auto opened = EngineStream::Open(this->decision.endpoint, connect, prompt, this->record);
+  if (!opened) {
+    return Fail(opened.error());
+  }
+  this->stream = std::move(opened.value());
+  return Success();
+}
+
+Result<void>
+CompletionRun::Recover(Error aError)
+{
+  while (true) {
+    this->CloseBooksAfter(aError.kind);
+    // Only tries in vain are counted against the request.
+    if (this->tokens > this->tokensAtStart) {
+      this->tries = 1;
+    }
+    LostAttempt lost;
+    lost.kind = aError.kind;
+    lost.outcome = this->record.Outcome();
+    lost.tokens = this->tokens;
+    lost.tokensAtStart = this->tokensAtStart;
+    lost.tries = this->tries;
+    lost.resumed = this->resumed;
+    lost.held = this->held;
+    lost.repeatable = this->ticket == nullptr;
+    lost.timeLeft = this->context.state.MustStop() ? Duration(0) : this->TimeLeft();
+    const RelayStep step = DecideRelayStep(lost);
+    const bool paid = step != RelayStep::Repeat || this->context.state.TakeRetry();
+    if (step == RelayStep::GiveUp || !paid) {
+      return Fail(std::move(aError));
+    }
+    LogEvent(LogLevel::Warning, "attempt_failed")
+      .With("request", this->call.id)
+      .With("target", this->decision.target)
+      .With("tokens", this->tokens)
+      .With("error", aError);
+    auto taken = this->TakeStep(step);
+    if (taken) {
+      this->meter.OnRetry();
+      return Success();
+    }
+    // That no other target is left tells less than why the last one failed.
+    if (!this->outstanding) {
+      return Fail(std::move(aError));
+    }
+    aError = taken.error();
+  }
+}
+
+Result<void>
+CompletionRun::TakeStep(RelayStep aStep)
+{
+  if (aStep == RelayStep::Resume) {
+    this->stream.reset();
+    this->resumed = true;
+    return this->StartAttempt(this->record.Attempts().back().id);
+  }
+  this->EndAttempt(false);
+  if (aStep == RelayStep::Repeat) {
+    PauseBeforeRepeat(this->tries);
+  } else {
+    this->route.continuation = true;
+    this->route.version = this->decision.version;
+  }
+  return this->StartElsewhere();
+}
+
+void
+CompletionRun::CloseBooks(AttemptLoad aLoad, HealthSign aSign)
+{
+  if (this->booksOpen) {
+    this->booksOpen = false;
+    this->context.admission.OnEnd(this->decision.target, aLoad, aSign, this->firstToken);
+  }
+}
+
+void
+CompletionRun::CloseBooksAfter(ErrorKind aFailure)
+{
+  if (aFailure == ErrorKind::Overloaded) {
+    return this->CloseBooks(AttemptLoad::Overloaded, HealthSign::Good);
+  }
+  const bool endedHere = aFailure == ErrorKind::Cancelled || aFailure == ErrorKind::Conflict ||
+                         this->TimeLeft() <= Duration(0) || this->context.state.MustStop();
+  this->CloseBooks(AttemptLoad::Failed, endedHere ? HealthSign::None : HealthSign::Bad);
+}
+
+Duration
+CompletionRun::TimeLeft() const
+{
+  return std::max(this->deadline - this->context.host.clock.MonotonicNow(), Duration(0));
+}
+
+void
+CompletionRun::EndAttempt(bool aWhole)
+{
+  this->stream.reset();
+  this->CloseBooks(AttemptLoad::Failed, HealthSign::None);
+  if (this->outstanding) {
+    this->outstanding = false;
+    this->context.routing.Done(this->route, this->decision, aWhole);
+  }
+}
+
+} // namespace damasklink
--- a/src/program/ServiceRelay.cpp
+++ b/src/program/ServiceRelay.cpp
@@ -9,8 +9,6 @@
 namespace damasklink {
 namespace {
 
-// Beyond the timeout of the route, for connecting and for the wait of the claim itself.
-constexpr Duration kLeaseSlack = std::chrono::seconds(10);
 constexpr std::string_view kServicesPrefix = "/services/";
 
 // Returns what the service sees as path and query: all behind "/services/<name>".
@@ -99,7 +97,7 @@
   keyed.key = IdempotencyKey(this->call.request.Header("idempotency-key"));
   keyed.attempt = AttemptId(this->call.id.Value());
   keyed.body = CallDigest(this->call.request);
-  keyed.lease = this->call.route.timeout + kLeaseSlack;
+  keyed.longestRun = this->call.route.timeout;
   keyed.wait = this->TimeLeft();
   if (keyed.key.Empty()) {
     return std::nullopt;
