--- a/include/damasklink/coordination/BlockDirectory.h
+++ b/include/damasklink/coordination/BlockDirectory.h
@@ -9,7 +9,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
-#include "damasklink/coordination/BlockNames.h"
+#include "damasklink/coordination/BlockHeader.h"
 #include "damasklink/coordination/ReturnPredictor.h"
 #include "damasklink/state/Clock.h"
 #include "damasklink/state/Error.h"
@@ -17,15 +17,9 @@
 
 namespace damasklink {
 
-// Guards the content of a block; see ChecksumOf().
-using Checksum = NumberId<struct ChecksumTag>;
 // One permission to read a block.
 using PinId = NumberId<struct PinIdTag>;
 
-// Returns the checksum of a block's content: the first bytes of its SHA-256.
-Checksum
-ChecksumOf(std::string_view aContent);
-
 // Where a block is in its life. Only Sealed ones are read.
 enum class BlockState : std::uint8_t
 {
@@ -41,23 +35,6 @@
   Disk,
 };
 
-// What the header of a block in a store says; checked by whoever reads the block.
-struct BlockHeader
-{
-  Digest block;
-  BlockScope scope;
-  Generation generation;
-  ByteCount length;
-  Checksum checksum;
-
-  bool operator==(const BlockHeader&) const = default;
-};
-
-// Returns why the header or content is not what an order says, or success. Workspace, model,
-// weight version, adapter, generation, length and checksum must all be equal. Fails with Corrupt.
-Result<void>
-CheckBlock(const BlockHeader& aOrdered, const BlockHeader& aFound, std::string_view aContent);
-
 // Permission to read one block until a time.
 struct PinnedBlock
 {
--- a/include/damasklink/coordination/CostRouter.h
+++ b/include/damasklink/coordination/CostRouter.h
@@ -2,11 +2,11 @@
 #pragma once
 
 #include <deque>
-#include <string>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
 
+#include "damasklink/coordination/EligibilityCache.h"
 #include "damasklink/coordination/PrefixView.h"
 #include "damasklink/coordination/Router.h"
 
@@ -127,14 +127,6 @@
     double decodeSeconds = 0;
   };
 
-  // Whether a target may serve one kind of request; holds for one announcement.
-  struct Eligibility
-  {
-    Incarnation incarnation;
-    Sequence sequence;
-    WeightVersion version;
-  };
-
   // What sending a request to a target is expected to cost.
   struct Estimate
   {
@@ -150,6 +142,7 @@
   {
     std::size_t position = 0;
     StateIndex state = 0;
+    const WeightVersion* version = nullptr;
     Estimate estimate;
   };
 
@@ -167,11 +160,6 @@
   TargetState& StateOf(std::size_t aPosition, const TargetRecord& aTarget);
   void TakeReport(TargetState& aState, const TargetRecord& aTarget);
   void DropGone(const std::vector<TargetRecord>& aTargets);
-  std::vector<Eligibility>& EligibilityOf(const RouteRequest& aRequest);
-  const WeightVersion& VersionAt(std::vector<Eligibility>& aKnown,
-                                 StateIndex aIndex,
-                                 const RouteRequest& aRequest,
-                                 const TargetRecord& aTarget);
   double Wait(const TargetState& aState) const;
   double SlotWait(const TargetState& aState) const;
   double RateOf(const TargetState& aState) const;
@@ -193,7 +181,7 @@
   absl::flat_hash_map<TargetId, StateIndex> indexes;
   // The state of each position in the list of targets, which seldom changes.
   std::vector<StateIndex> positions;
-  absl::flat_hash_map<std::string, std::vector<Eligibility>> eligibility;
+  EligibilityCache eligibility;
   std::vector<Candidate> candidates;
   std::uint64_t lastTicket = 0;
   absl::flat_hash_map<std::uint64_t, Outstanding> outstanding;
--- a/src/coordination/CostRouter.cpp
+++ b/src/coordination/CostRouter.cpp
@@ -10,7 +10,6 @@
 namespace damasklink {
 namespace {
 
-constexpr std::size_t kMostRequestKinds = 1024;
 // States of targets that went away are dropped once there are this many more than targets.
 constexpr std::size_t kSpareStates = 64;
 // Weight of one more observation in a learnt value.
@@ -29,25 +28,6 @@
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(aSeconds));
 }
 
-// Names everything that eligibility depends on besides the target.
-std::string
-RequestKind(const RouteRequest& aRequest)
-{
-  std::string kind = Concat(aRequest.model.Value(),
-                            "\n",
-                            aRequest.version.Value(),
-                            "\n",
-                            aRequest.adapter.Value(),
-                            aRequest.continuation ? "\nc" : "\nn");
-  for (const ModelGrant& grant : aRequest.grants) {
-    kind += Concat("\n", grant.model.Value());
-    for (const WeightVersion& version : grant.versions) {
-      kind += Concat("\n@", version.Value());
-    }
-  }
-  return kind;
-}
-
 bool
 IsExcluded(const RouteRequest& aRequest, const TargetId& aTarget)
 {
@@ -103,7 +83,7 @@
   RouteDecision decision;
   decision.target = target.id;
   decision.endpoint = target.endpoint;
-  decision.version = this->EligibilityOf(aRequest)[best->state].version;
+  decision.version = *best->version;
   decision.expectedFirstToken = FromSeconds(estimate.firstToken);
   decision.expectedPrefill = TokenCount(static_cast<std::uint64_t>(estimate.prefill));
   decision.heldBlocks = estimate.held;
@@ -120,14 +100,15 @@
 {
   this->caches.Match(aRequest.blocks);
   this->candidates.clear();
-  std::vector<Eligibility>& known = this->EligibilityOf(aRequest);
+  this->eligibility.Select(aRequest, aTargets.size());
   for (std::size_t position = 0; position < aTargets.size(); ++position) {
     const TargetRecord& target = aTargets[position];
     const TargetState& state = this->StateOf(position, target);
     const StateIndex index = this->positions[position];
-    const WeightVersion& version = this->VersionAt(known, index, aRequest, target);
+    const WeightVersion& version = this->eligibility.VersionOf(aRequest, position, target);
     if (!version.Empty() && !IsExcluded(aRequest, target.id)) {
-      this->candidates.push_back({ position, index, this->EstimateFor(aRequest, state, version) });
+      this->candidates.push_back(
+        { position, index, &version, this->EstimateFor(aRequest, state, version) });
     }
   }
 }
@@ -231,41 +212,12 @@
   this->states.clear();
   this->indexes.clear();
   this->positions.clear();
-  this->eligibility.clear();
   for (auto& [id, state] : kept) {
     this->indexes.emplace(id, static_cast<StateIndex>(this->states.size()));
     this->states.push_back(std::move(state));
   }
 }
 
-std::vector<CostRouter::Eligibility>&
-CostRouter::EligibilityOf(const RouteRequest& aRequest)
-{
-  if (this->eligibility.size() > kMostRequestKinds) {
-    this->eligibility.clear();
-  }
-  return this->eligibility[RequestKind(aRequest)];
-}
-
-const WeightVersion&
-CostRouter::VersionAt(std::vector<Eligibility>& aKnown,
-                      StateIndex aIndex,
-                      const RouteRequest& aRequest,
-                      const TargetRecord& aTarget)
-{
-  if (aIndex >= aKnown.size()) {
-    aKnown.resize(this->states.size());
-  }
-  Eligibility& known = aKnown[aIndex];
-  if (known.sequence != aTarget.sequence || known.incarnation != aTarget.incarnation ||
-      known.sequence == Sequence()) {
-    RouteRequest first = aRequest;
-    first.excluded.clear();
-    known = { aTarget.incarnation, aTarget.sequence, EligibleVersion(first, aTarget) };
-  }
-  return known.version;
-}
-
 double
 CostRouter::RateOf(const TargetState& aState) const
 {
