--- a/src/program/ConfigurationApi.cpp
+++ b/src/program/ConfigurationApi.cpp
@@ -73,6 +73,7 @@
   this->AddRoute(aOperators, "POST", "/v1/config/changes", &ConfigurationApi::Apply);
   this->AddRoute(aOperators, "GET", "/v1/config/subtrees", &ConfigurationApi::List);
   this->AddRoute(aOperators, "GET", "/v1/config/subtrees/(.+)", &ConfigurationApi::Get);
+  this->AddRoute(aOperators, "POST", "/v1/config/key-holders", &ConfigurationApi::KeyHolders);
   this->AddRoute(aOperators, "GET", "/v1/config/history", &ConfigurationApi::History);
   this->AddRoute(aOperators, "GET", "/v1/config/status", &ConfigurationApi::Status);
   this->AddRoute(aOperators, "GET", "/v1/config/in-force", &ConfigurationApi::InForce);
@@ -187,6 +188,24 @@
   return view ? JsonResponse(FormatSubtreeView(view.value())) : RefusalResponse(view.error());
 }
 
+HttpResponse
+ConfigurationApi::KeyHolders(const HttpRequest& aRequest)
+{
+  auto keys = ParseKeys(aRequest.body);
+  if (!keys) {
+    return RefusalResponse(keys.error());
+  }
+  // The picture of traffic threads is the tree in force, by key.
+  const auto view = this->context.views.Get();
+  std::vector<KeyHolder> holders;
+  for (const Digest& key : keys.value()) {
+    if (const ResolvedPolicy* policy = view->callers->Find(key)) {
+      holders.push_back(KeyHolder{ key, policy->workspace });
+    }
+  }
+  return JsonResponse(FormatKeyHolders(holders));
+}
+
 HttpResponse
 ConfigurationApi::History(const HttpRequest& aRequest)
 {
@@ -278,7 +297,7 @@
   InForceReport report;
   report.revision = aRevision;
   for (const PeerSettings& peer : this->context.settings.peers) {
-    Revision held = spread.Tree().Current();
+    Revision held = spread.InForce();
     if (peer.host != this->context.settings.host) {
       const auto found = spread.PeerRevisions().find(peer.host);
       held = found == spread.PeerRevisions().end() ? Revision() : found->second;
