--- a/bench/SlopesBench.cpp
+++ b/bench/SlopesBench.cpp
@@ -4,19 +4,24 @@
 
 #include "Bench.h"
 #include "Slope.h"
+#include "damasklink/coordination/ClaimLedger.h"
 #include "damasklink/coordination/Router.h"
+#include "damasklink/coordination/ServiceLevelWindows.h"
 #include "damasklink/coordination/TargetRegistry.h"
 #include "damasklink/protocol/CallerApi.h"
 #include "damasklink/protocol/EngineApi.h"
 #include "damasklink/protocol/Envelope.h"
 #include "damasklink/state/CallerDirectory.h"
 #include "damasklink/state/Digests.h"
+#include "damasklink/state/MetricsRegistry.h"
 #include "damasklink/state/Text.h"
 
 namespace damasklink::bench {
 namespace {
 
 constexpr Duration kSilence = std::chrono::seconds(2);
+// The bound that a host sets.
+constexpr std::size_t kMostSeries = 512;
 
 TargetRecord
 MakeTarget(std::uint64_t aNumber)
@@ -85,6 +90,63 @@
   PrintSlope("caller_directory_build", "us/workspace", build);
 }
 
+ClaimCommand
+MakeClaim(std::uint64_t aNumber)
+{
+  ClaimCommand command;
+  command.workspace = WorkspaceId("office");
+  command.key = IdempotencyKey(Concat("order-", aNumber));
+  command.attempt = AttemptId(Concat("attempt-", aNumber));
+  command.body = Digest("body");
+  command.retention = std::chrono::hours(48);
+  command.lease = std::chrono::seconds(30);
+  return command;
+}
+
+// Idempotency keys that one zone remembers: memory, and the time of one claim.
+void
+MeasureClaims()
+{
+  std::vector<SlopePoint> memory;
+  std::vector<SlopePoint> time;
+  for (const std::uint64_t size : { 10'000U, 100'000U, 400'000U }) {
+    const double before = HeapBytes();
+    const double begun = ThreadMicroseconds();
+    ClaimLedger ledger;
+    ApplyContext context;
+    for (std::uint64_t number = 0; number < size; ++number) {
+      context.index = context.index.Next();
+      ledger.Apply(context, MakeClaim(number));
+    }
+    const auto count = static_cast<double>(size);
+    time.push_back({ count, ThreadMicroseconds() - begun });
+    memory.push_back({ count, HeapBytes() - before });
+  }
+  PrintSlope("claims_memory", "B/key", memory);
+  PrintSlope("claims_time", "us/key", time);
+}
+
+// Series of metrics, up to the bound beyond which they fold into one.
+void
+MeasureMetrics()
+{
+  std::vector<SlopePoint> memory;
+  for (const std::uint64_t size : { 100U, 300U, 500U }) {
+    const SystemClock clock;
+    const double before = HeapBytes();
+    ServiceLevelWindows windows(clock, kMostSeries);
+    MetricsRegistry registry(clock, windows, kMostSeries);
+    for (std::uint64_t number = 0; number < size; ++number) {
+      const MetricKey key{ WorkspaceId(Concat("workspace-", number)), "" };
+      registry.Add(Counter::Requests, key, 1);
+      registry.Observe(Sample::FirstToken, key, std::chrono::milliseconds(5));
+      registry.CountServiceLevel(key.workspace, true);
+    }
+    memory.push_back({ static_cast<double>(size), HeapBytes() - before });
+  }
+  PrintSlope("metrics_memory", "B/workspace", memory);
+}
+
 // The frame around every message between hosts.
 void
 MeasureEnvelope()
@@ -132,6 +194,8 @@
 {
   MeasureRegistry();
   MeasureDirectory();
+  MeasureClaims();
+  MeasureMetrics();
   MeasureEnvelope();
   MeasureTokenWork();
   return 0;
