--- a/test/coordination/GroupReplicaTest.cpp
+++ b/test/coordination/GroupReplicaTest.cpp
@@ -41,8 +41,35 @@
   return rc::gen::scale(kLonger, rc::gen::container<std::vector<Step>>(step));
 }
 
-constexpr int kKinds = 20;
-constexpr int kKindsWithLostDisks = 22;
+// The names with "OnceMore" only make an event likelier.
+enum StepKind
+{
+  Run,
+  RunOnceMore,
+  Propose,
+  ProposeOnceMore,
+  Deliver,
+  Sync,
+  AdvanceAndTick,
+  Repeat,
+  Drop,
+  CutOneWay,
+  Isolate,
+  HealNetwork,
+  Freeze,
+  Thaw,
+  Kill,
+  Start,
+  StartOnceMore,
+  FailDiskSoon,
+  RestartAll,
+  HangDisk,
+  LoseDisk,
+  LoseDiskOnceMore,
+};
+
+constexpr int kKinds = LoseDisk;
+constexpr int kKindsWithLostDisks = LoseDiskOnceMore + 1;
 
 void
 Perform(GroupCluster& aCluster, const Step& aStep)
@@ -50,56 +77,56 @@
   const std::size_t node = aStep.node % aCluster.Size();
   const std::size_t other = aStep.number % aCluster.Size();
   switch (aStep.kind) {
-    case 0:
-    case 1:
+    case Run:
+    case RunOnceMore:
       return aCluster.Run(std::chrono::milliseconds(50 * aStep.number));
-    case 2:
-    case 3:
+    case Propose:
+    case ProposeOnceMore:
       return aCluster.Propose(node);
-    case 4:
+    case Deliver:
       aCluster.Move(aStep.number, GroupCluster::Fate::Deliver);
       return;
-    case 5:
+    case Sync:
       return aCluster.Sync(node);
-    case 6:
+    case AdvanceAndTick:
       aCluster.Advance(std::chrono::milliseconds(20 * aStep.number));
       return aCluster.Tick(node);
-    case 7:
+    case Repeat:
       aCluster.Move(aStep.number, GroupCluster::Fate::Repeat);
       return;
-    case 8:
+    case Drop:
       aCluster.Move(aStep.number, GroupCluster::Fate::Drop);
       return;
-    case 9:
+    case CutOneWay:
       return aCluster.Cut(node, other);
-    case 10:
+    case Isolate:
       return aCluster.Isolate(node);
-    case 11:
+    case HealNetwork:
       return aCluster.HealNetwork();
-    case 12:
+    case Freeze:
       aCluster.Node(node).frozen = true;
       return;
-    case 13:
+    case Thaw:
       aCluster.Node(node).frozen = false;
       return;
-    case 14:
+    case Kill:
       return aCluster.Kill(node, aStep.number % 2 == 0);
-    case 15:
-    case 16:
+    case Start:
+    case StartOnceMore:
       if (aCluster.Node(node).process == nullptr) {
         aCluster.Start(node);
       }
       return;
-    case 17:
+    case FailDiskSoon:
       aCluster.Node(node).disk->FailAfter(static_cast<int>(aStep.number % 8) + 1);
       return;
-    case 18:
+    case RestartAll:
       for (std::size_t each = 0; each < aCluster.Size(); ++each) {
         aCluster.Kill(each, true);
         aCluster.Start(each);
       }
       return;
-    case 19:
+    case HangDisk:
       aCluster.Node(node).diskHangs = aStep.number % 2 == 0;
       return;
     default:
