--- a/include/damasklink/coordination/GroupReplica.h
+++ b/include/damasklink/coordination/GroupReplica.h
@@ -42,11 +42,20 @@
 public:
   GroupReplica(const Clock& aClock, GroupOptions aOptions, RecoveredLog aRecovered);
 
+  // Requires that all machines are added before the first TakeActions().
   GroupMachines& Machines() { return this->machines; }
 
+  // Takes any message of this group; drops what is not for this replica or another formation.
   void Receive(const AgreementMessage& aMessage);
+
+  // Requires to be called every few milliseconds.
   void Tick();
+
+  // Tells that the batch with this number, and all before it, are synced.
   void OnPersisted(std::uint64_t aNumber) { this->core.OnPersisted(aNumber); }
+
+  // Applies what is committed and returns what is to be done. Requires to be called after each of
+  // the calls above.
   GroupActions TakeActions();
 
   // Gives up leadership in favour of another voter.
