--- a/include/damasklink/coordination/AdmissionQueue.h
+++ b/include/damasklink/coordination/AdmissionQueue.h
@@ -124,12 +124,15 @@
   bool CanMakeIt(const Pool& aPool, const AdmissionRequest& aRequest, Duration aWait) const;
   void RefuseAsTooLate(AdmissionId aId, Duration aRetryAfter);
   void Enqueue(Pool& aPool, Queued aQueued);
+  // Admits waiting requests, in the order of shares, while the pool has room.
   void AdmitWhatFits(Pool& aPool);
   void Admit(Pool& aPool, const Queued& aQueued);
   void Refuse(AdmissionId aId, Error aError, Duration aRetryAfter);
+  // Refuses a waiting request of a workspace that waits with more for its weight, if there is one.
   void MakeRoomFor(const AdmissionRequest& aRequest);
   // Returns the next request of the workspace that is furthest behind its share.
   std::map<WorkspaceId, std::deque<Queued>>::iterator FurthestBehind(Pool& aPool);
+  // Returns the virtual time at which the workspace's next request is due.
   double StartOf(const WorkspaceId& aWorkspace) const;
 
   const Clock& clock;
--- a/include/damasklink/coordination/ClaimLedger.h
+++ b/include/damasklink/coordination/ClaimLedger.h
@@ -107,7 +107,7 @@
 {
   WallTime expiry;
   WallTime leaseEnd;
-  // Empty when it was released before it was ever claimed; only for minted keys otherwise.
+  // Zero for a key without a birth.
   WallTime birth;
   std::unique_ptr<StoredAnswer> answer;
   ClaimTag body{};
