--- a/include/damasklink/coordination/BlockDirectory.h
+++ b/include/damasklink/coordination/BlockDirectory.h
@@ -194,8 +194,12 @@
   static Name NameOf(const Digest& aBlock);
   static Digest DigestOfName(const Name& aName);
   Record* Find(const Digest& aBlock, Generation aGeneration);
-  const Record* FindSealed(const Digest& aBlock, const BlockScope& aScope) const;
+  // Returns the block's slot when it is sealed and of the scope, else kNone.
+  Slot FindSealed(const Digest& aBlock, std::uint32_t aScope) const;
+  // Returns the number of the scope, which is new where no block of it was ever kept.
   std::uint32_t ScopeIndex(const BlockScope& aScope);
+  // Returns the number of the scope, kNone where no block of it was ever kept.
+  std::uint32_t KnownScope(const BlockScope& aScope) const;
   Slot AddRecord(const Digest& aBlock, const BlockScope& aScope, PromptKind aKind);
   void Link(Slot aSlot);
   void Unlink(Slot aSlot);
--- a/src/coordination/BlockDirectory.cpp
+++ b/src/coordination/BlockDirectory.cpp
@@ -148,17 +148,17 @@
 Result<PinnedBlock>
 BlockDirectory::Pin(const Digest& aBlock, const BlockScope& aScope)
 {
-  const Record* found = this->FindSealed(aBlock, aScope);
-  if (found == nullptr) {
+  const Slot slot = this->FindSealed(aBlock, this->KnownScope(aScope));
+  if (slot == kNone) {
     return Fail(ErrorKind::NotFound, "the block is not kept", "compute the prompt");
   }
-  const Slot slot = this->slots.at(found->name);
-  ++this->records[slot].pins;
+  Record& found = this->records[slot];
+  ++found.pins;
   const PinId pin(this->nextPin++);
   const MonotonicTime until = this->clock.MonotonicNow() + this->options.pinLease;
   this->pins.emplace(pin, Pinned{ slot, until });
   const BlockHeader header{
-    aBlock, aScope, found->generation, ByteCount(found->length), found->checksum
+    aBlock, aScope, found.generation, ByteCount(found.length), found.checksum
   };
   return PinnedBlock{ pin, header, until };
 }
@@ -215,17 +215,17 @@
 {
   KeptPrefix kept;
   const MonotonicTime now = this->clock.MonotonicNow();
+  const std::uint32_t scope = this->KnownScope(aScope);
   for (const Digest& block : aBlocks) {
-    const Record* found = this->FindSealed(block, aScope);
-    if (found == nullptr) {
+    const Slot slot = this->FindSealed(block, scope);
+    if (slot == kNone) {
       break;
     }
-    const Slot slot = this->slots.at(found->name);
     this->Unlink(slot);
     this->records[slot].used = now;
     this->Link(slot);
     ++kept.blocks;
-    kept.bytes = ByteCount(kept.bytes.Value() + found->length);
+    kept.bytes = ByteCount(kept.bytes.Value() + this->records[slot].length);
   }
   return kept;
 }
@@ -318,16 +318,16 @@
   return record.generation == aGeneration ? &record : nullptr;
 }
 
-const BlockDirectory::Record*
-BlockDirectory::FindSealed(const Digest& aBlock, const BlockScope& aScope) const
+BlockDirectory::Slot
+BlockDirectory::FindSealed(const Digest& aBlock, std::uint32_t aScope) const
 {
   const auto found = this->slots.find(NameOf(aBlock));
   if (found == this->slots.end()) {
-    return nullptr;
+    return kNone;
   }
   const Record& record = this->records[found->second];
-  const bool readable = record.state == BlockState::Sealed && this->scopes[record.scope] == aScope;
-  return readable ? &record : nullptr;
+  const bool readable = record.state == BlockState::Sealed && record.scope == aScope;
+  return readable ? found->second : kNone;
 }
 
 std::uint32_t
@@ -341,6 +341,13 @@
   return found->second;
 }
 
+std::uint32_t
+BlockDirectory::KnownScope(const BlockScope& aScope) const
+{
+  const auto found = this->scopeIndexes.find(ScopeText(aScope));
+  return found == this->scopeIndexes.end() ? kNone : found->second;
+}
+
 BlockDirectory::Slot
 BlockDirectory::AddRecord(const Digest& aBlock, const BlockScope& aScope, PromptKind aKind)
 {
