A target's limit starts at the slots that it declares

Change: the first declaration is where the limit starts; refusals and slow answers take it down as before, and later reports take back nothing that was learnt. ConcurrencyLimitTest.StartsAtTheSlotsThatTheTargetDeclares failed before.

--- a/include/damasklink/coordination/ConcurrencyLimit.h
+++ b/include/damasklink/coordination/ConcurrencyLimit.h
@@ -35,7 +35,7 @@
   void OnEnd(AttemptLoad aLoad, Duration aFirstToken);
 
   // Takes in how many requests the target says that it can run at once, 0 when it does not say.
-  // The limit stays at or below it: what exceeds it would only wait inside the target, where
+  // The first declaration is where the limit starts; it stays at or below it: what exceeds it would only wait inside the target, where
   // shares are not kept.
   void SetSlots(std::uint64_t aSlots);
 
@@ -52,6 +52,8 @@
 
   double limit = 16;
   double most = kMost;
+  // Whether the target has declared its slots.
+  bool told = false;
   std::size_t running = 0;
   // Mean of the last few first tokens, so that one long prompt is no sign of a queue.
   Duration recent{ 0 };
--- a/src/coordination/ConcurrencyLimit.cpp
+++ b/src/coordination/ConcurrencyLimit.cpp
@@ -22,6 +22,12 @@
 ConcurrencyLimit::SetSlots(std::uint64_t aSlots)
 {
   this->most = aSlots == 0 ? kMost : std::min(kMost, static_cast<double>(aSlots));
+  // What the target declares is the estimate until its answers tell otherwise: growing by one a
+  // round from a low start would refuse a burst that it could serve.
+  if (aSlots > 0 && !this->told) {
+    this->told = true;
+    this->limit = this->most;
+  }
   this->limit = std::min(this->limit, this->most);
 }
 
--- a/test/coordination/ConcurrencyLimitTest.cpp
+++ b/test/coordination/ConcurrencyLimitTest.cpp
@@ -29,6 +29,18 @@
   EXPECT_GT(limit.Limit(), before);
 }
 
+TEST(ConcurrencyLimitTest, StartsAtTheSlotsThatTheTargetDeclares)
+{
+  ConcurrencyLimit limit;
+  limit.SetSlots(800);
+  EXPECT_EQ(limit.Limit(), 800U);
+  RunRounds(limit, 1, AttemptLoad::Overloaded, kFast);
+  const std::size_t learnt = limit.Limit();
+  EXPECT_LT(learnt, 800U);
+  limit.SetSlots(800);
+  EXPECT_EQ(limit.Limit(), learnt) << "a later report takes back nothing that was learnt";
+}
+
 TEST(ConcurrencyLimitTest, ShrinksWhenTheTargetRefuses)
 {
   ConcurrencyLimit limit;
