A service call without a path keeps its query

Cause: the path was looked for beyond the query, so /services/plates?plate=N/17 reached the service as /17. Before: ServiceRelayTest.PassesPathAndQueryOn failed with the new line; after: it passes.

--- a/src/program/ServiceRelay.cpp
+++ b/src/program/ServiceRelay.cpp
@@ -16,8 +16,12 @@
 PathAtService(const HttpRequest& aRequest)
 {
   const std::string_view target(aRequest.target);
-  const std::size_t slash = target.find('/', kServicesPrefix.size());
-  return slash == std::string_view::npos ? "/" : std::string(target.substr(slash));
+  const std::size_t end = target.find_first_of("/?", kServicesPrefix.size());
+  if (end == std::string_view::npos) {
+    return "/";
+  }
+  const std::string rest(target.substr(end));
+  return rest.starts_with('/') ? rest : "/" + rest;
 }
 
 std::vector<TargetRecord>
--- a/test/program/ServiceRelayTest.cpp
+++ b/test/program/ServiceRelayTest.cpp
@@ -154,6 +154,8 @@
   this->StartHost();
   this->Post("/services/plates/jobs/a%20b?plate=N%2017", "17");
   EXPECT_EQ(seen, "/jobs/a%20b?plate=N%2017");
+  this->Post("/services/plates?plate=N/17", "17");
+  EXPECT_EQ(seen, "/?plate=N/17");
 }
 
 } // namespace
