--- a/include/damasklink/coordination/TargetSpread.h
+++ b/include/damasklink/coordination/TargetSpread.h
@@ -17,7 +17,7 @@
   Ask = 4,     // "Send me the records of all your targets."
 };
 
-// A sign of life in 32 bytes, load included.
+// A sign of life, load included; 24 bytes on the wire.
 struct TargetSign
 {
   // ShortHash() of the target's id.
@@ -57,8 +57,8 @@
 //   the next when that one does not answer. The home alone speaks for the target.
 // - A change, leaving and silence go to all peers at once; load and signs of life go to the zone
 //   every kRefreshInterval and beyond it every kFarRefreshInterval. A silent target is out of use
-//   after kHomeSilence of the limit at its home and on every host that the home reaches; where the
-//   home fell silent too, after kRemoteSilence.
+//   after three quarters of the limit at its home and on every host that the home reaches; where
+//   the home fell silent too, after kRemoteSilence.
 // - A refresh names fingerprints: who misses a record asks for it.
 class TargetSpread
 {
--- a/include/damasklink/state/CallerDirectory.h
+++ b/include/damasklink/state/CallerDirectory.h
@@ -12,6 +12,8 @@
 
 namespace damasklink {
 
+class PolicyResolver;
+
 // A key and what its holder may do. The policy is shared by all keys of the team.
 struct CallerEntry
 {
@@ -67,7 +69,6 @@
 ServiceLevelOf(const SubtreePolicy& aDefaults, const WorkspaceNode& aWorkspace);
 
 // Returns the entries of a workspace's keys.
-class PolicyResolver;
 std::vector<CallerEntry>
 CallerEntriesOf(const PolicyResolver& aResolver,
                 const WorkspaceId& aId,
--- a/include/damasklink/state/CompactCodec.h
+++ b/include/damasklink/state/CompactCodec.h
@@ -2,6 +2,7 @@
 //
 // Numbers are variable-length (seven bits a byte, least significant first), texts are preceded by
 // their length. Readers never run past the end: a short or wrong input turns the reader bad.
+// Made for what goes over thin links many times; Bytes.h is the fixed-width form of log files.
 #pragma once
 
 #include <cstdint>
