--- a/include/damasklink/coordination/ConcurrencyLimit.h
+++ b/include/damasklink/coordination/ConcurrencyLimit.h
@@ -35,8 +35,8 @@
   void OnEnd(AttemptLoad aLoad, Duration aFirstToken);
 
   // Takes in how many requests the target says that it can run at once, 0 when it does not say.
-  // The first declaration is where the limit starts; it stays at or below it: what exceeds it would only wait inside the target, where
-  // shares are not kept.
+  // The first declaration is where the limit starts; it stays at or below it: what exceeds it would
+  // only wait inside the target, where shares are not kept.
   void SetSlots(std::uint64_t aSlots);
 
   std::size_t Limit() const { return static_cast<std::size_t>(this->limit); }
