--- a/include/damasklink/coordination/GroupFormation.h
+++ b/include/damasklink/coordination/GroupFormation.h
@@ -44,17 +44,24 @@
   // Makes all answers to earlier queries void.
   void ForgetRound();
 
+  // Makes this replica one that only asks: the group was formed before, whatever its disk holds.
+  void NeverFound() { this->mayFound = false; }
+
+  // Asks one host more. Requires NeverFound(): a founder needs the word of the listed hosts alone.
+  void AskAlso(const HostId& aHost) { this->listed.push_back(aHost); }
+
   // Returns what this replica founds the group as, should it do so.
   FormationId Proposed() const { return this->proposed; }
 
 private:
-  bool MayFound() const { return this->listed.front() == this->self.host; }
+  bool MayFound() const { return this->mayFound && this->listed.front() == this->self.host; }
 
   const Clock& clock;
   Member self;
   std::vector<HostId> listed;
   std::mt19937_64 random;
   FormationId proposed;
+  bool mayFound = true;
   std::uint64_t nonce = 0;
   MonotonicTime nextRound;
   std::map<HostId, ReplicaId> neverFormed;
--- a/include/damasklink/coordination/GroupReplica.h
+++ b/include/damasklink/coordination/GroupReplica.h
@@ -17,6 +17,11 @@
   RaftOptions raft;
   // The hosts that are to vote, in the order of their names; this host among them.
   std::vector<HostId> listedVoters;
+  // Whether this replica may found the group; false where it is known to have been formed before,
+  // so that a host with a lost disk waits for those that remember.
+  bool mayFound = true;
+  // Set where hosts are learnt while they run, not listed: how many of them vote. Odd.
+  std::optional<std::size_t> mostVoters;
   // Applied entries, or bytes of commands, after which a snapshot is taken.
   std::uint64_t snapshotEntries = 10'000;
   std::uint64_t snapshotBytes = std::uint64_t{ 4 } * 1024 * 1024;
@@ -58,6 +63,9 @@
   // the calls above.
   GroupActions TakeActions();
 
+  // Asks this host too, from now on, whether the group was formed and to be taken in.
+  void KnowHost(const HostId& aHost);
+
   // Gives up leadership in favour of another voter.
   void HandOver() { this->core.HandOver(); }
 
--- /dev/null
+++ b/include/damasklink/coordination/HeldParts.h
@@ -0,0 +1,67 @@
+// Which parts of prompts each engine is believed to hold in its own cache.
+//
+// A guess from what was sent there: engines drop the least recently used parts when their memory is
+// full, and so does this view. A wrong guess costs time, never a wrong answer.
+//
+//   HeldParts held;
+//   held.SetCapacity(TokenCount(150'000));
+//   held.OnRead(target, keys, tokens);
+//   held.LeadingHeld(target, keys);     // Parts from the start of the prompt.
+//
+// Not thread-safe.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "damasklink/coordination/PromptParts.h"
+
+namespace damasklink {
+
+class HeldParts
+{
+public:
+  // Tokens that one engine is believed to keep; parts beyond it are forgotten, the least recently
+  // used first.
+  void SetCapacity(TokenCount aTokens) { this->capacity = aTokens.Value(); }
+
+  // Tells that the target reads the parts.
+  void OnRead(const TargetId& aTarget, const std::vector<SizedPart>& aParts);
+
+  // Returns how many parts from the first on the target holds, without a gap.
+  std::size_t LeadingHeld(const TargetId& aTarget, const std::vector<SizedPart>& aParts) const;
+
+  void Forget(const TargetId& aTarget) { this->targets.erase(aTarget); }
+
+private:
+  struct Held
+  {
+    std::uint64_t tokens = 0;
+    std::uint64_t stamp = 0;
+  };
+
+  struct Use
+  {
+    PartKey key;
+    std::uint64_t stamp = 0;
+  };
+
+  struct Cache
+  {
+    absl::flat_hash_map<PartKey, Held> parts;
+    // Uses in order; one that was used again later stands here more than once.
+    std::deque<Use> uses;
+    std::uint64_t tokens = 0;
+    std::uint64_t lastStamp = 0;
+  };
+
+  void Trim(Cache& aCache) const;
+
+  std::uint64_t capacity = 100'000;
+  absl::flat_hash_map<TargetId, Cache> targets;
+};
+
+} // namespace damasklink
--- a/include/damasklink/coordination/RaftCore.h
+++ b/include/damasklink/coordination/RaftCore.h
@@ -124,7 +124,8 @@
   bool HasFreshLeader() const;
   // Returns up to where the member's log is known to be equal. Only a leader knows.
   LogIndex MatchOf(ReplicaId aReplica) const;
-  // Returns whether the member answered within the longest election timeout. Only a leader knows.
+  // Returns whether the member answered within the longest election timeout; true for this replica.
+  // Only a leader knows.
   bool HeardFrom(ReplicaId aReplica) const;
 
 private:
--- a/include/damasklink/coordination/Replication.h
+++ b/include/damasklink/coordination/Replication.h
@@ -19,6 +19,7 @@
   Orders = 3,        // Fencing numbers and wished ends of targets (control group).
   Claims = 4,        // Idempotency keys (claims groups).
   Leases = 5,        // Owners of stores (claims groups).
+  Serving = 6,       // The serving document and the named weights (control group).
 };
 
 // The group that holds the configuration.
--- a/include/damasklink/coordination/RetryBudget.h
+++ b/include/damasklink/coordination/RetryBudget.h
@@ -9,7 +9,7 @@
 //   budget.OnRequest();
 //   if (budget.TryTake()) ...   // Retry.
 //
-// Over any stretch of n requests at most kShare * n + kReserve retries are allowed. Not
+// Over any stretch of n requests at most aShare * n + aReserve retries are allowed. Not
 // thread-safe.
 class RetryBudget
 {
@@ -18,12 +18,24 @@
   // Saved up at most, and given at the start, so that a quiet host can retry at all.
   static constexpr double kReserve = 8;
 
+  RetryBudget() = default;
+  // aShare of a retry for each request, aReserve at the start. At least one whole retry can be
+  // saved up, or a small reserve would forbid them for good.
+  RetryBudget(double aShare, double aReserve)
+    : share(aShare)
+    , reserve(aReserve)
+    , balance(aReserve)
+  {
+  }
+
   void OnRequest();
 
   // Returns whether a retry is allowed, and pays for it.
   bool TryTake();
 
 private:
+  double share = kShare;
+  double reserve = kReserve;
   double balance = kReserve;
 };
 
--- /dev/null
+++ b/include/damasklink/coordination/ServingPicture.h
@@ -0,0 +1,86 @@
+// What control hosts tell entry hosts, and each other, of a serving deployment.
+//
+// A control host greets whoever connects and then tells its picture: first all of it, later what
+// has changed. An entry host listens to several control hosts and merges what they say, so it needs
+// no notice when one of them falls silent or behind.
+#pragma once
+
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "damasklink/coordination/PromptParts.h"
+#include "damasklink/coordination/Target.h"
+#include "damasklink/state/Ids.h"
+
+namespace damasklink {
+
+enum class HostRole : std::uint8_t
+{
+  Entry = 1,   // Relays calls; holds nothing that must survive.
+  Control = 2, // Holds the replicated log and hears the targets.
+};
+
+// The first message of both sides of a connection.
+struct Greeting
+{
+  HostRole role = HostRole::Entry;
+  ZoneId zone;
+  // Those that the sender knows, itself among them.
+  std::vector<HostId> controlHosts;
+
+  bool operator==(const Greeting&) const = default;
+};
+
+// What a control host believes of a target. The numbers stand on the wire.
+enum class TargetStanding : std::uint8_t
+{
+  Usable = 1,
+  Silent = 2,  // Not heard for too long, or another target announced itself from its address.
+  Leaving = 3, // Said so, or signed off; stays so.
+};
+
+struct TargetStatement
+{
+  TargetRecord record;
+  TargetStanding standing = TargetStanding::Usable;
+  // Gets no new work while its weights are exchanged.
+  bool paused = false;
+
+  bool operator==(const TargetStatement&) const = default;
+};
+
+// What a control host knows of the parts in one store.
+struct StoreStatement
+{
+  Endpoint store;
+  // False: the control host does not hear the store; nothing that was said of it counts any more.
+  bool live = false;
+  // The parts stated are all there are; else they are changes to what was stated before.
+  bool whole = false;
+  std::vector<SizedPart> added;
+  std::vector<PartKey> removed;
+
+  bool operator==(const StoreStatement&) const = default;
+};
+
+struct Picture
+{
+  // Zero when there is no document yet.
+  Revision documentVersion;
+  // Empty when this picture carries only what has changed, and the document has not.
+  std::string document;
+  std::map<ModelName, std::uint64_t> weights;
+  std::vector<TargetStatement> targets;
+  // Entry hosts connected to the sender, among which shared budgets are divided; 0 when not told.
+  std::uint64_t entryHosts = 0;
+  std::vector<HostId> controlHosts;
+  std::vector<StoreStatement> stores;
+
+  bool operator==(const Picture&) const = default;
+};
+
+using ServingMessage = std::variant<Greeting, Picture>;
+
+} // namespace damasklink
--- /dev/null
+++ b/include/damasklink/coordination/StoreFeed.h
@@ -0,0 +1,86 @@
+// What one store of prompt parts holds, as its events and lists tell.
+//
+//   StoreFeed feed;
+//   if (feed.NeedsList()) feed.TakeList(list);
+//   else feed.TakeEvents(events);
+//   StoreStatement changes = feed.TakeChanges();    // For entry hosts.
+//
+// A restarted store has another epoch and nothing in it; a gap in the events, or another epoch,
+// asks for a list. Between a loss and the next list nothing is known. Not thread-safe.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "damasklink/coordination/ServingPicture.h"
+
+namespace damasklink {
+
+// Which start of a store something was said in.
+using StoreEpoch = NumberId<struct StoreEpochTag>;
+
+// One change, or one entry of a list. A part is named only once it is whole.
+struct StoredPartEvent
+{
+  SizedPart part;
+  bool added = true;
+};
+
+struct StoreEvents
+{
+  StoreEpoch epoch;
+  // Where the next question goes on.
+  Sequence next;
+  // Older events than the oldest one here were dropped.
+  bool lost = false;
+  std::vector<StoredPartEvent> events;
+  // The targets' clock in milliseconds, where it was told.
+  std::optional<double> clock;
+};
+
+// All that is held.
+struct StoreList
+{
+  StoreEpoch epoch;
+  Sequence next;
+  std::vector<SizedPart> parts;
+};
+
+class StoreFeed
+{
+public:
+  explicit StoreFeed(Endpoint aStore)
+    : store(std::move(aStore))
+  {
+  }
+
+  bool NeedsList() const { return !this->live; }
+
+  // Where the next question for events goes on.
+  Sequence Next() const { return this->next; }
+
+  void TakeEvents(const StoreEvents& aEvents);
+  void TakeList(const StoreList& aList);
+
+  // The store does not answer: nothing that is known of it counts.
+  void Lose();
+
+  // Returns what has changed since the last call; nothing when nothing has.
+  std::optional<StoreStatement> TakeChanges();
+
+  // Returns the whole of what is known.
+  StoreStatement All() const;
+
+private:
+  Endpoint store;
+  bool live = false;
+  StoreEpoch epoch;
+  Sequence next;
+  std::map<PartKey, TokenCount> parts;
+  // What the next TakeChanges() returns.
+  StoreStatement changes;
+  bool changed = false;
+};
+
+} // namespace damasklink
--- /dev/null
+++ b/include/damasklink/coordination/StoredParts.h
@@ -0,0 +1,64 @@
+// Where the parts of prompts are stored, as one control host states it.
+//
+//   StoredParts stored;
+//   stored.SetStores(config.services);
+//   stored.Take(statement);
+//   const PromptStore* from = stored.Find(key);        // Whole there, and readable.
+//   const PromptStore* to = stored.HomeOf(part);       // Where it is to be saved.
+//
+// The words of two control hosts about one store cannot be put in order, so each has an object of
+// its own. A part that is not certainly whole is never read. Not thread-safe.
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "damasklink/coordination/ServingConfig.h"
+#include "damasklink/coordination/ServingPicture.h"
+
+namespace damasklink {
+
+// A store as the configuration declares it, and what is known of it.
+struct PromptStore
+{
+  PromptStoreTraits traits;
+  bool live = false;
+  std::uint64_t storedTokens = 0;
+  absl::flat_hash_map<PartKey, TokenCount> parts;
+};
+
+class StoredParts
+{
+public:
+  // Share of a store up to which parts are sent to it: what is on its way has no place in the
+  // figures yet.
+  static constexpr double kFullShare = 0.95;
+
+  // Takes the stores of a configuration; what is known of those that stay is kept.
+  void SetStores(const std::vector<ServingService>& aServices);
+
+  // Takes what the control host states. A store that the configuration does not name is ignored.
+  void Take(const StoreStatement& aStatement);
+
+  // How many stores the control host hears.
+  std::size_t LiveStores() const;
+
+  // Returns the store from which a target in the zone reads the part soonest, or null when none
+  // surely holds it whole.
+  const PromptStore* Find(const SizedPart& aPart, const ZoneId& aZone) const;
+
+  // Returns the store that a part belongs into, the same on all hosts: a weighted choice by the
+  // part's key among stores that are live and have room. Null when there is none.
+  const PromptStore* HomeOf(const SizedPart& aPart) const;
+
+private:
+  // How long reading so many tokens from the store takes, without waiting, in milliseconds.
+  double ReadTime(const PromptStore& aStore, TokenCount aTokens) const;
+
+  std::map<std::string, PromptStore> stores;
+  double bytesPerToken = 0;
+};
+
+} // namespace damasklink
--- /dev/null
+++ b/include/damasklink/coordination/TargetBoard.h
@@ -0,0 +1,71 @@
+// The targets as one entry host knows them, merged from what several control hosts state.
+//
+//   TargetBoard board;
+//   board.Take(controlHost, statement);
+//   board.OnLink(controlHost, false);       // Its words stay, but those of others go first.
+//   for (const TargetRecord& target : board.Usable(service)) ...
+//
+// Rules: what left stays gone; a target is usable while any control host that is connected says so;
+// when none is connected the last words count, so a host that is cut off goes on with what it knew.
+// Not thread-safe.
+#pragma once
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include "damasklink/coordination/ServingPicture.h"
+
+namespace damasklink {
+
+class TargetBoard
+{
+public:
+  // Takes what a control host states. An older statement of the same host is replaced.
+  void Take(const HostId& aFrom, const TargetStatement& aStatement);
+
+  // Tells whether the control host is connected.
+  void OnLink(const HostId& aHost, bool aUp);
+
+  // Tells that the target does not exist any more, as another one at its address said.
+  void NoteGone(const TargetId& aTarget);
+
+  // Returns the targets of the service that may get new work, ordered by id. When all of them are
+  // silent it returns those: a guess serves better than a refusal.
+  const std::vector<TargetRecord>& Usable(const ServiceName& aService) const;
+
+  // Returns the newest record of a target that has not left, or null.
+  const TargetRecord* Find(const TargetId& aTarget) const;
+
+  // Rises with each change of what Usable() returns.
+  std::uint64_t Version() const { return this->version; }
+
+private:
+  struct Word
+  {
+    Sequence sequence;
+    TargetStanding standing = TargetStanding::Usable;
+    bool paused = false;
+  };
+
+  struct Entry
+  {
+    TargetRecord record;
+    std::map<HostId, Word> words;
+    bool gone = false;
+  };
+
+  bool CountsUsable(const Entry& aEntry) const;
+  bool IsPaused(const Entry& aEntry) const;
+  void Rebuild() const;
+  void Changed();
+
+  std::map<TargetId, Entry> entries;
+  std::set<HostId> connected;
+  std::uint64_t version = 1;
+  // What Usable() returns, built when it is asked for after a change.
+  mutable std::uint64_t builtVersion = 0;
+  mutable std::map<ServiceName, std::vector<TargetRecord>> usable;
+};
+
+} // namespace damasklink
--- a/include/damasklink/coordination/TargetHealth.h
+++ b/include/damasklink/coordination/TargetHealth.h
@@ -48,6 +48,10 @@
   // Returns the targets that may be sent a request now.
   std::vector<TargetRecord> Filter(const std::vector<TargetRecord>& aTargets) const;
 
+  // Returns whether the target is ejected, or has its one request of the half-open state. For those
+  // who keep the floor themselves.
+  bool IsOut(const TargetId& aTarget) const;
+
 private:
   struct Entry
   {
@@ -57,7 +61,6 @@
     bool probing = false;
   };
 
-  bool IsOut(const TargetId& aTarget) const;
   void Eject(Entry& aEntry);
 
   const Clock& clock;
--- /dev/null
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -0,0 +1,98 @@
+// Chooses the target of a call in a serving deployment.
+//
+//   TargetPicker picker(health);
+//   const TargetRecord* target = picker.Choose(question, board.Usable(service));
+//   picker.OnSent(target->id, work);
+//   picker.OnFirstEvent(target->id, work);
+//   picker.OnEnd(target->id, work);
+//
+// The cost of a target is the time to its first event, as far as this host can tell: the prompt
+// tokens that were sent there and are not read yet, those of this call that it must read itself,
+// and the requests that it runs. Not thread-safe.
+#pragma once
+
+#include <random>
+#include <set>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "damasklink/coordination/HeldParts.h"
+#include "damasklink/coordination/Target.h"
+#include "damasklink/coordination/TargetHealth.h"
+
+namespace damasklink {
+
+// What a choice is made for.
+struct PickQuestion
+{
+  // Availability zone of this host.
+  ZoneId zone;
+  // All prompt tokens of the call; zero for calls without a prompt.
+  TokenCount promptTokens;
+  // The parts that calls share, from the start of the prompt.
+  std::vector<SizedPart> parts;
+  // Parts that can be fetched from a store, by position.
+  std::vector<bool> stored;
+  // Targets that were tried already.
+  std::set<TargetId> excluded;
+};
+
+// What one call adds to the load of its target.
+struct PickedWork
+{
+  // Prompt tokens that the target must read.
+  TokenCount toRead;
+  bool answering = false;
+};
+
+// The figures of the cost, in milliseconds. They were measured with engines that read 112 to 125
+// prompt tokens a millisecond and take 3.2 ms a step.
+struct PickCosts
+{
+  // Reading one prompt token.
+  double perToken = 1.0 / 120;
+  // Each request that the target runs already: a step takes longer, and memory is shared.
+  double perRequest = 2.5;
+  // Fetching one token from a store instead of reading it, on a link of 250 Gbit/s.
+  double perFetchedToken = 1.0 / 800;
+  // A target in another zone: the way, and bytes between zones that are paid for.
+  double otherZone = 4;
+};
+
+class TargetPicker
+{
+public:
+  TargetPicker(const TargetHealth& aHealth, std::uint64_t aSeed, PickCosts aCosts = PickCosts());
+
+  // Returns the target with the least cost, null when there is none. Ejected targets are chosen
+  // only when more than half of the list is ejected: then the fault is likely elsewhere.
+  const TargetRecord* Choose(const PickQuestion& aQuestion,
+                             const std::vector<TargetRecord>& aTargets);
+
+  // Returns the prompt tokens of the call that the target would read itself.
+  TokenCount ToRead(const PickQuestion& aQuestion, const TargetId& aTarget) const;
+
+  void OnSent(const TargetId& aTarget, const PickQuestion& aQuestion, const PickedWork& aWork);
+  void OnFirstEvent(const TargetId& aTarget, PickedWork& aWork);
+  void OnEnd(const TargetId& aTarget, const PickedWork& aWork);
+
+  HeldParts& Held() { return this->held; }
+
+private:
+  struct Load
+  {
+    std::uint64_t requests = 0;
+    std::uint64_t unread = 0;
+  };
+
+  double CostOf(const PickQuestion& aQuestion, const TargetRecord& aTarget) const;
+
+  const TargetHealth& health;
+  PickCosts costs;
+  std::minstd_rand random;
+  HeldParts held;
+  absl::flat_hash_map<TargetId, Load> loads;
+};
+
+} // namespace damasklink
--- a/include/damasklink/coordination/TargetRegistry.h
+++ b/include/damasklink/coordination/TargetRegistry.h
@@ -17,7 +17,9 @@
 //
 // A record replaces the one held only when its (incarnation, sequence) is higher. "Leaving" sticks
 // for an incarnation. A target not heard of for the silence limit is not usable; it is kept for a
-// while so that a late announcement of an older incarnation cannot revive it. Not thread-safe.
+// while so that a late announcement of an older incarnation cannot revive it. An address has one
+// target, the one that announced itself from it last: a target that crashed says nothing, and its
+// successor may have its address. Not thread-safe.
 class TargetRegistry
 {
 public:
@@ -65,6 +67,7 @@
   };
 
   bool IsUsable(const Entry& aEntry) const;
+  void SilenceOthersAt(const TargetRecord& aRecord);
 
   const Clock& clock;
   Duration silence;
--- /dev/null
+++ b/include/damasklink/protocol/ServingDialect.h
@@ -0,0 +1,180 @@
+// How a platform speaks: what its messages say, in the terms of this program.
+//
+// The program decides on the types below; an adapter reads them from and writes them to the names,
+// headers and bodies of one platform. Nothing else knows those names. To run on another platform,
+// implement these interfaces.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "damasklink/coordination/ServingConfig.h"
+#include "damasklink/coordination/StoreFeed.h"
+#include "damasklink/coordination/Target.h"
+#include "damasklink/protocol/ErrorBody.h"
+#include "damasklink/protocol/HttpMessage.h"
+
+namespace damasklink {
+
+using PartId = StringId<struct PartIdTag>;
+// What keeps cached parts apart: targets find parts only under the scope they were made under.
+using CacheScope = StringId<struct CacheScopeTag>;
+
+// A part of a prompt that calls may share.
+struct PromptPart
+{
+  PartId id;
+  TokenCount tokens;
+
+  bool operator==(const PromptPart&) const = default;
+};
+
+// What a caller asks for.
+struct CallerCall
+{
+  RequestId request;
+  std::string host;
+  std::string key;
+  // How long the caller waits; nothing when it does not say.
+  std::optional<Duration> patience;
+  // The last event that the caller has, where it resumes a stream.
+  std::optional<std::uint64_t> lastEvent;
+  ModelName model;
+  TokenCount promptTokens;
+  TokenCount mostAnswerTokens;
+  // In the order of the prompt; the last one belongs to this call or its session alone.
+  std::vector<PromptPart> parts;
+};
+
+// A move of one part of a prompt between a target and a store or another target.
+struct PartMove
+{
+  // Nothing: this part is not moved.
+  std::optional<Endpoint> peer;
+};
+
+// What is said to a target beside what the caller said.
+struct TargetCall
+{
+  TargetId target;
+  // Empty on open routes.
+  WorkspaceId workspace;
+  Duration timeLeft{ 0 };
+  // 0 is the most urgent.
+  int priority = 0;
+  std::optional<std::uint64_t> lastEvent;
+  CacheScope scope;
+  // The version of weights that the target is believed to have.
+  std::optional<std::uint64_t> weights;
+  // One entry a part, or none at all.
+  std::vector<PartMove> fetches;
+  std::vector<PartMove> saves;
+  // On the targets' clock: a fetch that is not done by then is given up.
+  std::optional<double> fetchUntil;
+};
+
+// What the head of a target's answer says.
+struct TargetAnswerFacts
+{
+  // The target promises that it did not run the call and never will.
+  bool notRun = false;
+  // Another target has the address.
+  bool wrongTarget = false;
+  // Who answered, where it says so.
+  TargetId target;
+  // Empty when the answer names no request.
+  RequestId request;
+};
+
+// Calls of callers, and what becomes of them at targets.
+class CallDialect
+{
+public:
+  virtual ~CallDialect() = default;
+
+  // Fails with InvalidArgument, naming the field.
+  virtual Result<CallerCall> ReadCall(const HttpRequestHead& aHead) const = 0;
+
+  // Returns what the target is sent: what the caller said, without what is not the caller's to say.
+  virtual HttpRequestHead HeadForTarget(const HttpRequestHead& aFromCaller,
+                                        const TargetCall& aCall) const = 0;
+
+  virtual TargetAnswerFacts ReadAnswer(const HttpAnswerHead& aHead) const = 0;
+
+  // Returns the answer of this program for a call that it refuses or that failed.
+  virtual HttpAnswerMessage FailureAnswer(const CallerError& aError,
+                                          const RequestId& aRequest) const = 0;
+
+  virtual bool IsReadinessProbe(const HttpRequestHead& aHead) const = 0;
+};
+
+// A target says that it lives, and what it is.
+struct TargetHeartbeat
+{
+  TargetRecord record;
+};
+
+// A target signs off.
+struct TargetDeparture
+{
+  TargetId target;
+};
+
+struct ConfigChange
+{
+  std::string document;
+};
+
+struct ConfigQuestion
+{};
+
+// New weights of a model are to be rolled out.
+struct WeightsNamed
+{
+  ModelName model;
+  std::uint64_t version = 0;
+};
+
+using ControlCall =
+  std::variant<TargetHeartbeat, TargetDeparture, ConfigChange, ConfigQuestion, WeightsNamed>;
+
+// Calls of targets and operators at control hosts.
+class ControlDialect
+{
+public:
+  virtual ~ControlDialect() = default;
+
+  // Fails with NotFound for a call that is not known and with InvalidArgument for one that cannot
+  // be read.
+  virtual Result<ControlCall> ReadControlCall(const HttpRequestMessage& aRequest) const = 0;
+
+  // Fails with InvalidArgument, naming the field. Does not check what CheckServingConfig() does.
+  virtual Result<ServingConfig> ReadConfig(std::string_view aDocument) const = 0;
+
+  // An accepted call, and a question answered with a document.
+  virtual HttpAnswerMessage Acknowledgement() const = 0;
+  virtual HttpAnswerMessage DocumentAnswer(std::string_view aDocument) const = 0;
+  virtual HttpAnswerMessage ControlFailure(const Error& aError) const = 0;
+};
+
+// Questions of control hosts to the stores of prompt parts.
+class StoreDialect
+{
+public:
+  virtual ~StoreDialect() = default;
+
+  // Asks what has changed since; the store answers at once when something has, or after the wait.
+  virtual HttpRequestHead EventsQuestion(const Endpoint& aStore,
+                                         Sequence aSince,
+                                         Duration aWait) const = 0;
+  virtual Result<StoreEvents> ReadEvents(std::string_view aBody) const = 0;
+
+  // Asks for all that is held.
+  virtual HttpRequestHead ListQuestion(const Endpoint& aStore) const = 0;
+  virtual Result<StoreList> ReadList(std::string_view aBody) const = 0;
+};
+
+} // namespace damasklink
--- a/include/damasklink/state/Clock.h
+++ b/include/damasklink/state/Clock.h
@@ -25,11 +25,12 @@
   virtual WallTime WallNow() const = 0;
 };
 
-// The clock of a running process.
+// The clock of a running process. Its monotonic time counts while the host is suspended, which
+// std::chrono::steady_clock does not on Linux: a lease that ran out meanwhile must be seen to have.
 class SystemClock final : public Clock
 {
 public:
-  MonotonicTime MonotonicNow() const override { return std::chrono::steady_clock::now(); }
+  MonotonicTime MonotonicNow() const override;
   WallTime WallNow() const override { return std::chrono::system_clock::now(); }
 };
 
--- /dev/null
+++ b/include/damasklink/state/ServingSettings.h
@@ -0,0 +1,58 @@
+// The settings of a process of a serving deployment: who it is, where it listens, what it is
+// bounded by. What operators change while it runs is the serving configuration.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "damasklink/state/Clock.h"
+#include "damasklink/state/Ids.h"
+#include "damasklink/state/Settings.h"
+
+namespace damasklink {
+
+// How many sends beyond the first of each call all hosts together may make.
+struct RetryAllowance
+{
+  // Of the calls for a service.
+  double share = 0.2;
+  // On top of the share, in each window.
+  double reserve = 58;
+  Duration window = std::chrono::seconds(10);
+};
+
+struct ServingSettings
+{
+  // The host's IP number, by which other hosts reach it.
+  HostId host;
+  // For people.
+  std::string name;
+  ZoneId zone;
+  // Callers of an entry host.
+  Endpoint callers;
+  // Where the balancer asks whether an entry host is ready.
+  Endpoint readiness;
+  // Targets and operators of a control host.
+  Endpoint control;
+  // Where metrics are served; port 0 for nowhere.
+  Endpoint metrics;
+  // Where hosts connect to each other; the same port on all hosts.
+  std::uint16_t peerPort = 0;
+  // Control hosts to begin with; some may be gone.
+  std::vector<HostId> seeds;
+  // The deployment starts for the first time, with empty disks.
+  bool firstStart = false;
+  // Empty on a host without a disk.
+  std::string dataFolder;
+  // Between two signs of life of a target.
+  Duration targetHeartbeat = std::chrono::milliseconds(1200);
+  // From SIGTERM until the process is killed.
+  Duration stopWithin = std::chrono::seconds(8);
+  // Orders of two holders must be this far apart.
+  Duration orderLease = std::chrono::seconds(3);
+  // From an accepted version of weights until no call begins on an older one.
+  Duration weightsWithin = std::chrono::seconds(10);
+  RetryAllowance retries;
+};
+
+} // namespace damasklink
--- a/include/damasklink/transport/PeerNetwork.h
+++ b/include/damasklink/transport/PeerNetwork.h
@@ -23,6 +23,7 @@
   Claims = 5,        // Claims sent to their home group.
   Stores = 6,        // Store owners and block look-ups.
   Admission = 7,     // Shares and load within a zone.
+  Serving = 8,       // Pictures of a serving deployment; an empty payload only says "alive".
 };
 
 // Returns the lower-case name that logs and metrics use.
--- a/src/coordination/GroupReplica.cpp
+++ b/src/coordination/GroupReplica.cpp
@@ -1,5 +1,6 @@
 #include "damasklink/coordination/GroupReplica.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace damasklink {
@@ -22,6 +23,12 @@
               this->options.raft.seed)
   , repair(this->options.listedVoters)
 {
+  if (!this->options.mayFound) {
+    this->formation.NeverFound();
+  }
+  if (this->options.mostVoters) {
+    this->repair.LearnHosts(*this->options.mostVoters);
+  }
   if (!this->WasEverFormed() && this->core.Formation() != FormationId()) {
     // Adopted, or founded in a write that was cut off: only a fresh answer can tell.
     this->core.Adopt(FormationId());
@@ -163,6 +170,19 @@
   }
 }
 
+void
+GroupReplica::KnowHost(const HostId& aHost)
+{
+  std::vector<HostId>& known = this->options.listedVoters;
+  if (std::find(known.begin(), known.end(), aHost) != known.end()) {
+    return;
+  }
+  known.push_back(aHost);
+  if (!this->options.mayFound) {
+    this->formation.AskAlso(aHost);
+  }
+}
+
 void
 GroupReplica::AskToJoin()
 {
--- /dev/null
+++ b/src/coordination/HeldParts.cpp
@@ -0,0 +1,54 @@
+#include "damasklink/coordination/HeldParts.h"
+
+namespace damasklink {
+
+void
+HeldParts::OnRead(const TargetId& aTarget, const std::vector<SizedPart>& aParts)
+{
+  Cache& cache = this->targets[aTarget];
+  for (const SizedPart& part : aParts) {
+    const auto [position, isNew] = cache.parts.try_emplace(part.key);
+    Held& held = position->second;
+    if (isNew) {
+      held.tokens = part.tokens.Value();
+      cache.tokens += held.tokens;
+    }
+    held.stamp = ++cache.lastStamp;
+    cache.uses.push_back(Use{ part.key, held.stamp });
+  }
+  this->Trim(cache);
+}
+
+std::size_t
+HeldParts::LeadingHeld(const TargetId& aTarget, const std::vector<SizedPart>& aParts) const
+{
+  const auto found = this->targets.find(aTarget);
+  if (found == this->targets.end()) {
+    return 0;
+  }
+  std::size_t count = 0;
+  while (count < aParts.size() && found->second.parts.contains(aParts[count].key)) {
+    ++count;
+  }
+  return count;
+}
+
+void
+HeldParts::Trim(Cache& aCache) const
+{
+  while (!aCache.uses.empty()) {
+    const Use& oldest = aCache.uses.front();
+    const auto held = aCache.parts.find(oldest.key);
+    const bool usedLater = held == aCache.parts.end() || held->second.stamp != oldest.stamp;
+    if (!usedLater) {
+      if (aCache.tokens <= this->capacity) {
+        return;
+      }
+      aCache.tokens -= held->second.tokens;
+      aCache.parts.erase(held);
+    }
+    aCache.uses.pop_front();
+  }
+}
+
+} // namespace damasklink
--- a/src/coordination/MembershipRepair.cpp
+++ b/src/coordination/MembershipRepair.cpp
@@ -8,12 +8,21 @@
 // A learner this close to the leader's commitment catches up within the change itself.
 constexpr std::uint64_t kCaughtUpWithin = 256;
 
+bool
+IsCaughtUp(const Member& aMember, const RaftCore& aCore)
+{
+  const LogIndex match = aCore.MatchOf(aMember.replica);
+  return match > LogIndex() && aCore.HeardFrom(aMember.replica) &&
+         match.Value() + kCaughtUpWithin >= aCore.Committed().Value();
+}
+
 } // namespace
 
 bool
 MembershipRepair::IsListed(const HostId& aHost) const
 {
-  return std::find(this->listed.begin(), this->listed.end(), aHost) != this->listed.end();
+  return this->mostVoters.has_value() ||
+         std::find(this->listed.begin(), this->listed.end(), aHost) != this->listed.end();
 }
 
 void
@@ -40,15 +49,38 @@
   return this->AddLearner(now);
 }
 
+// Whether one voter more makes the group stronger: always for a listed host. Where hosts are
+// learnt, an even number of voters bears no more losses than the odd one below it, so voters are
+// added in pairs, and one alone only in place of a voter that is silent.
+bool
+MembershipRepair::MayVote(const Membership& aNow, const RaftCore& aCore) const
+{
+  if (!this->mostVoters) {
+    return true;
+  }
+  const std::size_t voters = aNow.VoterCount();
+  if (voters % 2 == 0) {
+    return voters < *this->mostVoters;
+  }
+  const auto& members = aNow.members;
+  const bool voterSilent = std::any_of(members.begin(), members.end(), [&](const Member& aMember) {
+    return aMember.voter && !aCore.HeardFrom(aMember.replica);
+  });
+  const auto ready = std::count_if(members.begin(), members.end(), [&](const Member& aMember) {
+    return !aMember.voter && IsCaughtUp(aMember, aCore);
+  });
+  return voterSilent || (ready >= 2 && voters + 2 <= *this->mostVoters);
+}
+
 std::optional<Membership>
 MembershipRepair::Promote(const Membership& aNow, const RaftCore& aCore) const
 {
+  if (!this->MayVote(aNow, aCore)) {
+    return std::nullopt;
+  }
   for (std::size_t position = 0; position < aNow.members.size(); ++position) {
     const Member& member = aNow.members[position];
-    const LogIndex match = aCore.MatchOf(member.replica);
-    const bool caughtUp = aCore.HeardFrom(member.replica) &&
-                          match.Value() + kCaughtUpWithin >= aCore.Committed().Value();
-    if (!member.voter && match > LogIndex() && caughtUp) {
+    if (!member.voter && IsCaughtUp(member, aCore)) {
       Membership next = aNow;
       next.members[position].voter = true;
       return next;
@@ -75,13 +107,17 @@
 }
 
 // A silent host that the settings do not list any more will not come back. One that still answers
-// stays: the settings of this host may be the wrong ones.
+// stays: the settings of this host may be the wrong ones. Where hosts are learnt, a silent voter
+// stays until its successor votes and makes the number even: it may hold what was acknowledged.
 std::optional<Membership>
 MembershipRepair::RemoveRetired(const Membership& aNow, const RaftCore& aCore) const
 {
+  const bool tooManyVoters = this->mostVoters && aNow.VoterCount() % 2 == 0;
   const auto retired =
     std::find_if(aNow.members.begin(), aNow.members.end(), [&](const Member& aMember) {
-      return !this->IsListed(aMember.host) && !aCore.HeardFrom(aMember.replica);
+      const bool surplus =
+        this->mostVoters ? !aMember.voter || tooManyVoters : !this->IsListed(aMember.host);
+      return surplus && !aCore.HeardFrom(aMember.replica);
     });
   if (retired == aNow.members.end()) {
     return std::nullopt;
--- a/src/coordination/RaftLeader.cpp
+++ b/src/coordination/RaftLeader.cpp
@@ -365,6 +365,9 @@
 bool
 RaftCore::HeardFrom(ReplicaId aReplica) const
 {
+  if (aReplica == this->options.replica) {
+    return true;
+  }
   const auto found = this->progress.find(aReplica);
   return found != this->progress.end() && this->IsFresh(found->second);
 }
--- a/src/coordination/RetryBudget.cpp
+++ b/src/coordination/RetryBudget.cpp
@@ -7,7 +7,7 @@
 void
 RetryBudget::OnRequest()
 {
-  this->balance = std::min(this->balance + kShare, kReserve);
+  this->balance = std::min(this->balance + this->share, std::max(this->reserve, 1.0));
 }
 
 bool
--- /dev/null
+++ b/src/coordination/RouteTable.cpp
@@ -0,0 +1,70 @@
+#include "damasklink/coordination/RouteTable.h"
+
+#include <absl/strings/ascii.h>
+
+#include "damasklink/state/Text.h"
+
+namespace damasklink {
+
+RouteTable::RouteTable(std::shared_ptr<const ServingConfig> aConfig)
+  : config(std::move(aConfig))
+{
+  for (const ServingRoute& route : this->config->routes) {
+    this->routes[Concat(route.host, route.prefix)] = &route;
+  }
+  for (const WorkspaceEntry& workspace : this->config->workspaces) {
+    for (const std::string& key : workspace.keys) {
+      this->workspaces[key] = &workspace;
+    }
+  }
+}
+
+const ServingRoute*
+RouteTable::FindRoute(std::string_view aHost, std::string_view aPath) const
+{
+  if (aPath.empty() || aPath.front() != '/') {
+    return nullptr;
+  }
+  const std::string_view name = aHost.substr(0, aHost.find(':'));
+  std::string place = absl::AsciiStrToLower(ForAbsl(name));
+  place += aPath;
+  while (place.size() > name.size()) {
+    const std::size_t slash = place.rfind('/');
+    if (slash == std::string::npos || slash < name.size()) {
+      return nullptr;
+    }
+    place.resize(slash + 1);
+    const auto found = this->routes.find(place);
+    if (found != this->routes.end()) {
+      return found->second;
+    }
+    place.resize(slash);
+  }
+  return nullptr;
+}
+
+const WorkspaceEntry*
+RouteTable::FindWorkspace(std::string_view aKey) const
+{
+  const auto found = this->workspaces.find(ForAbsl(aKey));
+  return found == this->workspaces.end() ? nullptr : found->second;
+}
+
+const ServiceName&
+ChooseService(const ServingRoute& aRoute, std::uint64_t aNumber)
+{
+  std::uint64_t total = 0;
+  for (const ServiceShare& share : aRoute.shares) {
+    total += share.weight;
+  }
+  std::uint64_t rest = total == 0 ? 0 : aNumber % total;
+  for (const ServiceShare& share : aRoute.shares) {
+    if (rest < share.weight) {
+      return share.service;
+    }
+    rest -= share.weight;
+  }
+  return aRoute.shares.front().service;
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/src/coordination/ServingConfig.cpp
@@ -0,0 +1,120 @@
+#include "damasklink/coordination/ServingConfig.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "damasklink/state/Text.h"
+
+namespace damasklink {
+namespace {
+
+Result<void>
+CheckShares(const ServingRoute& aRoute, const std::set<ServiceName>& aServices)
+{
+  std::uint64_t total = 0;
+  for (const ServiceShare& share : aRoute.shares) {
+    if (!aServices.contains(share.service)) {
+      return Fail(
+        ErrorKind::InvalidArgument,
+        Concat("route '", aRoute.name, "' names the unknown service '", share.service.Value(), "'"),
+        "declare the service or correct the route");
+    }
+    total += share.weight;
+  }
+  if (total == 0) {
+    return Fail(ErrorKind::InvalidArgument,
+                Concat("the weights of route '", aRoute.name, "' add up to zero"),
+                "give at least one service a weight above zero");
+  }
+  return Success();
+}
+
+Result<void>
+CheckRoute(const ServingRoute& aRoute, const std::set<ServiceName>& aServices)
+{
+  const bool framed =
+    !aRoute.prefix.empty() && aRoute.prefix.front() == '/' && aRoute.prefix.back() == '/';
+  if (!framed) {
+    return Fail(ErrorKind::InvalidArgument,
+                Concat("the prefix of route '", aRoute.name, "' is not between slashes"),
+                "begin and end the prefix with a slash");
+  }
+  if (aRoute.timeout <= Duration::zero()) {
+    return Fail(ErrorKind::InvalidArgument,
+                Concat("the timeout of route '", aRoute.name, "' is zero"),
+                "give the route a timeout above zero");
+  }
+  return CheckShares(aRoute, aServices);
+}
+
+Result<void>
+CheckKeys(const std::vector<WorkspaceEntry>& aWorkspaces)
+{
+  std::map<std::string, WorkspaceId> holders;
+  for (const WorkspaceEntry& workspace : aWorkspaces) {
+    for (const std::string& key : workspace.keys) {
+      const auto [holder, isNew] = holders.emplace(key, workspace.name);
+      if (!isNew && holder->second != workspace.name) {
+        return Fail(ErrorKind::InvalidArgument,
+                    Concat("workspaces '",
+                           holder->second.Value(),
+                           "' and '",
+                           workspace.name.Value(),
+                           "' hold the same key"),
+                    "give each workspace keys of its own");
+      }
+    }
+  }
+  return Success();
+}
+
+} // namespace
+
+std::string_view
+CallKindName(CallKind aKind)
+{
+  switch (aKind) {
+    case CallKind::Idempotent:
+      return "idempotent";
+    case CallKind::NonIdempotent:
+      return "non_idempotent";
+    case CallKind::Streaming:
+      return "streaming";
+  }
+  return "unknown";
+}
+
+const ServingService*
+ServingConfig::FindService(const ServiceName& aName) const
+{
+  const auto found =
+    std::find_if(this->services.begin(), this->services.end(), [&](const ServingService& aService) {
+      return aService.name == aName;
+    });
+  return found == this->services.end() ? nullptr : &*found;
+}
+
+Result<void>
+CheckServingConfig(const ServingConfig& aConfig)
+{
+  std::set<ServiceName> services;
+  for (const ServingService& service : aConfig.services) {
+    services.insert(service.name);
+  }
+  std::set<std::pair<std::string, std::string>> places;
+  for (const ServingRoute& route : aConfig.routes) {
+    if (auto checked = CheckRoute(route, services); !checked) {
+      return checked;
+    }
+    if (!places.emplace(route.host, route.prefix).second) {
+      return Fail(ErrorKind::InvalidArgument,
+                  Concat("two routes stand at ", route.host, route.prefix),
+                  "remove one of them or change its prefix");
+    }
+  }
+  return CheckKeys(aConfig.workspaces);
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/src/coordination/StoredParts.cpp
@@ -0,0 +1,140 @@
+#include "damasklink/coordination/StoredParts.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace damasklink {
+namespace {
+
+// Spreads a key and a number into one well-mixed number (the finalizer of SplitMix64).
+std::uint64_t
+Mix(std::uint64_t aKey, std::uint64_t aNumber)
+{
+  std::uint64_t mixed = aKey + (aNumber + 1) * 0x9e3779b97f4a7c15U;
+  mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9U;
+  mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebU;
+  return mixed ^ (mixed >> 31U);
+}
+
+// Weighted rendezvous: the store with the highest value gets the part.
+double
+Attraction(std::uint64_t aKey, std::uint64_t aNumber, double aWeight)
+{
+  constexpr double kRange = 18'446'744'073'709'551'616.0;
+  const double uniform = (static_cast<double>(Mix(aKey, aNumber)) + 1) / (kRange + 2);
+  return -aWeight / std::log(uniform);
+}
+
+} // namespace
+
+void
+StoredParts::SetStores(const std::vector<ServingService>& aServices)
+{
+  std::map<std::string, PromptStore> kept;
+  for (const ServingService& service : aServices) {
+    if (service.engine) {
+      this->bytesPerToken = static_cast<double>(service.engine->bytesPerToken.Value());
+    }
+    if (!service.store) {
+      continue;
+    }
+    const std::string address = FormatEndpoint(service.store->endpoint);
+    const auto known = this->stores.find(address);
+    PromptStore& store = kept[address];
+    if (known != this->stores.end()) {
+      store = std::move(known->second);
+    }
+    store.traits = *service.store;
+  }
+  this->stores = std::move(kept);
+}
+
+std::size_t
+StoredParts::LiveStores() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    this->stores.begin(), this->stores.end(), [](const auto& aItem) { return aItem.second.live; }));
+}
+
+void
+StoredParts::Take(const StoreStatement& aStatement)
+{
+  const auto found = this->stores.find(FormatEndpoint(aStatement.store));
+  if (found == this->stores.end()) {
+    return;
+  }
+  PromptStore& store = found->second;
+  store.live = aStatement.live;
+  if (aStatement.whole || !aStatement.live) {
+    store.parts.clear();
+    store.storedTokens = 0;
+  }
+  for (const PartKey key : aStatement.removed) {
+    const auto part = store.parts.find(key);
+    if (part != store.parts.end()) {
+      store.storedTokens -= part->second.Value();
+      store.parts.erase(part);
+    }
+  }
+  for (const SizedPart& part : aStatement.added) {
+    if (store.parts.emplace(part.key, part.tokens).second) {
+      store.storedTokens += part.tokens.Value();
+    }
+  }
+}
+
+const PromptStore*
+StoredParts::Find(const SizedPart& aPart, const ZoneId& aZone) const
+{
+  const PromptStore* best = nullptr;
+  double least = 0;
+  for (const auto& [address, store] : this->stores) {
+    const auto part = store.parts.find(aPart.key);
+    const bool whole = store.live && part != store.parts.end() && part->second >= aPart.tokens;
+    if (!whole) {
+      continue;
+    }
+    // A transfer between zones takes twice as long.
+    const double way = store.traits.zone == aZone ? 1 : 2;
+    const double time = way * this->ReadTime(store, aPart.tokens);
+    if (best == nullptr || time < least) {
+      best = &store;
+      least = time;
+    }
+  }
+  return best;
+}
+
+const PromptStore*
+StoredParts::HomeOf(const SizedPart& aPart) const
+{
+  const PromptStore* best = nullptr;
+  double most = 0;
+  std::uint64_t number = 0;
+  for (const auto& [address, store] : this->stores) {
+    ++number;
+    const auto capacity = static_cast<double>(store.traits.cacheTokens.Value());
+    const auto needed = static_cast<double>(store.storedTokens + aPart.tokens.Value());
+    if (!store.live || needed > capacity * kFullShare) {
+      continue;
+    }
+    const double attraction = Attraction(aPart.key.Value(), number, capacity);
+    if (best == nullptr || attraction > most) {
+      best = &store;
+      most = attraction;
+    }
+  }
+  return best;
+}
+
+double
+StoredParts::ReadTime(const PromptStore& aStore, TokenCount aTokens) const
+{
+  const double bytesPerMillisecond = aStore.traits.linkRate * 1e6 / 8 / 1e3;
+  const std::chrono::duration<double, std::milli> first = aStore.traits.firstByte;
+  const double bytes = static_cast<double>(aTokens.Value()) * this->bytesPerToken;
+  return first.count() + bytes / std::max(bytesPerMillisecond, 1.0);
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/src/coordination/TargetBoard.cpp
@@ -0,0 +1,117 @@
+#include "damasklink/coordination/TargetBoard.h"
+
+#include <algorithm>
+
+namespace damasklink {
+
+void
+TargetBoard::Take(const HostId& aFrom, const TargetStatement& aStatement)
+{
+  Entry& entry = this->entries[aStatement.record.id];
+  if (aStatement.record.sequence >= entry.record.sequence) {
+    entry.record = aStatement.record;
+  }
+  entry.words[aFrom] = Word{ aStatement.record.sequence, aStatement.standing, aStatement.paused };
+  entry.gone = entry.gone || aStatement.standing == TargetStanding::Leaving;
+  this->Changed();
+}
+
+void
+TargetBoard::OnLink(const HostId& aHost, bool aUp)
+{
+  const bool changed =
+    aUp ? this->connected.insert(aHost).second : this->connected.erase(aHost) > 0;
+  if (changed) {
+    this->Changed();
+  }
+}
+
+void
+TargetBoard::NoteGone(const TargetId& aTarget)
+{
+  const auto found = this->entries.find(aTarget);
+  if (found != this->entries.end() && !found->second.gone) {
+    found->second.gone = true;
+    this->Changed();
+  }
+}
+
+const std::vector<TargetRecord>&
+TargetBoard::Usable(const ServiceName& aService) const
+{
+  static const std::vector<TargetRecord> kNone;
+  if (this->builtVersion != this->version) {
+    this->Rebuild();
+  }
+  const auto found = this->usable.find(aService);
+  return found == this->usable.end() ? kNone : found->second;
+}
+
+const TargetRecord*
+TargetBoard::Find(const TargetId& aTarget) const
+{
+  const auto found = this->entries.find(aTarget);
+  return found == this->entries.end() || found->second.gone ? nullptr : &found->second.record;
+}
+
+void
+TargetBoard::Changed()
+{
+  ++this->version;
+}
+
+// The words of connected hosts count; those of others only where no connected one has spoken.
+bool
+TargetBoard::CountsUsable(const Entry& aEntry) const
+{
+  bool spoken = false;
+  bool lastWord = false;
+  for (const auto& [host, word] : aEntry.words) {
+    const bool usable = word.standing == TargetStanding::Usable;
+    if (this->connected.contains(host)) {
+      if (usable) {
+        return true;
+      }
+      spoken = true;
+    }
+    lastWord = lastWord || usable;
+  }
+  return !spoken && lastWord;
+}
+
+bool
+TargetBoard::IsPaused(const Entry& aEntry) const
+{
+  return std::any_of(aEntry.words.begin(), aEntry.words.end(), [&](const auto& aItem) {
+    return aItem.second.paused && this->connected.contains(aItem.first);
+  });
+}
+
+void
+TargetBoard::Rebuild() const
+{
+  this->usable.clear();
+  std::map<ServiceName, std::vector<TargetRecord>> paused;
+  std::map<ServiceName, std::vector<TargetRecord>> silent;
+  for (const auto& [id, entry] : this->entries) {
+    if (entry.gone) {
+      continue;
+    }
+    const ServiceName& service = entry.record.service;
+    if (!this->CountsUsable(entry)) {
+      silent[service].push_back(entry.record);
+    } else if (this->IsPaused(entry)) {
+      paused[service].push_back(entry.record);
+    } else {
+      this->usable[service].push_back(entry.record);
+    }
+  }
+  for (auto* fallback : { &paused, &silent }) {
+    for (auto& [service, targets] : *fallback) {
+      this->usable.try_emplace(service, std::move(targets));
+    }
+  }
+  this->builtVersion = this->version;
+}
+
+} // namespace damasklink
--- a/src/coordination/TargetRegistry.cpp
+++ b/src/coordination/TargetRegistry.cpp
@@ -43,9 +43,25 @@
   entry.heard = this->clock.MonotonicNow();
   entry.silence = aSilence;
   entry.silent = false;
+  if (!entry.record.leaving) {
+    this->SilenceOthersAt(entry.record);
+  }
   return true;
 }
 
+void
+TargetRegistry::SilenceOthersAt(const TargetRecord& aRecord)
+{
+  if (aRecord.endpoint.port == 0) {
+    return;
+  }
+  for (auto& [id, entry] : this->entries) {
+    if (id != aRecord.id && entry.record.endpoint == aRecord.endpoint) {
+      entry.silent = true;
+    }
+  }
+}
+
 bool
 TargetRegistry::Refresh(const TargetId& aTarget,
                         Incarnation aIncarnation,
--- a/src/program/AgreementModule.cpp
+++ b/src/program/AgreementModule.cpp
@@ -42,36 +42,60 @@
   return RaftTiming{ aTimeouts.heartbeat, aTimeouts.electionLeast, aTimeouts.electionMost };
 }
 
+AgreementSetup
+SetupOf(const HostContext& aContext)
+{
+  const HostSettings& settings = aContext.settings;
+  return AgreementSetup{
+    aContext.clock,
+    aContext.metrics,
+    aContext.peers,
+    // An empty task wakes the control thread.
+    [&control = aContext.control] { control.Post([] {}); },
+    settings.host,
+    settings.dataFolder,
+    settings.peers,
+    GroupsOf(settings.peers, settings.host),
+    TimingOf(settings.timeouts),
+    true,
+    std::nullopt,
+  };
+}
+
 } // namespace
 
 AgreementModule::AgreementModule(const HostContext& aContext)
-  : context(aContext)
-  // An empty task wakes the control thread; the completions are taken in OnTick().
-  , writer([this] { this->context.control.Post([] {}); })
-  , tracker(aContext.clock, aContext.settings.host, RandomNumber())
+  : AgreementModule(SetupOf(aContext))
+{
+}
+
+AgreementModule::AgreementModule(AgreementSetup aSetup)
+  : setup(std::move(aSetup))
+  , writer(this->setup.wake)
+  , tracker(this->setup.clock, this->setup.host, RandomNumber())
 {
 }
 
 Result<void>
 AgreementModule::Open()
 {
-  const HostSettings& settings = this->context.settings;
-  if (settings.dataFolder.empty()) {
+  const std::string& path = this->setup.dataFolder;
+  if (path.empty()) {
     return Success();
   }
-  if (auto made = this->disk.MakeFolder(settings.dataFolder); !made) {
+  if (auto made = this->disk.MakeFolder(path); !made) {
     return made;
   }
-  auto locked = FileLock::Take(Concat(settings.dataFolder, "/lock"));
+  auto locked = FileLock::Take(Concat(path, "/lock"));
   if (!locked) {
     return Fail(locked.error());
   }
   this->lock = std::move(locked.value());
-  auto folder = OpenDataFolder(this->disk, settings.dataFolder, ReplicaId(RandomNumber()));
+  auto folder = OpenDataFolder(this->disk, path, ReplicaId(RandomNumber()));
   if (!folder) {
     return Fail(folder.error());
   }
-  for (const GroupId& group : GroupsOf(settings.peers, settings.host)) {
+  for (const GroupId& group : this->setup.groups) {
     if (auto opened = this->OpenGroup(group, folder.value()); !opened) {
       return opened;
     }
@@ -96,14 +120,16 @@
     .With("entries", recovered.value().entries.size());
   GroupOptions options;
   options.raft.group = aGroup;
-  options.raft.host = this->context.settings.host;
+  options.raft.host = this->setup.host;
   options.raft.replica = aFolder.replica;
-  options.raft.timing = TimingOf(this->context.settings.timeouts);
+  options.raft.timing = this->setup.timing;
   options.raft.seed = RandomNumber();
-  options.listedVoters = ListedVoters(this->context.settings.peers, aGroup);
+  options.listedVoters = ListedVoters(this->setup.hosts, aGroup);
+  options.mayFound = this->setup.mayFound;
+  options.mostVoters = this->setup.mostVoters;
   HeldGroup& held = this->groups[aGroup];
   held.replica = std::make_unique<GroupReplica>(
-    this->context.clock, std::move(options), std::move(recovered.value()));
+    this->setup.clock, std::move(options), std::move(recovered.value()));
   if (aGroup == ControlGroupId()) {
     held.replica->Machines().Add(MachinePart::Groups, this->catalogue);
   } else {
@@ -138,7 +164,7 @@
                          ProposalDone aDone)
 {
   this->tracker.Start(aGroup,
-                      ListedVoters(this->context.settings.peers, aGroup),
+                      ListedVoters(this->setup.hosts, aGroup),
                       aPart,
                       std::move(aCommand),
                       aTimeout,
@@ -158,6 +184,30 @@
   return status;
 }
 
+void
+AgreementModule::KnowHost(const HostId& aHost)
+{
+  for (const PeerSettings& known : this->setup.hosts) {
+    if (known.host == aHost) {
+      return;
+    }
+  }
+  PeerSettings learnt;
+  learnt.host = aHost;
+  learnt.disk = true;
+  this->setup.hosts.push_back(std::move(learnt));
+  for (auto& [group, held] : this->groups) {
+    held.replica->KnowHost(aHost);
+  }
+}
+
+const GroupReplica*
+AgreementModule::ReplicaOf(const GroupId& aGroup) const
+{
+  const auto found = this->groups.find(aGroup);
+  return found == this->groups.end() ? nullptr : found->second.replica.get();
+}
+
 std::optional<Error>
 AgreementModule::FailureOf(const GroupId& aGroup) const
 {
@@ -178,7 +228,7 @@
   AgreementMessage& message = decoded.value();
   message.group = aMessage.group;
   message.fromHost = aFrom;
-  message.toHost = this->context.settings.host;
+  message.toHost = this->setup.host;
   this->Deliver(message);
 }
 
@@ -265,12 +315,12 @@
 void
 AgreementModule::Send(AgreementMessage aMessage)
 {
-  if (aMessage.toHost == this->context.settings.host) {
+  if (aMessage.toHost == this->setup.host) {
     this->toSelf.push_back(std::move(aMessage));
     return;
   }
   PeerMessage message{ Channel::Agreement, aMessage.group, EncodeAgreementMessage(aMessage) };
-  this->context.peers.Send(aMessage.toHost, std::move(message));
+  this->setup.peers.Send(aMessage.toHost, std::move(message));
 }
 
 void
@@ -298,7 +348,7 @@
   }
   const bool leading = aHeld.replica->Status().leading;
   if (leading && !aHeld.wasLeading) {
-    this->context.metrics.Add(Counter::Elections, MetricKey{ {}, aGroup.Value() }, 1);
+    this->setup.metrics.Add(Counter::Elections, MetricKey{ {}, aGroup.Value() }, 1);
     LogEvent(LogLevel::Info, "leader_elected")
       .With("group", aGroup)
       .With("term", aHeld.replica->Status().term);
--- a/src/program/AgreementModule.h
+++ b/src/program/AgreementModule.h
@@ -14,6 +14,27 @@
 
 namespace damasklink {
 
+// What a host's replicas stand on.
+struct AgreementSetup
+{
+  const Clock& clock;
+  Metrics& metrics;
+  PeerSender& peers;
+  // Called on another thread when completions are there to be taken at the next OnTick().
+  std::function<void()> wake;
+  HostId host;
+  // Empty on a host without a disk.
+  std::string dataFolder;
+  // All hosts that are known, this one among them; KnowHost() adds further ones.
+  std::vector<PeerSettings> hosts;
+  // The groups that this host holds replicas of.
+  std::vector<GroupId> groups;
+  RaftTiming timing;
+  // As in GroupOptions.
+  bool mayFound = true;
+  std::optional<std::size_t> mostVoters;
+};
+
 // Moves messages, batches and completions between replicas, network and log writer.
 class AgreementModule final
   : public ControlModule
@@ -21,6 +42,7 @@
 {
 public:
   explicit AgreementModule(const HostContext& aContext);
+  explicit AgreementModule(AgreementSetup aSetup);
 
   // Opens the data folder and the groups of this host, if it has a disk. Requires to be called
   // before the control thread starts. Fails with the reason when a file is not as it must be.
@@ -38,6 +60,12 @@
   void OnTick(MonotonicTime aNow) override;
   void OnShutdown() override;
 
+  // Takes a host with a disk that was learnt while this one runs: it may vote and lead.
+  void KnowHost(const HostId& aHost);
+
+  // Returns the replica of a group that this host holds, or null.
+  const GroupReplica* ReplicaOf(const GroupId& aGroup) const;
+
   // Returns once everything handed to the disk so far is synced; the next OnTick() acts on it.
   void WaitForWrites() { this->writer.WaitUntilIdle(); }
 
@@ -74,7 +102,7 @@
   void RegisterFounding(const GroupId& aGroup, HeldGroup& aHeld);
   void TakeFounding(const GroupId& aGroup, const Result<std::string>& aAnswer);
 
-  const HostContext& context;
+  AgreementSetup setup;
   PosixDisk disk;
   std::unique_ptr<FileLock> lock;
   LogWriter writer;
--- a/src/program/Commands.cpp
+++ b/src/program/Commands.cpp
@@ -115,8 +115,9 @@
 AllCommands()
 {
   static const std::vector<Command> kCommands{
-    ServeCommand(),   CheckCommand(),  ApplyCommand(),  DiffCommand(),     GetCommand(),
-    HistoryCommand(), StatusCommand(), ReportCommand(), LogLevelCommand(),
+    ServeCommand(),    CheckCommand(),   ApplyCommand(),   DiffCommand(),
+    GetCommand(),      HistoryCommand(), StatusCommand(),  ReportCommand(),
+    LogLevelCommand(), EntryCommand(),   ControlCommand(),
   };
   return kCommands;
 }
--- a/src/program/Commands.h
+++ b/src/program/Commands.h
@@ -107,4 +107,12 @@
 Command
 LogLevelCommand();
 
+// Runs an entry host of a serving deployment until SIGTERM or SIGINT.
+Command
+EntryCommand();
+
+// Runs a control host of a serving deployment until SIGTERM or SIGINT.
+Command
+ControlCommand();
+
 } // namespace damasklink
--- /dev/null
+++ b/src/program/ControlCommand.cpp
@@ -0,0 +1,40 @@
+#include <iostream>
+
+#include "Commands.h"
+#include "ControlHost.h"
+#include "ServingSetup.h"
+#include "damasklink/transport/Log.h"
+#include "platform/Dialect.h"
+
+namespace damasklink {
+namespace {
+
+constexpr std::string_view kUsage = R"(Usage:
+  damasklink control [options]
+
+Options:
+  --settings FILE    Settings of this host; without it, the file that the platform names.
+)";
+
+ExitCode
+Run(const Arguments& aArguments)
+{
+  const std::string file = ServingSettingsFile(TextOf(aArguments, "--settings"));
+  std::optional<ServingSettings> settings = LoadServingSettings(file);
+  if (!settings) {
+    return ExitCode::Refused;
+  }
+  const platform::Dialect dialect;
+  ControlHost host(*settings, dialect, dialect, [file] { return LoadServingSettings(file); });
+  return EndOfServing(host.Run());
+}
+
+} // namespace
+
+Command
+ControlCommand()
+{
+  return Command{ "control", "Runs a control host of a serving deployment.", kUsage, Run };
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/src/program/ControlPicture.h
@@ -0,0 +1,56 @@
+// What a control host tells entry hosts and other control hosts: targets as it heard them.
+#pragma once
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include "damasklink/coordination/ServingPicture.h"
+#include "damasklink/coordination/TargetRegistry.h"
+
+namespace damasklink {
+
+// Hears the targets, directly or through other control hosts, and finds what has changed for entry
+// hosts. Not thread-safe.
+//
+//   ControlPicture picture(clock, silence);
+//   picture.Hear(record);                  // From the target.
+//   picture.HearSecondHand(record);        // From another control host.
+//   picture.TakeChanges();                 // For entry hosts.
+//   picture.TakeNews();                    // For other control hosts.
+class ControlPicture
+{
+public:
+  ControlPicture(const Clock& aClock, Duration aSilence);
+
+  void Hear(const TargetRecord& aRecord);
+  void HearSecondHand(const TargetRecord& aRecord);
+
+  // The target signed off.
+  void Depart(const TargetId& aTarget);
+
+  // Returns the statements that differ from what TakeChanges() returned before. Requires to be
+  // called now and then, since silence is a change too.
+  std::vector<TargetStatement> TakeChanges();
+
+  // Returns the records that were heard directly since the last call.
+  std::vector<TargetStatement> TakeNews();
+
+  // Returns the statements on all targets.
+  std::vector<TargetStatement> All() const;
+
+  // Takes targets out of use for new work, and back.
+  void SetPaused(std::set<TargetId> aTargets) { this->paused = std::move(aTargets); }
+
+  const TargetRegistry& Registry() const { return this->registry; }
+
+private:
+  TargetStatement StatementOn(const TargetRecord& aRecord) const;
+
+  TargetRegistry registry;
+  std::set<TargetId> paused;
+  std::map<TargetId, TargetStatement> told;
+  std::map<TargetId, TargetRecord> news;
+};
+
+} // namespace damasklink
--- /dev/null
+++ b/src/program/EntryHost.cpp
@@ -0,0 +1,382 @@
+#include "EntryHost.h"
+
+#include <algorithm>
+#include <csignal>
+#include <list>
+#include <random>
+#include <set>
+
+#include "Exchange.h"
+#include "damasklink/coordination/ServiceLevelWindows.h"
+#include "damasklink/protocol/ServingCodec.h"
+#include "damasklink/state/MetricsRegistry.h"
+#include "damasklink/transport/Log.h"
+#include "damasklink/transport/PeerMesh.h"
+
+namespace damasklink {
+namespace {
+
+// Control hosts that an entry host listens to: one may be down, another cut off or behind.
+constexpr std::size_t kMostControlLinks = 3;
+
+// Between two rounds of housekeeping: idle channels to targets, links to control.
+constexpr Duration kHousekeeping = std::chrono::seconds(1);
+
+// Left of the time to stop when what still runs is cut: for the answers to leave the host.
+constexpr Duration kStopMargin = std::chrono::milliseconds(400);
+
+// How long connections are still taken after the signal to stop: the balancer needs two questions
+// without a good answer, one a second, before it sends no more. What comes after three seconds
+// might not end in time.
+constexpr Duration kStillAccepted = std::chrono::milliseconds(2600);
+
+// Between two looks whether all calls have ended.
+constexpr Duration kStopStep = std::chrono::milliseconds(100);
+
+std::uint64_t
+RandomSeed()
+{
+  return std::random_device()();
+}
+
+} // namespace
+
+class EntryHost::Impl final : public PeerMeshHandler
+{
+public:
+  Impl(ServingSettings aSettings,
+       const CallDialect& aCalls,
+       const ControlDialect& aControl,
+       SettingsReader aReader)
+    : settings(std::move(aSettings))
+    , calls(aCalls)
+    , reader(std::move(aReader))
+    , picture(aControl)
+    , retries(this->settings.retries)
+    , health(this->clock, RandomSeed())
+    , picker(this->health, RandomSeed())
+    , pool(this->clock)
+    , mesh(this->loop, this->settings.host, this->settings.peerPort, *this)
+    , context{ this->loop,    this->clock,   this->settings, this->calls,  this->metrics,
+               this->picture, this->retries, this->health,   this->picker, this->pool }
+    , signals(this->loop, SIGTERM, SIGINT, SIGHUP)
+    , housekeeping(this->loop)
+  {
+  }
+
+  Result<void> Run();
+
+  void OnPeerUp(const HostId& aPeer, LinkSide aSide) override;
+  void OnPeerDown(const HostId& aPeer, LinkSide aSide) override;
+  void OnPeerMessage(const HostId& aPeer, PeerMessage aMessage) override;
+
+private:
+  using Channels = std::list<std::shared_ptr<CallerChannel>>;
+
+  Result<void> Listen();
+  void Accept(TcpAcceptor& aAcceptor, bool aCallers);
+  Awaitable<void> ServeCaller(std::shared_ptr<CallerChannel> aChannel);
+  Awaitable<void> ServeProbes(std::shared_ptr<CallerChannel> aChannel);
+  Awaitable<void> AnswerUnreadable(CallerChannel& aChannel, const Error& aError);
+  Awaitable<void> Stop();
+  void WaitForSignal();
+  void KeepHouse();
+  void DialControlHosts(const std::vector<HostId>& aHosts);
+  bool IsReady() const;
+  CallerLimits Limits() const;
+
+  ServingSettings settings;
+  const CallDialect& calls;
+  SettingsReader reader;
+  SystemClock clock;
+  ServiceLevelWindows serviceLevels{ this->clock, kMostMetricSeries };
+  MetricsRegistry metrics{ this->clock, this->serviceLevels, kMostMetricSeries };
+  asio::io_context loop{ 1 };
+  EntryPicture picture;
+  RetryShares retries;
+  TargetHealth health;
+  TargetPicker picker;
+  TargetChannelPool pool;
+  PeerMesh mesh;
+  EntryContext context;
+  asio::signal_set signals;
+  asio::steady_timer housekeeping;
+  std::unique_ptr<TcpAcceptor> callers;
+  std::unique_ptr<TcpAcceptor> probes;
+  Channels open;
+  // Control hosts that are known; links are kept to some of them.
+  std::set<HostId> controlHosts;
+  bool wasReady = false;
+};
+
+Result<void>
+EntryHost::Impl::Run()
+{
+  if (auto listening = this->Listen(); !listening) {
+    return listening;
+  }
+  LogEvent(LogLevel::Info, "entry_started")
+    .With("host", this->settings.host)
+    .With("name", this->settings.name)
+    .With("zone", this->settings.zone)
+    .With("callers", FormatEndpoint(this->settings.callers));
+  this->DialControlHosts(this->settings.seeds);
+  this->WaitForSignal();
+  this->KeepHouse();
+  this->loop.run();
+  LogEvent(LogLevel::Info, "entry_stopped").With("host", this->settings.host);
+  return Success();
+}
+
+Result<void>
+EntryHost::Impl::Listen()
+{
+  auto forCallers = ListenOn(this->loop, this->settings.callers);
+  if (!forCallers) {
+    return Fail(forCallers.error());
+  }
+  auto forProbes = ListenOn(this->loop, this->settings.readiness);
+  if (!forProbes) {
+    return Fail(forProbes.error());
+  }
+  this->callers = std::make_unique<TcpAcceptor>(std::move(forCallers.value()));
+  this->probes = std::make_unique<TcpAcceptor>(std::move(forProbes.value()));
+  this->Accept(*this->callers, true);
+  this->Accept(*this->probes, false);
+  return Success();
+}
+
+void
+EntryHost::Impl::Accept(TcpAcceptor& aAcceptor, bool aCallers)
+{
+  aAcceptor.async_accept([this, &aAcceptor, aCallers](const IoError& aError, TcpSocket aSocket) {
+    if (aError == asio::error::operation_aborted) {
+      return;
+    }
+    if (aError) {
+      LogEvent(LogLevel::Warning, "accept_failed").With("reason", aError.message());
+    } else {
+      auto channel = std::make_shared<CallerChannel>(std::move(aSocket));
+      asio::co_spawn(this->loop,
+                     aCallers ? this->ServeCaller(channel) : this->ServeProbes(channel),
+                     asio::detached);
+    }
+    this->Accept(aAcceptor, aCallers);
+  });
+}
+
+CallerLimits
+EntryHost::Impl::Limits() const
+{
+  const auto& routes = this->picture.Routes();
+  return routes == nullptr ? CallerLimits() : routes->Config().limits;
+}
+
+Awaitable<void>
+EntryHost::Impl::ServeCaller(std::shared_ptr<CallerChannel> aChannel)
+{
+  const auto place = this->open.insert(this->open.end(), aChannel);
+  bool kept = true;
+  while (kept) {
+    auto request = co_await aChannel->Read(this->Limits());
+    if (!request) {
+      co_await this->AnswerUnreadable(*aChannel, request.error());
+      break;
+    }
+    Exchange exchange(this->context, *aChannel, std::move(request.value()));
+    kept = co_await exchange.Run();
+  }
+  aChannel->Close();
+  this->open.erase(place);
+}
+
+Awaitable<void>
+EntryHost::Impl::AnswerUnreadable(CallerChannel& aChannel, const Error& aError)
+{
+  if (aError.kind == ErrorKind::Interrupted) {
+    co_return;
+  }
+  LogEvent(LogLevel::Info, "request_unreadable").With("error", aError);
+  HttpAnswerMessage answer =
+    this->calls.FailureAnswer(CallerError{ aError, RunOutcome::NotRun, std::nullopt }, RequestId());
+  if (aError.kind == ErrorKind::DeadlineExceeded) {
+    answer.head.status = 408;
+  } else if (aError.kind == ErrorKind::Overloaded) {
+    answer.head.status = 431;
+  } else if (aError.kind == ErrorKind::NotPermitted) {
+    answer.head.status = 413;
+  }
+  co_await aChannel.WriteWhole(std::move(answer), true);
+}
+
+// Answers whether this host is ready; on an address of its own, so that a full host still answers.
+Awaitable<void>
+EntryHost::Impl::ServeProbes(std::shared_ptr<CallerChannel> aChannel)
+{
+  while (true) {
+    auto request = co_await aChannel->Read(CallerLimits());
+    if (!request) {
+      break;
+    }
+    HttpAnswerMessage answer;
+    const bool probe = this->calls.IsReadinessProbe(request.value().head);
+    answer.head.status = !probe ? 404 : this->IsReady() ? 200 : 503;
+    if (!co_await aChannel->WriteWhole(std::move(answer), false)) {
+      break;
+    }
+  }
+  aChannel->Close();
+}
+
+bool
+EntryHost::Impl::IsReady() const
+{
+  return !this->context.leaving && this->picture.Routes() != nullptr;
+}
+
+void
+EntryHost::Impl::WaitForSignal()
+{
+  this->signals.async_wait([this](const IoError& aError, int aSignal) {
+    if (aError) {
+      return;
+    }
+    if (aSignal == SIGHUP) {
+      if (const std::optional<ServingSettings> fresh = this->reader()) {
+        this->DialControlHosts(fresh->seeds);
+        LogEvent(LogLevel::Info, "settings_reloaded").With("seeds", fresh->seeds.size());
+      }
+      this->WaitForSignal();
+      return;
+    }
+    LogEvent(LogLevel::Info, "stop_begun").With("signal", aSignal).With("open", this->open.size());
+    this->context.leaving = true;
+    asio::co_spawn(this->loop, this->Stop(), asio::detached);
+  });
+}
+
+// Readiness has failed already. New channels are served for as long as the balancer may still send
+// some; then those without a request are closed, and the process ends with the last call.
+Awaitable<void>
+EntryHost::Impl::Stop()
+{
+  const MonotonicTime begun = this->clock.MonotonicNow();
+  const MonotonicTime last = begun + this->settings.stopWithin - kStopMargin;
+  asio::steady_timer timer(this->loop);
+  while (true) {
+    timer.expires_after(kStopStep);
+    co_await timer.async_wait(kAsValue);
+    const MonotonicTime now = this->clock.MonotonicNow();
+    if (now < begun + kStillAccepted) {
+      continue;
+    }
+    // An idle channel would bring a request that cannot end before this process does.
+    IoError ignored;
+    this->callers->close(ignored);
+    for (const std::shared_ptr<CallerChannel>& channel : this->open) {
+      channel->CloseIfIdle();
+    }
+    const auto busy = std::count_if(this->open.begin(), this->open.end(), [](const auto& aChannel) {
+      return !aChannel->IsIdle();
+    });
+    if (busy == 0 || now >= last) {
+      LogEvent(LogLevel::Info, "stop_ends").With("open", this->open.size()).With("busy", busy);
+      break;
+    }
+  }
+  this->mesh.Stop();
+  this->loop.stop();
+}
+
+void
+EntryHost::Impl::KeepHouse()
+{
+  this->pool.CloseExpired();
+  const bool connected = std::any_of(this->controlHosts.begin(),
+                                     this->controlHosts.end(),
+                                     [&](const HostId& aHost) { return this->mesh.IsUp(aHost); });
+  if (!connected) {
+    // The settings may name others by now, whether a signal told or not.
+    if (const std::optional<ServingSettings> fresh = this->reader()) {
+      this->DialControlHosts(fresh->seeds);
+    }
+  }
+  this->housekeeping.expires_after(kHousekeeping);
+  this->housekeeping.async_wait([this](const IoError& aError) {
+    if (!aError) {
+      this->KeepHouse();
+    }
+  });
+}
+
+void
+EntryHost::Impl::DialControlHosts(const std::vector<HostId>& aHosts)
+{
+  for (const HostId& host : aHosts) {
+    this->controlHosts.insert(host);
+  }
+  const auto isUp = [&](const HostId& aHost) { return this->mesh.IsUp(aHost); };
+  const auto up = std::count_if(this->controlHosts.begin(), this->controlHosts.end(), isUp);
+  if (static_cast<std::size_t>(up) >= kMostControlLinks) {
+    return;
+  }
+  for (const HostId& host : this->controlHosts) {
+    this->mesh.Dial(host);
+  }
+}
+
+void
+EntryHost::Impl::OnPeerUp(const HostId& aPeer, LinkSide /*aSide*/)
+{
+  const Greeting greeting{ HostRole::Entry, this->settings.zone, {} };
+  this->mesh.Send(aPeer,
+                  PeerMessage{ Channel::Serving, GroupId(), EncodeServingMessage(greeting) });
+  this->picture.OnLink(aPeer, true);
+}
+
+void
+EntryHost::Impl::OnPeerDown(const HostId& aPeer, LinkSide /*aSide*/)
+{
+  this->picture.OnLink(aPeer, false);
+}
+
+void
+EntryHost::Impl::OnPeerMessage(const HostId& aPeer, PeerMessage aMessage)
+{
+  auto message = DecodeServingMessage(aMessage.payload);
+  if (!message) {
+    LogEvent(LogLevel::Warning, "picture_refused")
+      .With("from", aPeer)
+      .With("error", message.error());
+    return;
+  }
+  const auto* told = std::get_if<Picture>(&message.value());
+  if (told == nullptr) {
+    return;
+  }
+  this->picture.Take(aPeer, *told);
+  this->retries.SetHosts(this->picture.EntryHosts());
+  this->DialControlHosts(this->picture.TakeNewControlHosts());
+  if (this->IsReady() && !this->wasReady) {
+    this->wasReady = true;
+    LogEvent(LogLevel::Info, "ready").With("from", aPeer);
+  }
+}
+
+EntryHost::EntryHost(ServingSettings aSettings,
+                     const CallDialect& aCalls,
+                     const ControlDialect& aControl,
+                     SettingsReader aReader)
+  : impl(std::make_unique<Impl>(std::move(aSettings), aCalls, aControl, std::move(aReader)))
+{
+}
+
+EntryHost::~EntryHost() = default;
+
+Result<void>
+EntryHost::Run()
+{
+  return this->impl->Run();
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/src/program/EntryPicture.h
@@ -0,0 +1,64 @@
+// What an entry host relays by: the newest configuration, targets and weights that it was told.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "damasklink/coordination/RouteTable.h"
+#include "damasklink/coordination/ServingPicture.h"
+#include "damasklink/coordination/StoredParts.h"
+#include "damasklink/coordination/TargetBoard.h"
+#include "damasklink/protocol/ServingDialect.h"
+
+namespace damasklink {
+
+// Merges the pictures of several control hosts. The configuration never goes back in one life of
+// the process, whoever tells it. Not thread-safe.
+class EntryPicture
+{
+public:
+  explicit EntryPicture(const ControlDialect& aDialect)
+    : dialect(aDialect)
+  {
+  }
+
+  // Takes what a control host told. A document that cannot be read is logged and left out: the
+  // control host checked it, so it is of a newer program.
+  void Take(const HostId& aFrom, const Picture& aPicture);
+
+  // Tells whether the control host is connected.
+  void OnLink(const HostId& aHost, bool aUp);
+
+  // Null before the first configuration came.
+  const std::shared_ptr<const RouteTable>& Routes() const { return this->routes; }
+
+  TargetBoard& Targets() { return this->targets; }
+
+  // Returns the version of weights that calls for the model should begin on; 0 when none is named.
+  std::uint64_t WeightsOf(const ModelName& aModel) const;
+
+  // Returns what is known of stored parts: the words of the control host that hears most stores.
+  // Null when none is connected.
+  const StoredParts* Stored() const;
+
+  // The most entry hosts that a connected control host counts.
+  std::uint64_t EntryHosts() const;
+
+  // Control hosts that were named so far and not yet taken from here.
+  std::vector<HostId> TakeNewControlHosts();
+
+private:
+  void TakeDocument(const HostId& aFrom, const Picture& aPicture);
+
+  const ControlDialect& dialect;
+  std::shared_ptr<const RouteTable> routes;
+  TargetBoard targets;
+  std::map<ModelName, std::uint64_t> weights;
+  std::map<HostId, std::uint64_t> entryHosts;
+  // By connected control host.
+  std::map<HostId, StoredParts> stored;
+  std::vector<HostId> controlHosts;
+};
+
+} // namespace damasklink
--- /dev/null
+++ b/src/program/Exchange.cpp
@@ -0,0 +1,525 @@
+#include "Exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "damasklink/state/Digests.h"
+#include "damasklink/state/Text.h"
+#include "damasklink/transport/Log.h"
+
+namespace damasklink {
+namespace {
+
+// Connections within a site take a few milliseconds, more when the target's queue of new ones is
+// full. A host without power answers nothing at all: the rest of the call's time is worth more.
+constexpr Duration kConnectPatience = std::chrono::milliseconds(300);
+
+// Larger answers of calls that are no streams are not kept to be tried again.
+constexpr std::size_t kMostWholeAnswer = std::size_t{ 4 } * 1024 * 1024;
+
+// When a refused call should come again: a target's queue is some hundred milliseconds long.
+constexpr Duration kComeBackAfter = std::chrono::milliseconds(250);
+
+// Before the first configuration: control hosts answer within a second or two of their start.
+constexpr Duration kNoConfigurationYet = std::chrono::milliseconds(500);
+
+// Foreign answers that are skipped on one channel before it is given up.
+constexpr int kMostForeignAnswers = 3;
+
+CallerError
+Refusal(ErrorKind aKind, std::string aMessage, std::string aRemedy)
+{
+  return CallerError{ Error{ aKind, std::move(aMessage), std::move(aRemedy) },
+                      RunOutcome::NotRun,
+                      std::nullopt };
+}
+
+// Events pass on one by one only where the target's bytes are events as they are.
+bool
+IsEventStream(const HttpAnswerHead& aHead)
+{
+  return aHead.status == 200 &&
+         aHead.fields.Get("Content-Type").substr(0, 17) == "text/event-stream";
+}
+
+} // namespace
+
+Exchange::Exchange(EntryContext& aContext, CallerChannel& aCaller, HttpRequestMessage aRequest)
+  : context(aContext)
+  , caller(aCaller)
+  , request(std::move(aRequest))
+  , arrived(aContext.clock.MonotonicNow())
+{
+}
+
+Awaitable<bool>
+Exchange::Run()
+{
+  if (const std::optional<CallerError> refusal = this->Resolve()) {
+    co_return co_await this->AnswerFailure(*refusal);
+  }
+  this->context.retries.OnCall(this->service);
+  this->ending.emplace(this->context.loop.get_executor(),
+                       [this] { this->OnInterrupt(Interrupt::Expired); });
+  this->ending->Arm(std::max(this->TimeLeft(), Duration::zero()));
+  this->caller.WatchForLeaving([this] { this->OnInterrupt(Interrupt::CallerLeft); });
+  const bool kept = co_await this->Relay();
+  this->ending->Disarm();
+  this->caller.StopWatching();
+  co_return kept;
+}
+
+// Finds out what the call is and where it goes. Returns why it cannot be relayed.
+std::optional<CallerError>
+Exchange::Resolve()
+{
+  auto read = this->context.dialect.ReadCall(this->request.head);
+  if (!read) {
+    return CallerError{ read.error(), RunOutcome::NotRun, std::nullopt };
+  }
+  this->call = std::move(read.value());
+  this->routes = this->context.picture.Routes();
+  if (this->routes == nullptr) {
+    CallerError error = Refusal(
+      ErrorKind::Unavailable, "this host has no configuration yet", "come back a little later");
+    error.retryAfter = kNoConfigurationYet;
+    return error;
+  }
+  this->route = this->routes->FindRoute(this->call.host, PathOf(this->request.head.target));
+  if (this->route == nullptr) {
+    return Refusal(ErrorKind::NotFound, "no route leads to this host and path", "check both");
+  }
+  const bool needsKey = !this->route->open && !this->routes->Config().workspaces.empty();
+  if (needsKey) {
+    this->workspace = this->routes->FindWorkspace(this->call.key);
+    if (this->workspace == nullptr) {
+      return Refusal(ErrorKind::Unauthenticated, "the key is not known", "send a valid key");
+    }
+  }
+  this->service = ChooseService(*this->route, ShortHash(this->call.request.Value()));
+  ExchangeTerms terms;
+  const bool resumable = this->route->kind == CallKind::Streaming && this->route->resumable;
+  terms.repeatable = this->route->kind == CallKind::Idempotent || resumable;
+  terms.mostTargets = std::max<std::uint64_t>(this->route->mostTargets, 1);
+  const Duration patience = this->call.patience.value_or(this->route->timeout);
+  terms.endsAt = this->arrived + std::min(this->route->timeout, patience);
+  this->plan.emplace(terms);
+  this->PreparePrompt();
+  return std::nullopt;
+}
+
+void
+Exchange::PreparePrompt()
+{
+  this->question.zone = this->context.settings.zone;
+  if (!this->route->carriesPrompt || this->call.model.Empty()) {
+    return;
+  }
+  this->weights = this->context.picture.WeightsOf(this->call.model);
+  const bool walled = this->workspace != nullptr && this->workspace->isolated;
+  const std::string wall = walled ? this->workspace->name.Value() : "";
+  this->scope = CacheScope(Concat(this->call.model.Value(), "/", this->weights, "/", wall));
+  this->question.promptTokens = this->call.promptTokens;
+  // The last part belongs to this call alone: nobody else could use it.
+  for (std::size_t index = 0; index + 1 < this->call.parts.size(); ++index) {
+    const PromptPart& part = this->call.parts[index];
+    const PartKey key = MakePartKey(this->scope.Value(), part.id.Value());
+    this->question.parts.push_back(SizedPart{ key, part.tokens });
+  }
+  if (const StoredParts* stored = this->context.picture.Stored()) {
+    for (const SizedPart& part : this->question.parts) {
+      this->question.stored.push_back(stored->Find(part, this->question.zone) != nullptr);
+    }
+  }
+}
+
+Awaitable<bool>
+Exchange::Relay()
+{
+  ExchangeStep step = ExchangeStep::TryAnother;
+  while (step == ExchangeStep::TryAnother) {
+    const TargetRecord* chosen = this->ChooseTarget();
+    if (chosen == nullptr) {
+      step = this->plan->WithoutTarget();
+      break;
+    }
+    // The board may change while this call waits.
+    const TargetRecord target = *chosen;
+    this->lastEnd = co_await this->Attempt(target);
+    step = this->plan->After(
+      this->lastEnd, this->context.clock.MonotonicNow(), this->context.retries.Of(this->service));
+    if (this->lastEnd != AttemptEnd::Delivered) {
+      LogEvent(LogLevel::Info, "attempt_ended")
+        .With("request", this->call.request)
+        .With("target", target.id)
+        .With("service", this->service)
+        .With("end", AttemptEndName(this->lastEnd))
+        .With("sends", this->plan->Sent())
+        .With("left_ms",
+              std::chrono::duration_cast<std::chrono::milliseconds>(this->TimeLeft()).count())
+        .With("next", ExchangeStepName(step));
+    }
+  }
+  co_return co_await this->Finish(step);
+}
+
+const TargetRecord*
+Exchange::ChooseTarget()
+{
+  return this->context.picker.Choose(this->question,
+                                     this->context.picture.Targets().Usable(this->service));
+}
+
+Awaitable<AttemptEnd>
+Exchange::Attempt(const TargetRecord& aTarget)
+{
+  this->plan->Begin(AttemptId(this->call.request.Value()), aTarget.id);
+  this->question.excluded.insert(aTarget.id);
+  this->work = PickedWork{ this->context.picker.ToRead(this->question, aTarget.id), false };
+  this->context.picker.OnSent(aTarget.id, this->question, this->work);
+  this->context.health.OnStart(aTarget.id);
+  AttemptEnd end = co_await this->Converse(aTarget);
+  if (this->interrupt != Interrupt::None && end != AttemptEnd::Delivered) {
+    end = this->EndOfFailure();
+  }
+  if (this->channel != nullptr && end != AttemptEnd::Expired && end != AttemptEnd::CallerLeft) {
+    this->context.pool.Keep(aTarget.endpoint, std::move(this->channel));
+  }
+  // Closing tells the target that nobody waits for the rest.
+  this->channel.reset();
+  this->context.picker.OnEnd(aTarget.id, this->work);
+  const bool bad = end == AttemptEnd::Unreachable || end == AttemptEnd::Broken;
+  const bool tellsNothing = end == AttemptEnd::CallerLeft || end == AttemptEnd::Expired;
+  this->context.health.OnEnd(aTarget.id,
+                             bad            ? HealthSign::Bad
+                             : tellsNothing ? HealthSign::None
+                                            : HealthSign::Good);
+  co_return end;
+}
+
+Awaitable<std::unique_ptr<TargetChannel>>
+Exchange::Connect(const TargetRecord& aTarget)
+{
+  std::unique_ptr<TargetChannel> idle = this->context.pool.TakeIdle(aTarget.endpoint);
+  if (idle != nullptr) {
+    co_return idle;
+  }
+  auto fresh =
+    std::make_unique<TargetChannel>(this->context.loop.get_executor(), this->context.clock);
+  const Duration patience =
+    std::clamp(this->TimeLeft(), Duration(std::chrono::milliseconds(1)), kConnectPatience);
+  auto connected = co_await fresh->Connect(aTarget.endpoint, patience);
+  if (!connected) {
+    LogEvent(LogLevel::Info, "target_unreachable")
+      .With("request", this->call.request)
+      .With("target", aTarget.id)
+      .With("error", connected.error());
+    co_return nullptr;
+  }
+  co_return fresh;
+}
+
+Awaitable<AttemptEnd>
+Exchange::Converse(const TargetRecord& aTarget)
+{
+  this->channel = co_await this->Connect(aTarget);
+  if (this->channel == nullptr) {
+    co_return AttemptEnd::Unreachable;
+  }
+  if (this->interrupt != Interrupt::None) {
+    co_return this->EndOfFailure();
+  }
+  this->plan->Sending();
+  const HttpRequestHead head =
+    this->context.dialect.HeadForTarget(this->request.head, this->CallFor(aTarget));
+  // A target may answer before it has read a long body, so a failed send is not the end: the
+  // answer that came first counts.
+  auto sent = co_await this->channel->Send(head, this->request.body);
+  auto answer = co_await this->ReadOwnHead(aTarget);
+  if (!answer) {
+    LogEvent(LogLevel::Info, "target_broke")
+      .With("request", this->call.request)
+      .With("target", aTarget.id)
+      .With("sent", sent ? "whole" : "part")
+      .With("error", answer.error());
+    co_return AttemptEnd::Broken;
+  }
+  co_return co_await this->TakeAnswer(aTarget, std::move(answer.value()));
+}
+
+// Reads the answer to this call. Answers to other requests that stand before it on the channel
+// belong to nobody and are dropped; the channel is not used again.
+Awaitable<Result<HttpAnswerHead>>
+Exchange::ReadOwnHead(const TargetRecord& aTarget)
+{
+  for (int skipped = 0; skipped < kMostForeignAnswers; ++skipped) {
+    auto head = co_await this->channel->ReadHead();
+    if (!head) {
+      co_return head;
+    }
+    const TargetAnswerFacts facts = this->context.dialect.ReadAnswer(head.value());
+    if (facts.request == this->call.request || facts.request.Empty()) {
+      co_return head;
+    }
+    LogEvent(LogLevel::Warning, "foreign_answer_dropped")
+      .With("request", this->call.request)
+      .With("target", aTarget.id)
+      .With("belongs_to", facts.request);
+    if (auto rest = co_await this->channel->ReadRest(kMostWholeAnswer); !rest) {
+      co_return Fail(rest.error());
+    }
+  }
+  co_return Fail(ErrorKind::Corrupt,
+                 "the target sent answers to other requests only",
+                 "look at the target's own log");
+}
+
+Awaitable<AttemptEnd>
+Exchange::TakeAnswer(const TargetRecord& aTarget, HttpAnswerHead aHead)
+{
+  const TargetAnswerFacts facts = this->context.dialect.ReadAnswer(aHead);
+  if (facts.wrongTarget && facts.target != aTarget.id && !facts.target.Empty()) {
+    this->context.picture.Targets().NoteGone(aTarget.id);
+  }
+  if (facts.notRun) {
+    auto rest = co_await this->channel->ReadRest(kMostWholeAnswer);
+    if (!rest) {
+      this->channel->Close();
+    }
+    co_return AttemptEnd::Refused;
+  }
+  if (IsEventStream(aHead)) {
+    co_return co_await this->PassStream(aTarget, std::move(aHead));
+  }
+  co_return co_await this->PassWhole(std::move(aHead));
+}
+
+Awaitable<AttemptEnd>
+Exchange::PassWhole(HttpAnswerHead aHead)
+{
+  auto body = co_await this->channel->ReadRest(kMostWholeAnswer);
+  if (!body) {
+    LogEvent(LogLevel::Info, "target_broke")
+      .With("request", this->call.request)
+      .With("status", aHead.status)
+      .With("error", body.error());
+    co_return AttemptEnd::Broken;
+  }
+  RemoveConnectionFields(aHead.fields);
+  if (aHead.status >= 500) {
+    this->failure = WholeAnswer{ std::move(aHead), std::move(body.value()) };
+    co_return AttemptEnd::Failed;
+  }
+  this->ending->Disarm();
+  this->LogEnd("answered", aHead.status);
+  HttpAnswerMessage answer{ std::move(aHead), std::move(body.value()) };
+  const bool written = co_await this->caller.WriteWhole(std::move(answer), this->ClosesAfter());
+  co_return written ? AttemptEnd::Delivered : AttemptEnd::CallerLeft;
+}
+
+Awaitable<AttemptEnd>
+Exchange::PassStream(const TargetRecord& aTarget, HttpAnswerHead aHead)
+{
+  RemoveConnectionFields(aHead.fields);
+  while (true) {
+    auto piece = co_await this->channel->ReadPiece();
+    if (!piece) {
+      LogEvent(LogLevel::Info, "stream_broke")
+        .With("request", this->call.request)
+        .With("target", aTarget.id)
+        .With("last_event", this->framer.LastEvent().value_or(0))
+        .With("passed_on", this->plan->PassedOn())
+        .With("error", piece.error());
+      this->framer.DropPart();
+      co_return AttemptEnd::Broken;
+    }
+    if (!piece.value()) {
+      break;
+    }
+    this->context.picker.OnFirstEvent(aTarget.id, this->work);
+    const std::string events = this->framer.Take(*piece.value());
+    if (!events.empty() && !co_await this->PassEvents(aHead, events)) {
+      co_return AttemptEnd::CallerLeft;
+    }
+  }
+  if (this->framer.HoldsPart()) {
+    this->framer.DropPart();
+    co_return AttemptEnd::Broken;
+  }
+  if (!this->plan->PassedOn()) {
+    // A stream without any event.
+    HttpAnswerMessage empty{ aHead, "" };
+    const bool written = co_await this->caller.WriteWhole(std::move(empty), this->ClosesAfter());
+    co_return written ? AttemptEnd::Delivered : AttemptEnd::CallerLeft;
+  }
+  this->LogEnd("streamed", aHead.status);
+  const bool ended = co_await this->caller.EndStream();
+  co_return ended ? AttemptEnd::Delivered : AttemptEnd::CallerLeft;
+}
+
+Awaitable<bool>
+Exchange::PassEvents(const HttpAnswerHead& aHead, std::string_view aEvents)
+{
+  if (this->plan->PassedOn()) {
+    co_return co_await this->caller.WritePiece(aEvents);
+  }
+  this->plan->NotePassedOn();
+  this->context.metrics.Observe(Sample::FirstToken,
+                                MetricKey{ WorkspaceId(), this->route->name },
+                                this->context.clock.MonotonicNow() - this->arrived);
+  co_return co_await this->caller.BeginStream(aHead, aEvents, this->ClosesAfter());
+}
+
+// Gives the caller its final answer. Returns whether its channel may be used again.
+Awaitable<bool>
+Exchange::Finish(ExchangeStep aStep)
+{
+  switch (aStep) {
+    case ExchangeStep::Done:
+      co_return this->lastEnd == AttemptEnd::Delivered && !this->ClosesAfter();
+    case ExchangeStep::PassOn: {
+      this->LogEnd("target_failed", this->failure->head.status);
+      HttpAnswerMessage answer{ std::move(this->failure->head), std::move(this->failure->body) };
+      const bool written = co_await this->caller.WriteWhole(std::move(answer), this->ClosesAfter());
+      co_return written && !this->ClosesAfter();
+    }
+    case ExchangeStep::Refuse: {
+      CallerError error = Refusal(
+        ErrorKind::Unavailable, "no target took the request", "come back after the time given");
+      error.retryAfter = kComeBackAfter;
+      co_return co_await this->AnswerFailure(error);
+    }
+    case ExchangeStep::Expire: {
+      const Error late{ ErrorKind::DeadlineExceeded,
+                        "the target did not answer in time",
+                        "allow more time, or look at the service" };
+      const CallerError error{ late, this->plan->Record().Outcome(), std::nullopt };
+      co_return co_await this->AnswerFailure(error);
+    }
+    case ExchangeStep::TryAnother:
+    case ExchangeStep::Fail: {
+      const Error broken{ ErrorKind::Interrupted,
+                          "the target broke off before its answer was whole",
+                          "look at the service; it may have run the request" };
+      const CallerError error{ broken, this->plan->Record().Outcome(), std::nullopt };
+      co_return co_await this->AnswerFailure(error);
+    }
+    case ExchangeStep::CutOff:
+      this->LogEnd("cut_off", 0);
+      this->caller.Close();
+      co_return false;
+  }
+  co_return false;
+}
+
+Awaitable<bool>
+Exchange::AnswerFailure(const CallerError& aError)
+{
+  HttpAnswerMessage answer = this->context.dialect.FailureAnswer(aError, this->call.request);
+  this->LogEnd(aError.error.message, answer.head.status);
+  const bool close = this->ClosesAfter();
+  const bool written = co_await this->caller.WriteWhole(std::move(answer), close);
+  co_return written && !close;
+}
+
+TargetCall
+Exchange::CallFor(const TargetRecord& aTarget) const
+{
+  TargetCall call;
+  call.target = aTarget.id;
+  call.timeLeft = this->TimeLeft();
+  call.priority = this->route->priority;
+  if (this->workspace != nullptr) {
+    call.workspace = this->workspace->name;
+    call.priority = this->workspace->priority.value_or(call.priority);
+  }
+  call.lastEvent = this->framer.LastEvent() ? this->framer.LastEvent() : this->call.lastEvent;
+  if (this->route->carriesPrompt) {
+    call.scope = this->scope;
+    if (this->weights > 0) {
+      call.weights = this->weights;
+    }
+    this->AddPartMoves(aTarget, call);
+  }
+  return call;
+}
+
+// Lets the target fetch the leading parts that are stored, should it lack them, and save those that
+// are stored nowhere.
+void
+Exchange::AddPartMoves(const TargetRecord& aTarget, TargetCall& aTo) const
+{
+  const StoredParts* stored = this->context.picture.Stored();
+  if (stored == nullptr || this->question.parts.empty()) {
+    return;
+  }
+  aTo.fetches.resize(this->call.parts.size());
+  aTo.saves.resize(this->call.parts.size());
+  bool leading = true;
+  for (std::size_t index = 0; index < this->question.parts.size(); ++index) {
+    const SizedPart& part = this->question.parts[index];
+    const PromptStore* from = stored->Find(part, aTarget.zone);
+    if (from != nullptr) {
+      if (leading) {
+        aTo.fetches[index].peer = from->traits.endpoint;
+      }
+      continue;
+    }
+    leading = false;
+    if (const PromptStore* home = stored->HomeOf(part); home != nullptr) {
+      aTo.saves[index].peer = home->traits.endpoint;
+    }
+  }
+}
+
+void
+Exchange::OnInterrupt(Interrupt aReason)
+{
+  if (this->interrupt != Interrupt::None) {
+    return;
+  }
+  this->interrupt = aReason;
+  if (this->channel != nullptr) {
+    this->channel->Close();
+  }
+  if (aReason == Interrupt::CallerLeft || this->plan->PassedOn()) {
+    this->caller.Close();
+  }
+}
+
+AttemptEnd
+Exchange::EndOfFailure() const
+{
+  return this->interrupt == Interrupt::CallerLeft ? AttemptEnd::CallerLeft : AttemptEnd::Expired;
+}
+
+bool
+Exchange::ClosesAfter() const
+{
+  return this->context.leaving ||
+         AsksToClose(this->request.head.fields, this->request.head.version);
+}
+
+Duration
+Exchange::TimeLeft() const
+{
+  return this->plan->Terms().endsAt - this->context.clock.MonotonicNow();
+}
+
+void
+Exchange::LogEnd(std::string_view aOutcome, int aStatus) const
+{
+  const bool good = aStatus >= 200 && aStatus < 300;
+  const Duration took = this->context.clock.MonotonicNow() - this->arrived;
+  LogEvent(good ? LogLevel::Debug : LogLevel::Info, "request_ended")
+    .With("request", this->call.request)
+    .With("route", this->route == nullptr ? "" : std::string_view(this->route->name))
+    .With("configuration", this->routes == nullptr ? Revision() : this->routes->Config().version)
+    .With("outcome", aOutcome)
+    .With("status", aStatus)
+    .With("sends", this->plan ? this->plan->Sent() : 0)
+    .With("last_end", AttemptEndName(this->lastEnd))
+    .With("took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(took).count());
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/src/program/Exchange.h
@@ -0,0 +1,112 @@
+// One call on its way: from the caller's channel to targets and back, on the event loop.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "EntryPicture.h"
+#include "damasklink/coordination/EventFramer.h"
+#include "damasklink/coordination/ExchangePlan.h"
+#include "damasklink/coordination/RetryShares.h"
+#include "damasklink/coordination/TargetPicker.h"
+#include "damasklink/protocol/ServingDialect.h"
+#include "damasklink/state/Metrics.h"
+#include "damasklink/transport/CallerChannel.h"
+#include "damasklink/transport/TargetChannel.h"
+
+namespace damasklink {
+
+// What the exchanges of one entry host share.
+struct EntryContext
+{
+  asio::io_context& loop;
+  const Clock& clock;
+  const ServingSettings& settings;
+  const CallDialect& dialect;
+  Metrics& metrics;
+  EntryPicture& picture;
+  RetryShares& retries;
+  TargetHealth& health;
+  TargetPicker& picker;
+  TargetChannelPool& pool;
+  // Set when the process has been told to stop: answers then end their channels.
+  bool leaving = false;
+};
+
+// Relays one request. What is decided after each attempt stands in ExchangePlan; this class moves
+// the bytes.
+class Exchange
+{
+public:
+  Exchange(EntryContext& aContext, CallerChannel& aCaller, HttpRequestMessage aRequest);
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  // Answers the request. Returns whether the caller's channel may be used for another one.
+  Awaitable<bool> Run();
+
+private:
+  // Why running operations were cut short.
+  enum class Interrupt
+  {
+    None,
+    Expired,
+    CallerLeft,
+  };
+
+  // A target's answer that is not passed on as it comes: failures, and bodies known whole.
+  struct WholeAnswer
+  {
+    HttpAnswerHead head;
+    std::string body;
+  };
+
+  std::optional<CallerError> Resolve();
+  Awaitable<bool> Relay();
+  Awaitable<AttemptEnd> Attempt(const TargetRecord& aTarget);
+  Awaitable<AttemptEnd> Converse(const TargetRecord& aTarget);
+  Awaitable<Result<HttpAnswerHead>> ReadOwnHead(const TargetRecord& aTarget);
+  Awaitable<AttemptEnd> TakeAnswer(const TargetRecord& aTarget, HttpAnswerHead aHead);
+  Awaitable<AttemptEnd> PassWhole(HttpAnswerHead aHead);
+  Awaitable<AttemptEnd> PassStream(const TargetRecord& aTarget, HttpAnswerHead aHead);
+  Awaitable<bool> PassEvents(const HttpAnswerHead& aHead, std::string_view aEvents);
+  Awaitable<bool> Finish(ExchangeStep aStep);
+  Awaitable<bool> AnswerFailure(const CallerError& aError);
+  Awaitable<std::unique_ptr<TargetChannel>> Connect(const TargetRecord& aTarget);
+  const TargetRecord* ChooseTarget();
+  TargetCall CallFor(const TargetRecord& aTarget) const;
+  void AddPartMoves(const TargetRecord& aTarget, TargetCall& aTo) const;
+  void PreparePrompt();
+  void OnInterrupt(Interrupt aReason);
+  AttemptEnd EndOfFailure() const;
+  bool ClosesAfter() const;
+  Duration TimeLeft() const;
+  void LogEnd(std::string_view aOutcome, int aStatus) const;
+
+  EntryContext& context;
+  CallerChannel& caller;
+  HttpRequestMessage request;
+  MonotonicTime arrived;
+
+  // Set by Resolve(). The table is kept alive: a newer one may replace it meanwhile.
+  std::shared_ptr<const RouteTable> routes;
+  const ServingRoute* route = nullptr;
+  const WorkspaceEntry* workspace = nullptr;
+  CallerCall call;
+  ServiceName service;
+  PickQuestion question;
+  CacheScope scope;
+  std::uint64_t weights = 0;
+
+  std::optional<ExchangePlan> plan;
+  std::optional<Watchdog> ending;
+  std::unique_ptr<TargetChannel> channel;
+  PickedWork work;
+  Interrupt interrupt = Interrupt::None;
+  EventFramer framer;
+  std::optional<WholeAnswer> failure;
+  AttemptEnd lastEnd = AttemptEnd::Unreachable;
+};
+
+} // namespace damasklink
--- /dev/null
+++ b/src/program/StoreWatcher.cpp
@@ -0,0 +1,178 @@
+#include "StoreWatcher.h"
+
+#include <utility>
+
+#include "damasklink/transport/Log.h"
+#include "damasklink/transport/TargetChannel.h"
+
+namespace damasklink {
+namespace {
+
+// How long a store keeps a question without news waiting; the platform allows a second.
+constexpr Duration kEventWait = std::chrono::milliseconds(900);
+
+// A store that has not answered this long after its wait is lost: entry hosts must know before it
+// can be back, empty and being written.
+constexpr Duration kAnswerPatience = std::chrono::milliseconds(500);
+
+// Between two attempts at a store that does not answer.
+constexpr Duration kRetryPause = std::chrono::milliseconds(250);
+
+// Between two lists of a store that answers: how long a part whose event was lost stays unknown.
+constexpr Duration kListInterval = std::chrono::seconds(5);
+
+constexpr std::size_t kMostAnswerBytes = std::size_t{ 8 } * 1024 * 1024;
+
+} // namespace
+
+struct StoreWatcher::Watched
+{
+  explicit Watched(Endpoint aEndpoint)
+    : endpoint(aEndpoint)
+    , feed(std::move(aEndpoint))
+  {
+  }
+
+  Endpoint endpoint;
+  StoreFeed feed;
+  std::unique_ptr<TargetChannel> channel;
+  MonotonicTime nextList;
+  bool reachable = true;
+  bool followed = true;
+};
+
+StoreWatcher::StoreWatcher(asio::io_context& aLoop,
+                           const Clock& aClock,
+                           const StoreDialect& aDialect,
+                           Told aTold)
+  : loop(aLoop)
+  , clock(aClock)
+  , dialect(aDialect)
+  , told(std::move(aTold))
+{
+}
+
+StoreWatcher::~StoreWatcher() = default;
+
+void
+StoreWatcher::Follow(const std::vector<ServingService>& aServices)
+{
+  std::map<std::string, std::shared_ptr<Watched>> followed;
+  for (const ServingService& service : aServices) {
+    if (!service.store) {
+      continue;
+    }
+    const std::string address = FormatEndpoint(service.store->endpoint);
+    const auto known = this->stores.find(address);
+    if (known != this->stores.end()) {
+      followed[address] = known->second;
+      continue;
+    }
+    auto store = std::make_shared<Watched>(service.store->endpoint);
+    followed[address] = store;
+    asio::co_spawn(this->loop, this->Watch(store), asio::detached);
+  }
+  for (const auto& [address, store] : this->stores) {
+    store->followed = followed.contains(address);
+  }
+  this->stores = std::move(followed);
+}
+
+std::vector<StoreStatement>
+StoreWatcher::All() const
+{
+  std::vector<StoreStatement> all;
+  for (const auto& [address, store] : this->stores) {
+    all.push_back(store->feed.All());
+  }
+  return all;
+}
+
+Awaitable<void>
+StoreWatcher::Watch(std::shared_ptr<Watched> aStore)
+{
+  asio::steady_timer pause(this->loop);
+  while (aStore->followed) {
+    const bool answered = co_await this->AskOnce(*aStore);
+    if (answered != aStore->reachable) {
+      aStore->reachable = answered;
+      LogEvent(answered ? LogLevel::Info : LogLevel::Warning,
+               answered ? "store_regained" : "store_lost")
+        .With("store", FormatEndpoint(aStore->endpoint));
+    }
+    if (!answered) {
+      aStore->feed.Lose();
+      aStore->channel.reset();
+    }
+    this->Tell(*aStore);
+    if (!answered) {
+      pause.expires_after(kRetryPause);
+      co_await pause.async_wait(kAsValue);
+    }
+  }
+}
+
+// Asks for events or, where that is due, for the list. Returns whether the store answered.
+Awaitable<bool>
+StoreWatcher::AskOnce(Watched& aStore)
+{
+  const MonotonicTime now = this->clock.MonotonicNow();
+  if (aStore.feed.NeedsList() || now >= aStore.nextList) {
+    aStore.nextList = now + kListInterval;
+    auto body = co_await this->Ask(aStore, this->dialect.ListQuestion(aStore.endpoint));
+    auto list = body ? this->dialect.ReadList(body.value()) : Result<StoreList>(Fail(body.error()));
+    if (!list) {
+      co_return false;
+    }
+    aStore.feed.TakeList(list.value());
+    co_return true;
+  }
+  auto body = co_await this->Ask(
+    aStore, this->dialect.EventsQuestion(aStore.endpoint, aStore.feed.Next(), kEventWait));
+  auto events =
+    body ? this->dialect.ReadEvents(body.value()) : Result<StoreEvents>(Fail(body.error()));
+  if (!events) {
+    co_return false;
+  }
+  aStore.feed.TakeEvents(events.value());
+  co_return true;
+}
+
+Awaitable<Result<std::string>>
+StoreWatcher::Ask(Watched& aStore, HttpRequestHead aQuestion)
+{
+  if (aStore.channel == nullptr || !aStore.channel->IsReusable() || !aStore.channel->IsClean()) {
+    aStore.channel = std::make_unique<TargetChannel>(this->loop.get_executor(), this->clock);
+    auto connected = co_await aStore.channel->Connect(aStore.endpoint, kAnswerPatience);
+    if (!connected) {
+      co_return Fail(connected.error());
+    }
+  }
+  TargetChannel* channel = aStore.channel.get();
+  Watchdog watchdog(this->loop.get_executor(), [channel] { channel->Close(); });
+  watchdog.Arm(kEventWait + kAnswerPatience);
+  if (auto sent = co_await channel->Send(aQuestion, ""); !sent) {
+    co_return Fail(sent.error());
+  }
+  auto head = co_await channel->ReadHead();
+  if (!head) {
+    co_return Fail(head.error());
+  }
+  auto body = co_await channel->ReadRest(kMostAnswerBytes);
+  if (body && head.value().status != 200) {
+    co_return Fail(ErrorKind::Unavailable, "the store refused the question", "ask again later");
+  }
+  co_return body;
+}
+
+void
+StoreWatcher::Tell(Watched& aStore)
+{
+  if (const std::optional<StoreStatement> changes = aStore.feed.TakeChanges()) {
+    if (aStore.followed) {
+      this->told(*changes);
+    }
+  }
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/src/program/StoreWatcher.h
@@ -0,0 +1,54 @@
+// Follows what the stores of prompt parts hold, on the event loop of a control host.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "damasklink/coordination/ServingConfig.h"
+#include "damasklink/coordination/StoreFeed.h"
+#include "damasklink/protocol/ServingDialect.h"
+#include "damasklink/transport/EventLoop.h"
+
+namespace damasklink {
+
+// Asks each store for its events with a long wait, so that an idle store costs one question a
+// second, and for its list at the start, after a gap, and now and then: a few events never arrive.
+class StoreWatcher
+{
+public:
+  // Called with each change of what is known of a store.
+  using Told = std::function<void(const StoreStatement&)>;
+
+  StoreWatcher(asio::io_context& aLoop,
+               const Clock& aClock,
+               const StoreDialect& aDialect,
+               Told aTold);
+  ~StoreWatcher();
+  StoreWatcher(const StoreWatcher&) = delete;
+  StoreWatcher& operator=(const StoreWatcher&) = delete;
+
+  // Follows the stores of the configuration and no others.
+  void Follow(const std::vector<ServingService>& aServices);
+
+  // Returns the whole of what is known.
+  std::vector<StoreStatement> All() const;
+
+private:
+  struct Watched;
+
+  Awaitable<void> Watch(std::shared_ptr<Watched> aStore);
+  Awaitable<bool> AskOnce(Watched& aStore);
+  Awaitable<Result<std::string>> Ask(Watched& aStore, HttpRequestHead aQuestion);
+  void Tell(Watched& aStore);
+
+  asio::io_context& loop;
+  const Clock& clock;
+  const StoreDialect& dialect;
+  Told told;
+  // Shared with the coroutine that follows the store.
+  std::map<std::string, std::shared_ptr<Watched>> stores;
+};
+
+} // namespace damasklink
--- a/src/protocol/JsonFields.h
+++ b/src/protocol/JsonFields.h
@@ -1,4 +1,4 @@
-// Reads and prints JSON for the protocol layer. Internal to src/protocol.
+// Reads and prints JSON for the codecs of src/protocol and of platform/; internal to them.
 #pragma once
 
 #include <string>
--- /dev/null
+++ b/src/protocol/ServingCodec.cpp
@@ -0,0 +1,229 @@
+#include "damasklink/protocol/ServingCodec.h"
+
+#include <charconv>
+
+#include <Serving_generated.h>
+
+#include "FlatBytes.h"
+
+namespace damasklink {
+namespace {
+
+enum class FrameKind : std::uint8_t
+{
+  Greeting = 1,
+  Picture = 2,
+};
+
+std::vector<std::string>
+TextsOf(const std::vector<HostId>& aHosts)
+{
+  std::vector<std::string> texts;
+  for (const HostId& host : aHosts) {
+    texts.push_back(host.Value());
+  }
+  return texts;
+}
+
+std::vector<HostId>
+HostsOf(const std::vector<std::string>& aTexts)
+{
+  std::vector<HostId> hosts;
+  for (const std::string& text : aTexts) {
+    hosts.emplace_back(text);
+  }
+  return hosts;
+}
+
+// Versions of weights are numbers here and texts in records; anything else reads as zero, which no
+// named version has.
+std::uint64_t
+VersionNumber(const WeightVersion& aVersion)
+{
+  std::uint64_t number = 0;
+  const std::string& text = aVersion.Value();
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+std::unique_ptr<wire::TargetRowT>
+RowOf(const TargetStatement& aStatement)
+{
+  const TargetRecord& record = aStatement.record;
+  auto row = std::make_unique<wire::TargetRowT>();
+  row->id = record.id.Value();
+  row->service = record.service.Value();
+  row->address = record.endpoint.address;
+  row->port = record.endpoint.port;
+  row->zone = record.zone.Value();
+  row->sequence = record.sequence.Value();
+  row->slots = static_cast<std::uint32_t>(record.load.slots);
+  row->standing = static_cast<std::uint8_t>(aStatement.standing);
+  row->paused = aStatement.paused;
+  for (const ServedModel& served : record.models) {
+    auto model = std::make_unique<wire::ServedModelRowT>();
+    model->model = served.model.Value();
+    model->version = VersionNumber(served.version);
+    row->models.push_back(std::move(model));
+  }
+  return row;
+}
+
+bool
+ReadRow(const wire::TargetRowT& aRow, TargetStatement& aTo)
+{
+  const bool known = aRow.standing >= static_cast<std::uint8_t>(TargetStanding::Usable) &&
+                     aRow.standing <= static_cast<std::uint8_t>(TargetStanding::Leaving);
+  if (!known) {
+    return false;
+  }
+  TargetRecord& record = aTo.record;
+  record.id = TargetId(aRow.id);
+  record.service = ServiceName(aRow.service);
+  record.endpoint = Endpoint{ aRow.address, aRow.port };
+  record.zone = ZoneId(aRow.zone);
+  record.sequence = Sequence(aRow.sequence);
+  record.load.slots = aRow.slots;
+  record.kind = aRow.models.empty() ? TargetKind::Service : TargetKind::Engine;
+  for (const auto& model : aRow.models) {
+    const WeightVersion version(std::to_string(model->version));
+    record.models.push_back(ServedModel{ ModelName(model->model), version, {} });
+  }
+  aTo.standing = static_cast<TargetStanding>(aRow.standing);
+  record.leaving = aTo.standing == TargetStanding::Leaving;
+  aTo.paused = aRow.paused;
+  return true;
+}
+
+std::unique_ptr<wire::StoreRowT>
+RowOf(const StoreStatement& aStatement)
+{
+  auto row = std::make_unique<wire::StoreRowT>();
+  row->address = aStatement.store.address;
+  row->port = aStatement.store.port;
+  row->live = aStatement.live;
+  row->whole = aStatement.whole;
+  for (const SizedPart& part : aStatement.added) {
+    row->added.emplace_back(part.key.Value(), static_cast<std::uint32_t>(part.tokens.Value()));
+  }
+  for (const PartKey key : aStatement.removed) {
+    row->removed.push_back(key.Value());
+  }
+  return row;
+}
+
+StoreStatement
+ReadRow(const wire::StoreRowT& aRow)
+{
+  StoreStatement statement;
+  statement.store = Endpoint{ aRow.address, aRow.port };
+  statement.live = aRow.live;
+  statement.whole = aRow.whole;
+  for (const wire::PartEntry& part : aRow.added) {
+    statement.added.push_back(SizedPart{ PartKey(part.key()), TokenCount(part.tokens()) });
+  }
+  for (const std::uint64_t key : aRow.removed) {
+    statement.removed.emplace_back(key);
+  }
+  return statement;
+}
+
+struct FrameFiller
+{
+  wire::ServingFrameT& frame;
+
+  void operator()(const Greeting& aGreeting)
+  {
+    this->frame.kind = static_cast<std::uint8_t>(FrameKind::Greeting);
+    this->frame.role = static_cast<std::uint8_t>(aGreeting.role);
+    this->frame.zone = aGreeting.zone.Value();
+    this->frame.control_hosts = TextsOf(aGreeting.controlHosts);
+  }
+
+  void operator()(const Picture& aPicture)
+  {
+    this->frame.kind = static_cast<std::uint8_t>(FrameKind::Picture);
+    this->frame.document_version = aPicture.documentVersion.Value();
+    this->frame.document.assign(aPicture.document.begin(), aPicture.document.end());
+    for (const auto& [model, version] : aPicture.weights) {
+      auto row = std::make_unique<wire::NamedWeightsRowT>();
+      row->model = model.Value();
+      row->version = version;
+      this->frame.weights.push_back(std::move(row));
+    }
+    for (const TargetStatement& statement : aPicture.targets) {
+      this->frame.targets.push_back(RowOf(statement));
+    }
+    for (const StoreStatement& statement : aPicture.stores) {
+      this->frame.stores.push_back(RowOf(statement));
+    }
+    this->frame.entry_hosts = static_cast<std::uint32_t>(aPicture.entryHosts);
+    this->frame.control_hosts = TextsOf(aPicture.controlHosts);
+  }
+};
+
+Result<ServingMessage>
+ReadGreeting(const wire::ServingFrameT& aFrame)
+{
+  const bool known = aFrame.role == static_cast<std::uint8_t>(HostRole::Entry) ||
+                     aFrame.role == static_cast<std::uint8_t>(HostRole::Control);
+  if (!known) {
+    return Fail(internal::UnreadableMessage());
+  }
+  return ServingMessage(Greeting{
+    static_cast<HostRole>(aFrame.role), ZoneId(aFrame.zone), HostsOf(aFrame.control_hosts) });
+}
+
+Result<ServingMessage>
+ReadPicture(const wire::ServingFrameT& aFrame)
+{
+  Picture picture;
+  picture.documentVersion = Revision(aFrame.document_version);
+  picture.document.assign(aFrame.document.begin(), aFrame.document.end());
+  for (const auto& row : aFrame.weights) {
+    picture.weights[ModelName(row->model)] = row->version;
+  }
+  for (const auto& row : aFrame.targets) {
+    if (!ReadRow(*row, picture.targets.emplace_back())) {
+      return Fail(internal::UnreadableMessage());
+    }
+  }
+  for (const auto& row : aFrame.stores) {
+    picture.stores.push_back(ReadRow(*row));
+  }
+  picture.entryHosts = aFrame.entry_hosts;
+  picture.controlHosts = HostsOf(aFrame.control_hosts);
+  return ServingMessage(std::move(picture));
+}
+
+} // namespace
+
+std::string
+EncodeServingMessage(const ServingMessage& aMessage)
+{
+  wire::ServingFrameT frame;
+  std::visit(FrameFiller{ frame }, aMessage);
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(wire::ServingFrame::Pack(builder, &frame));
+  return internal::FinishedBytes(builder);
+}
+
+Result<ServingMessage>
+DecodeServingMessage(std::string_view aBytes)
+{
+  const auto* root = internal::VerifiedRoot<wire::ServingFrame>(aBytes);
+  if (root == nullptr) {
+    return Fail(internal::UnreadableMessage());
+  }
+  wire::ServingFrameT frame;
+  root->UnPackTo(&frame);
+  switch (static_cast<FrameKind>(frame.kind)) {
+    case FrameKind::Greeting:
+      return ReadGreeting(frame);
+    case FrameKind::Picture:
+      return ReadPicture(frame);
+  }
+  return Fail(internal::UnreadableMessage());
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/src/transport/EventLoop.cpp
@@ -0,0 +1,92 @@
+#include "damasklink/transport/EventLoop.h"
+
+#include <netinet/tcp.h>
+
+#include "damasklink/state/Text.h"
+#include "damasklink/transport/Log.h"
+
+namespace damasklink {
+
+TcpEndpoint
+IoEndpoint(const Endpoint& aEndpoint)
+{
+  return TcpEndpoint(asio::ip::make_address(aEndpoint.address), aEndpoint.port);
+}
+
+Result<TcpAcceptor>
+ListenOn(asio::io_context& aContext, const Endpoint& aEndpoint)
+{
+  const TcpEndpoint endpoint = IoEndpoint(aEndpoint);
+  TcpAcceptor acceptor(aContext);
+  IoError error;
+  acceptor.open(endpoint.protocol(), error);
+  acceptor.set_option(TcpAcceptor::reuse_address(true), error);
+  acceptor.bind(endpoint, error);
+  if (!error) {
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Fail(ErrorKind::Unavailable,
+                Concat("cannot listen on ", FormatEndpoint(aEndpoint), ": ", error.message()),
+                "end the process that holds the address, or choose another");
+  }
+  return acceptor;
+}
+
+void
+SetSendTimeout(TcpSocket& aSocket, Duration aTimeout)
+{
+  const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(aTimeout);
+  using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  IoError error;
+  aSocket.set_option(UserTimeout(static_cast<int>(milliseconds.count())), error);
+  if (error) {
+    LogEvent(LogLevel::Warning, "socket_option_refused")
+      .With("option", "TCP_USER_TIMEOUT")
+      .With("reason", error.message());
+  }
+}
+
+void
+SetNoDelay(TcpSocket& aSocket)
+{
+  IoError error;
+  aSocket.set_option(asio::ip::tcp::no_delay(true), error);
+  if (error) {
+    LogEvent(LogLevel::Warning, "socket_option_refused")
+      .With("option", "TCP_NODELAY")
+      .With("reason", error.message());
+  }
+}
+
+Watchdog::Watchdog(const asio::any_io_executor& aExecutor, std::function<void()> aCallback)
+  : timer(aExecutor)
+  , state(std::make_shared<State>(State{ std::move(aCallback), 0 }))
+{
+}
+
+Watchdog::~Watchdog()
+{
+  this->Disarm();
+}
+
+void
+Watchdog::Arm(Duration aAfter)
+{
+  this->timer.expires_after(aAfter);
+  const std::uint64_t armed = ++this->state->armed;
+  this->timer.async_wait([shared = this->state, armed](const IoError& aError) {
+    if (!aError && shared->armed == armed) {
+      shared->callback();
+    }
+  });
+}
+
+void
+Watchdog::Disarm()
+{
+  ++this->state->armed;
+  this->timer.cancel();
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/src/transport/PeerMesh.cpp
@@ -0,0 +1,423 @@
+#include "damasklink/transport/PeerMesh.h"
+
+#include <algorithm>
+#include <deque>
+
+#include "damasklink/protocol/Envelope.h"
+#include "damasklink/state/Text.h"
+#include "damasklink/transport/FrameCodec.h"
+#include "damasklink/transport/Log.h"
+
+namespace damasklink {
+namespace {
+
+// What waits for a peer that does not read: enough for a large configuration and a snapshot piece,
+// little beside the memory of a control host.
+constexpr std::size_t kMostQueuedBytes = 8 * kMebibyte;
+
+} // namespace
+
+// One connection. Kept alive by the operations that are pending on it.
+class PeerMesh::Link : public std::enable_shared_from_this<PeerMesh::Link>
+{
+public:
+  Link(PeerMesh& aMesh, TcpSocket aSocket, LinkSide aSide)
+    : mesh(aMesh)
+    , socket(std::move(aSocket))
+    , aliveTimer(this->socket.get_executor())
+    , silenceTimer(this->socket.get_executor())
+    , side(aSide)
+  {
+  }
+
+  LinkSide Side() const { return this->side; }
+  const HostId& Peer() const { return this->peer; }
+  void Name(HostId aPeer) { this->peer = std::move(aPeer); }
+  bool IsUp() const { return this->up && !this->closed; }
+  bool IsClosed() const { return this->closed; }
+
+  void Connect(const TcpEndpoint& aEndpoint)
+  {
+    this->silenceTimer.expires_after(this->mesh.timing.connect);
+    this->WatchSilence();
+    auto self = this->shared_from_this();
+    this->socket.async_connect(aEndpoint, [self](const IoError& aError) {
+      if (aError) {
+        self->Close();
+      } else {
+        self->Start();
+      }
+    });
+  }
+
+  // Begins to read and write on a connected socket.
+  void Start()
+  {
+    if (this->closed) {
+      return;
+    }
+    SetNoDelay(this->socket);
+    SetSendTimeout(this->socket, this->mesh.timing.silence);
+    this->up = true;
+    this->Heard();
+    this->ReadNext();
+    this->KeepAlive();
+    if (this->side == LinkSide::Dialed) {
+      this->mesh.OnLinkUp(this->shared_from_this());
+    }
+  }
+
+  void Send(std::string aFrame)
+  {
+    if (!this->IsUp() || this->queuedBytes + aFrame.size() > kMostQueuedBytes) {
+      return;
+    }
+    this->queuedBytes += aFrame.size();
+    this->queue.push_back(std::move(aFrame));
+    this->sentSinceAlive = true;
+    this->WriteNext();
+  }
+
+  void Close()
+  {
+    if (this->closed) {
+      return;
+    }
+    this->closed = true;
+    IoError ignored;
+    this->socket.close(ignored);
+    this->aliveTimer.cancel();
+    this->silenceTimer.cancel();
+    this->mesh.OnLinkDown(this->shared_from_this());
+  }
+
+  bool WasUp() const { return this->up; }
+
+private:
+  void Heard()
+  {
+    this->silenceTimer.expires_after(this->mesh.timing.silence);
+    this->WatchSilence();
+  }
+
+  void WatchSilence()
+  {
+    auto self = this->shared_from_this();
+    this->silenceTimer.async_wait([self](const IoError& aError) {
+      if (!aError) {
+        self->Close();
+      }
+    });
+  }
+
+  void KeepAlive()
+  {
+    auto self = this->shared_from_this();
+    this->aliveTimer.expires_after(this->mesh.timing.alive);
+    this->aliveTimer.async_wait([self](const IoError& aError) {
+      if (aError || self->closed) {
+        return;
+      }
+      if (!std::exchange(self->sentSinceAlive, false)) {
+        Envelope envelope;
+        envelope.from = self->mesh.self;
+        envelope.channel = static_cast<std::uint8_t>(Channel::Serving);
+        self->Send(EncodeEnvelope(envelope));
+        self->sentSinceAlive = false;
+      }
+      self->KeepAlive();
+    });
+  }
+
+  void ReadNext()
+  {
+    auto self = this->shared_from_this();
+    asio::async_read(
+      this->socket, asio::buffer(this->prefix), [self](const IoError& aError, std::size_t) {
+        if (aError) {
+          self->Close();
+        } else {
+          self->ReadBody();
+        }
+      });
+  }
+
+  void ReadBody()
+  {
+    const std::size_t length = DecodeFrameLength(this->prefix);
+    if (length > kMostFrameBytes) {
+      LogEvent(LogLevel::Warning, "peer_frame_too_large").With("bytes", length);
+      this->Close();
+      return;
+    }
+    this->body.resize(length);
+    auto self = this->shared_from_this();
+    asio::async_read(
+      this->socket, asio::buffer(this->body), [self](const IoError& aError, std::size_t) {
+        if (aError) {
+          self->Close();
+          return;
+        }
+        self->Heard();
+        self->mesh.OnFrame(self, std::exchange(self->body, {}));
+        if (!self->closed) {
+          self->ReadNext();
+        }
+      });
+  }
+
+  void WriteNext()
+  {
+    if (this->writing || this->queue.empty() || this->closed) {
+      return;
+    }
+    this->writing = true;
+    // What has queued up leaves in one write.
+    this->outgoing.clear();
+    for (const std::string& frame : this->queue) {
+      const FramePrefix length = EncodeFrameLength(frame.size());
+      this->outgoing.append(reinterpret_cast<const char*>(length.data()), length.size());
+      this->outgoing.append(frame);
+    }
+    this->queue.clear();
+    auto self = this->shared_from_this();
+    asio::async_write(
+      this->socket, asio::buffer(this->outgoing), [self](const IoError& aError, std::size_t) {
+        self->writing = false;
+        self->queuedBytes = 0;
+        for (const std::string& frame : self->queue) {
+          self->queuedBytes += frame.size();
+        }
+        if (aError) {
+          self->Close();
+        } else {
+          self->WriteNext();
+        }
+      });
+  }
+
+  PeerMesh& mesh;
+  TcpSocket socket;
+  asio::steady_timer aliveTimer;
+  asio::steady_timer silenceTimer;
+  LinkSide side;
+  HostId peer;
+  bool up = false;
+  bool closed = false;
+  bool writing = false;
+  bool sentSinceAlive = false;
+  FramePrefix prefix{};
+  std::string body;
+  std::string outgoing;
+  std::deque<std::string> queue;
+  std::size_t queuedBytes = 0;
+};
+
+PeerMesh::PeerMesh(asio::io_context& aContext,
+                   HostId aSelf,
+                   std::uint16_t aPort,
+                   PeerMeshHandler& aHandler,
+                   PeerMeshTiming aTiming)
+  : context(aContext)
+  , self(std::move(aSelf))
+  , port(aPort)
+  , handler(aHandler)
+  , timing(aTiming)
+{
+}
+
+PeerMesh::~PeerMesh()
+{
+  this->Stop();
+}
+
+Result<void>
+PeerMesh::Listen()
+{
+  auto opened = ListenOn(this->context, Endpoint{ this->self.Value(), this->port });
+  if (!opened) {
+    return Fail(opened.error());
+  }
+  this->acceptor = std::make_unique<TcpAcceptor>(std::move(opened.value()));
+  this->Accept();
+  return Success();
+}
+
+void
+PeerMesh::Accept()
+{
+  this->acceptor->async_accept([this](const IoError& aError, TcpSocket aSocket) {
+    if (aError == asio::error::operation_aborted || this->stopped) {
+      return;
+    }
+    if (!aError) {
+      auto link = std::make_shared<Link>(*this, std::move(aSocket), LinkSide::Accepted);
+      std::erase_if(this->unnamed, [](const auto& aLink) { return aLink.expired(); });
+      this->unnamed.push_back(link);
+      link->Start();
+    }
+    this->Accept();
+  });
+}
+
+void
+PeerMesh::Dial(const HostId& aPeer)
+{
+  if (aPeer == this->self || this->stopped || this->dialed.contains(aPeer)) {
+    return;
+  }
+  this->dialed[aPeer] = nullptr;
+  this->Open(aPeer);
+}
+
+void
+PeerMesh::Open(const HostId& aPeer)
+{
+  const auto found = this->dialed.find(aPeer);
+  if (found == this->dialed.end() || found->second != nullptr || this->stopped) {
+    return;
+  }
+  auto link = std::make_shared<Link>(*this, TcpSocket(this->context), LinkSide::Dialed);
+  link->Name(aPeer);
+  found->second = link;
+  link->Connect(IoEndpoint(Endpoint{ aPeer.Value(), this->port }));
+}
+
+void
+PeerMesh::Hang(const HostId& aPeer)
+{
+  const auto found = this->dialed.find(aPeer);
+  if (found == this->dialed.end()) {
+    return;
+  }
+  const std::shared_ptr<Link> link = std::move(found->second);
+  this->dialed.erase(found);
+  if (link != nullptr) {
+    link->Close();
+  }
+}
+
+bool
+PeerMesh::IsUp(const HostId& aPeer) const
+{
+  for (const auto* links : { &this->dialed, &this->accepted }) {
+    const auto found = links->find(aPeer);
+    if (found != links->end() && found->second != nullptr && found->second->IsUp()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+PeerMesh::Send(const HostId& aTo, PeerMessage aMessage)
+{
+  for (auto* links : { &this->dialed, &this->accepted }) {
+    const auto found = links->find(aTo);
+    if (found == links->end() || found->second == nullptr || !found->second->IsUp()) {
+      continue;
+    }
+    Envelope envelope;
+    envelope.from = this->self;
+    envelope.channel = static_cast<std::uint8_t>(aMessage.channel);
+    envelope.group = std::move(aMessage.group);
+    envelope.payload = std::move(aMessage.payload);
+    found->second->Send(EncodeEnvelope(envelope));
+    return;
+  }
+}
+
+void
+PeerMesh::Stop()
+{
+  if (std::exchange(this->stopped, true)) {
+    return;
+  }
+  if (this->acceptor != nullptr) {
+    IoError ignored;
+    this->acceptor->close(ignored);
+  }
+  std::vector<std::shared_ptr<Link>> links;
+  for (auto* side : { &this->dialed, &this->accepted }) {
+    for (auto& [peer, link] : *side) {
+      links.push_back(std::move(link));
+    }
+    side->clear();
+  }
+  for (const std::weak_ptr<Link>& link : this->unnamed) {
+    links.push_back(link.lock());
+  }
+  for (const std::shared_ptr<Link>& link : links) {
+    if (link != nullptr) {
+      link->Close();
+    }
+  }
+}
+
+void
+PeerMesh::OnLinkUp(const std::shared_ptr<Link>& aLink)
+{
+  LogEvent(LogLevel::Info, "peer_connected").With("peer", aLink->Peer());
+  this->handler.OnPeerUp(aLink->Peer(), aLink->Side());
+}
+
+void
+PeerMesh::OnLinkDown(const std::shared_ptr<Link>& aLink)
+{
+  if (this->stopped) {
+    return;
+  }
+  const HostId peer = aLink->Peer();
+  auto& links = aLink->Side() == LinkSide::Dialed ? this->dialed : this->accepted;
+  const auto found = links.find(peer);
+  if (found != links.end() && found->second == aLink) {
+    if (aLink->Side() == LinkSide::Accepted) {
+      links.erase(found);
+    } else {
+      found->second = nullptr;
+      auto timer = std::make_shared<asio::steady_timer>(this->context, this->timing.redial);
+      timer->async_wait([this, peer, timer](const IoError& aError) {
+        if (!aError) {
+          this->Open(peer);
+        }
+      });
+    }
+  }
+  if (aLink->WasUp() && !peer.Empty()) {
+    LogEvent(LogLevel::Warning, "peer_lost").With("peer", peer);
+    this->handler.OnPeerDown(peer, aLink->Side());
+  }
+}
+
+void
+PeerMesh::OnFrame(const std::shared_ptr<Link>& aLink, std::string aFrame)
+{
+  auto envelope = DecodeEnvelope(aFrame);
+  if (!envelope) {
+    LogEvent(LogLevel::Warning, "peer_frame_refused").With("error", envelope.error());
+    aLink->Close();
+    return;
+  }
+  Envelope& decoded = envelope.value();
+  if (aLink->Peer().Empty()) {
+    aLink->Name(decoded.from);
+    // A peer that connects anew has lost its earlier connection, whether we saw that or not.
+    const auto earlier = this->accepted.find(decoded.from);
+    if (earlier != this->accepted.end()) {
+      const std::shared_ptr<Link> old = earlier->second;
+      old->Close();
+    }
+    this->accepted[decoded.from] = aLink;
+    this->OnLinkUp(aLink);
+  }
+  if (decoded.payload.empty()) {
+    return;
+  }
+  PeerMessage message;
+  message.channel = static_cast<Channel>(decoded.channel);
+  message.group = std::move(decoded.group);
+  message.payload = std::move(decoded.payload);
+  this->handler.OnPeerMessage(aLink->Peer(), std::move(message));
+}
+
+} // namespace damasklink
--- a/src/transport/PeerNetwork.cpp
+++ b/src/transport/PeerNetwork.cpp
@@ -9,6 +9,7 @@
 
 #include "damasklink/protocol/Envelope.h"
 #include "damasklink/state/Text.h"
+#include "damasklink/transport/FrameCodec.h"
 #include "damasklink/transport/Log.h"
 
 namespace damasklink {
@@ -18,31 +19,9 @@
 using Tcp = asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
-constexpr std::size_t kMostFrameBytes = 64 * kMebibyte;
 constexpr std::size_t kMostQueuedBytes = 64 * kMebibyte;
-constexpr std::size_t kPrefixBytes = 4;
 constexpr Duration kReconnectDelay = std::chrono::milliseconds(200);
 
-std::array<unsigned char, kPrefixBytes>
-EncodeLength(std::size_t aLength)
-{
-  std::array<unsigned char, kPrefixBytes> prefix{};
-  for (std::size_t index = 0; index < kPrefixBytes; ++index) {
-    prefix[index] = static_cast<unsigned char>(aLength >> (8 * index));
-  }
-  return prefix;
-}
-
-std::size_t
-DecodeLength(const std::array<unsigned char, kPrefixBytes>& aPrefix)
-{
-  std::size_t length = 0;
-  for (std::size_t index = 0; index < kPrefixBytes; ++index) {
-    length |= static_cast<std::size_t>(aPrefix[index]) << (8 * index);
-  }
-  return length;
-}
-
 Tcp::endpoint
 AsioEndpoint(const Endpoint& aEndpoint)
 {
@@ -74,7 +53,7 @@
 private:
   void ReadBody()
   {
-    const std::size_t length = DecodeLength(this->prefix);
+    const std::size_t length = DecodeFrameLength(this->prefix);
     if (length > kMostFrameBytes) {
       LogEvent(LogLevel::Warning, "peer_frame_too_large").With("bytes", length);
       return;
@@ -103,7 +82,7 @@
     message.payload = std::move(decoded.payload);
     this->metrics.Add(Counter::PeerBytesIn,
                       MetricKey{ WorkspaceId(), std::string(ChannelName(message.channel)) },
-                      this->body.size() + kPrefixBytes);
+                      this->body.size() + kFramePrefixBytes);
     this->handler(std::move(decoded.from), std::move(message));
     return true;
   }
@@ -111,7 +90,7 @@
   Tcp::socket socket;
   Metrics& metrics;
   const PeerNetwork::Handler& handler;
-  std::array<unsigned char, kPrefixBytes> prefix{};
+  FramePrefix prefix{};
   std::string body;
 };
 
@@ -162,7 +141,7 @@
       return;
     }
     this->writing = true;
-    this->prefix = EncodeLength(this->queue.front().size());
+    this->prefix = EncodeFrameLength(this->queue.front().size());
     const std::array<asio::const_buffer, 2> buffers{ asio::buffer(this->prefix),
                                                      asio::buffer(this->queue.front()) };
     asio::async_write(this->socket, buffers, [this](const ErrorCode& aError, std::size_t) {
@@ -202,7 +181,7 @@
   bool connected = false;
   bool connecting = false;
   bool writing = false;
-  std::array<unsigned char, kPrefixBytes> prefix{};
+  FramePrefix prefix{};
   std::deque<std::string> queue;
   std::size_t queuedBytes = 0;
 };
@@ -287,6 +266,8 @@
       return "stores";
     case Channel::Admission:
       return "admission";
+    case Channel::Serving:
+      return "serving";
   }
   return "unknown";
 }
@@ -336,7 +317,7 @@
   std::string frame = EncodeEnvelope(envelope);
   this->impl->metrics.Add(Counter::PeerBytesOut,
                           MetricKey{ WorkspaceId(), std::string(ChannelName(aMessage.channel)) },
-                          frame.size() + kPrefixBytes);
+                          frame.size() + kFramePrefixBytes);
   asio::post(this->impl->context, [link = found->second.get(), frame = std::move(frame)]() mutable {
     link->Send(std::move(frame));
   });
--- a/test/coordination/MembershipRepairTest.cpp
+++ b/test/coordination/MembershipRepairTest.cpp
@@ -110,5 +110,78 @@
   EXPECT_FALSE(this->Step());
 }
 
+// As above, but hosts are learnt: any host that asks is taken in.
+class LearntMembershipTest : public MembershipRepairTest
+{
+protected:
+  LearntMembershipTest() { this->repair.LearnHosts(5); }
+
+  std::size_t Voters() const { return this->core.Log().NewestMembership().VoterCount(); }
+
+  // Takes in a host and lets it catch up.
+  void Join(const std::string& aHost, ReplicaId aReplica)
+  {
+    this->repair.NoteJoin(HostId(aHost), aReplica);
+    this->Step();
+    this->joined.push_back(aReplica);
+    this->AcknowledgeAll();
+  }
+
+  void AcknowledgeAll()
+  {
+    for (const ReplicaId replica : this->joined) {
+      this->Acknowledge(replica);
+    }
+  }
+
+  std::vector<ReplicaId> joined;
+};
+
+TEST_F(LearntMembershipTest, UnlistedHostIsTakenInAsALearner)
+{
+  this->Join("stranger", kNewDisk);
+  ASSERT_NE(this->Find(kNewDisk), nullptr);
+  EXPECT_FALSE(this->Step());
+  EXPECT_EQ(this->Voters(), 1U);
+}
+
+TEST_F(LearntMembershipTest, VotersAreAddedInPairs)
+{
+  this->Join("stranger", kNewDisk);
+  this->Join("another", kNewerDisk);
+  ASSERT_TRUE(this->Step());
+  this->AcknowledgeAll();
+  ASSERT_TRUE(this->Step());
+  this->AcknowledgeAll();
+  EXPECT_EQ(this->Voters(), 3U);
+  EXPECT_FALSE(this->Step());
+}
+
+TEST_F(LearntMembershipTest, HostAtAnotherAddressTakesThePlaceOfALostVoter)
+{
+  this->Join("stranger", kNewDisk);
+  this->Join("another", kNewerDisk);
+  this->Step();
+  this->AcknowledgeAll();
+  this->Step();
+  this->AcknowledgeAll();
+  constexpr ReplicaId kSuccessor(6);
+  this->joined = { kNewerDisk };
+  this->Join("successor", kSuccessor);
+  EXPECT_FALSE(this->Step());
+  // The voter of "stranger" is not heard any more.
+  this->clock.Advance(RaftTiming().electionMost);
+  this->AcknowledgeAll();
+  ASSERT_TRUE(this->Step());
+  EXPECT_TRUE(this->Find(kSuccessor)->voter);
+  EXPECT_NE(this->Find(kNewDisk), nullptr);
+  this->AcknowledgeAll();
+  ASSERT_TRUE(this->Step());
+  EXPECT_EQ(this->Find(kNewDisk), nullptr);
+  this->AcknowledgeAll();
+  EXPECT_EQ(this->Voters(), 3U);
+  EXPECT_FALSE(this->Step());
+}
+
 } // namespace
 } // namespace damasklink
--- /dev/null
+++ b/test/coordination/RetrySharesTest.cpp
@@ -0,0 +1,86 @@
+#include "damasklink/coordination/RetryShares.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace damasklink {
+namespace {
+
+const ServiceName kService("s");
+
+std::uint64_t
+TakeAll(RetryShares& aShares)
+{
+  std::uint64_t taken = 0;
+  while (aShares.Of(kService).TryTake()) {
+    ++taken;
+  }
+  return taken;
+}
+
+TEST(RetrySharesTest, HostsTogetherStayWithinTheReserve)
+{
+  std::uint64_t taken = 0;
+  for (int host = 0; host < 9; ++host) {
+    RetryShares shares(RetryAllowance{});
+    shares.SetHosts(9);
+    taken += TakeAll(shares);
+  }
+  EXPECT_GT(taken, 0U);
+  EXPECT_LE(static_cast<double>(taken), RetryAllowance{}.reserve);
+}
+
+TEST(RetrySharesTest, RestartOfEveryHostStaysWithinTheReserve)
+{
+  std::uint64_t taken = 0;
+  for (int life = 0; life < 2 * 9; ++life) {
+    RetryShares shares(RetryAllowance{});
+    shares.SetHosts(9);
+    taken += TakeAll(shares);
+  }
+  EXPECT_LE(static_cast<double>(taken), RetryAllowance{}.reserve);
+}
+
+TEST(RetrySharesTest, UnknownNumberOfHostsLeavesTheShareOfCallsOnly)
+{
+  RetryShares shares(RetryAllowance{});
+  EXPECT_EQ(TakeAll(shares), 0U);
+  for (int call = 0; call < 100; ++call) {
+    shares.OnCall(kService);
+  }
+  EXPECT_EQ(TakeAll(shares), 1U);
+}
+
+TEST(RetrySharesTest, ManyHostsMayStillRetryByTheShareOfTheirCalls)
+{
+  RetryShares shares(RetryAllowance{});
+  shares.SetHosts(1000);
+  std::uint64_t taken = 0;
+  for (int call = 0; call < 100; ++call) {
+    shares.OnCall(kService);
+    taken += shares.Of(kService).TryTake() ? 1 : 0;
+  }
+  EXPECT_GE(taken, 10U);
+}
+
+RC_GTEST_PROP(RetrySharesTest, RetriesStayBelowShareAndReserve, ())
+{
+  const RetryAllowance allowance;
+  RetryShares shares(allowance);
+  shares.SetHosts(9);
+  const auto tries = *rc::gen::container<std::vector<bool>>(rc::gen::arbitrary<bool>());
+  double calls = 0;
+  double retries = 0;
+  for (const bool retry : tries) {
+    if (retry) {
+      retries += shares.Of(kService).TryTake() ? 1 : 0;
+    } else {
+      shares.OnCall(kService);
+      calls += 1;
+    }
+  }
+  RC_ASSERT(retries <= allowance.share * calls + allowance.reserve / 9);
+}
+
+} // namespace
+} // namespace damasklink
--- /dev/null
+++ b/test/coordination/RouteTableTest.cpp
@@ -0,0 +1,104 @@
+#include "damasklink/coordination/RouteTable.h"
+
+#include <gtest/gtest.h>
+
+namespace damasklink {
+namespace {
+
+ServingRoute
+Route(const std::string& aName, const std::string& aHost, const std::string& aPrefix)
+{
+  ServingRoute route;
+  route.name = aName;
+  route.host = aHost;
+  route.prefix = aPrefix;
+  route.timeout = std::chrono::seconds(1);
+  route.shares = { ServiceShare{ ServiceName("s"), 1 } };
+  return route;
+}
+
+class RouteTableTest : public ::testing::Test
+{
+protected:
+  RouteTableTest()
+  {
+    this->config.routes = { Route("short", "shop.example", "/a/"),
+                            Route("long", "shop.example", "/a/b/"),
+                            Route("other", "desk.example", "/a/") };
+    WorkspaceEntry workspace;
+    workspace.name = WorkspaceId("w");
+    workspace.keys = { "key-1", "key-2" };
+    this->config.workspaces = { workspace };
+  }
+
+  std::string Found(std::string_view aHost, std::string_view aPath) const
+  {
+    const RouteTable table(std::make_shared<const ServingConfig>(this->config));
+    const ServingRoute* route = table.FindRoute(aHost, aPath);
+    return route == nullptr ? "" : route->name;
+  }
+
+  ServingConfig config;
+};
+
+TEST_F(RouteTableTest, LongestPrefixGoesFirst)
+{
+  EXPECT_EQ(this->Found("shop.example", "/a/b/c"), "long");
+  EXPECT_EQ(this->Found("shop.example", "/a/c"), "short");
+}
+
+TEST_F(RouteTableTest, PrefixEndsAtASlash)
+{
+  EXPECT_EQ(this->Found("shop.example", "/a/b"), "short");
+  EXPECT_EQ(this->Found("shop.example", "/a/bc/"), "short");
+  EXPECT_EQ(this->Found("shop.example", "/ab/"), "");
+  EXPECT_EQ(this->Found("shop.example", "/a"), "");
+}
+
+TEST_F(RouteTableTest, PrefixItselfIsInside)
+{
+  EXPECT_EQ(this->Found("shop.example", "/a/b/"), "long");
+}
+
+TEST_F(RouteTableTest, HostIsComparedWithoutCaseAndPort)
+{
+  EXPECT_EQ(this->Found("Shop.Example:8080", "/a/x"), "short");
+  EXPECT_EQ(this->Found("nobody.example", "/a/x"), "");
+}
+
+TEST_F(RouteTableTest, HostCannotReachIntoThePath)
+{
+  EXPECT_EQ(this->Found("", "shop.example/a/x"), "");
+}
+
+TEST_F(RouteTableTest, KeyNamesItsWorkspace)
+{
+  const RouteTable table(std::make_shared<const ServingConfig>(this->config));
+  ASSERT_NE(table.FindWorkspace("key-2"), nullptr);
+  EXPECT_EQ(table.FindWorkspace("key-2")->name, WorkspaceId("w"));
+  EXPECT_EQ(table.FindWorkspace("key"), nullptr);
+  EXPECT_EQ(table.FindWorkspace(""), nullptr);
+}
+
+TEST(ChooseServiceTest, SharesFollowTheWeights)
+{
+  ServingRoute route;
+  route.shares = { ServiceShare{ ServiceName("a"), 90 }, ServiceShare{ ServiceName("b"), 10 } };
+  int b = 0;
+  for (std::uint64_t number = 0; number < 1000; ++number) {
+    b += ChooseService(route, number) == ServiceName("b") ? 1 : 0;
+  }
+  EXPECT_EQ(b, 100);
+}
+
+TEST(ChooseServiceTest, ServiceWithoutWeightGetsNothing)
+{
+  ServingRoute route;
+  route.shares = { ServiceShare{ ServiceName("a"), 0 }, ServiceShare{ ServiceName("b"), 1 } };
+  for (std::uint64_t number = 0; number < 10; ++number) {
+    EXPECT_EQ(ChooseService(route, number), ServiceName("b"));
+  }
+}
+
+} // namespace
+} // namespace damasklink
--- /dev/null
+++ b/test/coordination/ServingConfigTest.cpp
@@ -0,0 +1,83 @@
+#include "damasklink/coordination/ServingConfig.h"
+
+#include <gtest/gtest.h>
+
+namespace damasklink {
+namespace {
+
+ServingConfig
+ValidConfig()
+{
+  ServingConfig config;
+  config.version = Revision(1);
+  ServingService service;
+  service.name = ServiceName("s");
+  config.services = { service };
+  ServingRoute route;
+  route.name = "r";
+  route.host = "h";
+  route.prefix = "/a/";
+  route.timeout = std::chrono::seconds(1);
+  route.shares = { ServiceShare{ ServiceName("s"), 1 } };
+  config.routes = { route };
+  WorkspaceEntry one;
+  one.name = WorkspaceId("one");
+  one.keys = { "k1" };
+  WorkspaceEntry two;
+  two.name = WorkspaceId("two");
+  two.keys = { "k2" };
+  config.workspaces = { one, two };
+  return config;
+}
+
+TEST(ServingConfigTest, ValidOneIsAccepted)
+{
+  EXPECT_TRUE(CheckServingConfig(ValidConfig()));
+}
+
+TEST(ServingConfigTest, UnknownServiceIsRefused)
+{
+  ServingConfig config = ValidConfig();
+  config.routes.front().shares.push_back(ServiceShare{ ServiceName("nobody"), 1 });
+  EXPECT_FALSE(CheckServingConfig(config));
+}
+
+TEST(ServingConfigTest, TwoRoutesAtOnePlaceAreRefused)
+{
+  ServingConfig config = ValidConfig();
+  config.routes.push_back(config.routes.front());
+  EXPECT_FALSE(CheckServingConfig(config));
+  config.routes.back().prefix = "/b/";
+  EXPECT_TRUE(CheckServingConfig(config));
+}
+
+TEST(ServingConfigTest, WeightsThatAddUpToZeroAreRefused)
+{
+  ServingConfig config = ValidConfig();
+  config.routes.front().shares.front().weight = 0;
+  EXPECT_FALSE(CheckServingConfig(config));
+}
+
+TEST(ServingConfigTest, TimeoutOfZeroIsRefused)
+{
+  ServingConfig config = ValidConfig();
+  config.routes.front().timeout = Duration::zero();
+  EXPECT_FALSE(CheckServingConfig(config));
+}
+
+TEST(ServingConfigTest, KeyOfTwoWorkspacesIsRefused)
+{
+  ServingConfig config = ValidConfig();
+  config.workspaces.back().keys.push_back("k1");
+  EXPECT_FALSE(CheckServingConfig(config));
+}
+
+TEST(ServingConfigTest, PrefixBetweenSlashesIsNeeded)
+{
+  ServingConfig config = ValidConfig();
+  config.routes.front().prefix = "/a";
+  EXPECT_FALSE(CheckServingConfig(config));
+}
+
+} // namespace
+} // namespace damasklink
--- /dev/null
+++ b/test/coordination/ServingMachineTest.cpp
@@ -0,0 +1,91 @@
+#include "damasklink/coordination/ServingMachine.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace damasklink {
+namespace {
+
+ServingStanding
+Apply(ServingMachine& aMachine, const ServingCommand& aCommand)
+{
+  const std::string answer = aMachine.Apply(ApplyContext{}, EncodeServingCommand(aCommand));
+  return DecodeServingStanding(answer).value();
+}
+
+TEST(ServingMachineTest, HigherVersionReplacesTheDocument)
+{
+  ServingMachine machine;
+  EXPECT_EQ(Apply(machine, PutDocument{ Revision(3), "three" }).version, Revision(3));
+  EXPECT_EQ(Apply(machine, PutDocument{ Revision(9), "nine" }).version, Revision(9));
+  EXPECT_EQ(machine.Document(), "nine");
+}
+
+TEST(ServingMachineTest, LowerVersionIsAcknowledgedAndChangesNothing)
+{
+  ServingMachine machine;
+  Apply(machine, PutDocument{ Revision(9), "nine" });
+  const std::uint64_t changes = machine.Changes();
+  EXPECT_TRUE(Apply(machine, PutDocument{ Revision(3), "three" }).understood);
+  EXPECT_EQ(machine.Document(), "nine");
+  EXPECT_EQ(machine.Changes(), changes);
+}
+
+TEST(ServingMachineTest, FirstContentUnderAVersionStays)
+{
+  ServingMachine machine;
+  Apply(machine, PutDocument{ Revision(9), "nine" });
+  Apply(machine, PutDocument{ Revision(9), "another nine" });
+  EXPECT_EQ(machine.Document(), "nine");
+}
+
+TEST(ServingMachineTest, VersionsOfWeightsOnlyRise)
+{
+  ServingMachine machine;
+  Apply(machine, NameWeights{ ModelName("m"), 3 });
+  Apply(machine, NameWeights{ ModelName("m"), 2 });
+  EXPECT_EQ(machine.Weights().at(ModelName("m")), 3U);
+}
+
+TEST(ServingMachineTest, QuestionTellsTheVersionAndChangesNothing)
+{
+  ServingMachine machine;
+  Apply(machine, PutDocument{ Revision(9), "nine" });
+  const std::uint64_t changes = machine.Changes();
+  EXPECT_EQ(Apply(machine, ReadMarker{}).version, Revision(9));
+  EXPECT_EQ(machine.Changes(), changes);
+}
+
+TEST(ServingMachineTest, CommandThatCannotBeReadIsSaidSo)
+{
+  ServingMachine machine;
+  const std::string answer = machine.Apply(ApplyContext{}, "\x07nonsense");
+  EXPECT_FALSE(DecodeServingStanding(answer).value().understood);
+}
+
+TEST(ServingMachineTest, DamagedSnapshotLeavesTheStateAsItWas)
+{
+  ServingMachine machine;
+  Apply(machine, PutDocument{ Revision(9), "nine" });
+  EXPECT_FALSE(machine.Load("short"));
+  EXPECT_EQ(machine.Document(), "nine");
+}
+
+RC_GTEST_PROP(ServingMachineTest, SnapshotBringsBackTheState, ())
+{
+  ServingMachine machine;
+  const auto versions =
+    *rc::gen::container<std::vector<std::uint8_t>>(rc::gen::arbitrary<std::uint8_t>());
+  for (const std::uint8_t version : versions) {
+    Apply(machine, PutDocument{ Revision(version), std::string(version, 'x') });
+    Apply(machine, NameWeights{ ModelName(version % 2 == 0 ? "a" : "b"), version });
+  }
+  ServingMachine loaded;
+  RC_ASSERT(static_cast<bool>(loaded.Load(machine.Save())));
+  RC_ASSERT(loaded.Version() == machine.Version());
+  RC_ASSERT(loaded.Document() == machine.Document());
+  RC_ASSERT(loaded.Weights() == machine.Weights());
+}
+
+} // namespace
+} // namespace damasklink
--- /dev/null
+++ b/test/coordination/TargetBoardTest.cpp
@@ -0,0 +1,110 @@
+#include "damasklink/coordination/TargetBoard.h"
+
+#include <gtest/gtest.h>
+
+namespace damasklink {
+namespace {
+
+const HostId kFirst("control-1");
+const HostId kSecond("control-2");
+const ServiceName kService("s");
+
+TargetStatement
+Say(const std::string& aTarget, std::uint64_t aSequence, TargetStanding aStanding)
+{
+  TargetStatement statement;
+  statement.record.id = TargetId(aTarget);
+  statement.record.service = kService;
+  statement.record.sequence = Sequence(aSequence);
+  statement.standing = aStanding;
+  return statement;
+}
+
+class TargetBoardTest : public ::testing::Test
+{
+protected:
+  TargetBoardTest()
+  {
+    this->board.OnLink(kFirst, true);
+    this->board.OnLink(kSecond, true);
+  }
+
+  std::size_t Usable() const { return this->board.Usable(kService).size(); }
+
+  TargetBoard board;
+};
+
+TEST_F(TargetBoardTest, StatedTargetIsUsable)
+{
+  this->board.Take(kFirst, Say("t", 1, TargetStanding::Usable));
+  EXPECT_EQ(this->Usable(), 1U);
+  EXPECT_TRUE(this->board.Usable(ServiceName("other")).empty());
+}
+
+TEST_F(TargetBoardTest, WhatLeftStaysGone)
+{
+  this->board.Take(kFirst, Say("t", 5, TargetStanding::Leaving));
+  this->board.Take(kSecond, Say("t", 6, TargetStanding::Usable));
+  EXPECT_EQ(this->Usable(), 0U);
+}
+
+TEST_F(TargetBoardTest, UsableWhileOneConnectedHostSaysSo)
+{
+  this->board.Take(kFirst, Say("t", 5, TargetStanding::Silent));
+  this->board.Take(kSecond, Say("t", 5, TargetStanding::Usable));
+  this->board.Take(kFirst, Say("u", 5, TargetStanding::Usable));
+  EXPECT_EQ(this->Usable(), 2U);
+}
+
+TEST_F(TargetBoardTest, WordOfALostHostYieldsToThatOfAConnectedOne)
+{
+  this->board.Take(kFirst, Say("t", 5, TargetStanding::Silent));
+  this->board.Take(kFirst, Say("u", 5, TargetStanding::Usable));
+  this->board.Take(kSecond, Say("t", 4, TargetStanding::Usable));
+  this->board.OnLink(kSecond, false);
+  EXPECT_EQ(this->Usable(), 1U);
+}
+
+TEST_F(TargetBoardTest, CutOffHostGoesOnWithTheLastWords)
+{
+  this->board.Take(kFirst, Say("t", 5, TargetStanding::Usable));
+  this->board.OnLink(kFirst, false);
+  this->board.OnLink(kSecond, false);
+  EXPECT_EQ(this->Usable(), 1U);
+}
+
+TEST_F(TargetBoardTest, SilentTargetsServeWhenThereAreNoOthers)
+{
+  this->board.Take(kFirst, Say("t", 5, TargetStanding::Silent));
+  EXPECT_EQ(this->Usable(), 1U);
+}
+
+TEST_F(TargetBoardTest, PausedTargetGetsNothingWhileAnotherServes)
+{
+  TargetStatement paused = Say("t", 5, TargetStanding::Usable);
+  paused.paused = true;
+  this->board.Take(kFirst, paused);
+  this->board.Take(kFirst, Say("u", 5, TargetStanding::Usable));
+  ASSERT_EQ(this->Usable(), 1U);
+  EXPECT_EQ(this->board.Usable(kService).front().id, TargetId("u"));
+}
+
+TEST_F(TargetBoardTest, TargetThatAnotherOneReplacedIsGone)
+{
+  this->board.Take(kFirst, Say("t", 5, TargetStanding::Usable));
+  this->board.NoteGone(TargetId("t"));
+  EXPECT_EQ(this->Usable(), 0U);
+  EXPECT_EQ(this->board.Find(TargetId("t")), nullptr);
+}
+
+TEST_F(TargetBoardTest, OlderRecordDoesNotReplaceTheNewerOne)
+{
+  TargetStatement newer = Say("t", 5, TargetStanding::Usable);
+  newer.record.load.slots = 7;
+  this->board.Take(kFirst, newer);
+  this->board.Take(kSecond, Say("t", 4, TargetStanding::Usable));
+  EXPECT_EQ(this->board.Find(TargetId("t"))->load.slots, 7U);
+}
+
+} // namespace
+} // namespace damasklink
--- /dev/null
+++ b/test/platform/DialectTest.cpp
@@ -0,0 +1,212 @@
+#include "platform/Dialect.h"
+
+#include <gtest/gtest.h>
+
+namespace damasklink::platform {
+namespace {
+
+HttpRequestHead
+CallerHead()
+{
+  HttpRequestHead head;
+  head.method = "POST";
+  head.target = "/puxa400/2f?x=1";
+  head.fields.Add("Host", "pule25.example");
+  head.fields.Add("X-Request-Id", "9c41");
+  head.fields.Add("X-Model", "daka");
+  head.fields.Add("X-Token-Usage", "1460,80");
+  head.fields.Add("X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+  head.fields.Add("X-Deadline-Ms", "15000");
+  head.fields.Add("X-Credential", "secret");
+  return head;
+}
+
+TEST(DialectTest, CallIsReadIntoWhatItSays)
+{
+  const auto call = Dialect().ReadCall(CallerHead());
+  ASSERT_TRUE(call);
+  EXPECT_EQ(call.value().request, RequestId("9c41"));
+  EXPECT_EQ(call.value().key, "secret");
+  EXPECT_EQ(call.value().patience, std::chrono::seconds(15));
+  EXPECT_EQ(call.value().promptTokens, TokenCount(1460));
+  EXPECT_EQ(call.value().mostAnswerTokens, TokenCount(80));
+  ASSERT_EQ(call.value().parts.size(), 3U);
+  EXPECT_EQ(call.value().parts[1], (PromptPart{ PartId("91bd3f06"), TokenCount(410) }));
+}
+
+TEST(DialectTest, MalformedHeadersAreNamed)
+{
+  for (const char* name : { "X-Token-Usage", "X-Prompt-Prefix", "X-Deadline-Ms" }) {
+    HttpRequestHead head = CallerHead();
+    head.fields.Set(name, "nonsense");
+    const auto call = Dialect().ReadCall(head);
+    ASSERT_FALSE(call) << name;
+    EXPECT_NE(call.error().message.find(name), std::string::npos);
+  }
+}
+
+TEST(DialectTest, CallWithoutIdIsRefused)
+{
+  HttpRequestHead head = CallerHead();
+  head.fields.Remove("X-Request-Id");
+  EXPECT_FALSE(Dialect().ReadCall(head));
+}
+
+TEST(DialectTest, KeyNeverPassesOnAndTheWorkspaceIsOurs)
+{
+  HttpRequestHead head = CallerHead();
+  head.fields.Add("X-Tenant", "forged");
+  TargetCall call;
+  call.target = TargetId("i-1");
+  call.workspace = WorkspaceId("bozi");
+  call.timeLeft = std::chrono::milliseconds(1234);
+  const HttpRequestHead sent = Dialect().HeadForTarget(head, call);
+  EXPECT_EQ(sent.fields.Find("X-Credential"), nullptr);
+  EXPECT_EQ(sent.fields.Count("X-Tenant"), 1U);
+  EXPECT_EQ(sent.fields.Get("X-Tenant"), "bozi");
+  EXPECT_EQ(sent.fields.Get("X-Target-Instance"), "i-1");
+  EXPECT_EQ(sent.fields.Get("X-Deadline-Ms"), "1234");
+  EXPECT_EQ(sent.fields.Get("X-Request-Id"), "9c41");
+  EXPECT_EQ(sent.target, "/puxa400/2f?x=1");
+}
+
+TEST(DialectTest, WhatIsNotTheCallersToSayIsRemoved)
+{
+  HttpRequestHead head = CallerHead();
+  const std::vector<std::string> names{
+    "X-Hold",     "X-Pin-Ms",  "X-Kv-Backup", "Kv-From",          "X-Cache-Salt",
+    "X-Kv-Fetch", "X-Kv-Save", "X-Kv-Until",  "X-Expect-Version", "X-Request-Priority"
+  };
+  for (const std::string& name : names) {
+    head.fields.Add(name, "forged");
+  }
+  const HttpRequestHead sent = Dialect().HeadForTarget(head, TargetCall{});
+  for (const std::string& name : names) {
+    EXPECT_EQ(sent.fields.Find(name), nullptr) << name;
+  }
+}
+
+TEST(DialectTest, MovesOfPartsAreListedInOrder)
+{
+  TargetCall call;
+  call.scope = CacheScope("m/1/");
+  call.fetches = { PartMove{ Endpoint{ "10.2.0.1", 8006 } }, PartMove{}, PartMove{} };
+  const HttpRequestHead sent = Dialect().HeadForTarget(CallerHead(), call);
+  EXPECT_EQ(sent.fields.Get("X-Kv-Fetch"), "10.2.0.1:8006,-,-");
+  EXPECT_EQ(sent.fields.Get("X-Cache-Salt"), "m/1/");
+  EXPECT_EQ(sent.fields.Find("X-Kv-Save"), nullptr);
+}
+
+TEST(DialectTest, PromiseOfATargetIsRead)
+{
+  HttpAnswerHead head;
+  head.status = 503;
+  EXPECT_FALSE(Dialect().ReadAnswer(head).notRun);
+  head.fields.Add("X-Not-Executed", "1");
+  EXPECT_TRUE(Dialect().ReadAnswer(head).notRun);
+  head.status = 421;
+  head.fields.Add("X-Instance-Id", "i-2");
+  EXPECT_TRUE(Dialect().ReadAnswer(head).wrongTarget);
+  EXPECT_EQ(Dialect().ReadAnswer(head).target, TargetId("i-2"));
+}
+
+TEST(DialectTest, PromisesAreOnlyGivenForWhatDidNotRun)
+{
+  const Error full{ ErrorKind::Unavailable, "full", "come back" };
+  const CallerError notRun{ full, RunOutcome::NotRun, std::chrono::milliseconds(250) };
+  const HttpAnswerMessage refusal = Dialect().FailureAnswer(notRun, RequestId("r"));
+  EXPECT_EQ(refusal.head.status, 503);
+  EXPECT_EQ(refusal.head.fields.Get("Retry-After"), "0.25");
+  const CallerError mayHaveRun{ full, RunOutcome::MayHaveRun, std::nullopt };
+  EXPECT_EQ(Dialect().FailureAnswer(mayHaveRun, RequestId("r")).head.status, 502);
+}
+
+TEST(DialectTest, HeartbeatIsRead)
+{
+  HttpRequestMessage request;
+  request.head.method = "PUT";
+  request.head.target = "/-/instances/i-7";
+  request.body = R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"z","version":"v1",)"
+                 R"("slots":64,"state":"draining","cold-remaining-ms":0,"stage":"unified",)"
+                 R"("models":[{"name":"daka","version":3,"adapters":[]}],"sequence":4})";
+  const auto call = Dialect().ReadControlCall(request);
+  ASSERT_TRUE(call);
+  const TargetRecord& record = std::get<TargetHeartbeat>(call.value()).record;
+  EXPECT_EQ(record.id, TargetId("i-7"));
+  EXPECT_EQ(record.endpoint, (Endpoint{ "10.128.0.9", 8080 }));
+  EXPECT_EQ(record.sequence, Sequence(4));
+  EXPECT_TRUE(record.leaving);
+  ASSERT_EQ(record.models.size(), 1U);
+  EXPECT_EQ(record.models.front().version, WeightVersion("3"));
+}
+
+TEST(DialectTest, OtherCallsOfControlAreRead)
+{
+  HttpRequestMessage request;
+  request.head.method = "DELETE";
+  request.head.target = "/-/instances/i-7";
+  EXPECT_EQ(std::get<TargetDeparture>(Dialect().ReadControlCall(request).value()).target,
+            TargetId("i-7"));
+  request.head.method = "POST";
+  request.head.target = "/-/version-put";
+  request.body = R"({"model":"daka","version":2})";
+  EXPECT_EQ(std::get<WeightsNamed>(Dialect().ReadControlCall(request).value()).version, 2U);
+  request.head.target = "/-/nothing";
+  EXPECT_EQ(Dialect().ReadControlCall(request).error().kind, ErrorKind::NotFound);
+}
+
+const std::string kConfig =
+  R"({"version":7,"routes":[{"name":"r","host":"h.example","path-prefix":"/a/","kind":"streaming",)"
+  R"("timeout-ms":15000,"target-latency-ms":600,"priority":2,"traffic-split":[)"
+  R"({"service":"e","weight":90},{"service":"p","weight":10}],"max-attempts":2,"public":false,)"
+  R"("sticky":true,"resumable":true,"gap-aim-ms":300}],"services":[)"
+  R"({"name":"st","kv-store":"172.20.0.6:8006","zone":"z","kv-capacity":435022,)"
+  R"("link-mbps":280000.0,"max-in-flight":12,"managed":true,"first_ms":0.5},)"
+  R"({"name":"e","health-path":"/healthz","max-connections":370,"protocol":"h1","tls":false,)"
+  R"("engine":{"slots":64,"kv-capacity":169011,"kv-token-bytes":35136,"link-mbps":1500000.0,)"
+  R"("max-in-flight":12,"models":[{"name":"daka"}]}},)"
+  R"({"name":"p","health-path":"/healthz","max-connections":110}],)"
+  R"("limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,)"
+  R"("idle-timeout-ms":15000},"tenants":[{"name":"w","api-keys":["k1","k2"],"priority":1,)"
+  R"("isolated":true}],"later":1})";
+
+TEST(DialectTest, ConfigurationIsRead)
+{
+  const auto config = Dialect().ReadConfig(kConfig);
+  ASSERT_TRUE(config) << config.error();
+  EXPECT_TRUE(CheckServingConfig(config.value()));
+  EXPECT_EQ(config.value().version, Revision(7));
+  const ServingRoute& route = config.value().routes.front();
+  EXPECT_EQ(route.kind, CallKind::Streaming);
+  EXPECT_EQ(route.timeout, std::chrono::seconds(15));
+  EXPECT_EQ(route.shares[1], (ServiceShare{ ServiceName("p"), 10 }));
+  EXPECT_TRUE(route.resumable);
+  const ServingService* store = config.value().FindService(ServiceName("st"));
+  ASSERT_NE(store, nullptr);
+  ASSERT_TRUE(store->store);
+  EXPECT_EQ(store->store->cacheTokens, TokenCount(435022));
+  EXPECT_TRUE(store->store->managed);
+  EXPECT_EQ(config.value().FindService(ServiceName("e"))->engine->models.front(),
+            ModelName("daka"));
+  EXPECT_TRUE(config.value().workspaces.front().isolated);
+  EXPECT_EQ(config.value().limits.idleTimeout, std::chrono::seconds(15));
+}
+
+TEST(DialectTest, ConfigurationThatIsCutShortIsRefused)
+{
+  for (std::size_t length = 0; length < kConfig.size(); length += 7) {
+    EXPECT_FALSE(Dialect().ReadConfig(kConfig.substr(0, length))) << length;
+  }
+}
+
+TEST(DialectTest, WrongTypeInAConfigurationNamesTheField)
+{
+  std::string wrong = kConfig;
+  wrong.replace(wrong.find("15000"), 5, "\"abc\"");
+  const auto config = Dialect().ReadConfig(wrong);
+  ASSERT_FALSE(config);
+  EXPECT_NE(config.error().message.find("timeout-ms"), std::string::npos);
+}
+
+} // namespace
+} // namespace damasklink::platform
--- /dev/null
+++ b/test/protocol/ServingCodecTest.cpp
@@ -0,0 +1,59 @@
+#include "damasklink/protocol/ServingCodec.h"
+
+#include <gtest/gtest.h>
+
+namespace damasklink {
+namespace {
+
+TEST(ServingCodecTest, GreetingComesBack)
+{
+  const Greeting greeting{ HostRole::Control,
+                           ZoneId("z"),
+                           { HostId("10.0.0.1"), HostId("10.0.0.2") } };
+  const auto decoded = DecodeServingMessage(EncodeServingMessage(greeting));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(std::get<Greeting>(decoded.value()), greeting);
+}
+
+TEST(ServingCodecTest, PictureComesBack)
+{
+  Picture picture;
+  picture.documentVersion = Revision(12);
+  picture.document = std::string("{\"a\":\0}", 7);
+  picture.weights[ModelName("m")] = 3;
+  picture.entryHosts = 9;
+  picture.controlHosts = { HostId("10.0.0.1") };
+  TargetStatement& statement = picture.targets.emplace_back();
+  statement.record.id = TargetId("t");
+  statement.record.kind = TargetKind::Engine;
+  statement.record.service = ServiceName("s");
+  statement.record.endpoint = Endpoint{ "10.1.0.9", 8080 };
+  statement.record.zone = ZoneId("z");
+  statement.record.sequence = Sequence(77);
+  statement.record.load.slots = 64;
+  statement.record.models = { ServedModel{ ModelName("m"), WeightVersion("3"), {} } };
+  statement.record.leaving = true;
+  statement.standing = TargetStanding::Leaving;
+  statement.paused = true;
+  StoreStatement& store = picture.stores.emplace_back();
+  store.store = Endpoint{ "172.20.0.2", 8006 };
+  store.live = true;
+  store.whole = true;
+  store.added = { SizedPart{ PartKey(0xfedcba9876543210U), TokenCount(8610) } };
+  store.removed = { PartKey(7) };
+  const auto decoded = DecodeServingMessage(EncodeServingMessage(picture));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(std::get<Picture>(decoded.value()), picture);
+}
+
+TEST(ServingCodecTest, BytesThatAreNoMessageAreRefused)
+{
+  EXPECT_FALSE(DecodeServingMessage(""));
+  EXPECT_FALSE(DecodeServingMessage("no message at all, only text"));
+  std::string cut = EncodeServingMessage(Greeting{ HostRole::Entry, ZoneId("zone"), {} });
+  cut.resize(cut.size() / 2);
+  EXPECT_FALSE(DecodeServingMessage(cut));
+}
+
+} // namespace
+} // namespace damasklink
--- a/test/transport/PeerNetworkTest.cpp
+++ b/test/transport/PeerNetworkTest.cpp
@@ -7,7 +7,7 @@
 
 TEST(PeerNetworkTest, EveryChannelHasAName)
 {
-  for (int channel = 1; channel <= static_cast<int>(Channel::Admission); ++channel) {
+  for (int channel = 1; channel <= static_cast<int>(Channel::Serving); ++channel) {
     EXPECT_NE(ChannelName(static_cast<Channel>(channel)), "unknown") << channel;
   }
 }
