Weights are rolled out; an isolated control host sends targets on

Found by the log of core-hall-south: targets went silent 3.6 s after a control host was cut off from all hosts but not from the targets, which went on telling it alone that they live; 7 of 18 left the pool. Change: a control host that hears no leader takes note of heartbeats and answers 503, so that targets go to another one; silence counts 4 s later, for the search. Weights: WeightRollout (without I/O) and WeightsDesk order engines from the leader, a third at once, each order with the count of orders the engine had accepted; targets under an order are paused for new work; a call's scope and expected version follow its target's weights.

--- a/include/damasklink/coordination/StoreFeed.h
+++ b/include/damasklink/coordination/StoreFeed.h
@@ -35,8 +35,6 @@
   // Older events than the oldest one here were dropped.
   bool lost = false;
   std::vector<StoredPartEvent> events;
-  // The targets' clock in milliseconds, where it was told.
-  std::optional<double> clock;
 };
 
 // All that is held.
--- a/include/damasklink/coordination/StoredParts.h
+++ b/include/damasklink/coordination/StoredParts.h
@@ -50,7 +50,8 @@
   const PromptStore* Find(const SizedPart& aPart, const ZoneId& aZone) const;
 
   // Returns the store that a part belongs into, the same on all hosts: a weighted choice by the
-  // part's key among stores that are live and have room. Null when there is none.
+  // part's key among stores with room. Null while that store is not live: it comes back within
+  // seconds, and all its parts at once would overrun the others.
   const PromptStore* HomeOf(const SizedPart& aPart) const;
 
 private:
--- a/include/damasklink/coordination/Target.h
+++ b/include/damasklink/coordination/Target.h
@@ -34,6 +34,10 @@
   bool operator==(const ServedModel&) const = default;
 };
 
+// Returns a version of weights that is written as a number, 0 for any other.
+std::uint64_t
+WeightNumber(const WeightVersion& aVersion);
+
 // Load as the target reported it; it lags behind by up to a report interval.
 struct TargetLoad
 {
--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -34,10 +34,17 @@
   std::vector<SizedPart> parts;
   // Parts that can be fetched from a store, by position.
   std::vector<bool> stored;
+  // The model, and the newest version of its weights; zero where that is not known.
+  ModelName model;
+  std::uint64_t weights = 0;
   // Targets that were tried already.
   std::set<TargetId> excluded;
 };
 
+// Returns the version of a model's weights that the target has, 0 when it does not serve the model.
+std::uint64_t
+WeightsOf(const TargetRecord& aTarget, const ModelName& aModel);
+
 // What one call adds to the load of its target.
 struct PickedWork
 {
@@ -56,6 +63,10 @@
   double perRequest = 2.5;
   // Fetching one token from a store instead of reading it, on a link of 250 Gbit/s.
   double perFetchedToken = 1.0 / 800;
+  // A target whose weights are older than the newest: what begins there is worth less to the
+  // caller. Low enough that the first targets with new weights, whose caches are empty, are not
+  // overrun.
+  double olderWeights = 30;
   // A target in another zone: the way, and bytes between zones that are paid for.
   double otherZone = 4;
 };
--- /dev/null
+++ b/include/damasklink/coordination/WeightRollout.h
@@ -0,0 +1,132 @@
+// Brings engines to the named weights, one holder at a time. Without I/O.
+//
+// The host that leads the control group orders; a new leader first waits until no order of the
+// former one can still be taken for its own (OrderLease). Each order carries the count of orders
+// that the engine had accepted when it was last read, so that an order which is carried out late
+// changes nothing any more. An engine is read before its first order, and again until it has what
+// is named: whatever became of an order, what counts is what the engine reports.
+//
+//   WeightRollout rollout(clock, options);
+//   for (const RolloutAction& action : rollout.Plan(leaseHeld, wished, engines)) ...
+//   rollout.OnReport(target, report);
+//   rollout.OnOrdered(target, outcome);
+//   rollout.Paused();                       // Engines that should get no new work for now.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <variant>
+#include <vector>
+
+#include "damasklink/coordination/Target.h"
+#include "damasklink/state/Clock.h"
+
+namespace damasklink {
+
+struct RolloutOptions
+{
+  // Orders of two holders must be this far apart.
+  Duration orderLease = std::chrono::milliseconds(3300);
+  // Share of the engines of a model that are out of service at once: two thirds go on serving, and
+  // while one half of those waits for its runs to end, the other half loads.
+  double shareAtOnce = 0.34;
+  // An engine that waits for its runs and loads takes a second or two; much later its order was
+  // lost, or will be carried out late.
+  Duration orderPatience = std::chrono::milliseconds(2500);
+  // Between two questions to an engine that is under an order.
+  Duration reportInterval = std::chrono::milliseconds(300);
+};
+
+// What an engine says of itself.
+struct EngineReport
+{
+  bool busy = false;
+  // Orders that it has accepted since its start.
+  std::uint64_t ordersAccepted = 0;
+  std::vector<ServedModel> models;
+};
+
+// Ask the engine for its report; answered with OnReport().
+struct ReadEngine
+{
+  TargetId target;
+  Endpoint endpoint;
+};
+
+// Order the engine to load; answered with OnOrdered(). The sender checks the lease just before the
+// bytes leave.
+struct OrderWeights
+{
+  TargetId target;
+  Endpoint endpoint;
+  ModelName model;
+  std::uint64_t version = 0;
+  std::uint64_t ordersAccepted = 0;
+};
+
+using RolloutAction = std::variant<ReadEngine, OrderWeights>;
+
+class WeightRollout
+{
+public:
+  WeightRollout(const Clock& aClock, RolloutOptions aOptions);
+
+  // Returns what is to be done now. Requires to be called several times a second while weights are
+  // not in place. aEngines are those that may get work.
+  std::vector<RolloutAction> Plan(bool aLeaseHeld,
+                                  const std::map<ModelName, std::uint64_t>& aWished,
+                                  const std::vector<TargetRecord>& aEngines);
+
+  // Takes what an engine reported; nothing when it did not answer.
+  void OnReport(const TargetId& aTarget, const std::optional<EngineReport>& aReport);
+
+  // Tells that an order was answered, or was not. Only a later report tells what became of it.
+  void OnOrdered(const TargetId& aTarget);
+
+  // Returns the engines that are under an order or about to be.
+  std::set<TargetId> Paused() const;
+
+  // Returns the version that the engine reported last, 0 when it was not asked.
+  std::uint64_t ReportedVersion(const TargetId& aTarget, const ModelName& aModel) const;
+
+  // Returns the versions that engines reported, by engine and model.
+  const std::map<std::pair<TargetId, ModelName>, std::uint64_t>& Reported() const
+  {
+    return this->reported;
+  }
+
+private:
+  enum class Stage
+  {
+    Reading,  // A question is out.
+    Read,     // Its report is known.
+    Ordering, // An order is out.
+    Ordered,  // It was answered, or nothing came.
+  };
+
+  struct Work
+  {
+    ModelName model;
+    std::uint64_t version = 0;
+    Stage stage = Stage::Reading;
+    EngineReport report;
+    bool known = false;
+    MonotonicTime orderedAt;
+    MonotonicTime nextRead;
+  };
+
+  bool MayOrder() const;
+  std::optional<RolloutAction> Advance(const TargetRecord& aEngine, Work& aWork);
+  static std::uint64_t VersionOf(const std::vector<ServedModel>& aModels, const ModelName& aModel);
+
+  const Clock& clock;
+  RolloutOptions options;
+  bool leading = false;
+  MonotonicTime ledSince;
+  std::map<TargetId, Work> works;
+  // By engine and model, as reported; kept until the engine is gone.
+  std::map<std::pair<TargetId, ModelName>, std::uint64_t> reported;
+};
+
+} // namespace damasklink
--- a/include/damasklink/protocol/ServingDialect.h
+++ b/include/damasklink/protocol/ServingDialect.h
@@ -14,6 +14,7 @@
 #include "damasklink/coordination/ServingConfig.h"
 #include "damasklink/coordination/StoreFeed.h"
 #include "damasklink/coordination/Target.h"
+#include "damasklink/coordination/WeightRollout.h"
 #include "damasklink/protocol/ErrorBody.h"
 #include "damasklink/protocol/HttpMessage.h"
 
@@ -72,8 +73,6 @@
   // One entry a part, or none at all.
   std::vector<PartMove> fetches;
   std::vector<PartMove> saves;
-  // On the targets' clock: a fetch that is not done by then is given up.
-  std::optional<double> fetchUntil;
 };
 
 // What the head of a target's answer says.
@@ -160,6 +159,26 @@
   virtual HttpAnswerMessage ControlFailure(const Error& aError) const = 0;
 };
 
+// An order to an engine, and who gives it.
+struct WeightsOrder
+{
+  OrderWeights order;
+  HostId holder;
+  FencingNumber fencing;
+};
+
+// Questions and orders of control hosts to engines.
+class EngineDialect
+{
+public:
+  virtual ~EngineDialect() = default;
+
+  virtual HttpRequestMessage ReportQuestion(const ReadEngine& aEngine) const = 0;
+  virtual Result<EngineReport> ReadReport(std::string_view aBody) const = 0;
+  // The engine's runs finish first; what has not started is refused until the order is complete.
+  virtual HttpRequestMessage OrderMessage(const WeightsOrder& aOrder) const = 0;
+};
+
 // Questions of control hosts to the stores of prompt parts.
 class StoreDialect
 {
--- a/src/coordination/StoredParts.cpp
+++ b/src/coordination/StoredParts.cpp
@@ -116,7 +116,7 @@
     ++number;
     const auto capacity = static_cast<double>(store.traits.cacheTokens.Value());
     const auto needed = static_cast<double>(store.storedTokens + aPart.tokens.Value());
-    if (!store.live || needed > capacity * kFullShare) {
+    if (store.live && needed > capacity * kFullShare) {
       continue;
     }
     const double attraction = Attraction(aPart.key.Value(), number, capacity);
@@ -125,7 +125,7 @@
       most = attraction;
     }
   }
-  return best;
+  return best != nullptr && best->live ? best : nullptr;
 }
 
 double
--- a/src/coordination/TargetBoard.cpp
+++ b/src/coordination/TargetBoard.cpp
@@ -4,12 +4,34 @@
 
 namespace damasklink {
 
+namespace {
+
+// In one life an engine's weights only get newer, so the highest version that anybody told counts.
+void
+KeepNewerWeights(const std::vector<ServedModel>& aOther, std::vector<ServedModel>& aTo)
+{
+  for (ServedModel& served : aTo) {
+    for (const ServedModel& other : aOther) {
+      const bool newer = WeightNumber(other.version) > WeightNumber(served.version);
+      if (other.model == served.model && newer) {
+        served.version = other.version;
+      }
+    }
+  }
+}
+
+} // namespace
+
 void
 TargetBoard::Take(const HostId& aFrom, const TargetStatement& aStatement)
 {
   Entry& entry = this->entries[aStatement.record.id];
   if (aStatement.record.sequence >= entry.record.sequence) {
+    const std::vector<ServedModel> before = std::move(entry.record.models);
     entry.record = aStatement.record;
+    KeepNewerWeights(before, entry.record.models);
+  } else {
+    KeepNewerWeights(aStatement.record.models, entry.record.models);
   }
   entry.words[aFrom] = Word{ aStatement.record.sequence, aStatement.standing, aStatement.paused };
   entry.gone = entry.gone || aStatement.standing == TargetStanding::Leaving;
--- a/src/coordination/TargetPicker.cpp
+++ b/src/coordination/TargetPicker.cpp
@@ -11,6 +11,17 @@
 
 } // namespace
 
+std::uint64_t
+WeightsOf(const TargetRecord& aTarget, const ModelName& aModel)
+{
+  for (const ServedModel& served : aTarget.models) {
+    if (served.model == aModel) {
+      return WeightNumber(served.version);
+    }
+  }
+  return 0;
+}
+
 TargetPicker::TargetPicker(const TargetHealth& aHealth, std::uint64_t aSeed, PickCosts aCosts)
   : health(aHealth)
   , costs(aCosts)
@@ -76,6 +87,16 @@
   if (aQuestion.promptTokens == TokenCount()) {
     return cost;
   }
+  if (aQuestion.weights > 0 && WeightsOf(aTarget, aQuestion.model) < aQuestion.weights) {
+    // Its shared parts are in its cache or in a store, made by its own version.
+    std::uint64_t shared = 0;
+    for (const SizedPart& part : aQuestion.parts) {
+      shared += part.tokens.Value();
+    }
+    const std::uint64_t all = aQuestion.promptTokens.Value();
+    const auto own = static_cast<double>(all - std::min(all, shared));
+    return cost + this->costs.olderWeights + this->costs.perToken * own;
+  }
   const std::size_t leading = this->held.LeadingHeld(aTarget.id, aQuestion.parts);
   for (std::size_t index = leading; index < aQuestion.stored.size(); ++index) {
     if (!aQuestion.stored[index]) {
--- a/src/program/ControlCommand.cpp
+++ b/src/program/ControlCommand.cpp
@@ -25,7 +25,8 @@
     return ExitCode::Refused;
   }
   const platform::Dialect dialect;
-  ControlHost host(*settings, dialect, dialect, [file] { return LoadServingSettings(file); });
+  ControlHost host(
+    *settings, dialect, dialect, dialect, [file] { return LoadServingSettings(file); });
   return EndOfServing(host.Run());
 }
 
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -6,6 +6,7 @@
 #include "AgreementModule.h"
 #include "ControlPicture.h"
 #include "StoreWatcher.h"
+#include "WeightsDesk.h"
 #include "damasklink/coordination/ServiceLevelWindows.h"
 #include "damasklink/coordination/ServingMachine.h"
 #include "damasklink/protocol/ServingCodec.h"
@@ -36,8 +37,15 @@
 // How long an operator's call waits for its commitment: operators move on after a second.
 constexpr Duration kCommitPatience = std::chrono::milliseconds(2500);
 
-// Heartbeats that may be missed before a target counts as silent.
+// Heartbeats that may be missed before a target counts as silent, and how long its search for a
+// control host that answers may take on top: a second for each that does not, with pauses between.
+// A target that is gone shows by its connections long before.
 constexpr int kMissedHeartbeats = 3;
+constexpr Duration kHeartbeatSearch = std::chrono::seconds(4);
+
+// On top of the time that orders of two holders must be apart: an order may wait this long in a
+// queue after its lease was checked.
+constexpr Duration kOrderMargin = std::chrono::milliseconds(300);
 
 // For the handover of leadership to reach the successor before the process ends.
 constexpr Duration kHandoverTime = std::chrono::milliseconds(400);
@@ -74,17 +82,23 @@
   Impl(ServingSettings aSettings,
        const ControlDialect& aDialect,
        const StoreDialect& aStores,
+       const EngineDialect& aEngines,
        std::function<std::optional<ServingSettings>()> aReader)
     : settings(std::move(aSettings))
     , dialect(aDialect)
     , reader(std::move(aReader))
     , mesh(this->loop, this->settings.host, this->settings.peerPort, *this)
     , agreement(this->Setup())
-    , picture(this->clock, this->settings.targetHeartbeat * kMissedHeartbeats)
+    , picture(this->clock, this->settings.targetHeartbeat * kMissedHeartbeats + kHeartbeatSearch)
     , stores(this->loop,
              this->clock,
              aStores,
              [this](const StoreStatement& aStatement) { this->TellStore(aStatement); })
+    , weights(this->loop,
+              this->clock,
+              aEngines,
+              this->Options(),
+              [this] { return this->Authority(); })
     , signals(this->loop, SIGTERM, SIGINT, SIGHUP)
     , ticker(this->loop)
   {
@@ -110,6 +124,9 @@
   };
 
   AgreementSetup Setup();
+  RolloutOptions Options() const;
+  OrderAuthority Authority() const;
+  void StepWeights();
   void Accept();
   Awaitable<void> ServeChannel(std::shared_ptr<CallerChannel> aChannel);
   Awaitable<HttpAnswerMessage> Handle(const HttpRequestMessage& aRequest);
@@ -117,6 +134,7 @@
   Awaitable<HttpAnswerMessage> HandleWeights(const WeightsNamed& aNamed);
   Awaitable<HttpAnswerMessage> HandleQuestion();
   HttpAnswerMessage HandleHeartbeat(const TargetHeartbeat& aHeartbeat);
+  HttpAnswerMessage AnswerTarget() const;
   HttpAnswerMessage HandleDeparture(const TargetDeparture& aDeparture);
   Awaitable<Result<ServingStanding>> Commit(const ServingCommand& aCommand);
   void Tick();
@@ -145,6 +163,7 @@
   AgreementModule agreement;
   ControlPicture picture;
   StoreWatcher stores;
+  WeightsDesk weights;
   std::set<HostId> controlHosts;
   std::set<HostId> entryHosts;
   asio::signal_set signals;
@@ -172,6 +191,40 @@
   };
 }
 
+RolloutOptions
+ControlHost::Impl::Options() const
+{
+  RolloutOptions options;
+  options.orderLease = this->settings.orderLease + kOrderMargin;
+  return options;
+}
+
+OrderAuthority
+ControlHost::Impl::Authority() const
+{
+  const GroupReplica* replica = this->agreement.ReplicaOf(ControlGroupId());
+  if (replica == nullptr || replica->Failure()) {
+    return OrderAuthority{};
+  }
+  return OrderAuthority{ replica->Core().LeaseHeld(),
+                         this->settings.host,
+                         FencingNumber(replica->Core().CurrentTerm().Value()) };
+}
+
+void
+ControlHost::Impl::StepWeights()
+{
+  std::vector<TargetRecord> engines;
+  for (TargetRecord& record : this->picture.Registry().Usable()) {
+    if (record.kind == TargetKind::Engine) {
+      engines.push_back(std::move(record));
+    }
+  }
+  this->weights.Step(this->machine.Weights(), engines);
+  this->picture.SetPaused(this->weights.Rollout().Paused());
+  this->picture.SetReported(this->weights.Rollout().Reported());
+}
+
 Result<void>
 ControlHost::Impl::Run()
 {
@@ -272,7 +325,20 @@
     // What is acknowledged as leaving must reach entry hosts in time, so it does not wait.
     this->SpreadTargets();
   }
-  return this->dialect.Acknowledgement();
+  return this->AnswerTarget();
+}
+
+// A host that hears no leader is cut off: what targets tell it may reach nobody else. It takes note
+// for the entry hosts on its side, and sends the target on to the other control hosts.
+HttpAnswerMessage
+ControlHost::Impl::AnswerTarget() const
+{
+  const GroupReplica* replica = this->agreement.ReplicaOf(ControlGroupId());
+  if (replica != nullptr && !replica->Failure() && replica->Core().HasFreshLeader()) {
+    return this->dialect.Acknowledgement();
+  }
+  return this->dialect.ControlFailure(
+    Error{ ErrorKind::Unavailable, "this host hears no leader", "tell another control host" });
 }
 
 HttpAnswerMessage
@@ -280,7 +346,7 @@
 {
   this->picture.Depart(aDeparture.target);
   this->SpreadTargets();
-  return this->dialect.Acknowledgement();
+  return this->AnswerTarget();
 }
 
 Awaitable<Result<ServingStanding>>
@@ -404,6 +470,7 @@
 void
 ControlHost::Impl::SpreadTargets()
 {
+  this->StepWeights();
   this->nextSpread = this->clock.MonotonicNow() + kSpreadStep;
   Picture changes;
   changes.targets = this->picture.TakeChanges();
@@ -581,8 +648,10 @@
 ControlHost::ControlHost(ServingSettings aSettings,
                          const ControlDialect& aDialect,
                          const StoreDialect& aStores,
+                         const EngineDialect& aEngines,
                          std::function<std::optional<ServingSettings>()> aReader)
-  : impl(std::make_unique<Impl>(std::move(aSettings), aDialect, aStores, std::move(aReader)))
+  : impl(
+      std::make_unique<Impl>(std::move(aSettings), aDialect, aStores, aEngines, std::move(aReader)))
 {
 }
 
--- a/src/program/ControlHost.h
+++ b/src/program/ControlHost.h
@@ -18,6 +18,7 @@
   ControlHost(ServingSettings aSettings,
               const ControlDialect& aDialect,
               const StoreDialect& aStores,
+              const EngineDialect& aEngines,
               std::function<std::optional<ServingSettings>()> aReader);
   ~ControlHost();
   ControlHost(const ControlHost&) = delete;
--- a/src/program/ControlPicture.cpp
+++ b/src/program/ControlPicture.cpp
@@ -46,6 +46,12 @@
   TargetStatement statement;
   statement.record = aRecord;
   statement.paused = this->paused.contains(aRecord.id);
+  for (ServedModel& served : statement.record.models) {
+    const auto found = this->reported.find({ aRecord.id, served.model });
+    if (found != this->reported.end() && found->second > WeightNumber(served.version)) {
+      served.version = WeightVersion(std::to_string(found->second));
+    }
+  }
   if (aRecord.leaving) {
     statement.standing = TargetStanding::Leaving;
   } else if (!this->registry.IsUsable(aRecord.id)) {
--- a/src/program/ControlPicture.h
+++ b/src/program/ControlPicture.h
@@ -42,6 +42,12 @@
   // Takes targets out of use for new work, and back.
   void SetPaused(std::set<TargetId> aTargets) { this->paused = std::move(aTargets); }
 
+  // Takes the weights that engines reported, which are newer than what their heartbeats said.
+  void SetReported(const std::map<std::pair<TargetId, ModelName>, std::uint64_t>& aReported)
+  {
+    this->reported = aReported;
+  }
+
   const TargetRegistry& Registry() const { return this->registry; }
 
 private:
@@ -49,6 +55,7 @@
 
   TargetRegistry registry;
   std::set<TargetId> paused;
+  std::map<std::pair<TargetId, ModelName>, std::uint64_t> reported;
   std::map<TargetId, TargetStatement> told;
   std::map<TargetId, TargetRecord> news;
 };
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -104,22 +104,24 @@
   const Duration patience = this->call.patience.value_or(this->route->timeout);
   terms.endsAt = this->arrived + std::min(this->route->timeout, patience);
   this->plan.emplace(terms);
-  this->PreparePrompt();
+  this->question.zone = this->context.settings.zone;
   return std::nullopt;
 }
 
+// Names the parts of the prompt as targets with this version of weights cache them. Parts made by
+// another version, or behind another workspace's wall, have other names.
 void
-Exchange::PreparePrompt()
+Exchange::AskWithWeights(std::uint64_t aWeights)
 {
-  this->question.zone = this->context.settings.zone;
-  if (!this->route->carriesPrompt || this->call.model.Empty()) {
-    return;
-  }
-  this->weights = this->context.picture.WeightsOf(this->call.model);
+  this->weights = aWeights;
+  this->question.model = this->call.model;
+  this->question.weights = aWeights;
+  this->question.promptTokens = this->call.promptTokens;
+  this->question.parts.clear();
+  this->question.stored.clear();
   const bool walled = this->workspace != nullptr && this->workspace->isolated;
   const std::string wall = walled ? this->workspace->name.Value() : "";
-  this->scope = CacheScope(Concat(this->call.model.Value(), "/", this->weights, "/", wall));
-  this->question.promptTokens = this->call.promptTokens;
+  this->scope = CacheScope(Concat(this->call.model.Value(), "/", aWeights, "/", wall));
   // The last part belongs to this call alone: nobody else could use it.
   for (std::size_t index = 0; index + 1 < this->call.parts.size(); ++index) {
     const PromptPart& part = this->call.parts[index];
@@ -133,6 +135,17 @@
   }
 }
 
+// Returns the newest version that was named or that a target has, 0 where none is known.
+std::uint64_t
+Exchange::NewestWeights() const
+{
+  std::uint64_t newest = this->context.picture.WeightsOf(this->call.model);
+  for (const TargetRecord& target : this->context.picture.Targets().Usable(this->service)) {
+    newest = std::max(newest, WeightsOf(target, this->call.model));
+  }
+  return newest;
+}
+
 Awaitable<bool>
 Exchange::Relay()
 {
@@ -166,8 +179,19 @@
 const TargetRecord*
 Exchange::ChooseTarget()
 {
-  return this->context.picker.Choose(this->question,
-                                     this->context.picture.Targets().Usable(this->service));
+  const bool hasPrompt = this->route->carriesPrompt && !this->call.model.Empty();
+  if (hasPrompt) {
+    this->AskWithWeights(this->NewestWeights());
+  }
+  const TargetRecord* chosen = this->context.picker.Choose(
+    this->question, this->context.picture.Targets().Usable(this->service));
+  if (hasPrompt && chosen != nullptr) {
+    const std::uint64_t has = WeightsOf(*chosen, this->call.model);
+    if (has != this->weights) {
+      this->AskWithWeights(has);
+    }
+  }
+  return chosen;
 }
 
 Awaitable<AttemptEnd>
@@ -434,7 +458,7 @@
     call.priority = this->workspace->priority.value_or(call.priority);
   }
   call.lastEvent = this->framer.LastEvent() ? this->framer.LastEvent() : this->call.lastEvent;
-  if (this->route->carriesPrompt) {
+  if (this->route->carriesPrompt && !this->scope.Empty()) {
     call.scope = this->scope;
     if (this->weights > 0) {
       call.weights = this->weights;
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -77,7 +77,8 @@
   const TargetRecord* ChooseTarget();
   TargetCall CallFor(const TargetRecord& aTarget) const;
   void AddPartMoves(const TargetRecord& aTarget, TargetCall& aTo) const;
-  void PreparePrompt();
+  void AskWithWeights(std::uint64_t aWeights);
+  std::uint64_t NewestWeights() const;
   void OnInterrupt(Interrupt aReason);
   AttemptEnd EndOfFailure() const;
   bool ClosesAfter() const;
--- a/src/program/StoreWatcher.cpp
+++ b/src/program/StoreWatcher.cpp
@@ -8,12 +8,14 @@
 namespace damasklink {
 namespace {
 
-// How long a store keeps a question without news waiting; the platform allows a second.
-constexpr Duration kEventWait = std::chrono::milliseconds(900);
+// How long a store keeps a question without news waiting. A store that went dark is noticed this
+// long later at most, and the patience below; until then each fetch from it holds up the transfers
+// of its target by some hundred milliseconds. Shorter waits are priced.
+constexpr Duration kEventWait = std::chrono::milliseconds(250);
 
 // A store that has not answered this long after its wait is lost: entry hosts must know before it
 // can be back, empty and being written.
-constexpr Duration kAnswerPatience = std::chrono::milliseconds(500);
+constexpr Duration kAnswerPatience = std::chrono::milliseconds(250);
 
 // Between two attempts at a store that does not answer.
 constexpr Duration kRetryPause = std::chrono::milliseconds(250);
--- /dev/null
+++ b/src/program/WeightsDesk.cpp
@@ -0,0 +1,111 @@
+#include "WeightsDesk.h"
+
+#include <utility>
+
+#include "damasklink/transport/Log.h"
+#include "damasklink/transport/TargetChannel.h"
+
+namespace damasklink {
+namespace {
+
+// Engines answer reports and orders at once; one that does not is asked again.
+constexpr Duration kCallPatience = std::chrono::milliseconds(800);
+
+constexpr std::size_t kMostAnswerBytes = std::size_t{ 1 } * 1024 * 1024;
+
+} // namespace
+
+WeightsDesk::WeightsDesk(asio::io_context& aLoop,
+                         const Clock& aClock,
+                         const EngineDialect& aDialect,
+                         RolloutOptions aOptions,
+                         std::function<OrderAuthority()> aAuthority)
+  : loop(aLoop)
+  , clock(aClock)
+  , dialect(aDialect)
+  , authority(std::move(aAuthority))
+  , rollout(aClock, aOptions)
+{
+}
+
+void
+WeightsDesk::Step(const std::map<ModelName, std::uint64_t>& aWished,
+                  const std::vector<TargetRecord>& aEngines)
+{
+  const bool leaseHeld = this->authority().leaseHeld;
+  for (RolloutAction& action : this->rollout.Plan(leaseHeld, aWished, aEngines)) {
+    if (auto* read = std::get_if<ReadEngine>(&action)) {
+      asio::co_spawn(this->loop, this->Read(std::move(*read)), asio::detached);
+    } else {
+      asio::co_spawn(
+        this->loop, this->Order(std::move(std::get<OrderWeights>(action))), asio::detached);
+    }
+  }
+}
+
+Awaitable<void>
+WeightsDesk::Read(ReadEngine aEngine)
+{
+  auto answer = co_await this->Call(aEngine.endpoint, this->dialect.ReportQuestion(aEngine));
+  std::optional<EngineReport> report;
+  if (answer && answer.value().head.status == 200) {
+    auto read = this->dialect.ReadReport(answer.value().body);
+    if (read) {
+      report = std::move(read.value());
+    } else {
+      LogEvent(LogLevel::Warning, "report_unreadable")
+        .With("target", aEngine.target)
+        .With("error", read.error());
+    }
+  }
+  this->rollout.OnReport(aEngine.target, report);
+}
+
+Awaitable<void>
+WeightsDesk::Order(OrderWeights aOrder)
+{
+  const OrderAuthority now = this->authority();
+  if (!now.leaseHeld) {
+    this->rollout.OnOrdered(aOrder.target);
+    co_return;
+  }
+  const WeightsOrder order{ aOrder, now.holder, now.fencing };
+  auto answer = co_await this->Call(aOrder.endpoint, this->dialect.OrderMessage(order));
+  LogEvent(LogLevel::Info, "weights_ordered")
+    .With("target", aOrder.target)
+    .With("model", aOrder.model)
+    .With("version", aOrder.version)
+    .With("after_orders", aOrder.ordersAccepted)
+    .With("fencing", now.fencing)
+    .With("status", answer ? answer.value().head.status : 0);
+  this->rollout.OnOrdered(aOrder.target);
+}
+
+Awaitable<Result<HttpAnswerMessage>>
+WeightsDesk::Call(Endpoint aEndpoint, HttpRequestMessage aMessage)
+{
+  TargetChannel channel(this->loop.get_executor(), this->clock);
+  Watchdog watchdog(this->loop.get_executor(), [&channel] { channel.Close(); });
+  watchdog.Arm(kCallPatience);
+  auto connected = co_await channel.Connect(aEndpoint, kCallPatience);
+  if (!connected) {
+    co_return Fail(connected.error());
+  }
+  if (auto sent = co_await channel.Send(aMessage.head, aMessage.body); !sent) {
+    co_return Fail(sent.error());
+  }
+  auto head = co_await channel.ReadHead();
+  if (!head) {
+    co_return Fail(head.error());
+  }
+  auto body = co_await channel.ReadRest(kMostAnswerBytes);
+  if (!body) {
+    co_return Fail(body.error());
+  }
+  HttpAnswerMessage answer;
+  answer.head = std::move(head.value());
+  answer.body = std::move(body.value());
+  co_return answer;
+}
+
+} // namespace damasklink
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -1,7 +1,5 @@
 #include "damasklink/protocol/ServingCodec.h"
 
-#include <charconv>
-
 #include <Serving_generated.h>
 
 #include "FlatBytes.h"
@@ -35,17 +33,6 @@
   return hosts;
 }
 
-// Versions of weights are numbers here and texts in records; anything else reads as zero, which no
-// named version has.
-std::uint64_t
-VersionNumber(const WeightVersion& aVersion)
-{
-  std::uint64_t number = 0;
-  const std::string& text = aVersion.Value();
-  std::from_chars(text.data(), text.data() + text.size(), number);
-  return number;
-}
-
 std::unique_ptr<wire::TargetRowT>
 RowOf(const TargetStatement& aStatement)
 {
@@ -63,7 +50,7 @@
   for (const ServedModel& served : record.models) {
     auto model = std::make_unique<wire::ServedModelRowT>();
     model->model = served.model.Value();
-    model->version = VersionNumber(served.version);
+    model->version = WeightNumber(served.version);
     row->models.push_back(std::move(model));
   }
   return row;
