Entry hosts share what they send where; slow stores are passed over

Change: StorePace compares what first events took beyond the engine's work, by store, and passes a slow one over; SendsNews tells the other hosts, through a control host, requests, unread tokens and memory at each target and the parts sent; a part that no fit store has is fetched from a target believed to hold it; memory counts in the choice; besides holders of all shared parts only four targets drawn at random are compared.

--- a/include/damasklink/coordination/HeldParts.h
+++ b/include/damasklink/coordination/HeldParts.h
@@ -34,6 +34,9 @@
   // Returns how many parts from the first on the target holds, without a gap.
   std::size_t LeadingHeld(const TargetId& aTarget, const std::vector<SizedPart>& aParts) const;
 
+  // Returns whether the target holds the part, whatever stands before it.
+  bool Holds(const TargetId& aTarget, PartKey aPart) const;
+
   void Forget(const TargetId& aTarget) { this->targets.erase(aTarget); }
 
 private:
--- a/include/damasklink/coordination/ServingPicture.h
+++ b/include/damasklink/coordination/ServingPicture.h
@@ -81,6 +81,31 @@
   bool operator==(const Picture&) const = default;
 };
 
-using ServingMessage = std::variant<Greeting, Picture>;
+// What one entry host has at one target.
+struct TargetSendsNow
+{
+  TargetId target;
+  // Now, not since the last message: a lost one does no lasting harm.
+  std::uint64_t requests = 0;
+  TokenCount unread;
+  // Tokens of the requests that take up the target's memory.
+  TokenCount memory;
+  // Parts of the prompts that were sent there since the host told before.
+  std::vector<SizedPart> parts;
+
+  bool operator==(const TargetSendsNow&) const = default;
+};
+
+// What an entry host sends where. A control host passes it on to the other entry hosts, so that
+// each knows the load of targets and what they hold, not only its own share of it.
+struct SendsNews
+{
+  HostId host;
+  std::vector<TargetSendsNow> sends;
+
+  bool operator==(const SendsNews&) const = default;
+};
+
+using ServingMessage = std::variant<Greeting, Picture, SendsNews>;
 
 } // namespace damasklink
--- a/include/damasklink/coordination/StoredParts.h
+++ b/include/damasklink/coordination/StoredParts.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -23,6 +24,8 @@
 // A store as the configuration declares it, and what is known of it.
 struct PromptStore
 {
+  // Its address as text.
+  std::string name;
   PromptStoreTraits traits;
   bool live = false;
   std::uint64_t storedTokens = 0;
@@ -42,12 +45,18 @@
   // Takes what the control host states. A store that the configuration does not name is ignored.
   void Take(const StoreStatement& aStatement);
 
+  // Returns the names of all stores.
+  std::vector<std::string> Names() const;
+
   // How many stores the control host hears.
   std::size_t LiveStores() const;
 
   // Returns the store from which a target in the zone reads the part soonest, or null when none
   // surely holds it whole.
-  const PromptStore* Find(const SizedPart& aPart, const ZoneId& aZone) const;
+  // Stores whose names are in aAvoided are passed over.
+  const PromptStore* Find(const SizedPart& aPart,
+                          const ZoneId& aZone,
+                          const std::set<std::string>& aAvoided) const;
 
   // Returns the store that a part belongs into, the same on all hosts: a weighted choice by the
   // part's key among stores with room. Null while that store is not live: it comes back within
--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -7,10 +7,12 @@
 //   picker.OnEnd(target->id, work);
 //
 // The cost of a target is the time to its first event, as far as this host can tell: the prompt
-// tokens that were sent there and are not read yet, those of this call that it must read itself,
-// and the requests that it runs. Not thread-safe.
+// tokens that this host and the others sent there and that are not read yet, those of this call
+// that it must read itself, and the requests that it runs. What other hosts sent is known some
+// hundred milliseconds late. Not thread-safe.
 #pragma once
 
+#include <map>
 #include <random>
 #include <set>
 #include <vector>
@@ -18,6 +20,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include "damasklink/coordination/HeldParts.h"
+#include "damasklink/coordination/ServingPicture.h"
 #include "damasklink/coordination/Target.h"
 #include "damasklink/coordination/TargetHealth.h"
 
@@ -28,6 +31,8 @@
 {
   // Availability zone of this host.
   ZoneId zone;
+  // Tokens that one target's memory holds; zero where that is not known.
+  TokenCount cacheTokens;
   // All prompt tokens of the call; zero for calls without a prompt.
   TokenCount promptTokens;
   // The parts that calls share, from the start of the prompt.
@@ -50,6 +55,8 @@
 {
   // Prompt tokens that the target must read.
   TokenCount toRead;
+  // Prompt and answer, which take up memory until the end.
+  TokenCount memory;
   bool answering = false;
 };
 
@@ -60,7 +67,12 @@
   // Reading one prompt token.
   double perToken = 1.0 / 120;
   // Each request that the target runs already: a step takes longer, and memory is shared.
-  double perRequest = 2.5;
+  double perRequest = 4;
+  // Memory of running requests may fill this share of a target before it costs anything; what is
+  // free above it keeps cached parts.
+  double freeMemoryShare = 0.5;
+  // A target whose memory would be full: requests wait there for others to end, or push them out.
+  double fullMemory = 400;
   // Fetching one token from a store instead of reading it, on a link of 250 Gbit/s.
   double perFetchedToken = 1.0 / 800;
   // A target whose weights are older than the newest: what begins there is worth less to the
@@ -76,8 +88,9 @@
 public:
   TargetPicker(const TargetHealth& aHealth, std::uint64_t aSeed, PickCosts aCosts = PickCosts());
 
-  // Returns the target with the least cost, null when there is none. Ejected targets are chosen
-  // only when more than half of the list is ejected: then the fault is likely elsewhere.
+  // Returns the target with the least cost among those that hold its shared parts and a few
+  // that are drawn at random, null when there is none. Ejected targets are chosen only when more
+  // than half of the list is ejected: then the fault is likely elsewhere.
   const TargetRecord* Choose(const PickQuestion& aQuestion,
                              const std::vector<TargetRecord>& aTargets);
 
@@ -88,6 +101,22 @@
   void OnFirstEvent(const TargetId& aTarget, PickedWork& aWork);
   void OnEnd(const TargetId& aTarget, const PickedWork& aWork);
 
+  // Returns what this host has at the targets where that has changed since the last call, and the
+  // parts that it sent there; for the other entry hosts.
+  std::vector<TargetSendsNow> TakeSends();
+
+  // Takes what another entry host has at targets. Its words count until it tells otherwise or is
+  // forgotten.
+  void TakePeerSends(const SendsNews& aNews, MonotonicTime aNow);
+
+  // Forgets entry hosts that have told nothing since a time: they may be gone.
+  void ForgetPeersBefore(MonotonicTime aTime);
+
+  // Returns a target that is believed to hold the part, of those in the list; null when none is.
+  const TargetRecord* HolderOf(const SizedPart& aPart,
+                               const std::vector<TargetRecord>& aTargets,
+                               const TargetRecord& aFor) const;
+
   HeldParts& Held() { return this->held; }
 
 private:
@@ -95,8 +124,17 @@
   {
     std::uint64_t requests = 0;
     std::uint64_t unread = 0;
+    std::uint64_t memory = 0;
+  };
+
+  struct Peer
+  {
+    MonotonicTime heard;
+    absl::flat_hash_map<TargetId, Load> loads;
   };
 
+  bool HoldsAll(const PickQuestion& aQuestion, const TargetId& aTarget) const;
+  void AddUpPeers();
   double CostOf(const PickQuestion& aQuestion, const TargetRecord& aTarget) const;
 
   const TargetHealth& health;
@@ -104,6 +142,11 @@
   std::minstd_rand random;
   HeldParts held;
   absl::flat_hash_map<TargetId, Load> loads;
+  // What this host has changed since TakeSends(), with the parts sent.
+  std::map<TargetId, std::vector<SizedPart>> untold;
+  std::map<HostId, Peer> peers;
+  // The sum over all peers.
+  absl::flat_hash_map<TargetId, Load> peerLoads;
 };
 
 } // namespace damasklink
--- a/src/coordination/HeldParts.cpp
+++ b/src/coordination/HeldParts.cpp
@@ -33,6 +33,13 @@
   return count;
 }
 
+bool
+HeldParts::Holds(const TargetId& aTarget, PartKey aPart) const
+{
+  const auto found = this->targets.find(aTarget);
+  return found != this->targets.end() && found->second.parts.contains(aPart);
+}
+
 void
 HeldParts::Trim(Cache& aCache) const
 {
--- a/src/coordination/StoredParts.cpp
+++ b/src/coordination/StoredParts.cpp
@@ -45,11 +45,22 @@
     if (known != this->stores.end()) {
       store = std::move(known->second);
     }
+    store.name = address;
     store.traits = *service.store;
   }
   this->stores = std::move(kept);
 }
 
+std::vector<std::string>
+StoredParts::Names() const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, store] : this->stores) {
+    names.push_back(name);
+  }
+  return names;
+}
+
 std::size_t
 StoredParts::LiveStores() const
 {
@@ -85,14 +96,16 @@
 }
 
 const PromptStore*
-StoredParts::Find(const SizedPart& aPart, const ZoneId& aZone) const
+StoredParts::Find(const SizedPart& aPart,
+                  const ZoneId& aZone,
+                  const std::set<std::string>& aAvoided) const
 {
   const PromptStore* best = nullptr;
   double least = 0;
   for (const auto& [address, store] : this->stores) {
     const auto part = store.parts.find(aPart.key);
     const bool whole = store.live && part != store.parts.end() && part->second >= aPart.tokens;
-    if (!whole) {
+    if (!whole || aAvoided.contains(address)) {
       continue;
     }
     // A transfer between zones takes twice as long.
--- a/src/coordination/TargetPicker.cpp
+++ b/src/coordination/TargetPicker.cpp
@@ -9,6 +9,11 @@
 // all choose the same one.
 constexpr double kEqualMilliseconds = 0.5;
 
+// Targets that are compared, drawn at random, beside those that hold all shared parts of the
+// prompt. What hosts know of each other is some hundred milliseconds old: if each compared all
+// targets, all of them would choose the same one until they heard of it.
+constexpr std::size_t kSampled = 4;
+
 } // namespace
 
 std::uint64_t
@@ -51,6 +56,9 @@
   const std::size_t start = this->random() % fit.size();
   for (std::size_t step = 0; step < fit.size(); ++step) {
     const TargetRecord* target = fit[(start + step) % fit.size()];
+    if (step >= kSampled && !this->HoldsAll(aQuestion, target->id)) {
+      continue;
+    }
     const double cost = this->CostOf(aQuestion, *target);
     if (best == nullptr || cost + kEqualMilliseconds < least) {
       best = target;
@@ -60,6 +68,14 @@
   return best;
 }
 
+// The first parts of many prompts are the same and held everywhere; the last shared one tells.
+bool
+TargetPicker::HoldsAll(const PickQuestion& aQuestion, const TargetId& aTarget) const
+{
+  const std::size_t count = aQuestion.parts.size();
+  return count > 0 && this->held.LeadingHeld(aTarget, aQuestion.parts) == count;
+}
+
 TokenCount
 TargetPicker::ToRead(const PickQuestion& aQuestion, const TargetId& aTarget) const
 {
@@ -79,10 +95,19 @@
 TargetPicker::CostOf(const PickQuestion& aQuestion, const TargetRecord& aTarget) const
 {
   double cost = aTarget.zone == aQuestion.zone ? 0 : this->costs.otherZone;
-  const auto load = this->loads.find(aTarget.id);
-  if (load != this->loads.end()) {
-    cost += this->costs.perRequest * static_cast<double>(load->second.requests);
-    cost += this->costs.perToken * static_cast<double>(load->second.unread);
+  auto memory = static_cast<double>(aQuestion.promptTokens.Value());
+  for (const auto* known : { &this->loads, &this->peerLoads }) {
+    const auto load = known->find(aTarget.id);
+    if (load != known->end()) {
+      cost += this->costs.perRequest * static_cast<double>(load->second.requests);
+      cost += this->costs.perToken * static_cast<double>(load->second.unread);
+      memory += static_cast<double>(load->second.memory);
+    }
+  }
+  if (aQuestion.cacheTokens > TokenCount()) {
+    const double used = memory / static_cast<double>(aQuestion.cacheTokens.Value());
+    const double over = std::max(used - this->costs.freeMemoryShare, 0.0);
+    cost += this->costs.fullMemory * over / (1 - this->costs.freeMemoryShare);
   }
   if (aQuestion.promptTokens == TokenCount()) {
     return cost;
@@ -117,9 +142,90 @@
   Load& load = this->loads[aTarget];
   ++load.requests;
   load.unread += aWork.toRead.Value();
+  load.memory += aWork.memory.Value();
+  std::vector<SizedPart>& parts = this->untold[aTarget];
   if (!aQuestion.parts.empty()) {
     this->held.OnRead(aTarget, aQuestion.parts);
+    parts.insert(parts.end(), aQuestion.parts.begin(), aQuestion.parts.end());
+  }
+}
+
+std::vector<TargetSendsNow>
+TargetPicker::TakeSends()
+{
+  std::vector<TargetSendsNow> sends;
+  for (auto& [target, parts] : this->untold) {
+    const auto load = this->loads.find(target);
+    TargetSendsNow now;
+    now.target = target;
+    now.requests = load == this->loads.end() ? 0 : load->second.requests;
+    now.unread = TokenCount(load == this->loads.end() ? 0 : load->second.unread);
+    now.memory = TokenCount(load == this->loads.end() ? 0 : load->second.memory);
+    now.parts = std::move(parts);
+    sends.push_back(std::move(now));
+  }
+  this->untold.clear();
+  return sends;
+}
+
+void
+TargetPicker::TakePeerSends(const SendsNews& aNews, MonotonicTime aNow)
+{
+  Peer& peer = this->peers[aNews.host];
+  peer.heard = aNow;
+  for (const TargetSendsNow& sends : aNews.sends) {
+    Load& load = peer.loads[sends.target];
+    Load& sum = this->peerLoads[sends.target];
+    sum.requests += sends.requests - load.requests;
+    sum.unread += sends.unread.Value() - load.unread;
+    sum.memory += sends.memory.Value() - load.memory;
+    load = Load{ sends.requests, sends.unread.Value(), sends.memory.Value() };
+    if (load.requests == 0) {
+      peer.loads.erase(sends.target);
+    }
+    if (!sends.parts.empty()) {
+      this->held.OnRead(sends.target, sends.parts);
+    }
+  }
+}
+
+void
+TargetPicker::ForgetPeersBefore(MonotonicTime aTime)
+{
+  const auto silent = [&](const auto& aItem) { return aItem.second.heard < aTime; };
+  if (std::erase_if(this->peers, silent) > 0) {
+    this->AddUpPeers();
+  }
+}
+
+void
+TargetPicker::AddUpPeers()
+{
+  this->peerLoads.clear();
+  for (const auto& [host, peer] : this->peers) {
+    for (const auto& [target, load] : peer.loads) {
+      Load& sum = this->peerLoads[target];
+      sum.requests += load.requests;
+      sum.unread += load.unread;
+      sum.memory += load.memory;
+    }
+  }
+}
+
+const TargetRecord*
+TargetPicker::HolderOf(const SizedPart& aPart,
+                       const std::vector<TargetRecord>& aTargets,
+                       const TargetRecord& aFor) const
+{
+  const TargetRecord* found = nullptr;
+  for (const TargetRecord& target : aTargets) {
+    const bool holds = target.id != aFor.id && !this->health.IsOut(target.id) &&
+                       this->held.Holds(target.id, aPart.key);
+    if (holds && (found == nullptr || target.zone == aFor.zone)) {
+      found = &target;
+    }
   }
+  return found;
 }
 
 void
@@ -129,6 +235,7 @@
     aWork.answering = true;
     Load& load = this->loads[aTarget];
     load.unread -= std::min(load.unread, aWork.toRead.Value());
+    this->untold.try_emplace(aTarget);
   }
 }
 
@@ -141,12 +248,14 @@
   }
   Load& load = found->second;
   load.requests -= std::min<std::uint64_t>(load.requests, 1);
+  load.memory -= std::min(load.memory, aWork.memory.Value());
   if (!aWork.answering) {
     load.unread -= std::min(load.unread, aWork.toRead.Value());
   }
   if (load.requests == 0) {
     this->loads.erase(found);
   }
+  this->untold.try_emplace(aTarget);
 }
 
 } // namespace damasklink
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -144,6 +144,7 @@
   void TellStore(const StoreStatement& aStatement);
   void Greet(const HostId& aPeer);
   void TellAll(const HostId& aEntryHost);
+  void PassOnSends(const HostId& aFrom, const PeerMessage& aMessage);
   void TakeGreeting(const HostId& aPeer, const Greeting& aGreeting);
   void KnowControlHosts(const std::vector<HostId>& aHosts);
   void SendServing(const HostId& aTo, const ServingMessage& aMessage);
@@ -589,11 +590,25 @@
     this->TakeGreeting(aPeer, *greeting);
     return;
   }
+  if (std::holds_alternative<SendsNews>(message.value())) {
+    this->PassOnSends(aPeer, aMessage);
+    return;
+  }
   for (const TargetStatement& statement : std::get<Picture>(message.value()).targets) {
     this->picture.HearSecondHand(statement.record);
   }
 }
 
+void
+ControlHost::Impl::PassOnSends(const HostId& aFrom, const PeerMessage& aMessage)
+{
+  for (const HostId& host : this->entryHosts) {
+    if (host != aFrom) {
+      this->mesh.Send(host, aMessage);
+    }
+  }
+}
+
 void
 ControlHost::Impl::TakeGreeting(const HostId& aPeer, const Greeting& aGreeting)
 {
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -22,6 +22,13 @@
 // Between two rounds of housekeeping: idle channels to targets, links to control.
 constexpr Duration kHousekeeping = std::chrono::seconds(1);
 
+// How often entry hosts tell each other what they have where: a prompt is read in 20 to 100 ms, so
+// older news would say little of what is unread.
+constexpr Duration kShareStep = std::chrono::milliseconds(100);
+
+// An entry host that tells nothing for this long may be gone, and its requests with it.
+constexpr Duration kPeerMemory = std::chrono::seconds(2);
+
 // Left of the time to stop when what still runs is cut: for the answers to leave the host.
 constexpr Duration kStopMargin = std::chrono::milliseconds(400);
 
@@ -56,11 +63,14 @@
     , health(this->clock, RandomSeed())
     , picker(this->health, RandomSeed())
     , pool(this->clock)
+    , pace(RandomSeed())
     , mesh(this->loop, this->settings.host, this->settings.peerPort, *this)
-    , context{ this->loop,    this->clock,   this->settings, this->calls,  this->metrics,
-               this->picture, this->retries, this->health,   this->picker, this->pool }
+    , context{ this->loop,    this->clock,   this->settings, this->calls,
+               this->metrics, this->picture, this->retries,  this->health,
+               this->picker,  this->pool,    this->pace }
     , signals(this->loop, SIGTERM, SIGINT, SIGHUP)
     , housekeeping(this->loop)
+    , sharing(this->loop)
   {
   }
 
@@ -81,6 +91,7 @@
   Awaitable<void> Stop();
   void WaitForSignal();
   void KeepHouse();
+  void ShareSends();
   void DialControlHosts(const std::vector<HostId>& aHosts);
   bool IsReady() const;
   CallerLimits Limits() const;
@@ -97,10 +108,12 @@
   TargetHealth health;
   TargetPicker picker;
   TargetChannelPool pool;
+  StorePace pace;
   PeerMesh mesh;
   EntryContext context;
   asio::signal_set signals;
   asio::steady_timer housekeeping;
+  asio::steady_timer sharing;
   std::unique_ptr<TcpAcceptor> callers;
   std::unique_ptr<TcpAcceptor> probes;
   Channels open;
@@ -123,6 +136,7 @@
   this->DialControlHosts(this->settings.seeds);
   this->WaitForSignal();
   this->KeepHouse();
+  this->ShareSends();
   this->loop.run();
   LogEvent(LogLevel::Info, "entry_stopped").With("host", this->settings.host);
   return Success();
@@ -309,6 +323,31 @@
   });
 }
 
+// Tells the other entry hosts, through the first control host that is connected, what this one has
+// where. All choose the same control host as long as they reach the same ones.
+void
+EntryHost::Impl::ShareSends()
+{
+  const auto up = std::find_if(this->controlHosts.begin(),
+                               this->controlHosts.end(),
+                               [&](const HostId& aHost) { return this->mesh.IsUp(aHost); });
+  if (up != this->controlHosts.end()) {
+    SendsNews news;
+    news.host = this->settings.host;
+    news.sends = this->picker.TakeSends();
+    if (!news.sends.empty()) {
+      this->mesh.Send(*up, PeerMessage{ Channel::Serving, GroupId(), EncodeServingMessage(news) });
+    }
+  }
+  this->picker.ForgetPeersBefore(this->clock.MonotonicNow() - kPeerMemory);
+  this->sharing.expires_after(kShareStep);
+  this->sharing.async_wait([this](const IoError& aError) {
+    if (!aError) {
+      this->ShareSends();
+    }
+  });
+}
+
 void
 EntryHost::Impl::DialControlHosts(const std::vector<HostId>& aHosts)
 {
@@ -350,6 +389,10 @@
       .With("error", message.error());
     return;
   }
+  if (const auto* news = std::get_if<SendsNews>(&message.value())) {
+    this->picker.TakePeerSends(*news, this->clock.MonotonicNow());
+    return;
+  }
   const auto* told = std::get_if<Picture>(&message.value());
   if (told == nullptr) {
     return;
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -117,6 +117,10 @@
   this->question.model = this->call.model;
   this->question.weights = aWeights;
   this->question.promptTokens = this->call.promptTokens;
+  const ServingService* service = this->routes->Config().FindService(this->service);
+  if (service != nullptr && service->engine) {
+    this->question.cacheTokens = service->engine->cacheTokens;
+  }
   this->question.parts.clear();
   this->question.stored.clear();
   const bool walled = this->workspace != nullptr && this->workspace->isolated;
@@ -128,11 +132,20 @@
     const PartKey key = MakePartKey(this->scope.Value(), part.id.Value());
     this->question.parts.push_back(SizedPart{ key, part.tokens });
   }
-  if (const StoredParts* stored = this->context.picture.Stored()) {
-    for (const SizedPart& part : this->question.parts) {
-      this->question.stored.push_back(stored->Find(part, this->question.zone) != nullptr);
+  const StoredParts* stored = this->context.picture.Stored();
+  if (stored == nullptr) {
+    return;
+  }
+  this->avoided.clear();
+  for (const std::string& store : stored->Names()) {
+    if (!this->context.pace.MayFetch(store)) {
+      this->avoided.insert(store);
     }
   }
+  for (const SizedPart& part : this->question.parts) {
+    const PromptStore* from = stored->Find(part, this->question.zone, this->avoided);
+    this->question.stored.push_back(from != nullptr);
+  }
 }
 
 // Returns the newest version that was named or that a target has, 0 where none is known.
@@ -199,7 +212,10 @@
 {
   this->plan->Begin(AttemptId(this->call.request.Value()), aTarget.id);
   this->question.excluded.insert(aTarget.id);
-  this->work = PickedWork{ this->context.picker.ToRead(this->question, aTarget.id), false };
+  this->work = PickedWork{};
+  this->work.toRead = this->context.picker.ToRead(this->question, aTarget.id);
+  this->work.memory =
+    TokenCount(this->call.promptTokens.Value() + this->call.mostAnswerTokens.Value());
   this->context.picker.OnSent(aTarget.id, this->question, this->work);
   this->context.health.OnStart(aTarget.id);
   AttemptEnd end = co_await this->Converse(aTarget);
@@ -254,6 +270,7 @@
     co_return this->EndOfFailure();
   }
   this->plan->Sending();
+  this->sentAt = this->context.clock.MonotonicNow();
   const HttpRequestHead head =
     this->context.dialect.HeadForTarget(this->request.head, this->CallFor(aTarget));
   // A target may answer before it has read a long body, so a failed send is not the end: the
@@ -360,7 +377,7 @@
     if (!piece.value()) {
       break;
     }
-    this->context.picker.OnFirstEvent(aTarget.id, this->work);
+    this->NoteFirstEvent(aTarget);
     const std::string events = this->framer.Take(*piece.value());
     if (!events.empty() && !co_await this->PassEvents(aHead, events)) {
       co_return AttemptEnd::CallerLeft;
@@ -446,8 +463,22 @@
   co_return written && !close;
 }
 
+// Tells what the first event took beyond reading what the target was to read, for StorePace.
+void
+Exchange::NoteFirstEvent(const TargetRecord& aTarget)
+{
+  if (this->work.answering || this->question.promptTokens == TokenCount()) {
+    return;
+  }
+  const std::chrono::duration<double, std::milli> took =
+    this->context.clock.MonotonicNow() - this->sentAt;
+  const auto read = static_cast<double>(this->work.toRead.Value()) * PickCosts().perToken;
+  this->context.pace.Note(this->fetchedFrom, took.count() - read);
+  this->context.picker.OnFirstEvent(aTarget.id, this->work);
+}
+
 TargetCall
-Exchange::CallFor(const TargetRecord& aTarget) const
+Exchange::CallFor(const TargetRecord& aTarget)
 {
   TargetCall call;
   call.target = aTarget.id;
@@ -468,11 +499,12 @@
   return call;
 }
 
-// Lets the target fetch the leading parts that are stored, should it lack them, and save those that
-// are stored nowhere.
+// Lets the target fetch the leading parts, should it lack them, from a store, or from a target that
+// is believed to hold them where no store is fit, and save those that are stored nowhere.
 void
-Exchange::AddPartMoves(const TargetRecord& aTarget, TargetCall& aTo) const
+Exchange::AddPartMoves(const TargetRecord& aTarget, TargetCall& aTo)
 {
+  this->fetchedFrom.clear();
   const StoredParts* stored = this->context.picture.Stored();
   if (stored == nullptr || this->question.parts.empty()) {
     return;
@@ -480,17 +512,30 @@
   aTo.fetches.resize(this->call.parts.size());
   aTo.saves.resize(this->call.parts.size());
   bool leading = true;
+  TokenCount most;
   for (std::size_t index = 0; index < this->question.parts.size(); ++index) {
     const SizedPart& part = this->question.parts[index];
-    const PromptStore* from = stored->Find(part, aTarget.zone);
+    const PromptStore* from = stored->Find(part, aTarget.zone, this->avoided);
     if (from != nullptr) {
       if (leading) {
         aTo.fetches[index].peer = from->traits.endpoint;
+        if (part.tokens > most) {
+          most = part.tokens;
+          this->fetchedFrom = from->name;
+        }
       }
       continue;
     }
-    leading = false;
-    if (const PromptStore* home = stored->HomeOf(part); home != nullptr) {
+    if (leading) {
+      const TargetRecord* holder = this->context.picker.HolderOf(
+        part, this->context.picture.Targets().Usable(this->service), aTarget);
+      leading = holder != nullptr;
+      if (holder != nullptr) {
+        aTo.fetches[index].peer = holder->endpoint;
+      }
+    }
+    const PromptStore* home = stored->HomeOf(part);
+    if (home != nullptr && !this->avoided.contains(home->name)) {
       aTo.saves[index].peer = home->traits.endpoint;
     }
   }
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -9,6 +9,7 @@
 #include "damasklink/coordination/EventFramer.h"
 #include "damasklink/coordination/ExchangePlan.h"
 #include "damasklink/coordination/RetryShares.h"
+#include "damasklink/coordination/StorePace.h"
 #include "damasklink/coordination/TargetPicker.h"
 #include "damasklink/protocol/ServingDialect.h"
 #include "damasklink/state/Metrics.h"
@@ -30,6 +31,7 @@
   TargetHealth& health;
   TargetPicker& picker;
   TargetChannelPool& pool;
+  StorePace& pace;
   // Set when the process has been told to stop: answers then end their channels.
   bool leaving = false;
 };
@@ -75,8 +77,9 @@
   Awaitable<bool> AnswerFailure(const CallerError& aError);
   Awaitable<std::unique_ptr<TargetChannel>> Connect(const TargetRecord& aTarget);
   const TargetRecord* ChooseTarget();
-  TargetCall CallFor(const TargetRecord& aTarget) const;
-  void AddPartMoves(const TargetRecord& aTarget, TargetCall& aTo) const;
+  TargetCall CallFor(const TargetRecord& aTarget);
+  void AddPartMoves(const TargetRecord& aTarget, TargetCall& aTo);
+  void NoteFirstEvent(const TargetRecord& aTarget);
   void AskWithWeights(std::uint64_t aWeights);
   std::uint64_t NewestWeights() const;
   void OnInterrupt(Interrupt aReason);
@@ -104,6 +107,11 @@
   std::optional<Watchdog> ending;
   std::unique_ptr<TargetChannel> channel;
   PickedWork work;
+  // Slow stores that this call does not fetch from.
+  std::set<std::string> avoided;
+  // The store that most of this attempt's parts come from, empty for none, and when it was sent.
+  std::string fetchedFrom;
+  MonotonicTime sentAt;
   Interrupt interrupt = Interrupt::None;
   EventFramer framer;
   std::optional<WholeAnswer> failure;
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -11,6 +11,7 @@
 {
   Greeting = 1,
   Picture = 2,
+  SendsNews = 3,
 };
 
 std::vector<std::string>
@@ -82,6 +83,26 @@
   return true;
 }
 
+std::vector<wire::PartEntry>
+EntriesOf(const std::vector<SizedPart>& aParts)
+{
+  std::vector<wire::PartEntry> entries;
+  for (const SizedPart& part : aParts) {
+    entries.emplace_back(part.key.Value(), static_cast<std::uint32_t>(part.tokens.Value()));
+  }
+  return entries;
+}
+
+std::vector<SizedPart>
+PartsOf(const std::vector<wire::PartEntry>& aEntries)
+{
+  std::vector<SizedPart> parts;
+  for (const wire::PartEntry& entry : aEntries) {
+    parts.push_back(SizedPart{ PartKey(entry.key()), TokenCount(entry.tokens()) });
+  }
+  return parts;
+}
+
 std::unique_ptr<wire::StoreRowT>
 RowOf(const StoreStatement& aStatement)
 {
@@ -90,9 +111,7 @@
   row->port = aStatement.store.port;
   row->live = aStatement.live;
   row->whole = aStatement.whole;
-  for (const SizedPart& part : aStatement.added) {
-    row->added.emplace_back(part.key.Value(), static_cast<std::uint32_t>(part.tokens.Value()));
-  }
+  row->added = EntriesOf(aStatement.added);
   for (const PartKey key : aStatement.removed) {
     row->removed.push_back(key.Value());
   }
@@ -106,9 +125,7 @@
   statement.store = Endpoint{ aRow.address, aRow.port };
   statement.live = aRow.live;
   statement.whole = aRow.whole;
-  for (const wire::PartEntry& part : aRow.added) {
-    statement.added.push_back(SizedPart{ PartKey(part.key()), TokenCount(part.tokens()) });
-  }
+  statement.added = PartsOf(aRow.added);
   for (const std::uint64_t key : aRow.removed) {
     statement.removed.emplace_back(key);
   }
@@ -147,6 +164,21 @@
     this->frame.entry_hosts = static_cast<std::uint32_t>(aPicture.entryHosts);
     this->frame.control_hosts = TextsOf(aPicture.controlHosts);
   }
+
+  void operator()(const SendsNews& aNews)
+  {
+    this->frame.kind = static_cast<std::uint8_t>(FrameKind::SendsNews);
+    this->frame.host = aNews.host.Value();
+    for (const TargetSendsNow& sends : aNews.sends) {
+      auto row = std::make_unique<wire::SendsRowT>();
+      row->target = sends.target.Value();
+      row->requests = static_cast<std::uint32_t>(sends.requests);
+      row->unread = static_cast<std::uint32_t>(sends.unread.Value());
+      row->memory = static_cast<std::uint32_t>(sends.memory.Value());
+      row->parts = EntriesOf(sends.parts);
+      this->frame.sends.push_back(std::move(row));
+    }
+  }
 };
 
 Result<ServingMessage>
@@ -183,6 +215,23 @@
   return ServingMessage(std::move(picture));
 }
 
+SendsNews
+ReadSends(const wire::ServingFrameT& aFrame)
+{
+  SendsNews news;
+  news.host = HostId(aFrame.host);
+  for (const auto& row : aFrame.sends) {
+    TargetSendsNow sends;
+    sends.target = TargetId(row->target);
+    sends.requests = row->requests;
+    sends.unread = TokenCount(row->unread);
+    sends.memory = TokenCount(row->memory);
+    sends.parts = PartsOf(row->parts);
+    news.sends.push_back(std::move(sends));
+  }
+  return news;
+}
+
 } // namespace
 
 std::string
@@ -209,6 +258,8 @@
       return ReadGreeting(frame);
     case FrameKind::Picture:
       return ReadPicture(frame);
+    case FrameKind::SendsNews:
+      return ServingMessage(ReadSends(frame));
   }
   return Fail(internal::UnreadableMessage());
 }
--- a/test/coordination/TargetPickerTest.cpp
+++ b/test/coordination/TargetPickerTest.cpp
@@ -82,13 +82,79 @@
 
 TEST_F(TargetPickerTest, PromptThatWaitsToBeReadCounts)
 {
-  const PickQuestion large{ ZoneId(), TokenCount(9000), {}, {}, {} };
-  this->picker.OnSent(TargetId("a"), large, PickedWork{ TokenCount(9000), false });
+  PickQuestion large;
+  large.promptTokens = TokenCount(9000);
+  PickedWork work;
+  work.toRead = TokenCount(9000);
+  this->picker.OnSent(TargetId("a"), large, work);
   this->Load("b", 2);
   this->Load("c", 2);
   EXPECT_NE(this->Choose(), "a");
 }
 
+TEST_F(TargetPickerTest, WhatOtherHostsSentCounts)
+{
+  const TargetSendsNow many{ TargetId("a"), 9, TokenCount(), TokenCount(), {} };
+  const TargetSendsNow some{ TargetId("b"), 5, TokenCount(), TokenCount(), {} };
+  this->picker.TakePeerSends(SendsNews{ HostId("other"), { many, some } },
+                             this->clock.MonotonicNow());
+  EXPECT_EQ(this->Choose(), "c");
+  const TargetSendsNow none{ TargetId("a"), 0, TokenCount(), TokenCount(), {} };
+  this->picker.TakePeerSends(SendsNews{ HostId("other"), { none } }, this->clock.MonotonicNow());
+  this->Load("c", 3);
+  EXPECT_EQ(this->Choose(), "a");
+}
+
+TEST_F(TargetPickerTest, SilentHostsAreForgotten)
+{
+  const TargetSendsNow many{ TargetId("a"), 9, TokenCount(), TokenCount(), {} };
+  this->picker.TakePeerSends(SendsNews{ HostId("gone"), { many } }, this->clock.MonotonicNow());
+  this->Load("b", 1);
+  this->Load("c", 1);
+  EXPECT_NE(this->Choose(), "a");
+  this->clock.Advance(std::chrono::seconds(3));
+  this->picker.ForgetPeersBefore(this->clock.MonotonicNow() - std::chrono::seconds(2));
+  EXPECT_EQ(this->Choose(), "a");
+}
+
+TEST_F(TargetPickerTest, SendsAreToldOnceWithTheirParts)
+{
+  this->question.parts = { SizedPart{ PartKey(1), TokenCount(800) } };
+  this->picker.OnSent(TargetId("a"), this->question, PickedWork{});
+  const auto sends = this->picker.TakeSends();
+  ASSERT_EQ(sends.size(), 1U);
+  EXPECT_EQ(sends.front().requests, 1U);
+  EXPECT_EQ(sends.front().parts, this->question.parts);
+  EXPECT_TRUE(this->picker.TakeSends().empty());
+  this->picker.OnEnd(TargetId("a"), PickedWork{});
+  ASSERT_EQ(this->picker.TakeSends().size(), 1U);
+}
+
+TEST_F(TargetPickerTest, TargetWhoseMemoryIsFullIsPassedOver)
+{
+  this->question.promptTokens = TokenCount(10'000);
+  this->question.cacheTokens = TokenCount(100'000);
+  this->question.parts = { SizedPart{ PartKey(1), TokenCount(8000) } };
+  this->picker.Held().OnRead(TargetId("a"), this->question.parts);
+  EXPECT_EQ(this->Choose(), "a");
+  PickedWork large;
+  large.memory = TokenCount(95'000);
+  this->picker.OnSent(TargetId("a"), PickQuestion{}, large);
+  EXPECT_NE(this->Choose(), "a");
+}
+
+TEST_F(TargetPickerTest, HolderInTheSameZoneIsPreferred)
+{
+  this->targets = { Target("a", "far"), Target("b", "near"), Target("c", "near") };
+  const SizedPart part{ PartKey(1), TokenCount(800) };
+  EXPECT_EQ(this->picker.HolderOf(part, this->targets, this->targets[2]), nullptr);
+  this->picker.Held().OnRead(TargetId("a"), { part });
+  this->picker.Held().OnRead(TargetId("c"), { part });
+  EXPECT_EQ(this->picker.HolderOf(part, this->targets, this->targets[2])->id, TargetId("a"));
+  this->picker.Held().OnRead(TargetId("b"), { part });
+  EXPECT_EQ(this->picker.HolderOf(part, this->targets, this->targets[2])->id, TargetId("b"));
+}
+
 TEST_F(TargetPickerTest, EjectedTargetIsLeftAlone)
 {
   for (int failure = 0; failure < TargetHealth::kFailuresInRow; ++failure) {
--- a/test/protocol/ServingCodecTest.cpp
+++ b/test/protocol/ServingCodecTest.cpp
@@ -46,6 +46,20 @@
   EXPECT_EQ(std::get<Picture>(decoded.value()), picture);
 }
 
+TEST(ServingCodecTest, SendsComeBack)
+{
+  SendsNews news;
+  news.host = HostId("10.0.0.7");
+  news.sends = { TargetSendsNow{ TargetId("t"),
+                                 3,
+                                 TokenCount(12000),
+                                 TokenCount(36000),
+                                 { SizedPart{ PartKey(9), TokenCount(800) } } } };
+  const auto decoded = DecodeServingMessage(EncodeServingMessage(news));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(std::get<SendsNews>(decoded.value()), news);
+}
+
 TEST(ServingCodecTest, BytesThatAreNoMessageAreRefused)
 {
   EXPECT_FALSE(DecodeServingMessage(""));
