Calls that no target can answer in time are refused at once; dark targets are left at once

Change: TargetPicker::ExpectedFirstEvent from what waits to be read and memory; a call beyond 3, 2 or 1.3 latency objectives (by priority) is refused with Retry-After 1 s. A target that does not even acknowledge what was sent, or cannot be connected to, is ejected at the first sign. Also: logs of entry and control go to standard output, never wait and are bounded by event name; a control host whose disk refused a write ends and reads its log anew; weights are rolled out by retain after 0.4 s without new work.

--- a/include/damasklink/coordination/TargetHealth.h
+++ b/include/damasklink/coordination/TargetHealth.h
@@ -15,12 +15,13 @@
 enum class HealthSign
 {
   Good, // It answered, be it that it is full.
-  Bad,  // No connection, a broken answer, silence.
+  Bad,  // A broken answer, silence.
+  Gone, // No connection, or what was sent was not even acknowledged.
   None, // The caller left, or the host stopped.
 };
 
-// Ejects a target after failures in a row, for longer each time, and lets it back half-open: one
-// request at a time until one succeeds.
+// Ejects a target after failures in a row, or at once when it cannot be reached, for longer each
+// time, and lets it back half-open: one request at a time until one succeeds.
 //
 //   TargetHealth health(clock, seed);
 //   health.OnEnd(target, HealthSign::Bad);
--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -42,6 +42,8 @@
   // The model, and the newest version of its weights; zero where that is not known.
   ModelName model;
   std::uint64_t weights = 0;
+  // Targets with older weights are no choice any more while one with the newest is.
+  bool newestOnly = false;
   // Targets that were tried already.
   std::set<TargetId> excluded;
 };
@@ -67,7 +69,15 @@
   // Reading one prompt token.
   double perToken = 1.0 / 120;
   // Each request that the target runs already: a step takes longer, and memory is shared.
-  double perRequest = 4;
+  double perRequest = 2.5;
+  // Requests at which each weighs twice as much: queues grow faster than the load.
+  double usualRequests = 10;
+  // The first event of a request that waits for nothing, beyond reading its prompt.
+  double firstStep = 60;
+  // Reading one prompt token while other requests get theirs in between.
+  double perTokenInQueue = 1.0 / 85;
+  // Memory as large as the target's that is not there: about how long a request holds its own.
+  double missingMemory = 1000;
   // Memory of running requests may fill this share of a target before it costs anything; what is
   // free above it keeps cached parts.
   double freeMemoryShare = 0.5;
@@ -76,9 +86,9 @@
   // Fetching one token from a store instead of reading it, on a link of 250 Gbit/s.
   double perFetchedToken = 1.0 / 800;
   // A target whose weights are older than the newest: what begins there is worth less to the
-  // caller. Low enough that the first targets with new weights, whose caches are empty, are not
-  // overrun.
-  double olderWeights = 30;
+  // caller. About what reading a long prompt anew costs a target whose caches are empty after its
+  // load, so that the load decides between the two.
+  double olderWeights = 70;
   // A target in another zone: the way, and bytes between zones that are paid for.
   double otherZone = 4;
 };
@@ -94,6 +104,10 @@
   const TargetRecord* Choose(const PickQuestion& aQuestion,
                              const std::vector<TargetRecord>& aTargets);
 
+  // Returns how long the call's first event is expected to take at the target: what waits there to
+  // be read, what the call adds, and memory that is not there.
+  Duration ExpectedFirstEvent(const PickQuestion& aQuestion, const TargetId& aTarget) const;
+
   // Returns the prompt tokens of the call that the target would read itself.
   TokenCount ToRead(const PickQuestion& aQuestion, const TargetId& aTarget) const;
 
@@ -135,6 +149,7 @@
 
   bool HoldsAll(const PickQuestion& aQuestion, const TargetId& aTarget) const;
   void AddUpPeers();
+  Load LoadOf(const TargetId& aTarget) const;
   double CostOf(const PickQuestion& aQuestion, const TargetRecord& aTarget) const;
 
   const TargetHealth& health;
--- a/include/damasklink/coordination/WeightRollout.h
+++ b/include/damasklink/coordination/WeightRollout.h
@@ -28,11 +28,18 @@
 {
   // Orders of two holders must be this far apart.
   Duration orderLease = std::chrono::milliseconds(3300);
-  // Share of the engines of a model that are out of service at once: two thirds go on serving, and
-  // while one half of those waits for its runs to end, the other half loads.
-  double shareAtOnce = 0.34;
-  // An engine that waits for its runs and loads takes a second or two; much later its order was
-  // lost, or will be carried out late.
+  // Share of the engines of a model that are out of service at once, at most. The others read every
+  // prompt anew meanwhile, which takes up most of what they can do.
+  double shareAtOnce = 0.2;
+  // How long an engine gets no new work before it is ordered. Most of its runs end in that time;
+  // the others go on under the new weights, which is worth less to their callers than whole
+  // answers, but takes the engine out for a second and not for as long as its longest run.
+  Duration drain = std::chrono::milliseconds(400);
+  // Until all engines should have been ordered. Orders are spread evenly over it: engines that load
+  // at the same moment slow each other down, and each that waits for its runs serves nobody new.
+  Duration spread = std::chrono::milliseconds(5500);
+  // An engine loads within a second or two; much later its order was lost, or will be carried out
+  // late.
   Duration orderPatience = std::chrono::milliseconds(2500);
   // Between two questions to an engine that is under an order.
   Duration reportInterval = std::chrono::milliseconds(300);
@@ -112,6 +119,7 @@
     Stage stage = Stage::Reading;
     EngineReport report;
     bool known = false;
+    MonotonicTime begunAt;
     MonotonicTime orderedAt;
     MonotonicTime nextRead;
   };
@@ -124,6 +132,7 @@
   RolloutOptions options;
   bool leading = false;
   MonotonicTime ledSince;
+  MonotonicTime nextStart;
   std::map<TargetId, Work> works;
   // By engine and model, as reported; kept until the engine is gone.
   std::map<std::pair<TargetId, ModelName>, std::uint64_t> reported;
--- a/include/damasklink/protocol/ServingDialect.h
+++ b/include/damasklink/protocol/ServingDialect.h
@@ -175,7 +175,8 @@
 
   virtual HttpRequestMessage ReportQuestion(const ReadEngine& aEngine) const = 0;
   virtual Result<EngineReport> ReadReport(std::string_view aBody) const = 0;
-  // The engine's runs finish first; what has not started is refused until the order is complete.
+  // The engine's runs go on under the new weights; what has not started is refused until the order
+  // is complete.
   virtual HttpRequestMessage OrderMessage(const WeightsOrder& aOrder) const = 0;
 };
 
--- a/include/damasklink/transport/Log.h
+++ b/include/damasklink/transport/Log.h
@@ -21,6 +21,12 @@
 void
 StartLogging(LogLevel aLevel);
 
+// Sends all further events to standard output instead, as processes of a serving deployment do.
+// Never waits: a line that the reader of the output does not take at once is dropped, and the next
+// one that is taken is preceded by a count of those.
+void
+LogToStandardOutput();
+
 // Changes the level of the running process; safe from any thread.
 void
 SetLogLevel(LogLevel aLevel);
@@ -33,6 +39,11 @@
 std::string
 QuoteLogValue(std::string_view aValue);
 
+// Lines of one event name that are written in a second; further ones are counted, and the count is
+// written with the first line of the next second. A host that fails 100 calls a second still logs
+// each of them; a storm beyond that costs neither the disk nor the processor.
+constexpr int kMostLinesPerSecond = 100;
+
 // One event, written when it goes out of scope. Never pass prompt text or keys.
 //
 //   LogEvent(LogLevel::Info, "request_done").With("request", id).With("status", 200);
--- a/include/damasklink/transport/TargetChannel.h
+++ b/include/damasklink/transport/TargetChannel.h
@@ -41,8 +41,9 @@
   // Fails with Interrupted; then some bytes may have arrived.
   Awaitable<Result<void>> Send(const HttpRequestHead& aHead, std::string_view aBody);
 
-  // Reads the next head that is no interim answer. Fails with Interrupted when the target closed
-  // and with Corrupt when the bytes are no answer. aBodyless: an answer to HEAD.
+  // Reads the next head that is no interim answer. Fails with Interrupted when the target closed,
+  // with DeadlineExceeded when it did not even acknowledge the request, and with Corrupt when the
+  // bytes are no answer. aBodyless: an answer to HEAD.
   Awaitable<Result<HttpAnswerHead>> ReadHead();
 
   // Returns the next bytes of the body, valid until the next call, and nothing at its end. Fails
--- a/src/coordination/TargetHealth.cpp
+++ b/src/coordination/TargetHealth.cpp
@@ -31,7 +31,8 @@
   const bool probeFailed = entry.probing;
   entry.probing = false;
   const bool alreadyOut = this->clock.MonotonicNow() < entry.ejectedUntil;
-  if (!alreadyOut && (probeFailed || entry.failures >= kFailuresInRow)) {
+  const bool enough = entry.failures >= kFailuresInRow || aSign == HealthSign::Gone;
+  if (!alreadyOut && (probeFailed || enough)) {
     this->Eject(entry);
   }
 }
--- a/src/coordination/TargetPicker.cpp
+++ b/src/coordination/TargetPicker.cpp
@@ -39,8 +39,14 @@
 {
   std::vector<const TargetRecord*> fit;
   std::vector<const TargetRecord*> ejected;
+  const auto hasNewest = [&](const TargetRecord& aTarget) {
+    return WeightsOf(aTarget, aQuestion.model) >= aQuestion.weights;
+  };
+  const bool newestOnly =
+    aQuestion.newestOnly && std::any_of(aTargets.begin(), aTargets.end(), hasNewest);
   for (const TargetRecord& target : aTargets) {
-    if (!aQuestion.excluded.contains(target.id)) {
+    const bool tooOld = newestOnly && !hasNewest(target);
+    if (!tooOld && !aQuestion.excluded.contains(target.id)) {
       (this->health.IsOut(target.id) ? ejected : fit).push_back(&target);
     }
   }
@@ -91,19 +97,46 @@
   return TokenCount(all - std::min(all, saved));
 }
 
-double
-TargetPicker::CostOf(const PickQuestion& aQuestion, const TargetRecord& aTarget) const
+TargetPicker::Load
+TargetPicker::LoadOf(const TargetId& aTarget) const
 {
-  double cost = aTarget.zone == aQuestion.zone ? 0 : this->costs.otherZone;
-  auto memory = static_cast<double>(aQuestion.promptTokens.Value());
+  Load all;
   for (const auto* known : { &this->loads, &this->peerLoads }) {
-    const auto load = known->find(aTarget.id);
+    const auto load = known->find(aTarget);
     if (load != known->end()) {
-      cost += this->costs.perRequest * static_cast<double>(load->second.requests);
-      cost += this->costs.perToken * static_cast<double>(load->second.unread);
-      memory += static_cast<double>(load->second.memory);
+      all.requests += load->second.requests;
+      all.unread += load->second.unread;
+      all.memory += load->second.memory;
     }
   }
+  return all;
+}
+
+Duration
+TargetPicker::ExpectedFirstEvent(const PickQuestion& aQuestion, const TargetId& aTarget) const
+{
+  const Load load = this->LoadOf(aTarget);
+  const std::uint64_t unread = load.unread + this->ToRead(aQuestion, aTarget).Value();
+  double milliseconds =
+    this->costs.firstStep + this->costs.perTokenInQueue * static_cast<double>(unread);
+  if (aQuestion.cacheTokens > TokenCount()) {
+    const auto memory = static_cast<double>(aQuestion.promptTokens.Value() + load.memory);
+    const double used = memory / static_cast<double>(aQuestion.cacheTokens.Value());
+    milliseconds += this->costs.missingMemory * std::max(used - 1, 0.0);
+  }
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double, std::milli>(milliseconds));
+}
+
+double
+TargetPicker::CostOf(const PickQuestion& aQuestion, const TargetRecord& aTarget) const
+{
+  double cost = aTarget.zone == aQuestion.zone ? 0 : this->costs.otherZone;
+  const Load load = this->LoadOf(aTarget.id);
+  const auto requests = static_cast<double>(load.requests);
+  const auto memory = static_cast<double>(aQuestion.promptTokens.Value() + load.memory);
+  cost += this->costs.perToken * static_cast<double>(load.unread);
+  cost += this->costs.perRequest * requests * (1 + requests / this->costs.usualRequests);
   if (aQuestion.cacheTokens > TokenCount()) {
     const double used = memory / static_cast<double>(aQuestion.cacheTokens.Value());
     const double over = std::max(used - this->costs.freeMemoryShare, 0.0);
--- a/src/coordination/WeightRollout.cpp
+++ b/src/coordination/WeightRollout.cpp
@@ -53,15 +53,20 @@
       static_cast<std::size_t>(std::ceil(static_cast<double>(serving) * this->options.shareAtOnce));
     for (const TargetRecord* engine : behind) {
       const bool open = this->works.contains(engine->id);
-      if (!open && this->works.size() >= atOnce) {
+      if (!open && (this->works.size() >= atOnce || now < this->nextStart)) {
         continue;
       }
+      if (!open) {
+        this->nextStart = std::max(this->nextStart + this->options.spread / serving,
+                                   now - this->options.spread / serving);
+      }
       Work& work = this->works[engine->id];
       if (!open || work.version != version) {
         work.model = model;
         work.version = version;
       }
       if (!open) {
+        work.begunAt = now;
         actions.push_back(ReadEngine{ engine->id, engine->endpoint });
       } else if (auto action = this->Advance(*engine, work)) {
         actions.push_back(std::move(*action));
@@ -80,7 +85,8 @@
     case Stage::Ordering:
       return std::nullopt;
     case Stage::Read: {
-      const bool waits = aWork.report.busy || now - aWork.orderedAt < this->options.orderPatience;
+      const bool waits = aWork.report.busy || now - aWork.orderedAt < this->options.orderPatience ||
+                         now - aWork.begunAt < this->options.drain;
       if (!aWork.known || waits) {
         break;
       }
--- a/src/program/ControlCommand.cpp
+++ b/src/program/ControlCommand.cpp
@@ -1,5 +1,3 @@
-#include <iostream>
-
 #include "Commands.h"
 #include "ControlHost.h"
 #include "ServingSetup.h"
@@ -19,6 +17,7 @@
 ExitCode
 Run(const Arguments& aArguments)
 {
+  LogToStandardOutput();
   const std::string file = ServingSettingsFile(TextOf(aArguments, "--settings"));
   std::optional<ServingSettings> settings = LoadServingSettings(file);
   if (!settings) {
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -47,6 +47,14 @@
 // queue after its lease was checked.
 constexpr Duration kOrderMargin = std::chrono::milliseconds(300);
 
+// Share of the time for new weights in which all engines are ordered; the rest is for the last ones
+// to finish their runs and load, and for orders that are lost.
+constexpr double kRolloutShare = 0.5;
+
+// From a failure of the disk until the process ends: a full disk is full for seconds, and a process
+// that starts again at once would only fail again.
+constexpr Duration kFailurePause = std::chrono::milliseconds(1500);
+
 // For the handover of leadership to reach the successor before the process ends.
 constexpr Duration kHandoverTime = std::chrono::milliseconds(400);
 
@@ -138,6 +146,7 @@
   HttpAnswerMessage HandleDeparture(const TargetDeparture& aDeparture);
   Awaitable<Result<ServingStanding>> Commit(const ServingCommand& aCommand);
   void Tick();
+  bool EndsAfterFailure();
   void Step();
   void SpreadTargets();
   void PushDocument();
@@ -172,6 +181,7 @@
   std::unique_ptr<TcpAcceptor> acceptor;
   std::uint64_t pushedChanges = 0;
   MonotonicTime nextSpread;
+  MonotonicTime worksUntil;
 };
 
 AgreementSetup
@@ -197,6 +207,8 @@
 {
   RolloutOptions options;
   options.orderLease = this->settings.orderLease + kOrderMargin;
+  options.spread =
+    std::chrono::duration_cast<Duration>(this->settings.weightsWithin * kRolloutShare);
   return options;
 }
 
@@ -252,6 +264,9 @@
   this->Tick();
   this->loop.run();
   LogEvent(LogLevel::Info, "control_stopped").With("host", this->settings.host);
+  if (const std::optional<Error> failure = this->agreement.FailureOf(ControlGroupId())) {
+    return Fail(*failure);
+  }
   return Success();
 }
 
@@ -446,6 +461,9 @@
 ControlHost::Impl::Tick()
 {
   this->Step();
+  if (this->EndsAfterFailure()) {
+    return;
+  }
   if (this->clock.MonotonicNow() >= this->nextSpread) {
     this->SpreadTargets();
   }
@@ -457,6 +475,25 @@
   });
 }
 
+// A replica whose disk refused a write may not go on: what the disk holds is unknown. The process
+// ends, and when it is started again it reads what is there. Meanwhile it says nothing, so the
+// others elect without it. Returns whether it ends now.
+bool
+ControlHost::Impl::EndsAfterFailure()
+{
+  const MonotonicTime now = this->clock.MonotonicNow();
+  if (!this->agreement.FailureOf(ControlGroupId())) {
+    this->worksUntil = now + kFailurePause;
+    return false;
+  }
+  if (now < this->worksUntil) {
+    return false;
+  }
+  this->mesh.Stop();
+  this->loop.stop();
+  return true;
+}
+
 // Lets agreement act on what has come in, and passes on what was committed.
 void
 ControlHost::Impl::Step()
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -58,7 +58,7 @@
     : settings(std::move(aSettings))
     , calls(aCalls)
     , reader(std::move(aReader))
-    , picture(aControl)
+    , picture(this->clock, aControl)
     , retries(this->settings.retries)
     , health(this->clock, RandomSeed())
     , picker(this->health, RandomSeed())
--- a/src/program/EntryPicture.cpp
+++ b/src/program/EntryPicture.cpp
@@ -15,6 +15,7 @@
     std::uint64_t& held = this->weights[model];
     if (version > held) {
       held = version;
+      this->weightsHeardAt[model] = this->clock.MonotonicNow();
       LogEvent(LogLevel::Info, "weights_named")
         .With("model", model)
         .With("version", version)
@@ -88,6 +89,14 @@
   return found == this->weights.end() ? 0 : found->second;
 }
 
+Duration
+EntryPicture::WeightsNamedFor(const ModelName& aModel) const
+{
+  const auto found = this->weightsHeardAt.find(aModel);
+  return found == this->weightsHeardAt.end() ? Duration::zero()
+                                             : this->clock.MonotonicNow() - found->second;
+}
+
 const StoredParts*
 EntryPicture::Stored() const
 {
--- a/src/program/EntryPicture.h
+++ b/src/program/EntryPicture.h
@@ -18,8 +18,9 @@
 class EntryPicture
 {
 public:
-  explicit EntryPicture(const ControlDialect& aDialect)
-    : dialect(aDialect)
+  EntryPicture(const Clock& aClock, const ControlDialect& aDialect)
+    : clock(aClock)
+    , dialect(aDialect)
   {
   }
 
@@ -38,6 +39,9 @@
   // Returns the version of weights that calls for the model should begin on; 0 when none is named.
   std::uint64_t WeightsOf(const ModelName& aModel) const;
 
+  // Returns how long ago this host heard that version; zero when none is named.
+  Duration WeightsNamedFor(const ModelName& aModel) const;
+
   // Returns what is known of stored parts: the words of the control host that hears most stores.
   // Null when none is connected.
   const StoredParts* Stored() const;
@@ -51,10 +55,12 @@
 private:
   void TakeDocument(const HostId& aFrom, const Picture& aPicture);
 
+  const Clock& clock;
   const ControlDialect& dialect;
   std::shared_ptr<const RouteTable> routes;
   TargetBoard targets;
   std::map<ModelName, std::uint64_t> weights;
+  std::map<ModelName, MonotonicTime> weightsHeardAt;
   std::map<HostId, std::uint64_t> entryHosts;
   // By connected control host.
   std::map<HostId, StoredParts> stored;
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -20,9 +20,22 @@
 // When a refused call should come again: a target's queue is some hundred milliseconds long.
 constexpr Duration kComeBackAfter = std::chrono::milliseconds(250);
 
+// When all targets are full: queues as long as that empty in about a second.
+constexpr Duration kComeBackToFull = std::chrono::seconds(1);
+
+// How many times its latency objective a call may be expected to wait, by priority. Callers leave
+// after four times theirs, or two seconds.
+constexpr double kUrgentPatience = 3;
+constexpr double kUsualPatience = 2;
+constexpr double kLowPatience = 1.3;
+
 // Before the first configuration: control hosts answer within a second or two of their start.
 constexpr Duration kNoConfigurationYet = std::chrono::milliseconds(500);
 
+// How long a call may wait at an engine before it begins. Calls that could begin on older weights
+// after the time for new ones is over are not sent to engines with older ones any more.
+constexpr Duration kLongestQueue = std::chrono::milliseconds(3000);
+
 // Foreign answers that are skipped on one channel before it is given up.
 constexpr int kMostForeignAnswers = 3;
 
@@ -195,6 +208,8 @@
   const bool hasPrompt = this->route->carriesPrompt && !this->call.model.Empty();
   if (hasPrompt) {
     this->AskWithWeights(this->NewestWeights());
+    this->question.newestOnly = this->context.picture.WeightsNamedFor(this->call.model) >
+                                this->context.settings.weightsWithin - kLongestQueue;
   }
   const TargetRecord* chosen = this->context.picker.Choose(
     this->question, this->context.picture.Targets().Usable(this->service));
@@ -203,10 +218,34 @@
     if (has != this->weights) {
       this->AskWithWeights(has);
     }
+    this->overloaded = !this->IsExpectedInTime(*chosen);
+    return this->overloaded ? nullptr : chosen;
   }
   return chosen;
 }
 
+// A call that would wait for several times its latency objective is refused at once: its caller
+// would leave before the first event, and what the target had read for it would be lost. The more
+// urgent a call is, the longer it may wait: targets take it ahead of the others.
+bool
+Exchange::IsExpectedInTime(const TargetRecord& aTarget) const
+{
+  const Duration expected = this->context.picker.ExpectedFirstEvent(this->question, aTarget.id);
+  const double patience = this->Priority() == 0   ? kUrgentPatience
+                          : this->Priority() == 1 ? kUsualPatience
+                                                  : kLowPatience;
+  return expected <= this->route->latencyObjective * patience;
+}
+
+int
+Exchange::Priority() const
+{
+  if (this->workspace == nullptr) {
+    return this->route->priority;
+  }
+  return this->workspace->priority.value_or(this->route->priority);
+}
+
 Awaitable<AttemptEnd>
 Exchange::Attempt(const TargetRecord& aTarget)
 {
@@ -228,15 +267,29 @@
   // Closing tells the target that nobody waits for the rest.
   this->channel.reset();
   this->context.picker.OnEnd(aTarget.id, this->work);
-  const bool bad = end == AttemptEnd::Unreachable || end == AttemptEnd::Broken;
-  const bool tellsNothing = end == AttemptEnd::CallerLeft || end == AttemptEnd::Expired;
-  this->context.health.OnEnd(aTarget.id,
-                             bad            ? HealthSign::Bad
-                             : tellsNothing ? HealthSign::None
-                                            : HealthSign::Good);
+  this->context.health.OnEnd(aTarget.id, this->SignOf(end));
   co_return end;
 }
 
+HealthSign
+Exchange::SignOf(AttemptEnd aEnd) const
+{
+  switch (aEnd) {
+    case AttemptEnd::Unreachable:
+      return HealthSign::Gone;
+    case AttemptEnd::Broken:
+      return this->unacknowledged ? HealthSign::Gone : HealthSign::Bad;
+    case AttemptEnd::CallerLeft:
+    case AttemptEnd::Expired:
+      return HealthSign::None;
+    case AttemptEnd::Delivered:
+    case AttemptEnd::Refused:
+    case AttemptEnd::Failed:
+      return HealthSign::Good;
+  }
+  return HealthSign::None;
+}
+
 Awaitable<std::unique_ptr<TargetChannel>>
 Exchange::Connect(const TargetRecord& aTarget)
 {
@@ -283,6 +336,7 @@
       .With("target", aTarget.id)
       .With("sent", sent ? "whole" : "part")
       .With("error", answer.error());
+    this->unacknowledged = answer.error().kind == ErrorKind::DeadlineExceeded;
     co_return AttemptEnd::Broken;
   }
   co_return co_await this->TakeAnswer(aTarget, std::move(answer.value()));
@@ -427,7 +481,7 @@
     case ExchangeStep::Refuse: {
       CallerError error = Refusal(
         ErrorKind::Unavailable, "no target took the request", "come back after the time given");
-      error.retryAfter = kComeBackAfter;
+      error.retryAfter = this->overloaded ? kComeBackToFull : kComeBackAfter;
       co_return co_await this->AnswerFailure(error);
     }
     case ExchangeStep::Expire: {
@@ -483,10 +537,9 @@
   TargetCall call;
   call.target = aTarget.id;
   call.timeLeft = this->TimeLeft();
-  call.priority = this->route->priority;
+  call.priority = this->Priority();
   if (this->workspace != nullptr) {
     call.workspace = this->workspace->name;
-    call.priority = this->workspace->priority.value_or(call.priority);
   }
   call.lastEvent = this->framer.LastEvent() ? this->framer.LastEvent() : this->call.lastEvent;
   if (this->route->carriesPrompt && !this->scope.Empty()) {
@@ -581,6 +634,7 @@
   const bool good = aStatus >= 200 && aStatus < 300;
   const Duration took = this->context.clock.MonotonicNow() - this->arrived;
   LogEvent(good ? LogLevel::Debug : LogLevel::Info, "request_ended")
+    .With("overloaded", this->overloaded)
     .With("request", this->call.request)
     .With("route", this->route == nullptr ? "" : std::string_view(this->route->name))
     .With("configuration", this->routes == nullptr ? Revision() : this->routes->Config().version)
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -86,6 +86,9 @@
   AttemptEnd EndOfFailure() const;
   bool ClosesAfter() const;
   Duration TimeLeft() const;
+  int Priority() const;
+  bool IsExpectedInTime(const TargetRecord& aTarget) const;
+  HealthSign SignOf(AttemptEnd aEnd) const;
   void LogEnd(std::string_view aOutcome, int aStatus) const;
 
   EntryContext& context;
@@ -116,6 +119,10 @@
   EventFramer framer;
   std::optional<WholeAnswer> failure;
   AttemptEnd lastEnd = AttemptEnd::Unreachable;
+  // The target of this attempt did not acknowledge what was sent.
+  bool unacknowledged = false;
+  // No target can be expected to answer in time.
+  bool overloaded = false;
 };
 
 } // namespace damasklink
--- a/src/transport/Log.cpp
+++ b/src/transport/Log.cpp
@@ -1,13 +1,22 @@
 #include "damasklink/transport/Log.h"
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <array>
 #include <atomic>
+#include <climits>
 #include <iostream>
+#include <map>
+#include <optional>
 #include <utility>
 
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
 #include <absl/time/clock.h>
 #include <absl/time/time.h>
 #include <boost/log/core.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
@@ -36,6 +45,73 @@
   return kLevelNames.at(static_cast<std::size_t>(aLevel)).second;
 }
 
+// Writes whole lines to standard output as long as they can be taken at once.
+class PipeBackend
+  : public logging::sinks::basic_formatted_sink_backend<char, logging::sinks::synchronized_feeding>
+{
+public:
+  // Called by the library, one record at a time.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  void consume(const logging::record_view& /*aRecord*/, const string_type& aLine)
+  {
+    if (this->dropped > 0 &&
+        Write(Concat("level=warning event=log_lines_dropped count=", this->dropped, "\n"))) {
+      this->dropped = 0;
+    }
+    if (!Write(aLine + "\n")) {
+      ++this->dropped;
+    }
+  }
+
+private:
+  static bool Write(const std::string& aText)
+  {
+    // A pipe that can be written to takes a line of at most PIPE_BUF bytes whole and at once.
+    pollfd ready{ STDOUT_FILENO, POLLOUT, 0 };
+    if (poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0) {
+      return false;
+    }
+    const std::size_t length = std::min<std::size_t>(aText.size(), PIPE_BUF);
+    return write(STDOUT_FILENO, aText.data(), length) == static_cast<ssize_t>(length);
+  }
+
+  std::uint64_t dropped = 0;
+};
+
+// Counts the lines of each event name in the present second.
+class LineLimiter
+{
+public:
+  // Returns how many lines of the name were left out before this one, or nothing when this one is
+  // to be left out too.
+  std::optional<std::uint64_t> Take(const std::string& aName, std::int64_t aSecond)
+  {
+    absl::MutexLock lock(&this->mutex);
+    Count& count = this->counts[aName];
+    if (count.second != aSecond) {
+      count.second = aSecond;
+      count.lines = 0;
+    }
+    if (++count.lines > kMostLinesPerSecond) {
+      ++count.leftOut;
+      return std::nullopt;
+    }
+    return std::exchange(count.leftOut, 0);
+  }
+
+private:
+  struct Count
+  {
+    std::int64_t second = 0;
+    int lines = 0;
+    std::uint64_t leftOut = 0;
+  };
+
+  absl::Mutex mutex;
+  // By event name: a few dozen, all of them written in the source.
+  std::map<std::string, Count> counts ABSL_GUARDED_BY(mutex);
+};
+
 bool
 IsPlain(char aChar)
 {
@@ -57,6 +133,14 @@
   SetLogLevel(aLevel);
 }
 
+void
+LogToStandardOutput()
+{
+  logging::core::get()->remove_all_sinks();
+  using Sink = logging::sinks::synchronous_sink<PipeBackend>;
+  logging::core::get()->add_sink(boost::make_shared<Sink>(boost::make_shared<PipeBackend>()));
+}
+
 void
 SetLogLevel(LogLevel aLevel)
 {
@@ -107,9 +191,17 @@
   if (aLevel < currentLevel.load()) {
     return;
   }
+  static LineLimiter limiter;
+  const auto leftOut = limiter.Take(std::string(aName), absl::ToUnixSeconds(absl::Now()));
+  if (!leftOut) {
+    return;
+  }
   const std::string time =
     absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", absl::Now(), absl::UTCTimeZone());
   this->line = Concat("time=", time, " level=", LevelName(aLevel), " event=", aName);
+  if (*leftOut > 0) {
+    this->With("left_out", *leftOut);
+  }
 }
 
 LogEvent::~LogEvent()
--- a/src/transport/TargetChannel.cpp
+++ b/src/transport/TargetChannel.cpp
@@ -21,7 +21,7 @@
 
 // A target that was cut off or lost power acknowledges nothing. Longer than a few retransmissions
 // on a link that loses packets, shorter than callers wait for a first event.
-constexpr Duration kSendTimeout = std::chrono::milliseconds(1500);
+constexpr Duration kSendTimeout = std::chrono::milliseconds(900);
 
 // What a target that names no time is assumed to keep an idle connection for.
 constexpr Duration kUnstatedIdle = std::chrono::seconds(4);
@@ -45,6 +45,11 @@
                 Concat("the target's bytes are no answer: ", aError.message()),
                 "look at the target's own log");
   }
+  if (aError == asio::error::timed_out) {
+    return Fail(ErrorKind::DeadlineExceeded,
+                "the target acknowledged nothing of what was sent",
+                "look whether the target runs and can be reached");
+  }
   return Fail(ErrorKind::Interrupted,
               Concat("the connection to the target broke: ", aError.message()),
               "look at the target's own log");
--- a/test/coordination/TargetPickerTest.cpp
+++ b/test/coordination/TargetPickerTest.cpp
@@ -92,6 +92,22 @@
   EXPECT_NE(this->Choose(), "a");
 }
 
+TEST_F(TargetPickerTest, OlderWeightsAreNoChoiceOnceTheirTimeIsOver)
+{
+  this->targets[0].models = { ServedModel{ ModelName("m"), WeightVersion("1"), {} } };
+  this->targets[1].models = { ServedModel{ ModelName("m"), WeightVersion("2"), {} } };
+  this->targets[2].models = { ServedModel{ ModelName("m"), WeightVersion("1"), {} } };
+  this->question.promptTokens = TokenCount(100);
+  this->question.model = ModelName("m");
+  this->question.weights = 2;
+  this->Load("b", 100);
+  EXPECT_NE(this->Choose(), "b");
+  this->question.newestOnly = true;
+  EXPECT_EQ(this->Choose(), "b");
+  this->targets[1].models.front().version = WeightVersion("1");
+  EXPECT_NE(this->Choose(), "");
+}
+
 TEST_F(TargetPickerTest, WhatOtherHostsSentCounts)
 {
   const TargetSendsNow many{ TargetId("a"), 9, TokenCount(), TokenCount(), {} };
