--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -25,9 +25,9 @@
 
 // How many times its latency objective a call may be expected to wait, by priority. Callers leave
 // after four times theirs, or two seconds.
-constexpr double kUrgentPatience = 3;
-constexpr double kUsualPatience = 2;
-constexpr double kLowPatience = 1.3;
+constexpr double kUrgentPatience = 1.4;
+constexpr double kUsualPatience = 1.1;
+constexpr double kLowPatience = 0.85;
 
 // Before the first configuration: control hosts answer within a second or two of their start.
 constexpr Duration kNoConfigurationYet = std::chrono::milliseconds(500);
