--- /dev/null
+++ b/test/coordination/StoreFeedTest.cpp
@@ -0,0 +1,99 @@
+#include "damasklink/coordination/StoreFeed.h"
+
+#include <gtest/gtest.h>
+
+namespace damasklink {
+namespace {
+
+SizedPart
+Part(std::uint64_t aKey)
+{
+  return SizedPart{ PartKey(aKey), TokenCount(100) };
+}
+
+class StoreFeedTest : public ::testing::Test
+{
+protected:
+  void List(std::uint64_t aEpoch, std::uint64_t aNext, std::vector<SizedPart> aParts)
+  {
+    this->feed.TakeList(StoreList{ StoreEpoch(aEpoch), Sequence(aNext), std::move(aParts) });
+  }
+
+  void Events(std::uint64_t aEpoch, std::uint64_t aNext, std::vector<StoredPartEvent> aEvents)
+  {
+    this->feed.TakeEvents(
+      StoreEvents{ StoreEpoch(aEpoch), Sequence(aNext), false, std::move(aEvents) });
+  }
+
+  StoreFeed feed{ Endpoint{ "172.20.0.2", 8006 } };
+};
+
+TEST_F(StoreFeedTest, ListIsStatedWholeAndOnce)
+{
+  EXPECT_TRUE(this->feed.NeedsList());
+  this->List(1, 5, { Part(1) });
+  const auto stated = this->feed.TakeChanges();
+  ASSERT_TRUE(stated);
+  EXPECT_TRUE(stated->live);
+  EXPECT_TRUE(stated->whole);
+  EXPECT_EQ(stated->added, std::vector<SizedPart>{ Part(1) });
+  EXPECT_FALSE(this->feed.TakeChanges());
+  this->List(1, 5, { Part(1) });
+  EXPECT_FALSE(this->feed.TakeChanges());
+}
+
+TEST_F(StoreFeedTest, EventsAreStatedAsChanges)
+{
+  this->List(1, 5, { Part(1) });
+  this->feed.TakeChanges();
+  this->Events(1, 7, { { Part(2), true }, { Part(1), false } });
+  const auto stated = this->feed.TakeChanges();
+  ASSERT_TRUE(stated);
+  EXPECT_FALSE(stated->whole);
+  EXPECT_EQ(stated->added, std::vector<SizedPart>{ Part(2) });
+  EXPECT_EQ(stated->removed, std::vector<PartKey>{ PartKey(1) });
+  EXPECT_EQ(this->feed.Next(), Sequence(7));
+}
+
+TEST_F(StoreFeedTest, RestartedStoreHoldsNothingUntilItIsListed)
+{
+  this->List(1, 5, { Part(1) });
+  this->feed.TakeChanges();
+  this->Events(2, 1, {});
+  const auto stated = this->feed.TakeChanges();
+  ASSERT_TRUE(stated);
+  EXPECT_FALSE(stated->live);
+  EXPECT_TRUE(this->feed.NeedsList());
+  EXPECT_TRUE(this->feed.All().added.empty());
+}
+
+TEST_F(StoreFeedTest, GapInTheEventsAsksForAList)
+{
+  this->List(1, 5, { Part(1) });
+  this->feed.TakeEvents(StoreEvents{ StoreEpoch(1), Sequence(900), true, {} });
+  EXPECT_TRUE(this->feed.NeedsList());
+}
+
+TEST_F(StoreFeedTest, PartThatLeftAndCameBackInOneBatchIsHeld)
+{
+  this->List(1, 5, { Part(1) });
+  this->feed.TakeChanges();
+  this->Events(1, 8, { { Part(1), false }, { Part(1), true } });
+  const auto stated = this->feed.TakeChanges();
+  ASSERT_TRUE(stated);
+  EXPECT_EQ(stated->added, std::vector<SizedPart>{ Part(1) });
+  EXPECT_EQ(this->feed.All().added, std::vector<SizedPart>{ Part(1) });
+}
+
+TEST_F(StoreFeedTest, LostStoreIsStatedOnce)
+{
+  this->List(1, 5, { Part(1) });
+  this->feed.TakeChanges();
+  this->feed.Lose();
+  ASSERT_TRUE(this->feed.TakeChanges());
+  this->feed.Lose();
+  EXPECT_FALSE(this->feed.TakeChanges());
+}
+
+} // namespace
+} // namespace damasklink
--- /dev/null
+++ b/test/coordination/StoredPartsTest.cpp
@@ -0,0 +1,124 @@
+#include "damasklink/coordination/StoredParts.h"
+
+#include <gtest/gtest.h>
+
+namespace damasklink {
+namespace {
+
+const ZoneId kZone("z");
+
+SizedPart
+Part(std::uint64_t aKey, std::uint64_t aTokens = 1000)
+{
+  return SizedPart{ PartKey(aKey), TokenCount(aTokens) };
+}
+
+class StoredPartsTest : public ::testing::Test
+{
+protected:
+  StoredPartsTest()
+  {
+    this->services = { Store("10.0.0.1", "z", 100'000), Store("10.0.0.2", "y", 300'000) };
+    this->stored.SetStores(this->services);
+    this->State("10.0.0.1", {});
+    this->State("10.0.0.2", {});
+  }
+
+  static ServingService Store(const std::string& aAddress,
+                              const std::string& aZone,
+                              std::uint64_t aTokens)
+  {
+    ServingService service;
+    service.name = ServiceName(aAddress);
+    PromptStoreTraits traits;
+    traits.endpoint = Endpoint{ aAddress, 8006 };
+    traits.zone = ZoneId(aZone);
+    traits.cacheTokens = TokenCount(aTokens);
+    traits.linkRate = 250'000;
+    service.store = traits;
+    return service;
+  }
+
+  void State(const std::string& aAddress, std::vector<SizedPart> aParts, bool aLive = true)
+  {
+    this->stored.Take(
+      StoreStatement{ Endpoint{ aAddress, 8006 }, aLive, true, std::move(aParts), {} });
+  }
+
+  std::string Found(const SizedPart& aPart, const std::set<std::string>& aAvoided = {}) const
+  {
+    const PromptStore* store = this->stored.Find(aPart, kZone, aAvoided);
+    return store == nullptr ? "" : store->traits.endpoint.address;
+  }
+
+  std::vector<ServingService> services;
+  StoredParts stored;
+};
+
+TEST_F(StoredPartsTest, OnlyStatedPartsAreFound)
+{
+  this->State("10.0.0.2", { Part(1) });
+  EXPECT_EQ(this->Found(Part(1)), "10.0.0.2");
+  EXPECT_EQ(this->Found(Part(2)), "");
+}
+
+TEST_F(StoredPartsTest, PartThatIsNotWholeIsNotFound)
+{
+  this->State("10.0.0.2", { Part(1, 400) });
+  EXPECT_EQ(this->Found(Part(1, 1000)), "");
+}
+
+TEST_F(StoredPartsTest, OwnZoneIsReadFrom)
+{
+  this->State("10.0.0.1", { Part(1) });
+  this->State("10.0.0.2", { Part(1) });
+  EXPECT_EQ(this->Found(Part(1)), "10.0.0.1");
+  EXPECT_EQ(this->Found(Part(1), { "10.0.0.1:8006" }), "10.0.0.2");
+}
+
+TEST_F(StoredPartsTest, StoreThatIsLostHoldsNothing)
+{
+  this->State("10.0.0.2", { Part(1) });
+  this->State("10.0.0.2", {}, false);
+  EXPECT_EQ(this->Found(Part(1)), "");
+  this->State("10.0.0.2", {});
+  EXPECT_EQ(this->Found(Part(1)), "");
+}
+
+TEST_F(StoredPartsTest, HomesFollowTheCapacities)
+{
+  int larger = 0;
+  for (std::uint64_t key = 0; key < 1000; ++key) {
+    larger += this->stored.HomeOf(Part(key))->traits.endpoint.address == "10.0.0.2" ? 1 : 0;
+  }
+  EXPECT_NEAR(larger, 750, 60);
+}
+
+TEST_F(StoredPartsTest, FullStoreIsNoHome)
+{
+  this->State("10.0.0.2", { Part(9999, 299'000) });
+  for (std::uint64_t key = 0; key < 100; ++key) {
+    EXPECT_EQ(this->stored.HomeOf(Part(key))->traits.endpoint.address, "10.0.0.1");
+  }
+}
+
+TEST_F(StoredPartsTest, PartsOfALostStoreWaitForItToComeBack)
+{
+  std::uint64_t key = 0;
+  while (this->stored.HomeOf(Part(key))->traits.endpoint.address != "10.0.0.2") {
+    ++key;
+  }
+  this->State("10.0.0.2", {}, false);
+  EXPECT_EQ(this->stored.HomeOf(Part(key)), nullptr);
+}
+
+TEST_F(StoredPartsTest, StoreThatIsNotDeclaredAnyMoreIsForgotten)
+{
+  this->State("10.0.0.2", { Part(1) });
+  this->services.pop_back();
+  this->stored.SetStores(this->services);
+  EXPECT_EQ(this->Found(Part(1)), "");
+}
+
+} // namespace
+} // namespace damasklink
--- /dev/null
+++ b/test/coordination/WeightRolloutTest.cpp
@@ -0,0 +1,187 @@
+#include "damasklink/coordination/WeightRollout.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+
+namespace damasklink {
+namespace {
+
+const ModelName kModel("m");
+constexpr Duration kStep = std::chrono::milliseconds(100);
+
+// Engines that load in a second and may lose the answer to an order or carry it out late.
+struct Engine
+{
+  TargetRecord record;
+  std::uint64_t version = 1;
+  std::uint64_t accepted = 0;
+  std::uint64_t loading = 0;
+  MonotonicTime loadedAt;
+};
+
+class WeightRolloutTest : public ::testing::Test
+{
+protected:
+  WeightRolloutTest()
+  {
+    for (int number = 0; number < 10; ++number) {
+      Engine& engine = this->engines.emplace_back();
+      engine.record.id = TargetId("e" + std::to_string(number));
+      engine.record.kind = TargetKind::Engine;
+      engine.record.models = { ServedModel{ kModel, WeightVersion("1"), {} } };
+    }
+  }
+
+  Engine& Find(const TargetId& aTarget)
+  {
+    for (Engine& engine : this->engines) {
+      if (engine.record.id == aTarget) {
+        return engine;
+      }
+    }
+    throw std::out_of_range("no such engine");
+  }
+
+  void Accept(Engine& aEngine, const OrderWeights& aOrder)
+  {
+    if (aEngine.loading != 0 || aOrder.ordersAccepted != aEngine.accepted) {
+      ++this->refused;
+      return;
+    }
+    ++aEngine.accepted;
+    aEngine.loading = aOrder.version;
+    aEngine.loadedAt = this->clock.MonotonicNow() + std::chrono::seconds(1);
+  }
+
+  void Act(const RolloutAction& aAction)
+  {
+    if (const auto* read = std::get_if<ReadEngine>(&aAction)) {
+      const Engine& engine = this->Find(read->target);
+      const WeightVersion version(std::to_string(engine.version));
+      this->rollout.OnReport(read->target,
+                             EngineReport{ engine.loading != 0,
+                                           engine.accepted,
+                                           { ServedModel{ kModel, version, {} } } });
+      return;
+    }
+    const auto& order = std::get<OrderWeights>(aAction);
+    ++this->ordered;
+    if (this->delayOrders) {
+      this->late.push_back(order);
+    } else {
+      this->Accept(this->Find(order.target), order);
+    }
+    this->rollout.OnOrdered(order.target);
+  }
+
+  void Run(Duration aTime, bool aLeading = true)
+  {
+    for (Duration passed{ 0 }; passed < aTime; passed += kStep) {
+      std::vector<TargetRecord> records;
+      for (Engine& engine : this->engines) {
+        if (engine.loading != 0 && this->clock.MonotonicNow() >= engine.loadedAt) {
+          engine.version = std::exchange(engine.loading, 0);
+        }
+        records.push_back(engine.record);
+      }
+      for (const RolloutAction& action : this->rollout.Plan(aLeading, this->wished, records)) {
+        this->Act(action);
+      }
+      this->mostPaused = std::max(this->mostPaused, this->rollout.Paused().size());
+      this->clock.Advance(kStep);
+    }
+  }
+
+  std::size_t CountAt(std::uint64_t aVersion) const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(this->engines.begin(), this->engines.end(), [&](const Engine& aEngine) {
+        return aEngine.version == aVersion;
+      }));
+  }
+
+  ManualClock clock;
+  WeightRollout rollout{ this->clock, RolloutOptions() };
+  std::map<ModelName, std::uint64_t> wished{ { kModel, 2 } };
+  std::deque<Engine> engines;
+  std::deque<OrderWeights> late;
+  bool delayOrders = false;
+  int ordered = 0;
+  int refused = 0;
+  std::size_t mostPaused = 0;
+};
+
+TEST_F(WeightRolloutTest, AllEnginesComeToTheNamedWeights)
+{
+  this->Run(std::chrono::seconds(13));
+  EXPECT_EQ(this->CountAt(2), 10U);
+  EXPECT_EQ(this->ordered, 10);
+  EXPECT_TRUE(this->rollout.Paused().empty());
+}
+
+TEST_F(WeightRolloutTest, OnlyAFifthIsOutAtOnce)
+{
+  this->Run(std::chrono::seconds(13));
+  EXPECT_EQ(this->mostPaused, 2U);
+}
+
+TEST_F(WeightRolloutTest, OnlyTheLeaderOrders)
+{
+  this->Run(std::chrono::seconds(13), false);
+  EXPECT_EQ(this->ordered, 0);
+}
+
+TEST_F(WeightRolloutTest, NewLeaderWaitsUntilTheFormerHoldersTimeIsOver)
+{
+  this->Run(RolloutOptions().orderLease);
+  EXPECT_EQ(this->ordered, 0);
+  this->Run(std::chrono::seconds(2));
+  EXPECT_GT(this->ordered, 0);
+}
+
+TEST_F(WeightRolloutTest, LeaderThatLostItsLeaseWaitsAgain)
+{
+  this->Run(std::chrono::seconds(5));
+  const int before = this->ordered;
+  this->Run(kStep, false);
+  this->Run(RolloutOptions().orderLease);
+  EXPECT_EQ(this->ordered, before);
+}
+
+TEST_F(WeightRolloutTest, OrderThatIsCarriedOutLateChangesNothingAnyMore)
+{
+  this->delayOrders = true;
+  this->Run(std::chrono::seconds(6));
+  ASSERT_FALSE(this->late.empty());
+  this->delayOrders = false;
+  this->wished[kModel] = 3;
+  this->Run(std::chrono::seconds(20));
+  EXPECT_EQ(this->CountAt(3), 10U);
+  for (const OrderWeights& order : this->late) {
+    this->Accept(this->Find(order.target), order);
+  }
+  this->Run(std::chrono::seconds(5));
+  EXPECT_EQ(this->CountAt(3), 10U);
+  EXPECT_EQ(this->refused, static_cast<int>(this->late.size()));
+}
+
+TEST_F(WeightRolloutTest, LostOrderIsGivenAgain)
+{
+  this->delayOrders = true;
+  this->Run(std::chrono::seconds(6));
+  this->delayOrders = false;
+  this->Run(std::chrono::seconds(20));
+  EXPECT_EQ(this->CountAt(2), 10U);
+}
+
+TEST_F(WeightRolloutTest, EngineThatIsGoneDoesNotHoldUpTheOthers)
+{
+  this->Run(RolloutOptions().orderLease + std::chrono::seconds(1));
+  this->engines.pop_front();
+  this->Run(std::chrono::seconds(13));
+  EXPECT_EQ(this->CountAt(2), 9U);
+}
+
+} // namespace
+} // namespace damasklink
--- /dev/null
+++ b/test/program/ControlPictureTest.cpp
@@ -0,0 +1,95 @@
+#include "program/ControlPicture.h"
+
+#include <gtest/gtest.h>
+
+namespace damasklink {
+namespace {
+
+constexpr Duration kSilence = std::chrono::seconds(4);
+
+TargetRecord
+Record(const std::string& aId, std::uint64_t aSequence, std::uint16_t aPort = 8080)
+{
+  TargetRecord record;
+  record.id = TargetId(aId);
+  record.service = ServiceName("s");
+  record.sequence = Sequence(aSequence);
+  record.endpoint = Endpoint{ "10.1.0.9", aPort };
+  record.models = { ServedModel{ ModelName("m"), WeightVersion("1"), {} } };
+  return record;
+}
+
+class ControlPictureTest : public ::testing::Test
+{
+protected:
+  ManualClock clock;
+  ControlPicture picture{ this->clock, kSilence };
+};
+
+TEST_F(ControlPictureTest, HeartbeatThatSaysTheSameIsNoChange)
+{
+  this->picture.Hear(Record("t", 1));
+  ASSERT_EQ(this->picture.TakeChanges().size(), 1U);
+  this->picture.Hear(Record("t", 2));
+  EXPECT_TRUE(this->picture.TakeChanges().empty());
+}
+
+TEST_F(ControlPictureTest, SilenceIsAChange)
+{
+  this->picture.Hear(Record("t", 1));
+  this->picture.TakeChanges();
+  this->clock.Advance(kSilence);
+  const auto changes = this->picture.TakeChanges();
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes.front().standing, TargetStanding::Silent);
+}
+
+TEST_F(ControlPictureTest, SignedOffTargetStaysGoneWhateverComesLate)
+{
+  this->picture.Hear(Record("t", 1));
+  this->picture.Depart(TargetId("t"));
+  this->picture.Hear(Record("t", 9));
+  const auto changes = this->picture.TakeChanges();
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes.front().standing, TargetStanding::Leaving);
+}
+
+TEST_F(ControlPictureTest, LaterTargetAtAnAddressTakesItOver)
+{
+  this->picture.Hear(Record("old", 5));
+  this->picture.Hear(Record("new", 1));
+  this->picture.TakeChanges();
+  EXPECT_FALSE(this->picture.Registry().IsUsable(TargetId("old")));
+  EXPECT_TRUE(this->picture.Registry().IsUsable(TargetId("new")));
+}
+
+TEST_F(ControlPictureTest, GhostAtAnAddressGivesItBackWithTheNextHeartbeat)
+{
+  this->picture.Hear(Record("new", 1));
+  this->picture.Hear(Record("old", 5));
+  this->picture.Hear(Record("new", 2));
+  EXPECT_TRUE(this->picture.Registry().IsUsable(TargetId("new")));
+}
+
+TEST_F(ControlPictureTest, OnlyWhatWasHeardDirectlyIsPassedOn)
+{
+  this->picture.Hear(Record("direct", 1, 1));
+  this->picture.HearSecondHand(Record("second", 1, 2));
+  const auto news = this->picture.TakeNews();
+  ASSERT_EQ(news.size(), 1U);
+  EXPECT_EQ(news.front().record.id, TargetId("direct"));
+  EXPECT_TRUE(this->picture.TakeNews().empty());
+}
+
+TEST_F(ControlPictureTest, ReportedWeightsGoBeforeThoseOfOlderHeartbeats)
+{
+  this->picture.Hear(Record("t", 1));
+  this->picture.TakeChanges();
+  this->picture.SetReported({ { { TargetId("t"), ModelName("m") }, 2 } });
+  const auto changes = this->picture.TakeChanges();
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes.front().record.models.front().version, WeightVersion("2"));
+}
+
+} // namespace
+} // namespace damasklink
