--- a/test/support/ScriptedTarget.h
+++ b/test/support/ScriptedTarget.h
@@ -59,6 +59,11 @@
     {
       absl::MutexLock lock(&this->mutex);
       this->stopped = true;
+      // Ends the reads of connections that the other side keeps.
+      for (const std::shared_ptr<TcpSocket>& socket : this->sockets) {
+        IoError ignored;
+        socket->shutdown(TcpSocket::shutdown_both, ignored);
+      }
     }
     // Wakes the thread that accepts.
     TcpSocket wake(this->context);
@@ -109,6 +114,7 @@
       if (this->stopped || error) {
         return;
       }
+      this->sockets.push_back(socket);
       this->connections.emplace_back([this, socket] { this->Serve(*socket); });
     }
   }
@@ -139,6 +145,7 @@
   absl::Mutex mutex;
   bool stopped = false;
   std::deque<std::string> requests;
+  std::deque<std::shared_ptr<TcpSocket>> sockets;
   std::deque<std::thread> connections;
   std::thread thread;
 };
