--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -42,8 +42,8 @@
   // The model, and the newest version of its weights; zero where that is not known.
   ModelName model;
   std::uint64_t weights = 0;
-  // Targets with older weights are no choice any more while one with the newest is.
-  bool newestOnly = false;
+  // Targets with weights older than this are no choice any more while there is another one.
+  std::uint64_t leastWeights = 0;
   // Targets that were tried already.
   std::set<TargetId> excluded;
 };
--- a/src/coordination/TargetPicker.cpp
+++ b/src/coordination/TargetPicker.cpp
@@ -39,13 +39,12 @@
 {
   std::vector<const TargetRecord*> fit;
   std::vector<const TargetRecord*> ejected;
-  const auto hasNewest = [&](const TargetRecord& aTarget) {
-    return WeightsOf(aTarget, aQuestion.model) >= aQuestion.weights;
+  const auto isNewEnough = [&](const TargetRecord& aTarget) {
+    return WeightsOf(aTarget, aQuestion.model) >= aQuestion.leastWeights;
   };
-  const bool newestOnly =
-    aQuestion.newestOnly && std::any_of(aTargets.begin(), aTargets.end(), hasNewest);
+  const bool mayChoose = std::any_of(aTargets.begin(), aTargets.end(), isNewEnough);
   for (const TargetRecord& target : aTargets) {
-    const bool tooOld = newestOnly && !hasNewest(target);
+    const bool tooOld = mayChoose && !isNewEnough(target);
     if (!tooOld && !aQuestion.excluded.contains(target.id)) {
       (this->health.IsOut(target.id) ? ejected : fit).push_back(&target);
     }
--- a/src/program/EntryPicture.cpp
+++ b/src/program/EntryPicture.cpp
@@ -15,7 +15,7 @@
     std::uint64_t& held = this->weights[model];
     if (version > held) {
       held = version;
-      this->weightsHeardAt[model] = this->clock.MonotonicNow();
+      this->weightsHeardAt[model][version] = this->clock.MonotonicNow();
       LogEvent(LogLevel::Info, "weights_named")
         .With("model", model)
         .With("version", version)
@@ -89,12 +89,20 @@
   return found == this->weights.end() ? 0 : found->second;
 }
 
-Duration
-EntryPicture::WeightsNamedFor(const ModelName& aModel) const
+std::uint64_t
+EntryPicture::WeightsKnownFor(const ModelName& aModel, Duration aAge) const
 {
   const auto found = this->weightsHeardAt.find(aModel);
-  return found == this->weightsHeardAt.end() ? Duration::zero()
-                                             : this->clock.MonotonicNow() - found->second;
+  if (found == this->weightsHeardAt.end()) {
+    return 0;
+  }
+  std::uint64_t known = 0;
+  for (const auto& [version, heardAt] : found->second) {
+    if (this->clock.MonotonicNow() - heardAt >= aAge) {
+      known = version;
+    }
+  }
+  return known;
 }
 
 const StoredParts*
--- a/src/program/EntryPicture.h
+++ b/src/program/EntryPicture.h
@@ -39,8 +39,9 @@
   // Returns the version of weights that calls for the model should begin on; 0 when none is named.
   std::uint64_t WeightsOf(const ModelName& aModel) const;
 
-  // Returns how long ago this host heard that version; zero when none is named.
-  Duration WeightsNamedFor(const ModelName& aModel) const;
+  // Returns the newest version that this host has known for so long; 0 for none. A version counts
+  // from when it was named, whatever was named after it.
+  std::uint64_t WeightsKnownFor(const ModelName& aModel, Duration aAge) const;
 
   // Returns what is known of stored parts: the words of the control host that hears most stores.
   // Null when none is connected.
@@ -60,7 +61,8 @@
   std::shared_ptr<const RouteTable> routes;
   TargetBoard targets;
   std::map<ModelName, std::uint64_t> weights;
-  std::map<ModelName, MonotonicTime> weightsHeardAt;
+  // When each version was heard of, by model; a few a day.
+  std::map<ModelName, std::map<std::uint64_t, MonotonicTime>> weightsHeardAt;
   std::map<HostId, std::uint64_t> entryHosts;
   // By connected control host.
   std::map<HostId, StoredParts> stored;
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -208,8 +208,8 @@
   const bool hasPrompt = this->route->carriesPrompt && !this->call.model.Empty();
   if (hasPrompt) {
     this->AskWithWeights(this->NewestWeights());
-    this->question.newestOnly = this->context.picture.WeightsNamedFor(this->call.model) >
-                                this->context.settings.weightsWithin - kLongestQueue;
+    this->question.leastWeights = this->context.picture.WeightsKnownFor(
+      this->call.model, this->context.settings.weightsWithin - kLongestQueue);
   }
   const TargetRecord* chosen = this->context.picker.Choose(
     this->question, this->context.picture.Targets().Usable(this->service));
--- a/test/coordination/TargetPickerTest.cpp
+++ b/test/coordination/TargetPickerTest.cpp
@@ -102,7 +102,7 @@
   this->question.weights = 2;
   this->Load("b", 100);
   EXPECT_NE(this->Choose(), "b");
-  this->question.newestOnly = true;
+  this->question.leastWeights = 2;
   EXPECT_EQ(this->Choose(), "b");
   this->targets[1].models.front().version = WeightVersion("1");
   EXPECT_NE(this->Choose(), "");
--- /dev/null
+++ b/test/program/EntryPictureTest.cpp
@@ -0,0 +1,111 @@
+#include "program/EntryPicture.h"
+
+#include <gtest/gtest.h>
+
+#include "platform/Dialect.h"
+
+namespace damasklink {
+namespace {
+
+const HostId kFirst("control-1");
+const HostId kSecond("control-2");
+const ModelName kModel("m");
+
+Picture
+WithDocument(std::uint64_t aVersion)
+{
+  Picture picture;
+  picture.documentVersion = Revision(aVersion);
+  picture.document = "{\"version\":" + std::to_string(aVersion) + "}";
+  return picture;
+}
+
+class EntryPictureTest : public ::testing::Test
+{
+protected:
+  EntryPictureTest()
+  {
+    this->picture.OnLink(kFirst, true);
+    this->picture.OnLink(kSecond, true);
+  }
+
+  void Name(std::uint64_t aVersion)
+  {
+    Picture told;
+    told.weights[kModel] = aVersion;
+    this->picture.Take(kFirst, told);
+  }
+
+  ManualClock clock;
+  platform::Dialect dialect;
+  EntryPicture picture{ this->clock, this->dialect };
+};
+
+TEST_F(EntryPictureTest, ConfigurationNeverGoesBackWhoeverTellsIt)
+{
+  EXPECT_EQ(this->picture.Routes(), nullptr);
+  this->picture.Take(kFirst, WithDocument(7));
+  this->picture.Take(kSecond, WithDocument(5));
+  EXPECT_EQ(this->picture.Routes()->Config().version, Revision(7));
+  this->picture.Take(kSecond, WithDocument(9));
+  EXPECT_EQ(this->picture.Routes()->Config().version, Revision(9));
+}
+
+TEST_F(EntryPictureTest, UnreadableDocumentLeavesWhatIsInForce)
+{
+  this->picture.Take(kFirst, WithDocument(7));
+  Picture broken = WithDocument(9);
+  broken.document = "{\"version\":";
+  this->picture.Take(kFirst, broken);
+  EXPECT_EQ(this->picture.Routes()->Config().version, Revision(7));
+}
+
+TEST_F(EntryPictureTest, PictureWithoutADocumentChangesNoRoutes)
+{
+  this->picture.Take(kFirst, WithDocument(7));
+  this->picture.Take(kFirst, Picture{});
+  ASSERT_NE(this->picture.Routes(), nullptr);
+}
+
+TEST_F(EntryPictureTest, EachVersionOfWeightsAgesByItself)
+{
+  this->Name(2);
+  this->clock.Advance(std::chrono::seconds(5));
+  this->Name(3);
+  this->clock.Advance(std::chrono::seconds(3));
+  EXPECT_EQ(this->picture.WeightsOf(kModel), 3U);
+  EXPECT_EQ(this->picture.WeightsKnownFor(kModel, std::chrono::seconds(7)), 2U);
+  EXPECT_EQ(this->picture.WeightsKnownFor(kModel, std::chrono::seconds(9)), 0U);
+  this->clock.Advance(std::chrono::seconds(5));
+  EXPECT_EQ(this->picture.WeightsKnownFor(kModel, std::chrono::seconds(7)), 3U);
+}
+
+TEST_F(EntryPictureTest, OlderNameOfWeightsChangesNothing)
+{
+  this->Name(3);
+  this->Name(2);
+  EXPECT_EQ(this->picture.WeightsOf(kModel), 3U);
+}
+
+TEST_F(EntryPictureTest, HostsAreCountedByThoseThatAreConnected)
+{
+  Picture told;
+  told.entryHosts = 9;
+  this->picture.Take(kFirst, told);
+  told.entryHosts = 4;
+  this->picture.Take(kSecond, told);
+  EXPECT_EQ(this->picture.EntryHosts(), 9U);
+  this->picture.OnLink(kFirst, false);
+  EXPECT_EQ(this->picture.EntryHosts(), 4U);
+}
+
+TEST_F(EntryPictureTest, StoredPartsOfALostControlHostAreForgotten)
+{
+  this->picture.OnLink(kSecond, false);
+  EXPECT_NE(this->picture.Stored(), nullptr);
+  this->picture.OnLink(kFirst, false);
+  EXPECT_EQ(this->picture.Stored(), nullptr);
+}
+
+} // namespace
+} // namespace damasklink
