--- a/src/program/ControlCommand.cpp
+++ b/src/program/ControlCommand.cpp
@@ -12,6 +12,7 @@
 
 Options:
   --settings FILE    Settings of this host; without it, the file that the platform names.
+  --metrics PORT     Serve /metrics on this port of the host's address.
 )";
 
 ExitCode
@@ -23,6 +24,7 @@
   if (!settings) {
     return ExitCode::Refused;
   }
+  settings->metrics = MetricsEndpoint(TextOf(aArguments, "--metrics"), *settings);
   const platform::Dialect dialect;
   ControlHost host(
     *settings, dialect, dialect, dialect, [file] { return LoadServingSettings(file); });
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -5,6 +5,7 @@
 
 #include "AgreementModule.h"
 #include "ControlPicture.h"
+#include "MetricsPage.h"
 #include "StoreWatcher.h"
 #include "WeightsDesk.h"
 #include "damasklink/coordination/ServiceLevelWindows.h"
@@ -176,6 +177,7 @@
   WeightsDesk weights;
   std::set<HostId> controlHosts;
   std::set<HostId> entryHosts;
+  MetricsPage metricsPage{ this->loop, this->metrics, this->settings.host };
   asio::signal_set signals;
   asio::steady_timer ticker;
   std::unique_ptr<TcpAcceptor> acceptor;
@@ -251,6 +253,9 @@
   if (!forCalls) {
     return Fail(forCalls.error());
   }
+  if (auto listening = this->metricsPage.Listen(this->settings.metrics); !listening) {
+    return listening;
+  }
   this->acceptor = std::make_unique<TcpAcceptor>(std::move(forCalls.value()));
   this->Accept();
   LogEvent(LogLevel::Info, "control_started")
@@ -411,6 +416,9 @@
     .With("before", before)
     .With("in_force", standing ? standing.value().version : Revision())
     .With("error", standing ? Error{} : standing.error());
+  if (standing) {
+    this->metrics.Add(Counter::ConfigChanges, MetricKey{}, 1);
+  }
   co_return standing ? this->dialect.Acknowledgement()
                      : this->dialect.ControlFailure(standing.error());
 }
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "Exchange.h"
+#include "MetricsPage.h"
 #include "damasklink/coordination/ServiceLevelWindows.h"
 #include "damasklink/protocol/ServingCodec.h"
 #include "damasklink/state/MetricsRegistry.h"
@@ -111,6 +112,7 @@
   StorePace pace;
   PeerMesh mesh;
   EntryContext context;
+  MetricsPage metricsPage{ this->loop, this->metrics, this->settings.host };
   asio::signal_set signals;
   asio::steady_timer housekeeping;
   asio::steady_timer sharing;
@@ -153,6 +155,9 @@
   if (!forProbes) {
     return Fail(forProbes.error());
   }
+  if (auto listening = this->metricsPage.Listen(this->settings.metrics); !listening) {
+    return listening;
+  }
   this->callers = std::make_unique<TcpAcceptor>(std::move(forCallers.value()));
   this->probes = std::make_unique<TcpAcceptor>(std::move(forProbes.value()));
   this->Accept(*this->callers, true);
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -187,6 +187,12 @@
     this->lastEnd = co_await this->Attempt(target);
     step = this->plan->After(
       this->lastEnd, this->context.clock.MonotonicNow(), this->context.retries.Of(this->service));
+    if (step == ExchangeStep::TryAnother) {
+      this->context.metrics.Add(
+        Counter::Retries,
+        MetricKey{ WorkspaceId(), std::string(AttemptEndName(this->lastEnd)) },
+        1);
+    }
     if (this->lastEnd != AttemptEnd::Delivered) {
       LogEvent(LogLevel::Info, "attempt_ended")
         .With("request", this->call.request)
@@ -628,11 +634,28 @@
   return this->plan->Terms().endsAt - this->context.clock.MonotonicNow();
 }
 
+// Counts the end of the call by its route, a refusal or failure by its status.
+void
+Exchange::Count(int aStatus, Duration aTook) const
+{
+  const std::string name = this->route == nullptr ? "none" : this->route->name;
+  Metrics& metrics = this->context.metrics;
+  metrics.Add(Counter::Requests, MetricKey{ WorkspaceId(), name }, 1);
+  metrics.Observe(Sample::WholeRequest, MetricKey{ WorkspaceId(), name }, aTook);
+  if (aStatus == 503) {
+    const char* cause = this->overloaded ? "overloaded" : "no_target";
+    metrics.Add(Counter::Refusals, MetricKey{ WorkspaceId(), cause }, 1);
+  } else if (aStatus >= 400 || aStatus == 0) {
+    metrics.Add(Counter::Failures, MetricKey{ WorkspaceId(), std::to_string(aStatus) }, 1);
+  }
+}
+
 void
 Exchange::LogEnd(std::string_view aOutcome, int aStatus) const
 {
   const bool good = aStatus >= 200 && aStatus < 300;
   const Duration took = this->context.clock.MonotonicNow() - this->arrived;
+  this->Count(aStatus, took);
   LogEvent(good ? LogLevel::Debug : LogLevel::Info, "request_ended")
     .With("overloaded", this->overloaded)
     .With("request", this->call.request)
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -89,6 +89,7 @@
   int Priority() const;
   bool IsExpectedInTime(const TargetRecord& aTarget) const;
   HealthSign SignOf(AttemptEnd aEnd) const;
+  void Count(int aStatus, Duration aTook) const;
   void LogEnd(std::string_view aOutcome, int aStatus) const;
 
   EntryContext& context;
--- /dev/null
+++ b/src/program/MetricsPage.cpp
@@ -0,0 +1,59 @@
+#include "MetricsPage.h"
+
+#include "damasklink/protocol/MetricsText.h"
+
+namespace damasklink {
+
+Result<void>
+MetricsPage::Listen(const Endpoint& aEndpoint)
+{
+  if (aEndpoint.port == 0) {
+    return Success();
+  }
+  auto opened = ListenOn(this->loop, aEndpoint);
+  if (!opened) {
+    return Fail(opened.error());
+  }
+  this->acceptor = std::make_unique<TcpAcceptor>(std::move(opened.value()));
+  this->Accept();
+  return Success();
+}
+
+void
+MetricsPage::Accept()
+{
+  this->acceptor->async_accept([this](const IoError& aError, TcpSocket aSocket) {
+    if (aError == asio::error::operation_aborted) {
+      return;
+    }
+    if (!aError) {
+      auto channel = std::make_shared<CallerChannel>(std::move(aSocket));
+      asio::co_spawn(this->loop, this->Serve(channel), asio::detached);
+    }
+    this->Accept();
+  });
+}
+
+Awaitable<void>
+MetricsPage::Serve(std::shared_ptr<CallerChannel> aChannel)
+{
+  while (true) {
+    auto request = co_await aChannel->Read(CallerLimits());
+    if (!request) {
+      break;
+    }
+    HttpAnswerMessage answer;
+    answer.head.status = 404;
+    if (PathOf(request.value().head.target) == "/metrics") {
+      answer.head.status = 200;
+      answer.head.fields.Add("Content-Type", "text/plain; version=0.0.4");
+      answer.body = FormatMetrics(this->registry.Snapshot(), this->host);
+    }
+    if (!co_await aChannel->WriteWhole(std::move(answer), false)) {
+      break;
+    }
+  }
+  aChannel->Close();
+}
+
+} // namespace damasklink
--- a/src/program/ServingSetup.cpp
+++ b/src/program/ServingSetup.cpp
@@ -1,5 +1,6 @@
 #include "ServingSetup.h"
 
+#include "damasklink/state/Text.h"
 #include "damasklink/transport/Log.h"
 #include "platform/Settings.h"
 
@@ -21,6 +22,20 @@
   return parsed.Ok() ? std::optional(std::move(parsed.value)) : std::nullopt;
 }
 
+Endpoint
+MetricsEndpoint(const std::string& aPort, const ServingSettings& aSettings)
+{
+  Endpoint endpoint{ aSettings.host.Value(), 0 };
+  if (aPort.empty()) {
+    return endpoint;
+  }
+  auto parsed = ParseEndpoint(Concat(aSettings.host.Value(), ":", aPort));
+  if (!parsed) {
+    throw WrongUseError(Concat("--metrics '", aPort, "' is no port"));
+  }
+  return parsed.value();
+}
+
 ExitCode
 EndOfServing(const Result<void>& aEnd)
 {
--- a/src/program/ServingSetup.h
+++ b/src/program/ServingSetup.h
@@ -18,6 +18,11 @@
 std::optional<ServingSettings>
 LoadServingSettings(const std::string& aFile);
 
+// Returns where metrics are served; port 0 when none was named. Throws WrongUseError for a port
+// that is none.
+Endpoint
+MetricsEndpoint(const std::string& aPort, const ServingSettings& aSettings);
+
 // Logs why a run failed, and returns the exit code.
 ExitCode
 EndOfServing(const Result<void>& aEnd);
