--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -47,6 +47,12 @@
                       std::nullopt };
 }
 
+std::int64_t
+WholeMilliseconds(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
+}
+
 // Events pass on one by one only where the target's bytes are events as they are.
 bool
 IsEventStream(const HttpAnswerHead& aHead)
@@ -240,7 +246,18 @@
   const double patience = this->Priority() == 0   ? kUrgentPatience
                           : this->Priority() == 1 ? kUsualPatience
                                                   : kLowPatience;
-  return expected <= this->route->latencyObjective * patience;
+  if (expected <= this->route->latencyObjective * patience) {
+    return true;
+  }
+  LogEvent(LogLevel::Info, "refused_as_overloaded")
+    .With("request", this->call.request)
+    .With("best_target", aTarget.id)
+    .With("expected_ms", WholeMilliseconds(expected))
+    .With("objective_ms", WholeMilliseconds(this->route->latencyObjective))
+    .With("patience", patience)
+    .With("to_read", this->context.picker.ToRead(this->question, aTarget.id))
+    .With("weights", this->weights);
+  return false;
 }
 
 int
@@ -534,6 +551,18 @@
     this->context.clock.MonotonicNow() - this->sentAt;
   const auto read = static_cast<double>(this->work.toRead.Value()) * PickCosts().perToken;
   this->context.pace.Note(this->fetchedFrom, took.count() - read);
+  const Duration sinceArrival = this->context.clock.MonotonicNow() - this->arrived;
+  if (sinceArrival > this->route->latencyObjective) {
+    LogEvent(LogLevel::Info, "first_event_late")
+      .With("request", this->call.request)
+      .With("target", aTarget.id)
+      .With("since_arrival_ms", WholeMilliseconds(sinceArrival))
+      .With("since_send_ms", took.count())
+      .With("to_read", this->work.toRead)
+      .With("fetched_from", this->fetchedFrom)
+      .With("slow_stores", this->avoided.size())
+      .With("sends", this->plan->Sent());
+  }
   this->context.picker.OnFirstEvent(aTarget.id, this->work);
 }
 
@@ -665,7 +694,7 @@
     .With("status", aStatus)
     .With("sends", this->plan ? this->plan->Sent() : 0)
     .With("last_end", AttemptEndName(this->lastEnd))
-    .With("took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(took).count());
+    .With("took_ms", WholeMilliseconds(took));
 }
 
 } // namespace damasklink
