--- a/include/damasklink/coordination/PromptParts.h
+++ b/include/damasklink/coordination/PromptParts.h
@@ -1,6 +1,8 @@
 // Names of the parts of prompts that targets and stores cache.
 #pragma once
 
+#include <optional>
+#include <string>
 #include <string_view>
 
 #include "damasklink/state/Ids.h"
@@ -10,6 +12,34 @@
 // Names a part under one scope (workspace wall, model, weights): equal keys, equal cache.
 using PartKey = NumberId<struct PartKeyTag>;
 
+// What keeps the cached parts of a prompt apart.
+struct ScopeFacts
+{
+  ModelName model;
+  std::uint64_t weights = 0;
+  // Set for an isolated workspace only.
+  WorkspaceId wall;
+
+  bool operator==(const ScopeFacts&) const = default;
+};
+
+// Returns the text of a scope, as targets and stores are told it.
+std::string
+FormatScope(const ScopeFacts& aFacts);
+
+// Returns what a scope's text says, nothing for a text that FormatScope() did not make.
+std::optional<ScopeFacts>
+ParseScope(std::string_view aText);
+
+// A part as a store lists it.
+struct PartName
+{
+  std::string scope;
+  std::string id;
+
+  bool operator==(const PartName&) const = default;
+};
+
 // Returns the key of a part; the same in all builds.
 PartKey
 MakePartKey(std::string_view aScope, std::string_view aPart);
--- a/include/damasklink/coordination/StoreFeed.h
+++ b/include/damasklink/coordination/StoreFeed.h
@@ -23,8 +23,11 @@
 // One change, or one entry of a list. A part is named only once it is whole.
 struct StoredPartEvent
 {
-  SizedPart part;
+  PartName name;
+  TokenCount tokens;
   bool added = true;
+
+  bool operator==(const StoredPartEvent&) const = default;
 };
 
 struct StoreEvents
@@ -42,7 +45,8 @@
 {
   StoreEpoch epoch;
   Sequence next;
-  std::vector<SizedPart> parts;
+  // Parts that are whole.
+  std::vector<StoredPartEvent> parts;
 };
 
 class StoreFeed
@@ -70,12 +74,18 @@
   // Returns the whole of what is known.
   StoreStatement All() const;
 
+  // Returns the parts that were made by weights older than those given, by model, at most aMost.
+  std::vector<PartName> MadeBefore(const std::map<ModelName, std::uint64_t>& aWeights,
+                                   std::size_t aMost) const;
+
+  StoreEpoch Epoch() const { return this->epoch; }
+
 private:
   Endpoint store;
   bool live = false;
   StoreEpoch epoch;
   Sequence next;
-  std::map<PartKey, TokenCount> parts;
+  std::map<PartKey, StoredPartEvent> parts;
   // What the next TakeChanges() returns.
   StoreStatement changes;
   bool changed = false;
--- a/include/damasklink/protocol/ServingDialect.h
+++ b/include/damasklink/protocol/ServingDialect.h
@@ -195,6 +195,11 @@
   // Asks for all that is held.
   virtual HttpRequestHead ListQuestion(const Endpoint& aStore) const = 0;
   virtual Result<StoreList> ReadList(std::string_view aBody) const = 0;
+
+  // Orders the store, should it be in that epoch still, to drop the parts at once.
+  virtual HttpRequestMessage FreeMessage(const Endpoint& aStore,
+                                         StoreEpoch aEpoch,
+                                         const std::vector<PartName>& aParts) const = 0;
 };
 
 } // namespace damasklink
--- a/include/damasklink/state/Units.h
+++ b/include/damasklink/state/Units.h
@@ -29,4 +29,11 @@
 std::string
 FormatDuration(Duration aDuration);
 
+// Returns the duration for people and logs, cut to whole milliseconds.
+inline std::int64_t
+WholeMilliseconds(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
+}
+
 } // namespace damasklink
--- a/src/coordination/PromptParts.cpp
+++ b/src/coordination/PromptParts.cpp
@@ -1,5 +1,6 @@
 #include "damasklink/coordination/PromptParts.h"
 
+#include <charconv>
 #include <cstring>
 
 #include "damasklink/state/Digests.h"
@@ -7,6 +8,32 @@
 
 namespace damasklink {
 
+std::string
+FormatScope(const ScopeFacts& aFacts)
+{
+  return Concat(aFacts.model.Value(), "/", aFacts.weights, "/", aFacts.wall.Value());
+}
+
+std::optional<ScopeFacts>
+ParseScope(std::string_view aText)
+{
+  // Neither versions nor the names of workspaces hold a slash; a model's name may.
+  const std::size_t last = aText.rfind('/');
+  const std::size_t middle =
+    last == std::string_view::npos || last == 0 ? last : aText.rfind('/', last - 1);
+  if (last == std::string_view::npos || middle == std::string_view::npos) {
+    return std::nullopt;
+  }
+  ScopeFacts facts;
+  facts.model = ModelName(std::string(aText.substr(0, middle)));
+  facts.wall = WorkspaceId(std::string(aText.substr(last + 1)));
+  const std::string_view version = aText.substr(middle + 1, last - middle - 1);
+  const char* end = version.data() + version.size();
+  const auto [stop, error] = std::from_chars(version.data(), end, facts.weights);
+  const bool read = error == std::errc() && stop == end;
+  return read ? std::optional(facts) : std::nullopt;
+}
+
 PartKey
 MakePartKey(std::string_view aScope, std::string_view aPart)
 {
--- a/src/coordination/StoreFeed.cpp
+++ b/src/coordination/StoreFeed.cpp
@@ -3,6 +3,15 @@
 #include <utility>
 
 namespace damasklink {
+namespace {
+
+PartKey
+KeyOf(const StoredPartEvent& aPart)
+{
+  return MakePartKey(aPart.name.scope, aPart.name.id);
+}
+
+} // namespace
 
 void
 StoreFeed::TakeEvents(const StoreEvents& aEvents)
@@ -13,15 +22,15 @@
   }
   this->next = aEvents.next;
   for (const StoredPartEvent& event : aEvents.events) {
+    const PartKey key = KeyOf(event);
     if (event.added) {
-      this->parts[event.part.key] = event.part.tokens;
-      this->changes.added.push_back(event.part);
+      this->parts[key] = event;
+      this->changes.added.push_back(SizedPart{ key, event.tokens });
     } else {
-      this->parts.erase(event.part.key);
-      this->changes.removed.push_back(event.part.key);
+      this->parts.erase(key);
+      this->changes.removed.push_back(key);
       // What left and came back within one batch must be stated in that order.
-      std::erase_if(this->changes.added,
-                    [&](const SizedPart& aPart) { return aPart.key == event.part.key; });
+      std::erase_if(this->changes.added, [&](const SizedPart& aPart) { return aPart.key == key; });
     }
     this->changed = true;
   }
@@ -31,9 +40,9 @@
 StoreFeed::TakeList(const StoreList& aList)
 {
   const bool sameLife = this->live && aList.epoch == this->epoch;
-  std::map<PartKey, TokenCount> listed;
-  for (const SizedPart& part : aList.parts) {
-    listed[part.key] = part.tokens;
+  std::map<PartKey, StoredPartEvent> listed;
+  for (const StoredPartEvent& part : aList.parts) {
+    listed[KeyOf(part)] = part;
   }
   const bool news = !sameLife || listed != this->parts;
   this->live = true;
@@ -77,10 +86,24 @@
   all.store = this->store;
   all.live = this->live;
   all.whole = true;
-  for (const auto& [key, tokens] : this->parts) {
-    all.added.push_back(SizedPart{ key, tokens });
+  for (const auto& [key, part] : this->parts) {
+    all.added.push_back(SizedPart{ key, part.tokens });
   }
   return all;
 }
 
+std::vector<PartName>
+StoreFeed::MadeBefore(const std::map<ModelName, std::uint64_t>& aWeights, std::size_t aMost) const
+{
+  std::vector<PartName> old;
+  for (const auto& [key, part] : this->parts) {
+    const std::optional<ScopeFacts> facts = ParseScope(part.name.scope);
+    const auto least = facts ? aWeights.find(facts->model) : aWeights.end();
+    if (old.size() < aMost && least != aWeights.end() && facts->weights < least->second) {
+      old.push_back(part.name);
+    }
+  }
+  return old;
+}
+
 } // namespace damasklink
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -10,6 +10,7 @@
 #include "WeightsDesk.h"
 #include "damasklink/coordination/ServiceLevelWindows.h"
 #include "damasklink/coordination/ServingMachine.h"
+#include "damasklink/coordination/SettledWeights.h"
 #include "damasklink/protocol/ServingCodec.h"
 #include "damasklink/state/MetricsRegistry.h"
 #include "damasklink/transport/CallerChannel.h"
@@ -56,6 +57,11 @@
 // that starts again at once would only fail again.
 constexpr Duration kFailurePause = std::chrono::milliseconds(1500);
 
+// From the moment at which the last engine has newer weights until what older ones made is freed:
+// a transfer waits two seconds at most, and an engine says what it has some hundred milliseconds
+// late.
+constexpr Duration kSettling = std::chrono::seconds(4);
+
 // For the handover of leadership to reach the successor before the process ends.
 constexpr Duration kHandoverTime = std::chrono::milliseconds(400);
 
@@ -136,6 +142,7 @@
   RolloutOptions Options() const;
   OrderAuthority Authority() const;
   void StepWeights();
+  void FreeOldParts();
   void Accept();
   Awaitable<void> ServeChannel(std::shared_ptr<CallerChannel> aChannel);
   Awaitable<HttpAnswerMessage> Handle(const HttpRequestMessage& aRequest);
@@ -175,6 +182,7 @@
   ControlPicture picture;
   StoreWatcher stores;
   WeightsDesk weights;
+  SettledWeights settled{ this->clock, kSettling };
   std::set<HostId> controlHosts;
   std::set<HostId> entryHosts;
   MetricsPage metricsPage{ this->loop, this->metrics, this->settings.host };
@@ -226,6 +234,24 @@
                          FencingNumber(replica->Core().CurrentTerm().Value()) };
 }
 
+// Parts that older weights made fill the stores and are of no use to anybody.
+void
+ControlHost::Impl::FreeOldParts()
+{
+  std::vector<TargetRecord> engines;
+  for (const TargetStatement& statement : this->picture.All()) {
+    const bool counts =
+      statement.record.kind == TargetKind::Engine && statement.standing != TargetStanding::Leaving;
+    if (counts) {
+      engines.push_back(statement.record);
+    }
+  }
+  this->settled.Note(engines);
+  if (this->Authority().leaseHeld) {
+    this->stores.FreeMadeBefore(this->settled.Least());
+  }
+}
+
 void
 ControlHost::Impl::StepWeights()
 {
@@ -236,6 +262,7 @@
     }
   }
   this->weights.Step(this->machine.Weights(), engines);
+  this->FreeOldParts();
   this->picture.SetPaused(this->weights.Rollout().Paused());
   this->picture.SetReported(this->weights.Rollout().Reported());
 }
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -5,6 +5,7 @@
 
 #include "damasklink/state/Digests.h"
 #include "damasklink/state/Text.h"
+#include "damasklink/state/Units.h"
 #include "damasklink/transport/Log.h"
 
 namespace damasklink {
@@ -23,19 +24,9 @@
 // When all targets are full: queues as long as that empty in about a second.
 constexpr Duration kComeBackToFull = std::chrono::seconds(1);
 
-// How many times its latency objective a call may be expected to wait, by priority. Callers leave
-// after four times theirs, or two seconds.
-constexpr double kUrgentPatience = 1.4;
-constexpr double kUsualPatience = 1.1;
-constexpr double kLowPatience = 0.85;
-
 // Before the first configuration: control hosts answer within a second or two of their start.
 constexpr Duration kNoConfigurationYet = std::chrono::milliseconds(500);
 
-// How long a call may wait at an engine before it begins. Calls that could begin on older weights
-// after the time for new ones is over are not sent to engines with older ones any more.
-constexpr Duration kLongestQueue = std::chrono::milliseconds(3000);
-
 // Foreign answers that are skipped on one channel before it is given up.
 constexpr int kMostForeignAnswers = 3;
 
@@ -47,12 +38,6 @@
                       std::nullopt };
 }
 
-std::int64_t
-WholeMilliseconds(Duration aDuration)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
-}
-
 // Events pass on one by one only where the target's bytes are events as they are.
 bool
 IsEventStream(const HttpAnswerHead& aHead)
@@ -127,57 +112,6 @@
   return std::nullopt;
 }
 
-// Names the parts of the prompt as targets with this version of weights cache them. Parts made by
-// another version, or behind another workspace's wall, have other names.
-void
-Exchange::AskWithWeights(std::uint64_t aWeights)
-{
-  this->weights = aWeights;
-  this->question.model = this->call.model;
-  this->question.weights = aWeights;
-  this->question.promptTokens = this->call.promptTokens;
-  const ServingService* service = this->routes->Config().FindService(this->service);
-  if (service != nullptr && service->engine) {
-    this->question.cacheTokens = service->engine->cacheTokens;
-  }
-  this->question.parts.clear();
-  this->question.stored.clear();
-  const bool walled = this->workspace != nullptr && this->workspace->isolated;
-  const std::string wall = walled ? this->workspace->name.Value() : "";
-  this->scope = CacheScope(Concat(this->call.model.Value(), "/", aWeights, "/", wall));
-  // The last part belongs to this call alone: nobody else could use it.
-  for (std::size_t index = 0; index + 1 < this->call.parts.size(); ++index) {
-    const PromptPart& part = this->call.parts[index];
-    const PartKey key = MakePartKey(this->scope.Value(), part.id.Value());
-    this->question.parts.push_back(SizedPart{ key, part.tokens });
-  }
-  const StoredParts* stored = this->context.picture.Stored();
-  if (stored == nullptr) {
-    return;
-  }
-  this->avoided.clear();
-  for (const std::string& store : stored->Names()) {
-    if (!this->context.pace.MayFetch(store)) {
-      this->avoided.insert(store);
-    }
-  }
-  for (const SizedPart& part : this->question.parts) {
-    const PromptStore* from = stored->Find(part, this->question.zone, this->avoided);
-    this->question.stored.push_back(from != nullptr);
-  }
-}
-
-// Returns the newest version that was named or that a target has, 0 where none is known.
-std::uint64_t
-Exchange::NewestWeights() const
-{
-  std::uint64_t newest = this->context.picture.WeightsOf(this->call.model);
-  for (const TargetRecord& target : this->context.picture.Targets().Usable(this->service)) {
-    newest = std::max(newest, WeightsOf(target, this->call.model));
-  }
-  return newest;
-}
-
 Awaitable<bool>
 Exchange::Relay()
 {
@@ -214,61 +148,6 @@
   co_return co_await this->Finish(step);
 }
 
-const TargetRecord*
-Exchange::ChooseTarget()
-{
-  const bool hasPrompt = this->route->carriesPrompt && !this->call.model.Empty();
-  if (hasPrompt) {
-    this->AskWithWeights(this->NewestWeights());
-    this->question.leastWeights = this->context.picture.WeightsKnownFor(
-      this->call.model, this->context.settings.weightsWithin - kLongestQueue);
-  }
-  const TargetRecord* chosen = this->context.picker.Choose(
-    this->question, this->context.picture.Targets().Usable(this->service));
-  if (hasPrompt && chosen != nullptr) {
-    const std::uint64_t has = WeightsOf(*chosen, this->call.model);
-    if (has != this->weights) {
-      this->AskWithWeights(has);
-    }
-    this->overloaded = !this->IsExpectedInTime(*chosen);
-    return this->overloaded ? nullptr : chosen;
-  }
-  return chosen;
-}
-
-// A call that would wait for several times its latency objective is refused at once: its caller
-// would leave before the first event, and what the target had read for it would be lost. The more
-// urgent a call is, the longer it may wait: targets take it ahead of the others.
-bool
-Exchange::IsExpectedInTime(const TargetRecord& aTarget) const
-{
-  const Duration expected = this->context.picker.ExpectedFirstEvent(this->question, aTarget.id);
-  const double patience = this->Priority() == 0   ? kUrgentPatience
-                          : this->Priority() == 1 ? kUsualPatience
-                                                  : kLowPatience;
-  if (expected <= this->route->latencyObjective * patience) {
-    return true;
-  }
-  LogEvent(LogLevel::Info, "refused_as_overloaded")
-    .With("request", this->call.request)
-    .With("best_target", aTarget.id)
-    .With("expected_ms", WholeMilliseconds(expected))
-    .With("objective_ms", WholeMilliseconds(this->route->latencyObjective))
-    .With("patience", patience)
-    .With("to_read", this->context.picker.ToRead(this->question, aTarget.id))
-    .With("weights", this->weights);
-  return false;
-}
-
-int
-Exchange::Priority() const
-{
-  if (this->workspace == nullptr) {
-    return this->route->priority;
-  }
-  return this->workspace->priority.value_or(this->route->priority);
-}
-
 Awaitable<AttemptEnd>
 Exchange::Attempt(const TargetRecord& aTarget)
 {
@@ -540,95 +419,6 @@
   co_return written && !close;
 }
 
-// Tells what the first event took beyond reading what the target was to read, for StorePace.
-void
-Exchange::NoteFirstEvent(const TargetRecord& aTarget)
-{
-  if (this->work.answering || this->question.promptTokens == TokenCount()) {
-    return;
-  }
-  const std::chrono::duration<double, std::milli> took =
-    this->context.clock.MonotonicNow() - this->sentAt;
-  const auto read = static_cast<double>(this->work.toRead.Value()) * PickCosts().perToken;
-  this->context.pace.Note(this->fetchedFrom, took.count() - read);
-  const Duration sinceArrival = this->context.clock.MonotonicNow() - this->arrived;
-  if (sinceArrival > this->route->latencyObjective) {
-    LogEvent(LogLevel::Info, "first_event_late")
-      .With("request", this->call.request)
-      .With("target", aTarget.id)
-      .With("since_arrival_ms", WholeMilliseconds(sinceArrival))
-      .With("since_send_ms", took.count())
-      .With("to_read", this->work.toRead)
-      .With("fetched_from", this->fetchedFrom)
-      .With("slow_stores", this->avoided.size())
-      .With("sends", this->plan->Sent());
-  }
-  this->context.picker.OnFirstEvent(aTarget.id, this->work);
-}
-
-TargetCall
-Exchange::CallFor(const TargetRecord& aTarget)
-{
-  TargetCall call;
-  call.target = aTarget.id;
-  call.timeLeft = this->TimeLeft();
-  call.priority = this->Priority();
-  if (this->workspace != nullptr) {
-    call.workspace = this->workspace->name;
-  }
-  call.lastEvent = this->framer.LastEvent() ? this->framer.LastEvent() : this->call.lastEvent;
-  if (this->route->carriesPrompt && !this->scope.Empty()) {
-    call.scope = this->scope;
-    if (this->weights > 0) {
-      call.weights = this->weights;
-    }
-    this->AddPartMoves(aTarget, call);
-  }
-  return call;
-}
-
-// Lets the target fetch the leading parts, should it lack them, from a store, or from a target that
-// is believed to hold them where no store is fit, and save those that are stored nowhere.
-void
-Exchange::AddPartMoves(const TargetRecord& aTarget, TargetCall& aTo)
-{
-  this->fetchedFrom.clear();
-  const StoredParts* stored = this->context.picture.Stored();
-  if (stored == nullptr || this->question.parts.empty()) {
-    return;
-  }
-  aTo.fetches.resize(this->call.parts.size());
-  aTo.saves.resize(this->call.parts.size());
-  bool leading = true;
-  TokenCount most;
-  for (std::size_t index = 0; index < this->question.parts.size(); ++index) {
-    const SizedPart& part = this->question.parts[index];
-    const PromptStore* from = stored->Find(part, aTarget.zone, this->avoided);
-    if (from != nullptr) {
-      if (leading) {
-        aTo.fetches[index].peer = from->traits.endpoint;
-        if (part.tokens > most) {
-          most = part.tokens;
-          this->fetchedFrom = from->name;
-        }
-      }
-      continue;
-    }
-    if (leading) {
-      const TargetRecord* holder = this->context.picker.HolderOf(
-        part, this->context.picture.Targets().Usable(this->service), aTarget);
-      leading = holder != nullptr;
-      if (holder != nullptr) {
-        aTo.fetches[index].peer = holder->endpoint;
-      }
-    }
-    const PromptStore* home = stored->HomeOf(part);
-    if (home != nullptr && !this->avoided.contains(home->name)) {
-      aTo.saves[index].peer = home->traits.endpoint;
-    }
-  }
-}
-
 void
 Exchange::OnInterrupt(Interrupt aReason)
 {
--- a/src/program/StoreWatcher.cpp
+++ b/src/program/StoreWatcher.cpp
@@ -23,6 +23,12 @@
 // Between two lists of a store that answers: how long a part whose event was lost stays unknown.
 constexpr Duration kListInterval = std::chrono::seconds(5);
 
+// Parts in one order to free; an order of some ten thousand bytes.
+constexpr std::size_t kMostFreedAtOnce = 400;
+constexpr Duration kFreePatience = std::chrono::seconds(1);
+// Between two orders to one store: for the events of the first to arrive.
+constexpr Duration kFreePause = std::chrono::milliseconds(500);
+
 constexpr std::size_t kMostAnswerBytes = std::size_t{ 8 } * 1024 * 1024;
 
 } // namespace
@@ -40,6 +46,8 @@
   std::unique_ptr<TargetChannel> channel;
   MonotonicTime nextList;
   bool reachable = true;
+  // An order to free parts is out.
+  bool freeing = false;
   bool followed = true;
 };
 
@@ -90,6 +98,45 @@
   return all;
 }
 
+void
+StoreWatcher::FreeMadeBefore(const std::map<ModelName, std::uint64_t>& aWeights)
+{
+  for (const auto& [address, store] : this->stores) {
+    if (store->freeing || store->feed.NeedsList()) {
+      continue;
+    }
+    std::vector<PartName> old = store->feed.MadeBefore(aWeights, kMostFreedAtOnce);
+    if (!old.empty()) {
+      store->freeing = true;
+      asio::co_spawn(this->loop, this->Free(store, std::move(old)), asio::detached);
+    }
+  }
+}
+
+Awaitable<void>
+StoreWatcher::Free(std::shared_ptr<Watched> aStore, std::vector<PartName> aParts)
+{
+  const HttpRequestMessage order =
+    this->dialect.FreeMessage(aStore->endpoint, aStore->feed.Epoch(), aParts);
+  TargetChannel channel(this->loop.get_executor(), this->clock);
+  Watchdog watchdog(this->loop.get_executor(), [&channel] { channel.Close(); });
+  watchdog.Arm(kFreePatience);
+  int status = 0;
+  if (auto connected = co_await channel.Connect(aStore->endpoint, kAnswerPatience); connected) {
+    auto sent = co_await channel.Send(order.head, order.body);
+    auto head = co_await channel.ReadHead();
+    status = sent && head ? head.value().status : 0;
+  }
+  LogEvent(LogLevel::Info, "parts_freed")
+    .With("store", FormatEndpoint(aStore->endpoint))
+    .With("parts", aParts.size())
+    .With("status", status);
+  // What is gone shows in the events; whatever is not will be ordered again.
+  asio::steady_timer pause(this->loop, kFreePause);
+  co_await pause.async_wait(kAsValue);
+  aStore->freeing = false;
+}
+
 Awaitable<void>
 StoreWatcher::Watch(std::shared_ptr<Watched> aStore)
 {
--- a/src/program/StoreWatcher.h
+++ b/src/program/StoreWatcher.h
@@ -35,9 +35,15 @@
   // Returns the whole of what is known.
   std::vector<StoreStatement> All() const;
 
+  // Orders the stores to drop parts that were made by weights older than these. Requires that
+  // nobody can be reading them (SettledWeights.h).
+  void FreeMadeBefore(const std::map<ModelName, std::uint64_t>& aWeights);
+
 private:
   struct Watched;
 
+  Awaitable<void> Free(std::shared_ptr<Watched> aStore, std::vector<PartName> aParts);
+
   Awaitable<void> Watch(std::shared_ptr<Watched> aStore);
   Awaitable<bool> AskOnce(Watched& aStore);
   Awaitable<Result<std::string>> Ask(Watched& aStore, HttpRequestHead aQuestion);
--- a/test/coordination/StoreFeedTest.cpp
+++ b/test/coordination/StoreFeedTest.cpp
@@ -1,20 +1,37 @@
 #include "damasklink/coordination/StoreFeed.h"
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 namespace damasklink {
 namespace {
 
-SizedPart
-Part(std::uint64_t aKey)
+StoredPartEvent
+Part(std::uint64_t aNumber, bool aAdded = true)
 {
-  return SizedPart{ PartKey(aKey), TokenCount(100) };
+  StoredPartEvent part;
+  part.name = PartName{ "m/" + std::to_string(aNumber) + "/", "p" };
+  part.tokens = TokenCount(100);
+  part.added = aAdded;
+  return part;
+}
+
+PartKey
+Key(std::uint64_t aNumber)
+{
+  return MakePartKey(Part(aNumber).name.scope, "p");
+}
+
+std::vector<SizedPart>
+Stated(std::uint64_t aNumber)
+{
+  return { SizedPart{ Key(aNumber), TokenCount(100) } };
 }
 
 class StoreFeedTest : public ::testing::Test
 {
 protected:
-  void List(std::uint64_t aEpoch, std::uint64_t aNext, std::vector<SizedPart> aParts)
+  void List(std::uint64_t aEpoch, std::uint64_t aNext, std::vector<StoredPartEvent> aParts)
   {
     this->feed.TakeList(StoreList{ StoreEpoch(aEpoch), Sequence(aNext), std::move(aParts) });
   }
@@ -36,7 +53,7 @@
   ASSERT_TRUE(stated);
   EXPECT_TRUE(stated->live);
   EXPECT_TRUE(stated->whole);
-  EXPECT_EQ(stated->added, std::vector<SizedPart>{ Part(1) });
+  EXPECT_EQ(stated->added, Stated(1));
   EXPECT_FALSE(this->feed.TakeChanges());
   this->List(1, 5, { Part(1) });
   EXPECT_FALSE(this->feed.TakeChanges());
@@ -46,12 +63,12 @@
 {
   this->List(1, 5, { Part(1) });
   this->feed.TakeChanges();
-  this->Events(1, 7, { { Part(2), true }, { Part(1), false } });
+  this->Events(1, 7, { Part(2), Part(1, false) });
   const auto stated = this->feed.TakeChanges();
   ASSERT_TRUE(stated);
   EXPECT_FALSE(stated->whole);
-  EXPECT_EQ(stated->added, std::vector<SizedPart>{ Part(2) });
-  EXPECT_EQ(stated->removed, std::vector<PartKey>{ PartKey(1) });
+  EXPECT_EQ(stated->added, Stated(2));
+  EXPECT_EQ(stated->removed, std::vector<PartKey>{ Key(1) });
   EXPECT_EQ(this->feed.Next(), Sequence(7));
 }
 
@@ -78,11 +95,20 @@
 {
   this->List(1, 5, { Part(1) });
   this->feed.TakeChanges();
-  this->Events(1, 8, { { Part(1), false }, { Part(1), true } });
+  this->Events(1, 8, { Part(1, false), Part(1) });
   const auto stated = this->feed.TakeChanges();
   ASSERT_TRUE(stated);
-  EXPECT_EQ(stated->added, std::vector<SizedPart>{ Part(1) });
-  EXPECT_EQ(this->feed.All().added, std::vector<SizedPart>{ Part(1) });
+  EXPECT_EQ(stated->added, Stated(1));
+  EXPECT_EQ(this->feed.All().added, Stated(1));
+}
+
+TEST_F(StoreFeedTest, PartsOfOlderWeightsAreNamed)
+{
+  this->List(1, 5, { Part(1), Part(2), Part(3) });
+  const auto old = this->feed.MadeBefore({ { ModelName("m"), 3 } }, 10);
+  EXPECT_THAT(old, ::testing::UnorderedElementsAre(Part(1).name, Part(2).name));
+  EXPECT_EQ(this->feed.MadeBefore({ { ModelName("m"), 3 } }, 1).size(), 1U);
+  EXPECT_TRUE(this->feed.MadeBefore({ { ModelName("other"), 3 } }, 10).empty());
 }
 
 TEST_F(StoreFeedTest, LostStoreIsStatedOnce)
