--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -18,6 +18,7 @@
 TextsOf(const std::vector<HostId>& aHosts)
 {
   std::vector<std::string> texts;
+  texts.reserve(aHosts.size());
   for (const HostId& host : aHosts) {
     texts.push_back(host.Value());
   }
@@ -28,6 +29,7 @@
 HostsOf(const std::vector<std::string>& aTexts)
 {
   std::vector<HostId> hosts;
+  hosts.reserve(aTexts.size());
   for (const std::string& text : aTexts) {
     hosts.emplace_back(text);
   }
@@ -87,6 +89,7 @@
 EntriesOf(const std::vector<SizedPart>& aParts)
 {
   std::vector<wire::PartEntry> entries;
+  entries.reserve(aParts.size());
   for (const SizedPart& part : aParts) {
     entries.emplace_back(part.key.Value(), static_cast<std::uint32_t>(part.tokens.Value()));
   }
@@ -97,6 +100,7 @@
 PartsOf(const std::vector<wire::PartEntry>& aEntries)
 {
   std::vector<SizedPart> parts;
+  parts.reserve(aEntries.size());
   for (const wire::PartEntry& entry : aEntries) {
     parts.push_back(SizedPart{ PartKey(entry.key()), TokenCount(entry.tokens()) });
   }
--- a/test/program/ServingPathTest.cpp
+++ b/test/program/ServingPathTest.cpp
@@ -1,4 +1,6 @@
 // One control host and one entry host of a serving deployment, whole, on addresses of this machine.
+#include <unistd.h>
+
 #include <csignal>
 #include <thread>
 
@@ -18,13 +20,24 @@
 using testing::TempFolder;
 using testing::Write;
 
-// Returns a port that was free a moment ago on both addresses of the test.
-std::uint16_t
-FreePort()
+// Returns an address of this machine that belongs to this process alone, so that tests which run at
+// the same time cannot take each other's ports.
+std::string
+OwnAddress(int aHost)
+{
+  const auto process = static_cast<unsigned>(getpid());
+  constexpr unsigned kByte = 256;
+  return "127." + std::to_string(1 + process / kByte % (kByte - 2)) + "." +
+         std::to_string(process % kByte) + "." + std::to_string(aHost);
+}
+
+// Returns an endpoint of the address that was free a moment ago.
+Endpoint
+FreeEndpoint(const std::string& aAddress)
 {
   asio::io_context context;
-  TcpAcceptor probe(context, TcpEndpoint(asio::ip::make_address("127.0.0.1"), 0));
-  return probe.local_endpoint().port();
+  TcpAcceptor probe(context, TcpEndpoint(asio::ip::make_address(aAddress), 0));
+  return Endpoint{ aAddress, probe.local_endpoint().port() };
 }
 
 class ServingPathTest : public ::testing::Test
@@ -39,21 +52,23 @@
       return true;
     })
   {
-    const std::uint16_t peers = FreePort();
+    const std::string controlIp = OwnAddress(2);
+    const std::string entryIp = OwnAddress(3);
+    const std::uint16_t peers = FreeEndpoint(controlIp).port;
     ServingSettings control;
-    control.host = HostId("127.0.0.2");
+    control.host = HostId(controlIp);
     control.zone = ZoneId("z");
-    control.control = Endpoint{ "127.0.0.2", FreePort() };
+    control.control = FreeEndpoint(controlIp);
     control.peerPort = peers;
     control.seeds = { control.host };
     control.firstStart = true;
     control.dataFolder = this->folder.Path();
     ServingSettings entry;
-    entry.host = HostId("127.0.0.3");
+    entry.host = HostId(entryIp);
     entry.zone = ZoneId("z");
-    entry.callers = Endpoint{ "127.0.0.3", FreePort() };
-    entry.readiness = Endpoint{ "127.0.0.3", FreePort() };
-    entry.metrics = Endpoint{ "127.0.0.3", FreePort() };
+    entry.callers = FreeEndpoint(entryIp);
+    entry.readiness = FreeEndpoint(entryIp);
+    entry.metrics = FreeEndpoint(entryIp);
     entry.peerPort = peers;
     entry.seeds = { control.host };
     this->controlAddress = control.control;
