--- a/src/transport/PeerMesh.cpp
+++ b/src/transport/PeerMesh.cpp
@@ -392,7 +392,8 @@
 void
 PeerMesh::OnFrame(const std::shared_ptr<Link>& aLink, std::string aFrame)
 {
-  auto envelope = DecodeEnvelope(aFrame);
+  const std::string frame = std::move(aFrame);
+  auto envelope = DecodeEnvelope(frame);
   if (!envelope) {
     LogEvent(LogLevel::Warning, "peer_frame_refused").With("error", envelope.error());
     aLink->Close();
--- a/src/transport/TargetChannel.cpp
+++ b/src/transport/TargetChannel.cpp
@@ -15,7 +15,7 @@
 
 using AnswerParser = http::response_parser<http::buffer_body>;
 
-constexpr std::size_t kPieceBytes = 16 * 1024;
+constexpr std::size_t kPieceBytes = std::size_t{ 16 } * 1024;
 constexpr std::uint64_t kMostAnswerBytes = std::uint64_t{ 1 } << 30U;
 constexpr std::uint32_t kMostHeadBytes = 64 * 1024;
 
