--- a/include/damasklink/coordination/HeldParts.h
+++ b/include/damasklink/coordination/HeldParts.h
@@ -4,9 +4,8 @@
 // full, and so does this view. A wrong guess costs time, never a wrong answer.
 //
 //   HeldParts held;
-//   held.SetCapacity(TokenCount(150'000));
-//   held.OnRead(target, keys, tokens);
-//   held.LeadingHeld(target, keys);     // Parts from the start of the prompt.
+//   held.OnRead(target, parts);
+//   held.LeadingHeld(target, parts);     // Parts from the start of the prompt.
 //
 // Not thread-safe.
 #pragma once
@@ -24,9 +23,15 @@
 class HeldParts
 {
 public:
-  // Tokens that one engine is believed to keep; parts beyond it are forgotten, the least recently
-  // used first.
-  void SetCapacity(TokenCount aTokens) { this->capacity = aTokens.Value(); }
+  // Tokens of parts that one engine is believed to keep: engines whose memory holds 106,000 to
+  // 179,000 tokens, as the users' sheets say, of which running requests take a share.
+  static constexpr std::uint64_t kUsualCapacity = 100'000;
+
+  // Parts beyond the capacity are forgotten, the least recently used first.
+  explicit HeldParts(TokenCount aCapacity = TokenCount(kUsualCapacity))
+    : capacity(aCapacity.Value())
+  {
+  }
 
   // Tells that the target reads the parts.
   void OnRead(const TargetId& aTarget, const std::vector<SizedPart>& aParts);
@@ -63,7 +68,7 @@
 
   void Trim(Cache& aCache) const;
 
-  std::uint64_t capacity = 100'000;
+  std::uint64_t capacity;
   absl::flat_hash_map<TargetId, Cache> targets;
 };
 
--- a/include/damasklink/coordination/TargetBoard.h
+++ b/include/damasklink/coordination/TargetBoard.h
@@ -10,6 +10,7 @@
 // Not thread-safe.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <set>
 #include <vector>
@@ -21,6 +22,10 @@
 class TargetBoard
 {
 public:
+  // Targets that are gone and still remembered, so that no late word brings them back; the oldest
+  // are forgotten. Each restart of a target leaves one, so this outlasts hours of them.
+  static constexpr std::size_t kMostGone = 4096;
+
   // Takes what a control host states. An older statement of the same host is replaced.
   void Take(const HostId& aFrom, const TargetStatement& aStatement);
 
@@ -55,6 +60,7 @@
     bool gone = false;
   };
 
+  void MarkGone(const TargetId& aTarget, Entry& aEntry);
   bool CountsUsable(const Entry& aEntry) const;
   bool IsPaused(const Entry& aEntry) const;
   void Rebuild() const;
@@ -62,6 +68,8 @@
 
   std::map<TargetId, Entry> entries;
   std::set<HostId> connected;
+  // In the order in which they went.
+  std::deque<TargetId> gone;
   std::uint64_t version = 1;
   // What Usable() returns, built when it is asked for after a change.
   mutable std::uint64_t builtVersion = 0;
--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -62,8 +62,9 @@
   bool answering = false;
 };
 
-// The figures of the cost, in milliseconds. They were measured with engines that read 112 to 125
-// prompt tokens a millisecond and take 3.2 ms a step.
+// The figures of the cost, in milliseconds. Those of reading and fetching follow from the users'
+// sheets (112 to 125 prompt tokens read in a millisecond, links of 160 to 280 Gbit/s); the others
+// were chosen by trials, which docs/PLATFORM.md lists.
 struct PickCosts
 {
   // Reading one prompt token.
--- a/include/damasklink/coordination/WeightRollout.h
+++ b/include/damasklink/coordination/WeightRollout.h
@@ -28,8 +28,8 @@
 {
   // Orders of two holders must be this far apart.
   Duration orderLease = std::chrono::milliseconds(3300);
-  // Share of the engines of a model that are out of service at once, at most. The others read every
-  // prompt anew meanwhile, which takes up most of what they can do.
+  // Share of the engines of a model that are out of service at once, at most. The others read
+  // prompts anew meanwhile, and have the less room for the load of those that are out.
   double shareAtOnce = 0.2;
   // How long an engine gets no new work before it is ordered. Most of its runs end in that time;
   // the others go on under the new weights, which is worth less to their callers than whole
--- a/include/damasklink/transport/PeerMesh.h
+++ b/include/damasklink/transport/PeerMesh.h
@@ -92,7 +92,7 @@
   void Accept();
   void OnLinkUp(const std::shared_ptr<Link>& aLink);
   void OnLinkDown(const std::shared_ptr<Link>& aLink);
-  void OnFrame(const std::shared_ptr<Link>& aLink, std::string aFrame);
+  void OnFrame(const std::shared_ptr<Link>& aLink, const std::string& aFrame);
   void Open(const HostId& aPeer);
 
   asio::io_context& context;
--- a/src/coordination/TargetBoard.cpp
+++ b/src/coordination/TargetBoard.cpp
@@ -1,6 +1,7 @@
 #include "damasklink/coordination/TargetBoard.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace damasklink {
 
@@ -34,10 +35,25 @@
     KeepNewerWeights(aStatement.record.models, entry.record.models);
   }
   entry.words[aFrom] = Word{ aStatement.record.sequence, aStatement.standing, aStatement.paused };
-  entry.gone = entry.gone || aStatement.standing == TargetStanding::Leaving;
+  if (aStatement.standing == TargetStanding::Leaving) {
+    this->MarkGone(aStatement.record.id, entry);
+  }
   this->Changed();
 }
 
+void
+TargetBoard::MarkGone(const TargetId& aTarget, Entry& aEntry)
+{
+  if (std::exchange(aEntry.gone, true)) {
+    return;
+  }
+  this->gone.push_back(aTarget);
+  if (this->gone.size() > kMostGone) {
+    this->entries.erase(this->gone.front());
+    this->gone.pop_front();
+  }
+}
+
 void
 TargetBoard::OnLink(const HostId& aHost, bool aUp)
 {
@@ -53,7 +69,7 @@
 {
   const auto found = this->entries.find(aTarget);
   if (found != this->entries.end() && !found->second.gone) {
-    found->second.gone = true;
+    this->MarkGone(aTarget, found->second);
     this->Changed();
   }
 }
--- a/src/coordination/WeightRollout.cpp
+++ b/src/coordination/WeightRollout.cpp
@@ -4,6 +4,17 @@
 #include <cmath>
 
 namespace damasklink {
+namespace {
+
+bool
+IsListed(const std::vector<TargetRecord>& aEngines, const TargetId& aTarget)
+{
+  return std::any_of(aEngines.begin(), aEngines.end(), [&](const TargetRecord& aEngine) {
+    return aEngine.id == aTarget;
+  });
+}
+
+} // namespace
 
 WeightRollout::WeightRollout(const Clock& aClock, RolloutOptions aOptions)
   : clock(aClock)
@@ -30,11 +41,9 @@
   if (!this->MayOrder()) {
     return actions;
   }
-  std::erase_if(this->works, [&](const auto& aItem) {
-    return std::none_of(aEngines.begin(), aEngines.end(), [&](const TargetRecord& aEngine) {
-      return aEngine.id == aItem.first;
-    });
-  });
+  std::erase_if(this->works, [&](const auto& aItem) { return !IsListed(aEngines, aItem.first); });
+  std::erase_if(this->reported,
+                [&](const auto& aItem) { return !IsListed(aEngines, aItem.first.first); });
   for (const auto& [model, version] : aWished) {
     std::size_t serving = 0;
     std::vector<const TargetRecord*> behind;
--- /dev/null
+++ b/src/program/ControlCalls.h
@@ -0,0 +1,45 @@
+// Answers the calls of targets and operators at a control host, on its event loop.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "ControlPicture.h"
+#include "ServingGroup.h"
+#include "damasklink/protocol/ServingDialect.h"
+#include "damasklink/state/Metrics.h"
+#include "damasklink/transport/CallerChannel.h"
+
+namespace damasklink {
+
+class ControlCalls
+{
+public:
+  // aSpread tells entry hosts at once what has changed. Requires that all outlive this object.
+  ControlCalls(const ControlDialect& aDialect,
+               ServingGroup& aGroup,
+               ControlPicture& aPicture,
+               Metrics& aMetrics,
+               std::function<void()> aSpread);
+
+  // Serves one connection until it ends.
+  Awaitable<void> Serve(std::shared_ptr<CallerChannel> aChannel);
+
+private:
+  Awaitable<HttpAnswerMessage> Answer(const HttpRequestMessage& aRequest);
+  Awaitable<HttpAnswerMessage> TakeChange(const ConfigChange& aChange);
+  Awaitable<HttpAnswerMessage> TakeWeights(const WeightsNamed& aNamed);
+  Awaitable<HttpAnswerMessage> AnswerQuestion();
+  HttpAnswerMessage TakeHeartbeat(const TargetHeartbeat& aHeartbeat);
+  HttpAnswerMessage TakeDeparture(const TargetDeparture& aDeparture);
+  HttpAnswerMessage AnswerTarget() const;
+  HttpAnswerMessage AnswerCommit(const Result<ServingStanding>& aStanding) const;
+
+  const ControlDialect& dialect;
+  ServingGroup& group;
+  ControlPicture& picture;
+  Metrics& metrics;
+  std::function<void()> spread;
+};
+
+} // namespace damasklink
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -1,44 +1,31 @@
 #include "ControlHost.h"
 
-#include <csignal>
 #include <set>
 
-#include "AgreementModule.h"
+#include "ControlCalls.h"
 #include "ControlPicture.h"
 #include "MetricsPage.h"
+#include "ServingGroup.h"
+#include "ServingSignals.h"
 #include "StoreWatcher.h"
 #include "WeightsDesk.h"
 #include "damasklink/coordination/ServiceLevelWindows.h"
-#include "damasklink/coordination/ServingMachine.h"
 #include "damasklink/coordination/SettledWeights.h"
 #include "damasklink/protocol/ServingCodec.h"
 #include "damasklink/state/MetricsRegistry.h"
-#include "damasklink/transport/CallerChannel.h"
+#include "damasklink/transport/ChannelListener.h"
 #include "damasklink/transport/Log.h"
 #include "damasklink/transport/PeerMesh.h"
 
 namespace damasklink {
 namespace {
 
-// Elections of a serving deployment: operators are answered within seconds, so a leader must be
-// missed within one. Three heartbeats fit into the least election timeout, which two lost packets
-// (200 ms each until they are sent again) do not exceed.
-constexpr RaftTiming kServingTiming{ std::chrono::milliseconds(200),
-                                     std::chrono::milliseconds(700),
-                                     std::chrono::milliseconds(1400) };
-
-// Voters: five bear two lost at once, three bear one. Odd, since an even one more bears no more.
-constexpr std::size_t kVotersOfMany = 5;
-
 // Between two looks at timers of agreement; an election is late by as much at most.
 constexpr Duration kTick = std::chrono::milliseconds(25);
 
 // What is heard of targets is passed on in batches this far apart.
 constexpr Duration kSpreadStep = std::chrono::milliseconds(100);
 
-// How long an operator's call waits for its commitment: operators move on after a second.
-constexpr Duration kCommitPatience = std::chrono::milliseconds(2500);
-
 // Heartbeats that may be missed before a target counts as silent, and how long its search for a
 // control host that answers may take on top: a second for each that does not, with pauses between.
 // A target that is gone shows by its connections long before.
@@ -65,30 +52,6 @@
 // For the handover of leadership to reach the successor before the process ends.
 constexpr Duration kHandoverTime = std::chrono::milliseconds(400);
 
-// What a call to a control host may be like: configurations grow to some megabytes.
-CallerLimits
-ControlLimits()
-{
-  CallerLimits limits;
-  limits.bodyBytes = 16 * kMebibyte;
-  limits.idleTimeout = std::chrono::seconds(30);
-  limits.headerTimeout = std::chrono::seconds(5);
-  return limits;
-}
-
-std::vector<PeerSettings>
-DiskHosts(const std::vector<HostId>& aHosts)
-{
-  std::vector<PeerSettings> peers;
-  for (const HostId& host : aHosts) {
-    PeerSettings peer;
-    peer.host = host;
-    peer.disk = true;
-    peers.push_back(std::move(peer));
-  }
-  return peers;
-}
-
 } // namespace
 
 class ControlHost::Impl final : public PeerMeshHandler
@@ -98,12 +61,16 @@
        const ControlDialect& aDialect,
        const StoreDialect& aStores,
        const EngineDialect& aEngines,
-       std::function<std::optional<ServingSettings>()> aReader)
+       SettingsReader aReader)
     : settings(std::move(aSettings))
     , dialect(aDialect)
-    , reader(std::move(aReader))
     , mesh(this->loop, this->settings.host, this->settings.peerPort, *this)
-    , agreement(this->Setup())
+    , group(this->loop,
+            this->clock,
+            this->settings,
+            this->metrics,
+            this->mesh,
+            [this] { this->PushDocument(); })
     , picture(this->clock, this->settings.targetHeartbeat * kMissedHeartbeats + kHeartbeatSearch)
     , stores(this->loop,
              this->clock,
@@ -113,11 +80,11 @@
               this->clock,
               aEngines,
               this->Options(),
-              [this] { return this->Authority(); })
-    , signals(this->loop, SIGTERM, SIGINT, SIGHUP)
+              [this] { return this->group.Authority(); })
+    , calls(aDialect, this->group, this->picture, this->metrics, [this] { this->SpreadTargets(); })
+    , signals(this->loop, std::move(aReader))
     , ticker(this->loop)
   {
-    this->agreement.AddMachine(ControlGroupId(), MachinePart::Serving, this->machine);
   }
 
   Result<void> Run();
@@ -127,35 +94,12 @@
   void OnPeerMessage(const HostId& aPeer, PeerMessage aMessage) override;
 
 private:
-  struct Answered
-  {
-    explicit Answered(asio::io_context& aLoop)
-      : wake(aLoop, MonotonicTime::max())
-    {
-    }
-
-    asio::steady_timer wake;
-    std::optional<Result<std::string>> result;
-  };
-
-  AgreementSetup Setup();
   RolloutOptions Options() const;
-  OrderAuthority Authority() const;
   void StepWeights();
   void FreeOldParts();
-  void Accept();
-  Awaitable<void> ServeChannel(std::shared_ptr<CallerChannel> aChannel);
-  Awaitable<HttpAnswerMessage> Handle(const HttpRequestMessage& aRequest);
-  Awaitable<HttpAnswerMessage> HandleChange(const ConfigChange& aChange);
-  Awaitable<HttpAnswerMessage> HandleWeights(const WeightsNamed& aNamed);
-  Awaitable<HttpAnswerMessage> HandleQuestion();
-  HttpAnswerMessage HandleHeartbeat(const TargetHeartbeat& aHeartbeat);
-  HttpAnswerMessage AnswerTarget() const;
-  HttpAnswerMessage HandleDeparture(const TargetDeparture& aDeparture);
-  Awaitable<Result<ServingStanding>> Commit(const ServingCommand& aCommand);
+  void Stop();
   void Tick();
   bool EndsAfterFailure();
-  void Step();
   void SpreadTargets();
   void PushDocument();
   void TellStore(const StoreStatement& aStatement);
@@ -166,19 +110,15 @@
   void KnowControlHosts(const std::vector<HostId>& aHosts);
   void SendServing(const HostId& aTo, const ServingMessage& aMessage);
   Picture BasePicture() const;
-  void WaitForSignal();
-  bool MayAnswerAtOnce() const;
 
   ServingSettings settings;
   const ControlDialect& dialect;
-  std::function<std::optional<ServingSettings>()> reader;
   SystemClock clock;
   ServiceLevelWindows serviceLevels{ this->clock, kMostMetricSeries };
   MetricsRegistry metrics{ this->clock, this->serviceLevels, kMostMetricSeries };
   asio::io_context loop{ 1 };
   PeerMesh mesh;
-  ServingMachine machine;
-  AgreementModule agreement;
+  ServingGroup group;
   ControlPicture picture;
   StoreWatcher stores;
   WeightsDesk weights;
@@ -186,32 +126,14 @@
   std::set<HostId> controlHosts;
   std::set<HostId> entryHosts;
   MetricsPage metricsPage{ this->loop, this->metrics, this->settings.host };
-  asio::signal_set signals;
+  ControlCalls calls;
+  ChannelListener callers{ this->loop };
+  ServingSignals signals;
   asio::steady_timer ticker;
-  std::unique_ptr<TcpAcceptor> acceptor;
-  std::uint64_t pushedChanges = 0;
   MonotonicTime nextSpread;
   MonotonicTime worksUntil;
 };
 
-AgreementSetup
-ControlHost::Impl::Setup()
-{
-  std::vector<HostId> hosts = this->settings.seeds;
-  if (std::find(hosts.begin(), hosts.end(), this->settings.host) == hosts.end() &&
-      !this->settings.firstStart) {
-    hosts.push_back(this->settings.host);
-  }
-  return AgreementSetup{
-    this->clock,         this->metrics,
-    this->mesh,          [this] { asio::post(this->loop, [this] { this->Step(); }); },
-    this->settings.host, this->settings.dataFolder,
-    DiskHosts(hosts),    { ControlGroupId() },
-    kServingTiming,      this->settings.firstStart,
-    kVotersOfMany,
-  };
-}
-
 RolloutOptions
 ControlHost::Impl::Options() const
 {
@@ -222,18 +144,6 @@
   return options;
 }
 
-OrderAuthority
-ControlHost::Impl::Authority() const
-{
-  const GroupReplica* replica = this->agreement.ReplicaOf(ControlGroupId());
-  if (replica == nullptr || replica->Failure()) {
-    return OrderAuthority{};
-  }
-  return OrderAuthority{ replica->Core().LeaseHeld(),
-                         this->settings.host,
-                         FencingNumber(replica->Core().CurrentTerm().Value()) };
-}
-
 // Parts that older weights made fill the stores and are of no use to anybody.
 void
 ControlHost::Impl::FreeOldParts()
@@ -247,7 +157,7 @@
     }
   }
   this->settled.Note(engines);
-  if (this->Authority().leaseHeld) {
+  if (this->group.HoldsLease()) {
     this->stores.FreeMadeBefore(this->settled.Least());
   }
 }
@@ -261,7 +171,7 @@
       engines.push_back(std::move(record));
     }
   }
-  this->weights.Step(this->machine.Weights(), engines);
+  this->weights.Step(this->group.State().Weights(), engines);
   this->FreeOldParts();
   this->picture.SetPaused(this->weights.Rollout().Paused());
   this->picture.SetReported(this->weights.Rollout().Reported());
@@ -270,21 +180,19 @@
 Result<void>
 ControlHost::Impl::Run()
 {
-  if (auto opened = this->agreement.Open(); !opened) {
+  if (auto opened = this->group.Open(); !opened) {
     return opened;
   }
   if (auto listening = this->mesh.Listen(); !listening) {
     return listening;
   }
-  auto forCalls = ListenOn(this->loop, this->settings.control);
-  if (!forCalls) {
-    return Fail(forCalls.error());
+  auto serve = [this](auto aChannel) { return this->calls.Serve(std::move(aChannel)); };
+  if (auto listening = this->callers.Listen(this->settings.control, serve); !listening) {
+    return listening;
   }
   if (auto listening = this->metricsPage.Listen(this->settings.metrics); !listening) {
     return listening;
   }
-  this->acceptor = std::make_unique<TcpAcceptor>(std::move(forCalls.value()));
-  this->Accept();
   LogEvent(LogLevel::Info, "control_started")
     .With("host", this->settings.host)
     .With("name", this->settings.name)
@@ -292,210 +200,22 @@
     .With("first_start", this->settings.firstStart)
     .With("control", FormatEndpoint(this->settings.control));
   this->KnowControlHosts(this->settings.seeds);
-  this->WaitForSignal();
+  this->signals.Wait(
+    [this](const ServingSettings& aFresh) { this->KnowControlHosts(aFresh.seeds); },
+    [this] { this->Stop(); });
   this->Tick();
   this->loop.run();
   LogEvent(LogLevel::Info, "control_stopped").With("host", this->settings.host);
-  if (const std::optional<Error> failure = this->agreement.FailureOf(ControlGroupId())) {
+  if (const std::optional<Error> failure = this->group.Failure()) {
     return Fail(*failure);
   }
   return Success();
 }
 
-void
-ControlHost::Impl::Accept()
-{
-  this->acceptor->async_accept([this](const IoError& aError, TcpSocket aSocket) {
-    if (aError == asio::error::operation_aborted) {
-      return;
-    }
-    if (aError) {
-      LogEvent(LogLevel::Warning, "accept_failed").With("reason", aError.message());
-    } else {
-      auto channel = std::make_shared<CallerChannel>(std::move(aSocket));
-      asio::co_spawn(this->loop, this->ServeChannel(channel), asio::detached);
-    }
-    this->Accept();
-  });
-}
-
-Awaitable<void>
-ControlHost::Impl::ServeChannel(std::shared_ptr<CallerChannel> aChannel)
-{
-  bool kept = true;
-  while (kept) {
-    auto request = co_await aChannel->Read(ControlLimits());
-    if (!request) {
-      if (request.error().kind != ErrorKind::Interrupted) {
-        co_await aChannel->WriteWhole(this->dialect.ControlFailure(request.error()), true);
-      }
-      break;
-    }
-    HttpAnswerMessage answer = co_await this->Handle(request.value());
-    const HttpRequestHead& head = request.value().head;
-    const bool close = AsksToClose(head.fields, head.version);
-    kept = co_await aChannel->WriteWhole(std::move(answer), close) && !close;
-  }
-  aChannel->Close();
-}
-
-Awaitable<HttpAnswerMessage>
-ControlHost::Impl::Handle(const HttpRequestMessage& aRequest)
-{
-  auto call = this->dialect.ReadControlCall(aRequest);
-  if (!call) {
-    LogEvent(LogLevel::Warning, "call_refused")
-      .With("target", aRequest.head.target)
-      .With("error", call.error());
-    co_return this->dialect.ControlFailure(call.error());
-  }
-  if (const auto* heartbeat = std::get_if<TargetHeartbeat>(&call.value())) {
-    co_return this->HandleHeartbeat(*heartbeat);
-  }
-  if (const auto* departure = std::get_if<TargetDeparture>(&call.value())) {
-    co_return this->HandleDeparture(*departure);
-  }
-  if (const auto* change = std::get_if<ConfigChange>(&call.value())) {
-    co_return co_await this->HandleChange(*change);
-  }
-  if (const auto* named = std::get_if<WeightsNamed>(&call.value())) {
-    co_return co_await this->HandleWeights(*named);
-  }
-  co_return co_await this->HandleQuestion();
-}
-
-HttpAnswerMessage
-ControlHost::Impl::HandleHeartbeat(const TargetHeartbeat& aHeartbeat)
-{
-  this->picture.Hear(aHeartbeat.record);
-  const TargetRecord* held = this->picture.Registry().Find(aHeartbeat.record.id);
-  if (aHeartbeat.record.leaving && held != nullptr) {
-    // What is acknowledged as leaving must reach entry hosts in time, so it does not wait.
-    this->SpreadTargets();
-  }
-  return this->AnswerTarget();
-}
-
-// A host that hears no leader is cut off: what targets tell it may reach nobody else. It takes note
-// for the entry hosts on its side, and sends the target on to the other control hosts.
-HttpAnswerMessage
-ControlHost::Impl::AnswerTarget() const
-{
-  const GroupReplica* replica = this->agreement.ReplicaOf(ControlGroupId());
-  if (replica != nullptr && !replica->Failure() && replica->Core().HasFreshLeader()) {
-    return this->dialect.Acknowledgement();
-  }
-  return this->dialect.ControlFailure(
-    Error{ ErrorKind::Unavailable, "this host hears no leader", "tell another control host" });
-}
-
-HttpAnswerMessage
-ControlHost::Impl::HandleDeparture(const TargetDeparture& aDeparture)
-{
-  this->picture.Depart(aDeparture.target);
-  this->SpreadTargets();
-  return this->AnswerTarget();
-}
-
-Awaitable<Result<ServingStanding>>
-ControlHost::Impl::Commit(const ServingCommand& aCommand)
-{
-  const auto answered = std::make_shared<Answered>(this->loop);
-  this->agreement.Propose(ControlGroupId(),
-                          MachinePart::Serving,
-                          EncodeServingCommand(aCommand),
-                          kCommitPatience,
-                          [answered](Result<std::string> aResult) {
-                            answered->result = std::move(aResult);
-                            answered->wake.cancel();
-                          });
-  this->Step();
-  if (!answered->result) {
-    co_await answered->wake.async_wait(kAsValue);
-  }
-  if (!*answered->result) {
-    co_return Fail(answered->result->error());
-  }
-  auto standing = DecodeServingStanding(answered->result->value());
-  if (standing && !standing.value().understood) {
-    co_return Fail(ErrorKind::Internal,
-                   "the replicated log did not understand the command",
-                   "run the same program version on all control hosts");
-  }
-  co_return standing;
-}
-
-Awaitable<HttpAnswerMessage>
-ControlHost::Impl::HandleChange(const ConfigChange& aChange)
-{
-  auto config = this->dialect.ReadConfig(aChange.document);
-  auto checked = config ? CheckServingConfig(config.value()) : Result<void>(Fail(config.error()));
-  if (!checked) {
-    LogEvent(LogLevel::Info, "configuration_refused").With("error", checked.error());
-    co_return this->dialect.ControlFailure(checked.error());
-  }
-  const Revision version = config.value().version;
-  const Revision before = this->machine.Version();
-  const ServingCommand command = PutDocument{ version, aChange.document };
-  auto standing = co_await this->Commit(command);
-  LogEvent(LogLevel::Info, standing ? "configuration_acknowledged" : "configuration_not_committed")
-    .With("version", version)
-    .With("before", before)
-    .With("in_force", standing ? standing.value().version : Revision())
-    .With("error", standing ? Error{} : standing.error());
-  if (standing) {
-    this->metrics.Add(Counter::ConfigChanges, MetricKey{}, 1);
-  }
-  co_return standing ? this->dialect.Acknowledgement()
-                     : this->dialect.ControlFailure(standing.error());
-}
-
-Awaitable<HttpAnswerMessage>
-ControlHost::Impl::HandleWeights(const WeightsNamed& aNamed)
-{
-  const ServingCommand command = NameWeights{ aNamed.model, aNamed.version };
-  auto standing = co_await this->Commit(command);
-  LogEvent(LogLevel::Info, standing ? "weights_acknowledged" : "weights_not_committed")
-    .With("model", aNamed.model)
-    .With("version", aNamed.version);
-  co_return standing ? this->dialect.Acknowledgement()
-                     : this->dialect.ControlFailure(standing.error());
-}
-
-bool
-ControlHost::Impl::MayAnswerAtOnce() const
-{
-  const GroupReplica* replica = this->agreement.ReplicaOf(ControlGroupId());
-  return replica != nullptr && !replica->Failure() && replica->Core().LeaseHeld();
-}
-
-// A leader within its lease knows the newest configuration. Any other host asks the group: what it
-// has applied itself must be as new as what the group answers.
-Awaitable<HttpAnswerMessage>
-ControlHost::Impl::HandleQuestion()
-{
-  if (!this->MayAnswerAtOnce()) {
-    const ServingCommand command = ReadMarker{};
-    auto standing = co_await this->Commit(command);
-    if (!standing) {
-      co_return this->dialect.ControlFailure(standing.error());
-    }
-    if (standing.value().version > this->machine.Version()) {
-      co_return this->dialect.ControlFailure(
-        Error{ ErrorKind::Unavailable, "this host is behind the group", "ask another host" });
-    }
-  }
-  if (this->machine.Version() == Revision()) {
-    co_return this->dialect.ControlFailure(
-      Error{ ErrorKind::Unavailable, "there is no configuration yet", "put one first" });
-  }
-  co_return this->dialect.DocumentAnswer(this->machine.Document());
-}
-
 void
 ControlHost::Impl::Tick()
 {
-  this->Step();
+  this->group.Step();
   if (this->EndsAfterFailure()) {
     return;
   }
@@ -517,7 +237,7 @@
 ControlHost::Impl::EndsAfterFailure()
 {
   const MonotonicTime now = this->clock.MonotonicNow();
-  if (!this->agreement.FailureOf(ControlGroupId())) {
+  if (!this->group.Failure()) {
     this->worksUntil = now + kFailurePause;
     return false;
   }
@@ -529,17 +249,6 @@
   return true;
 }
 
-// Lets agreement act on what has come in, and passes on what was committed.
-void
-ControlHost::Impl::Step()
-{
-  this->agreement.OnTick(this->clock.MonotonicNow());
-  if (this->machine.Changes() != this->pushedChanges) {
-    this->pushedChanges = this->machine.Changes();
-    this->PushDocument();
-  }
-}
-
 void
 ControlHost::Impl::SpreadTargets()
 {
@@ -566,9 +275,9 @@
 ControlHost::Impl::BasePicture() const
 {
   Picture base;
-  base.documentVersion = this->machine.Version();
-  base.document = this->machine.Document();
-  base.weights = this->machine.Weights();
+  base.documentVersion = this->group.State().Version();
+  base.document = this->group.State().Document();
+  base.weights = this->group.State().Weights();
   base.entryHosts = this->entryHosts.size();
   base.controlHosts.assign(this->controlHosts.begin(), this->controlHosts.end());
   return base;
@@ -647,8 +356,7 @@
 ControlHost::Impl::OnPeerMessage(const HostId& aPeer, PeerMessage aMessage)
 {
   if (aMessage.channel == Channel::Agreement) {
-    this->agreement.OnPeerMessage(aPeer, aMessage);
-    this->Step();
+    this->group.OnPeerMessage(aPeer, aMessage);
     return;
   }
   auto message = DecodeServingMessage(aMessage.payload);
@@ -701,34 +409,19 @@
       continue;
     }
     LogEvent(LogLevel::Info, "control_host_learnt").With("peer", host);
-    this->agreement.KnowHost(host);
+    this->group.KnowHost(host);
     this->mesh.Dial(host);
   }
 }
 
 void
-ControlHost::Impl::WaitForSignal()
+ControlHost::Impl::Stop()
 {
-  this->signals.async_wait([this](const IoError& aError, int aSignal) {
-    if (aError) {
-      return;
-    }
-    if (aSignal == SIGHUP) {
-      if (const std::optional<ServingSettings> fresh = this->reader()) {
-        this->KnowControlHosts(fresh->seeds);
-        LogEvent(LogLevel::Info, "settings_reloaded").With("seeds", fresh->seeds.size());
-      }
-      this->WaitForSignal();
-      return;
-    }
-    LogEvent(LogLevel::Info, "stop_begun").With("signal", aSignal);
-    this->agreement.OnShutdown();
-    this->Step();
-    const auto last = std::make_shared<asio::steady_timer>(this->loop, kHandoverTime);
-    last->async_wait([this, last](const IoError&) {
-      this->mesh.Stop();
-      this->loop.stop();
-    });
+  this->group.HandOver();
+  const auto last = std::make_shared<asio::steady_timer>(this->loop, kHandoverTime);
+  last->async_wait([this, last](const IoError&) {
+    this->mesh.Stop();
+    this->loop.stop();
   });
 }
 
@@ -736,7 +429,7 @@
                          const ControlDialect& aDialect,
                          const StoreDialect& aStores,
                          const EngineDialect& aEngines,
-                         std::function<std::optional<ServingSettings>()> aReader)
+                         SettingsReader aReader)
   : impl(
       std::make_unique<Impl>(std::move(aSettings), aDialect, aStores, aEngines, std::move(aReader)))
 {
--- a/src/program/ControlHost.h
+++ b/src/program/ControlHost.h
@@ -2,10 +2,9 @@
 // and tells entry hosts what to relay by.
 #pragma once
 
-#include <functional>
 #include <memory>
-#include <optional>
 
+#include "ServingSignals.h"
 #include "damasklink/protocol/ServingDialect.h"
 #include "damasklink/state/ServingSettings.h"
 
@@ -19,7 +18,7 @@
               const ControlDialect& aDialect,
               const StoreDialect& aStores,
               const EngineDialect& aEngines,
-              std::function<std::optional<ServingSettings>()> aReader);
+              SettingsReader aReader);
   ~ControlHost();
   ControlHost(const ControlHost&) = delete;
   ControlHost& operator=(const ControlHost&) = delete;
--- a/src/program/EntryCommand.cpp
+++ b/src/program/EntryCommand.cpp
@@ -1,7 +1,6 @@
 #include "Commands.h"
 #include "EntryHost.h"
 #include "ServingSetup.h"
-#include "damasklink/transport/Log.h"
 #include "platform/Dialect.h"
 
 namespace damasklink {
@@ -18,16 +17,10 @@
 ExitCode
 Run(const Arguments& aArguments)
 {
-  LogToStandardOutput();
-  const std::string file = ServingSettingsFile(TextOf(aArguments, "--settings"));
-  std::optional<ServingSettings> settings = LoadServingSettings(file);
-  if (!settings) {
-    return ExitCode::Refused;
-  }
-  settings->metrics = MetricsEndpoint(TextOf(aArguments, "--metrics"), *settings);
-  const platform::Dialect dialect;
-  EntryHost host(*settings, dialect, dialect, [file] { return LoadServingSettings(file); });
-  return EndOfServing(host.Run());
+  return RunServing(aArguments, [](const ServingSettings& aSettings, SettingsReader aReader) {
+    const platform::Dialect dialect;
+    return EntryHost(aSettings, dialect, dialect, std::move(aReader)).Run();
+  });
 }
 
 } // namespace
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -1,7 +1,6 @@
 #include "EntryHost.h"
 
 #include <algorithm>
-#include <csignal>
 #include <list>
 #include <random>
 #include <set>
@@ -11,6 +10,7 @@
 #include "damasklink/coordination/ServiceLevelWindows.h"
 #include "damasklink/protocol/ServingCodec.h"
 #include "damasklink/state/MetricsRegistry.h"
+#include "damasklink/transport/ChannelListener.h"
 #include "damasklink/transport/Log.h"
 #include "damasklink/transport/PeerMesh.h"
 
@@ -58,7 +58,6 @@
        SettingsReader aReader)
     : settings(std::move(aSettings))
     , calls(aCalls)
-    , reader(std::move(aReader))
     , picture(this->clock, aControl)
     , retries(this->settings.retries)
     , health(this->clock, RandomSeed())
@@ -69,7 +68,7 @@
     , context{ this->loop,    this->clock,   this->settings, this->calls,
                this->metrics, this->picture, this->retries,  this->health,
                this->picker,  this->pool,    this->pace }
-    , signals(this->loop, SIGTERM, SIGINT, SIGHUP)
+    , signals(this->loop, std::move(aReader))
     , housekeeping(this->loop)
     , sharing(this->loop)
   {
@@ -85,12 +84,10 @@
   using Channels = std::list<std::shared_ptr<CallerChannel>>;
 
   Result<void> Listen();
-  void Accept(TcpAcceptor& aAcceptor, bool aCallers);
   Awaitable<void> ServeCaller(std::shared_ptr<CallerChannel> aChannel);
   Awaitable<void> ServeProbes(std::shared_ptr<CallerChannel> aChannel);
   Awaitable<void> AnswerUnreadable(CallerChannel& aChannel, const Error& aError);
   Awaitable<void> Stop();
-  void WaitForSignal();
   void KeepHouse();
   void ShareSends();
   void DialControlHosts(const std::vector<HostId>& aHosts);
@@ -99,7 +96,6 @@
 
   ServingSettings settings;
   const CallDialect& calls;
-  SettingsReader reader;
   SystemClock clock;
   ServiceLevelWindows serviceLevels{ this->clock, kMostMetricSeries };
   MetricsRegistry metrics{ this->clock, this->serviceLevels, kMostMetricSeries };
@@ -113,11 +109,11 @@
   PeerMesh mesh;
   EntryContext context;
   MetricsPage metricsPage{ this->loop, this->metrics, this->settings.host };
-  asio::signal_set signals;
+  ServingSignals signals;
   asio::steady_timer housekeeping;
   asio::steady_timer sharing;
-  std::unique_ptr<TcpAcceptor> callers;
-  std::unique_ptr<TcpAcceptor> probes;
+  ChannelListener callers{ this->loop };
+  ChannelListener probes{ this->loop };
   Channels open;
   // Control hosts that are known; links are kept to some of them.
   std::set<HostId> controlHosts;
@@ -136,7 +132,12 @@
     .With("zone", this->settings.zone)
     .With("callers", FormatEndpoint(this->settings.callers));
   this->DialControlHosts(this->settings.seeds);
-  this->WaitForSignal();
+  this->signals.Wait(
+    [this](const ServingSettings& aFresh) { this->DialControlHosts(aFresh.seeds); },
+    [this] {
+      this->context.leaving = true;
+      asio::co_spawn(this->loop, this->Stop(), asio::detached);
+    });
   this->KeepHouse();
   this->ShareSends();
   this->loop.run();
@@ -147,43 +148,20 @@
 Result<void>
 EntryHost::Impl::Listen()
 {
-  auto forCallers = ListenOn(this->loop, this->settings.callers);
-  if (!forCallers) {
-    return Fail(forCallers.error());
+  auto serveCaller = [this](auto aChannel) { return this->ServeCaller(std::move(aChannel)); };
+  if (auto opened = this->callers.Listen(this->settings.callers, serveCaller); !opened) {
+    return opened;
   }
-  auto forProbes = ListenOn(this->loop, this->settings.readiness);
-  if (!forProbes) {
-    return Fail(forProbes.error());
+  auto serveProbes = [this](auto aChannel) { return this->ServeProbes(std::move(aChannel)); };
+  if (auto opened = this->probes.Listen(this->settings.readiness, serveProbes); !opened) {
+    return opened;
   }
-  if (auto listening = this->metricsPage.Listen(this->settings.metrics); !listening) {
-    return listening;
+  if (auto opened = this->metricsPage.Listen(this->settings.metrics); !opened) {
+    return opened;
   }
-  this->callers = std::make_unique<TcpAcceptor>(std::move(forCallers.value()));
-  this->probes = std::make_unique<TcpAcceptor>(std::move(forProbes.value()));
-  this->Accept(*this->callers, true);
-  this->Accept(*this->probes, false);
   return Success();
 }
 
-void
-EntryHost::Impl::Accept(TcpAcceptor& aAcceptor, bool aCallers)
-{
-  aAcceptor.async_accept([this, &aAcceptor, aCallers](const IoError& aError, TcpSocket aSocket) {
-    if (aError == asio::error::operation_aborted) {
-      return;
-    }
-    if (aError) {
-      LogEvent(LogLevel::Warning, "accept_failed").With("reason", aError.message());
-    } else {
-      auto channel = std::make_shared<CallerChannel>(std::move(aSocket));
-      asio::co_spawn(this->loop,
-                     aCallers ? this->ServeCaller(channel) : this->ServeProbes(channel),
-                     asio::detached);
-    }
-    this->Accept(aAcceptor, aCallers);
-  });
-}
-
 CallerLimits
 EntryHost::Impl::Limits() const
 {
@@ -253,27 +231,6 @@
   return !this->context.leaving && this->picture.Routes() != nullptr;
 }
 
-void
-EntryHost::Impl::WaitForSignal()
-{
-  this->signals.async_wait([this](const IoError& aError, int aSignal) {
-    if (aError) {
-      return;
-    }
-    if (aSignal == SIGHUP) {
-      if (const std::optional<ServingSettings> fresh = this->reader()) {
-        this->DialControlHosts(fresh->seeds);
-        LogEvent(LogLevel::Info, "settings_reloaded").With("seeds", fresh->seeds.size());
-      }
-      this->WaitForSignal();
-      return;
-    }
-    LogEvent(LogLevel::Info, "stop_begun").With("signal", aSignal).With("open", this->open.size());
-    this->context.leaving = true;
-    asio::co_spawn(this->loop, this->Stop(), asio::detached);
-  });
-}
-
 // Readiness has failed already. New channels are served for as long as the balancer may still send
 // some; then those without a request are closed, and the process ends with the last call.
 Awaitable<void>
@@ -290,8 +247,7 @@
       continue;
     }
     // An idle channel would bring a request that cannot end before this process does.
-    IoError ignored;
-    this->callers->close(ignored);
+    this->callers.Close();
     for (const std::shared_ptr<CallerChannel>& channel : this->open) {
       channel->CloseIfIdle();
     }
@@ -316,7 +272,7 @@
                                      [&](const HostId& aHost) { return this->mesh.IsUp(aHost); });
   if (!connected) {
     // The settings may name others by now, whether a signal told or not.
-    if (const std::optional<ServingSettings> fresh = this->reader()) {
+    if (const std::optional<ServingSettings> fresh = this->signals.ReadSettings()) {
       this->DialControlHosts(fresh->seeds);
     }
   }
--- a/src/program/EntryHost.h
+++ b/src/program/EntryHost.h
@@ -7,14 +7,12 @@
 
 #include <memory>
 
+#include "ServingSignals.h"
 #include "damasklink/protocol/ServingDialect.h"
 #include "damasklink/state/ServingSettings.h"
 
 namespace damasklink {
 
-// Reads the settings anew; empty when they cannot be read.
-using SettingsReader = std::function<std::optional<ServingSettings>()>;
-
 class EntryHost
 {
 public:
--- a/src/program/MetricsPage.cpp
+++ b/src/program/MetricsPage.cpp
@@ -10,28 +10,8 @@
   if (aEndpoint.port == 0) {
     return Success();
   }
-  auto opened = ListenOn(this->loop, aEndpoint);
-  if (!opened) {
-    return Fail(opened.error());
-  }
-  this->acceptor = std::make_unique<TcpAcceptor>(std::move(opened.value()));
-  this->Accept();
-  return Success();
-}
-
-void
-MetricsPage::Accept()
-{
-  this->acceptor->async_accept([this](const IoError& aError, TcpSocket aSocket) {
-    if (aError == asio::error::operation_aborted) {
-      return;
-    }
-    if (!aError) {
-      auto channel = std::make_shared<CallerChannel>(std::move(aSocket));
-      asio::co_spawn(this->loop, this->Serve(channel), asio::detached);
-    }
-    this->Accept();
-  });
+  return this->listener.Listen(aEndpoint,
+                               [this](auto aChannel) { return this->Serve(std::move(aChannel)); });
 }
 
 Awaitable<void>
--- a/src/program/MetricsPage.h
+++ b/src/program/MetricsPage.h
@@ -4,8 +4,7 @@
 #include <memory>
 
 #include "damasklink/state/MetricsRegistry.h"
-#include "damasklink/transport/CallerChannel.h"
-#include "damasklink/transport/EventLoop.h"
+#include "damasklink/transport/ChannelListener.h"
 
 namespace damasklink {
 
@@ -14,7 +13,7 @@
 public:
   // Requires that all outlive the page.
   MetricsPage(asio::io_context& aLoop, const MetricsRegistry& aRegistry, const HostId& aHost)
-    : loop(aLoop)
+    : listener(aLoop)
     , registry(aRegistry)
     , host(aHost)
   {
@@ -24,13 +23,11 @@
   Result<void> Listen(const Endpoint& aEndpoint);
 
 private:
-  void Accept();
   Awaitable<void> Serve(std::shared_ptr<CallerChannel> aChannel);
 
-  asio::io_context& loop;
+  ChannelListener listener;
   const MetricsRegistry& registry;
   const HostId& host;
-  std::unique_ptr<TcpAcceptor> acceptor;
 };
 
 } // namespace damasklink
--- /dev/null
+++ b/src/program/ServingGroup.h
@@ -0,0 +1,73 @@
+// The control group of a serving deployment as one control host holds it, on its event loop.
+#pragma once
+
+#include <functional>
+#include <optional>
+
+#include "AgreementModule.h"
+#include "WeightsDesk.h"
+#include "damasklink/coordination/ServingMachine.h"
+#include "damasklink/state/ServingSettings.h"
+#include "damasklink/transport/EventLoop.h"
+
+namespace damasklink {
+
+class ServingGroup
+{
+public:
+  // aApplied is called on the event loop when the state has changed.
+  ServingGroup(asio::io_context& aLoop,
+               const Clock& aClock,
+               const ServingSettings& aSettings,
+               Metrics& aMetrics,
+               PeerSender& aPeers,
+               std::function<void()> aApplied);
+
+  // Fails with Corrupt or Storage when the data folder cannot be used.
+  Result<void> Open() { return this->agreement.Open(); }
+
+  // Lets agreement act on what has come in. Requires to be called every few milliseconds.
+  void Step();
+
+  // Commits a command and returns what is in force after it. Fails with Unavailable, NotLeader or
+  // DeadlineExceeded; after the last it may be committed all the same.
+  Awaitable<Result<ServingStanding>> Commit(const ServingCommand& aCommand);
+
+  // What is committed, as far as this host has applied it.
+  const ServingMachine& State() const { return this->machine; }
+
+  void OnPeerMessage(const HostId& aFrom, const PeerMessage& aMessage);
+  void KnowHost(const HostId& aHost) { this->agreement.KnowHost(aHost); }
+
+  // Gives up leadership, because the process stops.
+  void HandOver();
+
+  // Whether this host leads and no other can meanwhile.
+  bool HoldsLease() const;
+
+  // Whether a leader was heard lately: else this host may be cut off.
+  bool HearsLeader() const;
+
+  // Whether this host may order now, and as which holder.
+  OrderAuthority Authority() const;
+
+  // Why the replica has stopped, nothing while it works.
+  std::optional<Error> Failure() const { return this->agreement.FailureOf(ControlGroupId()); }
+
+private:
+  // The answer to a command, and the timer that wakes the coroutine which waits for it.
+  struct Answered;
+
+  AgreementSetup Setup(Metrics& aMetrics, PeerSender& aPeers);
+  const GroupReplica* Working() const;
+
+  asio::io_context& loop;
+  const Clock& clock;
+  const ServingSettings& settings;
+  std::function<void()> applied;
+  ServingMachine machine;
+  AgreementModule agreement;
+  std::uint64_t seenChanges = 0;
+};
+
+} // namespace damasklink
--- a/src/program/ServingSetup.cpp
+++ b/src/program/ServingSetup.cpp
@@ -5,13 +5,16 @@
 #include "platform/Settings.h"
 
 namespace damasklink {
+namespace {
 
+// Returns the file that was named, or else the one that the platform's environment names.
 std::string
 ServingSettingsFile(const std::string& aNamed)
 {
   return aNamed.empty() ? platform::SettingsFileOfEnvironment() : aNamed;
 }
 
+// Logs every fault, and returns nothing when there is one.
 std::optional<ServingSettings>
 LoadServingSettings(const std::string& aFile)
 {
@@ -22,6 +25,7 @@
   return parsed.Ok() ? std::optional(std::move(parsed.value)) : std::nullopt;
 }
 
+// Returns where metrics are served; port 0 when none was named.
 Endpoint
 MetricsEndpoint(const std::string& aPort, const ServingSettings& aSettings)
 {
@@ -36,11 +40,21 @@
   return parsed.value();
 }
 
+} // namespace
+
 ExitCode
-EndOfServing(const Result<void>& aEnd)
+RunServing(const Arguments& aArguments, const ServingRun& aRun)
 {
-  if (!aEnd) {
-    LogEvent(LogLevel::Error, "serving_failed").With("error", aEnd.error());
+  LogToStandardOutput();
+  const std::string file = ServingSettingsFile(TextOf(aArguments, "--settings"));
+  std::optional<ServingSettings> settings = LoadServingSettings(file);
+  if (!settings) {
+    return ExitCode::Refused;
+  }
+  settings->metrics = MetricsEndpoint(TextOf(aArguments, "--metrics"), *settings);
+  const Result<void> end = aRun(*settings, [file] { return LoadServingSettings(file); });
+  if (!end) {
+    LogEvent(LogLevel::Error, "serving_failed").With("error", end.error());
     return ExitCode::Refused;
   }
   return ExitCode::Done;
--- a/src/program/ServingSetup.h
+++ b/src/program/ServingSetup.h
@@ -1,30 +1,20 @@
 // What the commands of a serving deployment share: where the settings come from, how a run ends.
 #pragma once
 
-#include <optional>
-#include <string>
+#include <functional>
 
 #include "Commands.h"
+#include "ServingSignals.h"
 #include "damasklink/state/Error.h"
-#include "damasklink/state/ServingSettings.h"
 
 namespace damasklink {
 
-// Returns the file that was named, or else the one that the platform's environment names.
-std::string
-ServingSettingsFile(const std::string& aNamed);
+// Runs a host until it is told to stop. Fails with what kept it from starting or going on.
+using ServingRun = std::function<Result<void>(const ServingSettings&, SettingsReader)>;
 
-// Reads the settings; prints and logs every fault, and returns nothing when there is one.
-std::optional<ServingSettings>
-LoadServingSettings(const std::string& aFile);
-
-// Returns where metrics are served; port 0 when none was named. Throws WrongUseError for a port
-// that is none.
-Endpoint
-MetricsEndpoint(const std::string& aPort, const ServingSettings& aSettings);
-
-// Logs why a run failed, and returns the exit code.
+// Reads the settings that "--settings" or the platform names, and "--metrics", and runs the host.
+// From here on logs go to standard output.
 ExitCode
-EndOfServing(const Result<void>& aEnd);
+RunServing(const Arguments& aArguments, const ServingRun& aRun);
 
 } // namespace damasklink
--- /dev/null
+++ b/src/transport/BeastText.h
@@ -0,0 +1,29 @@
+// Between Boost.Beast's types and this program's. Internal to src/transport.
+#pragma once
+
+#include <string>
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "damasklink/transport/EventLoop.h"
+
+namespace damasklink::internal {
+
+inline std::string
+TextOf(boost::beast::string_view aText)
+{
+  return std::string(aText.data(), aText.size());
+}
+
+// Returns whether the bytes that were read are no HTTP; false when there were too few of them.
+inline bool
+IsMalformed(const IoError& aError)
+{
+  namespace http = boost::beast::http;
+  const auto& category = http::make_error_code(http::error::bad_method).category();
+  return aError.category() == category && aError != http::error::end_of_stream &&
+         aError != http::error::partial_message;
+}
+
+} // namespace damasklink::internal
--- a/src/transport/CallerChannel.cpp
+++ b/src/transport/CallerChannel.cpp
@@ -2,9 +2,7 @@
 
 #include <array>
 
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-
+#include "BeastText.h"
 #include "damasklink/state/Text.h"
 
 namespace damasklink {
@@ -21,22 +19,16 @@
 // The smallest read that takes a usual head at once.
 constexpr std::size_t kReadBytes = 4096;
 
-std::string
-TextOf(beast::string_view aText)
-{
-  return std::string(aText.data(), aText.size());
-}
-
 HttpRequestMessage
 TakeRequest(RequestParser& aParser)
 {
   auto message = aParser.release();
   HttpRequestMessage request;
-  request.head.method = TextOf(message.method_string());
-  request.head.target = TextOf(message.target());
+  request.head.method = internal::TextOf(message.method_string());
+  request.head.target = internal::TextOf(message.target());
   request.head.version = static_cast<int>(message.version());
   for (const auto& field : message) {
-    request.head.fields.Add(TextOf(field.name_string()), TextOf(field.value()));
+    request.head.fields.Add(internal::TextOf(field.name_string()), internal::TextOf(field.value()));
   }
   request.body = std::move(message.body());
   return request;
@@ -48,7 +40,7 @@
   HttpRequestHead head;
   head.version = static_cast<int>(aParser.get().version());
   for (const auto& field : aParser.get()) {
-    head.fields.Add(TextOf(field.name_string()), TextOf(field.value()));
+    head.fields.Add(internal::TextOf(field.name_string()), internal::TextOf(field.value()));
   }
   return head;
 }
@@ -66,10 +58,7 @@
   if (aError == http::error::body_limit) {
     return Fail(ErrorKind::NotPermitted, "the body of the request is too large", "send less");
   }
-  const bool malformed =
-    aError.category() == http::make_error_code(http::error::bad_method).category() &&
-    aError != http::error::end_of_stream && aError != http::error::partial_message;
-  if (malformed) {
+  if (internal::IsMalformed(aError)) {
     return Fail(ErrorKind::InvalidArgument,
                 Concat("the request cannot be read: ", aError.message()),
                 "send HTTP/1.1 as RFC 9112 has it");
--- a/src/transport/PeerMesh.cpp
+++ b/src/transport/PeerMesh.cpp
@@ -390,10 +390,9 @@
 }
 
 void
-PeerMesh::OnFrame(const std::shared_ptr<Link>& aLink, std::string aFrame)
+PeerMesh::OnFrame(const std::shared_ptr<Link>& aLink, const std::string& aFrame)
 {
-  const std::string frame = std::move(aFrame);
-  auto envelope = DecodeEnvelope(frame);
+  auto envelope = DecodeEnvelope(aFrame);
   if (!envelope) {
     LogEvent(LogLevel::Warning, "peer_frame_refused").With("error", envelope.error());
     aLink->Close();
--- a/src/transport/TargetChannel.cpp
+++ b/src/transport/TargetChannel.cpp
@@ -2,9 +2,7 @@
 
 #include <array>
 
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-
+#include "BeastText.h"
 #include "damasklink/state/Text.h"
 
 namespace damasklink {
@@ -28,19 +26,10 @@
 // Left unused of the time that a target names, so that a request does not cross its close.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(700);
 
-std::string
-TextOf(beast::string_view aText)
-{
-  return std::string(aText.data(), aText.size());
-}
-
 auto
 ReadFailure(const IoError& aError)
 {
-  const bool malformed =
-    aError.category() == http::make_error_code(http::error::bad_method).category() &&
-    aError != http::error::end_of_stream && aError != http::error::partial_message;
-  if (malformed) {
+  if (internal::IsMalformed(aError)) {
     return Fail(ErrorKind::Corrupt,
                 Concat("the target's bytes are no answer: ", aError.message()),
                 "look at the target's own log");
@@ -146,7 +135,7 @@
   HttpAnswerHead head;
   head.status = static_cast<int>(message.result_int());
   for (const auto& field : message) {
-    head.fields.Add(TextOf(field.name_string()), TextOf(field.value()));
+    head.fields.Add(internal::TextOf(field.name_string()), internal::TextOf(field.value()));
   }
   channel.closes = !channel.parser->keep_alive();
   const auto seconds = KeepAliveSeconds(head.fields);
--- a/test/coordination/HeldPartsTest.cpp
+++ b/test/coordination/HeldPartsTest.cpp
@@ -24,8 +24,7 @@
 
 TEST(HeldPartsTest, LeastRecentlyUsedPartsAreForgotten)
 {
-  HeldParts held;
-  held.SetCapacity(TokenCount(30));
+  HeldParts held(TokenCount(30));
   held.OnRead(kTarget, { Part(1, 10) });
   held.OnRead(kTarget, { Part(2, 10) });
   held.OnRead(kTarget, { Part(3, 10) });
--- a/test/coordination/TargetBoardTest.cpp
+++ b/test/coordination/TargetBoardTest.cpp
@@ -97,6 +97,20 @@
   EXPECT_EQ(this->board.Find(TargetId("t")), nullptr);
 }
 
+TEST_F(TargetBoardTest, MemoryOfWhatIsGoneIsBounded)
+{
+  for (std::size_t number = 0; number <= TargetBoard::kMostGone; ++number) {
+    const std::string id = "t" + std::to_string(number);
+    this->board.Take(kFirst, Say(id, 1, TargetStanding::Usable));
+    this->board.NoteGone(TargetId(id));
+  }
+  // The oldest one is forgotten, the next one is not.
+  this->board.Take(kFirst, Say("t0", 2, TargetStanding::Usable));
+  this->board.Take(kFirst, Say("t1", 2, TargetStanding::Usable));
+  ASSERT_EQ(this->Usable(), 1U);
+  EXPECT_EQ(this->board.Usable(kService).front().id, TargetId("t0"));
+}
+
 TEST_F(TargetBoardTest, OlderRecordDoesNotReplaceTheNewerOne)
 {
   TargetStatement newer = Say("t", 5, TargetStanding::Usable);
--- a/test/coordination/TargetHealthTest.cpp
+++ b/test/coordination/TargetHealthTest.cpp
@@ -82,5 +82,13 @@
   EXPECT_EQ(this->health.Filter(this->targets).size(), 2U);
 }
 
+TEST_F(TargetHealthTest, TargetThatCannotBeReachedIsEjectedAtOnce)
+{
+  this->health.OnStart(TargetId("a"));
+  this->health.OnEnd(TargetId("a"), HealthSign::Gone);
+  EXPECT_FALSE(this->IsFit("a"));
+  EXPECT_TRUE(this->IsFit("b"));
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/program/ExchangeTest.cpp
+++ b/test/program/ExchangeTest.cpp
@@ -53,6 +53,8 @@
     this->AddRoute("/once/", CallKind::NonIdempotent, false);
     this->AddRoute("/stream/", CallKind::Streaming, false);
     this->AddRoute("/resumable/", CallKind::Streaming, true);
+    this->AddRoute("/prompts/", CallKind::NonIdempotent, false);
+    this->config->routes.back().carriesPrompt = true;
   }
 
   ~ExchangeTest() override
@@ -117,7 +119,8 @@
                 R"(","host":"h","path-prefix":")" + route.prefix + R"(","kind":")" + kind +
                 R"(","timeout-ms":20000,"target-latency-ms":20000,"service":"app",)" +
                 R"("max-attempts":2,"public":true,"resumable":)" +
-                (route.resumable ? "true" : "false") + "}";
+                (route.resumable ? "true" : "false") + R"(,"sticky":)" +
+                (route.carriesPrompt ? "true" : "false") + "}";
     }
     return R"({"version":1,"routes":[)" + routes + R"(],"services":[{"name":"app"}]})";
   }
@@ -458,6 +461,26 @@
   }
 }
 
+TEST_F(ExchangeTest, PromptThatWouldWaitTooLongIsRefusedAtOnce)
+{
+  ScriptedTarget target([](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, Answer(200, "done"));
+    return true;
+  });
+  this->AddTarget("t", target.Address());
+  // Far more than the target reads within the objective of 20 s.
+  PickedWork waiting;
+  waiting.toRead = TokenCount(100'000'000);
+  this->picker.OnSent(TargetId("t"), PickQuestion{}, waiting);
+  this->Start();
+  this->Call("/prompts/", "X-Model: m\r\nX-Token-Usage: 100,10\r\n");
+  const std::string refused = this->Receive();
+  EXPECT_NE(refused.find("HTTP/1.1 503"), std::string::npos);
+  EXPECT_NE(refused.find("Retry-After: 1\r\n"), std::string::npos);
+  EXPECT_NE(refused.find("not_run"), std::string::npos);
+  EXPECT_TRUE(target.Requests().empty());
+}
+
 TEST_F(ExchangeTest, CallerMayAskToCloseTheChannel)
 {
   ScriptedTarget target([](const std::string&, TcpSocket& aSocket) {
--- a/test/program/ServingPathTest.cpp
+++ b/test/program/ServingPathTest.cpp
@@ -1,50 +1,36 @@
 // One control host and one entry host of a serving deployment, whole, on addresses of this machine.
-#include <unistd.h>
-
 #include <csignal>
 #include <thread>
 
+#include <absl/synchronization/notification.h>
 #include <gtest/gtest.h>
 
 #include "platform/Dialect.h"
 #include "program/ControlHost.h"
 #include "program/EntryHost.h"
+#include "support/OwnAddress.h"
 #include "support/ScriptedTarget.h"
 #include "support/TempFolder.h"
 
 namespace damasklink {
 namespace {
 
+using testing::FreeEndpoint;
+using testing::OwnAddress;
 using testing::ReadMessage;
 using testing::ScriptedTarget;
 using testing::TempFolder;
 using testing::Write;
 
-// Returns an address of this machine that belongs to this process alone, so that tests which run at
-// the same time cannot take each other's ports.
-std::string
-OwnAddress(int aHost)
-{
-  const auto process = static_cast<unsigned>(getpid());
-  constexpr unsigned kByte = 256;
-  return "127." + std::to_string(1 + process / kByte % (kByte - 2)) + "." +
-         std::to_string(process % kByte) + "." + std::to_string(aHost);
-}
-
-// Returns an endpoint of the address that was free a moment ago.
-Endpoint
-FreeEndpoint(const std::string& aAddress)
-{
-  asio::io_context context;
-  TcpAcceptor probe(context, TcpEndpoint(asio::ip::make_address(aAddress), 0));
-  return Endpoint{ aAddress, probe.local_endpoint().port() };
-}
-
 class ServingPathTest : public ::testing::Test
 {
 protected:
-  ServingPathTest()
-    : target([](const std::string& aRequest, TcpSocket& aSocket) {
+  explicit ServingPathTest(const std::vector<HostId>& aFellowFounders = {})
+    : target([this](const std::string& aRequest, TcpSocket& aSocket) {
+      if (this->held) {
+        this->reached.Notify();
+        this->release.WaitForNotification();
+      }
       const std::size_t at = aRequest.find("X-Request-Id: ") + 14;
       const std::string id = aRequest.substr(at, aRequest.find("\r\n", at) - at);
       Write(aSocket,
@@ -60,7 +46,8 @@
     control.zone = ZoneId("z");
     control.control = FreeEndpoint(controlIp);
     control.peerPort = peers;
-    control.seeds = { control.host };
+    control.seeds = aFellowFounders;
+    control.seeds.push_back(control.host);
     control.firstStart = true;
     control.dataFolder = this->folder.Path();
     ServingSettings entry;
@@ -88,11 +75,16 @@
   {
     if (this->controlThread.joinable()) {
       std::raise(SIGTERM);
-      this->controlThread.join();
-      this->entryThread.join();
+      this->AwaitEnd();
     }
   }
 
+  void AwaitEnd()
+  {
+    this->controlThread.join();
+    this->entryThread.join();
+  }
+
   // Sends one call and returns its whole answer, empty when there was none.
   static std::string Send(const Endpoint& aTo, const std::string& aHead, const std::string& aBody)
   {
@@ -159,6 +151,10 @@
 
   TempFolder folder;
   platform::Dialect dialect;
+  // Whether the target keeps its next answer back until it is released.
+  std::atomic<bool> held{ false };
+  absl::Notification reached;
+  absl::Notification release;
   ScriptedTarget target;
   Endpoint controlAddress;
   ServingSettings entrySettings;
@@ -218,5 +214,42 @@
   EXPECT_TRUE(this->entryEnd);
 }
 
+TEST_F(ServingPathTest, StopLetsRunningCallsEndAndFailsReadinessFirst)
+{
+  SendUntil("HTTP/1.1 200", [&] { return this->PutConfig(Config(3)); });
+  SendUntil("HTTP/1.1 200", [&] { return this->Heartbeat("ready", 1); });
+  SendUntil("HTTP/1.1 200", [&] { return this->Call("r1"); });
+  this->held = true;
+  std::string answer;
+  std::thread caller([&] { answer = this->Call("r2"); });
+  this->reached.WaitForNotification();
+  std::raise(SIGTERM);
+  SendUntil("HTTP/1.1 503", [&] { return this->Ready(); });
+  this->release.Notify();
+  caller.join();
+  EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 200");
+  EXPECT_NE(answer.find("Connection: close\r\n"), std::string::npos);
+  this->AwaitEnd();
+  EXPECT_TRUE(this->entryEnd);
+}
+
+// A control host whose fellow founder never answers.
+class CutOffControlTest : public ServingPathTest
+{
+protected:
+  CutOffControlTest()
+    : ServingPathTest({ HostId(OwnAddress(9)) })
+  {
+  }
+};
+
+TEST_F(CutOffControlTest, TargetsAreSentOnAndNothingIsAcknowledged)
+{
+  SendUntil("HTTP/1.1 503", [&] { return this->Heartbeat("ready", 1); });
+  EXPECT_EQ(this->PutConfig(Config(3)).substr(0, 12), "HTTP/1.1 503");
+  EXPECT_EQ(Send(this->controlAddress, "GET /-/config HTTP/1.1\r\nHost: c\r\n", "").substr(0, 12),
+            "HTTP/1.1 503");
+}
+
 } // namespace
 } // namespace damasklink
--- /dev/null
+++ b/test/transport/CallerChannelTest.cpp
@@ -0,0 +1,152 @@
+#include "damasklink/transport/CallerChannel.h"
+
+#include <gtest/gtest.h>
+
+namespace damasklink {
+namespace {
+
+// Reads requests from one connection to which the test has written.
+class CallerChannelTest : public ::testing::Test
+{
+protected:
+  CallerChannelTest()
+    : acceptor(this->loop, TcpEndpoint(asio::ip::make_address("127.0.0.1"), 0))
+  {
+    this->caller.connect(this->acceptor.local_endpoint());
+    this->channel = std::make_unique<CallerChannel>(this->acceptor.accept());
+  }
+
+  void Send(const std::string& aBytes) { asio::write(this->caller, asio::buffer(aBytes)); }
+
+  // Returns the next request, or why there is none.
+  Result<HttpRequestMessage> Read()
+  {
+    std::optional<Result<HttpRequestMessage>> read;
+    asio::co_spawn(this->loop, this->ReadInto(read), asio::detached);
+    this->loop.restart();
+    this->loop.run();
+    return *read;
+  }
+
+  Awaitable<void> ReadInto(std::optional<Result<HttpRequestMessage>>& aTo)
+  {
+    aTo = co_await this->channel->Read(this->limits);
+  }
+
+  ErrorKind KindOf(const std::string& aBytes)
+  {
+    this->Send(aBytes);
+    const auto read = this->Read();
+    return read ? ErrorKind::Internal : read.error().kind;
+  }
+
+  asio::io_context loop;
+  TcpAcceptor acceptor;
+  TcpSocket caller{ this->loop };
+  std::unique_ptr<CallerChannel> channel;
+  CallerLimits limits;
+};
+
+TEST_F(CallerChannelTest, BodyWithLengthIsRead)
+{
+  this->Send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc");
+  const auto request = this->Read();
+  ASSERT_TRUE(request);
+  EXPECT_EQ(request.value().head.target, "/a");
+  EXPECT_EQ(request.value().body, "abc");
+}
+
+TEST_F(CallerChannelTest, BodyInChunksIsRead)
+{
+  this->Send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+             "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n");
+  const auto request = this->Read();
+  ASSERT_TRUE(request);
+  EXPECT_EQ(request.value().body, "abcde");
+}
+
+TEST_F(CallerChannelTest, RequestsThatFollowEachOtherAreReadOneByOne)
+{
+  this->Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_EQ(this->Read().value().head.target, "/1");
+  EXPECT_EQ(this->Read().value().head.target, "/2");
+}
+
+TEST_F(CallerChannelTest, LengthBesideChunksIsRefused)
+{
+  EXPECT_EQ(this->KindOf("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n\r\n"),
+            ErrorKind::InvalidArgument);
+}
+
+TEST_F(CallerChannelTest, DoubledLengthsAreRefused)
+{
+  EXPECT_EQ(this->KindOf("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                         "Content-Length: 3\r\n\r\nabc"),
+            ErrorKind::InvalidArgument);
+}
+
+TEST_F(CallerChannelTest, BareLineFeedIsRefused)
+{
+  EXPECT_EQ(this->KindOf("GET /a HTTP/1.1\nHost: h\n\n"), ErrorKind::InvalidArgument);
+}
+
+TEST_F(CallerChannelTest, SpaceBeforeTheColonIsRefused)
+{
+  EXPECT_EQ(this->KindOf("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\nabc"),
+            ErrorKind::InvalidArgument);
+}
+
+TEST_F(CallerChannelTest, HeadBeyondTheLimitIsRefused)
+{
+  this->limits.headerBytes = 100;
+  EXPECT_EQ(this->KindOf("GET /a HTTP/1.1\r\nHost: " + std::string(200, 'h') + "\r\n\r\n"),
+            ErrorKind::Overloaded);
+}
+
+TEST_F(CallerChannelTest, BodyBeyondTheLimitIsRefusedBeforeItIsRead)
+{
+  this->limits.bodyBytes = 10;
+  EXPECT_EQ(this->KindOf("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n"),
+            ErrorKind::NotPermitted);
+}
+
+TEST_F(CallerChannelTest, SlowHeadIsCutOff)
+{
+  this->limits.headerTimeout = std::chrono::milliseconds(20);
+  EXPECT_EQ(this->KindOf("GET /a HTT"), ErrorKind::DeadlineExceeded);
+}
+
+TEST_F(CallerChannelTest, IdleChannelEndsWithoutAnAnswer)
+{
+  this->limits.idleTimeout = std::chrono::milliseconds(20);
+  EXPECT_EQ(this->KindOf(""), ErrorKind::Interrupted);
+  EXPECT_TRUE(this->channel->IsIdle());
+}
+
+TEST_F(CallerChannelTest, CallerThatClosesBetweenRequestsIsNoFault)
+{
+  this->caller.close();
+  const auto read = this->Read();
+  ASSERT_FALSE(read);
+  EXPECT_EQ(read.error().kind, ErrorKind::Interrupted);
+}
+
+TEST_F(CallerChannelTest, ChannelWithAWaitingRequestIsNotClosedAsIdle)
+{
+  this->Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  this->channel->CloseIfIdle();
+  EXPECT_EQ(this->Read().value().head.target, "/a");
+}
+
+TEST_F(CallerChannelTest, IdleChannelIsClosedAsIdle)
+{
+  this->channel->CloseIfIdle();
+  char byte = 0;
+  IoError error;
+  this->caller.read_some(asio::buffer(&byte, 1), error);
+  EXPECT_EQ(error, asio::error::eof);
+}
+
+} // namespace
+} // namespace damasklink
--- /dev/null
+++ b/test/transport/PeerMeshTest.cpp
@@ -0,0 +1,166 @@
+#include "damasklink/transport/PeerMesh.h"
+
+#include <array>
+
+#include <gtest/gtest.h>
+
+#include "support/OwnAddress.h"
+
+namespace damasklink {
+namespace {
+
+using testing::FreeEndpoint;
+using testing::OwnAddress;
+
+// Notes what happens on one host's connections.
+class Notes final : public PeerMeshHandler
+{
+public:
+  void OnPeerUp(const HostId& aPeer, LinkSide aSide) override
+  {
+    this->ups.emplace_back(aPeer, aSide);
+  }
+  void OnPeerDown(const HostId& aPeer, LinkSide aSide) override
+  {
+    this->downs.emplace_back(aPeer, aSide);
+  }
+  void OnPeerMessage(const HostId& /*aPeer*/, PeerMessage aMessage) override
+  {
+    this->payloads.push_back(aMessage.payload);
+  }
+
+  std::vector<std::pair<HostId, LinkSide>> ups;
+  std::vector<std::pair<HostId, LinkSide>> downs;
+  std::vector<std::string> payloads;
+};
+
+class PeerMeshTest : public ::testing::Test
+{
+protected:
+  // Never gives a connection up while a test runs, however slow the machine is.
+  static PeerMeshTiming Patient()
+  {
+    PeerMeshTiming timing;
+    timing.alive = std::chrono::milliseconds(20);
+    timing.silence = std::chrono::minutes(10);
+    timing.redial = std::chrono::milliseconds(10);
+    return timing;
+  }
+
+  static PeerMeshTiming Impatient()
+  {
+    PeerMeshTiming timing = Patient();
+    timing.silence = std::chrono::milliseconds(100);
+    return timing;
+  }
+
+  // Runs the loop until the condition holds.
+  template<typename Condition>
+  void RunUntil(Condition aCondition)
+  {
+    while (!aCondition()) {
+      this->loop.run_one_for(std::chrono::milliseconds(50));
+    }
+  }
+
+  static PeerMessage Message(std::string aPayload)
+  {
+    return PeerMessage{ Channel::Serving, GroupId(), std::move(aPayload) };
+  }
+
+  asio::io_context loop;
+  HostId first{ OwnAddress(4) };
+  HostId second{ OwnAddress(5) };
+  std::uint16_t port = FreeEndpoint(second.Value()).port;
+  Notes firstNotes;
+  Notes secondNotes;
+};
+
+TEST_F(PeerMeshTest, BothSidesMaySendOnOneConnection)
+{
+  PeerMesh dialer(this->loop, this->first, this->port, this->firstNotes, Patient());
+  PeerMesh listener(this->loop, this->second, this->port, this->secondNotes, Patient());
+  ASSERT_TRUE(listener.Listen());
+  dialer.Dial(this->second);
+  this->RunUntil([&] { return dialer.IsUp(this->second); });
+  dialer.Send(this->second, Message("there"));
+  this->RunUntil([&] { return !this->secondNotes.payloads.empty(); });
+  listener.Send(this->first, Message("and back"));
+  this->RunUntil([&] { return !this->firstNotes.payloads.empty(); });
+  EXPECT_EQ(this->secondNotes.payloads.front(), "there");
+  EXPECT_EQ(this->firstNotes.payloads.front(), "and back");
+  EXPECT_EQ(this->secondNotes.ups.front(), std::pair(this->first, LinkSide::Accepted));
+}
+
+TEST_F(PeerMeshTest, HostThatIsNotThereYetIsDialedUntilItIs)
+{
+  PeerMesh dialer(this->loop, this->first, this->port, this->firstNotes, Patient());
+  dialer.Dial(this->second);
+  this->loop.run_for(std::chrono::milliseconds(60));
+  EXPECT_TRUE(this->firstNotes.ups.empty());
+  PeerMesh listener(this->loop, this->second, this->port, this->secondNotes, Patient());
+  ASSERT_TRUE(listener.Listen());
+  this->RunUntil([&] { return dialer.IsUp(this->second); });
+}
+
+TEST_F(PeerMeshTest, ConnectionThatFallsSilentIsGivenUpAndDialedAnew)
+{
+  // Takes connections and says nothing on them, as a host behind a cut does.
+  TcpAcceptor silent(this->loop,
+                     TcpEndpoint(asio::ip::make_address(this->second.Value()), this->port));
+  std::vector<TcpSocket> taken;
+  std::function<void()> accept = [&] {
+    silent.async_accept([&](const IoError& aError, TcpSocket aSocket) {
+      if (!aError) {
+        taken.push_back(std::move(aSocket));
+        accept();
+      }
+    });
+  };
+  accept();
+  PeerMesh dialer(this->loop, this->first, this->port, this->firstNotes, Impatient());
+  dialer.Dial(this->second);
+  this->RunUntil([&] { return !this->firstNotes.downs.empty(); });
+  this->RunUntil([&] { return taken.size() >= 2; });
+}
+
+TEST_F(PeerMeshTest, HostWithNothingToSaySaysThatItIsAlive)
+{
+  TcpAcceptor acceptor(this->loop,
+                       TcpEndpoint(asio::ip::make_address(this->second.Value()), this->port));
+  TcpSocket taken(this->loop);
+  std::size_t bytes = 0;
+  std::array<char, 4096> buffer{};
+  std::function<void()> read = [&] {
+    taken.async_read_some(asio::buffer(buffer), [&](const IoError& aError, std::size_t aCount) {
+      if (!aError) {
+        bytes += aCount;
+        read();
+      }
+    });
+  };
+  acceptor.async_accept(taken, [&](const IoError&) { read(); });
+  PeerMesh dialer(this->loop, this->first, this->port, this->firstNotes, Patient());
+  dialer.Dial(this->second);
+  this->RunUntil([&] { return bytes > 0; });
+  const std::size_t one = bytes;
+  this->RunUntil([&] { return bytes >= 3 * one; });
+}
+
+TEST_F(PeerMeshTest, BytesThatAreNoFrameEndTheConnection)
+{
+  PeerMesh listener(this->loop, this->second, this->port, this->secondNotes, Patient());
+  ASSERT_TRUE(listener.Listen());
+  TcpSocket stranger(this->loop);
+  stranger.connect(TcpEndpoint(asio::ip::make_address(this->second.Value()), this->port));
+  asio::write(stranger, asio::buffer(std::string("\x05\0\0\0hello", 9)));
+  bool closed = false;
+  char byte = 0;
+  stranger.async_read_some(asio::buffer(&byte, 1),
+                           [&](const IoError& aError, std::size_t) { closed = bool(aError); });
+  this->RunUntil([&] { return closed; });
+  EXPECT_TRUE(this->secondNotes.ups.empty());
+}
+
+} // namespace
+} // namespace damasklink
