--- a/test/coordination/WeightRolloutTest.cpp
+++ b/test/coordination/WeightRolloutTest.cpp
@@ -120,6 +120,15 @@
   EXPECT_TRUE(this->rollout.Paused().empty());
 }
 
+TEST_F(WeightRolloutTest, EnginesThatWereOrderedBeforeComeToLaterWeightsToo)
+{
+  this->Run(std::chrono::seconds(13));
+  this->wished[kModel] = 3;
+  this->Run(std::chrono::seconds(13));
+  EXPECT_EQ(this->CountAt(3), 10U);
+  EXPECT_EQ(this->refused, 0);
+}
+
 TEST_F(WeightRolloutTest, OnlyAFifthIsOutAtOnce)
 {
   this->Run(std::chrono::seconds(13));
