An engine that ignores fencing numbers is ordered once more before its failure stops a rollout

Cause: a former leader's order that arrives late pushes out the one under way at an engine that does not check fencing numbers; it then reports nothing new within the load limit, which looks like a failed load. Ruled out: ordering every engine once more, since it breaks RolloutStopsAtTheFirstEngineThatFailsAndSaysSo; an engine that checks numbers cannot be pushed out, so it is not ordered again and that test stays as it was.

--- a/include/damasklink/coordination/TargetOrders.h
+++ b/include/damasklink/coordination/TargetOrders.h
@@ -86,6 +86,8 @@
 // - The first engine that refuses its order, falls silent under it, or does not report the wished
 //   end within the load limit stops the rollout: no further engine is ordered until the wish or
 //   its attempt changes. Engines that have the wished end already stay as they are.
+// - An engine that ignores fencing numbers is ordered once more when the load limit is over, before
+//   that counts as a failure: an order of a former leader may have pushed out the one it had.
 // Not thread-safe.
 class TargetOrders
 {
@@ -125,6 +127,8 @@
     OrderStage stage = OrderStage::Issuing;
     FencingNumber fencing;
     MonotonicTime since;
+    // Was sent a second time, since nothing came of the first.
+    bool repeated = false;
     std::string failure;
   };
 
--- a/src/coordination/TargetOrders.cpp
+++ b/src/coordination/TargetOrders.cpp
@@ -168,8 +168,15 @@
     order.stage = OrderStage::Failed;
     order.failure = "fell silent or left under its order";
   } else if (order.stage == OrderStage::Taken && elapsed >= aDeployment.loadLimit) {
-    order.stage = OrderStage::Failed;
-    order.failure = "did not report the wished end within the load limit";
+    if (!aRecord.checksFencing && !order.repeated) {
+      // A former leader's order may have come late and pushed this one out: the engine then reports
+      // nothing new either. Once more tells that from an engine that cannot load.
+      order.repeated = true;
+      order.stage = OrderStage::Issued;
+    } else {
+      order.stage = OrderStage::Failed;
+      order.failure = "did not report the wished end within the load limit";
+    }
   }
   return true;
 }
--- a/test/coordination/TargetOrdersTest.cpp
+++ b/test/coordination/TargetOrdersTest.cpp
@@ -207,6 +207,31 @@
   EXPECT_EQ(system.State(), "complete");
 }
 
+TEST(TargetOrdersTest, EngineThatIgnoresFencingIsOrderedOnceMoreBeforeItsFailureStopsTheRollout)
+{
+  Fixture system(4, false);
+  system.engines[1].failsLoads = true;
+  system.Run(std::chrono::minutes(2));
+  EXPECT_EQ(system.CountAt("v2"), 1U);
+  EXPECT_EQ(system.sent.size(), 3U) << "the first engine's order, and two of the one that fails";
+  EXPECT_EQ(system.State(), "stopped");
+}
+
+TEST(TargetOrdersTest, LateOrderThatPushesOutTheOneUnderWayIsRepaired)
+{
+  Fixture system(1, false);
+  system.deployments[kName].keepServing = 0;
+  system.Run(std::chrono::seconds(10));
+  ASSERT_EQ(system.CountAt("v2"), 1U);
+  const TargetOrder former = system.sent.front();
+  system.deployments[kName].version = WeightVersion("v3");
+  system.Run(kStep * 2);
+  ASSERT_EQ(system.CountLoading(), 1U);
+  system.engines[0].Take(former, system.clock.MonotonicNow());
+  system.Run(std::chrono::seconds(30));
+  EXPECT_EQ(system.CountAt("v3"), 1U);
+}
+
 TEST(TargetOrdersTest, EngineThatRefusesItsOrderStopsTheRollout)
 {
   Fixture system(2);
