Entry hosts tell one control host of their zone what they have where; sums of it are passed on

Cause: each entry host's words went through one control host to each other one: with 72 entry hosts up to 50,000 messages a second, most of them between zones. Ruled out: telling less often, since older news lets all hosts choose the same target. Change: SendsHub adds up the words of the hosts of its zone, control hosts exchange sums, the own share is taken off (SendsSum, TargetPicker). What goes to many hosts is encoded once.

--- a/include/damasklink/coordination/ServingPicture.h
+++ b/include/damasklink/coordination/ServingPicture.h
@@ -67,6 +67,8 @@
 
 struct Picture
 {
+  // Of the sender; empty when not told.
+  ZoneId zone;
   // Zero when there is no document yet.
   Revision documentVersion;
   // Empty when this picture carries only what has changed, and the document has not.
@@ -81,7 +83,7 @@
   bool operator==(const Picture&) const = default;
 };
 
-// What one entry host has at one target.
+// What one entry host has at one target, or several together.
 struct TargetSendsNow
 {
   TargetId target;
@@ -96,12 +98,16 @@
   bool operator==(const TargetSendsNow&) const = default;
 };
 
-// What an entry host sends where. A control host passes it on to the other entry hosts, so that
-// each knows the load of targets and what they hold, not only its own share of it.
+// What an entry host sends where, or the sum of that over the entry hosts that tell one control
+// host. Control hosts pass sums on, so that each entry host knows the load of targets and what they
+// hold, not only its own share of it.
 struct SendsNews
 {
+  // Who tells.
   HostId host;
   std::vector<TargetSendsNow> sends;
+  // The teller tells another control host from now on; nothing of its words counts here any more.
+  bool last = false;
 
   bool operator==(const SendsNews&) const = default;
 };
--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -20,6 +20,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include "damasklink/coordination/HeldParts.h"
+#include "damasklink/coordination/SendsSum.h"
 #include "damasklink/coordination/ServingPicture.h"
 #include "damasklink/coordination/Target.h"
 #include "damasklink/coordination/TargetHealth.h"
@@ -117,15 +118,18 @@
   void OnEnd(const TargetId& aTarget, const PickedWork& aWork);
 
   // Returns what this host has at the targets where that has changed since the last call, and the
-  // parts that it sent there; for the other entry hosts.
+  // parts that it sent there; for the control host that adds it up.
   std::vector<TargetSendsNow> TakeSends();
 
-  // Takes what another entry host has at targets. Its words count until it tells otherwise or is
-  // forgotten.
-  void TakePeerSends(const SendsNews& aNews, MonotonicTime aNow);
+  // The next TakeSends() returns all that this host has: it is for another control host.
+  void TellAllAnew();
 
-  // Forgets entry hosts that have told nothing since a time: they may be gone.
-  void ForgetPeersBefore(MonotonicTime aTime);
+  // Takes the sum that a control host made of what entry hosts have, this one among them. It
+  // counts until the control host tells otherwise or is forgotten.
+  void TakeSum(const SendsNews& aNews, MonotonicTime aNow);
+
+  // Forgets control hosts that have told nothing since a time.
+  void ForgetSumsBefore(MonotonicTime aTime) { this->told.ForgetBefore(aTime); }
 
   // Returns a target that is believed to hold the part, of those in the list; null when none is.
   const TargetRecord* HolderOf(const SizedPart& aPart,
@@ -135,34 +139,22 @@
   HeldParts& Held() { return this->held; }
 
 private:
-  struct Load
-  {
-    std::uint64_t requests = 0;
-    std::uint64_t unread = 0;
-    std::uint64_t memory = 0;
-  };
-
-  struct Peer
-  {
-    MonotonicTime heard;
-    absl::flat_hash_map<TargetId, Load> loads;
-  };
-
   bool HoldsAll(const PickQuestion& aQuestion, const TargetId& aTarget) const;
-  void AddUpPeers();
-  Load LoadOf(const TargetId& aTarget) const;
+  SentLoad LoadOf(const TargetId& aTarget) const;
   double CostOf(const PickQuestion& aQuestion, const TargetRecord& aTarget) const;
 
   const TargetHealth& health;
   PickCosts costs;
   std::minstd_rand random;
   HeldParts held;
-  absl::flat_hash_map<TargetId, Load> loads;
+  // What this host has at targets.
+  absl::flat_hash_map<TargetId, SentLoad> loads;
   // What this host has changed since TakeSends(), with the parts sent.
   std::map<TargetId, std::vector<SizedPart>> untold;
-  std::map<HostId, Peer> peers;
-  // The sum over all peers.
-  absl::flat_hash_map<TargetId, Load> peerLoads;
+  // What this host told of itself; the sums that come back contain it.
+  absl::flat_hash_map<TargetId, SentLoad> ownTold;
+  // Sums by control host.
+  SendsSum told;
 };
 
 } // namespace damasklink
--- /dev/null
+++ b/src/coordination/SendsHub.cpp
@@ -0,0 +1,44 @@
+#include "damasklink/coordination/SendsHub.h"
+
+#include <utility>
+
+namespace damasklink {
+
+void
+SendsHub::Take(const SendsNews& aNews, MonotonicTime aNow)
+{
+  if (aNews.last) {
+    this->Forget(aNews.host);
+    return;
+  }
+  this->tellers.insert(aNews.host);
+  this->sum.Take(aNews, aNow);
+  for (const TargetSendsNow& sends : aNews.sends) {
+    std::vector<SizedPart>& parts = this->untold[sends.target];
+    parts.insert(parts.end(), sends.parts.begin(), sends.parts.end());
+  }
+}
+
+void
+SendsHub::Forget(const HostId& aHost)
+{
+  if (this->tellers.erase(aHost) == 0) {
+    return;
+  }
+  for (const TargetId& target : this->sum.Forget(aHost)) {
+    this->untold.try_emplace(target);
+  }
+}
+
+SendsNews
+SendsHub::TakeChanges(const HostId& aSelf)
+{
+  SendsNews news;
+  news.host = aSelf;
+  for (auto& [target, parts] : std::exchange(this->untold, {})) {
+    news.sends.push_back(StateSends(target, this->sum.Of(target), std::move(parts)));
+  }
+  return news;
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/src/coordination/SendsSum.cpp
@@ -0,0 +1,106 @@
+#include "damasklink/coordination/SendsSum.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace damasklink {
+
+SentLoad&
+SentLoad::operator+=(const SentLoad& aOther)
+{
+  this->requests += aOther.requests;
+  this->unread += aOther.unread;
+  this->memory += aOther.memory;
+  return *this;
+}
+
+SentLoad&
+SentLoad::operator-=(const SentLoad& aOther)
+{
+  this->requests -= std::min(this->requests, aOther.requests);
+  this->unread -= std::min(this->unread, aOther.unread);
+  this->memory -= std::min(this->memory, aOther.memory);
+  return *this;
+}
+
+void
+SendsSum::Take(const SendsNews& aNews, MonotonicTime aNow)
+{
+  Host& host = this->hosts[aNews.host];
+  host.heard = aNow;
+  for (const TargetSendsNow& sends : aNews.sends) {
+    const SentLoad now{ sends.requests, sends.unread.Value(), sends.memory.Value() };
+    SentLoad& load = host.loads[sends.target];
+    SentLoad& sum = this->sums[sends.target];
+    sum -= load;
+    sum += now;
+    load = now;
+    if (sum.IsEmpty()) {
+      this->sums.erase(sends.target);
+    }
+    if (now.IsEmpty()) {
+      host.loads.erase(sends.target);
+    }
+  }
+}
+
+void
+SendsSum::Drop(const Host& aHost)
+{
+  for (const auto& [target, load] : aHost.loads) {
+    SentLoad& sum = this->sums[target];
+    sum -= load;
+    if (sum.IsEmpty()) {
+      this->sums.erase(target);
+    }
+  }
+}
+
+std::vector<TargetId>
+SendsSum::Forget(const HostId& aHost)
+{
+  std::vector<TargetId> targets;
+  const auto found = this->hosts.find(aHost);
+  if (found == this->hosts.end()) {
+    return targets;
+  }
+  for (const auto& [target, load] : found->second.loads) {
+    targets.push_back(target);
+  }
+  this->Drop(found->second);
+  this->hosts.erase(found);
+  return targets;
+}
+
+void
+SendsSum::ForgetBefore(MonotonicTime aTime)
+{
+  std::erase_if(this->hosts, [&](const auto& aItem) {
+    const bool silent = aItem.second.heard < aTime;
+    if (silent) {
+      this->Drop(aItem.second);
+    }
+    return silent;
+  });
+}
+
+SentLoad
+SendsSum::Of(const TargetId& aTarget) const
+{
+  const auto found = this->sums.find(aTarget);
+  return found == this->sums.end() ? SentLoad() : found->second;
+}
+
+TargetSendsNow
+StateSends(const TargetId& aTarget, const SentLoad& aLoad, std::vector<SizedPart> aParts)
+{
+  TargetSendsNow sends;
+  sends.target = aTarget;
+  sends.requests = aLoad.requests;
+  sends.unread = TokenCount(aLoad.unread);
+  sends.memory = TokenCount(aLoad.memory);
+  sends.parts = std::move(aParts);
+  return sends;
+}
+
+} // namespace damasklink
--- a/src/coordination/TargetPicker.cpp
+++ b/src/coordination/TargetPicker.cpp
@@ -1,6 +1,7 @@
 #include "damasklink/coordination/TargetPicker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace damasklink {
 namespace {
@@ -96,17 +97,16 @@
   return TokenCount(all - std::min(all, saved));
 }
 
-TargetPicker::Load
+// This host's own load, and that of the others: the sums less what this host told of itself.
+SentLoad
 TargetPicker::LoadOf(const TargetId& aTarget) const
 {
-  Load all;
-  for (const auto* known : { &this->loads, &this->peerLoads }) {
-    const auto load = known->find(aTarget);
-    if (load != known->end()) {
-      all.requests += load->second.requests;
-      all.unread += load->second.unread;
-      all.memory += load->second.memory;
-    }
+  SentLoad all = this->told.Of(aTarget);
+  if (const auto own = this->ownTold.find(aTarget); own != this->ownTold.end()) {
+    all -= own->second;
+  }
+  if (const auto own = this->loads.find(aTarget); own != this->loads.end()) {
+    all += own->second;
   }
   return all;
 }
@@ -114,7 +114,7 @@
 Duration
 TargetPicker::ExpectedFirstEvent(const PickQuestion& aQuestion, const TargetId& aTarget) const
 {
-  const Load load = this->LoadOf(aTarget);
+  const SentLoad load = this->LoadOf(aTarget);
   const std::uint64_t unread = load.unread + this->ToRead(aQuestion, aTarget).Value();
   double milliseconds =
     this->costs.firstStep + this->costs.perTokenInQueue * static_cast<double>(unread);
@@ -131,7 +131,7 @@
 TargetPicker::CostOf(const PickQuestion& aQuestion, const TargetRecord& aTarget) const
 {
   double cost = aTarget.zone == aQuestion.zone ? 0 : this->costs.otherZone;
-  const Load load = this->LoadOf(aTarget.id);
+  const SentLoad load = this->LoadOf(aTarget.id);
   const auto requests = static_cast<double>(load.requests);
   const auto memory = static_cast<double>(aQuestion.promptTokens.Value() + load.memory);
   cost += this->costs.perToken * static_cast<double>(load.unread);
@@ -171,7 +171,7 @@
                      const PickQuestion& aQuestion,
                      const PickedWork& aWork)
 {
-  Load& load = this->loads[aTarget];
+  SentLoad& load = this->loads[aTarget];
   ++load.requests;
   load.unread += aWork.toRead.Value();
   load.memory += aWork.memory.Value();
@@ -186,60 +186,35 @@
 TargetPicker::TakeSends()
 {
   std::vector<TargetSendsNow> sends;
-  for (auto& [target, parts] : this->untold) {
-    const auto load = this->loads.find(target);
-    TargetSendsNow now;
-    now.target = target;
-    now.requests = load == this->loads.end() ? 0 : load->second.requests;
-    now.unread = TokenCount(load == this->loads.end() ? 0 : load->second.unread);
-    now.memory = TokenCount(load == this->loads.end() ? 0 : load->second.memory);
-    now.parts = std::move(parts);
-    sends.push_back(std::move(now));
-  }
-  this->untold.clear();
-  return sends;
-}
-
-void
-TargetPicker::TakePeerSends(const SendsNews& aNews, MonotonicTime aNow)
-{
-  Peer& peer = this->peers[aNews.host];
-  peer.heard = aNow;
-  for (const TargetSendsNow& sends : aNews.sends) {
-    Load& load = peer.loads[sends.target];
-    Load& sum = this->peerLoads[sends.target];
-    sum.requests += sends.requests - load.requests;
-    sum.unread += sends.unread.Value() - load.unread;
-    sum.memory += sends.memory.Value() - load.memory;
-    load = Load{ sends.requests, sends.unread.Value(), sends.memory.Value() };
-    if (load.requests == 0) {
-      peer.loads.erase(sends.target);
-    }
-    if (!sends.parts.empty()) {
-      this->held.OnRead(sends.target, sends.parts);
+  for (auto& [target, parts] : std::exchange(this->untold, {})) {
+    const auto found = this->loads.find(target);
+    const SentLoad load = found == this->loads.end() ? SentLoad() : found->second;
+    if (load.IsEmpty()) {
+      this->ownTold.erase(target);
+    } else {
+      this->ownTold[target] = load;
     }
+    sends.push_back(StateSends(target, load, std::move(parts)));
   }
+  return sends;
 }
 
 void
-TargetPicker::ForgetPeersBefore(MonotonicTime aTime)
+TargetPicker::TellAllAnew()
 {
-  const auto silent = [&](const auto& aItem) { return aItem.second.heard < aTime; };
-  if (std::erase_if(this->peers, silent) > 0) {
-    this->AddUpPeers();
+  this->ownTold.clear();
+  for (const auto& [target, load] : this->loads) {
+    this->untold.try_emplace(target);
   }
 }
 
 void
-TargetPicker::AddUpPeers()
+TargetPicker::TakeSum(const SendsNews& aNews, MonotonicTime aNow)
 {
-  this->peerLoads.clear();
-  for (const auto& [host, peer] : this->peers) {
-    for (const auto& [target, load] : peer.loads) {
-      Load& sum = this->peerLoads[target];
-      sum.requests += load.requests;
-      sum.unread += load.unread;
-      sum.memory += load.memory;
+  this->told.Take(aNews, aNow);
+  for (const TargetSendsNow& sends : aNews.sends) {
+    if (!sends.parts.empty()) {
+      this->held.OnRead(sends.target, sends.parts);
     }
   }
 }
@@ -265,7 +240,7 @@
 {
   if (!aWork.answering) {
     aWork.answering = true;
-    Load& load = this->loads[aTarget];
+    SentLoad& load = this->loads[aTarget];
     load.unread -= std::min(load.unread, aWork.toRead.Value());
     this->untold.try_emplace(aTarget);
   }
@@ -278,7 +253,7 @@
   if (found == this->loads.end()) {
     return;
   }
-  Load& load = found->second;
+  SentLoad& load = found->second;
   load.requests -= std::min<std::uint64_t>(load.requests, 1);
   load.memory -= std::min(load.memory, aWork.memory.Value());
   if (!aWork.answering) {
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -9,6 +9,7 @@
 #include "ServingSignals.h"
 #include "StoreWatcher.h"
 #include "WeightsDesk.h"
+#include "damasklink/coordination/SendsHub.h"
 #include "damasklink/coordination/ServiceLevelWindows.h"
 #include "damasklink/coordination/SettledWeights.h"
 #include "damasklink/protocol/ServingCodec.h"
@@ -26,6 +27,10 @@
 // What is heard of targets is passed on in batches this far apart.
 constexpr Duration kSpreadStep = std::chrono::milliseconds(100);
 
+// What entry hosts tell of their loads is added up for so long before it is passed on: they tell
+// every 100 ms, not all at once, and a shorter wait would only make more messages.
+constexpr Duration kTellStep = std::chrono::milliseconds(50);
+
 // Heartbeats that may be missed before a target counts as silent, and how long its search for a
 // control host that answers may take on top: a second for each that does not, with pauses between.
 // A target that is gone shows by its connections long before.
@@ -105,10 +110,13 @@
   void TellStore(const StoreStatement& aStatement);
   void Greet(const HostId& aPeer);
   void TellAll(const HostId& aEntryHost);
-  void PassOnSends(const HostId& aFrom, const PeerMessage& aMessage);
+  void TakeSends(const HostId& aFrom, const SendsNews& aNews);
+  void TellSends();
   void TakeGreeting(const HostId& aPeer, const Greeting& aGreeting);
   void KnowControlHosts(const std::vector<HostId>& aHosts);
   void SendServing(const HostId& aTo, const ServingMessage& aMessage);
+  void TellEntryHosts(const ServingMessage& aMessage);
+  void SendEncoded(const std::set<HostId>& aTo, const std::string& aPayload);
   Picture BasePicture() const;
 
   ServingSettings settings;
@@ -125,12 +133,16 @@
   SettledWeights settled{ this->clock, kSettling };
   std::set<HostId> controlHosts;
   std::set<HostId> entryHosts;
+  SendsHub sends;
+  // Sums of other control hosts, for the entry hosts that tell this one.
+  std::vector<SendsNews> sumsOfOthers;
   MetricsPage metricsPage{ this->loop, this->metrics, this->settings.host };
   ControlCalls calls;
   ChannelListener callers{ this->loop };
   ServingSignals signals;
   asio::steady_timer ticker;
   MonotonicTime nextSpread;
+  MonotonicTime nextTelling;
   MonotonicTime worksUntil;
 };
 
@@ -222,6 +234,10 @@
   if (this->clock.MonotonicNow() >= this->nextSpread) {
     this->SpreadTargets();
   }
+  if (this->clock.MonotonicNow() >= this->nextTelling) {
+    this->nextTelling = this->clock.MonotonicNow() + kTellStep;
+    this->TellSends();
+  }
   this->ticker.expires_after(kTick);
   this->ticker.async_wait([this](const IoError& aError) {
     if (!aError) {
@@ -258,16 +274,12 @@
   changes.targets = this->picture.TakeChanges();
   if (!changes.targets.empty()) {
     changes.entryHosts = this->entryHosts.size();
-    for (const HostId& host : this->entryHosts) {
-      this->SendServing(host, changes);
-    }
+    this->TellEntryHosts(changes);
   }
   Picture news;
   news.targets = this->picture.TakeNews();
   if (!news.targets.empty()) {
-    for (const HostId& host : this->controlHosts) {
-      this->SendServing(host, news);
-    }
+    this->SendEncoded(this->controlHosts, EncodeServingMessage(news));
   }
 }
 
@@ -275,6 +287,7 @@
 ControlHost::Impl::BasePicture() const
 {
   Picture base;
+  base.zone = this->settings.zone;
   base.documentVersion = this->group.State().Version();
   base.document = this->group.State().Document();
   base.weights = this->group.State().Weights();
@@ -290,9 +303,7 @@
   LogEvent(LogLevel::Info, "configuration_applied")
     .With("version", document.documentVersion)
     .With("entry_hosts", this->entryHosts.size());
-  for (const HostId& host : this->entryHosts) {
-    this->SendServing(host, document);
-  }
+  this->TellEntryHosts(document);
   if (const auto config = this->dialect.ReadConfig(document.document)) {
     this->stores.Follow(config.value().services);
   }
@@ -303,9 +314,7 @@
 {
   Picture picture;
   picture.stores.push_back(aStatement);
-  for (const HostId& host : this->entryHosts) {
-    this->SendServing(host, picture);
-  }
+  this->TellEntryHosts(picture);
 }
 
 void
@@ -332,6 +341,21 @@
   this->mesh.Send(aTo, PeerMessage{ Channel::Serving, GroupId(), EncodeServingMessage(aMessage) });
 }
 
+void
+ControlHost::Impl::TellEntryHosts(const ServingMessage& aMessage)
+{
+  this->SendEncoded(this->entryHosts, EncodeServingMessage(aMessage));
+}
+
+// Many hosts get the same bytes: they are encoded once.
+void
+ControlHost::Impl::SendEncoded(const std::set<HostId>& aTo, const std::string& aPayload)
+{
+  for (const HostId& host : aTo) {
+    this->mesh.Send(host, PeerMessage{ Channel::Serving, GroupId(), aPayload });
+  }
+}
+
 void
 ControlHost::Impl::OnPeerUp(const HostId& aPeer, LinkSide aSide)
 {
@@ -349,6 +373,7 @@
 {
   if (aSide == LinkSide::Accepted) {
     this->entryHosts.erase(aPeer);
+    this->sends.Forget(aPeer);
   }
 }
 
@@ -370,8 +395,8 @@
     this->TakeGreeting(aPeer, *greeting);
     return;
   }
-  if (std::holds_alternative<SendsNews>(message.value())) {
-    this->PassOnSends(aPeer, aMessage);
+  if (const auto* news = std::get_if<SendsNews>(&message.value())) {
+    this->TakeSends(aPeer, *news);
     return;
   }
   for (const TargetStatement& statement : std::get<Picture>(message.value()).targets) {
@@ -380,12 +405,28 @@
 }
 
 void
-ControlHost::Impl::PassOnSends(const HostId& aFrom, const PeerMessage& aMessage)
+ControlHost::Impl::TakeSends(const HostId& aFrom, const SendsNews& aNews)
 {
-  for (const HostId& host : this->entryHosts) {
-    if (host != aFrom) {
-      this->mesh.Send(host, aMessage);
-    }
+  if (this->entryHosts.contains(aFrom)) {
+    this->sends.Take(aNews, this->clock.MonotonicNow());
+  } else if (!this->sends.Tellers().empty()) {
+    this->sumsOfOthers.push_back(aNews);
+  }
+}
+
+// Tells the sums of this host to the other control hosts, and all sums to the entry hosts that tell
+// it what they have.
+void
+ControlHost::Impl::TellSends()
+{
+  const SendsNews own = this->sends.TakeChanges(this->settings.host);
+  std::vector<SendsNews> sums = std::exchange(this->sumsOfOthers, {});
+  if (!own.sends.empty()) {
+    this->SendEncoded(this->controlHosts, EncodeServingMessage(own));
+    sums.push_back(own);
+  }
+  for (const SendsNews& sum : sums) {
+    this->SendEncoded(this->sends.Tellers(), EncodeServingMessage(sum));
   }
 }
 
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <list>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -27,8 +28,8 @@
 // older news would say little of what is unread.
 constexpr Duration kShareStep = std::chrono::milliseconds(100);
 
-// An entry host that tells nothing for this long may be gone, and its requests with it.
-constexpr Duration kPeerMemory = std::chrono::seconds(2);
+// A control host that tells no sums for this long may be gone; its entry hosts tell another one.
+constexpr Duration kSumMemory = std::chrono::seconds(2);
 
 // Left of the time to stop when what still runs is cut: for the answers to leave the host.
 constexpr Duration kStopMargin = std::chrono::milliseconds(400);
@@ -89,7 +90,9 @@
   Awaitable<void> AnswerUnreadable(CallerChannel& aChannel, const Error& aError);
   Awaitable<void> Stop();
   void KeepHouse();
+  std::optional<HostId> ChooseHub() const;
   void ShareSends();
+  void TellSends(const HostId& aTo, const SendsNews& aNews);
   void DialControlHosts(const std::vector<HostId>& aHosts);
   bool IsReady() const;
   CallerLimits Limits() const;
@@ -117,6 +120,8 @@
   Channels open;
   // Control hosts that are known; links are kept to some of them.
   std::set<HostId> controlHosts;
+  // The control host that is told what this host has where.
+  std::optional<HostId> hub;
   bool wasReady = false;
 };
 
@@ -284,23 +289,53 @@
   });
 }
 
-// Tells the other entry hosts, through the first control host that is connected, what this one has
-// where. All choose the same control host as long as they reach the same ones.
+// Returns the control host that adds up what the entry hosts have: a connected one of this zone,
+// where bytes are cheap, or else the first. All hosts of a zone choose the same one as long as they
+// reach the same ones.
+std::optional<HostId>
+EntryHost::Impl::ChooseHub() const
+{
+  std::optional<HostId> first;
+  for (const HostId& host : this->controlHosts) {
+    if (!this->mesh.IsUp(host)) {
+      continue;
+    }
+    if (this->picture.ZoneOf(host) == this->settings.zone) {
+      return host;
+    }
+    if (!first) {
+      first = host;
+    }
+  }
+  return first;
+}
+
+// Tells a control host what this host has where.
 void
 EntryHost::Impl::ShareSends()
 {
-  const auto up = std::find_if(this->controlHosts.begin(),
-                               this->controlHosts.end(),
-                               [&](const HostId& aHost) { return this->mesh.IsUp(aHost); });
-  if (up != this->controlHosts.end()) {
+  const std::optional<HostId> chosen = this->ChooseHub();
+  const bool changed = chosen != this->hub;
+  if (changed && this->hub) {
+    // It must not count this host any more, should the connection stand yet.
+    SendsNews farewell;
+    farewell.host = this->settings.host;
+    farewell.last = true;
+    this->TellSends(*this->hub, farewell);
+  }
+  if (changed) {
+    this->hub = chosen;
+    this->picker.TellAllAnew();
+  }
+  if (this->hub) {
     SendsNews news;
     news.host = this->settings.host;
     news.sends = this->picker.TakeSends();
-    if (!news.sends.empty()) {
-      this->mesh.Send(*up, PeerMessage{ Channel::Serving, GroupId(), EncodeServingMessage(news) });
+    if (changed || !news.sends.empty()) {
+      this->TellSends(*this->hub, news);
     }
   }
-  this->picker.ForgetPeersBefore(this->clock.MonotonicNow() - kPeerMemory);
+  this->picker.ForgetSumsBefore(this->clock.MonotonicNow() - kSumMemory);
   this->sharing.expires_after(kShareStep);
   this->sharing.async_wait([this](const IoError& aError) {
     if (!aError) {
@@ -309,6 +344,12 @@
   });
 }
 
+void
+EntryHost::Impl::TellSends(const HostId& aTo, const SendsNews& aNews)
+{
+  this->mesh.Send(aTo, PeerMessage{ Channel::Serving, GroupId(), EncodeServingMessage(aNews) });
+}
+
 void
 EntryHost::Impl::DialControlHosts(const std::vector<HostId>& aHosts)
 {
@@ -351,7 +392,7 @@
     return;
   }
   if (const auto* news = std::get_if<SendsNews>(&message.value())) {
-    this->picker.TakePeerSends(*news, this->clock.MonotonicNow());
+    this->picker.TakeSum(*news, this->clock.MonotonicNow());
     return;
   }
   const auto* told = std::get_if<Picture>(&message.value());
--- a/src/program/EntryPicture.cpp
+++ b/src/program/EntryPicture.cpp
@@ -36,6 +36,9 @@
   if (aPicture.entryHosts > 0) {
     this->entryHosts[aFrom] = aPicture.entryHosts;
   }
+  if (!aPicture.zone.Empty()) {
+    this->zones[aFrom] = aPicture.zone;
+  }
   this->controlHosts.insert(
     this->controlHosts.end(), aPicture.controlHosts.begin(), aPicture.controlHosts.end());
 }
@@ -117,6 +120,13 @@
   return best;
 }
 
+ZoneId
+EntryPicture::ZoneOf(const HostId& aHost) const
+{
+  const auto found = this->zones.find(aHost);
+  return found == this->zones.end() ? ZoneId() : found->second;
+}
+
 std::uint64_t
 EntryPicture::EntryHosts() const
 {
--- a/src/program/EntryPicture.h
+++ b/src/program/EntryPicture.h
@@ -47,6 +47,9 @@
   // Null when none is connected.
   const StoredParts* Stored() const;
 
+  // Returns the zone of a connected control host; empty when it has not told.
+  ZoneId ZoneOf(const HostId& aHost) const;
+
   // The most entry hosts that a connected control host counts.
   std::uint64_t EntryHosts() const;
 
@@ -64,6 +67,7 @@
   // When each version was heard of, by model; a few a day.
   std::map<ModelName, std::map<std::uint64_t, MonotonicTime>> weightsHeardAt;
   std::map<HostId, std::uint64_t> entryHosts;
+  std::map<HostId, ZoneId> zones;
   // By connected control host.
   std::map<HostId, StoredParts> stored;
   std::vector<HostId> controlHosts;
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -165,6 +165,7 @@
     for (const StoreStatement& statement : aPicture.stores) {
       this->frame.stores.push_back(RowOf(statement));
     }
+    this->frame.zone = aPicture.zone.Value();
     this->frame.entry_hosts = static_cast<std::uint32_t>(aPicture.entryHosts);
     this->frame.control_hosts = TextsOf(aPicture.controlHosts);
   }
@@ -173,6 +174,7 @@
   {
     this->frame.kind = static_cast<std::uint8_t>(FrameKind::SendsNews);
     this->frame.host = aNews.host.Value();
+    this->frame.last = aNews.last;
     for (const TargetSendsNow& sends : aNews.sends) {
       auto row = std::make_unique<wire::SendsRowT>();
       row->target = sends.target.Value();
@@ -214,6 +216,7 @@
   for (const auto& row : aFrame.stores) {
     picture.stores.push_back(ReadRow(*row));
   }
+  picture.zone = ZoneId(aFrame.zone);
   picture.entryHosts = aFrame.entry_hosts;
   picture.controlHosts = HostsOf(aFrame.control_hosts);
   return ServingMessage(std::move(picture));
@@ -224,6 +227,7 @@
 {
   SendsNews news;
   news.host = HostId(aFrame.host);
+  news.last = aFrame.last;
   for (const auto& row : aFrame.sends) {
     TargetSendsNow sends;
     sends.target = TargetId(row->target);
--- a/test/coordination/TargetPickerTest.cpp
+++ b/test/coordination/TargetPickerTest.cpp
@@ -112,27 +112,48 @@
 {
   const TargetSendsNow many{ TargetId("a"), 9, TokenCount(), TokenCount(), {} };
   const TargetSendsNow some{ TargetId("b"), 5, TokenCount(), TokenCount(), {} };
-  this->picker.TakePeerSends(SendsNews{ HostId("other"), { many, some } },
+  this->picker.TakeSum(SendsNews{ HostId("other"), { many, some }, false },
                              this->clock.MonotonicNow());
   EXPECT_EQ(this->Choose(), "c");
   const TargetSendsNow none{ TargetId("a"), 0, TokenCount(), TokenCount(), {} };
-  this->picker.TakePeerSends(SendsNews{ HostId("other"), { none } }, this->clock.MonotonicNow());
+  this->picker.TakeSum(SendsNews{ HostId("other"), { none }, false }, this->clock.MonotonicNow());
   this->Load("c", 3);
   EXPECT_EQ(this->Choose(), "a");
 }
 
-TEST_F(TargetPickerTest, SilentHostsAreForgotten)
+TEST_F(TargetPickerTest, SumsOfSilentControlHostsAreForgotten)
 {
   const TargetSendsNow many{ TargetId("a"), 9, TokenCount(), TokenCount(), {} };
-  this->picker.TakePeerSends(SendsNews{ HostId("gone"), { many } }, this->clock.MonotonicNow());
+  this->picker.TakeSum(SendsNews{ HostId("gone"), { many }, false }, this->clock.MonotonicNow());
   this->Load("b", 1);
   this->Load("c", 1);
   EXPECT_NE(this->Choose(), "a");
   this->clock.Advance(std::chrono::seconds(3));
-  this->picker.ForgetPeersBefore(this->clock.MonotonicNow() - std::chrono::seconds(2));
+  this->picker.ForgetSumsBefore(this->clock.MonotonicNow() - std::chrono::seconds(2));
   EXPECT_EQ(this->Choose(), "a");
 }
 
+TEST_F(TargetPickerTest, OwnShareOfASumDoesNotCountTwice)
+{
+  this->Load("a", 2);
+  this->Load("b", 3);
+  this->Load("c", 3);
+  this->picker.TakeSends();
+  const TargetSendsNow sum{ TargetId("a"), 2, TokenCount(), TokenCount(), {} };
+  this->picker.TakeSum(SendsNews{ HostId("hub"), { sum }, false }, this->clock.MonotonicNow());
+  EXPECT_EQ(this->Choose(), "a") << "two there, not four";
+}
+
+TEST_F(TargetPickerTest, AnotherControlHostIsToldEverything)
+{
+  this->Load("a", 2);
+  this->picker.TakeSends();
+  this->picker.TellAllAnew();
+  const auto sends = this->picker.TakeSends();
+  ASSERT_EQ(sends.size(), 1U);
+  EXPECT_EQ(sends.front().requests, 2U);
+}
+
 TEST_F(TargetPickerTest, SendsAreToldOnceWithTheirParts)
 {
   this->question.parts = { SizedPart{ PartKey(1), TokenCount(800) } };
--- a/test/protocol/ServingCodecTest.cpp
+++ b/test/protocol/ServingCodecTest.cpp
@@ -21,6 +21,7 @@
   picture.documentVersion = Revision(12);
   picture.document = std::string("{\"a\":\0}", 7);
   picture.weights[ModelName("m")] = 3;
+  picture.zone = ZoneId("z1");
   picture.entryHosts = 9;
   picture.controlHosts = { HostId("10.0.0.1") };
   TargetStatement& statement = picture.targets.emplace_back();
@@ -50,6 +51,7 @@
 {
   SendsNews news;
   news.host = HostId("10.0.0.7");
+  news.last = true;
   news.sends = { TargetSendsNow{ TargetId("t"),
                                  3,
                                  TokenCount(12000),
