Stores and sums through a control host of the own zone; links by zone; one count of entry hosts

Change: ControlLinks prefers two control hosts of the own zone and one of another one, and adds further ones while one is down or hears no leader; stored parts come from the chosen one alone. Since no control host sees all entry hosts any more, they tell each other theirs, and a change of the count brings no new retry reserve (RetryShares; its new test failed before). EntryPictureTest.StoredPartsOfALostControlHostAreForgotten now names the control host that is listened to and asks besides that it counts only once listened to again.

--- a/include/damasklink/coordination/RetryBudget.h
+++ b/include/damasklink/coordination/RetryBudget.h
@@ -30,6 +30,9 @@
 
   void OnRequest();
 
+  // Changes what may be saved up. What is saved up beyond it is lost; nothing is given.
+  void SetReserve(double aReserve);
+
   // Returns whether a retry is allowed, and pays for it.
   bool TryTake();
 
--- a/include/damasklink/coordination/RetryShares.h
+++ b/include/damasklink/coordination/RetryShares.h
@@ -35,16 +35,20 @@
   {
   }
 
-  // Tells how many entry hosts share the budget; budgets begin anew when it changes. Zero, not
-  // known, counts as very many.
+  // Tells how many entry hosts share the budget. Zero, not known, counts as very many. Only the
+  // first count brings a full reserve: hosts that come and go must not bring a new one each time.
   void SetHosts(std::uint64_t aHosts);
 
   void OnCall(const ServiceName& aService) { this->Of(aService).OnRequest(); }
   RetryBudget& Of(const ServiceName& aService);
 
 private:
+  double Reserve() const;
+  RetryBudget Fresh() const;
+
   RetryAllowance allowance;
   std::uint64_t hosts = 0;
+  bool knowsHosts = false;
   std::map<ServiceName, RetryBudget> budgets;
 };
 
--- a/include/damasklink/coordination/SendsHub.h
+++ b/include/damasklink/coordination/SendsHub.h
@@ -1,4 +1,5 @@
-// What the entry hosts that tell one control host have at targets, added up for everybody else.
+// What the entry hosts that tell one control host have at targets, and how long their fetches from
+// stores took, added up for everybody else.
 //
 //   SendsHub hub;
 //   hub.Take(news, clock.MonotonicNow());        // From an entry host.
@@ -37,6 +38,7 @@
   std::set<HostId> tellers;
   // Targets whose sums have changed since TakeChanges(), with the parts sent there since.
   std::map<TargetId, std::vector<SizedPart>> untold;
+  std::map<std::string, StoreExcess> excesses;
 };
 
 } // namespace damasklink
--- a/include/damasklink/coordination/ServingPicture.h
+++ b/include/damasklink/coordination/ServingPicture.h
@@ -22,13 +22,16 @@
   Control = 2, // Holds the replicated log and hears the targets.
 };
 
+// Control hosts by their zone; the zone is empty where it is not known yet.
+using ControlHostZones = std::map<HostId, ZoneId>;
+
 // The first message of both sides of a connection.
 struct Greeting
 {
   HostRole role = HostRole::Entry;
   ZoneId zone;
   // Those that the sender knows, itself among them.
-  std::vector<HostId> controlHosts;
+  ControlHostZones controlHosts;
 
   bool operator==(const Greeting&) const = default;
 };
@@ -67,17 +70,17 @@
 
 struct Picture
 {
-  // Of the sender; empty when not told.
-  ZoneId zone;
   // Zero when there is no document yet.
   Revision documentVersion;
   // Empty when this picture carries only what has changed, and the document has not.
   std::string document;
   std::map<ModelName, std::uint64_t> weights;
   std::vector<TargetStatement> targets;
-  // Entry hosts connected to the sender, among which shared budgets are divided; 0 when not told.
+  // Entry hosts that the sender knows of, among which shared budgets are divided; 0 when not told.
   std::uint64_t entryHosts = 0;
-  std::vector<HostId> controlHosts;
+  // The sender hears no leader: what it says may be behind what other control hosts say.
+  bool isolated = false;
+  ControlHostZones controlHosts;
   std::vector<StoreStatement> stores;
 
   bool operator==(const Picture&) const = default;
@@ -98,6 +101,18 @@
   bool operator==(const TargetSendsNow&) const = default;
 };
 
+// How long first events took beyond the engines' own work, where parts were fetched from a store.
+struct StoreExcess
+{
+  // The store's address; empty stands for prompts that fetched nothing.
+  std::string store;
+  // First events since the teller told before, and their excess together, in milliseconds.
+  std::uint64_t count = 0;
+  double total = 0;
+
+  bool operator==(const StoreExcess&) const = default;
+};
+
 // What an entry host sends where, or the sum of that over the entry hosts that tell one control
 // host. Control hosts pass sums on, so that each entry host knows the load of targets and what they
 // hold, not only its own share of it.
@@ -106,12 +121,22 @@
   // Who tells.
   HostId host;
   std::vector<TargetSendsNow> sends;
+  std::vector<StoreExcess> excesses;
   // The teller tells another control host from now on; nothing of its words counts here any more.
   bool last = false;
 
   bool operator==(const SendsNews&) const = default;
 };
 
-using ServingMessage = std::variant<Greeting, Picture, SendsNews>;
+// The entry hosts that are connected to one control host, for the other control hosts: together they
+// know how many there are.
+struct EntryHostList
+{
+  std::vector<HostId> hosts;
+
+  bool operator==(const EntryHostList&) const = default;
+};
+
+using ServingMessage = std::variant<Greeting, Picture, SendsNews, EntryHostList>;
 
 } // namespace damasklink
--- a/include/damasklink/coordination/StorePace.h
+++ b/include/damasklink/coordination/StorePace.h
@@ -12,6 +12,9 @@
 #include <map>
 #include <random>
 #include <string>
+#include <vector>
+
+#include "damasklink/coordination/ServingPicture.h"
 
 namespace damasklink {
 
@@ -21,7 +24,7 @@
   // Weight of a new first event in the mean of its store: some five of them count.
   static constexpr double kWeight = 0.2;
   // First events before a store's mean counts.
-  static constexpr int kLeastSeen = 4;
+  static constexpr std::uint64_t kLeastSeen = 4;
   // A store is slow when its mean is above the best other one's, doubled, by this many
   // milliseconds: about the reading of a long part, which is what a slow fetch would save.
   static constexpr double kSlowBy = 100;
@@ -37,6 +40,13 @@
   // stands for prompts that fetched nothing.
   void Note(const std::string& aStore, double aExcess);
 
+  // Returns what was noted since the last call, for the other hosts: one of many hosts sees a store
+  // less than once a second, too seldom to notice that it has become slow.
+  std::vector<StoreExcess> TakeNotes();
+
+  // Takes what other hosts noted.
+  void Take(const std::vector<StoreExcess>& aNotes);
+
   bool IsSlow(const std::string& aStore) const;
 
   // Returns whether to fetch from the store: always from one that is not slow, now and then from
@@ -47,10 +57,13 @@
   struct Mean
   {
     double excess = 0;
-    int seen = 0;
+    std::uint64_t seen = 0;
   };
 
+  void Add(const std::string& aStore, std::uint64_t aCount, double aTotal);
+
   std::minstd_rand random;
+  std::map<std::string, StoreExcess> untold;
   std::map<std::string, Mean> means;
 };
 
--- a/src/coordination/RetryBudget.cpp
+++ b/src/coordination/RetryBudget.cpp
@@ -10,6 +10,13 @@
   this->balance = std::min(this->balance + this->share, std::max(this->reserve, 1.0));
 }
 
+void
+RetryBudget::SetReserve(double aReserve)
+{
+  this->reserve = aReserve;
+  this->balance = std::min(this->balance, std::max(aReserve, 1.0));
+}
+
 bool
 RetryBudget::TryTake()
 {
--- a/src/coordination/RetryShares.cpp
+++ b/src/coordination/RetryShares.cpp
@@ -5,10 +5,33 @@
 void
 RetryShares::SetHosts(std::uint64_t aHosts)
 {
-  if (aHosts != this->hosts) {
-    this->hosts = aHosts;
-    this->budgets.clear();
+  if (aHosts == this->hosts) {
+    return;
   }
+  this->hosts = aHosts;
+  for (auto& [service, budget] : this->budgets) {
+    if (this->knowsHosts) {
+      budget.SetReserve(this->Reserve());
+    } else {
+      budget = this->Fresh();
+    }
+  }
+  this->knowsHosts = true;
+}
+
+double
+RetryShares::Reserve() const
+{
+  if (this->hosts == 0) {
+    return 0;
+  }
+  return this->allowance.reserve * kUsedOfReserve / static_cast<double>(this->hosts);
+}
+
+RetryBudget
+RetryShares::Fresh() const
+{
+  return RetryBudget(this->allowance.share * kUsedOfShare, this->Reserve());
 }
 
 RetryBudget&
@@ -18,11 +41,7 @@
   if (found != this->budgets.end()) {
     return found->second;
   }
-  const double reserve =
-    this->hosts == 0 ? 0
-                     : this->allowance.reserve * kUsedOfReserve / static_cast<double>(this->hosts);
-  const RetryBudget fresh(this->allowance.share * kUsedOfShare, reserve);
-  return this->budgets.emplace(aService, fresh).first->second;
+  return this->budgets.emplace(aService, this->Fresh()).first->second;
 }
 
 } // namespace damasklink
--- a/src/coordination/SendsHub.cpp
+++ b/src/coordination/SendsHub.cpp
@@ -17,6 +17,12 @@
     std::vector<SizedPart>& parts = this->untold[sends.target];
     parts.insert(parts.end(), sends.parts.begin(), sends.parts.end());
   }
+  for (const StoreExcess& told : aNews.excesses) {
+    StoreExcess& excess = this->excesses[told.store];
+    excess.store = told.store;
+    excess.count += told.count;
+    excess.total += told.total;
+  }
 }
 
 void
@@ -38,6 +44,9 @@
   for (auto& [target, parts] : std::exchange(this->untold, {})) {
     news.sends.push_back(StateSends(target, this->sum.Of(target), std::move(parts)));
   }
+  for (auto& [store, excess] : std::exchange(this->excesses, {})) {
+    news.excesses.push_back(std::move(excess));
+  }
   return news;
 }
 
--- a/src/coordination/StorePace.cpp
+++ b/src/coordination/StorePace.cpp
@@ -1,17 +1,52 @@
 #include "damasklink/coordination/StorePace.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
+#include <utility>
 
 namespace damasklink {
 
 void
 StorePace::Note(const std::string& aStore, double aExcess)
 {
-  Mean& mean = this->means[aStore];
   const double excess = std::max(aExcess, 0.0);
-  mean.excess = mean.seen == 0 ? excess : mean.excess + kWeight * (excess - mean.excess);
-  mean.seen = std::min(mean.seen + 1, kLeastSeen);
+  StoreExcess& note = this->untold[aStore];
+  note.store = aStore;
+  ++note.count;
+  note.total += excess;
+  this->Add(aStore, 1, excess);
+}
+
+void
+StorePace::Add(const std::string& aStore, std::uint64_t aCount, double aTotal)
+{
+  const double excess = aTotal / static_cast<double>(aCount);
+  Mean& mean = this->means[aStore];
+  // As if each of them had been added by itself.
+  const double weight = 1 - std::pow(1 - kWeight, static_cast<double>(aCount));
+  mean.excess = mean.seen == 0 ? excess : mean.excess + weight * (excess - mean.excess);
+  mean.seen = std::min(mean.seen + aCount, kLeastSeen);
+}
+
+std::vector<StoreExcess>
+StorePace::TakeNotes()
+{
+  std::vector<StoreExcess> notes;
+  for (auto& [store, note] : std::exchange(this->untold, {})) {
+    notes.push_back(std::move(note));
+  }
+  return notes;
+}
+
+void
+StorePace::Take(const std::vector<StoreExcess>& aNotes)
+{
+  for (const StoreExcess& note : aNotes) {
+    if (note.count > 0) {
+      this->Add(note.store, note.count, note.total);
+    }
+  }
 }
 
 bool
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -1,5 +1,6 @@
 #include "ControlHost.h"
 
+#include <map>
 #include <set>
 
 #include "ControlCalls.h"
@@ -113,11 +114,17 @@
   void TakeSends(const HostId& aFrom, const SendsNews& aNews);
   void TellSends();
   void TakeGreeting(const HostId& aPeer, const Greeting& aGreeting);
-  void KnowControlHosts(const std::vector<HostId>& aHosts);
+  void KnowSeeds(const std::vector<HostId>& aSeeds);
+  void KnowControlHost(const HostId& aHost, const ZoneId& aZone);
   void SendServing(const HostId& aTo, const ServingMessage& aMessage);
   void TellEntryHosts(const ServingMessage& aMessage);
+  void TellControlHosts(const ServingMessage& aMessage);
+  void TellStores(const HostId& aEntryHost);
+  EntryHostList OwnEntryHosts() const;
+  Picture BarePicture() const;
   void SendEncoded(const std::set<HostId>& aTo, const std::string& aPayload);
   Picture BasePicture() const;
+  std::uint64_t CountEntryHosts() const;
 
   ServingSettings settings;
   const ControlDialect& dialect;
@@ -131,8 +138,16 @@
   StoreWatcher stores;
   WeightsDesk weights;
   SettledWeights settled{ this->clock, kSettling };
-  std::set<HostId> controlHosts;
+  ControlHostZones controlHosts;
+  // Entry hosts that are connected to this control host.
   std::set<HostId> entryHosts;
+  // By connected control host, those that are connected to it.
+  std::map<HostId, std::vector<HostId>> entryHostsOfOthers;
+  bool entryHostsChanged = false;
+  bool controlHostsChanged = false;
+  // What entry hosts were told last.
+  std::uint64_t toldEntryHosts = 0;
+  bool toldIsolated = false;
   SendsHub sends;
   // Sums of other control hosts, for the entry hosts that tell this one.
   std::vector<SendsNews> sumsOfOthers;
@@ -211,10 +226,9 @@
     .With("zone", this->settings.zone)
     .With("first_start", this->settings.firstStart)
     .With("control", FormatEndpoint(this->settings.control));
-  this->KnowControlHosts(this->settings.seeds);
-  this->signals.Wait(
-    [this](const ServingSettings& aFresh) { this->KnowControlHosts(aFresh.seeds); },
-    [this] { this->Stop(); });
+  this->KnowSeeds(this->settings.seeds);
+  this->signals.Wait([this](const ServingSettings& aFresh) { this->KnowSeeds(aFresh.seeds); },
+                     [this] { this->Stop(); });
   this->Tick();
   this->loop.run();
   LogEvent(LogLevel::Info, "control_stopped").With("host", this->settings.host);
@@ -270,32 +284,70 @@
 {
   this->StepWeights();
   this->nextSpread = this->clock.MonotonicNow() + kSpreadStep;
-  Picture changes;
+  Picture changes = this->BarePicture();
   changes.targets = this->picture.TakeChanges();
-  if (!changes.targets.empty()) {
-    changes.entryHosts = this->entryHosts.size();
+  changes.entryHosts = this->CountEntryHosts();
+  const bool named = std::exchange(this->controlHostsChanged, false);
+  if (named) {
+    changes.controlHosts = this->controlHosts;
+  }
+  const bool standingChanged =
+    named || changes.entryHosts != this->toldEntryHosts || changes.isolated != this->toldIsolated;
+  if (standingChanged || !changes.targets.empty()) {
+    this->toldEntryHosts = changes.entryHosts;
+    this->toldIsolated = changes.isolated;
     this->TellEntryHosts(changes);
   }
+  if (std::exchange(this->entryHostsChanged, false)) {
+    this->TellControlHosts(this->OwnEntryHosts());
+  }
   Picture news;
   news.targets = this->picture.TakeNews();
   if (!news.targets.empty()) {
-    this->SendEncoded(this->controlHosts, EncodeServingMessage(news));
+    this->TellControlHosts(news);
   }
 }
 
+// What stands in every picture.
+Picture
+ControlHost::Impl::BarePicture() const
+{
+  Picture bare;
+  bare.isolated = !this->group.HearsLeader();
+  return bare;
+}
+
 Picture
 ControlHost::Impl::BasePicture() const
 {
-  Picture base;
-  base.zone = this->settings.zone;
+  Picture base = this->BarePicture();
   base.documentVersion = this->group.State().Version();
   base.document = this->group.State().Document();
   base.weights = this->group.State().Weights();
-  base.entryHosts = this->entryHosts.size();
-  base.controlHosts.assign(this->controlHosts.begin(), this->controlHosts.end());
+  base.entryHosts = this->CountEntryHosts();
+  base.controlHosts = this->controlHosts;
+  base.controlHosts[this->settings.host] = this->settings.zone;
   return base;
 }
 
+// Each entry host is connected to several control hosts, so it counts also when one of them is
+// lost.
+std::uint64_t
+ControlHost::Impl::CountEntryHosts() const
+{
+  std::set<HostId> all = this->entryHosts;
+  for (const auto& [host, others] : this->entryHostsOfOthers) {
+    all.insert(others.begin(), others.end());
+  }
+  return all.size();
+}
+
+EntryHostList
+ControlHost::Impl::OwnEntryHosts() const
+{
+  return EntryHostList{ { this->entryHosts.begin(), this->entryHosts.end() } };
+}
+
 void
 ControlHost::Impl::PushDocument()
 {
@@ -312,9 +364,9 @@
 void
 ControlHost::Impl::TellStore(const StoreStatement& aStatement)
 {
-  Picture picture;
+  Picture picture = this->BarePicture();
   picture.stores.push_back(aStatement);
-  this->TellEntryHosts(picture);
+  this->SendEncoded(this->sends.Tellers(), EncodeServingMessage(picture));
 }
 
 void
@@ -322,16 +374,25 @@
 {
   Picture whole = this->BasePicture();
   whole.targets = this->picture.All();
-  whole.stores = this->stores.All();
   this->SendServing(aEntryHost, whole);
 }
 
+// An entry host that tells this control host what it has hears of stored parts from it alone: they
+// change a thousand times a second, and each further word of it goes between zones.
+void
+ControlHost::Impl::TellStores(const HostId& aEntryHost)
+{
+  Picture picture = this->BarePicture();
+  picture.stores = this->stores.All();
+  this->SendServing(aEntryHost, picture);
+}
+
 void
 ControlHost::Impl::Greet(const HostId& aPeer)
 {
   Greeting greeting{ HostRole::Control, this->settings.zone, {} };
-  greeting.controlHosts.assign(this->controlHosts.begin(), this->controlHosts.end());
-  greeting.controlHosts.push_back(this->settings.host);
+  greeting.controlHosts = this->controlHosts;
+  greeting.controlHosts[this->settings.host] = this->settings.zone;
   this->SendServing(aPeer, greeting);
 }
 
@@ -341,6 +402,15 @@
   this->mesh.Send(aTo, PeerMessage{ Channel::Serving, GroupId(), EncodeServingMessage(aMessage) });
 }
 
+void
+ControlHost::Impl::TellControlHosts(const ServingMessage& aMessage)
+{
+  const std::string payload = EncodeServingMessage(aMessage);
+  for (const auto& [host, zone] : this->controlHosts) {
+    this->mesh.Send(host, PeerMessage{ Channel::Serving, GroupId(), payload });
+  }
+}
+
 void
 ControlHost::Impl::TellEntryHosts(const ServingMessage& aMessage)
 {
@@ -365,6 +435,7 @@
     Picture all;
     all.targets = this->picture.All();
     this->SendServing(aPeer, all);
+    this->SendServing(aPeer, this->OwnEntryHosts());
   }
 }
 
@@ -372,7 +443,8 @@
 ControlHost::Impl::OnPeerDown(const HostId& aPeer, LinkSide aSide)
 {
   if (aSide == LinkSide::Accepted) {
-    this->entryHosts.erase(aPeer);
+    this->entryHostsChanged = this->entryHosts.erase(aPeer) > 0 || this->entryHostsChanged;
+    this->entryHostsOfOthers.erase(aPeer);
     this->sends.Forget(aPeer);
   }
 }
@@ -399,6 +471,10 @@
     this->TakeSends(aPeer, *news);
     return;
   }
+  if (const auto* list = std::get_if<EntryHostList>(&message.value())) {
+    this->entryHostsOfOthers[aPeer] = list->hosts;
+    return;
+  }
   for (const TargetStatement& statement : std::get<Picture>(message.value()).targets) {
     this->picture.HearSecondHand(statement.record);
   }
@@ -408,7 +484,11 @@
 ControlHost::Impl::TakeSends(const HostId& aFrom, const SendsNews& aNews)
 {
   if (this->entryHosts.contains(aFrom)) {
+    const bool known = this->sends.Tellers().contains(aFrom);
     this->sends.Take(aNews, this->clock.MonotonicNow());
+    if (!known && this->sends.Tellers().contains(aFrom)) {
+      this->TellStores(aFrom);
+    }
   } else if (!this->sends.Tellers().empty()) {
     this->sumsOfOthers.push_back(aNews);
   }
@@ -421,8 +501,8 @@
 {
   const SendsNews own = this->sends.TakeChanges(this->settings.host);
   std::vector<SendsNews> sums = std::exchange(this->sumsOfOthers, {});
-  if (!own.sends.empty()) {
-    this->SendEncoded(this->controlHosts, EncodeServingMessage(own));
+  if (!own.sends.empty() || !own.excesses.empty()) {
+    this->TellControlHosts(own);
     sums.push_back(own);
   }
   for (const SendsNews& sum : sums) {
@@ -434,25 +514,43 @@
 ControlHost::Impl::TakeGreeting(const HostId& aPeer, const Greeting& aGreeting)
 {
   if (aGreeting.role == HostRole::Entry) {
-    this->entryHosts.insert(aPeer);
+    this->entryHostsChanged = this->entryHosts.insert(aPeer).second || this->entryHostsChanged;
     this->TellAll(aPeer);
     return;
   }
-  this->KnowControlHosts({ aPeer });
-  this->KnowControlHosts(aGreeting.controlHosts);
+  this->KnowControlHost(aPeer, aGreeting.zone);
+  for (const auto& [host, zone] : aGreeting.controlHosts) {
+    this->KnowControlHost(host, zone);
+  }
 }
 
 void
-ControlHost::Impl::KnowControlHosts(const std::vector<HostId>& aHosts)
+ControlHost::Impl::KnowSeeds(const std::vector<HostId>& aSeeds)
 {
-  for (const HostId& host : aHosts) {
-    if (host == this->settings.host || !this->controlHosts.insert(host).second) {
-      continue;
-    }
-    LogEvent(LogLevel::Info, "control_host_learnt").With("peer", host);
-    this->group.KnowHost(host);
-    this->mesh.Dial(host);
+  for (const HostId& host : aSeeds) {
+    this->KnowControlHost(host, ZoneId());
+  }
+}
+
+// The zone is empty where the teller does not know it.
+void
+ControlHost::Impl::KnowControlHost(const HostId& aHost, const ZoneId& aZone)
+{
+  if (aHost == this->settings.host) {
+    return;
+  }
+  const auto [position, isNew] = this->controlHosts.try_emplace(aHost);
+  if (!aZone.Empty() && position->second != aZone) {
+    position->second = aZone;
+    this->controlHostsChanged = true;
+  }
+  if (!isNew) {
+    return;
   }
+  this->controlHostsChanged = true;
+  LogEvent(LogLevel::Info, "control_host_learnt").With("peer", aHost);
+  this->group.KnowHost(aHost);
+  this->mesh.Dial(aHost);
 }
 
 void
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -4,10 +4,11 @@
 #include <list>
 #include <optional>
 #include <random>
-#include <set>
+#include <vector>
 
 #include "Exchange.h"
 #include "MetricsPage.h"
+#include "damasklink/coordination/ControlLinks.h"
 #include "damasklink/coordination/ServiceLevelWindows.h"
 #include "damasklink/protocol/ServingCodec.h"
 #include "damasklink/state/MetricsRegistry.h"
@@ -18,9 +19,6 @@
 namespace damasklink {
 namespace {
 
-// Control hosts that an entry host listens to: one may be down, another cut off or behind.
-constexpr std::size_t kMostControlLinks = 3;
-
 // Between two rounds of housekeeping: idle channels to targets, links to control.
 constexpr Duration kHousekeeping = std::chrono::seconds(1);
 
@@ -93,7 +91,8 @@
   std::optional<HostId> ChooseHub() const;
   void ShareSends();
   void TellSends(const HostId& aTo, const SendsNews& aNews);
-  void DialControlHosts(const std::vector<HostId>& aHosts);
+  void KnowSeeds(const std::vector<HostId>& aSeeds);
+  void KeepControlLinks();
   bool IsReady() const;
   CallerLimits Limits() const;
 
@@ -118,8 +117,7 @@
   ChannelListener callers{ this->loop };
   ChannelListener probes{ this->loop };
   Channels open;
-  // Control hosts that are known; links are kept to some of them.
-  std::set<HostId> controlHosts;
+  ControlLinks links{ this->settings.host, this->settings.zone };
   // The control host that is told what this host has where.
   std::optional<HostId> hub;
   bool wasReady = false;
@@ -136,13 +134,12 @@
     .With("name", this->settings.name)
     .With("zone", this->settings.zone)
     .With("callers", FormatEndpoint(this->settings.callers));
-  this->DialControlHosts(this->settings.seeds);
-  this->signals.Wait(
-    [this](const ServingSettings& aFresh) { this->DialControlHosts(aFresh.seeds); },
-    [this] {
-      this->context.leaving = true;
-      asio::co_spawn(this->loop, this->Stop(), asio::detached);
-    });
+  this->KnowSeeds(this->settings.seeds);
+  this->signals.Wait([this](const ServingSettings& aFresh) { this->KnowSeeds(aFresh.seeds); },
+                     [this] {
+                       this->context.leaving = true;
+                       asio::co_spawn(this->loop, this->Stop(), asio::detached);
+                     });
   this->KeepHouse();
   this->ShareSends();
   this->loop.run();
@@ -272,15 +269,13 @@
 EntryHost::Impl::KeepHouse()
 {
   this->pool.CloseExpired();
-  const bool connected = std::any_of(this->controlHosts.begin(),
-                                     this->controlHosts.end(),
-                                     [&](const HostId& aHost) { return this->mesh.IsUp(aHost); });
-  if (!connected) {
+  if (!this->picture.HasControlHost()) {
     // The settings may name others by now, whether a signal told or not.
     if (const std::optional<ServingSettings> fresh = this->signals.ReadSettings()) {
-      this->DialControlHosts(fresh->seeds);
+      this->KnowSeeds(fresh->seeds);
     }
   }
+  this->KeepControlLinks();
   this->housekeeping.expires_after(kHousekeeping);
   this->housekeeping.async_wait([this](const IoError& aError) {
     if (!aError) {
@@ -289,25 +284,25 @@
   });
 }
 
-// Returns the control host that adds up what the entry hosts have: a connected one of this zone,
-// where bytes are cheap, or else the first. All hosts of a zone choose the same one as long as they
-// reach the same ones.
+// Returns the control host that adds up what the entry hosts have and tells of stores: a good one
+// of this zone, where bytes are cheap, or else the first. All hosts of a zone choose the same one
+// as long as they reach the same ones.
 std::optional<HostId>
 EntryHost::Impl::ChooseHub() const
 {
-  std::optional<HostId> first;
-  for (const HostId& host : this->controlHosts) {
-    if (!this->mesh.IsUp(host)) {
+  std::optional<HostId> best;
+  int bestRank = 0;
+  for (const auto& [host, zone] : this->links.Known()) {
+    if (!this->picture.IsConnected(host)) {
       continue;
     }
-    if (this->picture.ZoneOf(host) == this->settings.zone) {
-      return host;
-    }
-    if (!first) {
-      first = host;
+    const int rank = (this->picture.IsGood(host) ? 2 : 0) + (zone == this->settings.zone ? 1 : 0);
+    if (!best || rank > bestRank) {
+      best = host;
+      bestRank = rank;
     }
   }
-  return first;
+  return best;
 }
 
 // Tells a control host what this host has where.
@@ -316,7 +311,7 @@
 {
   const std::optional<HostId> chosen = this->ChooseHub();
   const bool changed = chosen != this->hub;
-  if (changed && this->hub) {
+  if (changed && this->hub && this->picture.IsConnected(*this->hub)) {
     // It must not count this host any more, should the connection stand yet.
     SendsNews farewell;
     farewell.host = this->settings.host;
@@ -324,14 +319,19 @@
     this->TellSends(*this->hub, farewell);
   }
   if (changed) {
+    LogEvent(LogLevel::Info, "hub_chosen")
+      .With("hub", chosen.value_or(HostId()))
+      .With("before", this->hub.value_or(HostId()));
     this->hub = chosen;
+    this->picture.ListenForStores(chosen);
     this->picker.TellAllAnew();
   }
   if (this->hub) {
     SendsNews news;
     news.host = this->settings.host;
     news.sends = this->picker.TakeSends();
-    if (changed || !news.sends.empty()) {
+    news.excesses = this->pace.TakeNotes();
+    if (changed || !news.sends.empty() || !news.excesses.empty()) {
       this->TellSends(*this->hub, news);
     }
   }
@@ -351,18 +351,31 @@
 }
 
 void
-EntryHost::Impl::DialControlHosts(const std::vector<HostId>& aHosts)
+EntryHost::Impl::KnowSeeds(const std::vector<HostId>& aSeeds)
+{
+  for (const HostId& host : aSeeds) {
+    this->links.Know(host, ZoneId());
+  }
+  this->KeepControlLinks();
+}
+
+// Connects to the control hosts that are wanted; the others are left once enough of these are good.
+void
+EntryHost::Impl::KeepControlLinks()
 {
-  for (const HostId& host : aHosts) {
-    this->controlHosts.insert(host);
+  const auto isGood = [this](const HostId& aHost) { return this->picture.IsGood(aHost); };
+  const std::vector<HostId> wanted = this->links.Wanted(isGood);
+  for (const HostId& host : wanted) {
+    this->mesh.Dial(host);
   }
-  const auto isUp = [&](const HostId& aHost) { return this->mesh.IsUp(aHost); };
-  const auto up = std::count_if(this->controlHosts.begin(), this->controlHosts.end(), isUp);
-  if (static_cast<std::size_t>(up) >= kMostControlLinks) {
+  const auto good = std::count_if(wanted.begin(), wanted.end(), isGood);
+  if (static_cast<std::size_t>(good) < ControlLinks::kGoodLinks) {
     return;
   }
-  for (const HostId& host : this->controlHosts) {
-    this->mesh.Dial(host);
+  for (const auto& [host, zone] : this->links.Known()) {
+    if (std::find(wanted.begin(), wanted.end(), host) == wanted.end()) {
+      this->mesh.Hang(host);
+    }
   }
 }
 
@@ -379,6 +392,10 @@
 EntryHost::Impl::OnPeerDown(const HostId& aPeer, LinkSide /*aSide*/)
 {
   this->picture.OnLink(aPeer, false);
+  if (this->hub == aPeer) {
+    // It has forgotten this host; should it come back at once, it is told everything anew.
+    this->hub.reset();
+  }
 }
 
 void
@@ -393,6 +410,7 @@
   }
   if (const auto* news = std::get_if<SendsNews>(&message.value())) {
     this->picker.TakeSum(*news, this->clock.MonotonicNow());
+    this->pace.Take(news->excesses);
     return;
   }
   const auto* told = std::get_if<Picture>(&message.value());
@@ -401,7 +419,12 @@
   }
   this->picture.Take(aPeer, *told);
   this->retries.SetHosts(this->picture.EntryHosts());
-  this->DialControlHosts(this->picture.TakeNewControlHosts());
+  if (const ControlHostZones named = this->picture.TakeNewControlHosts(); !named.empty()) {
+    for (const auto& [host, zone] : named) {
+      this->links.Know(host, zone);
+    }
+    this->KeepControlLinks();
+  }
   if (this->IsReady() && !this->wasReady) {
     this->wasReady = true;
     LogEvent(LogLevel::Info, "ready").With("from", aPeer);
--- a/src/program/EntryPicture.cpp
+++ b/src/program/EntryPicture.cpp
@@ -30,17 +30,20 @@
       .With("sequence", statement.record.sequence)
       .With("from", aFrom);
   }
-  for (const StoreStatement& statement : aPicture.stores) {
-    this->stored[aFrom].Take(statement);
+  if (aFrom == this->hub) {
+    for (const StoreStatement& statement : aPicture.stores) {
+      this->stored.Take(statement);
+    }
   }
   if (aPicture.entryHosts > 0) {
     this->entryHosts[aFrom] = aPicture.entryHosts;
   }
-  if (!aPicture.zone.Empty()) {
-    this->zones[aFrom] = aPicture.zone;
+  if (aPicture.isolated) {
+    this->isolated.insert(aFrom);
+  } else {
+    this->isolated.erase(aFrom);
   }
-  this->controlHosts.insert(
-    this->controlHosts.end(), aPicture.controlHosts.begin(), aPicture.controlHosts.end());
+  this->controlHosts.insert(aPicture.controlHosts.begin(), aPicture.controlHosts.end());
 }
 
 void
@@ -60,9 +63,7 @@
   }
   this->routes = std::make_shared<const RouteTable>(
     std::make_shared<const ServingConfig>(std::move(config.value())));
-  for (auto& [host, parts] : this->stored) {
-    parts.SetStores(this->routes->Config().services);
-  }
+  this->stored.SetStores(this->routes->Config().services);
   LogEvent(LogLevel::Info, "configuration_in_force")
     .With("version", aPicture.documentVersion)
     .With("before", held)
@@ -74,14 +75,31 @@
 EntryPicture::OnLink(const HostId& aHost, bool aUp)
 {
   this->targets.OnLink(aHost, aUp);
-  if (!aUp) {
-    this->entryHosts.erase(aHost);
-    this->stored.erase(aHost);
+  if (aUp) {
+    this->connected.insert(aHost);
     return;
   }
-  StoredParts& parts = this->stored[aHost];
+  this->connected.erase(aHost);
+  this->isolated.erase(aHost);
+  this->entryHosts.erase(aHost);
+  if (this->hub == aHost) {
+    this->ListenForStores(std::nullopt);
+  }
+}
+
+bool
+EntryPicture::IsGood(const HostId& aHost) const
+{
+  return this->connected.contains(aHost) && !this->isolated.contains(aHost);
+}
+
+void
+EntryPicture::ListenForStores(const std::optional<HostId>& aHub)
+{
+  this->hub = aHub;
+  this->stored = StoredParts();
   if (this->routes != nullptr) {
-    parts.SetStores(this->routes->Config().services);
+    this->stored.SetStores(this->routes->Config().services);
   }
 }
 
@@ -111,20 +129,7 @@
 const StoredParts*
 EntryPicture::Stored() const
 {
-  const StoredParts* best = nullptr;
-  for (const auto& [host, parts] : this->stored) {
-    if (best == nullptr || parts.LiveStores() > best->LiveStores()) {
-      best = &parts;
-    }
-  }
-  return best;
-}
-
-ZoneId
-EntryPicture::ZoneOf(const HostId& aHost) const
-{
-  const auto found = this->zones.find(aHost);
-  return found == this->zones.end() ? ZoneId() : found->second;
+  return this->hub ? &this->stored : nullptr;
 }
 
 std::uint64_t
@@ -137,7 +142,7 @@
   return most;
 }
 
-std::vector<HostId>
+ControlHostZones
 EntryPicture::TakeNewControlHosts()
 {
   return std::exchange(this->controlHosts, {});
--- a/src/program/EntryPicture.h
+++ b/src/program/EntryPicture.h
@@ -3,7 +3,8 @@
 
 #include <map>
 #include <memory>
-#include <vector>
+#include <optional>
+#include <set>
 
 #include "damasklink/coordination/RouteTable.h"
 #include "damasklink/coordination/ServingPicture.h"
@@ -43,18 +44,25 @@
   // from when it was named, whatever was named after it.
   std::uint64_t WeightsKnownFor(const ModelName& aModel, Duration aAge) const;
 
-  // Returns what is known of stored parts: the words of the control host that hears most stores.
-  // Null when none is connected.
+  // Names the control host that tells of stored parts; what another one told before counts no more.
+  void ListenForStores(const std::optional<HostId>& aHub);
+
+  // Returns what is known of stored parts. Null when no control host tells of them.
   const StoredParts* Stored() const;
 
-  // Returns the zone of a connected control host; empty when it has not told.
-  ZoneId ZoneOf(const HostId& aHost) const;
+  bool IsConnected(const HostId& aHost) const { return this->connected.contains(aHost); }
+
+  // Returns whether any control host is connected.
+  bool HasControlHost() const { return !this->connected.empty(); }
+
+  // Returns whether the control host is connected and hears a leader.
+  bool IsGood(const HostId& aHost) const;
 
   // The most entry hosts that a connected control host counts.
   std::uint64_t EntryHosts() const;
 
   // Control hosts that were named so far and not yet taken from here.
-  std::vector<HostId> TakeNewControlHosts();
+  ControlHostZones TakeNewControlHosts();
 
 private:
   void TakeDocument(const HostId& aFrom, const Picture& aPicture);
@@ -67,10 +75,12 @@
   // When each version was heard of, by model; a few a day.
   std::map<ModelName, std::map<std::uint64_t, MonotonicTime>> weightsHeardAt;
   std::map<HostId, std::uint64_t> entryHosts;
-  std::map<HostId, ZoneId> zones;
-  // By connected control host.
-  std::map<HostId, StoredParts> stored;
-  std::vector<HostId> controlHosts;
+  // The control host that tells of stored parts, and what it told.
+  std::optional<HostId> hub;
+  StoredParts stored;
+  std::set<HostId> connected;
+  std::set<HostId> isolated;
+  ControlHostZones controlHosts;
 };
 
 } // namespace damasklink
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -12,6 +12,7 @@
   Greeting = 1,
   Picture = 2,
   SendsNews = 3,
+  EntryHostList = 4,
 };
 
 std::vector<std::string>
@@ -145,7 +146,7 @@
     this->frame.kind = static_cast<std::uint8_t>(FrameKind::Greeting);
     this->frame.role = static_cast<std::uint8_t>(aGreeting.role);
     this->frame.zone = aGreeting.zone.Value();
-    this->frame.control_hosts = TextsOf(aGreeting.controlHosts);
+    this->FillControlHosts(aGreeting.controlHosts);
   }
 
   void operator()(const Picture& aPicture)
@@ -165,9 +166,9 @@
     for (const StoreStatement& statement : aPicture.stores) {
       this->frame.stores.push_back(RowOf(statement));
     }
-    this->frame.zone = aPicture.zone.Value();
     this->frame.entry_hosts = static_cast<std::uint32_t>(aPicture.entryHosts);
-    this->frame.control_hosts = TextsOf(aPicture.controlHosts);
+    this->frame.isolated = aPicture.isolated;
+    this->FillControlHosts(aPicture.controlHosts);
   }
 
   void operator()(const SendsNews& aNews)
@@ -184,9 +185,42 @@
       row->parts = EntriesOf(sends.parts);
       this->frame.sends.push_back(std::move(row));
     }
+    for (const StoreExcess& excess : aNews.excesses) {
+      auto row = std::make_unique<wire::ExcessRowT>();
+      row->store = excess.store;
+      row->count = static_cast<std::uint32_t>(excess.count);
+      row->total = excess.total;
+      this->frame.excesses.push_back(std::move(row));
+    }
+  }
+
+  void operator()(const EntryHostList& aList)
+  {
+    this->frame.kind = static_cast<std::uint8_t>(FrameKind::EntryHostList);
+    this->frame.entry_host_names = TextsOf(aList.hosts);
+  }
+
+  void FillControlHosts(const ControlHostZones& aHosts)
+  {
+    for (const auto& [host, zone] : aHosts) {
+      this->frame.control_hosts.push_back(host.Value());
+      this->frame.control_zones.push_back(zone.Value());
+    }
   }
 };
 
+ControlHostZones
+ReadControlHosts(const wire::ServingFrameT& aFrame)
+{
+  ControlHostZones hosts;
+  for (std::size_t index = 0; index < aFrame.control_hosts.size(); ++index) {
+    const bool known = index < aFrame.control_zones.size();
+    hosts[HostId(aFrame.control_hosts[index])] =
+      known ? ZoneId(aFrame.control_zones[index]) : ZoneId();
+  }
+  return hosts;
+}
+
 Result<ServingMessage>
 ReadGreeting(const wire::ServingFrameT& aFrame)
 {
@@ -196,7 +230,7 @@
     return Fail(internal::UnreadableMessage());
   }
   return ServingMessage(Greeting{
-    static_cast<HostRole>(aFrame.role), ZoneId(aFrame.zone), HostsOf(aFrame.control_hosts) });
+    static_cast<HostRole>(aFrame.role), ZoneId(aFrame.zone), ReadControlHosts(aFrame) });
 }
 
 Result<ServingMessage>
@@ -216,9 +250,9 @@
   for (const auto& row : aFrame.stores) {
     picture.stores.push_back(ReadRow(*row));
   }
-  picture.zone = ZoneId(aFrame.zone);
   picture.entryHosts = aFrame.entry_hosts;
-  picture.controlHosts = HostsOf(aFrame.control_hosts);
+  picture.isolated = aFrame.isolated;
+  picture.controlHosts = ReadControlHosts(aFrame);
   return ServingMessage(std::move(picture));
 }
 
@@ -237,6 +271,9 @@
     sends.parts = PartsOf(row->parts);
     news.sends.push_back(std::move(sends));
   }
+  for (const auto& row : aFrame.excesses) {
+    news.excesses.push_back(StoreExcess{ row->store, row->count, row->total });
+  }
   return news;
 }
 
@@ -268,6 +305,8 @@
       return ReadPicture(frame);
     case FrameKind::SendsNews:
       return ServingMessage(ReadSends(frame));
+    case FrameKind::EntryHostList:
+      return ServingMessage(EntryHostList{ HostsOf(frame.entry_host_names) });
   }
   return Fail(internal::UnreadableMessage());
 }
--- /dev/null
+++ b/test/coordination/ControlLinksTest.cpp
@@ -0,0 +1,81 @@
+#include "damasklink/coordination/ControlLinks.h"
+
+#include <algorithm>
+#include <set>
+
+#include <gtest/gtest.h>
+
+namespace damasklink {
+namespace {
+
+class ControlLinksTest : public testing::Test
+{
+protected:
+  ControlLinksTest()
+  {
+    for (const std::string zone : { "a", "b", "c", "d" }) {
+      for (const std::string number : { "1", "2" }) {
+        this->links.Know(HostId(zone + number), ZoneId(zone));
+      }
+    }
+  }
+
+  std::vector<HostId> Wanted() const
+  {
+    return this->links.Wanted(
+      [this](const HostId& aHost) { return !this->bad.contains(aHost.Value()); });
+  }
+
+  bool Wants(const std::string& aHost) const
+  {
+    const auto wanted = this->Wanted();
+    return std::find(wanted.begin(), wanted.end(), HostId(aHost)) != wanted.end();
+  }
+
+  ControlLinks links{ HostId("e"), ZoneId("b") };
+  std::set<std::string> bad;
+};
+
+TEST_F(ControlLinksTest, OwnZoneComesFirstAndOneOfAnotherZoneBesides)
+{
+  EXPECT_EQ(this->Wanted().size(), ControlLinks::kGoodLinks);
+  EXPECT_TRUE(this->Wants("b1"));
+  EXPECT_TRUE(this->Wants("b2"));
+}
+
+TEST_F(ControlLinksTest, AnotherOneIsWantedBesideOneThatIsNotGood)
+{
+  this->bad = { "b1" };
+  EXPECT_EQ(this->Wanted().size(), ControlLinks::kGoodLinks + 1);
+  EXPECT_TRUE(this->Wants("b1")) << "it may come back";
+}
+
+TEST_F(ControlLinksTest, AllAreWantedWhenNoneIsGood)
+{
+  for (const auto& [host, zone] : this->links.Known()) {
+    this->bad.insert(host.Value());
+  }
+  EXPECT_EQ(this->Wanted().size(), 8U);
+}
+
+TEST_F(ControlLinksTest, EntryHostsSpreadOverTheOtherZones)
+{
+  std::set<HostId> others;
+  for (int number = 0; number < 40; ++number) {
+    ControlLinks other(HostId("e" + std::to_string(number)), ZoneId("b"));
+    for (const auto& [host, zone] : this->links.Known()) {
+      other.Know(host, zone);
+    }
+    others.insert(other.Wanted([](const HostId&) { return true; }).back());
+  }
+  EXPECT_EQ(others.size(), 6U);
+}
+
+TEST_F(ControlLinksTest, ZoneThatIsNotToldKeepsTheOneThatWas)
+{
+  this->links.Know(HostId("b1"), ZoneId());
+  EXPECT_EQ(this->links.Known().at(HostId("b1")), ZoneId("b"));
+}
+
+} // namespace
+} // namespace damasklink
--- a/test/coordination/RetrySharesTest.cpp
+++ b/test/coordination/RetrySharesTest.cpp
@@ -51,6 +51,18 @@
   EXPECT_EQ(TakeAll(shares), 1U);
 }
 
+TEST(RetrySharesTest, HostsThatComeAndGoBringNoNewReserve)
+{
+  RetryShares shares(RetryAllowance{});
+  shares.SetHosts(9);
+  const std::uint64_t first = TakeAll(shares);
+  EXPECT_GT(first, 0U);
+  for (const std::uint64_t hosts : { 8U, 9U, 3U, 1U, 9U }) {
+    shares.SetHosts(hosts);
+    EXPECT_EQ(TakeAll(shares), 0U);
+  }
+}
+
 TEST(RetrySharesTest, ManyHostsMayStillRetryByTheShareOfTheirCalls)
 {
   RetryShares shares(RetryAllowance{});
--- a/test/program/EntryPictureTest.cpp
+++ b/test/program/EntryPictureTest.cpp
@@ -101,10 +101,45 @@
 
 TEST_F(EntryPictureTest, StoredPartsOfALostControlHostAreForgotten)
 {
+  this->picture.ListenForStores(kFirst);
   this->picture.OnLink(kSecond, false);
   EXPECT_NE(this->picture.Stored(), nullptr);
   this->picture.OnLink(kFirst, false);
   EXPECT_EQ(this->picture.Stored(), nullptr);
+  this->picture.OnLink(kFirst, true);
+  EXPECT_EQ(this->picture.Stored(), nullptr) << "it has to be listened to again";
+}
+
+TEST_F(EntryPictureTest, OnlyTheChosenControlHostTellsOfStoredParts)
+{
+  Picture config;
+  config.documentVersion = Revision(1);
+  config.document = R"({"version":1,"services":[{"name":"store","kv-store":"172.20.0.2:8006",)"
+                    R"("zone":"z","kv-capacity":1000,"link-mbps":1000}]})";
+  this->picture.Take(kFirst, config);
+  this->picture.ListenForStores(kFirst);
+  Picture told;
+  StoreStatement& store = told.stores.emplace_back();
+  store.store = Endpoint{ "172.20.0.2", 8006 };
+  store.live = true;
+  this->picture.Take(kSecond, told);
+  EXPECT_EQ(this->picture.Stored()->LiveStores(), 0U);
+  this->picture.Take(kFirst, told);
+  EXPECT_EQ(this->picture.Stored()->LiveStores(), 1U);
+  this->picture.ListenForStores(kSecond);
+  EXPECT_EQ(this->picture.Stored()->LiveStores(), 0U) << "what another one told counts no more";
+}
+
+TEST_F(EntryPictureTest, ControlHostWithoutALeaderIsNotGood)
+{
+  EXPECT_TRUE(this->picture.IsGood(kFirst));
+  Picture isolated;
+  isolated.isolated = true;
+  this->picture.Take(kFirst, isolated);
+  EXPECT_FALSE(this->picture.IsGood(kFirst));
+  EXPECT_TRUE(this->picture.IsConnected(kFirst));
+  this->picture.Take(kFirst, Picture());
+  EXPECT_TRUE(this->picture.IsGood(kFirst));
 }
 
 } // namespace
--- a/test/protocol/ServingCodecTest.cpp
+++ b/test/protocol/ServingCodecTest.cpp
@@ -9,7 +9,8 @@
 {
   const Greeting greeting{ HostRole::Control,
                            ZoneId("z"),
-                           { HostId("10.0.0.1"), HostId("10.0.0.2") } };
+                           { { HostId("10.0.0.1"), ZoneId("z") },
+                             { HostId("10.0.0.2"), ZoneId() } } };
   const auto decoded = DecodeServingMessage(EncodeServingMessage(greeting));
   ASSERT_TRUE(decoded);
   EXPECT_EQ(std::get<Greeting>(decoded.value()), greeting);
@@ -21,9 +22,9 @@
   picture.documentVersion = Revision(12);
   picture.document = std::string("{\"a\":\0}", 7);
   picture.weights[ModelName("m")] = 3;
-  picture.zone = ZoneId("z1");
   picture.entryHosts = 9;
-  picture.controlHosts = { HostId("10.0.0.1") };
+  picture.isolated = true;
+  picture.controlHosts = { { HostId("10.0.0.1"), ZoneId("z1") }, { HostId("10.0.0.2"), ZoneId() } };
   TargetStatement& statement = picture.targets.emplace_back();
   statement.record.id = TargetId("t");
   statement.record.kind = TargetKind::Engine;
@@ -52,6 +53,7 @@
   SendsNews news;
   news.host = HostId("10.0.0.7");
   news.last = true;
+  news.excesses = { StoreExcess{ "172.20.0.2:8006", 3, 41.5 } };
   news.sends = { TargetSendsNow{ TargetId("t"),
                                  3,
                                  TokenCount(12000),
@@ -62,6 +64,14 @@
   EXPECT_EQ(std::get<SendsNews>(decoded.value()), news);
 }
 
+TEST(ServingCodecTest, EntryHostsComeBack)
+{
+  const EntryHostList list{ std::vector<HostId>{ HostId("10.0.0.7"), HostId("10.0.0.8") } };
+  const auto decoded = DecodeServingMessage(EncodeServingMessage(list));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(std::get<EntryHostList>(decoded.value()), list);
+}
+
 TEST(ServingCodecTest, BytesThatAreNoMessageAreRefused)
 {
   EXPECT_FALSE(DecodeServingMessage(""));
