Hosts tell each other of targets that are gone

Cause: each of 72 entry hosts lost a request to each of 15 dark engines and another one at each later try. Change: findings travel with the sums; a target that three hosts found gone within a second is ejected at all, and one host tries for all (TargetHealth).

--- a/include/damasklink/coordination/SendsHub.h
+++ b/include/damasklink/coordination/SendsHub.h
@@ -1,5 +1,5 @@
 // What the entry hosts that tell one control host have at targets, and how long their fetches from
-// stores took, added up for everybody else.
+// stores took, and which targets they found gone, added up for everybody else.
 //
 //   SendsHub hub;
 //   hub.Take(news, clock.MonotonicNow());        // From an entry host.
@@ -39,6 +39,7 @@
   // Targets whose sums have changed since TakeChanges(), with the parts sent there since.
   std::map<TargetId, std::vector<SizedPart>> untold;
   std::map<std::string, StoreExcess> excesses;
+  std::map<TargetId, TargetFindings> findings;
 };
 
 } // namespace damasklink
--- a/include/damasklink/coordination/ServingPicture.h
+++ b/include/damasklink/coordination/ServingPicture.h
@@ -113,6 +113,16 @@
   bool operator==(const StoreExcess&) const = default;
 };
 
+// How many hosts found a target gone, or back, since the teller told before.
+struct TargetFindings
+{
+  TargetId target;
+  std::uint64_t gone = 0;
+  std::uint64_t back = 0;
+
+  bool operator==(const TargetFindings&) const = default;
+};
+
 // What an entry host sends where, or the sum of that over the entry hosts that tell one control
 // host. Control hosts pass sums on, so that each entry host knows the load of targets and what they
 // hold, not only its own share of it.
@@ -122,6 +132,7 @@
   HostId host;
   std::vector<TargetSendsNow> sends;
   std::vector<StoreExcess> excesses;
+  std::vector<TargetFindings> findings;
   // The teller tells another control host from now on; nothing of its words counts here any more.
   bool last = false;
 
--- a/include/damasklink/coordination/TargetHealth.h
+++ b/include/damasklink/coordination/TargetHealth.h
@@ -6,6 +6,7 @@
 #include <random>
 #include <vector>
 
+#include "damasklink/coordination/ServingPicture.h"
 #include "damasklink/coordination/Target.h"
 #include "damasklink/state/Clock.h"
 
@@ -27,6 +28,11 @@
 //   health.OnEnd(target, HealthSign::Bad);
 //   std::vector<TargetRecord> fit = health.Filter(targets);
 //
+// Hosts tell each other of targets that they found gone: with 72 hosts, each would lose a request of
+// its own to each dark target, and another one at each try whether it is back. A target that several
+// hosts found gone is ejected at all of them, and as its ejections end at different times, one host
+// tries it for all.
+//
 // Never leaves out more than half of what it is given: when most targets fail, the fault is
 // likely elsewhere, and an empty pool helps nobody. Not thread-safe.
 class TargetHealth
@@ -35,6 +41,13 @@
   static constexpr int kFailuresInRow = 3;
   static constexpr Duration kFirstEjection = std::chrono::seconds(2);
   static constexpr Duration kLongestEjection = std::chrono::seconds(60);
+  // Hosts that must have found a target gone within the time below until the others believe it: on a
+  // lossy link, one or two of them lose a packet or two.
+  static constexpr std::uint64_t kFindingsToBelieve = 3;
+  static constexpr Duration kFindingsFitWithin = std::chrono::seconds(1);
+  // Ejections of what others found gone end over this time: long beside the 0.3 s until a host that
+  // tries in vain has told the others.
+  static constexpr Duration kTriesSpread = std::chrono::seconds(5);
 
   TargetHealth(const Clock& aClock, std::uint64_t aSeed)
     : clock(aClock)
@@ -46,6 +59,12 @@
   void OnStart(const TargetId& aTarget);
   void OnEnd(const TargetId& aTarget, HealthSign aSign);
 
+  // Returns what this host found since the last call, for the others.
+  std::vector<TargetFindings> TakeFindings();
+
+  // Takes what hosts found, this one possibly among them.
+  void Take(const std::vector<TargetFindings>& aFindings);
+
   // Returns the targets that may be sent a request now.
   std::vector<TargetRecord> Filter(const std::vector<TargetRecord>& aTargets) const;
 
@@ -60,14 +79,20 @@
     int ejections = 0;
     MonotonicTime ejectedUntil;
     bool probing = false;
+    // Hosts that found it gone since a time.
+    std::uint64_t findings = 0;
+    MonotonicTime findingsSince;
+    bool believedGone = false;
   };
 
   void Eject(Entry& aEntry);
+  void TakeGone(const TargetFindings& aFound);
 
   const Clock& clock;
   std::minstd_rand random;
   // Targets with a failure since their last success.
   std::map<TargetId, Entry> entries;
+  std::map<TargetId, TargetFindings> untold;
 };
 
 } // namespace damasklink
--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -98,6 +98,10 @@
 class TargetPicker
 {
 public:
+  // Tokens of parts that an engine keeps for sure. Of the 106,000 and more that its memory holds,
+  // requests that run at the usual load take about half.
+  static constexpr std::uint64_t kSurelyKeptTokens = 40'000;
+
   TargetPicker(const TargetHealth& aHealth, std::uint64_t aSeed, PickCosts aCosts = PickCosts());
 
   // Returns the target with the least cost among those that hold its shared parts and a few
@@ -131,14 +135,16 @@
   // Forgets control hosts that have told nothing since a time.
   void ForgetSumsBefore(MonotonicTime aTime) { this->told.ForgetBefore(aTime); }
 
-  // Returns a target that is believed to hold the part, of those in the list; null when none is.
+  // Returns a target that surely holds the part, of those in the list, one of aFor's zone if there
+  // is one; null when there is none. Another one each time, so that their links share the work.
   const TargetRecord* HolderOf(const SizedPart& aPart,
                                const std::vector<TargetRecord>& aTargets,
-                               const TargetRecord& aFor) const;
+                               const TargetRecord& aFor);
 
   HeldParts& Held() { return this->held; }
 
 private:
+  void NoteRead(const TargetId& aTarget, const std::vector<SizedPart>& aParts);
   bool HoldsAll(const PickQuestion& aQuestion, const TargetId& aTarget) const;
   SentLoad LoadOf(const TargetId& aTarget) const;
   double CostOf(const PickQuestion& aQuestion, const TargetRecord& aTarget) const;
@@ -147,6 +153,8 @@
   PickCosts costs;
   std::minstd_rand random;
   HeldParts held;
+  // The most recent of them: running requests take the rest of a target's memory.
+  HeldParts surelyHeld{ TokenCount(kSurelyKeptTokens) };
   // What this host has at targets.
   absl::flat_hash_map<TargetId, SentLoad> loads;
   // What this host has changed since TakeSends(), with the parts sent.
--- a/src/coordination/SendsHub.cpp
+++ b/src/coordination/SendsHub.cpp
@@ -23,6 +23,12 @@
     excess.count += told.count;
     excess.total += told.total;
   }
+  for (const TargetFindings& told : aNews.findings) {
+    TargetFindings& found = this->findings[told.target];
+    found.target = told.target;
+    found.gone += told.gone;
+    found.back += told.back;
+  }
 }
 
 void
@@ -47,6 +53,9 @@
   for (auto& [store, excess] : std::exchange(this->excesses, {})) {
     news.excesses.push_back(std::move(excess));
   }
+  for (const auto& [target, found] : std::exchange(this->findings, {})) {
+    news.findings.push_back(found);
+  }
   return news;
 }
 
--- a/src/coordination/TargetHealth.cpp
+++ b/src/coordination/TargetHealth.cpp
@@ -1,6 +1,7 @@
 #include "damasklink/coordination/TargetHealth.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace damasklink {
 
@@ -17,7 +18,15 @@
 TargetHealth::OnEnd(const TargetId& aTarget, HealthSign aSign)
 {
   if (aSign == HealthSign::Good) {
-    this->entries.erase(aTarget);
+    const auto found = this->entries.find(aTarget);
+    if (found != this->entries.end()) {
+      if (found->second.believedGone) {
+        TargetFindings& findings = this->untold[aTarget];
+        findings.target = aTarget;
+        findings.back = 1;
+      }
+      this->entries.erase(found);
+    }
     return;
   }
   if (aSign == HealthSign::None) {
@@ -31,6 +40,11 @@
   const bool probeFailed = entry.probing;
   entry.probing = false;
   const bool alreadyOut = this->clock.MonotonicNow() < entry.ejectedUntil;
+  if (aSign == HealthSign::Gone && !alreadyOut) {
+    TargetFindings& findings = this->untold[aTarget];
+    findings.target = aTarget;
+    findings.gone = 1;
+  }
   const bool enough = entry.failures >= kFailuresInRow || aSign == HealthSign::Gone;
   if (!alreadyOut && (probeFailed || enough)) {
     this->Eject(entry);
@@ -51,6 +65,51 @@
   ++aEntry.ejections;
 }
 
+std::vector<TargetFindings>
+TargetHealth::TakeFindings()
+{
+  std::vector<TargetFindings> findings;
+  for (const auto& [target, found] : std::exchange(this->untold, {})) {
+    findings.push_back(found);
+  }
+  return findings;
+}
+
+void
+TargetHealth::Take(const std::vector<TargetFindings>& aFindings)
+{
+  for (const TargetFindings& found : aFindings) {
+    if (found.back > 0) {
+      std::erase_if(this->entries, [&](const auto& aItem) {
+        return aItem.first == found.target && aItem.second.believedGone;
+      });
+    } else if (found.gone > 0) {
+      this->TakeGone(found);
+    }
+  }
+}
+
+void
+TargetHealth::TakeGone(const TargetFindings& aFound)
+{
+  const MonotonicTime now = this->clock.MonotonicNow();
+  Entry& entry = this->entries[aFound.target];
+  if (entry.findings == 0 || now - entry.findingsSince > kFindingsFitWithin) {
+    entry.findings = 0;
+    entry.findingsSince = now;
+  }
+  entry.findings += aFound.gone;
+  // Once it is believed, one host that tried in vain is enough.
+  if (!entry.believedGone && entry.findings < kFindingsToBelieve) {
+    return;
+  }
+  entry.believedGone = true;
+  entry.ejections = std::max(entry.ejections, 1);
+  std::uniform_int_distribution<std::int64_t> spread(0, kTriesSpread.count());
+  const MonotonicTime until = now + kFirstEjection + Duration(spread(this->random));
+  entry.ejectedUntil = std::max(entry.ejectedUntil, until);
+}
+
 bool
 TargetHealth::IsOut(const TargetId& aTarget) const
 {
--- a/src/coordination/TargetPicker.cpp
+++ b/src/coordination/TargetPicker.cpp
@@ -177,7 +177,7 @@
   load.memory += aWork.memory.Value();
   std::vector<SizedPart>& parts = this->untold[aTarget];
   if (!aQuestion.parts.empty()) {
-    this->held.OnRead(aTarget, aQuestion.parts);
+    this->NoteRead(aTarget, aQuestion.parts);
     parts.insert(parts.end(), aQuestion.parts.begin(), aQuestion.parts.end());
   }
 }
@@ -214,7 +214,7 @@
   this->told.Take(aNews, aNow);
   for (const TargetSendsNow& sends : aNews.sends) {
     if (!sends.parts.empty()) {
-      this->held.OnRead(sends.target, sends.parts);
+      this->NoteRead(sends.target, sends.parts);
     }
   }
 }
@@ -222,19 +222,31 @@
 const TargetRecord*
 TargetPicker::HolderOf(const SizedPart& aPart,
                        const std::vector<TargetRecord>& aTargets,
-                       const TargetRecord& aFor) const
+                       const TargetRecord& aFor)
 {
   const TargetRecord* found = nullptr;
-  for (const TargetRecord& target : aTargets) {
-    const bool holds = target.id != aFor.id && !this->health.IsOut(target.id) &&
-                       this->held.Holds(target.id, aPart.key);
-    if (holds && (found == nullptr || target.zone == aFor.zone)) {
+  const std::size_t start = aTargets.empty() ? 0 : this->random() % aTargets.size();
+  for (std::size_t step = 0; step < aTargets.size(); ++step) {
+    const TargetRecord& target = aTargets[(start + step) % aTargets.size()];
+    const bool holds = target.id != aFor.id && this->surelyHeld.Holds(target.id, aPart.key) &&
+                       !this->health.IsOut(target.id);
+    if (holds && target.zone == aFor.zone) {
+      return &target;
+    }
+    if (holds && found == nullptr) {
       found = &target;
     }
   }
   return found;
 }
 
+void
+TargetPicker::NoteRead(const TargetId& aTarget, const std::vector<SizedPart>& aParts)
+{
+  this->held.OnRead(aTarget, aParts);
+  this->surelyHeld.OnRead(aTarget, aParts);
+}
+
 void
 TargetPicker::OnFirstEvent(const TargetId& aTarget, PickedWork& aWork)
 {
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -501,7 +501,7 @@
 {
   const SendsNews own = this->sends.TakeChanges(this->settings.host);
   std::vector<SendsNews> sums = std::exchange(this->sumsOfOthers, {});
-  if (!own.sends.empty() || !own.excesses.empty()) {
+  if (!own.sends.empty() || !own.excesses.empty() || !own.findings.empty()) {
     this->TellControlHosts(own);
     sums.push_back(own);
   }
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -331,7 +331,9 @@
     news.host = this->settings.host;
     news.sends = this->picker.TakeSends();
     news.excesses = this->pace.TakeNotes();
-    if (changed || !news.sends.empty() || !news.excesses.empty()) {
+    news.findings = this->health.TakeFindings();
+    const bool anything = !news.sends.empty() || !news.excesses.empty() || !news.findings.empty();
+    if (changed || anything) {
       this->TellSends(*this->hub, news);
     }
   }
@@ -411,6 +413,7 @@
   if (const auto* news = std::get_if<SendsNews>(&message.value())) {
     this->picker.TakeSum(*news, this->clock.MonotonicNow());
     this->pace.Take(news->excesses);
+    this->health.Take(news->findings);
     return;
   }
   const auto* told = std::get_if<Picture>(&message.value());
--- a/src/program/ExchangeChoice.cpp
+++ b/src/program/ExchangeChoice.cpp
@@ -149,8 +149,10 @@
   return call;
 }
 
-// Lets the target fetch the leading parts, should it lack them, from a store, or from a target that
-// is believed to hold them where no store is fit, and save those that are stored nowhere.
+// Lets the target fetch the leading parts, should it lack them, from a target that surely holds them,
+// or else from a store, and saves those that are stored nowhere. Targets come first: their links
+// together carry twenty times as much as those of the stores, which saturate when a quarter of the
+// caches is lost.
 void
 Exchange::AddPartMoves(const TargetRecord& aTarget, TargetCall& aTo)
 {
@@ -166,23 +168,22 @@
   for (std::size_t index = 0; index < this->question.parts.size(); ++index) {
     const SizedPart& part = this->question.parts[index];
     const PromptStore* from = stored->Find(part, aTarget.zone, this->avoided);
-    if (from != nullptr) {
-      if (leading) {
+    if (leading) {
+      const TargetRecord* holder = this->context.picker.HolderOf(
+        part, this->context.picture.Targets().Usable(this->service), aTarget);
+      leading = holder != nullptr || from != nullptr;
+      if (holder != nullptr) {
+        aTo.fetches[index].peer = holder->endpoint;
+      } else if (from != nullptr) {
         aTo.fetches[index].peer = from->traits.endpoint;
         if (part.tokens > most) {
           most = part.tokens;
           this->fetchedFrom = from->name;
         }
       }
-      continue;
     }
-    if (leading) {
-      const TargetRecord* holder = this->context.picker.HolderOf(
-        part, this->context.picture.Targets().Usable(this->service), aTarget);
-      leading = holder != nullptr;
-      if (holder != nullptr) {
-        aTo.fetches[index].peer = holder->endpoint;
-      }
+    if (from != nullptr) {
+      continue;
     }
     const PromptStore* home = stored->HomeOf(part);
     if (home != nullptr && !this->avoided.contains(home->name)) {
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -192,6 +192,13 @@
       row->total = excess.total;
       this->frame.excesses.push_back(std::move(row));
     }
+    for (const TargetFindings& findings : aNews.findings) {
+      auto row = std::make_unique<wire::FindingsRowT>();
+      row->target = findings.target.Value();
+      row->gone = static_cast<std::uint32_t>(findings.gone);
+      row->back = static_cast<std::uint32_t>(findings.back);
+      this->frame.findings.push_back(std::move(row));
+    }
   }
 
   void operator()(const EntryHostList& aList)
@@ -274,6 +281,9 @@
   for (const auto& row : aFrame.excesses) {
     news.excesses.push_back(StoreExcess{ row->store, row->count, row->total });
   }
+  for (const auto& row : aFrame.findings) {
+    news.findings.push_back(TargetFindings{ TargetId(row->target), row->gone, row->back });
+  }
   return news;
 }
 
--- a/test/coordination/SendsHubTest.cpp
+++ b/test/coordination/SendsHubTest.cpp
@@ -20,7 +20,7 @@
 protected:
   void Take(const std::string& aHost, std::vector<TargetSendsNow> aSends)
   {
-    this->hub.Take(SendsNews{ HostId(aHost), std::move(aSends), {}, false },
+    this->hub.Take(SendsNews{ HostId(aHost), std::move(aSends), {}, {}, false },
                    this->clock.MonotonicNow());
   }
 
@@ -66,16 +66,16 @@
 TEST_F(SendsHubTest, HostThatTellsAnotherFromNowOnCountsNoMore)
 {
   this->Take("x", { Sends("a", 2) });
-  this->hub.Take(SendsNews{ HostId("x"), {}, {}, true }, this->clock.MonotonicNow());
+  this->hub.Take(SendsNews{ HostId("x"), {}, {}, {}, true }, this->clock.MonotonicNow());
   EXPECT_TRUE(this->hub.Tellers().empty());
   EXPECT_EQ(this->hub.TakeChanges(kSelf).sends, std::vector<TargetSendsNow>{ Sends("a", 0) });
 }
 
 TEST_F(SendsHubTest, ExcessesOfStoresAreAddedUpOnce)
 {
-  this->hub.Take(SendsNews{ HostId("x"), {}, { StoreExcess{ "s", 2, 10 } }, false },
+  this->hub.Take(SendsNews{ HostId("x"), {}, { StoreExcess{ "s", 2, 10 } }, {}, false },
                  this->clock.MonotonicNow());
-  this->hub.Take(SendsNews{ HostId("y"), {}, { StoreExcess{ "s", 1, 200 } }, false },
+  this->hub.Take(SendsNews{ HostId("y"), {}, { StoreExcess{ "s", 1, 200 } }, {}, false },
                  this->clock.MonotonicNow());
   const std::vector<StoreExcess> expected{ StoreExcess{ "s", 3, 210 } };
   EXPECT_EQ(this->hub.TakeChanges(kSelf).excesses, expected);
--- a/test/coordination/TargetPickerTest.cpp
+++ b/test/coordination/TargetPickerTest.cpp
@@ -112,11 +112,11 @@
 {
   const TargetSendsNow many{ TargetId("a"), 9, TokenCount(), TokenCount(), {} };
   const TargetSendsNow some{ TargetId("b"), 5, TokenCount(), TokenCount(), {} };
-  this->picker.TakeSum(SendsNews{ HostId("other"), { many, some }, {}, false },
+  this->picker.TakeSum(SendsNews{ HostId("other"), { many, some }, {}, {}, false },
                        this->clock.MonotonicNow());
   EXPECT_EQ(this->Choose(), "c");
   const TargetSendsNow none{ TargetId("a"), 0, TokenCount(), TokenCount(), {} };
-  this->picker.TakeSum(SendsNews{ HostId("other"), { none }, {}, false },
+  this->picker.TakeSum(SendsNews{ HostId("other"), { none }, {}, {}, false },
                        this->clock.MonotonicNow());
   this->Load("c", 3);
   EXPECT_EQ(this->Choose(), "a");
@@ -125,7 +125,7 @@
 TEST_F(TargetPickerTest, SumsOfSilentControlHostsAreForgotten)
 {
   const TargetSendsNow many{ TargetId("a"), 9, TokenCount(), TokenCount(), {} };
-  this->picker.TakeSum(SendsNews{ HostId("gone"), { many }, {}, false },
+  this->picker.TakeSum(SendsNews{ HostId("gone"), { many }, {}, {}, false },
                        this->clock.MonotonicNow());
   this->Load("b", 1);
   this->Load("c", 1);
@@ -142,7 +142,8 @@
   this->Load("c", 3);
   this->picker.TakeSends();
   const TargetSendsNow sum{ TargetId("a"), 2, TokenCount(), TokenCount(), {} };
-  this->picker.TakeSum(SendsNews{ HostId("hub"), { sum }, {}, false }, this->clock.MonotonicNow());
+  this->picker.TakeSum(SendsNews{ HostId("hub"), { sum }, {}, {}, false },
+                       this->clock.MonotonicNow());
   EXPECT_EQ(this->Choose(), "a") << "two there, not four";
 }
 
--- a/test/protocol/ServingCodecTest.cpp
+++ b/test/protocol/ServingCodecTest.cpp
@@ -53,6 +53,7 @@
   SendsNews news;
   news.host = HostId("10.0.0.7");
   news.last = true;
+  news.findings = { TargetFindings{ TargetId("t"), 2, 1 } };
   news.excesses = { StoreExcess{ "172.20.0.2:8006", 3, 41.5 } };
   news.sends = { TargetSendsNow{ TargetId("t"),
                                  3,
