Calls are refused by the share of an engine's memory that they would fill, by priority

The refusal by expected wait let long prompts of low priority in and turned short urgent ones away (elig-note refused 17%, case-review 5%).

--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -114,6 +114,10 @@
   // be read, what the call adds, and memory that is not there.
   Duration ExpectedFirstEvent(const PickQuestion& aQuestion, const TargetId& aTarget) const;
 
+  // Returns the share of the target's memory that requests would hold with this call, above 1 when
+  // some of them would have to wait for others to end; 0 where its memory is not known.
+  double MemoryShare(const PickQuestion& aQuestion, const TargetId& aTarget) const;
+
   // Returns the prompt tokens of the call that the target would read itself.
   TokenCount ToRead(const PickQuestion& aQuestion, const TargetId& aTarget) const;
 
--- a/src/coordination/TargetPicker.cpp
+++ b/src/coordination/TargetPicker.cpp
@@ -118,26 +118,32 @@
   const std::uint64_t unread = load.unread + this->ToRead(aQuestion, aTarget).Value();
   double milliseconds =
     this->costs.firstStep + this->costs.perTokenInQueue * static_cast<double>(unread);
-  if (aQuestion.cacheTokens > TokenCount()) {
-    const auto memory = static_cast<double>(aQuestion.promptTokens.Value() + load.memory);
-    const double used = memory / static_cast<double>(aQuestion.cacheTokens.Value());
-    milliseconds += this->costs.missingMemory * std::max(used - 1, 0.0);
-  }
+  const double used = this->MemoryShare(aQuestion, aTarget);
+  milliseconds += this->costs.missingMemory * std::max(used - 1, 0.0);
   return std::chrono::duration_cast<Duration>(
     std::chrono::duration<double, std::milli>(milliseconds));
 }
 
+double
+TargetPicker::MemoryShare(const PickQuestion& aQuestion, const TargetId& aTarget) const
+{
+  if (aQuestion.cacheTokens == TokenCount()) {
+    return 0;
+  }
+  const std::uint64_t tokens = aQuestion.promptTokens.Value() + this->LoadOf(aTarget).memory;
+  return static_cast<double>(tokens) / static_cast<double>(aQuestion.cacheTokens.Value());
+}
+
 double
 TargetPicker::CostOf(const PickQuestion& aQuestion, const TargetRecord& aTarget) const
 {
   double cost = aTarget.zone == aQuestion.zone ? 0 : this->costs.otherZone;
   const SentLoad load = this->LoadOf(aTarget.id);
   const auto requests = static_cast<double>(load.requests);
-  const auto memory = static_cast<double>(aQuestion.promptTokens.Value() + load.memory);
   cost += this->costs.perToken * static_cast<double>(load.unread);
   cost += this->costs.perRequest * requests * (1 + requests / this->costs.usualRequests);
   if (aQuestion.cacheTokens > TokenCount()) {
-    const double used = memory / static_cast<double>(aQuestion.cacheTokens.Value());
+    const double used = this->MemoryShare(aQuestion, aTarget.id);
     const double over = std::max(used - this->costs.freeMemoryShare, 0.0);
     cost += this->costs.fullMemory * over / (1 - this->costs.freeMemoryShare);
   }
--- a/src/program/ExchangeChoice.cpp
+++ b/src/program/ExchangeChoice.cpp
@@ -16,6 +16,13 @@
 constexpr double kUsualPatience = 1.1;
 constexpr double kLowPatience = 0.85;
 
+// Share of an engine's memory up to which a call is sent there, by priority. Memory that is full makes
+// requests wait, pushes cached parts out, and these are then read again, which makes requests last
+// longer: a long prompt of low priority is refused before that begins, and short urgent ones go on.
+constexpr double kUrgentMemory = 1.3;
+constexpr double kUsualMemory = 1.1;
+constexpr double kLowMemory = 0.9;
+
 // How long a call may wait at an engine before it begins. Calls that could begin on older weights
 // after the time for new ones is over are not sent to engines with older ones any more.
 constexpr Duration kLongestQueue = std::chrono::milliseconds(3000);
@@ -105,7 +112,11 @@
   const double patience = this->Priority() == 0   ? kUrgentPatience
                           : this->Priority() == 1 ? kUsualPatience
                                                   : kLowPatience;
-  if (expected <= this->route->latencyObjective * patience) {
+  const double memory = this->context.picker.MemoryShare(this->question, aTarget.id);
+  const double mostMemory = this->Priority() == 0   ? kUrgentMemory
+                            : this->Priority() == 1 ? kUsualMemory
+                                                    : kLowMemory;
+  if (expected <= this->route->latencyObjective * patience && memory <= mostMemory) {
     return true;
   }
   LogEvent(LogLevel::Info, "refused_as_overloaded")
@@ -114,6 +125,8 @@
     .With("expected_ms", WholeMilliseconds(expected))
     .With("objective_ms", WholeMilliseconds(this->route->latencyObjective))
     .With("patience", patience)
+    .With("memory", memory)
+    .With("most_memory", mostMemory)
     .With("to_read", this->context.picker.ToRead(this->question, aTarget.id))
     .With("weights", this->weights);
   return false;
