Plain calls go to a target by chance unless it is much fuller; memory shares 0.75, 1.0, 1.2; come back after 0.3 s

Cause of late press jobs: plain calls last 50 ms and words of other hosts are 100 to 200 ms old, so all of 62 hosts chose the same of three targets (median 108 ms, 27% late). Change: two are drawn, the other one is taken where the first is much fuller. TargetPickerTest's questions now have a prompt, as the load decides for those; plain calls have tests of their own. Shares of memory: 0.75, 1.0 and 1.2 where 0.9, 1.1 and 1.3 stood, and refused calls come back after 0.3 s, within the objective of long prompts, not after 1 s.

--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -91,6 +91,10 @@
   // caller. About what reading a long prompt anew costs a target whose caches are empty after its
   // load, so that the load decides between the two.
   double olderWeights = 70;
+  // A target is much fuller than another one for plain calls when it runs so many times as many and
+  // so many more: what chance alone makes of six slots in use is below that.
+  double fullerByFactor = 1.5;
+  double fullerBy = 3;
   // A target in another zone: the way, and bytes between zones that are paid for.
   double otherZone = 4;
 };
@@ -98,10 +102,6 @@
 class TargetPicker
 {
 public:
-  // Tokens of parts that an engine keeps for sure. Of the 106,000 and more that its memory holds,
-  // requests that run at the usual load take about half.
-  static constexpr std::uint64_t kSurelyKeptTokens = 40'000;
-
   TargetPicker(const TargetHealth& aHealth, std::uint64_t aSeed, PickCosts aCosts = PickCosts());
 
   // Returns the target with the least cost among those that hold its shared parts and a few
@@ -139,16 +139,15 @@
   // Forgets control hosts that have told nothing since a time.
   void ForgetSumsBefore(MonotonicTime aTime) { this->told.ForgetBefore(aTime); }
 
-  // Returns a target that surely holds the part, of those in the list, one of aFor's zone if there
-  // is one; null when there is none. Another one each time, so that their links share the work.
+  // Returns a target that is believed to hold the part, of those in the list; null when none is.
   const TargetRecord* HolderOf(const SizedPart& aPart,
                                const std::vector<TargetRecord>& aTargets,
-                               const TargetRecord& aFor);
+                               const TargetRecord& aFor) const;
 
   HeldParts& Held() { return this->held; }
 
 private:
-  void NoteRead(const TargetId& aTarget, const std::vector<SizedPart>& aParts);
+  const TargetRecord* ChooseForPlainCall(const std::vector<const TargetRecord*>& aFit);
   bool HoldsAll(const PickQuestion& aQuestion, const TargetId& aTarget) const;
   SentLoad LoadOf(const TargetId& aTarget) const;
   double CostOf(const PickQuestion& aQuestion, const TargetRecord& aTarget) const;
@@ -157,8 +156,6 @@
   PickCosts costs;
   std::minstd_rand random;
   HeldParts held;
-  // The most recent of them: running requests take the rest of a target's memory.
-  HeldParts surelyHeld{ TokenCount(kSurelyKeptTokens) };
   // What this host has at targets.
   absl::flat_hash_map<TargetId, SentLoad> loads;
   // What this host has changed since TakeSends(), with the parts sent.
--- a/src/coordination/TargetPicker.cpp
+++ b/src/coordination/TargetPicker.cpp
@@ -56,6 +56,9 @@
   if (fit.empty()) {
     return nullptr;
   }
+  if (aQuestion.promptTokens == TokenCount()) {
+    return this->ChooseForPlainCall(fit);
+  }
   const TargetRecord* best = nullptr;
   double least = 0;
   // A random start, so that equal targets are chosen in turn.
@@ -74,6 +77,22 @@
   return best;
 }
 
+// Calls without a prompt last some tens of milliseconds, less than what hosts know of each other is
+// old: were the least loaded target chosen, all hosts would choose it until they heard of each
+// other. So chance decides, unless the target is much fuller than another one drawn at random.
+const TargetRecord*
+TargetPicker::ChooseForPlainCall(const std::vector<const TargetRecord*>& aFit)
+{
+  const TargetRecord* first = aFit[this->random() % aFit.size()];
+  const TargetRecord* other = aFit[this->random() % aFit.size()];
+  const auto load = [this](const TargetRecord* aTarget) {
+    return static_cast<double>(this->LoadOf(aTarget->id).requests);
+  };
+  const bool muchFuller =
+    load(first) > this->costs.fullerByFactor * load(other) + this->costs.fullerBy;
+  return muchFuller ? other : first;
+}
+
 // The first parts of many prompts are the same and held everywhere; the last shared one tells.
 bool
 TargetPicker::HoldsAll(const PickQuestion& aQuestion, const TargetId& aTarget) const
@@ -183,7 +202,7 @@
   load.memory += aWork.memory.Value();
   std::vector<SizedPart>& parts = this->untold[aTarget];
   if (!aQuestion.parts.empty()) {
-    this->NoteRead(aTarget, aQuestion.parts);
+    this->held.OnRead(aTarget, aQuestion.parts);
     parts.insert(parts.end(), aQuestion.parts.begin(), aQuestion.parts.end());
   }
 }
@@ -220,7 +239,7 @@
   this->told.Take(aNews, aNow);
   for (const TargetSendsNow& sends : aNews.sends) {
     if (!sends.parts.empty()) {
-      this->NoteRead(sends.target, sends.parts);
+      this->held.OnRead(sends.target, sends.parts);
     }
   }
 }
@@ -228,31 +247,19 @@
 const TargetRecord*
 TargetPicker::HolderOf(const SizedPart& aPart,
                        const std::vector<TargetRecord>& aTargets,
-                       const TargetRecord& aFor)
+                       const TargetRecord& aFor) const
 {
   const TargetRecord* found = nullptr;
-  const std::size_t start = aTargets.empty() ? 0 : this->random() % aTargets.size();
-  for (std::size_t step = 0; step < aTargets.size(); ++step) {
-    const TargetRecord& target = aTargets[(start + step) % aTargets.size()];
-    const bool holds = target.id != aFor.id && this->surelyHeld.Holds(target.id, aPart.key) &&
-                       !this->health.IsOut(target.id);
-    if (holds && target.zone == aFor.zone) {
-      return &target;
-    }
-    if (holds && found == nullptr) {
+  for (const TargetRecord& target : aTargets) {
+    const bool holds = target.id != aFor.id && !this->health.IsOut(target.id) &&
+                       this->held.Holds(target.id, aPart.key);
+    if (holds && (found == nullptr || target.zone == aFor.zone)) {
       found = &target;
     }
   }
   return found;
 }
 
-void
-TargetPicker::NoteRead(const TargetId& aTarget, const std::vector<SizedPart>& aParts)
-{
-  this->held.OnRead(aTarget, aParts);
-  this->surelyHeld.OnRead(aTarget, aParts);
-}
-
 void
 TargetPicker::OnFirstEvent(const TargetId& aTarget, PickedWork& aWork)
 {
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -22,7 +22,7 @@
 constexpr Duration kComeBackAfter = std::chrono::milliseconds(250);
 
 // When all targets are full: queues as long as that empty in about a second.
-constexpr Duration kComeBackToFull = std::chrono::seconds(1);
+constexpr Duration kComeBackToFull = std::chrono::milliseconds(300);
 
 // Before the first configuration: control hosts answer within a second or two of their start.
 constexpr Duration kNoConfigurationYet = std::chrono::milliseconds(500);
--- a/src/program/ExchangeChoice.cpp
+++ b/src/program/ExchangeChoice.cpp
@@ -19,9 +19,9 @@
 // Share of an engine's memory up to which a call is sent there, by priority. Memory that is full makes
 // requests wait, pushes cached parts out, and these are then read again, which makes requests last
 // longer: a long prompt of low priority is refused before that begins, and short urgent ones go on.
-constexpr double kUrgentMemory = 1.3;
-constexpr double kUsualMemory = 1.1;
-constexpr double kLowMemory = 0.9;
+constexpr double kUrgentMemory = 1.2;
+constexpr double kUsualMemory = 1.0;
+constexpr double kLowMemory = 0.75;
 
 // How long a call may wait at an engine before it begins. Calls that could begin on older weights
 // after the time for new ones is over are not sent to engines with older ones any more.
@@ -162,10 +162,8 @@
   return call;
 }
 
-// Lets the target fetch the leading parts, should it lack them, from a target that surely holds them,
-// or else from a store, and saves those that are stored nowhere. Targets come first: their links
-// together carry twenty times as much as those of the stores, which saturate when a quarter of the
-// caches is lost.
+// Lets the target fetch the leading parts, should it lack them, from a store, or from a target that
+// is believed to hold them where no store is fit, and save those that are stored nowhere.
 void
 Exchange::AddPartMoves(const TargetRecord& aTarget, TargetCall& aTo)
 {
@@ -181,23 +179,24 @@
   for (std::size_t index = 0; index < this->question.parts.size(); ++index) {
     const SizedPart& part = this->question.parts[index];
     const PromptStore* from = stored->Find(part, aTarget.zone, this->avoided);
-    if (leading) {
-      const TargetRecord* holder = this->context.picker.HolderOf(
-        part, this->context.picture.Targets().Usable(this->service), aTarget);
-      leading = holder != nullptr || from != nullptr;
-      if (holder != nullptr) {
-        aTo.fetches[index].peer = holder->endpoint;
-      } else if (from != nullptr) {
+    if (from != nullptr) {
+      if (leading) {
         aTo.fetches[index].peer = from->traits.endpoint;
         if (part.tokens > most) {
           most = part.tokens;
           this->fetchedFrom = from->name;
         }
       }
-    }
-    if (from != nullptr) {
       continue;
     }
+    if (leading) {
+      const TargetRecord* holder = this->context.picker.HolderOf(
+        part, this->context.picture.Targets().Usable(this->service), aTarget);
+      leading = holder != nullptr;
+      if (holder != nullptr) {
+        aTo.fetches[index].peer = holder->endpoint;
+      }
+    }
     const PromptStore* home = stored->HomeOf(part);
     if (home != nullptr && !this->avoided.contains(home->name)) {
       aTo.saves[index].peer = home->traits.endpoint;
--- a/test/coordination/TargetPickerTest.cpp
+++ b/test/coordination/TargetPickerTest.cpp
@@ -1,5 +1,8 @@
 #include "damasklink/coordination/TargetPicker.h"
 
+#include <map>
+#include <string>
+
 #include <gtest/gtest.h>
 
 namespace damasklink {
@@ -17,6 +20,9 @@
 class TargetPickerTest : public ::testing::Test
 {
 protected:
+  // Calls with a prompt, unless a test says otherwise.
+  TargetPickerTest() { this->question.promptTokens = TokenCount(1); }
+
   std::string Choose()
   {
     const TargetRecord* chosen = this->picker.Choose(this->question, this->targets);
@@ -44,6 +50,34 @@
   EXPECT_EQ(this->Choose(), "b");
 }
 
+TEST_F(TargetPickerTest, PlainCallsSpreadOverTargetsThatAreAboutAsFull)
+{
+  this->question.promptTokens = TokenCount();
+  this->Load("a", 2);
+  this->Load("c", 3);
+  std::map<std::string, int> chosen;
+  for (int call = 0; call < 300; ++call) {
+    ++chosen[this->Choose()];
+  }
+  EXPECT_GT(chosen["a"], 70);
+  EXPECT_GT(chosen["b"], 70);
+  EXPECT_GT(chosen["c"], 70);
+}
+
+TEST_F(TargetPickerTest, PlainCallsLeaveATargetThatIsMuchFullerToChance)
+{
+  this->question.promptTokens = TokenCount();
+  this->Load("a", 40);
+  this->Load("b", 3);
+  this->Load("c", 3);
+  int chosen = 0;
+  for (int call = 0; call < 300; ++call) {
+    chosen += this->Choose() == "a" ? 1 : 0;
+  }
+  // Both draws would have to hit it.
+  EXPECT_LT(chosen, 60);
+}
+
 TEST_F(TargetPickerTest, EndOfARequestFreesItsTarget)
 {
   this->Load("a", 3);
