--- a/test/program/ExchangeTest.cpp
+++ b/test/program/ExchangeTest.cpp
@@ -109,7 +109,7 @@
   }
 
   // The routes as a document, since a picture carries nothing else.
-  static std::string Document(const ServingConfig& aConfig)
+  std::string Document(const ServingConfig& aConfig) const
   {
     std::string routes;
     for (const ServingRoute& route : aConfig.routes) {
@@ -123,7 +123,12 @@
                 (route.resumable ? "true" : "false") + R"(,"sticky":)" +
                 (route.carriesPrompt ? "true" : "false") + "}";
     }
-    return R"({"version":1,"routes":[)" + routes + R"(],"services":[{"name":"app"}]})";
+    const std::string engine = this->cacheTokens == 0
+                                 ? ""
+                                 : R"(,"engine":{"slots":8,"kv-token-bytes":1,"kv-capacity":)" +
+                                     std::to_string(this->cacheTokens) + "}";
+    return R"({"version":1,"routes":[)" + routes + R"(],"services":[{"name":"app")" + engine +
+           "}]}";
   }
 
   Awaitable<void> Serve()
@@ -187,6 +192,8 @@
   TcpAcceptor acceptor;
   std::shared_ptr<ServingConfig> config;
   std::vector<TargetStatement> statements;
+  // Of the memory of an engine; zero for a service without engines.
+  std::uint64_t cacheTokens = 0;
   SystemClock clock;
   ServingSettings settings;
   platform::Dialect dialect;
@@ -504,11 +511,32 @@
   this->Call("/prompts/", "X-Model: m\r\nX-Token-Usage: 100,10\r\n");
   const std::string refused = this->Receive();
   EXPECT_NE(refused.find("HTTP/1.1 503"), std::string::npos);
-  EXPECT_NE(refused.find("Retry-After: 1\r\n"), std::string::npos);
+  EXPECT_NE(refused.find("Retry-After: 0.3\r\n"), std::string::npos) << refused;
   EXPECT_NE(refused.find("not_run"), std::string::npos);
   EXPECT_TRUE(target.Requests().empty());
 }
 
+TEST_F(ExchangeTest, PromptThatWouldFillTheMemoryOfItsTargetIsRefusedAtOnce)
+{
+  ScriptedTarget target([](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, Answer(200, "done"));
+    return true;
+  });
+  this->AddTarget("t", target.Address());
+  this->cacheTokens = 1000;
+  PickedWork running;
+  running.memory = TokenCount(1100);
+  this->picker.OnSent(TargetId("t"), PickQuestion{}, running);
+  this->Start();
+  this->Call("/prompts/", "X-Model: m\r\nX-Token-Usage: 200,10\r\n");
+  const std::string refused = this->Receive();
+  EXPECT_NE(refused.find("HTTP/1.1 503"), std::string::npos);
+  EXPECT_TRUE(target.Requests().empty());
+  // The same prompt is taken once there is room.
+  this->Call("/prompts/", "X-Model: m\r\nX-Token-Usage: 50,10\r\n");
+  EXPECT_NE(this->Receive().find("HTTP/1.1 200"), std::string::npos);
+}
+
 TEST_F(ExchangeTest, CallerMayAskToCloseTheChannel)
 {
   ScriptedTarget target([](const std::string&, TcpSocket& aSocket) {
