--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -1,6 +1,6 @@
 // Chooses the target of a call in a serving deployment.
 //
-//   TargetPicker picker(health);
+//   TargetPicker picker(health, reach, seed);
 //   const TargetRecord* target = picker.Choose(question, board.Usable(service));
 //   picker.OnSent(target->id, work);
 //   picker.OnFirstEvent(target->id, work);
@@ -24,6 +24,7 @@
 #include "damasklink/coordination/ServingPicture.h"
 #include "damasklink/coordination/Target.h"
 #include "damasklink/coordination/TargetHealth.h"
+#include "damasklink/coordination/ZoneReach.h"
 
 namespace damasklink {
 
@@ -102,11 +103,15 @@
 class TargetPicker
 {
 public:
-  TargetPicker(const TargetHealth& aHealth, std::uint64_t aSeed, PickCosts aCosts = PickCosts());
+  TargetPicker(const TargetHealth& aHealth,
+               const ZoneReach& aReach,
+               std::uint64_t aSeed,
+               PickCosts aCosts = PickCosts());
 
   // Returns the target with the least cost among those that hold its shared parts and a few
   // that are drawn at random, null when there is none. Ejected targets are chosen only when more
-  // than half of the list is ejected: then the fault is likely elsewhere.
+  // than half of the list is ejected: then the fault is likely elsewhere. Targets of zones that are
+  // out are chosen only when there are no others.
   const TargetRecord* Choose(const PickQuestion& aQuestion,
                              const std::vector<TargetRecord>& aTargets);
 
@@ -153,6 +158,7 @@
   double CostOf(const PickQuestion& aQuestion, const TargetRecord& aTarget) const;
 
   const TargetHealth& health;
+  const ZoneReach& reach;
   PickCosts costs;
   std::minstd_rand random;
   HeldParts held;
--- a/src/coordination/TargetPicker.cpp
+++ b/src/coordination/TargetPicker.cpp
@@ -28,8 +28,12 @@
   return 0;
 }
 
-TargetPicker::TargetPicker(const TargetHealth& aHealth, std::uint64_t aSeed, PickCosts aCosts)
+TargetPicker::TargetPicker(const TargetHealth& aHealth,
+                           const ZoneReach& aReach,
+                           std::uint64_t aSeed,
+                           PickCosts aCosts)
   : health(aHealth)
+  , reach(aReach)
   , costs(aCosts)
   , random(aSeed)
 {
@@ -40,19 +44,28 @@
 {
   std::vector<const TargetRecord*> fit;
   std::vector<const TargetRecord*> ejected;
+  std::vector<const TargetRecord*> outOfReach;
   const auto isNewEnough = [&](const TargetRecord& aTarget) {
     return WeightsOf(aTarget, aQuestion.model) >= aQuestion.leastWeights;
   };
   const bool mayChoose = std::any_of(aTargets.begin(), aTargets.end(), isNewEnough);
   for (const TargetRecord& target : aTargets) {
     const bool tooOld = mayChoose && !isNewEnough(target);
-    if (!tooOld && !aQuestion.excluded.contains(target.id)) {
+    if (tooOld || aQuestion.excluded.contains(target.id)) {
+      continue;
+    }
+    if (this->reach.IsOut(target.zone)) {
+      outOfReach.push_back(&target);
+    } else {
       (this->health.IsOut(target.id) ? ejected : fit).push_back(&target);
     }
   }
-  if (fit.size() * 2 < aTargets.size() - std::min(aTargets.size(), aQuestion.excluded.size())) {
+  if (fit.size() < ejected.size()) {
     fit.insert(fit.end(), ejected.begin(), ejected.end());
   }
+  if (fit.empty()) {
+    fit = std::move(outOfReach);
+  }
   if (fit.empty()) {
     return nullptr;
   }
@@ -252,7 +265,7 @@
   const TargetRecord* found = nullptr;
   for (const TargetRecord& target : aTargets) {
     const bool holds = target.id != aFor.id && !this->health.IsOut(target.id) &&
-                       this->held.Holds(target.id, aPart.key);
+                       !this->reach.IsOut(target.zone) && this->held.Holds(target.id, aPart.key);
     if (holds && (found == nullptr || target.zone == aFor.zone)) {
       found = &target;
     }
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -60,13 +60,14 @@
     , picture(this->clock, aControl)
     , retries(this->settings.retries)
     , health(this->clock, RandomSeed())
-    , picker(this->health, RandomSeed())
+    , reach(this->clock, RandomSeed())
+    , picker(this->health, this->reach, RandomSeed())
     , pool(this->clock)
     , pace(RandomSeed())
     , mesh(this->loop, this->settings.host, this->settings.peerPort, *this)
     , context{ this->loop,    this->clock,   this->settings, this->calls,
                this->metrics, this->picture, this->retries,  this->health,
-               this->picker,  this->pool,    this->pace }
+               this->reach,   this->picker,  this->pool,     this->pace }
     , signals(this->loop, std::move(aReader))
     , housekeeping(this->loop)
     , sharing(this->loop)
@@ -105,6 +106,7 @@
   EntryPicture picture;
   RetryShares retries;
   TargetHealth health;
+  ZoneReach reach;
   TargetPicker picker;
   TargetChannelPool pool;
   StorePace pace;
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -159,6 +159,7 @@
     TokenCount(this->call.promptTokens.Value() + this->call.mostAnswerTokens.Value());
   this->context.picker.OnSent(aTarget.id, this->question, this->work);
   this->context.health.OnStart(aTarget.id);
+  this->context.reach.OnStart(aTarget.zone);
   AttemptEnd end = co_await this->Converse(aTarget);
   if (this->interrupt != Interrupt::None && end != AttemptEnd::Delivered) {
     end = this->EndOfFailure();
@@ -169,10 +170,25 @@
   // Closing tells the target that nobody waits for the rest.
   this->channel.reset();
   this->context.picker.OnEnd(aTarget.id, this->work);
-  this->context.health.OnEnd(aTarget.id, this->SignOf(end));
+  const HealthSign sign = this->SignOf(end);
+  this->context.health.OnEnd(aTarget.id, sign);
+  this->NoteReach(aTarget, sign);
   co_return end;
 }
 
+void
+Exchange::NoteReach(const TargetRecord& aTarget, HealthSign aSign)
+{
+  const bool before = this->context.reach.IsOut(aTarget.zone);
+  this->context.reach.OnEnd(aTarget.zone, aTarget.id, aSign);
+  if (!before && this->context.reach.IsOut(aTarget.zone)) {
+    LogEvent(LogLevel::Warning, "zone_out_of_reach")
+      .With("zone", aTarget.zone)
+      .With("target", aTarget.id)
+      .With("request", this->call.request);
+  }
+}
+
 HealthSign
 Exchange::SignOf(AttemptEnd aEnd) const
 {
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -29,6 +29,7 @@
   EntryPicture& picture;
   RetryShares& retries;
   TargetHealth& health;
+  ZoneReach& reach;
   TargetPicker& picker;
   TargetChannelPool& pool;
   StorePace& pace;
@@ -76,6 +77,8 @@
   Awaitable<bool> Finish(ExchangeStep aStep);
   Awaitable<bool> AnswerFailure(const CallerError& aError);
   Awaitable<std::unique_ptr<TargetChannel>> Connect(const TargetRecord& aTarget);
+  // Keeps what an attempt showed of its target's zone, and logs when the zone is given up.
+  void NoteReach(const TargetRecord& aTarget, HealthSign aSign);
   const TargetRecord* ChooseTarget();
   TargetCall CallFor(const TargetRecord& aTarget);
   void AddPartMoves(const TargetRecord& aTarget, TargetCall& aTo);
--- a/test/coordination/TargetPickerTest.cpp
+++ b/test/coordination/TargetPickerTest.cpp
@@ -38,7 +38,8 @@
 
   ManualClock clock;
   TargetHealth health{ this->clock, 1 };
-  TargetPicker picker{ this->health, 1 };
+  ZoneReach reach{ this->clock, 1 };
+  TargetPicker picker{ this->health, this->reach, 1 };
   PickQuestion question;
   std::vector<TargetRecord> targets{ Target("a", "z"), Target("b", "z"), Target("c", "z") };
 };
@@ -239,6 +240,18 @@
   EXPECT_NE(this->Choose(), "a");
 }
 
+TEST_F(TargetPickerTest, TargetsOfAZoneThatIsOutAreTheLastChoice)
+{
+  this->targets = { Target("a", "near"), Target("b", "far"), Target("c", "far") };
+  for (const char* gone : { "b", "c", "d" }) {
+    this->reach.OnEnd(ZoneId("far"), TargetId(gone), HealthSign::Gone);
+  }
+  this->Load("a", 50);
+  EXPECT_EQ(this->Choose(), "a");
+  this->question.excluded = { TargetId("a") };
+  EXPECT_NE(this->Choose(), "");
+}
+
 TEST_F(TargetPickerTest, MostlyEjectedPoolIsUsedWhole)
 {
   for (const char* id : { "a", "b" }) {
--- a/test/program/ExchangeTest.cpp
+++ b/test/program/ExchangeTest.cpp
@@ -201,12 +201,13 @@
   EntryPicture picture{ this->clock, this->dialect };
   RetryShares retries{ RetryAllowance{} };
   TargetHealth health{ this->clock, 1 };
-  TargetPicker picker{ this->health, 1 };
+  ZoneReach reach{ this->clock, 1 };
+  TargetPicker picker{ this->health, this->reach, 1 };
   TargetChannelPool pool{ this->clock };
   StorePace pace{ 1 };
   EntryContext context{ this->loop,    this->clock,   this->settings, this->dialect,
                         this->metrics, this->picture, this->retries,  this->health,
-                        this->picker,  this->pool,    this->pace };
+                        this->reach,   this->picker,  this->pool,     this->pace };
   std::thread thread;
   asio::io_context callerLoop;
   TcpSocket caller{ this->callerLoop };
--- /dev/null
+++ b/test/soak/standins.py
@@ -0,0 +1,189 @@
+"""Stand-ins for the targets of a serving deployment, and a proxy that breaks connections to them."""
+
+import asyncio
+import json
+import random
+
+EVENTS = 12
+EVENT_PAUSE = 0.01
+
+
+async def read_head(reader):
+    """Returns the first line and the fields, by lower-case name, of an HTTP message."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    lines = head.split("\r\n")
+    fields = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        fields[name.strip().lower()] = value.strip()
+    return lines[0], fields
+
+
+async def call(address, method, path, body, timeout):
+    """Makes one call on a connection of its own. Returns status and body; status 0 without an answer."""
+    writer = None
+    try:
+        async with asyncio.timeout(timeout):
+            reader, writer = await asyncio.open_connection(*address)
+            payload = body.encode()
+            writer.write(
+                f"{method} {path} HTTP/1.1\r\nHost: c\r\nContent-Type: application/json\r\n"
+                f"Connection: close\r\nContent-Length: {len(payload)}\r\n\r\n".encode()
+                + payload
+            )
+            first, fields = await read_head(reader)
+            answer = await reader.readexactly(int(fields.get("content-length", "0")))
+            return int(first.split()[1]), answer
+    except (OSError, EOFError, TimeoutError, asyncio.IncompleteReadError):
+        return 0, b""
+    finally:
+        if writer is not None:
+            writer.close()
+
+
+class FaultProxy:
+    """Passes connections on to one target, in the way that its mode says."""
+
+    MODES = ("delay", "reset", "one_way", "silent")
+
+    def __init__(self, target):
+        self.target = target
+        self.mode = "pass"
+        self.writers = set()
+
+    async def start(self, address):
+        self.server = await asyncio.start_server(self.serve, address, 0)
+        self.address = self.server.sockets[0].getsockname()[:2]
+
+    def set_mode(self, mode):
+        self.mode = mode
+        if mode == "reset":
+            for writer in self.writers:
+                writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        if self.mode == "reset":
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = {writer, far_writer}
+        self.writers |= pair
+        try:
+            await asyncio.gather(
+                self.pump(reader, far_writer, towards=True),
+                self.pump(far_reader, writer, towards=False),
+            )
+        except asyncio.CancelledError:
+            # The run is over; the server would print a trace of each connection that is open yet.
+            return
+        self.writers -= pair
+
+    async def pump(self, reader, writer, towards):
+        try:
+            while data := await reader.read(16384):
+                if self.mode == "silent" or (self.mode == "one_way" and not towards):
+                    continue
+                if self.mode == "delay":
+                    await asyncio.sleep(0.15)
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        writer.close()
+
+
+class Target:
+    """A service that counts what it runs. A new life of it has a new id at the same address."""
+
+    def __init__(self, service, zone, ledger, controls, seed):
+        self.service = service
+        self.zone = zone
+        self.ledger = ledger
+        self.controls = controls
+        self.random = random.Random(seed)
+        self.life = 0
+        self.sequence = 0
+        self.state = "ready"
+
+    async def start(self, address):
+        server = await asyncio.start_server(self.serve, address, 0)
+        self.proxy = FaultProxy(server.sockets[0].getsockname()[:2])
+        await self.proxy.start(address)
+        self.server = server
+
+    @property
+    def id(self):
+        return f"i-{self.service}-{self.proxy.address[1]}-{self.life}"
+
+    def restart(self):
+        self.life += 1
+        self.sequence = 0
+        self.state = "ready"
+
+    async def announce(self):
+        while True:
+            self.sequence += 1
+            body = json.dumps(
+                {
+                    "service": self.service,
+                    "address": f"{self.proxy.address[0]}:{self.proxy.address[1]}",
+                    "zone": self.zone,
+                    "slots": 16,
+                    "state": self.state,
+                    "models": [],
+                    "sequence": self.sequence,
+                }
+            )
+            for control in self.random.sample(self.controls, len(self.controls)):
+                status, _ = await call(control, "PUT", f"/-/instances/{self.id}", body, 1)
+                if status == 200:
+                    break
+            await asyncio.sleep(0.4)
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                first, fields = await read_head(reader)
+                await reader.readexactly(int(fields.get("content-length", "0")))
+                await self.answer(first.split()[1], fields, writer)
+                await writer.drain()
+        except (OSError, EOFError, asyncio.IncompleteReadError):
+            pass
+        except asyncio.CancelledError:
+            # The run is over, as in FaultProxy.serve().
+            return
+        finally:
+            writer.close()
+
+    async def answer(self, path, fields, writer):
+        request = fields["x-request-id"]
+        echo = f"X-Request-Id: {request}\r\n"
+        if fields.get("x-target-instance", self.id) != self.id:
+            writer.write(
+                f"HTTP/1.1 421 Other\r\n{echo}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode()
+            )
+            return
+        self.ledger[request] = self.ledger.get(request, 0) + 1
+        echo += "X-Response-Stamp: " + self.id + "\r\n"
+        if path.startswith("/streams/"):
+            await self.stream(request, int(fields.get("last-event-id", "0")), echo, writer)
+            return
+        await asyncio.sleep(self.random.uniform(0.005, 0.04))
+        body = f"{request}{path}"
+        writer.write(f"HTTP/1.1 200 OK\r\n{echo}Content-Length: {len(body)}\r\n\r\n{body}".encode())
+
+    async def stream(self, request, last, echo, writer):
+        writer.write(
+            f"HTTP/1.1 200 OK\r\n{echo}Content-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n".encode()
+        )
+        for number in range(last + 1, EVENTS + 1):
+            event = f"id: {number}\ndata: {request}-{number}\n\n"
+            writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
+            await writer.drain()
+            await asyncio.sleep(EVENT_PAUSE)
+        writer.write(b"0\r\n\r\n")
