Control host in parts: HostRoster and PictureTeller

Behaviour as before, but that an entry host looks for further control hosts at once when one says that it hears no leader, not within a second.

--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -1,16 +1,13 @@
 #include "ControlHost.h"
 
-#include <map>
-#include <set>
-
 #include "ControlCalls.h"
 #include "ControlPicture.h"
 #include "MetricsPage.h"
+#include "PictureTeller.h"
 #include "ServingGroup.h"
 #include "ServingSignals.h"
 #include "StoreWatcher.h"
 #include "WeightsDesk.h"
-#include "damasklink/coordination/SendsHub.h"
 #include "damasklink/coordination/ServiceLevelWindows.h"
 #include "damasklink/coordination/SettledWeights.h"
 #include "damasklink/protocol/ServingCodec.h"
@@ -81,7 +78,7 @@
     , stores(this->loop,
              this->clock,
              aStores,
-             [this](const StoreStatement& aStatement) { this->TellStore(aStatement); })
+             [this](const StoreStatement& aStatement) { this->teller.TellStore(aStatement); })
     , weights(this->loop,
               this->clock,
               aEngines,
@@ -108,23 +105,9 @@
   bool EndsAfterFailure();
   void SpreadTargets();
   void PushDocument();
-  void TellStore(const StoreStatement& aStatement);
-  void Greet(const HostId& aPeer);
-  void TellAll(const HostId& aEntryHost);
-  void TakeSends(const HostId& aFrom, const SendsNews& aNews);
-  void TellSends();
   void TakeGreeting(const HostId& aPeer, const Greeting& aGreeting);
   void KnowSeeds(const std::vector<HostId>& aSeeds);
   void KnowControlHost(const HostId& aHost, const ZoneId& aZone);
-  void SendServing(const HostId& aTo, const ServingMessage& aMessage);
-  void TellEntryHosts(const ServingMessage& aMessage);
-  void TellControlHosts(const ServingMessage& aMessage);
-  void TellStores(const HostId& aEntryHost);
-  EntryHostList OwnEntryHosts() const;
-  Picture BarePicture() const;
-  void SendEncoded(const std::set<HostId>& aTo, const std::string& aPayload);
-  Picture BasePicture() const;
-  std::uint64_t CountEntryHosts() const;
 
   ServingSettings settings;
   const ControlDialect& dialect;
@@ -138,19 +121,9 @@
   StoreWatcher stores;
   WeightsDesk weights;
   SettledWeights settled{ this->clock, kSettling };
-  ControlHostZones controlHosts;
-  // Entry hosts that are connected to this control host.
-  std::set<HostId> entryHosts;
-  // By connected control host, those that are connected to it.
-  std::map<HostId, std::vector<HostId>> entryHostsOfOthers;
-  bool entryHostsChanged = false;
-  bool controlHostsChanged = false;
-  // What entry hosts were told last.
-  std::uint64_t toldEntryHosts = 0;
-  bool toldIsolated = false;
-  SendsHub sends;
-  // Sums of other control hosts, for the entry hosts that tell this one.
-  std::vector<SendsNews> sumsOfOthers;
+  HostRoster roster{ this->settings.host, this->settings.zone };
+  PictureTeller teller{ this->clock,   this->settings, this->group, this->stores,
+                        this->picture, this->roster,   this->mesh };
   MetricsPage metricsPage{ this->loop, this->metrics, this->settings.host };
   ControlCalls calls;
   ChannelListener callers{ this->loop };
@@ -250,7 +223,7 @@
   }
   if (this->clock.MonotonicNow() >= this->nextTelling) {
     this->nextTelling = this->clock.MonotonicNow() + kTellStep;
-    this->TellSends();
+    this->teller.TellSends();
   }
   this->ticker.expires_after(kTick);
   this->ticker.async_wait([this](const IoError& aError) {
@@ -284,158 +257,27 @@
 {
   this->StepWeights();
   this->nextSpread = this->clock.MonotonicNow() + kSpreadStep;
-  Picture changes = this->BarePicture();
-  changes.targets = this->picture.TakeChanges();
-  changes.entryHosts = this->CountEntryHosts();
-  const bool named = std::exchange(this->controlHostsChanged, false);
-  if (named) {
-    changes.controlHosts = this->controlHosts;
-  }
-  const bool standingChanged =
-    named || changes.entryHosts != this->toldEntryHosts || changes.isolated != this->toldIsolated;
-  if (standingChanged || !changes.targets.empty()) {
-    this->toldEntryHosts = changes.entryHosts;
-    this->toldIsolated = changes.isolated;
-    this->TellEntryHosts(changes);
-  }
-  if (std::exchange(this->entryHostsChanged, false)) {
-    this->TellControlHosts(this->OwnEntryHosts());
-  }
-  Picture news;
-  news.targets = this->picture.TakeNews();
-  if (!news.targets.empty()) {
-    this->TellControlHosts(news);
-  }
-}
-
-// What stands in every picture.
-Picture
-ControlHost::Impl::BarePicture() const
-{
-  Picture bare;
-  bare.isolated = !this->group.HearsLeader();
-  return bare;
-}
-
-Picture
-ControlHost::Impl::BasePicture() const
-{
-  Picture base = this->BarePicture();
-  base.documentVersion = this->group.State().Version();
-  base.document = this->group.State().Document();
-  base.weights = this->group.State().Weights();
-  base.entryHosts = this->CountEntryHosts();
-  base.controlHosts = this->controlHosts;
-  base.controlHosts[this->settings.host] = this->settings.zone;
-  return base;
-}
-
-// Each entry host is connected to several control hosts, so it counts also when one of them is
-// lost.
-std::uint64_t
-ControlHost::Impl::CountEntryHosts() const
-{
-  std::set<HostId> all = this->entryHosts;
-  for (const auto& [host, others] : this->entryHostsOfOthers) {
-    all.insert(others.begin(), others.end());
-  }
-  return all.size();
-}
-
-EntryHostList
-ControlHost::Impl::OwnEntryHosts() const
-{
-  return EntryHostList{ { this->entryHosts.begin(), this->entryHosts.end() } };
+  this->teller.TellChanges();
 }
 
 void
 ControlHost::Impl::PushDocument()
 {
-  const Picture document = this->BasePicture();
+  const ServingMachine& state = this->group.State();
   LogEvent(LogLevel::Info, "configuration_applied")
-    .With("version", document.documentVersion)
-    .With("entry_hosts", this->entryHosts.size());
-  this->TellEntryHosts(document);
-  if (const auto config = this->dialect.ReadConfig(document.document)) {
+    .With("version", state.Version())
+    .With("entry_hosts", this->roster.EntryHosts().size());
+  this->teller.TellDocument();
+  if (const auto config = this->dialect.ReadConfig(state.Document())) {
     this->stores.Follow(config.value().services);
   }
 }
 
-void
-ControlHost::Impl::TellStore(const StoreStatement& aStatement)
-{
-  Picture picture = this->BarePicture();
-  picture.stores.push_back(aStatement);
-  this->SendEncoded(this->sends.Tellers(), EncodeServingMessage(picture));
-}
-
-void
-ControlHost::Impl::TellAll(const HostId& aEntryHost)
-{
-  Picture whole = this->BasePicture();
-  whole.targets = this->picture.All();
-  this->SendServing(aEntryHost, whole);
-}
-
-// An entry host that tells this control host what it has hears of stored parts from it alone: they
-// change a thousand times a second, and each further word of it goes between zones.
-void
-ControlHost::Impl::TellStores(const HostId& aEntryHost)
-{
-  Picture picture = this->BarePicture();
-  picture.stores = this->stores.All();
-  this->SendServing(aEntryHost, picture);
-}
-
-void
-ControlHost::Impl::Greet(const HostId& aPeer)
-{
-  Greeting greeting{ HostRole::Control, this->settings.zone, {} };
-  greeting.controlHosts = this->controlHosts;
-  greeting.controlHosts[this->settings.host] = this->settings.zone;
-  this->SendServing(aPeer, greeting);
-}
-
-void
-ControlHost::Impl::SendServing(const HostId& aTo, const ServingMessage& aMessage)
-{
-  this->mesh.Send(aTo, PeerMessage{ Channel::Serving, GroupId(), EncodeServingMessage(aMessage) });
-}
-
-void
-ControlHost::Impl::TellControlHosts(const ServingMessage& aMessage)
-{
-  const std::string payload = EncodeServingMessage(aMessage);
-  for (const auto& [host, zone] : this->controlHosts) {
-    this->mesh.Send(host, PeerMessage{ Channel::Serving, GroupId(), payload });
-  }
-}
-
-void
-ControlHost::Impl::TellEntryHosts(const ServingMessage& aMessage)
-{
-  this->SendEncoded(this->entryHosts, EncodeServingMessage(aMessage));
-}
-
-// Many hosts get the same bytes: they are encoded once.
-void
-ControlHost::Impl::SendEncoded(const std::set<HostId>& aTo, const std::string& aPayload)
-{
-  for (const HostId& host : aTo) {
-    this->mesh.Send(host, PeerMessage{ Channel::Serving, GroupId(), aPayload });
-  }
-}
-
 void
 ControlHost::Impl::OnPeerUp(const HostId& aPeer, LinkSide aSide)
 {
   if (aSide == LinkSide::Dialed) {
-    this->Greet(aPeer);
-    // All that is known of targets, since what was told on an earlier connection may be lost.
-    Picture all;
-    all.targets = this->picture.All();
-    this->SendServing(aPeer, all);
-    this->SendServing(aPeer, this->OwnEntryHosts());
+    this->teller.GreetControlHost(aPeer);
   }
 }
 
@@ -443,9 +285,8 @@
 ControlHost::Impl::OnPeerDown(const HostId& aPeer, LinkSide aSide)
 {
   if (aSide == LinkSide::Accepted) {
-    this->entryHostsChanged = this->entryHosts.erase(aPeer) > 0 || this->entryHostsChanged;
-    this->entryHostsOfOthers.erase(aPeer);
-    this->sends.Forget(aPeer);
+    this->roster.OnLost(aPeer);
+    this->teller.OnLost(aPeer);
   }
 }
 
@@ -468,11 +309,11 @@
     return;
   }
   if (const auto* news = std::get_if<SendsNews>(&message.value())) {
-    this->TakeSends(aPeer, *news);
+    this->teller.TakeSends(aPeer, *news);
     return;
   }
   if (const auto* list = std::get_if<EntryHostList>(&message.value())) {
-    this->entryHostsOfOthers[aPeer] = list->hosts;
+    this->roster.TakeList(aPeer, *list);
     return;
   }
   for (const TargetStatement& statement : std::get<Picture>(message.value()).targets) {
@@ -480,42 +321,12 @@
   }
 }
 
-void
-ControlHost::Impl::TakeSends(const HostId& aFrom, const SendsNews& aNews)
-{
-  if (this->entryHosts.contains(aFrom)) {
-    const bool known = this->sends.Tellers().contains(aFrom);
-    this->sends.Take(aNews, this->clock.MonotonicNow());
-    if (!known && this->sends.Tellers().contains(aFrom)) {
-      this->TellStores(aFrom);
-    }
-  } else if (!this->sends.Tellers().empty()) {
-    this->sumsOfOthers.push_back(aNews);
-  }
-}
-
-// Tells the sums of this host to the other control hosts, and all sums to the entry hosts that tell
-// it what they have.
-void
-ControlHost::Impl::TellSends()
-{
-  const SendsNews own = this->sends.TakeChanges(this->settings.host);
-  std::vector<SendsNews> sums = std::exchange(this->sumsOfOthers, {});
-  if (!own.sends.empty() || !own.excesses.empty() || !own.findings.empty()) {
-    this->TellControlHosts(own);
-    sums.push_back(own);
-  }
-  for (const SendsNews& sum : sums) {
-    this->SendEncoded(this->sends.Tellers(), EncodeServingMessage(sum));
-  }
-}
-
 void
 ControlHost::Impl::TakeGreeting(const HostId& aPeer, const Greeting& aGreeting)
 {
   if (aGreeting.role == HostRole::Entry) {
-    this->entryHostsChanged = this->entryHosts.insert(aPeer).second || this->entryHostsChanged;
-    this->TellAll(aPeer);
+    this->roster.OnEntryHost(aPeer);
+    this->teller.TellAll(aPeer);
     return;
   }
   this->KnowControlHost(aPeer, aGreeting.zone);
@@ -536,18 +347,9 @@
 void
 ControlHost::Impl::KnowControlHost(const HostId& aHost, const ZoneId& aZone)
 {
-  if (aHost == this->settings.host) {
-    return;
-  }
-  const auto [position, isNew] = this->controlHosts.try_emplace(aHost);
-  if (!aZone.Empty() && position->second != aZone) {
-    position->second = aZone;
-    this->controlHostsChanged = true;
-  }
-  if (!isNew) {
+  if (!this->roster.LearnControlHost(aHost, aZone)) {
     return;
   }
-  this->controlHostsChanged = true;
   LogEvent(LogLevel::Info, "control_host_learnt").With("peer", aHost);
   this->group.KnowHost(aHost);
   this->mesh.Dial(aHost);
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -422,7 +422,11 @@
   if (told == nullptr) {
     return;
   }
+  const bool wasGood = this->picture.IsGood(aPeer);
   this->picture.Take(aPeer, *told);
+  if (this->picture.IsGood(aPeer) != wasGood) {
+    this->KeepControlLinks();
+  }
   this->retries.SetHosts(this->picture.EntryHosts());
   if (const ControlHostZones named = this->picture.TakeNewControlHosts(); !named.empty()) {
     for (const auto& [host, zone] : named) {
--- /dev/null
+++ b/src/program/PictureTeller.cpp
@@ -0,0 +1,181 @@
+#include "PictureTeller.h"
+
+#include <utility>
+
+#include "damasklink/protocol/ServingCodec.h"
+
+namespace damasklink {
+
+PictureTeller::PictureTeller(const Clock& aClock,
+                             const ServingSettings& aSettings,
+                             const ServingGroup& aGroup,
+                             const StoreWatcher& aStores,
+                             ControlPicture& aPicture,
+                             HostRoster& aRoster,
+                             PeerMesh& aMesh)
+  : clock(aClock)
+  , settings(aSettings)
+  , group(aGroup)
+  , stores(aStores)
+  , picture(aPicture)
+  , roster(aRoster)
+  , mesh(aMesh)
+{
+}
+
+void
+PictureTeller::TellChanges()
+{
+  Picture changes = this->BarePicture();
+  changes.targets = this->picture.TakeChanges();
+  changes.entryHosts = this->roster.CountEntryHosts();
+  const bool named = this->roster.TakeControlHostsChanged();
+  if (named) {
+    changes.controlHosts = this->roster.AllControlHosts();
+  }
+  const bool standingChanged =
+    named || changes.entryHosts != this->toldEntryHosts || changes.isolated != this->toldIsolated;
+  if (standingChanged || !changes.targets.empty()) {
+    this->toldEntryHosts = changes.entryHosts;
+    this->toldIsolated = changes.isolated;
+    this->TellEntryHosts(changes);
+  }
+  if (this->roster.TakeEntryHostsChanged()) {
+    this->TellControlHosts(this->roster.OwnList());
+  }
+  Picture news;
+  news.targets = this->picture.TakeNews();
+  if (!news.targets.empty()) {
+    this->TellControlHosts(news);
+  }
+}
+
+// What stands in every picture.
+Picture
+PictureTeller::BarePicture() const
+{
+  Picture bare;
+  bare.isolated = !this->group.HearsLeader();
+  return bare;
+}
+
+Picture
+PictureTeller::BasePicture() const
+{
+  Picture base = this->BarePicture();
+  base.documentVersion = this->group.State().Version();
+  base.document = this->group.State().Document();
+  base.weights = this->group.State().Weights();
+  base.entryHosts = this->roster.CountEntryHosts();
+  base.controlHosts = this->roster.AllControlHosts();
+  return base;
+}
+
+void
+PictureTeller::TellDocument()
+{
+  this->TellEntryHosts(this->BasePicture());
+}
+
+void
+PictureTeller::TellStore(const StoreStatement& aStatement)
+{
+  Picture told = this->BarePicture();
+  told.stores.push_back(aStatement);
+  this->TellTellers(told);
+}
+
+void
+PictureTeller::GreetControlHost(const HostId& aPeer)
+{
+  Greeting greeting{ HostRole::Control, this->settings.zone, {} };
+  greeting.controlHosts = this->roster.AllControlHosts();
+  this->Tell(aPeer, greeting);
+  // All that is known of targets, since what was told on an earlier connection may be lost.
+  Picture all;
+  all.targets = this->picture.All();
+  this->Tell(aPeer, all);
+  this->Tell(aPeer, this->roster.OwnList());
+}
+
+void
+PictureTeller::TellAll(const HostId& aEntryHost)
+{
+  Picture whole = this->BasePicture();
+  whole.targets = this->picture.All();
+  this->Tell(aEntryHost, whole);
+}
+
+// An entry host that tells this control host what it has hears of stored parts from it alone: they
+// change a thousand times a second, and each further word of it goes between zones.
+void
+PictureTeller::TellStores(const HostId& aEntryHost)
+{
+  Picture told = this->BarePicture();
+  told.stores = this->stores.All();
+  this->Tell(aEntryHost, told);
+}
+
+void
+PictureTeller::TakeSends(const HostId& aFrom, const SendsNews& aNews)
+{
+  if (this->roster.EntryHosts().contains(aFrom)) {
+    const bool known = this->sends.Tellers().contains(aFrom);
+    this->sends.Take(aNews, this->clock.MonotonicNow());
+    if (!known && this->sends.Tellers().contains(aFrom)) {
+      this->TellStores(aFrom);
+    }
+  } else if (!this->sends.Tellers().empty()) {
+    this->sumsOfOthers.push_back(aNews);
+  }
+}
+
+void
+PictureTeller::TellSends()
+{
+  const SendsNews own = this->sends.TakeChanges(this->settings.host);
+  std::vector<SendsNews> sums = std::exchange(this->sumsOfOthers, {});
+  if (!own.sends.empty() || !own.excesses.empty() || !own.findings.empty()) {
+    this->TellControlHosts(own);
+    sums.push_back(own);
+  }
+  for (const SendsNews& sum : sums) {
+    this->TellTellers(sum);
+  }
+}
+
+void
+PictureTeller::Tell(const HostId& aTo, const ServingMessage& aMessage)
+{
+  this->mesh.Send(aTo, PeerMessage{ Channel::Serving, GroupId(), EncodeServingMessage(aMessage) });
+}
+
+// Many hosts get the same bytes, in this and the next two: they are encoded once.
+void
+PictureTeller::TellEntryHosts(const ServingMessage& aMessage)
+{
+  const std::string payload = EncodeServingMessage(aMessage);
+  for (const HostId& host : this->roster.EntryHosts()) {
+    this->mesh.Send(host, PeerMessage{ Channel::Serving, GroupId(), payload });
+  }
+}
+
+void
+PictureTeller::TellControlHosts(const ServingMessage& aMessage)
+{
+  const std::string payload = EncodeServingMessage(aMessage);
+  for (const auto& [host, zone] : this->roster.ControlHosts()) {
+    this->mesh.Send(host, PeerMessage{ Channel::Serving, GroupId(), payload });
+  }
+}
+
+void
+PictureTeller::TellTellers(const ServingMessage& aMessage)
+{
+  const std::string payload = EncodeServingMessage(aMessage);
+  for (const HostId& host : this->sends.Tellers()) {
+    this->mesh.Send(host, PeerMessage{ Channel::Serving, GroupId(), payload });
+  }
+}
+
+} // namespace damasklink
--- /dev/null
+++ b/src/program/PictureTeller.h
@@ -0,0 +1,79 @@
+// What one control host tells entry hosts and the other control hosts.
+#pragma once
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "ControlPicture.h"
+#include "ServingGroup.h"
+#include "StoreWatcher.h"
+#include "damasklink/coordination/HostRoster.h"
+#include "damasklink/coordination/SendsHub.h"
+#include "damasklink/transport/PeerMesh.h"
+
+namespace damasklink {
+
+// Makes pictures of what this control host knows and sends them. Requires what it is made of to
+// outlive it. Not thread-safe.
+class PictureTeller
+{
+public:
+  PictureTeller(const Clock& aClock,
+                const ServingSettings& aSettings,
+                const ServingGroup& aGroup,
+                const StoreWatcher& aStores,
+                ControlPicture& aPicture,
+                HostRoster& aRoster,
+                PeerMesh& aMesh);
+
+  // Tells what has changed of targets and hosts since the last call.
+  void TellChanges();
+
+  // Tells all entry hosts the configuration, weights and hosts.
+  void TellDocument();
+
+  // Tells a change in a store to the entry hosts that listen to this control host for them.
+  void TellStore(const StoreStatement& aStatement);
+
+  // Tells a control host that was just connected who this one is and what it knows.
+  void GreetControlHost(const HostId& aPeer);
+
+  // Tells an entry host that was just connected everything but stored parts.
+  void TellAll(const HostId& aEntryHost);
+
+  // Takes what an entry host has at targets, or the sum of another control host.
+  void TakeSends(const HostId& aFrom, const SendsNews& aNews);
+
+  // Tells the sums of this host to the other control hosts, and all sums to the entry hosts that
+  // tell this one what they have.
+  void TellSends();
+
+  // A host's connection to this one is lost.
+  void OnLost(const HostId& aHost) { this->sends.Forget(aHost); }
+
+private:
+  Picture BarePicture() const;
+  Picture BasePicture() const;
+  void TellStores(const HostId& aEntryHost);
+  void Tell(const HostId& aTo, const ServingMessage& aMessage);
+  void TellEntryHosts(const ServingMessage& aMessage);
+  void TellControlHosts(const ServingMessage& aMessage);
+  void TellTellers(const ServingMessage& aMessage);
+
+  const Clock& clock;
+  const ServingSettings& settings;
+  const ServingGroup& group;
+  const StoreWatcher& stores;
+  ControlPicture& picture;
+  HostRoster& roster;
+  PeerMesh& mesh;
+  SendsHub sends;
+  // Sums of other control hosts, for the entry hosts that tell this one.
+  std::vector<SendsNews> sumsOfOthers;
+  // What entry hosts were told last.
+  std::uint64_t toldEntryHosts = 0;
+  bool toldIsolated = false;
+};
+
+} // namespace damasklink
