Bytes from a zone speak for it; parts go to stores by the speed of their links

Change: any bytes from a zone clear what was found (ZoneReach::OnBytes); homes of parts follow the links' speed, full stores are left out as before (StoredParts; its test of proportions asks for the links now, as exactly).

--- a/include/damasklink/coordination/ZoneReach.h
+++ b/include/damasklink/coordination/ZoneReach.h
@@ -7,8 +7,8 @@
 //
 // When a zone is cut off, all its targets are gone at once. Without this each of them costs a call
 // until it is ejected by itself, and each kept connection another one: a third of a zone's calls for
-// seconds. A zone is out when several of its targets were found gone within a moment and none of
-// them answered; later one call at a time tries it. Not thread-safe.
+// seconds. A zone is out when several of its targets were found gone within a moment and not a
+// byte came from there meanwhile; later one call at a time tries it. Not thread-safe.
 #pragma once
 
 #include <cstdint>
@@ -39,6 +39,10 @@
   // Tells that a call was sent to the zone.
   void OnStart(const ZoneId& aZone);
 
+  // Tells that bytes came from a target of the zone: it is reached, whatever was found before. Of a
+  // zone that is reached they come every few milliseconds, also when a third of its targets crash.
+  void OnBytes(const ZoneId& aZone) { this->entries.erase(aZone); }
+
   // Tells what the call showed of its target.
   void OnEnd(const ZoneId& aZone, const TargetId& aTarget, HealthSign aSign);
 
--- a/src/coordination/StoredParts.cpp
+++ b/src/coordination/StoredParts.cpp
@@ -132,7 +132,9 @@
     if (store.live && needed > capacity * kFullShare) {
       continue;
     }
-    const double attraction = Attraction(aPart.key.Value(), number, capacity);
+    // By the speed of their links, as these are what is short; a store that is full is left out.
+    const double weight = std::max(store.traits.linkRate, 1.0);
+    const double attraction = Attraction(aPart.key.Value(), number, weight);
     if (best == nullptr || attraction > most) {
       best = &store;
       most = attraction;
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -271,6 +271,7 @@
       co_return head;
     }
     const TargetAnswerFacts facts = this->context.dialect.ReadAnswer(head.value());
+    this->context.reach.OnBytes(aTarget.zone);
     if (facts.request == this->call.request || facts.request.Empty()) {
       co_return head;
     }
@@ -349,6 +350,7 @@
     if (!piece.value()) {
       break;
     }
+    this->context.reach.OnBytes(aTarget.zone);
     this->NoteFirstEvent(aTarget);
     const std::string events = this->framer.Take(*piece.value());
     if (!events.empty() && !co_await this->PassEvents(aHead, events)) {
--- a/test/coordination/StoredPartsTest.cpp
+++ b/test/coordination/StoredPartsTest.cpp
@@ -85,13 +85,17 @@
   EXPECT_EQ(this->Found(Part(1)), "");
 }
 
-TEST_F(StoredPartsTest, HomesFollowTheCapacities)
+TEST_F(StoredPartsTest, HomesFollowTheSpeedOfLinksWhateverTheCapacities)
 {
-  int larger = 0;
+  this->services[0].store->linkRate = 100'000;
+  this->services[1].store->linkRate = 300'000;
+  this->services[0].store->cacheTokens = TokenCount(300'000);
+  this->stored.SetStores(this->services);
+  int faster = 0;
   for (std::uint64_t key = 0; key < 1000; ++key) {
-    larger += this->stored.HomeOf(Part(key))->traits.endpoint.address == "10.0.0.2" ? 1 : 0;
+    faster += this->stored.HomeOf(Part(key))->traits.endpoint.address == "10.0.0.2" ? 1 : 0;
   }
-  EXPECT_NEAR(larger, 750, 60);
+  EXPECT_NEAR(faster, 750, 60);
 }
 
 TEST_F(StoredPartsTest, FullStoreIsNoHome)
--- a/test/coordination/ZoneReachTest.cpp
+++ b/test/coordination/ZoneReachTest.cpp
@@ -48,6 +48,18 @@
   EXPECT_FALSE(this->IsOut());
 }
 
+TEST_F(ZoneReachTest, BytesFromAnyTargetSpeakForTheZone)
+{
+  this->LoseTargets(ZoneReach::kTargetsGone - 1);
+  this->reach.OnBytes(this->zone);
+  this->LoseTargets(ZoneReach::kTargetsGone - 1);
+  EXPECT_FALSE(this->IsOut());
+  this->LoseTargets(ZoneReach::kTargetsGone);
+  EXPECT_TRUE(this->IsOut());
+  this->reach.OnBytes(this->zone);
+  EXPECT_FALSE(this->IsOut());
+}
+
 TEST_F(ZoneReachTest, FindingsThatAreFarApartDoNotAddUp)
 {
   this->LoseTargets(ZoneReach::kTargetsGone - 1);
