Format; what nobody asks for does not pile up

Without a control host the parts that were sent were kept without bound, and findings of targets on hosts of serve, which never ask for them.

--- a/include/damasklink/coordination/ServingPicture.h
+++ b/include/damasklink/coordination/ServingPicture.h
@@ -139,8 +139,8 @@
   bool operator==(const SendsNews&) const = default;
 };
 
-// The entry hosts that are connected to one control host, for the other control hosts: together they
-// know how many there are.
+// The entry hosts that are connected to one control host, for the other control hosts: together
+// they know how many there are.
 struct EntryHostList
 {
   std::vector<HostId> hosts;
--- a/include/damasklink/coordination/TargetHealth.h
+++ b/include/damasklink/coordination/TargetHealth.h
@@ -28,10 +28,10 @@
 //   health.OnEnd(target, HealthSign::Bad);
 //   std::vector<TargetRecord> fit = health.Filter(targets);
 //
-// Hosts tell each other of targets that they found gone: with 72 hosts, each would lose a request of
-// its own to each dark target, and another one at each try whether it is back. A target that several
-// hosts found gone is ejected at all of them, and as its ejections end at different times, one host
-// tries it for all.
+// Hosts tell each other of targets that they found gone: with 72 hosts, each would lose a request
+// of its own to each dark target, and another one at each try whether it is back. A target that
+// several hosts found gone is ejected at all of them, and as its ejections end at different times,
+// one host tries it for all.
 //
 // Never leaves out more than half of what it is given: when most targets fail, the fault is
 // likely elsewhere, and an empty pool helps nobody. Not thread-safe.
@@ -41,13 +41,15 @@
   static constexpr int kFailuresInRow = 3;
   static constexpr Duration kFirstEjection = std::chrono::seconds(2);
   static constexpr Duration kLongestEjection = std::chrono::seconds(60);
-  // Hosts that must have found a target gone within the time below until the others believe it: on a
-  // lossy link, one or two of them lose a packet or two.
+  // Hosts that must have found a target gone within the time below until the others believe it: on
+  // a lossy link, one or two of them lose a packet or two.
   static constexpr std::uint64_t kFindingsToBelieve = 3;
   static constexpr Duration kFindingsFitWithin = std::chrono::seconds(1);
   // Ejections of what others found gone end over this time: long beside the 0.3 s until a host that
   // tries in vain has told the others.
   static constexpr Duration kTriesSpread = std::chrono::seconds(5);
+  // Findings that are kept for hosts that never ask for them.
+  static constexpr std::size_t kMostUntold = 1000;
 
   TargetHealth(const Clock& aClock, std::uint64_t aSeed)
     : clock(aClock)
--- a/include/damasklink/coordination/ZoneReach.h
+++ b/include/damasklink/coordination/ZoneReach.h
@@ -6,8 +6,8 @@
 //   if (reach.IsOut(target.zone)) ...            // Send elsewhere.
 //
 // When a zone is cut off, all its targets are gone at once. Without this each of them costs a call
-// until it is ejected by itself, and each kept connection another one: a third of a zone's calls for
-// seconds. A zone is out when several of its targets were found gone within a moment and not a
+// until it is ejected by itself, and each kept connection another one: a third of a zone's calls
+// for seconds. A zone is out when several of its targets were found gone within a moment and not a
 // byte came from there meanwhile; later one call at a time tries it. Not thread-safe.
 #pragma once
 
--- a/src/coordination/TargetHealth.cpp
+++ b/src/coordination/TargetHealth.cpp
@@ -40,7 +40,7 @@
   const bool probeFailed = entry.probing;
   entry.probing = false;
   const bool alreadyOut = this->clock.MonotonicNow() < entry.ejectedUntil;
-  if (aSign == HealthSign::Gone && !alreadyOut) {
+  if (aSign == HealthSign::Gone && !alreadyOut && this->untold.size() < kMostUntold) {
     TargetFindings& findings = this->untold[aTarget];
     findings.target = aTarget;
     findings.gone = 1;
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -328,16 +328,15 @@
     this->picture.ListenForStores(chosen);
     this->picker.TellAllAnew();
   }
-  if (this->hub) {
-    SendsNews news;
-    news.host = this->settings.host;
-    news.sends = this->picker.TakeSends();
-    news.excesses = this->pace.TakeNotes();
-    news.findings = this->health.TakeFindings();
-    const bool anything = !news.sends.empty() || !news.excesses.empty() || !news.findings.empty();
-    if (changed || anything) {
-      this->TellSends(*this->hub, news);
-    }
+  // Taken in any case: without a hub it would pile up, and the next one is told all anew.
+  SendsNews news;
+  news.host = this->settings.host;
+  news.sends = this->picker.TakeSends();
+  news.excesses = this->pace.TakeNotes();
+  news.findings = this->health.TakeFindings();
+  const bool anything = !news.sends.empty() || !news.excesses.empty() || !news.findings.empty();
+  if (this->hub && (changed || anything)) {
+    this->TellSends(*this->hub, news);
   }
   this->picker.ForgetSumsBefore(this->clock.MonotonicNow() - kSumMemory);
   this->sharing.expires_after(kShareStep);
--- a/src/program/ExchangeChoice.cpp
+++ b/src/program/ExchangeChoice.cpp
@@ -16,9 +16,10 @@
 constexpr double kUsualPatience = 1.1;
 constexpr double kLowPatience = 0.85;
 
-// Share of an engine's memory up to which a call is sent there, by priority. Memory that is full makes
-// requests wait, pushes cached parts out, and these are then read again, which makes requests last
-// longer: a long prompt of low priority is refused before that begins, and short urgent ones go on.
+// Share of an engine's memory up to which a call is sent there, by priority. Memory that is full
+// makes requests wait, pushes cached parts out, and these are then read again, which makes requests
+// last longer: a long prompt of low priority is refused before that begins, and short urgent ones
+// go on.
 constexpr double kUrgentMemory = 1.2;
 constexpr double kUsualMemory = 1.0;
 constexpr double kLowMemory = 0.75;
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -236,8 +236,8 @@
   if (!known) {
     return Fail(internal::UnreadableMessage());
   }
-  return ServingMessage(Greeting{
-    static_cast<HostRole>(aFrame.role), ZoneId(aFrame.zone), ReadControlHosts(aFrame) });
+  return ServingMessage(
+    Greeting{ static_cast<HostRole>(aFrame.role), ZoneId(aFrame.zone), ReadControlHosts(aFrame) });
 }
 
 Result<ServingMessage>
