--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -176,38 +176,6 @@
   co_return end;
 }
 
-void
-Exchange::NoteReach(const TargetRecord& aTarget, HealthSign aSign)
-{
-  const bool before = this->context.reach.IsOut(aTarget.zone);
-  this->context.reach.OnEnd(aTarget.zone, aTarget.id, aSign);
-  if (!before && this->context.reach.IsOut(aTarget.zone)) {
-    LogEvent(LogLevel::Warning, "zone_out_of_reach")
-      .With("zone", aTarget.zone)
-      .With("target", aTarget.id)
-      .With("request", this->call.request);
-  }
-}
-
-HealthSign
-Exchange::SignOf(AttemptEnd aEnd) const
-{
-  switch (aEnd) {
-    case AttemptEnd::Unreachable:
-      return HealthSign::Gone;
-    case AttemptEnd::Broken:
-      return this->unacknowledged ? HealthSign::Gone : HealthSign::Bad;
-    case AttemptEnd::CallerLeft:
-    case AttemptEnd::Expired:
-      return HealthSign::None;
-    case AttemptEnd::Delivered:
-    case AttemptEnd::Refused:
-    case AttemptEnd::Failed:
-      return HealthSign::Good;
-  }
-  return HealthSign::None;
-}
-
 Awaitable<std::unique_ptr<TargetChannel>>
 Exchange::Connect(const TargetRecord& aTarget)
 {
@@ -471,38 +439,4 @@
   return this->plan->Terms().endsAt - this->context.clock.MonotonicNow();
 }
 
-// Counts the end of the call by its route, a refusal or failure by its status.
-void
-Exchange::Count(int aStatus, Duration aTook) const
-{
-  const std::string name = this->route == nullptr ? "none" : this->route->name;
-  Metrics& metrics = this->context.metrics;
-  metrics.Add(Counter::Requests, MetricKey{ WorkspaceId(), name }, 1);
-  metrics.Observe(Sample::WholeRequest, MetricKey{ WorkspaceId(), name }, aTook);
-  if (aStatus == 503) {
-    const char* cause = this->overloaded ? "overloaded" : "no_target";
-    metrics.Add(Counter::Refusals, MetricKey{ WorkspaceId(), cause }, 1);
-  } else if (aStatus >= 400 || aStatus == 0) {
-    metrics.Add(Counter::Failures, MetricKey{ WorkspaceId(), std::to_string(aStatus) }, 1);
-  }
-}
-
-void
-Exchange::LogEnd(std::string_view aOutcome, int aStatus) const
-{
-  const bool good = aStatus >= 200 && aStatus < 300;
-  const Duration took = this->context.clock.MonotonicNow() - this->arrived;
-  this->Count(aStatus, took);
-  LogEvent(good ? LogLevel::Debug : LogLevel::Info, "request_ended")
-    .With("overloaded", this->overloaded)
-    .With("request", this->call.request)
-    .With("route", this->route == nullptr ? "" : std::string_view(this->route->name))
-    .With("configuration", this->routes == nullptr ? Revision() : this->routes->Config().version)
-    .With("outcome", aOutcome)
-    .With("status", aStatus)
-    .With("sends", this->plan ? this->plan->Sent() : 0)
-    .With("last_end", AttemptEndName(this->lastEnd))
-    .With("took_ms", WholeMilliseconds(took));
-}
-
 } // namespace damasklink
