A target may start again under its id; words of another writer name no target

Heartbeats of the new start count from one again, so they were taken for old ones and the target stayed out of use until its count had passed that of its earlier life, or for good if it had signed off. One malformed row made a store's whole list or batch of events unreadable, and a heartbeat with an unknown state counted as ready.

Change: 'born' is read into the incarnation that records are ordered by already; the wire between hosts carries it. A later start is known by nothing of before at entry hosts (board, held parts, loads, health) and in the rollout of weights; what an earlier one says, reports or signs off late changes nothing; calls to it no longer count as load. Without 'born' all is as it was. Heartbeats with a missing or foreign field or state, or of a service that the configuration does not name, are refused with a line; rows that no store writes are passed over, counted and logged.

Tests: each of these, and a RapidCheck property that earlier starts leave no trace on the board.

--- a/include/damasklink/coordination/StoreFeed.h
+++ b/include/damasklink/coordination/StoreFeed.h
@@ -38,6 +38,8 @@
   // Older events than the oldest one here were dropped.
   bool lost = false;
   std::vector<StoredPartEvent> events;
+  // Rows that no store writes; they name no part, and the others hold.
+  std::size_t unreadable = 0;
 };
 
 // All that is held.
@@ -47,6 +49,8 @@
   Sequence next;
   // Parts that are whole.
   std::vector<StoredPartEvent> parts;
+  // As above.
+  std::size_t unreadable = 0;
 };
 
 class StoreFeed
--- a/include/damasklink/coordination/TargetBoard.h
+++ b/include/damasklink/coordination/TargetBoard.h
@@ -5,7 +5,8 @@
 //   board.OnLink(controlHost, false);       // Its words stay, but those of others go first.
 //   for (const TargetRecord& target : board.Usable(service)) ...
 //
-// Rules: what left stays gone; a target is usable while any control host that is connected says so;
+// Rules: what left stays gone, unless a later start of it announces itself under the same id, of
+// which nothing is known then; a target is usable while any control host that is connected says so;
 // when none is connected the last words count, so a host that is cut off goes on with what it knew.
 // Not thread-safe.
 #pragma once
@@ -13,6 +14,7 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "damasklink/coordination/ServingPicture.h"
@@ -32,6 +34,10 @@
   // Tells whether the control host is connected.
   void OnLink(const HostId& aHost, bool aUp);
 
+  // Returns the targets that have started again since the last call, as they are now: whatever is
+  // believed of their earlier starts does not hold any more.
+  std::vector<TargetRecord> TakeRestarted() { return std::exchange(this->restarted, {}); }
+
   // Tells that the target does not exist any more, as another one at its address said.
   void NoteGone(const TargetId& aTarget);
 
@@ -60,6 +66,7 @@
     bool gone = false;
   };
 
+  void BeginNewStart(const TargetStatement& aStatement, Entry& aEntry);
   void MarkGone(const TargetId& aTarget, Entry& aEntry);
   bool CountsUsable(const Entry& aEntry) const;
   bool IsPaused(const Entry& aEntry) const;
@@ -70,6 +77,7 @@
   std::set<HostId> connected;
   // In the order in which they went.
   std::deque<TargetId> gone;
+  std::vector<TargetRecord> restarted;
   std::uint64_t version = 1;
   // What Usable() returns, built when it is asked for after a change.
   mutable std::uint64_t builtVersion = 0;
--- a/include/damasklink/coordination/TargetHealth.h
+++ b/include/damasklink/coordination/TargetHealth.h
@@ -61,6 +61,9 @@
   void OnStart(const TargetId& aTarget);
   void OnEnd(const TargetId& aTarget, HealthSign aSign);
 
+  // The target has started again: what its earlier start was sick with is over.
+  void OnRestart(const TargetId& aTarget);
+
   // Returns what this host found since the last call, for the others.
   std::vector<TargetFindings> TakeFindings();
 
--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -62,6 +62,8 @@
   // Prompt and answer, which take up memory until the end.
   TokenCount memory;
   bool answering = false;
+  // The start of the target that it was sent to.
+  Incarnation start;
 };
 
 // The figures of the cost, in milliseconds. Those of reading and fetching follow from the users'
@@ -130,6 +132,9 @@
   void OnFirstEvent(const TargetId& aTarget, PickedWork& aWork);
   void OnEnd(const TargetId& aTarget, const PickedWork& aWork);
 
+  // The target has started again: it holds nothing, and what an earlier start of it ran is lost.
+  void OnRestart(const TargetRecord& aTarget);
+
   // Returns what this host has at the targets where that has changed since the last call, and the
   // parts that it sent there; for the control host that adds it up.
   std::vector<TargetSendsNow> TakeSends();
@@ -153,6 +158,7 @@
 
 private:
   const TargetRecord* ChooseForPlainCall(const std::vector<const TargetRecord*>& aFit);
+  bool IsOfEarlierStart(const TargetId& aTarget, const PickedWork& aWork) const;
   bool HoldsAll(const PickQuestion& aQuestion, const TargetId& aTarget) const;
   SentLoad LoadOf(const TargetId& aTarget) const;
   double CostOf(const PickQuestion& aQuestion, const TargetRecord& aTarget) const;
@@ -164,6 +170,8 @@
   HeldParts held;
   // What this host has at targets.
   absl::flat_hash_map<TargetId, SentLoad> loads;
+  // Targets that have started again under their ids, with their newest starts.
+  absl::flat_hash_map<TargetId, Incarnation> starts;
   // What this host has changed since TakeSends(), with the parts sent.
   std::map<TargetId, std::vector<SizedPart>> untold;
   // What this host told of itself; the sums that come back contain it.
--- a/include/damasklink/coordination/WeightRollout.h
+++ b/include/damasklink/coordination/WeightRollout.h
@@ -52,6 +52,8 @@
   // Orders that it has accepted since its start.
   std::uint64_t ordersAccepted = 0;
   std::vector<ServedModel> models;
+  // Which start of the engine says so; zero where it does not tell.
+  Incarnation incarnation;
 };
 
 // Ask the engine for its report; answered with OnReport().
@@ -85,7 +87,8 @@
                                   const std::map<ModelName, std::uint64_t>& aWished,
                                   const std::vector<TargetRecord>& aEngines);
 
-  // Takes what an engine reported; nothing when it did not answer.
+  // Takes what an engine reported; nothing when it did not answer. What an earlier start of the
+  // engine reported changes nothing.
   void OnReport(const TargetId& aTarget, const std::optional<EngineReport>& aReport);
 
   // Tells that an order was answered, or was not. Only a later report tells what became of it.
@@ -125,6 +128,7 @@
   };
 
   bool MayOrder() const;
+  void ForgetEarlierStarts(const std::vector<TargetRecord>& aEngines);
   std::optional<RolloutAction> Advance(const TargetRecord& aEngine, Work& aWork);
   static std::uint64_t VersionOf(const std::vector<ServedModel>& aModels, const ModelName& aModel);
 
@@ -134,6 +138,8 @@
   MonotonicTime ledSince;
   MonotonicTime nextStart;
   std::map<TargetId, Work> works;
+  // The start of each engine that works and reports are of.
+  std::map<TargetId, Incarnation> starts;
   // By engine and model, as reported; kept until the engine is gone.
   std::map<std::pair<TargetId, ModelName>, std::uint64_t> reported;
 };
--- a/include/damasklink/protocol/ServingDialect.h
+++ b/include/damasklink/protocol/ServingDialect.h
@@ -120,6 +120,8 @@
 struct TargetDeparture
 {
   TargetId target;
+  // Which start of it signs off; zero where it does not say.
+  Incarnation incarnation;
 };
 
 struct ConfigChange
--- a/src/coordination/TargetBoard.cpp
+++ b/src/coordination/TargetBoard.cpp
@@ -26,7 +26,14 @@
 void
 TargetBoard::Take(const HostId& aFrom, const TargetStatement& aStatement)
 {
-  Entry& entry = this->entries[aStatement.record.id];
+  const auto [position, isNew] = this->entries.try_emplace(aStatement.record.id);
+  Entry& entry = position->second;
+  if (!isNew && aStatement.record.incarnation < entry.record.incarnation) {
+    return;
+  }
+  if (!isNew && aStatement.record.incarnation > entry.record.incarnation) {
+    this->BeginNewStart(aStatement, entry);
+  }
   if (aStatement.record.sequence >= entry.record.sequence) {
     const std::vector<ServedModel> before = std::move(entry.record.models);
     entry.record = aStatement.record;
@@ -41,6 +48,18 @@
   this->Changed();
 }
 
+void
+TargetBoard::BeginNewStart(const TargetStatement& aStatement, Entry& aEntry)
+{
+  const TargetId& target = aStatement.record.id;
+  if (aEntry.gone) {
+    this->gone.erase(std::find(this->gone.begin(), this->gone.end(), target));
+  }
+  aEntry = Entry{};
+  aEntry.record = aStatement.record;
+  this->restarted.push_back(aStatement.record);
+}
+
 void
 TargetBoard::MarkGone(const TargetId& aTarget, Entry& aEntry)
 {
--- a/src/coordination/TargetHealth.cpp
+++ b/src/coordination/TargetHealth.cpp
@@ -51,6 +51,13 @@
   }
 }
 
+void
+TargetHealth::OnRestart(const TargetId& aTarget)
+{
+  this->entries.erase(aTarget);
+  this->untold.erase(aTarget);
+}
+
 void
 TargetHealth::Eject(Entry& aEntry)
 {
--- a/src/coordination/TargetPicker.cpp
+++ b/src/coordination/TargetPicker.cpp
@@ -273,10 +273,27 @@
   return found;
 }
 
+void
+TargetPicker::OnRestart(const TargetRecord& aTarget)
+{
+  this->starts[aTarget.id] = aTarget.incarnation;
+  this->held.Forget(aTarget.id);
+  this->loads.erase(aTarget.id);
+  // Empty now, which the others must hear.
+  this->untold[aTarget.id].clear();
+}
+
+bool
+TargetPicker::IsOfEarlierStart(const TargetId& aTarget, const PickedWork& aWork) const
+{
+  const auto found = this->starts.find(aTarget);
+  return found != this->starts.end() && aWork.start < found->second;
+}
+
 void
 TargetPicker::OnFirstEvent(const TargetId& aTarget, PickedWork& aWork)
 {
-  if (!aWork.answering) {
+  if (!aWork.answering && !this->IsOfEarlierStart(aTarget, aWork)) {
     aWork.answering = true;
     SentLoad& load = this->loads[aTarget];
     load.unread -= std::min(load.unread, aWork.toRead.Value());
@@ -288,7 +305,7 @@
 TargetPicker::OnEnd(const TargetId& aTarget, const PickedWork& aWork)
 {
   const auto found = this->loads.find(aTarget);
-  if (found == this->loads.end()) {
+  if (found == this->loads.end() || this->IsOfEarlierStart(aTarget, aWork)) {
     return;
   }
   SentLoad& load = found->second;
--- a/src/coordination/WeightRollout.cpp
+++ b/src/coordination/WeightRollout.cpp
@@ -41,6 +41,7 @@
   if (!this->MayOrder()) {
     return actions;
   }
+  this->ForgetEarlierStarts(aEngines);
   std::erase_if(this->works, [&](const auto& aItem) { return !IsListed(aEngines, aItem.first); });
   std::erase_if(this->reported,
                 [&](const auto& aItem) { return !IsListed(aEngines, aItem.first.first); });
@@ -85,6 +86,24 @@
   return actions;
 }
 
+// An engine that has started again has taken no orders yet, and what it had reported may not hold.
+void
+WeightRollout::ForgetEarlierStarts(const std::vector<TargetRecord>& aEngines)
+{
+  std::map<TargetId, Incarnation> listed;
+  for (const TargetRecord& engine : aEngines) {
+    listed[engine.id] = engine.incarnation;
+    const auto known = this->starts.find(engine.id);
+    if (known == this->starts.end() || known->second == engine.incarnation) {
+      continue;
+    }
+    this->works.erase(engine.id);
+    std::erase_if(this->reported,
+                  [&](const auto& aItem) { return aItem.first.first == engine.id; });
+  }
+  this->starts = std::move(listed);
+}
+
 std::optional<RolloutAction>
 WeightRollout::Advance(const TargetRecord& aEngine, Work& aWork)
 {
@@ -125,6 +144,11 @@
   }
   Work& work = found->second;
   work.stage = Stage::Read;
+  const bool ofEarlierStart = aReport && aReport->incarnation < this->starts[aTarget];
+  if (ofEarlierStart && aReport->incarnation > Incarnation()) {
+    work.known = false;
+    return;
+  }
   work.nextRead = this->clock.MonotonicNow() + this->options.reportInterval;
   work.known = aReport.has_value();
   if (aReport) {
--- a/src/program/ControlCalls.cpp
+++ b/src/program/ControlCalls.cpp
@@ -82,7 +82,14 @@
 HttpAnswerMessage
 ControlCalls::TakeHeartbeat(const TargetHeartbeat& aHeartbeat)
 {
-  this->picture.Hear(aHeartbeat.record);
+  if (!this->picture.Hear(aHeartbeat.record)) {
+    LogEvent(LogLevel::Warning, "target_refused")
+      .With("target", aHeartbeat.record.id)
+      .With("service", aHeartbeat.record.service);
+    return this->dialect.ControlFailure(Error{ ErrorKind::InvalidArgument,
+                                               "the configuration names no such service",
+                                               "put a configuration that names it first" });
+  }
   if (aHeartbeat.record.leaving) {
     // What is acknowledged as leaving must reach entry hosts in time, so it does not wait.
     this->spread();
@@ -93,7 +100,7 @@
 HttpAnswerMessage
 ControlCalls::TakeDeparture(const TargetDeparture& aDeparture)
 {
-  this->picture.Depart(aDeparture.target);
+  this->picture.Depart(aDeparture.target, aDeparture.incarnation);
   this->spread();
   return this->AnswerTarget();
 }
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -270,6 +270,11 @@
   this->teller.TellDocument();
   if (const auto config = this->dialect.ReadConfig(state.Document())) {
     this->stores.Follow(config.value().services);
+    std::set<ServiceName> services;
+    for (const ServingService& service : config.value().services) {
+      services.insert(service.name);
+    }
+    this->picture.SetServices(std::move(services));
   }
 }
 
--- a/src/program/ControlPicture.cpp
+++ b/src/program/ControlPicture.cpp
@@ -1,5 +1,6 @@
 #include "ControlPicture.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -12,12 +13,18 @@
 {
 }
 
-void
+bool
 ControlPicture::Hear(const TargetRecord& aRecord)
 {
+  const TargetRecord* known = this->registry.Find(aRecord.id);
+  const bool itsService = known != nullptr && known->service == aRecord.service;
+  if (this->services && !this->services->contains(aRecord.service) && !itsService) {
+    return false;
+  }
   if (this->registry.Merge(aRecord)) {
     this->news[aRecord.id] = aRecord;
   }
+  return true;
 }
 
 void
@@ -27,17 +34,25 @@
 }
 
 void
-ControlPicture::Depart(const TargetId& aTarget)
+ControlPicture::Depart(const TargetId& aTarget, Incarnation aIncarnation)
 {
   TargetRecord record;
+  record.incarnation = aIncarnation;
   if (const TargetRecord* known = this->registry.Find(aTarget); known != nullptr) {
+    const bool ofEarlierStart = aIncarnation > Incarnation() && aIncarnation < known->incarnation;
+    if (ofEarlierStart) {
+      return;
+    }
     record = *known;
+    record.incarnation = std::max(aIncarnation, known->incarnation);
   }
   record.id = aTarget;
   record.leaving = true;
   // Higher than any heartbeat that is still on its way.
   record.sequence = Sequence(std::numeric_limits<std::uint64_t>::max());
-  this->Hear(record);
+  if (this->registry.Merge(record)) {
+    this->news[aTarget] = record;
+  }
 }
 
 TargetStatement
--- a/src/program/ControlPicture.h
+++ b/src/program/ControlPicture.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -23,11 +24,17 @@
 public:
   ControlPicture(const Clock& aClock, Duration aSilence);
 
-  void Hear(const TargetRecord& aRecord);
+  // Returns false, and takes no note, when the target names a service that the configuration does
+  // not: the writer is not one of the deployment's targets, and may bear the id of one.
+  bool Hear(const TargetRecord& aRecord);
   void HearSecondHand(const TargetRecord& aRecord);
 
-  // The target signed off.
-  void Depart(const TargetId& aTarget);
+  // The target signed off; which start of it, where it said so. The word of an earlier start
+  // changes nothing.
+  void Depart(const TargetId& aTarget, Incarnation aIncarnation = Incarnation());
+
+  // Takes the services that the configuration names. Before the first call all are known.
+  void SetServices(std::set<ServiceName> aServices) { this->services = std::move(aServices); }
 
   // Returns the statements that differ from what TakeChanges() returned before. Requires to be
   // called now and then, since silence is a change too.
@@ -54,6 +61,7 @@
   TargetStatement StatementOn(const TargetRecord& aRecord) const;
 
   TargetRegistry registry;
+  std::optional<std::set<ServiceName>> services;
   std::set<TargetId> paused;
   std::map<std::pair<TargetId, ModelName>, std::uint64_t> reported;
   std::map<TargetId, TargetStatement> told;
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -423,6 +423,14 @@
   }
   const bool wasGood = this->picture.IsGood(aPeer);
   this->picture.Take(aPeer, *told);
+  for (const TargetRecord& target : this->picture.Targets().TakeRestarted()) {
+    LogEvent(LogLevel::Info, "target_restarted")
+      .With("target", target.id)
+      .With("incarnation", target.incarnation)
+      .With("sequence", target.sequence);
+    this->picker.OnRestart(target);
+    this->health.OnRestart(target.id);
+  }
   if (this->picture.IsGood(aPeer) != wasGood) {
     this->KeepControlLinks();
   }
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -157,6 +157,7 @@
   this->work.toRead = this->context.picker.ToRead(this->question, aTarget.id);
   this->work.memory =
     TokenCount(this->call.promptTokens.Value() + this->call.mostAnswerTokens.Value());
+  this->work.start = aTarget.incarnation;
   this->context.picker.OnSent(aTarget.id, this->question, this->work);
   this->context.health.OnStart(aTarget.id);
   this->context.reach.OnStart(aTarget.zone);
@@ -170,7 +171,10 @@
   // Closing tells the target that nobody waits for the rest.
   this->channel.reset();
   this->context.picker.OnEnd(aTarget.id, this->work);
-  const HealthSign sign = this->SignOf(end);
+  // What became of a call to an earlier start of the target says nothing of the one that is there.
+  const TargetRecord* now = this->context.picture.Targets().Find(aTarget.id);
+  const bool restarted = now != nullptr && now->incarnation > aTarget.incarnation;
+  const HealthSign sign = restarted ? HealthSign::None : this->SignOf(end);
   this->context.health.OnEnd(aTarget.id, sign);
   this->NoteReach(aTarget, sign);
   co_return end;
--- a/src/program/StoreWatcher.cpp
+++ b/src/program/StoreWatcher.cpp
@@ -31,6 +31,16 @@
 
 constexpr std::size_t kMostAnswerBytes = std::size_t{ 8 } * 1024 * 1024;
 
+void
+LogUnreadableRows(const Endpoint& aStore, std::size_t aRows)
+{
+  if (aRows > 0) {
+    LogEvent(LogLevel::Warning, "rows_unreadable")
+      .With("store", FormatEndpoint(aStore))
+      .With("rows", aRows);
+  }
+}
+
 } // namespace
 
 struct StoreWatcher::Watched
@@ -173,6 +183,7 @@
     if (!list) {
       co_return false;
     }
+    LogUnreadableRows(aStore.endpoint, list.value().unreadable);
     aStore.feed.TakeList(list.value());
     co_return true;
   }
@@ -183,6 +194,7 @@
   if (!events) {
     co_return false;
   }
+  LogUnreadableRows(aStore.endpoint, events.value().unreadable);
   aStore.feed.TakeEvents(events.value());
   co_return true;
 }
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -48,6 +48,7 @@
   row->port = record.endpoint.port;
   row->zone = record.zone.Value();
   row->sequence = record.sequence.Value();
+  row->incarnation = record.incarnation.Value();
   row->slots = static_cast<std::uint32_t>(record.load.slots);
   row->standing = static_cast<std::uint8_t>(aStatement.standing);
   row->paused = aStatement.paused;
@@ -74,6 +75,7 @@
   record.endpoint = Endpoint{ aRow.address, aRow.port };
   record.zone = ZoneId(aRow.zone);
   record.sequence = Sequence(aRow.sequence);
+  record.incarnation = Incarnation(aRow.incarnation);
   record.load.slots = aRow.slots;
   record.kind = aRow.models.empty() ? TargetKind::Service : TargetKind::Engine;
   for (const auto& model : aRow.models) {
--- a/test/coordination/TargetBoardTest.cpp
+++ b/test/coordination/TargetBoardTest.cpp
@@ -1,6 +1,9 @@
 #include "damasklink/coordination/TargetBoard.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace damasklink {
 namespace {
@@ -120,5 +123,78 @@
   EXPECT_EQ(this->board.Find(TargetId("t"))->load.slots, 7U);
 }
 
+TargetStatement
+SayOf(std::uint64_t aStart, std::uint64_t aSequence, TargetStanding aStanding)
+{
+  TargetStatement statement = Say("t", aSequence, aStanding);
+  statement.record.incarnation = Incarnation(aStart);
+  return statement;
+}
+
+TEST_F(TargetBoardTest, TargetThatStartsAgainUnderItsIdIsUsableThoughItHadLeft)
+{
+  this->board.Take(kFirst, SayOf(1000, 50, TargetStanding::Leaving));
+  this->board.Take(kSecond, SayOf(2000, 1, TargetStanding::Usable));
+  EXPECT_EQ(this->Usable(), 1U);
+  ASSERT_EQ(this->board.TakeRestarted().size(), 1U);
+  EXPECT_TRUE(this->board.TakeRestarted().empty());
+}
+
+TEST_F(TargetBoardTest, WordsOfAnEarlierStartChangeNothing)
+{
+  this->board.Take(kFirst, SayOf(2000, 1, TargetStanding::Usable));
+  this->board.Take(kSecond, SayOf(1000, 50, TargetStanding::Leaving));
+  EXPECT_EQ(this->Usable(), 1U);
+  EXPECT_EQ(this->board.Find(TargetId("t"))->sequence, Sequence(1));
+  EXPECT_TRUE(this->board.TakeRestarted().empty());
+}
+
+TEST_F(TargetBoardTest, TargetThatWasFoundGoneComesBackWithItsNextStart)
+{
+  this->board.Take(kFirst, SayOf(1000, 5, TargetStanding::Usable));
+  this->board.NoteGone(TargetId("t"));
+  this->board.Take(kFirst, SayOf(1000, 6, TargetStanding::Usable));
+  EXPECT_EQ(this->Usable(), 0U);
+  this->board.Take(kFirst, SayOf(2000, 1, TargetStanding::Usable));
+  EXPECT_EQ(this->Usable(), 1U);
+}
+
+// Whatever was said before a start was first stated, and whatever is said late of earlier ones, the
+// board holds what is said of the newest start alone.
+RC_GTEST_PROP(TargetBoardProperty, EarlierStartsLeaveNoTrace, ())
+{
+  struct Saying
+  {
+    unsigned start;
+    unsigned sequence;
+    unsigned standing;
+    bool second;
+  };
+  const auto saying = rc::gen::construct<Saying>(rc::gen::inRange(1U, 4U),
+                                                 rc::gen::inRange(1U, 6U),
+                                                 rc::gen::inRange(1U, 4U),
+                                                 rc::gen::arbitrary<bool>());
+  const auto sayings = *rc::gen::nonEmpty(rc::gen::container<std::vector<Saying>>(saying));
+  unsigned newest = 0;
+  for (const Saying& said : sayings) {
+    newest = std::max(newest, said.start);
+  }
+  TargetBoard all;
+  TargetBoard newestOnly;
+  for (TargetBoard* board : { &all, &newestOnly }) {
+    board->OnLink(kFirst, true);
+    board->OnLink(kSecond, true);
+  }
+  for (const Saying& said : sayings) {
+    const HostId& host = said.second ? kSecond : kFirst;
+    const auto standing = static_cast<TargetStanding>(said.standing);
+    all.Take(host, SayOf(said.start, said.sequence, standing));
+    if (said.start == newest) {
+      newestOnly.Take(host, SayOf(said.start, said.sequence, standing));
+    }
+  }
+  RC_ASSERT(all.Usable(kService) == newestOnly.Usable(kService));
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/coordination/TargetPickerTest.cpp
+++ b/test/coordination/TargetPickerTest.cpp
@@ -263,5 +263,30 @@
   EXPECT_NE(this->Choose(), "c");
 }
 
+TEST_F(TargetPickerTest, TargetThatStartedAgainHoldsAndRunsNothing)
+{
+  this->question.parts = { SizedPart{ PartKey(1), TokenCount(9000) } };
+  this->question.promptTokens = TokenCount(12'000);
+  PickedWork lost;
+  lost.toRead = TokenCount(12'000);
+  lost.start = Incarnation(1);
+  this->picker.OnSent(TargetId("a"), this->question, lost);
+  TargetRecord restarted = Target("a", "z");
+  restarted.incarnation = Incarnation(2);
+  this->picker.OnRestart(restarted);
+  EXPECT_EQ(this->picker.ToRead(this->question, TargetId("a")), TokenCount(12'000));
+  PickedWork running;
+  running.toRead = TokenCount(5000);
+  running.start = Incarnation(2);
+  this->picker.OnSent(TargetId("a"), PickQuestion{}, running);
+  // The call to the earlier start ends late; the other one goes on.
+  this->picker.OnFirstEvent(TargetId("a"), lost);
+  this->picker.OnEnd(TargetId("a"), lost);
+  const std::vector<TargetSendsNow> sends = this->picker.TakeSends();
+  ASSERT_EQ(sends.size(), 1U);
+  EXPECT_EQ(sends.front().requests, 1U);
+  EXPECT_EQ(sends.front().unread, TokenCount(5000));
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/coordination/WeightRolloutTest.cpp
+++ b/test/coordination/WeightRolloutTest.cpp
@@ -62,7 +62,8 @@
       this->rollout.OnReport(read->target,
                              EngineReport{ engine.loading != 0,
                                            engine.accepted,
-                                           { ServedModel{ kModel, version, {} } } });
+                                           { ServedModel{ kModel, version, {} } },
+                                           Incarnation() });
       return;
     }
     const auto& order = std::get<OrderWeights>(aAction);
@@ -192,5 +193,31 @@
   EXPECT_EQ(this->CountAt(2), 9U);
 }
 
+TEST_F(WeightRolloutTest, EngineThatStartsAgainIsReadAndOrderedAnew)
+{
+  this->Run(std::chrono::milliseconds(4500));
+  Engine& engine = this->engines.front();
+  engine.record.incarnation = Incarnation(2);
+  engine.version = 1;
+  engine.accepted = 0;
+  engine.loading = 0;
+  this->Run(std::chrono::seconds(16));
+  EXPECT_EQ(this->CountAt(2), 10U);
+}
+
+TEST_F(WeightRolloutTest, ReportOfAnEarlierStartCountsForNothing)
+{
+  for (Engine& engine : this->engines) {
+    engine.record.incarnation = Incarnation(2000);
+  }
+  const std::vector<TargetRecord> engines{ this->engines.front().record };
+  this->rollout.Plan(true, this->wished, engines);
+  this->clock.Advance(RolloutOptions().orderLease);
+  ASSERT_EQ(this->rollout.Plan(true, this->wished, engines).size(), 1U);
+  const ServedModel newest{ kModel, WeightVersion("2"), {} };
+  this->rollout.OnReport(engines.front().id, EngineReport{ false, 4, { newest }, Incarnation(1) });
+  EXPECT_EQ(this->rollout.ReportedVersion(engines.front().id, kModel), 0U);
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/platform/DialectTest.cpp
+++ b/test/platform/DialectTest.cpp
@@ -140,6 +140,73 @@
   EXPECT_EQ(record.models.front().version, WeightVersion("3"));
 }
 
+HttpRequestMessage
+Heartbeat(const std::string& aBody)
+{
+  HttpRequestMessage request;
+  request.head.method = "PUT";
+  request.head.target = "/-/instances/i-7";
+  request.body = aBody;
+  return request;
+}
+
+TEST(DialectTest, StartOfATargetIsReadWhereItIsSaid)
+{
+  const auto call = Dialect().ReadControlCall(
+    Heartbeat(R"({"service":"s","address":"10.1.0.9:80","zone":"z","state":"ready","sequence":1,)"
+              R"("born":1790000000000})"));
+  ASSERT_TRUE(call);
+  EXPECT_EQ(std::get<TargetHeartbeat>(call.value()).record.incarnation,
+            Incarnation(1'790'000'000'000));
+  HttpRequestMessage departure = Heartbeat(R"({"born":1790000000000})");
+  departure.head.method = "DELETE";
+  const auto left = Dialect().ReadControlCall(departure);
+  ASSERT_TRUE(left);
+  EXPECT_EQ(std::get<TargetDeparture>(left.value()).incarnation, Incarnation(1'790'000'000'000));
+}
+
+TEST(DialectTest, HeartbeatsOfAnotherWriterNameNoTarget)
+{
+  const std::vector<std::string> bodies{
+    R"({"service":"s","address":"10.1.0.9:80","zone":"z","sequence":1})",
+    R"({"service":"s","address":"10.1.0.9:80","zone":"z","state":"resting","sequence":1})",
+    R"({"address":"10.1.0.9:80","zone":"z","state":"ready","sequence":1})",
+    R"({"service":"s","address":"10.1.0.9:80","state":"ready","sequence":1})",
+    R"({"service":"s","zone":"z","state":"ready","sequence":1})",
+    R"({"service":"s","address":17,"zone":"z","state":"ready","sequence":1})",
+    R"({"service":"s","address":"10.1.0.9:80","zone":"z","state":"ready","sequence":"x"})",
+    R"({"service":"s","address":"10.1.0.9:80","zone":"z","state":"ready","born":1.5})",
+    R"({"service":"s","address":"10.1.0.9:80","zone":"z","state":"ready","born":"now"})",
+    "\xff\xfe{",
+    "[]",
+    ""
+  };
+  for (const std::string& body : bodies) {
+    EXPECT_FALSE(Dialect().ReadControlCall(Heartbeat(body))) << body;
+  }
+}
+
+TEST(DialectTest, RowsOfAnotherWriterSpoilNoList)
+{
+  const auto list = Dialect().ReadList(
+    R"({"boot-epoch":7,"next":9,"held":[["s1","a",800,"m"],["s1","b"],17,["s1",4,800,"m"],)"
+    R"(["s1","c",-3,"m"],["s1","d",1e300,"m"],["s1","e",128,"m"]]})");
+  ASSERT_TRUE(list);
+  EXPECT_EQ(list.value().parts.size(), 2U);
+  EXPECT_EQ(list.value().unreadable, 5U);
+}
+
+TEST(DialectTest, EventsOfAnotherWriterSpoilNoBatch)
+{
+  const auto events = Dialect().ReadEvents(
+    R"({"boot-epoch":7,"next":9,"lost":false,"events":[[1,"+","s1","a",800,"m"],)"
+    R"([2,"?","s1","b",800,"m"],"x",[3,"-","s1","a",800,"m"],[4,"+",null,"b",800,"m"]]})");
+  ASSERT_TRUE(events);
+  ASSERT_EQ(events.value().events.size(), 2U);
+  EXPECT_FALSE(events.value().events.back().added);
+  EXPECT_EQ(events.value().unreadable, 3U);
+}
+
 TEST(DialectTest, OtherCallsOfControlAreRead)
 {
   HttpRequestMessage request;
--- a/test/program/ControlPictureTest.cpp
+++ b/test/program/ControlPictureTest.cpp
@@ -91,5 +91,45 @@
   EXPECT_EQ(changes.front().record.models.front().version, WeightVersion("2"));
 }
 
+TEST_F(ControlPictureTest, TargetThatStartsAgainUnderItsIdCountsItsHeartbeatsAnew)
+{
+  TargetRecord earlier = Record("t", 50);
+  earlier.incarnation = Incarnation(1000);
+  this->picture.Hear(earlier);
+  this->picture.Depart(TargetId("t"), Incarnation(1000));
+  TargetRecord later = Record("t", 1);
+  later.incarnation = Incarnation(2000);
+  this->picture.Hear(later);
+  // Both of these come late.
+  this->picture.Hear(earlier);
+  this->picture.Depart(TargetId("t"), Incarnation(1000));
+  const auto changes = this->picture.TakeChanges();
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes.front().standing, TargetStanding::Usable);
+  EXPECT_EQ(changes.front().record.incarnation, Incarnation(2000));
+}
+
+TEST_F(ControlPictureTest, WriterOfAServiceThatNobodyNamedLeavesTheOthersAsTheyAre)
+{
+  this->picture.SetServices({ ServiceName("s") });
+  this->picture.Hear(Record("t", 1));
+  TargetRecord foreign = Record("t", 99);
+  foreign.service = ServiceName("other");
+  EXPECT_FALSE(this->picture.Hear(foreign));
+  const auto changes = this->picture.TakeChanges();
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes.front().standing, TargetStanding::Usable);
+  EXPECT_EQ(changes.front().record.service, ServiceName("s"));
+}
+
+TEST_F(ControlPictureTest, TargetOfAServiceThatWasDroppedMayStillSignOff)
+{
+  this->picture.Hear(Record("t", 1));
+  this->picture.SetServices({ ServiceName("other") });
+  TargetRecord leaving = Record("t", 2);
+  leaving.leaving = true;
+  EXPECT_TRUE(this->picture.Hear(leaving));
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/protocol/ServingCodecTest.cpp
+++ b/test/protocol/ServingCodecTest.cpp
@@ -32,6 +32,7 @@
   statement.record.endpoint = Endpoint{ "10.1.0.9", 8080 };
   statement.record.zone = ZoneId("z");
   statement.record.sequence = Sequence(77);
+  statement.record.incarnation = Incarnation(1'790'000'000'000);
   statement.record.load.slots = 64;
   statement.record.models = { ServedModel{ ModelName("m"), WeightVersion("3"), {} } };
   statement.record.leaving = true;
