--- a/include/damasklink/coordination/ServingPicture.h
+++ b/include/damasklink/coordination/ServingPicture.h
@@ -135,6 +135,9 @@
   std::vector<TargetFindings> findings;
   // The teller tells another control host from now on; nothing of its words counts here any more.
   bool last = false;
+  // To be passed on at once: a long prompt was sent, and calls that others send behind it before
+  // they hear of it wait until it is read.
+  bool urgent = false;
 
   bool operator==(const SendsNews&) const = default;
 };
--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -105,6 +105,11 @@
 class TargetPicker
 {
 public:
+  // A prompt of which so many tokens are to be read is told to the other hosts at once. Reading
+  // them takes from a tenth of to as long as the 100 to 250 ms until they would hear of it
+  // otherwise.
+  static constexpr std::uint64_t kLongReading = 1000;
+
   TargetPicker(const TargetHealth& aHealth,
                const ZoneReach& aReach,
                std::uint64_t aSeed,
@@ -135,6 +140,10 @@
   // The target has started again: it holds nothing, and what an earlier start of it ran is lost.
   void OnRestart(const TargetRecord& aTarget);
 
+  // Returns whether a long prompt was sent since the last TakeSends(): the others should hear of it
+  // at once.
+  bool HasUrgentSends() const { return this->urgent; }
+
   // Returns what this host has at the targets where that has changed since the last call, and the
   // parts that it sent there; for the control host that adds it up.
   std::vector<TargetSendsNow> TakeSends();
@@ -174,6 +183,7 @@
   absl::flat_hash_map<TargetId, Incarnation> starts;
   // What this host has changed since TakeSends(), with the parts sent.
   std::map<TargetId, std::vector<SizedPart>> untold;
+  bool urgent = false;
   // What this host told of itself; the sums that come back contain it.
   absl::flat_hash_map<TargetId, SentLoad> ownTold;
   // Sums by control host.
--- a/src/coordination/TargetPicker.cpp
+++ b/src/coordination/TargetPicker.cpp
@@ -213,6 +213,7 @@
   ++load.requests;
   load.unread += aWork.toRead.Value();
   load.memory += aWork.memory.Value();
+  this->urgent = this->urgent || aWork.toRead.Value() >= kLongReading;
   std::vector<SizedPart>& parts = this->untold[aTarget];
   if (!aQuestion.parts.empty()) {
     this->held.OnRead(aTarget, aQuestion.parts);
@@ -224,6 +225,7 @@
 TargetPicker::TakeSends()
 {
   std::vector<TargetSendsNow> sends;
+  this->urgent = false;
   for (auto& [target, parts] : std::exchange(this->untold, {})) {
     const auto found = this->loads.find(target);
     const SentLoad load = found == this->loads.end() ? SentLoad() : found->second;
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -72,6 +72,7 @@
     , housekeeping(this->loop)
     , sharing(this->loop)
   {
+    this->context.tellSends = [this] { this->TellWhatChanged(false); };
   }
 
   Result<void> Run();
@@ -91,6 +92,7 @@
   void KeepHouse();
   std::optional<HostId> ChooseHub() const;
   void ShareSends();
+  void TellWhatChanged(bool aHubIsNew);
   void TellSends(const HostId& aTo, const SendsNews& aNews);
   void KnowSeeds(const std::vector<HostId>& aSeeds);
   void KeepControlLinks();
@@ -328,23 +330,30 @@
     this->picture.ListenForStores(chosen);
     this->picker.TellAllAnew();
   }
+  this->TellWhatChanged(changed);
+  this->picker.ForgetSumsBefore(this->clock.MonotonicNow() - kSumMemory);
+  this->sharing.expires_after(kShareStep);
+  this->sharing.async_wait([this](const IoError& aError) {
+    if (!aError) {
+      this->ShareSends();
+    }
+  });
+}
+
+void
+EntryHost::Impl::TellWhatChanged(bool aHubIsNew)
+{
   // Taken in any case: without a hub it would pile up, and the next one is told all anew.
   SendsNews news;
   news.host = this->settings.host;
+  news.urgent = this->picker.HasUrgentSends();
   news.sends = this->picker.TakeSends();
   news.excesses = this->pace.TakeNotes();
   news.findings = this->health.TakeFindings();
   const bool anything = !news.sends.empty() || !news.excesses.empty() || !news.findings.empty();
-  if (this->hub && (changed || anything)) {
+  if (this->hub && (aHubIsNew || anything)) {
     this->TellSends(*this->hub, news);
   }
-  this->picker.ForgetSumsBefore(this->clock.MonotonicNow() - kSumMemory);
-  this->sharing.expires_after(kShareStep);
-  this->sharing.async_wait([this](const IoError& aError) {
-    if (!aError) {
-      this->ShareSends();
-    }
-  });
 }
 
 void
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -159,6 +159,9 @@
     TokenCount(this->call.promptTokens.Value() + this->call.mostAnswerTokens.Value());
   this->work.start = aTarget.incarnation;
   this->context.picker.OnSent(aTarget.id, this->question, this->work);
+  if (this->context.picker.HasUrgentSends() && this->context.tellSends) {
+    this->context.tellSends();
+  }
   this->context.health.OnStart(aTarget.id);
   this->context.reach.OnStart(aTarget.zone);
   AttemptEnd end = co_await this->Converse(aTarget);
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -1,6 +1,7 @@
 // One call on its way: from the caller's channel to targets and back, on the event loop.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -33,6 +34,8 @@
   TargetPicker& picker;
   TargetChannelPool& pool;
   StorePace& pace;
+  // Tells the other hosts at once what this one has sent.
+  std::function<void()> tellSends;
   // Set when the process has been told to stop: answers then end their channels.
   bool leaving = false;
 };
--- a/src/program/PictureTeller.cpp
+++ b/src/program/PictureTeller.cpp
@@ -128,12 +128,16 @@
   } else if (!this->sends.Tellers().empty()) {
     this->sumsOfOthers.push_back(aNews);
   }
+  if (aNews.urgent) {
+    this->TellSends(true);
+  }
 }
 
 void
-PictureTeller::TellSends()
+PictureTeller::TellSends(bool aUrgent)
 {
-  const SendsNews own = this->sends.TakeChanges(this->settings.host);
+  SendsNews own = this->sends.TakeChanges(this->settings.host);
+  own.urgent = aUrgent;
   std::vector<SendsNews> sums = std::exchange(this->sumsOfOthers, {});
   if (!own.sends.empty() || !own.excesses.empty() || !own.findings.empty()) {
     this->TellControlHosts(own);
--- a/src/program/PictureTeller.h
+++ b/src/program/PictureTeller.h
@@ -46,8 +46,8 @@
   void TakeSends(const HostId& aFrom, const SendsNews& aNews);
 
   // Tells the sums of this host to the other control hosts, and all sums to the entry hosts that
-  // tell this one what they have.
-  void TellSends();
+  // tell this one what they have. Urgent sums are passed on by the others at once.
+  void TellSends(bool aUrgent = false);
 
   // A host's connection to this one is lost.
   void OnLost(const HostId& aHost) { this->sends.Forget(aHost); }
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -178,6 +178,7 @@
     this->frame.kind = static_cast<std::uint8_t>(FrameKind::SendsNews);
     this->frame.host = aNews.host.Value();
     this->frame.last = aNews.last;
+    this->frame.urgent = aNews.urgent;
     for (const TargetSendsNow& sends : aNews.sends) {
       auto row = std::make_unique<wire::SendsRowT>();
       row->target = sends.target.Value();
@@ -271,6 +272,7 @@
   SendsNews news;
   news.host = HostId(aFrame.host);
   news.last = aFrame.last;
+  news.urgent = aFrame.urgent;
   for (const auto& row : aFrame.sends) {
     TargetSendsNow sends;
     sends.target = TargetId(row->target);
