--- /dev/null
+++ b/include/damasklink/coordination/EnginePace.h
@@ -0,0 +1,85 @@
+// How fast the engines of a model read prompts, learnt from the first events of this host's calls.
+//
+//   EnginePace pace;
+//   pace.NoteReading(TokenCount(12'800), took);   // Nothing else waited there to be read.
+//   pace.NoteShort(took);                         // Hardly anything to read.
+//   pace.PerToken();                              // Milliseconds to read one token.
+//   pace.FirstStep();                             // Milliseconds of a first event beyond reading.
+//
+// Both are medians of the last observations, so one observation in three may be garbage (a prompt
+// that was found kept after all, one that waited behind another host's). Before enough were made,
+// declared figures count. Not thread-safe.
+#pragma once
+
+#include <array>
+#include <cstddef>
+
+#include "damasklink/state/Clock.h"
+#include "damasklink/state/Units.h"
+
+namespace damasklink {
+
+// The median of the last observations.
+class RecentMedian
+{
+public:
+  // Observations that count: at one long prompt a second and host, half a minute of them.
+  static constexpr std::size_t kObservations = 31;
+  // Below so many the median could be that of garbage.
+  static constexpr std::size_t kLeastObservations = 5;
+
+  explicit RecentMedian(double aPrior)
+    : median(aPrior)
+  {
+  }
+
+  void Observe(double aValue);
+
+  // The prior before there are enough observations.
+  double Value() const { return this->median; }
+
+  std::size_t Count() const { return this->count; }
+
+private:
+  std::array<double, kObservations> values{};
+  std::size_t count = 0;
+  std::size_t next = 0;
+  double median;
+};
+
+class EnginePace
+{
+public:
+  // Milliseconds a token before anything was observed: between the fastest and the slowest engines
+  // that the users have declared (38 to 125 tokens a millisecond).
+  static constexpr double kPriorPerToken = 1.0 / 80;
+  // Milliseconds of a first event that waits for nothing, before any was observed.
+  static constexpr double kPriorFirstStep = 60;
+  // No engine reads a token in less or more milliseconds; observations beyond are cut to these.
+  static constexpr double kLeastPerToken = 1.0 / 2000;
+  static constexpr double kMostPerToken = 1;
+  // A first event that is later than this says more of what held it up than of the engine.
+  static constexpr double kMostFirstStep = 1000;
+
+  // Takes how long a prompt's first event took of which the engine read so many tokens.
+  void NoteReading(TokenCount aRead, Duration aTook);
+
+  // Takes how long the first event of a prompt took of which the engine read next to nothing.
+  void NoteShort(Duration aTook);
+
+  double PerToken() const { return this->perToken.Value(); }
+  double FirstStep() const { return this->firstStep.Value(); }
+
+  // Milliseconds until the first event of a prompt of which the engine reads so many tokens, when
+  // nothing waits before it.
+  double Expected(TokenCount aToRead) const
+  {
+    return this->FirstStep() + this->PerToken() * static_cast<double>(aToRead.Value());
+  }
+
+private:
+  RecentMedian perToken{ kPriorPerToken };
+  RecentMedian firstStep{ kPriorFirstStep };
+};
+
+} // namespace damasklink
--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -19,6 +19,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include "damasklink/coordination/EnginePace.h"
 #include "damasklink/coordination/HeldParts.h"
 #include "damasklink/coordination/SendsSum.h"
 #include "damasklink/coordination/ServingPicture.h"
@@ -62,6 +63,8 @@
   // Prompt and answer, which take up memory until the end.
   TokenCount memory;
   bool answering = false;
+  // Other prompts waited at the target to be read when it was sent.
+  bool behindOthers = false;
   // The start of the target that it was sent to.
   Incarnation start;
 };
@@ -158,18 +161,32 @@
   // Forgets control hosts that have told nothing since a time.
   void ForgetSumsBefore(MonotonicTime aTime) { this->told.ForgetBefore(aTime); }
 
+  // Returns what all hosts are believed to have at the target, this one among them.
+  SentLoad LoadOf(const TargetId& aTarget) const;
+
   // Returns a target that is believed to hold the part, of those in the list; null when none is.
   const TargetRecord* HolderOf(const SizedPart& aPart,
                                const std::vector<TargetRecord>& aTargets,
                                const TargetRecord& aFor) const;
 
+  // How fast the engines of a model read.
+  const EnginePace& PaceOf(const ModelName& aModel) const;
+
+  // Takes how long the first event of a call took after it was sent. Calls before which other
+  // prompts were read, as far as this host knows, say nothing of the engine and are passed over;
+  // returns whether this one counted.
+  bool NotePace(const TargetId& aTarget,
+                const PickQuestion& aQuestion,
+                const PickedWork& aWork,
+                bool aFetched,
+                Duration aTook);
+
   HeldParts& Held() { return this->held; }
 
 private:
   const TargetRecord* ChooseForPlainCall(const std::vector<const TargetRecord*>& aFit);
   bool IsOfEarlierStart(const TargetId& aTarget, const PickedWork& aWork) const;
   bool HoldsAll(const PickQuestion& aQuestion, const TargetId& aTarget) const;
-  SentLoad LoadOf(const TargetId& aTarget) const;
   double CostOf(const PickQuestion& aQuestion, const TargetRecord& aTarget) const;
 
   const TargetHealth& health;
@@ -177,6 +194,7 @@
   PickCosts costs;
   std::minstd_rand random;
   HeldParts held;
+  absl::flat_hash_map<ModelName, EnginePace> paces;
   // What this host has at targets.
   absl::flat_hash_map<TargetId, SentLoad> loads;
   // Targets that have started again under their ids, with their newest starts.
--- a/src/coordination/TargetPicker.cpp
+++ b/src/coordination/TargetPicker.cpp
@@ -292,6 +292,36 @@
   return found != this->starts.end() && aWork.start < found->second;
 }
 
+const EnginePace&
+TargetPicker::PaceOf(const ModelName& aModel) const
+{
+  static const EnginePace kUnknown;
+  const auto found = this->paces.find(aModel);
+  return found == this->paces.end() ? kUnknown : found->second;
+}
+
+bool
+TargetPicker::NotePace(const TargetId& aTarget,
+                       const PickQuestion& aQuestion,
+                       const PickedWork& aWork,
+                       bool aFetched,
+                       Duration aTook)
+{
+  const std::uint64_t own = aWork.toRead.Value();
+  const std::uint64_t unread = this->LoadOf(aTarget).unread;
+  const bool othersRead = aWork.behindOthers || unread >= own + kLongReading;
+  if (othersRead) {
+    return false;
+  }
+  EnginePace& pace = this->paces[aQuestion.model];
+  if (own < kLongReading) {
+    pace.NoteShort(aTook);
+  } else if (!aFetched) {
+    pace.NoteReading(aWork.toRead, aTook);
+  }
+  return true;
+}
+
 void
 TargetPicker::OnFirstEvent(const TargetId& aTarget, PickedWork& aWork)
 {
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -158,6 +158,8 @@
   this->work.memory =
     TokenCount(this->call.promptTokens.Value() + this->call.mostAnswerTokens.Value());
   this->work.start = aTarget.incarnation;
+  this->work.behindOthers =
+    this->context.picker.LoadOf(aTarget.id).unread >= TargetPicker::kLongReading;
   this->context.picker.OnSent(aTarget.id, this->question, this->work);
   if (this->context.picker.HasUrgentSends() && this->context.tellSends) {
     this->context.tellSends();
@@ -217,8 +219,9 @@
   }
   this->plan->Sending();
   this->sentAt = this->context.clock.MonotonicNow();
-  const HttpRequestHead head =
-    this->context.dialect.HeadForTarget(this->request.head, this->CallFor(aTarget));
+  const TargetCall call = this->CallFor(aTarget);
+  this->LogSend(aTarget, call);
+  const HttpRequestHead head = this->context.dialect.HeadForTarget(this->request.head, call);
   // A target may answer before it has read a long body, so a failed send is not the end: the
   // answer that came first counts.
   auto sent = co_await this->channel->Send(head, this->request.body);
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -85,6 +85,7 @@
   const TargetRecord* ChooseTarget();
   TargetCall CallFor(const TargetRecord& aTarget);
   void AddPartMoves(const TargetRecord& aTarget, TargetCall& aTo);
+  void LogSend(const TargetRecord& aTarget, const TargetCall& aCall) const;
   void NoteFirstEvent(const TargetRecord& aTarget);
   void AskWithWeights(std::uint64_t aWeights);
   std::uint64_t NewestWeights() const;
--- a/src/program/ExchangeChoice.cpp
+++ b/src/program/ExchangeChoice.cpp
@@ -222,8 +222,13 @@
   }
   const std::chrono::duration<double, std::milli> took =
     this->context.clock.MonotonicNow() - this->sentAt;
-  const auto read = static_cast<double>(this->work.toRead.Value()) * PickCosts().perToken;
-  this->context.pace.Note(this->fetchedFrom, took.count() - read);
+  TargetPicker& picker = this->context.picker;
+  const Duration sinceSend = this->context.clock.MonotonicNow() - this->sentAt;
+  const double expected = picker.PaceOf(this->question.model).Expected(this->work.toRead);
+  if (picker.NotePace(
+        aTarget.id, this->question, this->work, !this->fetchedFrom.empty(), sinceSend)) {
+    this->context.pace.Note(this->fetchedFrom, took.count() - expected);
+  }
   const Duration sinceArrival = this->context.clock.MonotonicNow() - this->arrived;
   if (sinceArrival > this->route->latencyObjective) {
     LogEvent(LogLevel::Info, "first_event_late")
@@ -231,7 +236,9 @@
       .With("target", aTarget.id)
       .With("since_arrival_ms", WholeMilliseconds(sinceArrival))
       .With("since_send_ms", took.count())
+      .With("expected_ms", expected)
       .With("to_read", this->work.toRead)
+      .With("behind_others", this->work.behindOthers)
       .With("fetched_from", this->fetchedFrom)
       .With("slow_stores", this->avoided.size())
       .With("sends", this->plan->Sent());
--- a/src/program/ExchangeRecord.cpp
+++ b/src/program/ExchangeRecord.cpp
@@ -2,6 +2,8 @@
 // the class stands in Exchange.cpp.
 #include "Exchange.h"
 
+#include <algorithm>
+
 #include "damasklink/state/Units.h"
 #include "damasklink/transport/Log.h"
 
@@ -39,6 +41,37 @@
   return HealthSign::None;
 }
 
+// One line for each choice of a target for a prompt, with what decided it: whether it is found kept
+// there, fetched or read, and how busy the target was believed to be without this call.
+void
+Exchange::LogSend(const TargetRecord& aTarget, const TargetCall& aCall) const
+{
+  if (this->question.promptTokens == TokenCount()) {
+    return;
+  }
+  const auto moved = [](const std::vector<PartMove>& aMoves) {
+    return std::count_if(
+      aMoves.begin(), aMoves.end(), [](const PartMove& aMove) { return aMove.peer.has_value(); });
+  };
+  const SentLoad load = this->context.picker.LoadOf(aTarget.id);
+  LogEvent(LogLevel::Info, "prompt_sent")
+    .With("request", this->call.request)
+    .With("target", aTarget.id)
+    .With("send", this->plan->Sent())
+    .With("prompt", this->question.promptTokens)
+    .With("parts", this->question.parts.size())
+    .With("last_part", this->question.parts.empty() ? PartKey() : this->question.parts.back().key)
+    .With("to_read", this->work.toRead)
+    .With("fetches", moved(aCall.fetches))
+    .With("fetched_from", this->fetchedFrom)
+    .With("saves", moved(aCall.saves))
+    .With("slow_stores", this->avoided.size())
+    .With("unread", load.unread - std::min(load.unread, this->work.toRead.Value()))
+    .With("running", load.requests - std::min<std::uint64_t>(load.requests, 1))
+    .With("memory", load.memory)
+    .With("weights", this->weights);
+}
+
 // Counts the end of the call by its route, a refusal or failure by its status.
 void
 Exchange::Count(int aStatus, Duration aTook) const
--- a/test/coordination/TargetPickerTest.cpp
+++ b/test/coordination/TargetPickerTest.cpp
@@ -288,5 +288,37 @@
   EXPECT_EQ(sends.front().unread, TokenCount(5000));
 }
 
+// With one host's long prompt known to the others within a millisecond, no call is sent behind it.
+TEST_F(TargetPickerTest, LongReadingIsToldAtOnce)
+{
+  PickedWork work;
+  work.toRead = TokenCount(TargetPicker::kLongReading - 1);
+  this->picker.OnSent(TargetId("a"), this->question, work);
+  EXPECT_FALSE(this->picker.HasUrgentSends());
+  work.toRead = TokenCount(TargetPicker::kLongReading);
+  this->picker.OnSent(TargetId("a"), this->question, work);
+  EXPECT_TRUE(this->picker.HasUrgentSends());
+  this->picker.TakeSends();
+  EXPECT_FALSE(this->picker.HasUrgentSends());
+}
+
+TEST_F(TargetPickerTest, FirstEventsBehindOtherReadingsSayNothingOfTheEngine)
+{
+  this->question.model = ModelName("m");
+  PickedWork work;
+  work.toRead = TokenCount(10'000);
+  work.behindOthers = true;
+  const Duration took = std::chrono::milliseconds(900);
+  for (int seen = 0; seen < 20; ++seen) {
+    EXPECT_FALSE(this->picker.NotePace(TargetId("a"), this->question, work, false, took));
+  }
+  EXPECT_EQ(this->picker.PaceOf(this->question.model).PerToken(), EnginePace::kPriorPerToken);
+  work.behindOthers = false;
+  for (int seen = 0; seen < 20; ++seen) {
+    EXPECT_TRUE(this->picker.NotePace(TargetId("a"), this->question, work, false, took));
+  }
+  EXPECT_NEAR(this->picker.PaceOf(this->question.model).PerToken(), 0.084, 0.001);
+}
+
 } // namespace
 } // namespace damasklink
