--- a/include/damasklink/coordination/ServingPicture.h
+++ b/include/damasklink/coordination/ServingPicture.h
@@ -64,6 +64,11 @@
   bool whole = false;
   std::vector<SizedPart> added;
   std::vector<PartKey> removed;
+  // Space for parts that are not whole: being written, or left by a writer that broke off.
+  TokenCount reserved;
+
+  // Returns the tokens of the parts that are added.
+  TokenCount Tokens() const;
 
   bool operator==(const StoreStatement&) const = default;
 };
--- a/include/damasklink/coordination/StoreFeed.h
+++ b/include/damasklink/coordination/StoreFeed.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "damasklink/coordination/ServingPicture.h"
+#include "damasklink/state/Clock.h"
 
 namespace damasklink {
 
@@ -42,6 +43,16 @@
   std::size_t unreadable = 0;
 };
 
+// A part that is being written, or whose writer broke off: it keeps its space until it is freed.
+struct UnfinishedPart
+{
+  PartName name;
+  TokenCount written;
+  TokenCount reserved;
+
+  bool operator==(const UnfinishedPart&) const = default;
+};
+
 // All that is held.
 struct StoreList
 {
@@ -51,11 +62,16 @@
   std::vector<StoredPartEvent> parts;
   // As above.
   std::size_t unreadable = 0;
+  std::vector<UnfinishedPart> unfinished;
 };
 
 class StoreFeed
 {
 public:
+  // A part of which nothing was written for so long is not being written any more: transfers that
+  // would wait two seconds are not begun, and the longest takes some seconds on a slow link.
+  static constexpr Duration kBrokenOffAfter = std::chrono::seconds(9);
+
   explicit StoreFeed(Endpoint aStore)
     : store(std::move(aStore))
   {
@@ -67,7 +83,7 @@
   Sequence Next() const { return this->next; }
 
   void TakeEvents(const StoreEvents& aEvents);
-  void TakeList(const StoreList& aList);
+  void TakeList(const StoreList& aList, MonotonicTime aNow);
 
   // The store does not answer: nothing that is known of it counts.
   void Lose();
@@ -82,14 +98,28 @@
   std::vector<PartName> MadeBefore(const std::map<ModelName, std::uint64_t>& aWeights,
                                    std::size_t aMost) const;
 
+  // Returns parts whose writers broke off, at most aMost. They were never whole, so nobody reads
+  // them; an engine that crashes while it saves leaves one, and space for a tenth of a small store.
+  std::vector<PartName> BrokenOff(MonotonicTime aNow, std::size_t aMost) const;
+
   StoreEpoch Epoch() const { return this->epoch; }
 
 private:
+  struct Unfinished
+  {
+    UnfinishedPart part;
+    MonotonicTime since;
+  };
+
+  TokenCount Reserved() const;
+
   Endpoint store;
   bool live = false;
   StoreEpoch epoch;
   Sequence next;
   std::map<PartKey, StoredPartEvent> parts;
+  // Parts that are not whole, as the last list had them, and since when it has been so.
+  std::map<PartKey, Unfinished> unfinished;
   // What the next TakeChanges() returns.
   StoreStatement changes;
   bool changed = false;
--- a/include/damasklink/coordination/StoredParts.h
+++ b/include/damasklink/coordination/StoredParts.h
@@ -29,6 +29,8 @@
   PromptStoreTraits traits;
   bool live = false;
   std::uint64_t storedTokens = 0;
+  // Of parts that are not whole; they take up space all the same.
+  std::uint64_t reservedTokens = 0;
   absl::flat_hash_map<PartKey, TokenCount> parts;
 };
 
--- a/src/coordination/StoreFeed.cpp
+++ b/src/coordination/StoreFeed.cpp
@@ -25,6 +25,7 @@
     const PartKey key = KeyOf(event);
     if (event.added) {
       this->parts[key] = event;
+      this->unfinished.erase(key);
       this->changes.added.push_back(SizedPart{ key, event.tokens });
     } else {
       this->parts.erase(key);
@@ -37,14 +38,23 @@
 }
 
 void
-StoreFeed::TakeList(const StoreList& aList)
+StoreFeed::TakeList(const StoreList& aList, MonotonicTime aNow)
 {
   const bool sameLife = this->live && aList.epoch == this->epoch;
   std::map<PartKey, StoredPartEvent> listed;
   for (const StoredPartEvent& part : aList.parts) {
     listed[KeyOf(part)] = part;
   }
-  const bool news = !sameLife || listed != this->parts;
+  std::map<PartKey, Unfinished> waiting;
+  for (const UnfinishedPart& part : aList.unfinished) {
+    const PartKey key = MakePartKey(part.name.scope, part.name.id);
+    const auto before = this->unfinished.find(key);
+    const bool same = sameLife && before != this->unfinished.end() && before->second.part == part;
+    waiting[key] = Unfinished{ part, same ? before->second.since : aNow };
+  }
+  const TokenCount reservedBefore = this->Reserved();
+  this->unfinished = std::move(waiting);
+  const bool news = !sameLife || listed != this->parts || this->Reserved() != reservedBefore;
   this->live = true;
   this->epoch = aList.epoch;
   this->next = aList.next;
@@ -63,6 +73,7 @@
   }
   this->live = false;
   this->parts.clear();
+  this->unfinished.clear();
   this->changes = this->All();
   this->changed = true;
 }
@@ -76,6 +87,7 @@
   StoreStatement taken = std::exchange(this->changes, StoreStatement{});
   taken.store = this->store;
   taken.live = this->live;
+  taken.reserved = this->Reserved();
   return taken;
 }
 
@@ -86,12 +98,35 @@
   all.store = this->store;
   all.live = this->live;
   all.whole = true;
+  all.reserved = this->Reserved();
   for (const auto& [key, part] : this->parts) {
     all.added.push_back(SizedPart{ key, part.tokens });
   }
   return all;
 }
 
+TokenCount
+StoreFeed::Reserved() const
+{
+  std::uint64_t tokens = 0;
+  for (const auto& [key, waiting] : this->unfinished) {
+    tokens += waiting.part.reserved.Value();
+  }
+  return TokenCount(tokens);
+}
+
+std::vector<PartName>
+StoreFeed::BrokenOff(MonotonicTime aNow, std::size_t aMost) const
+{
+  std::vector<PartName> broken;
+  for (const auto& [key, waiting] : this->unfinished) {
+    if (broken.size() < aMost && aNow - waiting.since >= kBrokenOffAfter) {
+      broken.push_back(waiting.part.name);
+    }
+  }
+  return broken;
+}
+
 std::vector<PartName>
 StoreFeed::MadeBefore(const std::map<ModelName, std::uint64_t>& aWeights, std::size_t aMost) const
 {
--- a/src/coordination/StoredParts.cpp
+++ b/src/coordination/StoredParts.cpp
@@ -77,6 +77,7 @@
   }
   PromptStore& store = found->second;
   store.live = aStatement.live;
+  store.reservedTokens = aStatement.reserved.Value();
   if (aStatement.whole || !aStatement.live) {
     store.parts.clear();
     store.storedTokens = 0;
@@ -128,7 +129,8 @@
   for (const auto& [address, store] : this->stores) {
     ++number;
     const auto capacity = static_cast<double>(store.traits.cacheTokens.Value());
-    const auto needed = static_cast<double>(store.storedTokens + aPart.tokens.Value());
+    const auto needed =
+      static_cast<double>(store.storedTokens + store.reservedTokens + aPart.tokens.Value());
     if (store.live && needed > capacity * kFullShare) {
       continue;
     }
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -99,7 +99,7 @@
 private:
   RolloutOptions Options() const;
   void StepWeights();
-  void FreeOldParts();
+  void FreeUnusedParts();
   void Stop();
   void Tick();
   bool EndsAfterFailure();
@@ -144,9 +144,10 @@
   return options;
 }
 
-// Parts that older weights made fill the stores and are of no use to anybody.
+// Parts that older weights made, and those that were never written whole, fill the stores and are
+// of no use to anybody.
 void
-ControlHost::Impl::FreeOldParts()
+ControlHost::Impl::FreeUnusedParts()
 {
   std::vector<TargetRecord> engines;
   for (const TargetStatement& statement : this->picture.All()) {
@@ -158,7 +159,7 @@
   }
   this->settled.Note(engines);
   if (this->group.HoldsLease()) {
-    this->stores.FreeMadeBefore(this->settled.Least());
+    this->stores.FreeUnused(this->settled.Least());
   }
 }
 
@@ -172,7 +173,7 @@
     }
   }
   this->weights.Step(this->group.State().Weights(), engines);
-  this->FreeOldParts();
+  this->FreeUnusedParts();
   this->picture.SetPaused(this->weights.Rollout().Paused());
   this->picture.SetReported(this->weights.Rollout().Reported());
 }
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -67,7 +67,8 @@
     , mesh(this->loop, this->settings.host, this->settings.peerPort, *this)
     , context{ this->loop,    this->clock,   this->settings, this->calls,
                this->metrics, this->picture, this->retries,  this->health,
-               this->reach,   this->picker,  this->pool,     this->pace }
+               this->reach,   this->picker,  this->pool,     this->pace,
+               nullptr }
     , signals(this->loop, std::move(aReader))
     , housekeeping(this->loop)
     , sharing(this->loop)
--- a/src/program/StoreWatcher.cpp
+++ b/src/program/StoreWatcher.cpp
@@ -109,16 +109,23 @@
 }
 
 void
-StoreWatcher::FreeMadeBefore(const std::map<ModelName, std::uint64_t>& aWeights)
+StoreWatcher::FreeUnused(const std::map<ModelName, std::uint64_t>& aWeights)
 {
+  const MonotonicTime now = this->clock.MonotonicNow();
   for (const auto& [address, store] : this->stores) {
     if (store->freeing || store->feed.NeedsList()) {
       continue;
     }
-    std::vector<PartName> old = store->feed.MadeBefore(aWeights, kMostFreedAtOnce);
-    if (!old.empty()) {
+    std::vector<PartName> unused = store->feed.MadeBefore(aWeights, kMostFreedAtOnce);
+    const std::vector<PartName> broken = store->feed.BrokenOff(now, kMostFreedAtOnce);
+    unused.insert(unused.end(), broken.begin(), broken.end());
+    if (!unused.empty()) {
       store->freeing = true;
-      asio::co_spawn(this->loop, this->Free(store, std::move(old)), asio::detached);
+      LogEvent(LogLevel::Info, "parts_unused")
+        .With("store", FormatEndpoint(store->endpoint))
+        .With("of_older_weights", unused.size() - broken.size())
+        .With("broken_off", broken.size());
+      asio::co_spawn(this->loop, this->Free(store, std::move(unused)), asio::detached);
     }
   }
 }
@@ -184,7 +191,15 @@
       co_return false;
     }
     LogUnreadableRows(aStore.endpoint, list.value().unreadable);
-    aStore.feed.TakeList(list.value());
+    aStore.feed.TakeList(list.value(), now);
+    const StoreStatement all = aStore.feed.All();
+    LogEvent(LogLevel::Info, "store_listed")
+      .With("store", FormatEndpoint(aStore.endpoint))
+      .With("epoch", list.value().epoch)
+      .With("parts", all.added.size())
+      .With("tokens", all.Tokens())
+      .With("unfinished", list.value().unfinished.size())
+      .With("reserved", all.reserved);
     co_return true;
   }
   auto body = co_await this->Ask(
--- a/src/program/StoreWatcher.h
+++ b/src/program/StoreWatcher.h
@@ -35,9 +35,9 @@
   // Returns the whole of what is known.
   std::vector<StoreStatement> All() const;
 
-  // Orders the stores to drop parts that were made by weights older than these. Requires that
-  // nobody can be reading them (SettledWeights.h).
-  void FreeMadeBefore(const std::map<ModelName, std::uint64_t>& aWeights);
+  // Orders the stores to drop parts that were made by weights older than these, and those whose
+  // writers broke off. Requires that nobody can be reading the former (SettledWeights.h).
+  void FreeUnused(const std::map<ModelName, std::uint64_t>& aWeights);
 
 private:
   struct Watched;
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -118,6 +118,7 @@
   row->port = aStatement.store.port;
   row->live = aStatement.live;
   row->whole = aStatement.whole;
+  row->reserved = aStatement.reserved.Value();
   row->added = EntriesOf(aStatement.added);
   for (const PartKey key : aStatement.removed) {
     row->removed.push_back(key.Value());
@@ -132,6 +133,7 @@
   statement.store = Endpoint{ aRow.address, aRow.port };
   statement.live = aRow.live;
   statement.whole = aRow.whole;
+  statement.reserved = TokenCount(aRow.reserved);
   statement.added = PartsOf(aRow.added);
   for (const std::uint64_t key : aRow.removed) {
     statement.removed.emplace_back(key);
--- a/test/coordination/StoreFeedTest.cpp
+++ b/test/coordination/StoreFeedTest.cpp
@@ -33,7 +33,8 @@
 protected:
   void List(std::uint64_t aEpoch, std::uint64_t aNext, std::vector<StoredPartEvent> aParts)
   {
-    this->feed.TakeList(StoreList{ StoreEpoch(aEpoch), Sequence(aNext), std::move(aParts) });
+    this->feed.TakeList(StoreList{ StoreEpoch(aEpoch), Sequence(aNext), std::move(aParts), 0, {} },
+                        this->clock.MonotonicNow());
   }
 
   void Events(std::uint64_t aEpoch, std::uint64_t aNext, std::vector<StoredPartEvent> aEvents)
@@ -42,6 +43,7 @@
       StoreEvents{ StoreEpoch(aEpoch), Sequence(aNext), false, std::move(aEvents) });
   }
 
+  ManualClock clock;
   StoreFeed feed{ Endpoint{ "172.20.0.2", 8006 } };
 };
 
@@ -121,5 +123,43 @@
   EXPECT_FALSE(this->feed.TakeChanges());
 }
 
+// An engine that crashes while it saves leaves a part that is never whole and keeps its space.
+TEST_F(StoreFeedTest, PartOfAWriterThatBrokeOffIsFoundAndItsSpaceCounts)
+{
+  StoreList list{ StoreEpoch(1), Sequence(1), {}, 0, {} };
+  list.unfinished = { UnfinishedPart{ Part(1).name, TokenCount(40), TokenCount(30'000) },
+                      UnfinishedPart{ Part(2).name, TokenCount(10), TokenCount(500) } };
+  this->feed.TakeList(list, this->clock.MonotonicNow());
+  EXPECT_EQ(this->feed.TakeChanges()->reserved, TokenCount(30'500));
+  this->clock.Advance(StoreFeed::kBrokenOffAfter);
+  // The other one is still being written.
+  list.unfinished.back().written = TokenCount(20);
+  this->feed.TakeList(list, this->clock.MonotonicNow());
+  const std::vector<PartName> broken = this->feed.BrokenOff(this->clock.MonotonicNow(), 9);
+  EXPECT_EQ(broken, std::vector<PartName>{ Part(1).name });
+}
+
+TEST_F(StoreFeedTest, PartThatBecameWholeIsNotBrokenOff)
+{
+  StoreList list{ StoreEpoch(1), Sequence(1), {}, 0, {} };
+  list.unfinished = { UnfinishedPart{ Part(1).name, TokenCount(40), TokenCount(100) } };
+  this->feed.TakeList(list, this->clock.MonotonicNow());
+  this->Events(1, 2, { Part(1) });
+  this->clock.Advance(StoreFeed::kBrokenOffAfter);
+  EXPECT_TRUE(this->feed.BrokenOff(this->clock.MonotonicNow(), 9).empty());
+  EXPECT_EQ(this->feed.All().reserved, TokenCount());
+}
+
+TEST_F(StoreFeedTest, RestartOfAStoreEndsTheWaitForUnfinishedParts)
+{
+  StoreList list{ StoreEpoch(1), Sequence(1), {}, 0, {} };
+  list.unfinished = { UnfinishedPart{ Part(1).name, TokenCount(40), TokenCount(100) } };
+  this->feed.TakeList(list, this->clock.MonotonicNow());
+  this->clock.Advance(StoreFeed::kBrokenOffAfter);
+  list.epoch = StoreEpoch(2);
+  this->feed.TakeList(list, this->clock.MonotonicNow());
+  EXPECT_TRUE(this->feed.BrokenOff(this->clock.MonotonicNow(), 9).empty());
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/coordination/StoredPartsTest.cpp
+++ b/test/coordination/StoredPartsTest.cpp
@@ -124,5 +124,17 @@
   EXPECT_EQ(this->Found(Part(1)), "");
 }
 
+TEST_F(StoredPartsTest, StoreWhoseSpaceIsReservedTakesNoMore)
+{
+  StoreStatement statement;
+  statement.store = Endpoint{ "10.0.0.1", 8006 };
+  statement.live = true;
+  statement.reserved = TokenCount(99'500);
+  this->stored.Take(statement);
+  for (std::uint64_t key = 1; key <= 100; ++key) {
+    EXPECT_EQ(this->stored.HomeOf(Part(key))->name, "10.0.0.2:8006");
+  }
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/platform/DialectTest.cpp
+++ b/test/platform/DialectTest.cpp
@@ -196,6 +196,16 @@
   EXPECT_EQ(list.value().unreadable, 5U);
 }
 
+TEST(DialectTest, PartsThatAreNotWholeAreReadApart)
+{
+  const auto list = Dialect().ReadList(
+    R"({"boot-epoch":7,"next":9,"held":[],"partial":[["s1","a",16,800],["s1","b",16]]})");
+  ASSERT_TRUE(list);
+  const UnfinishedPart part{ PartName{ "s1", "a" }, TokenCount(16), TokenCount(800) };
+  EXPECT_EQ(list.value().unfinished, std::vector<UnfinishedPart>{ part });
+  EXPECT_EQ(list.value().unreadable, 1U);
+}
+
 TEST(DialectTest, EventsOfAnotherWriterSpoilNoBatch)
 {
   const auto events = Dialect().ReadEvents(
--- a/test/protocol/ServingCodecTest.cpp
+++ b/test/protocol/ServingCodecTest.cpp
@@ -44,6 +44,7 @@
   store.whole = true;
   store.added = { SizedPart{ PartKey(0xfedcba9876543210U), TokenCount(8610) } };
   store.removed = { PartKey(7) };
+  store.reserved = TokenCount(4260);
   const auto decoded = DecodeServingMessage(EncodeServingMessage(picture));
   ASSERT_TRUE(decoded);
   EXPECT_EQ(std::get<Picture>(decoded.value()), picture);
