--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -69,13 +69,14 @@
   Incarnation start;
 };
 
-// The figures of the cost, in milliseconds. Those of reading and fetching follow from the users'
-// sheets (112 to 125 prompt tokens read in a millisecond, links of 160 to 280 Gbit/s); the others
-// were chosen by trials, which docs/PLATFORM.md lists.
+// The figures of the cost, in milliseconds, beside what EnginePace learns; chosen by trials, which
+// docs/PLATFORM.md lists.
 struct PickCosts
 {
-  // Reading one prompt token.
-  double perToken = 1.0 / 120;
+  // What reading costs beyond its own time, in multiples of it: an engine reads one prompt after the
+  // other, so the calls that come meanwhile wait too. With less, a part is read a second time beside
+  // the engine that is reading it.
+  double readingHoldsUp = 1;
   // Each request that the target runs already: a step takes longer, and memory is shared.
   double perRequest = 2.5;
   // Requests at which each weighs twice as much: queues grow faster than the load.
--- a/src/coordination/TargetPicker.cpp
+++ b/src/coordination/TargetPicker.cpp
@@ -172,7 +172,9 @@
   double cost = aTarget.zone == aQuestion.zone ? 0 : this->costs.otherZone;
   const SentLoad load = this->LoadOf(aTarget.id);
   const auto requests = static_cast<double>(load.requests);
-  cost += this->costs.perToken * static_cast<double>(load.unread);
+  const double perToken = this->PaceOf(aQuestion.model).PerToken();
+  const double perOwnToken = perToken * (1 + this->costs.readingHoldsUp);
+  cost += perToken * static_cast<double>(load.unread);
   cost += this->costs.perRequest * requests * (1 + requests / this->costs.usualRequests);
   if (aQuestion.cacheTokens > TokenCount()) {
     const double used = this->MemoryShare(aQuestion, aTarget.id);
@@ -190,7 +192,7 @@
     }
     const std::uint64_t all = aQuestion.promptTokens.Value();
     const auto own = static_cast<double>(all - std::min(all, shared));
-    return cost + this->costs.olderWeights + this->costs.perToken * own;
+    return cost + this->costs.olderWeights + perOwnToken * own;
   }
   const std::size_t leading = this->held.LeadingHeld(aTarget.id, aQuestion.parts);
   for (std::size_t index = leading; index < aQuestion.stored.size(); ++index) {
@@ -201,7 +203,7 @@
     cost += this->costs.perFetchedToken * tokens;
   }
   const auto toRead = static_cast<double>(this->ToRead(aQuestion, aTarget.id).Value());
-  return cost + this->costs.perToken * toRead;
+  return cost + perOwnToken * toRead;
 }
 
 void
