--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -9,6 +9,7 @@
 #include "Exchange.h"
 #include "MetricsPage.h"
 #include "damasklink/coordination/ControlLinks.h"
+#include "damasklink/coordination/HubChoice.h"
 #include "damasklink/coordination/ServiceLevelWindows.h"
 #include "damasklink/protocol/ServingCodec.h"
 #include "damasklink/state/MetricsRegistry.h"
@@ -65,10 +66,9 @@
     , pool(this->clock)
     , pace(RandomSeed())
     , mesh(this->loop, this->settings.host, this->settings.peerPort, *this)
-    , context{ this->loop,    this->clock,   this->settings, this->calls,
-               this->metrics, this->picture, this->retries,  this->health,
-               this->reach,   this->picker,  this->pool,     this->pace,
-               nullptr }
+    , context{ this->loop,    this->clock,   this->settings, this->calls, this->metrics,
+               this->picture, this->retries, this->health,   this->reach, this->picker,
+               this->pool,    this->pace,    nullptr }
     , signals(this->loop, std::move(aReader))
     , housekeeping(this->loop)
     , sharing(this->loop)
@@ -91,7 +91,7 @@
   Awaitable<void> AnswerUnreadable(CallerChannel& aChannel, const Error& aError);
   Awaitable<void> Stop();
   void KeepHouse();
-  std::optional<HostId> ChooseHub() const;
+  std::vector<HubCandidate> HubCandidates() const;
   void ShareSends();
   void TellWhatChanged(bool aHubIsNew);
   void TellSends(const HostId& aTo, const SendsNews& aNews);
@@ -124,7 +124,7 @@
   Channels open;
   ControlLinks links{ this->settings.host, this->settings.zone };
   // The control host that is told what this host has where.
-  std::optional<HostId> hub;
+  HubChoice hub{ this->clock, this->settings.zone };
   bool wasReady = false;
 };
 
@@ -289,45 +289,37 @@
   });
 }
 
-// Returns the control host that adds up what the entry hosts have and tells of stores: a good one
-// of this zone, where bytes are cheap, or else the first. All hosts of a zone choose the same one
-// as long as they reach the same ones.
-std::optional<HostId>
-EntryHost::Impl::ChooseHub() const
+// Returns the control hosts that could add up what the entry hosts have and tell of stores.
+std::vector<HubCandidate>
+EntryHost::Impl::HubCandidates() const
 {
-  std::optional<HostId> best;
-  int bestRank = 0;
+  std::vector<HubCandidate> candidates;
   for (const auto& [host, zone] : this->links.Known()) {
-    if (!this->picture.IsConnected(host)) {
-      continue;
-    }
-    const int rank = (this->picture.IsGood(host) ? 2 : 0) + (zone == this->settings.zone ? 1 : 0);
-    if (!best || rank > bestRank) {
-      best = host;
-      bestRank = rank;
+    if (this->picture.HasSpoken(host)) {
+      candidates.push_back(HubCandidate{ host, zone, this->picture.IsGood(host) });
     }
   }
-  return best;
+  return candidates;
 }
 
 // Tells a control host what this host has where.
 void
 EntryHost::Impl::ShareSends()
 {
-  const std::optional<HostId> chosen = this->ChooseHub();
-  const bool changed = chosen != this->hub;
-  if (changed && this->hub && this->picture.IsConnected(*this->hub)) {
+  const std::optional<HostId> before = this->hub.Hub();
+  const std::optional<HostId> chosen = this->hub.Choose(this->HubCandidates());
+  const bool changed = chosen != before;
+  if (changed && before && this->picture.HasSpoken(*before)) {
     // It must not count this host any more, should the connection stand yet.
     SendsNews farewell;
     farewell.host = this->settings.host;
     farewell.last = true;
-    this->TellSends(*this->hub, farewell);
+    this->TellSends(*before, farewell);
   }
   if (changed) {
     LogEvent(LogLevel::Info, "hub_chosen")
       .With("hub", chosen.value_or(HostId()))
-      .With("before", this->hub.value_or(HostId()));
-    this->hub = chosen;
+      .With("before", before.value_or(HostId()));
     this->picture.ListenForStores(chosen);
     this->picker.TellAllAnew();
   }
@@ -352,8 +344,11 @@
   news.excesses = this->pace.TakeNotes();
   news.findings = this->health.TakeFindings();
   const bool anything = !news.sends.empty() || !news.excesses.empty() || !news.findings.empty();
-  if (this->hub && (aHubIsNew || anything)) {
-    this->TellSends(*this->hub, news);
+  if (this->hub.Hub() && (aHubIsNew || anything)) {
+    this->TellSends(*this->hub.Hub(), news);
+    if (!news.sends.empty()) {
+      this->hub.OnTold();
+    }
   }
 }
 
@@ -405,15 +400,14 @@
 EntryHost::Impl::OnPeerDown(const HostId& aPeer, LinkSide /*aSide*/)
 {
   this->picture.OnLink(aPeer, false);
-  if (this->hub == aPeer) {
-    // It has forgotten this host; should it come back at once, it is told everything anew.
-    this->hub.reset();
-  }
+  // It has forgotten this host; should it come back at once, it is told everything anew.
+  this->hub.OnLost(aPeer);
 }
 
 void
 EntryHost::Impl::OnPeerMessage(const HostId& aPeer, PeerMessage aMessage)
 {
+  this->hub.OnHeard(aPeer);
   auto message = DecodeServingMessage(aMessage.payload);
   if (!message) {
     LogEvent(LogLevel::Warning, "picture_refused")
--- a/src/program/EntryPicture.cpp
+++ b/src/program/EntryPicture.cpp
@@ -10,6 +10,9 @@
 void
 EntryPicture::Take(const HostId& aFrom, const Picture& aPicture)
 {
+  if (this->connected.contains(aFrom) && this->spoken.insert(aFrom).second) {
+    this->targets.OnLink(aFrom, true);
+  }
   this->TakeDocument(aFrom, aPicture);
   for (const auto& [model, version] : aPicture.weights) {
     std::uint64_t& held = this->weights[model];
@@ -74,12 +77,13 @@
 void
 EntryPicture::OnLink(const HostId& aHost, bool aUp)
 {
-  this->targets.OnLink(aHost, aUp);
   if (aUp) {
     this->connected.insert(aHost);
     return;
   }
+  this->targets.OnLink(aHost, false);
   this->connected.erase(aHost);
+  this->spoken.erase(aHost);
   this->isolated.erase(aHost);
   this->entryHosts.erase(aHost);
   if (this->hub == aHost) {
@@ -90,7 +94,7 @@
 bool
 EntryPicture::IsGood(const HostId& aHost) const
 {
-  return this->connected.contains(aHost) && !this->isolated.contains(aHost);
+  return this->spoken.contains(aHost) && !this->isolated.contains(aHost);
 }
 
 void
--- a/src/program/EntryPicture.h
+++ b/src/program/EntryPicture.h
@@ -50,12 +50,14 @@
   // Returns what is known of stored parts. Null when no control host tells of them.
   const StoredParts* Stored() const;
 
-  bool IsConnected(const HostId& aHost) const { return this->connected.contains(aHost); }
+  // Returns whether the control host is connected and has told a picture since. One that is
+  // suspended accepts connections too, and says nothing on them.
+  bool HasSpoken(const HostId& aHost) const { return this->spoken.contains(aHost); }
 
   // Returns whether any control host is connected.
   bool HasControlHost() const { return !this->connected.empty(); }
 
-  // Returns whether the control host is connected and hears a leader.
+  // Returns whether the control host has spoken on this connection and hears a leader.
   bool IsGood(const HostId& aHost) const;
 
   // The most entry hosts that a connected control host counts.
@@ -79,6 +81,8 @@
   std::optional<HostId> hub;
   StoredParts stored;
   std::set<HostId> connected;
+  // Those of them that have told a picture on this connection.
+  std::set<HostId> spoken;
   std::set<HostId> isolated;
   ControlHostZones controlHosts;
 };
--- a/test/program/EntryPictureTest.cpp
+++ b/test/program/EntryPictureTest.cpp
@@ -132,15 +132,40 @@
 
 TEST_F(EntryPictureTest, ControlHostWithoutALeaderIsNotGood)
 {
+  this->picture.Take(kFirst, Picture());
   EXPECT_TRUE(this->picture.IsGood(kFirst));
   Picture isolated;
   isolated.isolated = true;
   this->picture.Take(kFirst, isolated);
   EXPECT_FALSE(this->picture.IsGood(kFirst));
-  EXPECT_TRUE(this->picture.IsConnected(kFirst));
+  EXPECT_TRUE(this->picture.HasSpoken(kFirst));
   this->picture.Take(kFirst, Picture());
   EXPECT_TRUE(this->picture.IsGood(kFirst));
 }
 
+// A suspended process still has its connections accepted.
+TEST_F(EntryPictureTest, ControlHostCountsOnlyOnceItHasSpokenOnItsConnection)
+{
+  EXPECT_FALSE(this->picture.HasSpoken(kFirst));
+  EXPECT_FALSE(this->picture.IsGood(kFirst));
+  Picture told;
+  TargetStatement& statement = told.targets.emplace_back();
+  statement.record.id = TargetId("t");
+  statement.record.service = ServiceName("s");
+  this->picture.Take(kFirst, told);
+  EXPECT_TRUE(this->picture.IsGood(kFirst));
+  // Its last words from before do not stand against those of one that speaks.
+  this->picture.OnLink(kFirst, false);
+  this->picture.OnLink(kFirst, true);
+  EXPECT_FALSE(this->picture.HasSpoken(kFirst));
+  told.targets.front().standing = TargetStanding::Silent;
+  told.targets.push_back(told.targets.front());
+  told.targets.back().record.id = TargetId("other");
+  told.targets.back().standing = TargetStanding::Usable;
+  this->picture.Take(kSecond, told);
+  ASSERT_EQ(this->picture.Targets().Usable(ServiceName("s")).size(), 1U);
+  EXPECT_EQ(this->picture.Targets().Usable(ServiceName("s")).front().id, TargetId("other"));
+}
+
 } // namespace
 } // namespace damasklink
