--- a/include/damasklink/coordination/StoredParts.h
+++ b/include/damasklink/coordination/StoredParts.h
@@ -65,10 +65,11 @@
   // seconds, and all its parts at once would overrun the others.
   const PromptStore* HomeOf(const SizedPart& aPart) const;
 
-private:
-  // How long reading so many tokens from the store takes, without waiting, in milliseconds.
+  // Returns how long reading so many tokens from the store takes within its zone, without waiting,
+  // in milliseconds.
   double ReadTime(const PromptStore& aStore, TokenCount aTokens) const;
 
+private:
   std::map<std::string, PromptStore> stores;
   double bytesPerToken = 0;
 };
--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -13,6 +13,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <vector>
@@ -29,6 +30,14 @@
 
 namespace damasklink {
 
+// A store that holds a part.
+struct PartSource
+{
+  ZoneId zone;
+  // Milliseconds to fetch the part within the store's zone, without waiting.
+  double fetch = 0;
+};
+
 // What a choice is made for.
 struct PickQuestion
 {
@@ -40,8 +49,8 @@
   TokenCount promptTokens;
   // The parts that calls share, from the start of the prompt.
   std::vector<SizedPart> parts;
-  // Parts that can be fetched from a store, by position.
-  std::vector<bool> stored;
+  // From where the parts can be fetched, by position; nothing for those that no store holds.
+  std::vector<std::optional<PartSource>> stored;
   // The model, and the newest version of its weights; zero where that is not known.
   ModelName model;
   std::uint64_t weights = 0;
@@ -92,8 +101,8 @@
   double freeMemoryShare = 0.5;
   // A target whose memory would be full: requests wait there for others to end, or push them out.
   double fullMemory = 400;
-  // Fetching one token from a store instead of reading it, on a link of 250 Gbit/s.
-  double perFetchedToken = 1.0 / 800;
+  // A transfer between zones takes so many times as long as one within a zone.
+  double fetchFromOtherZone = 2;
   // A target whose weights are older than the newest: what begins there is worth less to the
   // caller. About what reading a long prompt anew costs a target whose caches are empty after its
   // load, so that the load decides between the two.
--- a/src/coordination/TargetPicker.cpp
+++ b/src/coordination/TargetPicker.cpp
@@ -196,11 +196,12 @@
   }
   const std::size_t leading = this->held.LeadingHeld(aTarget.id, aQuestion.parts);
   for (std::size_t index = leading; index < aQuestion.stored.size(); ++index) {
-    if (!aQuestion.stored[index]) {
+    const std::optional<PartSource>& source = aQuestion.stored[index];
+    if (!source) {
       break;
     }
-    const auto tokens = static_cast<double>(aQuestion.parts[index].tokens.Value());
-    cost += this->costs.perFetchedToken * tokens;
+    const bool sameZone = source->zone == aTarget.zone;
+    cost += source->fetch * (sameZone ? 1 : this->costs.fetchFromOtherZone);
   }
   const auto toRead = static_cast<double>(this->ToRead(aQuestion, aTarget.id).Value());
   return cost + perOwnToken * toRead;
--- a/src/program/ExchangeChoice.cpp
+++ b/src/program/ExchangeChoice.cpp
@@ -83,7 +83,10 @@
   }
   for (const SizedPart& part : this->question.parts) {
     const PromptStore* from = stored->Find(part, this->question.zone, this->avoided);
-    this->question.stored.push_back(from != nullptr);
+    this->question.stored.push_back(
+      from == nullptr
+        ? std::nullopt
+        : std::optional(PartSource{ from->traits.zone, stored->ReadTime(*from, part.tokens) }));
   }
 }
 
--- a/test/coordination/TargetPickerTest.cpp
+++ b/test/coordination/TargetPickerTest.cpp
@@ -320,5 +320,21 @@
   EXPECT_NEAR(this->picker.PaceOf(this->question.model).PerToken(), 0.084, 0.001);
 }
 
+// A part of 12,800 tokens takes 67 ms on the link of its store, and twice that to another zone: more
+// than a few requests more or less at the target.
+TEST_F(TargetPickerTest, LongPartIsFetchedByATargetInTheZoneOfItsStore)
+{
+  this->targets = { Target("far", "z"), Target("near", "store") };
+  this->question.zone = ZoneId("z");
+  this->question.promptTokens = TokenCount(14'000);
+  this->question.parts = { SizedPart{ PartKey(1), TokenCount(12'800) } };
+  this->question.stored = { PartSource{ ZoneId("store"), 67 } };
+  this->Load("near", 4);
+  EXPECT_EQ(this->Choose(), "near");
+  // A short part is no reason to leave the own zone.
+  this->question.stored = { PartSource{ ZoneId("store"), 1 } };
+  EXPECT_EQ(this->Choose(), "far");
+}
+
 } // namespace
 } // namespace damasklink
