--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -90,10 +90,8 @@
   double perRequest = 2.5;
   // Requests at which each weighs twice as much: queues grow faster than the load.
   double usualRequests = 10;
-  // The first event of a request that waits for nothing, beyond reading its prompt.
-  double firstStep = 60;
-  // Reading one prompt token while other requests get theirs in between.
-  double perTokenInQueue = 1.0 / 85;
+  // How many times as long reading takes while other requests get their tokens in between.
+  double readingInQueue = 1.4;
   // Memory as large as the target's that is not there: about how long a request holds its own.
   double missingMemory = 1000;
   // Memory of running requests may fill this share of a target before it costs anything; what is
@@ -135,8 +133,11 @@
   const TargetRecord* Choose(const PickQuestion& aQuestion,
                              const std::vector<TargetRecord>& aTargets);
 
-  // Returns how long the call's first event is expected to take at the target: what waits there to
-  // be read, what the call adds, and memory that is not there.
+  // Returns how long the call is expected to wait at the target before its own prompt is read: for
+  // what waits there to be read, and for memory that is not there.
+  Duration ExpectedWait(const PickQuestion& aQuestion, const TargetId& aTarget) const;
+
+  // Returns how long the call's first event is expected to take at the target, that wait included.
   Duration ExpectedFirstEvent(const PickQuestion& aQuestion, const TargetId& aTarget) const;
 
   // Returns the share of the target's memory that requests would hold with this call, above 1 when
--- a/src/coordination/TargetPicker.cpp
+++ b/src/coordination/TargetPicker.cpp
@@ -15,6 +15,12 @@
 // targets, all of them would choose the same one until they heard of it.
 constexpr std::size_t kSampled = 4;
 
+Duration
+Milliseconds(double aCount)
+{
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(aCount));
+}
+
 } // namespace
 
 std::uint64_t
@@ -146,14 +152,20 @@
 Duration
 TargetPicker::ExpectedFirstEvent(const PickQuestion& aQuestion, const TargetId& aTarget) const
 {
-  const SentLoad load = this->LoadOf(aTarget);
-  const std::uint64_t unread = load.unread + this->ToRead(aQuestion, aTarget).Value();
-  double milliseconds =
-    this->costs.firstStep + this->costs.perTokenInQueue * static_cast<double>(unread);
+  const EnginePace& pace = this->PaceOf(aQuestion.model);
+  const auto toRead = static_cast<double>(this->ToRead(aQuestion, aTarget).Value());
+  const double own = pace.FirstStep() + pace.PerToken() * this->costs.readingInQueue * toRead;
+  return this->ExpectedWait(aQuestion, aTarget) + Milliseconds(own);
+}
+
+Duration
+TargetPicker::ExpectedWait(const PickQuestion& aQuestion, const TargetId& aTarget) const
+{
+  const double perToken = this->PaceOf(aQuestion.model).PerToken() * this->costs.readingInQueue;
+  double milliseconds = perToken * static_cast<double>(this->LoadOf(aTarget).unread);
   const double used = this->MemoryShare(aQuestion, aTarget);
   milliseconds += this->costs.missingMemory * std::max(used - 1, 0.0);
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double, std::milli>(milliseconds));
+  return Milliseconds(milliseconds);
 }
 
 double
--- a/src/program/ExchangeChoice.cpp
+++ b/src/program/ExchangeChoice.cpp
@@ -10,14 +10,15 @@
 namespace damasklink {
 namespace {
 
-// What a call of one priority may meet at its target; else it is refused at once. Callers leave
-// after four times their latency objective, or two seconds. Memory that is full makes requests
-// wait, pushes cached parts out, and these are then read again, which makes requests last longer: a
-// long prompt of low priority is refused before that begins, and short urgent ones go on. With a
-// quarter of the engines gone, two fifths fewer calls came late, and a third as many were refused.
+// What a call of one priority may meet at its target; else it is refused at once. Memory that is
+// full makes requests wait, pushes cached parts out, and these are then read again, which makes
+// requests last longer: a long prompt of low priority is refused before that begins, and short
+// urgent ones go on. With a quarter of the engines gone, two fifths fewer calls came late, and a
+// third as many were refused.
 struct AdmissionLimits
 {
-  // How many times its latency objective the call may be expected to wait.
+  // How many times its latency objective the call may be expected to wait for others. Its own
+  // reading does not count: a long prompt is not refused for its size.
   double patience;
   // Share of the engine's memory that requests may fill, this one among them.
   double memory;
@@ -36,6 +37,12 @@
   return aPriority == 1 ? kUsualLimits : kLowLimits;
 }
 
+// Callers leave a stream without an event after the longest of these: a time, so many times their
+// latency objective, and so many times the longest pause between events.
+constexpr Duration kCallersStay = std::chrono::seconds(2);
+constexpr int kObjectivesStayed = 4;
+constexpr int kPausesStayed = 8;
+
 // How long a call may wait at an engine before it begins. Calls that could begin on older weights
 // after the time for new ones is over are not sent to engines with older ones any more.
 constexpr Duration kLongestQueue = std::chrono::milliseconds(3000);
@@ -123,22 +130,28 @@
   return chosen;
 }
 
-// A call that would wait for several times its latency objective is refused at once: its caller
-// would leave before the first event, and what the target had read for it would be lost. The more
-// urgent a call is, the longer it may wait: targets take it ahead of the others.
+// A call that would wait behind others for longer than its latency objective is refused at once,
+// and one whose caller would leave before its first event: what the target had read for it would be
+// lost. The more urgent a call is, the longer it may wait: targets take it ahead of the others.
 bool
 Exchange::IsExpectedInTime(const TargetRecord& aTarget) const
 {
+  const Duration wait = this->context.picker.ExpectedWait(this->question, aTarget.id);
   const Duration expected = this->context.picker.ExpectedFirstEvent(this->question, aTarget.id);
   const double memory = this->context.picker.MemoryShare(this->question, aTarget.id);
   const AdmissionLimits& limits = LimitsOf(this->Priority());
-  const bool soonEnough = expected <= this->route->latencyObjective * limits.patience;
+  const Duration objective = this->route->latencyObjective;
+  const Duration stays = std::max(
+    { kCallersStay, objective * kObjectivesStayed, this->route->pauseObjective * kPausesStayed });
+  const bool soonEnough =
+    wait <= objective * limits.patience && expected <= std::min(stays, this->TimeLeft());
   if (soonEnough && memory <= limits.memory) {
     return true;
   }
   LogEvent(LogLevel::Info, "refused_as_overloaded")
     .With("request", this->call.request)
     .With("best_target", aTarget.id)
+    .With("wait_ms", WholeMilliseconds(wait))
     .With("expected_ms", WholeMilliseconds(expected))
     .With("objective_ms", WholeMilliseconds(this->route->latencyObjective))
     .With("patience", limits.patience)
--- a/test/coordination/TargetPickerTest.cpp
+++ b/test/coordination/TargetPickerTest.cpp
@@ -320,8 +320,8 @@
   EXPECT_NEAR(this->picker.PaceOf(this->question.model).PerToken(), 0.084, 0.001);
 }
 
-// A part of 12,800 tokens takes 67 ms on the link of its store, and twice that to another zone: more
-// than a few requests more or less at the target.
+// A part of 12,800 tokens takes 67 ms on the link of its store, and twice that to another zone:
+// more than a few requests more or less at the target.
 TEST_F(TargetPickerTest, LongPartIsFetchedByATargetInTheZoneOfItsStore)
 {
   this->targets = { Target("far", "z"), Target("near", "store") };
@@ -336,5 +336,30 @@
   EXPECT_EQ(this->Choose(), "far");
 }
 
+// The load: engines that read 38 tokens a millisecond, and prompts of up to 46,000 tokens among
+// many short ones. What a prompt waits for is the same whatever its size, so its size is no reason
+// to refuse it.
+TEST_F(TargetPickerTest, WaitBehindOthersDoesNotGrowWithThePrompt)
+{
+  this->question.model = ModelName("m");
+  for (int seen = 0; seen < 20; ++seen) {
+    PickedWork read;
+    read.toRead = TokenCount(10'000);
+    this->picker.NotePace(
+      TargetId("a"), this->question, read, false, std::chrono::milliseconds(323));
+  }
+  PickedWork waiting;
+  waiting.toRead = TokenCount(10'000);
+  this->picker.OnSent(TargetId("a"), PickQuestion{}, waiting);
+  this->question.promptTokens = TokenCount(300);
+  const Duration wait = this->picker.ExpectedWait(this->question, TargetId("a"));
+  const Duration whole = this->picker.ExpectedFirstEvent(this->question, TargetId("a"));
+  this->question.promptTokens = TokenCount(46'000);
+  EXPECT_EQ(this->picker.ExpectedWait(this->question, TargetId("a")), wait);
+  EXPECT_GT(this->picker.ExpectedFirstEvent(this->question, TargetId("a")), whole);
+  // 10,000 tokens at the learnt pace, a little longer as others get their tokens in between.
+  EXPECT_NEAR(std::chrono::duration<double>(wait).count(), 0.368, 0.02);
+}
+
 } // namespace
 } // namespace damasklink
