--- a/include/damasklink/coordination/HeldParts.h
+++ b/include/damasklink/coordination/HeldParts.h
@@ -23,8 +23,7 @@
 class HeldParts
 {
 public:
-  // Tokens of parts that one engine is believed to keep: engines whose memory holds 106,000 to
-  // 179,000 tokens, as the users' sheets say, of which running requests take a share.
+  // Tokens of parts that one engine is believed to keep where its memory is not declared.
   static constexpr std::uint64_t kUsualCapacity = 100'000;
 
   // Parts beyond the capacity are forgotten, the least recently used first.
@@ -33,6 +32,10 @@
   {
   }
 
+  // Takes how many tokens one engine's memory holds, as declared. Running requests take a share of
+  // it, but only what is in use cannot be dropped for parts.
+  void SetCapacity(TokenCount aCapacity) { this->capacity = aCapacity.Value(); }
+
   // Tells that the target reads the parts.
   void OnRead(const TargetId& aTarget, const std::vector<SizedPart>& aParts);
 
--- a/src/coordination/TargetPicker.cpp
+++ b/src/coordination/TargetPicker.cpp
@@ -230,6 +230,9 @@
   load.memory += aWork.memory.Value();
   this->urgent = this->urgent || aWork.toRead.Value() >= kLongReading;
   std::vector<SizedPart>& parts = this->untold[aTarget];
+  if (aQuestion.cacheTokens > TokenCount()) {
+    this->held.SetCapacity(aQuestion.cacheTokens);
+  }
   if (!aQuestion.parts.empty()) {
     this->held.OnRead(aTarget, aQuestion.parts);
     parts.insert(parts.end(), aQuestion.parts.begin(), aQuestion.parts.end());
