--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -65,10 +65,16 @@
     , picker(this->health, this->reach, RandomSeed())
     , pool(this->clock)
     , pace(RandomSeed())
+    , comeBack(RandomSeed())
     , mesh(this->loop, this->settings.host, this->settings.peerPort, *this)
-    , context{ this->loop,    this->clock,   this->settings, this->calls, this->metrics,
-               this->picture, this->retries, this->health,   this->reach, this->picker,
-               this->pool,    this->pace,    nullptr }
+    , context{ this->loop,     this->clock,
+               this->settings, this->calls,
+               this->metrics,  this->picture,
+               this->retries,  this->health,
+               this->reach,    this->picker,
+               this->pool,     this->pace,
+               this->comeBack, this->clock.MonotonicNow(),
+               nullptr }
     , signals(this->loop, std::move(aReader))
     , housekeeping(this->loop)
     , sharing(this->loop)
@@ -113,6 +119,7 @@
   TargetPicker picker;
   TargetChannelPool pool;
   StorePace pace;
+  ComeBack comeBack;
   PeerMesh mesh;
   EntryContext context;
   MetricsPage metricsPage{ this->loop, this->metrics, this->settings.host };
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -24,9 +24,6 @@
 // When all targets are full: queues as long as that empty in about a second.
 constexpr Duration kComeBackToFull = std::chrono::milliseconds(300);
 
-// Before the first configuration: control hosts answer within a second or two of their start.
-constexpr Duration kNoConfigurationYet = std::chrono::milliseconds(500);
-
 // Foreign answers that are skipped on one channel before it is given up.
 constexpr int kMostForeignAnswers = 3;
 
@@ -86,7 +83,8 @@
   if (this->routes == nullptr) {
     CallerError error = Refusal(
       ErrorKind::Unavailable, "this host has no configuration yet", "come back a little later");
-    error.retryAfter = kNoConfigurationYet;
+    error.retryAfter = this->context.comeBack.WhileStarting(this->context.clock.MonotonicNow() -
+                                                            this->context.started);
     return error;
   }
   this->route = this->routes->FindRoute(this->call.host, PathOf(this->request.head.target));
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "EntryPicture.h"
+#include "damasklink/coordination/ComeBack.h"
 #include "damasklink/coordination/EventFramer.h"
 #include "damasklink/coordination/ExchangePlan.h"
 #include "damasklink/coordination/RetryShares.h"
@@ -34,6 +35,8 @@
   TargetPicker& picker;
   TargetChannelPool& pool;
   StorePace& pace;
+  ComeBack& comeBack;
+  MonotonicTime started;
   // Tells the other hosts at once what this one has sent.
   std::function<void()> tellSends;
   // Set when the process has been told to stop: answers then end their channels.
--- a/test/program/ExchangeFixture.h
+++ b/test/program/ExchangeFixture.h
@@ -203,9 +203,15 @@
   TargetPicker picker{ this->health, this->reach, 1 };
   TargetChannelPool pool{ this->clock };
   StorePace pace{ 1 };
-  EntryContext context{ this->loop,    this->clock,   this->settings, this->dialect, this->metrics,
-                        this->picture, this->retries, this->health,   this->reach,   this->picker,
-                        this->pool,    this->pace,    nullptr };
+  ComeBack comeBack{ 1 };
+  EntryContext context{ this->loop,     this->clock,
+                        this->settings, this->dialect,
+                        this->metrics,  this->picture,
+                        this->retries,  this->health,
+                        this->reach,    this->picker,
+                        this->pool,     this->pace,
+                        this->comeBack, this->clock.MonotonicNow(),
+                        nullptr };
   std::thread thread;
   asio::io_context callerLoop;
   TcpSocket caller{ this->callerLoop };
