--- a/include/damasklink/coordination/ComeBack.h
+++ b/include/damasklink/coordination/ComeBack.h
@@ -3,8 +3,8 @@
 //   ComeBack comeBack(seed);
 //   comeBack.WhileStarting(clock.MonotonicNow() - started);
 //
-// A caller comes back once or twice at most, so a time that is too short costs it its last try: it is
-// refused again for the same reason. Not thread-safe.
+// A caller comes back once or twice at most, so a time that is too short costs it its last try: it
+// is refused again for the same reason. Not thread-safe.
 #pragma once
 
 #include <random>
@@ -20,8 +20,8 @@
   // together: control hosts read their logs for 0.3 s, may elect a leader 0.7 s later, since the
   // lease of the one before must have ended, and tell the picture at once. 1.2 s in played days.
   static constexpr Duration kStartTakes = std::chrono::milliseconds(1300);
-  // Those who were refused meanwhile return over this time: all at once they would find engines with
-  // 1.3 s of traffic waiting.
+  // Those who were refused meanwhile return over this time: all at once they would find engines
+  // with 1.3 s of traffic waiting.
   static constexpr Duration kReturnOver = std::chrono::milliseconds(500);
   // When a start takes longer than that, because fewer control hosts came back.
   static constexpr Duration kStartIsLate = std::chrono::milliseconds(500);
--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -82,9 +82,9 @@
 // docs/PLATFORM.md lists.
 struct PickCosts
 {
-  // What reading costs beyond its own time, in multiples of it: an engine reads one prompt after the
-  // other, so the calls that come meanwhile wait too. With less, a part is read a second time beside
-  // the engine that is reading it.
+  // What reading costs beyond its own time, in multiples of it: an engine reads one prompt after
+  // the other, so the calls that come meanwhile wait too. With less, a part is read a second time
+  // beside the engine that is reading it.
   double readingHoldsUp = 1;
   // Each request that the target runs already: a step takes longer, and memory is shared.
   double perRequest = 2.5;
--- a/src/coordination/SendsSum.cpp
+++ b/src/coordination/SendsSum.cpp
@@ -91,16 +91,6 @@
   return found == this->sums.end() ? SentLoad() : found->second;
 }
 
-TokenCount
-StoreStatement::Tokens() const
-{
-  std::uint64_t tokens = 0;
-  for (const SizedPart& part : this->added) {
-    tokens += part.tokens.Value();
-  }
-  return TokenCount(tokens);
-}
-
 TargetSendsNow
 StateSends(const TargetId& aTarget, const SentLoad& aLoad, std::vector<SizedPart> aParts)
 {
--- a/src/coordination/StoreFeed.cpp
+++ b/src/coordination/StoreFeed.cpp
@@ -13,6 +13,16 @@
 
 } // namespace
 
+TokenCount
+StoreStatement::Tokens() const
+{
+  std::uint64_t tokens = 0;
+  for (const SizedPart& part : this->added) {
+    tokens += part.tokens.Value();
+  }
+  return TokenCount(tokens);
+}
+
 void
 StoreFeed::TakeEvents(const StoreEvents& aEvents)
 {
--- a/src/program/ExchangeChoice.cpp
+++ b/src/program/ExchangeChoice.cpp
@@ -241,10 +241,9 @@
   if (this->work.answering || this->question.promptTokens == TokenCount()) {
     return;
   }
-  const std::chrono::duration<double, std::milli> took =
-    this->context.clock.MonotonicNow() - this->sentAt;
   TargetPicker& picker = this->context.picker;
   const Duration sinceSend = this->context.clock.MonotonicNow() - this->sentAt;
+  const std::chrono::duration<double, std::milli> took = sinceSend;
   const double expected = picker.PaceOf(this->question.model).Expected(this->work.toRead);
   if (picker.NotePace(
         aTarget.id, this->question, this->work, !this->fetchedFrom.empty(), sinceSend)) {
