--- a/src/coordination/StorePace.cpp
+++ b/src/coordination/StorePace.cpp
@@ -62,7 +62,7 @@
       best = best ? std::min(*best, mean.excess) : mean.excess;
     }
   }
-  const double worthWaiting = std::max(kSlowBy, kReadingHoldsUp * aReading);
+  const double worthWaiting = std::max(kSlowBy, kReadingCosts * aReading);
   return best && found->second.excess > 2 * *best + worthWaiting;
 }
 
