Sight: why a connection between hosts was given up, what was dropped, how long a version took

Cause: three hypotheses of the incident could not be told apart by logs. Change: peer_lost tells why and how much of an incoming message had come; peer_message_dropped tells what was dropped; configuration_in_force tells the bytes and the time to read and index them. No change of logic.

--- a/src/program/EntryPicture.cpp
+++ b/src/program/EntryPicture.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "damasklink/state/Units.h"
 #include "damasklink/transport/Log.h"
 
 namespace damasklink {
@@ -56,6 +57,7 @@
   if (aPicture.document.empty() || aPicture.documentVersion <= held) {
     return;
   }
+  const MonotonicTime begun = this->clock.MonotonicNow();
   auto config = this->dialect.ReadConfig(aPicture.document);
   if (!config) {
     LogEvent(LogLevel::Error, "configuration_unreadable")
@@ -71,6 +73,8 @@
     .With("version", aPicture.documentVersion)
     .With("before", held)
     .With("routes", this->routes->Config().routes.size())
+    .With("bytes", aPicture.document.size())
+    .With("took_ms", WholeMilliseconds(this->clock.MonotonicNow() - begun))
     .With("from", aFrom);
 }
 
--- a/src/transport/PeerMesh.cpp
+++ b/src/transport/PeerMesh.cpp
@@ -43,7 +43,7 @@
     auto self = this->shared_from_this();
     this->socket.async_connect(aEndpoint, [self](const IoError& aError) {
       if (aError) {
-        self->Close();
+        self->Close(aError.message());
       } else {
         self->Start();
       }
@@ -69,7 +69,14 @@
 
   void Send(std::string aFrame)
   {
-    if (!this->IsUp() || this->queuedBytes + aFrame.size() > kMostQueuedBytes) {
+    if (!this->IsUp()) {
+      return;
+    }
+    if (this->queuedBytes + aFrame.size() > kMostQueuedBytes) {
+      LogEvent(LogLevel::Warning, "peer_message_dropped")
+        .With("peer", this->peer)
+        .With("bytes", aFrame.size())
+        .With("queued", this->queuedBytes);
       return;
     }
     this->queuedBytes += aFrame.size();
@@ -78,12 +85,13 @@
     this->WriteNext();
   }
 
-  void Close()
+  void Close(std::string aWhy)
   {
     if (this->closed) {
       return;
     }
     this->closed = true;
+    this->why = std::move(aWhy);
     IoError ignored;
     this->socket.close(ignored);
     this->aliveTimer.cancel();
@@ -93,6 +101,17 @@
 
   bool WasUp() const { return this->up; }
 
+  // Tells why the connection was closed and what was under way on it.
+  void LogLoss() const
+  {
+    LogEvent(LogLevel::Warning, "peer_lost")
+      .With("peer", this->peer)
+      .With("why", this->why)
+      .With("frame_bytes", this->body.size())
+      .With("frame_read", this->bodyRead)
+      .With("queued", this->queuedBytes);
+  }
+
 private:
   void Heard()
   {
@@ -105,7 +124,7 @@
     auto self = this->shared_from_this();
     this->silenceTimer.async_wait([self](const IoError& aError) {
       if (!aError) {
-        self->Close();
+        self->Close("silence");
       }
     });
   }
@@ -135,7 +154,7 @@
     asio::async_read(
       this->socket, asio::buffer(this->prefix), [self](const IoError& aError, std::size_t) {
         if (aError) {
-          self->Close();
+          self->Close(aError.message());
         } else {
           self->ReadBody();
         }
@@ -147,18 +166,23 @@
     const std::size_t length = DecodeFrameLength(this->prefix);
     if (length > kMostFrameBytes) {
       LogEvent(LogLevel::Warning, "peer_frame_too_large").With("bytes", length);
-      this->Close();
+      this->Close("a frame was too large");
       return;
     }
     this->body.resize(length);
     auto self = this->shared_from_this();
+    const auto missing = [self](const IoError& aError, std::size_t aRead) {
+      self->bodyRead = aRead;
+      return aError ? 0 : self->body.size() - aRead;
+    };
     asio::async_read(
-      this->socket, asio::buffer(this->body), [self](const IoError& aError, std::size_t) {
+      this->socket, asio::buffer(this->body), missing, [self](const IoError& aError, std::size_t) {
         if (aError) {
-          self->Close();
+          self->Close(aError.message());
           return;
         }
         self->Heard();
+        self->bodyRead = 0;
         self->mesh.OnFrame(self, std::exchange(self->body, {}));
         if (!self->closed) {
           self->ReadNext();
@@ -189,7 +213,7 @@
           self->queuedBytes += frame.size();
         }
         if (aError) {
-          self->Close();
+          self->Close(aError.message());
         } else {
           self->WriteNext();
         }
@@ -204,10 +228,14 @@
   HostId peer;
   bool up = false;
   bool closed = false;
+  // Why it was closed.
+  std::string why;
   bool writing = false;
   bool sentSinceAlive = false;
   FramePrefix prefix{};
   std::string body;
+  // How much of the body has come.
+  std::size_t bodyRead = 0;
   std::string outgoing;
   std::deque<std::string> queue;
   std::size_t queuedBytes = 0;
@@ -293,7 +321,7 @@
   const std::shared_ptr<Link> link = std::move(found->second);
   this->dialed.erase(found);
   if (link != nullptr) {
-    link->Close();
+    link->Close("not wanted any more");
   }
 }
 
@@ -349,7 +377,7 @@
   }
   for (const std::shared_ptr<Link>& link : links) {
     if (link != nullptr) {
-      link->Close();
+      link->Close("this host stops");
     }
   }
 }
@@ -384,7 +412,7 @@
     }
   }
   if (aLink->WasUp() && !peer.Empty()) {
-    LogEvent(LogLevel::Warning, "peer_lost").With("peer", peer);
+    aLink->LogLoss();
     this->handler.OnPeerDown(peer, aLink->Side());
   }
 }
@@ -395,7 +423,7 @@
   auto envelope = DecodeEnvelope(aFrame);
   if (!envelope) {
     LogEvent(LogLevel::Warning, "peer_frame_refused").With("error", envelope.error());
-    aLink->Close();
+    aLink->Close("a frame could not be read");
     return;
   }
   Envelope& decoded = envelope.value();
@@ -405,7 +433,7 @@
     const auto earlier = this->accepted.find(decoded.from);
     if (earlier != this->accepted.end()) {
       const std::shared_ptr<Link> old = earlier->second;
-      old->Close();
+      old->Close("the peer connected anew");
     }
     this->accepted[decoded.from] = aLink;
     this->OnLinkUp(aLink);
