--- a/test/program/ServingPathTest.cpp
+++ b/test/program/ServingPathTest.cpp
@@ -8,6 +8,7 @@
 #include "platform/Dialect.h"
 #include "program/ControlHost.h"
 #include "program/EntryHost.h"
+#include "support/Calls.h"
 #include "support/OwnAddress.h"
 #include "support/ScriptedTarget.h"
 #include "support/TempFolder.h"
@@ -17,8 +18,9 @@
 
 using testing::FreeEndpoint;
 using testing::OwnAddress;
-using testing::ReadMessage;
 using testing::ScriptedTarget;
+using testing::Send;
+using testing::SendUntil;
 using testing::TempFolder;
 using testing::Write;
 
@@ -85,34 +87,6 @@
     this->entryThread.join();
   }
 
-  // Sends one call and returns its whole answer, empty when there was none.
-  static std::string Send(const Endpoint& aTo, const std::string& aHead, const std::string& aBody)
-  {
-    asio::io_context context;
-    TcpSocket socket(context);
-    IoError error;
-    socket.connect(IoEndpoint(aTo), error);
-    if (error) {
-      return "";
-    }
-    Write(socket, aHead + "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody);
-    std::string buffer;
-    return ReadMessage(socket, buffer);
-  }
-
-  // Repeats a call until its answer begins as it should: hosts find each other in their own time.
-  static std::string SendUntil(const std::string& aBeginning,
-                               const std::function<std::string()>& aSend)
-  {
-    while (true) {
-      std::string answer = aSend();
-      if (answer.substr(0, aBeginning.size()) == aBeginning) {
-        return answer;
-      }
-      std::this_thread::sleep_for(std::chrono::milliseconds(20));
-    }
-  }
-
   std::string PutConfig(const std::string& aDocument)
   {
     return Send(this->controlAddress, "PUT /-/config HTTP/1.1\r\nHost: c\r\n", aDocument);
