Entry hosts ask one control host for what changed of a configuration

Cause: each of three control hosts sent each version whole to each entry host, over one link of 10 Mbit/s. A connection on which no whole message came for 1.7 s was given up while the message was coming in, and the next one began with the whole picture again: with 4,250 routes no transfer ever ended. Ruled out: the entry host's processor (0 to 3% of a core in use); messages that the sender dropped (none). Change: control hosts announce the version with every picture. An entry host that holds an older one asks one of them for the difference, packed against what it holds, a piece at a time; another one is asked when no piece comes, and goes on where the first one stopped (DocumentFetch, DocumentSource, PackedText on zstd). The same cause elsewhere: weights were told with the whole document and go alone now; a connection is alive while any byte comes; a peer that loses a message loses its connection, so that it is told all anew; a message larger than the queue is sent when nothing else waits, which a change of 8 to 16 MiB needs.

--- /dev/null
+++ b/include/damasklink/coordination/DocumentFetch.h
@@ -0,0 +1,106 @@
+// How an entry host gets the configuration document: the receiving side of DocumentTransfer.h.
+//
+//   DocumentFetch fetch(clock);
+//   fetch.OnAnnounced(controlHost, version);            // With every picture that it tells.
+//   if (auto ask = fetch.Next()) { Send(ask->source, ask->question); }  // After each event, and on
+//   a timer. if (auto document = fetch.OnPiece(controlHost, piece)) { ... }  // Unpack it, then
+//   OnHeld() or OnRefused().
+//
+// One piece is under way at a time, from one control host. When it does not come, another control
+// host is asked for the same piece, and whichever comes first counts: a transfer only goes forward,
+// however slow the link and whoever falls silent.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "damasklink/coordination/DocumentTransfer.h"
+#include "damasklink/state/Clock.h"
+
+namespace damasklink {
+
+struct DocumentAsk
+{
+  HostId source;
+  DocumentQuestion question;
+  // The control host that was asked before and did not answer in time.
+  std::optional<HostId> silent;
+};
+
+// All bytes of a transfer.
+struct FetchedDocument
+{
+  TransferId transfer;
+  std::string packed;
+};
+
+// Not thread-safe.
+class DocumentFetch
+{
+public:
+  explicit DocumentFetch(const Clock& aClock);
+
+  // A connected control host tells which version is in force.
+  void OnAnnounced(const HostId& aSource, Revision aVersion);
+
+  // The control host is not connected any more.
+  void OnLost(const HostId& aSource);
+
+  // Takes a piece. Returns the transfer once all of it is there.
+  std::optional<FetchedDocument> OnPiece(const HostId& aFrom, const DocumentPiece& aPiece);
+
+  // The host holds this version from now on, and the next one may be packed against it.
+  void OnHeld(Revision aVersion);
+
+  // What was fetched could not be unpacked: it is asked for whole. A whole one that could not be
+  // read is not asked for again; the next version is.
+  void OnRefused(const TransferId& aTransfer);
+
+  // Returns what to ask now, and of whom. Nothing while an answer may still come and while no newer
+  // version is known of.
+  std::optional<DocumentAsk> Next();
+
+  // Returns when the newest version that was announced was first heard of.
+  MonotonicTime AnnouncedAt() const { return this->announcedAt; }
+
+private:
+  struct Asked
+  {
+    HostId source;
+    MonotonicTime at;
+  };
+
+  Revision LeastWanted() const;
+  bool AnyoneHasNewer() const;
+  bool IsWanted(const DocumentPiece& aPiece) const;
+  void OnProgress();
+  void OnSilence();
+  void GiveUpTransfer();
+  std::optional<HostId> ChooseAnySource();
+  std::optional<HostId> ChooseSource() const;
+
+  const Clock& clock;
+  Revision held;
+  // No later version is packed against the held one: it was refused once.
+  bool wantsWhole = false;
+  // Could not be read; zero for none.
+  Revision unreadable;
+  // Control hosts by the version that they announced last.
+  std::map<HostId, Revision> sources;
+  // The first one to announce the newest version.
+  HostId first;
+  Revision newest;
+  MonotonicTime announcedAt;
+  // Names nothing while no piece has come.
+  TransferId transfer;
+  std::string received;
+  std::optional<Asked> asked;
+  // Asked for the next piece without an answer so far.
+  std::set<HostId> silent;
+  Duration patience;
+  std::uint64_t pieceBytes;
+};
+
+} // namespace damasklink
--- a/include/damasklink/coordination/ServingPicture.h
+++ b/include/damasklink/coordination/ServingPicture.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "damasklink/coordination/DocumentTransfer.h"
 #include "damasklink/coordination/PromptParts.h"
 #include "damasklink/coordination/Target.h"
 #include "damasklink/state/Ids.h"
@@ -75,10 +76,9 @@
 
 struct Picture
 {
-  // Zero when there is no document yet.
+  // The version of the configuration document that is in force, with every picture, so that an entry
+  // host that missed a version knows of it. Zero when there is none yet.
   Revision documentVersion;
-  // Empty when this picture carries only what has changed, and the document has not.
-  std::string document;
   std::map<ModelName, std::uint64_t> weights;
   std::vector<TargetStatement> targets;
   // Entry hosts that the sender knows of, among which shared budgets are divided; 0 when not told.
@@ -156,6 +156,7 @@
   bool operator==(const EntryHostList&) const = default;
 };
 
-using ServingMessage = std::variant<Greeting, Picture, SendsNews, EntryHostList>;
+using ServingMessage =
+  std::variant<Greeting, Picture, SendsNews, EntryHostList, DocumentQuestion, DocumentPiece>;
 
 } // namespace damasklink
--- a/include/damasklink/transport/PeerMesh.h
+++ b/include/damasklink/transport/PeerMesh.h
@@ -45,8 +45,8 @@
 {
   // "Alive" after this long without another frame.
   Duration alive = std::chrono::milliseconds(500);
-  // A connection without any frame for this long is broken: three signs of life lost, which a
-  // retransmitted packet or two does not cause.
+  // A connection on which not a byte came for this long is broken: three signs of life lost, which
+  // a retransmitted packet or two does not cause.
   Duration silence = std::chrono::milliseconds(1700);
   Duration connect = std::chrono::milliseconds(700);
   // Between two attempts at a host that cannot be reached.
@@ -80,7 +80,8 @@
   bool IsUp(const HostId& aPeer) const;
 
   // Sends on the connection that this side opened, or else on the one that the peer did. Drops the
-  // message when neither is up or more than 8 MiB wait on it.
+  // message when neither is up, and the connection with it when more than 8 MiB would wait there:
+  // the peer is told everything anew on the next one.
   void Send(const HostId& aTo, PeerMessage aMessage) override;
 
   // Closes everything; no handler is called any more.
--- /dev/null
+++ b/src/coordination/DocumentFetch.cpp
@@ -0,0 +1,228 @@
+#include "damasklink/coordination/DocumentFetch.h"
+
+#include <algorithm>
+
+#include "damasklink/state/Units.h"
+
+namespace damasklink {
+namespace {
+
+// A piece takes 13 ms of a link of 10 Mbit/s; calls that come in between wait that long for it.
+constexpr std::uint64_t kStartPieceBytes = 16 * kKibibyte;
+constexpr std::uint64_t kLeastPieceBytes = 4 * kKibibyte;
+constexpr std::uint64_t kMostPieceBytes = 64 * kKibibyte;
+
+// A piece that came sooner may be twice as large next time, one that came later half as large.
+// Round trips between zones take 1 to 5 ms, and calls with a first answer due in 300 ms bear this
+// much.
+constexpr Duration kSoon = std::chrono::milliseconds(25);
+constexpr Duration kLate = std::chrono::milliseconds(80);
+
+// How long a piece is waited for until another control host is asked for it: ten times what it
+// takes on an idle link of 10 Mbit/s with a late answer. Doubled each time in vain, since a link
+// that is this full must not get every piece several times.
+constexpr Duration kStartPatience = std::chrono::milliseconds(500);
+constexpr Duration kMostPatience = std::chrono::seconds(4);
+
+} // namespace
+
+DocumentFetch::DocumentFetch(const Clock& aClock)
+  : clock(aClock)
+  , patience(kStartPatience)
+  , pieceBytes(kStartPieceBytes)
+{
+}
+
+void
+DocumentFetch::OnAnnounced(const HostId& aSource, Revision aVersion)
+{
+  this->sources[aSource] = aVersion;
+  if (aVersion > this->newest) {
+    this->newest = aVersion;
+    this->first = aSource;
+    this->announcedAt = this->clock.MonotonicNow();
+  }
+}
+
+void
+DocumentFetch::OnLost(const HostId& aSource)
+{
+  this->sources.erase(aSource);
+  this->silent.erase(aSource);
+  if (this->asked && this->asked->source == aSource) {
+    this->asked.reset();
+  }
+}
+
+void
+DocumentFetch::OnHeld(Revision aVersion)
+{
+  this->held = std::max(this->held, aVersion);
+  this->wantsWhole = false;
+}
+
+void
+DocumentFetch::OnRefused(const TransferId& aTransfer)
+{
+  if (aTransfer.base == Revision()) {
+    this->unreadable = aTransfer.version;
+  } else {
+    this->wantsWhole = true;
+  }
+}
+
+// Returns the lowest version that is worth asking for.
+Revision
+DocumentFetch::LeastWanted() const
+{
+  const Revision begun = this->transfer.version;
+  return begun != Revision() ? begun : std::max(this->held, this->unreadable).Next();
+}
+
+bool
+DocumentFetch::AnyoneHasNewer() const
+{
+  return std::any_of(this->sources.begin(), this->sources.end(), [this](const auto& aSource) {
+    return aSource.second >= this->LeastWanted();
+  });
+}
+
+// A transfer that is begun goes on. Another one takes its place only at its beginning, from the
+// control host that was asked and does not have the one that is begun.
+bool
+DocumentFetch::IsWanted(const DocumentPiece& aPiece) const
+{
+  const TransferId& offered = aPiece.transfer;
+  const bool fits = offered.base == this->held && !this->wantsWhole;
+  const bool usable = offered.base == Revision() || fits;
+  if (offered.version <= this->held || !usable || aPiece.bytes.empty()) {
+    return false;
+  }
+  return offered == this->transfer ? aPiece.offset == this->received.size() : aPiece.offset == 0;
+}
+
+std::optional<FetchedDocument>
+DocumentFetch::OnPiece(const HostId& aFrom, const DocumentPiece& aPiece)
+{
+  const bool wasAsked = this->asked && this->asked->source == aFrom;
+  const bool begun = this->transfer.version != Revision();
+  const bool another = aPiece.transfer != this->transfer;
+  if (!this->IsWanted(aPiece) || (begun && another && !wasAsked)) {
+    return std::nullopt;
+  }
+  if (another) {
+    this->GiveUpTransfer();
+    this->transfer = aPiece.transfer;
+  }
+  this->received += aPiece.bytes;
+  this->OnProgress();
+  if (this->received.size() < this->transfer.bytes) {
+    return std::nullopt;
+  }
+  FetchedDocument whole{ this->transfer, std::move(this->received) };
+  this->GiveUpTransfer();
+  return whole;
+}
+
+void
+DocumentFetch::GiveUpTransfer()
+{
+  this->transfer = TransferId();
+  this->received.clear();
+}
+
+void
+DocumentFetch::OnProgress()
+{
+  if (this->asked) {
+    const Duration took = this->clock.MonotonicNow() - this->asked->at;
+    if (took < kSoon) {
+      this->pieceBytes = std::min(this->pieceBytes * 2, kMostPieceBytes);
+    } else if (took > kLate) {
+      this->pieceBytes = std::max(this->pieceBytes / 2, kLeastPieceBytes);
+    }
+  }
+  this->asked.reset();
+  this->silent.clear();
+  this->patience = kStartPatience;
+}
+
+void
+DocumentFetch::OnSilence()
+{
+  this->silent.insert(this->asked->source);
+  this->asked.reset();
+  this->patience = std::min(this->patience * 2, kMostPatience);
+  this->pieceBytes = std::max(this->pieceBytes / 2, kLeastPieceBytes);
+}
+
+// Prefers the one that was first to announce the newest version: it answers soonest. Those that did
+// not answer for this piece come last.
+std::optional<HostId>
+DocumentFetch::ChooseSource() const
+{
+  const Revision least = this->LeastWanted();
+  const auto can = [&](const HostId& aHost, Revision aVersion) {
+    return aVersion >= least && !this->silent.contains(aHost);
+  };
+  const auto preferred = this->sources.find(this->first);
+  if (preferred != this->sources.end() && can(preferred->first, preferred->second)) {
+    return preferred->first;
+  }
+  std::optional<HostId> chosen;
+  Revision newestOfThese;
+  for (const auto& [source, version] : this->sources) {
+    if (can(source, version) && version > newestOfThese) {
+      chosen = source;
+      newestOfThese = version;
+    }
+  }
+  return chosen;
+}
+
+// Returns whom to ask; those that did not answer are tried again once nobody else is left.
+std::optional<HostId>
+DocumentFetch::ChooseAnySource()
+{
+  std::optional<HostId> source = this->ChooseSource();
+  if (!source && !this->silent.empty()) {
+    this->silent.clear();
+    source = this->ChooseSource();
+  }
+  return source;
+}
+
+std::optional<DocumentAsk>
+DocumentFetch::Next()
+{
+  if (!this->AnyoneHasNewer()) {
+    // Nobody has what was begun any more; what others have may still be newer than what is held.
+    this->GiveUpTransfer();
+  }
+  if (!this->AnyoneHasNewer()) {
+    this->asked.reset();
+    return std::nullopt;
+  }
+  const MonotonicTime now = this->clock.MonotonicNow();
+  if (this->asked && now - this->asked->at < this->patience) {
+    return std::nullopt;
+  }
+  std::optional<HostId> missing;
+  if (this->asked) {
+    missing = this->asked->source;
+    this->OnSilence();
+  }
+  const std::optional<HostId> source = this->ChooseAnySource();
+  if (!source) {
+    return std::nullopt;
+  }
+  this->asked = Asked{ *source, now };
+  DocumentQuestion question;
+  question.held = this->wantsWhole ? Revision() : this->held;
+  question.transfer = this->transfer;
+  question.offset = this->received.size();
+  question.mostBytes = this->pieceBytes;
+  return DocumentAsk{ *source, question, missing };
+}
+
+} // namespace damasklink
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -268,7 +268,7 @@
   LogEvent(LogLevel::Info, "configuration_applied")
     .With("version", state.Version())
     .With("entry_hosts", this->roster.EntryHosts().size());
-  this->teller.TellDocument();
+  this->teller.TellStanding();
   if (const auto config = this->dialect.ReadConfig(state.Document())) {
     this->stores.Follow(config.value().services);
     std::set<ServiceName> services;
@@ -318,12 +318,18 @@
     this->teller.TakeSends(aPeer, *news);
     return;
   }
+  if (const auto* question = std::get_if<DocumentQuestion>(&message.value())) {
+    this->teller.Answer(aPeer, *question);
+    return;
+  }
   if (const auto* list = std::get_if<EntryHostList>(&message.value())) {
     this->roster.TakeList(aPeer, *list);
     return;
   }
-  for (const TargetStatement& statement : std::get<Picture>(message.value()).targets) {
-    this->picture.HearSecondHand(statement.record);
+  if (const auto* told = std::get_if<Picture>(&message.value())) {
+    for (const TargetStatement& statement : told->targets) {
+      this->picture.HearSecondHand(statement.record);
+    }
   }
 }
 
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -6,6 +6,7 @@
 #include <random>
 #include <vector>
 
+#include "ConfigurationFeed.h"
 #include "Exchange.h"
 #include "MetricsPage.h"
 #include "damasklink/coordination/ControlLinks.h"
@@ -103,6 +104,8 @@
   void TellSends(const HostId& aTo, const SendsNews& aNews);
   void KnowSeeds(const std::vector<HostId>& aSeeds);
   void KeepControlLinks();
+  void TakePicture(const HostId& aPeer, const Picture& aTold);
+  void NoteReady(const HostId& aPeer);
   bool IsReady() const;
   CallerLimits Limits() const;
 
@@ -121,6 +124,7 @@
   StorePace pace;
   ComeBack comeBack;
   PeerMesh mesh;
+  ConfigurationFeed configuration{ this->clock, this->picture, this->mesh, this->metrics };
   EntryContext context;
   MetricsPage metricsPage{ this->loop, this->metrics, this->settings.host };
   ServingSignals signals;
@@ -331,6 +335,7 @@
     this->picker.TellAllAnew();
   }
   this->TellWhatChanged(changed);
+  this->configuration.Step();
   this->picker.ForgetSumsBefore(this->clock.MonotonicNow() - kSumMemory);
   this->sharing.expires_after(kShareStep);
   this->sharing.async_wait([this](const IoError& aError) {
@@ -407,6 +412,7 @@
 EntryHost::Impl::OnPeerDown(const HostId& aPeer, LinkSide /*aSide*/)
 {
   this->picture.OnLink(aPeer, false);
+  this->configuration.OnLost(aPeer);
   // It has forgotten this host; should it come back at once, it is told everything anew.
   this->hub.OnLost(aPeer);
 }
@@ -428,12 +434,22 @@
     this->health.Take(news->findings);
     return;
   }
-  const auto* told = std::get_if<Picture>(&message.value());
-  if (told == nullptr) {
+  if (const auto* piece = std::get_if<DocumentPiece>(&message.value())) {
+    this->configuration.OnPiece(aPeer, *piece);
+    this->NoteReady(aPeer);
     return;
   }
+  if (const auto* told = std::get_if<Picture>(&message.value())) {
+    this->TakePicture(aPeer, *told);
+  }
+}
+
+void
+EntryHost::Impl::TakePicture(const HostId& aPeer, const Picture& aTold)
+{
   const bool wasGood = this->picture.IsGood(aPeer);
-  this->picture.Take(aPeer, *told);
+  this->picture.Take(aPeer, aTold);
+  this->configuration.OnPicture(aPeer, aTold);
   for (const TargetRecord& target : this->picture.Targets().TakeRestarted()) {
     LogEvent(LogLevel::Info, "target_restarted")
       .With("target", target.id)
@@ -452,6 +468,11 @@
     }
     this->KeepControlLinks();
   }
+}
+
+void
+EntryHost::Impl::NoteReady(const HostId& aPeer)
+{
   if (this->IsReady() && !this->wasReady) {
     this->wasReady = true;
     LogEvent(LogLevel::Info, "ready").With("from", aPeer);
--- a/src/program/EntryPicture.cpp
+++ b/src/program/EntryPicture.cpp
@@ -14,7 +14,6 @@
   if (this->connected.contains(aFrom) && this->spoken.insert(aFrom).second) {
     this->targets.OnLink(aFrom, true);
   }
-  this->TakeDocument(aFrom, aPicture);
   for (const auto& [model, version] : aPicture.weights) {
     std::uint64_t& held = this->weights[model];
     if (version > held) {
@@ -50,32 +49,33 @@
   this->controlHosts.insert(aPicture.controlHosts.begin(), aPicture.controlHosts.end());
 }
 
-void
-EntryPicture::TakeDocument(const HostId& aFrom, const Picture& aPicture)
+bool
+EntryPicture::TakeDocument(const HostId& aFrom, Revision aVersion, std::string_view aDocument)
 {
   const Revision held = this->routes == nullptr ? Revision() : this->routes->Config().version;
-  if (aPicture.document.empty() || aPicture.documentVersion <= held) {
-    return;
+  if (aVersion <= held) {
+    return true;
   }
   const MonotonicTime begun = this->clock.MonotonicNow();
-  auto config = this->dialect.ReadConfig(aPicture.document);
+  auto config = this->dialect.ReadConfig(aDocument);
   if (!config) {
     LogEvent(LogLevel::Error, "configuration_unreadable")
-      .With("version", aPicture.documentVersion)
+      .With("version", aVersion)
       .With("from", aFrom)
       .With("error", config.error());
-    return;
+    return false;
   }
   this->routes = std::make_shared<const RouteTable>(
     std::make_shared<const ServingConfig>(std::move(config.value())));
   this->stored.SetStores(this->routes->Config().services);
   LogEvent(LogLevel::Info, "configuration_in_force")
-    .With("version", aPicture.documentVersion)
+    .With("version", aVersion)
     .With("before", held)
     .With("routes", this->routes->Config().routes.size())
-    .With("bytes", aPicture.document.size())
+    .With("bytes", aDocument.size())
     .With("took_ms", WholeMilliseconds(this->clock.MonotonicNow() - begun))
     .With("from", aFrom);
+  return true;
 }
 
 void
--- a/src/program/EntryPicture.h
+++ b/src/program/EntryPicture.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string_view>
 
 #include "damasklink/coordination/RouteTable.h"
 #include "damasklink/coordination/ServingPicture.h"
@@ -25,10 +26,14 @@
   {
   }
 
-  // Takes what a control host told. A document that cannot be read is logged and left out: the
-  // control host checked it, so it is of a newer program.
+  // Takes what a control host told.
   void Take(const HostId& aFrom, const Picture& aPicture);
 
+  // Puts the configuration in force unless a newer one is. Returns whether it could be read; one
+  // that could not is logged and left out: the control host checked it, so it is of a newer
+  // program.
+  bool TakeDocument(const HostId& aFrom, Revision aVersion, std::string_view aDocument);
+
   // Tells whether the control host is connected.
   void OnLink(const HostId& aHost, bool aUp);
 
@@ -67,8 +72,6 @@
   ControlHostZones TakeNewControlHosts();
 
 private:
-  void TakeDocument(const HostId& aFrom, const Picture& aPicture);
-
   const Clock& clock;
   const ControlDialect& dialect;
   std::shared_ptr<const RouteTable> routes;
--- a/src/program/PictureTeller.cpp
+++ b/src/program/PictureTeller.cpp
@@ -55,6 +55,7 @@
 PictureTeller::BarePicture() const
 {
   Picture bare;
+  bare.documentVersion = this->group.State().Version();
   bare.isolated = !this->group.HearsLeader();
   return bare;
 }
@@ -63,18 +64,33 @@
 PictureTeller::BasePicture() const
 {
   Picture base = this->BarePicture();
-  base.documentVersion = this->group.State().Version();
-  base.document = this->group.State().Document();
   base.weights = this->group.State().Weights();
   base.entryHosts = this->roster.CountEntryHosts();
   base.controlHosts = this->roster.AllControlHosts();
   return base;
 }
 
+// The version alone: whoever does not hold the document asks one of those that announce it. Weights
+// go along when they have changed, not with each configuration.
 void
-PictureTeller::TellDocument()
+PictureTeller::TellStanding()
 {
-  this->TellEntryHosts(this->BasePicture());
+  this->document.Publish(this->group.State().Version(), this->group.State().Document());
+  Picture standing = this->BarePicture();
+  if (this->toldWeights != this->group.State().Weights()) {
+    this->toldWeights = this->group.State().Weights();
+    standing.weights = this->toldWeights;
+  }
+  this->TellEntryHosts(standing);
+}
+
+void
+PictureTeller::Answer(const HostId& aEntryHost, const DocumentQuestion& aQuestion)
+{
+  this->document.Publish(this->group.State().Version(), this->group.State().Document());
+  if (const std::optional<DocumentPiece> piece = this->document.Answer(aQuestion)) {
+    this->Tell(aEntryHost, *piece);
+  }
 }
 
 void
--- a/src/program/PictureTeller.h
+++ b/src/program/PictureTeller.h
@@ -1,6 +1,7 @@
 // What one control host tells entry hosts and the other control hosts.
 #pragma once
 
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -8,6 +9,7 @@
 #include "ControlPicture.h"
 #include "ServingGroup.h"
 #include "StoreWatcher.h"
+#include "damasklink/coordination/DocumentSource.h"
 #include "damasklink/coordination/HostRoster.h"
 #include "damasklink/coordination/SendsHub.h"
 #include "damasklink/transport/PeerMesh.h"
@@ -30,8 +32,11 @@
   // Tells what has changed of targets and hosts since the last call.
   void TellChanges();
 
-  // Tells all entry hosts the configuration, weights and hosts.
-  void TellDocument();
+  // Tells all entry hosts which configuration and weights are in force.
+  void TellStanding();
+
+  // Gives an entry host the next piece of the configuration document.
+  void Answer(const HostId& aEntryHost, const DocumentQuestion& aQuestion);
 
   // Tells a change in a store to the entry hosts that listen to this control host for them.
   void TellStore(const StoreStatement& aStatement);
@@ -69,11 +74,13 @@
   HostRoster& roster;
   PeerMesh& mesh;
   SendsHub sends;
+  DocumentSource document;
   // Sums of other control hosts, for the entry hosts that tell this one.
   std::vector<SendsNews> sumsOfOthers;
   // What entry hosts were told last.
   std::uint64_t toldEntryHosts = 0;
   bool toldIsolated = false;
+  std::map<ModelName, std::uint64_t> toldWeights;
 };
 
 } // namespace damasklink
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -13,6 +13,8 @@
   Picture = 2,
   SendsNews = 3,
   EntryHostList = 4,
+  DocumentQuestion = 5,
+  DocumentPiece = 6,
 };
 
 std::vector<std::string>
@@ -141,6 +143,25 @@
   return statement;
 }
 
+wire::DocumentTransferId
+IdOf(const TransferId& aTransfer)
+{
+  return wire::DocumentTransferId(
+    aTransfer.version.Value(), aTransfer.base.Value(), aTransfer.bytes, aTransfer.checksum);
+}
+
+// A missing one names nothing.
+TransferId
+ReadId(const wire::DocumentTransferId* aId)
+{
+  if (aId == nullptr) {
+    return TransferId();
+  }
+  return TransferId{
+    Revision(aId->version()), Revision(aId->base()), aId->bytes(), aId->checksum()
+  };
+}
+
 struct FrameFiller
 {
   wire::ServingFrameT& frame;
@@ -157,7 +178,6 @@
   {
     this->frame.kind = static_cast<std::uint8_t>(FrameKind::Picture);
     this->frame.document_version = aPicture.documentVersion.Value();
-    this->frame.document.assign(aPicture.document.begin(), aPicture.document.end());
     for (const auto& [model, version] : aPicture.weights) {
       auto row = std::make_unique<wire::NamedWeightsRowT>();
       row->model = model.Value();
@@ -212,6 +232,23 @@
     this->frame.entry_host_names = TextsOf(aList.hosts);
   }
 
+  void operator()(const DocumentQuestion& aQuestion)
+  {
+    this->frame.kind = static_cast<std::uint8_t>(FrameKind::DocumentQuestion);
+    this->frame.held = aQuestion.held.Value();
+    this->frame.transfer = std::make_unique<wire::DocumentTransferId>(IdOf(aQuestion.transfer));
+    this->frame.offset = aQuestion.offset;
+    this->frame.most_bytes = aQuestion.mostBytes;
+  }
+
+  void operator()(const DocumentPiece& aPiece)
+  {
+    this->frame.kind = static_cast<std::uint8_t>(FrameKind::DocumentPiece);
+    this->frame.transfer = std::make_unique<wire::DocumentTransferId>(IdOf(aPiece.transfer));
+    this->frame.offset = aPiece.offset;
+    this->frame.piece.assign(aPiece.bytes.begin(), aPiece.bytes.end());
+  }
+
   void FillControlHosts(const ControlHostZones& aHosts)
   {
     for (const auto& [host, zone] : aHosts) {
@@ -250,7 +287,6 @@
 {
   Picture picture;
   picture.documentVersion = Revision(aFrame.document_version);
-  picture.document.assign(aFrame.document.begin(), aFrame.document.end());
   for (const auto& row : aFrame.weights) {
     picture.weights[ModelName(row->model)] = row->version;
   }
@@ -323,6 +359,13 @@
       return ServingMessage(ReadSends(frame));
     case FrameKind::EntryHostList:
       return ServingMessage(EntryHostList{ HostsOf(frame.entry_host_names) });
+    case FrameKind::DocumentQuestion:
+      return ServingMessage(DocumentQuestion{
+        Revision(frame.held), ReadId(frame.transfer.get()), frame.offset, frame.most_bytes });
+    case FrameKind::DocumentPiece:
+      return ServingMessage(DocumentPiece{ ReadId(frame.transfer.get()),
+                                           frame.offset,
+                                           std::string(frame.piece.begin(), frame.piece.end()) });
   }
   return Fail(internal::UnreadableMessage());
 }
--- a/src/transport/PeerMesh.cpp
+++ b/src/transport/PeerMesh.cpp
@@ -72,11 +72,14 @@
     if (!this->IsUp()) {
       return;
     }
-    if (this->queuedBytes + aFrame.size() > kMostQueuedBytes) {
+    if (this->queuedBytes > 0 && this->queuedBytes + aFrame.size() > kMostQueuedBytes) {
+      // The peer would go on without what was in it and never know; on a new connection it is told
+      // everything anew.
       LogEvent(LogLevel::Warning, "peer_message_dropped")
         .With("peer", this->peer)
         .With("bytes", aFrame.size())
         .With("queued", this->queuedBytes);
+      this->CloseLater("the peer does not read");
       return;
     }
     this->queuedBytes += aFrame.size();
@@ -99,6 +102,14 @@
     this->mesh.OnLinkDown(this->shared_from_this());
   }
 
+  // Closes once whoever sends at the moment has done so: they may be going over connections.
+  void CloseLater(std::string aWhy)
+  {
+    auto self = this->shared_from_this();
+    asio::post(this->socket.get_executor(),
+               [self, why = std::move(aWhy)]() mutable { self->Close(std::move(why)); });
+  }
+
   bool WasUp() const { return this->up; }
 
   // Tells why the connection was closed and what was under way on it.
@@ -172,6 +183,11 @@
     this->body.resize(length);
     auto self = this->shared_from_this();
     const auto missing = [self](const IoError& aError, std::size_t aRead) {
+      // A peer whose message is still coming in is alive: a message of a megabyte takes longer than
+      // the time-out on a link of 10 Mbit/s that others use too.
+      if (aRead > self->bodyRead) {
+        self->Heard();
+      }
       self->bodyRead = aRead;
       return aError ? 0 : self->body.size() - aRead;
     };
--- a/test/program/EntryPictureTest.cpp
+++ b/test/program/EntryPictureTest.cpp
@@ -11,13 +11,10 @@
 const HostId kSecond("control-2");
 const ModelName kModel("m");
 
-Picture
-WithDocument(std::uint64_t aVersion)
+std::string
+Document(std::uint64_t aVersion)
 {
-  Picture picture;
-  picture.documentVersion = Revision(aVersion);
-  picture.document = "{\"version\":" + std::to_string(aVersion) + "}";
-  return picture;
+  return "{\"version\":" + std::to_string(aVersion) + "}";
 }
 
 class EntryPictureTest : public ::testing::Test
@@ -29,6 +26,11 @@
     this->picture.OnLink(kSecond, true);
   }
 
+  bool TakeDocument(const HostId& aFrom, std::uint64_t aVersion)
+  {
+    return this->picture.TakeDocument(aFrom, Revision(aVersion), Document(aVersion));
+  }
+
   void Name(std::uint64_t aVersion)
   {
     Picture told;
@@ -44,25 +46,23 @@
 TEST_F(EntryPictureTest, ConfigurationNeverGoesBackWhoeverTellsIt)
 {
   EXPECT_EQ(this->picture.Routes(), nullptr);
-  this->picture.Take(kFirst, WithDocument(7));
-  this->picture.Take(kSecond, WithDocument(5));
+  this->TakeDocument(kFirst, 7);
+  this->TakeDocument(kSecond, 5);
   EXPECT_EQ(this->picture.Routes()->Config().version, Revision(7));
-  this->picture.Take(kSecond, WithDocument(9));
+  this->TakeDocument(kSecond, 9);
   EXPECT_EQ(this->picture.Routes()->Config().version, Revision(9));
 }
 
 TEST_F(EntryPictureTest, UnreadableDocumentLeavesWhatIsInForce)
 {
-  this->picture.Take(kFirst, WithDocument(7));
-  Picture broken = WithDocument(9);
-  broken.document = "{\"version\":";
-  this->picture.Take(kFirst, broken);
+  this->TakeDocument(kFirst, 7);
+  EXPECT_FALSE(this->picture.TakeDocument(kFirst, Revision(9), "{\"version\":"));
   EXPECT_EQ(this->picture.Routes()->Config().version, Revision(7));
 }
 
 TEST_F(EntryPictureTest, PictureWithoutADocumentChangesNoRoutes)
 {
-  this->picture.Take(kFirst, WithDocument(7));
+  this->TakeDocument(kFirst, 7);
   this->picture.Take(kFirst, Picture{});
   ASSERT_NE(this->picture.Routes(), nullptr);
 }
@@ -112,11 +112,10 @@
 
 TEST_F(EntryPictureTest, OnlyTheChosenControlHostTellsOfStoredParts)
 {
-  Picture config;
-  config.documentVersion = Revision(1);
-  config.document = R"({"version":1,"services":[{"name":"store","kv-store":"172.20.0.2:8006",)"
-                    R"("zone":"z","kv-capacity":1000,"link-mbps":1000}]})";
-  this->picture.Take(kFirst, config);
+  const std::string config =
+    R"({"version":1,"services":[{"name":"store","kv-store":"172.20.0.2:8006",)"
+    R"("zone":"z","kv-capacity":1000,"link-mbps":1000}]})";
+  ASSERT_TRUE(this->picture.TakeDocument(kFirst, Revision(1), config));
   this->picture.ListenForStores(kFirst);
   Picture told;
   StoreStatement& store = told.stores.emplace_back();
--- a/test/program/ExchangeFixture.h
+++ b/test/program/ExchangeFixture.h
@@ -95,18 +95,17 @@
   void Start()
   {
     Picture told;
-    told.documentVersion = Revision(1);
-    told.document = Document(*this->config);
     told.targets = this->statements;
     this->picture.OnLink(HostId("control"), true);
     this->picture.Take(HostId("control"), told);
+    this->picture.TakeDocument(HostId("control"), Revision(1), Document(*this->config));
     this->retries.SetHosts(1);
     asio::co_spawn(this->loop, this->Serve(), asio::detached);
     this->thread = std::thread([this] { this->loop.run(); });
     this->caller.connect(this->acceptor.local_endpoint());
   }
 
-  // The routes as a document, since a picture carries nothing else.
+  // The routes as a document, since an entry host takes nothing else.
   std::string Document(const ServingConfig& aConfig) const
   {
     std::string routes;
--- a/test/protocol/ServingCodecTest.cpp
+++ b/test/protocol/ServingCodecTest.cpp
@@ -20,7 +20,6 @@
 {
   Picture picture;
   picture.documentVersion = Revision(12);
-  picture.document = std::string("{\"a\":\0}", 7);
   picture.weights[ModelName("m")] = 3;
   picture.entryHosts = 9;
   picture.isolated = true;
@@ -50,6 +49,29 @@
   EXPECT_EQ(std::get<Picture>(decoded.value()), picture);
 }
 
+TEST(ServingCodecTest, QuestionForADocumentComesBack)
+{
+  DocumentQuestion question;
+  question.held = Revision(16);
+  question.transfer = TransferId{ Revision(23), Revision(16), 61'004, 0xfedcba98U };
+  question.offset = 16'384;
+  question.mostBytes = 32'768;
+  const auto decoded = DecodeServingMessage(EncodeServingMessage(question));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(std::get<DocumentQuestion>(decoded.value()), question);
+}
+
+TEST(ServingCodecTest, PieceOfADocumentComesBack)
+{
+  DocumentPiece piece;
+  piece.transfer = TransferId{ Revision(23), Revision(), 7, 1 };
+  piece.offset = 3;
+  piece.bytes = std::string("a\0\xff", 3);
+  const auto decoded = DecodeServingMessage(EncodeServingMessage(piece));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(std::get<DocumentPiece>(decoded.value()), piece);
+}
+
 TEST(ServingCodecTest, SendsComeBack)
 {
   SendsNews news;
--- a/test/transport/PeerMeshTest.cpp
+++ b/test/transport/PeerMeshTest.cpp
@@ -4,7 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include "damasklink/state/Units.h"
 #include "support/OwnAddress.h"
+#include "support/SlowLink.h"
 
 namespace damasklink {
 namespace {
@@ -54,6 +56,15 @@
     return timing;
   }
 
+  // Gives up sooner than a message of megabytes takes on a link of a megabyte a second, and not
+  // while a busy machine leaves a test alone for some hundred milliseconds.
+  static PeerMeshTiming LessPatient()
+  {
+    PeerMeshTiming timing = Patient();
+    timing.silence = std::chrono::seconds(4);
+    return timing;
+  }
+
   // Runs the loop until the condition holds.
   template<typename Condition>
   void RunUntil(Condition aCondition)
@@ -147,6 +158,55 @@
   this->RunUntil([&] { return bytes >= 3 * one; });
 }
 
+// A message that takes longer to come in than silence is borne, on a connection that is well.
+TEST_F(PeerMeshTest, MessageThatTakesLongerThanSilenceIsBorneArrives)
+{
+  testing::SlowLink link(1'000'000);
+  const std::uint16_t relayed = FreeEndpoint(this->second.Value()).port;
+  link.Relay(Endpoint{ this->second.Value(), relayed },
+             Endpoint{ this->second.Value(), this->port });
+  link.Start();
+  PeerMesh dialer(this->loop, this->first, relayed, this->firstNotes, LessPatient());
+  PeerMesh listener(this->loop, this->second, this->port, this->secondNotes, Patient());
+  ASSERT_TRUE(listener.Listen());
+  dialer.Dial(this->second);
+  this->RunUntil([&] { return listener.IsUp(this->first); });
+  const std::string large(6 * kMebibyte, 'x');
+  listener.Send(this->first, Message(large));
+  this->RunUntil(
+    [&] { return !this->firstNotes.payloads.empty() || !this->firstNotes.downs.empty(); });
+  ASSERT_FALSE(this->firstNotes.payloads.empty());
+  EXPECT_EQ(this->firstNotes.payloads.front(), large);
+}
+
+TEST_F(PeerMeshTest, PeerThatDoesNotReadLosesItsConnectionAndNotAMessageInBetween)
+{
+  TcpAcceptor acceptor(this->loop,
+                       TcpEndpoint(asio::ip::make_address(this->second.Value()), this->port));
+  std::vector<TcpSocket> taken;
+  acceptor.async_accept(
+    [&](const IoError&, TcpSocket aSocket) { taken.push_back(std::move(aSocket)); });
+  PeerMesh dialer(this->loop, this->first, this->port, this->firstNotes, Patient());
+  dialer.Dial(this->second);
+  this->RunUntil([&] { return dialer.IsUp(this->second); });
+  for (int message = 0; message < 20; ++message) {
+    dialer.Send(this->second, Message(std::string(kMebibyte, 'x')));
+  }
+  this->RunUntil([&] { return !this->firstNotes.downs.empty(); });
+}
+
+TEST_F(PeerMeshTest, MessageLargerThanTheQueueIsSentWhenNothingWaits)
+{
+  PeerMesh dialer(this->loop, this->first, this->port, this->firstNotes, Patient());
+  PeerMesh listener(this->loop, this->second, this->port, this->secondNotes, Patient());
+  ASSERT_TRUE(listener.Listen());
+  dialer.Dial(this->second);
+  this->RunUntil([&] { return dialer.IsUp(this->second); });
+  dialer.Send(this->second, Message(std::string(12 * kMebibyte, 'x')));
+  this->RunUntil([&] { return !this->secondNotes.payloads.empty(); });
+  EXPECT_EQ(this->secondNotes.payloads.front().size(), 12 * kMebibyte);
+}
+
 TEST_F(PeerMeshTest, BytesThatAreNoFrameEndTheConnection)
 {
   PeerMesh listener(this->loop, this->second, this->port, this->secondNotes, Patient());
