Failing tests: three more limits on silence that cut what is still coming

Cause under test: a limit that is meant for silence runs over a whole message, here a store's list, a caller's body and an answer to a slow caller; what was cut is begun anew.

--- /dev/null
+++ b/test/program/StoreWatcherTest.cpp
@@ -0,0 +1,74 @@
+#include "program/StoreWatcher.h"
+
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include "platform/Dialect.h"
+#include "support/ScriptedTarget.h"
+
+namespace damasklink {
+namespace {
+
+using testing::ScriptedTarget;
+using testing::Write;
+
+// A list of many parts over a thin link comes in piece by piece, for longer than a silent store is
+// waited for.
+TEST(StoreWatcherTest, StoreWhoseListTakesLongToComeIsNotLost)
+{
+  constexpr int kParts = 40;
+  std::atomic<int> lists{ 0 };
+  ScriptedTarget store([&](const std::string& aRequest, TcpSocket& aSocket) {
+    if (aRequest.find("kv-list") == std::string::npos) {
+      const std::string events = R"({"boot-epoch":1,"next":1,"events":[]})";
+      Write(aSocket,
+            "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(events.size()) + "\r\n\r\n" +
+              events);
+      return true;
+    }
+    ++lists;
+    std::vector<std::string> rows;
+    std::size_t bytes = 0;
+    for (int part = 0; part < kParts; ++part) {
+      rows.push_back(std::string(part == 0 ? "" : ",") + R"(["scope","part-)" +
+                     std::to_string(part) + R"(",64,"m"])");
+      bytes += rows.back().size();
+    }
+    const std::string begin = R"({"boot-epoch":1,"next":1,"held":[)";
+    Write(aSocket,
+          "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(begin.size() + bytes + 2) +
+            "\r\n\r\n" + begin);
+    for (const std::string& row : rows) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(30));
+      Write(aSocket, row);
+    }
+    Write(aSocket, "]}");
+    return true;
+  });
+  asio::io_context loop;
+  SystemClock clock;
+  platform::Dialect dialect;
+  std::size_t known = 0;
+  bool lost = false;
+  StoreWatcher watcher(loop, clock, dialect, [&](const StoreStatement& aStatement) {
+    known += aStatement.added.size();
+    lost = lost || !aStatement.live;
+  });
+  ServingService service;
+  service.name = ServiceName("store");
+  service.store = PromptStoreTraits{};
+  service.store->endpoint = store.Address();
+  watcher.Follow({ service });
+  // Until it is known, or given up and asked for once more.
+  while (known < kParts && lists < 2) {
+    loop.run_one_for(std::chrono::milliseconds(20));
+    loop.restart();
+  }
+  EXPECT_EQ(known, static_cast<std::size_t>(kParts));
+  EXPECT_EQ(lists, 1);
+  EXPECT_FALSE(lost);
+}
+
+} // namespace
+} // namespace damasklink
--- a/test/transport/CallerChannelTest.cpp
+++ b/test/transport/CallerChannelTest.cpp
@@ -1,7 +1,11 @@
 #include "damasklink/transport/CallerChannel.h"
 
+#include <thread>
+
 #include <gtest/gtest.h>
 
+#include "damasklink/state/Units.h"
+
 namespace damasklink {
 namespace {
 
@@ -148,5 +152,58 @@
   EXPECT_EQ(error, asio::error::eof);
 }
 
+// The time a caller may be idle is no time for a whole body: one over a thin link takes longer.
+TEST_F(CallerChannelTest, BodyThatKeepsComingIsReadHoweverLongItTakes)
+{
+  this->limits.idleTimeout = std::chrono::seconds(1);
+  this->Send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 40\r\n\r\n");
+  std::thread sender([this] {
+    for (int piece = 0; piece < 40; ++piece) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      this->Send("x");
+    }
+  });
+  const auto request = this->Read();
+  sender.join();
+  ASSERT_TRUE(request);
+  EXPECT_EQ(request.value().body.size(), 40U);
+}
+
+TEST_F(CallerChannelTest, BodyThatStopsComingIsGivenUp)
+{
+  this->limits.idleTimeout = std::chrono::milliseconds(100);
+  EXPECT_EQ(this->KindOf("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 40\r\n\r\nx"),
+            ErrorKind::DeadlineExceeded);
+}
+
+// A ready answer goes on for as long as its caller takes bytes of it.
+TEST_F(CallerChannelTest, AnswerThatKeepsLeavingIsWrittenHoweverLongItTakes)
+{
+  HttpAnswerMessage answer;
+  answer.head.status = 200;
+  answer.body = std::string(24 * kMebibyte, 'x');
+  const std::size_t expected = answer.body.size();
+  bool written = false;
+  const auto write = [&]() -> Awaitable<void> {
+    written = co_await this->channel->WriteWhole(std::move(answer), true);
+    this->channel->Close();
+  };
+  std::size_t received = 0;
+  std::thread reader([&] {
+    std::vector<char> bytes(kMebibyte);
+    IoError error;
+    while (!error) {
+      received += this->caller.read_some(asio::buffer(bytes), error);
+      // Over ten seconds for all of it.
+      std::this_thread::sleep_for(std::chrono::milliseconds(received < expected / 2 ? 1000 : 0));
+    }
+  });
+  asio::co_spawn(this->loop, write(), asio::detached);
+  this->loop.run();
+  reader.join();
+  EXPECT_TRUE(written);
+  EXPECT_GE(received, expected);
+}
+
 } // namespace
 } // namespace damasklink
