Limits on silence count from the last byte: a store's list, a caller's body, an answer

Cause: as for the connections between hosts, a limit on silence ran over whole messages. A list that came for longer than 0.5 s was given up and asked for anew for ever, and its store counted as lost; a body was refused when all of it took longer than a caller may be idle; an answer was cut after 10 s though its caller read. Change: each piece that comes or leaves starts the limit anew. Pieces of a configuration that cannot be of their transfer are left out.

--- a/include/damasklink/transport/TargetChannel.h
+++ b/include/damasklink/transport/TargetChannel.h
@@ -16,6 +16,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -50,9 +51,10 @@
   // with Interrupted when the answer broke off and with Corrupt when its framing is broken.
   Awaitable<Result<std::optional<std::string_view>>> ReadPiece();
 
-  // Reads the whole rest of the body. Fails as ReadPiece() does, and with Overloaded when it is
-  // longer than aMost.
-  Awaitable<Result<std::string>> ReadRest(std::size_t aMost);
+  // Reads the whole rest of the body, and tells of each piece that comes in. Fails as ReadPiece()
+  // does, and with Overloaded when it is longer than aMost.
+  Awaitable<Result<std::string>> ReadRest(std::size_t aMost,
+                                          std::function<void()> aOnPiece = nullptr);
 
   // Whether the last answer is over and another request may be sent.
   bool IsReusable() const;
--- a/src/coordination/DocumentFetch.cpp
+++ b/src/coordination/DocumentFetch.cpp
@@ -24,6 +24,9 @@
 constexpr Duration kStartPatience = std::chrono::milliseconds(500);
 constexpr Duration kMostPatience = std::chrono::seconds(4);
 
+// No document that control hosts take comes to as much; other bytes are of a damaged peer.
+constexpr std::uint64_t kMostTransferBytes = 64 * kMebibyte;
+
 // Versions whose announcement is remembered, for the time until they are in force; a host that gets
 // none stays bounded.
 constexpr std::size_t kMostAnnounced = 64;
@@ -113,7 +116,9 @@
   const TransferId& offered = aPiece.transfer;
   const bool fits = offered.base == this->held && !this->wantsWhole;
   const bool usable = offered.base == Revision() || fits;
-  if (offered.version <= this->held || !usable || aPiece.bytes.empty()) {
+  const bool bounded =
+    offered.bytes <= kMostTransferBytes && aPiece.offset + aPiece.bytes.size() <= offered.bytes;
+  if (offered.version <= this->held || !usable || !bounded || aPiece.bytes.empty()) {
     return false;
   }
   return offered == this->transfer ? aPiece.offset == this->received.size() : aPiece.offset == 0;
--- a/src/program/StoreWatcher.cpp
+++ b/src/program/StoreWatcher.cpp
@@ -234,7 +234,9 @@
   if (!head) {
     co_return Fail(head.error());
   }
-  auto body = co_await channel->ReadRest(kMostAnswerBytes);
+  // A long list of a store that others load too comes for longer than silence is borne.
+  const auto stillComing = [&watchdog] { watchdog.Arm(kAnswerPatience); };
+  auto body = co_await channel->ReadRest(kMostAnswerBytes, stillComing);
   if (body && head.value().status != 200) {
     co_return Fail(ErrorKind::Unavailable, "the store refused the question", "ask again later");
   }
--- a/src/transport/CallerChannel.cpp
+++ b/src/transport/CallerChannel.cpp
@@ -16,6 +16,9 @@
 // A caller that reads nothing for this long gets nothing more: it holds a target's slot meanwhile.
 constexpr Duration kWritePatience = std::chrono::seconds(10);
 
+// Bytes in one write, after which the caller's patience counts anew; the library's own figure.
+constexpr std::size_t kWriteBytes = std::size_t{ 64 } * 1024;
+
 // The smallest read that takes a usual head at once.
 constexpr std::size_t kReadBytes = 4096;
 
@@ -91,7 +94,16 @@
   {
     this->StartWaiting(kWritePatience);
     const std::array<asio::const_buffer, 2> buffers{ asio::buffer(aFirst), asio::buffer(aSecond) };
-    const auto [error, bytes] = co_await asio::async_write(this->socket, buffers, kAsValue);
+    std::size_t written = 0;
+    // Bytes that leave show that the caller reads; a large answer to a thin link takes its time.
+    const auto more = [this, &written](const IoError& aError, std::size_t aWritten) {
+      if (aWritten > written) {
+        written = aWritten;
+        this->StartWaiting(kWritePatience);
+      }
+      return aError ? 0 : kWriteBytes;
+    };
+    const auto [error, bytes] = co_await asio::async_write(this->socket, buffers, more, kAsValue);
     this->patience.Disarm();
     co_return !error;
   }
@@ -148,10 +160,11 @@
   if (auto framed = CheckFraming(HeadOf(parser)); !framed) {
     co_return Fail(framed.error());
   }
-  if (!parser.is_done()) {
+  while (!parser.is_done()) {
+    // For each piece anew: a caller whose body is still coming in is not idle.
     channel.StartWaiting(idleTimeout);
     const auto [bodyError, bodyBytes] =
-      co_await http::async_read(channel.socket, channel.buffer, parser, kAsValue);
+      co_await http::async_read_some(channel.socket, channel.buffer, parser, kAsValue);
     channel.patience.Disarm();
     if (bodyError) {
       co_return ReadFailure(bodyError, channel.timedOut, true);
--- a/src/transport/TargetChannel.cpp
+++ b/src/transport/TargetChannel.cpp
@@ -169,7 +169,7 @@
 }
 
 Awaitable<Result<std::string>>
-TargetChannel::ReadRest(std::size_t aMost)
+TargetChannel::ReadRest(std::size_t aMost, std::function<void()> aOnPiece)
 {
   std::string whole;
   while (true) {
@@ -181,6 +181,9 @@
       co_return whole;
     }
     whole.append(*piece.value());
+    if (aOnPiece) {
+      aOnPiece();
+    }
     if (whole.size() > aMost) {
       this->impl->broken = true;
       co_return Fail(ErrorKind::Overloaded,
--- a/test/coordination/DocumentFetchTest.cpp
+++ b/test/coordination/DocumentFetchTest.cpp
@@ -222,6 +222,18 @@
   EXPECT_EQ(this->Unpacked(), this->text);
 }
 
+TEST_F(DocumentFetchTest, PieceThatCannotBeOfItsTransferIsLeftOut)
+{
+  this->Announce(kFirst, 7);
+  this->fetch.Next();
+  const TransferId small{ Revision(7), Revision(), 3, 1 };
+  EXPECT_FALSE(this->fetch.OnPiece(kFirst, DocumentPiece{ small, 0, "more than three" }));
+  const TransferId endless{ Revision(7), Revision(), std::uint64_t{ 1 } << 60U, 1 };
+  EXPECT_FALSE(this->fetch.OnPiece(kFirst, DocumentPiece{ endless, 0, "abc" }));
+  EXPECT_FALSE(this->fetch.OnPiece(kFirst, DocumentPiece{ endless, ~std::uint64_t{ 0 }, "abc" }));
+  EXPECT_TRUE(this->fetch.OnPiece(kFirst, DocumentPiece{ small, 0, "abc" }));
+}
+
 TEST_F(DocumentFetchTest, WhatWasPackedAgainstAnotherBaseIsAskedForWhole)
 {
   this->fetch.OnHeld(Revision(6));
