Soak: an entry host is asked for a route that operators still keep

The check asked for the route of the version that was newest when it came to the host, again for 90 s; operators take a route away after 20 versions, within 7 s or so. Change: it asks for a route of that version or a later one that is still kept; a host that stays behind fails as before, and now also one that stays ten versions behind operators that go on.

--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -402,10 +402,17 @@
             if not await self.within(lambda: self.reads_newest(host)):
                 self.find("not_recovered", f"{host.name} does not read back {self.acknowledged}")
         for host in self.entries:
-            newest = [f"v{self.acknowledged}"] if self.acknowledged else []
-            for kind in ["jobs", "status", "streams"] + newest:
+            due = self.acknowledged
+            for kind in ["jobs", "status", "streams"]:
                 if not await self.within(lambda: self.serves(host, kind)):
                     self.find("not_recovered", f"{host.name} does not serve {kind}")
+            if due and not await self.within(lambda: self.serves(host, self.route_since(due))):
+                self.find("not_recovered", f"{host.name} relays by an older version than {due}")
+
+    def route_since(self, due):
+        """Returns a route that only configurations of this version and later ones have. Operators go on
+        meanwhile and take the routes of old versions away, so it is one that they still keep."""
+        return f"v{max(due, self.acknowledged - KEPT_VERSIONS // 2)}"
 
     async def within(self, works):
         end = asyncio.get_running_loop().time() + RECOVERY_LIMIT
