A control group that starts anew as a whole elects without waiting for a lease

Cause: after a loss of power everywhere, or a kill of all control hosts, every voter kept to a leader that was gone for 0.7 s after its start, since it might have promised it a lease; callers were refused meanwhile. Change: voters say whether they are leaderless since they started. Once all of them are, in one term, no lease can stand, and the vote need not wait for one. A voter that is missing, or has heard a leader, keeps the wait. Why it is safe: a leader holds a lease only with an entry of its term on a quorum, so each quorum has a voter whose log is ahead of a candidate that lacks it; one elected after a voter spoke has a later term, which that voter tells; one that stands for election in the term does not call itself leaderless.

--- a/include/damasklink/coordination/AgreementMessage.h
+++ b/include/damasklink/coordination/AgreementMessage.h
@@ -23,6 +23,9 @@
 {
   Term candidateTerm;
   bool granted = false;
+  // Nothing speaks against the vote but that the voter has started lately: in the candidate's term it
+  // has neither led, nor stood for election, nor heard a leader since.
+  bool leaderless = false;
 
   bool operator==(const PreVoteAnswer&) const = default;
 };
@@ -33,6 +36,8 @@
   Term lastTerm;
   // The leader itself asked for this election and has given up its lease.
   bool handover = false;
+  // All voters have said that they are leaderless since they started, so that no lease can stand.
+  bool allLeaderless = false;
 
   bool operator==(const VoteRequest&) const = default;
 };
--- a/include/damasklink/coordination/RaftCore.h
+++ b/include/damasklink/coordination/RaftCore.h
@@ -169,7 +169,11 @@
   void Handle(const AgreementMessage& aMessage, const TimeoutNow& aBody);
   void ResetElectionTimer();
   void StartPreVote();
-  void StartElection(bool aHandover);
+  void StartElection(bool aHandover, bool aAllLeaderless = false);
+  void AskWhileLeaderless();
+  Duration LeaderlessPause();
+  bool IsLeaderless() const;
+  void CountLeaderless(ReplicaId aVoter);
   void CountVote(ReplicaId aVoter);
   void BecomeFollower(Term aTerm, ReplicaId aLeader);
   void BecomeLeader();
@@ -229,8 +233,15 @@
   ReplicaId leader;
   HostId leaderHost;
   std::set<ReplicaId> votes;
+  // Voters that have said in this term that they are leaderless since they started.
+  std::set<ReplicaId> leaderless;
   MonotonicTime electionAt;
   MonotonicTime leaderHeardAt;
+  MonotonicTime startedAt;
+  // When a replica that is leaderless since it started asks the others next.
+  MonotonicTime nextLeaderlessAsk;
+  // Whether it has led or heard a leader since it started.
+  bool hadLeader = false;
 
   std::map<ReplicaId, Progress> progress;
   MonotonicTime heartbeatAt;
--- a/src/coordination/RaftCore.cpp
+++ b/src/coordination/RaftCore.cpp
@@ -19,7 +19,9 @@
   this->unwrittenFrom = this->log.LastIndex().Next();
   this->toInstall = aRecovered.snapshot;
   // It may have promised a leader its loyalty just before the restart.
-  this->leaderHeardAt = this->clock.MonotonicNow();
+  this->startedAt = this->clock.MonotonicNow();
+  this->leaderHeardAt = this->startedAt;
+  this->nextLeaderlessAsk = this->startedAt + this->LeaderlessPause();
   this->ResetElectionTimer();
 }
 
@@ -67,6 +69,55 @@
     this->role == RaftRole::Follower && this->log.NewestMembership().VoterCount() == 1;
   if (this->IsVoter() && (now >= this->electionAt || alone)) {
     this->StartPreVote();
+  } else if (this->IsVoter() && !this->hadLeader) {
+    this->AskWhileLeaderless();
+  }
+}
+
+// A group that starts anew as a whole, after a loss of power, need not wait until the lease of a
+// leader that is gone would have ended: once all voters say that they have neither led nor heard a
+// leader since they started, there is no lease. Voters ask each other at random times, so that two
+// seldom stand for election at once; one that stands and does not win asks again.
+void
+RaftCore::AskWhileLeaderless()
+{
+  const MonotonicTime now = this->clock.MonotonicNow();
+  const bool young = now - this->startedAt < this->options.timing.electionMost;
+  if (!young || now < this->nextLeaderlessAsk) {
+    return;
+  }
+  this->nextLeaderlessAsk = now + this->LeaderlessPause();
+  this->StartPreVote();
+}
+
+Duration
+RaftCore::LeaderlessPause()
+{
+  const auto most = this->options.timing.heartbeat.count();
+  std::uniform_int_distribution<Duration::rep> pause(most / 4, most);
+  return Duration(pause(this->random));
+}
+
+// A candidate may be elected in this very term, so it does not count.
+bool
+RaftCore::IsLeaderless() const
+{
+  const bool stands = this->role == RaftRole::Candidate || this->role == RaftRole::Leader;
+  return !this->hadLeader && !stands;
+}
+
+// All must say so in one term: whoever is elected after a voter said it has a later one, and of a
+// later term that voter tells.
+void
+RaftCore::CountLeaderless(ReplicaId aVoter)
+{
+  const Membership& membership = this->log.NewestMembership();
+  if (!membership.IsVoter(aVoter) || !this->IsLeaderless()) {
+    return;
+  }
+  this->leaderless.insert(aVoter);
+  if (this->leaderless.size() == membership.VoterCount()) {
+    this->StartElection(false, true);
   }
 }
 
@@ -86,24 +137,33 @@
   this->leader = ReplicaId();
   this->ResetElectionTimer();
   this->votes.clear();
+  this->leaderless.clear();
   const PreVoteRequest request{ this->hardState.term.Next(),
                                 this->log.LastIndex(),
                                 this->log.LastTerm() };
   this->SendToOtherVoters(request, false);
-  this->CountVote(this->options.replica);
+  this->CountLeaderless(this->options.replica);
+  if (this->role == RaftRole::PreCandidate) {
+    this->CountVote(this->options.replica);
+  }
 }
 
 void
-RaftCore::StartElection(bool aHandover)
+RaftCore::StartElection(bool aHandover, bool aAllLeaderless)
 {
   this->role = RaftRole::Candidate;
   this->leader = ReplicaId();
   this->ResetElectionTimer();
+  // Votes must be synced before they leave, so it stands a little longer than it waits to ask.
+  this->nextLeaderlessAsk =
+    this->clock.MonotonicNow() + this->options.timing.heartbeat / 2 + this->LeaderlessPause();
   this->hardState.term = this->hardState.term.Next();
   this->hardState.votedFor = this->options.replica;
   this->hardStateChanged = true;
   this->votes.clear();
-  const VoteRequest request{ this->log.LastIndex(), this->log.LastTerm(), aHandover };
+  const VoteRequest request{
+    this->log.LastIndex(), this->log.LastTerm(), aHandover, aAllLeaderless
+  };
   this->SendToOtherVoters(request, true);
   // Its own vote counts like any other: once it is synced, as a message to itself.
   this->SendWhenPersisted(this->options.replica, this->options.host, VoteAnswer{ true });
@@ -149,6 +209,7 @@
 RaftCore::BecomeLeader()
 {
   this->role = RaftRole::Leader;
+  this->hadLeader = true;
   this->leader = this->options.replica;
   this->progress.clear();
   LogEntry entry;
@@ -184,9 +245,14 @@
 void
 RaftCore::Handle(const AgreementMessage& aMessage, const PreVoteRequest& aBody)
 {
-  const bool granted = aBody.candidateTerm > this->hardState.term && !this->HeardLeaderLately() &&
-                       this->IsUpToDate(aBody.lastIndex, aBody.lastTerm);
-  this->SendNow(aMessage.from, aMessage.fromHost, PreVoteAnswer{ aBody.candidateTerm, granted });
+  const bool upToDate = this->IsUpToDate(aBody.lastIndex, aBody.lastTerm);
+  const bool granted =
+    aBody.candidateTerm > this->hardState.term && !this->HeardLeaderLately() && upToDate;
+  const bool leaderless =
+    this->IsLeaderless() && upToDate && aMessage.term == this->hardState.term;
+  this->SendNow(aMessage.from,
+                aMessage.fromHost,
+                PreVoteAnswer{ aBody.candidateTerm, granted, leaderless });
 }
 
 void
@@ -199,7 +265,13 @@
     this->BecomeFollower(aMessage.term, ReplicaId());
     return;
   }
-  if (aBody.granted && aBody.candidateTerm == this->hardState.term.Next()) {
+  if (aBody.candidateTerm != this->hardState.term.Next()) {
+    return;
+  }
+  if (aBody.leaderless && aMessage.term == this->hardState.term) {
+    this->CountLeaderless(aMessage.from);
+  }
+  if (aBody.granted && this->role == RaftRole::PreCandidate) {
     this->CountVote(aMessage.from);
   }
 }
@@ -207,7 +279,8 @@
 void
 RaftCore::Handle(const AgreementMessage& aMessage, const VoteRequest& aBody)
 {
-  if (!aBody.handover && this->HeardLeaderLately()) {
+  const bool noLease = aBody.handover || (aBody.allLeaderless && !this->hadLeader);
+  if (!noLease && this->HeardLeaderLately()) {
     // The leader may hold its lease: its term must not be disturbed.
     return;
   }
--- a/src/coordination/RaftFollower.cpp
+++ b/src/coordination/RaftFollower.cpp
@@ -12,6 +12,7 @@
 {
   this->BecomeFollower(aMessage.term, aMessage.from);
   this->leaderHost = aMessage.fromHost;
+  this->hadLeader = true;
   this->leaderHeardAt = this->clock.MonotonicNow();
   this->ResetElectionTimer();
 }
--- a/src/protocol/AgreementCodec.cpp
+++ b/src/protocol/AgreementCodec.cpp
@@ -54,14 +54,18 @@
 auto
 Pack(FlatBufferBuilder& aBuilder, const PreVoteAnswer& aBody)
 {
-  return wire::CreatePreVoteAnswer(aBuilder, aBody.candidateTerm.Value(), aBody.granted);
+  return wire::CreatePreVoteAnswer(
+    aBuilder, aBody.candidateTerm.Value(), aBody.granted, aBody.leaderless);
 }
 
 auto
 Pack(FlatBufferBuilder& aBuilder, const VoteRequest& aBody)
 {
-  return wire::CreateVoteRequest(
-    aBuilder, aBody.lastIndex.Value(), aBody.lastTerm.Value(), aBody.handover);
+  return wire::CreateVoteRequest(aBuilder,
+                                 aBody.lastIndex.Value(),
+                                 aBody.lastTerm.Value(),
+                                 aBody.handover,
+                                 aBody.allLeaderless);
 }
 
 auto
@@ -172,13 +176,16 @@
 AgreementBody
 Unpack(const wire::PreVoteAnswer& aBody)
 {
-  return PreVoteAnswer{ Term(aBody.candidate_term()), aBody.granted() };
+  return PreVoteAnswer{ Term(aBody.candidate_term()), aBody.granted(), aBody.leaderless() };
 }
 
 AgreementBody
 Unpack(const wire::VoteRequest& aBody)
 {
-  return VoteRequest{ LogIndex(aBody.last_index()), Term(aBody.last_term()), aBody.handover() };
+  return VoteRequest{ LogIndex(aBody.last_index()),
+                      Term(aBody.last_term()),
+                      aBody.handover(),
+                      aBody.all_leaderless() };
 }
 
 AgreementBody
--- a/test/coordination/GroupReplicaTest.cpp
+++ b/test/coordination/GroupReplicaTest.cpp
@@ -329,6 +329,37 @@
   EXPECT_FALSE(this->cluster.Core(old).LeaseHeld());
 }
 
+// After a loss of power everywhere no lease stands any more; callers wait for the election.
+TEST_F(GroupReplicaTest, GroupThatStartsAnewAsAWholeWaitsForNoLease)
+{
+  for (std::size_t node = 0; node < this->cluster.Size(); ++node) {
+    this->cluster.Kill(node, true);
+  }
+  for (std::size_t node = 0; node < this->cluster.Size(); ++node) {
+    this->cluster.Start(node);
+  }
+  this->cluster.Run(RaftTiming().electionLeast * 3 / 4);
+  EXPECT_TRUE(this->cluster.Leader().has_value());
+  this->cluster.HealAndCheck();
+}
+
+// The voter that is missing may hold a lease.
+TEST_F(GroupReplicaTest, GroupThatMissesAVoterWaitsForItsLease)
+{
+  const std::size_t old = this->Leader();
+  for (std::size_t node = 0; node < this->cluster.Size(); ++node) {
+    this->cluster.Kill(node, true);
+  }
+  for (std::size_t node = 0; node < this->cluster.Size(); ++node) {
+    if (node != old) {
+      this->cluster.Start(node);
+    }
+  }
+  this->cluster.Run(RaftTiming().electionLeast - std::chrono::milliseconds(50));
+  EXPECT_FALSE(this->cluster.Leader().has_value());
+  this->cluster.HealAndCheck();
+}
+
 TEST_F(GroupReplicaTest, ReturningHostNeitherDisturbsTheLeaderNorRevertsAnything)
 {
   const Term term = this->cluster.Core(this->Leader()).CurrentTerm();
--- a/test/coordination/RaftCoreTest.cpp
+++ b/test/coordination/RaftCoreTest.cpp
@@ -146,6 +146,30 @@
   EXPECT_EQ(core.CurrentTerm(), Term(2));
 }
 
+// Other voters have said that there is no lease, but this one has heard of it since.
+TEST(RaftCoreTest, VoterThatHasHeardALeaderKeepsToItThoughOthersHadNone)
+{
+  JumpingClock clock;
+  RaftCore core(clock, MakeRaftOptions(), MakeFoundedLog(true));
+  const VoteRequest request{ LogIndex(1), Term(1), false, true };
+  core.Receive(MessageFrom(kPeer, Term(1), AppendRequest{ LogIndex(1), Term(1), LogIndex(), 0, {} }));
+  core.Receive(MessageFrom(kThird, Term(2), request));
+  EXPECT_EQ(core.CurrentTerm(), Term(1));
+}
+
+TEST(RaftCoreTest, VoterIsLeaderlessInItsOwnTermOnly)
+{
+  JumpingClock clock;
+  RaftCore core(clock, MakeRaftOptions(), MakeFoundedLog(true));
+  const PreVoteRequest request{ Term(2), LogIndex(1), Term(1) };
+  core.Receive(MessageFrom(kPeer, Term(1), request));
+  core.Receive(MessageFrom(kPeer, Term(0), request));
+  const RaftActions actions = core.TakeActions();
+  ASSERT_EQ(actions.messages.size(), 2U);
+  EXPECT_TRUE(std::get<PreVoteAnswer>(actions.messages[0].body).leaderless);
+  EXPECT_FALSE(std::get<PreVoteAnswer>(actions.messages[1].body).leaderless);
+}
+
 TEST(RaftCoreTest, VotesOnceInATerm)
 {
   JumpingClock clock;
--- a/test/protocol/AgreementCodecTest.cpp
+++ b/test/protocol/AgreementCodecTest.cpp
@@ -24,8 +24,8 @@
   const ProposalId id{ 1, Sequence(2), Sequence(3) };
   return {
     PreVoteRequest{ Term(1), LogIndex(2), Term(3) },
-    PreVoteAnswer{ Term(1), true },
-    VoteRequest{ LogIndex(1), Term(2), true },
+    PreVoteAnswer{ Term(1), true, true },
+    VoteRequest{ LogIndex(1), Term(2), true, true },
     VoteAnswer{ true },
     AppendRequest{ LogIndex(1), Term(2), LogIndex(3), 4, { MakeEntry(2), MakeEntry(3) } },
     AppendAnswer{ true, LogIndex(1), LogIndex(2), 3 },
