Hosts that start together meet at once: first attempts at a peer are short, members are known from the log

The leader came 0.66 s after the last control host had started, entry hosts had their picture 1.0 to 1.2 s after their own start. Change: five attempts of 150 ms with 50 ms between before the long ones (DialPace); a control host dials the members of its log's newest membership.

--- /dev/null
+++ b/include/damasklink/transport/DialPace.h
@@ -0,0 +1,58 @@
+// How long a host waits for a connection to a peer, and when it tries again.
+//
+//   DialPace pace(timing);
+//   pace.Patience();    // Give the attempt up after so long,
+//   pace.Pause();       // and begin the next one so long after it.
+//   pace.OnFailed();
+//   pace.OnUp();
+//
+// The first packet to a host without power is lost, and the kernel sends it again only after a second.
+// Hosts that start together start within some tenths of a second of each other, so the first attempts
+// are short and close together; a host that stays away is asked less often, and given the time that a
+// full link takes. Not thread-safe.
+#pragma once
+
+#include "damasklink/state/Clock.h"
+
+namespace damasklink {
+
+struct DialTiming
+{
+  // Of the first attempts: several times the way there and back between zones.
+  Duration firstPatience = std::chrono::milliseconds(150);
+  Duration firstPause = std::chrono::milliseconds(50);
+  int firstAttempts = 5;
+  // Of all later ones.
+  Duration patience = std::chrono::milliseconds(700);
+  Duration pause = std::chrono::milliseconds(300);
+};
+
+class DialPace
+{
+public:
+  explicit DialPace(DialTiming aTiming)
+    : timing(aTiming)
+  {
+  }
+
+  Duration Patience() const
+  {
+    return this->IsEarly() ? this->timing.firstPatience : this->timing.patience;
+  }
+
+  Duration Pause() const { return this->IsEarly() ? this->timing.firstPause : this->timing.pause; }
+
+  void OnFailed() { ++this->failed; }
+
+  // The next attempt is a first one again: the peer may only have started anew.
+  void OnUp() { this->failed = 0; }
+
+private:
+  bool IsEarly() const { return this->failed < this->timing.firstAttempts; }
+
+  DialTiming timing;
+  // Attempts since the last connection.
+  int failed = 0;
+};
+
+} // namespace damasklink
--- a/include/damasklink/transport/PeerMesh.h
+++ b/include/damasklink/transport/PeerMesh.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <vector>
 
+#include "damasklink/transport/DialPace.h"
 #include "damasklink/transport/EventLoop.h"
 #include "damasklink/transport/PeerNetwork.h"
 
@@ -48,9 +49,7 @@
   // A connection on which not a byte came for this long is broken: three signs of life lost, which
   // a retransmitted packet or two does not cause.
   Duration silence = std::chrono::milliseconds(1700);
-  Duration connect = std::chrono::milliseconds(700);
-  // Between two attempts at a host that cannot be reached.
-  Duration redial = std::chrono::milliseconds(300);
+  DialTiming dial;
 };
 
 class PeerMesh final : public PeerSender
@@ -104,6 +103,7 @@
   std::unique_ptr<TcpAcceptor> acceptor;
   // By peer; null while the connection is not being opened or up.
   std::map<HostId, std::shared_ptr<Link>> dialed;
+  std::map<HostId, DialPace> paces;
   std::map<HostId, std::shared_ptr<Link>> accepted;
   // Accepted and not yet named.
   std::vector<std::weak_ptr<Link>> unnamed;
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -107,7 +107,7 @@
   void PushDocument();
   void FollowServices();
   void TakeGreeting(const HostId& aPeer, const Greeting& aGreeting);
-  void KnowSeeds(const std::vector<HostId>& aSeeds);
+  void KnowControlHosts(const std::vector<HostId>& aHosts);
   void KnowControlHost(const HostId& aHost, const ZoneId& aZone);
 
   ServingSettings settings;
@@ -203,8 +203,10 @@
     .With("zone", this->settings.zone)
     .With("first_start", this->settings.firstStart)
     .With("control", FormatEndpoint(this->settings.control));
-  this->KnowSeeds(this->settings.seeds);
-  this->signals.Wait([this](const ServingSettings& aFresh) { this->KnowSeeds(aFresh.seeds); },
+  this->KnowControlHosts(this->settings.seeds);
+  // After a start of all, the seeds alone would wait until the other members reach them.
+  this->KnowControlHosts(this->group.Members());
+  this->signals.Wait([this](const ServingSettings& aFresh) { this->KnowControlHosts(aFresh.seeds); },
                      [this] { this->Stop(); });
   this->Tick();
   this->loop.run();
@@ -366,9 +368,9 @@
 }
 
 void
-ControlHost::Impl::KnowSeeds(const std::vector<HostId>& aSeeds)
+ControlHost::Impl::KnowControlHosts(const std::vector<HostId>& aHosts)
 {
-  for (const HostId& host : aSeeds) {
+  for (const HostId& host : aHosts) {
     this->KnowControlHost(host, ZoneId());
   }
 }
--- a/src/program/ServingGroup.cpp
+++ b/src/program/ServingGroup.cpp
@@ -156,6 +156,18 @@
   return replica != nullptr && replica->Core().HasFreshLeader();
 }
 
+std::vector<HostId>
+ServingGroup::Members() const
+{
+  std::vector<HostId> hosts;
+  if (const GroupReplica* replica = this->agreement.ReplicaOf(ControlGroupId())) {
+    for (const Member& member : replica->Core().Log().NewestMembership().members) {
+      hosts.push_back(member.host);
+    }
+  }
+  return hosts;
+}
+
 OrderAuthority
 ServingGroup::Authority() const
 {
--- a/src/program/ServingGroup.h
+++ b/src/program/ServingGroup.h
@@ -51,6 +51,9 @@
   // Whether this host may order now, and as which holder.
   OrderAuthority Authority() const;
 
+  // The hosts of the group's newest membership, as the log on this host has it.
+  std::vector<HostId> Members() const;
+
   // Why the replica has stopped, nothing while it works.
   std::optional<Error> Failure() const { return this->agreement.FailureOf(ControlGroupId()); }
 
--- a/src/transport/PeerMesh.cpp
+++ b/src/transport/PeerMesh.cpp
@@ -36,9 +36,9 @@
   bool IsUp() const { return this->up && !this->closed; }
   bool IsClosed() const { return this->closed; }
 
-  void Connect(const TcpEndpoint& aEndpoint)
+  void Connect(const TcpEndpoint& aEndpoint, Duration aPatience)
   {
-    this->silenceTimer.expires_after(this->mesh.timing.connect);
+    this->silenceTimer.expires_after(aPatience);
     this->WatchSilence();
     auto self = this->shared_from_this();
     this->socket.async_connect(aEndpoint, [self](const IoError& aError) {
@@ -311,6 +311,7 @@
     return;
   }
   this->dialed[aPeer] = nullptr;
+  this->paces.insert_or_assign(aPeer, DialPace(this->timing.dial));
   this->Open(aPeer);
 }
 
@@ -324,7 +325,8 @@
   auto link = std::make_shared<Link>(*this, TcpSocket(this->context), LinkSide::Dialed);
   link->Name(aPeer);
   found->second = link;
-  link->Connect(IoEndpoint(Endpoint{ aPeer.Value(), this->port }));
+  link->Connect(IoEndpoint(Endpoint{ aPeer.Value(), this->port }),
+                this->paces.at(aPeer).Patience());
 }
 
 void
@@ -336,6 +338,7 @@
   }
   const std::shared_ptr<Link> link = std::move(found->second);
   this->dialed.erase(found);
+  this->paces.erase(aPeer);
   if (link != nullptr) {
     link->Close("not wanted any more");
   }
@@ -419,7 +422,13 @@
       links.erase(found);
     } else {
       found->second = nullptr;
-      auto timer = std::make_shared<asio::steady_timer>(this->context, this->timing.redial);
+      DialPace& pace = this->paces.at(peer);
+      if (aLink->WasUp()) {
+        pace.OnUp();
+      } else {
+        pace.OnFailed();
+      }
+      auto timer = std::make_shared<asio::steady_timer>(this->context, pace.Pause());
       timer->async_wait([this, peer, timer](const IoError& aError) {
         if (!aError) {
           this->Open(peer);
--- a/test/transport/PeerMeshTest.cpp
+++ b/test/transport/PeerMeshTest.cpp
@@ -45,7 +45,8 @@
     PeerMeshTiming timing;
     timing.alive = std::chrono::milliseconds(20);
     timing.silence = std::chrono::minutes(10);
-    timing.redial = std::chrono::milliseconds(10);
+    timing.dial.firstPause = std::chrono::milliseconds(10);
+    timing.dial.pause = std::chrono::milliseconds(10);
     return timing;
   }
 
