An entry host hears one total of all loads from its hub, not a message from each hub

Cause: at 195 entry hosts and five hubs an entry host heard each hub's sums by themselves, 20 times a second each, and every long prompt of any host again at once; a hub that took an urgent sum flushed its own as urgent too, which the others answered in kind. Two thirds of an entry host's processor time came with the number of hosts. Change: a hub adds up the sums of the other hubs and tells its entry hosts the totals, each target once a step; urgent words go on at most every 10 ms and are not answered with urgent ones; who chooses a hub is told all totals and drops those of the former hub; sums are read where they lie in the message. Ruled out: names of targets as what costs most; not tried after this. Test of the load: 195 and 1,000 entry hosts in five zones before 98 targets, totals whole, each target once.

--- a/include/damasklink/coordination/AgreementMessage.h
+++ b/include/damasklink/coordination/AgreementMessage.h
@@ -23,8 +23,8 @@
 {
   Term candidateTerm;
   bool granted = false;
-  // Nothing speaks against the vote but that the voter has started lately: in the candidate's term it
-  // has neither led, nor stood for election, nor heard a leader since.
+  // Nothing speaks against the vote but that the voter has started lately: in the candidate's term
+  // it has neither led, nor stood for election, nor heard a leader since.
   bool leaderless = false;
 
   bool operator==(const PreVoteAnswer&) const = default;
--- a/include/damasklink/coordination/SendsHub.h
+++ b/include/damasklink/coordination/SendsHub.h
@@ -1,13 +1,16 @@
-// What the entry hosts that tell one control host have at targets, and how long their fetches from
-// stores took, and which targets they found gone, added up for everybody else.
+// What entry hosts have at targets, how long their fetches from stores took, and which targets they
+// found gone, added up by a control host: for the others what its own entry hosts tell, and for its
+// entry hosts what all of them do.
 //
 //   SendsHub hub;
 //   hub.Take(news, clock.MonotonicNow());        // From an entry host.
-//   SendsNews sum = hub.TakeChanges(ownHost);    // For its entry hosts, and other control hosts.
+//   hub.TakeSum(sum, clock.MonotonicNow());      // From another control host.
+//   SendsNews sum = hub.TakeChanges(ownHost);    // For the other control hosts.
+//   SendsNews total = hub.TakeTotals(ownHost);   // For its entry hosts, after TakeChanges().
 //
-// With sums, what a host hears grows with the number of targets and of control hosts, not with the
-// number of entry hosts: with 72 of them, passing each one's words on to each other one would be
-// 50,000 messages a second. Not thread-safe.
+// With one total, what an entry host hears grows with the number of targets alone: neither with
+// the number of entry hosts, each of which changes most sums within a second, nor with that of
+// control hosts. Not thread-safe.
 #pragma once
 
 #include <map>
@@ -24,22 +27,51 @@
   // Takes what an entry host has at targets; from now on it is one of those that tell this host.
   void Take(const SendsNews& aNews, MonotonicTime aNow);
 
+  // Takes the sums of another control host.
+  void TakeSum(const SendsNews& aNews, MonotonicTime aNow);
+
   // An entry host is not connected any more, or tells another control host.
   void Forget(const HostId& aHost);
 
+  // Forgets the sums of control hosts that have told nothing since a time.
+  void ForgetSumsBefore(MonotonicTime aTime);
+
   const std::set<HostId>& Tellers() const { return this->tellers; }
 
-  // Returns the sums that have changed since the last call, with the parts that were sent since,
-  // in the name of aSelf.
+  // Returns the sums of its entry hosts that have changed since the last call, with the parts that
+  // were sent since, in the name of aSelf.
   SendsNews TakeChanges(const HostId& aSelf);
 
+  // Returns the totals of all entry hosts that have changed since the last call, with the parts
+  // that were sent since, in the name of aSelf.
+  SendsNews TakeTotals(const HostId& aSelf);
+
+  // Returns all totals, for an entry host that tells this host from now on.
+  SendsNews AllTotals(const HostId& aSelf) const;
+
 private:
+  // What was taken and not told on yet.
+  struct Untold
+  {
+    void Add(const SendsNews& aNews);
+    // Moves what was found of stores and targets into the news.
+    void MoveFindings(SendsNews& aTo);
+
+    // Targets whose figures have changed, with the parts sent there since.
+    std::map<TargetId, std::vector<SizedPart>> sends;
+    std::map<std::string, StoreExcess> excesses;
+    std::map<TargetId, TargetFindings> findings;
+  };
+
+  SentLoad TotalOf(const TargetId& aTarget) const;
+  void MarkTotals(const std::vector<TargetId>& aTargets);
+
   SendsSum sum;
+  // By control host.
+  SendsSum sumsOfOthers;
   std::set<HostId> tellers;
-  // Targets whose sums have changed since TakeChanges(), with the parts sent there since.
-  std::map<TargetId, std::vector<SizedPart>> untold;
-  std::map<std::string, StoreExcess> excesses;
-  std::map<TargetId, TargetFindings> findings;
+  Untold changes;
+  Untold totals;
 };
 
 } // namespace damasklink
--- a/include/damasklink/coordination/SendsSum.h
+++ b/include/damasklink/coordination/SendsSum.h
@@ -6,10 +6,11 @@
 //   sum.ForgetBefore(clock.MonotonicNow() - memory);
 //
 // A host tells absolute figures, so a lost message does no lasting harm. A control host adds up the
-// entry hosts that tell it, an entry host the control hosts that do. Not thread-safe.
+// entry hosts that tell it, and the sums of other control hosts. Not thread-safe.
 #pragma once
 
 #include <map>
+#include <set>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -38,6 +39,9 @@
 class SendsSum
 {
 public:
+  // A control host that tells no sums for this long may be gone; its entry hosts tell another one.
+  static constexpr Duration kMemory = std::chrono::seconds(2);
+
   // Takes what a host has at targets. Its words count until it tells otherwise or is forgotten.
   void Take(const SendsNews& aNews, MonotonicTime aNow);
 
@@ -45,7 +49,11 @@
   std::vector<TargetId> Forget(const HostId& aHost);
 
   // Forgets hosts that have told nothing since a time: they may be gone, and their requests too.
-  void ForgetBefore(MonotonicTime aTime);
+  // Returns the targets at which they had something.
+  std::vector<TargetId> ForgetBefore(MonotonicTime aTime);
+
+  // Adds the targets at which any host has something.
+  void AddTargets(std::set<TargetId>& aTo) const;
 
   SentLoad Of(const TargetId& aTarget) const;
 
--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -167,8 +167,8 @@
   // The next TakeSends() returns all that this host has: it is for another control host.
   void TellAllAnew();
 
-  // Takes the sum that a control host made of what entry hosts have, this one among them. It
-  // counts until the control host tells otherwise or is forgotten.
+  // Takes the totals that a control host made of what entry hosts have, this one among them. They
+  // count until the control host tells otherwise or is forgotten.
   void TakeSum(const SendsNews& aNews, MonotonicTime aNow);
 
   // Forgets control hosts that have told nothing since a time.
--- a/include/damasklink/transport/DialPace.h
+++ b/include/damasklink/transport/DialPace.h
@@ -6,10 +6,10 @@
 //   pace.OnFailed();
 //   pace.OnUp();
 //
-// The first packet to a host without power is lost, and the kernel sends it again only after a second.
-// Hosts that start together start within some tenths of a second of each other, so the first attempts
-// are short and close together; a host that stays away is asked less often, and given the time that a
-// full link takes. Not thread-safe.
+// The first packet to a host without power is lost, and the kernel sends it again only after a
+// second. Hosts that start together start within some tenths of a second of each other, so the
+// first attempts are short and close together; a host that stays away is asked less often, and
+// given the time that a full link takes. Not thread-safe.
 #pragma once
 
 #include "damasklink/state/Clock.h"
--- a/src/coordination/RaftCore.cpp
+++ b/src/coordination/RaftCore.cpp
@@ -248,11 +248,9 @@
   const bool upToDate = this->IsUpToDate(aBody.lastIndex, aBody.lastTerm);
   const bool granted =
     aBody.candidateTerm > this->hardState.term && !this->HeardLeaderLately() && upToDate;
-  const bool leaderless =
-    this->IsLeaderless() && upToDate && aMessage.term == this->hardState.term;
-  this->SendNow(aMessage.from,
-                aMessage.fromHost,
-                PreVoteAnswer{ aBody.candidateTerm, granted, leaderless });
+  const bool leaderless = this->IsLeaderless() && upToDate && aMessage.term == this->hardState.term;
+  this->SendNow(
+    aMessage.from, aMessage.fromHost, PreVoteAnswer{ aBody.candidateTerm, granted, leaderless });
 }
 
 void
--- a/src/coordination/SendsHub.cpp
+++ b/src/coordination/SendsHub.cpp
@@ -5,17 +5,11 @@
 namespace damasklink {
 
 void
-SendsHub::Take(const SendsNews& aNews, MonotonicTime aNow)
+SendsHub::Untold::Add(const SendsNews& aNews)
 {
-  if (aNews.last) {
-    this->Forget(aNews.host);
-    return;
-  }
-  this->tellers.insert(aNews.host);
-  this->sum.Take(aNews, aNow);
-  for (const TargetSendsNow& sends : aNews.sends) {
-    std::vector<SizedPart>& parts = this->untold[sends.target];
-    parts.insert(parts.end(), sends.parts.begin(), sends.parts.end());
+  for (const TargetSendsNow& told : aNews.sends) {
+    std::vector<SizedPart>& parts = this->sends[told.target];
+    parts.insert(parts.end(), told.parts.begin(), told.parts.end());
   }
   for (const StoreExcess& told : aNews.excesses) {
     StoreExcess& excess = this->excesses[told.store];
@@ -31,15 +25,70 @@
   }
 }
 
+void
+SendsHub::Untold::MoveFindings(SendsNews& aTo)
+{
+  for (auto& [store, excess] : std::exchange(this->excesses, {})) {
+    aTo.excesses.push_back(std::move(excess));
+  }
+  for (const auto& [target, found] : std::exchange(this->findings, {})) {
+    aTo.findings.push_back(found);
+  }
+}
+
+void
+SendsHub::Take(const SendsNews& aNews, MonotonicTime aNow)
+{
+  if (aNews.last) {
+    this->Forget(aNews.host);
+    return;
+  }
+  this->tellers.insert(aNews.host);
+  this->sum.Take(aNews, aNow);
+  this->changes.Add(aNews);
+  this->totals.Add(aNews);
+}
+
+void
+SendsHub::TakeSum(const SendsNews& aNews, MonotonicTime aNow)
+{
+  this->sumsOfOthers.Take(aNews, aNow);
+  this->totals.Add(aNews);
+}
+
 void
 SendsHub::Forget(const HostId& aHost)
 {
   if (this->tellers.erase(aHost) == 0) {
     return;
   }
-  for (const TargetId& target : this->sum.Forget(aHost)) {
-    this->untold.try_emplace(target);
+  const std::vector<TargetId> targets = this->sum.Forget(aHost);
+  for (const TargetId& target : targets) {
+    this->changes.sends.try_emplace(target);
   }
+  this->MarkTotals(targets);
+}
+
+void
+SendsHub::ForgetSumsBefore(MonotonicTime aTime)
+{
+  this->MarkTotals(this->sumsOfOthers.ForgetBefore(aTime));
+}
+
+void
+SendsHub::MarkTotals(const std::vector<TargetId>& aTargets)
+{
+  for (const TargetId& target : aTargets) {
+    this->totals.sends.try_emplace(target);
+  }
+}
+
+SentLoad
+SendsHub::TotalOf(const TargetId& aTarget) const
+{
+  SentLoad total = this->sum.Of(aTarget);
+  total += this->sumsOfOthers.Of(aTarget);
+  return total;
 }
 
 SendsNews
@@ -47,14 +96,35 @@
 {
   SendsNews news;
   news.host = aSelf;
-  for (auto& [target, parts] : std::exchange(this->untold, {})) {
+  for (auto& [target, parts] : std::exchange(this->changes.sends, {})) {
     news.sends.push_back(StateSends(target, this->sum.Of(target), std::move(parts)));
   }
-  for (auto& [store, excess] : std::exchange(this->excesses, {})) {
-    news.excesses.push_back(std::move(excess));
+  this->changes.MoveFindings(news);
+  return news;
+}
+
+SendsNews
+SendsHub::TakeTotals(const HostId& aSelf)
+{
+  SendsNews news;
+  news.host = aSelf;
+  for (auto& [target, parts] : std::exchange(this->totals.sends, {})) {
+    news.sends.push_back(StateSends(target, this->TotalOf(target), std::move(parts)));
   }
-  for (const auto& [target, found] : std::exchange(this->findings, {})) {
-    news.findings.push_back(found);
+  this->totals.MoveFindings(news);
+  return news;
+}
+
+SendsNews
+SendsHub::AllTotals(const HostId& aSelf) const
+{
+  std::set<TargetId> targets;
+  this->sum.AddTargets(targets);
+  this->sumsOfOthers.AddTargets(targets);
+  SendsNews news;
+  news.host = aSelf;
+  for (const TargetId& target : targets) {
+    news.sends.push_back(StateSends(target, this->TotalOf(target), {}));
   }
   return news;
 }
--- a/src/coordination/SendsSum.cpp
+++ b/src/coordination/SendsSum.cpp
@@ -72,16 +72,29 @@
   return targets;
 }
 
-void
+std::vector<TargetId>
 SendsSum::ForgetBefore(MonotonicTime aTime)
 {
-  std::erase_if(this->hosts, [&](const auto& aItem) {
-    const bool silent = aItem.second.heard < aTime;
-    if (silent) {
-      this->Drop(aItem.second);
+  std::vector<HostId> silent;
+  for (const auto& [name, host] : this->hosts) {
+    if (host.heard < aTime) {
+      silent.push_back(name);
     }
-    return silent;
-  });
+  }
+  std::vector<TargetId> targets;
+  for (const HostId& host : silent) {
+    const std::vector<TargetId> had = this->Forget(host);
+    targets.insert(targets.end(), had.begin(), had.end());
+  }
+  return targets;
+}
+
+void
+SendsSum::AddTargets(std::set<TargetId>& aTo) const
+{
+  for (const auto& [target, load] : this->sums) {
+    aTo.insert(target);
+  }
 }
 
 SentLoad
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -206,8 +206,9 @@
   this->KnowControlHosts(this->settings.seeds);
   // After a start of all, the seeds alone would wait until the other members reach them.
   this->KnowControlHosts(this->group.Members());
-  this->signals.Wait([this](const ServingSettings& aFresh) { this->KnowControlHosts(aFresh.seeds); },
-                     [this] { this->Stop(); });
+  this->signals.Wait(
+    [this](const ServingSettings& aFresh) { this->KnowControlHosts(aFresh.seeds); },
+    [this] { this->Stop(); });
   this->Tick();
   this->loop.run();
   LogEvent(LogLevel::Info, "control_stopped").With("host", this->settings.host);
@@ -227,7 +228,7 @@
   if (this->clock.MonotonicNow() >= this->nextSpread) {
     this->SpreadTargets();
   }
-  if (this->clock.MonotonicNow() >= this->nextTelling) {
+  if (this->clock.MonotonicNow() >= this->nextTelling || this->teller.HasUrgentSends()) {
     this->nextTelling = this->clock.MonotonicNow() + kTellStep;
     this->teller.TellSends();
   }
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -28,9 +28,6 @@
 // older news would say little of what is unread.
 constexpr Duration kShareStep = std::chrono::milliseconds(100);
 
-// A control host that tells no sums for this long may be gone; its entry hosts tell another one.
-constexpr Duration kSumMemory = std::chrono::seconds(2);
-
 // Left of the time to stop when what still runs is cut: for the answers to leave the host.
 constexpr Duration kStopMargin = std::chrono::milliseconds(400);
 
@@ -340,10 +337,12 @@
       .With("before", before.value_or(HostId()));
     this->picture.ListenForStores(chosen);
     this->picker.TellAllAnew();
+    // The totals of the next hub contain all that those of the former did.
+    this->picker.ForgetSumsBefore(this->clock.MonotonicNow());
   }
   this->TellWhatChanged(changed);
   this->configuration.Step();
-  this->picker.ForgetSumsBefore(this->clock.MonotonicNow() - kSumMemory);
+  this->picker.ForgetSumsBefore(this->clock.MonotonicNow() - SendsSum::kMemory);
   this->sharing.expires_after(kShareStep);
   this->sharing.async_wait([this](const IoError& aError) {
     if (!aError) {
@@ -436,7 +435,10 @@
     return;
   }
   if (const auto* news = std::get_if<SendsNews>(&message.value())) {
-    this->picker.TakeSum(*news, this->clock.MonotonicNow());
+    // The totals of two control hosts speak of the same calls.
+    if (this->hub.Hub() == aPeer) {
+      this->picker.TakeSum(*news, this->clock.MonotonicNow());
+    }
     this->pace.Take(news->excesses);
     this->health.Take(news->findings);
     return;
--- a/src/program/PictureTeller.cpp
+++ b/src/program/PictureTeller.cpp
@@ -5,6 +5,18 @@
 #include "damasklink/protocol/ServingCodec.h"
 
 namespace damasklink {
+namespace {
+
+// Between two urgent tellings of totals: half of what reading the shortest urgent prompt takes.
+constexpr Duration kUrgentPause = std::chrono::milliseconds(10);
+
+bool
+HasAnything(const SendsNews& aNews)
+{
+  return !aNews.sends.empty() || !aNews.excesses.empty() || !aNews.findings.empty();
+}
+
+} // namespace
 
 PictureTeller::PictureTeller(const Clock& aClock,
                              const ServingSettings& aSettings,
@@ -135,32 +147,60 @@
 void
 PictureTeller::TakeSends(const HostId& aFrom, const SendsNews& aNews)
 {
-  if (this->roster.EntryHosts().contains(aFrom)) {
+  const MonotonicTime now = this->clock.MonotonicNow();
+  const bool ofOwnHost = this->roster.EntryHosts().contains(aFrom);
+  if (!ofOwnHost) {
+    this->sends.TakeSum(aNews, now);
+  } else {
     const bool known = this->sends.Tellers().contains(aFrom);
-    this->sends.Take(aNews, this->clock.MonotonicNow());
+    this->sends.Take(aNews, now);
     if (!known && this->sends.Tellers().contains(aFrom)) {
       this->TellStores(aFrom);
+      this->Tell(aFrom, this->sends.AllTotals(this->settings.host));
     }
-  } else if (!this->sends.Tellers().empty()) {
-    this->sumsOfOthers.push_back(aNews);
   }
   if (aNews.urgent) {
-    this->TellSends(true);
+    this->TakeUrgent(ofOwnHost);
   }
 }
 
+// Tells at once, unless entry hosts were told just now: with hundreds of them, one sends a long
+// prompt every few milliseconds, and each telling goes to all.
 void
-PictureTeller::TellSends(bool aUrgent)
+PictureTeller::TakeUrgent(bool aOfOwnHosts)
 {
+  this->urgentWaits = true;
+  this->ownUrgentWaits = this->ownUrgentWaits || aOfOwnHosts;
+  if (this->clock.MonotonicNow() - this->toldTotals < kUrgentPause) {
+    return;
+  }
+  if (this->ownUrgentWaits) {
+    this->TellSends();
+  } else {
+    this->TellTotals();
+  }
+}
+
+void
+PictureTeller::TellSends()
+{
+  this->sends.ForgetSumsBefore(this->clock.MonotonicNow() - SendsSum::kMemory);
   SendsNews own = this->sends.TakeChanges(this->settings.host);
-  own.urgent = aUrgent;
-  std::vector<SendsNews> sums = std::exchange(this->sumsOfOthers, {});
-  if (!own.sends.empty() || !own.excesses.empty() || !own.findings.empty()) {
+  own.urgent = std::exchange(this->ownUrgentWaits, false);
+  if (HasAnything(own)) {
     this->TellControlHosts(own);
-    sums.push_back(own);
   }
-  for (const SendsNews& sum : sums) {
-    this->TellTellers(sum);
+  this->TellTotals();
+}
+
+void
+PictureTeller::TellTotals()
+{
+  this->urgentWaits = this->ownUrgentWaits;
+  this->toldTotals = this->clock.MonotonicNow();
+  const SendsNews totals = this->sends.TakeTotals(this->settings.host);
+  if (HasAnything(totals)) {
+    this->TellTellers(totals);
   }
 }
 
--- a/src/program/PictureTeller.h
+++ b/src/program/PictureTeller.h
@@ -50,9 +50,12 @@
   // Takes what an entry host has at targets, or the sum of another control host.
   void TakeSends(const HostId& aFrom, const SendsNews& aNews);
 
-  // Tells the sums of this host to the other control hosts, and all sums to the entry hosts that
-  // tell this one what they have. Urgent sums are passed on by the others at once.
-  void TellSends(bool aUrgent = false);
+  // Tells the sums of this host to the other control hosts, and the totals to the entry hosts that
+  // tell this one what they have.
+  void TellSends();
+
+  // Returns whether something urgent was taken that is not told yet.
+  bool HasUrgentSends() const { return this->urgentWaits; }
 
   // A host's connection to this one is lost.
   void OnLost(const HostId& aHost) { this->sends.Forget(aHost); }
@@ -65,6 +68,8 @@
   void TellEntryHosts(const ServingMessage& aMessage);
   void TellControlHosts(const ServingMessage& aMessage);
   void TellTellers(const ServingMessage& aMessage);
+  void TellTotals();
+  void TakeUrgent(bool aOfOwnHosts);
 
   const Clock& clock;
   const ServingSettings& settings;
@@ -75,8 +80,11 @@
   PeerMesh& mesh;
   SendsHub sends;
   DocumentSource document;
-  // Sums of other control hosts, for the entry hosts that tell this one.
-  std::vector<SendsNews> sumsOfOthers;
+  // When entry hosts were told totals last.
+  MonotonicTime toldTotals;
+  // An urgent word of an entry host, or of any host, waits for the next telling.
+  bool ownUrgentWaits = false;
+  bool urgentWaits = false;
   // What entry hosts were told last.
   std::uint64_t toldEntryHosts = 0;
   bool toldIsolated = false;
--- a/src/protocol/AgreementCodec.cpp
+++ b/src/protocol/AgreementCodec.cpp
@@ -61,11 +61,8 @@
 auto
 Pack(FlatBufferBuilder& aBuilder, const VoteRequest& aBody)
 {
-  return wire::CreateVoteRequest(aBuilder,
-                                 aBody.lastIndex.Value(),
-                                 aBody.lastTerm.Value(),
-                                 aBody.handover,
-                                 aBody.allLeaderless);
+  return wire::CreateVoteRequest(
+    aBuilder, aBody.lastIndex.Value(), aBody.lastTerm.Value(), aBody.handover, aBody.allLeaderless);
 }
 
 auto
@@ -182,10 +179,9 @@
 AgreementBody
 Unpack(const wire::VoteRequest& aBody)
 {
-  return VoteRequest{ LogIndex(aBody.last_index()),
-                      Term(aBody.last_term()),
-                      aBody.handover(),
-                      aBody.all_leaderless() };
+  return VoteRequest{
+    LogIndex(aBody.last_index()), Term(aBody.last_term()), aBody.handover(), aBody.all_leaderless()
+  };
 }
 
 AgreementBody
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -304,27 +304,54 @@
   return ServingMessage(std::move(picture));
 }
 
+std::string
+TextOf(const flatbuffers::String* aText)
+{
+  return aText == nullptr ? std::string() : aText->str();
+}
+
+std::vector<SizedPart>
+PartsOf(const flatbuffers::Vector<const wire::PartEntry*>* aEntries)
+{
+  std::vector<SizedPart> parts;
+  if (aEntries == nullptr) {
+    return parts;
+  }
+  parts.reserve(aEntries->size());
+  for (const wire::PartEntry* entry : *aEntries) {
+    parts.push_back(SizedPart{ PartKey(entry->key()), TokenCount(entry->tokens()) });
+  }
+  return parts;
+}
+
+// Read where they lie: an entry host takes tens of these a second, with a row for each target.
 SendsNews
-ReadSends(const wire::ServingFrameT& aFrame)
+ReadSends(const wire::ServingFrame& aFrame)
 {
   SendsNews news;
-  news.host = HostId(aFrame.host);
-  news.last = aFrame.last;
-  news.urgent = aFrame.urgent;
-  for (const auto& row : aFrame.sends) {
-    TargetSendsNow sends;
-    sends.target = TargetId(row->target);
-    sends.requests = row->requests;
-    sends.unread = TokenCount(row->unread);
-    sends.memory = TokenCount(row->memory);
-    sends.parts = PartsOf(row->parts);
-    news.sends.push_back(std::move(sends));
+  news.host = HostId(TextOf(aFrame.host()));
+  news.last = aFrame.last();
+  news.urgent = aFrame.urgent();
+  if (const auto* rows = aFrame.sends()) {
+    news.sends.reserve(rows->size());
+    for (const wire::SendsRow* row : *rows) {
+      news.sends.push_back(TargetSendsNow{ TargetId(TextOf(row->target())),
+                                           row->requests(),
+                                           TokenCount(row->unread()),
+                                           TokenCount(row->memory()),
+                                           PartsOf(row->parts()) });
+    }
   }
-  for (const auto& row : aFrame.excesses) {
-    news.excesses.push_back(StoreExcess{ row->store, row->count, row->total });
+  if (const auto* rows = aFrame.excesses()) {
+    for (const wire::ExcessRow* row : *rows) {
+      news.excesses.push_back(StoreExcess{ TextOf(row->store()), row->count(), row->total() });
+    }
   }
-  for (const auto& row : aFrame.findings) {
-    news.findings.push_back(TargetFindings{ TargetId(row->target), row->gone, row->back });
+  if (const auto* rows = aFrame.findings()) {
+    for (const wire::FindingsRow* row : *rows) {
+      news.findings.push_back(
+        TargetFindings{ TargetId(TextOf(row->target())), row->gone(), row->back() });
+    }
   }
   return news;
 }
@@ -348,15 +375,19 @@
   if (root == nullptr) {
     return Fail(internal::UnreadableMessage());
   }
+  const auto kind = static_cast<FrameKind>(root->kind());
+  if (kind == FrameKind::SendsNews) {
+    return ServingMessage(ReadSends(*root));
+  }
   wire::ServingFrameT frame;
   root->UnPackTo(&frame);
-  switch (static_cast<FrameKind>(frame.kind)) {
+  switch (kind) {
     case FrameKind::Greeting:
       return ReadGreeting(frame);
     case FrameKind::Picture:
       return ReadPicture(frame);
     case FrameKind::SendsNews:
-      return ServingMessage(ReadSends(frame));
+      break;
     case FrameKind::EntryHostList:
       return ServingMessage(EntryHostList{ HostsOf(frame.entry_host_names) });
     case FrameKind::DocumentQuestion:
--- a/test/coordination/RaftCoreTest.cpp
+++ b/test/coordination/RaftCoreTest.cpp
@@ -152,7 +152,8 @@
   JumpingClock clock;
   RaftCore core(clock, MakeRaftOptions(), MakeFoundedLog(true));
   const VoteRequest request{ LogIndex(1), Term(1), false, true };
-  core.Receive(MessageFrom(kPeer, Term(1), AppendRequest{ LogIndex(1), Term(1), LogIndex(), 0, {} }));
+  core.Receive(
+    MessageFrom(kPeer, Term(1), AppendRequest{ LogIndex(1), Term(1), LogIndex(), 0, {} }));
   core.Receive(MessageFrom(kThird, Term(2), request));
   EXPECT_EQ(core.CurrentTerm(), Term(1));
 }
--- a/test/coordination/SendsHubTest.cpp
+++ b/test/coordination/SendsHubTest.cpp
@@ -97,5 +97,84 @@
   EXPECT_TRUE(this->hub.TakeChanges(kSelf).sends.front().parts.empty());
 }
 
+TEST_F(SendsHubTest, EntryHostsAreToldOneTotalOfAllControlHosts)
+{
+  this->Take("x", { Sends("a", 2) });
+  this->hub.TakeSum(SendsNews{ HostId("north"), { Sends("a", 5), Sends("b", 1) }, {}, {}, false },
+                    this->clock.MonotonicNow());
+  EXPECT_EQ(this->hub.TakeChanges(kSelf).sends, std::vector<TargetSendsNow>{ Sends("a", 2) });
+  const SendsNews totals = this->hub.TakeTotals(kSelf);
+  EXPECT_EQ(totals.host, kSelf);
+  EXPECT_EQ(totals.sends, (std::vector<TargetSendsNow>{ Sends("a", 7), Sends("b", 1) }));
+  EXPECT_TRUE(this->hub.TakeTotals(kSelf).sends.empty());
+}
+
+TEST_F(SendsHubTest, ControlHostThatFallsSilentTakesItsShareAlong)
+{
+  this->Take("x", { Sends("a", 2) });
+  this->hub.TakeSum(SendsNews{ HostId("north"), { Sends("a", 5) }, {}, {}, false },
+                    this->clock.MonotonicNow());
+  this->hub.TakeTotals(kSelf);
+  this->clock.Advance(std::chrono::seconds(3));
+  this->hub.ForgetSumsBefore(this->clock.MonotonicNow() - std::chrono::seconds(2));
+  EXPECT_EQ(this->hub.TakeTotals(kSelf).sends, std::vector<TargetSendsNow>{ Sends("a", 2) });
+}
+
+TEST_F(SendsHubTest, NewTellerIsToldAllTotals)
+{
+  this->Take("x", { Sends("a", 2) });
+  this->hub.TakeSum(SendsNews{ HostId("north"), { Sends("b", 1) }, {}, {}, false },
+                    this->clock.MonotonicNow());
+  this->hub.TakeTotals(kSelf);
+  EXPECT_EQ(this->hub.AllTotals(kSelf).sends,
+            (std::vector<TargetSendsNow>{ Sends("a", 2), Sends("b", 1) }));
+}
+
+TEST_F(SendsHubTest, FindingsOfAllAreToldOnceToEntryHosts)
+{
+  this->hub.Take(SendsNews{ HostId("x"), {}, {}, { TargetFindings{ TargetId("a"), 1, 0 } }, false },
+                 this->clock.MonotonicNow());
+  this->hub.TakeSum(
+    SendsNews{ HostId("north"), {}, {}, { TargetFindings{ TargetId("a"), 2, 0 } }, false },
+    this->clock.MonotonicNow());
+  const std::vector<TargetFindings> expected{ TargetFindings{ TargetId("a"), 3, 0 } };
+  EXPECT_EQ(this->hub.TakeTotals(kSelf).findings, expected);
+  EXPECT_TRUE(this->hub.TakeTotals(kSelf).findings.empty());
+}
+
+// The load: 195 entry hosts in five zones, one control host in each, 98 targets. In every step each
+// host has something new of some targets. What an entry host hears in a step is one message with
+// each target once, whatever the number of hosts.
+TEST(SendsHubLoadTest, WhatAnEntryHostHearsDoesNotGrowWithTheNumberOfHosts)
+{
+  constexpr int kTargets = 98;
+  constexpr int kHubs = 5;
+  const auto heardOf = [](int aEntryHosts) {
+    ManualClock clock;
+    std::vector<SendsHub> hubs(kHubs);
+    for (int host = 0; host < aEntryHosts; ++host) {
+      SendsNews news;
+      news.host = HostId("entry-" + std::to_string(host));
+      for (int sent = 0; sent < 3; ++sent) {
+        news.sends.push_back(Sends("target-" + std::to_string((host * 7 + sent) % kTargets), 1));
+      }
+      hubs[static_cast<std::size_t>(host % kHubs)].Take(news, clock.MonotonicNow());
+    }
+    for (std::size_t hub = 1; hub < kHubs; ++hub) {
+      const HostId name("hub-" + std::to_string(hub));
+      hubs.front().TakeSum(hubs[hub].TakeChanges(name), clock.MonotonicNow());
+    }
+    std::uint64_t requests = 0;
+    const SendsNews totals = hubs.front().TakeTotals(kSelf);
+    for (const TargetSendsNow& sends : totals.sends) {
+      requests += sends.requests;
+    }
+    EXPECT_EQ(requests, static_cast<std::uint64_t>(aEntryHosts) * 3);
+    return totals.sends.size();
+  };
+  EXPECT_LE(heardOf(195), static_cast<std::size_t>(kTargets));
+  EXPECT_LE(heardOf(1000), static_cast<std::size_t>(kTargets));
+}
+
 } // namespace
 } // namespace damasklink
