--- a/test/program/TestHost.h
+++ b/test/program/TestHost.h
@@ -24,7 +24,7 @@
 FreshDataFolder()
 {
   static std::deque<TempFolder> folders;
-  return folders.emplace_back().Path();
+  return folders.emplace_back(FolderInMemory()).Path();
 }
 
 // Returns the settings of the one-host sample with its tree, on any free ports, with an empty data
--- a/test/support/TempFolder.h
+++ b/test/support/TempFolder.h
@@ -9,11 +9,20 @@
 
 namespace damasklink::testing {
 
+// Returns a folder in memory where there is one, for tests that are not about disks: a disk of a busy
+// machine may sync nothing for seconds, and a replica then answers nothing for as long.
+inline std::string
+FolderInMemory()
+{
+  const std::string memory = "/dev/shm/";
+  return std::filesystem::is_directory(memory) ? memory : ::testing::TempDir();
+}
+
 class TempFolder
 {
 public:
-  TempFolder()
-    : path(::testing::TempDir() + "damasklink-XXXXXX")
+  explicit TempFolder(const std::string& aWhere = ::testing::TempDir())
+    : path(aWhere + "damasklink-XXXXXX")
   {
     EXPECT_NE(mkdtemp(this->path.data()), nullptr);
   }
