--- a/test/support/TempFolder.h
+++ b/test/support/TempFolder.h
@@ -9,8 +9,8 @@
 
 namespace damasklink::testing {
 
-// Returns a folder in memory where there is one, for tests that are not about disks: a disk of a busy
-// machine may sync nothing for seconds, and a replica then answers nothing for as long.
+// Returns a folder in memory where there is one, for tests that are not about disks: a disk of a
+// busy machine may sync nothing for seconds, and a replica then answers nothing for as long.
 inline std::string
 FolderInMemory()
 {
