--- a/src/coordination/RaftCore.cpp
+++ b/src/coordination/RaftCore.cpp
@@ -106,8 +106,8 @@
   return !this->hadLeader && !stands;
 }
 
-// All must say so in one term: whoever is elected after a voter said it has a later one, and of a
-// later term that voter tells.
+// All must say so in one term. A leader that is elected after a voter has answered has a later
+// term; so have the voters on which its lease rests, and they refuse this candidate.
 void
 RaftCore::CountLeaderless(ReplicaId aVoter)
 {
--- a/src/program/PictureTeller.cpp
+++ b/src/program/PictureTeller.cpp
@@ -7,7 +7,8 @@
 namespace damasklink {
 namespace {
 
-// Between two urgent tellings of totals: half of what reading the shortest urgent prompt takes.
+// Between two urgent tellings of totals. Reading a prompt that is urgent to tell takes longer or
+// about as long, so a word that waits this long is still of use.
 constexpr Duration kUrgentPause = std::chrono::milliseconds(10);
 
 bool
