Tests: no port is given to two listeners; a host that fails ends its test at once

FreeEndpoint() asks the kernel for a port and gives it back before anybody listens on it, so two calls may return the same one. The control host then listens for peers, fails at its second listener and ends; its first one is still open, the kernel takes the entry host's connections, nobody speaks on them, and the test asks for ever. Shown: with both listeners on one port the test's log is line for line that of the failed run (group_opened, no control_started, peer_connected, peer_lost why=silence). Of 300,000 pairs of such calls 50 returned the same port. Ruled out: the disk (the group was opened), load (the log goes on for 300 s on an idle machine). Change: FreeEndpoint() remembers what it gave; the new test failed before. A host that ends with an error aborts its test.

--- a/test/program/ServingPathTest.cpp
+++ b/test/program/ServingPathTest.cpp
@@ -1,5 +1,6 @@
 // One control host and one entry host of a serving deployment, whole, on addresses of this machine.
 #include <csignal>
+#include <cstdlib>
 #include <thread>
 
 #include <absl/synchronization/notification.h>
@@ -67,8 +68,8 @@
       std::make_unique<ControlHost>(control, this->dialect, this->dialect, this->dialect, none);
     this->entryHost = std::make_unique<EntryHost>(entry, this->dialect, this->dialect, none);
     this->controlThread =
-      std::thread([this] { this->controlEnd = bool(this->controlHost->Run()); });
-    this->entryThread = std::thread([this] { this->entryEnd = bool(this->entryHost->Run()); });
+      std::thread([this] { this->controlEnd = Succeeds(this->controlHost->Run()); });
+    this->entryThread = std::thread([this] { this->entryEnd = Succeeds(this->entryHost->Run()); });
   }
 
   ~ServingPathTest() override { this->Stop(); }
@@ -81,6 +82,16 @@
     }
   }
 
+  // Ends the test where a host failed: nobody would answer what it goes on to ask.
+  static bool Succeeds(const Result<void>& aEnd)
+  {
+    if (!aEnd) {
+      ADD_FAILURE() << "a host ended: " << aEnd.error().message;
+      std::abort();
+    }
+    return true;
+  }
+
   void AwaitEnd()
   {
     this->controlThread.join();
--- a/test/support/OwnAddress.h
+++ b/test/support/OwnAddress.h
@@ -3,6 +3,8 @@
 
 #include <unistd.h>
 
+#include <mutex>
+#include <set>
 #include <string>
 
 #include "damasklink/transport/EventLoop.h"
@@ -20,13 +22,22 @@
          std::to_string(process % kByte) + "." + std::to_string(aHost);
 }
 
-// Returns an endpoint of the address that was free a moment ago.
+// Returns an endpoint of the address that was free a moment ago, with a port that no earlier call
+// returned for any address: nobody listens on those yet, so the kernel may offer them again.
 inline Endpoint
 FreeEndpoint(const std::string& aAddress)
 {
-  asio::io_context context;
-  TcpAcceptor probe(context, TcpEndpoint(asio::ip::make_address(aAddress), 0));
-  return Endpoint{ aAddress, probe.local_endpoint().port() };
+  static std::mutex mutex;
+  static std::set<std::uint16_t> given;
+  const std::lock_guard<std::mutex> lock(mutex);
+  while (true) {
+    asio::io_context context;
+    const TcpAcceptor probe(context, TcpEndpoint(asio::ip::make_address(aAddress), 0));
+    const std::uint16_t port = probe.local_endpoint().port();
+    if (given.insert(port).second) {
+      return Endpoint{ aAddress, port };
+    }
+  }
 }
 
 } // namespace damasklink::testing
