A control host's step costs what its targets say anew, not what they are

Cause: at 300 machines with 3,005 targets control hosts are at 97% of their processor. Each heartbeat compared its address with those of all targets; each step of 100 ms copied all targets four times (changes, engines of the rollout, engines whose parts are settled), and the rollout built a map of all engines, looked through the whole list for each reported engine, and counted the entry hosts of all control hosts anew. Change: TargetRegistry knows who is at an address and tells whose usability changed; ControlPicture looks at targets that something was heard of, and keeps the list of engines until one changes; WeightRollout takes a list it knows as it is; HostRoster counts after changes.

--- a/bench/SlopesBench.cpp
+++ b/bench/SlopesBench.cpp
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "Bench.h"
+#include "ControlPicture.h"
 #include "Slope.h"
 #include "damasklink/coordination/ClaimLedger.h"
 #include "damasklink/coordination/Router.h"
@@ -22,6 +23,7 @@
 constexpr Duration kSilence = std::chrono::seconds(2);
 // The bound that a host sets.
 constexpr std::size_t kMostSeries = 512;
+constexpr std::uint64_t kFirstPort = 9'000;
 
 TargetRecord
 MakeTarget(std::uint64_t aNumber)
@@ -65,6 +67,47 @@
   std::cout << "value name=announcement_parse unit=us value=" << parse << '\n';
 }
 
+// What a control host does for its targets: the time of one heartbeat, and that of one step in which
+// a hundredth of them were heard and nothing has changed.
+void
+MeasureControlPicture()
+{
+  std::vector<SlopePoint> heartbeat;
+  std::vector<SlopePoint> step;
+  for (const std::uint64_t size : { 300U, 1'000U, 3'000U }) {
+    ManualClock clock;
+    ControlPicture picture(clock, kSilence);
+    std::vector<TargetRecord> targets;
+    for (std::uint64_t number = 0; number < size; ++number) {
+      TargetRecord target = MakeTarget(number);
+      target.endpoint.port = static_cast<std::uint16_t>(kFirstPort + number);
+      targets.push_back(target);
+      picture.HearSecondHand(target);
+    }
+    picture.TakeChanges();
+    std::uint64_t sequence = 1;
+    std::size_t next = 0;
+    const auto hear = [&] {
+      TargetRecord& target = targets[next++ % size];
+      target.sequence = Sequence(++sequence);
+      picture.HearSecondHand(target);
+    };
+    const auto count = static_cast<double>(size);
+    heartbeat.push_back({ count, MicrosecondsPerCall(2'000, hear) });
+    picture.TakeChanges();
+    step.push_back({ count, MicrosecondsPerCall(100, [&] {
+                       for (std::uint64_t heard = 0; heard < size / 100; ++heard) {
+                         hear();
+                       }
+                       static_cast<void>(picture.UsableEngines());
+                       static_cast<void>(picture.RemainingEngines());
+                       static_cast<void>(picture.TakeChanges());
+                     }) });
+  }
+  PrintSlope("control_heartbeat", "us/target", heartbeat);
+  PrintSlope("control_step", "us/target", step);
+}
+
 // Workspaces in the picture that traffic threads read.
 void
 MeasureDirectory()
@@ -193,6 +236,7 @@
 RunSlopes(const std::vector<std::string>& /*aArguments*/)
 {
   MeasureRegistry();
+  MeasureControlPicture();
   MeasureDirectory();
   MeasureClaims();
   MeasureMetrics();
--- a/include/damasklink/coordination/HostRoster.h
+++ b/include/damasklink/coordination/HostRoster.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -67,6 +68,8 @@
   bool entryHostsChanged = false;
   // By connected control host.
   std::map<HostId, std::vector<HostId>> entryHostsOfOthers;
+  // Counted anew only after a change: it is asked for several times a second among hundreds.
+  mutable std::optional<std::uint64_t> counted;
 };
 
 } // namespace damasklink
--- a/include/damasklink/coordination/TargetRegistry.h
+++ b/include/damasklink/coordination/TargetRegistry.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <vector>
 
 #include "damasklink/coordination/Target.h"
@@ -54,6 +55,10 @@
   // Returns every target that is remembered, usable or not.
   std::vector<TargetRecord> All() const;
 
+  // Returns the targets that may get new work now and could not at the last call, or the other way
+  // round. Unlike the others it copies no records, so it may be called often among thousands.
+  std::vector<TargetId> TakeUsabilityChanges();
+
   // Forgets targets that have been silent for long. Requires to be called now and then.
   void Expire();
 
@@ -64,14 +69,20 @@
     MonotonicTime heard;
     Duration silence{ 0 };
     bool silent = false;
+    // What TakeUsabilityChanges() told of it last.
+    bool toldUsable = false;
   };
 
   bool IsUsable(const Entry& aEntry) const;
   void SilenceOthersAt(const TargetRecord& aRecord);
+  void MoveAddress(const TargetId& aTarget, const Endpoint& aFrom, const Endpoint& aTo);
+  void ForgetAddress(const TargetId& aTarget, const Endpoint& aAddress);
 
   const Clock& clock;
   Duration silence;
   std::map<TargetId, Entry> entries;
+  // Who is remembered at an address, so that an announcement costs the same among any number.
+  std::map<Endpoint, std::set<TargetId>> addresses;
 };
 
 } // namespace damasklink
--- a/include/damasklink/coordination/WeightRollout.h
+++ b/include/damasklink/coordination/WeightRollout.h
@@ -128,7 +128,8 @@
   };
 
   bool MayOrder() const;
-  void ForgetEarlierStarts(const std::vector<TargetRecord>& aEngines);
+  bool AreKnown(const std::vector<TargetRecord>& aEngines) const;
+  void TakeEngines(const std::vector<TargetRecord>& aEngines);
   std::optional<RolloutAction> Advance(const TargetRecord& aEngine, Work& aWork);
   static std::uint64_t VersionOf(const std::vector<ServedModel>& aModels, const ModelName& aModel);
 
--- a/include/damasklink/state/Settings.h
+++ b/include/damasklink/state/Settings.h
@@ -23,7 +23,7 @@
   std::string address;
   std::uint16_t port = 0;
 
-  bool operator==(const Endpoint&) const = default;
+  auto operator<=>(const Endpoint&) const = default;
 };
 
 // Returns "address:port".
--- a/src/coordination/HostRoster.cpp
+++ b/src/coordination/HostRoster.cpp
@@ -28,6 +28,7 @@
 void
 HostRoster::OnEntryHost(const HostId& aHost)
 {
+  this->counted.reset();
   const bool isNew = this->entryHosts.insert(aHost).second;
   this->entryHostsChanged = this->entryHostsChanged || isNew;
 }
@@ -35,6 +36,7 @@
 void
 HostRoster::OnLost(const HostId& aHost)
 {
+  this->counted.reset();
   const bool wasEntryHost = this->entryHosts.erase(aHost) > 0;
   this->entryHostsChanged = this->entryHostsChanged || wasEntryHost;
   this->entryHostsOfOthers.erase(aHost);
@@ -43,6 +45,7 @@
 void
 HostRoster::TakeList(const HostId& aFrom, const EntryHostList& aList)
 {
+  this->counted.reset();
   this->entryHostsOfOthers[aFrom] = aList.hosts;
 }
 
@@ -55,11 +58,14 @@
 std::uint64_t
 HostRoster::CountEntryHosts() const
 {
-  std::set<HostId> all = this->entryHosts;
-  for (const auto& [host, others] : this->entryHostsOfOthers) {
-    all.insert(others.begin(), others.end());
+  if (!this->counted) {
+    std::set<HostId> all = this->entryHosts;
+    for (const auto& [host, others] : this->entryHostsOfOthers) {
+      all.insert(others.begin(), others.end());
+    }
+    this->counted = all.size();
   }
-  return all.size();
+  return *this->counted;
 }
 
 } // namespace damasklink
--- a/src/coordination/TargetRegistry.cpp
+++ b/src/coordination/TargetRegistry.cpp
@@ -38,6 +38,9 @@
   }
   const bool sameLife = !isNew && aRecord.incarnation == entry.record.incarnation;
   const bool stickyLeaving = sameLife && entry.record.leaving;
+  if (isNew || entry.record.endpoint != aRecord.endpoint) {
+    this->MoveAddress(aRecord.id, entry.record.endpoint, aRecord.endpoint);
+  }
   entry.record = aRecord;
   entry.record.leaving = aRecord.leaving || stickyLeaving;
   entry.heard = this->clock.MonotonicNow();
@@ -55,13 +58,33 @@
   if (aRecord.endpoint.port == 0) {
     return;
   }
-  for (auto& [id, entry] : this->entries) {
-    if (id != aRecord.id && entry.record.endpoint == aRecord.endpoint) {
-      entry.silent = true;
+  for (const TargetId& target : this->addresses.at(aRecord.endpoint)) {
+    if (target != aRecord.id) {
+      this->entries.at(target).silent = true;
     }
   }
 }
 
+void
+TargetRegistry::MoveAddress(const TargetId& aTarget, const Endpoint& aFrom, const Endpoint& aTo)
+{
+  this->ForgetAddress(aTarget, aFrom);
+  this->addresses[aTo].insert(aTarget);
+}
+
+void
+TargetRegistry::ForgetAddress(const TargetId& aTarget, const Endpoint& aAddress)
+{
+  const auto found = this->addresses.find(aAddress);
+  if (found == this->addresses.end()) {
+    return;
+  }
+  found->second.erase(aTarget);
+  if (found->second.empty()) {
+    this->addresses.erase(found);
+  }
+}
+
 bool
 TargetRegistry::Refresh(const TargetId& aTarget,
                         Incarnation aIncarnation,
@@ -139,12 +162,30 @@
   return all;
 }
 
+std::vector<TargetId>
+TargetRegistry::TakeUsabilityChanges()
+{
+  std::vector<TargetId> changed;
+  for (auto& [id, entry] : this->entries) {
+    const bool usable = this->IsUsable(entry);
+    if (usable != entry.toldUsable) {
+      entry.toldUsable = usable;
+      changed.push_back(id);
+    }
+  }
+  return changed;
+}
+
 void
 TargetRegistry::Expire()
 {
   const MonotonicTime now = this->clock.MonotonicNow();
   std::erase_if(this->entries, [&](const auto& aItem) {
-    return now - aItem.second.heard >= this->silence * kRememberedSilences;
+    const bool expired = now - aItem.second.heard >= this->silence * kRememberedSilences;
+    if (expired) {
+      this->ForgetAddress(aItem.first, aItem.second.record.endpoint);
+    }
+    return expired;
   });
 }
 
--- a/src/coordination/WeightRollout.cpp
+++ b/src/coordination/WeightRollout.cpp
@@ -4,17 +4,6 @@
 #include <cmath>
 
 namespace damasklink {
-namespace {
-
-bool
-IsListed(const std::vector<TargetRecord>& aEngines, const TargetId& aTarget)
-{
-  return std::any_of(aEngines.begin(), aEngines.end(), [&](const TargetRecord& aEngine) {
-    return aEngine.id == aTarget;
-  });
-}
-
-} // namespace
 
 WeightRollout::WeightRollout(const Clock& aClock, RolloutOptions aOptions)
   : clock(aClock)
@@ -41,18 +30,17 @@
   if (!this->MayOrder()) {
     return actions;
   }
-  this->ForgetEarlierStarts(aEngines);
-  std::erase_if(this->works, [&](const auto& aItem) { return !IsListed(aEngines, aItem.first); });
-  std::erase_if(this->reported,
-                [&](const auto& aItem) { return !IsListed(aEngines, aItem.first.first); });
+  if (!this->AreKnown(aEngines)) {
+    this->TakeEngines(aEngines);
+  }
   for (const auto& [model, version] : aWished) {
     std::size_t serving = 0;
     std::vector<const TargetRecord*> behind;
     for (const TargetRecord& engine : aEngines) {
       const std::uint64_t told = VersionOf(engine.models, model);
-      const std::uint64_t has = std::max(told, this->ReportedVersion(engine.id, model));
       serving += told > 0 ? 1 : 0;
-      if (told > 0 && has < version) {
+      const bool saysOlder = told > 0 && told < version;
+      if (saysOlder && this->ReportedVersion(engine.id, model) < version) {
         behind.push_back(&engine);
       } else if (const auto done = this->works.find(engine.id);
                  done != this->works.end() && done->second.model == model) {
@@ -86,9 +74,24 @@
   return actions;
 }
 
+// Returns whether these are the engines of the last call, of the same starts; it is asked several
+// times a second among thousands, so nothing is copied.
+bool
+WeightRollout::AreKnown(const std::vector<TargetRecord>& aEngines) const
+{
+  return std::equal(this->starts.begin(),
+                    this->starts.end(),
+                    aEngines.begin(),
+                    aEngines.end(),
+                    [](const auto& aStart, const TargetRecord& aEngine) {
+                      return aStart.first == aEngine.id && aStart.second == aEngine.incarnation;
+                    });
+}
+
 // An engine that has started again has taken no orders yet, and what it had reported may not hold.
+// Nothing is remembered of one that is not among these.
 void
-WeightRollout::ForgetEarlierStarts(const std::vector<TargetRecord>& aEngines)
+WeightRollout::TakeEngines(const std::vector<TargetRecord>& aEngines)
 {
   std::map<TargetId, Incarnation> listed;
   for (const TargetRecord& engine : aEngines) {
@@ -102,6 +105,9 @@
                   [&](const auto& aItem) { return aItem.first.first == engine.id; });
   }
   this->starts = std::move(listed);
+  const auto isGone = [this](const TargetId& aTarget) { return !this->starts.contains(aTarget); };
+  std::erase_if(this->works, [&](const auto& aItem) { return isGone(aItem.first); });
+  std::erase_if(this->reported, [&](const auto& aItem) { return isGone(aItem.first.first); });
 }
 
 std::optional<RolloutAction>
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -152,15 +152,7 @@
 void
 ControlHost::Impl::FreeUnusedParts()
 {
-  std::vector<TargetRecord> engines;
-  for (const TargetStatement& statement : this->picture.All()) {
-    const bool counts =
-      statement.record.kind == TargetKind::Engine && statement.standing != TargetStanding::Leaving;
-    if (counts) {
-      engines.push_back(statement.record);
-    }
-  }
-  this->settled.Note(engines);
+  this->settled.Note(this->picture.RemainingEngines());
   if (this->group.HoldsLease()) {
     this->stores.FreeUnused(this->settled.Least());
   }
@@ -169,13 +161,7 @@
 void
 ControlHost::Impl::StepWeights()
 {
-  std::vector<TargetRecord> engines;
-  for (TargetRecord& record : this->picture.Registry().Usable()) {
-    if (record.kind == TargetKind::Engine) {
-      engines.push_back(std::move(record));
-    }
-  }
-  this->weights.Step(this->group.State().Weights(), engines);
+  this->weights.Step(this->group.State().Weights(), this->picture.UsableEngines());
   this->FreeUnusedParts();
   this->picture.SetPaused(this->weights.Rollout().Paused());
   this->picture.SetReported(this->weights.Rollout().Reported());
--- a/src/program/ControlPicture.cpp
+++ b/src/program/ControlPicture.cpp
@@ -1,6 +1,7 @@
 #include "ControlPicture.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -21,7 +22,7 @@
   if (this->services && !this->services->contains(aRecord.service) && !itsService) {
     return false;
   }
-  if (this->registry.Merge(aRecord)) {
+  if (this->Merge(aRecord)) {
     this->news[aRecord.id] = aRecord;
   }
   return true;
@@ -30,7 +31,17 @@
 void
 ControlPicture::HearSecondHand(const TargetRecord& aRecord)
 {
-  this->registry.Merge(aRecord);
+  this->Merge(aRecord);
+}
+
+bool
+ControlPicture::Merge(const TargetRecord& aRecord)
+{
+  const bool isNews = this->registry.Merge(aRecord);
+  if (isNews) {
+    this->touched.insert(aRecord.id);
+  }
+  return isNews;
 }
 
 void
@@ -50,7 +61,7 @@
   record.leaving = true;
   // Higher than any heartbeat that is still on its way.
   record.sequence = Sequence(std::numeric_limits<std::uint64_t>::max());
-  if (this->registry.Merge(record)) {
+  if (this->Merge(record)) {
     this->news[aTarget] = record;
   }
 }
@@ -75,32 +86,113 @@
   return statement;
 }
 
-std::vector<TargetStatement>
-ControlPicture::TakeChanges()
+void
+ControlPicture::FindChanges()
 {
-  std::vector<TargetStatement> changes;
-  for (const TargetRecord& record : this->registry.All()) {
-    TargetStatement statement = this->StatementOn(record);
-    TargetStatement& before = this->told[record.id];
+  for (TargetId& target : this->registry.TakeUsabilityChanges()) {
+    this->touched.insert(std::move(target));
+  }
+  for (const TargetId& target : std::exchange(this->touched, {})) {
+    const TargetRecord* record = this->registry.Find(target);
+    if (record == nullptr) {
+      continue;
+    }
+    TargetStatement statement = this->StatementOn(*record);
+    TargetStatement& before = this->stated[target];
     // A heartbeat that says the same again is no news to an entry host.
-    before.record.sequence = record.sequence;
-    before.record.load = record.load;
+    before.record.sequence = record->sequence;
+    before.record.load = record->load;
     if (statement == before) {
       continue;
     }
     LogEvent(LogLevel::Info, "target_changed")
-      .With("target", record.id)
-      .With("service", record.service)
-      .With("address", FormatEndpoint(record.endpoint))
+      .With("target", target)
+      .With("service", record->service)
+      .With("address", FormatEndpoint(record->endpoint))
       .With("standing", static_cast<int>(statement.standing))
       .With("paused", statement.paused)
-      .With("sequence", record.sequence);
-    before = statement;
-    changes.push_back(std::move(statement));
+      .With("sequence", record->sequence);
+    before = std::move(statement);
+    this->untold.insert(target);
+    this->enginesListed = false;
+  }
+}
+
+std::vector<TargetStatement>
+ControlPicture::TakeChanges()
+{
+  this->FindChanges();
+  std::vector<TargetStatement> changes;
+  for (const TargetId& target : std::exchange(this->untold, {})) {
+    changes.push_back(this->stated.at(target));
   }
   return changes;
 }
 
+const std::vector<TargetRecord>&
+ControlPicture::UsableEngines()
+{
+  this->ListEngines();
+  return this->usableEngines;
+}
+
+const std::vector<TargetRecord>&
+ControlPicture::RemainingEngines()
+{
+  this->ListEngines();
+  return this->remainingEngines;
+}
+
+void
+ControlPicture::ListEngines()
+{
+  this->FindChanges();
+  if (std::exchange(this->enginesListed, true)) {
+    return;
+  }
+  this->usableEngines.clear();
+  this->remainingEngines.clear();
+  for (const auto& [target, statement] : this->stated) {
+    if (statement.record.kind != TargetKind::Engine) {
+      continue;
+    }
+    if (statement.standing == TargetStanding::Usable) {
+      this->usableEngines.push_back(statement.record);
+    }
+    if (statement.standing != TargetStanding::Leaving) {
+      this->remainingEngines.push_back(statement.record);
+    }
+  }
+}
+
+void
+ControlPicture::SetPaused(std::set<TargetId> aTargets)
+{
+  std::set_symmetric_difference(this->paused.begin(),
+                                this->paused.end(),
+                                aTargets.begin(),
+                                aTargets.end(),
+                                std::inserter(this->touched, this->touched.end()));
+  this->paused = std::move(aTargets);
+}
+
+void
+ControlPicture::SetReported(
+  const std::map<std::pair<TargetId, ModelName>, std::uint64_t>& aReported)
+{
+  if (aReported == this->reported) {
+    return;
+  }
+  const auto touchAll = [this](const auto& aReports) {
+    for (const auto& [engine, version] : aReports) {
+      this->touched.insert(engine.first);
+    }
+  };
+  touchAll(this->reported);
+  touchAll(aReported);
+  this->reported = aReported;
+}
+
 std::vector<TargetStatement>
 ControlPicture::TakeNews()
 {
--- a/src/program/ControlPicture.h
+++ b/src/program/ControlPicture.h
@@ -37,7 +37,7 @@
   void SetServices(std::set<ServiceName> aServices) { this->services = std::move(aServices); }
 
   // Returns the statements that differ from what TakeChanges() returned before. Requires to be
-  // called now and then, since silence is a change too.
+  // called now and then, since silence is a change too. Costs little where nothing has changed.
   std::vector<TargetStatement> TakeChanges();
 
   // Returns the records that were heard directly since the last call.
@@ -46,26 +46,43 @@
   // Returns the statements on all targets.
   std::vector<TargetStatement> All() const;
 
+  // Returns the engines that may get new work, with the newest weights that are known of them, as
+  // of now. Their sequence and load may be older.
+  const std::vector<TargetRecord>& UsableEngines();
+
+  // As above, with those that are silent and may come back.
+  const std::vector<TargetRecord>& RemainingEngines();
+
   // Takes targets out of use for new work, and back.
-  void SetPaused(std::set<TargetId> aTargets) { this->paused = std::move(aTargets); }
+  void SetPaused(std::set<TargetId> aTargets);
 
   // Takes the weights that engines reported, which are newer than what their heartbeats said.
-  void SetReported(const std::map<std::pair<TargetId, ModelName>, std::uint64_t>& aReported)
-  {
-    this->reported = aReported;
-  }
+  void SetReported(const std::map<std::pair<TargetId, ModelName>, std::uint64_t>& aReported);
 
   const TargetRegistry& Registry() const { return this->registry; }
 
 private:
   TargetStatement StatementOn(const TargetRecord& aRecord) const;
+  bool Merge(const TargetRecord& aRecord);
+  void FindChanges();
+  void ListEngines();
 
   TargetRegistry registry;
   std::optional<std::set<ServiceName>> services;
   std::set<TargetId> paused;
   std::map<std::pair<TargetId, ModelName>, std::uint64_t> reported;
-  std::map<TargetId, TargetStatement> told;
+  // Targets of which something was heard or decided since the last look for changes: a step costs
+  // what these do, not what all targets would.
+  std::set<TargetId> touched;
+  // As of the last look for changes.
+  std::map<TargetId, TargetStatement> stated;
+  // Those that have changed since they were told.
+  std::set<TargetId> untold;
   std::map<TargetId, TargetRecord> news;
+  // Made of what is stated; made anew after a change.
+  bool enginesListed = false;
+  std::vector<TargetRecord> usableEngines;
+  std::vector<TargetRecord> remainingEngines;
 };
 
 } // namespace damasklink
--- a/test/coordination/TargetRegistryTest.cpp
+++ b/test/coordination/TargetRegistryTest.cpp
@@ -51,6 +51,20 @@
   EXPECT_TRUE(registry.Usable().empty());
 }
 
+TEST(TargetRegistryTest, UsabilityIsToldWhenItChanges)
+{
+  ManualClock clock;
+  TargetRegistry registry(clock, kSilence);
+  const std::vector<TargetId> target{ TargetId("engine-1") };
+  registry.Merge(MakeRecord(1, 1));
+  EXPECT_EQ(registry.TakeUsabilityChanges(), target);
+  registry.Merge(MakeRecord(1, 2));
+  EXPECT_TRUE(registry.TakeUsabilityChanges().empty());
+  clock.Advance(kSilence);
+  EXPECT_EQ(registry.TakeUsabilityChanges(), target);
+  EXPECT_TRUE(registry.TakeUsabilityChanges().empty());
+}
+
 // The merged record is the same whatever the order of arrival.
 RC_GTEST_PROP(TargetRegistryProperty, OrderOfArrivalDoesNotMatter, ())
 {
@@ -69,5 +83,40 @@
   RC_ASSERT(forward.All() == backward.All());
 }
 
+// Targets that come, go, move and are forgotten in any order: an address has the one target that
+// announced itself from it last, as a look at all targets would tell.
+RC_GTEST_PROP(TargetRegistryProperty, AnAddressHasTheTargetThatAnnouncedItselfLast, ())
+{
+  constexpr unsigned kTargets = 4;
+  constexpr unsigned kAddresses = 3;
+  using Steps = std::vector<std::pair<unsigned, unsigned>>;
+  const auto step =
+    rc::gen::pair(rc::gen::inRange(0U, kTargets), rc::gen::inRange(1U, kAddresses + 1));
+  const Steps steps = *rc::gen::nonEmpty(rc::gen::container<Steps>(step));
+  const bool pauses = *rc::gen::arbitrary<bool>();
+  ManualClock clock;
+  TargetRegistry registry(clock, kSilence);
+  std::map<unsigned, unsigned> addressOf;
+  std::map<unsigned, unsigned> lastAt;
+  std::uint64_t sequence = 0;
+  for (const auto& [target, address] : steps) {
+    if (pauses && sequence == steps.size() / 2) {
+      clock.Advance(kSilence * 400);
+      registry.Expire();
+      addressOf.clear();
+      lastAt.clear();
+    }
+    TargetRecord record = MakeRecord(1, ++sequence);
+    record.id = TargetId("t" + std::to_string(target));
+    record.endpoint = Endpoint{ "10.0.0.1", static_cast<std::uint16_t>(address) };
+    registry.Merge(record);
+    addressOf[target] = address;
+    lastAt[address] = target;
+    for (const auto& [other, place] : addressOf) {
+      RC_ASSERT(registry.IsUsable(TargetId("t" + std::to_string(other))) == (lastAt[place] == other));
+    }
+  }
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/program/ControlPictureTest.cpp
+++ b/test/program/ControlPictureTest.cpp
@@ -109,6 +109,42 @@
   EXPECT_EQ(changes.front().record.incarnation, Incarnation(2000));
 }
 
+TEST_F(ControlPictureTest, EnginesAreListedAsTheyAreNow)
+{
+  this->picture.Hear(Record("a", 1, 1));
+  this->picture.Hear(Record("b", 1, 2));
+  TargetRecord service = Record("c", 1, 3);
+  service.kind = TargetKind::Service;
+  this->picture.Hear(service);
+  EXPECT_EQ(this->picture.UsableEngines().size(), 2U);
+  this->clock.Advance(kSilence / 2);
+  this->picture.Hear(Record("b", 2, 2));
+  this->clock.Advance(kSilence / 2);
+  ASSERT_EQ(this->picture.UsableEngines().size(), 1U);
+  EXPECT_EQ(this->picture.UsableEngines().front().id, TargetId("b"));
+  EXPECT_EQ(this->picture.RemainingEngines().size(), 2U);
+  this->picture.Depart(TargetId("a"));
+  EXPECT_EQ(this->picture.RemainingEngines().size(), 1U);
+  TargetRecord newer = Record("b", 3, 2);
+  newer.models.front().version = WeightVersion("2");
+  this->picture.Hear(newer);
+  EXPECT_EQ(this->picture.UsableEngines().front().models.front().version, WeightVersion("2"));
+}
+
+TEST_F(ControlPictureTest, PauseIsToldOnceAndTakenBackOnce)
+{
+  this->picture.Hear(Record("t", 1));
+  this->picture.TakeChanges();
+  for (const bool paused : { true, false }) {
+    const std::set<TargetId> targets{ TargetId("t") };
+    this->picture.SetPaused(paused ? targets : std::set<TargetId>());
+    const auto changes = this->picture.TakeChanges();
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes.front().paused, paused);
+    EXPECT_TRUE(this->picture.TakeChanges().empty());
+  }
+}
+
 TEST_F(ControlPictureTest, WriterOfAServiceThatNobodyNamedLeavesTheOthersAsTheyAre)
 {
   this->picture.SetServices({ ServiceName("s") });
