Control hosts account for their work by kind: messages, bytes and time, as metrics and in the log

WorkAccount counts by kind of work with a bounded number of series; work within other work counts for itself alone. One clock reading at each change of work.

--- a/include/damasklink/state/Metrics.h
+++ b/include/damasklink/state/Metrics.h
@@ -27,12 +27,15 @@
   ConfigChanges,
   Elections,
   Orders,
-  PeerBytesOut,
-  PeerBytesIn,
+  PeerBytesOut,     // kind: of work, or a channel.
+  PeerBytesIn,      // The same.
+  PeerMessagesOut,  // The same.
+  PeerMessagesIn,   // The same.
+  WorkMicroseconds, // kind: of work.
 };
 
 // How many counters there are; follows the last one.
-constexpr std::size_t kCounterCount = static_cast<std::size_t>(Counter::PeerBytesIn) + 1;
+constexpr std::size_t kCounterCount = static_cast<std::size_t>(Counter::WorkMicroseconds) + 1;
 
 // Durations of which quantiles are kept.
 enum class Sample
--- a/src/program/ControlCalls.cpp
+++ b/src/program/ControlCalls.cpp
@@ -25,11 +25,13 @@
                            ServingGroup& aGroup,
                            ControlPicture& aPicture,
                            Metrics& aMetrics,
+                           WorkAccount& aAccount,
                            std::function<void()> aSpread)
   : dialect(aDialect)
   , group(aGroup)
   , picture(aPicture)
   , metrics(aMetrics)
+  , account(aAccount)
   , spread(std::move(aSpread))
 {
 }
@@ -57,7 +59,7 @@
 Awaitable<HttpAnswerMessage>
 ControlCalls::Answer(const HttpRequestMessage& aRequest)
 {
-  auto call = this->dialect.ReadControlCall(aRequest);
+  auto call = this->Read(aRequest);
   if (!call) {
     LogEvent(LogLevel::Warning, "call_refused")
       .With("target", aRequest.head.target)
@@ -79,9 +81,18 @@
   co_return co_await this->AnswerQuestion();
 }
 
+Result<ControlCall>
+ControlCalls::Read(const HttpRequestMessage& aRequest)
+{
+  const WorkTimer timer(this->account, Work::Heartbeats);
+  this->account.NoteHeard(Work::Heartbeats, aRequest.body.size());
+  return this->dialect.ReadControlCall(aRequest);
+}
+
 HttpAnswerMessage
 ControlCalls::TakeHeartbeat(const TargetHeartbeat& aHeartbeat)
 {
+  const WorkTimer timer(this->account, Work::Heartbeats);
   if (!this->picture.Hear(aHeartbeat.record)) {
     LogEvent(LogLevel::Warning, "target_refused")
       .With("target", aHeartbeat.record.id)
--- a/src/program/ControlCalls.h
+++ b/src/program/ControlCalls.h
@@ -6,6 +6,7 @@
 
 #include "ControlPicture.h"
 #include "ServingGroup.h"
+#include "WorkAccount.h"
 #include "damasklink/protocol/ServingDialect.h"
 #include "damasklink/state/Metrics.h"
 #include "damasklink/transport/CallerChannel.h"
@@ -20,6 +21,7 @@
                ServingGroup& aGroup,
                ControlPicture& aPicture,
                Metrics& aMetrics,
+               WorkAccount& aAccount,
                std::function<void()> aSpread);
 
   // Serves one connection until it ends.
@@ -27,6 +29,7 @@
 
 private:
   Awaitable<HttpAnswerMessage> Answer(const HttpRequestMessage& aRequest);
+  Result<ControlCall> Read(const HttpRequestMessage& aRequest);
   Awaitable<HttpAnswerMessage> TakeChange(const ConfigChange& aChange);
   Awaitable<HttpAnswerMessage> TakeWeights(const WeightsNamed& aNamed);
   Awaitable<HttpAnswerMessage> AnswerQuestion();
@@ -39,6 +42,7 @@
   ServingGroup& group;
   ControlPicture& picture;
   Metrics& metrics;
+  WorkAccount& account;
   std::function<void()> spread;
 };
 
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -84,7 +84,12 @@
               aEngines,
               this->Options(),
               [this] { return this->group.Authority(); })
-    , calls(aDialect, this->group, this->picture, this->metrics, [this] { this->SpreadTargets(); })
+    , calls(aDialect,
+            this->group,
+            this->picture,
+            this->metrics,
+            this->account,
+            [this] { this->SpreadTargets(); })
     , signals(this->loop, std::move(aReader))
     , ticker(this->loop)
   {
@@ -102,10 +107,13 @@
   void FreeUnusedParts();
   void Stop();
   void Tick();
+  void StepGroup();
   bool EndsAfterFailure();
   void SpreadTargets();
   void PushDocument();
   void FollowServices();
+  Result<ServingMessage> Decode(const std::string& aPayload);
+  void TakeServingMessage(const HostId& aPeer, const ServingMessage& aMessage);
   void TakeGreeting(const HostId& aPeer, const Greeting& aGreeting);
   void KnowControlHosts(const std::vector<HostId>& aHosts);
   void KnowControlHost(const HostId& aHost, const ZoneId& aZone);
@@ -115,6 +123,7 @@
   SystemClock clock;
   ServiceLevelWindows serviceLevels{ this->clock, kMostMetricSeries };
   MetricsRegistry metrics{ this->clock, this->serviceLevels, kMostMetricSeries };
+  WorkAccount account{ this->clock, this->metrics };
   asio::io_context loop{ 1 };
   PeerMesh mesh;
   ServingGroup group;
@@ -124,7 +133,7 @@
   SettledWeights settled{ this->clock, kSettling };
   HostRoster roster{ this->settings.host, this->settings.zone };
   PictureTeller teller{ this->clock,   this->settings, this->group, this->stores,
-                        this->picture, this->roster,   this->mesh };
+                        this->picture, this->roster,   this->mesh,  this->account };
   MetricsPage metricsPage{ this->loop, this->metrics, this->settings.host };
   ControlCalls calls;
   ChannelListener callers{ this->loop };
@@ -161,6 +170,7 @@
 void
 ControlHost::Impl::StepWeights()
 {
+  const WorkTimer timer(this->account, Work::TargetSteps);
   this->weights.Step(this->group.State().Weights(), this->picture.UsableEngines());
   this->FreeUnusedParts();
   this->picture.SetPaused(this->weights.Rollout().Paused());
@@ -207,7 +217,8 @@
 void
 ControlHost::Impl::Tick()
 {
-  this->group.Step();
+  this->StepGroup();
+  this->account.Step();
   if (this->EndsAfterFailure()) {
     return;
   }
@@ -226,6 +237,13 @@
   });
 }
 
+void
+ControlHost::Impl::StepGroup()
+{
+  const WorkTimer timer(this->account, Work::Agreement);
+  this->group.Step();
+}
+
 // A replica whose disk refused a write may not go on: what the disk holds is unknown. The process
 // ends, and when it is started again it reads what is there. Meanwhile it says nothing, so the
 // others elect without it. Returns whether it ends now.
@@ -307,33 +325,43 @@
 ControlHost::Impl::OnPeerMessage(const HostId& aPeer, PeerMessage aMessage)
 {
   if (aMessage.channel == Channel::Agreement) {
+    const WorkTimer timer(this->account, Work::Agreement);
+    this->account.NoteHeard(Work::Agreement, aMessage.payload.size());
     this->group.OnPeerMessage(aPeer, aMessage);
     return;
   }
-  auto message = DecodeServingMessage(aMessage.payload);
+  auto message = this->Decode(aMessage.payload);
   if (!message) {
     LogEvent(LogLevel::Warning, "message_refused")
       .With("from", aPeer)
       .With("error", message.error());
     return;
   }
-  if (const auto* greeting = std::get_if<Greeting>(&message.value())) {
+  const Work work = WorkOf(message.value());
+  const WorkTimer timer(this->account, work);
+  this->account.NoteHeard(work, aMessage.payload.size());
+  this->TakeServingMessage(aPeer, message.value());
+}
+
+Result<ServingMessage>
+ControlHost::Impl::Decode(const std::string& aPayload)
+{
+  const WorkTimer timer(this->account, Work::Decoding);
+  return DecodeServingMessage(aPayload);
+}
+
+void
+ControlHost::Impl::TakeServingMessage(const HostId& aPeer, const ServingMessage& aMessage)
+{
+  if (const auto* greeting = std::get_if<Greeting>(&aMessage)) {
     this->TakeGreeting(aPeer, *greeting);
-    return;
-  }
-  if (const auto* news = std::get_if<SendsNews>(&message.value())) {
+  } else if (const auto* news = std::get_if<SendsNews>(&aMessage)) {
     this->teller.TakeSends(aPeer, *news);
-    return;
-  }
-  if (const auto* question = std::get_if<DocumentQuestion>(&message.value())) {
+  } else if (const auto* question = std::get_if<DocumentQuestion>(&aMessage)) {
     this->teller.Answer(aPeer, *question);
-    return;
-  }
-  if (const auto* list = std::get_if<EntryHostList>(&message.value())) {
+  } else if (const auto* list = std::get_if<EntryHostList>(&aMessage)) {
     this->roster.TakeList(aPeer, *list);
-    return;
-  }
-  if (const auto* told = std::get_if<Picture>(&message.value())) {
+  } else if (const auto* told = std::get_if<Picture>(&aMessage)) {
     for (const TargetStatement& statement : told->targets) {
       this->picture.HearSecondHand(statement.record);
     }
--- a/src/program/PictureTeller.cpp
+++ b/src/program/PictureTeller.cpp
@@ -25,7 +25,8 @@
                              const StoreWatcher& aStores,
                              ControlPicture& aPicture,
                              HostRoster& aRoster,
-                             PeerMesh& aMesh)
+                             PeerMesh& aMesh,
+                             WorkAccount& aAccount)
   : clock(aClock)
   , settings(aSettings)
   , group(aGroup)
@@ -33,12 +34,14 @@
   , picture(aPicture)
   , roster(aRoster)
   , mesh(aMesh)
+  , account(aAccount)
 {
 }
 
 void
 PictureTeller::TellChanges()
 {
+  const WorkTimer timer(this->account, Work::Pictures);
   Picture changes = this->BarePicture();
   changes.targets = this->picture.TakeChanges();
   changes.entryHosts = this->roster.CountEntryHosts();
@@ -51,15 +54,15 @@
   if (standingChanged || !changes.targets.empty()) {
     this->toldEntryHosts = changes.entryHosts;
     this->toldIsolated = changes.isolated;
-    this->TellEntryHosts(changes);
+    this->TellEntryHosts(Work::Pictures, changes);
   }
   if (this->roster.TakeEntryHostsChanged()) {
-    this->TellControlHosts(this->roster.OwnList());
+    this->TellControlHosts(Work::Hosts, this->roster.OwnList());
   }
   Picture news;
   news.targets = this->picture.TakeNews();
   if (!news.targets.empty()) {
-    this->TellControlHosts(news);
+    this->TellControlHosts(Work::Pictures, news);
   }
 }
 
@@ -88,13 +91,14 @@
 void
 PictureTeller::TellStanding()
 {
+  const WorkTimer timer(this->account, Work::Pictures);
   this->document.Publish(this->group.State().Version(), this->group.State().Document());
   Picture standing = this->BarePicture();
   if (this->toldWeights != this->group.State().Weights()) {
     this->toldWeights = this->group.State().Weights();
     standing.weights = this->toldWeights;
   }
-  this->TellEntryHosts(standing);
+  this->TellEntryHosts(Work::Pictures, standing);
 }
 
 void
@@ -102,16 +106,17 @@
 {
   this->document.Publish(this->group.State().Version(), this->group.State().Document());
   if (const std::optional<DocumentPiece> piece = this->document.Answer(aQuestion)) {
-    this->Tell(aEntryHost, *piece);
+    this->Tell(Work::Documents, aEntryHost, *piece);
   }
 }
 
 void
 PictureTeller::TellStore(const StoreStatement& aStatement)
 {
+  const WorkTimer timer(this->account, Work::StoredParts);
   Picture told = this->BarePicture();
   told.stores.push_back(aStatement);
-  this->TellTellers(told);
+  this->TellTellers(Work::StoredParts, told);
 }
 
 void
@@ -119,12 +124,12 @@
 {
   Greeting greeting{ HostRole::Control, this->settings.zone, {} };
   greeting.controlHosts = this->roster.AllControlHosts();
-  this->Tell(aPeer, greeting);
+  this->Tell(Work::Hosts, aPeer, greeting);
   // All that is known of targets, since what was told on an earlier connection may be lost.
   Picture all;
   all.targets = this->picture.All();
-  this->Tell(aPeer, all);
-  this->Tell(aPeer, this->roster.OwnList());
+  this->Tell(Work::Pictures, aPeer, all);
+  this->Tell(Work::Hosts, aPeer, this->roster.OwnList());
 }
 
 void
@@ -132,7 +137,7 @@
 {
   Picture whole = this->BasePicture();
   whole.targets = this->picture.All();
-  this->Tell(aEntryHost, whole);
+  this->Tell(Work::Pictures, aEntryHost, whole);
 }
 
 // An entry host that tells this control host what it has hears of stored parts from it alone: they
@@ -140,9 +145,10 @@
 void
 PictureTeller::TellStores(const HostId& aEntryHost)
 {
+  const WorkTimer timer(this->account, Work::StoredParts);
   Picture told = this->BarePicture();
   told.stores = this->stores.All();
-  this->Tell(aEntryHost, told);
+  this->Tell(Work::StoredParts, aEntryHost, told);
 }
 
 void
@@ -157,7 +163,7 @@
     this->sends.Take(aNews, now);
     if (!known && this->sends.Tellers().contains(aFrom)) {
       this->TellStores(aFrom);
-      this->Tell(aFrom, this->sends.AllTotals(this->settings.host));
+      this->Tell(Work::Totals, aFrom, this->sends.AllTotals(this->settings.host));
     }
   }
   if (aNews.urgent) {
@@ -185,11 +191,12 @@
 void
 PictureTeller::TellSends()
 {
+  const WorkTimer timer(this->account, Work::Loads);
   this->sends.ForgetSumsBefore(this->clock.MonotonicNow() - SendsSum::kMemory);
   SendsNews own = this->sends.TakeChanges(this->settings.host);
   own.urgent = std::exchange(this->ownUrgentWaits, false);
   if (HasAnything(own)) {
-    this->TellControlHosts(own);
+    this->TellControlHosts(Work::Loads, own);
   }
   this->TellTotals();
 }
@@ -197,46 +204,54 @@
 void
 PictureTeller::TellTotals()
 {
+  const WorkTimer timer(this->account, Work::Totals);
   this->urgentWaits = this->ownUrgentWaits;
   this->toldTotals = this->clock.MonotonicNow();
   const SendsNews totals = this->sends.TakeTotals(this->settings.host);
   if (HasAnything(totals)) {
-    this->TellTellers(totals);
+    this->TellTellers(Work::Totals, totals);
   }
 }
 
 void
-PictureTeller::Tell(const HostId& aTo, const ServingMessage& aMessage)
+PictureTeller::Tell(Work aWork, const HostId& aTo, const ServingMessage& aMessage)
 {
-  this->mesh.Send(aTo, PeerMessage{ Channel::Serving, GroupId(), EncodeServingMessage(aMessage) });
+  this->Send(aWork, aTo, EncodeServingMessage(aMessage));
 }
 
 // Many hosts get the same bytes, in this and the next two: they are encoded once.
 void
-PictureTeller::TellEntryHosts(const ServingMessage& aMessage)
+PictureTeller::TellEntryHosts(Work aWork, const ServingMessage& aMessage)
 {
   const std::string payload = EncodeServingMessage(aMessage);
   for (const HostId& host : this->roster.EntryHosts()) {
-    this->mesh.Send(host, PeerMessage{ Channel::Serving, GroupId(), payload });
+    this->Send(aWork, host, payload);
   }
 }
 
 void
-PictureTeller::TellControlHosts(const ServingMessage& aMessage)
+PictureTeller::TellControlHosts(Work aWork, const ServingMessage& aMessage)
 {
   const std::string payload = EncodeServingMessage(aMessage);
   for (const auto& [host, zone] : this->roster.ControlHosts()) {
-    this->mesh.Send(host, PeerMessage{ Channel::Serving, GroupId(), payload });
+    this->Send(aWork, host, payload);
   }
 }
 
 void
-PictureTeller::TellTellers(const ServingMessage& aMessage)
+PictureTeller::TellTellers(Work aWork, const ServingMessage& aMessage)
 {
   const std::string payload = EncodeServingMessage(aMessage);
   for (const HostId& host : this->sends.Tellers()) {
-    this->mesh.Send(host, PeerMessage{ Channel::Serving, GroupId(), payload });
+    this->Send(aWork, host, payload);
   }
 }
 
+void
+PictureTeller::Send(Work aWork, const HostId& aTo, std::string aPayload)
+{
+  this->account.NoteSent(aWork, aPayload.size());
+  this->mesh.Send(aTo, PeerMessage{ Channel::Serving, GroupId(), std::move(aPayload) });
+}
+
 } // namespace damasklink
--- a/src/program/PictureTeller.h
+++ b/src/program/PictureTeller.h
@@ -9,6 +9,7 @@
 #include "ControlPicture.h"
 #include "ServingGroup.h"
 #include "StoreWatcher.h"
+#include "WorkAccount.h"
 #include "damasklink/coordination/DocumentSource.h"
 #include "damasklink/coordination/HostRoster.h"
 #include "damasklink/coordination/SendsHub.h"
@@ -27,7 +28,8 @@
                 const StoreWatcher& aStores,
                 ControlPicture& aPicture,
                 HostRoster& aRoster,
-                PeerMesh& aMesh);
+                PeerMesh& aMesh,
+                WorkAccount& aAccount);
 
   // Tells what has changed of targets and hosts since the last call.
   void TellChanges();
@@ -64,10 +66,11 @@
   Picture BarePicture() const;
   Picture BasePicture() const;
   void TellStores(const HostId& aEntryHost);
-  void Tell(const HostId& aTo, const ServingMessage& aMessage);
-  void TellEntryHosts(const ServingMessage& aMessage);
-  void TellControlHosts(const ServingMessage& aMessage);
-  void TellTellers(const ServingMessage& aMessage);
+  void Tell(Work aWork, const HostId& aTo, const ServingMessage& aMessage);
+  void TellEntryHosts(Work aWork, const ServingMessage& aMessage);
+  void TellControlHosts(Work aWork, const ServingMessage& aMessage);
+  void TellTellers(Work aWork, const ServingMessage& aMessage);
+  void Send(Work aWork, const HostId& aTo, std::string aPayload);
   void TellTotals();
   void TakeUrgent(bool aOfOwnHosts);
 
@@ -78,6 +81,7 @@
   ControlPicture& picture;
   HostRoster& roster;
   PeerMesh& mesh;
+  WorkAccount& account;
   SendsHub sends;
   DocumentSource document;
   // When entry hosts were told totals last.
--- a/src/protocol/MetricsText.cpp
+++ b/src/protocol/MetricsText.cpp
@@ -109,6 +109,12 @@
       return "damasklink_peer_out_bytes_total";
     case Counter::PeerBytesIn:
       return "damasklink_peer_in_bytes_total";
+    case Counter::PeerMessagesOut:
+      return "damasklink_peer_out_messages_total";
+    case Counter::PeerMessagesIn:
+      return "damasklink_peer_in_messages_total";
+    case Counter::WorkMicroseconds:
+      return "damasklink_work_microseconds_total";
   }
   return "damasklink_unnamed_total";
 }
