A control host waits for a disk that refuses writes instead of ending its process

Change: AgreementModule opens the failed group's log anew on the writer's thread, every second until the disk takes writes; the replica goes on with what is there, as after a start. A data folder that cannot be opened at the start for want of space is tried again too. Damaged logs still end the process. Tests: FullDiskTest, all three fail where the log is not opened anew. The replica's votes and acknowledgements wait for their write as before.

--- a/src/program/AgreementModule.cpp
+++ b/src/program/AgreementModule.cpp
@@ -59,6 +59,7 @@
     TimingOf(settings.timeouts),
     true,
     std::nullopt,
+    std::nullopt,
   };
 }
 
@@ -69,8 +70,9 @@
 {
 }
 
-AgreementModule::AgreementModule(AgreementSetup aSetup)
+AgreementModule::AgreementModule(AgreementSetup aSetup, std::unique_ptr<Disk> aDisk)
   : setup(std::move(aSetup))
+  , disk(std::move(aDisk))
   , writer(this->setup.wake)
   , tracker(this->setup.clock, this->setup.host, RandomNumber())
 {
@@ -83,53 +85,71 @@
   if (path.empty()) {
     return Success();
   }
-  if (auto made = this->disk.MakeFolder(path); !made) {
+  if (auto made = this->disk->MakeFolder(path); !made) {
     return made;
   }
-  auto locked = FileLock::Take(Concat(path, "/lock"));
-  if (!locked) {
-    return Fail(locked.error());
+  if (this->lock == nullptr) {
+    auto locked = FileLock::Take(Concat(path, "/lock"));
+    if (!locked) {
+      return Fail(locked.error());
+    }
+    this->lock = std::move(locked.value());
   }
-  this->lock = std::move(locked.value());
-  auto folder = OpenDataFolder(this->disk, path, ReplicaId(RandomNumber()));
-  if (!folder) {
-    return Fail(folder.error());
+  auto opened = OpenDataFolder(*this->disk, path, ReplicaId(RandomNumber()));
+  if (!opened) {
+    return Fail(opened.error());
   }
+  this->folder = std::move(opened.value());
   for (const GroupId& group : this->setup.groups) {
-    if (auto opened = this->OpenGroup(group, folder.value()); !opened) {
-      return opened;
+    if (auto held = this->OpenGroup(group); !held) {
+      return held;
     }
   }
   this->writer.Start();
   return Success();
 }
 
+std::unique_ptr<LogStore>
+AgreementModule::StoreOf(const GroupId& aGroup)
+{
+  return std::make_unique<LogStore>(*this->disk, this->folder.GroupFolder(aGroup));
+}
+
 Result<void>
-AgreementModule::OpenGroup(const GroupId& aGroup, const DataFolder& aFolder)
+AgreementModule::OpenGroup(const GroupId& aGroup)
 {
-  auto store = std::make_unique<LogStore>(this->disk, aFolder.GroupFolder(aGroup));
+  auto store = this->StoreOf(aGroup);
   auto recovered = store->Open();
   if (!recovered) {
     return Fail(recovered.error());
   }
+  this->StartReplica(aGroup, std::move(recovered.value()));
+  this->writer.Add(aGroup, std::move(store));
+  return Success();
+}
+
+void
+AgreementModule::StartReplica(const GroupId& aGroup, RecoveredLog aRecovered)
+{
   LogEvent(LogLevel::Info, "group_opened")
     .With("group", aGroup)
-    .With("replica", aFolder.replica)
-    .With("formation", recovered.value().hardState.formation)
-    .With("term", recovered.value().hardState.term)
-    .With("entries", recovered.value().entries.size());
+    .With("replica", this->folder.replica)
+    .With("formation", aRecovered.hardState.formation)
+    .With("term", aRecovered.hardState.term)
+    .With("entries", aRecovered.entries.size());
   GroupOptions options;
   options.raft.group = aGroup;
   options.raft.host = this->setup.host;
-  options.raft.replica = aFolder.replica;
+  options.raft.replica = this->folder.replica;
   options.raft.timing = this->setup.timing;
   options.raft.seed = RandomNumber();
   options.listedVoters = ListedVoters(this->setup.hosts, aGroup);
   options.mayFound = this->setup.mayFound;
   options.mostVoters = this->setup.mostVoters;
   HeldGroup& held = this->groups[aGroup];
-  held.replica = std::make_unique<GroupReplica>(
-    this->setup.clock, std::move(options), std::move(recovered.value()));
+  held = HeldGroup();
+  held.replica =
+    std::make_unique<GroupReplica>(this->setup.clock, std::move(options), std::move(aRecovered));
   if (aGroup == ControlGroupId()) {
     held.replica->Machines().Add(MachinePart::Groups, this->catalogue);
   } else {
@@ -142,8 +162,51 @@
       held.replica->Machines().Add(added.part, *added.machine);
     }
   }
-  this->writer.Add(aGroup, std::move(store));
-  return Success();
+}
+
+bool
+AgreementModule::WaitsForDisk(const HeldGroup& aHeld) const
+{
+  const std::optional<Error>& failure = aHeld.replica->Failure();
+  return this->setup.reopenAfter && failure && failure->kind == ErrorKind::Storage;
+}
+
+// What a replica holds in memory may be more than what its disk does, so it goes on with what it
+// reads there, as after a start. A full disk is full for seconds: others than the log need no disk
+// and go on meanwhile.
+void
+AgreementModule::ReopenFailed(MonotonicTime aNow)
+{
+  for (auto& [group, held] : this->groups) {
+    if (!this->WaitsForDisk(held) || held.reopening) {
+      continue;
+    }
+    if (!held.reopenAt) {
+      held.reopenAt = aNow + *this->setup.reopenAfter;
+    }
+    if (aNow >= *held.reopenAt) {
+      held.reopening = true;
+      this->writer.Reopen(group, this->StoreOf(group));
+    }
+  }
+}
+
+void
+AgreementModule::TakeReopened()
+{
+  for (ReopenedStore& reopened : this->writer.TakeReopened()) {
+    if (reopened.recovered) {
+      this->StartReplica(reopened.group, std::move(reopened.recovered.value()));
+      continue;
+    }
+    LogEvent(LogLevel::Warning, "group_not_opened")
+      .With("group", reopened.group)
+      .With("error", reopened.recovered.error());
+    HeldGroup& held = this->groups.at(reopened.group);
+    held.reopening = false;
+    held.reopenAt.reset();
+    held.replica->Stop(reopened.recovered.error());
+  }
 }
 
 void
@@ -212,7 +275,10 @@
 AgreementModule::FailureOf(const GroupId& aGroup) const
 {
   const auto found = this->groups.find(aGroup);
-  return found == this->groups.end() ? std::nullopt : found->second.replica->Failure();
+  if (found == this->groups.end() || this->WaitsForDisk(found->second)) {
+    return std::nullopt;
+  }
+  return found->second.replica->Failure();
 }
 
 void
@@ -233,9 +299,11 @@
 }
 
 void
-AgreementModule::OnTick(MonotonicTime /*aNow*/)
+AgreementModule::OnTick(MonotonicTime aNow)
 {
   this->TakeCompletions();
+  this->TakeReopened();
+  this->ReopenFailed(aNow);
   this->tracker.Tick();
   for (auto& [group, held] : this->groups) {
     held.replica->Tick();
--- a/src/program/AgreementModule.h
+++ b/src/program/AgreementModule.h
@@ -33,6 +33,9 @@
   // As in GroupOptions.
   bool mayFound = true;
   std::optional<std::size_t> mostVoters;
+  // Where set, a replica whose disk refused a write is opened anew this long after, and again until
+  // the disk takes writes; else it stays stopped.
+  std::optional<Duration> reopenAfter;
 };
 
 // Moves messages, batches and completions between replicas, network and log writer.
@@ -42,10 +45,12 @@
 {
 public:
   explicit AgreementModule(const HostContext& aContext);
-  explicit AgreementModule(AgreementSetup aSetup);
+  explicit AgreementModule(AgreementSetup aSetup,
+                           std::unique_ptr<Disk> aDisk = std::make_unique<PosixDisk>());
 
   // Opens the data folder and the groups of this host, if it has a disk. Requires to be called
-  // before the control thread starts. Fails with the reason when a file is not as it must be.
+  // before the control thread starts. Fails with the reason when a file is not as it must be, and
+  // with Storage when the disk refuses; after the latter it may be called again.
   Result<void> Open();
 
   void AddMachine(const GroupId& aGroup, MachinePart aPart, ReplicatedMachine& aMachine) override;
@@ -69,7 +74,8 @@
   // Returns once everything handed to the disk so far is synced; the next OnTick() acts on it.
   void WaitForWrites() { this->writer.WaitUntilIdle(); }
 
-  // Returns why the group's replica on this host has stopped, nothing while it works.
+  // Returns why the group's replica on this host has stopped for good, nothing while it works or
+  // waits for its disk.
   std::optional<Error> FailureOf(const GroupId& aGroup) const;
 
 private:
@@ -82,6 +88,9 @@
     bool wasLeading = false;
     Membership lastMembership;
     bool failureLogged = false;
+    // When its store is opened anew, and whether that is under way.
+    std::optional<MonotonicTime> reopenAt;
+    bool reopening = false;
   };
 
   struct Registration
@@ -91,7 +100,12 @@
     ReplicatedMachine* machine;
   };
 
-  Result<void> OpenGroup(const GroupId& aGroup, const DataFolder& aFolder);
+  Result<void> OpenGroup(const GroupId& aGroup);
+  void StartReplica(const GroupId& aGroup, RecoveredLog aRecovered);
+  std::unique_ptr<LogStore> StoreOf(const GroupId& aGroup);
+  bool WaitsForDisk(const HeldGroup& aHeld) const;
+  void ReopenFailed(MonotonicTime aNow);
+  void TakeReopened();
   void TakeCompletions();
   void Pump();
   bool PumpGroup(const GroupId& aGroup, HeldGroup& aHeld);
@@ -103,8 +117,9 @@
   void TakeFounding(const GroupId& aGroup, const Result<std::string>& aAnswer);
 
   AgreementSetup setup;
-  PosixDisk disk;
+  std::unique_ptr<Disk> disk;
   std::unique_ptr<FileLock> lock;
+  DataFolder folder;
   LogWriter writer;
   ProposalTracker tracker;
   GroupCatalogue catalogue;
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -43,8 +43,8 @@
 // to finish their runs and load, and for orders that are lost.
 constexpr double kRolloutShare = 0.5;
 
-// From a failure of the disk until the process ends: a full disk is full for seconds, and a process
-// that starts again at once would only fail again.
+// From a failure of the log until the process ends: one that starts again at once would only fail
+// again.
 constexpr Duration kFailurePause = std::chrono::milliseconds(1500);
 
 // From the moment at which the last engine has newer weights until what older ones made is freed:
@@ -244,9 +244,9 @@
   this->group.Step();
 }
 
-// A replica whose disk refused a write may not go on: what the disk holds is unknown. The process
-// ends, and when it is started again it reads what is there. Meanwhile it says nothing, so the
-// others elect without it. Returns whether it ends now.
+// Ends a process whose log is damaged, with the reason. A disk that only refuses writes is waited
+// for: meanwhile this host says nothing in the group, so the others elect without it, and goes on
+// hearing targets and telling entry hosts. Returns whether it ends now.
 bool
 ControlHost::Impl::EndsAfterFailure()
 {
--- a/src/program/LogWriter.cpp
+++ b/src/program/LogWriter.cpp
@@ -42,7 +42,14 @@
 LogWriter::Write(const GroupId& aGroup, PersistBatch aBatch)
 {
   absl::MutexLock lock(&this->mutex);
-  this->work[aGroup].push_back(std::move(aBatch));
+  this->work[aGroup].batches.push_back(std::move(aBatch));
+}
+
+void
+LogWriter::Reopen(const GroupId& aGroup, std::unique_ptr<LogStore> aStore)
+{
+  absl::MutexLock lock(&this->mutex);
+  this->work[aGroup].reopened = std::move(aStore);
 }
 
 void
@@ -62,6 +69,13 @@
   return std::exchange(this->completions, {});
 }
 
+std::vector<ReopenedStore>
+LogWriter::TakeReopened()
+{
+  absl::MutexLock lock(&this->mutex);
+  return std::exchange(this->reopenedStores, {});
+}
+
 void
 LogWriter::Run()
 {
@@ -79,10 +93,17 @@
     if (taken.empty()) {
       return;
     }
-    for (const auto& [group, batches] : taken) {
-      WriteCompletion completion = this->WriteGroup(group, batches);
-      absl::MutexLock lock(&this->mutex);
-      this->completions.push_back(std::move(completion));
+    for (auto& [group, wanted] : taken) {
+      if (!wanted.batches.empty()) {
+        WriteCompletion completion = this->WriteGroup(group, wanted.batches);
+        absl::MutexLock lock(&this->mutex);
+        this->completions.push_back(std::move(completion));
+      }
+      if (wanted.reopened != nullptr) {
+        ReopenedStore reopened = this->OpenGroup(group, std::move(wanted.reopened));
+        absl::MutexLock lock(&this->mutex);
+        this->reopenedStores.push_back(std::move(reopened));
+      }
     }
     {
       absl::MutexLock lock(&this->mutex);
@@ -92,6 +113,16 @@
   }
 }
 
+ReopenedStore
+LogWriter::OpenGroup(const GroupId& aGroup, std::unique_ptr<LogStore> aStore)
+{
+  ReopenedStore reopened{ aGroup, aStore->Open() };
+  if (reopened.recovered) {
+    this->stores[aGroup] = std::move(aStore);
+  }
+  return reopened;
+}
+
 WriteCompletion
 LogWriter::WriteGroup(const GroupId& aGroup, const std::vector<PersistBatch>& aBatches)
 {
--- a/src/program/LogWriter.h
+++ b/src/program/LogWriter.h
@@ -23,6 +23,13 @@
   std::optional<Error> failure;
 };
 
+// What the store of a group holds that was opened anew, or why it could not be opened.
+struct ReopenedStore
+{
+  GroupId group;
+  Result<RecoveredLog> recovered;
+};
+
 // Takes batches from the control thread. Whatever has come in while a sync was under way is written
 // and synced together by the next one.
 class LogWriter
@@ -44,16 +51,28 @@
 
   void Write(const GroupId& aGroup, PersistBatch aBatch);
 
+  // Puts a store that is not open yet in the place of one that has failed, and opens it on the
+  // writer's thread: a disk that refused a write may well hang next.
+  void Reopen(const GroupId& aGroup, std::unique_ptr<LogStore> aStore);
+
   // Returns once all that was handed in so far has its completion.
   void WaitUntilIdle();
 
   std::vector<WriteCompletion> TakeCompletions();
+  std::vector<ReopenedStore> TakeReopened();
 
 private:
-  using Work = std::map<GroupId, std::vector<PersistBatch>>;
+  struct GroupWork
+  {
+    std::vector<PersistBatch> batches;
+    // To be opened after the batches were written.
+    std::unique_ptr<LogStore> reopened;
+  };
+  using Work = std::map<GroupId, GroupWork>;
 
   void Run();
   WriteCompletion WriteGroup(const GroupId& aGroup, const std::vector<PersistBatch>& aBatches);
+  ReopenedStore OpenGroup(const GroupId& aGroup, std::unique_ptr<LogStore> aStore);
 
   std::function<void()> wake;
   std::map<GroupId, std::unique_ptr<LogStore>> stores;
@@ -61,6 +80,7 @@
   absl::Mutex mutex;
   Work work ABSL_GUARDED_BY(mutex);
   std::vector<WriteCompletion> completions ABSL_GUARDED_BY(mutex);
+  std::vector<ReopenedStore> reopenedStores ABSL_GUARDED_BY(mutex);
   bool writing ABSL_GUARDED_BY(mutex) = false;
   bool stopped ABSL_GUARDED_BY(mutex) = false;
 };
--- a/src/program/ServingGroup.cpp
+++ b/src/program/ServingGroup.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "damasklink/transport/Log.h"
+
 namespace damasklink {
 namespace {
 
@@ -18,6 +20,9 @@
 // How long an operator's call waits for its commitment: operators move on after a second.
 constexpr Duration kCommitPatience = std::chrono::milliseconds(2500);
 
+// Between two attempts at a disk that refused a write: a full disk is full for seconds.
+constexpr Duration kDiskPause = std::chrono::seconds(1);
+
 std::vector<PeerSettings>
 DiskHosts(const std::vector<HostId>& aHosts)
 {
@@ -80,12 +85,31 @@
     kServingTiming,
     this->settings.firstStart,
     kMostVoters,
+    kDiskPause,
   };
 }
 
+Result<void>
+ServingGroup::Open()
+{
+  this->nextOpening.reset();
+  auto opened = this->agreement.Open();
+  if (opened || opened.error().kind != ErrorKind::Storage) {
+    return opened;
+  }
+  LogEvent(LogLevel::Warning, "data_folder_waits").With("error", opened.error());
+  this->nextOpening = this->clock.MonotonicNow() + kDiskPause;
+  return Success();
+}
+
 void
 ServingGroup::Step()
 {
+  if (this->nextOpening && this->clock.MonotonicNow() >= *this->nextOpening) {
+    if (auto opened = this->Open(); !opened) {
+      this->folderFailure = opened.error();
+    }
+  }
   this->agreement.OnTick(this->clock.MonotonicNow());
   if (this->machine.Changes() != this->seenChanges) {
     this->seenChanges = this->machine.Changes();
@@ -168,6 +192,12 @@
   return hosts;
 }
 
+std::optional<Error>
+ServingGroup::Failure() const
+{
+  return this->folderFailure ? this->folderFailure : this->agreement.FailureOf(ControlGroupId());
+}
+
 OrderAuthority
 ServingGroup::Authority() const
 {
--- a/src/program/ServingGroup.h
+++ b/src/program/ServingGroup.h
@@ -23,8 +23,9 @@
                PeerSender& aPeers,
                std::function<void()> aApplied);
 
-  // Fails with Corrupt or Storage when the data folder cannot be used.
-  Result<void> Open() { return this->agreement.Open(); }
+  // Opens the data folder; where its disk takes no writes, Step() goes on trying. Fails when the
+  // folder is not as it must be, or another process has it.
+  Result<void> Open();
 
   // Lets agreement act on what has come in. Requires to be called every few milliseconds.
   void Step();
@@ -54,8 +55,8 @@
   // The hosts of the group's newest membership, as the log on this host has it.
   std::vector<HostId> Members() const;
 
-  // Why the replica has stopped, nothing while it works.
-  std::optional<Error> Failure() const { return this->agreement.FailureOf(ControlGroupId()); }
+  // Why the replica has stopped for good, nothing while it works or waits for its disk.
+  std::optional<Error> Failure() const;
 
 private:
   // The answer to a command, and the timer that wakes the coroutine which waits for it.
@@ -71,6 +72,10 @@
   ServingMachine machine;
   AgreementModule agreement;
   std::uint64_t seenChanges = 0;
+  // When the data folder is tried again, nothing once it is open.
+  std::optional<MonotonicTime> nextOpening;
+  // Why it could not be used when it was tried again.
+  std::optional<Error> folderFailure;
 };
 
 } // namespace damasklink
--- a/test/program/AgreementModuleTest.cpp
+++ b/test/program/AgreementModuleTest.cpp
@@ -1,10 +1,13 @@
 #include "program/AgreementModule.h"
 
+#include <atomic>
 #include <map>
 
 #include <gtest/gtest.h>
 
 #include "damasklink/coordination/GroupPlacement.h"
+#include "damasklink/coordination/ServingMachine.h"
+#include "support/FullDisk.h"
 #include "support/ListMachine.h"
 #include "support/TempFolder.h"
 
@@ -196,5 +199,143 @@
   EXPECT_EQ(this->Propose("a", ControlGroupId(), MachinePart::Configuration), "command");
 }
 
+// Three hosts with a disk each that a test can fill; a replica waits for its disk.
+class FullDiskTest : public ::testing::Test
+{
+protected:
+  struct FillableHost
+  {
+    FillableHost(const Clock& aClock, const std::vector<PeerSettings>& aPeers, HostId aSelf)
+      : self(std::move(aSelf))
+      , module(AgreementSetup{ aClock,
+                               metrics,
+                               sender,
+                               [] {},
+                               self,
+                               folder.Path() + "/data",
+                               aPeers,
+                               { ControlGroupId() },
+                               RaftTiming(),
+                               true,
+                               std::nullopt,
+                               std::chrono::seconds(1) },
+               std::make_unique<testing::FullDisk>(full))
+    {
+      this->module.AddMachine(ControlGroupId(), MachinePart::Serving, this->machine);
+    }
+
+    HostId self;
+    std::atomic<bool> full{ false };
+    TempFolder folder;
+    NoMetrics metrics;
+    QueueSender sender;
+    ServingMachine machine;
+    AgreementModule module;
+  };
+
+  FullDiskTest()
+  {
+    for (const char* name : { "a", "b", "c" }) {
+      PeerSettings peer;
+      peer.host = HostId(name);
+      peer.disk = true;
+      this->peers.push_back(peer);
+    }
+    for (const PeerSettings& peer : this->peers) {
+      this->hosts[peer.host] = std::make_unique<FillableHost>(this->clock, this->peers, peer.host);
+      EXPECT_TRUE(this->hosts[peer.host]->module.Open());
+    }
+  }
+
+  void Run(Duration aTime)
+  {
+    for (Duration passed{}; passed < aTime; passed += kControlTick) {
+      this->clock.Advance(kControlTick);
+      for (auto& [name, host] : this->hosts) {
+        host->module.OnTick(this->clock.MonotonicNow());
+        host->module.WaitForWrites();
+      }
+      for (auto& [name, host] : this->hosts) {
+        for (auto& [to, message] : std::exchange(host->sender.queue, {})) {
+          this->hosts.at(to)->module.OnPeerMessage(name, message);
+        }
+      }
+    }
+  }
+
+  // Puts a document and returns whether that was answered.
+  bool Put(const std::string& aHost, std::uint64_t aVersion)
+  {
+    bool acknowledged = false;
+    const ServingCommand command = PutDocument{ Revision(aVersion), "document" };
+    this->hosts.at(HostId(aHost))
+      ->module.Propose(ControlGroupId(),
+                       MachinePart::Serving,
+                       EncodeServingCommand(command),
+                       std::chrono::seconds(4),
+                       [&](const Result<std::string>& aAnswer) { acknowledged = bool(aAnswer); });
+    this->Run(std::chrono::seconds(5));
+    return acknowledged;
+  }
+
+  FillableHost& Host(const std::string& aName) { return *this->hosts.at(HostId(aName)); }
+
+  bool Works(const std::string& aName)
+  {
+    return !this->Host(aName).module.ReplicaOf(ControlGroupId())->Failure();
+  }
+
+  ManualClock clock;
+  std::vector<PeerSettings> peers;
+  std::map<HostId, std::unique_ptr<FillableHost>> hosts;
+};
+
+TEST_F(FullDiskTest, ReplicaWaitsForItsDiskAndCatchesUp)
+{
+  ASSERT_TRUE(this->Put("a", 1));
+  this->Host("b").full = true;
+  EXPECT_TRUE(this->Put("a", 2));
+  EXPECT_FALSE(this->Works("b"));
+  EXPECT_FALSE(this->Host("b").module.FailureOf(ControlGroupId()));
+  this->Host("b").full = false;
+  this->Run(std::chrono::seconds(5));
+  EXPECT_TRUE(this->Works("b"));
+  EXPECT_EQ(this->Host("b").machine.Version(), Revision(2));
+}
+
+// With the disks of two of three full nothing may be acknowledged, and nothing that was is lost.
+TEST_F(FullDiskTest, NothingIsAcknowledgedWithoutAMajorityOfDisks)
+{
+  ASSERT_TRUE(this->Put("a", 1));
+  this->Host("b").full = true;
+  this->Host("c").full = true;
+  EXPECT_FALSE(this->Put("a", 2));
+  this->Host("b").full = false;
+  this->Host("c").full = false;
+  EXPECT_TRUE(this->Put("a", 3));
+  for (const char* name : { "a", "b", "c" }) {
+    EXPECT_EQ(this->Host(name).machine.Version(), Revision(3));
+  }
+}
+
+// All disks are full at once, several times: what was acknowledged before stays.
+TEST_F(FullDiskTest, AllDisksFullInTurnsLoseNothing)
+{
+  for (std::uint64_t version = 1; version < 8; version += 2) {
+    ASSERT_TRUE(this->Put("a", version));
+    for (auto& [name, host] : this->hosts) {
+      host->full = true;
+    }
+    EXPECT_FALSE(this->Put("b", version + 1));
+    for (auto& [name, host] : this->hosts) {
+      host->full = false;
+    }
+    this->Run(std::chrono::seconds(5));
+    for (auto& [name, host] : this->hosts) {
+      EXPECT_GE(host->machine.Version(), Revision(version));
+    }
+  }
+}
+
 } // namespace
 } // namespace damasklink
