Stored parts are told once a step, all targets packed and encoded once for all who connect

Tests: events between two steps are told together; a picture of 3,000 targets in less than a third of its bytes; damaged packed messages are refused.

--- a/include/damasklink/protocol/ServingCodec.h
+++ b/include/damasklink/protocol/ServingCodec.h
@@ -12,7 +12,13 @@
 std::string
 EncodeServingMessage(const ServingMessage& aMessage);
 
-// Fails with Corrupt when the bytes do not verify or hold an unknown kind or standing.
+// As above, in a third of the bytes or less where a message repeats itself: for large ones, which
+// take longer to send than to pack.
+std::string
+EncodePacked(const ServingMessage& aMessage);
+
+// Reads what either of them wrote. Fails with Corrupt when the bytes do not verify or hold an
+// unknown kind or standing.
 Result<ServingMessage>
 DecodeServingMessage(std::string_view aBytes);
 
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -78,7 +78,7 @@
     , stores(this->loop,
              this->clock,
              aStores,
-             [this](const StoreStatement& aStatement) { this->teller.TellStore(aStatement); })
+             [this](const auto& aStatements) { this->teller.TellStores(aStatements); })
     , weights(this->loop,
               this->clock,
               aEngines,
@@ -228,6 +228,7 @@
   if (this->clock.MonotonicNow() >= this->nextTelling || this->teller.HasUrgentSends()) {
     this->nextTelling = this->clock.MonotonicNow() + kTellStep;
     this->teller.TellSends();
+    this->stores.TellChanges();
   }
   this->ticker.expires_after(kTick);
   this->ticker.async_wait([this](const IoError& aError) {
--- a/src/program/ControlPicture.cpp
+++ b/src/program/ControlPicture.cpp
@@ -114,6 +114,7 @@
       .With("sequence", record->sequence);
     before = std::move(statement);
     this->untold.insert(target);
+    ++this->changeCount;
     this->enginesListed = false;
   }
 }
@@ -129,6 +130,13 @@
   return changes;
 }
 
+std::uint64_t
+ControlPicture::ChangeCount()
+{
+  this->FindChanges();
+  return this->changeCount;
+}
+
 const std::vector<TargetRecord>&
 ControlPicture::UsableEngines()
 {
--- a/src/program/ControlPicture.h
+++ b/src/program/ControlPicture.h
@@ -46,6 +46,9 @@
   // Returns the statements on all targets.
   std::vector<TargetStatement> All() const;
 
+  // Rises whenever anything has changed that TakeChanges() tells.
+  std::uint64_t ChangeCount();
+
   // Returns the engines that may get new work, with the newest weights that are known of them, as
   // of now. Their sequence and load may be older.
   const std::vector<TargetRecord>& UsableEngines();
@@ -76,6 +79,7 @@
   std::set<TargetId> touched;
   // As of the last look for changes.
   std::map<TargetId, TargetStatement> stated;
+  std::uint64_t changeCount = 0;
   // Those that have changed since they were told.
   std::set<TargetId> untold;
   std::map<TargetId, TargetRecord> news;
--- a/src/program/PictureTeller.cpp
+++ b/src/program/PictureTeller.cpp
@@ -111,11 +111,11 @@
 }
 
 void
-PictureTeller::TellStore(const StoreStatement& aStatement)
+PictureTeller::TellStores(const std::vector<StoreStatement>& aStatements)
 {
   const WorkTimer timer(this->account, Work::StoredParts);
   Picture told = this->BarePicture();
-  told.stores.push_back(aStatement);
+  told.stores = aStatements;
   this->TellTellers(Work::StoredParts, told);
 }
 
@@ -125,25 +125,41 @@
   Greeting greeting{ HostRole::Control, this->settings.zone, {} };
   greeting.controlHosts = this->roster.AllControlHosts();
   this->Tell(Work::Hosts, aPeer, greeting);
-  // All that is known of targets, since what was told on an earlier connection may be lost.
-  Picture all;
-  all.targets = this->picture.All();
-  this->Tell(Work::Pictures, aPeer, all);
+  // Since what was told on an earlier connection may be lost.
+  this->TellAllTargets(aPeer);
   this->Tell(Work::Hosts, aPeer, this->roster.OwnList());
 }
 
 void
 PictureTeller::TellAll(const HostId& aEntryHost)
 {
-  Picture whole = this->BasePicture();
-  whole.targets = this->picture.All();
-  this->Tell(Work::Pictures, aEntryHost, whole);
+  // Targets first: a host that knows a configuration takes calls.
+  this->TellAllTargets(aEntryHost);
+  this->Tell(Work::Pictures, aEntryHost, this->BasePicture());
+}
+
+// Heartbeats that said nothing new may be missing in it: the next change makes it anew.
+void
+PictureTeller::TellAllTargets(const HostId& aHost)
+{
+  const WorkTimer timer(this->account, Work::Pictures);
+  const Picture base = this->BarePicture();
+  const std::uint64_t revision = this->picture.ChangeCount();
+  const bool current = base == this->allTargetsBase && revision == this->allTargetsRevision;
+  if (!current || this->allTargets.empty()) {
+    Picture all = base;
+    all.targets = this->picture.All();
+    this->allTargets = EncodePacked(all);
+    this->allTargetsBase = base;
+    this->allTargetsRevision = revision;
+  }
+  this->Send(Work::Pictures, aHost, this->allTargets);
 }
 
 // An entry host that tells this control host what it has hears of stored parts from it alone: they
 // change a thousand times a second, and each further word of it goes between zones.
 void
-PictureTeller::TellStores(const HostId& aEntryHost)
+PictureTeller::TellAllStores(const HostId& aEntryHost)
 {
   const WorkTimer timer(this->account, Work::StoredParts);
   Picture told = this->BarePicture();
@@ -162,7 +178,7 @@
     const bool known = this->sends.Tellers().contains(aFrom);
     this->sends.Take(aNews, now);
     if (!known && this->sends.Tellers().contains(aFrom)) {
-      this->TellStores(aFrom);
+      this->TellAllStores(aFrom);
       this->Tell(Work::Totals, aFrom, this->sends.AllTotals(this->settings.host));
     }
   }
--- a/src/program/PictureTeller.h
+++ b/src/program/PictureTeller.h
@@ -40,8 +40,8 @@
   // Gives an entry host the next piece of the configuration document.
   void Answer(const HostId& aEntryHost, const DocumentQuestion& aQuestion);
 
-  // Tells a change in a store to the entry hosts that listen to this control host for them.
-  void TellStore(const StoreStatement& aStatement);
+  // Tells changes in stores to the entry hosts that listen to this control host for them.
+  void TellStores(const std::vector<StoreStatement>& aStatements);
 
   // Tells a control host that was just connected who this one is and what it knows.
   void GreetControlHost(const HostId& aPeer);
@@ -65,7 +65,8 @@
 private:
   Picture BarePicture() const;
   Picture BasePicture() const;
-  void TellStores(const HostId& aEntryHost);
+  void TellAllStores(const HostId& aEntryHost);
+  void TellAllTargets(const HostId& aHost);
   void Tell(Work aWork, const HostId& aTo, const ServingMessage& aMessage);
   void TellEntryHosts(Work aWork, const ServingMessage& aMessage);
   void TellControlHosts(Work aWork, const ServingMessage& aMessage);
@@ -89,6 +90,11 @@
   // An urgent word of an entry host, or of any host, waits for the next telling.
   bool ownUrgentWaits = false;
   bool urgentWaits = false;
+  // All targets as they are told to who connects, and what that was made of: hundreds of hosts
+  // connect at once, and each is told the same.
+  std::string allTargets;
+  Picture allTargetsBase;
+  std::uint64_t allTargetsRevision = 0;
   // What entry hosts were told last.
   std::uint64_t toldEntryHosts = 0;
   bool toldIsolated = false;
--- a/src/program/StoreWatcher.cpp
+++ b/src/program/StoreWatcher.cpp
@@ -160,7 +160,8 @@
   asio::steady_timer pause(this->loop);
   while (aStore->followed) {
     const bool answered = co_await this->AskOnce(*aStore);
-    if (answered != aStore->reachable) {
+    const bool turned = answered != aStore->reachable;
+    if (turned) {
       aStore->reachable = answered;
       LogEvent(answered ? LogLevel::Info : LogLevel::Warning,
                answered ? "store_regained" : "store_lost")
@@ -170,7 +171,10 @@
       aStore->feed.Lose();
       aStore->channel.reset();
     }
-    this->Tell(*aStore);
+    // What a lost store held must not be fetched any more: it may be back soon, and empty.
+    if (turned || aStore->feed.NeedsList()) {
+      this->TellChanges();
+    }
     if (!answered) {
       pause.expires_after(kRetryPause);
       co_await pause.async_wait(kAsValue);
@@ -244,13 +248,17 @@
 }
 
 void
-StoreWatcher::Tell(Watched& aStore)
+StoreWatcher::TellChanges()
 {
-  if (const std::optional<StoreStatement> changes = aStore.feed.TakeChanges()) {
-    if (aStore.followed) {
-      this->told(*changes);
+  std::vector<StoreStatement> statements;
+  for (const auto& [address, store] : this->stores) {
+    if (std::optional<StoreStatement> changes = store->feed.TakeChanges()) {
+      statements.push_back(std::move(*changes));
     }
   }
+  if (!statements.empty()) {
+    this->told(statements);
+  }
 }
 
 } // namespace damasklink
--- a/src/program/StoreWatcher.h
+++ b/src/program/StoreWatcher.h
@@ -18,8 +18,9 @@
 class StoreWatcher
 {
 public:
-  // Called with each change of what is known of a store.
-  using Told = std::function<void(const StoreStatement&)>;
+  // Called with what has changed of stores since the last call: at once when one is lost or
+  // regained, else by TellChanges().
+  using Told = std::function<void(const std::vector<StoreStatement>&)>;
 
   StoreWatcher(asio::io_context& aLoop,
                const Clock& aClock,
@@ -32,6 +33,10 @@
   // Follows the stores of the configuration and no others.
   void Follow(const std::vector<ServingService>& aServices);
 
+  // Tells what has changed of all stores since the last call, all of it together: stores have
+  // hundreds of events a second, and each telling goes to every entry host.
+  void TellChanges();
+
   // Returns the whole of what is known.
   std::vector<StoreStatement> All() const;
 
@@ -47,7 +52,6 @@
   Awaitable<void> Watch(std::shared_ptr<Watched> aStore);
   Awaitable<bool> AskOnce(Watched& aStore);
   Awaitable<Result<std::string>> Ask(Watched& aStore, HttpRequestHead aQuestion);
-  void Tell(Watched& aStore);
 
   asio::io_context& loop;
   const Clock& clock;
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -3,6 +3,8 @@
 #include <Serving_generated.h>
 
 #include "FlatBytes.h"
+#include "damasklink/state/PackedText.h"
+#include "damasklink/state/Units.h"
 
 namespace damasklink {
 namespace {
@@ -15,8 +17,13 @@
   EntryHostList = 4,
   DocumentQuestion = 5,
   DocumentPiece = 6,
+  // Another message, packed.
+  Packed = 7,
 };
 
+// Far above the largest picture: 12,000 targets take two megabytes.
+constexpr std::size_t kMostUnpackedBytes = 64 * kMebibyte;
+
 std::vector<std::string>
 TextsOf(const std::vector<HostId>& aHosts)
 {
@@ -358,35 +365,32 @@
 
 } // namespace
 
+namespace {
+
 std::string
-EncodeServingMessage(const ServingMessage& aMessage)
+BytesOf(const wire::ServingFrameT& aFrame)
 {
-  wire::ServingFrameT frame;
-  std::visit(FrameFiller{ frame }, aMessage);
   flatbuffers::FlatBufferBuilder builder;
-  builder.Finish(wire::ServingFrame::Pack(builder, &frame));
+  builder.Finish(wire::ServingFrame::Pack(builder, &aFrame));
   return internal::FinishedBytes(builder);
 }
 
 Result<ServingMessage>
-DecodeServingMessage(std::string_view aBytes)
+DecodePlain(const wire::ServingFrame& aRoot)
 {
-  const auto* root = internal::VerifiedRoot<wire::ServingFrame>(aBytes);
-  if (root == nullptr) {
-    return Fail(internal::UnreadableMessage());
-  }
-  const auto kind = static_cast<FrameKind>(root->kind());
+  const auto kind = static_cast<FrameKind>(aRoot.kind());
   if (kind == FrameKind::SendsNews) {
-    return ServingMessage(ReadSends(*root));
+    return ServingMessage(ReadSends(aRoot));
   }
   wire::ServingFrameT frame;
-  root->UnPackTo(&frame);
+  aRoot.UnPackTo(&frame);
   switch (kind) {
     case FrameKind::Greeting:
       return ReadGreeting(frame);
     case FrameKind::Picture:
       return ReadPicture(frame);
     case FrameKind::SendsNews:
+    case FrameKind::Packed:
       break;
     case FrameKind::EntryHostList:
       return ServingMessage(EntryHostList{ HostsOf(frame.entry_host_names) });
@@ -401,4 +405,50 @@
   return Fail(internal::UnreadableMessage());
 }
 
+} // namespace
+
+std::string
+EncodeServingMessage(const ServingMessage& aMessage)
+{
+  wire::ServingFrameT frame;
+  std::visit(FrameFiller{ frame }, aMessage);
+  return BytesOf(frame);
+}
+
+std::string
+EncodePacked(const ServingMessage& aMessage)
+{
+  const std::string packed = PackText(EncodeServingMessage(aMessage), "");
+  wire::ServingFrameT frame;
+  frame.kind = static_cast<std::uint8_t>(FrameKind::Packed);
+  frame.piece.assign(packed.begin(), packed.end());
+  return BytesOf(frame);
+}
+
+Result<ServingMessage>
+DecodeServingMessage(std::string_view aBytes)
+{
+  const auto* root = internal::VerifiedRoot<wire::ServingFrame>(aBytes);
+  if (root == nullptr) {
+    return Fail(internal::UnreadableMessage());
+  }
+  if (static_cast<FrameKind>(root->kind()) != FrameKind::Packed) {
+    return DecodePlain(*root);
+  }
+  if (root->piece() == nullptr) {
+    return Fail(internal::UnreadableMessage());
+  }
+  const std::string_view packed(reinterpret_cast<const char*>(root->piece()->data()),
+                                root->piece()->size());
+  auto unpacked = UnpackText(packed, "", kMostUnpackedBytes);
+  if (!unpacked) {
+    return Fail(unpacked.error());
+  }
+  const auto* inner = internal::VerifiedRoot<wire::ServingFrame>(unpacked.value());
+  if (inner == nullptr) {
+    return Fail(internal::UnreadableMessage());
+  }
+  return DecodePlain(*inner);
+}
+
 } // namespace damasklink
--- a/test/coordination/StoreFeedTest.cpp
+++ b/test/coordination/StoreFeedTest.cpp
@@ -161,5 +161,19 @@
   EXPECT_TRUE(this->feed.BrokenOff(this->clock.MonotonicNow(), 9).empty());
 }
 
+TEST_F(StoreFeedTest, EventsOfSeveralAnswersAreStatedTogetherAsTheyEnded)
+{
+  this->List(1, 5, { Part(1) });
+  this->feed.TakeChanges();
+  this->Events(1, 7, { Part(2), Part(1, false) });
+  this->Events(1, 9, { Part(2, false), Part(1) });
+  this->Events(1, 10, { Part(3) });
+  const auto stated = this->feed.TakeChanges();
+  ASSERT_TRUE(stated);
+  // Who takes what was removed before what was added holds parts 1 and 3.
+  EXPECT_EQ(stated->removed, (std::vector<PartKey>{ Key(1), Key(2) }));
+  EXPECT_EQ(stated->added, (std::vector<SizedPart>{ Stated(1).front(), Stated(3).front() }));
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/program/StoreWatcherTest.cpp
+++ b/test/program/StoreWatcherTest.cpp
@@ -51,9 +51,11 @@
   platform::Dialect dialect;
   std::size_t known = 0;
   bool lost = false;
-  StoreWatcher watcher(loop, clock, dialect, [&](const StoreStatement& aStatement) {
-    known += aStatement.added.size();
-    lost = lost || !aStatement.live;
+  StoreWatcher watcher(loop, clock, dialect, [&](const auto& aStatements) {
+    for (const StoreStatement& statement : aStatements) {
+      known += statement.added.size();
+      lost = lost || !statement.live;
+    }
   });
   ServingService service;
   service.name = ServiceName("store");
@@ -64,11 +66,58 @@
   while (known < kParts && lists < 2) {
     loop.run_one_for(std::chrono::milliseconds(20));
     loop.restart();
+    watcher.TellChanges();
   }
   EXPECT_EQ(known, static_cast<std::size_t>(kParts));
   EXPECT_EQ(lists, 1);
   EXPECT_FALSE(lost);
 }
 
+// A store under load has an event every few milliseconds; hundreds of entry hosts are told of them
+// together, once a step.
+TEST(StoreWatcherTest, EventsBetweenTwoStepsAreToldTogether)
+{
+  constexpr int kEvents = 50;
+  std::atomic<int> sent{ 0 };
+  ScriptedTarget store([&](const std::string& aRequest, TcpSocket& aSocket) {
+    std::string body = R"({"boot-epoch":1,"next":1,"held":[]})";
+    if (aRequest.find("kv-list") == std::string::npos && sent < kEvents) {
+      const std::string number = std::to_string(++sent);
+      body = R"({"boot-epoch":1,"next":)" + std::to_string(sent + 1) + R"(,"events":[[)" + number +
+             R"(,"+","scope","part-)" + number + R"(",64,"m"]]})";
+    } else if (aRequest.find("kv-list") == std::string::npos) {
+      body = R"({"boot-epoch":1,"next":)" + std::to_string(kEvents + 1) + R"(,"events":[]})";
+    }
+    Write(aSocket,
+          "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    return true;
+  });
+  asio::io_context loop;
+  SystemClock clock;
+  platform::Dialect dialect;
+  std::size_t tellings = 0;
+  std::size_t known = 0;
+  StoreWatcher watcher(loop, clock, dialect, [&](const auto& aStatements) {
+    ++tellings;
+    for (const StoreStatement& statement : aStatements) {
+      known += statement.added.size();
+    }
+  });
+  ServingService service;
+  service.name = ServiceName("store");
+  service.store = PromptStoreTraits{};
+  service.store->endpoint = store.Address();
+  watcher.Follow({ service });
+  while (sent < kEvents) {
+    loop.run_one_for(std::chrono::milliseconds(20));
+    loop.restart();
+  }
+  loop.run_for(std::chrono::milliseconds(20));
+  EXPECT_EQ(tellings, 0U);
+  watcher.TellChanges();
+  EXPECT_EQ(tellings, 1U);
+  EXPECT_EQ(known, static_cast<std::size_t>(kEvents));
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/protocol/ServingCodecTest.cpp
+++ b/test/protocol/ServingCodecTest.cpp
@@ -106,5 +106,41 @@
   EXPECT_FALSE(DecodeServingMessage(cut));
 }
 
+// Hundreds of hosts that connect at once are each told all targets.
+TEST(ServingCodecTest, PictureOfManyTargetsComesBackPackedInAThirdOfItsBytes)
+{
+  Picture picture;
+  for (std::uint64_t number = 0; number < 3'000; ++number) {
+    TargetStatement& statement = picture.targets.emplace_back();
+    // Ids look random, as those of processes do.
+    statement.record.id = TargetId("i-" + std::to_string(number * 2'654'435'761U % 4'294'967'291U));
+    statement.record.kind = TargetKind::Engine;
+    statement.record.service = ServiceName("model-a");
+    statement.record.endpoint =
+      Endpoint{ "10.1." + std::to_string(number / 250) + "." + std::to_string(number % 250), 8080 };
+    statement.record.zone = ZoneId("north");
+    statement.record.sequence = Sequence(40 + number % 3);
+    statement.record.load.slots = 16;
+    statement.record.models = { ServedModel{ ModelName("model-a"), WeightVersion("3"), {} } };
+  }
+  const std::string packed = EncodePacked(picture);
+  EXPECT_LT(packed.size() * 3, EncodeServingMessage(picture).size());
+  const auto decoded = DecodeServingMessage(packed);
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(std::get<Picture>(decoded.value()), picture);
+}
+
+TEST(ServingCodecTest, DamagedPackedMessageIsRefused)
+{
+  const std::string packed = EncodePacked(Picture());
+  for (std::size_t place = 0; place < packed.size(); ++place) {
+    std::string damaged = packed;
+    damaged[place] = static_cast<char>(damaged[place] ^ 0x55);
+    const auto decoded = DecodeServingMessage(damaged);
+    // A byte that no reader looks at changes nothing.
+    EXPECT_TRUE(!decoded || std::get<Picture>(decoded.value()) == Picture());
+  }
+}
+
 } // namespace
 } // namespace damasklink
