A voter whose disk is gone is not waited for after a start of the whole group

Change: a replica that is asked for its vote in the name of another one of its host answers that this one is gone; the asker counts it among those without a leader. Only the wait for a lease is cut: a majority of the voters must still vote. Why it is safe: the host's address has one process, and the data folder one lock, so the earlier replica acts no more; a leader elsewhere rests on a quorum with a voter whose log is ahead, and that one does not call itself leaderless.

--- a/include/damasklink/coordination/AgreementMessage.h
+++ b/include/damasklink/coordination/AgreementMessage.h
@@ -24,7 +24,8 @@
   Term candidateTerm;
   bool granted = false;
   // Nothing speaks against the vote but that the voter has started lately: in the candidate's term
-  // it has neither led, nor stood for election, nor heard a leader since.
+  // it has neither led, nor stood for election, nor heard a leader since. From another replica than
+  // the voter on its host: the voter is gone with its disk.
   bool leaderless = false;
 
   bool operator==(const PreVoteAnswer&) const = default;
--- a/include/damasklink/coordination/GroupReplica.h
+++ b/include/damasklink/coordination/GroupReplica.h
@@ -96,6 +96,7 @@
 
   using ProposalKey = std::pair<std::uint64_t, Sequence>;
 
+  void AnswerForEarlier(const AgreementMessage& aMessage, const PreVoteRequest& aRequest);
   void AnswerQuery(const AgreementMessage& aMessage, const FormationQuery& aQuery);
   void Follow(const GroupFormation::Outcome& aOutcome);
   void TakeProposal(const AgreementMessage& aMessage, const ForwardedProposal& aProposal);
--- a/include/damasklink/coordination/RaftCore.h
+++ b/include/damasklink/coordination/RaftCore.h
@@ -174,6 +174,7 @@
   Duration LeaderlessPause();
   bool IsLeaderless() const;
   void CountLeaderless(ReplicaId aVoter);
+  ReplicaId VoterOn(const HostId& aHost) const;
   void CountVote(ReplicaId aVoter);
   void BecomeFollower(Term aTerm, ReplicaId aLeader);
   void BecomeLeader();
@@ -233,7 +234,7 @@
   ReplicaId leader;
   HostId leaderHost;
   std::set<ReplicaId> votes;
-  // Voters that have said in this term that they are leaderless since they started.
+  // Voters that have said in this term that they are leaderless since they started, or are gone.
   std::set<ReplicaId> leaderless;
   MonotonicTime electionAt;
   MonotonicTime leaderHeardAt;
--- a/src/coordination/GroupReplica.cpp
+++ b/src/coordination/GroupReplica.cpp
@@ -55,6 +55,11 @@
     this->TakeProposal(aMessage, *proposal);
     return;
   }
+  const auto* asked = std::get_if<PreVoteRequest>(&aMessage.body);
+  if (asked != nullptr && aMessage.to != this->options.raft.replica) {
+    this->AnswerForEarlier(aMessage, *asked);
+    return;
+  }
   const bool sameGroup =
     aMessage.formation == this->core.Formation() && aMessage.formation != FormationId();
   if (!sameGroup) {
@@ -71,6 +76,21 @@
   }
 }
 
+// Tells that the replica which was asked is gone with its disk: this one has its place on the host,
+// where only one process can have the address. So nobody waits for the end of its lease.
+void
+GroupReplica::AnswerForEarlier(const AgreementMessage& aMessage, const PreVoteRequest& aRequest)
+{
+  PreVoteAnswer answer;
+  answer.candidateTerm = aRequest.candidateTerm;
+  answer.leaderless = true;
+  AgreementMessage reply = this->Address(aMessage.fromHost, aMessage.from, answer);
+  // This replica may not belong to the group yet.
+  reply.formation = aMessage.formation;
+  reply.term = aMessage.term;
+  this->outbox.push_back(std::move(reply));
+}
+
 void
 GroupReplica::AnswerQuery(const AgreementMessage& aMessage, const FormationQuery& aQuery)
 {
