--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -52,6 +52,10 @@
 // late.
 constexpr Duration kSettling = std::chrono::seconds(4);
 
+// Between two looks for parts that nobody will read any more: each goes through all that the stores
+// hold.
+constexpr Duration kFreeInterval = std::chrono::seconds(1);
+
 // For the handover of leadership to reach the successor before the process ends.
 constexpr Duration kHandoverTime = std::chrono::milliseconds(400);
 
@@ -142,6 +146,7 @@
   // The version whose services are followed.
   Revision followed;
   MonotonicTime nextSpread;
+  MonotonicTime nextFreeing;
   MonotonicTime nextTelling;
   MonotonicTime worksUntil;
 };
@@ -161,6 +166,10 @@
 void
 ControlHost::Impl::FreeUnusedParts()
 {
+  if (this->clock.MonotonicNow() < this->nextFreeing) {
+    return;
+  }
+  this->nextFreeing = this->clock.MonotonicNow() + kFreeInterval;
   this->settled.Note(this->picture.RemainingEngines());
   if (this->group.HoldsLease()) {
     this->stores.FreeUnused(this->settled.Least());
