A replica that answers for a lost one does so in its name

Reading the change again: with two voters of one host in a membership the answer was counted for the first of them, so the second was never counted and the group waited. Now the answer bears the name of the replica that was asked.

--- a/include/damasklink/coordination/AgreementMessage.h
+++ b/include/damasklink/coordination/AgreementMessage.h
@@ -24,8 +24,8 @@
   Term candidateTerm;
   bool granted = false;
   // Nothing speaks against the vote but that the voter has started lately: in the candidate's term
-  // it has neither led, nor stood for election, nor heard a leader since. From another replica than
-  // the voter on its host: the voter is gone with its disk.
+  // it has neither led, nor stood for election, nor heard a leader since. Or it is gone with its
+  // disk, and the replica that started in its place says so for it.
   bool leaderless = false;
 
   bool operator==(const PreVoteAnswer&) const = default;
--- a/include/damasklink/coordination/RaftCore.h
+++ b/include/damasklink/coordination/RaftCore.h
@@ -174,7 +174,6 @@
   Duration LeaderlessPause();
   bool IsLeaderless() const;
   void CountLeaderless(ReplicaId aVoter);
-  ReplicaId VoterOn(const HostId& aHost) const;
   void CountVote(ReplicaId aVoter);
   void BecomeFollower(Term aTerm, ReplicaId aLeader);
   void BecomeLeader();
--- a/src/coordination/GroupReplica.cpp
+++ b/src/coordination/GroupReplica.cpp
@@ -76,8 +76,9 @@
   }
 }
 
-// Tells that the replica which was asked is gone with its disk: this one has its place on the host,
-// where only one process can have the address. So nobody waits for the end of its lease.
+// Tells, in the name of the replica that was asked, that it is gone with its disk: this one has its
+// place on the host, where only one process can have the address. So nobody waits for the end of its
+// lease.
 void
 GroupReplica::AnswerForEarlier(const AgreementMessage& aMessage, const PreVoteRequest& aRequest)
 {
@@ -85,6 +86,7 @@
   answer.candidateTerm = aRequest.candidateTerm;
   answer.leaderless = true;
   AgreementMessage reply = this->Address(aMessage.fromHost, aMessage.from, answer);
+  reply.from = aMessage.to;
   // This replica may not belong to the group yet.
   reply.formation = aMessage.formation;
   reply.term = aMessage.term;
--- a/src/coordination/RaftCore.cpp
+++ b/src/coordination/RaftCore.cpp
@@ -121,18 +121,6 @@
   }
 }
 
-// Returns the voter that was asked on a host; another replica may answer there in its place.
-ReplicaId
-RaftCore::VoterOn(const HostId& aHost) const
-{
-  for (const Member& member : this->log.NewestMembership().members) {
-    if (member.host == aHost && member.voter) {
-      return member.replica;
-    }
-  }
-  return ReplicaId();
-}
-
 void
 RaftCore::ResetElectionTimer()
 {
@@ -279,7 +267,7 @@
     return;
   }
   if (aBody.leaderless && aMessage.term == this->hardState.term) {
-    this->CountLeaderless(this->VoterOn(aMessage.fromHost));
+    this->CountLeaderless(aMessage.from);
   }
   if (aBody.granted && this->role == RaftRole::PreCandidate) {
     this->CountVote(aMessage.from);
