A call is expected to wait for a slot of its engine, not only for memory and readings

Cause: engines of the large deployment run 16 requests at once; short prompts fill the slots long before the memory, and what waited for a slot was expected at once. Change: TargetPicker takes the longer of the queue of readings and the wait for a slot, at the slots that targets tell and the learnt time for which a prompt has one (EnginePace::Run).

--- a/include/damasklink/coordination/EnginePace.h
+++ b/include/damasklink/coordination/EnginePace.h
@@ -3,10 +3,12 @@
 //   EnginePace pace;
 //   pace.NoteReading(TokenCount(12'800), took);   // Nothing else waited there to be read.
 //   pace.NoteShort(took);                         // Hardly anything to read.
+//   pace.NoteRun(took);                           // From the sending of any prompt to its end.
 //   pace.PerToken();                              // Milliseconds to read one token.
 //   pace.FirstStep();                             // Milliseconds of a first event beyond reading.
+//   pace.Run();                                   // Milliseconds for which a prompt has a slot.
 //
-// Both are medians of the last observations, so one observation in three may be garbage (a prompt
+// The first two are medians of the last observations, so one observation in three may be garbage (a prompt
 // that was found kept after all, one that waited behind another host's). Before enough were made,
 // declared figures count. Not thread-safe.
 #pragma once
@@ -61,13 +63,22 @@
   // A first event that is later than this says more of what held it up than of the engine.
   static constexpr double kMostFirstStep = 1000;
 
+  // Milliseconds for which a prompt has a slot, before any was observed; and the weight of a new
+  // observation in their mean: some hundred of them count, since prompts differ much.
+  static constexpr double kPriorRun = 400;
+  static constexpr double kRunWeight = 0.01;
+
   // Takes how long a prompt's first event took of which the engine read so many tokens.
   void NoteReading(TokenCount aRead, Duration aTook);
 
   // Takes how long the first event of a prompt took of which the engine read next to nothing.
   void NoteShort(Duration aTook);
 
+  // Takes how long a prompt had a slot of its engine.
+  void NoteRun(Duration aTook);
+
   double PerToken() const { return this->perToken.Value(); }
+  double Run() const { return this->run; }
   double FirstStep() const { return this->firstStep.Value(); }
 
   // Milliseconds until the first event of a prompt of which the engine reads so many tokens, when
@@ -80,6 +91,7 @@
 private:
   RecentMedian perToken{ kPriorPerToken };
   RecentMedian firstStep{ kPriorFirstStep };
+  double run = kPriorRun;
 };
 
 } // namespace damasklink
--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -8,7 +8,7 @@
 //
 // The cost of a target is the time to its first event, as far as this host can tell: the prompt
 // tokens that this host and the others sent there and that are not read yet, those of this call
-// that it must read itself, and the requests that it runs. What other hosts sent is known some
+// that it must read itself, the requests that it runs, and the wait for one of its slots. What other hosts sent is known some
 // hundred milliseconds late. Not thread-safe.
 #pragma once
 
@@ -136,11 +136,11 @@
                              const std::vector<TargetRecord>& aTargets);
 
   // Returns how long the call is expected to wait at the target before its own prompt is read: for
-  // what waits there to be read, and for memory that is not there.
-  Duration ExpectedWait(const PickQuestion& aQuestion, const TargetId& aTarget) const;
+  // what waits there to be read, for a slot, and for memory that is not there.
+  Duration ExpectedWait(const PickQuestion& aQuestion, const TargetRecord& aTarget) const;
 
   // Returns how long the call's first event is expected to take at the target, that wait included.
-  Duration ExpectedFirstEvent(const PickQuestion& aQuestion, const TargetId& aTarget) const;
+  Duration ExpectedFirstEvent(const PickQuestion& aQuestion, const TargetRecord& aTarget) const;
 
   // Returns the share of the target's memory that requests would hold with this call, above 1 when
   // some of them would have to wait for others to end; 0 where its memory is not known.
@@ -194,6 +194,9 @@
                 bool aFetched,
                 Duration aTook);
 
+  // Takes how long a call of a model ran at its engine, from its sending to its end.
+  void NoteRun(const ModelName& aModel, Duration aTook) { this->paces[aModel].NoteRun(aTook); }
+
   HeldParts& Held() { return this->held; }
 
 private:
@@ -201,6 +204,7 @@
   bool IsOfEarlierStart(const TargetId& aTarget, const PickedWork& aWork) const;
   bool HoldsAll(const PickQuestion& aQuestion, const TargetId& aTarget) const;
   double CostOf(const PickQuestion& aQuestion, const TargetRecord& aTarget) const;
+  double QueueAt(const PickQuestion& aQuestion, const TargetRecord& aTarget) const;
 
   const TargetHealth& health;
   const ZoneReach& reach;
--- a/src/coordination/EnginePace.cpp
+++ b/src/coordination/EnginePace.cpp
@@ -46,4 +46,10 @@
   this->firstStep.Observe(std::clamp(Milliseconds(aTook), 0.0, kMostFirstStep));
 }
 
+void
+EnginePace::NoteRun(Duration aTook)
+{
+  this->run += kRunWeight * (Milliseconds(aTook) - this->run);
+}
+
 } // namespace damasklink
--- a/src/coordination/TargetPicker.cpp
+++ b/src/coordination/TargetPicker.cpp
@@ -150,24 +150,39 @@
 }
 
 Duration
-TargetPicker::ExpectedFirstEvent(const PickQuestion& aQuestion, const TargetId& aTarget) const
+TargetPicker::ExpectedFirstEvent(const PickQuestion& aQuestion, const TargetRecord& aTarget) const
 {
   const EnginePace& pace = this->PaceOf(aQuestion.model);
-  const auto toRead = static_cast<double>(this->ToRead(aQuestion, aTarget).Value());
+  const auto toRead = static_cast<double>(this->ToRead(aQuestion, aTarget.id).Value());
   const double own = pace.FirstStep() + pace.PerToken() * this->costs.readingInQueue * toRead;
   return this->ExpectedWait(aQuestion, aTarget) + Milliseconds(own);
 }
 
 Duration
-TargetPicker::ExpectedWait(const PickQuestion& aQuestion, const TargetId& aTarget) const
+TargetPicker::ExpectedWait(const PickQuestion& aQuestion, const TargetRecord& aTarget) const
 {
-  const double perToken = this->PaceOf(aQuestion.model).PerToken() * this->costs.readingInQueue;
-  double milliseconds = perToken * static_cast<double>(this->LoadOf(aTarget).unread);
-  const double used = this->MemoryShare(aQuestion, aTarget);
+  double milliseconds = this->costs.readingInQueue * this->QueueAt(aQuestion, aTarget);
+  const double used = this->MemoryShare(aQuestion, aTarget.id);
   milliseconds += this->costs.missingMemory * std::max(used - 1, 0.0);
   return Milliseconds(milliseconds);
 }
 
+// Returns the milliseconds until what waits at the target has been read and one of its slots is
+// free. Those that wait for a slot are not read yet, so the longer of the two contains the other.
+double
+TargetPicker::QueueAt(const PickQuestion& aQuestion, const TargetRecord& aTarget) const
+{
+  const EnginePace& pace = this->PaceOf(aQuestion.model);
+  const SentLoad load = this->LoadOf(aTarget.id);
+  const double reading = pace.PerToken() * static_cast<double>(load.unread);
+  const std::uint64_t slots = aTarget.load.slots;
+  if (slots == 0 || load.requests < slots) {
+    return reading;
+  }
+  const auto ahead = static_cast<double>(load.requests - slots + 1);
+  return std::max(reading, pace.Run() * ahead / static_cast<double>(slots));
+}
+
 double
 TargetPicker::MemoryShare(const PickQuestion& aQuestion, const TargetId& aTarget) const
 {
@@ -186,7 +201,7 @@
   const auto requests = static_cast<double>(load.requests);
   const double perToken = this->PaceOf(aQuestion.model).PerToken();
   const double perOwnToken = perToken * (1 + this->costs.readingHoldsUp);
-  cost += perToken * static_cast<double>(load.unread);
+  cost += this->QueueAt(aQuestion, aTarget);
   cost += this->costs.perRequest * requests * (1 + requests / this->costs.usualRequests);
   if (aQuestion.cacheTokens > TokenCount()) {
     const double used = this->MemoryShare(aQuestion, aTarget.id);
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -174,6 +174,9 @@
   // Closing tells the target that nobody waits for the rest.
   this->channel.reset();
   this->context.picker.OnEnd(aTarget.id, this->work);
+  if (end == AttemptEnd::Delivered) {
+    this->NoteRun();
+  }
   // What became of a call to an earlier start of the target says nothing of the one that is there.
   const TargetRecord* now = this->context.picture.Targets().Find(aTarget.id);
   const bool restarted = now != nullptr && now->incarnation > aTarget.incarnation;
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -90,6 +90,7 @@
   void AddPartMoves(const TargetRecord& aTarget, TargetCall& aTo);
   void LogSend(const TargetRecord& aTarget, const TargetCall& aCall) const;
   void NoteFirstEvent(const TargetRecord& aTarget);
+  void NoteRun();
   void AskWithWeights(std::uint64_t aWeights);
   std::uint64_t NewestWeights() const;
   void OnInterrupt(Interrupt aReason);
@@ -126,6 +127,7 @@
   // The store that most of this attempt's parts come from, empty for none, and when it was sent.
   std::string fetchedFrom;
   MonotonicTime sentAt;
+  MonotonicTime firstEventAt;
   Interrupt interrupt = Interrupt::None;
   EventFramer framer;
   std::optional<WholeAnswer> failure;
--- a/src/program/ExchangeChoice.cpp
+++ b/src/program/ExchangeChoice.cpp
@@ -136,8 +136,8 @@
 bool
 Exchange::IsExpectedInTime(const TargetRecord& aTarget) const
 {
-  const Duration wait = this->context.picker.ExpectedWait(this->question, aTarget.id);
-  const Duration expected = this->context.picker.ExpectedFirstEvent(this->question, aTarget.id);
+  const Duration wait = this->context.picker.ExpectedWait(this->question, aTarget);
+  const Duration expected = this->context.picker.ExpectedFirstEvent(this->question, aTarget);
   const double memory = this->context.picker.MemoryShare(this->question, aTarget.id);
   const AdmissionLimits& limits = LimitsOf(this->Priority());
   const Duration objective = this->route->latencyObjective;
@@ -242,7 +242,8 @@
     return;
   }
   TargetPicker& picker = this->context.picker;
-  const Duration sinceSend = this->context.clock.MonotonicNow() - this->sentAt;
+  this->firstEventAt = this->context.clock.MonotonicNow();
+  const Duration sinceSend = this->firstEventAt - this->sentAt;
   const std::chrono::duration<double, std::milli> took = sinceSend;
   const double expected = picker.PaceOf(this->question.model).Expected(this->work.toRead);
   if (picker.NotePace(
@@ -266,4 +267,18 @@
   this->context.picker.OnFirstEvent(aTarget.id, this->work);
 }
 
+// Tells how long the call had a slot: without its wait for one, which grows with the load.
+void
+Exchange::NoteRun()
+{
+  if (!this->work.answering) {
+    return;
+  }
+  TargetPicker& picker = this->context.picker;
+  const double reading = picker.PaceOf(this->question.model).Expected(this->work.toRead);
+  const Duration answering = this->context.clock.MonotonicNow() - this->firstEventAt;
+  const auto read = std::chrono::duration<double, std::milli>(reading);
+  picker.NoteRun(this->question.model, answering + std::chrono::duration_cast<Duration>(read));
+}
+
 } // namespace damasklink
--- a/test/coordination/TargetPickerTest.cpp
+++ b/test/coordination/TargetPickerTest.cpp
@@ -352,14 +352,44 @@
   waiting.toRead = TokenCount(10'000);
   this->picker.OnSent(TargetId("a"), PickQuestion{}, waiting);
   this->question.promptTokens = TokenCount(300);
-  const Duration wait = this->picker.ExpectedWait(this->question, TargetId("a"));
-  const Duration whole = this->picker.ExpectedFirstEvent(this->question, TargetId("a"));
+  const Duration wait = this->picker.ExpectedWait(this->question, this->targets.front());
+  const Duration whole = this->picker.ExpectedFirstEvent(this->question, this->targets.front());
   this->question.promptTokens = TokenCount(46'000);
-  EXPECT_EQ(this->picker.ExpectedWait(this->question, TargetId("a")), wait);
-  EXPECT_GT(this->picker.ExpectedFirstEvent(this->question, TargetId("a")), whole);
+  EXPECT_EQ(this->picker.ExpectedWait(this->question, this->targets.front()), wait);
+  EXPECT_GT(this->picker.ExpectedFirstEvent(this->question, this->targets.front()), whole);
   // 10,000 tokens at the learnt pace, a little longer as others get their tokens in between.
   EXPECT_NEAR(std::chrono::duration<double>(wait).count(), 0.368, 0.02);
 }
 
+// Engines of few slots under short prompts: the slots are full long before the memory is.
+TEST_F(TargetPickerTest, CallWaitsForASlotOfAFullTarget)
+{
+  constexpr int kSlots = 16;
+  for (TargetRecord& target : this->targets) {
+    target.load.slots = kSlots;
+  }
+  for (int run = 0; run < 2'000; ++run) {
+    this->picker.NoteRun(this->question.model, std::chrono::milliseconds(320));
+  }
+  this->Load("a", kSlots - 1);
+  const TargetRecord& target = this->targets.front();
+  EXPECT_EQ(this->picker.ExpectedWait(this->question, target), Duration(0));
+  // Of 16 requests of 320 ms one ends each 20 ms; 17 are to end before this one begins.
+  this->Load("a", kSlots + 1);
+  EXPECT_GE(this->picker.ExpectedWait(this->question, target), std::chrono::milliseconds(340));
+  // It is passed over for one that has run less, whose prompts are still to be read.
+  PickedWork reading;
+  reading.toRead = TokenCount(12'000);
+  this->picker.OnSent(TargetId("b"), PickQuestion{}, reading);
+  this->targets.pop_back();
+  EXPECT_EQ(this->Choose(), "b");
+}
+
+TEST_F(TargetPickerTest, TargetThatTellsNoSlotsHasNoneToWaitFor)
+{
+  this->Load("a", 500);
+  EXPECT_EQ(this->picker.ExpectedWait(this->question, this->targets.front()), Duration(0));
+}
+
 } // namespace
 } // namespace damasklink
