Callers that are refused return in turn, not all after 0.3 s

Cause: after an outage of all hosts callers ask several times what engines can take (2,400 prompts in 0.8 s); all who were refused were told 0.3 s, came back together and were refused for good. Change: ReturnQueue gives each its turn, a quarter of the rate at which this host admits, 0.3 to 2 s away. Under a lasting overload few wait, and each comes back soon as before.

--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -64,14 +64,13 @@
     , pool(this->clock)
     , pace(RandomSeed())
     , comeBack(RandomSeed())
+    , returns(this->clock, RandomSeed())
     , mesh(this->loop, this->settings.host, this->settings.peerPort, *this)
-    , context{ this->loop,     this->clock,
-               this->settings, this->calls,
-               this->metrics,  this->picture,
-               this->retries,  this->health,
-               this->reach,    this->picker,
-               this->pool,     this->pace,
-               this->comeBack, this->clock.MonotonicNow(),
+    , context{ this->loop,     this->clock,   this->settings,
+               this->calls,    this->metrics, this->picture,
+               this->retries,  this->health,  this->reach,
+               this->picker,   this->pool,    this->pace,
+               this->comeBack, this->returns, this->clock.MonotonicNow(),
                nullptr }
     , configuration(this->loop,
                     this->clock,
@@ -127,6 +126,7 @@
   TargetChannelPool pool;
   StorePace pace;
   ComeBack comeBack;
+  ReturnQueue returns;
   PeerMesh mesh;
   EntryContext context;
   ConfigurationFeed configuration;
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -21,9 +21,6 @@
 // When a refused call should come again: a target's queue is some hundred milliseconds long.
 constexpr Duration kComeBackAfter = std::chrono::milliseconds(250);
 
-// When all targets are full: queues as long as that empty in about a second.
-constexpr Duration kComeBackToFull = std::chrono::milliseconds(300);
-
 // Foreign answers that are skipped on one channel before it is given up.
 constexpr int kMostForeignAnswers = 3;
 
@@ -159,6 +156,7 @@
   this->work.behindOthers =
     this->context.picker.LoadOf(aTarget.id).unread >= TargetPicker::kLongReading;
   this->context.picker.OnSent(aTarget.id, this->question, this->work);
+  this->context.returns.OnAdmitted();
   if (this->context.picker.HasUrgentSends() && this->context.tellSends) {
     this->context.tellSends();
   }
@@ -380,7 +378,7 @@
     case ExchangeStep::Refuse: {
       CallerError error = Refusal(
         ErrorKind::Unavailable, "no target took the request", "come back after the time given");
-      error.retryAfter = this->overloaded ? kComeBackToFull : kComeBackAfter;
+      error.retryAfter = this->overloaded ? this->context.returns.Join() : kComeBackAfter;
       co_return co_await this->AnswerFailure(error);
     }
     case ExchangeStep::Expire: {
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -11,6 +11,7 @@
 #include "damasklink/coordination/EventFramer.h"
 #include "damasklink/coordination/ExchangePlan.h"
 #include "damasklink/coordination/RetryShares.h"
+#include "damasklink/coordination/ReturnQueue.h"
 #include "damasklink/coordination/StorePace.h"
 #include "damasklink/coordination/TargetPicker.h"
 #include "damasklink/protocol/ServingDialect.h"
@@ -36,6 +37,7 @@
   TargetChannelPool& pool;
   StorePace& pace;
   ComeBack& comeBack;
+  ReturnQueue& returns;
   MonotonicTime started;
   // Tells the other hosts at once what this one has sent.
   std::function<void()> tellSends;
--- a/test/program/ExchangeFixture.h
+++ b/test/program/ExchangeFixture.h
@@ -203,13 +203,12 @@
   TargetChannelPool pool{ this->clock };
   StorePace pace{ 1 };
   ComeBack comeBack{ 1 };
-  EntryContext context{ this->loop,     this->clock,
-                        this->settings, this->dialect,
-                        this->metrics,  this->picture,
-                        this->retries,  this->health,
-                        this->reach,    this->picker,
-                        this->pool,     this->pace,
-                        this->comeBack, this->clock.MonotonicNow(),
+  ReturnQueue returns{ this->clock, 1 };
+  EntryContext context{ this->loop,     this->clock,   this->settings,
+                        this->dialect,  this->metrics, this->picture,
+                        this->retries,  this->health,  this->reach,
+                        this->picker,   this->pool,    this->pace,
+                        this->comeBack, this->returns, this->clock.MonotonicNow(),
                         nullptr };
   std::thread thread;
   asio::io_context callerLoop;
