Prompts are compared with targets of the own zone too

Cause: of 93 engines in five zones four were drawn at random, less than one of them near, so four prompts in five left their zone, for bytes that are paid for and two further ways. Change: four of the own zone are compared as well; a zone that is fuller is left as before. Test: among a hundred targets in five zones most prompts stay in theirs, and leave it when it is full.

--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -8,8 +8,8 @@
 //
 // The cost of a target is the time to its first event, as far as this host can tell: the prompt
 // tokens that this host and the others sent there and that are not read yet, those of this call
-// that it must read itself, the requests that it runs, and the wait for one of its slots. What other hosts sent is known some
-// hundred milliseconds late. Not thread-safe.
+// that it must read itself, the requests that it runs, and the wait for one of its slots. What
+// other hosts sent is known some hundred milliseconds late. Not thread-safe.
 #pragma once
 
 #include <map>
@@ -78,8 +78,7 @@
   Incarnation start;
 };
 
-// The figures of the cost, in milliseconds, beside what EnginePace learns; chosen by trials, which
-// docs/PLATFORM.md lists.
+// The figures of the cost, in milliseconds, beside what EnginePace learns.
 struct PickCosts
 {
   // What reading costs beyond its own time, in multiples of it: an engine reads one prompt after
@@ -99,8 +98,7 @@
   double freeMemoryShare = 0.5;
   // A target whose memory would be full: requests wait there for others to end, or push them out.
   double fullMemory = 400;
-  // A transfer between zones takes so many times as long as one within a zone. With a fetch taken
-  // at its store's link and zone, a tenth fewer shared tokens are read again.
+  // A transfer between zones takes so many times as long as one within a zone.
   double fetchFromOtherZone = 2;
   // A target whose weights are older than the newest: what begins there is worth less to the
   // caller. About what reading a long prompt anew costs a target whose caches are empty after its
@@ -117,10 +115,8 @@
 class TargetPicker
 {
 public:
-  // A prompt of which so many tokens are to be read is told to the other hosts at once. Reading
-  // them takes from a tenth of to as long as the 100 to 250 ms until they would hear of it
-  // otherwise. A third fewer short calls come late (397 of 602 a day left, engines of 38 tokens a
-  // millisecond, five days of three seeds each).
+  // A prompt of which so many tokens are to be read is told to the other hosts at once: short calls
+  // that they send behind it before they hear of it come late.
   static constexpr std::uint64_t kLongReading = 1000;
 
   TargetPicker(const TargetHealth& aHealth,
@@ -128,10 +124,10 @@
                std::uint64_t aSeed,
                PickCosts aCosts = PickCosts());
 
-  // Returns the target with the least cost among those that hold its shared parts and a few
-  // that are drawn at random, null when there is none. Ejected targets are chosen only when more
-  // than half of the list is ejected: then the fault is likely elsewhere. Targets of zones that are
-  // out are chosen only when there are no others.
+  // Returns the target with the least cost among those that hold its shared parts, a few that are
+  // drawn at random, and a few of the host's own zone, null when there is none. Ejected targets are
+  // chosen only when more than half of the list is ejected: then the fault is likely elsewhere.
+  // Targets of zones that are out are chosen only when there are no others.
   const TargetRecord* Choose(const PickQuestion& aQuestion,
                              const std::vector<TargetRecord>& aTargets);
 
@@ -200,6 +196,8 @@
   HeldParts& Held() { return this->held; }
 
 private:
+  std::vector<const TargetRecord*> Candidates(const PickQuestion& aQuestion,
+                                              const std::vector<const TargetRecord*>& aFit);
   const TargetRecord* ChooseForPlainCall(const std::vector<const TargetRecord*>& aFit);
   bool IsOfEarlierStart(const TargetId& aTarget, const PickedWork& aWork) const;
   bool HoldsAll(const PickQuestion& aQuestion, const TargetId& aTarget) const;
--- a/src/coordination/TargetPicker.cpp
+++ b/src/coordination/TargetPicker.cpp
@@ -15,6 +15,10 @@
 // targets, all of them would choose the same one until they heard of it.
 constexpr std::size_t kSampled = 4;
 
+// Beside these as many of the host's own availability zone, of which among hundreds hardly any is
+// drawn otherwise: bytes between zones are paid for, and a zone that is about as full is as good.
+constexpr std::size_t kSampledNear = 4;
+
 Duration
 Milliseconds(double aCount)
 {
@@ -80,13 +84,7 @@
   }
   const TargetRecord* best = nullptr;
   double least = 0;
-  // A random start, so that equal targets are chosen in turn.
-  const std::size_t start = this->random() % fit.size();
-  for (std::size_t step = 0; step < fit.size(); ++step) {
-    const TargetRecord* target = fit[(start + step) % fit.size()];
-    if (step >= kSampled && !this->HoldsAll(aQuestion, target->id)) {
-      continue;
-    }
+  for (const TargetRecord* target : this->Candidates(aQuestion, fit)) {
     const double cost = this->CostOf(aQuestion, *target);
     if (best == nullptr || cost + kEqualMilliseconds < least) {
       best = target;
@@ -96,6 +94,32 @@
   return best;
 }
 
+// Returns the targets that are compared for a prompt; the first one is chosen among equals, so each
+// drawing begins at random.
+std::vector<const TargetRecord*>
+TargetPicker::Candidates(const PickQuestion& aQuestion,
+                         const std::vector<const TargetRecord*>& aFit)
+{
+  std::vector<const TargetRecord*> candidates;
+  const std::size_t start = this->random() % aFit.size();
+  for (std::size_t step = 0; step < aFit.size(); ++step) {
+    const TargetRecord* target = aFit[(start + step) % aFit.size()];
+    if (step < kSampled || this->HoldsAll(aQuestion, target->id)) {
+      candidates.push_back(target);
+    }
+  }
+  const std::size_t nearStart = this->random() % aFit.size();
+  std::size_t near = 0;
+  for (std::size_t step = 0; step < aFit.size() && near < kSampledNear; ++step) {
+    const TargetRecord* target = aFit[(nearStart + step) % aFit.size()];
+    if (target->zone == aQuestion.zone) {
+      candidates.push_back(target);
+      ++near;
+    }
+  }
+  return candidates;
+}
+
 // Calls without a prompt last some tens of milliseconds, less than what hosts know of each other is
 // old: were the least loaded target chosen, all hosts would choose it until they heard of each
 // other. So chance decides, unless the target is much fuller than another one drawn at random.
--- a/test/coordination/TargetPickerTest.cpp
+++ b/test/coordination/TargetPickerTest.cpp
@@ -391,5 +391,27 @@
   EXPECT_EQ(this->picker.ExpectedWait(this->question, this->targets.front()), Duration(0));
 }
 
+// A hundred targets in five zones, all about as full: a fifth is near.
+TEST_F(TargetPickerTest, AmongManyTargetsMostPromptsStayInTheirZone)
+{
+  this->targets.clear();
+  for (int number = 0; number < 100; ++number) {
+    this->targets.push_back(Target("t" + std::to_string(number), "z" + std::to_string(number % 5)));
+  }
+  this->question.zone = ZoneId("z0");
+  int near = 0;
+  for (int call = 0; call < 200; ++call) {
+    near += this->picker.Choose(this->question, this->targets)->zone == ZoneId("z0") ? 1 : 0;
+  }
+  EXPECT_GT(near, 180);
+  // The own zone is full: calls leave it.
+  for (const TargetRecord& target : this->targets) {
+    if (target.zone == ZoneId("z0")) {
+      this->Load(target.id.Value(), 20);
+    }
+  }
+  EXPECT_NE(this->picker.Choose(this->question, this->targets)->zone, ZoneId("z0"));
+}
+
 } // namespace
 } // namespace damasklink
