--- a/include/damasklink/coordination/ComeBack.h
+++ b/include/damasklink/coordination/ComeBack.h
@@ -4,8 +4,7 @@
 //   comeBack.WhileStarting(clock.MonotonicNow() - started);
 //
 // A caller comes back once or twice at most, so a time that is too short costs it its last try: it
-// is refused again for the same reason. Of what is owed on days on which all hosts are down for a
-// second, 0.9 in 100 is refused in the end instead of 2.2. Not thread-safe.
+// is refused again for the same reason. Not thread-safe.
 #pragma once
 
 #include <random>
@@ -18,8 +17,8 @@
 {
 public:
   // From the start of an entry host until it has its first configuration when all hosts start
-  // together: control hosts read their logs for 0.3 s, may elect a leader 0.7 s later, since the
-  // lease of the one before must have ended, and tell the picture at once. Measured: 1.2 s.
+  // together and one control host is missing: the others read their logs, wait until the lease of
+  // the leader before must have ended, elect one and tell the picture at once.
   static constexpr Duration kStartTakes = std::chrono::milliseconds(1300);
   // Those who were refused meanwhile return over this time: all at once they would find engines
   // with 1.3 s of traffic waiting.
--- a/include/damasklink/coordination/HubChoice.h
+++ b/include/damasklink/coordination/HubChoice.h
@@ -10,8 +10,7 @@
 // where bytes are cheap, or else the first, and rather one that hears a leader. A hub that owes its
 // sums for long is passed over until it speaks again: a control host that is suspended keeps its
 // connections, and accepts new ones, for as long as nobody gives them up, while the entry hosts
-// that tell it do not hear of each other. With control hosts suspended for 3 to 7 s, a fifth fewer
-// short calls come late. Not thread-safe.
+// that tell it do not hear of each other. Not thread-safe.
 #pragma once
 
 #include <optional>
--- a/include/damasklink/coordination/StorePace.h
+++ b/include/damasklink/coordination/StorePace.h
@@ -29,8 +29,7 @@
   // than it costs to read the call's parts instead, and at least by this many milliseconds.
   static constexpr double kSlowBy = 100;
   // What reading costs all in all, in multiples of its own time: the engine reads for one call at a
-  // time, so those that come meanwhile wait too, while a fetch holds up other fetches only. A fifth
-  // fewer shared tokens are read again than with a fixed 100 ms.
+  // time, so those that come meanwhile wait too, while a fetch holds up other fetches only.
   static constexpr double kReadingCosts = 2;
   // One in so many is fetched from a slow store all the same, to see whether it still is.
   static constexpr unsigned kProbeOneIn = 8;
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -295,7 +295,8 @@
   }
 }
 
-// Reads the document: 90 ms for 4,000 routes on 0.3 of a core, so not when only weights were named.
+// Reads the whole document, which takes long where it has thousands of routes, so not when only
+// weights were named.
 void
 ControlHost::Impl::FollowServices()
 {
--- a/src/program/ExchangeChoice.cpp
+++ b/src/program/ExchangeChoice.cpp
@@ -13,8 +13,7 @@
 // What a call of one priority may meet at its target; else it is refused at once. Memory that is
 // full makes requests wait, pushes cached parts out, and these are then read again, which makes
 // requests last longer: a long prompt of low priority is refused before that begins, and short
-// urgent ones go on. With a quarter of the engines gone, two fifths fewer calls came late, and a
-// third as many were refused.
+// urgent ones go on.
 struct AdmissionLimits
 {
   // How many times its latency objective the call may be expected to wait for others. Its own
