--- a/bench/SlopesBench.cpp
+++ b/bench/SlopesBench.cpp
@@ -67,8 +67,8 @@
   std::cout << "value name=announcement_parse unit=us value=" << parse << '\n';
 }
 
-// What a control host does for its targets: the time of one heartbeat, and that of one step in which
-// a hundredth of them were heard and nothing has changed.
+// What a control host does for its targets: the time of one heartbeat, and that of one step in
+// which a hundredth of them were heard and nothing has changed.
 void
 MeasureControlPicture()
 {
--- a/include/damasklink/coordination/EnginePace.h
+++ b/include/damasklink/coordination/EnginePace.h
@@ -8,9 +8,9 @@
 //   pace.FirstStep();                             // Milliseconds of a first event beyond reading.
 //   pace.Run();                                   // Milliseconds for which a prompt has a slot.
 //
-// The first two are medians of the last observations, so one observation in three may be garbage (a prompt
-// that was found kept after all, one that waited behind another host's). Before enough were made,
-// declared figures count. Not thread-safe.
+// The first two are medians of the last observations, so one observation in three may be garbage (a
+// prompt that was found kept after all, one that waited behind another host's). Before enough were
+// made, declared figures count. Not thread-safe.
 #pragma once
 
 #include <array>
--- a/src/coordination/GroupReplica.cpp
+++ b/src/coordination/GroupReplica.cpp
@@ -77,8 +77,8 @@
 }
 
 // Tells, in the name of the replica that was asked, that it is gone with its disk: this one has its
-// place on the host, where only one process can have the address. So nobody waits for the end of its
-// lease.
+// place on the host, where only one process can have the address. So nobody waits for the end of
+// its lease.
 void
 GroupReplica::AnswerForEarlier(const AgreementMessage& aMessage, const PreVoteRequest& aRequest)
 {
--- a/test/coordination/GroupReplicaTest.cpp
+++ b/test/coordination/GroupReplicaTest.cpp
@@ -345,8 +345,8 @@
   this->cluster.HealAndCheck();
 }
 
-// A voter whose disk is gone is gone with it, and so is any lease of its: the replica that started in
-// its place says so.
+// A voter whose disk is gone is gone with it, and so is any lease of its: the replica that started
+// in its place says so.
 TEST(GroupReplicaLeaseTest, GroupThatStartsAnewWithLostDisksWaitsForNoLease)
 {
   constexpr std::size_t kLost = 2;
--- a/test/coordination/TargetRegistryTest.cpp
+++ b/test/coordination/TargetRegistryTest.cpp
@@ -113,7 +113,8 @@
     addressOf[target] = address;
     lastAt[address] = target;
     for (const auto& [other, place] : addressOf) {
-      RC_ASSERT(registry.IsUsable(TargetId("t" + std::to_string(other))) == (lastAt[place] == other));
+      RC_ASSERT(registry.IsUsable(TargetId("t" + std::to_string(other))) ==
+                (lastAt[place] == other));
     }
   }
 }
