--- a/include/damasklink/state/Settings.h
+++ b/include/damasklink/state/Settings.h
@@ -23,6 +23,7 @@
   std::string address;
   std::uint16_t port = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Endpoint&) const = default;
 };
 
