--- a/src/coordination/SendsHub.cpp
+++ b/src/coordination/SendsHub.cpp
@@ -91,28 +91,36 @@
   return total;
 }
 
+namespace {
+
+// Moves what was not told yet into news in the name of aSelf; aLoadOf gives a target's figures now.
+template<typename Untold, typename LoadOf>
 SendsNews
-SendsHub::TakeChanges(const HostId& aSelf)
+TellAll(Untold& aUntold, const HostId& aSelf, LoadOf aLoadOf)
 {
   SendsNews news;
   news.host = aSelf;
-  for (auto& [target, parts] : std::exchange(this->changes.sends, {})) {
-    news.sends.push_back(StateSends(target, this->sum.Of(target), std::move(parts)));
+  for (auto& [target, parts] : std::exchange(aUntold.sends, {})) {
+    news.sends.push_back(StateSends(target, aLoadOf(target), std::move(parts)));
   }
-  this->changes.MoveFindings(news);
+  aUntold.MoveFindings(news);
   return news;
 }
 
+} // namespace
+
+SendsNews
+SendsHub::TakeChanges(const HostId& aSelf)
+{
+  return TellAll(
+    this->changes, aSelf, [this](const TargetId& aTarget) { return this->sum.Of(aTarget); });
+}
+
 SendsNews
 SendsHub::TakeTotals(const HostId& aSelf)
 {
-  SendsNews news;
-  news.host = aSelf;
-  for (auto& [target, parts] : std::exchange(this->totals.sends, {})) {
-    news.sends.push_back(StateSends(target, this->TotalOf(target), std::move(parts)));
-  }
-  this->totals.MoveFindings(news);
-  return news;
+  return TellAll(
+    this->totals, aSelf, [this](const TargetId& aTarget) { return this->TotalOf(aTarget); });
 }
 
 SendsNews
