--- a/test/program/ReusePartTest.cpp
+++ b/test/program/ReusePartTest.cpp
@@ -11,6 +11,9 @@
 
 constexpr std::uint64_t kPromptBlocks = 4;
 
+// Seconds of waiting that computing a thousand tokens anew is worth.
+constexpr double kDearRecompute = 1e6;
+
 // An engine that exports and imports whatever it is told to, and remembers the orders.
 class FakeEngine
 {
@@ -136,9 +139,11 @@
   }
 
   // Brings until the engine got an order: on a loaded machine the owner's grant may come later than
-  // the few milliseconds for which a prompt waits, and then the prompt is computed instead.
-  void BringUntilOrdered(const RouteRequest& aRequest, const RouteDecision& aDecision)
+  // a prompt waits for it, and then the prompt is computed instead. An import is made worth waiting
+  // for, so that no second one is begun while the order of the first is on its way.
+  void BringUntilOrdered(RouteRequest aRequest, const RouteDecision& aDecision)
   {
+    aRequest.objective.recompute = kDearRecompute;
     while (this->engine.Imports().empty()) {
       this->reuse.Reuse().Bring(aRequest, aDecision);
     }
