A test that fails: a request that crashes targets is sent to target after target

What callers saw: engines ended one after the other while one request was repeated at changing hosts. The stand-in of a target can crash on a body: its listener closes, its connections are reset, and it is back under a new id after one to two seconds.

--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -46,6 +46,7 @@
     "older_configuration_read",
     "cut_by_a_graceful_stop",
     "not_recovered",
+    "sent_again_after_three_crashes",
 )
 
 
@@ -434,22 +435,28 @@
             channel[1].close()
         return self.counts["status_200"] > before
 
-    async def run(self):
+    async def start(self):
         for number, target in enumerate(self.targets):
             await target.start(f"127.{self.subnet}.3.{number + 1}")
         for host in self.controls + self.entries:
             host.start()
-        announcing = [asyncio.create_task(target.announce()) for target in self.targets]
-        operating = asyncio.create_task(self.operate())
+        self.announcing = [asyncio.create_task(target.announce()) for target in self.targets]
+        self.operating = asyncio.create_task(self.operate())
         await self.recover()
+
+    def stop_announcing(self):
+        for task in self.announcing:
+            task.cancel()
+
+    async def run(self):
+        await self.start()
         work = [asyncio.create_task(self.caller(f"c{number}")) for number in range(CALLERS)]
-        work += [operating, asyncio.create_task(self.watch()), asyncio.create_task(self.disturb())]
+        work += [self.operating, asyncio.create_task(self.watch()), asyncio.create_task(self.disturb())]
         await asyncio.sleep(self.seconds)
         self.ending = True
         await asyncio.gather(*work)
         await self.recover()
-        for task in announcing:
-            task.cancel()
+        self.stop_announcing()
         self.count_runs()
 
     def count_runs(self):
@@ -468,8 +475,8 @@
                 host.child.wait()
 
 
-def soak_one(options, seed):
-    soak = Soak(options, seed)
+def soak_one(options, seed, kind=Soak):
+    soak = kind(options, seed)
     try:
         asyncio.run(soak.run())
     finally:
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -6,6 +6,9 @@
 
 EVENTS = 12
 EVENT_PAUSE = 0.01
+# A body that begins so ends each target that runs it, this long after it has begun.
+CRASHING = b"crash"
+CRASH_AFTER = 0.03
 
 
 async def read_head(reader):
@@ -55,6 +58,15 @@
         self.server = await asyncio.start_server(self.serve, address, 0)
         self.address = self.server.sockets[0].getsockname()[:2]
 
+    def stop(self):
+        """Ends as a process does: nobody listens, and all connections are reset."""
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def start_again(self):
+        self.server = await asyncio.start_server(self.serve, *self.address)
+
     def set_mode(self, mode):
         self.mode = mode
         if mode == "reset":
@@ -108,6 +120,9 @@
         self.life = 0
         self.sequence = 0
         self.state = "ready"
+        # When and with which body a crashing request arrived, and when one ended this target.
+        self.crashing_arrivals = []
+        self.crashes = []
 
     async def start(self, address):
         server = await asyncio.start_server(self.serve, address, 0)
@@ -124,8 +139,22 @@
         self.sequence = 0
         self.state = "ready"
 
+    async def crash(self, body):
+        await asyncio.sleep(CRASH_AFTER)
+        if self.state == "crashed":
+            return
+        self.state = "crashed"
+        self.crashes.append((asyncio.get_running_loop().time(), body))
+        self.proxy.stop()
+        await asyncio.sleep(self.random.uniform(1, 2))
+        await self.proxy.start_again()
+        self.restart()
+
     async def announce(self):
         while True:
+            if self.state == "crashed":
+                await asyncio.sleep(0.05)
+                continue
             self.sequence += 1
             body = json.dumps(
                 {
@@ -148,8 +177,8 @@
         try:
             while True:
                 first, fields = await read_head(reader)
-                await reader.readexactly(int(fields.get("content-length", "0")))
-                await self.answer(first.split()[1], fields, writer)
+                body = await reader.readexactly(int(fields.get("content-length", "0")))
+                await self.answer(first.split()[1], fields, body, writer)
                 await writer.drain()
         except (OSError, EOFError, asyncio.IncompleteReadError):
             pass
@@ -159,7 +188,7 @@
         finally:
             writer.close()
 
-    async def answer(self, path, fields, writer):
+    async def answer(self, path, fields, body, writer):
         request = fields["x-request-id"]
         echo = f"X-Request-Id: {request}\r\n"
         if fields.get("x-target-instance", self.id) != self.id:
@@ -168,6 +197,9 @@
             )
             return
         self.ledger[request] = self.ledger.get(request, 0) + 1
+        if body.startswith(CRASHING):
+            self.crashing_arrivals.append((asyncio.get_running_loop().time(), body))
+            self.crashing = asyncio.create_task(self.crash(body))
         echo += "X-Response-Stamp: " + self.id + "\r\n"
         if path.startswith("/streams/"):
             await self.stream(request, int(fields.get("last-event-id", "0")), echo, writer)
