Stand-in of a crashing target: its answer begins without an event

Cause: the caller of the test read the head and left before the target crashed, so the host saw a caller that left, not a target that broke off. The check and its bound are as they were.

--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -200,6 +200,9 @@
         if body.startswith(CRASHING):
             self.crashing_arrivals.append((asyncio.get_running_loop().time(), body))
             self.crashing = asyncio.create_task(self.crash(body))
+            # Its answer begins and has no event, so that the caller is still there when it breaks off.
+            self.begin_stream(echo, writer)
+            return
         echo += "X-Response-Stamp: " + self.id + "\r\n"
         if path.startswith("/streams/"):
             await self.stream(request, int(fields.get("last-event-id", "0")), echo, writer)
@@ -208,11 +211,14 @@
         body = f"{request}{path}"
         writer.write(f"HTTP/1.1 200 OK\r\n{echo}Content-Length: {len(body)}\r\n\r\n{body}".encode())
 
-    async def stream(self, request, last, echo, writer):
+    def begin_stream(self, echo, writer):
         writer.write(
             f"HTTP/1.1 200 OK\r\n{echo}Content-Type: text/event-stream\r\n"
             "Transfer-Encoding: chunked\r\n\r\n".encode()
         )
+
+    async def stream(self, request, last, echo, writer):
+        self.begin_stream(echo, writer)
         for number in range(last + 1, EVENTS + 1):
             event = f"id: {number}\ndata: {request}-{number}\n\n"
             writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
