Broken attempts name the request's fingerprint, and whether the target has ended

Cause: logs could not tell one request that ends target after target from many that are struck when targets end for another reason, nor a target that ended from one that failed an answer. Change: RequestFingerprint; TargetCheck tries one connection after a broken attempt, shared by all that broke on the same start of a target. TargetChannel::Connect() tells a refused connection (NotFound) from a silent one. Nothing is decided on it yet. Tests: RequestFingerprintTest, ExchangeTest pass.

--- a/include/damasklink/transport/TargetChannel.h
+++ b/include/damasklink/transport/TargetChannel.h
@@ -36,7 +36,8 @@
   TargetChannel(const TargetChannel&) = delete;
   TargetChannel& operator=(const TargetChannel&) = delete;
 
-  // Fails with Unavailable; then no byte has left this host.
+  // Fails with NotFound when nothing listens there and else with Unavailable; then no byte of a
+  // request has left this host.
   Awaitable<Result<void>> Connect(const Endpoint& aEndpoint, Duration aPatience);
 
   // Fails with Interrupted; then some bytes may have arrived.
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -65,12 +65,12 @@
     , pace(RandomSeed())
     , comeBack(RandomSeed())
     , returns(this->clock, RandomSeed())
+    , checks(this->loop, this->clock)
     , mesh(this->loop, this->settings.host, this->settings.peerPort, *this)
-    , context{ this->loop,     this->clock,   this->settings,
-               this->calls,    this->metrics, this->picture,
-               this->retries,  this->health,  this->reach,
-               this->picker,   this->pool,    this->pace,
-               this->comeBack, this->returns, this->clock.MonotonicNow(),
+    , context{ this->loop,     this->clock,   this->settings, this->calls,
+               this->metrics,  this->picture, this->retries,  this->health,
+               this->reach,    this->picker,  this->pool,     this->pace,
+               this->comeBack, this->returns, this->checks,   this->clock.MonotonicNow(),
                nullptr }
     , configuration(this->loop,
                     this->clock,
@@ -127,6 +127,7 @@
   StorePace pace;
   ComeBack comeBack;
   ReturnQueue returns;
+  TargetCheck checks;
   PeerMesh mesh;
   EntryContext context;
   ConfigurationFeed configuration;
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -174,6 +174,8 @@
   this->context.picker.OnEnd(aTarget.id, this->work);
   if (end == AttemptEnd::Delivered) {
     this->NoteRun();
+  } else if (end == AttemptEnd::Broken) {
+    this->NoteBroken(aTarget);
   }
   // What became of a call to an earlier start of the target says nothing of the one that is there.
   const TargetRecord* now = this->context.picture.Targets().Find(aTarget.id);
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -7,9 +7,11 @@
 #include <string>
 
 #include "EntryPicture.h"
+#include "TargetCheck.h"
 #include "damasklink/coordination/ComeBack.h"
 #include "damasklink/coordination/EventFramer.h"
 #include "damasklink/coordination/ExchangePlan.h"
+#include "damasklink/coordination/RequestFingerprint.h"
 #include "damasklink/coordination/RetryShares.h"
 #include "damasklink/coordination/ReturnQueue.h"
 #include "damasklink/coordination/StorePace.h"
@@ -38,6 +40,7 @@
   StorePace& pace;
   ComeBack& comeBack;
   ReturnQueue& returns;
+  TargetCheck& checks;
   MonotonicTime started;
   // Tells the other hosts at once what this one has sent.
   std::function<void()> tellSends;
@@ -93,6 +96,8 @@
   void LogSend(const TargetRecord& aTarget, const TargetCall& aCall) const;
   void NoteFirstEvent(const TargetRecord& aTarget);
   void NoteRun();
+  void NoteBroken(const TargetRecord& aTarget);
+  RequestFingerprint Fingerprint() const;
   void AskWithWeights(std::uint64_t aWeights);
   std::uint64_t NewestWeights() const;
   void OnInterrupt(Interrupt aReason);
--- a/src/program/ExchangeRecord.cpp
+++ b/src/program/ExchangeRecord.cpp
@@ -22,6 +22,33 @@
   }
 }
 
+// Tells whether repeats of one request break at target after target, and whether these have ended.
+void
+Exchange::NoteBroken(const TargetRecord& aTarget)
+{
+  LogEvent(LogLevel::Info, "attempt_broken")
+    .With("request", this->call.request)
+    .With("fingerprint", this->Fingerprint())
+    .With("workspace", this->workspace == nullptr ? WorkspaceId() : this->workspace->name)
+    .With("target", aTarget.id)
+    .With("incarnation", aTarget.incarnation);
+  this->context.checks.Run(aTarget, nullptr);
+}
+
+RequestFingerprint
+Exchange::Fingerprint() const
+{
+  RequestIdentity identity;
+  if (this->workspace != nullptr) {
+    identity.workspace = this->workspace->name;
+  }
+  identity.service = this->service;
+  identity.method = this->request.head.method;
+  identity.path = this->request.head.target;
+  identity.body = this->request.body;
+  return FingerprintOf(identity);
+}
+
 HealthSign
 Exchange::SignOf(AttemptEnd aEnd) const
 {
--- a/src/transport/TargetChannel.cpp
+++ b/src/transport/TargetChannel.cpp
@@ -85,7 +85,8 @@
   watchdog.Disarm();
   if (error || late) {
     const std::string reason = late ? std::string("no answer in time") : error.message();
-    co_return Fail(ErrorKind::Unavailable,
+    const bool refused = error == asio::error::connection_refused;
+    co_return Fail(refused ? ErrorKind::NotFound : ErrorKind::Unavailable,
                    Concat("cannot connect to ", FormatEndpoint(aEndpoint), ": ", reason),
                    "look whether the target runs and can be reached");
   }
--- /dev/null
+++ b/test/coordination/RequestFingerprintTest.cpp
@@ -0,0 +1,53 @@
+#include "damasklink/coordination/RequestFingerprint.h"
+
+#include <gtest/gtest.h>
+
+namespace damasklink {
+namespace {
+
+RequestIdentity
+Identity()
+{
+  return RequestIdentity{ WorkspaceId("w"), ServiceName("s"), "POST", "/jobs/7?x=1", "body" };
+}
+
+TEST(RequestFingerprintTest, RepeatsHaveTheSameOnEveryHost)
+{
+  EXPECT_EQ(FingerprintOf(Identity()), FingerprintOf(Identity()));
+  // The value goes between hosts of different builds and into files.
+  EXPECT_EQ(FingerprintOf(RequestIdentity{}), RequestFingerprint(15051567215856270734U));
+}
+
+TEST(RequestFingerprintTest, EachPartOfTheIdentityCounts)
+{
+  const RequestFingerprint own = FingerprintOf(Identity());
+  RequestIdentity other = Identity();
+  other.workspace = WorkspaceId("v");
+  EXPECT_NE(FingerprintOf(other), own);
+  other = Identity();
+  other.service = ServiceName("t");
+  EXPECT_NE(FingerprintOf(other), own);
+  other = Identity();
+  other.method = "PUT";
+  EXPECT_NE(FingerprintOf(other), own);
+  other = Identity();
+  other.path = "/jobs/7?x=2";
+  EXPECT_NE(FingerprintOf(other), own);
+  other = Identity();
+  other.body = "bodz";
+  EXPECT_NE(FingerprintOf(other), own);
+}
+
+TEST(RequestFingerprintTest, TextsDoNotRunIntoEachOther)
+{
+  RequestIdentity left = Identity();
+  left.method = "PO";
+  left.path = "ST/";
+  RequestIdentity right = Identity();
+  right.method = "POST";
+  right.path = "/";
+  EXPECT_NE(FingerprintOf(left), FingerprintOf(right));
+}
+
+} // namespace
+} // namespace damasklink
--- a/test/program/ExchangeFixture.h
+++ b/test/program/ExchangeFixture.h
@@ -204,11 +204,11 @@
   StorePace pace{ 1 };
   ComeBack comeBack{ 1 };
   ReturnQueue returns{ this->clock, 1 };
-  EntryContext context{ this->loop,     this->clock,   this->settings,
-                        this->dialect,  this->metrics, this->picture,
-                        this->retries,  this->health,  this->reach,
-                        this->picker,   this->pool,    this->pace,
-                        this->comeBack, this->returns, this->clock.MonotonicNow(),
+  TargetCheck checks{ this->loop, this->clock };
+  EntryContext context{ this->loop,     this->clock,   this->settings, this->dialect,
+                        this->metrics,  this->picture, this->retries,  this->health,
+                        this->reach,    this->picker,  this->pool,     this->pace,
+                        this->comeBack, this->returns, this->checks,   this->clock.MonotonicNow(),
                         nullptr };
   std::thread thread;
   asio::io_context callerLoop;
