A request that crashed three targets is not sent to more of them

What callers saw: engines ended one after the other for as long as one request was repeated; streams that ran beside it broke off. Cause: what is learnt of a crash was kept for the target (TargetHealth), never for the request; a repeat has another request id and comes at another host, so each began with nothing known. Class: a cause that travels with the input, blamed on what it meets. Change: entry hosts report the fingerprint of a request under which a target ended (TargetCheck: the target refuses connections; targets that said that they leave are left out). Control hosts keep the set of (request, start of a target) in CrashLedger. Three different starts and no sound run in between, settled for 500 ms: entry hosts refuse it at once, with 503 (not run) and no Retry-After, since it would only bring it back. The leader commits the refusal to the replicated log, so it outlasts restarts and lost power; a sound run or 24 hours release it. While nothing crashes no fingerprint is made and nothing more is told. Ruled out: counting broken answers alone (targets fail single answers); counting per host (three hosts see a crash each); refusing at once at the third report (equal requests of many callers are struck by targets that end at once: without the 500 ms CrashModelTest fails, and without clearing by sound runs too).

--- a/include/damasklink/coordination/ServingMachine.h
+++ b/include/damasklink/coordination/ServingMachine.h
@@ -1,4 +1,5 @@
-// The state that control hosts replicate for serving: one document and the named weights.
+// The state that control hosts replicate for serving: one document, the named weights, and the
+// requests that are refused because they crash targets.
 //
 // A document with a higher version replaces the one that is held; any other changes nothing and is
 // acknowledged all the same, so that a change that is sent again is never refused. Versions of
@@ -15,6 +16,8 @@
 #include <variant>
 
 #include "damasklink/coordination/Replication.h"
+#include "damasklink/coordination/RequestFingerprint.h"
+#include "damasklink/state/Clock.h"
 
 namespace damasklink {
 
@@ -36,7 +39,33 @@
 struct ReadMarker
 {};
 
-using ServingCommand = std::variant<PutDocument, NameWeights, ReadMarker>;
+// Whose request is refused, and since when.
+struct RefusedRequest
+{
+  WorkspaceId workspace;
+  // To the millisecond.
+  WallTime since;
+
+  bool operator==(const RefusedRequest&) const = default;
+};
+
+using RefusedRequests = std::map<RequestFingerprint, RefusedRequest>;
+
+// The request is not sent to targets any more. One that is refused already keeps its time.
+struct RefuseRequest
+{
+  RequestFingerprint request;
+  RefusedRequest facts;
+};
+
+// The request may be sent to targets again.
+struct ReleaseRequest
+{
+  RequestFingerprint request;
+};
+
+using ServingCommand =
+  std::variant<PutDocument, NameWeights, ReadMarker, RefuseRequest, ReleaseRequest>;
 
 std::string
 EncodeServingCommand(const ServingCommand& aCommand);
@@ -55,6 +84,9 @@
 class ServingMachine final : public ReplicatedMachine
 {
 public:
+  // Refused requests that are kept; the one that was refused first makes room.
+  static constexpr std::size_t kMostRefused = 256;
+
   std::string Apply(const ApplyContext& aContext, std::string_view aCommand) override;
   std::string Save() const override;
   Result<void> Load(std::string_view aSnapshot) override;
@@ -64,13 +96,18 @@
   const std::string& Document() const { return this->document; }
   const std::map<ModelName, std::uint64_t>& Weights() const { return this->weights; }
 
+  const RefusedRequests& Refused() const { return this->refused; }
+
   // Rises with everything that changes.
   std::uint64_t Changes() const { return this->changes; }
 
 private:
+  void Refuse(const RefuseRequest& aCommand);
+
   Revision version;
   std::string document;
   std::map<ModelName, std::uint64_t> weights;
+  RefusedRequests refused;
   std::uint64_t changes = 0;
 };
 
--- a/include/damasklink/coordination/ServingPicture.h
+++ b/include/damasklink/coordination/ServingPicture.h
@@ -6,12 +6,15 @@
 #pragma once
 
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "damasklink/coordination/DocumentTransfer.h"
 #include "damasklink/coordination/PromptParts.h"
+#include "damasklink/coordination/RequestFingerprint.h"
 #include "damasklink/coordination/Target.h"
 #include "damasklink/state/Ids.h"
 
@@ -74,6 +77,30 @@
   bool operator==(const StoreStatement&) const = default;
 };
 
+// A request that ran on a target when that ended.
+struct CrashReport
+{
+  RequestFingerprint request;
+  // Empty on open routes.
+  WorkspaceId workspace;
+  TargetId target;
+  // The start of the target that ended.
+  Incarnation incarnation;
+
+  bool operator==(const CrashReport&) const = default;
+};
+
+// Requests that crash targets.
+struct CrashingRequests
+{
+  // Not to be sent to targets any more.
+  std::set<RequestFingerprint> refused;
+  // May come to be refused; a sound run is to be reported.
+  std::set<RequestFingerprint> suspected;
+
+  bool operator==(const CrashingRequests&) const = default;
+};
+
 struct Picture
 {
   // The version of the configuration document that is in force, with every picture, so that an
@@ -87,6 +114,8 @@
   bool isolated = false;
   ControlHostZones controlHosts;
   std::vector<StoreStatement> stores;
+  // All that the sender knows of them; nothing when it does not tell.
+  std::optional<CrashingRequests> crashing;
 
   bool operator==(const Picture&) const = default;
 };
@@ -143,6 +172,10 @@
   // To be passed on at once: a long prompt was sent, and calls that others send behind it before
   // they hear of it wait until it is read.
   bool urgent = false;
+  // Since the teller told before.
+  std::vector<CrashReport> crashes;
+  // Suspected requests that ran well since then.
+  std::vector<RequestFingerprint> sound;
 
   bool operator==(const SendsNews&) const = default;
 };
--- a/src/coordination/ServingMachine.cpp
+++ b/src/coordination/ServingMachine.cpp
@@ -1,5 +1,6 @@
 #include "damasklink/coordination/ServingMachine.h"
 
+#include <algorithm>
 #include <optional>
 
 #include "damasklink/state/Bytes.h"
@@ -13,6 +14,8 @@
   PutDocument = 1,
   NameWeights = 2,
   ReadMarker = 3,
+  RefuseRequest = 4,
+  ReleaseRequest = 5,
 };
 
 auto
@@ -22,6 +25,23 @@
     ErrorKind::Corrupt, std::move(aWhat), "run the same program version on all control hosts");
 }
 
+void
+WriteFacts(ByteWriter& aWriter, const RefusedRequest& aFacts)
+{
+  const auto since = aFacts.since.time_since_epoch();
+  aWriter.Text(aFacts.workspace.Value());
+  aWriter.Number(static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(since).count()));
+}
+
+RefusedRequest
+ReadFacts(ByteReader& aReader)
+{
+  const WorkspaceId workspace(aReader.Text());
+  const std::chrono::milliseconds since(static_cast<std::int64_t>(aReader.Number()));
+  return RefusedRequest{ workspace, WallTime(since) };
+}
+
 std::optional<ServingCommand>
 DecodeCommand(std::string_view aBytes)
 {
@@ -41,6 +61,14 @@
     case CommandTag::ReadMarker:
       command = ReadMarker{};
       break;
+    case CommandTag::RefuseRequest: {
+      const RequestFingerprint request(reader.Number());
+      command = RefuseRequest{ request, ReadFacts(reader) };
+      break;
+    }
+    case CommandTag::ReleaseRequest:
+      command = ReleaseRequest{ RequestFingerprint(reader.Number()) };
+      break;
     default:
       return std::nullopt;
   }
@@ -69,6 +97,19 @@
   {
     this->writer.Byte(static_cast<std::uint8_t>(CommandTag::ReadMarker));
   }
+
+  void operator()(const RefuseRequest& aCommand)
+  {
+    this->writer.Byte(static_cast<std::uint8_t>(CommandTag::RefuseRequest));
+    this->writer.Number(aCommand.request.Value());
+    WriteFacts(this->writer, aCommand.facts);
+  }
+
+  void operator()(const ReleaseRequest& aCommand)
+  {
+    this->writer.Byte(static_cast<std::uint8_t>(CommandTag::ReleaseRequest));
+    this->writer.Number(aCommand.request.Value());
+  }
 };
 
 std::string
@@ -122,10 +163,30 @@
       held = named->version;
       ++this->changes;
     }
+  } else if (const auto* refuse = std::get_if<RefuseRequest>(&*command); refuse != nullptr) {
+    this->Refuse(*refuse);
+  } else if (const auto* release = std::get_if<ReleaseRequest>(&*command); release != nullptr) {
+    this->changes += this->refused.erase(release->request);
   }
   return EncodeStanding(this->version, true);
 }
 
+void
+ServingMachine::Refuse(const RefuseRequest& aCommand)
+{
+  if (!this->refused.try_emplace(aCommand.request, aCommand.facts).second) {
+    return;
+  }
+  ++this->changes;
+  if (this->refused.size() > kMostRefused) {
+    const auto oldest = std::min_element(
+      this->refused.begin(), this->refused.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.since < aRight.second.since;
+      });
+    this->refused.erase(oldest);
+  }
+}
+
 std::string
 ServingMachine::Save() const
 {
@@ -137,6 +198,14 @@
     writer.Text(model.Value());
     writer.Number(named);
   }
+  // Snapshots of programs that knew no refused requests end here.
+  if (!this->refused.empty()) {
+    writer.Number(this->refused.size());
+    for (const auto& [request, facts] : this->refused) {
+      writer.Number(request.Value());
+      WriteFacts(writer, facts);
+    }
+  }
   return writer.Take();
 }
 
@@ -152,12 +221,19 @@
     const ModelName model(reader.Text());
     loadedWeights[model] = reader.Number();
   }
+  RefusedRequests loadedRefused;
+  const std::uint64_t refusedCount = reader.Left() > 0 ? reader.Number() : 0;
+  for (std::uint64_t index = 0; index < refusedCount && reader.Ok(); ++index) {
+    const RequestFingerprint request(reader.Number());
+    loadedRefused[request] = ReadFacts(reader);
+  }
   if (!reader.Finished()) {
     return Unreadable("the serving part of a snapshot cannot be read");
   }
   this->version = loadedVersion;
   this->document = std::move(loadedDocument);
   this->weights = std::move(loadedWeights);
+  this->refused = std::move(loadedRefused);
   ++this->changes;
   return Success();
 }
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -4,6 +4,7 @@
 #include "ControlPicture.h"
 #include "MetricsPage.h"
 #include "PictureTeller.h"
+#include "RefusalDesk.h"
 #include "ServingGroup.h"
 #include "ServingSignals.h"
 #include "StoreWatcher.h"
@@ -136,8 +137,10 @@
   WeightsDesk weights;
   SettledWeights settled{ this->clock, kSettling };
   HostRoster roster{ this->settings.host, this->settings.zone };
-  PictureTeller teller{ this->clock,   this->settings, this->group, this->stores,
-                        this->picture, this->roster,   this->mesh,  this->account };
+  CrashLedger crashes{ this->clock };
+  RefusalDesk refusals{ this->loop, this->group, this->crashes };
+  PictureTeller teller{ this->clock,  this->settings, this->group, this->stores, this->picture,
+                        this->roster, this->crashes,  this->mesh,  this->account };
   MetricsPage metricsPage{ this->loop, this->metrics, this->settings.host };
   ControlCalls calls;
   ChannelListener callers{ this->loop };
@@ -277,6 +280,7 @@
 ControlHost::Impl::SpreadTargets()
 {
   this->StepWeights();
+  this->refusals.Step();
   this->nextSpread = this->clock.MonotonicNow() + kSpreadStep;
   this->teller.TellChanges();
 }
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -66,11 +66,25 @@
     , comeBack(RandomSeed())
     , returns(this->clock, RandomSeed())
     , checks(this->loop, this->clock)
+    , crashes(this->clock)
     , mesh(this->loop, this->settings.host, this->settings.peerPort, *this)
-    , context{ this->loop,     this->clock,   this->settings, this->calls,
-               this->metrics,  this->picture, this->retries,  this->health,
-               this->reach,    this->picker,  this->pool,     this->pace,
-               this->comeBack, this->returns, this->checks,   this->clock.MonotonicNow(),
+    , context{ this->loop,
+               this->clock,
+               this->settings,
+               this->calls,
+               this->metrics,
+               this->picture,
+               this->retries,
+               this->health,
+               this->reach,
+               this->picker,
+               this->pool,
+               this->pace,
+               this->comeBack,
+               this->returns,
+               this->checks,
+               this->crashes,
+               this->clock.MonotonicNow(),
                nullptr }
     , configuration(this->loop,
                     this->clock,
@@ -108,6 +122,7 @@
   void KnowSeeds(const std::vector<HostId>& aSeeds);
   void KeepControlLinks();
   void TakePicture(const HostId& aPeer, const Picture& aTold);
+  void TakeCrashing(const HostId& aPeer, const CrashingRequests& aTold);
   void NoteReady();
   bool IsReady() const;
   CallerLimits Limits() const;
@@ -128,6 +143,7 @@
   ComeBack comeBack;
   ReturnQueue returns;
   TargetCheck checks;
+  CrashWatch crashes;
   PeerMesh mesh;
   EntryContext context;
   ConfigurationFeed configuration;
@@ -338,6 +354,7 @@
       .With("before", before.value_or(HostId()));
     this->picture.ListenForStores(chosen);
     this->picker.TellAllAnew();
+    this->crashes.TellAllAnew();
     // The totals of the next hub contain all that those of the former did.
     this->picker.ForgetSumsBefore(this->clock.MonotonicNow());
   }
@@ -362,7 +379,10 @@
   news.sends = this->picker.TakeSends();
   news.excesses = this->pace.TakeNotes();
   news.findings = this->health.TakeFindings();
-  const bool anything = !news.sends.empty() || !news.excesses.empty() || !news.findings.empty();
+  news.crashes = this->crashes.TakeReports();
+  news.sound = this->crashes.TakeSound();
+  const bool anything = !news.sends.empty() || !news.excesses.empty() || !news.findings.empty() ||
+                        !news.crashes.empty() || !news.sound.empty();
   if (this->hub.Hub() && (aHubIsNew || anything)) {
     this->TellSends(*this->hub.Hub(), news);
     if (!news.sends.empty()) {
@@ -420,6 +440,7 @@
 {
   this->picture.OnLink(aPeer, false);
   this->configuration.OnLost(aPeer);
+  this->crashes.OnLost(aPeer);
   // It has forgotten this host; should it come back at once, it is told everything anew.
   this->hub.OnLost(aPeer);
 }
@@ -459,6 +480,9 @@
   const bool wasGood = this->picture.IsGood(aPeer);
   this->picture.Take(aPeer, aTold);
   this->configuration.OnPicture(aPeer, aTold);
+  if (aTold.crashing) {
+    this->TakeCrashing(aPeer, *aTold.crashing);
+  }
   for (const TargetRecord& target : this->picture.Targets().TakeRestarted()) {
     LogEvent(LogLevel::Info, "target_restarted")
       .With("target", target.id)
@@ -474,6 +498,16 @@
   }
 }
 
+void
+EntryHost::Impl::TakeCrashing(const HostId& aPeer, const CrashingRequests& aTold)
+{
+  this->crashes.Take(aPeer, aTold);
+  LogEvent(LogLevel::Info, "crashing_requests_told")
+    .With("from", aPeer)
+    .With("refused", aTold.refused.size())
+    .With("suspected", aTold.suspected.size());
+}
+
 void
 EntryHost::Impl::NoteReady()
 {
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -96,6 +96,11 @@
     }
   }
   this->service = ChooseService(*this->route, ShortHash(this->call.request.Value()));
+  if (this->CrashesTargets()) {
+    return Refusal(ErrorKind::Unavailable,
+                   "targets ended each time they ran this request",
+                   "change the request, or ask the operator to release it");
+  }
   ExchangeTerms terms;
   const bool resumable = this->route->kind == CallKind::Streaming && this->route->resumable;
   terms.repeatable = this->route->kind == CallKind::Idempotent || resumable;
@@ -122,6 +127,9 @@
     this->lastEnd = co_await this->Attempt(target);
     step = this->plan->After(
       this->lastEnd, this->context.clock.MonotonicNow(), this->context.retries.Of(this->service));
+    if (step == ExchangeStep::TryAnother && this->CrashesTargets()) {
+      step = this->plan->WithoutTarget();
+    }
     if (step == ExchangeStep::TryAnother) {
       this->context.metrics.Add(
         Counter::Retries,
@@ -174,6 +182,7 @@
   this->context.picker.OnEnd(aTarget.id, this->work);
   if (end == AttemptEnd::Delivered) {
     this->NoteRun();
+    this->NoteSound();
   } else if (end == AttemptEnd::Broken) {
     this->NoteBroken(aTarget);
   }
@@ -304,6 +313,7 @@
     co_return AttemptEnd::Failed;
   }
   this->ending->Disarm();
+  this->ranWell = aHead.status < 300;
   this->LogEnd("answered", aHead.status);
   HttpAnswerMessage answer{ std::move(aHead), std::move(body.value()) };
   const bool written = co_await this->caller.WriteWhole(std::move(answer), this->ClosesAfter());
@@ -346,6 +356,7 @@
     const bool written = co_await this->caller.WriteWhole(std::move(empty), this->ClosesAfter());
     co_return written ? AttemptEnd::Delivered : AttemptEnd::CallerLeft;
   }
+  this->ranWell = true;
   this->LogEnd("streamed", aHead.status);
   const bool ended = co_await this->caller.EndStream();
   co_return ended ? AttemptEnd::Delivered : AttemptEnd::CallerLeft;
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -9,6 +9,7 @@
 #include "EntryPicture.h"
 #include "TargetCheck.h"
 #include "damasklink/coordination/ComeBack.h"
+#include "damasklink/coordination/CrashWatch.h"
 #include "damasklink/coordination/EventFramer.h"
 #include "damasklink/coordination/ExchangePlan.h"
 #include "damasklink/coordination/RequestFingerprint.h"
@@ -41,6 +42,7 @@
   ComeBack& comeBack;
   ReturnQueue& returns;
   TargetCheck& checks;
+  CrashWatch& crashes;
   MonotonicTime started;
   // Tells the other hosts at once what this one has sent.
   std::function<void()> tellSends;
@@ -97,7 +99,11 @@
   void NoteFirstEvent(const TargetRecord& aTarget);
   void NoteRun();
   void NoteBroken(const TargetRecord& aTarget);
-  RequestFingerprint Fingerprint() const;
+  void NoteSound();
+  // Made when it is first asked for: while nothing crashes nobody asks.
+  RequestFingerprint Fingerprint();
+  // Whether targets end under this request, so that it must not be sent.
+  bool CrashesTargets();
   void AskWithWeights(std::uint64_t aWeights);
   std::uint64_t NewestWeights() const;
   void OnInterrupt(Interrupt aReason);
@@ -125,6 +131,7 @@
   CacheScope scope;
   std::uint64_t weights = 0;
 
+  std::optional<RequestFingerprint> fingerprint;
   std::optional<ExchangePlan> plan;
   std::optional<Watchdog> ending;
   std::unique_ptr<TargetChannel> channel;
@@ -143,6 +150,8 @@
   bool unacknowledged = false;
   // No target can be expected to answer in time.
   bool overloaded = false;
+  // The last attempt brought a whole answer of success.
+  bool ranWell = false;
 };
 
 } // namespace damasklink
--- a/src/program/ExchangeRecord.cpp
+++ b/src/program/ExchangeRecord.cpp
@@ -22,22 +22,51 @@
   }
 }
 
-// Tells whether repeats of one request break at target after target, and whether these have ended.
+// Reports the request where the target has ended under it. A target that said that it leaves ends
+// for that reason.
 void
 Exchange::NoteBroken(const TargetRecord& aTarget)
 {
+  const CrashReport report{ this->Fingerprint(),
+                            this->workspace == nullptr ? WorkspaceId() : this->workspace->name,
+                            aTarget.id,
+                            aTarget.incarnation };
+  const bool leaves = this->context.picture.Targets().Find(aTarget.id) == nullptr;
   LogEvent(LogLevel::Info, "attempt_broken")
     .With("request", this->call.request)
-    .With("fingerprint", this->Fingerprint())
-    .With("workspace", this->workspace == nullptr ? WorkspaceId() : this->workspace->name)
+    .With("fingerprint", report.request)
+    .With("workspace", report.workspace)
     .With("target", aTarget.id)
-    .With("incarnation", aTarget.incarnation);
-  this->context.checks.Run(aTarget, nullptr);
+    .With("incarnation", aTarget.incarnation)
+    .With("leaves", leaves);
+  CrashWatch& watch = this->context.crashes;
+  this->context.checks.Run(aTarget, [&watch, report, leaves] {
+    if (!leaves) {
+      watch.OnCrash(report);
+    }
+  });
+}
+
+void
+Exchange::NoteSound()
+{
+  if (this->ranWell && this->context.crashes.IsActive()) {
+    this->context.crashes.OnSound(this->Fingerprint());
+  }
+}
+
+bool
+Exchange::CrashesTargets()
+{
+  return this->context.crashes.IsActive() && this->context.crashes.IsRefused(this->Fingerprint());
 }
 
 RequestFingerprint
-Exchange::Fingerprint() const
+Exchange::Fingerprint()
 {
+  if (this->fingerprint) {
+    return *this->fingerprint;
+  }
   RequestIdentity identity;
   if (this->workspace != nullptr) {
     identity.workspace = this->workspace->name;
@@ -46,7 +75,8 @@
   identity.method = this->request.head.method;
   identity.path = this->request.head.target;
   identity.body = this->request.body;
-  return FingerprintOf(identity);
+  this->fingerprint = FingerprintOf(identity);
+  return *this->fingerprint;
 }
 
 HealthSign
@@ -108,7 +138,8 @@
   metrics.Add(Counter::Requests, MetricKey{ WorkspaceId(), name }, 1);
   metrics.Observe(Sample::WholeRequest, MetricKey{ WorkspaceId(), name }, aTook);
   if (aStatus == 503) {
-    const char* cause = this->overloaded ? "overloaded" : "no_target";
+    const bool crashes = this->fingerprint && this->context.crashes.IsRefused(*this->fingerprint);
+    const char* cause = crashes ? "crashes_targets" : this->overloaded ? "overloaded" : "no_target";
     metrics.Add(Counter::Refusals, MetricKey{ WorkspaceId(), cause }, 1);
   } else if (aStatus >= 400 || aStatus == 0) {
     metrics.Add(Counter::Failures, MetricKey{ WorkspaceId(), std::to_string(aStatus) }, 1);
@@ -124,6 +155,7 @@
   LogEvent(good ? LogLevel::Debug : LogLevel::Info, "request_ended")
     .With("overloaded", this->overloaded)
     .With("request", this->call.request)
+    .With("fingerprint", this->fingerprint.value_or(RequestFingerprint()))
     .With("route", this->route == nullptr ? "" : std::string_view(this->route->name))
     .With("configuration", this->routes == nullptr ? Revision() : this->routes->Config().version)
     .With("outcome", aOutcome)
--- a/src/program/PictureTeller.cpp
+++ b/src/program/PictureTeller.cpp
@@ -14,7 +14,8 @@
 bool
 HasAnything(const SendsNews& aNews)
 {
-  return !aNews.sends.empty() || !aNews.excesses.empty() || !aNews.findings.empty();
+  return !aNews.sends.empty() || !aNews.excesses.empty() || !aNews.findings.empty() ||
+         !aNews.crashes.empty() || !aNews.sound.empty();
 }
 
 } // namespace
@@ -25,6 +26,7 @@
                              const StoreWatcher& aStores,
                              ControlPicture& aPicture,
                              HostRoster& aRoster,
+                             CrashLedger& aCrashes,
                              PeerMesh& aMesh,
                              WorkAccount& aAccount)
   : clock(aClock)
@@ -33,6 +35,7 @@
   , stores(aStores)
   , picture(aPicture)
   , roster(aRoster)
+  , crashes(aCrashes)
   , mesh(aMesh)
   , account(aAccount)
 {
@@ -49,8 +52,15 @@
   if (named) {
     changes.controlHosts = this->roster.AllControlHosts();
   }
-  const bool standingChanged =
-    named || changes.entryHosts != this->toldEntryHosts || changes.isolated != this->toldIsolated;
+  CrashingRequests crashing = this->crashes.Told();
+  const bool crashingChanged = crashing != this->toldCrashing;
+  if (crashingChanged) {
+    this->toldCrashing = crashing;
+    changes.crashing = std::move(crashing);
+  }
+  const bool standingChanged = named || crashingChanged ||
+                               changes.entryHosts != this->toldEntryHosts ||
+                               changes.isolated != this->toldIsolated;
   if (standingChanged || !changes.targets.empty()) {
     this->toldEntryHosts = changes.entryHosts;
     this->toldIsolated = changes.isolated;
@@ -83,6 +93,7 @@
   base.weights = this->group.State().Weights();
   base.entryHosts = this->roster.CountEntryHosts();
   base.controlHosts = this->roster.AllControlHosts();
+  base.crashing = this->toldCrashing;
   return base;
 }
 
@@ -128,6 +139,18 @@
   // Since what was told on an earlier connection may be lost.
   this->TellAllTargets(aPeer);
   this->Tell(Work::Hosts, aPeer, this->roster.OwnList());
+  this->TellAllCrashes(aPeer);
+}
+
+void
+PictureTeller::TellAllCrashes(const HostId& aControlHost)
+{
+  SendsNews news;
+  news.host = this->settings.host;
+  news.crashes = this->crashes.All();
+  if (!news.crashes.empty()) {
+    this->Tell(Work::Loads, aControlHost, news);
+  }
 }
 
 void
@@ -172,6 +195,7 @@
 {
   const MonotonicTime now = this->clock.MonotonicNow();
   const bool ofOwnHost = this->roster.EntryHosts().contains(aFrom);
+  this->TakeCrashes(aNews, ofOwnHost);
   if (!ofOwnHost) {
     this->sends.TakeSum(aNews, now);
   } else {
@@ -187,6 +211,18 @@
   }
 }
 
+void
+PictureTeller::TakeCrashes(const SendsNews& aNews, bool aOfOwnHost)
+{
+  this->crashes.Take(aNews.crashes);
+  this->crashes.TakeSound(aNews.sound);
+  if (aOfOwnHost) {
+    this->untoldCrashes.insert(
+      this->untoldCrashes.end(), aNews.crashes.begin(), aNews.crashes.end());
+    this->untoldSound.insert(this->untoldSound.end(), aNews.sound.begin(), aNews.sound.end());
+  }
+}
+
 // Tells at once, unless entry hosts were told just now: with hundreds of them, one sends a long
 // prompt every few milliseconds, and each telling goes to all.
 void
@@ -211,6 +247,8 @@
   this->sends.ForgetSumsBefore(this->clock.MonotonicNow() - SendsSum::kMemory);
   SendsNews own = this->sends.TakeChanges(this->settings.host);
   own.urgent = std::exchange(this->ownUrgentWaits, false);
+  own.crashes = std::exchange(this->untoldCrashes, {});
+  own.sound = std::exchange(this->untoldSound, {});
   if (HasAnything(own)) {
     this->TellControlHosts(Work::Loads, own);
   }
--- a/src/program/PictureTeller.h
+++ b/src/program/PictureTeller.h
@@ -10,6 +10,7 @@
 #include "ServingGroup.h"
 #include "StoreWatcher.h"
 #include "WorkAccount.h"
+#include "damasklink/coordination/CrashLedger.h"
 #include "damasklink/coordination/DocumentSource.h"
 #include "damasklink/coordination/HostRoster.h"
 #include "damasklink/coordination/SendsHub.h"
@@ -28,6 +29,7 @@
                 const StoreWatcher& aStores,
                 ControlPicture& aPicture,
                 HostRoster& aRoster,
+                CrashLedger& aCrashes,
                 PeerMesh& aMesh,
                 WorkAccount& aAccount);
 
@@ -74,6 +76,8 @@
   void Send(Work aWork, const HostId& aTo, std::string aPayload);
   void TellTotals();
   void TakeUrgent(bool aOfOwnHosts);
+  void TakeCrashes(const SendsNews& aNews, bool aOfOwnHost);
+  void TellAllCrashes(const HostId& aControlHost);
 
   const Clock& clock;
   const ServingSettings& settings;
@@ -81,6 +85,7 @@
   const StoreWatcher& stores;
   ControlPicture& picture;
   HostRoster& roster;
+  CrashLedger& crashes;
   PeerMesh& mesh;
   WorkAccount& account;
   SendsHub sends;
@@ -99,6 +104,10 @@
   std::uint64_t toldEntryHosts = 0;
   bool toldIsolated = false;
   std::map<ModelName, std::uint64_t> toldWeights;
+  CrashingRequests toldCrashing;
+  // What own entry hosts reported, for the other control hosts.
+  std::vector<CrashReport> untoldCrashes;
+  std::vector<RequestFingerprint> untoldSound;
 };
 
 } // namespace damasklink
--- a/src/program/TargetCheck.cpp
+++ b/src/program/TargetCheck.cpp
@@ -38,9 +38,7 @@
     .With("error", connected ? Error{} : connected.error());
   if (ended) {
     for (const OnEnded& waiter : waiters) {
-      if (waiter != nullptr) {
-        waiter();
-      }
+      waiter();
     }
   }
 }
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -153,6 +153,38 @@
   return statement;
 }
 
+std::unique_ptr<wire::CrashRowT>
+RowOf(const CrashReport& aReport)
+{
+  auto row = std::make_unique<wire::CrashRowT>();
+  row->request = aReport.request.Value();
+  row->workspace = aReport.workspace.Value();
+  row->target = aReport.target.Value();
+  row->incarnation = aReport.incarnation.Value();
+  return row;
+}
+
+template<typename Fingerprints>
+std::vector<std::uint64_t>
+NumbersOf(const Fingerprints& aFingerprints)
+{
+  std::vector<std::uint64_t> numbers;
+  for (const RequestFingerprint fingerprint : aFingerprints) {
+    numbers.push_back(fingerprint.Value());
+  }
+  return numbers;
+}
+
+std::set<RequestFingerprint>
+FingerprintsOf(const std::vector<std::uint64_t>& aNumbers)
+{
+  std::set<RequestFingerprint> fingerprints;
+  for (const std::uint64_t number : aNumbers) {
+    fingerprints.insert(RequestFingerprint(number));
+  }
+  return fingerprints;
+}
+
 wire::DocumentTransferId
 IdOf(const TransferId& aTransfer)
 {
@@ -202,6 +234,11 @@
     }
     this->frame.entry_hosts = static_cast<std::uint32_t>(aPicture.entryHosts);
     this->frame.isolated = aPicture.isolated;
+    this->frame.tells_crashing = aPicture.crashing.has_value();
+    if (aPicture.crashing) {
+      this->frame.refused_requests = NumbersOf(aPicture.crashing->refused);
+      this->frame.suspected_requests = NumbersOf(aPicture.crashing->suspected);
+    }
     this->FillControlHosts(aPicture.controlHosts);
   }
 
@@ -234,6 +271,10 @@
       row->back = static_cast<std::uint32_t>(findings.back);
       this->frame.findings.push_back(std::move(row));
     }
+    for (const CrashReport& crash : aNews.crashes) {
+      this->frame.crashes.push_back(RowOf(crash));
+    }
+    this->frame.sound = NumbersOf(aNews.sound);
   }
 
   void operator()(const EntryHostList& aList)
@@ -310,6 +351,10 @@
   }
   picture.entryHosts = aFrame.entry_hosts;
   picture.isolated = aFrame.isolated;
+  if (aFrame.tells_crashing) {
+    picture.crashing = CrashingRequests{ FingerprintsOf(aFrame.refused_requests),
+                                         FingerprintsOf(aFrame.suspected_requests) };
+  }
   picture.controlHosts = ReadControlHosts(aFrame);
   return ServingMessage(std::move(picture));
 }
@@ -363,6 +408,19 @@
         TargetFindings{ TargetId(TextOf(row->target())), row->gone(), row->back() });
     }
   }
+  if (const auto* rows = aFrame.crashes()) {
+    for (const wire::CrashRow* row : *rows) {
+      news.crashes.push_back(CrashReport{ RequestFingerprint(row->request()),
+                                          WorkspaceId(TextOf(row->workspace())),
+                                          TargetId(TextOf(row->target())),
+                                          Incarnation(row->incarnation()) });
+    }
+  }
+  if (const auto* numbers = aFrame.sound()) {
+    for (const std::uint64_t number : *numbers) {
+      news.sound.emplace_back(number);
+    }
+  }
   return news;
 }
 
--- a/test/coordination/ServingMachineTest.cpp
+++ b/test/coordination/ServingMachineTest.cpp
@@ -47,6 +47,55 @@
   EXPECT_EQ(machine.Weights().at(ModelName("m")), 3U);
 }
 
+const RequestFingerprint kRequest(7);
+
+RefuseRequest
+Refuse(RequestFingerprint aRequest, std::int64_t aSince)
+{
+  return RefuseRequest{ aRequest,
+                        { WorkspaceId("w"), WallTime(std::chrono::milliseconds(aSince)) } };
+}
+
+TEST(ServingMachineTest, RefusedRequestKeepsItsTimeUntilItIsReleased)
+{
+  ServingMachine machine;
+  Apply(machine, Refuse(kRequest, 5));
+  Apply(machine, Refuse(kRequest, 9));
+  ASSERT_EQ(machine.Refused().size(), 1U);
+  EXPECT_EQ(machine.Refused().at(kRequest), Refuse(kRequest, 5).facts);
+  Apply(machine, ReleaseRequest{ kRequest });
+  EXPECT_TRUE(machine.Refused().empty());
+}
+
+TEST(ServingMachineTest, RefusedRequestsOutlastARestart)
+{
+  ServingMachine machine;
+  Apply(machine, PutDocument{ Revision(9), "nine" });
+  Apply(machine, Refuse(kRequest, 5));
+  ServingMachine restarted;
+  ASSERT_TRUE(restarted.Load(machine.Save()));
+  EXPECT_EQ(restarted.Refused(), machine.Refused());
+}
+
+TEST(ServingMachineTest, SnapshotOfAProgramThatKnewNoRefusedRequestsIsRead)
+{
+  ServingMachine machine;
+  Apply(machine, PutDocument{ Revision(9), "nine" });
+  ServingMachine restarted;
+  ASSERT_TRUE(restarted.Load(machine.Save()));
+  EXPECT_TRUE(restarted.Refused().empty());
+}
+
+TEST(ServingMachineTest, TheRequestRefusedFirstMakesRoom)
+{
+  ServingMachine machine;
+  for (std::uint64_t index = 0; index <= ServingMachine::kMostRefused; ++index) {
+    Apply(machine, Refuse(RequestFingerprint(index), static_cast<std::int64_t>(index)));
+  }
+  EXPECT_EQ(machine.Refused().size(), ServingMachine::kMostRefused);
+  EXPECT_FALSE(machine.Refused().contains(RequestFingerprint(0)));
+}
+
 TEST(ServingMachineTest, QuestionTellsTheVersionAndChangesNothing)
 {
   ServingMachine machine;
--- a/test/program/ExchangeFixture.h
+++ b/test/program/ExchangeFixture.h
@@ -205,10 +205,24 @@
   ComeBack comeBack{ 1 };
   ReturnQueue returns{ this->clock, 1 };
   TargetCheck checks{ this->loop, this->clock };
-  EntryContext context{ this->loop,     this->clock,   this->settings, this->dialect,
-                        this->metrics,  this->picture, this->retries,  this->health,
-                        this->reach,    this->picker,  this->pool,     this->pace,
-                        this->comeBack, this->returns, this->checks,   this->clock.MonotonicNow(),
+  CrashWatch crashes{ this->clock };
+  EntryContext context{ this->loop,
+                        this->clock,
+                        this->settings,
+                        this->dialect,
+                        this->metrics,
+                        this->picture,
+                        this->retries,
+                        this->health,
+                        this->reach,
+                        this->picker,
+                        this->pool,
+                        this->pace,
+                        this->comeBack,
+                        this->returns,
+                        this->checks,
+                        this->crashes,
+                        this->clock.MonotonicNow(),
                         nullptr };
   std::thread thread;
   asio::io_context callerLoop;
--- a/test/program/ExchangeTest.cpp
+++ b/test/program/ExchangeTest.cpp
@@ -89,6 +89,61 @@
   EXPECT_EQ(target.Requests().size(), 2U);
 }
 
+TEST_F(ExchangeTest, RequestThatCrashesTargetsIsRefusedAtOnceAndReachesNone)
+{
+  ScriptedTarget target([](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, Answer(200, "done"));
+    return true;
+  });
+  this->AddTarget("t", target.Address());
+  const RequestFingerprint guilty =
+    FingerprintOf(RequestIdentity{ {}, testing::kService, "GET", "/once/guilty", "" });
+  this->crashes.Take(HostId("control"), CrashingRequests{ { guilty }, {} });
+  this->Start();
+  this->Call("/once/guilty");
+  const std::string refused = this->Receive();
+  EXPECT_NE(refused.find("HTTP/1.1 503"), std::string::npos);
+  EXPECT_NE(refused.find("not_run"), std::string::npos);
+  EXPECT_EQ(refused.find("Retry-After"), std::string::npos);
+  EXPECT_TRUE(target.Requests().empty());
+  this->Call("/once/innocent");
+  EXPECT_NE(this->Receive().find("200 OK"), std::string::npos);
+}
+
+TEST_F(ExchangeTest, SuspectedRequestThatRunsWellIsReported)
+{
+  ScriptedTarget target([](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, Answer(200, "done"));
+    return true;
+  });
+  this->AddTarget("t", target.Address());
+  const RequestFingerprint suspected =
+    FingerprintOf(RequestIdentity{ {}, testing::kService, "GET", "/once/suspected", "" });
+  this->crashes.Take(HostId("control"), CrashingRequests{ {}, { suspected } });
+  this->Start();
+  this->Call("/once/suspected");
+  EXPECT_NE(this->Receive().find("200 OK"), std::string::npos);
+  // The relay has taken note once it takes the next request.
+  this->Call("/nowhere/");
+  this->Receive();
+  EXPECT_EQ(this->crashes.TakeSound(), std::vector<RequestFingerprint>{ suspected });
+}
+
+TEST_F(ExchangeTest, BrokenAnswerOfATargetThatStillListensIsNoCrash)
+{
+  ScriptedTarget breaks([](const std::string&, TcpSocket&) { return false; });
+  this->AddTarget("t", breaks.Address());
+  this->Start();
+  this->Call("/once/a");
+  EXPECT_NE(this->Receive().find("HTTP/1.1 502"), std::string::npos);
+  while (breaks.Connections() < 2) {
+    std::this_thread::yield();
+  }
+  this->Call("/nowhere/");
+  this->Receive();
+  EXPECT_TRUE(this->crashes.TakeReports().empty());
+}
+
 TEST_F(ExchangeTest, CallThatATargetDidNotRunGoesToAnother)
 {
   std::atomic<int> calls{ 0 };
--- a/test/protocol/ServingCodecTest.cpp
+++ b/test/protocol/ServingCodecTest.cpp
@@ -46,6 +46,8 @@
   store.added = { SizedPart{ PartKey(0xfedcba9876543210U), TokenCount(8610) } };
   store.removed = { PartKey(7) };
   store.reserved = TokenCount(4260);
+  picture.crashing =
+    CrashingRequests{ { RequestFingerprint(0xfedcba9876543210U) }, { RequestFingerprint(8) } };
   const auto decoded = DecodeServingMessage(EncodeServingMessage(picture));
   ASSERT_TRUE(decoded);
   EXPECT_EQ(std::get<Picture>(decoded.value()), picture);
@@ -78,6 +80,9 @@
 {
   SendsNews news;
   news.host = HostId("10.0.0.7");
+  news.crashes = { CrashReport{
+    RequestFingerprint(7), WorkspaceId("w"), TargetId("t"), Incarnation(1'790'000'000'000) } };
+  news.sound = { RequestFingerprint(9) };
   news.last = true;
   news.findings = { TargetFindings{ TargetId("t"), 2, 1 } };
   news.excesses = { StoreExcess{ "172.20.0.2:8006", 3, 41.5 } };
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -47,6 +47,7 @@
     "cut_by_a_graceful_stop",
     "not_recovered",
     "sent_again_after_three_crashes",
+    "bystander_refused",
 )
 
 
@@ -283,6 +284,8 @@
         body = (await reader.readexactly(int(fields.get("content-length", "0")))).decode()
         if status in REFUSALS:
             self.refused.add(request)
+            if "ran this request" in body:
+                self.find("bystander_refused", request)
         elif status == 200 and kind != "streams":
             right = body == f"{request}/{kind}/7" and fields.get("x-request-id") == request
             if not right:
