A test that fails: a target is sent more than it names as its limit

What the target saw: it names a limit of requests a second in its answers and gets as many as before. The stand-in of a target names a limit and notes when requests come; the test counts any four seconds later than 3 s after the first answer with it, kills an entry and a control host meanwhile, and asks that the target is neither left alone while it is limited nor kept limited once it names none.

--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -48,6 +48,9 @@
     "not_recovered",
     "sent_again_after_three_crashes",
     "bystander_refused",
+    "more_than_its_limit",
+    "limited_target_left_alone",
+    "limit_not_lifted",
 )
 
 
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -122,6 +122,9 @@
         self.state = "ready"
         # When and with which body a crashing request arrived, and when one ended this target.
         self.crashing_arrivals = []
+        # Requests a second that it names in its answers, None for none, and when requests came.
+        self.limit = None
+        self.arrivals = []
         self.crashes = []
 
     async def start(self, address):
@@ -196,6 +199,9 @@
                 f"HTTP/1.1 421 Other\r\n{echo}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode()
             )
             return
+        self.arrivals.append(asyncio.get_running_loop().time())
+        if self.limit is not None:
+            echo += f"Server-Limit: {self.limit}\r\n"
         self.ledger[request] = self.ledger.get(request, 0) + 1
         if body.startswith(CRASHING):
             self.crashing_arrivals.append((asyncio.get_running_loop().time(), body))
