Targets that name a limit get that many requests from all hosts together

What the target saw: a limit in its answers changed nothing; it got some ten requests a second where it named 3.5. Cause: the adapter did not read the limit and nothing knew a rate of a target. Class: a word of a peer that is not listened to. Change: Dialect reads the limit (a number that is none is logged and counts as not said). The host that hears it sends nothing more there and tells its control host; LimitBook divides the limit among a few hosts that all control hosts choose alike by rendezvous hashing; TargetLimits holds one permit at most and begins empty. Only an answer to a request that was sent after the limit was known lifts it; a restart of the target lifts it. TargetPicker passes over targets without a permit; a call that finds no other is refused at once, Retry-After from the share. A limited target is not sick: nothing is ejected. A target that names zero is asked once in five seconds. Ruled out: an equal part for each host (LimitModelTest fails at 195 hosts: one request of each is more than the limit). Taken out one by one, permits, shares, chosen hosts, retelling, the order of answers and reports under way each make a test fail.

--- a/include/damasklink/coordination/HostRoster.h
+++ b/include/damasklink/coordination/HostRoster.h
@@ -57,7 +57,8 @@
   bool TakeEntryHostsChanged() { return std::exchange(this->entryHostsChanged, false); }
 
   // All entry hosts that any connected control host has told of.
-  std::uint64_t CountEntryHosts() const;
+  const std::set<HostId>& AllEntryHosts() const;
+  std::uint64_t CountEntryHosts() const { return this->AllEntryHosts().size(); }
 
 private:
   HostId self;
@@ -68,8 +69,8 @@
   bool entryHostsChanged = false;
   // By connected control host.
   std::map<HostId, std::vector<HostId>> entryHostsOfOthers;
-  // Counted anew only after a change: it is asked for several times a second among hundreds.
-  mutable std::optional<std::uint64_t> counted;
+  // Put together only after a change: it is asked for several times a second among hundreds.
+  mutable std::optional<std::set<HostId>> together;
 };
 
 } // namespace damasklink
--- a/include/damasklink/coordination/ServingPicture.h
+++ b/include/damasklink/coordination/ServingPicture.h
@@ -17,6 +17,7 @@
 #include "damasklink/coordination/RequestFingerprint.h"
 #include "damasklink/coordination/Target.h"
 #include "damasklink/state/Ids.h"
+#include "damasklink/state/Units.h"
 
 namespace damasklink {
 
@@ -90,6 +91,31 @@
   bool operator==(const CrashReport&) const = default;
 };
 
+// What a target's answers say of how many requests it takes from all hosts together.
+struct LimitReport
+{
+  TargetId target;
+  // The start of the target that says so.
+  Incarnation incarnation;
+  // Nothing: it names no limit any more.
+  std::optional<RequestRate> limit;
+
+  bool operator==(const LimitReport&) const = default;
+};
+
+// The limit of a target, and which entry hosts may send to it.
+struct TargetLimit
+{
+  TargetId target;
+  Incarnation incarnation;
+  RequestRate limit;
+  // Of each of the hosts below; the others send nothing.
+  RequestRate share;
+  std::set<HostId> hosts;
+
+  bool operator==(const TargetLimit&) const = default;
+};
+
 // Requests that crash targets.
 struct CrashingRequests
 {
@@ -176,6 +202,10 @@
   std::vector<CrashReport> crashes;
   // Suspected requests that ran well since then.
   std::vector<RequestFingerprint> sound;
+  // What answers said of limits since then.
+  std::vector<LimitReport> limitReports;
+  // All limits and shares, for entry hosts; nothing when they are not told.
+  std::optional<std::vector<TargetLimit>> limits;
 
   bool operator==(const SendsNews&) const = default;
 };
--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -58,6 +58,8 @@
   std::uint64_t leastWeights = 0;
   // Targets that were tried already.
   std::set<TargetId> excluded;
+  // Targets that name a limit and may not be sent more by this host just now.
+  std::set<TargetId> limited;
 };
 
 // Returns the version of a model's weights that the target has, 0 when it does not serve the model.
--- a/include/damasklink/protocol/ServingDialect.h
+++ b/include/damasklink/protocol/ServingDialect.h
@@ -17,6 +17,7 @@
 #include "damasklink/coordination/WeightRollout.h"
 #include "damasklink/protocol/ErrorBody.h"
 #include "damasklink/protocol/HttpMessage.h"
+#include "damasklink/state/Units.h"
 
 namespace damasklink {
 
@@ -86,6 +87,10 @@
   TargetId target;
   // Empty when the answer names no request.
   RequestId request;
+  // Requests that the target takes from all hosts together, where it names a limit.
+  std::optional<RequestRate> limit;
+  // What the target said and could not be read; counts as not said.
+  std::optional<Error> unreadable;
 };
 
 // Calls of callers, and what becomes of them at targets.
--- a/include/damasklink/state/Units.h
+++ b/include/damasklink/state/Units.h
@@ -1,6 +1,7 @@
 // Reading and printing durations and sizes with their units, as settings write them.
 #pragma once
 
+#include <compare>
 #include <string>
 #include <string_view>
 
@@ -10,6 +11,14 @@
 
 namespace damasklink {
 
+// How often requests may come.
+struct RequestRate
+{
+  double perSecond = 0;
+
+  auto operator<=>(const RequestRate&) const = default;
+};
+
 constexpr std::uint64_t kKibibyte = 1024;
 constexpr std::uint64_t kMebibyte = kKibibyte * kKibibyte;
 constexpr std::uint64_t kGibibyte = kMebibyte * kKibibyte;
--- a/src/coordination/HostRoster.cpp
+++ b/src/coordination/HostRoster.cpp
@@ -28,7 +28,7 @@
 void
 HostRoster::OnEntryHost(const HostId& aHost)
 {
-  this->counted.reset();
+  this->together.reset();
   const bool isNew = this->entryHosts.insert(aHost).second;
   this->entryHostsChanged = this->entryHostsChanged || isNew;
 }
@@ -36,7 +36,7 @@
 void
 HostRoster::OnLost(const HostId& aHost)
 {
-  this->counted.reset();
+  this->together.reset();
   const bool wasEntryHost = this->entryHosts.erase(aHost) > 0;
   this->entryHostsChanged = this->entryHostsChanged || wasEntryHost;
   this->entryHostsOfOthers.erase(aHost);
@@ -45,7 +45,7 @@
 void
 HostRoster::TakeList(const HostId& aFrom, const EntryHostList& aList)
 {
-  this->counted.reset();
+  this->together.reset();
   this->entryHostsOfOthers[aFrom] = aList.hosts;
 }
 
@@ -55,17 +55,16 @@
   return EntryHostList{ { this->entryHosts.begin(), this->entryHosts.end() } };
 }
 
-std::uint64_t
-HostRoster::CountEntryHosts() const
+const std::set<HostId>&
+HostRoster::AllEntryHosts() const
 {
-  if (!this->counted) {
-    std::set<HostId> all = this->entryHosts;
+  if (!this->together) {
+    this->together = this->entryHosts;
     for (const auto& [host, others] : this->entryHostsOfOthers) {
-      all.insert(others.begin(), others.end());
+      this->together->insert(others.begin(), others.end());
     }
-    this->counted = all.size();
   }
-  return *this->counted;
+  return *this->together;
 }
 
 } // namespace damasklink
--- a/src/coordination/TargetPicker.cpp
+++ b/src/coordination/TargetPicker.cpp
@@ -61,7 +61,7 @@
   const bool mayChoose = std::any_of(aTargets.begin(), aTargets.end(), isNewEnough);
   for (const TargetRecord& target : aTargets) {
     const bool tooOld = mayChoose && !isNewEnough(target);
-    if (tooOld || aQuestion.excluded.contains(target.id)) {
+    if (tooOld || aQuestion.excluded.contains(target.id) || aQuestion.limited.contains(target.id)) {
       continue;
     }
     if (this->reach.IsOut(target.zone)) {
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -67,24 +67,14 @@
     , returns(this->clock, RandomSeed())
     , checks(this->loop, this->clock)
     , crashes(this->clock)
+    , limits(this->clock, this->settings.host)
     , mesh(this->loop, this->settings.host, this->settings.peerPort, *this)
-    , context{ this->loop,
-               this->clock,
-               this->settings,
-               this->calls,
-               this->metrics,
-               this->picture,
-               this->retries,
-               this->health,
-               this->reach,
-               this->picker,
-               this->pool,
-               this->pace,
-               this->comeBack,
-               this->returns,
-               this->checks,
-               this->crashes,
-               this->clock.MonotonicNow(),
+    , context{ this->loop,     this->clock,   this->settings,
+               this->calls,    this->metrics, this->picture,
+               this->retries,  this->health,  this->reach,
+               this->picker,   this->pool,    this->pace,
+               this->comeBack, this->returns, this->checks,
+               this->crashes,  this->limits,  this->clock.MonotonicNow(),
                nullptr }
     , configuration(this->loop,
                     this->clock,
@@ -122,6 +112,7 @@
   void KnowSeeds(const std::vector<HostId>& aSeeds);
   void KeepControlLinks();
   void TakePicture(const HostId& aPeer, const Picture& aTold);
+  void TakeLimits(const SendsNews& aNews);
   void TakeCrashing(const HostId& aPeer, const CrashingRequests& aTold);
   void NoteReady();
   bool IsReady() const;
@@ -144,6 +135,7 @@
   ReturnQueue returns;
   TargetCheck checks;
   CrashWatch crashes;
+  TargetLimits limits;
   PeerMesh mesh;
   EntryContext context;
   ConfigurationFeed configuration;
@@ -355,6 +347,7 @@
     this->picture.ListenForStores(chosen);
     this->picker.TellAllAnew();
     this->crashes.TellAllAnew();
+    this->limits.TellAllAnew();
     // The totals of the next hub contain all that those of the former did.
     this->picker.ForgetSumsBefore(this->clock.MonotonicNow());
   }
@@ -381,8 +374,9 @@
   news.findings = this->health.TakeFindings();
   news.crashes = this->crashes.TakeReports();
   news.sound = this->crashes.TakeSound();
+  news.limitReports = this->limits.TakeReports();
   const bool anything = !news.sends.empty() || !news.excesses.empty() || !news.findings.empty() ||
-                        !news.crashes.empty() || !news.sound.empty();
+                        !news.crashes.empty() || !news.sound.empty() || !news.limitReports.empty();
   if (this->hub.Hub() && (aHubIsNew || anything)) {
     this->TellSends(*this->hub.Hub(), news);
     if (!news.sends.empty()) {
@@ -460,6 +454,7 @@
     // The totals of two control hosts speak of the same calls.
     if (this->hub.Hub() == aPeer) {
       this->picker.TakeSum(*news, this->clock.MonotonicNow());
+      this->TakeLimits(*news);
     }
     this->pace.Take(news->excesses);
     this->health.Take(news->findings);
@@ -490,6 +485,7 @@
       .With("sequence", target.sequence);
     this->picker.OnRestart(target);
     this->health.OnRestart(target.id);
+    this->limits.OnRestart(target.id);
   }
   this->retries.SetHosts(this->picture.EntryHosts());
   const bool named = this->links.KnowAll(this->picture.TakeNewControlHosts());
@@ -498,6 +494,23 @@
   }
 }
 
+void
+EntryHost::Impl::TakeLimits(const SendsNews& aNews)
+{
+  if (!aNews.limits) {
+    return;
+  }
+  this->limits.Take(*aNews.limits);
+  for (const TargetLimit& limit : *aNews.limits) {
+    LogEvent(LogLevel::Info, "target_limit_told")
+      .With("target", limit.target)
+      .With("limit_per_second", limit.limit.perSecond)
+      .With("hosts", limit.hosts.size())
+      .With("share_per_second",
+            limit.hosts.contains(this->settings.host) ? limit.share.perSecond : 0);
+  }
+}
+
 void
 EntryHost::Impl::TakeCrashing(const HostId& aPeer, const CrashingRequests& aTold)
 {
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -164,6 +164,7 @@
   this->work.behindOthers =
     this->context.picker.LoadOf(aTarget.id).unread >= TargetPicker::kLongReading;
   this->context.picker.OnSent(aTarget.id, this->question, this->work);
+  this->context.limits.OnSent(aTarget.id);
   this->context.returns.OnAdmitted();
   if (this->context.picker.HasUrgentSends() && this->context.tellSends) {
     this->context.tellSends();
@@ -280,6 +281,7 @@
 Exchange::TakeAnswer(const TargetRecord& aTarget, HttpAnswerHead aHead)
 {
   const TargetAnswerFacts facts = this->context.dialect.ReadAnswer(aHead);
+  this->NoteLimit(aTarget, facts);
   if (facts.wrongTarget && facts.target != aTarget.id && !facts.target.Empty()) {
     this->context.picture.Targets().NoteGone(aTarget.id);
   }
@@ -375,6 +377,20 @@
   co_return co_await this->caller.BeginStream(aHead, aEvents, this->ClosesAfter());
 }
 
+Duration
+Exchange::ComeBackAfter()
+{
+  if (this->overloaded) {
+    return this->context.returns.Join();
+  }
+  if (this->question.limited.empty()) {
+    return kComeBackAfter;
+  }
+  const std::vector<TargetRecord>& targets = this->context.picture.Targets().Usable(this->service);
+  return std::max(kComeBackAfter,
+                  this->context.limits.UntilPermit(targets).value_or(kComeBackAfter));
+}
+
 // Gives the caller its final answer. Returns whether its channel may be used again.
 Awaitable<bool>
 Exchange::Finish(ExchangeStep aStep)
@@ -391,7 +407,7 @@
     case ExchangeStep::Refuse: {
       CallerError error = Refusal(
         ErrorKind::Unavailable, "no target took the request", "come back after the time given");
-      error.retryAfter = this->overloaded ? this->context.returns.Join() : kComeBackAfter;
+      error.retryAfter = this->ComeBackAfter();
       co_return co_await this->AnswerFailure(error);
     }
     case ExchangeStep::Expire: {
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -16,6 +16,7 @@
 #include "damasklink/coordination/RetryShares.h"
 #include "damasklink/coordination/ReturnQueue.h"
 #include "damasklink/coordination/StorePace.h"
+#include "damasklink/coordination/TargetLimits.h"
 #include "damasklink/coordination/TargetPicker.h"
 #include "damasklink/protocol/ServingDialect.h"
 #include "damasklink/state/Metrics.h"
@@ -43,6 +44,7 @@
   ReturnQueue& returns;
   TargetCheck& checks;
   CrashWatch& crashes;
+  TargetLimits& limits;
   MonotonicTime started;
   // Tells the other hosts at once what this one has sent.
   std::function<void()> tellSends;
@@ -99,6 +101,12 @@
   void NoteFirstEvent(const TargetRecord& aTarget);
   void NoteRun();
   void NoteBroken(const TargetRecord& aTarget);
+  // Keeps what an answer says of its target's limit.
+  void NoteLimit(const TargetRecord& aTarget, const TargetAnswerFacts& aFacts);
+  // Notes which targets of the service may not be sent more by this host just now.
+  void FindLimited();
+  // When a call that no target took should come again.
+  Duration ComeBackAfter();
   void NoteSound();
   // Made when it is first asked for: while nothing crashes nobody asks.
   RequestFingerprint Fingerprint();
--- a/src/program/ExchangeChoice.cpp
+++ b/src/program/ExchangeChoice.cpp
@@ -107,9 +107,24 @@
   return newest;
 }
 
+void
+Exchange::FindLimited()
+{
+  this->question.limited.clear();
+  if (this->context.limits.IsEmpty()) {
+    return;
+  }
+  for (const TargetRecord& target : this->context.picture.Targets().Usable(this->service)) {
+    if (!this->context.limits.MaySend(target.id)) {
+      this->question.limited.insert(target.id);
+    }
+  }
+}
+
 const TargetRecord*
 Exchange::ChooseTarget()
 {
+  this->FindLimited();
   const bool hasPrompt = this->route->carriesPrompt && !this->call.model.Empty();
   if (hasPrompt) {
     this->AskWithWeights(this->NewestWeights());
--- a/src/program/ExchangeRecord.cpp
+++ b/src/program/ExchangeRecord.cpp
@@ -47,6 +47,23 @@
   });
 }
 
+void
+Exchange::NoteLimit(const TargetRecord& aTarget, const TargetAnswerFacts& aFacts)
+{
+  if (aFacts.unreadable) {
+    LogEvent(LogLevel::Warning, "target_answer_unreadable")
+      .With("request", this->call.request)
+      .With("target", aTarget.id)
+      .With("error", *aFacts.unreadable);
+    return;
+  }
+  // What another target answers, or one that did not run the call, lifts nothing.
+  if (aFacts.wrongTarget || (aFacts.notRun && !aFacts.limit)) {
+    return;
+  }
+  this->context.limits.OnAnswer(aTarget, aFacts.limit, this->sentAt);
+}
+
 void
 Exchange::NoteSound()
 {
--- a/src/program/PictureTeller.cpp
+++ b/src/program/PictureTeller.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "damasklink/protocol/ServingCodec.h"
+#include "damasklink/transport/Log.h"
 
 namespace damasklink {
 namespace {
@@ -15,7 +16,8 @@
 HasAnything(const SendsNews& aNews)
 {
   return !aNews.sends.empty() || !aNews.excesses.empty() || !aNews.findings.empty() ||
-         !aNews.crashes.empty() || !aNews.sound.empty();
+         !aNews.crashes.empty() || !aNews.sound.empty() || !aNews.limitReports.empty() ||
+         aNews.limits;
 }
 
 } // namespace
@@ -139,16 +141,17 @@
   // Since what was told on an earlier connection may be lost.
   this->TellAllTargets(aPeer);
   this->Tell(Work::Hosts, aPeer, this->roster.OwnList());
-  this->TellAllCrashes(aPeer);
+  this->TellAllReports(aPeer);
 }
 
 void
-PictureTeller::TellAllCrashes(const HostId& aControlHost)
+PictureTeller::TellAllReports(const HostId& aControlHost)
 {
   SendsNews news;
   news.host = this->settings.host;
   news.crashes = this->crashes.All();
-  if (!news.crashes.empty()) {
+  news.limitReports = this->limits.All();
+  if (HasAnything(news)) {
     this->Tell(Work::Loads, aControlHost, news);
   }
 }
@@ -196,6 +199,7 @@
   const MonotonicTime now = this->clock.MonotonicNow();
   const bool ofOwnHost = this->roster.EntryHosts().contains(aFrom);
   this->TakeCrashes(aNews, ofOwnHost);
+  this->TakeLimits(aNews, ofOwnHost);
   if (!ofOwnHost) {
     this->sends.TakeSum(aNews, now);
   } else {
@@ -203,7 +207,9 @@
     this->sends.Take(aNews, now);
     if (!known && this->sends.Tellers().contains(aFrom)) {
       this->TellAllStores(aFrom);
-      this->Tell(Work::Totals, aFrom, this->sends.AllTotals(this->settings.host));
+      SendsNews totals = this->sends.AllTotals(this->settings.host);
+      totals.limits = this->limits.Shares(this->roster.AllEntryHosts());
+      this->Tell(Work::Totals, aFrom, totals);
     }
   }
   if (aNews.urgent) {
@@ -223,6 +229,46 @@
   }
 }
 
+void
+PictureTeller::TakeLimits(const SendsNews& aNews, bool aOfOwnHost)
+{
+  this->limits.Take(aNews.limitReports);
+  if (aOfOwnHost) {
+    this->untoldLimits.insert(
+      this->untoldLimits.end(), aNews.limitReports.begin(), aNews.limitReports.end());
+  }
+}
+
+// Tells the shares of all limits where any has changed: limits, targets or entry hosts.
+void
+PictureTeller::TellLimits()
+{
+  if (this->limits.IsEmpty() && this->toldLimits.empty()) {
+    return;
+  }
+  this->limits.KeepOnly([this](const TargetId& aTarget, Incarnation aIncarnation) {
+    const TargetRecord* record = this->picture.Registry().Find(aTarget);
+    return record != nullptr && !record->leaving && record->incarnation <= aIncarnation;
+  });
+  std::vector<TargetLimit> shares = this->limits.Shares(this->roster.AllEntryHosts());
+  if (shares == this->toldLimits) {
+    return;
+  }
+  this->toldLimits = std::move(shares);
+  for (const TargetLimit& limit : this->toldLimits) {
+    LogEvent(LogLevel::Info, "target_limit_shared")
+      .With("target", limit.target)
+      .With("incarnation", limit.incarnation)
+      .With("limit_per_second", limit.limit.perSecond)
+      .With("hosts", limit.hosts.size())
+      .With("share_per_second", limit.share.perSecond);
+  }
+  SendsNews news;
+  news.host = this->settings.host;
+  news.limits = this->toldLimits;
+  this->TellTellers(Work::Totals, news);
+}
+
 // Tells at once, unless entry hosts were told just now: with hundreds of them, one sends a long
 // prompt every few milliseconds, and each telling goes to all.
 void
@@ -249,9 +295,11 @@
   own.urgent = std::exchange(this->ownUrgentWaits, false);
   own.crashes = std::exchange(this->untoldCrashes, {});
   own.sound = std::exchange(this->untoldSound, {});
+  own.limitReports = std::exchange(this->untoldLimits, {});
   if (HasAnything(own)) {
     this->TellControlHosts(Work::Loads, own);
   }
+  this->TellLimits();
   this->TellTotals();
 }
 
--- a/src/program/PictureTeller.h
+++ b/src/program/PictureTeller.h
@@ -13,6 +13,7 @@
 #include "damasklink/coordination/CrashLedger.h"
 #include "damasklink/coordination/DocumentSource.h"
 #include "damasklink/coordination/HostRoster.h"
+#include "damasklink/coordination/LimitBook.h"
 #include "damasklink/coordination/SendsHub.h"
 #include "damasklink/transport/PeerMesh.h"
 
@@ -77,7 +78,9 @@
   void TellTotals();
   void TakeUrgent(bool aOfOwnHosts);
   void TakeCrashes(const SendsNews& aNews, bool aOfOwnHost);
-  void TellAllCrashes(const HostId& aControlHost);
+  void TellAllReports(const HostId& aControlHost);
+  void TakeLimits(const SendsNews& aNews, bool aOfOwnHost);
+  void TellLimits();
 
   const Clock& clock;
   const ServingSettings& settings;
@@ -108,6 +111,10 @@
   // What own entry hosts reported, for the other control hosts.
   std::vector<CrashReport> untoldCrashes;
   std::vector<RequestFingerprint> untoldSound;
+  LimitBook limits;
+  std::vector<TargetLimit> toldLimits;
+  // What own entry hosts reported, for the other control hosts.
+  std::vector<LimitReport> untoldLimits;
 };
 
 } // namespace damasklink
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -164,6 +164,31 @@
   return row;
 }
 
+std::unique_ptr<wire::LimitReportRowT>
+RowOf(const LimitReport& aReport)
+{
+  auto row = std::make_unique<wire::LimitReportRowT>();
+  row->target = aReport.target.Value();
+  row->incarnation = aReport.incarnation.Value();
+  row->lifted = !aReport.limit;
+  row->per_second = aReport.limit.value_or(RequestRate()).perSecond;
+  return row;
+}
+
+std::unique_ptr<wire::LimitRowT>
+RowOf(const TargetLimit& aLimit)
+{
+  auto row = std::make_unique<wire::LimitRowT>();
+  row->target = aLimit.target.Value();
+  row->incarnation = aLimit.incarnation.Value();
+  row->per_second = aLimit.limit.perSecond;
+  row->share = aLimit.share.perSecond;
+  for (const HostId& host : aLimit.hosts) {
+    row->hosts.push_back(host.Value());
+  }
+  return row;
+}
+
 template<typename Fingerprints>
 std::vector<std::uint64_t>
 NumbersOf(const Fingerprints& aFingerprints)
@@ -275,6 +300,13 @@
       this->frame.crashes.push_back(RowOf(crash));
     }
     this->frame.sound = NumbersOf(aNews.sound);
+    for (const LimitReport& report : aNews.limitReports) {
+      this->frame.limit_reports.push_back(RowOf(report));
+    }
+    this->frame.tells_limits = aNews.limits.has_value();
+    for (const TargetLimit& limit : aNews.limits.value_or(std::vector<TargetLimit>())) {
+      this->frame.limits.push_back(RowOf(limit));
+    }
   }
 
   void operator()(const EntryHostList& aList)
@@ -379,6 +411,46 @@
   return parts;
 }
 
+LimitReport
+ReadRow(const wire::LimitReportRow& aRow)
+{
+  LimitReport report{ TargetId(TextOf(aRow.target())),
+                      Incarnation(aRow.incarnation()),
+                      std::nullopt };
+  if (!aRow.lifted()) {
+    report.limit = RequestRate{ aRow.per_second() };
+  }
+  return report;
+}
+
+TargetLimit
+ReadRow(const wire::LimitRow& aRow)
+{
+  TargetLimit limit{ TargetId(TextOf(aRow.target())),
+                     Incarnation(aRow.incarnation()),
+                     RequestRate{ aRow.per_second() },
+                     RequestRate{ aRow.share() },
+                     {} };
+  if (const auto* hosts = aRow.hosts()) {
+    for (const flatbuffers::String* host : *hosts) {
+      limit.hosts.insert(HostId(TextOf(host)));
+    }
+  }
+  return limit;
+}
+
+template<typename Row, typename Value>
+void
+ReadRows(const flatbuffers::Vector<flatbuffers::Offset<Row>>* aRows, std::vector<Value>& aTo)
+{
+  if (aRows == nullptr) {
+    return;
+  }
+  for (const Row* row : *aRows) {
+    aTo.push_back(ReadRow(*row));
+  }
+}
+
 // Read where they lie: an entry host takes tens of these a second, with a row for each target.
 SendsNews
 ReadSends(const wire::ServingFrame& aFrame)
@@ -421,6 +493,10 @@
       news.sound.emplace_back(number);
     }
   }
+  ReadRows(aFrame.limit_reports(), news.limitReports);
+  if (aFrame.tells_limits()) {
+    ReadRows(aFrame.limits(), news.limits.emplace());
+  }
   return news;
 }
 
--- /dev/null
+++ b/test/coordination/TargetLimitsTest.cpp
@@ -0,0 +1,123 @@
+#include "damasklink/coordination/TargetLimits.h"
+
+#include <gtest/gtest.h>
+
+namespace damasklink {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const HostId kSelf("self");
+const TargetId kTarget("t");
+
+class TargetLimitsTest : public testing::Test
+{
+protected:
+  TargetLimitsTest()
+  {
+    this->record.id = kTarget;
+    this->record.incarnation = Incarnation(1);
+  }
+
+  void Answer(std::optional<double> aPerSecond, Duration aTook = Duration::zero())
+  {
+    std::optional<RequestRate> limit;
+    if (aPerSecond) {
+      limit = RequestRate{ *aPerSecond };
+    }
+    this->limits.OnAnswer(this->record, limit, this->clock.MonotonicNow() - aTook);
+  }
+
+  void Tell(double aShare, const std::set<HostId>& aHosts = { kSelf })
+  {
+    this->limits.Take(
+      { TargetLimit{ kTarget, Incarnation(1), RequestRate{ 4 }, RequestRate{ aShare }, aHosts } });
+  }
+
+  ManualClock clock;
+  TargetLimits limits{ this->clock, kSelf };
+  TargetRecord record;
+};
+
+TEST_F(TargetLimitsTest, NothingIsSentBetweenTheLimitAndTheShare)
+{
+  EXPECT_TRUE(this->limits.MaySend(kTarget));
+  this->Answer(4);
+  this->clock.Advance(seconds(20));
+  EXPECT_FALSE(this->limits.MaySend(kTarget));
+  EXPECT_EQ(this->limits.TakeReports(),
+            (std::vector<LimitReport>{ { kTarget, Incarnation(1), RequestRate{ 4 } } }));
+}
+
+TEST_F(TargetLimitsTest, AShareBeginsEmptyAndIsNotSavedUp)
+{
+  this->Tell(2);
+  EXPECT_FALSE(this->limits.MaySend(kTarget));
+  this->clock.Advance(milliseconds(500));
+  EXPECT_TRUE(this->limits.MaySend(kTarget));
+  this->clock.Advance(seconds(60));
+  this->limits.OnSent(kTarget);
+  EXPECT_FALSE(this->limits.MaySend(kTarget));
+  EXPECT_EQ(this->limits.UntilPermit({ this->record }), milliseconds(500));
+}
+
+TEST_F(TargetLimitsTest, SharesOfOthersAreNotUsed)
+{
+  this->Tell(2, { HostId("other") });
+  this->clock.Advance(seconds(20));
+  EXPECT_FALSE(this->limits.MaySend(kTarget));
+  EXPECT_EQ(this->limits.UntilPermit({ this->record }), std::nullopt);
+}
+
+TEST_F(TargetLimitsTest, RepeatedWordsDoNotFillTheShare)
+{
+  this->Tell(1);
+  for (int word = 0; word < 100; ++word) {
+    this->Tell(1);
+  }
+  EXPECT_FALSE(this->limits.MaySend(kTarget));
+  this->clock.Advance(seconds(1));
+  this->Tell(1);
+  EXPECT_TRUE(this->limits.MaySend(kTarget));
+}
+
+TEST_F(TargetLimitsTest, AnswerToAnEarlierRequestDoesNotLiftTheLimit)
+{
+  this->Answer(4);
+  this->clock.Advance(seconds(1));
+  this->Answer(std::nullopt, seconds(5));
+  EXPECT_FALSE(this->limits.MaySend(kTarget));
+  this->Answer(std::nullopt, milliseconds(100));
+  EXPECT_TRUE(this->limits.MaySend(kTarget));
+  EXPECT_EQ(this->limits.TakeReports(),
+            (std::vector<LimitReport>{ { kTarget, Incarnation(1), std::nullopt } }));
+}
+
+TEST_F(TargetLimitsTest, AWordThatIsOlderThanTheReportDoesNotLiftTheLimit)
+{
+  this->Answer(4);
+  this->limits.Take({});
+  EXPECT_FALSE(this->limits.MaySend(kTarget));
+  this->clock.Advance(TargetLimits::kReportUnderWay);
+  this->limits.Take({});
+  EXPECT_TRUE(this->limits.MaySend(kTarget));
+}
+
+TEST_F(TargetLimitsTest, AnotherControlHostIsToldAll)
+{
+  this->Tell(2);
+  EXPECT_TRUE(this->limits.TakeReports().empty());
+  this->limits.TellAllAnew();
+  EXPECT_EQ(this->limits.TakeReports().size(), 1U);
+}
+
+TEST_F(TargetLimitsTest, ARestartEndsTheLimit)
+{
+  this->Answer(4);
+  this->limits.OnRestart(kTarget);
+  EXPECT_TRUE(this->limits.IsEmpty());
+}
+
+} // namespace
+} // namespace damasklink
--- a/test/platform/DialectTest.cpp
+++ b/test/platform/DialectTest.cpp
@@ -110,6 +110,24 @@
   EXPECT_EQ(Dialect().ReadAnswer(head).target, TargetId("i-2"));
 }
 
+TEST(DialectTest, LimitOfATargetIsReadAndWhatIsNoNumberIsSaidSo)
+{
+  const auto read = [](const std::string& aText) {
+    HttpAnswerHead head;
+    head.status = 200;
+    head.fields.Add("Server-Limit", aText);
+    return Dialect().ReadAnswer(head);
+  };
+  EXPECT_EQ(read("3.9").limit, RequestRate{ 3.9 });
+  EXPECT_EQ(read("0").limit, RequestRate{ 0 });
+  EXPECT_EQ(read("1e9").limit, RequestRate{ 1e9 });
+  for (const char* bad : { "", "many", "-1", "nan", "inf", "3.9 a second" }) {
+    EXPECT_FALSE(read(bad).limit) << bad;
+    EXPECT_TRUE(read(bad).unreadable) << bad;
+  }
+  EXPECT_FALSE(Dialect().ReadAnswer(HttpAnswerHead()).limit);
+}
+
 TEST(DialectTest, PromisesAreOnlyGivenForWhatDidNotRun)
 {
   const Error full{ ErrorKind::Unavailable, "full", "come back" };
--- a/test/program/ExchangeTest.cpp
+++ b/test/program/ExchangeTest.cpp
@@ -144,6 +144,44 @@
   EXPECT_TRUE(this->crashes.TakeReports().empty());
 }
 
+TEST_F(ExchangeTest, TargetThatNamesALimitGetsNoMoreWithoutAShare)
+{
+  ScriptedTarget limited([](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, Answer(200, "done", "Server-Limit: 2.5\r\n"));
+    return true;
+  });
+  this->AddTarget("t", limited.Address());
+  this->Start();
+  this->Call("/once/a");
+  EXPECT_NE(this->Receive().find("200 OK"), std::string::npos);
+  this->Call("/once/a");
+  const std::string refused = this->Receive();
+  EXPECT_NE(refused.find("HTTP/1.1 503"), std::string::npos);
+  EXPECT_NE(refused.find("Retry-After"), std::string::npos);
+  EXPECT_NE(refused.find("not_run"), std::string::npos);
+  EXPECT_EQ(limited.Requests().size(), 1U);
+}
+
+TEST_F(ExchangeTest, WorkOfALimitedTargetGoesElsewhere)
+{
+  ScriptedTarget limited([](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, Answer(200, "done", "Server-Limit: 2.5\r\n"));
+    return true;
+  });
+  ScriptedTarget other([](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, Answer(200, "done"));
+    return true;
+  });
+  this->AddTarget("t1", limited.Address());
+  this->AddTarget("t2", other.Address());
+  this->Start();
+  for (int call = 0; call < 50; ++call) {
+    this->Call("/once/a");
+    EXPECT_NE(this->Receive().find("200 OK"), std::string::npos);
+  }
+  EXPECT_LE(limited.Requests().size(), 1U);
+}
+
 TEST_F(ExchangeTest, CallThatATargetDidNotRunGoesToAnother)
 {
   std::atomic<int> calls{ 0 };
--- a/test/protocol/ServingCodecTest.cpp
+++ b/test/protocol/ServingCodecTest.cpp
@@ -83,6 +83,15 @@
   news.crashes = { CrashReport{
     RequestFingerprint(7), WorkspaceId("w"), TargetId("t"), Incarnation(1'790'000'000'000) } };
   news.sound = { RequestFingerprint(9) };
+  news.limitReports = {
+    LimitReport{ TargetId("t"), Incarnation(4), RequestRate{ 3.5 } },
+    LimitReport{ TargetId("u"), Incarnation(5), std::nullopt },
+  };
+  news.limits = { TargetLimit{ TargetId("t"),
+                               Incarnation(4),
+                               RequestRate{ 3.5 },
+                               RequestRate{ 1.75 },
+                               { HostId("10.0.0.7"), HostId("10.0.0.8") } } };
   news.last = true;
   news.findings = { TargetFindings{ TargetId("t"), 2, 1 } };
   news.excesses = { StoreExcess{ "172.20.0.2:8006", 3, 41.5 } };
