Operators list the requests that are refused because they crash targets, and release them

Cause: a refusal ended only with a sound run, which a refused request cannot have, or with its 24 hours. Change: GET /-/refused-requests on the control address lists fingerprint, workspace and time; DELETE with the fingerprint releases one through the replicated log. A released request has to crash three targets again. The process test ends with a release and asks that the request reaches a target then.

--- a/include/damasklink/protocol/ServingDialect.h
+++ b/include/damasklink/protocol/ServingDialect.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "damasklink/coordination/ServingConfig.h"
+#include "damasklink/coordination/ServingMachine.h"
 #include "damasklink/coordination/StoreFeed.h"
 #include "damasklink/coordination/Target.h"
 #include "damasklink/coordination/WeightRollout.h"
@@ -144,8 +145,23 @@
   std::uint64_t version = 0;
 };
 
-using ControlCall =
-  std::variant<TargetHeartbeat, TargetDeparture, ConfigChange, ConfigQuestion, WeightsNamed>;
+// Asks which requests are refused because they crash targets.
+struct RefusedQuestion
+{};
+
+// A refused request may be sent to targets again.
+struct RequestRelease
+{
+  RequestFingerprint request;
+};
+
+using ControlCall = std::variant<TargetHeartbeat,
+                                 TargetDeparture,
+                                 ConfigChange,
+                                 ConfigQuestion,
+                                 WeightsNamed,
+                                 RefusedQuestion,
+                                 RequestRelease>;
 
 // Calls of targets and operators at control hosts.
 class ControlDialect
@@ -163,6 +179,7 @@
   // An accepted call, and a question answered with a document.
   virtual HttpAnswerMessage Acknowledgement() const = 0;
   virtual HttpAnswerMessage DocumentAnswer(std::string_view aDocument) const = 0;
+  virtual HttpAnswerMessage RefusedAnswer(const RefusedRequests& aRefused) const = 0;
   virtual HttpAnswerMessage ControlFailure(const Error& aError) const = 0;
 };
 
--- a/include/damasklink/state/Units.h
+++ b/include/damasklink/state/Units.h
@@ -16,6 +16,8 @@
 {
   double perSecond = 0;
 
+  // clang-tidy 14 mistakes the generated comparison with zero for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const RequestRate&) const = default;
 };
 
--- a/src/program/ControlCalls.cpp
+++ b/src/program/ControlCalls.cpp
@@ -78,6 +78,12 @@
   if (const auto* named = std::get_if<WeightsNamed>(&call.value())) {
     co_return co_await this->TakeWeights(*named);
   }
+  if (const auto* release = std::get_if<RequestRelease>(&call.value())) {
+    co_return co_await this->TakeRelease(*release);
+  }
+  if (std::holds_alternative<RefusedQuestion>(call.value())) {
+    co_return this->dialect.RefusedAnswer(this->group.State().Refused());
+  }
   co_return co_await this->AnswerQuestion();
 }
 
@@ -170,6 +176,16 @@
   co_return this->AnswerCommit(standing);
 }
 
+Awaitable<HttpAnswerMessage>
+ControlCalls::TakeRelease(const RequestRelease& aRelease)
+{
+  const ServingCommand command = ReleaseRequest{ aRelease.request };
+  auto standing = co_await this->group.Commit(command);
+  LogEvent(LogLevel::Info, standing ? "release_acknowledged" : "release_not_committed")
+    .With("fingerprint", aRelease.request);
+  co_return this->AnswerCommit(standing);
+}
+
 // A leader within its lease knows the newest configuration. Any other host asks the group: what it
 // has applied itself must be as new as what the group answers.
 Awaitable<HttpAnswerMessage>
--- a/src/program/ControlCalls.h
+++ b/src/program/ControlCalls.h
@@ -31,6 +31,7 @@
   Awaitable<HttpAnswerMessage> Answer(const HttpRequestMessage& aRequest);
   Result<ControlCall> Read(const HttpRequestMessage& aRequest);
   Awaitable<HttpAnswerMessage> TakeChange(const ConfigChange& aChange);
+  Awaitable<HttpAnswerMessage> TakeRelease(const RequestRelease& aRelease);
   Awaitable<HttpAnswerMessage> TakeWeights(const WeightsNamed& aNamed);
   Awaitable<HttpAnswerMessage> AnswerQuestion();
   HttpAnswerMessage TakeHeartbeat(const TargetHeartbeat& aHeartbeat);
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -194,6 +194,7 @@
 NumbersOf(const Fingerprints& aFingerprints)
 {
   std::vector<std::uint64_t> numbers;
+  numbers.reserve(aFingerprints.size());
   for (const RequestFingerprint fingerprint : aFingerprints) {
     numbers.push_back(fingerprint.Value());
   }
--- a/test/platform/DialectTest.cpp
+++ b/test/platform/DialectTest.cpp
@@ -110,6 +110,26 @@
   EXPECT_EQ(Dialect().ReadAnswer(head).target, TargetId("i-2"));
 }
 
+TEST(DialectTest, RefusedRequestsAreListedAndReleasedByTheirFingerprint)
+{
+  const RequestFingerprint request(0xfedcba9876543210U);
+  const std::chrono::milliseconds since(1'790'000'000'000);
+  const HttpAnswerMessage list =
+    Dialect().RefusedAnswer({ { request, RefusedRequest{ WorkspaceId("w"), WallTime(since) } } });
+  EXPECT_EQ(list.head.status, 200);
+  EXPECT_NE(list.body.find(R"("fingerprint":"18364758544493064720")"), std::string::npos);
+  EXPECT_NE(list.body.find(R"("since":1790000000000)"), std::string::npos);
+  HttpRequestMessage release;
+  release.head.method = "DELETE";
+  release.head.target = "/-/refused-requests/18364758544493064720";
+  EXPECT_EQ(std::get<RequestRelease>(Dialect().ReadControlCall(release).value()).request, request);
+  release.head.target = "/-/refused-requests/x";
+  EXPECT_EQ(Dialect().ReadControlCall(release).error().kind, ErrorKind::InvalidArgument);
+  release.head.method = "GET";
+  release.head.target = "/-/refused-requests";
+  EXPECT_TRUE(std::holds_alternative<RefusedQuestion>(Dialect().ReadControlCall(release).value()));
+}
+
 TEST(DialectTest, LimitOfATargetIsReadAndWhatIsNoNumberIsSaidSo)
 {
   const auto read = [](const std::string& aText) {
--- a/test/program/ConfigurationFeedTest.cpp
+++ b/test/program/ConfigurationFeedTest.cpp
@@ -44,6 +44,10 @@
   {
     return this->dialect.DocumentAnswer(aDocument);
   }
+  HttpAnswerMessage RefusedAnswer(const RefusedRequests& aRefused) const override
+  {
+    return this->dialect.RefusedAnswer(aRefused);
+  }
   HttpAnswerMessage ControlFailure(const Error& aError) const override
   {
     return this->dialect.ControlFailure(aError);
--- a/test/soak/crashing_request.py
+++ b/test/soak/crashing_request.py
@@ -10,11 +10,12 @@
 
 import argparse
 import asyncio
+import json
 import signal
 import sys
 
 from soak import Soak, soak_one
-from standins import read_head
+from standins import call, read_head
 
 CRASHES = 3
 # From the third crash until all hosts must know of it, in seconds.
@@ -80,6 +81,26 @@
         self.counts["reached_after_notice"] = reached
         if reached > MOST_REPEATS:
             self.find("sent_again_after_three_crashes", f"{reached} repeats reached a target")
+        await self.release()
+
+    async def listed(self):
+        host = self.random.choice(self.controls)
+        status, body = await call((host.ip, self.port), "GET", "/-/refused-requests", "", 3)
+        return [entry["fingerprint"] for entry in json.loads(body)["refused"]] if status == 200 else []
+
+    async def release(self):
+        """An operator lets the request through again, and it reaches a target."""
+        for fingerprint in await self.listed():
+            host = self.random.choice(self.controls)
+            await call((host.ip, self.port), "DELETE", f"/-/refused-requests/{fingerprint}", "", 3)
+        released_at = asyncio.get_running_loop().time()
+
+        async def reaches():
+            await self.repeat_times(1)
+            return self.arrivals_since(released_at) > 0
+
+        if not await self.within(reaches):
+            self.find("not_released", "no repeat reached a target")
 
     async def run(self):
         await self.start()
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -48,6 +48,7 @@
     "not_recovered",
     "sent_again_after_three_crashes",
     "bystander_refused",
+    "not_released",
     "more_than_its_limit",
     "limited_target_left_alone",
     "limit_not_lifted",
