A request keeps its name when its path leads to another service; sound runs clear by service

Cause: the fingerprint named the service. A configuration that moves or splits a route gave a request that had crashed three targets a new name and three targets more, each time. Change: the fingerprint is made of workspace, host, method, path and body. Reports and sound runs name the service, and a sound run clears the crashes at targets of its own service only: elsewhere it proves nothing.

--- a/include/damasklink/coordination/CrashLedger.h
+++ b/include/damasklink/coordination/CrashLedger.h
@@ -2,15 +2,15 @@
 //
 //   CrashLedger ledger(clock);
 //   ledger.Take(reports);                 // From entry hosts and other control hosts.
-//   ledger.TakeSound(fingerprints);       // Requests that ran well somewhere.
+//   ledger.TakeSound(runs);               // Requests that ran well somewhere.
 //   ledger.SetRefused(machine.Refused()); // What the replicated log holds.
 //   ledger.Told();                        // For entry hosts.
 //
 // All requests that run on a target when it ends are suspects, and one of them at most is to blame.
 // What tells them apart: the guilty one ends each target that runs it and never runs well. So a
-// request counts the starts of targets that ended under it, a sound run clears it, and it is
-// refused once it has ended three. Reports are a set of (request, start of a target): they may come
-// late, twice and from several hosts. Not thread-safe.
+// request counts the starts of targets that ended under it, a sound run clears it of those of the
+// same service, and it is refused once it has ended three. Reports are a set of (request, start of
+// a target): they may come late, twice and from several hosts. Not thread-safe.
 #pragma once
 
 #include <map>
@@ -44,7 +44,7 @@
   }
 
   void Take(const std::vector<CrashReport>& aReports);
-  void TakeSound(const std::vector<RequestFingerprint>& aRequests);
+  void TakeSound(const std::vector<SoundRun>& aRuns);
   void SetRefused(const RefusedRequests& aRefused);
 
   // Returns what entry hosts are to know. Requests that this host alone believes to crash targets
@@ -65,8 +65,8 @@
   struct Entry
   {
     WorkspaceId workspace;
-    // As many as count.
-    std::set<TargetStart> ended;
+    // As many as count, with their services.
+    std::map<TargetStart, ServiceName> ended;
     // The last one that counts.
     MonotonicTime lastCrash;
   };
--- a/include/damasklink/coordination/CrashWatch.h
+++ b/include/damasklink/coordination/CrashWatch.h
@@ -3,7 +3,7 @@
 //   CrashWatch watch(clock);
 //   if (watch.IsActive() && watch.IsRefused(fingerprint)) { ... }
 //   watch.OnCrash(report);                   // A target ended while it ran a request.
-//   watch.OnSound(fingerprint);              // A request ran well.
+//   watch.OnSound(run);                      // A request ran well.
 //   watch.Take(controlHost, told);           // The verdicts are those of control hosts.
 //
 // While nothing crashes, IsActive() is false and no request's fingerprint needs to be made. Not
@@ -38,7 +38,7 @@
   bool IsRefused(RequestFingerprint aRequest) const { return this->refused.contains(aRequest); }
 
   void OnCrash(CrashReport aReport);
-  void OnSound(RequestFingerprint aRequest);
+  void OnSound(const SoundRun& aRun);
 
   // Takes what a control host knows now.
   void Take(const HostId& aFrom, const CrashingRequests& aTold);
@@ -51,7 +51,7 @@
 
   // Returns what is to be told to the control host.
   std::vector<CrashReport> TakeReports();
-  std::vector<RequestFingerprint> TakeSound();
+  std::vector<SoundRun> TakeSound();
 
 private:
   struct Word
@@ -76,7 +76,7 @@
   std::set<RequestFingerprint> watched;
   // In the order in which they were made.
   std::vector<OwnReport> reports;
-  std::set<RequestFingerprint> sound;
+  std::set<SoundRun> sound;
 };
 
 } // namespace damasklink
--- a/include/damasklink/coordination/RequestFingerprint.h
+++ b/include/damasklink/coordination/RequestFingerprint.h
@@ -15,9 +15,9 @@
 {
   // Empty on open routes.
   WorkspaceId workspace;
-  ServiceName service;
+  std::string_view host;
   std::string_view method;
-  // Path and query.
+  // With the query. Not the service: the configuration may lead the same path to another one.
   std::string_view path;
   std::string_view body;
 };
--- a/include/damasklink/coordination/ServingPicture.h
+++ b/include/damasklink/coordination/ServingPicture.h
@@ -84,6 +84,7 @@
   RequestFingerprint request;
   // Empty on open routes.
   WorkspaceId workspace;
+  ServiceName service;
   TargetId target;
   // The start of the target that ended.
   Incarnation incarnation;
@@ -91,6 +92,17 @@
   bool operator==(const CrashReport&) const = default;
 };
 
+// A request ran well at a target of the service.
+struct SoundRun
+{
+  RequestFingerprint request;
+  ServiceName service;
+
+  // clang-tidy 14 mistakes the generated comparison with zero for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
+  auto operator<=>(const SoundRun&) const = default;
+};
+
 // What a target's answers say of how many requests it takes from all hosts together.
 struct LimitReport
 {
@@ -201,7 +213,7 @@
   // Since the teller told before.
   std::vector<CrashReport> crashes;
   // Suspected requests that ran well since then.
-  std::vector<RequestFingerprint> sound;
+  std::vector<SoundRun> sound;
   // What answers said of limits since then.
   std::vector<LimitReport> limitReports;
   // All limits and shares, for entry hosts; nothing when they are not told.
--- a/src/coordination/CrashLedger.cpp
+++ b/src/coordination/CrashLedger.cpp
@@ -15,7 +15,8 @@
     Entry& entry = this->entries[report.request];
     entry.workspace = report.workspace;
     const bool counts = entry.ended.size() < kCrashesToRefuse;
-    if (counts && entry.ended.insert({ report.target, report.incarnation }).second) {
+    const TargetStart start{ report.target, report.incarnation };
+    if (counts && entry.ended.emplace(start, report.service).second) {
       entry.lastCrash = this->clock.MonotonicNow();
     }
   }
@@ -35,12 +36,20 @@
 }
 
 void
-CrashLedger::TakeSound(const std::vector<RequestFingerprint>& aRequests)
+CrashLedger::TakeSound(const std::vector<SoundRun>& aRuns)
 {
-  for (const RequestFingerprint request : aRequests) {
-    this->entries.erase(request);
-    if (this->refused.contains(request)) {
-      this->cleared.insert(request);
+  for (const SoundRun& run : aRuns) {
+    const auto found = this->entries.find(run.request);
+    if (found != this->entries.end()) {
+      std::erase_if(found->second.ended,
+                    [&](const auto& aItem) { return aItem.second == run.service; });
+      if (!found->second.ended.empty()) {
+        continue;
+      }
+      this->entries.erase(found);
+    }
+    if (this->refused.contains(run.request)) {
+      this->cleared.insert(run.request);
     }
   }
 }
@@ -114,8 +123,9 @@
 {
   std::vector<CrashReport> reports;
   for (const auto& [request, entry] : this->entries) {
-    for (const auto& [target, incarnation] : entry.ended) {
-      reports.push_back(CrashReport{ request, entry.workspace, target, incarnation });
+    for (const auto& [start, service] : entry.ended) {
+      reports.push_back(
+        CrashReport{ request, entry.workspace, service, start.first, start.second });
     }
   }
   return reports;
--- a/src/coordination/CrashWatch.cpp
+++ b/src/coordination/CrashWatch.cpp
@@ -15,12 +15,14 @@
 }
 
 void
-CrashWatch::OnSound(RequestFingerprint aRequest)
+CrashWatch::OnSound(const SoundRun& aRun)
 {
-  const auto isOfRequest = [&](const OwnReport& aOwn) { return aOwn.report.request == aRequest; };
-  const bool wasReported = std::erase_if(this->reports, isOfRequest) > 0;
-  if (wasReported || this->watched.contains(aRequest)) {
-    this->sound.insert(aRequest);
+  const auto isOfRun = [&](const OwnReport& aOwn) {
+    return aOwn.report.request == aRun.request && aOwn.report.service == aRun.service;
+  };
+  const bool wasReported = std::erase_if(this->reports, isOfRun) > 0;
+  if (wasReported || this->watched.contains(aRun.request)) {
+    this->sound.insert(aRun);
   }
 }
 
@@ -83,11 +85,11 @@
   return untold;
 }
 
-std::vector<RequestFingerprint>
+std::vector<SoundRun>
 CrashWatch::TakeSound()
 {
-  const std::set<RequestFingerprint> taken = std::exchange(this->sound, {});
-  return std::vector<RequestFingerprint>(taken.begin(), taken.end());
+  const std::set<SoundRun> taken = std::exchange(this->sound, {});
+  return std::vector<SoundRun>(taken.begin(), taken.end());
 }
 
 } // namespace damasklink
--- a/src/coordination/RequestFingerprint.cpp
+++ b/src/coordination/RequestFingerprint.cpp
@@ -11,7 +11,7 @@
   const DigestBytes body = PackedDigestOf(aIdentity.body);
   ByteWriter writer;
   writer.Text(aIdentity.workspace.Value());
-  writer.Text(aIdentity.service.Value());
+  writer.Text(aIdentity.host);
   writer.Text(aIdentity.method);
   writer.Text(aIdentity.path);
   writer.Text(std::string_view(reinterpret_cast<const char*>(body.data()), body.size()));
--- a/src/program/ExchangeRecord.cpp
+++ b/src/program/ExchangeRecord.cpp
@@ -29,6 +29,7 @@
 {
   const CrashReport report{ this->Fingerprint(),
                             this->workspace == nullptr ? WorkspaceId() : this->workspace->name,
+                            this->service,
                             aTarget.id,
                             aTarget.incarnation };
   const bool leaves = this->context.picture.Targets().Find(aTarget.id) == nullptr;
@@ -68,7 +69,7 @@
 Exchange::NoteSound()
 {
   if (this->ranWell && this->context.crashes.IsActive()) {
-    this->context.crashes.OnSound(this->Fingerprint());
+    this->context.crashes.OnSound(SoundRun{ this->Fingerprint(), this->service });
   }
 }
 
@@ -88,7 +89,7 @@
   if (this->workspace != nullptr) {
     identity.workspace = this->workspace->name;
   }
-  identity.service = this->service;
+  identity.host = this->call.host;
   identity.method = this->request.head.method;
   identity.path = this->request.head.target;
   identity.body = this->request.body;
--- a/src/program/PictureTeller.h
+++ b/src/program/PictureTeller.h
@@ -110,7 +110,7 @@
   CrashingRequests toldCrashing;
   // What own entry hosts reported, for the other control hosts.
   std::vector<CrashReport> untoldCrashes;
-  std::vector<RequestFingerprint> untoldSound;
+  std::vector<SoundRun> untoldSound;
   LimitBook limits;
   std::vector<TargetLimit> toldLimits;
   // What own entry hosts reported, for the other control hosts.
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -159,11 +159,21 @@
   auto row = std::make_unique<wire::CrashRowT>();
   row->request = aReport.request.Value();
   row->workspace = aReport.workspace.Value();
+  row->service = aReport.service.Value();
   row->target = aReport.target.Value();
   row->incarnation = aReport.incarnation.Value();
   return row;
 }
 
+std::unique_ptr<wire::SoundRowT>
+RowOf(const SoundRun& aRun)
+{
+  auto row = std::make_unique<wire::SoundRowT>();
+  row->request = aRun.request.Value();
+  row->service = aRun.service.Value();
+  return row;
+}
+
 std::unique_ptr<wire::LimitReportRowT>
 RowOf(const LimitReport& aReport)
 {
@@ -300,7 +310,9 @@
     for (const CrashReport& crash : aNews.crashes) {
       this->frame.crashes.push_back(RowOf(crash));
     }
-    this->frame.sound = NumbersOf(aNews.sound);
+    for (const SoundRun& run : aNews.sound) {
+      this->frame.sound.push_back(RowOf(run));
+    }
     for (const LimitReport& report : aNews.limitReports) {
       this->frame.limit_reports.push_back(RowOf(report));
     }
@@ -412,6 +424,22 @@
   return parts;
 }
 
+CrashReport
+ReadRow(const wire::CrashRow& aRow)
+{
+  return CrashReport{ RequestFingerprint(aRow.request()),
+                      WorkspaceId(TextOf(aRow.workspace())),
+                      ServiceName(TextOf(aRow.service())),
+                      TargetId(TextOf(aRow.target())),
+                      Incarnation(aRow.incarnation()) };
+}
+
+SoundRun
+ReadRow(const wire::SoundRow& aRow)
+{
+  return SoundRun{ RequestFingerprint(aRow.request()), ServiceName(TextOf(aRow.service())) };
+}
+
 LimitReport
 ReadRow(const wire::LimitReportRow& aRow)
 {
@@ -481,19 +509,8 @@
         TargetFindings{ TargetId(TextOf(row->target())), row->gone(), row->back() });
     }
   }
-  if (const auto* rows = aFrame.crashes()) {
-    for (const wire::CrashRow* row : *rows) {
-      news.crashes.push_back(CrashReport{ RequestFingerprint(row->request()),
-                                          WorkspaceId(TextOf(row->workspace())),
-                                          TargetId(TextOf(row->target())),
-                                          Incarnation(row->incarnation()) });
-    }
-  }
-  if (const auto* numbers = aFrame.sound()) {
-    for (const std::uint64_t number : *numbers) {
-      news.sound.emplace_back(number);
-    }
-  }
+  ReadRows(aFrame.crashes(), news.crashes);
+  ReadRows(aFrame.sound(), news.sound);
   ReadRows(aFrame.limit_reports(), news.limitReports);
   if (aFrame.tells_limits()) {
     ReadRows(aFrame.limits(), news.limits.emplace());
--- a/test/coordination/CrashLedgerTest.cpp
+++ b/test/coordination/CrashLedgerTest.cpp
@@ -7,11 +7,13 @@
 
 const RequestFingerprint kGuilty(7);
 const WorkspaceId kWorkspace("w");
+const ServiceName kService("s");
+const SoundRun kSound{ kGuilty, kService };
 
 CrashReport
 Crash(const std::string& aTarget, RequestFingerprint aRequest = kGuilty, std::uint64_t aStart = 1)
 {
-  return CrashReport{ aRequest, kWorkspace, TargetId(aTarget), Incarnation(aStart) };
+  return CrashReport{ aRequest, kWorkspace, kService, TargetId(aTarget), Incarnation(aStart) };
 }
 
 class CrashLedgerTest : public testing::Test
@@ -57,12 +59,20 @@
 TEST_F(CrashLedgerTest, RequestThatRanWellBeginsAnew)
 {
   this->ledger.Take({ Crash("a"), Crash("b"), Crash("c") });
-  this->ledger.TakeSound({ kGuilty });
+  this->ledger.TakeSound({ kSound });
   this->ledger.Take({ Crash("d"), Crash("e") });
   this->Settle();
   EXPECT_FALSE(this->IsRefused());
 }
 
+TEST_F(CrashLedgerTest, SoundRunAtAnotherServiceClearsNothing)
+{
+  this->ledger.Take({ Crash("a"), Crash("b"), Crash("c") });
+  this->ledger.TakeSound({ SoundRun{ kGuilty, ServiceName("another") } });
+  this->Settle();
+  EXPECT_TRUE(this->IsRefused());
+}
+
 TEST_F(CrashLedgerTest, LaterCrashesDoNotPutOffTheRefusal)
 {
   this->ledger.Take({ Crash("a"), Crash("b"), Crash("c") });
@@ -81,7 +91,7 @@
 TEST_F(CrashLedgerTest, RefusedRequestThatRanWellAfterAllIsReleased)
 {
   this->ledger.SetRefused({ { kGuilty, RefusedRequest{ kWorkspace, this->clock.WallNow() } } });
-  this->ledger.TakeSound({ kGuilty });
+  this->ledger.TakeSound({ kSound });
   EXPECT_FALSE(this->IsRefused());
   EXPECT_EQ(this->ledger.ToRelease().size(), 1U);
   this->ledger.SetRefused({});
--- a/test/coordination/CrashModelTest.cpp
+++ b/test/coordination/CrashModelTest.cpp
@@ -239,12 +239,13 @@
       } else if (this->Happens(0.1)) {
         const std::size_t target = this->Draw(this->targets.size());
         entry.Watch().OnCrash(CrashReport{ request,
+                                           {},
                                            {},
                                            TargetId(std::to_string(target)),
                                            Incarnation(this->targets[target].start) });
         this->waiting.push_back(request);
       } else {
-        entry.Watch().OnSound(request);
+        entry.Watch().OnSound(SoundRun{ request, {} });
       }
     }
   }
@@ -258,7 +259,7 @@
       if (entry.Watch().IsRefused(kShared)) {
         ++this->sharedRefused;
       } else {
-        entry.Watch().OnSound(kShared);
+        entry.Watch().OnSound(SoundRun{ kShared, {} });
       }
     }
   }
--- a/test/coordination/CrashWatchTest.cpp
+++ b/test/coordination/CrashWatchTest.cpp
@@ -6,9 +6,11 @@
 namespace {
 
 const RequestFingerprint kRequest(7);
+const ServiceName kService("s");
+const SoundRun kSound{ kRequest, kService };
 const HostId kOne("control-1");
 const HostId kTwo("control-2");
-const CrashReport kReport{ kRequest, WorkspaceId("w"), TargetId("t"), Incarnation(1) };
+const CrashReport kReport{ kRequest, WorkspaceId("w"), kService, TargetId("t"), Incarnation(1) };
 
 class CrashWatchTest : public testing::Test
 {
@@ -21,7 +23,7 @@
 {
   this->watch.Take(kOne, CrashingRequests{});
   EXPECT_FALSE(this->watch.IsActive());
-  this->watch.OnSound(kRequest);
+  this->watch.OnSound(kSound);
   EXPECT_TRUE(this->watch.TakeSound().empty());
   this->watch.OnCrash(kReport);
   EXPECT_TRUE(this->watch.IsActive());
@@ -43,13 +45,13 @@
 TEST_F(CrashWatchTest, SoundRunsOfReportedAndSuspectedRequestsAreTold)
 {
   this->watch.OnCrash(kReport);
-  this->watch.OnSound(kRequest);
-  EXPECT_EQ(this->watch.TakeSound(), std::vector<RequestFingerprint>{ kRequest });
-  const RequestFingerprint suspected(8);
-  this->watch.Take(kOne, CrashingRequests{ {}, { suspected } });
+  this->watch.OnSound(kSound);
+  EXPECT_EQ(this->watch.TakeSound(), std::vector<SoundRun>{ kSound });
+  const SoundRun suspected{ RequestFingerprint(8), kService };
+  this->watch.Take(kOne, CrashingRequests{ {}, { suspected.request } });
   this->watch.OnSound(suspected);
-  this->watch.OnSound(RequestFingerprint(9));
-  EXPECT_EQ(this->watch.TakeSound(), std::vector<RequestFingerprint>{ suspected });
+  this->watch.OnSound(SoundRun{ RequestFingerprint(9), kService });
+  EXPECT_EQ(this->watch.TakeSound(), std::vector<SoundRun>{ suspected });
 }
 
 TEST_F(CrashWatchTest, OneControlHostIsEnoughToRefuse)
@@ -75,7 +77,7 @@
 TEST_F(CrashWatchTest, ReportsAreBounded)
 {
   for (std::uint64_t index = 0; index < 2 * CrashWatch::kMostReports; ++index) {
-    this->watch.OnCrash(CrashReport{ RequestFingerprint(index), {}, TargetId("t"), {} });
+    this->watch.OnCrash(CrashReport{ RequestFingerprint(index), {}, {}, TargetId("t"), {} });
   }
   EXPECT_EQ(this->watch.TakeReports().size(), CrashWatch::kMostReports);
 }
--- a/test/coordination/RequestFingerprintTest.cpp
+++ b/test/coordination/RequestFingerprintTest.cpp
@@ -8,7 +8,7 @@
 RequestIdentity
 Identity()
 {
-  return RequestIdentity{ WorkspaceId("w"), ServiceName("s"), "POST", "/jobs/7?x=1", "body" };
+  return RequestIdentity{ WorkspaceId("w"), "h", "POST", "/jobs/7?x=1", "body" };
 }
 
 TEST(RequestFingerprintTest, RepeatsHaveTheSameOnEveryHost)
@@ -25,7 +25,7 @@
   other.workspace = WorkspaceId("v");
   EXPECT_NE(FingerprintOf(other), own);
   other = Identity();
-  other.service = ServiceName("t");
+  other.host = "i";
   EXPECT_NE(FingerprintOf(other), own);
   other = Identity();
   other.method = "PUT";
--- a/test/program/ExchangeTest.cpp
+++ b/test/program/ExchangeTest.cpp
@@ -97,7 +97,7 @@
   });
   this->AddTarget("t", target.Address());
   const RequestFingerprint guilty =
-    FingerprintOf(RequestIdentity{ {}, testing::kService, "GET", "/once/guilty", "" });
+    FingerprintOf(RequestIdentity{ {}, "h", "GET", "/once/guilty", "" });
   this->crashes.Take(HostId("control"), CrashingRequests{ { guilty }, {} });
   this->Start();
   this->Call("/once/guilty");
@@ -118,7 +118,7 @@
   });
   this->AddTarget("t", target.Address());
   const RequestFingerprint suspected =
-    FingerprintOf(RequestIdentity{ {}, testing::kService, "GET", "/once/suspected", "" });
+    FingerprintOf(RequestIdentity{ {}, "h", "GET", "/once/suspected", "" });
   this->crashes.Take(HostId("control"), CrashingRequests{ {}, { suspected } });
   this->Start();
   this->Call("/once/suspected");
@@ -126,7 +126,8 @@
   // The relay has taken note once it takes the next request.
   this->Call("/nowhere/");
   this->Receive();
-  EXPECT_EQ(this->crashes.TakeSound(), std::vector<RequestFingerprint>{ suspected });
+  const std::vector<SoundRun> expected{ SoundRun{ suspected, testing::kService } };
+  EXPECT_EQ(this->crashes.TakeSound(), expected);
 }
 
 TEST_F(ExchangeTest, BrokenAnswerOfATargetThatStillListensIsNoCrash)
--- a/test/protocol/ServingCodecTest.cpp
+++ b/test/protocol/ServingCodecTest.cpp
@@ -80,9 +80,12 @@
 {
   SendsNews news;
   news.host = HostId("10.0.0.7");
-  news.crashes = { CrashReport{
-    RequestFingerprint(7), WorkspaceId("w"), TargetId("t"), Incarnation(1'790'000'000'000) } };
-  news.sound = { RequestFingerprint(9) };
+  news.crashes = { CrashReport{ RequestFingerprint(7),
+                                WorkspaceId("w"),
+                                ServiceName("s"),
+                                TargetId("t"),
+                                Incarnation(1'790'000'000'000) } };
+  news.sound = { SoundRun{ RequestFingerprint(9), ServiceName("s") } };
   news.limitReports = {
     LimitReport{ TargetId("t"), Incarnation(4), RequestRate{ 3.5 } },
     LimitReport{ TargetId("u"), Incarnation(5), std::nullopt },
