--- a/include/damasklink/coordination/LimitBook.h
+++ b/include/damasklink/coordination/LimitBook.h
@@ -2,6 +2,8 @@
 //
 //   LimitBook book;
 //   book.Take(reports);              // From entry hosts and other control hosts.
+//   book.TakeCold(target, now);      // It bears a few requests only for a while.
+//   book.ForgetWarm(now);
 //   book.Shares(allEntryHosts);      // For entry hosts.
 //
 // A target's limit is that of all hosts together, and may be a few requests a second before
@@ -13,13 +15,27 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
 #include "damasklink/coordination/ServingPicture.h"
+#include "damasklink/state/Clock.h"
 
 namespace damasklink {
 
+// A target that bears a few requests only for a while.
+struct ColdTarget
+{
+  TargetId target;
+  Incarnation incarnation;
+  Duration coldFor{ 0 };
+  // What it bears from all hosts together.
+  RequestRate rate;
+
+  bool operator==(const ColdTarget&) const = default;
+};
+
 class LimitBook
 {
 public:
@@ -28,10 +44,18 @@
   static constexpr RequestRate kLeast{ 0.2 };
   // A chosen host sends at least so much where the limit allows it.
   static constexpr RequestRate kLeastShare{ 1 };
+  // A target that tells how long it stays cold says about the same each time; entry hosts are told
+  // again only when its end has moved by more.
+  static constexpr Duration kSameEnd = std::chrono::milliseconds(300);
 
   // A later report takes the place of an earlier one of the same start of the target.
   void Take(const std::vector<LimitReport>& aReports);
 
+  void TakeCold(const ColdTarget& aCold, MonotonicTime aNow);
+
+  // Forgets which targets were cold until now.
+  void ForgetWarm(MonotonicTime aNow);
+
   // Forgets the targets that are not there any more.
   void KeepOnly(const std::function<bool(const TargetId&, Incarnation)>& aIsThere);
 
@@ -39,14 +63,19 @@
 
   std::vector<TargetLimit> Shares(const std::set<HostId>& aEntryHosts) const;
 
-  // Returns all that is known, for a control host that was just connected.
+  // Returns all limits that targets name, for a control host that was just connected.
   std::vector<LimitReport> All() const;
 
 private:
   struct Entry
   {
     Incarnation incarnation;
-    RequestRate limit;
+    // Nothing where the target names none.
+    std::optional<RequestRate> limit;
+    // Zero for a warm target; the next two are then without meaning.
+    Duration coldFor{ 0 };
+    RequestRate coldRate;
+    MonotonicTime coldUntil;
   };
 
   std::map<TargetId, Entry> limits;
--- a/include/damasklink/coordination/PromptParts.h
+++ b/include/damasklink/coordination/PromptParts.h
@@ -19,6 +19,8 @@
   std::uint64_t weights = 0;
   // Set for an isolated workspace only.
   WorkspaceId wall;
+  // The home regions of the call as one text; empty where it may go anywhere.
+  std::string homes;
 
   bool operator==(const ScopeFacts&) const = default;
 };
--- a/include/damasklink/coordination/ServingConfig.h
+++ b/include/damasklink/coordination/ServingConfig.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,7 @@
 #include "damasklink/state/Clock.h"
 #include "damasklink/state/Error.h"
 #include "damasklink/state/Ids.h"
+#include "damasklink/state/Units.h"
 
 namespace damasklink {
 
@@ -66,6 +68,8 @@
   bool carriesPrompt = false;
   // A stream may go on at another target after its last event.
   bool resumable = false;
+  // Calls stay in these regions; without any, they may go anywhere.
+  std::vector<RegionId> homes;
 };
 
 // What the engines of a service are like.
@@ -96,6 +100,17 @@
   Duration firstByte{ 0 };
 };
 
+// What targets of a service bear just after they have started, or once they are cold again.
+struct ColdTraits
+{
+  // Of all hosts together.
+  RequestRate rate;
+  // How long a start takes.
+  Duration lasts{ 0 };
+
+  bool operator==(const ColdTraits&) const = default;
+};
+
 struct ServingService
 {
   ServiceName name;
@@ -104,6 +119,8 @@
   std::uint64_t mostConnections = 0;
   std::optional<EngineTraits> engine;
   std::optional<PromptStoreTraits> store;
+  // Nothing where a cold target bears as much as a warm one.
+  std::optional<ColdTraits> cold;
 };
 
 // What a caller may send, and how long it may take.
@@ -123,6 +140,8 @@
   std::optional<int> priority;
   // Shares no cached part with another workspace.
   bool isolated = false;
+  // As those of a route; where both have some, both bind.
+  std::vector<RegionId> homes;
 };
 
 struct ServingConfig
@@ -143,4 +162,8 @@
 Result<void>
 CheckServingConfig(const ServingConfig& aConfig);
 
+// Fails with InvalidArgument when a route or a workspace names a region that is not among these.
+Result<void>
+CheckRegions(const ServingConfig& aConfig, const std::set<RegionId>& aRegions);
+
 } // namespace damasklink
--- a/include/damasklink/coordination/ServingMachine.h
+++ b/include/damasklink/coordination/ServingMachine.h
@@ -1,5 +1,5 @@
-// The state that control hosts replicate for serving: one document, the named weights, and the
-// requests that are refused because they crash targets.
+// The state that control hosts replicate for serving: one document, the named weights, the requests
+// that are refused because they crash targets, and the evacuated availability zones.
 //
 // A document with a higher version replaces the one that is held; any other changes nothing and is
 // acknowledged all the same, so that a change that is sent again is never refused. Versions of
@@ -15,6 +15,7 @@
 #include <string_view>
 #include <variant>
 
+#include "damasklink/coordination/Evacuations.h"
 #include "damasklink/coordination/Replication.h"
 #include "damasklink/coordination/RequestFingerprint.h"
 #include "damasklink/state/Clock.h"
@@ -65,7 +66,7 @@
 };
 
 using ServingCommand =
-  std::variant<PutDocument, NameWeights, ReadMarker, RefuseRequest, ReleaseRequest>;
+  std::variant<PutDocument, NameWeights, ReadMarker, RefuseRequest, ReleaseRequest, SetEvacuation>;
 
 std::string
 EncodeServingCommand(const ServingCommand& aCommand);
@@ -76,6 +77,8 @@
   Revision version;
   // The command could be read.
   bool understood = false;
+  // A later order has overtaken the command, which changed nothing.
+  bool superseded = false;
 };
 
 Result<ServingStanding>
@@ -98,6 +101,8 @@
 
   const RefusedRequests& Refused() const { return this->refused; }
 
+  const Evacuations& Evacuated() const { return this->evacuations; }
+
   // Rises with everything that changes.
   std::uint64_t Changes() const { return this->changes; }
 
@@ -108,6 +113,7 @@
   std::string document;
   std::map<ModelName, std::uint64_t> weights;
   RefusedRequests refused;
+  Evacuations evacuations;
   std::uint64_t changes = 0;
 };
 
--- a/include/damasklink/coordination/ServingPicture.h
+++ b/include/damasklink/coordination/ServingPicture.h
@@ -13,9 +13,11 @@
 #include <vector>
 
 #include "damasklink/coordination/DocumentTransfer.h"
+#include "damasklink/coordination/Evacuations.h"
 #include "damasklink/coordination/PromptParts.h"
 #include "damasklink/coordination/RequestFingerprint.h"
 #include "damasklink/coordination/Target.h"
+#include "damasklink/state/Clock.h"
 #include "damasklink/state/Ids.h"
 #include "damasklink/state/Units.h"
 
@@ -120,10 +122,13 @@
 {
   TargetId target;
   Incarnation incarnation;
-  RequestRate limit;
+  // Nothing: the target names none, it is cold.
+  std::optional<RequestRate> limit;
   // Of each of the hosts below; the others send nothing.
   RequestRate share;
   std::set<HostId> hosts;
+  // How long it stayed cold from when it was last heard to be; zero for a warm one.
+  Duration coldFor{ 0 };
 
   bool operator==(const TargetLimit&) const = default;
 };
@@ -154,6 +159,8 @@
   std::vector<StoreStatement> stores;
   // All that the sender knows of them; nothing when it does not tell.
   std::optional<CrashingRequests> crashing;
+  // All that are evacuated; nothing when the sender does not tell.
+  std::optional<EvacuatedZones> evacuated;
 
   bool operator==(const Picture&) const = default;
 };
--- a/include/damasklink/coordination/Target.h
+++ b/include/damasklink/coordination/Target.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "damasklink/state/Clock.h"
 #include "damasklink/state/Ids.h"
 #include "damasklink/state/Settings.h"
 
@@ -86,6 +87,8 @@
   TargetRole role = TargetRole::Both;
   std::vector<ServedModel> models;
   ServiceName service;
+  // How much longer it bears a few requests only, as of this announcement.
+  Duration coldFor{ 0 };
   TargetLoad load;
   DeclaredRates rates;
   StoreDeclaration store;
--- a/include/damasklink/coordination/TargetBoard.h
+++ b/include/damasklink/coordination/TargetBoard.h
@@ -8,7 +8,7 @@
 // Rules: what left stays gone, unless a later start of it announces itself under the same id, of
 // which nothing is known then; a target is usable while any control host that is connected says so;
 // when none is connected the last words count, so a host that is cut off goes on with what it knew.
-// Not thread-safe.
+// Targets of evacuated zones are never usable. Not thread-safe.
 #pragma once
 
 #include <deque>
@@ -41,6 +41,13 @@
   // Tells that the target does not exist any more, as another one at its address said.
   void NoteGone(const TargetId& aTarget);
 
+  // Takes the availability zones whose targets get no work; others that had none do again.
+  void SetEvacuated(std::set<ZoneId> aZones);
+  const std::set<ZoneId>& Evacuated() const { return this->evacuated; }
+
+  // Returns the targets of an availability zone that have not left, usable or not.
+  std::vector<TargetRecord> InZone(const ZoneId& aZone) const;
+
   // Returns the targets of the service that may get new work, ordered by id. When all of them are
   // silent it returns those: a guess serves better than a refusal.
   const std::vector<TargetRecord>& Usable(const ServiceName& aService) const;
@@ -78,6 +85,7 @@
   // In the order in which they went.
   std::deque<TargetId> gone;
   std::vector<TargetRecord> restarted;
+  std::set<ZoneId> evacuated;
   std::uint64_t version = 1;
   // What Usable() returns, built when it is asked for after a change.
   mutable std::uint64_t builtVersion = 0;
--- a/include/damasklink/coordination/TargetLimits.h
+++ b/include/damasklink/coordination/TargetLimits.h
@@ -1,14 +1,15 @@
-// What an entry host may send to targets that name a limit.
+// What an entry host may send to targets that name a limit or are cold.
 //
 //   TargetLimits limits(clock, ownHost);
 //   if (limits.MaySend(target)) {
 //     limits.OnSent(target);
 //   }
 //   limits.OnAnswer(record, facts.limit, sentAt);   // Hears of limits.
+//   limits.OnCold(record, record.coldFor);          // Hears that a target is cold.
 //   limits.Take(told);                              // Shares, from the control host.
 //
 // The share of a limit that a host has comes from the control host (LimitBook). A host that hears
-// of a limit before it has a share sends nothing there. Not thread-safe.
+// of a limit, or of a cold target, before it has a share sends nothing there. Not thread-safe.
 #pragma once
 
 #include <map>
@@ -33,7 +34,7 @@
   {
   }
 
-  // Returns whether no target is known to name a limit.
+  // Returns whether no target is known to name a limit or to be cold.
   bool IsEmpty() const { return this->entries.empty(); }
 
   bool MaySend(const TargetId& aTarget) const;
@@ -49,6 +50,9 @@
                 const std::optional<RequestRate>& aLimit,
                 MonotonicTime aSentAt);
 
+  // The target bears what the shares allow for so long from now on, or for longer if that is known.
+  void OnCold(const TargetRecord& aTarget, Duration aColdFor);
+
   // The target has started again: the limit was that of its earlier start.
   void OnRestart(const TargetId& aTarget) { this->entries.erase(aTarget); }
 
@@ -64,17 +68,26 @@
   struct Entry
   {
     Incarnation incarnation;
-    RequestRate limit;
+    // Nothing where the target names none.
+    std::optional<RequestRate> limit;
     // When this host heard of the limit, and when from the target itself.
     MonotonicTime knownSince;
     std::optional<MonotonicTime> reportedAt;
+    MonotonicTime coldUntil;
     // Requests that may be sent now, one at most: idle hosts must not save up.
     RequestRate share;
     double permits = 0;
     MonotonicTime filledAt;
+    // This host has sent something there since it knows of the entry.
+    bool sent = false;
   };
 
+  bool IsCold(const Entry& aEntry) const;
+  bool IsLimited(const Entry& aEntry) const;
   double PermitsNow(const Entry& aEntry) const;
+  void TakeShare(const TargetLimit& aTold, Entry& aTo) const;
+  std::optional<Duration> UntilPermit(const Entry& aEntry) const;
+  void ForgetWarm();
   void Report(const TargetId& aTarget, const Entry& aEntry, bool aLifted);
 
   const Clock& clock;
--- a/include/damasklink/protocol/ServingDialect.h
+++ b/include/damasklink/protocol/ServingDialect.h
@@ -90,6 +90,8 @@
   RequestId request;
   // Requests that the target takes from all hosts together, where it names a limit.
   std::optional<RequestRate> limit;
+  // How much longer the target is cold; zero where it does not say.
+  Duration coldFor{ 0 };
   // What the target said and could not be read; counts as not said.
   std::optional<Error> unreadable;
 };
@@ -145,6 +147,17 @@
   std::uint64_t version = 0;
 };
 
+// Targets of the availability zone are to get no work any more, or again.
+struct EvacuationChange
+{
+  ZoneId zone;
+  bool evacuated = false;
+};
+
+// Asks which availability zones are evacuated.
+struct EvacuationQuestion
+{};
+
 // Asks which requests are refused because they crash targets.
 struct RefusedQuestion
 {};
@@ -161,7 +174,9 @@
                                  ConfigQuestion,
                                  WeightsNamed,
                                  RefusedQuestion,
-                                 RequestRelease>;
+                                 RequestRelease,
+                                 EvacuationChange,
+                                 EvacuationQuestion>;
 
 // Calls of targets and operators at control hosts.
 class ControlDialect
@@ -180,6 +195,7 @@
   virtual HttpAnswerMessage Acknowledgement() const = 0;
   virtual HttpAnswerMessage DocumentAnswer(std::string_view aDocument) const = 0;
   virtual HttpAnswerMessage RefusedAnswer(const RefusedRequests& aRefused) const = 0;
+  virtual HttpAnswerMessage EvacuationAnswer(const Evacuations& aEvacuations) const = 0;
   virtual HttpAnswerMessage ControlFailure(const Error& aError) const = 0;
 };
 
--- a/include/damasklink/state/Ids.h
+++ b/include/damasklink/state/Ids.h
@@ -85,6 +85,7 @@
 
 using HostId = StringId<struct HostIdTag>;
 using ZoneId = StringId<struct ZoneIdTag>;
+using RegionId = StringId<struct RegionIdTag>;
 using WorkspaceId = StringId<struct WorkspaceIdTag>;
 using TeamId = StringId<struct TeamIdTag>;
 using TargetId = StringId<struct TargetIdTag>;
--- a/include/damasklink/state/Metrics.h
+++ b/include/damasklink/state/Metrics.h
@@ -32,10 +32,11 @@
   PeerMessagesOut,  // The same.
   PeerMessagesIn,   // The same.
   WorkMicroseconds, // kind: of work.
+  Evacuations,      // kind: evacuated or returned, a zone.
 };
 
 // How many counters there are; follows the last one.
-constexpr std::size_t kCounterCount = static_cast<std::size_t>(Counter::WorkMicroseconds) + 1;
+constexpr std::size_t kCounterCount = static_cast<std::size_t>(Counter::Evacuations) + 1;
 
 // Durations of which quantiles are kept.
 enum class Sample
--- a/include/damasklink/state/ServingSettings.h
+++ b/include/damasklink/state/ServingSettings.h
@@ -2,6 +2,7 @@
 // bounded by. What operators change while it runs is the serving configuration.
 #pragma once
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,9 @@
   Duration window = std::chrono::seconds(10);
 };
 
+// The region of each availability zone.
+using ZoneRegions = std::map<ZoneId, RegionId>;
+
 struct ServingSettings
 {
   // The host's IP number, by which other hosts reach it.
@@ -28,6 +32,8 @@
   // For people.
   std::string name;
   ZoneId zone;
+  // The availability zones of the deployment, each with its region.
+  ZoneRegions regions;
   // Callers of an entry host.
   Endpoint callers;
   // Where the balancer asks whether an entry host is ready.
--- a/include/damasklink/transport/TargetChannel.h
+++ b/include/damasklink/transport/TargetChannel.h
@@ -99,6 +99,9 @@
   // Closes those that were idle for too long. Requires to be called now and then.
   void CloseExpired();
 
+  // Closes the idle connections to an address.
+  void CloseIdle(const Endpoint& aEndpoint) { this->idle.erase(FormatEndpoint(aEndpoint)); }
+
   void CloseAll() { this->idle.clear(); }
 
 private:
--- a/src/coordination/LimitBook.cpp
+++ b/src/coordination/LimitBook.cpp
@@ -26,6 +26,41 @@
   return chosen;
 }
 
+// How many hosts share a rate, and what each of them gets.
+struct Division
+{
+  std::size_t hosts = 1;
+  RequestRate share;
+};
+
+Division
+DivideLimit(RequestRate aRate, std::size_t aHosts)
+{
+  const double most = std::max(aRate.perSecond / LimitBook::kLeastShare.perSecond, 1.0);
+  const double hosts = static_cast<double>(std::max<std::size_t>(aHosts, 1));
+  const auto count = static_cast<std::size_t>(std::min(most, hosts));
+  return Division{ count, RequestRate{ aRate.perSecond / static_cast<double>(count) } };
+}
+
+// What a cold target bears holds for each second by itself. A host that sends evenly reaches its
+// share rounded up in some seconds, so shares are whole numbers; of the divisions that use most of
+// the rate the one with the most hosts is taken.
+Division
+DivideColdRate(RequestRate aRate, std::size_t aHosts)
+{
+  const auto whole = static_cast<std::size_t>(aRate.perSecond);
+  Division best{ 1, aRate };
+  std::size_t used = 0;
+  for (std::size_t count = 1; count <= std::min(whole, aHosts); ++count) {
+    const std::size_t each = whole / count;
+    if (count * each >= used) {
+      used = count * each;
+      best = Division{ count, RequestRate{ static_cast<double>(each) } };
+    }
+  }
+  return best;
+}
+
 } // namespace
 
 void
@@ -33,17 +68,58 @@
 {
   for (const LimitReport& report : aReports) {
     const auto found = this->limits.find(report.target);
-    if (found != this->limits.end() && report.incarnation < found->second.incarnation) {
+    const bool known = found != this->limits.end();
+    if (known && report.incarnation < found->second.incarnation) {
       continue;
     }
     if (report.limit) {
-      this->limits[report.target] = Entry{ report.incarnation, *report.limit };
-    } else if (found != this->limits.end()) {
+      Entry& entry = this->limits[report.target];
+      if (entry.incarnation != report.incarnation) {
+        entry = Entry();
+      }
+      entry.incarnation = report.incarnation;
+      entry.limit = report.limit;
+    } else if (known && found->second.coldFor > Duration::zero()) {
+      found->second.limit.reset();
+    } else if (known) {
       this->limits.erase(found);
     }
   }
 }
 
+void
+LimitBook::TakeCold(const ColdTarget& aCold, MonotonicTime aNow)
+{
+  Entry& entry = this->limits[aCold.target];
+  if (aCold.incarnation < entry.incarnation) {
+    return;
+  }
+  if (aCold.incarnation > entry.incarnation) {
+    entry = Entry();
+    entry.incarnation = aCold.incarnation;
+  }
+  const MonotonicTime until = aNow + aCold.coldFor;
+  const bool sameEnd = entry.coldFor > Duration::zero() && until <= entry.coldUntil + kSameEnd;
+  if (!sameEnd) {
+    entry.coldFor = aCold.coldFor;
+    entry.coldUntil = until;
+  }
+  entry.coldRate = aCold.rate;
+}
+
+void
+LimitBook::ForgetWarm(MonotonicTime aNow)
+{
+  for (auto& [target, entry] : this->limits) {
+    if (entry.coldUntil <= aNow) {
+      entry.coldFor = Duration::zero();
+    }
+  }
+  std::erase_if(this->limits, [](const auto& aItem) {
+    return aItem.second.coldFor == Duration::zero() && !aItem.second.limit;
+  });
+}
+
 void
 LimitBook::KeepOnly(const std::function<bool(const TargetId&, Incarnation)>& aIsThere)
 {
@@ -57,16 +133,18 @@
 {
   std::vector<TargetLimit> shares;
   for (const auto& [target, entry] : this->limits) {
-    const double rate = std::max(entry.limit, kLeast).perSecond;
-    const double most = std::max(rate / kLeastShare.perSecond, 1.0);
-    const auto count = static_cast<std::size_t>(
-      std::min(most, static_cast<double>(std::max<std::size_t>(aEntryHosts.size(), 1))));
+    const RequestRate named = std::max(entry.limit.value_or(RequestRate()), kLeast);
+    const bool cold = entry.coldFor > Duration::zero();
+    const bool coldBinds = cold && (!entry.limit || entry.coldRate < named);
+    const Division division = coldBinds ? DivideColdRate(entry.coldRate, aEntryHosts.size())
+                                        : DivideLimit(named, aEntryHosts.size());
     TargetLimit& limit = shares.emplace_back();
     limit.target = target;
     limit.incarnation = entry.incarnation;
     limit.limit = entry.limit;
-    limit.share = RequestRate{ rate / static_cast<double>(count) };
-    limit.hosts = Choose(target, aEntryHosts, count);
+    limit.share = division.share;
+    limit.hosts = Choose(target, aEntryHosts, division.hosts);
+    limit.coldFor = entry.coldFor;
   }
   return shares;
 }
@@ -76,7 +154,9 @@
 {
   std::vector<LimitReport> reports;
   for (const auto& [target, entry] : this->limits) {
-    reports.push_back(LimitReport{ target, entry.incarnation, entry.limit });
+    if (entry.limit) {
+      reports.push_back(LimitReport{ target, entry.incarnation, entry.limit });
+    }
   }
   return reports;
 }
--- a/src/coordination/PromptParts.cpp
+++ b/src/coordination/PromptParts.cpp
@@ -8,10 +8,21 @@
 
 namespace damasklink {
 
+namespace {
+
+// Stands between the wall and the home regions, where there are any.
+constexpr char kBeforeHomes = ';';
+
+} // namespace
+
 std::string
 FormatScope(const ScopeFacts& aFacts)
 {
-  return Concat(aFacts.model.Value(), "/", aFacts.weights, "/", aFacts.wall.Value());
+  std::string scope = Concat(aFacts.model.Value(), "/", aFacts.weights, "/", aFacts.wall.Value());
+  if (!aFacts.homes.empty()) {
+    scope += kBeforeHomes + aFacts.homes;
+  }
+  return scope;
 }
 
 std::optional<ScopeFacts>
@@ -26,7 +37,12 @@
   }
   ScopeFacts facts;
   facts.model = ModelName(std::string(aText.substr(0, middle)));
-  facts.wall = WorkspaceId(std::string(aText.substr(last + 1)));
+  const std::string_view owner = aText.substr(last + 1);
+  const std::size_t homes = owner.find(kBeforeHomes);
+  facts.wall = WorkspaceId(std::string(owner.substr(0, homes)));
+  if (homes != std::string_view::npos) {
+    facts.homes = std::string(owner.substr(homes + 1));
+  }
   const std::string_view version = aText.substr(middle + 1, last - middle - 1);
   const char* end = version.data() + version.size();
   const auto [stop, error] = std::from_chars(version.data(), end, facts.weights);
--- /dev/null
+++ b/src/coordination/RecentHosts.cpp
@@ -0,0 +1,21 @@
+#include "damasklink/coordination/RecentHosts.h"
+
+namespace damasklink {
+
+void
+RecentHosts::Note(const std::set<HostId>& aHosts, MonotonicTime aNow)
+{
+  for (const HostId& host : aHosts) {
+    this->seen[host] = aNow;
+    this->hosts.insert(host);
+  }
+  std::erase_if(this->seen, [&](const auto& aItem) {
+    const bool gone = aNow - aItem.second > kMemory;
+    if (gone) {
+      this->hosts.erase(aItem.first);
+    }
+    return gone;
+  });
+}
+
+} // namespace damasklink
--- a/src/coordination/ServingConfig.cpp
+++ b/src/coordination/ServingConfig.cpp
@@ -70,6 +70,21 @@
   return Success();
 }
 
+Result<void>
+CheckHomes(const std::vector<RegionId>& aHomes,
+           const std::string& aOwner,
+           const std::set<RegionId>& aRegions)
+{
+  for (const RegionId& region : aHomes) {
+    if (!aRegions.contains(region)) {
+      return Fail(ErrorKind::InvalidArgument,
+                  Concat(aOwner, " names the unknown region '", region.Value(), "'"),
+                  "name regions of this deployment only");
+    }
+  }
+  return Success();
+}
+
 } // namespace
 
 std::string_view
@@ -117,4 +132,22 @@
   return CheckKeys(aConfig.workspaces);
 }
 
+Result<void>
+CheckRegions(const ServingConfig& aConfig, const std::set<RegionId>& aRegions)
+{
+  for (const ServingRoute& route : aConfig.routes) {
+    if (auto checked = CheckHomes(route.homes, Concat("route '", route.name, "'"), aRegions);
+        !checked) {
+      return checked;
+    }
+  }
+  for (const WorkspaceEntry& workspace : aConfig.workspaces) {
+    const std::string owner = Concat("workspace '", workspace.name.Value(), "'");
+    if (auto checked = CheckHomes(workspace.homes, owner, aRegions); !checked) {
+      return checked;
+    }
+  }
+  return Success();
+}
+
 } // namespace damasklink
--- a/src/coordination/ServingMachine.cpp
+++ b/src/coordination/ServingMachine.cpp
@@ -16,6 +16,7 @@
   ReadMarker = 3,
   RefuseRequest = 4,
   ReleaseRequest = 5,
+  SetEvacuation = 6,
 };
 
 auto
@@ -25,21 +26,51 @@
     ErrorKind::Corrupt, std::move(aWhat), "run the same program version on all control hosts");
 }
 
+// What became of a command. These numbers travel between hosts; any but the first is understood.
+enum class Outcome : std::uint8_t
+{
+  NotUnderstood = 0,
+  Applied = 1,
+  Superseded = 2,
+};
+
 void
-WriteFacts(ByteWriter& aWriter, const RefusedRequest& aFacts)
+WriteTime(ByteWriter& aWriter, WallTime aTime)
 {
-  const auto since = aFacts.since.time_since_epoch();
-  aWriter.Text(aFacts.workspace.Value());
+  const auto since = aTime.time_since_epoch();
   aWriter.Number(static_cast<std::uint64_t>(
     std::chrono::duration_cast<std::chrono::milliseconds>(since).count()));
 }
 
+WallTime
+ReadTime(ByteReader& aReader)
+{
+  return WallTime(std::chrono::milliseconds(static_cast<std::int64_t>(aReader.Number())));
+}
+
+void
+WriteFacts(ByteWriter& aWriter, const RefusedRequest& aFacts)
+{
+  aWriter.Text(aFacts.workspace.Value());
+  WriteTime(aWriter, aFacts.since);
+}
+
 RefusedRequest
 ReadFacts(ByteReader& aReader)
 {
   const WorkspaceId workspace(aReader.Text());
-  const std::chrono::milliseconds since(static_cast<std::int64_t>(aReader.Number()));
-  return RefusedRequest{ workspace, WallTime(since) };
+  return RefusedRequest{ workspace, ReadTime(aReader) };
+}
+
+SetEvacuation
+ReadEvacuation(ByteReader& aReader)
+{
+  SetEvacuation order;
+  order.zone = ZoneId(aReader.Text());
+  order.evacuated = aReader.Byte() != 0;
+  order.seenChanges = aReader.Number();
+  order.since = ReadTime(aReader);
+  return order;
 }
 
 std::optional<ServingCommand>
@@ -69,6 +100,9 @@
     case CommandTag::ReleaseRequest:
       command = ReleaseRequest{ RequestFingerprint(reader.Number()) };
       break;
+    case CommandTag::SetEvacuation:
+      command = ReadEvacuation(reader);
+      break;
     default:
       return std::nullopt;
   }
@@ -110,14 +144,23 @@
     this->writer.Byte(static_cast<std::uint8_t>(CommandTag::ReleaseRequest));
     this->writer.Number(aCommand.request.Value());
   }
+
+  void operator()(const SetEvacuation& aCommand)
+  {
+    this->writer.Byte(static_cast<std::uint8_t>(CommandTag::SetEvacuation));
+    this->writer.Text(aCommand.zone.Value());
+    this->writer.Byte(aCommand.evacuated ? 1 : 0);
+    this->writer.Number(aCommand.seenChanges);
+    WriteTime(this->writer, aCommand.since);
+  }
 };
 
 std::string
-EncodeStanding(Revision aVersion, bool aUnderstood)
+EncodeStanding(Revision aVersion, Outcome aOutcome)
 {
   ByteWriter writer;
   writer.Number(aVersion.Value());
-  writer.Byte(aUnderstood ? 1 : 0);
+  writer.Byte(static_cast<std::uint8_t>(aOutcome));
   return writer.Take();
 }
 
@@ -137,7 +180,9 @@
   ByteReader reader(aAnswer);
   ServingStanding standing;
   standing.version = Revision(reader.Number());
-  standing.understood = reader.Byte() != 0;
+  const auto outcome = static_cast<Outcome>(reader.Byte());
+  standing.understood = outcome != Outcome::NotUnderstood;
+  standing.superseded = outcome == Outcome::Superseded;
   if (!reader.Finished()) {
     return Unreadable("the answer to a serving command cannot be read");
   }
@@ -149,7 +194,7 @@
 {
   std::optional<ServingCommand> command = DecodeCommand(aCommand);
   if (!command) {
-    return EncodeStanding(this->version, false);
+    return EncodeStanding(this->version, Outcome::NotUnderstood);
   }
   if (auto* put = std::get_if<PutDocument>(&*command); put != nullptr) {
     if (put->version > this->version) {
@@ -167,8 +212,14 @@
     this->Refuse(*refuse);
   } else if (const auto* release = std::get_if<ReleaseRequest>(&*command); release != nullptr) {
     this->changes += this->refused.erase(release->request);
+  } else if (const auto* order = std::get_if<SetEvacuation>(&*command); order != nullptr) {
+    const EvacuationResult result = this->evacuations.Apply(*order);
+    if (result == EvacuationResult::Superseded) {
+      return EncodeStanding(this->version, Outcome::Superseded);
+    }
+    this->changes += result == EvacuationResult::Applied ? 1 : 0;
   }
-  return EncodeStanding(this->version, true);
+  return EncodeStanding(this->version, Outcome::Applied);
 }
 
 void
@@ -198,14 +249,25 @@
     writer.Text(model.Value());
     writer.Number(named);
   }
+  const std::map<ZoneId, ZoneEvacuation>& zones = this->evacuations.All();
   // Snapshots of programs that knew no refused requests end here.
-  if (!this->refused.empty()) {
+  if (!this->refused.empty() || !zones.empty()) {
     writer.Number(this->refused.size());
     for (const auto& [request, facts] : this->refused) {
       writer.Number(request.Value());
       WriteFacts(writer, facts);
     }
   }
+  // Snapshots of programs that knew no evacuations end here.
+  if (!zones.empty()) {
+    writer.Number(zones.size());
+    for (const auto& [zone, state] : zones) {
+      writer.Text(zone.Value());
+      writer.Byte(state.evacuated ? 1 : 0);
+      writer.Number(state.changes);
+      WriteTime(writer, state.since);
+    }
+  }
   return writer.Take();
 }
 
@@ -227,6 +289,14 @@
     const RequestFingerprint request(reader.Number());
     loadedRefused[request] = ReadFacts(reader);
   }
+  std::map<ZoneId, ZoneEvacuation> loadedZones;
+  const std::uint64_t zoneCount = reader.Left() > 0 ? reader.Number() : 0;
+  for (std::uint64_t index = 0; index < zoneCount && reader.Ok(); ++index) {
+    ZoneEvacuation& state = loadedZones[ZoneId(reader.Text())];
+    state.evacuated = reader.Byte() != 0;
+    state.changes = reader.Number();
+    state.since = ReadTime(reader);
+  }
   if (!reader.Finished()) {
     return Unreadable("the serving part of a snapshot cannot be read");
   }
@@ -234,6 +304,7 @@
   this->document = std::move(loadedDocument);
   this->weights = std::move(loadedWeights);
   this->refused = std::move(loadedRefused);
+  this->evacuations.Restore(std::move(loadedZones));
   ++this->changes;
   return Success();
 }
--- a/src/coordination/TargetBoard.cpp
+++ b/src/coordination/TargetBoard.cpp
@@ -83,6 +83,25 @@
   }
 }
 
+void
+TargetBoard::SetEvacuated(std::set<ZoneId> aZones)
+{
+  this->evacuated = std::move(aZones);
+  this->Changed();
+}
+
+std::vector<TargetRecord>
+TargetBoard::InZone(const ZoneId& aZone) const
+{
+  std::vector<TargetRecord> found;
+  for (const auto& [id, entry] : this->entries) {
+    if (!entry.gone && entry.record.zone == aZone) {
+      found.push_back(entry.record);
+    }
+  }
+  return found;
+}
+
 void
 TargetBoard::NoteGone(const TargetId& aTarget)
 {
@@ -151,7 +170,7 @@
   std::map<ServiceName, std::vector<TargetRecord>> paused;
   std::map<ServiceName, std::vector<TargetRecord>> silent;
   for (const auto& [id, entry] : this->entries) {
-    if (entry.gone) {
+    if (entry.gone || this->evacuated.contains(entry.record.zone)) {
       continue;
     }
     const ServiceName& service = entry.record.service;
--- a/src/coordination/TargetLimits.cpp
+++ b/src/coordination/TargetLimits.cpp
@@ -1,9 +1,34 @@
 #include "damasklink/coordination/TargetLimits.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace damasklink {
+namespace {
+
+// Returns what a host that gets its first share of a cold target may send at once: hosts begin one
+// after the other, so that all together send evenly from the first second on.
+double
+FirstPermits(const std::set<HostId>& aHosts, const HostId& aSelf)
+{
+  const auto position = std::distance(aHosts.begin(), aHosts.find(aSelf));
+  return 1 - (static_cast<double>(position) / static_cast<double>(aHosts.size()));
+}
+
+} // namespace
+
+bool
+TargetLimits::IsCold(const Entry& aEntry) const
+{
+  return this->clock.MonotonicNow() < aEntry.coldUntil;
+}
+
+bool
+TargetLimits::IsLimited(const Entry& aEntry) const
+{
+  return aEntry.limit || this->IsCold(aEntry);
+}
 
 double
 TargetLimits::PermitsNow(const Entry& aEntry) const
@@ -16,7 +41,8 @@
 TargetLimits::MaySend(const TargetId& aTarget) const
 {
   const auto found = this->entries.find(aTarget);
-  return found == this->entries.end() || this->PermitsNow(found->second) >= 1;
+  return found == this->entries.end() || !this->IsLimited(found->second) ||
+         this->PermitsNow(found->second) >= 1;
 }
 
 void
@@ -27,22 +53,38 @@
     Entry& entry = found->second;
     entry.permits = std::max(this->PermitsNow(entry) - 1, 0.0);
     entry.filledAt = this->clock.MonotonicNow();
+    entry.sent = true;
   }
 }
 
+// Returns how long until this host may send one, or until the target is warm where that is all that
+// keeps it; nothing when neither is known.
+std::optional<Duration>
+TargetLimits::UntilPermit(const Entry& aEntry) const
+{
+  if (aEntry.share.perSecond > 0) {
+    const double missing = std::max(1 - this->PermitsNow(aEntry), 0.0);
+    const std::chrono::duration<double> wait(missing / aEntry.share.perSecond);
+    return std::chrono::duration_cast<Duration>(wait);
+  }
+  if (!aEntry.limit) {
+    return aEntry.coldUntil - this->clock.MonotonicNow();
+  }
+  return std::nullopt;
+}
+
 std::optional<Duration>
 TargetLimits::UntilPermit(const std::vector<TargetRecord>& aTargets) const
 {
   std::optional<Duration> soonest;
   for (const TargetRecord& target : aTargets) {
     const auto found = this->entries.find(target.id);
-    if (found == this->entries.end() || found->second.share.perSecond <= 0) {
+    if (found == this->entries.end() || !this->IsLimited(found->second)) {
       continue;
     }
-    const double missing = std::max(1 - this->PermitsNow(found->second), 0.0);
-    const std::chrono::duration<double> wait(missing / found->second.share.perSecond);
-    const auto rounded = std::chrono::duration_cast<Duration>(wait);
-    soonest = soonest ? std::min(*soonest, rounded) : rounded;
+    if (const std::optional<Duration> wait = this->UntilPermit(found->second)) {
+      soonest = soonest ? std::min(*soonest, *wait) : *wait;
+    }
   }
   return soonest;
 }
@@ -57,27 +99,46 @@
   if (known && aTarget.incarnation < found->second.incarnation) {
     return;
   }
+  const bool named = known && found->second.limit;
   if (!aLimit) {
-    if (known && aSentAt > found->second.knownSince) {
+    if (named && aSentAt > found->second.knownSince) {
       this->Report(aTarget.id, found->second, true);
-      this->entries.erase(found);
+      found->second.limit.reset();
+      this->ForgetWarm();
     }
     return;
   }
-  if (known && found->second.limit == *aLimit && found->second.incarnation == aTarget.incarnation) {
+  if (named && found->second.limit == aLimit && found->second.incarnation == aTarget.incarnation) {
     return;
   }
   Entry& entry = this->entries[aTarget.id];
-  if (!known) {
+  if (!named) {
     entry.knownSince = this->clock.MonotonicNow();
+  }
+  if (!known) {
     entry.filledAt = this->clock.MonotonicNow();
   }
   entry.incarnation = aTarget.incarnation;
-  entry.limit = *aLimit;
+  entry.limit = aLimit;
   entry.reportedAt = this->clock.MonotonicNow();
   this->Report(aTarget.id, entry, false);
 }
 
+void
+TargetLimits::OnCold(const TargetRecord& aTarget, Duration aColdFor)
+{
+  const MonotonicTime now = this->clock.MonotonicNow();
+  const auto [position, isNew] = this->entries.try_emplace(aTarget.id);
+  Entry& entry = position->second;
+  if (isNew) {
+    entry.filledAt = now;
+  } else if (aTarget.incarnation < entry.incarnation) {
+    return;
+  }
+  entry.incarnation = aTarget.incarnation;
+  entry.coldUntil = std::max(entry.coldUntil, now + aColdFor);
+}
+
 void
 TargetLimits::Report(const TargetId& aTarget, const Entry& aEntry, bool aLifted)
 {
@@ -88,6 +149,30 @@
   this->untold[aTarget] = report;
 }
 
+void
+TargetLimits::TakeShare(const TargetLimit& aTold, Entry& aTo) const
+{
+  const MonotonicTime now = this->clock.MonotonicNow();
+  const bool hadShare = aTo.share.perSecond > 0;
+  aTo.permits = this->PermitsNow(aTo);
+  aTo.filledAt = now;
+  aTo.incarnation = aTold.incarnation;
+  aTo.limit = aTold.limit;
+  if (aTold.coldFor > Duration::zero()) {
+    aTo.coldUntil = std::max(aTo.coldUntil, now + aTold.coldFor);
+  }
+  if (!aTold.hosts.contains(this->self)) {
+    aTo.share = RequestRate();
+    // What was saved up belonged to the share that is another host's now.
+    aTo.permits = 0;
+    return;
+  }
+  aTo.share = aTold.share;
+  if (!hadShare && !aTo.sent && !aTo.limit && this->IsCold(aTo)) {
+    aTo.permits = FirstPermits(aTold.hosts, this->self);
+  }
+}
+
 void
 TargetLimits::Take(const std::vector<TargetLimit>& aTold)
 {
@@ -98,22 +183,20 @@
     const auto found = this->entries.find(told.target);
     if (found != this->entries.end()) {
       entry = found->second;
-      entry.permits = this->PermitsNow(entry);
     } else {
       entry.knownSince = now;
+      entry.filledAt = now;
     }
-    entry.incarnation = told.incarnation;
-    entry.limit = told.limit;
-    entry.filledAt = now;
-    entry.share = told.hosts.contains(this->self) ? told.share : RequestRate();
-    if (entry.share.perSecond <= 0) {
-      // What was saved up belonged to the share that is another host's now.
-      entry.permits = 0;
-    }
+    this->TakeShare(told, entry);
   }
   for (const auto& [target, entry] : this->entries) {
-    if (entry.reportedAt && now - *entry.reportedAt < kReportUnderWay) {
-      taken.try_emplace(target, entry);
+    const bool reportUnderWay = entry.reportedAt && now - *entry.reportedAt < kReportUnderWay;
+    if (!reportUnderWay && !this->IsCold(entry)) {
+      continue;
+    }
+    const auto [position, isKept] = taken.try_emplace(target, entry);
+    if (isKept && !reportUnderWay) {
+      position->second.limit.reset();
     }
   }
   this->entries = std::move(taken);
@@ -123,14 +206,24 @@
 TargetLimits::TellAllAnew()
 {
   for (auto& [target, entry] : this->entries) {
-    entry.reportedAt = this->clock.MonotonicNow();
-    this->Report(target, entry, false);
+    if (entry.limit) {
+      entry.reportedAt = this->clock.MonotonicNow();
+      this->Report(target, entry, false);
+    }
   }
 }
 
+void
+TargetLimits::ForgetWarm()
+{
+  std::erase_if(this->entries,
+                [this](const auto& aItem) { return !this->IsLimited(aItem.second); });
+}
+
 std::vector<LimitReport>
 TargetLimits::TakeReports()
 {
+  this->ForgetWarm();
   std::vector<LimitReport> reports;
   for (auto& [target, report] : std::exchange(this->untold, {})) {
     reports.push_back(std::move(report));
--- a/src/program/ControlCalls.cpp
+++ b/src/program/ControlCalls.cpp
@@ -1,7 +1,9 @@
 #include "ControlCalls.h"
 
+#include <set>
 #include <utility>
 
+#include "damasklink/state/Text.h"
 #include "damasklink/state/Units.h"
 #include "damasklink/transport/Log.h"
 
@@ -19,15 +21,29 @@
   return limits;
 }
 
+std::set<RegionId>
+RegionsOf(const ZoneRegions& aZones)
+{
+  std::set<RegionId> regions;
+  for (const auto& [zone, region] : aZones) {
+    regions.insert(region);
+  }
+  return regions;
+}
+
 } // namespace
 
-ControlCalls::ControlCalls(const ControlDialect& aDialect,
+ControlCalls::ControlCalls(const Clock& aClock,
+                           const ServingSettings& aSettings,
+                           const ControlDialect& aDialect,
                            ServingGroup& aGroup,
                            ControlPicture& aPicture,
                            Metrics& aMetrics,
                            WorkAccount& aAccount,
                            std::function<void()> aSpread)
-  : dialect(aDialect)
+  : clock(aClock)
+  , settings(aSettings)
+  , dialect(aDialect)
   , group(aGroup)
   , picture(aPicture)
   , metrics(aMetrics)
@@ -81,6 +97,12 @@
   if (const auto* release = std::get_if<RequestRelease>(&call.value())) {
     co_return co_await this->TakeRelease(*release);
   }
+  if (const auto* change = std::get_if<EvacuationChange>(&call.value())) {
+    co_return co_await this->TakeEvacuation(*change);
+  }
+  if (std::holds_alternative<EvacuationQuestion>(call.value())) {
+    co_return this->dialect.EvacuationAnswer(this->group.State().Evacuated());
+  }
   if (std::holds_alternative<RefusedQuestion>(call.value())) {
     co_return this->dialect.RefusedAnswer(this->group.State().Refused());
   }
@@ -146,6 +168,9 @@
 {
   auto config = this->dialect.ReadConfig(aChange.document);
   auto checked = config ? CheckServingConfig(config.value()) : Result<void>(Fail(config.error()));
+  if (checked && !this->settings.regions.empty()) {
+    checked = CheckRegions(config.value(), RegionsOf(this->settings.regions));
+  }
   if (!checked) {
     LogEvent(LogLevel::Info, "configuration_refused").With("error", checked.error());
     co_return this->dialect.ControlFailure(checked.error());
@@ -186,6 +211,35 @@
   co_return this->AnswerCommit(standing);
 }
 
+Awaitable<HttpAnswerMessage>
+ControlCalls::TakeEvacuation(const EvacuationChange& aChange)
+{
+  if (!this->settings.regions.empty() && !this->settings.regions.contains(aChange.zone)) {
+    co_return this->dialect.ControlFailure(
+      Error{ ErrorKind::NotFound,
+             Concat("there is no availability zone '", aChange.zone.Value(), "'"),
+             "name a zone of this deployment" });
+  }
+  const std::uint64_t seen = this->group.State().Evacuated().ChangesOf(aChange.zone);
+  const ServingCommand command =
+    SetEvacuation{ aChange.zone, aChange.evacuated, seen, this->clock.WallNow() };
+  const auto standing = co_await this->group.Commit(command);
+  const bool acknowledged = standing && !standing.value().superseded;
+  LogEvent(LogLevel::Info, acknowledged ? "evacuation_acknowledged" : "evacuation_not_committed")
+    .With("zone", aChange.zone)
+    .With("evacuated", aChange.evacuated)
+    .With("seen_changes", seen)
+    .With("superseded", standing && standing.value().superseded)
+    .With("error", standing ? Error{} : standing.error());
+  if (standing && standing.value().superseded) {
+    co_return this->dialect.ControlFailure(
+      Error{ ErrorKind::Unavailable,
+             "another order for the zone was committed first, which this host had not seen",
+             "send the order again if it is still wanted" });
+  }
+  co_return this->AnswerCommit(standing);
+}
+
 // A leader within its lease knows the newest configuration. Any other host asks the group: what it
 // has applied itself must be as new as what the group answers.
 Awaitable<HttpAnswerMessage>
--- a/src/program/ControlCalls.h
+++ b/src/program/ControlCalls.h
@@ -17,7 +17,9 @@
 {
 public:
   // aSpread tells entry hosts at once what has changed. Requires that all outlive this object.
-  ControlCalls(const ControlDialect& aDialect,
+  ControlCalls(const Clock& aClock,
+               const ServingSettings& aSettings,
+               const ControlDialect& aDialect,
                ServingGroup& aGroup,
                ControlPicture& aPicture,
                Metrics& aMetrics,
@@ -33,12 +35,15 @@
   Awaitable<HttpAnswerMessage> TakeChange(const ConfigChange& aChange);
   Awaitable<HttpAnswerMessage> TakeRelease(const RequestRelease& aRelease);
   Awaitable<HttpAnswerMessage> TakeWeights(const WeightsNamed& aNamed);
+  Awaitable<HttpAnswerMessage> TakeEvacuation(const EvacuationChange& aChange);
   Awaitable<HttpAnswerMessage> AnswerQuestion();
   HttpAnswerMessage TakeHeartbeat(const TargetHeartbeat& aHeartbeat);
   HttpAnswerMessage TakeDeparture(const TargetDeparture& aDeparture);
   HttpAnswerMessage AnswerTarget() const;
   HttpAnswerMessage AnswerCommit(const Result<ServingStanding>& aStanding) const;
 
+  const Clock& clock;
+  const ServingSettings& settings;
   const ControlDialect& dialect;
   ServingGroup& group;
   ControlPicture& picture;
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -89,7 +89,9 @@
               aEngines,
               this->Options(),
               [this] { return this->group.Authority(); })
-    , calls(aDialect,
+    , calls(this->clock,
+            this->settings,
+            aDialect,
             this->group,
             this->picture,
             this->metrics,
@@ -117,6 +119,8 @@
   void SpreadTargets();
   void PushDocument();
   void FollowServices();
+  void FollowEvacuations();
+  void NoteEvacuation(const ZoneId& aZone, bool aEvacuated);
   Result<ServingMessage> Decode(const std::string& aPayload);
   void TakeServingMessage(const HostId& aPeer, const ServingMessage& aMessage);
   void TakeGreeting(const HostId& aPeer, const Greeting& aGreeting);
@@ -148,6 +152,8 @@
   asio::steady_timer ticker;
   // The version whose services are followed.
   Revision followed;
+  // Zones that were evacuated when the state was looked at last.
+  std::set<ZoneId> evacuated;
   MonotonicTime nextSpread;
   MonotonicTime nextFreeing;
   MonotonicTime nextTelling;
@@ -215,7 +221,10 @@
   // After a start of all, the seeds alone would wait until the other members reach them.
   this->KnowControlHosts(this->group.Members());
   this->signals.Wait(
-    [this](const ServingSettings& aFresh) { this->KnowControlHosts(aFresh.seeds); },
+    [this](const ServingSettings& aFresh) {
+      this->settings.regions = aFresh.regions;
+      this->KnowControlHosts(aFresh.seeds);
+    },
     [this] { this->Stop(); });
   this->Tick();
   this->loop.run();
@@ -292,6 +301,7 @@
   LogEvent(LogLevel::Info, "configuration_applied")
     .With("version", state.Version())
     .With("entry_hosts", this->roster.EntryHosts().size());
+  this->FollowEvacuations();
   this->teller.TellStanding();
   if (state.Version() != this->followed) {
     this->followed = state.Version();
@@ -313,10 +323,41 @@
   }
   this->stores.Follow(config.value().services);
   std::set<ServiceName> services;
+  std::map<ServiceName, ColdTraits> cold;
   for (const ServingService& service : config.value().services) {
     services.insert(service.name);
+    if (service.cold) {
+      cold.emplace(service.name, *service.cold);
+    }
   }
   this->picture.SetServices(std::move(services));
+  this->picture.SetColdTraits(std::move(cold));
+}
+
+void
+ControlHost::Impl::FollowEvacuations()
+{
+  std::set<ZoneId> now = this->group.State().Evacuated().Current().zones;
+  for (const ZoneId& zone : this->evacuated) {
+    if (!now.contains(zone)) {
+      this->NoteEvacuation(zone, false);
+      this->picture.OnZoneReturned(zone);
+    }
+  }
+  for (const ZoneId& zone : now) {
+    if (!this->evacuated.contains(zone)) {
+      this->NoteEvacuation(zone, true);
+    }
+  }
+  this->evacuated = std::move(now);
+}
+
+void
+ControlHost::Impl::NoteEvacuation(const ZoneId& aZone, bool aEvacuated)
+{
+  LogEvent(LogLevel::Info, "evacuation_applied").With("zone", aZone).With("evacuated", aEvacuated);
+  this->metrics.Add(
+    Counter::Evacuations, MetricKey{ WorkspaceId(), aEvacuated ? "evacuated" : "returned" }, 1);
 }
 
 void
--- a/src/program/ControlPicture.cpp
+++ b/src/program/ControlPicture.cpp
@@ -40,10 +40,32 @@
   const bool isNews = this->registry.Merge(aRecord);
   if (isNews) {
     this->touched.insert(aRecord.id);
+    this->NoteCold(aRecord, aRecord.coldFor);
   }
   return isNews;
 }
 
+void
+ControlPicture::NoteCold(const TargetRecord& aRecord, Duration aColdFor)
+{
+  const auto traits = this->coldTraits.find(aRecord.service);
+  if (aColdFor > Duration::zero() && traits != this->coldTraits.end()) {
+    this->cold.push_back(
+      ColdTarget{ aRecord.id, aRecord.incarnation, aColdFor, traits->second.rate });
+  }
+}
+
+void
+ControlPicture::OnZoneReturned(const ZoneId& aZone)
+{
+  for (const TargetRecord& record : this->registry.All()) {
+    const auto traits = this->coldTraits.find(record.service);
+    if (record.zone == aZone && traits != this->coldTraits.end()) {
+      this->NoteCold(record, traits->second.lasts);
+    }
+  }
+}
+
 void
 ControlPicture::Depart(const TargetId& aTarget, Incarnation aIncarnation)
 {
--- a/src/program/ControlPicture.h
+++ b/src/program/ControlPicture.h
@@ -4,8 +4,11 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
+#include "damasklink/coordination/LimitBook.h"
+#include "damasklink/coordination/ServingConfig.h"
 #include "damasklink/coordination/ServingPicture.h"
 #include "damasklink/coordination/TargetRegistry.h"
 
@@ -36,6 +39,19 @@
   // Takes the services that the configuration names. Before the first call all are known.
   void SetServices(std::set<ServiceName> aServices) { this->services = std::move(aServices); }
 
+  // Takes the services whose targets bear only a few requests while they are cold.
+  void SetColdTraits(std::map<ServiceName, ColdTraits> aTraits)
+  {
+    this->coldTraits = std::move(aTraits);
+  }
+
+  // The zone was evacuated and is not any more: its targets may have become cold meanwhile without
+  // having said so yet.
+  void OnZoneReturned(const ZoneId& aZone);
+
+  // Returns the targets that were heard to be cold since the last call.
+  std::vector<ColdTarget> TakeCold() { return std::exchange(this->cold, {}); }
+
   // Returns the statements that differ from what TakeChanges() returned before. Requires to be
   // called now and then, since silence is a change too. Costs little where nothing has changed.
   std::vector<TargetStatement> TakeChanges();
@@ -67,11 +83,14 @@
 private:
   TargetStatement StatementOn(const TargetRecord& aRecord) const;
   bool Merge(const TargetRecord& aRecord);
+  void NoteCold(const TargetRecord& aRecord, Duration aColdFor);
   void FindChanges();
   void ListEngines();
 
   TargetRegistry registry;
   std::optional<std::set<ServiceName>> services;
+  std::map<ServiceName, ColdTraits> coldTraits;
+  std::vector<ColdTarget> cold;
   std::set<TargetId> paused;
   std::map<std::pair<TargetId, ModelName>, std::uint64_t> reported;
   // Targets of which something was heard or decided since the last look for changes: a step costs
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -14,6 +14,7 @@
 #include "damasklink/coordination/ServiceLevelWindows.h"
 #include "damasklink/protocol/ServingCodec.h"
 #include "damasklink/state/MetricsRegistry.h"
+#include "damasklink/state/Units.h"
 #include "damasklink/transport/ChannelListener.h"
 #include "damasklink/transport/Log.h"
 #include "damasklink/transport/PeerMesh.h"
@@ -113,6 +114,9 @@
   void KeepControlLinks();
   void TakePicture(const HostId& aPeer, const Picture& aTold);
   void TakeLimits(const SendsNews& aNews);
+  std::optional<ColdTraits> ColdTraitsOf(const ServiceName& aService) const;
+  void TakeCold(const std::vector<TargetStatement>& aTold);
+  void FollowEvacuations();
   void TakeCrashing(const HostId& aPeer, const CrashingRequests& aTold);
   void NoteReady();
   bool IsReady() const;
@@ -487,6 +491,8 @@
     this->health.OnRestart(target.id);
     this->limits.OnRestart(target.id);
   }
+  this->TakeCold(aTold.targets);
+  this->FollowEvacuations();
   this->retries.SetHosts(this->picture.EntryHosts());
   const bool named = this->links.KnowAll(this->picture.TakeNewControlHosts());
   if (named || this->picture.IsGood(aPeer) != wasGood) {
@@ -494,6 +500,57 @@
   }
 }
 
+// Nothing where a cold target of the service bears as much as a warm one.
+std::optional<ColdTraits>
+EntryHost::Impl::ColdTraitsOf(const ServiceName& aService) const
+{
+  const RoutesPtr& routes = this->picture.Routes();
+  const ServingService* service =
+    routes == nullptr ? nullptr : routes->Config().FindService(aService);
+  return service == nullptr ? std::nullopt : service->cold;
+}
+
+void
+EntryHost::Impl::TakeCold(const std::vector<TargetStatement>& aTold)
+{
+  const bool unconfigured = this->picture.Routes() == nullptr;
+  for (const TargetStatement& statement : aTold) {
+    const TargetRecord& record = statement.record;
+    if (record.coldFor <= Duration::zero()) {
+      continue;
+    }
+    const TargetRecord* newest = this->picture.Targets().Find(record.id);
+    const bool isNewest = newest != nullptr && newest->sequence <= record.sequence;
+    if (isNewest && (unconfigured || this->ColdTraitsOf(record.service))) {
+      this->limits.OnCold(record, record.coldFor);
+      LogEvent(LogLevel::Info, "target_cold")
+        .With("target", record.id)
+        .With("sequence", record.sequence)
+        .With("cold_ms", WholeMilliseconds(record.coldFor));
+    }
+  }
+}
+
+// Targets of a zone that is given back may have become cold meanwhile without having said so yet.
+void
+EntryHost::Impl::FollowEvacuations()
+{
+  for (const ZoneId& zone : this->picture.TakeEvacuated()) {
+    for (const TargetRecord& target : this->picture.Targets().InZone(zone)) {
+      this->pool.CloseIdle(target.endpoint);
+    }
+    LogEvent(LogLevel::Info, "zone_evacuated").With("zone", zone);
+  }
+  for (const ZoneId& zone : this->picture.TakeReturned()) {
+    for (const TargetRecord& target : this->picture.Targets().InZone(zone)) {
+      if (const std::optional<ColdTraits> cold = this->ColdTraitsOf(target.service)) {
+        this->limits.OnCold(target, cold->lasts);
+      }
+    }
+    LogEvent(LogLevel::Info, "zone_returned").With("zone", zone);
+  }
+}
+
 void
 EntryHost::Impl::TakeLimits(const SendsNews& aNews)
 {
@@ -504,7 +561,8 @@
   for (const TargetLimit& limit : *aNews.limits) {
     LogEvent(LogLevel::Info, "target_limit_told")
       .With("target", limit.target)
-      .With("limit_per_second", limit.limit.perSecond)
+      .With("limit_per_second", limit.limit.value_or(RequestRate()).perSecond)
+      .With("cold_ms", WholeMilliseconds(limit.coldFor))
       .With("hosts", limit.hosts.size())
       .With("share_per_second",
             limit.hosts.contains(this->settings.host) ? limit.share.perSecond : 0);
--- a/src/program/EntryPicture.cpp
+++ b/src/program/EntryPicture.cpp
@@ -1,6 +1,7 @@
 #include "EntryPicture.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "damasklink/transport/Log.h"
@@ -43,6 +44,9 @@
       .With("sequence", statement.record.sequence)
       .With("from", aFrom);
   }
+  if (aPicture.evacuated) {
+    this->TakeEvacuated(aFrom, *aPicture.evacuated);
+  }
   if (aFrom == this->hub) {
     for (const StoreStatement& statement : aPicture.stores) {
       this->stored.Take(statement);
@@ -59,6 +63,31 @@
   this->controlHosts.insert(aPicture.controlHosts.begin(), aPicture.controlHosts.end());
 }
 
+void
+EntryPicture::TakeEvacuated(const HostId& aFrom, const EvacuatedZones& aTold)
+{
+  if (aTold.revision <= this->evacuationRevision) {
+    return;
+  }
+  this->evacuationRevision = aTold.revision;
+  const std::set<ZoneId>& before = this->targets.Evacuated();
+  std::set_difference(aTold.zones.begin(),
+                      aTold.zones.end(),
+                      before.begin(),
+                      before.end(),
+                      std::inserter(this->newlyEvacuated, this->newlyEvacuated.end()));
+  std::set_difference(before.begin(),
+                      before.end(),
+                      aTold.zones.begin(),
+                      aTold.zones.end(),
+                      std::inserter(this->newlyReturned, this->newlyReturned.end()));
+  this->targets.SetEvacuated(aTold.zones);
+  LogEvent(LogLevel::Info, "evacuations_told")
+    .With("revision", aTold.revision)
+    .With("zones", aTold.zones.size())
+    .With("from", aFrom);
+}
+
 void
 EntryPicture::PutInForce(RoutesPtr aRoutes)
 {
--- a/src/program/EntryPicture.h
+++ b/src/program/EntryPicture.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string_view>
+#include <utility>
 
 #include "damasklink/coordination/RouteTable.h"
 #include "damasklink/coordination/ServingPicture.h"
@@ -75,7 +76,13 @@
   // Control hosts that were named so far and not yet taken from here.
   ControlHostZones TakeNewControlHosts();
 
+  // Zones that were evacuated, or are not any more, since the last call.
+  std::set<ZoneId> TakeEvacuated() { return std::exchange(this->newlyEvacuated, {}); }
+  std::set<ZoneId> TakeReturned() { return std::exchange(this->newlyReturned, {}); }
+
 private:
+  void TakeEvacuated(const HostId& aFrom, const EvacuatedZones& aTold);
+
   const Clock& clock;
   RoutesPtr routes;
   TargetBoard targets;
@@ -91,6 +98,10 @@
   std::set<HostId> spoken;
   std::set<HostId> isolated;
   ControlHostZones controlHosts;
+  // The newest that any control host told: one that is behind must not bring an earlier state back.
+  std::uint64_t evacuationRevision = 0;
+  std::set<ZoneId> newlyEvacuated;
+  std::set<ZoneId> newlyReturned;
 };
 
 } // namespace damasklink
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -95,6 +95,9 @@
       return Refusal(ErrorKind::Unauthenticated, "the key is not known", "send a valid key");
     }
   }
+  if (auto refusal = this->FindHomes()) {
+    return refusal;
+  }
   this->service = ChooseService(*this->route, ShortHash(this->call.request.Value()));
   if (this->CrashesTargets()) {
     return Refusal(ErrorKind::Unavailable,
@@ -112,6 +115,26 @@
   return std::nullopt;
 }
 
+std::optional<CallerError>
+Exchange::FindHomes()
+{
+  static const std::vector<RegionId> kAnywhere;
+  const bool bound =
+    !this->route->homes.empty() || (this->workspace != nullptr && !this->workspace->homes.empty());
+  if (!bound) {
+    return std::nullopt;
+  }
+  this->homes = HomeRegions(this->route->homes,
+                            this->workspace == nullptr ? kAnywhere : this->workspace->homes,
+                            this->context.settings.regions);
+  if (this->homes.AllowsNothing()) {
+    return Refusal(ErrorKind::NotPermitted,
+                   "the route and the workspace have no home region in common",
+                   "use another route, or ask the operator for a common region");
+  }
+  return std::nullopt;
+}
+
 Awaitable<bool>
 Exchange::Relay()
 {
@@ -175,7 +198,9 @@
   if (this->interrupt != Interrupt::None && end != AttemptEnd::Delivered) {
     end = this->EndOfFailure();
   }
-  if (this->channel != nullptr && end != AttemptEnd::Expired && end != AttemptEnd::CallerLeft) {
+  const bool evacuated = this->context.picture.Targets().Evacuated().contains(aTarget.zone);
+  const bool usable = end != AttemptEnd::Expired && end != AttemptEnd::CallerLeft && !evacuated;
+  if (this->channel != nullptr && usable) {
     this->context.pool.Keep(aTarget.endpoint, std::move(this->channel));
   }
   // Closing tells the target that nobody waits for the rest.
@@ -282,6 +307,9 @@
 {
   const TargetAnswerFacts facts = this->context.dialect.ReadAnswer(aHead);
   this->NoteLimit(aTarget, facts);
+  if (facts.coldFor > Duration::zero()) {
+    this->context.limits.OnCold(aTarget, facts.coldFor);
+  }
   if (facts.wrongTarget && facts.target != aTarget.id && !facts.target.Empty()) {
     this->context.picture.Targets().NoteGone(aTarget.id);
   }
@@ -386,9 +414,8 @@
   if (this->question.limited.empty()) {
     return kComeBackAfter;
   }
-  const std::vector<TargetRecord>& targets = this->context.picture.Targets().Usable(this->service);
   return std::max(kComeBackAfter,
-                  this->context.limits.UntilPermit(targets).value_or(kComeBackAfter));
+                  this->context.limits.UntilPermit(this->Targets()).value_or(kComeBackAfter));
 }
 
 // Gives the caller its final answer. Returns whether its channel may be used again.
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -12,6 +12,7 @@
 #include "damasklink/coordination/CrashWatch.h"
 #include "damasklink/coordination/EventFramer.h"
 #include "damasklink/coordination/ExchangePlan.h"
+#include "damasklink/coordination/HomeRegions.h"
 #include "damasklink/coordination/RequestFingerprint.h"
 #include "damasklink/coordination/RetryShares.h"
 #include "damasklink/coordination/ReturnQueue.h"
@@ -81,6 +82,8 @@
   };
 
   std::optional<CallerError> Resolve();
+  // Returns the refusal of a call that may be sent nowhere.
+  std::optional<CallerError> FindHomes();
   Awaitable<bool> Relay();
   Awaitable<AttemptEnd> Attempt(const TargetRecord& aTarget);
   Awaitable<AttemptEnd> Converse(const TargetRecord& aTarget);
@@ -95,6 +98,8 @@
   // Keeps what an attempt showed of its target's zone, and logs when the zone is given up.
   void NoteReach(const TargetRecord& aTarget, HealthSign aSign);
   const TargetRecord* ChooseTarget();
+  // The targets of the call's service that may get it.
+  const std::vector<TargetRecord>& Targets();
   TargetCall CallFor(const TargetRecord& aTarget);
   void AddPartMoves(const TargetRecord& aTarget, TargetCall& aTo);
   void LogSend(const TargetRecord& aTarget, const TargetCall& aCall) const;
@@ -113,7 +118,7 @@
   // Whether targets end under this request, so that it must not be sent.
   bool CrashesTargets();
   void AskWithWeights(std::uint64_t aWeights);
-  std::uint64_t NewestWeights() const;
+  std::uint64_t NewestWeights();
   void OnInterrupt(Interrupt aReason);
   AttemptEnd EndOfFailure() const;
   bool ClosesAfter() const;
@@ -135,6 +140,9 @@
   const WorkspaceEntry* workspace = nullptr;
   CallerCall call;
   ServiceName service;
+  HomeRegions homes;
+  // Those of the home regions, where they bind.
+  std::vector<TargetRecord> atHome;
   PickQuestion question;
   CacheScope scope;
   std::uint64_t weights = 0;
--- a/src/program/ExchangeChoice.cpp
+++ b/src/program/ExchangeChoice.cpp
@@ -3,6 +3,7 @@
 #include "Exchange.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "damasklink/state/Units.h"
 #include "damasklink/transport/Log.h"
@@ -65,7 +66,8 @@
   this->question.stored.clear();
   const bool walled = this->workspace != nullptr && this->workspace->isolated;
   const WorkspaceId wall = walled ? this->workspace->name : WorkspaceId();
-  this->scope = CacheScope(FormatScope(ScopeFacts{ this->call.model, aWeights, wall }));
+  this->scope =
+    CacheScope(FormatScope(ScopeFacts{ this->call.model, aWeights, wall, this->homes.Text() }));
   // The last part belongs to this call alone: nobody else could use it.
   for (std::size_t index = 0; index + 1 < this->call.parts.size(); ++index) {
     const PromptPart& part = this->call.parts[index];
@@ -96,12 +98,27 @@
   }
 }
 
+const std::vector<TargetRecord>&
+Exchange::Targets()
+{
+  const std::vector<TargetRecord>& usable = this->context.picture.Targets().Usable(this->service);
+  if (!this->homes.Binds()) {
+    return usable;
+  }
+  this->atHome.clear();
+  std::copy_if(usable.begin(),
+               usable.end(),
+               std::back_inserter(this->atHome),
+               [this](const TargetRecord& aTarget) { return this->homes.Allows(aTarget.zone); });
+  return this->atHome;
+}
+
 // Returns the newest version that was named or that a target has, 0 where none is known.
 std::uint64_t
-Exchange::NewestWeights() const
+Exchange::NewestWeights()
 {
   std::uint64_t newest = this->context.picture.WeightsOf(this->call.model);
-  for (const TargetRecord& target : this->context.picture.Targets().Usable(this->service)) {
+  for (const TargetRecord& target : this->Targets()) {
     newest = std::max(newest, WeightsOf(target, this->call.model));
   }
   return newest;
@@ -114,7 +131,7 @@
   if (this->context.limits.IsEmpty()) {
     return;
   }
-  for (const TargetRecord& target : this->context.picture.Targets().Usable(this->service)) {
+  for (const TargetRecord& target : this->Targets()) {
     if (!this->context.limits.MaySend(target.id)) {
       this->question.limited.insert(target.id);
     }
@@ -131,8 +148,7 @@
     this->question.leastWeights = this->context.picture.WeightsKnownFor(
       this->call.model, this->context.settings.weightsWithin - kLongestQueue);
   }
-  const TargetRecord* chosen = this->context.picker.Choose(
-    this->question, this->context.picture.Targets().Usable(this->service));
+  const TargetRecord* chosen = this->context.picker.Choose(this->question, this->Targets());
   if (hasPrompt && chosen != nullptr) {
     const std::uint64_t has = WeightsOf(*chosen, this->call.model);
     if (has != this->weights) {
@@ -234,15 +250,15 @@
       continue;
     }
     if (leading) {
-      const TargetRecord* holder = this->context.picker.HolderOf(
-        part, this->context.picture.Targets().Usable(this->service), aTarget);
+      const TargetRecord* holder = this->context.picker.HolderOf(part, this->Targets(), aTarget);
       leading = holder != nullptr;
       if (holder != nullptr) {
         aTo.fetches[index].peer = holder->endpoint;
       }
     }
     const PromptStore* home = stored->HomeOf(part);
-    if (home != nullptr && !this->avoided.contains(home->name)) {
+    const bool mayKeep = home != nullptr && this->homes.Allows(home->traits.zone);
+    if (mayKeep && !this->avoided.contains(home->name)) {
       aTo.saves[index].peer = home->traits.endpoint;
     }
   }
--- a/src/program/PictureTeller.cpp
+++ b/src/program/PictureTeller.cpp
@@ -12,6 +12,11 @@
 // about as long, so a word that waits this long is still of use.
 constexpr Duration kUrgentPause = std::chrono::milliseconds(10);
 
+// From the start of a control host until it knows the entry hosts of the others. Before that it
+// would divide limits among the few that it knows, beside what the other control hosts give to
+// theirs.
+constexpr Duration kRosterGathers = std::chrono::milliseconds(1000);
+
 bool
 HasAnything(const SendsNews& aNews)
 {
@@ -40,6 +45,7 @@
   , crashes(aCrashes)
   , mesh(aMesh)
   , account(aAccount)
+  , startedAt(aClock.MonotonicNow())
 {
 }
 
@@ -96,6 +102,7 @@
   base.entryHosts = this->roster.CountEntryHosts();
   base.controlHosts = this->roster.AllControlHosts();
   base.crashing = this->toldCrashing;
+  base.evacuated = this->group.State().Evacuated().Current();
   return base;
 }
 
@@ -111,6 +118,11 @@
     this->toldWeights = this->group.State().Weights();
     standing.weights = this->toldWeights;
   }
+  EvacuatedZones evacuated = this->group.State().Evacuated().Current();
+  if (this->toldEvacuated != evacuated) {
+    this->toldEvacuated = std::move(evacuated);
+    standing.evacuated = this->toldEvacuated;
+  }
   this->TellEntryHosts(Work::Pictures, standing);
 }
 
@@ -208,7 +220,7 @@
     if (!known && this->sends.Tellers().contains(aFrom)) {
       this->TellAllStores(aFrom);
       SendsNews totals = this->sends.AllTotals(this->settings.host);
-      totals.limits = this->limits.Shares(this->roster.AllEntryHosts());
+      totals.limits = this->LimitShares();
       this->Tell(Work::Totals, aFrom, totals);
     }
   }
@@ -239,10 +251,23 @@
   }
 }
 
+std::vector<TargetLimit>
+PictureTeller::LimitShares() const
+{
+  const bool gathers = this->clock.MonotonicNow() - this->startedAt < kRosterGathers;
+  return this->limits.Shares(gathers ? std::set<HostId>() : this->recentHosts.All());
+}
+
 // Tells the shares of all limits where any has changed: limits, targets or entry hosts.
 void
 PictureTeller::TellLimits()
 {
+  const MonotonicTime now = this->clock.MonotonicNow();
+  this->recentHosts.Note(this->roster.AllEntryHosts(), now);
+  for (const ColdTarget& cold : this->picture.TakeCold()) {
+    this->limits.TakeCold(cold, now);
+  }
+  this->limits.ForgetWarm(now);
   if (this->limits.IsEmpty() && this->toldLimits.empty()) {
     return;
   }
@@ -250,7 +275,7 @@
     const TargetRecord* record = this->picture.Registry().Find(aTarget);
     return record != nullptr && !record->leaving && record->incarnation <= aIncarnation;
   });
-  std::vector<TargetLimit> shares = this->limits.Shares(this->roster.AllEntryHosts());
+  std::vector<TargetLimit> shares = this->LimitShares();
   if (shares == this->toldLimits) {
     return;
   }
@@ -259,7 +284,8 @@
     LogEvent(LogLevel::Info, "target_limit_shared")
       .With("target", limit.target)
       .With("incarnation", limit.incarnation)
-      .With("limit_per_second", limit.limit.perSecond)
+      .With("limit_per_second", limit.limit.value_or(RequestRate()).perSecond)
+      .With("cold_ms", WholeMilliseconds(limit.coldFor))
       .With("hosts", limit.hosts.size())
       .With("share_per_second", limit.share.perSecond);
   }
--- a/src/program/PictureTeller.h
+++ b/src/program/PictureTeller.h
@@ -14,6 +14,7 @@
 #include "damasklink/coordination/DocumentSource.h"
 #include "damasklink/coordination/HostRoster.h"
 #include "damasklink/coordination/LimitBook.h"
+#include "damasklink/coordination/RecentHosts.h"
 #include "damasklink/coordination/SendsHub.h"
 #include "damasklink/transport/PeerMesh.h"
 
@@ -80,6 +81,7 @@
   void TakeCrashes(const SendsNews& aNews, bool aOfOwnHost);
   void TellAllReports(const HostId& aControlHost);
   void TakeLimits(const SendsNews& aNews, bool aOfOwnHost);
+  std::vector<TargetLimit> LimitShares() const;
   void TellLimits();
 
   const Clock& clock;
@@ -107,10 +109,14 @@
   std::uint64_t toldEntryHosts = 0;
   bool toldIsolated = false;
   std::map<ModelName, std::uint64_t> toldWeights;
+  EvacuatedZones toldEvacuated;
   CrashingRequests toldCrashing;
   // What own entry hosts reported, for the other control hosts.
   std::vector<CrashReport> untoldCrashes;
   std::vector<SoundRun> untoldSound;
+  // Since when this host has heard others tell of entry hosts.
+  MonotonicTime startedAt;
+  RecentHosts recentHosts;
   LimitBook limits;
   std::vector<TargetLimit> toldLimits;
   // What own entry hosts reported, for the other control hosts.
--- a/src/protocol/MetricsText.cpp
+++ b/src/protocol/MetricsText.cpp
@@ -115,6 +115,8 @@
       return "damasklink_peer_in_messages_total";
     case Counter::WorkMicroseconds:
       return "damasklink_work_microseconds_total";
+    case Counter::Evacuations:
+      return "damasklink_evacuations_total";
   }
   return "damasklink_unnamed_total";
 }
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -1,5 +1,7 @@
 #include "damasklink/protocol/ServingCodec.h"
 
+#include <algorithm>
+
 #include <Serving_generated.h>
 
 #include "FlatBytes.h"
@@ -49,6 +51,14 @@
   return hosts;
 }
 
+// Rounded up: a target must not be believed warm before it is.
+std::uint32_t
+MillisecondsOf(Duration aTime)
+{
+  return static_cast<std::uint32_t>(
+    std::chrono::ceil<std::chrono::milliseconds>(std::max(aTime, Duration::zero())).count());
+}
+
 std::unique_ptr<wire::TargetRowT>
 RowOf(const TargetStatement& aStatement)
 {
@@ -64,6 +74,7 @@
   row->slots = static_cast<std::uint32_t>(record.load.slots);
   row->standing = static_cast<std::uint8_t>(aStatement.standing);
   row->paused = aStatement.paused;
+  row->cold_ms = MillisecondsOf(record.coldFor);
   for (const ServedModel& served : record.models) {
     auto model = std::make_unique<wire::ServedModelRowT>();
     model->model = served.model.Value();
@@ -89,6 +100,7 @@
   record.sequence = Sequence(aRow.sequence);
   record.incarnation = Incarnation(aRow.incarnation);
   record.load.slots = aRow.slots;
+  record.coldFor = std::chrono::milliseconds(aRow.cold_ms);
   record.kind = aRow.models.empty() ? TargetKind::Service : TargetKind::Engine;
   for (const auto& model : aRow.models) {
     const WeightVersion version(std::to_string(model->version));
@@ -191,7 +203,9 @@
   auto row = std::make_unique<wire::LimitRowT>();
   row->target = aLimit.target.Value();
   row->incarnation = aLimit.incarnation.Value();
-  row->per_second = aLimit.limit.perSecond;
+  row->per_second = aLimit.limit.value_or(RequestRate()).perSecond;
+  row->unnamed = !aLimit.limit.has_value();
+  row->cold_ms = MillisecondsOf(aLimit.coldFor);
   row->share = aLimit.share.perSecond;
   for (const HostId& host : aLimit.hosts) {
     row->hosts.push_back(host.Value());
@@ -275,6 +289,13 @@
       this->frame.refused_requests = NumbersOf(aPicture.crashing->refused);
       this->frame.suspected_requests = NumbersOf(aPicture.crashing->suspected);
     }
+    this->frame.tells_evacuated = aPicture.evacuated.has_value();
+    if (aPicture.evacuated) {
+      this->frame.evacuation_revision = aPicture.evacuated->revision;
+      for (const ZoneId& zone : aPicture.evacuated->zones) {
+        this->frame.evacuated_zones.push_back(zone.Value());
+      }
+    }
     this->FillControlHosts(aPicture.controlHosts);
   }
 
@@ -400,6 +421,13 @@
     picture.crashing = CrashingRequests{ FingerprintsOf(aFrame.refused_requests),
                                          FingerprintsOf(aFrame.suspected_requests) };
   }
+  if (aFrame.tells_evacuated) {
+    EvacuatedZones& evacuated = picture.evacuated.emplace();
+    evacuated.revision = aFrame.evacuation_revision;
+    for (const std::string& zone : aFrame.evacuated_zones) {
+      evacuated.zones.insert(ZoneId(zone));
+    }
+  }
   picture.controlHosts = ReadControlHosts(aFrame);
   return ServingMessage(std::move(picture));
 }
@@ -457,9 +485,13 @@
 {
   TargetLimit limit{ TargetId(TextOf(aRow.target())),
                      Incarnation(aRow.incarnation()),
-                     RequestRate{ aRow.per_second() },
+                     std::nullopt,
                      RequestRate{ aRow.share() },
-                     {} };
+                     {},
+                     std::chrono::milliseconds(aRow.cold_ms()) };
+  if (!aRow.unnamed()) {
+    limit.limit = RequestRate{ aRow.per_second() };
+  }
   if (const auto* hosts = aRow.hosts()) {
     for (const flatbuffers::String* host : *hosts) {
       limit.hosts.insert(HostId(TextOf(host)));
--- /dev/null
+++ b/test/coordination/EvacuationsTest.cpp
@@ -0,0 +1,63 @@
+#include "damasklink/coordination/Evacuations.h"
+
+#include <gtest/gtest.h>
+
+namespace damasklink {
+namespace {
+
+const ZoneId kZone("hall");
+
+SetEvacuation
+Order(bool aEvacuated, std::uint64_t aSeenChanges)
+{
+  return SetEvacuation{ kZone, aEvacuated, aSeenChanges, WallTime() };
+}
+
+TEST(EvacuationsTest, OrderAndItsWithdrawalAreApplied)
+{
+  Evacuations evacuations;
+  EXPECT_EQ(evacuations.Apply(Order(true, 0)), EvacuationResult::Applied);
+  EXPECT_EQ(evacuations.Current().zones, std::set<ZoneId>{ kZone });
+  EXPECT_EQ(evacuations.Apply(Order(false, 1)), EvacuationResult::Applied);
+  EXPECT_TRUE(evacuations.Current().zones.empty());
+  EXPECT_EQ(evacuations.Current().revision, 2U);
+}
+
+TEST(EvacuationsTest, OrderThatIsSentAgainChangesNothing)
+{
+  Evacuations evacuations;
+  evacuations.Apply(Order(true, 0));
+  EXPECT_EQ(evacuations.Apply(Order(true, 0)), EvacuationResult::AlreadySo);
+  EXPECT_EQ(evacuations.Current().revision, 1U);
+}
+
+// Guards against a copy of an order that was given up on and is committed after its withdrawal.
+TEST(EvacuationsTest, LateCopyOfAWithdrawnOrderDoesNothing)
+{
+  Evacuations evacuations;
+  evacuations.Apply(Order(true, 0));
+  evacuations.Apply(Order(false, 1));
+  EXPECT_EQ(evacuations.Apply(Order(true, 0)), EvacuationResult::Superseded);
+  EXPECT_TRUE(evacuations.Current().zones.empty());
+  EXPECT_EQ(evacuations.Apply(Order(true, 2)), EvacuationResult::Applied);
+}
+
+TEST(EvacuationsTest, WithdrawalByAHostThatHasNotSeenTheOrderIsNotAcknowledgedAsDone)
+{
+  Evacuations evacuations;
+  evacuations.Apply(Order(true, 0));
+  EXPECT_EQ(evacuations.Apply(Order(false, 0)), EvacuationResult::Superseded);
+}
+
+TEST(EvacuationsTest, ZonesAreIndependent)
+{
+  Evacuations evacuations;
+  evacuations.Apply(Order(true, 0));
+  const SetEvacuation other{ ZoneId("other"), true, 0, WallTime() };
+  EXPECT_EQ(evacuations.Apply(other), EvacuationResult::Applied);
+  EXPECT_EQ(evacuations.Current().zones.size(), 2U);
+  EXPECT_EQ(evacuations.ChangesOf(kZone), 1U);
+}
+
+} // namespace
+} // namespace damasklink
--- a/test/coordination/LimitBookTest.cpp
+++ b/test/coordination/LimitBookTest.cpp
@@ -88,5 +88,72 @@
   EXPECT_TRUE(book.IsEmpty());
 }
 
+constexpr Duration kColdFor = std::chrono::seconds(3);
+
+ColdTarget
+Cold(Duration aColdFor = kColdFor)
+{
+  return ColdTarget{ kTarget, Incarnation(1), aColdFor, RequestRate{ 16 } };
+}
+
+TEST(LimitBookTest, WhatAColdTargetBearsIsDividedIntoWholeRequestsASecond)
+{
+  LimitBook book;
+  book.TakeCold(Cold(), MonotonicTime());
+  const TargetLimit many = book.Shares(Hosts(80)).at(0);
+  EXPECT_EQ(many.hosts.size(), 16U);
+  EXPECT_DOUBLE_EQ(many.share.perSecond, 1);
+  const TargetLimit few = book.Shares(Hosts(9)).at(0);
+  EXPECT_EQ(few.hosts.size(), 8U);
+  EXPECT_DOUBLE_EQ(few.share.perSecond, 2);
+  EXPECT_EQ(few.limit, std::nullopt);
+}
+
+TEST(LimitBookTest, AColdTargetIsForgottenOnceItIsWarm)
+{
+  LimitBook book;
+  const MonotonicTime start;
+  book.TakeCold(Cold(), start);
+  book.ForgetWarm(start + kColdFor - std::chrono::milliseconds(1));
+  EXPECT_FALSE(book.IsEmpty());
+  book.ForgetWarm(start + kColdFor);
+  EXPECT_TRUE(book.IsEmpty());
+}
+
+// Entry hosts are told of changes only, so the word of each heartbeat must not be one.
+TEST(LimitBookTest, HeartbeatsThatTellTheSameEndChangeNothing)
+{
+  LimitBook book;
+  const MonotonicTime start;
+  const Duration later = std::chrono::milliseconds(1200);
+  book.TakeCold(Cold(), start);
+  const std::vector<TargetLimit> before = book.Shares(Hosts(9));
+  book.TakeCold(Cold(kColdFor - later + LimitBook::kSameEnd), start + later);
+  EXPECT_EQ(book.Shares(Hosts(9)), before);
+}
+
+TEST(LimitBookTest, ATargetThatIsColdAgainIsColdForLonger)
+{
+  LimitBook book;
+  const MonotonicTime start;
+  book.TakeCold(Cold(), start);
+  book.TakeCold(Cold(), start + kColdFor / 2);
+  book.ForgetWarm(start + kColdFor);
+  EXPECT_FALSE(book.IsEmpty());
+}
+
+TEST(LimitBookTest, OfALimitAndAColdRateTheSmallerOneBinds)
+{
+  LimitBook book;
+  book.Take({ Report(4) });
+  book.TakeCold(Cold(), MonotonicTime());
+  EXPECT_DOUBLE_EQ(book.Shares(Hosts(9))[0].share.perSecond, 1);
+  book.Take({ Report(100) });
+  EXPECT_DOUBLE_EQ(book.Shares(Hosts(9))[0].share.perSecond, 2);
+  book.Take({ Report(std::nullopt) });
+  EXPECT_EQ(book.Shares(Hosts(9))[0].limit, std::nullopt);
+  EXPECT_TRUE(book.All().empty());
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/coordination/PromptPartsTest.cpp
+++ b/test/coordination/PromptPartsTest.cpp
@@ -21,5 +21,15 @@
   EXPECT_FALSE(ParseScope("/"));
 }
 
+TEST(PromptPartsTest, ScopesOfOtherHomesAreOthers)
+{
+  const ScopeFacts open{ ModelName("m"), 3, WorkspaceId() };
+  const ScopeFacts bound{ ModelName("m"), 3, WorkspaceId(), "north,south" };
+  EXPECT_NE(FormatScope(open), FormatScope(bound));
+  EXPECT_EQ(ParseScope(FormatScope(bound)), bound);
+  const ScopeFacts walled{ ModelName("m"), 3, WorkspaceId("w"), "north" };
+  EXPECT_EQ(ParseScope(FormatScope(walled)), walled);
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/coordination/ServingConfigTest.cpp
+++ b/test/coordination/ServingConfigTest.cpp
@@ -79,5 +79,18 @@
   EXPECT_FALSE(CheckServingConfig(config));
 }
 
+TEST(ServingConfigTest, UnknownRegionIsRefusedWithItsOwner)
+{
+  const std::set<RegionId> regions{ RegionId("north") };
+  ServingConfig config = ValidConfig();
+  config.routes[0].homes = { RegionId("north") };
+  EXPECT_TRUE(CheckRegions(config, regions));
+  config.workspaces[1].homes = { RegionId("nowhere") };
+  const auto checked = CheckRegions(config, regions);
+  ASSERT_FALSE(checked);
+  EXPECT_EQ(checked.error().kind, ErrorKind::InvalidArgument);
+  EXPECT_NE(checked.error().message.find("workspace 'two'"), std::string::npos);
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/coordination/ServingMachineTest.cpp
+++ b/test/coordination/ServingMachineTest.cpp
@@ -136,5 +136,62 @@
   RC_ASSERT(loaded.Weights() == machine.Weights());
 }
 
+const ZoneId kZone("hall");
+
+TEST(ServingMachineTest, EvacuationsOutlastARestart)
+{
+  ServingMachine machine;
+  Apply(machine, PutDocument{ Revision(9), "nine" });
+  Apply(machine, SetEvacuation{ kZone, true, 0, WallTime(std::chrono::milliseconds(7)) });
+  ServingMachine restarted;
+  ASSERT_TRUE(restarted.Load(machine.Save()));
+  EXPECT_EQ(restarted.Evacuated().All(), machine.Evacuated().All());
+  EXPECT_EQ(restarted.Evacuated().Current().zones, std::set<ZoneId>{ kZone });
+}
+
+TEST(ServingMachineTest, RefusedRequestsAndEvacuationsOutlastARestartTogether)
+{
+  ServingMachine machine;
+  Apply(machine, Refuse(kRequest, 5));
+  Apply(machine, SetEvacuation{ kZone, true, 0, WallTime() });
+  ServingMachine restarted;
+  ASSERT_TRUE(restarted.Load(machine.Save()));
+  EXPECT_EQ(restarted.Refused(), machine.Refused());
+  EXPECT_EQ(restarted.Evacuated().All(), machine.Evacuated().All());
+}
+
+TEST(ServingMachineTest, OvertakenOrderIsUnderstoodAndSaidSo)
+{
+  ServingMachine machine;
+  EXPECT_FALSE(Apply(machine, SetEvacuation{ kZone, true, 0, WallTime() }).superseded);
+  Apply(machine, SetEvacuation{ kZone, false, 1, WallTime() });
+  const std::uint64_t changes = machine.Changes();
+  const ServingStanding standing = Apply(machine, SetEvacuation{ kZone, true, 0, WallTime() });
+  EXPECT_TRUE(standing.understood);
+  EXPECT_TRUE(standing.superseded);
+  EXPECT_EQ(machine.Changes(), changes);
+}
+
+// Whatever orders come and are sent again: replicas that apply the same ones hold the same, and the
+// last order that was not overtaken is in force.
+RC_GTEST_PROP(ServingMachineTest, EvacuationsFollowTheLastOrderThatCounts, ())
+{
+  ServingMachine machine;
+  ServingMachine replica;
+  const auto orders = *rc::gen::container<std::vector<std::pair<bool, std::uint8_t>>>(
+    rc::gen::pair(rc::gen::arbitrary<bool>(), rc::gen::inRange<std::uint8_t>(0, 6)));
+  bool expected = false;
+  for (const auto& [evacuated, lag] : orders) {
+    const std::uint64_t changes = machine.Evacuated().ChangesOf(kZone);
+    const std::uint64_t seen = changes - std::min<std::uint64_t>(changes, lag);
+    const SetEvacuation order{ kZone, evacuated, seen, WallTime() };
+    const bool superseded = Apply(machine, order).superseded;
+    Apply(replica, order);
+    expected = superseded ? expected : evacuated;
+    RC_ASSERT(machine.Evacuated().Current().zones.contains(kZone) == expected);
+  }
+  RC_ASSERT(machine.Save() == replica.Save());
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/coordination/TargetBoardTest.cpp
+++ b/test/coordination/TargetBoardTest.cpp
@@ -196,5 +196,20 @@
   RC_ASSERT(all.Usable(kService) == newestOnly.Usable(kService));
 }
 
+TEST_F(TargetBoardTest, TargetsOfAnEvacuatedZoneAreNoChoiceEvenWithoutOthers)
+{
+  const ZoneId zone("hall");
+  TargetStatement statement = Say("t", 1, TargetStanding::Usable);
+  statement.record.zone = zone;
+  this->board.Take(kFirst, statement);
+  this->board.SetEvacuated({ zone });
+  EXPECT_EQ(this->Usable(), 0U);
+  EXPECT_EQ(this->board.InZone(zone).size(), 1U);
+  this->board.Take(kFirst, Say("u", 1, TargetStanding::Usable));
+  EXPECT_EQ(this->Usable(), 1U);
+  this->board.SetEvacuated({});
+  EXPECT_EQ(this->Usable(), 2U);
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/coordination/TargetLimitsTest.cpp
+++ b/test/coordination/TargetLimitsTest.cpp
@@ -119,5 +119,72 @@
   EXPECT_TRUE(this->limits.IsEmpty());
 }
 
+constexpr Duration kColdFor = seconds(3);
+
+TargetLimit
+ColdShare(double aShare, const std::set<HostId>& aHosts)
+{
+  return TargetLimit{
+    kTarget, Incarnation(1), std::nullopt, RequestRate{ aShare }, aHosts, kColdFor
+  };
+}
+
+TEST_F(TargetLimitsTest, NothingIsSentToAColdTargetWithoutAShare)
+{
+  this->limits.OnCold(this->record, kColdFor);
+  EXPECT_FALSE(this->limits.MaySend(kTarget));
+  EXPECT_EQ(this->limits.UntilPermit({ this->record }), kColdFor);
+  this->clock.Advance(kColdFor);
+  EXPECT_TRUE(this->limits.MaySend(kTarget));
+  EXPECT_TRUE(this->limits.TakeReports().empty());
+  EXPECT_TRUE(this->limits.IsEmpty());
+}
+
+TEST_F(TargetLimitsTest, ShareOfAColdTargetIsSpentEvenly)
+{
+  this->limits.OnCold(this->record, kColdFor);
+  this->limits.Take({ ColdShare(2, { kSelf }) });
+  EXPECT_TRUE(this->limits.MaySend(kTarget));
+  this->limits.OnSent(kTarget);
+  this->clock.Advance(milliseconds(499));
+  EXPECT_FALSE(this->limits.MaySend(kTarget));
+  this->clock.Advance(milliseconds(1));
+  EXPECT_TRUE(this->limits.MaySend(kTarget));
+}
+
+TEST_F(TargetLimitsTest, HostsBeginToUseAColdTargetInTurn)
+{
+  this->limits.Take({ ColdShare(1, { HostId("a"), HostId("b"), HostId("c"), kSelf }) });
+  EXPECT_FALSE(this->limits.MaySend(kTarget));
+  this->clock.Advance(milliseconds(750));
+  EXPECT_TRUE(this->limits.MaySend(kTarget));
+}
+
+// Guards against a share that is moved away and back, which would begin anew each time.
+TEST_F(TargetLimitsTest, AShareThatComesBackIsNotFilledAgain)
+{
+  this->limits.Take({ ColdShare(1, { kSelf }) });
+  this->limits.OnSent(kTarget);
+  this->limits.Take({ ColdShare(1, { HostId("other") }) });
+  this->limits.Take({ ColdShare(1, { kSelf }) });
+  EXPECT_FALSE(this->limits.MaySend(kTarget));
+}
+
+TEST_F(TargetLimitsTest, AControlHostThatDoesNotKnowOfAColdTargetDoesNotFreeIt)
+{
+  this->limits.OnCold(this->record, kColdFor);
+  this->limits.Take({});
+  EXPECT_FALSE(this->limits.MaySend(kTarget));
+}
+
+TEST_F(TargetLimitsTest, AnAnswerThatNamesNoLimitDoesNotWarmTheTarget)
+{
+  this->limits.OnCold(this->record, kColdFor);
+  this->clock.Advance(milliseconds(10));
+  this->Answer(std::nullopt);
+  EXPECT_FALSE(this->limits.MaySend(kTarget));
+  EXPECT_TRUE(this->limits.TakeReports().empty());
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/platform/DialectTest.cpp
+++ b/test/platform/DialectTest.cpp
@@ -323,5 +323,60 @@
   EXPECT_NE(config.error().message.find("timeout-ms"), std::string::npos);
 }
 
+TEST(DialectTest, ColdTraitsAndHomesOfAConfigurationAreRead)
+{
+  std::string text = kConfig;
+  text.replace(text.find(R"("tls":false,)"), 12, R"("cold-start-s":3.0,"cold-per-s":16.0,)");
+  text.replace(text.find(R"("sticky":true)"), 13, R"("sticky":true,"allowed-regions":["north"])");
+  text.replace(text.find(R"("isolated":true)"), 15, R"("allowed-regions":["north","south"])");
+  const auto config = Dialect().ReadConfig(text);
+  ASSERT_TRUE(config) << config.error();
+  const ColdTraits cold{ RequestRate{ 16 }, std::chrono::seconds(3) };
+  EXPECT_EQ(config.value().FindService(ServiceName("e"))->cold, cold);
+  EXPECT_EQ(config.value().FindService(ServiceName("p"))->cold, std::nullopt);
+  EXPECT_EQ(config.value().routes[0].homes, std::vector<RegionId>{ RegionId("north") });
+  EXPECT_EQ(config.value().workspaces[0].homes.size(), 2U);
+}
+
+TEST(DialectTest, ColdTargetSaysSoInHeartbeatsAndAnswers)
+{
+  HttpRequestMessage request;
+  request.head.method = "PUT";
+  request.head.target = "/-/instances/i-1";
+  request.body = R"({"service":"s","address":"10.1.0.9:8080","zone":"z","state":"ready",)"
+                 R"("cold-remaining-ms":2500,"models":[],"sequence":1})";
+  const auto call = Dialect().ReadControlCall(request);
+  ASSERT_TRUE(call) << call.error();
+  EXPECT_EQ(std::get<TargetHeartbeat>(call.value()).record.coldFor,
+            std::chrono::milliseconds(2500));
+  HttpAnswerHead head;
+  head.status = 200;
+  head.fields.Add("X-Cold-Ms", "1500");
+  EXPECT_EQ(Dialect().ReadAnswer(head).coldFor, std::chrono::milliseconds(1500));
+  head.fields.Set("X-Cold-Ms", "soon");
+  EXPECT_TRUE(Dialect().ReadAnswer(head).unreadable);
+}
+
+TEST(DialectTest, EvacuationIsOrderedWithdrawnAndListed)
+{
+  HttpRequestMessage request;
+  request.head.method = "POST";
+  request.head.target = "/-/evacuate/hall-north";
+  const auto ordered = std::get<EvacuationChange>(Dialect().ReadControlCall(request).value());
+  EXPECT_EQ(ordered.zone, ZoneId("hall-north"));
+  EXPECT_TRUE(ordered.evacuated);
+  request.head.method = "DELETE";
+  EXPECT_FALSE(std::get<EvacuationChange>(Dialect().ReadControlCall(request).value()).evacuated);
+  request.head.method = "GET";
+  request.head.target = "/-/evacuate";
+  EXPECT_TRUE(
+    std::holds_alternative<EvacuationQuestion>(Dialect().ReadControlCall(request).value()));
+  Evacuations evacuations;
+  evacuations.Apply(
+    SetEvacuation{ ZoneId("hall-north"), true, 0, WallTime(std::chrono::milliseconds(77)) });
+  EXPECT_EQ(Dialect().EvacuationAnswer(evacuations).body,
+            R"({"zones":[{"evacuated":true,"since":77,"zone":"hall-north"}]})");
+}
+
 } // namespace
 } // namespace damasklink::platform
--- a/test/platform/SettingsTest.cpp
+++ b/test/platform/SettingsTest.cpp
@@ -57,5 +57,14 @@
   EXPECT_EQ(LoadSettings("/nonexistent/settings").faults.size(), 1U);
 }
 
+TEST(PlatformSettingsTest, ZonesAreReadWithTheirRegions)
+{
+  const auto parsed =
+    ParseSettings(kEntry + "zones.z1=north\nzones.z2=south\nzonesless=x\n", "file");
+  const ZoneRegions expected{ { ZoneId("z1"), RegionId("north") },
+                              { ZoneId("z2"), RegionId("south") } };
+  EXPECT_EQ(parsed.value.regions, expected);
+}
+
 } // namespace
 } // namespace damasklink::platform
--- a/test/program/ConfigurationFeedTest.cpp
+++ b/test/program/ConfigurationFeedTest.cpp
@@ -48,6 +48,10 @@
   {
     return this->dialect.RefusedAnswer(aRefused);
   }
+  HttpAnswerMessage EvacuationAnswer(const Evacuations& aEvacuations) const override
+  {
+    return this->dialect.EvacuationAnswer(aEvacuations);
+  }
   HttpAnswerMessage ControlFailure(const Error& aError) const override
   {
     return this->dialect.ControlFailure(aError);
--- a/test/program/ControlPictureTest.cpp
+++ b/test/program/ControlPictureTest.cpp
@@ -167,5 +167,41 @@
   EXPECT_TRUE(this->picture.Hear(leaving));
 }
 
+TEST_F(ControlPictureTest, ColdTargetsAreTold)
+{
+  const ColdTraits traits{ RequestRate{ 16 }, std::chrono::seconds(3) };
+  this->picture.SetColdTraits({ { ServiceName("s"), traits } });
+  TargetRecord record = Record("t", 1);
+  record.coldFor = std::chrono::seconds(2);
+  this->picture.Hear(record);
+  const std::vector<ColdTarget> cold = this->picture.TakeCold();
+  ASSERT_EQ(cold.size(), 1U);
+  EXPECT_EQ(cold[0], (ColdTarget{ TargetId("t"), Incarnation(), record.coldFor, traits.rate }));
+  EXPECT_TRUE(this->picture.TakeCold().empty());
+}
+
+TEST_F(ControlPictureTest, TargetsOfServicesThatDeclareNoRateAreNeverCold)
+{
+  TargetRecord record = Record("t", 1);
+  record.coldFor = std::chrono::seconds(2);
+  this->picture.Hear(record);
+  EXPECT_TRUE(this->picture.TakeCold().empty());
+}
+
+TEST_F(ControlPictureTest, TargetsOfAZoneThatIsGivenBackCountAsCold)
+{
+  const ColdTraits traits{ RequestRate{ 16 }, std::chrono::seconds(3) };
+  this->picture.SetColdTraits({ { ServiceName("s"), traits } });
+  TargetRecord here = Record("here", 1);
+  here.zone = ZoneId("hall");
+  this->picture.Hear(here);
+  this->picture.Hear(Record("elsewhere", 1, 8081));
+  this->picture.OnZoneReturned(here.zone);
+  const std::vector<ColdTarget> cold = this->picture.TakeCold();
+  ASSERT_EQ(cold.size(), 1U);
+  EXPECT_EQ(cold[0].target, here.id);
+  EXPECT_EQ(cold[0].coldFor, traits.lasts);
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/program/EntryPictureTest.cpp
+++ b/test/program/EntryPictureTest.cpp
@@ -166,5 +166,24 @@
   EXPECT_EQ(this->picture.Targets().Usable(ServiceName("s")).front().id, TargetId("other"));
 }
 
+TEST_F(EntryPictureTest, EvacuationsNeverGoBackWhoeverTellsThem)
+{
+  const ZoneId zone("hall");
+  Picture newer;
+  newer.evacuated = EvacuatedZones{ 2, { zone } };
+  Picture older;
+  older.evacuated = EvacuatedZones{ 1, {} };
+  this->picture.Take(kFirst, newer);
+  this->picture.Take(kSecond, older);
+  EXPECT_EQ(this->picture.Targets().Evacuated(), std::set<ZoneId>{ zone });
+  EXPECT_EQ(this->picture.TakeEvacuated(), std::set<ZoneId>{ zone });
+  EXPECT_TRUE(this->picture.TakeEvacuated().empty());
+  Picture returned;
+  returned.evacuated = EvacuatedZones{ 3, {} };
+  this->picture.Take(kSecond, returned);
+  EXPECT_EQ(this->picture.TakeReturned(), std::set<ZoneId>{ zone });
+  EXPECT_TRUE(this->picture.Targets().Evacuated().empty());
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/program/ExchangeChoiceTest.cpp
+++ b/test/program/ExchangeChoiceTest.cpp
@@ -51,5 +51,110 @@
   EXPECT_NE(this->Receive().find("HTTP/1.1 200"), std::string::npos);
 }
 
+class ExchangeZonesTest : public testing::ExchangeFixture
+{
+protected:
+  ExchangeZonesTest()
+  {
+    this->settings.regions = { { ZoneId("n"), RegionId("north") },
+                               { ZoneId("s"), RegionId("south") } };
+    this->AddTarget("near", this->near.Address(), ZoneId("n"));
+    this->AddTarget("far", this->far.Address(), ZoneId("s"));
+  }
+
+  static bool AnswerWell(const std::string&, TcpSocket& aSocket)
+  {
+    Write(aSocket, Answer(200, "done"));
+    return true;
+  }
+
+  std::string CallOnce()
+  {
+    this->Call("/idempotent/");
+    return this->Receive();
+  }
+
+  void Evacuate(std::uint64_t aRevision, const std::set<ZoneId>& aZones)
+  {
+    Picture told;
+    told.evacuated = EvacuatedZones{ aRevision, aZones };
+    asio::post(this->loop, [this, told] { this->picture.Take(HostId("control"), told); });
+  }
+
+  ScriptedTarget near{ AnswerWell };
+  ScriptedTarget far{ AnswerWell };
+};
+
+TEST_F(ExchangeZonesTest, CallsGoToNoTargetOfAnEvacuatedZone)
+{
+  this->Start();
+  this->Evacuate(1, { ZoneId("n") });
+  for (int call = 0; call < 20; ++call) {
+    EXPECT_NE(this->CallOnce().find("HTTP/1.1 200"), std::string::npos);
+  }
+  EXPECT_TRUE(this->near.Requests().empty());
+  EXPECT_EQ(this->far.Requests().size(), 20U);
+}
+
+TEST_F(ExchangeZonesTest, WithAllZonesEvacuatedCallsAreRefusedAtOnce)
+{
+  this->Start();
+  this->Evacuate(1, { ZoneId("n"), ZoneId("s") });
+  const std::string refused = this->CallOnce();
+  EXPECT_NE(refused.find("HTTP/1.1 503"), std::string::npos);
+  EXPECT_NE(refused.find("not_run"), std::string::npos);
+  EXPECT_TRUE(this->near.Requests().empty());
+  EXPECT_TRUE(this->far.Requests().empty());
+}
+
+TEST_F(ExchangeZonesTest, CallsStayInTheHomeRegionsOfTheirRoute)
+{
+  this->homes = R"("south")";
+  this->Start();
+  for (int call = 0; call < 20; ++call) {
+    EXPECT_NE(this->CallOnce().find("HTTP/1.1 200"), std::string::npos);
+  }
+  EXPECT_TRUE(this->near.Requests().empty());
+}
+
+TEST_F(ExchangeZonesTest, CallsWithoutATargetInTheirHomeRegionsAreRefused)
+{
+  this->homes = R"("south")";
+  this->Start();
+  this->Evacuate(1, { ZoneId("s") });
+  EXPECT_NE(this->CallOnce().find("HTTP/1.1 503"), std::string::npos);
+  EXPECT_TRUE(this->near.Requests().empty());
+}
+
+TEST_F(ExchangeZonesTest, HomeRegionsThatNoZoneHasAreAClearRefusal)
+{
+  this->homes = R"("elsewhere")";
+  this->Start();
+  const std::string refused = this->CallOnce();
+  EXPECT_NE(refused.find("HTTP/1.1 403"), std::string::npos);
+  EXPECT_NE(refused.find("home region"), std::string::npos);
+}
+
+TEST_F(ExchangeZonesTest, ScopeOfCachedPartsNamesTheHomeRegions)
+{
+  this->homes = R"("south")";
+  this->Start();
+  this->Call("/prompts/", "X-Model: m\r\nX-Token-Usage: 100,10\r\n");
+  EXPECT_NE(this->Receive().find("HTTP/1.1 200"), std::string::npos);
+  EXPECT_NE(this->far.Requests().at(0).find("X-Cache-Salt: m/0/;south\r\n"), std::string::npos);
+}
+
+TEST_F(ExchangeZonesTest, ColdTargetWithoutAShareGetsNothingWhileOthersHaveRoom)
+{
+  TargetRecord cold;
+  cold.id = TargetId("near");
+  this->limits.OnCold(cold, std::chrono::seconds(60));
+  this->Start();
+  for (int call = 0; call < 20; ++call) {
+    EXPECT_NE(this->CallOnce().find("HTTP/1.1 200"), std::string::npos);
+  }
+  EXPECT_TRUE(this->near.Requests().empty());
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/program/ExchangeFixture.h
+++ b/test/program/ExchangeFixture.h
@@ -81,9 +81,10 @@
     this->config->routes.push_back(route);
   }
 
-  void AddTarget(const std::string& aId, const Endpoint& aEndpoint)
+  void AddTarget(const std::string& aId, const Endpoint& aEndpoint, const ZoneId& aZone = ZoneId())
   {
     TargetStatement statement;
+    statement.record.zone = aZone;
     statement.record.id = TargetId(aId);
     statement.record.service = kService;
     statement.record.endpoint = aEndpoint;
@@ -118,7 +119,8 @@
                 R"(","timeout-ms":3600000,"target-latency-ms":20000,"service":"app",)" +
                 R"("max-attempts":2,"public":true,"resumable":)" +
                 (route.resumable ? "true" : "false") + R"(,"sticky":)" +
-                (route.carriesPrompt ? "true" : "false") + "}";
+                (route.carriesPrompt ? "true" : "false") + R"(,"allowed-regions":[)" + this->homes +
+                "]}";
     }
     const std::string engine = this->cacheTokens == 0
                                  ? ""
@@ -191,6 +193,8 @@
   std::vector<TargetStatement> statements;
   // Of the memory of an engine; zero for a service without engines.
   std::uint64_t cacheTokens = 0;
+  // Home regions of all routes, as the document lists them.
+  std::string homes;
   SystemClock clock;
   ServingSettings settings;
   platform::Dialect dialect;
--- a/test/program/ServingPathTest.cpp
+++ b/test/program/ServingPathTest.cpp
@@ -53,6 +53,7 @@
     control.seeds.push_back(control.host);
     control.firstStart = true;
     control.dataFolder = this->folder.Path();
+    control.regions = { { control.zone, RegionId("r") } };
     ServingSettings entry;
     entry.host = HostId(entryIp);
     entry.zone = ZoneId("z");
@@ -236,5 +237,34 @@
             "HTTP/1.1 503");
 }
 
+TEST_F(ServingPathTest, AnEvacuatedZoneGetsNoCallsUntilItIsGivenBack)
+{
+  const auto order = [this](const std::string& aMethod) {
+    return Send(this->controlAddress, aMethod + " /-/evacuate/z HTTP/1.1\r\nHost: c\r\n", "");
+  };
+  SendUntil("HTTP/1.1 200", [&] { return this->PutConfig(Config(3)); });
+  SendUntil("HTTP/1.1 200", [&] { return this->Heartbeat("ready", 1); });
+  SendUntil("HTTP/1.1 200", [&] { return this->Call("r1"); });
+  SendUntil("HTTP/1.1 200", [&] { return order("POST"); });
+  EXPECT_EQ(order("POST").substr(0, 12), "HTTP/1.1 200");
+  SendUntil("HTTP/1.1 503", [&] { return this->Call("r2"); });
+  const std::size_t reached = this->target.Requests().size();
+  EXPECT_EQ(this->Call("r3").substr(0, 12), "HTTP/1.1 503");
+  EXPECT_EQ(this->target.Requests().size(), reached);
+  const std::string list =
+    Send(this->controlAddress, "GET /-/evacuate HTTP/1.1\r\nHost: c\r\n", "");
+  EXPECT_NE(list.find(R"("evacuated":true)"), std::string::npos) << list;
+  SendUntil("HTTP/1.1 200", [&] { return order("DELETE"); });
+  SendUntil("HTTP/1.1 200", [&] { return this->Call("r4"); });
+}
+
+TEST_F(ServingPathTest, AnUnknownZoneCannotBeEvacuated)
+{
+  SendUntil("HTTP/1.1 200", [&] { return this->PutConfig(Config(3)); });
+  const std::string refused =
+    Send(this->controlAddress, "POST /-/evacuate/nowhere HTTP/1.1\r\nHost: c\r\n", "");
+  EXPECT_EQ(refused.substr(0, 12), "HTTP/1.1 404") << refused;
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/protocol/ServingCodecTest.cpp
+++ b/test/protocol/ServingCodecTest.cpp
@@ -39,6 +39,7 @@
   statement.record.leaving = true;
   statement.standing = TargetStanding::Leaving;
   statement.paused = true;
+  statement.record.coldFor = std::chrono::milliseconds(2400);
   StoreStatement& store = picture.stores.emplace_back();
   store.store = Endpoint{ "172.20.0.2", 8006 };
   store.live = true;
@@ -48,6 +49,7 @@
   store.reserved = TokenCount(4260);
   picture.crashing =
     CrashingRequests{ { RequestFingerprint(0xfedcba9876543210U) }, { RequestFingerprint(8) } };
+  picture.evacuated = EvacuatedZones{ 3, { ZoneId("z1"), ZoneId("z2") } };
   const auto decoded = DecodeServingMessage(EncodeServingMessage(picture));
   ASSERT_TRUE(decoded);
   EXPECT_EQ(std::get<Picture>(decoded.value()), picture);
@@ -94,7 +96,13 @@
                                Incarnation(4),
                                RequestRate{ 3.5 },
                                RequestRate{ 1.75 },
-                               { HostId("10.0.0.7"), HostId("10.0.0.8") } } };
+                               { HostId("10.0.0.7"), HostId("10.0.0.8") } },
+                  TargetLimit{ TargetId("cold"),
+                               Incarnation(5),
+                               std::nullopt,
+                               RequestRate{ 1 },
+                               { HostId("10.0.0.7") },
+                               std::chrono::milliseconds(2900) } };
   news.last = true;
   news.findings = { TargetFindings{ TargetId("t"), 2, 1 } };
   news.excesses = { StoreExcess{ "172.20.0.2:8006", 3, 41.5 } };
