A target's end is concluded from whatever proves it first

Cause: only a refused connection proved that a target had ended under a request. Where somebody else listens at its address, where it is started again at once, or where it falls silent, nothing was contained. A later answer of the target clears what broke before.

--- a/include/damasklink/coordination/TargetBoard.h
+++ b/include/damasklink/coordination/TargetBoard.h
@@ -38,6 +38,13 @@
   // believed of their earlier starts does not hold any more.
   std::vector<TargetRecord> TakeRestarted() { return std::exchange(this->restarted, {}); }
 
+  // Returns the targets that were first heard of since the last call.
+  std::vector<TargetRecord> TakeAppeared() { return std::exchange(this->appeared, {}); }
+
+  // Returns whether more than half of the targets of an availability zone are silent: the zone is
+  // rather cut off than its targets gone.
+  bool IsMostlySilent(const ZoneId& aZone) const;
+
   // Tells that the target does not exist any more, as another one at its address said.
   void NoteGone(const TargetId& aTarget);
 
@@ -85,6 +92,7 @@
   // In the order in which they went.
   std::deque<TargetId> gone;
   std::vector<TargetRecord> restarted;
+  std::vector<TargetRecord> appeared;
   std::set<ZoneId> evacuated;
   std::uint64_t version = 1;
   // What Usable() returns, built when it is asked for after a change.
--- a/include/damasklink/transport/TargetChannel.h
+++ b/include/damasklink/transport/TargetChannel.h
@@ -40,6 +40,10 @@
   // request has left this host.
   Awaitable<Result<void>> Connect(const Endpoint& aEndpoint, Duration aPatience);
 
+  // Waits on a connection on which nothing was sent. Returns whether the other side left it open
+  // for so long, or said something.
+  Awaitable<bool> StaysOpen(Duration aFor);
+
   // Fails with Interrupted; then some bytes may have arrived.
   Awaitable<Result<void>> Send(const HttpRequestHead& aHead, std::string_view aBody);
 
--- a/src/coordination/TargetBoard.cpp
+++ b/src/coordination/TargetBoard.cpp
@@ -34,6 +34,9 @@
   if (!isNew && aStatement.record.incarnation > entry.record.incarnation) {
     this->BeginNewStart(aStatement, entry);
   }
+  if (isNew && aStatement.standing == TargetStanding::Usable) {
+    this->appeared.push_back(aStatement.record);
+  }
   if (aStatement.record.sequence >= entry.record.sequence) {
     const std::vector<ServedModel> before = std::move(entry.record.models);
     entry.record = aStatement.record;
@@ -102,6 +105,20 @@
   return found;
 }
 
+bool
+TargetBoard::IsMostlySilent(const ZoneId& aZone) const
+{
+  std::size_t all = 0;
+  std::size_t usable = 0;
+  for (const auto& [id, entry] : this->entries) {
+    if (!entry.gone && entry.record.zone == aZone) {
+      ++all;
+      usable += this->CountsUsable(entry) ? 1 : 0;
+    }
+  }
+  return usable * 2 < all;
+}
+
 void
 TargetBoard::NoteGone(const TargetId& aTarget)
 {
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -68,14 +68,28 @@
     , returns(this->clock, RandomSeed())
     , checks(this->loop, this->clock)
     , crashes(this->clock)
+    , broken(this->clock)
     , limits(this->clock, this->settings.host)
     , mesh(this->loop, this->settings.host, this->settings.peerPort, *this)
-    , context{ this->loop,     this->clock,   this->settings,
-               this->calls,    this->metrics, this->picture,
-               this->retries,  this->health,  this->reach,
-               this->picker,   this->pool,    this->pace,
-               this->comeBack, this->returns, this->checks,
-               this->crashes,  this->limits,  this->clock.MonotonicNow(),
+    , context{ this->loop,
+               this->clock,
+               this->settings,
+               this->calls,
+               this->metrics,
+               this->picture,
+               this->retries,
+               this->health,
+               this->reach,
+               this->picker,
+               this->pool,
+               this->pace,
+               this->comeBack,
+               this->returns,
+               this->checks,
+               this->crashes,
+               this->broken,
+               this->limits,
+               this->clock.MonotonicNow(),
                nullptr }
     , configuration(this->loop,
                     this->clock,
@@ -117,6 +131,8 @@
   std::optional<ColdTraits> ColdTraitsOf(const ServiceName& aService) const;
   void TakeCold(const std::vector<TargetStatement>& aTold);
   void FollowEvacuations();
+  void ProveEnds(const Picture& aTold);
+  void ReportEnded(const std::vector<CrashReport>& aReports, std::string_view aProof);
   void TakeCrashing(const HostId& aPeer, const CrashingRequests& aTold);
   void NoteReady();
   bool IsReady() const;
@@ -139,6 +155,7 @@
   ReturnQueue returns;
   TargetCheck checks;
   CrashWatch crashes;
+  BrokenRuns broken;
   TargetLimits limits;
   PeerMesh mesh;
   EntryContext context;
@@ -482,7 +499,9 @@
   if (aTold.crashing) {
     this->TakeCrashing(aPeer, *aTold.crashing);
   }
+  this->ProveEnds(aTold);
   for (const TargetRecord& target : this->picture.Targets().TakeRestarted()) {
+    this->ReportEnded(this->broken.TakeEndedBy(target), "restarted");
     LogEvent(LogLevel::Info, "target_restarted")
       .With("target", target.id)
       .With("incarnation", target.incarnation)
@@ -500,6 +519,37 @@
   }
 }
 
+// Finds out from the picture which targets had ended when their answers broke off. Where most of a
+// zone falls silent at once, that is no word of its targets.
+void
+EntryHost::Impl::ProveEnds(const Picture& aTold)
+{
+  for (const TargetRecord& target : this->picture.Targets().TakeAppeared()) {
+    this->ReportEnded(this->broken.TakeEndedBy(target), "replaced");
+  }
+  for (const TargetStatement& statement : aTold.targets) {
+    const TargetRecord& record = statement.record;
+    const bool ended = statement.standing == TargetStanding::Silent && !this->broken.IsEmpty() &&
+                       !this->picture.Targets().IsMostlySilent(record.zone);
+    if (ended) {
+      this->ReportEnded(this->broken.TakeSilent(record), "silent");
+    }
+  }
+}
+
+void
+EntryHost::Impl::ReportEnded(const std::vector<CrashReport>& aReports, std::string_view aProof)
+{
+  for (const CrashReport& report : aReports) {
+    LogEvent(LogLevel::Info, "target_ended_under_request")
+      .With("fingerprint", report.request)
+      .With("target", report.target)
+      .With("incarnation", report.incarnation)
+      .With("proof", aProof);
+    this->crashes.OnCrash(report);
+  }
+}
+
 // Nothing where a cold target of the service bears as much as a warm one.
 std::optional<ColdTraits>
 EntryHost::Impl::ColdTraitsOf(const ServiceName& aService) const
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -180,6 +180,8 @@
   this->plan->Begin(AttemptId(this->call.request.Value()), aTarget.id);
   this->question.excluded.insert(aTarget.id);
   this->work = PickedWork{};
+  this->sentAt = MonotonicTime();
+  this->answerBegun = false;
   this->work.toRead = this->context.picker.ToRead(this->question, aTarget.id);
   this->work.memory =
     TokenCount(this->call.promptTokens.Value() + this->call.mostAnswerTokens.Value());
@@ -209,8 +211,13 @@
   if (end == AttemptEnd::Delivered) {
     this->NoteRun();
     this->NoteSound();
+    if (!this->context.broken.IsEmpty()) {
+      this->context.broken.OnAnswered(aTarget.id, aTarget.incarnation, this->sentAt);
+    }
   } else if (end == AttemptEnd::Broken) {
     this->NoteBroken(aTarget);
+  } else if (end == AttemptEnd::Expired || end == AttemptEnd::CallerLeft) {
+    this->NoteUnanswered(aTarget);
   }
   // What became of a call to an earlier start of the target says nothing of the one that is there.
   const TargetRecord* now = this->context.picture.Targets().Find(aTarget.id);
@@ -286,6 +293,7 @@
     }
     const TargetAnswerFacts facts = this->context.dialect.ReadAnswer(head.value());
     this->context.reach.OnBytes(aTarget.zone);
+    this->context.checks.OnBytes(aTarget.id);
     if (facts.request == this->call.request || facts.request.Empty()) {
       co_return head;
     }
@@ -306,6 +314,7 @@
 Exchange::TakeAnswer(const TargetRecord& aTarget, HttpAnswerHead aHead)
 {
   const TargetAnswerFacts facts = this->context.dialect.ReadAnswer(aHead);
+  this->answerBegun = true;
   this->NoteLimit(aTarget, facts);
   if (facts.coldFor > Duration::zero()) {
     this->context.limits.OnCold(aTarget, facts.coldFor);
@@ -370,6 +379,7 @@
       break;
     }
     this->context.reach.OnBytes(aTarget.zone);
+    this->context.checks.OnBytes(aTarget.id);
     this->NoteFirstEvent(aTarget);
     const std::string events = this->framer.Take(*piece.value());
     if (!events.empty() && !co_await this->PassEvents(aHead, events)) {
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -8,6 +8,7 @@
 
 #include "EntryPicture.h"
 #include "TargetCheck.h"
+#include "damasklink/coordination/BrokenRuns.h"
 #include "damasklink/coordination/ComeBack.h"
 #include "damasklink/coordination/CrashWatch.h"
 #include "damasklink/coordination/EventFramer.h"
@@ -45,6 +46,7 @@
   ReturnQueue& returns;
   TargetCheck& checks;
   CrashWatch& crashes;
+  BrokenRuns& broken;
   TargetLimits& limits;
   MonotonicTime started;
   // Tells the other hosts at once what this one has sent.
@@ -105,7 +107,11 @@
   void LogSend(const TargetRecord& aTarget, const TargetCall& aCall) const;
   void NoteFirstEvent(const TargetRecord& aTarget);
   void NoteRun();
+  CrashReport ReportOn(const TargetRecord& aTarget);
   void NoteBroken(const TargetRecord& aTarget);
+  void NoteUnanswered(const TargetRecord& aTarget);
+  // Whether the target surely worked on this attempt when it broke off.
+  bool WasUnderWay() const;
   // Keeps what an answer says of its target's limit.
   void NoteLimit(const TargetRecord& aTarget, const TargetAnswerFacts& aFacts);
   // Notes which targets of the service may not be sent more by this host just now.
@@ -158,6 +164,8 @@
   std::string fetchedFrom;
   MonotonicTime sentAt;
   MonotonicTime firstEventAt;
+  // The target of this attempt has begun its answer.
+  bool answerBegun = false;
   Interrupt interrupt = Interrupt::None;
   EventFramer framer;
   std::optional<WholeAnswer> failure;
--- a/src/program/ExchangeRecord.cpp
+++ b/src/program/ExchangeRecord.cpp
@@ -8,6 +8,15 @@
 #include "damasklink/transport/Log.h"
 
 namespace damasklink {
+namespace {
+
+// Far longer than a target that is well takes to begin its answer.
+constexpr Duration kSuspiciousWait = std::chrono::seconds(1);
+
+// Whoever ends connections that it does not want does so sooner.
+constexpr Duration kLongerThanADrop = std::chrono::milliseconds(100);
+
+} // namespace
 
 void
 Exchange::NoteReach(const TargetRecord& aTarget, HealthSign aSign)
@@ -22,16 +31,22 @@
   }
 }
 
-// Reports the request where the target has ended under it. A target that said that it leaves ends
-// for that reason.
+CrashReport
+Exchange::ReportOn(const TargetRecord& aTarget)
+{
+  return CrashReport{ this->Fingerprint(),
+                      this->workspace == nullptr ? WorkspaceId() : this->workspace->name,
+                      this->service,
+                      aTarget.id,
+                      aTarget.incarnation };
+}
+
+// Reports the request where the target has ended under it, as soon as something proves that. A
+// target that said that it leaves ends for that reason.
 void
 Exchange::NoteBroken(const TargetRecord& aTarget)
 {
-  const CrashReport report{ this->Fingerprint(),
-                            this->workspace == nullptr ? WorkspaceId() : this->workspace->name,
-                            this->service,
-                            aTarget.id,
-                            aTarget.incarnation };
+  const CrashReport report = this->ReportOn(aTarget);
   const bool leaves = this->context.picture.Targets().Find(aTarget.id) == nullptr;
   LogEvent(LogLevel::Info, "attempt_broken")
     .With("request", this->call.request)
@@ -40,14 +55,41 @@
     .With("target", aTarget.id)
     .With("incarnation", aTarget.incarnation)
     .With("leaves", leaves);
+  if (leaves) {
+    return;
+  }
+  const bool underWay = this->WasUnderWay();
+  if (underWay) {
+    this->context.broken.Note(report, aTarget.endpoint);
+  }
   CrashWatch& watch = this->context.crashes;
-  this->context.checks.Run(aTarget, [&watch, report, leaves] {
-    if (!leaves) {
+  this->context.checks.Run(aTarget, [&watch, report, underWay](EndProof aProof) {
+    if (underWay || aProof == EndProof::Refused) {
       watch.OnCrash(report);
     }
   });
 }
 
+// Guards against striking requests that were sent after the target had ended, to whoever listens at
+// its address and ends connections.
+bool
+Exchange::WasUnderWay() const
+{
+  return this->answerBegun || this->context.clock.MonotonicNow() - this->sentAt >= kLongerThanADrop;
+}
+
+// A target that ended without closing its connections shows by its silence alone. Most callers that
+// leave do so sooner, and their targets are well.
+void
+Exchange::NoteUnanswered(const TargetRecord& aTarget)
+{
+  const bool sent = this->sentAt != MonotonicTime();
+  const Duration waited = this->context.clock.MonotonicNow() - this->sentAt;
+  if (sent && !this->plan->PassedOn() && waited >= kSuspiciousWait) {
+    this->context.broken.Note(this->ReportOn(aTarget), aTarget.endpoint);
+  }
+}
+
 void
 Exchange::NoteLimit(const TargetRecord& aTarget, const TargetAnswerFacts& aFacts)
 {
--- a/src/transport/TargetChannel.cpp
+++ b/src/transport/TargetChannel.cpp
@@ -95,6 +95,32 @@
   co_return Success();
 }
 
+Awaitable<bool>
+TargetChannel::StaysOpen(Duration aFor)
+{
+  TcpSocket& socket = this->impl->socket;
+  bool late = false;
+  Watchdog watchdog(socket.get_executor(), [&socket, &late] {
+    late = true;
+    IoError ignored;
+    socket.cancel(ignored);
+  });
+  watchdog.Arm(aFor);
+  const auto [waited] = co_await socket.async_wait(TcpSocket::wait_read, kAsValue);
+  watchdog.Disarm();
+  if (late) {
+    co_return true;
+  }
+  if (waited) {
+    co_return false;
+  }
+  char byte = 0;
+  IoError error;
+  socket.non_blocking(true, error);
+  const std::size_t count = socket.receive(asio::buffer(&byte, 1), TcpSocket::message_peek, error);
+  co_return count > 0 || error == asio::error::would_block;
+}
+
 Awaitable<Result<void>>
 TargetChannel::Send(const HttpRequestHead& aHead, std::string_view aBody)
 {
--- a/test/coordination/TargetBoardTest.cpp
+++ b/test/coordination/TargetBoardTest.cpp
@@ -159,6 +159,26 @@
   EXPECT_EQ(this->Usable(), 1U);
 }
 
+TEST_F(TargetBoardTest, TargetsThatAppearAreToldOnce)
+{
+  this->board.Take(kFirst, Say("t", 1, TargetStanding::Usable));
+  this->board.Take(kSecond, Say("t", 2, TargetStanding::Usable));
+  this->board.Take(kFirst, Say("old", 1, TargetStanding::Silent));
+  const std::vector<TargetRecord> appeared = this->board.TakeAppeared();
+  ASSERT_EQ(appeared.size(), 1U);
+  EXPECT_EQ(appeared[0].id, TargetId("t"));
+  EXPECT_TRUE(this->board.TakeAppeared().empty());
+}
+
+TEST_F(TargetBoardTest, AZoneIsMostlySilentWhenMoreThanHalfOfItIs)
+{
+  this->board.Take(kFirst, Say("a", 1, TargetStanding::Usable));
+  this->board.Take(kFirst, Say("b", 1, TargetStanding::Silent));
+  EXPECT_FALSE(this->board.IsMostlySilent(ZoneId()));
+  this->board.Take(kFirst, Say("c", 1, TargetStanding::Silent));
+  EXPECT_TRUE(this->board.IsMostlySilent(ZoneId()));
+}
+
 // Whatever was said before a start was first stated, and whatever is said late of earlier ones, the
 // board holds what is said of the newest start alone.
 RC_GTEST_PROP(TargetBoardProperty, EarlierStartsLeaveNoTrace, ())
--- a/test/program/ExchangeFixture.h
+++ b/test/program/ExchangeFixture.h
@@ -210,14 +210,28 @@
   ReturnQueue returns{ this->clock, 1 };
   TargetCheck checks{ this->loop, this->clock };
   CrashWatch crashes{ this->clock };
+  BrokenRuns broken{ this->clock };
   HostId self{ "entry" };
   TargetLimits limits{ this->clock, this->self };
-  EntryContext context{ this->loop,     this->clock,   this->settings,
-                        this->dialect,  this->metrics, this->picture,
-                        this->retries,  this->health,  this->reach,
-                        this->picker,   this->pool,    this->pace,
-                        this->comeBack, this->returns, this->checks,
-                        this->crashes,  this->limits,  this->clock.MonotonicNow(),
+  EntryContext context{ this->loop,
+                        this->clock,
+                        this->settings,
+                        this->dialect,
+                        this->metrics,
+                        this->picture,
+                        this->retries,
+                        this->health,
+                        this->reach,
+                        this->picker,
+                        this->pool,
+                        this->pace,
+                        this->comeBack,
+                        this->returns,
+                        this->checks,
+                        this->crashes,
+                        this->broken,
+                        this->limits,
+                        this->clock.MonotonicNow(),
                         nullptr };
   std::thread thread;
   asio::io_context callerLoop;
--- a/test/soak/crashing_request.py
+++ b/test/soak/crashing_request.py
@@ -15,11 +15,13 @@
 import sys
 
 from soak import Soak, soak_one
-from standins import call, read_head
+from standins import ENDS, call, read_head
 
 CRASHES = 3
 # From the third crash until all hosts must know of it, in seconds.
 NOTICE = 3.0
+# Nothing proves the end of a target that answers nothing before it counts as silent.
+SILENCE = 9.0
 MOST_REPEATS = 3
 REPEAT_PAUSE = 0.25
 REPEATS_AFTER = 16
@@ -63,9 +65,12 @@
             await asyncio.sleep(REPEAT_PAUSE)
 
     async def disturb(self):
+        for target in self.targets:
+            target.end = self.options.end
+            target.born = 1 if target.end == "restart" else None
         while len(self.crashes()) < CRASHES:
             await self.repeat_times(1)
-        known_at = self.crashes()[CRASHES - 1] + NOTICE
+        known_at = self.crashes()[CRASHES - 1] + NOTICE + (SILENCE if self.options.end == "dark" else 0)
         while asyncio.get_running_loop().time() < known_at:
             await self.repeat_times(1)
         await self.repeat_times(REPEATS_AFTER)
@@ -116,6 +121,7 @@
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
     parser.add_argument("--build", default="build", help="folder with the binary")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--end", choices=ENDS, default="refuse", help="how a target ends under the request")
     options = parser.parse_args()
     options.seconds = 0
     sys.exit(0 if soak_one(options, options.seed, CrashingRequest) else 1)
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -125,6 +125,7 @@
 class Soak:
     def __init__(self, options, seed):
         self.binary = pathlib.Path(options.build).resolve() / "damasklink"
+        self.options = options
         self.seconds = options.seconds
         self.random = random.Random(seed)
         # Draws of its own, so that the faults of a seed stay what they were.
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -9,6 +9,12 @@
 # A body that begins so ends each target that runs it, this long after it has begun.
 CRASHING = b"crash"
 CRASH_AFTER = 0.03
+# How a target ends: it refuses connections, accepts and resets them, answers nothing, or is started again at once
+# under its id or under another one.
+ENDS = ("refuse", "reset", "dark", "restart", "reborn")
+# Until a target that answers nothing is started again: hosts must have found it silent.
+DARK_FOR = 9.0
+RESTART_AFTER = 0.005
 
 
 async def read_head(reader):
@@ -125,6 +131,9 @@
         # Requests a second that it names in its answers, None for none, and when requests came.
         self.limit = None
         self.arrivals = []
+        self.end = "refuse"
+        # Unix milliseconds of its start, where it tells of it: then it keeps its id.
+        self.born = None
         self.crashes = []
 
     async def start(self, address):
@@ -148,10 +157,25 @@
             return
         self.state = "crashed"
         self.crashes.append((asyncio.get_running_loop().time(), body))
-        self.proxy.stop()
-        await asyncio.sleep(self.random.uniform(1, 2))
-        await self.proxy.start_again()
-        self.restart()
+        if self.end == "reset":
+            self.proxy.set_mode("reset")
+            await asyncio.sleep(self.random.uniform(1, 2))
+            self.proxy.set_mode("pass")
+        elif self.end == "dark":
+            self.proxy.set_mode("silent")
+            await asyncio.sleep(DARK_FOR)
+            self.proxy.set_mode("reset")
+            self.proxy.set_mode("pass")
+        else:
+            self.proxy.stop()
+            await asyncio.sleep(self.random.uniform(1, 2) if self.end == "refuse" else RESTART_AFTER)
+            await self.proxy.start_again()
+        if self.born is not None:
+            self.born += 1
+            self.sequence = 0
+            self.state = "ready"
+        else:
+            self.restart()
 
     async def announce(self):
         while True:
@@ -160,7 +184,8 @@
                 continue
             self.sequence += 1
             body = json.dumps(
-                {
+                ({} if self.born is None else {"born": self.born})
+                | {
                     "service": self.service,
                     "address": f"{self.proxy.address[0]}:{self.proxy.address[1]}",
                     "zone": self.zone,
