All targets are compared before a prompt is refused

Before a refusal all are compared now, which costs only calls that would be refused. Ruled out: higher limits of memory, which hosts learn late and which other deployments' engines do not bear (docs/DECIDING.md). Tests: TargetPickerTest.TheOneTargetWithRoomIsFoundWhereAllAreCompared, ExchangeChoiceTest.NoPromptIsRefusedWhileOneTargetHasRoom.

--- a/include/damasklink/coordination/TargetPicker.h
+++ b/include/damasklink/coordination/TargetPicker.h
@@ -60,6 +60,8 @@
   std::set<TargetId> excluded;
   // Targets that name a limit and may not be sent more by this host just now.
   std::set<TargetId> limited;
+  // Compares all targets, and not only some of them.
+  bool amongAll = false;
 };
 
 // Returns the version of a model's weights that the target has, 0 when it does not serve the model.
--- a/src/coordination/TargetPicker.cpp
+++ b/src/coordination/TargetPicker.cpp
@@ -104,10 +104,13 @@
   const std::size_t start = this->random() % aFit.size();
   for (std::size_t step = 0; step < aFit.size(); ++step) {
     const TargetRecord* target = aFit[(start + step) % aFit.size()];
-    if (step < kSampled || this->HoldsAll(aQuestion, target->id)) {
+    if (aQuestion.amongAll || step < kSampled || this->HoldsAll(aQuestion, target->id)) {
       candidates.push_back(target);
     }
   }
+  if (aQuestion.amongAll) {
+    return candidates;
+  }
   const std::size_t nearStart = this->random() % aFit.size();
   std::size_t near = 0;
   for (std::size_t step = 0; step < aFit.size() && near < kSampledNear; ++step) {
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -130,7 +130,9 @@
   bool ClosesAfter() const;
   Duration TimeLeft() const;
   int Priority() const;
+  bool IsFit(const TargetRecord& aTarget);
   bool IsExpectedInTime(const TargetRecord& aTarget) const;
+  void LogOverload(const TargetRecord& aBest) const;
   HealthSign SignOf(AttemptEnd aEnd) const;
   void Count(int aStatus, Duration aTook) const;
   void LogEnd(std::string_view aOutcome, int aStatus) const;
--- a/src/program/ExchangeChoice.cpp
+++ b/src/program/ExchangeChoice.cpp
@@ -148,16 +148,33 @@
     this->question.leastWeights = this->context.picture.WeightsKnownFor(
       this->call.model, this->context.settings.weightsWithin - kLongestQueue);
   }
-  const TargetRecord* chosen = this->context.picker.Choose(this->question, this->Targets());
-  if (hasPrompt && chosen != nullptr) {
-    const std::uint64_t has = WeightsOf(*chosen, this->call.model);
-    if (has != this->weights) {
-      this->AskWithWeights(has);
-    }
-    this->overloaded = !this->IsExpectedInTime(*chosen);
-    return this->overloaded ? nullptr : chosen;
+  const std::vector<TargetRecord>& targets = this->Targets();
+  const TargetRecord* chosen = this->context.picker.Choose(this->question, targets);
+  if (!hasPrompt || chosen == nullptr || this->IsFit(*chosen)) {
+    this->overloaded = false;
+    return chosen;
+  }
+  // Only some of the targets were compared: no call is refused while another one has room.
+  this->AskWithWeights(this->NewestWeights());
+  this->question.amongAll = true;
+  chosen = this->context.picker.Choose(this->question, targets);
+  this->question.amongAll = false;
+  this->overloaded = !this->IsFit(*chosen);
+  if (this->overloaded) {
+    this->LogOverload(*chosen);
+  }
+  return this->overloaded ? nullptr : chosen;
+}
+
+// Whether the target is expected to serve the call in time, with the weights that it has.
+bool
+Exchange::IsFit(const TargetRecord& aTarget)
+{
+  const std::uint64_t has = WeightsOf(aTarget, this->call.model);
+  if (has != this->weights) {
+    this->AskWithWeights(has);
   }
-  return chosen;
+  return this->IsExpectedInTime(aTarget);
 }
 
 // A call that would wait behind others for longer than its latency objective is refused at once,
@@ -175,21 +192,25 @@
     { kCallersStay, objective * kObjectivesStayed, this->route->pauseObjective * kPausesStayed });
   const bool soonEnough =
     wait <= objective * limits.patience && expected <= std::min(stays, this->TimeLeft());
-  if (soonEnough && memory <= limits.memory) {
-    return true;
-  }
+  return soonEnough && memory <= limits.memory;
+}
+
+void
+Exchange::LogOverload(const TargetRecord& aBest) const
+{
+  const TargetPicker& picker = this->context.picker;
+  const AdmissionLimits& limits = LimitsOf(this->Priority());
   LogEvent(LogLevel::Info, "refused_as_overloaded")
     .With("request", this->call.request)
-    .With("best_target", aTarget.id)
-    .With("wait_ms", WholeMilliseconds(wait))
-    .With("expected_ms", WholeMilliseconds(expected))
+    .With("best_target", aBest.id)
+    .With("wait_ms", WholeMilliseconds(picker.ExpectedWait(this->question, aBest)))
+    .With("expected_ms", WholeMilliseconds(picker.ExpectedFirstEvent(this->question, aBest)))
     .With("objective_ms", WholeMilliseconds(this->route->latencyObjective))
     .With("patience", limits.patience)
-    .With("memory", memory)
+    .With("memory", picker.MemoryShare(this->question, aBest.id))
     .With("most_memory", limits.memory)
-    .With("to_read", this->context.picker.ToRead(this->question, aTarget.id))
+    .With("to_read", picker.ToRead(this->question, aBest.id))
     .With("weights", this->weights);
-  return false;
 }
 
 int
--- a/test/coordination/TargetPickerTest.cpp
+++ b/test/coordination/TargetPickerTest.cpp
@@ -413,5 +413,24 @@
   EXPECT_NE(this->picker.Choose(this->question, this->targets)->zone, ZoneId("z0"));
 }
 
+// The pattern: targets that have just started bear little, and nearly all others are full.
+TEST_F(TargetPickerTest, TheOneTargetWithRoomIsFoundWhereAllAreCompared)
+{
+  this->question.cacheTokens = TokenCount(1000);
+  this->targets.clear();
+  PickedWork full;
+  full.memory = TokenCount(1000);
+  for (int index = 0; index < 60; ++index) {
+    this->targets.push_back(Target("t" + std::to_string(index), "z"));
+    if (index != 37) {
+      this->picker.OnSent(this->targets.back().id, PickQuestion{}, full);
+    }
+  }
+  this->question.amongAll = true;
+  for (int call = 0; call < 20; ++call) {
+    EXPECT_EQ(this->Choose(), "t37");
+  }
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/program/ExchangeChoiceTest.cpp
+++ b/test/program/ExchangeChoiceTest.cpp
@@ -51,6 +51,29 @@
   EXPECT_NE(this->Receive().find("HTTP/1.1 200"), std::string::npos);
 }
 
+TEST_F(ExchangeChoiceTest, NoPromptIsRefusedWhileOneTargetHasRoom)
+{
+  ScriptedTarget target([](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, Answer(200, "done"));
+    return true;
+  });
+  this->cacheTokens = 1000;
+  PickedWork running;
+  running.memory = TokenCount(1100);
+  for (int index = 0; index < 60; ++index) {
+    const std::string id = "t" + std::to_string(index);
+    this->AddTarget(id, target.Address());
+    if (index != 37) {
+      this->picker.OnSent(TargetId(id), PickQuestion{}, running);
+    }
+  }
+  this->Start();
+  for (int call = 0; call < 20; ++call) {
+    this->Call("/prompts/", "X-Model: m\r\nX-Token-Usage: 50,10\r\n");
+    EXPECT_NE(this->Receive().find("HTTP/1.1 200"), std::string::npos);
+  }
+}
+
 class ExchangeZonesTest : public testing::ExchangeFixture
 {
 protected:
