Calls wait a little for the first configuration of a host that has just started

Now a call waits up to 0.4 s and a quarter of its deadline, 512 calls and 16 MiB a host at most; the rest is refused at once as before. The other way, Retry-After from the expected moment, is what stood: callers come back up to a third of what they have left later, which is late for their objective.

--- /dev/null
+++ b/src/coordination/StartupWait.cpp
@@ -0,0 +1,29 @@
+#include "damasklink/coordination/StartupWait.h"
+
+#include <algorithm>
+
+namespace damasklink {
+
+Duration
+StartupWait::Begin(Duration aPatience, std::size_t aBytes)
+{
+  if (this->calls >= kMostCalls || this->bytes + aBytes > kMostBytes) {
+    return Duration::zero();
+  }
+  const auto share = std::chrono::duration_cast<Duration>(aPatience * kShareOfPatience);
+  const Duration longest = std::clamp(share, Duration::zero(), kLongest);
+  if (longest > Duration::zero()) {
+    ++this->calls;
+    this->bytes += aBytes;
+  }
+  return longest;
+}
+
+void
+StartupWait::End(std::size_t aBytes)
+{
+  --this->calls;
+  this->bytes -= aBytes;
+}
+
+} // namespace damasklink
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -58,6 +58,7 @@
     : settings(std::move(aSettings))
     , calls(aCalls)
     , picture(this->clock)
+    , firstConfiguration(this->loop)
     , retries(this->settings.retries)
     , health(this->clock, RandomSeed())
     , reach(this->clock, RandomSeed())
@@ -77,6 +78,7 @@
                this->calls,
                this->metrics,
                this->picture,
+               this->firstConfiguration,
                this->retries,
                this->health,
                this->reach,
@@ -145,6 +147,7 @@
   MetricsRegistry metrics{ this->clock, this->serviceLevels, kMostMetricSeries };
   asio::io_context loop{ 1 };
   EntryPicture picture;
+  FirstConfiguration firstConfiguration;
   RetryShares retries;
   TargetHealth health;
   ZoneReach reach;
@@ -632,6 +635,7 @@
 void
 EntryHost::Impl::NoteReady()
 {
+  this->firstConfiguration.OnInForce();
   if (this->IsReady() && !this->wasReady) {
     this->wasReady = true;
     LogEvent(LogLevel::Info, "ready").With("version", this->picture.Routes()->Config().version);
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -53,6 +53,9 @@
 Awaitable<bool>
 Exchange::Run()
 {
+  if (this->context.picture.Routes() == nullptr) {
+    co_await this->AwaitConfiguration();
+  }
   if (const std::optional<CallerError> refusal = this->Resolve()) {
     co_return co_await this->AnswerFailure(*refusal);
   }
@@ -67,6 +70,15 @@
   co_return kept;
 }
 
+Awaitable<void>
+Exchange::AwaitConfiguration()
+{
+  const auto read = this->context.dialect.ReadCall(this->request.head);
+  const Duration patience =
+    read ? read.value().patience.value_or(Duration::zero()) : Duration::zero();
+  co_await this->context.firstConfiguration.Wait(patience, this->request.body.size());
+}
+
 // Finds out what the call is and where it goes. Returns why it cannot be relayed.
 std::optional<CallerError>
 Exchange::Resolve()
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "EntryPicture.h"
+#include "FirstConfiguration.h"
 #include "TargetCheck.h"
 #include "damasklink/coordination/BrokenRuns.h"
 #include "damasklink/coordination/ComeBack.h"
@@ -36,6 +37,7 @@
   const CallDialect& dialect;
   Metrics& metrics;
   EntryPicture& picture;
+  FirstConfiguration& firstConfiguration;
   RetryShares& retries;
   TargetHealth& health;
   ZoneReach& reach;
@@ -83,6 +85,7 @@
     std::string body;
   };
 
+  Awaitable<void> AwaitConfiguration();
   std::optional<CallerError> Resolve();
   // Returns the refusal of a call that may be sent nowhere.
   std::optional<CallerError> FindHomes();
--- a/test/program/ExchangeFixture.h
+++ b/test/program/ExchangeFixture.h
@@ -94,6 +94,12 @@
 
   // Starts the relay with what was added and connects the caller.
   void Start()
+  {
+    this->Configure();
+    this->StartUnconfigured();
+  }
+
+  void Configure()
   {
     Picture told;
     told.targets = this->statements;
@@ -101,6 +107,12 @@
     this->picture.Take(HostId("control"), told);
     this->picture.PutInForce(ReadRoutes(this->dialect, Document(*this->config)).value());
     this->retries.SetHosts(1);
+    this->firstConfiguration.OnInForce();
+  }
+
+  // As Start(), without a configuration.
+  void StartUnconfigured()
+  {
     asio::co_spawn(this->loop, this->Serve(), asio::detached);
     this->thread = std::thread([this] { this->loop.run(); });
     this->caller.connect(this->acceptor.local_endpoint());
@@ -200,6 +212,7 @@
   platform::Dialect dialect;
   NoMetrics metrics;
   EntryPicture picture{ this->clock };
+  FirstConfiguration firstConfiguration{ this->loop };
   RetryShares retries{ RetryAllowance{} };
   TargetHealth health{ this->clock, 1 };
   ZoneReach reach{ this->clock, 1 };
@@ -219,6 +232,7 @@
                         this->dialect,
                         this->metrics,
                         this->picture,
+                        this->firstConfiguration,
                         this->retries,
                         this->health,
                         this->reach,
--- a/test/program/ExchangeTest.cpp
+++ b/test/program/ExchangeTest.cpp
@@ -406,5 +406,28 @@
   EXPECT_EQ(target.Requests().front().find("Connection"), std::string::npos);
 }
 
+TEST_F(ExchangeTest, CallThatComesBeforeTheFirstConfigurationIsServedOnceItIsThere)
+{
+  ScriptedTarget target([](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, Answer(200, "done"));
+    return true;
+  });
+  this->AddTarget("t", target.Address());
+  this->StartUnconfigured();
+  this->Call("/once/");
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  asio::post(this->loop, [this] { this->Configure(); });
+  EXPECT_NE(this->Receive().find("200 OK"), std::string::npos);
+}
+
+TEST_F(ExchangeTest, WithoutAConfigurationACallIsToldWhenToComeBack)
+{
+  this->StartUnconfigured();
+  this->Call("/once/");
+  const std::string refused = this->Receive();
+  EXPECT_NE(refused.find("HTTP/1.1 503"), std::string::npos);
+  EXPECT_NE(refused.find("Retry-After"), std::string::npos);
+}
+
 } // namespace
 } // namespace damasklink
