--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -52,6 +52,9 @@
     "more_than_its_limit",
     "limited_target_left_alone",
     "limit_not_lifted",
+    "sent_to_evacuated_zone",
+    "more_than_a_cold_target_bears",
+    "zone_left_alone",
 )
 
 
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -132,6 +132,7 @@
         self.limit = None
         self.arrivals = []
         self.end = "refuse"
+        self.cold_until = 0.0
         # Unix milliseconds of its start, where it tells of it: then it keeps its id.
         self.born = None
         self.crashes = []
@@ -190,6 +191,7 @@
                     "address": f"{self.proxy.address[0]}:{self.proxy.address[1]}",
                     "zone": self.zone,
                     "slots": 16,
+                    "cold-remaining-ms": max(0, int(1000 * (self.cold_until - asyncio.get_running_loop().time()))),
                     "state": self.state,
                     "models": [],
                     "sequence": self.sequence,
