Shares that are told again do not begin a cold time anew

Cause, found by reading: shares of all targets are told whole whenever one of them changes, with the time that a target stayed cold from when it was first heard; an entry host counted that from each telling, so a target that others joined in being cold stayed limited for up to 3 s longer. A host counts the time from its own hearing now, and from the first telling only where it has just started. Test: TargetLimitsTest.SharesThatAreToldAgainDoNotKeepATargetCold, which failed before.

--- a/src/coordination/TargetLimits.cpp
+++ b/src/coordination/TargetLimits.cpp
@@ -158,9 +158,6 @@
   aTo.filledAt = now;
   aTo.incarnation = aTold.incarnation;
   aTo.limit = aTold.limit;
-  if (aTold.coldFor > Duration::zero()) {
-    aTo.coldUntil = std::max(aTo.coldUntil, now + aTold.coldFor);
-  }
   if (!aTold.hosts.contains(this->self)) {
     aTo.share = RequestRate();
     // What was saved up belonged to the share that is another host's now.
@@ -186,6 +183,8 @@
     } else {
       entry.knownSince = now;
       entry.filledAt = now;
+      // Of a target that it knows, this host has heard itself until when it is cold.
+      entry.coldUntil = now + told.coldFor;
     }
     this->TakeShare(told, entry);
   }
--- a/test/coordination/TargetLimitsTest.cpp
+++ b/test/coordination/TargetLimitsTest.cpp
@@ -186,5 +186,25 @@
   EXPECT_TRUE(this->limits.TakeReports().empty());
 }
 
+// Shares are told whole whenever one of them changes; that must not begin a cold time anew.
+TEST_F(TargetLimitsTest, SharesThatAreToldAgainDoNotKeepATargetCold)
+{
+  this->limits.OnCold(this->record, kColdFor);
+  this->limits.Take({ ColdShare(1, { kSelf }) });
+  this->clock.Advance(kColdFor - milliseconds(1));
+  this->limits.Take({ ColdShare(1, { kSelf }) });
+  this->limits.OnSent(kTarget);
+  this->clock.Advance(milliseconds(1));
+  EXPECT_TRUE(this->limits.MaySend(kTarget));
+}
+
+TEST_F(TargetLimitsTest, AHostThatHasJustStartedHearsOfAColdTargetWithItsShare)
+{
+  this->limits.Take({ ColdShare(1, { HostId("other") }) });
+  EXPECT_FALSE(this->limits.MaySend(kTarget));
+  this->clock.Advance(kColdFor);
+  EXPECT_TRUE(this->limits.MaySend(kTarget));
+}
+
 } // namespace
 } // namespace damasklink
