What entry hosts are told of cold targets stays bounded

Computed, not traced: a thousand targets that start at once make 1,000 rows of some 400 bytes, told whole to each entry host at each change. Now 64 cold targets at most are divided at a time, and the shares travel packed. The rest get nothing until others are warm. Test: LimitBookTest.OfManyColdTargetsOnlySoManyAreDivided.

--- a/src/coordination/LimitBook.cpp
+++ b/src/coordination/LimitBook.cpp
@@ -26,6 +26,11 @@
   return chosen;
 }
 
+// Cold targets whose rate is divided at a time. All shares are told to all entry hosts together,
+// over links that calls need too; where hundreds of targets start at once, those beyond get nothing
+// until they are warm or others are.
+constexpr std::size_t kMostColdDivided = 64;
+
 // How many hosts share a rate, and what each of them gets.
 struct Division
 {
@@ -132,9 +137,13 @@
 LimitBook::Shares(const std::set<HostId>& aEntryHosts) const
 {
   std::vector<TargetLimit> shares;
+  std::size_t coldDivided = 0;
   for (const auto& [target, entry] : this->limits) {
     const RequestRate named = std::max(entry.limit.value_or(RequestRate()), kLeast);
     const bool cold = entry.coldFor > Duration::zero();
+    if (cold && !entry.limit && ++coldDivided > kMostColdDivided) {
+      continue;
+    }
     const bool coldBinds = cold && (!entry.limit || entry.coldRate < named);
     const Division division = coldBinds ? DivideColdRate(entry.coldRate, aEntryHosts.size())
                                         : DivideLimit(named, aEntryHosts.size());
--- a/src/program/PictureTeller.cpp
+++ b/src/program/PictureTeller.cpp
@@ -292,7 +292,10 @@
   SendsNews news;
   news.host = this->settings.host;
   news.limits = this->toldLimits;
-  this->TellTellers(Work::Totals, news);
+  const std::string payload = EncodePacked(news);
+  for (const HostId& host : this->sends.Tellers()) {
+    this->Send(Work::Totals, host, payload);
+  }
 }
 
 // Tells at once, unless entry hosts were told just now: with hundreds of them, one sends a long
--- a/test/coordination/LimitBookTest.cpp
+++ b/test/coordination/LimitBookTest.cpp
@@ -155,5 +155,18 @@
   EXPECT_TRUE(book.All().empty());
 }
 
+// The pattern: hundreds of targets start at one moment; what hosts are told of them stays bounded.
+TEST(LimitBookTest, OfManyColdTargetsOnlySoManyAreDivided)
+{
+  LimitBook book;
+  for (int index = 0; index < 1000; ++index) {
+    ColdTarget cold = Cold();
+    cold.target = TargetId("t" + std::to_string(index));
+    book.TakeCold(cold, MonotonicTime());
+  }
+  book.Take({ Report(4) });
+  EXPECT_EQ(book.Shares(Hosts(300)).size(), 64U + 1U);
+}
+
 } // namespace
 } // namespace damasklink
