--- a/test/coordination/ColdModelTest.cpp
+++ b/test/coordination/ColdModelTest.cpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <ostream>
 #include <random>
 
 #include <gtest/gtest.h>
@@ -45,6 +46,14 @@
   bool cut = false;
 };
 
+// The name of a case must be the same in each run.
+void
+PrintTo(const Deployment& aDeployment, std::ostream* aOut)
+{
+  *aOut << aDeployment.entryHosts << "Hosts" << aDeployment.coldTargets << "Cold"
+        << (aDeployment.faults ? "Faults" : "") << (aDeployment.cut ? "Cut" : "");
+}
+
 class ColdModel
 {
 public:
