Shares are worked out with one hash a host and target

While any target is cold, 64 shares before 300 hosts are worked out 20 times a second, a hash for each pair of names: computed, not profiled. Now names are hashed once and the pairs mixed. Hosts of the program before choose other hosts for a named limit until all are restarted.

--- a/src/coordination/LimitBook.cpp
+++ b/src/coordination/LimitBook.cpp
@@ -8,20 +8,53 @@
 namespace damasklink {
 namespace {
 
-std::set<HostId>
-Choose(const TargetId& aTarget, const std::set<HostId>& aHosts, std::size_t aCount)
+struct RankedHost
+{
+  std::uint32_t number;
+  const HostId* host;
+};
+
+// Each host's name is hashed once, not once a target: shares are worked out many times a second,
+// and hundreds of hosts stand before scores of targets.
+std::vector<RankedHost>
+NumberHosts(const std::set<HostId>& aHosts)
 {
-  std::vector<std::pair<std::uint32_t, HostId>> ranked;
-  ranked.reserve(aHosts.size());
+  std::vector<RankedHost> numbered;
+  numbered.reserve(aHosts.size());
   for (const HostId& host : aHosts) {
-    ranked.emplace_back(ShortHash(Concat(host.Value(), " ", aTarget.Value())), host);
+    numbered.push_back(RankedHost{ ShortHash(host.Value()), &host });
+  }
+  return numbered;
+}
+
+// Mixes two hashes into one whose order says nothing of theirs; the same in all builds.
+std::uint32_t
+Mix(std::uint32_t aLeft, std::uint32_t aRight)
+{
+  std::uint64_t mixed = (static_cast<std::uint64_t>(aLeft) << 32U) | aRight;
+  mixed = (mixed ^ (mixed >> 33U)) * 0xff51afd7ed558ccdU;
+  mixed = (mixed ^ (mixed >> 33U)) * 0xc4ceb9fe1a85ec53U;
+  return static_cast<std::uint32_t>(mixed >> 32U);
+}
+
+std::set<HostId>
+Choose(const TargetId& aTarget, const std::vector<RankedHost>& aHosts, std::size_t aCount)
+{
+  const std::uint32_t target = ShortHash(aTarget.Value());
+  std::vector<RankedHost> ranked = aHosts;
+  for (RankedHost& rank : ranked) {
+    rank.number = Mix(target, rank.number);
   }
   const std::size_t count = std::min(aCount, ranked.size());
   const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(count);
-  std::partial_sort(ranked.begin(), end, ranked.end());
+  const auto isBefore = [](const RankedHost& aLeft, const RankedHost& aRight) {
+    return aLeft.number != aRight.number ? aLeft.number < aRight.number
+                                         : *aLeft.host < *aRight.host;
+  };
+  std::partial_sort(ranked.begin(), end, ranked.end(), isBefore);
   std::set<HostId> chosen;
   for (auto rank = ranked.begin(); rank != end; ++rank) {
-    chosen.insert(rank->second);
+    chosen.insert(*rank->host);
   }
   return chosen;
 }
@@ -137,6 +170,7 @@
 LimitBook::Shares(const std::set<HostId>& aEntryHosts) const
 {
   std::vector<TargetLimit> shares;
+  const std::vector<RankedHost> hosts = NumberHosts(aEntryHosts);
   std::size_t coldDivided = 0;
   for (const auto& [target, entry] : this->limits) {
     const RequestRate named = std::max(entry.limit.value_or(RequestRate()), kLeast);
@@ -152,7 +186,7 @@
     limit.incarnation = entry.incarnation;
     limit.limit = entry.limit;
     limit.share = division.share;
-    limit.hosts = Choose(target, aEntryHosts, division.hosts);
+    limit.hosts = Choose(target, hosts, division.hosts);
     limit.coldFor = entry.coldFor;
   }
   return shares;
