--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -122,7 +122,9 @@
         await self.ended()
         self.first_start = False
         await asyncio.sleep(0.2)
-        self.start()
+        # Two faults may have waited for the same process to end.
+        if self.child.poll() is not None:
+            self.start()
 
 
 class Soak:
