Answers that ask for rest, or say that their target leaves, are logged and counted

The logs could not tell a target that is full from one that asks for rest, so the three hypotheses of the incident looked alike. The adapter reads Retry-After of a 503 and Server-Leaving of any answer; target_asks_for_rest names how long ago the call was sent and which send of it this was, and damasklink_target_notices_total counts. Nothing acts on them yet.

--- a/include/damasklink/protocol/ServingDialect.h
+++ b/include/damasklink/protocol/ServingDialect.h
@@ -93,6 +93,10 @@
   std::optional<RequestRate> limit;
   // How much longer the target stays cold; zero if it does not state it.
   Duration coldFor{ 0 };
+  // How long the target wants no requests from this host; zero if it does not ask for that.
+  Duration restFor{ 0 };
+  // The target is leaving and wants no new requests.
+  bool leaving = false;
   // Set if a field could not be read. That field then counts as not stated.
   std::optional<Error> unreadable;
 };
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -334,6 +334,7 @@
 {
   const TargetResponseInfo facts = this->context.dialect.ReadResponse(aHead);
   this->responseBegun = true;
+  this->ObserveNotices(aTarget, facts);
   this->ObserveRateLimit(aTarget, facts);
   if (facts.coldFor > Duration::zero()) {
     this->context.limits.OnCold(aTarget, facts.coldFor);
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -120,6 +120,8 @@
   void OnAttemptWithoutResponse(const TargetRecord& aTarget);
   // Returns whether the target had surely begun this attempt when it broke off.
   bool WasSurelyRunning() const;
+  // Logs and counts what a response says about the availability of its target.
+  void ObserveNotices(const TargetRecord& aTarget, const TargetResponseInfo& aFacts);
   // Records the rate limit that a response names for its target.
   void ObserveRateLimit(const TargetRecord& aTarget, const TargetResponseInfo& aFacts);
   // Sets the targets of the service that this host has no rate permit for at the moment.
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -95,6 +95,28 @@
   }
 }
 
+void
+Exchange::ObserveNotices(const TargetRecord& aTarget, const TargetResponseInfo& aFacts)
+{
+  if (aFacts.restFor > Duration::zero()) {
+    LogEvent(LogLevel::Info, "target_asks_for_rest")
+      .With("request", this->call.request)
+      .With("target", aTarget.id)
+      .With("incarnation", aTarget.incarnation)
+      .With("sends", this->plan->Sent())
+      .With("sent_before_ms", WholeMilliseconds(this->context.clock.MonotonicNow() - this->sentAt))
+      .With("rest_ms", WholeMilliseconds(aFacts.restFor));
+    this->context.metrics.Add(Counter::TargetNotices, MetricKey{ WorkspaceId(), "rest" }, 1);
+  }
+  if (aFacts.leaving) {
+    LogEvent(LogLevel::Info, "target_says_leaving")
+      .With("request", this->call.request)
+      .With("target", aTarget.id)
+      .With("incarnation", aTarget.incarnation);
+    this->context.metrics.Add(Counter::TargetNotices, MetricKey{ WorkspaceId(), "leaving" }, 1);
+  }
+}
+
 void
 Exchange::ObserveRateLimit(const TargetRecord& aTarget, const TargetResponseInfo& aFacts)
 {
--- a/src/protocol/MetricsText.cpp
+++ b/src/protocol/MetricsText.cpp
@@ -117,6 +117,8 @@
       return "damasklink_work_microseconds_total";
     case Counter::Evacuations:
       return "damasklink_evacuations_total";
+    case Counter::TargetNotices:
+      return "damasklink_target_notices_total";
   }
   return "damasklink_unnamed_total";
 }
--- a/test/platform/DialectTest.cpp
+++ b/test/platform/DialectTest.cpp
@@ -149,6 +149,46 @@
   EXPECT_FALSE(Dialect().ReadResponse(HttpResponseHead()).limit);
 }
 
+TEST(DialectTest, ReadsRestThatTargetAsksForAndReportsUnreadableOne)
+{
+  const auto read = [](int aStatus, const std::vector<std::string>& aTexts) {
+    HttpResponseHead head;
+    head.status = aStatus;
+    for (const std::string& text : aTexts) {
+      head.fields.Add("Retry-After", text);
+    }
+    return Dialect().ReadResponse(head);
+  };
+  EXPECT_EQ(read(503, { "3" }).restFor, std::chrono::seconds(3));
+  EXPECT_EQ(read(503, { "0.5" }).restFor, std::chrono::milliseconds(500));
+  EXPECT_EQ(read(503, { "0" }).restFor, Duration::zero());
+  EXPECT_FALSE(read(503, { "0" }).unreadable);
+  EXPECT_EQ(read(503, {}).restFor, Duration::zero());
+  EXPECT_FALSE(read(503, {}).unreadable);
+  // Only a refusal asks for rest.
+  EXPECT_EQ(read(200, { "3" }).restFor, Duration::zero());
+  const char* const date = "Fri, 04 Dec 2026 09:00:00 GMT";
+  for (const char* bad : { "", "-1", "nan", "inf", "1e300", "soon", date }) {
+    EXPECT_EQ(read(503, { bad }).restFor, Duration::zero()) << bad;
+    EXPECT_TRUE(read(503, { bad }).unreadable) << bad;
+  }
+  EXPECT_EQ(read(503, { "1", "2" }).restFor, Duration::zero());
+  EXPECT_TRUE(read(503, { "1", "2" }).unreadable);
+}
+
+TEST(DialectTest, ReadsThatTargetIsLeavingInAnyResponse)
+{
+  for (const int status : { 200, 421, 429, 503 }) {
+    HttpResponseHead head;
+    head.status = status;
+    EXPECT_FALSE(Dialect().ReadResponse(head).leaving);
+    head.fields.Add("Server-Leaving", "1");
+    EXPECT_TRUE(Dialect().ReadResponse(head).leaving);
+    head.fields.Set("Server-Leaving", "0");
+    EXPECT_FALSE(Dialect().ReadResponse(head).leaving);
+  }
+}
+
 TEST(DialectTest, AnswersUnavailableOnlyWhenCallDidNotRun)
 {
   const Error full{ ErrorKind::Unavailable, "full", "come back" };
