--- a/test/program/ExchangeTest.cpp
+++ b/test/program/ExchangeTest.cpp
@@ -183,6 +183,93 @@
   EXPECT_LE(limited.Requests().size(), 1U);
 }
 
+std::string
+RefusalWithRest(const std::string& aRetryAfter)
+{
+  return Answer(503, "", "X-Not-Executed: 1\r\nRetry-After: " + aRetryAfter + "\r\n");
+}
+
+// Guards against sends to a target that asked this host for rest, also when it is the only one.
+TEST_F(ExchangeTest, SendsNothingToTargetThatAskedForRest)
+{
+  ScriptedTarget target([](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, RefusalWithRest("3600"));
+    return true;
+  });
+  this->AddTarget("t", target.Address());
+  this->Start();
+  for (const char* path : { "/once/", "/idempotent/", "/stream/", "/resumable/" }) {
+    this->Call(path);
+    const std::string refused = this->Receive();
+    EXPECT_NE(refused.find("HTTP/1.1 503"), std::string::npos);
+    EXPECT_NE(refused.find("not_run"), std::string::npos);
+    // The caller is told when the target takes calls again.
+    const std::size_t field = refused.find("Retry-After: ");
+    ASSERT_NE(field, std::string::npos);
+    EXPECT_GT(std::stod(refused.substr(field + 13)), 3500);
+  }
+  EXPECT_EQ(target.Requests().size(), 1U);
+}
+
+// Guards against a target that rejects everything at once attracting calls, since it looks idle.
+TEST_F(ExchangeTest, SendsCallsOfTargetThatAskedForRestElsewhere)
+{
+  ScriptedTarget rests([](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, RefusalWithRest("3600"));
+    return true;
+  });
+  ScriptedTarget serves([](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, Answer(200, "done"));
+    return true;
+  });
+  this->AddTarget("t1", rests.Address());
+  this->AddTarget("t2", serves.Address());
+  this->Start();
+  for (int call = 0; call < 30; ++call) {
+    this->Call("/once/");
+    EXPECT_NE(this->Receive().find("200 OK"), std::string::npos);
+  }
+  EXPECT_LE(rests.Requests().size(), 1U);
+}
+
+// Guards against sends to a target whose answer said that it leaves, while it is still announced.
+TEST_F(ExchangeTest, SendsNothingToTargetWhoseAnswerSaidThatItLeaves)
+{
+  ScriptedTarget target([](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, Answer(200, "done", "Server-Leaving: 1\r\n"));
+    return true;
+  });
+  this->AddTarget("t", target.Address());
+  this->Start();
+  this->Call("/once/");
+  EXPECT_NE(this->Receive().find("200 OK"), std::string::npos);
+  this->Call("/once/");
+  EXPECT_NE(this->Receive().find("HTTP/1.1 503"), std::string::npos);
+  EXPECT_EQ(target.Requests().size(), 1U);
+}
+
+// As above, with a stream that goes on for long after its head.
+TEST_F(ExchangeTest, SendsNothingToTargetThatSaidThatItLeavesInTheHeadOfAStream)
+{
+  ScriptedTarget target([](const std::string&, TcpSocket& aSocket) {
+    std::string head = StreamHead();
+    head.insert(head.size() - 2, "Server-Leaving: 1\r\n");
+    Write(aSocket, head + Chunk("id: 1\ndata: a\n\n"));
+    ScriptedTarget::AwaitClose(aSocket);
+    return false;
+  });
+  this->AddTarget("t", target.Address());
+  this->Start();
+  this->Call("/stream/");
+  EXPECT_NE(this->ReceiveUpTo("data: a").find("200 OK"), std::string::npos);
+  absl::Notification checked;
+  asio::post(this->loop, [&] {
+    EXPECT_TRUE(this->state.Targets().Usable(testing::kService).empty());
+    checked.Notify();
+  });
+  checked.WaitForNotification();
+}
+
 TEST_F(ExchangeTest, RetriesCallThatTargetDidNotRun)
 {
   std::atomic<int> calls{ 0 };
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -55,6 +55,9 @@
     "sent_to_evacuated_zone",
     "more_than_a_cold_target_bears",
     "zone_left_alone",
+    "sent_to_resting_target",
+    "rested_target_left_alone",
+    "sent_to_leaving_target",
 )
 
 
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -1,6 +1,7 @@
 """Stand-ins for the targets of a serving deployment, and a proxy that breaks connections to them."""
 
 import asyncio
+import dataclasses
 import json
 import random
 
@@ -17,6 +18,18 @@
 RESTART_AFTER = 0.005
 
 
+@dataclasses.dataclass
+class Exchange:
+    """A request that reached a target, or an answer to it."""
+
+    time: float
+    # The target's id at that time.
+    id: str
+    request: str
+    # Seconds that the target asked for.
+    rest: float = 0.0
+
+
 async def read_head(reader):
     """Returns the first line and the fields, by lower-case name, of an HTTP message."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -131,6 +144,14 @@
         # Requests a second that it names in its answers, None for none, and when requests came.
         self.limit = None
         self.arrivals = []
+        # While it rejects all requests it asks for this rest in seconds, None for none.
+        self.rejecting = False
+        self.rest = None
+        # Its answers say that it leaves.
+        self.leaving = False
+        self.requests = []
+        self.rejections = []
+        self.leaving_answers = []
         self.end = "refuse"
         self.cold_until = 0.0
         # Unix milliseconds of its start, where it tells of it: then it keeps its id.
@@ -151,6 +172,7 @@
         self.life += 1
         self.sequence = 0
         self.state = "ready"
+        self.leaving = False
 
     async def crash(self, body):
         await asyncio.sleep(CRASH_AFTER)
@@ -226,9 +248,17 @@
                 f"HTTP/1.1 421 Other\r\n{echo}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode()
             )
             return
-        self.arrivals.append(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self.arrivals.append(now)
+        self.requests.append(Exchange(now, self.id, request))
         if self.limit is not None:
             echo += f"Server-Limit: {self.limit}\r\n"
+        if self.leaving:
+            echo += "Server-Leaving: 1\r\n"
+            self.leaving_answers.append(Exchange(now, self.id, request))
+        if self.rejecting:
+            self.reject(request, echo, writer)
+            return
         self.ledger[request] = self.ledger.get(request, 0) + 1
         if body.startswith(CRASHING):
             self.crashing_arrivals.append((asyncio.get_running_loop().time(), body))
@@ -244,6 +274,15 @@
         body = f"{request}{path}"
         writer.write(f"HTTP/1.1 200 OK\r\n{echo}Content-Length: {len(body)}\r\n\r\n{body}".encode())
 
+    def reject(self, request, echo, writer):
+        if self.rest is not None:
+            echo += f"Retry-After: {self.rest}\r\n"
+            now = asyncio.get_running_loop().time()
+            self.rejections.append(Exchange(now, self.id, request, self.rest))
+        writer.write(
+            f"HTTP/1.1 503 Busy\r\n{echo}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode()
+        )
+
     def begin_stream(self, echo, writer):
         writer.write(
             f"HTTP/1.1 200 OK\r\n{echo}Content-Type: text/event-stream\r\n"
