A target that asks this host for rest gets nothing from it until then

Callers saw refusals although most targets were free; a target that rejects everything at once has no load, so the selection by load preferred it, and a 503 counted as a good sign of its health. Nothing read Retry-After.

TargetRestPeriods keeps the end of the rest for each target that asked, and the selection leaves such targets out, also where all targets of a service rest. A call that was chosen before the answer came is checked again once its connection stands (AttemptResult::NotSent: no send, no retry, no sign of health). The latest end counts; a restart lifts it. Where all targets that could take a call rest, it is refused at once, with a Retry-After after the first of them has rested; callers are spread over the time after it.

The two tests of Exchange failed before; the one of a call that connects fails without the second check (tried by taking it out).

--- a/include/damasklink/coordination/ExchangeRetryPolicy.h
+++ b/include/damasklink/coordination/ExchangeRetryPolicy.h
@@ -33,6 +33,7 @@
 {
   Delivered,   // The caller has the complete answer.
   Unreachable, // No connection, so nothing left this host.
+  NotSent,     // The target became unavailable before anything was sent to it.
   Refused,     // The target stated that it did not run the call.
   Failed,      // The target answered with a failure; the call may have run.
   Broken,      // No complete answer came.
--- /dev/null
+++ b/include/damasklink/coordination/TargetRestPeriods.h
@@ -0,0 +1,53 @@
+// Keeps the times until which targets want no requests from this host.
+//
+//   TargetRestPeriods rests(clock);
+//   rests.OnAsked(target, std::chrono::seconds(3));   // An answer of the target asked for it.
+//   if (!rests.IsResting(target)) ...                 // To be checked before each send.
+//
+// A target's own request holds even if all targets of its service rest, unlike an ejection, which
+// this host has only concluded. It applies to this host alone, and to one incarnation of the
+// target. Not thread-safe.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include "damasklink/coordination/Target.h"
+#include "damasklink/state/Clock.h"
+
+namespace damasklink {
+
+class TargetRestPeriods
+{
+public:
+  explicit TargetRestPeriods(const Clock& aClock)
+    : clock(aClock)
+  {
+  }
+
+  // Returns whether no target rests, as far as expired entries have been removed.
+  bool IsEmpty() const { return this->until.empty(); }
+
+  // The target wants no requests for aRest from now on. Of several such answers the one with the
+  // latest end counts, since they may arrive out of order.
+  void OnAsked(const TargetId& aTarget, Duration aRest);
+
+  // The target has restarted; what its earlier incarnation asked for no longer counts.
+  void OnRestart(const TargetId& aTarget) { this->until.erase(aTarget); }
+
+  // Returns how much longer the target wants no requests; zero if it takes them.
+  Duration Remaining(const TargetId& aTarget) const;
+
+  bool IsResting(const TargetId& aTarget) const
+  {
+    return this->Remaining(aTarget) > Duration::zero();
+  }
+
+  // Must be called periodically.
+  void RemoveExpired();
+
+private:
+  const Clock& clock;
+  absl::flat_hash_map<TargetId, MonotonicTime> until;
+};
+
+} // namespace damasklink
--- a/include/damasklink/coordination/TargetSelector.h
+++ b/include/damasklink/coordination/TargetSelector.h
@@ -1,6 +1,6 @@
 // Chooses the target of a call in a serving deployment.
 //
-//   TargetSelector picker(health, reach, seed);
+//   TargetSelector picker(health, reach, rests, seed);
 //   const TargetRecord* target = picker.Choose(request, board.Usable(service));
 //   picker.OnSent(target->id, request, load);
 //   picker.OnFirstEvent(target->id, load);
@@ -26,6 +26,7 @@
 #include "damasklink/coordination/ServingMessages.h"
 #include "damasklink/coordination/Target.h"
 #include "damasklink/coordination/TargetHealth.h"
+#include "damasklink/coordination/TargetRestPeriods.h"
 #include "damasklink/coordination/ZoneReachability.h"
 
 namespace damasklink {
@@ -131,6 +132,7 @@
 
   TargetSelector(const TargetHealth& aHealth,
                  const ZoneReachability& aReach,
+                 const TargetRestPeriods& aRests,
                  std::uint64_t aSeed,
                  SelectionCosts aCosts = SelectionCosts());
 
@@ -139,7 +141,7 @@
   //
   // Ejected targets are considered only when more than half of the list is ejected, since the cause
   // is then likely elsewhere. Targets of unreachable zones are considered only when there are no
-  // others.
+  // others. Resting targets are never considered.
   const TargetRecord* Choose(const SelectionRequest& aRequest,
                              const std::vector<TargetRecord>& aTargets);
 
@@ -222,6 +224,7 @@
 
   const TargetHealth& health;
   const ZoneReachability& reach;
+  const TargetRestPeriods& rests;
   SelectionCosts costs;
   std::minstd_rand random;
   EngineCacheModel held;
--- a/src/coordination/ExchangeRetryPolicy.cpp
+++ b/src/coordination/ExchangeRetryPolicy.cpp
@@ -12,6 +12,8 @@
       return "delivered";
     case AttemptResult::Unreachable:
       return "unreachable";
+    case AttemptResult::NotSent:
+      return "not_sent";
     case AttemptResult::Refused:
       return "refused";
     case AttemptResult::Failed:
@@ -80,11 +82,14 @@
     case AttemptResult::Broken:
       this->record.Advance(AttemptStage::Lost);
       break;
+    case AttemptResult::NotSent:
     case AttemptResult::Expired:
       break;
   }
-  // After an attempt that cannot have reached its target, the next one is not a retry.
-  const bool isRetry = aResult != AttemptResult::Unreachable || this->sent > 0;
+  // After an attempt that cannot have reached its target, the next one is not a retry. The retry
+  // that an attempt took from the budget and did not send is left for the next one.
+  const bool firstSend = aResult == AttemptResult::Unreachable && this->sent == 0;
+  const bool isRetry = !firstSend && aResult != AttemptResult::NotSent;
   if (this->MayTryAnother(aResult, aNow) && (!isRetry || aBudget.TryTake())) {
     return ExchangeStep::TryAnother;
   }
--- a/src/coordination/TargetSelector.cpp
+++ b/src/coordination/TargetSelector.cpp
@@ -41,10 +41,12 @@
 
 TargetSelector::TargetSelector(const TargetHealth& aHealth,
                                const ZoneReachability& aReach,
+                               const TargetRestPeriods& aRests,
                                std::uint64_t aSeed,
                                SelectionCosts aCosts)
   : health(aHealth)
   , reach(aReach)
+  , rests(aRests)
   , costs(aCosts)
   , random(aSeed)
 {
@@ -63,7 +65,7 @@
   for (const TargetRecord& target : aTargets) {
     const bool tooOld = anyNewEnough && !isNewEnough(target);
     if (tooOld || aRequest.excluded.contains(target.id) ||
-        aRequest.rateLimited.contains(target.id)) {
+        aRequest.rateLimited.contains(target.id) || this->rests.IsResting(target.id)) {
       continue;
     }
     if (this->reach.IsUnreachable(target.zone)) {
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -63,7 +63,8 @@
     , retries(this->settings.retries)
     , health(this->clock, RandomSeed())
     , reachability(this->clock, RandomSeed())
-    , picker(this->health, this->reachability, RandomSeed())
+    , rests(this->clock)
+    , picker(this->health, this->reachability, this->rests, RandomSeed())
     , pool(this->clock)
     , slowStores(RandomSeed())
     , startupDelay(RandomSeed())
@@ -92,6 +93,7 @@
                this->crashFilter,
                this->interrupted,
                this->limits,
+               this->rests,
                this->clock.MonotonicNow(),
                nullptr }
     , configuration(this->loop,
@@ -152,6 +154,7 @@
   ServiceRetryBudgets retries;
   TargetHealth health;
   ZoneReachability reachability;
+  TargetRestPeriods rests;
   TargetSelector picker;
   TargetConnectionPool pool;
   SlowStoreDetector slowStores;
@@ -326,6 +329,7 @@
 EntryHost::Impl::RunHousekeeping()
 {
   this->pool.CloseExpired();
+  this->rests.RemoveExpired();
   if (!this->state.HasControlHost()) {
     // The file may name other seeds by now, even if no SIGHUP came.
     if (const std::optional<ServingSettings> current = this->signals.ReadSettings()) {
@@ -519,6 +523,7 @@
     this->picker.OnRestart(target);
     this->health.OnRestart(target.id);
     this->limits.OnRestart(target.id);
+    this->rests.OnRestart(target.id);
   }
   this->ApplyColdStarts(aUpdate.targets);
   this->ApplyEvacuations();
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -279,6 +279,10 @@
   if (this->interrupt != Interrupt::None) {
     co_return this->ResultOfInterrupt();
   }
+  // An answer to another call may have arrived while this one was connecting.
+  if (this->context.rests.IsResting(aTarget.id)) {
+    co_return AttemptResult::NotSent;
+  }
   this->plan->Sending();
   this->sentAt = this->context.clock.MonotonicNow();
   const TargetCall call = this->CallFor(aTarget);
@@ -314,6 +318,7 @@
     const TargetResponseInfo facts = this->context.dialect.ReadResponse(head.value());
     this->context.reachability.OnBytes(aTarget.zone);
     this->context.probe.OnBytes(aTarget.id);
+    this->ObserveNotices(aTarget, facts);
     if (facts.request == this->call.request || facts.request.Empty()) {
       co_return head;
     }
@@ -334,7 +339,6 @@
 {
   const TargetResponseInfo facts = this->context.dialect.ReadResponse(aHead);
   this->responseBegun = true;
-  this->ObserveNotices(aTarget, facts);
   this->ObserveRateLimit(aTarget, facts);
   if (facts.coldFor > Duration::zero()) {
     this->context.limits.OnCold(aTarget, facts.coldFor);
@@ -437,12 +441,35 @@
   co_return co_await this->caller.BeginStream(aHead, aEvents, this->ShouldCloseCallerConnection());
 }
 
+Duration
+Exchange::TimeUntilRested()
+{
+  if (this->context.rests.IsEmpty()) {
+    return Duration::zero();
+  }
+  std::optional<Duration> shortest;
+  for (const TargetRecord& target : this->Targets()) {
+    if (WeightsOf(target, this->call.model) >= this->selection.minWeights) {
+      const Duration rest = this->context.rests.Remaining(target.id);
+      shortest = std::min(shortest.value_or(rest), rest);
+    }
+  }
+  return shortest.value_or(Duration::zero());
+}
+
 Duration
 Exchange::RefusalRetryDelay()
 {
   if (this->overloaded) {
     return this->context.retryScheduler.NextRetryDelay();
   }
+  const Duration rest = this->TimeUntilRested();
+  if (rest > Duration::zero()) {
+    // Callers that return at the same moment would be turned away together once more.
+    const Duration spread =
+      this->context.retryScheduler.NextRetryDelay() - RetryScheduler::kMinRetryDelay;
+    return rest + spread;
+  }
   if (this->selection.rateLimited.empty()) {
     return kDefaultRetryDelay;
   }
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -20,6 +20,7 @@
 #include "damasklink/coordination/SlowStoreDetector.h"
 #include "damasklink/coordination/StartupRetryDelay.h"
 #include "damasklink/coordination/TargetRateLimiter.h"
+#include "damasklink/coordination/TargetRestPeriods.h"
 #include "damasklink/coordination/TargetSelector.h"
 #include "damasklink/protocol/ServingDialect.h"
 #include "damasklink/state/Metrics.h"
@@ -50,6 +51,7 @@
   CrashFilter& crashFilter;
   InterruptedRequests& interrupted;
   TargetRateLimiter& limits;
+  TargetRestPeriods& rests;
   MonotonicTime started;
   // Sends this host's load report to its hub at once, not only at the next interval.
   std::function<void()> reportLoad;
@@ -120,12 +122,15 @@
   void OnAttemptWithoutResponse(const TargetRecord& aTarget);
   // Returns whether the target had surely begun this attempt when it broke off.
   bool WasSurelyRunning() const;
-  // Logs and counts what a response says about the availability of its target.
+  // Records, logs and counts what a response says about the availability of its target.
   void ObserveNotices(const TargetRecord& aTarget, const TargetResponseInfo& aFacts);
   // Records the rate limit that a response names for its target.
   void ObserveRateLimit(const TargetRecord& aTarget, const TargetResponseInfo& aFacts);
   // Sets the targets of the service that this host has no rate permit for at the moment.
   void UpdateRateLimited();
+  // Returns the time until one of the targets that the call may begin on has rested; zero if one of
+  // them does not rest.
+  Duration TimeUntilRested();
   // Returns the Retry-After of a call that no target took.
   Duration RefusalRetryDelay();
   void ReportSuccessfulRun();
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -98,10 +98,18 @@
 void
 Exchange::ObserveNotices(const TargetRecord& aTarget, const TargetResponseInfo& aFacts)
 {
+  // Another target may have answered at the address.
+  const TargetId& answering = aFacts.target.Empty() ? aTarget.id : aFacts.target;
+  const TargetRecord* current = this->context.state.Targets().Find(answering);
+  const bool restarted = current != nullptr && current->incarnation > aTarget.incarnation;
+  if (restarted && answering == aTarget.id) {
+    return;
+  }
   if (aFacts.restFor > Duration::zero()) {
+    this->context.rests.OnAsked(answering, aFacts.restFor);
     LogEvent(LogLevel::Info, "target_asks_for_rest")
       .With("request", this->call.request)
-      .With("target", aTarget.id)
+      .With("target", answering)
       .With("incarnation", aTarget.incarnation)
       .With("sends", this->plan->Sent())
       .With("sent_before_ms", WholeMilliseconds(this->context.clock.MonotonicNow() - this->sentAt))
@@ -111,7 +119,7 @@
   if (aFacts.leaving) {
     LogEvent(LogLevel::Info, "target_says_leaving")
       .With("request", this->call.request)
-      .With("target", aTarget.id)
+      .With("target", answering)
       .With("incarnation", aTarget.incarnation);
     this->context.metrics.Add(Counter::TargetNotices, MetricKey{ WorkspaceId(), "leaving" }, 1);
   }
@@ -175,6 +183,7 @@
       return HealthSignal::NotReached;
     case AttemptResult::Broken:
       return this->unacknowledged ? HealthSignal::NotReached : HealthSignal::Bad;
+    case AttemptResult::NotSent:
     case AttemptResult::CallerLeft:
     case AttemptResult::Expired:
       return HealthSignal::None;
--- a/test/coordination/ExchangeRetryPolicyTest.cpp
+++ b/test/coordination/ExchangeRetryPolicyTest.cpp
@@ -20,7 +20,7 @@
   ExchangeStep Send(ExchangeRetryPolicy& aPlan, AttemptResult aResult)
   {
     aPlan.Begin(AttemptId("a"), TargetId("t"));
-    if (aResult != AttemptResult::Unreachable) {
+    if (aResult != AttemptResult::Unreachable && aResult != AttemptResult::NotSent) {
       aPlan.Sending();
     }
     return aPlan.After(aResult, kNow, this->budget);
@@ -64,6 +64,21 @@
   EXPECT_EQ(this->Send(plan, AttemptResult::Delivered), ExchangeStep::Done);
 }
 
+TEST_F(ExchangeRetryPolicyTest, AttemptThatWasNotSentIsNoRetryAndNoRun)
+{
+  this->budget = RetryBudget(0, 0);
+  ExchangeRetryPolicy first(MakeLimits(false, 1));
+  for (int attempt = 0; attempt < 10; ++attempt) {
+    EXPECT_EQ(this->Send(first, AttemptResult::NotSent), ExchangeStep::TryAnother);
+  }
+  EXPECT_EQ(first.WithoutTarget(), ExchangeStep::Refuse);
+  this->budget = RetryBudget(0, 1);
+  ExchangeRetryPolicy second(MakeLimits(false, 2));
+  EXPECT_EQ(this->Send(second, AttemptResult::Refused), ExchangeStep::TryAnother);
+  EXPECT_EQ(this->Send(second, AttemptResult::NotSent), ExchangeStep::TryAnother);
+  EXPECT_EQ(this->Send(second, AttemptResult::Delivered), ExchangeStep::Done);
+}
+
 TEST_F(ExchangeRetryPolicyTest, UnreachableTargetsAreLimited)
 {
   ExchangeRetryPolicy plan(MakeLimits(false, 1));
--- a/test/coordination/TargetSelectorTest.cpp
+++ b/test/coordination/TargetSelectorTest.cpp
@@ -39,7 +39,8 @@
   ManualClock clock;
   TargetHealth health{ this->clock, 1 };
   ZoneReachability reach{ this->clock, 1 };
-  TargetSelector picker{ this->health, this->reach, 1 };
+  TargetRestPeriods rests{ this->clock };
+  TargetSelector picker{ this->health, this->reach, this->rests, 1 };
   SelectionRequest request;
   std::vector<TargetRecord> targets{ Target("a", "z"), Target("b", "z"), Target("c", "z") };
 };
@@ -51,6 +52,25 @@
   EXPECT_EQ(this->Choose(), "b");
 }
 
+// Guards against resting targets that are chosen because they look idle, or because all rest.
+TEST_F(TargetSelectorTest, RestingTargetIsNeverChosen)
+{
+  this->AddRequests("b", 3);
+  this->AddRequests("c", 2);
+  this->rests.OnAsked(TargetId("a"), std::chrono::seconds(3));
+  EXPECT_EQ(this->Choose(), "c");
+  for (const char* id : { "b", "c" }) {
+    this->rests.OnAsked(TargetId(id), std::chrono::seconds(5));
+  }
+  this->health.OnEnd(TargetId("b"), HealthSignal::NotReached);
+  this->request.compareAll = true;
+  EXPECT_EQ(this->Choose(), "");
+  this->request.promptTokens = TokenCount();
+  EXPECT_EQ(this->Choose(), "");
+  this->clock.Advance(std::chrono::seconds(3));
+  EXPECT_EQ(this->Choose(), "a");
+}
+
 TEST_F(TargetSelectorTest, CallsWithoutPromptSpreadOverSimilarlyLoadedTargets)
 {
   this->request.promptTokens = TokenCount();
--- a/test/program/ExchangeFixture.h
+++ b/test/program/ExchangeFixture.h
@@ -217,7 +217,8 @@
   ServiceRetryBudgets retries{ RetryAllowance{} };
   TargetHealth health{ this->clock, 1 };
   ZoneReachability reachability{ this->clock, 1 };
-  TargetSelector picker{ this->health, this->reachability, 1 };
+  TargetRestPeriods rests{ this->clock };
+  TargetSelector picker{ this->health, this->reachability, this->rests, 1 };
   TargetConnectionPool pool{ this->clock };
   SlowStoreDetector slowStores{ 1 };
   StartupRetryDelay startupDelay{ 1 };
@@ -246,6 +247,7 @@
                         this->crashFilter,
                         this->interrupted,
                         this->limits,
+                        this->rests,
                         this->clock.MonotonicNow(),
                         nullptr };
   std::thread thread;
--- a/test/program/ExchangeTest.cpp
+++ b/test/program/ExchangeTest.cpp
@@ -211,6 +211,61 @@
   EXPECT_EQ(target.Requests().size(), 1U);
 }
 
+// Guards against a send to a target that asked for rest after it had been chosen.
+TEST_F(ExchangeTest, SendsNothingToTargetThatAskedForRestWhileTheCallConnected)
+{
+  ScriptedTarget rests([](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, Answer(200, "done"));
+    return true;
+  });
+  ScriptedTarget serves([](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, Answer(200, "done"));
+    return true;
+  });
+  this->AddTarget("t1", rests.Address());
+  // Called after the target has been chosen, before the connection is made.
+  this->context.reportLoad = [this, &serves] {
+    this->rests.OnAsked(TargetId("t1"), std::chrono::hours(1));
+    TargetUpdate other = this->targetUpdates.front();
+    other.record.id = TargetId("t2");
+    other.record.endpoint = serves.Address();
+    this->state.Targets().Take(HostId("control"), other);
+  };
+  this->Start();
+  this->Call("/prompts/", "X-Model: m\r\nX-Token-Usage: 2000,1\r\n");
+  EXPECT_NE(this->Receive().find("200 OK"), std::string::npos);
+  EXPECT_TRUE(rests.Requests().empty());
+  EXPECT_EQ(serves.Requests().size(), 1U);
+}
+
+// Guards against an answer of an earlier incarnation that makes the current one rest.
+TEST_F(ExchangeTest, RestThatAnEarlierIncarnationAskedForDoesNotCount)
+{
+  std::atomic<int> calls{ 0 };
+  ScriptedTarget target([&](const std::string&, TcpSocket& aSocket) {
+    if (++calls == 1) {
+      absl::Notification restarted;
+      asio::post(this->loop, [&] {
+        TargetUpdate update = this->targetUpdates.front();
+        update.record.incarnation = Incarnation(2);
+        this->state.Targets().Take(HostId("control"), update);
+        restarted.Notify();
+      });
+      restarted.WaitForNotification();
+      Write(aSocket, RefusalWithRest("3600"));
+    } else {
+      Write(aSocket, Answer(200, "done"));
+    }
+    return true;
+  });
+  this->AddTarget("t", target.Address());
+  this->Start();
+  this->Call("/once/");
+  EXPECT_NE(this->Receive().find("HTTP/1.1 503"), std::string::npos);
+  this->Call("/once/");
+  EXPECT_NE(this->Receive().find("200 OK"), std::string::npos);
+}
+
 // Guards against a target that rejects everything at once attracting calls, since it looks idle.
 TEST_F(ExchangeTest, SendsCallsOfTargetThatAskedForRestElsewhere)
 {
