A target whose answer says that it leaves gets nothing more from this host

The host learned of a departure from the control hosts alone, seconds after the target's own answers said so (Server-Leaving). Such an answer of any status, also the head of a stream, now removes the target from the host's directory: a later announcement of the same incarnation does not bring it back, another id or incarnation starts free. A call that was chosen before and connects meanwhile is sent elsewhere.

--- a/include/damasklink/coordination/TargetDirectory.h
+++ b/include/damasklink/coordination/TargetDirectory.h
@@ -51,7 +51,8 @@
   // The zone is then more likely to be unreachable than its targets to have ended.
   bool IsMostlySilent(const ZoneId& aZone) const;
 
-  // Removes a target because another one answered at its address.
+  // Removes a target because another one answered at its address, or because it said in an answer
+  // that it leaves.
   void MarkRemoved(const TargetId& aTarget);
 
   // Sets the evacuated availability zones, whose targets get no work. Zones that are no longer in
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -280,7 +280,7 @@
     co_return this->ResultOfInterrupt();
   }
   // An answer to another call may have arrived while this one was connecting.
-  if (this->context.rests.IsResting(aTarget.id)) {
+  if (!this->StillTakesCalls(aTarget.id)) {
     co_return AttemptResult::NotSent;
   }
   this->plan->Sending();
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -116,7 +116,9 @@
       .With("rest_ms", WholeMilliseconds(aFacts.restFor));
     this->context.metrics.Add(Counter::TargetNotices, MetricKey{ WorkspaceId(), "rest" }, 1);
   }
+  // Announcements of the target may still say otherwise: they take longer to arrive here.
   if (aFacts.leaving) {
+    this->context.state.Targets().MarkRemoved(answering);
     LogEvent(LogLevel::Info, "target_says_leaving")
       .With("request", this->call.request)
       .With("target", answering)
--- a/src/program/ExchangeRouting.cpp
+++ b/src/program/ExchangeRouting.cpp
@@ -168,6 +168,13 @@
   return this->overloaded ? nullptr : chosen;
 }
 
+bool
+Exchange::StillTakesCalls(const TargetId& aTarget) const
+{
+  const bool known = this->context.state.Targets().Find(aTarget) != nullptr;
+  return known && !this->context.rests.IsResting(aTarget);
+}
+
 // Returns whether the target is expected to serve the call in time, with the weights that it has.
 bool
 Exchange::CanServeInTime(const TargetRecord& aTarget)
--- a/test/program/ExchangeFixture.h
+++ b/test/program/ExchangeFixture.h
@@ -3,6 +3,7 @@
 
 #include <thread>
 
+#include <absl/synchronization/notification.h>
 #include <gtest/gtest.h>
 
 #include "damasklink/state/Metrics.h"
@@ -143,6 +144,23 @@
            "}]}";
   }
 
+  // Runs the function on the event loop's thread and waits for its end.
+  void OnLoop(const std::function<void()>& aFunction)
+  {
+    absl::Notification done;
+    asio::post(this->loop, [&] {
+      aFunction();
+      done.Notify();
+    });
+    done.WaitForNotification();
+  }
+
+  // Applies the report of a target by the control host while the loop runs.
+  void TakeUpdate(const TargetUpdate& aUpdate)
+  {
+    this->OnLoop([&] { this->state.Targets().Take(HostId("control"), aUpdate); });
+  }
+
   Awaitable<void> Serve()
   {
     auto [error, socket] = co_await this->acceptor.async_accept(kAsValue);
--- a/test/program/ExchangeTest.cpp
+++ b/test/program/ExchangeTest.cpp
@@ -244,14 +244,9 @@
   std::atomic<int> calls{ 0 };
   ScriptedTarget target([&](const std::string&, TcpSocket& aSocket) {
     if (++calls == 1) {
-      absl::Notification restarted;
-      asio::post(this->loop, [&] {
-        TargetUpdate update = this->targetUpdates.front();
-        update.record.incarnation = Incarnation(2);
-        this->state.Targets().Take(HostId("control"), update);
-        restarted.Notify();
-      });
-      restarted.WaitForNotification();
+      TargetUpdate restarted = this->targetUpdates.front();
+      restarted.record.incarnation = Incarnation(2);
+      this->TakeUpdate(restarted);
       Write(aSocket, RefusalWithRest("3600"));
     } else {
       Write(aSocket, Answer(200, "done"));
@@ -303,6 +298,48 @@
   EXPECT_EQ(target.Requests().size(), 1U);
 }
 
+// As above, in refusals: the target did not run the call, and another one gets it.
+TEST_F(ExchangeTest, SendsNothingToTargetThatSaidThatItLeavesInARefusal)
+{
+  for (const int status : { 421, 429, 503 }) {
+    ScriptedTarget leaves([status](const std::string&, TcpSocket& aSocket) {
+      Write(aSocket, Answer(status, "", "X-Not-Executed: 1\r\nServer-Leaving: 1\r\n"));
+      return true;
+    });
+    const std::string id = "t" + std::to_string(status);
+    this->AddTarget(id, leaves.Address());
+    if (!this->thread.joinable()) {
+      this->Start();
+    } else {
+      this->TakeUpdate(this->targetUpdates.back());
+    }
+    this->Call("/once/");
+    EXPECT_NE(this->Receive().find("HTTP/1.1 503"), std::string::npos);
+    this->Call("/once/");
+    EXPECT_NE(this->Receive().find("HTTP/1.1 503"), std::string::npos);
+    EXPECT_EQ(leaves.Requests().size(), 1U) << status;
+  }
+}
+
+// Guards against a late announcement that makes a target ready again after it said that it leaves.
+TEST_F(ExchangeTest, LaterAnnouncementDoesNotBringALeavingTargetBack)
+{
+  ScriptedTarget target([](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, Answer(200, "done", "Server-Leaving: 1\r\n"));
+    return true;
+  });
+  this->AddTarget("t", target.Address());
+  this->Start();
+  this->Call("/once/");
+  EXPECT_NE(this->Receive().find("200 OK"), std::string::npos);
+  TargetUpdate announced = this->targetUpdates.front();
+  announced.record.sequence = Sequence(2);
+  this->TakeUpdate(announced);
+  this->Call("/once/");
+  EXPECT_NE(this->Receive().find("HTTP/1.1 503"), std::string::npos);
+  EXPECT_EQ(target.Requests().size(), 1U);
+}
+
 // As above, with a stream that goes on for long after its head.
 TEST_F(ExchangeTest, SendsNothingToTargetThatSaidThatItLeavesInTheHeadOfAStream)
 {
@@ -317,12 +354,7 @@
   this->Start();
   this->Call("/stream/");
   EXPECT_NE(this->ReceiveUpTo("data: a").find("200 OK"), std::string::npos);
-  absl::Notification checked;
-  asio::post(this->loop, [&] {
-    EXPECT_TRUE(this->state.Targets().Usable(testing::kService).empty());
-    checked.Notify();
-  });
-  checked.WaitForNotification();
+  this->OnLoop([this] { EXPECT_TRUE(this->state.Targets().Usable(testing::kService).empty()); });
 }
 
 TEST_F(ExchangeTest, RetriesCallThatTargetDidNotRun)
