Rests and departures are kept by incarnation

An answer of an earlier incarnation must neither make a target rest nor remove it; the check stood in Exchange for one of the two. TargetRestPeriods compares incarnations itself, as TargetRateLimiter does. An answer that another target gives at the address speaks of that target.

--- a/src/coordination/TargetSelector.cpp
+++ b/src/coordination/TargetSelector.cpp
@@ -65,7 +65,8 @@
   for (const TargetRecord& target : aTargets) {
     const bool tooOld = anyNewEnough && !isNewEnough(target);
     if (tooOld || aRequest.excluded.contains(target.id) ||
-        aRequest.rateLimited.contains(target.id) || this->rests.IsResting(target.id)) {
+        aRequest.rateLimited.contains(target.id) ||
+        this->rests.IsResting(target.id, target.incarnation)) {
       continue;
     }
     if (this->reach.IsUnreachable(target.zone)) {
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -523,7 +523,6 @@
     this->picker.OnRestart(target);
     this->health.OnRestart(target.id);
     this->limits.OnRestart(target.id);
-    this->rests.OnRestart(target.id);
   }
   this->ApplyColdStarts(aUpdate.targets);
   this->ApplyEvacuations();
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -280,7 +280,7 @@
     co_return this->ResultOfInterrupt();
   }
   // An answer to another call may have arrived while this one was connecting.
-  if (!this->StillTakesCalls(aTarget.id)) {
+  if (!this->StillTakesCalls(aTarget)) {
     co_return AttemptResult::NotSent;
   }
   this->plan->Sending();
@@ -450,7 +450,7 @@
   std::optional<Duration> shortest;
   for (const TargetRecord& target : this->Targets()) {
     if (WeightsOf(target, this->call.model) >= this->selection.minWeights) {
-      const Duration rest = this->context.rests.Remaining(target.id);
+      const Duration rest = this->context.rests.Remaining(target.id, target.incarnation);
       shortest = std::min(shortest.value_or(rest), rest);
     }
   }
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -129,7 +129,7 @@
   // Sets the targets of the service that this host has no rate permit for at the moment.
   void UpdateRateLimited();
   // Returns whether the target has neither left nor asked for rest since it was chosen.
-  bool StillTakesCalls(const TargetId& aTarget) const;
+  bool StillTakesCalls(const TargetRecord& aTarget) const;
   // Returns the time until one of the targets that the call may begin on has rested; zero if one of
   // them does not rest.
   Duration TimeUntilRested();
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -98,32 +98,33 @@
 void
 Exchange::ObserveNotices(const TargetRecord& aTarget, const TargetResponseInfo& aFacts)
 {
-  // Another target may have answered at the address.
-  const TargetId& answering = aFacts.target.Empty() ? aTarget.id : aFacts.target;
-  const TargetRecord* current = this->context.state.Targets().Find(answering);
-  const bool restarted = current != nullptr && current->incarnation > aTarget.incarnation;
-  if (restarted && answering == aTarget.id) {
+  const bool ofAnother = !aFacts.target.Empty() && aFacts.target != aTarget.id;
+  const TargetRecord* current =
+    this->context.state.Targets().Find(ofAnother ? aFacts.target : aTarget.id);
+  if (current == nullptr) {
+    // It has left, or was never announced here.
     return;
   }
+  const Incarnation incarnation = ofAnother ? current->incarnation : aTarget.incarnation;
   if (aFacts.restFor > Duration::zero()) {
-    this->context.rests.OnAsked(answering, aFacts.restFor);
+    this->context.rests.OnAsked(current->id, incarnation, aFacts.restFor);
     LogEvent(LogLevel::Info, "target_asks_for_rest")
       .With("request", this->call.request)
-      .With("target", answering)
-      .With("incarnation", aTarget.incarnation)
+      .With("target", current->id)
+      .With("incarnation", incarnation)
       .With("sends", this->plan->Sent())
       .With("sent_before_ms", WholeMilliseconds(this->context.clock.MonotonicNow() - this->sentAt))
       .With("rest_ms", WholeMilliseconds(aFacts.restFor));
     this->context.metrics.Add(Counter::TargetNotices, MetricKey{ WorkspaceId(), "rest" }, 1);
   }
   // Announcements of the target may still say otherwise: they take longer to arrive here.
-  if (aFacts.leaving) {
-    this->context.state.Targets().MarkRemoved(answering);
+  if (aFacts.leaving && incarnation >= current->incarnation) {
     LogEvent(LogLevel::Info, "target_says_leaving")
       .With("request", this->call.request)
-      .With("target", answering)
-      .With("incarnation", aTarget.incarnation);
+      .With("target", current->id)
+      .With("incarnation", incarnation);
     this->context.metrics.Add(Counter::TargetNotices, MetricKey{ WorkspaceId(), "leaving" }, 1);
+    this->context.state.Targets().MarkRemoved(TargetId(current->id));
   }
 }
 
--- a/src/program/ExchangeRouting.cpp
+++ b/src/program/ExchangeRouting.cpp
@@ -169,10 +169,10 @@
 }
 
 bool
-Exchange::StillTakesCalls(const TargetId& aTarget) const
+Exchange::StillTakesCalls(const TargetRecord& aTarget) const
 {
-  const bool known = this->context.state.Targets().Find(aTarget) != nullptr;
-  return known && !this->context.rests.IsResting(aTarget);
+  const bool known = this->context.state.Targets().Find(aTarget.id) != nullptr;
+  return known && !this->context.rests.IsResting(aTarget.id, aTarget.incarnation);
 }
 
 // Returns whether the target is expected to serve the call in time, with the weights that it has.
--- a/test/coordination/TargetSelectorTest.cpp
+++ b/test/coordination/TargetSelectorTest.cpp
@@ -57,10 +57,10 @@
 {
   this->AddRequests("b", 3);
   this->AddRequests("c", 2);
-  this->rests.OnAsked(TargetId("a"), std::chrono::seconds(3));
+  this->rests.OnAsked(TargetId("a"), Incarnation(), std::chrono::seconds(3));
   EXPECT_EQ(this->Choose(), "c");
   for (const char* id : { "b", "c" }) {
-    this->rests.OnAsked(TargetId(id), std::chrono::seconds(5));
+    this->rests.OnAsked(TargetId(id), Incarnation(), std::chrono::seconds(5));
   }
   this->health.OnEnd(TargetId("b"), HealthSignal::NotReached);
   this->request.compareAll = true;
--- a/test/program/ExchangeTest.cpp
+++ b/test/program/ExchangeTest.cpp
@@ -225,7 +225,7 @@
   this->AddTarget("t1", rests.Address());
   // Called after the target has been chosen, before the connection is made.
   this->context.reportLoad = [this, &serves] {
-    this->rests.OnAsked(TargetId("t1"), std::chrono::hours(1));
+    this->rests.OnAsked(TargetId("t1"), Incarnation(), std::chrono::hours(1));
     TargetUpdate other = this->targetUpdates.front();
     other.record.id = TargetId("t2");
     other.record.endpoint = serves.Address();
