Control hosts send nothing to an engine that asked them for rest

RolloutExecutor now keeps rests too; an engine that rests counts as one that did not answer, so the plan comes back to it.

--- a/include/damasklink/coordination/WeightRollout.h
+++ b/include/damasklink/coordination/WeightRollout.h
@@ -67,6 +67,7 @@
 struct ReadEngine
 {
   TargetId target;
+  Incarnation incarnation;
   Endpoint endpoint;
 };
 
@@ -75,6 +76,7 @@
 struct OrderWeights
 {
   TargetId target;
+  Incarnation incarnation;
   Endpoint endpoint;
   ModelName model;
   std::uint64_t version = 0;
--- a/include/damasklink/protocol/ServingDialect.h
+++ b/include/damasklink/protocol/ServingDialect.h
@@ -231,6 +231,9 @@
   // Asks an engine for its report.
   virtual HttpRequestMessage ReportRequest(const ReadEngine& aEngine) const = 0;
   virtual Result<EngineReport> ReadReport(std::string_view aBody) const = 0;
+  // Returns how long the engine that responded wants no requests from this host; zero if it does
+  // not ask for that. Fails with InvalidArgument if the field cannot be read.
+  virtual Result<Duration> ReadRest(const HttpResponseHead& aHead) const = 0;
   // Orders an engine to load weights. Runs in progress continue with the new weights. Until the
   // order is complete, the engine refuses requests that have not started.
   virtual HttpRequestMessage OrderRequest(const WeightsOrder& aOrder) const = 0;
--- a/src/coordination/WeightRollout.cpp
+++ b/src/coordination/WeightRollout.cpp
@@ -65,7 +65,7 @@
       }
       if (!inProgress) {
         update.startedAt = now;
-        actions.push_back(ReadEngine{ engine->id, engine->endpoint });
+        actions.push_back(ReadEngine{ engine->id, engine->incarnation, engine->endpoint });
       } else if (auto action = this->Advance(*engine, update)) {
         actions.push_back(std::move(*action));
       }
@@ -129,9 +129,8 @@
       }
       aUpdate.stage = Stage::Ordering;
       aUpdate.orderedAt = now;
-      return OrderWeights{
-        aEngine.id, aEngine.endpoint, aUpdate.model, aUpdate.version, aUpdate.report.ordersAccepted
-      };
+      return OrderWeights{ aEngine.id,    aEngine.incarnation, aEngine.endpoint,
+                           aUpdate.model, aUpdate.version,     aUpdate.report.ordersAccepted };
     }
     case Stage::Ordered:
       break;
@@ -141,7 +140,7 @@
   }
   aUpdate.stage = Stage::Reading;
   aUpdate.nextRead = now + this->options.reportInterval;
-  return ReadEngine{ aEngine.id, aEngine.endpoint };
+  return ReadEngine{ aEngine.id, aEngine.incarnation, aEngine.endpoint };
 }
 
 void
--- a/src/program/RolloutExecutor.cpp
+++ b/src/program/RolloutExecutor.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "damasklink/state/Units.h"
 #include "damasklink/transport/Log.h"
 #include "damasklink/transport/TargetConnection.h"
 
@@ -25,6 +26,7 @@
   , dialect(aDialect)
   , authority(std::move(aAuthority))
   , rollout(aClock, aOptions)
+  , rests(aClock)
 {
 }
 
@@ -33,6 +35,7 @@
                       const std::vector<TargetRecord>& aEngines)
 {
   const bool leaseHeld = this->authority().leaseHeld;
+  this->rests.RemoveExpired();
   for (RolloutAction& action : this->rollout.Plan(leaseHeld, aDesired, aEngines)) {
     if (auto* read = std::get_if<ReadEngine>(&action)) {
       asio::co_spawn(this->loop, this->Read(std::move(*read)), asio::detached);
@@ -46,7 +49,13 @@
 Awaitable<void>
 RolloutExecutor::Read(ReadEngine aEngine)
 {
+  // The plan reads it again at its next interval.
+  if (this->rests.IsResting(aEngine.target, aEngine.incarnation)) {
+    this->rollout.OnReport(aEngine.target, std::nullopt);
+    co_return;
+  }
   auto answer = co_await this->Call(aEngine.endpoint, this->dialect.ReportRequest(aEngine));
+  this->ObserveRest(aEngine.target, aEngine.incarnation, answer);
   std::optional<EngineReport> report;
   if (answer && answer.value().head.status == 200) {
     auto read = this->dialect.ReadReport(answer.value().body);
@@ -65,12 +74,13 @@
 RolloutExecutor::Order(OrderWeights aOrder)
 {
   const OrderAuthority now = this->authority();
-  if (!now.leaseHeld) {
+  if (!now.leaseHeld || this->rests.IsResting(aOrder.target, aOrder.incarnation)) {
     this->rollout.OnOrdered(aOrder.target);
     co_return;
   }
   const WeightsOrder order{ aOrder, now.holder, now.fencing };
   auto answer = co_await this->Call(aOrder.endpoint, this->dialect.OrderRequest(order));
+  this->ObserveRest(aOrder.target, aOrder.incarnation, answer);
   LogEvent(LogLevel::Info, "weights_ordered")
     .With("target", aOrder.target)
     .With("model", aOrder.model)
@@ -108,4 +118,28 @@
   co_return answer;
 }
 
+void
+RolloutExecutor::ObserveRest(const TargetId& aTarget,
+                             Incarnation aIncarnation,
+                             const Result<HttpResponseMessage>& aAnswer)
+{
+  if (!aAnswer) {
+    return;
+  }
+  const auto rest = this->dialect.ReadRest(aAnswer.value().head);
+  if (!rest) {
+    LogEvent(LogLevel::Warning, "target_answer_unreadable")
+      .With("target", aTarget)
+      .With("error", rest.error());
+    return;
+  }
+  if (rest.value() > Duration::zero()) {
+    this->rests.OnAsked(aTarget, aIncarnation, rest.value());
+    LogEvent(LogLevel::Info, "target_asks_for_rest")
+      .With("target", aTarget)
+      .With("incarnation", aIncarnation)
+      .With("rest_ms", WholeMilliseconds(rest.value()));
+  }
+}
+
 } // namespace damasklink
--- a/src/program/RolloutExecutor.h
+++ b/src/program/RolloutExecutor.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <vector>
 
+#include "damasklink/coordination/TargetRestPeriods.h"
 #include "damasklink/coordination/WeightRollout.h"
 #include "damasklink/protocol/ServingDialect.h"
 #include "damasklink/transport/EventLoop.h"
@@ -45,12 +46,16 @@
   Awaitable<void> Read(ReadEngine aEngine);
   Awaitable<void> Order(OrderWeights aOrder);
   Awaitable<Result<HttpResponseMessage>> Call(Endpoint aEndpoint, HttpRequestMessage aMessage);
+  void ObserveRest(const TargetId& aTarget,
+                   Incarnation aIncarnation,
+                   const Result<HttpResponseMessage>& aAnswer);
 
   asio::io_context& loop;
   const Clock& clock;
   const EngineDialect& dialect;
   std::function<OrderAuthority()> authority;
   WeightRollout rollout;
+  TargetRestPeriods rests;
 };
 
 } // namespace damasklink
