A target's own failure is passed on when no other target takes the call

A call that a target answered with a failure and that found no second target, or one that refused, ended in a 502 of this host: a ready answer was withheld. Rests make that more frequent, since all other targets may rest. ExchangeRetryPolicy now passes on the answer that it has; at the deadline it still says so.

Evidence: the new test failed before (Fail instead of PassOn in two of its three cases) and passes.

--- a/include/damasklink/coordination/ExchangeRetryPolicy.h
+++ b/include/damasklink/coordination/ExchangeRetryPolicy.h
@@ -106,6 +106,8 @@
   std::uint64_t sent = 0;
   std::uint64_t unreachable = 0;
   bool passedOn = false;
+  // Whether a target has answered with a failure, which the caller may still get.
+  bool targetFailed = false;
 };
 
 } // namespace damasklink
--- a/src/coordination/ExchangeRetryPolicy.cpp
+++ b/src/coordination/ExchangeRetryPolicy.cpp
@@ -79,6 +79,8 @@
       this->record.Advance(AttemptStage::Refused);
       break;
     case AttemptResult::Failed:
+      this->targetFailed = true;
+      [[fallthrough]];
     case AttemptResult::Broken:
       this->record.Advance(AttemptStage::Lost);
       break;
@@ -126,7 +128,10 @@
   if (this->CertainlyNotRun()) {
     return ExchangeStep::Refuse;
   }
-  return aResult == AttemptResult::Expired ? ExchangeStep::Expire : ExchangeStep::Fail;
+  if (aResult == AttemptResult::Expired) {
+    return ExchangeStep::Expire;
+  }
+  return this->targetFailed ? ExchangeStep::PassOn : ExchangeStep::Fail;
 }
 
 bool
--- a/test/coordination/ExchangeRetryPolicyTest.cpp
+++ b/test/coordination/ExchangeRetryPolicyTest.cpp
@@ -79,6 +79,20 @@
   EXPECT_EQ(this->Send(second, AttemptResult::Delivered), ExchangeStep::Done);
 }
 
+// Guards against a target's own answer that is replaced by a failure of this host.
+TEST_F(ExchangeRetryPolicyTest, FailureOfTargetIsPassedOnWhenNoOtherTargetAnswers)
+{
+  ExchangeRetryPolicy withoutTarget(MakeLimits(true, 2));
+  EXPECT_EQ(this->Send(withoutTarget, AttemptResult::Failed), ExchangeStep::TryAnother);
+  EXPECT_EQ(withoutTarget.WithoutTarget(), ExchangeStep::PassOn);
+  ExchangeRetryPolicy refused(MakeLimits(true, 2));
+  EXPECT_EQ(this->Send(refused, AttemptResult::Failed), ExchangeStep::TryAnother);
+  EXPECT_EQ(this->Send(refused, AttemptResult::Refused), ExchangeStep::PassOn);
+  ExchangeRetryPolicy expired(MakeLimits(true, 2));
+  EXPECT_EQ(this->Send(expired, AttemptResult::Failed), ExchangeStep::TryAnother);
+  EXPECT_EQ(this->Send(expired, AttemptResult::Expired), ExchangeStep::Expire);
+}
+
 TEST_F(ExchangeRetryPolicyTest, UnreachableTargetsAreLimited)
 {
   ExchangeRetryPolicy plan(MakeLimits(false, 1));
