Failing test: all targets are encoded anew for each host that connects

The test connects 150 hosts while targets are heard for the first time: 150 encodings on this code, where 2 are allowed.

--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -144,9 +144,9 @@
   HostRegistry hosts{ this->settings.host, this->settings.zone };
   CrashRegistry crashes{ this->clock };
   RefusalProposer refusals{ this->loop, this->group, this->crashes };
-  ServingUpdatePublisher publisher{ this->clock,   this->settings, this->group,
-                                    this->stores,  this->tracker,  this->hosts,
-                                    this->crashes, this->mesh,     this->account };
+  ServingUpdatePublisher publisher{ this->clock,   this->settings, this->group,   this->stores,
+                                    this->tracker, this->hosts,    this->crashes, this->mesh,
+                                    this->metrics, this->account };
   MetricsServer metricsPage{ this->loop, this->metrics, this->settings.host };
   ControlCallHandler calls;
   ConnectionListener callers{ this->loop };
--- a/src/program/ServingUpdatePublisher.cpp
+++ b/src/program/ServingUpdatePublisher.cpp
@@ -35,6 +35,7 @@
                                                HostRegistry& aHosts,
                                                CrashRegistry& aCrashes,
                                                PeerMesh& aMesh,
+                                               Metrics& aMetrics,
                                                WorkStatistics& aAccount)
   : clock(aClock)
   , settings(aSettings)
@@ -44,6 +45,7 @@
   , hosts(aHosts)
   , crashes(aCrashes)
   , mesh(aMesh)
+  , metrics(aMetrics)
   , account(aAccount)
   , startedAt(aClock.MonotonicNow())
 {
@@ -182,7 +184,7 @@
 void
 ServingUpdatePublisher::SendAllTargets(const HostId& aHost)
 {
-  const WorkTimer timer(this->account, Work::Pictures);
+  const WorkTimer timer(this->account, Work::Snapshots);
   const ServingUpdate base = this->MakeBaseUpdate();
   const std::uint64_t revision = this->tracker.ChangeCount();
   const bool current = base == this->allTargetsBase && revision == this->allTargetsRevision;
@@ -192,8 +194,9 @@
     this->allTargets = EncodeCompressed(all);
     this->allTargetsBase = base;
     this->allTargetsRevision = revision;
+    this->metrics.Add(Counter::SnapshotsEncoded, MetricKey{}, 1);
   }
-  this->Send(Work::Pictures, aHost, this->allTargets);
+  this->Send(Work::Snapshots, aHost, this->allTargets);
 }
 
 // An entry host gets stored parts only from the control host to which it reports: they change a
--- a/src/program/ServingUpdatePublisher.h
+++ b/src/program/ServingUpdatePublisher.h
@@ -37,6 +37,7 @@
                          HostRegistry& aHosts,
                          CrashRegistry& aCrashes,
                          PeerMesh& aMesh,
+                         Metrics& aMetrics,
                          WorkStatistics& aAccount);
 
   // Sends what has changed of targets and hosts since the last call.
@@ -97,6 +98,7 @@
   HostRegistry& hosts;
   CrashRegistry& crashes;
   PeerMesh& mesh;
+  Metrics& metrics;
   WorkStatistics& account;
   LoadReportAggregator sends;
   DocumentPublisher document;
--- a/src/program/WorkStatistics.cpp
+++ b/src/program/WorkStatistics.cpp
@@ -50,6 +50,8 @@
       return "heartbeats";
     case Work::Pictures:
       return "pictures";
+    case Work::Snapshots:
+      return "snapshots";
     case Work::Documents:
       return "documents";
     case Work::Loads:
--- a/src/program/WorkStatistics.h
+++ b/src/program/WorkStatistics.h
@@ -29,6 +29,7 @@
   Agreement,   // The replicated log.
   Heartbeats,  // Requests of targets and operators to the control address.
   Pictures,    // Updates about targets, weights and the announced configuration.
+  Snapshots,   // Updates about all targets, for hosts that connect.
   Documents,   // Chunks of the configuration.
   Loads,       // Load reports of entry hosts and other control hosts.
   Totals,      // The sums of these reports, sent to entry hosts.
--- a/src/protocol/MetricsText.cpp
+++ b/src/protocol/MetricsText.cpp
@@ -119,6 +119,8 @@
       return "damasklink_evacuations_total";
     case Counter::TargetNotices:
       return "damasklink_target_notices_total";
+    case Counter::SnapshotsEncoded:
+      return "damasklink_snapshots_encoded_total";
   }
   return "damasklink_unnamed_total";
 }
