Hosts that connect shortly after each other share one encoding of all targets

At 300 machines control hosts did not recover after a zone or all hosts had started again, and operators read back no configuration. Each host that connected cost an encoding of all targets (25 to 50 ms at 3,000 targets on 0.3 of a core) as long as any target changed in between, which is always so while targets start. Hosts gave up after 1.7 s without a word and connected again; the work for those that had gone kept the rest waiting.

A control host now encodes all targets at most once in 100 ms; hosts that connect meanwhile get the same message with the next publication, before anything else, and one that is lost meanwhile gets none. A host that connects alone gets it at once, as before.

--- a/src/program/ServingUpdatePublisher.cpp
+++ b/src/program/ServingUpdatePublisher.cpp
@@ -17,6 +17,11 @@
 // that the other control hosts give to theirs.
 constexpr Duration kRegistrySettleTime = std::chrono::milliseconds(1000);
 
+// Minimum interval between two encodings of all targets. With thousands of targets one takes tens
+// of milliseconds, and targets change all the time while they start: if each of hundreds of hosts
+// that connect after a fault cost one, they would hear nothing in time, give up and connect again.
+constexpr Duration kMinSnapshotInterval = std::chrono::milliseconds(100);
+
 bool
 HasAnything(const LoadReport& aReport)
 {
@@ -54,6 +59,7 @@
 void
 ServingUpdatePublisher::PublishChanges()
 {
+  this->SendPendingSnapshots();
   const WorkTimer timer(this->account, Work::Pictures);
   ServingUpdate changes = this->MakeBaseUpdate();
   changes.targets = this->tracker.TakeChanges();
@@ -114,6 +120,7 @@
 void
 ServingUpdatePublisher::PublishGroupState()
 {
+  this->SendPendingSnapshots();
   const WorkTimer timer(this->account, Work::Pictures);
   this->document.Publish(this->group.State().Version(), this->group.State().Document());
   ServingUpdate update = this->MakeBaseUpdate();
@@ -174,9 +181,34 @@
 void
 ServingUpdatePublisher::SendSnapshot(const HostId& aEntryHost)
 {
-  // Targets go first: an entry host accepts calls as soon as it has a configuration.
-  this->SendAllTargets(aEntryHost);
-  this->EncodeAndSend(Work::Pictures, aEntryHost, this->MakeStateUpdate());
+  this->pendingSnapshots.insert(aEntryHost);
+  if (this->clock.MonotonicNow() - this->snapshotsSentAt >= kMinSnapshotInterval) {
+    this->SendPendingSnapshots();
+  }
+}
+
+// Must be called before anything else is sent to all entry hosts: a host that has not got all
+// targets would take the first update for everything that this control host knows.
+void
+ServingUpdatePublisher::SendPendingSnapshots()
+{
+  if (this->pendingSnapshots.empty()) {
+    return;
+  }
+  const std::string state = EncodeServingMessage(this->MakeStateUpdate());
+  for (const HostId& host : std::exchange(this->pendingSnapshots, {})) {
+    // Targets go first: an entry host accepts calls as soon as it has a configuration.
+    this->SendAllTargets(host);
+    this->Send(Work::Pictures, host, state);
+  }
+  this->snapshotsSentAt = this->clock.MonotonicNow();
+}
+
+void
+ServingUpdatePublisher::OnLost(const HostId& aHost)
+{
+  this->pendingSnapshots.erase(aHost);
+  this->sends.Remove(aHost);
 }
 
 // The cached message may lack heartbeats that changed nothing; it is made again after the next
--- a/src/program/ServingUpdatePublisher.h
+++ b/src/program/ServingUpdatePublisher.h
@@ -56,7 +56,8 @@
   // Sends a greeting and the state of this host to a control host that has just connected.
   void SendGreeting(const HostId& aPeer);
 
-  // Sends everything but stored parts to an entry host that has just connected.
+  // Sends everything but stored parts to an entry host that has just connected. Hosts that connect
+  // shortly after another one get it with the next PublishChanges(), all the same message.
   void SendSnapshot(const HostId& aEntryHost);
 
   // Processes the load report of an entry host, or the sum of another control host.
@@ -70,12 +71,13 @@
   bool HasUrgentReport() const { return this->urgentPending; }
 
   // The connection of a host to this one is lost.
-  void OnLost(const HostId& aHost) { this->sends.Remove(aHost); }
+  void OnLost(const HostId& aHost);
 
 private:
   ServingUpdate MakeBaseUpdate() const;
   ServingUpdate MakeStateUpdate() const;
   void SendAllStores(const HostId& aEntryHost);
+  void SendPendingSnapshots();
   void SendAllTargets(const HostId& aHost);
   void EncodeAndSend(Work aWork, const HostId& aTo, const ServingMessage& aMessage);
   void SendToEntryHosts(Work aWork, const ServingMessage& aMessage);
@@ -110,6 +112,9 @@
   // The encoded update of all targets for hosts that connect, and what it was made from. It is kept
   // since hundreds of hosts may connect at once, and each gets the same.
   std::string allTargets;
+  // Connected entry hosts that still need a snapshot, and when the last snapshots were sent.
+  std::set<HostId> pendingSnapshots;
+  MonotonicTime snapshotsSentAt;
   ServingUpdate allTargetsBase;
   std::uint64_t allTargetsRevision = 0;
   // What was last sent to entry hosts.
--- a/test/program/ServingUpdatePublisherTest.cpp
+++ b/test/program/ServingUpdatePublisherTest.cpp
@@ -98,5 +98,24 @@
   EXPECT_EQ(this->SnapshotsSent(), kHosts);
 }
 
+TEST_F(ServingUpdatePublisherTest, SingleHostGetsItsSnapshotAtOnce)
+{
+  this->Connect(1);
+  EXPECT_EQ(this->SnapshotsSent(), 1U);
+  this->clock.Advance(std::chrono::seconds(1));
+  this->Connect(2);
+  EXPECT_EQ(this->SnapshotsSent(), 2U);
+}
+
+// Guards against work for hosts that have given up and will connect again.
+TEST_F(ServingUpdatePublisherTest, HostThatWasLostGetsNoSnapshot)
+{
+  this->Connect(1);
+  this->Connect(2);
+  this->publisher.OnLost(HostId("10.1.0.2"));
+  this->publisher.PublishChanges();
+  EXPECT_EQ(this->SnapshotsSent(), 1U);
+}
+
 } // namespace
 } // namespace damasklink
