Heartbeats of a cold target change nothing until it becomes cold again

Each heartbeat of a cold target names a shorter time, which counted as a change: it was published to all entry hosts, and the message about all targets was encoded anew for the next host that connected. When a zone returns, a thousand targets are cold for some heartbeats. Entry hosts count the time down by themselves, and control hosts take the end of the cold time from the heartbeat, not from the published change.

Evidence: the new test failed before (a change with each heartbeat) and passes.

--- a/src/program/TargetTracker.cpp
+++ b/src/program/TargetTracker.cpp
@@ -125,6 +125,10 @@
     // Sequence and load differ in each heartbeat and are not published by themselves.
     before.record.sequence = record->sequence;
     before.record.load = record->load;
+    // Entry hosts count down the cold period by themselves.
+    if (record->coldFor <= before.record.coldFor) {
+      before.record.coldFor = record->coldFor;
+    }
     if (update == before) {
       continue;
     }
--- a/test/program/TargetTrackerTest.cpp
+++ b/test/program/TargetTrackerTest.cpp
@@ -34,6 +34,27 @@
   EXPECT_TRUE(this->tracker.TakeChanges().empty());
 }
 
+// Guards against a change of every cold target with each of its heartbeats.
+TEST_F(TargetTrackerTest, HeartbeatsOfAColdTargetAreNoChangeWhileItWarmsUp)
+{
+  TargetRecord cold = Record("t", 1);
+  cold.coldFor = std::chrono::milliseconds(2900);
+  this->tracker.OnHeartbeat(cold);
+  ASSERT_EQ(this->tracker.TakeChanges().size(), 1U);
+  for (std::uint64_t sequence = 2; sequence <= 4; ++sequence) {
+    cold.sequence = Sequence(sequence);
+    cold.coldFor -= std::chrono::milliseconds(960);
+    this->tracker.OnHeartbeat(cold);
+    EXPECT_TRUE(this->tracker.TakeChanges().empty());
+  }
+  this->tracker.OnHeartbeat(Record("t", 5));
+  EXPECT_TRUE(this->tracker.TakeChanges().empty());
+  cold.sequence = Sequence(6);
+  cold.coldFor = std::chrono::milliseconds(2900);
+  this->tracker.OnHeartbeat(cold);
+  EXPECT_EQ(this->tracker.TakeChanges().size(), 1U);
+}
+
 TEST_F(TargetTrackerTest, SilenceIsAChange)
 {
   this->tracker.OnHeartbeat(Record("t", 1));
