--- a/test/soak/resting_targets.py
+++ b/test/soak/resting_targets.py
@@ -14,7 +14,7 @@
 import collections
 import sys
 
-from soak import Soak, soak_one
+from soak import ENTRIES, Soak, soak_one
 
 WAVES = 3
 # Requests that are under way when the target answers may still arrive, and two more.
@@ -160,6 +160,7 @@
     parser.add_argument("--build", default="build", help="folder with the binary")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", help="FIRST-LAST instead of one seed")
+    parser.add_argument("--entries", type=int, default=ENTRIES, help="number of entry hosts, 200 at most")
     parser.add_argument("--waves", choices=("rest", "leaving", "both"), default="both")
     options = parser.parse_args()
     options.seconds = 0
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -155,7 +155,7 @@
         self.controls = []
         for number in range(CONTROLS):
             self.controls.append(Host("control", number, self))
-        self.entries = [Host("entry", number, self) for number in range(ENTRIES)]
+        self.entries = [Host("entry", number, self) for number in range(getattr(options, "entries", ENTRIES))]
         addresses = [(host.ip, self.port) for host in self.controls]
         self.targets = [
             Target(service, ZONES[number % 3], self.ledger, addresses, seed * 100 + number)
@@ -515,6 +515,7 @@
     parser.add_argument("--seconds", type=float, default=20, help="how long faults go on")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", help="FIRST-LAST instead of one seed")
+    parser.add_argument("--entries", type=int, default=ENTRIES, help="number of entry hosts, 200 at most")
     options = parser.parse_args()
     first, last = (int(end) for end in (options.seeds or f"{options.seed}-{options.seed}").split("-"))
     results = [soak_one(options, seed) for seed in range(first, last + 1)]
