--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -101,8 +101,8 @@
   const bool ofAnother = !aFacts.target.Empty() && aFacts.target != aTarget.id;
   const TargetRecord* current =
     this->context.state.Targets().Find(ofAnother ? aFacts.target : aTarget.id);
+  // Nothing is kept of targets that have left or that are not known here.
   if (current == nullptr) {
-    // It has left, or was never announced here.
     return;
   }
   const Incarnation incarnation = ofAnother ? current->incarnation : aTarget.incarnation;
--- a/src/program/RolloutExecutor.h
+++ b/src/program/RolloutExecutor.h
@@ -46,6 +46,7 @@
   Awaitable<void> Read(ReadEngine aEngine);
   Awaitable<void> Order(OrderWeights aOrder);
   Awaitable<Result<HttpResponseMessage>> Call(Endpoint aEndpoint, HttpRequestMessage aMessage);
+  // Records the rest that an answer of an engine asks for.
   void ObserveRest(const TargetId& aTarget,
                    Incarnation aIncarnation,
                    const Result<HttpResponseMessage>& aAnswer);
--- a/src/program/ServingUpdatePublisher.cpp
+++ b/src/program/ServingUpdatePublisher.cpp
@@ -195,6 +195,7 @@
   if (this->pendingSnapshots.empty()) {
     return;
   }
+  const WorkTimer timer(this->account, Work::Snapshots);
   const std::string state = EncodeServingMessage(this->MakeStateUpdate());
   for (const HostId& host : std::exchange(this->pendingSnapshots, {})) {
     // Targets go first: an entry host accepts calls as soon as it has a configuration.
--- a/test/program/ExchangeTest.cpp
+++ b/test/program/ExchangeTest.cpp
@@ -298,7 +298,7 @@
   EXPECT_EQ(target.Requests().size(), 1U);
 }
 
-// As above, in refusals: the target did not run the call, and another one gets it.
+// As above, in refusals.
 TEST_F(ExchangeTest, SendsNothingToTargetThatSaidThatItLeavesInARefusal)
 {
   for (const int status : { 421, 429, 503 }) {
