--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -465,7 +465,7 @@
   }
   const Duration rest = this->TimeUntilRested();
   if (rest > Duration::zero()) {
-    // Callers that return at the same moment would be rejected together once more.
+    // Callers that return at the same moment would be turned away together once more.
     const Duration spread =
       this->context.retryScheduler.NextRetryDelay() - RetryScheduler::kMinRetryDelay;
     return rest + spread;
