--- a/test/program/ServingUpdatePublisherTest.cpp
+++ b/test/program/ServingUpdatePublisherTest.cpp
@@ -1,13 +1,34 @@
 #include "program/ServingUpdatePublisher.h"
 
+#include <map>
+
 #include <gtest/gtest.h>
 
 #include "platform/Dialect.h"
-#include "support/CountingMetrics.h"
 
 namespace damasklink {
 namespace {
 
+// Sums what is counted.
+class CountingMetrics final : public Metrics
+{
+public:
+  void Add(Counter aCounter, const MetricKey& aKey, std::uint64_t aAmount) override
+  {
+    this->counts[{ aCounter, aKey.kind }] += aAmount;
+  }
+  void Observe(Sample /*aSample*/, const MetricKey& /*aKey*/, Duration /*aValue*/) override {}
+  void CountServiceLevel(const WorkspaceId& /*aWorkspace*/, bool /*aGood*/) override {}
+
+  std::uint64_t Count(Counter aCounter, const std::string& aKind = "")
+  {
+    return this->counts[{ aCounter, aKind }];
+  }
+
+private:
+  std::map<std::pair<Counter, std::string>, std::uint64_t> counts;
+};
+
 class IgnoringHandler final : public PeerMeshHandler
 {
 public:
@@ -48,7 +69,7 @@
   ManualClock clock;
   asio::io_context loop{ 1 };
   ServingSettings settings;
-  testing::CountingMetrics metrics;
+  CountingMetrics metrics;
   IgnoringHandler handler;
   PeerMesh mesh{ this->loop, HostId("control"), 0, this->handler };
   platform::Dialect dialect;
--- a/test/program/WorkStatisticsTest.cpp
+++ b/test/program/WorkStatisticsTest.cpp
@@ -1,18 +1,32 @@
 #include "program/WorkStatistics.h"
 
-#include <gtest/gtest.h>
+#include <map>
 
-#include "support/CountingMetrics.h"
+#include <gtest/gtest.h>
 
 namespace damasklink {
 namespace {
 
+// Sums what was added, by counter and kind.
+class CountingMetrics final : public Metrics
+{
+public:
+  void Add(Counter aCounter, const MetricKey& aKey, std::uint64_t aAmount) override
+  {
+    this->counts[{ aCounter, aKey.kind }] += aAmount;
+  }
+  void Observe(Sample /*aSample*/, const MetricKey& /*aKey*/, Duration /*aValue*/) override {}
+  void CountServiceLevel(const WorkspaceId& /*aWorkspace*/, bool /*aGood*/) override {}
+
+  std::map<std::pair<Counter, std::string>, std::uint64_t> counts;
+};
+
 class WorkStatisticsTest : public ::testing::Test
 {
 protected:
   std::uint64_t Count(Counter aCounter, Work aWork)
   {
-    return this->metrics.Count(aCounter, std::string(WorkName(aWork)));
+    return this->metrics.counts[{ aCounter, std::string(WorkName(aWork)) }];
   }
 
   void Publish()
@@ -22,7 +36,7 @@
   }
 
   ManualClock clock;
-  testing::CountingMetrics metrics;
+  CountingMetrics metrics;
   WorkStatistics statistics{ this->clock, this->metrics };
 };
 
