Failed connections to targets are counted, by service and reason

A host that reaches no target looked in the metrics like one whose targets are full: both refuse for want of a target. damasklink_failed_connects_total tells refused and unanswered connections apart; the log line names the service.

--- a/include/damasklink/state/Metrics.h
+++ b/include/damasklink/state/Metrics.h
@@ -35,10 +35,11 @@
   Evacuations,      // kind: evacuated or returned, a zone.
   TargetNotices,    // kind: rest or leaving, as answers of targets stated.
   SnapshotsEncoded, // Messages about all targets, encoded for hosts that connect.
+  FailedConnects,   // To targets; kind: refused or unanswered, and the service.
 };
 
 // How many counters there are; follows the last one.
-constexpr std::size_t kCounterCount = static_cast<std::size_t>(Counter::SnapshotsEncoded) + 1;
+constexpr std::size_t kCounterCount = static_cast<std::size_t>(Counter::FailedConnects) + 1;
 
 // Durations of which quantiles are kept.
 enum class Sample
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -260,9 +260,14 @@
   auto connected = co_await fresh->Connect(aTarget.endpoint, timeout);
   if (!connected) {
     this->refused = connected.error().kind == ErrorKind::NotFound;
+    const std::string_view reason = this->refused ? "refused " : "unanswered ";
+    this->context.metrics.Add(Counter::FailedConnects,
+                              MetricKey{ WorkspaceId(), Concat(reason, this->service.Value()) },
+                              1);
     LogEvent(LogLevel::Info, "target_unreachable")
       .With("request", this->call.request)
       .With("target", aTarget.id)
+      .With("service", this->service)
       .With("error", connected.error());
     co_return nullptr;
   }
--- a/src/protocol/MetricsText.cpp
+++ b/src/protocol/MetricsText.cpp
@@ -121,6 +121,8 @@
       return "damasklink_target_notices_total";
     case Counter::SnapshotsEncoded:
       return "damasklink_snapshots_encoded_total";
+    case Counter::FailedConnects:
+      return "damasklink_failed_connects_total";
   }
   return "damasklink_unnamed_total";
 }
