--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -58,6 +58,7 @@
     "sent_to_resting_target",
     "rested_target_left_alone",
     "sent_to_leaving_target",
+    "isolated_host_serves_nobody",
 )
 
 
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -105,18 +105,22 @@
         self.writers |= pair
         try:
             await asyncio.gather(
-                self.pump(reader, far_writer, towards=True),
-                self.pump(far_reader, writer, towards=False),
+                self.pump(reader, far_writer, writer, towards=True),
+                self.pump(far_reader, writer, writer, towards=False),
             )
         except asyncio.CancelledError:
             # The run is over; the server would print a trace of each connection that is open yet.
             return
         self.writers -= pair
 
-    async def pump(self, reader, writer, towards):
+    def drops(self, near, towards):
+        """Returns whether bytes of the connection whose near side is this writer are dropped."""
+        return self.mode == "silent" or (self.mode == "one_way" and not towards)
+
+    async def pump(self, reader, writer, near, towards):
         try:
             while data := await reader.read(16384):
-                if self.mode == "silent" or (self.mode == "one_way" and not towards):
+                if self.drops(near, towards):
                     continue
                 if self.mode == "delay":
                     await asyncio.sleep(0.15)
