--- a/include/damasklink/protocol/ServingDialect.h
+++ b/include/damasklink/protocol/ServingDialect.h
@@ -91,6 +91,11 @@
   RequestId request;
   // The rate of requests that the target accepts from all hosts in total, if it states one.
   std::optional<RequestRate> limit;
+  // The rejections for want of room per second beyond which the target fails, if it states that it
+  // is brittle.
+  std::optional<RequestRate> brittle;
+  // The target had no room for the call.
+  bool full = false;
   // How much longer the target stays cold; zero if it does not state it.
   Duration coldFor{ 0 };
   // How long the target wants no requests from this host; zero if it does not ask for that.
--- a/include/damasklink/transport/TargetConnection.h
+++ b/include/damasklink/transport/TargetConnection.h
@@ -103,6 +103,9 @@
   // Returns an idle connection that is still open, or null if there is none.
   std::unique_ptr<TargetConnection> TakeIdle(const Endpoint& aEndpoint);
 
+  // Returns whether there is an idle connection to the address that may be reused.
+  bool HasIdle(const Endpoint& aEndpoint) const;
+
   // Adds the connection to the pool, or closes it if it cannot be reused.
   void Keep(const Endpoint& aEndpoint, std::unique_ptr<TargetConnection> aConnection);
 
--- a/src/transport/TargetConnection.cpp
+++ b/src/transport/TargetConnection.cpp
@@ -1,5 +1,6 @@
 #include "damasklink/transport/TargetConnection.h"
 
+#include <algorithm>
 #include <array>
 
 #include "BeastText.h"
@@ -17,9 +18,10 @@
 constexpr std::uint64_t kMaxResponseBytes = std::uint64_t{ 1 } << 30U;
 constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
 
-// An isolated target or one without power acknowledges nothing. The timeout is longer than a few
-// retransmissions on a lossy link, and shorter than callers wait for a first event.
-constexpr Duration kSendTimeout = std::chrono::milliseconds(900);
+// An isolated target or one without power acknowledges nothing. The timeout is longer than a sound
+// target may be silent, so that the requests in progress there survive that; the system call also
+// makes it the limit for keepalive probes.
+constexpr Duration kSendTimeout = std::chrono::milliseconds(2500);
 
 // Assumed idle timeout of targets that send none in Keep-Alive.
 constexpr Duration kDefaultIdleTimeout = std::chrono::seconds(4);
@@ -272,6 +274,19 @@
   return nullptr;
 }
 
+bool
+TargetConnectionPool::HasIdle(const Endpoint& aEndpoint) const
+{
+  const auto found = this->idle.find(FormatEndpoint(aEndpoint));
+  if (found == this->idle.end()) {
+    return false;
+  }
+  const MonotonicTime now = this->clock.MonotonicNow();
+  return std::any_of(found->second.begin(), found->second.end(), [now](const auto& aConnection) {
+    return now < aConnection->IdleUntil();
+  });
+}
+
 void
 TargetConnectionPool::Keep(const Endpoint& aEndpoint, std::unique_ptr<TargetConnection> aConnection)
 {
--- a/test/platform/DialectTest.cpp
+++ b/test/platform/DialectTest.cpp
@@ -149,6 +149,34 @@
   EXPECT_FALSE(Dialect().ReadResponse(HttpResponseHead()).limit);
 }
 
+TEST(DialectTest, ReadsHowManyRejectionsABrittleTargetBears)
+{
+  const auto read = [](const std::string& aText) {
+    HttpResponseHead head;
+    head.status = 200;
+    head.fields.Add("Server-Brittle", aText);
+    return Dialect().ReadResponse(head);
+  };
+  EXPECT_EQ(read("3").brittle, RequestRate{ 3 });
+  EXPECT_EQ(read("0").brittle, RequestRate{ 0 });
+  for (const char* bad : { "", "few", "-1", "nan", "3 a second" }) {
+    EXPECT_FALSE(read(bad).brittle) << bad;
+    EXPECT_TRUE(read(bad).unreadable) << bad;
+  }
+  EXPECT_FALSE(Dialect().ReadResponse(HttpResponseHead()).brittle);
+}
+
+TEST(DialectTest, TargetIsFullIfItRejectsWithoutRunning)
+{
+  HttpResponseHead head;
+  head.status = 503;
+  EXPECT_FALSE(Dialect().ReadResponse(head).full);
+  head.fields.Add("X-Not-Executed", "1");
+  EXPECT_TRUE(Dialect().ReadResponse(head).full);
+  head.status = 421;
+  EXPECT_FALSE(Dialect().ReadResponse(head).full);
+}
+
 TEST(DialectTest, ReadsRestThatTargetAsksForAndReportsUnreadableOne)
 {
   const auto read = [](int aStatus, const std::vector<std::string>& aTexts) {
