--- a/include/damasklink/coordination/ExchangeRetryPolicy.h
+++ b/include/damasklink/coordination/ExchangeRetryPolicy.h
@@ -35,6 +35,7 @@
   Unreachable, // No connection, so nothing left this host.
   NotSent,     // The target became unavailable before anything was sent to it.
   Refused,     // The target stated that it did not run the call.
+  Declined,    // The entry host that the call was forwarded to did not send it to a target.
   Failed,      // The target answered with a failure; the call may have run.
   Broken,      // No complete answer came.
   Expired,     // The time limit was reached.
@@ -67,6 +68,8 @@
   // Attempts without a connection before the call is refused. Each takes up to the connect timeout,
   // and when a fifth of the targets is unreachable, four in a row seldom are.
   static constexpr std::uint64_t kMaxUnreachable = 4;
+  // Hosts that may decline a call before it is refused.
+  static constexpr std::uint64_t kMaxDeclined = 4;
   // With less time left, another attempt cannot finish.
   static constexpr Duration kMinTimeLeft = std::chrono::milliseconds(30);
 
@@ -93,6 +96,8 @@
 
   bool PassedOn() const { return this->passedOn; }
   std::uint64_t Sent() const { return this->sent; }
+  // Attempts that found no connection.
+  std::uint64_t Unreachable() const { return this->unreachable; }
   const DispatchRecord& Record() const { return this->record; }
   const ExchangeLimits& Limits() const { return this->limits; }
 
@@ -105,6 +110,7 @@
   DispatchRecord record;
   std::uint64_t sent = 0;
   std::uint64_t unreachable = 0;
+  std::uint64_t declined = 0;
   bool passedOn = false;
   // Whether a target has answered with a failure, which the caller may still get.
   bool targetFailed = false;
--- a/include/damasklink/coordination/HostRegistry.h
+++ b/include/damasklink/coordination/HostRegistry.h
@@ -23,6 +23,10 @@
 class HostRegistry
 {
 public:
+  static constexpr std::size_t kForwardingHosts = 8;
+  // An entry host repeats once a second that it is cut off.
+  static constexpr Duration kCutOffTimeout = std::chrono::seconds(3);
+
   HostRegistry(HostId aSelf, ZoneId aZone)
     : self(std::move(aSelf))
     , zone(std::move(aZone))
@@ -42,8 +46,18 @@
   // Returns whether control hosts or their zones were added or changed since the last call.
   bool TakeControlHostsChanged() { return std::exchange(this->controlHostsChanged, false); }
 
-  // Must be called when an entry host connects.
-  void OnEntryHostConnected(const HostId& aHost);
+  // Must be called when an entry host connects. An empty zone means unknown.
+  void OnEntryHostConnected(const HostId& aHost, const ZoneId& aZone = ZoneId());
+
+  // Records whether an entry host that is connected to this control host reaches no target of some
+  // service. That it does not is forgotten unless the host repeats it within kCutOffTimeout.
+  void SetCutOff(const HostId& aHost, bool aCutOff, MonotonicTime aNow);
+  void RemoveExpiredCutOffs(MonotonicTime aNow);
+
+  // Returns up to kForwardingHosts entry hosts to which the given one may forward calls: half of
+  // them in its own zone if there are as many, none that is known to be cut off. Each host gets
+  // others, so that their calls spread.
+  EntryHostZones ForwardingHostsFor(const HostId& aHost) const;
 
   // Must be called when the connection to a host is lost.
   void OnDisconnected(const HostId& aHost);
@@ -64,14 +78,20 @@
   std::uint64_t CountEntryHosts() const { return this->AllEntryHosts().size(); }
 
 private:
+  EntryHostZones AllEntryHostZones() const;
+  bool IsCutOff(const HostId& aHost) const;
+
   HostId self;
   ZoneId zone;
   ControlHostZones controlHosts;
   bool controlHostsChanged = false;
   std::set<HostId> entryHosts;
+  EntryHostZones entryHostZones;
+  // Entry hosts of this control host that are cut off, and until when they count as such.
+  std::map<HostId, MonotonicTime> cutOffUntil;
   bool entryHostsChanged = false;
   // Entry hosts of each connected control host.
-  std::map<HostId, std::vector<HostId>> entryHostsByPeer;
+  std::map<HostId, EntryHostList> entryHostsByPeer;
   // Result of AllEntryHosts(), computed again only after a change, because it is requested several
   // times a second and there can be hundreds of entry hosts.
   mutable std::optional<std::set<HostId>> allEntryHosts;
--- a/include/damasklink/coordination/InterruptedRequests.h
+++ b/include/damasklink/coordination/InterruptedRequests.h
@@ -42,6 +42,10 @@
   // interrupted by then did not crash it, and they are removed.
   void OnAnswered(const TargetId& aTarget, Incarnation aIncarnation, MonotonicTime aSentAt);
 
+  // Removes the requests for a service of which this host reaches no target: their answers broke
+  // off for that reason.
+  void RemoveService(const ServiceName& aService);
+
   // Removes and returns the requests whose target is shown to have crashed by the start of a target
   // with the same id, or with the same address under another id.
   std::vector<CrashReport> TakeConfirmedByStart(const TargetRecord& aStarted);
--- a/include/damasklink/coordination/ServingMessages.h
+++ b/include/damasklink/coordination/ServingMessages.h
@@ -33,6 +33,9 @@
 // The known control hosts and their zones; a zone that is not known yet is empty.
 using ControlHostZones = std::map<HostId, ZoneId>;
 
+// Entry hosts and their zones; a zone that is not known is empty.
+using EntryHostZones = std::map<HostId, ZoneId>;
+
 // The first message that each side of a connection sends.
 struct Greeting
 {
@@ -245,11 +248,38 @@
 struct EntryHostList
 {
   std::vector<HostId> hosts;
+  // The zone of each host; empty if the sender does not tell them.
+  std::vector<ZoneId> zones;
+  // Those of the hosts that reach no target of some service.
+  std::vector<HostId> cutOff;
 
   bool operator==(const EntryHostList&) const = default;
 };
 
-using ServingMessage =
-  std::variant<Greeting, ServingUpdate, LoadReport, EntryHostList, DocumentRequest, DocumentChunk>;
+// An entry host asks to which other entry hosts it may forward calls.
+struct ForwardingHostsRequest
+{
+  // The sender reaches no target of some service, so nobody should forward calls to it.
+  bool cutOff = false;
+
+  bool operator==(const ForwardingHostsRequest&) const = default;
+};
+
+// Some entry hosts that take calls, as far as the control host knows.
+struct ForwardingHosts
+{
+  EntryHostZones hosts;
+
+  bool operator==(const ForwardingHosts&) const = default;
+};
+
+using ServingMessage = std::variant<Greeting,
+                                    ServingUpdate,
+                                    LoadReport,
+                                    EntryHostList,
+                                    DocumentRequest,
+                                    DocumentChunk,
+                                    ForwardingHostsRequest,
+                                    ForwardingHosts>;
 
 } // namespace damasklink
--- a/include/damasklink/coordination/TargetDirectory.h
+++ b/include/damasklink/coordination/TargetDirectory.h
@@ -58,6 +58,10 @@
   // Returns the usable targets that were first reported since the last call.
   std::vector<TargetRecord> TakeDiscovered() { return std::exchange(this->discovered, {}); }
 
+  // Returns into how many subsets the targets of the service are divided, of which this host uses
+  // one.
+  std::uint32_t SubsetCount(const ServiceName& aService) const;
+
   // Returns whether fewer than half of the targets of an availability zone are reported as usable.
   // The zone is then more likely to be unreachable than its targets to have ended.
   bool IsMostlySilent(const ZoneId& aZone) const;
--- a/include/damasklink/coordination/TargetHealth.h
+++ b/include/damasklink/coordination/TargetHealth.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <random>
 #include <vector>
@@ -53,6 +54,7 @@
   // Limits the reports that are kept until TakeReachabilityReports() is called; it may never be
   // called on some hosts.
   static constexpr std::size_t kMaxPendingReports = 1000;
+  static constexpr Duration kReportRetention = std::chrono::seconds(1);
 
   TargetHealth(const Clock& aClock, std::uint64_t aSeed)
     : clock(aClock)
@@ -69,9 +71,14 @@
   // count.
   void OnRestart(const TargetId& aTarget);
 
+  // Returns whether this host reached other targets after the given one failed at the given time.
+  using ConfirmFunction = std::function<bool(const TargetId&, MonotonicTime)>;
+
   // Returns the targets that this host found unreachable, or reachable again, since the last call,
-  // to be reported to the other hosts.
-  std::vector<TargetReachabilityReport> TakeReachabilityReports();
+  // to be reported to the other hosts. Where aIsConfirmed returns false, the fault may be this
+  // host's: the report is kept for a later call, for kReportRetention at most.
+  std::vector<TargetReachabilityReport> TakeReachabilityReports(
+    const ConfirmFunction& aIsConfirmed = nullptr);
 
   // Applies the reports of other hosts, which may include those of this host.
   void Take(const std::vector<TargetReachabilityReport>& aReports);
@@ -98,6 +105,13 @@
     bool reportedUnreachable = false;
   };
 
+  struct PendingReport
+  {
+    TargetReachabilityReport report;
+    MonotonicTime since;
+  };
+
+  PendingReport& PendingReportOf(const TargetId& aTarget);
   void Eject(Entry& aEntry);
   void TakeUnreachable(const TargetReachabilityReport& aReport);
 
@@ -106,7 +120,7 @@
   // Targets with a failure, or an unreachable report, since their last success.
   std::map<TargetId, Entry> entries;
   // Reports of this host that TakeReachabilityReports() has not returned yet.
-  std::map<TargetId, TargetReachabilityReport> pendingReports;
+  std::map<TargetId, PendingReport> pendingReports;
 };
 
 } // namespace damasklink
--- a/include/damasklink/state/Metrics.h
+++ b/include/damasklink/state/Metrics.h
@@ -27,19 +27,23 @@
   ConfigChanges,
   Elections,
   Orders,
-  PeerBytesOut,     // kind: of work, or a channel.
-  PeerBytesIn,      // The same.
-  PeerMessagesOut,  // The same.
-  PeerMessagesIn,   // The same.
-  WorkMicroseconds, // kind: of work.
-  Evacuations,      // kind: evacuated or returned, a zone.
-  TargetNotices,    // kind: rest or leaving, as answers of targets stated.
-  SnapshotsEncoded, // Messages about all targets, encoded for hosts that connect.
-  FailedConnects,   // To targets; kind: refused or unanswered, and the service.
+  PeerBytesOut,        // kind: of work, or a channel.
+  PeerBytesIn,         // The same.
+  PeerMessagesOut,     // The same.
+  PeerMessagesIn,      // The same.
+  WorkMicroseconds,    // kind: of work.
+  Evacuations,         // kind: evacuated or returned, a zone.
+  TargetNotices,       // kind: rest or leaving, as answers of targets stated.
+  SnapshotsEncoded,    // Messages about all targets, encoded for hosts that connect.
+  FailedConnects,      // To targets; kind: refused or unanswered, a service.
+  ServiceReachability, // kind: lost or regained, a service.
+  ForwardedCalls,      // Handed to other entry hosts; kind: how that ended.
+  ForwardingDeclines,  // By other entry hosts; kind: the reason.
+  ServedForwards,      // Calls run for other entry hosts.
 };
 
 // How many counters there are; follows the last one.
-constexpr std::size_t kCounterCount = static_cast<std::size_t>(Counter::FailedConnects) + 1;
+constexpr std::size_t kCounterCount = static_cast<std::size_t>(Counter::ServedForwards) + 1;
 
 // Durations of which quantiles are kept.
 enum class Sample
--- a/include/damasklink/state/ServingSettings.h
+++ b/include/damasklink/state/ServingSettings.h
@@ -44,6 +44,9 @@
   Endpoint metrics;
   // Where hosts connect to each other; the same port on all hosts.
   std::uint16_t peerPort = 0;
+  // Where entry hosts connect to each other to forward calls; the same port on all hosts, 0 for
+  // none.
+  std::uint16_t forwardingPort = 0;
   // Control hosts to begin with; some may be gone.
   std::vector<HostId> seeds;
   // The deployment starts for the first time, with empty disks.
--- a/include/damasklink/transport/CallerConnection.h
+++ b/include/damasklink/transport/CallerConnection.h
@@ -13,16 +13,15 @@
 #include <memory>
 
 #include "damasklink/coordination/ServingConfig.h"
-#include "damasklink/protocol/HttpMessage.h"
-#include "damasklink/transport/EventLoop.h"
+#include "damasklink/transport/CallerChannel.h"
 
 namespace damasklink {
 
-class CallerConnection
+class CallerConnection final : public CallerChannel
 {
 public:
   explicit CallerConnection(TcpSocket aSocket);
-  ~CallerConnection();
+  ~CallerConnection() override;
   CallerConnection(const CallerConnection&) = delete;
   CallerConnection& operator=(const CallerConnection&) = delete;
 
@@ -34,18 +33,16 @@
   // After a failure the connection must be closed, once the error response has been written.
   Awaitable<Result<HttpRequestMessage>> Read(const CallerLimits& aLimits);
 
-  // Writes a response of known length. This and the three methods below return false when the
-  // bytes could not be written, because the caller disconnected or does not read.
-  Awaitable<bool> WriteWhole(HttpResponseMessage aResponse, bool aClose);
-  // Writes the head of a response of unknown length, together with its first chunk.
-  Awaitable<bool> BeginStream(const HttpResponseHead& aHead, std::string_view aChunk, bool aClose);
-  Awaitable<bool> WriteChunk(std::string_view aChunk);
-  Awaitable<bool> EndStream();
+  Awaitable<bool> WriteWhole(HttpResponseMessage aResponse, bool aClose) override;
+  Awaitable<bool> BeginStream(const HttpResponseHead& aHead,
+                              std::string_view aChunk,
+                              bool aClose) override;
+  Awaitable<bool> WriteChunk(std::string_view aChunk) override;
+  Awaitable<bool> EndStream() override;
 
-  // Calls aHandler once if the caller closes the connection before StopWatching(). Requires
-  // that no Read() is pending meanwhile.
-  void WatchForDisconnect(std::function<void()> aHandler);
-  void StopWatching();
+  // Requires that no Read() is pending until StopWatching().
+  void WatchForDisconnect(std::function<void()> aHandler) override;
+  void StopWatching() override;
 
   // Closes the connection unless a request is in progress or waits to be read.
   void CloseIfIdle();
@@ -54,7 +51,7 @@
   bool IsIdle() const { return this->idle; }
 
   // Closes immediately; pending operations fail. The caller sees a reset if it has sent more.
-  void Close();
+  void Close() override;
 
 private:
   class Impl;
--- a/include/damasklink/transport/PeerNetwork.h
+++ b/include/damasklink/transport/PeerNetwork.h
@@ -24,6 +24,7 @@
   Stores = 6,        // Store leases and block look-ups.
   Admission = 7,     // Rate shares and load within a zone.
   Serving = 8,       // Updates of a serving deployment; an empty payload is a keepalive.
+  Forwarding = 9,    // Calls that entry hosts hand to each other.
 };
 
 // Returns the lower-case name for logs and metrics.
--- a/src/coordination/ExchangeRetryPolicy.cpp
+++ b/src/coordination/ExchangeRetryPolicy.cpp
@@ -16,6 +16,8 @@
       return "not_sent";
     case AttemptResult::Refused:
       return "refused";
+    case AttemptResult::Declined:
+      return "declined";
     case AttemptResult::Failed:
       return "failed";
     case AttemptResult::Broken:
@@ -78,6 +80,12 @@
     case AttemptResult::Refused:
       this->record.Advance(AttemptStage::Refused);
       break;
+    case AttemptResult::Declined:
+      this->record.Advance(AttemptStage::Refused);
+      // No target was sent the call.
+      --this->sent;
+      ++this->declined;
+      break;
     case AttemptResult::Failed:
       this->targetFailed = true;
       [[fallthrough]];
@@ -91,7 +99,8 @@
   // After an attempt that cannot have reached its target, the next one is not a retry. The retry
   // that an attempt took from the budget and did not send is left for the next one.
   const bool firstSend = aResult == AttemptResult::Unreachable && this->sent == 0;
-  const bool isRetry = !firstSend && aResult != AttemptResult::NotSent;
+  const bool isRetry =
+    !firstSend && aResult != AttemptResult::NotSent && aResult != AttemptResult::Declined;
   if (this->MayTryAnother(aResult, aNow) && (!isRetry || aBudget.TryTake())) {
     return ExchangeStep::TryAnother;
   }
@@ -110,7 +119,8 @@
   if (aResult == AttemptResult::Expired || aNow + kMinTimeLeft >= this->limits.endsAt) {
     return false;
   }
-  if (this->sent >= this->limits.mostTargets || this->unreachable >= kMaxUnreachable) {
+  if (this->sent >= this->limits.mostTargets || this->unreachable >= kMaxUnreachable ||
+      this->declined >= kMaxDeclined) {
     return false;
   }
   return this->limits.repeatable || this->CertainlyNotRun();
--- a/src/coordination/HostRegistry.cpp
+++ b/src/coordination/HostRegistry.cpp
@@ -1,5 +1,10 @@
 #include "damasklink/coordination/HostRegistry.h"
 
+#include <algorithm>
+
+#include "damasklink/state/Digests.h"
+#include "damasklink/state/Text.h"
+
 namespace damasklink {
 
 bool
@@ -26,9 +31,10 @@
 }
 
 void
-HostRegistry::OnEntryHostConnected(const HostId& aHost)
+HostRegistry::OnEntryHostConnected(const HostId& aHost, const ZoneId& aZone)
 {
   this->allEntryHosts.reset();
+  this->entryHostZones[aHost] = aZone;
   const bool isNew = this->entryHosts.insert(aHost).second;
   this->entryHostsChanged = this->entryHostsChanged || isNew;
 }
@@ -38,6 +44,8 @@
 {
   this->allEntryHosts.reset();
   const bool wasEntryHost = this->entryHosts.erase(aHost) > 0;
+  this->entryHostZones.erase(aHost);
+  this->cutOffUntil.erase(aHost);
   this->entryHostsChanged = this->entryHostsChanged || wasEntryHost;
   this->entryHostsByPeer.erase(aHost);
 }
@@ -46,13 +54,108 @@
 HostRegistry::SetEntryHostsOf(const HostId& aFrom, const EntryHostList& aList)
 {
   this->allEntryHosts.reset();
-  this->entryHostsByPeer[aFrom] = aList.hosts;
+  this->entryHostsByPeer[aFrom] = aList;
+}
+
+void
+HostRegistry::SetCutOff(const HostId& aHost, bool aCutOff, MonotonicTime aNow)
+{
+  if (!this->entryHosts.contains(aHost)) {
+    return;
+  }
+  const bool was = this->cutOffUntil.contains(aHost);
+  if (aCutOff) {
+    this->cutOffUntil[aHost] = aNow + kCutOffTimeout;
+  } else {
+    this->cutOffUntil.erase(aHost);
+  }
+  this->entryHostsChanged = this->entryHostsChanged || was != aCutOff;
+}
+
+void
+HostRegistry::RemoveExpiredCutOffs(MonotonicTime aNow)
+{
+  const std::size_t removed =
+    std::erase_if(this->cutOffUntil, [aNow](const auto& aItem) { return aItem.second <= aNow; });
+  this->entryHostsChanged = this->entryHostsChanged || removed > 0;
+}
+
+bool
+HostRegistry::IsCutOff(const HostId& aHost) const
+{
+  if (this->cutOffUntil.contains(aHost)) {
+    return true;
+  }
+  return std::any_of(
+    this->entryHostsByPeer.begin(), this->entryHostsByPeer.end(), [&](const auto& aItem) {
+      const std::vector<HostId>& cutOff = aItem.second.cutOff;
+      return std::find(cutOff.begin(), cutOff.end(), aHost) != cutOff.end();
+    });
+}
+
+EntryHostZones
+HostRegistry::AllEntryHostZones() const
+{
+  EntryHostZones all = this->entryHostZones;
+  for (const auto& [peer, list] : this->entryHostsByPeer) {
+    for (std::size_t index = 0; index < list.hosts.size(); ++index) {
+      const ZoneId hostZone = index < list.zones.size() ? list.zones[index] : ZoneId();
+      all.try_emplace(list.hosts[index], hostZone);
+    }
+  }
+  return all;
+}
+
+EntryHostZones
+HostRegistry::ForwardingHostsFor(const HostId& aHost) const
+{
+  const EntryHostZones all = this->AllEntryHostZones();
+  const auto own = all.find(aHost);
+  const ZoneId ownZone = own == all.end() ? ZoneId() : own->second;
+  // Rendezvous hashing: sorted by a hash of both hosts.
+  std::vector<std::pair<std::uint64_t, HostId>> inZone;
+  std::vector<std::pair<std::uint64_t, HostId>> elsewhere;
+  std::uint64_t cutOffInZone = 0;
+  for (const auto& [host, hostZone] : all) {
+    if (this->IsCutOff(host)) {
+      cutOffInZone += hostZone == ownZone ? 1 : 0;
+    } else if (host != aHost) {
+      const std::uint64_t rank = ShortHash(Concat(aHost.Value(), " ", host.Value()));
+      (hostZone == ownZone ? inZone : elsewhere).emplace_back(rank, host);
+    }
+  }
+  // A few hosts would be overloaded by all others of their zone, so that each takes some of them.
+  const std::uint64_t wanting = cutOffInZone / (kForwardingHosts * std::max(inZone.size(), 1UL));
+  std::erase_if(inZone, [&](const auto& aItem) { return aItem.first % (wanting + 1) != 0; });
+  std::sort(inZone.begin(), inZone.end());
+  std::sort(elsewhere.begin(), elsewhere.end());
+  EntryHostZones chosen;
+  const auto take = [&](const auto& aRanked, std::size_t aLimit) {
+    for (const auto& [rank, host] : aRanked) {
+      if (chosen.size() >= aLimit) {
+        return;
+      }
+      chosen[host] = all.at(host);
+    }
+  };
+  take(inZone, kForwardingHosts / 2);
+  take(elsewhere, kForwardingHosts);
+  take(inZone, kForwardingHosts);
+  return chosen;
 }
 
 EntryHostList
 HostRegistry::MakeEntryHostList() const
 {
-  return EntryHostList{ { this->entryHosts.begin(), this->entryHosts.end() } };
+  EntryHostList list;
+  for (const HostId& host : this->entryHosts) {
+    list.hosts.push_back(host);
+    list.zones.push_back(this->entryHostZones.at(host));
+  }
+  for (const auto& [host, until] : this->cutOffUntil) {
+    list.cutOff.push_back(host);
+  }
+  return list;
 }
 
 const std::set<HostId>&
@@ -60,8 +163,8 @@
 {
   if (!this->allEntryHosts) {
     this->allEntryHosts = this->entryHosts;
-    for (const auto& [host, others] : this->entryHostsByPeer) {
-      this->allEntryHosts->insert(others.begin(), others.end());
+    for (const auto& [peer, list] : this->entryHostsByPeer) {
+      this->allEntryHosts->insert(list.hosts.begin(), list.hosts.end());
     }
   }
   return *this->allEntryHosts;
--- a/src/coordination/InterruptedRequests.cpp
+++ b/src/coordination/InterruptedRequests.cpp
@@ -50,6 +50,13 @@
   return taken;
 }
 
+void
+InterruptedRequests::RemoveService(const ServiceName& aService)
+{
+  std::erase_if(this->requests,
+                [&](const Interrupted& aRequest) { return aRequest.report.service == aService; });
+}
+
 std::vector<CrashReport>
 InterruptedRequests::TakeConfirmedByStart(const TargetRecord& aStarted)
 {
--- a/src/coordination/TargetDirectory.cpp
+++ b/src/coordination/TargetDirectory.cpp
@@ -139,6 +139,16 @@
   return found;
 }
 
+std::uint32_t
+TargetDirectory::SubsetCount(const ServiceName& aService) const
+{
+  std::uint32_t count = 1;
+  for (const auto& [host, counts] : this->subsets) {
+    count = std::max(count, SubsetCountOf(counts, aService));
+  }
+  return count;
+}
+
 bool
 TargetDirectory::IsMostlySilent(const ZoneId& aZone) const
 {
--- a/src/coordination/TargetHealth.cpp
+++ b/src/coordination/TargetHealth.cpp
@@ -21,9 +21,7 @@
     const auto found = this->entries.find(aTarget);
     if (found != this->entries.end()) {
       if (found->second.reportedUnreachable) {
-        TargetReachabilityReport& report = this->pendingReports[aTarget];
-        report.target = aTarget;
-        report.back = 1;
+        this->PendingReportOf(aTarget).report.back = 1;
       }
       this->entries.erase(found);
     }
@@ -42,9 +40,7 @@
   const bool alreadyEjected = this->clock.MonotonicNow() < entry.ejectedUntil;
   if (aSign == HealthSignal::NotReached && !alreadyEjected &&
       this->pendingReports.size() < kMaxPendingReports) {
-    TargetReachabilityReport& report = this->pendingReports[aTarget];
-    report.target = aTarget;
-    report.gone = 1;
+    this->PendingReportOf(aTarget).report.gone = 1;
   }
   const bool failed = entry.failures >= kConsecutiveFailures || aSign == HealthSignal::NotReached;
   if (!alreadyEjected && (probeFailed || failed)) {
@@ -73,13 +69,32 @@
   ++aEntry.ejections;
 }
 
+TargetHealth::PendingReport&
+TargetHealth::PendingReportOf(const TargetId& aTarget)
+{
+  const auto [position, isNew] = this->pendingReports.try_emplace(aTarget);
+  if (isNew) {
+    position->second.report.target = aTarget;
+    position->second.since = this->clock.MonotonicNow();
+  }
+  return position->second;
+}
+
 std::vector<TargetReachabilityReport>
-TargetHealth::TakeReachabilityReports()
+TargetHealth::TakeReachabilityReports(const ConfirmFunction& aIsConfirmed)
 {
+  const MonotonicTime now = this->clock.MonotonicNow();
   std::vector<TargetReachabilityReport> reports;
-  for (const auto& [target, report] : std::exchange(this->pendingReports, {})) {
-    reports.push_back(report);
+  std::map<TargetId, PendingReport> kept;
+  for (const auto& [target, pending] : this->pendingReports) {
+    const bool isBack = pending.report.back > 0;
+    if (isBack || !aIsConfirmed || aIsConfirmed(target, pending.since)) {
+      reports.push_back(pending.report);
+    } else if (now - pending.since < kReportRetention) {
+      kept.emplace(target, pending);
+    }
   }
+  this->pendingReports = std::move(kept);
   return reports;
 }
 
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -427,6 +427,9 @@
     this->publisher.OnLoadReport(aPeer, *report);
   } else if (const auto* request = std::get_if<DocumentRequest>(&aMessage)) {
     this->publisher.Answer(aPeer, *request);
+  } else if (const auto* query = std::get_if<ForwardingHostsRequest>(&aMessage)) {
+    this->hosts.SetCutOff(aPeer, query->cutOff, this->clock.MonotonicNow());
+    this->publisher.SendForwardingHosts(aPeer);
   } else if (const auto* list = std::get_if<EntryHostList>(&aMessage)) {
     this->hosts.SetEntryHostsOf(aPeer, *list);
   } else if (const auto* update = std::get_if<ServingUpdate>(&aMessage)) {
@@ -441,7 +444,7 @@
 ControlHost::Impl::OnGreeting(const HostId& aPeer, const Greeting& aGreeting)
 {
   if (aGreeting.role == HostRole::Entry) {
-    this->hosts.OnEntryHostConnected(aPeer);
+    this->hosts.OnEntryHostConnected(aPeer, aGreeting.zone);
     this->publisher.SendSnapshot(aPeer);
     return;
   }
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -6,6 +6,7 @@
 #include <random>
 #include <vector>
 
+#include "CallForwarder.h"
 #include "ConfigurationUpdater.h"
 #include "Exchange.h"
 #include "MetricsServer.h"
@@ -14,6 +15,7 @@
 #include "damasklink/coordination/ServiceLevelWindows.h"
 #include "damasklink/protocol/ServingCodec.h"
 #include "damasklink/state/MetricsRegistry.h"
+#include "damasklink/state/Text.h"
 #include "damasklink/state/Units.h"
 #include "damasklink/transport/ConnectionListener.h"
 #include "damasklink/transport/Log.h"
@@ -73,6 +75,25 @@
     , crashFilter(this->clock)
     , interrupted(this->clock)
     , limits(this->clock, this->settings.host)
+    , brittle(this->clock, RandomSeed())
+    , prober(this->loop,
+             this->clock,
+             this->calls,
+             this->state,
+             this->paths,
+             { [this](const auto& aService, auto aChange) {
+                this->OnReachabilityChanged(aService, aChange);
+              },
+               [this](const auto& aTarget) { this->OnTargetUnreachable(aTarget); } },
+             RandomSeed())
+    , forwarder(this->loop,
+                this->clock,
+                this->settings,
+                this->metrics,
+                RandomSeed(),
+                [this](const auto& aFrom, auto& aCall, const auto& aCaller) {
+                  return this->TakeForwarded(aFrom, aCall, aCaller);
+                })
     , mesh(this->loop, this->settings.host, this->settings.peerPort, *this)
     , context{ this->loop,
                this->clock,
@@ -94,8 +115,15 @@
                this->interrupted,
                this->limits,
                this->rests,
+               this->paths,
+               this->prober,
+               this->unconfirmedCrashes,
+               this->forwarder,
+               this->brittle,
                this->clock.MonotonicNow(),
-               nullptr }
+               nullptr,
+               false,
+               {} }
     , configuration(this->loop,
                     this->clock,
                     aControl,
@@ -123,6 +151,17 @@
   Awaitable<void> ServeCaller(std::shared_ptr<CallerConnection> aChannel);
   Awaitable<void> ServeProbes(std::shared_ptr<CallerConnection> aChannel);
   Awaitable<void> RespondToUnreadable(CallerConnection& aChannel, const Error& aError);
+  std::optional<DeclineReason> TakeForwarded(const HostId& aFrom,
+                                             ForwardedCall& aCall,
+                                             const std::shared_ptr<ForwardedCaller>& aCaller);
+  Awaitable<void> ServeForwarded(HostId aFrom,
+                                 ForwardedCall aCall,
+                                 std::shared_ptr<ForwardedCaller> aCaller);
+  void RequestForwardingHosts();
+  void CheckPaths();
+  void OnReachabilityChanged(const ServiceName& aService, ReachabilityChange aChange);
+  void OnTargetUnreachable(const TargetId& aTarget);
+  bool IsFailureConfirmed(const TargetId& aTarget, MonotonicTime aSince);
   Awaitable<void> Stop();
   void RunHousekeeping();
   std::vector<HubCandidate> HubCandidates() const;
@@ -164,6 +203,11 @@
   CrashFilter crashFilter;
   InterruptedRequests interrupted;
   TargetRateLimiter limits;
+  BrittleTargetLimiter brittle;
+  ServiceReachability paths{ this->clock };
+  UnconfirmedCrashReports unconfirmedCrashes{ this->clock, this->paths };
+  ServiceProber prober;
+  CallForwarder forwarder;
   PeerMesh mesh;
   EntryContext context;
   ConfigurationUpdater configuration;
@@ -212,6 +256,9 @@
   if (auto opened = this->callers.Listen(this->settings.callers, serveCaller); !opened) {
     return opened;
   }
+  if (auto opened = this->forwarder.Listen(); !opened) {
+    return opened;
+  }
   auto serveProbes = [this](auto aChannel) { return this->ServeProbes(std::move(aChannel)); };
   if (auto opened = this->probes.Listen(this->settings.readiness, serveProbes); !opened) {
     return opened;
@@ -316,11 +363,12 @@
     const auto busy = std::count_if(this->open.begin(), this->open.end(), [](const auto& aChannel) {
       return !aChannel->IsIdle();
     });
-    if (busy == 0 || now >= deadline) {
+    if ((busy == 0 && this->forwarder.Served() == 0) || now >= deadline) {
       LogEvent(LogLevel::Info, "stop_ends").With("open", this->open.size()).With("busy", busy);
       break;
     }
   }
+  this->forwarder.Stop();
   this->mesh.Stop();
   this->loop.stop();
 }
@@ -330,6 +378,11 @@
 {
   this->pool.CloseExpired();
   this->rests.RemoveExpired();
+  this->brittle.RemoveExpired();
+  this->forwarder.CloseIdle();
+  if (this->paths.AnyUnreachable() || !this->forwarder.HasHosts()) {
+    this->RequestForwardingHosts();
+  }
   if (!this->state.HasControlHost()) {
     // The file may name other seeds by now, even if no SIGHUP came.
     if (const std::optional<ServingSettings> current = this->signals.ReadSettings()) {
@@ -345,6 +398,114 @@
   });
 }
 
+std::optional<DeclineReason>
+EntryHost::Impl::TakeForwarded(const HostId& aFrom,
+                               ForwardedCall& aCall,
+                               const std::shared_ptr<ForwardedCaller>& aCaller)
+{
+  const RoutesPtr& routes = this->state.Routes();
+  std::optional<DeclineReason> declined;
+  if (this->context.shuttingDown) {
+    declined = DeclineReason::Stopping;
+  } else if (routes == nullptr || routes->Config().version < aCall.configuration) {
+    declined = DeclineReason::OlderConfiguration;
+  } else if (this->paths.IsUnreachable(aCall.service)) {
+    declined = DeclineReason::Unreachable;
+  }
+  if (!declined) {
+    this->metrics.Add(Counter::ServedForwards, MetricKey{}, 1);
+    asio::co_spawn(
+      this->loop, this->ServeForwarded(aFrom, std::move(aCall), aCaller), asio::detached);
+  }
+  return declined;
+}
+
+Awaitable<void>
+EntryHost::Impl::ServeForwarded(HostId aFrom,
+                                ForwardedCall aCall,
+                                std::shared_ptr<ForwardedCaller> aCaller)
+{
+  const CallNumber number = aCall.number;
+  const ForwardedLimits forwardedLimits{ aCall.timeLeft, aCall.sendsLeft, aCall.lastEvent };
+  HttpRequestMessage request{ std::move(aCall.head), std::move(aCall.body) };
+  Exchange exchange(this->context, *aCaller, std::move(request), forwardedLimits);
+  co_await exchange.Run();
+  aCaller->Close();
+  this->forwarder.EndServed(aFrom, number);
+}
+
+// Asks the hub to which hosts calls may be forwarded, and tells it whether this host is cut off.
+void
+EntryHost::Impl::RequestForwardingHosts()
+{
+  if (!this->hub.Hub()) {
+    return;
+  }
+  const ForwardingHostsRequest request{ this->paths.AnyUnreachable() };
+  this->mesh.Send(*this->hub.Hub(),
+                  PeerMessage{ Channel::Serving, GroupId(), EncodeServingMessage(request) });
+}
+
+// Finds services and targets that have become silent, and confirms crashes.
+void
+EntryHost::Impl::CheckPaths()
+{
+  for (const ServiceName& service : this->paths.SuspiciousServices()) {
+    this->prober.Probe(service);
+  }
+  this->prober.ProbeUnreachable();
+  const std::set<Exchange*> waiting = this->context.waiting;
+  for (Exchange* exchange : waiting) {
+    exchange->CheckSilence();
+  }
+  for (CrashReport& report : this->unconfirmedCrashes.TakeConfirmed()) {
+    this->crashFilter.OnCrash(std::move(report));
+  }
+}
+
+void
+EntryHost::Impl::OnReachabilityChanged(const ServiceName& aService, ReachabilityChange aChange)
+{
+  const bool lost = aChange == ReachabilityChange::Lost;
+  LogEvent(LogLevel::Warning, lost ? "service_unreachable" : "service_reachable")
+    .With("service", aService)
+    .With("targets", this->state.Targets().Usable(aService).size())
+    .With("forwarding_hosts", this->forwarder.HostCount());
+  this->metrics.Add(
+    Counter::ServiceReachability,
+    MetricKey{ WorkspaceId(), Concat(lost ? "lost " : "regained ", aService.Value()) },
+    1);
+  if (lost) {
+    this->interrupted.RemoveService(aService);
+  } else {
+    // What this host learnt of the targets while it could not reach them was its own fault.
+    for (const TargetRecord& target : this->state.Targets().Usable(aService)) {
+      this->health.OnRestart(target.id);
+      this->reachability.OnBytes(target.zone);
+    }
+  }
+  this->RequestForwardingHosts();
+}
+
+void
+EntryHost::Impl::OnTargetUnreachable(const TargetId& aTarget)
+{
+  this->health.OnEnd(aTarget, HealthSignal::NotReached);
+  const std::set<Exchange*> waiting = this->context.waiting;
+  for (Exchange* exchange : waiting) {
+    exchange->OnTargetUnreachable(aTarget);
+  }
+}
+
+// Returns whether this host reached other targets of the service since the target failed. Otherwise
+// the fault may be this host's own.
+bool
+EntryHost::Impl::IsFailureConfirmed(const TargetId& aTarget, MonotonicTime aSince)
+{
+  const TargetRecord* record = this->state.Targets().Find(aTarget);
+  return record == nullptr || this->paths.WasReachedAfter(record->service, aSince);
+}
+
 // Returns the control hosts that can be this host's hub: add up load reports and report stored
 // parts.
 std::vector<HubCandidate>
@@ -374,7 +535,9 @@
     lastReport.last = true;
     this->SendReport(*before, lastReport);
   }
+  this->CheckPaths();
   if (changed) {
+    this->RequestForwardingHosts();
     LogEvent(LogLevel::Info, "hub_chosen")
       .With("hub", chosen.value_or(HostId()))
       .With("before", before.value_or(HostId()));
@@ -405,7 +568,10 @@
   report.urgent = this->picker.HasUrgentSends();
   report.sends = this->picker.TakeSends();
   report.excesses = this->slowStores.TakeObservations();
-  report.findings = this->health.TakeReachabilityReports();
+  report.findings =
+    this->health.TakeReachabilityReports([this](const TargetId& aTarget, MonotonicTime aSince) {
+      return this->IsFailureConfirmed(aTarget, aSince);
+    });
   report.crashes = this->crashFilter.TakeReports();
   report.sound = this->crashFilter.TakeSuccessfulRuns();
   report.limitReports = this->limits.TakeReports();
@@ -501,6 +667,10 @@
     this->configuration.OnChunk(aPeer, *chunk);
     return;
   }
+  if (const auto* hosts = std::get_if<ForwardingHosts>(&message.value())) {
+    this->forwarder.SetHosts(hosts->hosts);
+    return;
+  }
   if (const auto* update = std::get_if<ServingUpdate>(&message.value())) {
     this->ApplyUpdate(aPeer, *update);
   }
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -43,10 +43,14 @@
 
 } // namespace
 
-Exchange::Exchange(EntryContext& aContext, CallerConnection& aCaller, HttpRequestMessage aRequest)
+Exchange::Exchange(EntryContext& aContext,
+                   CallerChannel& aCaller,
+                   HttpRequestMessage aRequest,
+                   std::optional<ForwardedLimits> aForwarded)
   : context(aContext)
   , caller(aCaller)
   , request(std::move(aRequest))
+  , forwardedLimits(aForwarded)
   , arrived(aContext.clock.MonotonicNow())
 {
 }
@@ -60,7 +64,10 @@
   if (const std::optional<CallerError> refusal = this->Resolve()) {
     co_return co_await this->RespondWithError(*refusal);
   }
-  this->context.retries.OnCall(this->service);
+  // The host that forwarded a call has counted it.
+  if (!this->forwardedLimits) {
+    this->context.retries.OnCall(this->service);
+  }
   this->deadline.emplace(this->context.loop.get_executor(),
                          [this] { this->OnInterrupt(Interrupt::Expired); });
   this->deadline->Arm(std::max(this->TimeLeft(), Duration::zero()));
@@ -89,6 +96,12 @@
     return CallerError{ read.error(), RunOutcome::NotRun, std::nullopt };
   }
   this->call = std::move(read.value());
+  if (this->forwardedLimits) {
+    this->call.timeout = this->forwardedLimits->timeLeft;
+    if (this->forwardedLimits->lastEvent) {
+      this->call.lastEvent = this->forwardedLimits->lastEvent;
+    }
+  }
   this->routes = this->context.state.Routes();
   if (this->routes == nullptr) {
     CallerError error = Refusal(
@@ -121,6 +134,10 @@
   const bool resumable = this->route->kind == CallKind::Streaming && this->route->resumable;
   exchangeLimits.repeatable = this->route->kind == CallKind::Idempotent || resumable;
   exchangeLimits.mostTargets = std::max<std::uint64_t>(this->route->mostTargets, 1);
+  if (this->forwardedLimits) {
+    exchangeLimits.mostTargets =
+      std::min(exchangeLimits.mostTargets, this->forwardedLimits->sendsLeft);
+  }
   const Duration patience = this->call.timeout.value_or(this->route->timeout);
   exchangeLimits.endsAt = this->arrived + std::min(this->route->timeout, patience);
   this->plan.emplace(exchangeLimits);
@@ -154,17 +171,16 @@
 {
   ExchangeStep step = ExchangeStep::TryAnother;
   while (step == ExchangeStep::TryAnother) {
-    const TargetRecord* chosen = this->ChooseTarget();
-    if (chosen == nullptr) {
+    if (!co_await this->AttemptOnce()) {
       step = this->plan->WithoutTarget();
       break;
     }
-    // Copied, because the directory of targets may change while this call waits.
-    const TargetRecord target = *chosen;
-    this->lastResult = co_await this->Attempt(target);
     step = this->plan->After(this->lastResult,
                              this->context.clock.MonotonicNow(),
                              this->context.retries.Of(this->service));
+    if (co_await this->MayStillForward(step)) {
+      step = ExchangeStep::TryAnother;
+    }
     if (step == ExchangeStep::TryAnother && this->IsKnownToCrash()) {
       step = this->plan->WithoutTarget();
     }
@@ -174,21 +190,54 @@
         MetricKey{ WorkspaceId(), std::string(AttemptResultName(this->lastResult)) },
         1);
     }
-    if (this->lastResult != AttemptResult::Delivered) {
-      LogEvent(LogLevel::Info, "attempt_ended")
-        .With("request", this->call.request)
-        .With("target", target.id)
-        .With("service", this->service)
-        .With("end", AttemptResultName(this->lastResult))
-        .With("sends", this->plan->Sent())
-        .With("left_ms",
-              std::chrono::duration_cast<std::chrono::milliseconds>(this->TimeLeft()).count())
-        .With("next", ExchangeStepName(step));
-    }
+    this->LogAttemptEnd(step);
   }
   co_return co_await this->Finish(step);
 }
 
+void
+Exchange::LogAttemptEnd(ExchangeStep aStep) const
+{
+  if (this->lastResult == AttemptResult::Delivered) {
+    return;
+  }
+  LogEvent(LogLevel::Info, "attempt_ended")
+    .With("request", this->call.request)
+    .With("target", this->destination)
+    .With("service", this->service)
+    .With("end", AttemptResultName(this->lastResult))
+    .With("sends", this->plan->Sent())
+    .With("left_ms", WholeMilliseconds(this->TimeLeft()))
+    .With("next", ExchangeStepName(aStep));
+}
+
+// Open connections to targets may go on working while new ones fail, so they are used first.
+Awaitable<bool>
+Exchange::AttemptOnce()
+{
+  const TargetRecord* chosen = this->HasOpenConnections() ? this->ChooseTarget() : nullptr;
+  if (chosen == nullptr) {
+    if (const std::optional<HostId> host = this->ChooseForwardingHost()) {
+      this->destination = host->Value();
+      this->lastResult = co_await this->Forward(*host);
+      co_return true;
+    }
+    // Connections would only fail once more. A probe finds out when that has changed.
+    if (this->context.paths.IsUnreachable(this->service)) {
+      co_return false;
+    }
+    chosen = this->ChooseTarget();
+  }
+  if (chosen == nullptr) {
+    co_return false;
+  }
+  // Copied, because the directory of targets may change while this call waits.
+  const TargetRecord target = *chosen;
+  this->destination = target.id.Value();
+  this->lastResult = co_await this->Attempt(target);
+  co_return true;
+}
+
 Awaitable<AttemptResult>
 Exchange::Attempt(const TargetRecord& aTarget)
 {
@@ -198,6 +247,7 @@
   this->sentAt = MonotonicTime();
   this->responseBegun = false;
   this->refused = false;
+  this->unacknowledged = false;
   this->load.uncachedTokens = this->context.picker.UncachedTokens(this->selection, aTarget.id);
   this->load.memory =
     TokenCount(this->call.promptTokens.Value() + this->call.maxAnswerTokens.Value());
@@ -206,13 +256,19 @@
     this->context.picker.LoadOf(aTarget.id).unread >= TargetSelector::kLongPrefill;
   this->context.picker.OnSent(aTarget.id, this->selection, this->load);
   this->context.limits.OnSent(aTarget.id);
+  this->context.brittle.OnSent(aTarget);
   this->context.retryScheduler.OnAdmitted();
   if (this->context.picker.HasUrgentSends() && this->context.reportLoad) {
     this->context.reportLoad();
   }
   this->context.health.OnStart(aTarget.id);
   this->context.reachability.OnStart(aTarget.zone);
+  this->attemptTarget = aTarget;
+  this->targetChecked = false;
   AttemptResult result = co_await this->SendAndReceive(aTarget);
+  if (this->context.waiting.erase(this) > 0) {
+    this->context.paths.OnEnded(this->service);
+  }
   if (this->interrupt != Interrupt::None && result != AttemptResult::Delivered) {
     result = this->ResultOfInterrupt();
   }
@@ -224,26 +280,38 @@
   }
   // Closing a connection that was not pooled cancels the rest of the response at the target.
   this->channel.reset();
+  this->RecordAttemptEnd(aTarget, result);
+  co_return result;
+}
+
+// Tells everything that follows the attempts at a target how this one ended.
+void
+Exchange::RecordAttemptEnd(const TargetRecord& aTarget, AttemptResult aResult)
+{
   this->context.picker.OnEnd(aTarget.id, this->load);
-  if (result == AttemptResult::Delivered) {
+  const bool ran = aResult == AttemptResult::Delivered || aResult == AttemptResult::Failed;
+  this->context.brittle.OnEnded(
+    aTarget.id,
+    aTarget.incarnation,
+    ran ? std::optional(this->context.clock.MonotonicNow() - this->sentAt) : std::nullopt);
+  if (aResult == AttemptResult::Delivered) {
     this->ObserveSlotTime();
     this->ReportSuccessfulRun();
     if (!this->context.interrupted.IsEmpty()) {
       this->context.interrupted.OnAnswered(aTarget.id, aTarget.incarnation, this->sentAt);
     }
-  } else if (result == AttemptResult::Broken) {
+  } else if (aResult == AttemptResult::Broken) {
     this->OnAttemptBroken(aTarget);
-  } else if (result == AttemptResult::Expired || result == AttemptResult::CallerLeft) {
+  } else if (aResult == AttemptResult::Expired || aResult == AttemptResult::CallerLeft) {
     this->OnAttemptWithoutResponse(aTarget);
   }
   // The result of a call to an earlier incarnation says nothing about the health of the current
   // one.
   const TargetRecord* current = this->context.state.Targets().Find(aTarget.id);
   const bool restarted = current != nullptr && current->incarnation > aTarget.incarnation;
-  const HealthSignal signal = restarted ? HealthSignal::None : this->HealthSignalOf(result);
+  const HealthSignal signal = restarted ? HealthSignal::None : this->HealthSignalOf(aResult);
   this->context.health.OnEnd(aTarget.id, signal);
   this->RecordReachability(aTarget, signal);
-  co_return result;
 }
 
 Awaitable<std::unique_ptr<TargetConnection>>
@@ -269,6 +337,7 @@
       .With("target", aTarget.id)
       .With("service", this->service)
       .With("error", connected.error());
+    this->OnConnectFailed();
     co_return nullptr;
   }
   co_return fresh;
@@ -290,6 +359,9 @@
   }
   this->plan->Sending();
   this->sentAt = this->context.clock.MonotonicNow();
+  this->lastBytesAt = this->sentAt;
+  this->context.paths.OnSent(this->service);
+  this->context.waiting.insert(this);
   const TargetCall call = this->CallFor(aTarget);
   this->LogPromptSent(aTarget, call);
   const HttpRequestHead head =
@@ -304,7 +376,8 @@
       .With("target", aTarget.id)
       .With("sent", sent ? "whole" : "part")
       .With("error", responseHead.error());
-    this->unacknowledged = responseHead.error().kind == ErrorKind::DeadlineExceeded;
+    this->unacknowledged =
+      this->unacknowledged || responseHead.error().kind == ErrorKind::DeadlineExceeded;
     co_return AttemptResult::Broken;
   }
   co_return co_await this->HandleResponse(aTarget, std::move(responseHead.value()));
@@ -321,8 +394,7 @@
       co_return head;
     }
     const TargetResponseInfo facts = this->context.dialect.ReadResponse(head.value());
-    this->context.reachability.OnBytes(aTarget.zone);
-    this->context.probe.OnBytes(aTarget.id);
+    this->OnBytes(aTarget);
     this->ObserveNotices(aTarget, facts);
     if (facts.request == this->call.request || facts.request.Empty()) {
       co_return head;
@@ -345,6 +417,7 @@
   const TargetResponseInfo facts = this->context.dialect.ReadResponse(aHead);
   this->responseBegun = true;
   this->ObserveRateLimit(aTarget, facts);
+  this->ObserveRoom(aTarget, facts);
   if (facts.coldFor > Duration::zero()) {
     this->context.limits.OnCold(aTarget, facts.coldFor);
   }
@@ -408,8 +481,7 @@
     if (!piece.value()) {
       break;
     }
-    this->context.reachability.OnBytes(aTarget.zone);
-    this->context.probe.OnBytes(aTarget.id);
+    this->OnBytes(aTarget);
     this->ObserveFirstEvent(aTarget);
     const std::string events = this->framer.Append(*piece.value());
     if (!events.empty() && !co_await this->ForwardEvents(aHead, events)) {
@@ -549,6 +621,9 @@
   if (this->channel != nullptr) {
     this->channel->Close();
   }
+  if (this->forwarded != nullptr) {
+    this->forwarded->Close();
+  }
   if (aReason == Interrupt::CallerLeft || this->plan->PassedOn()) {
     this->caller.Close();
   }
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -4,11 +4,15 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
+#include "CallForwarder.h"
 #include "EntryHostState.h"
 #include "FirstConfiguration.h"
+#include "ServiceProber.h"
 #include "TargetProbe.h"
+#include "damasklink/coordination/BrittleTargetLimiter.h"
 #include "damasklink/coordination/CrashFilter.h"
 #include "damasklink/coordination/EventFramer.h"
 #include "damasklink/coordination/ExchangeRetryPolicy.h"
@@ -16,19 +20,23 @@
 #include "damasklink/coordination/RegionRestriction.h"
 #include "damasklink/coordination/RequestFingerprint.h"
 #include "damasklink/coordination/RetryScheduler.h"
+#include "damasklink/coordination/ServiceReachability.h"
 #include "damasklink/coordination/ServiceRetryBudgets.h"
 #include "damasklink/coordination/SlowStoreDetector.h"
 #include "damasklink/coordination/StartupRetryDelay.h"
 #include "damasklink/coordination/TargetRateLimiter.h"
 #include "damasklink/coordination/TargetRestPeriods.h"
 #include "damasklink/coordination/TargetSelector.h"
+#include "damasklink/coordination/UnconfirmedCrashReports.h"
 #include "damasklink/protocol/ServingDialect.h"
 #include "damasklink/state/Metrics.h"
-#include "damasklink/transport/CallerConnection.h"
+#include "damasklink/transport/CallerChannel.h"
 #include "damasklink/transport/TargetConnection.h"
 
 namespace damasklink {
 
+class Exchange;
+
 // What all exchanges of one entry host share. Everything that it refers to outlives the exchanges.
 struct EntryContext
 {
@@ -52,15 +60,33 @@
   InterruptedRequests& interrupted;
   TargetRateLimiter& limits;
   TargetRestPeriods& rests;
+  ServiceReachability& paths;
+  ServiceProber& prober;
+  UnconfirmedCrashReports& unconfirmedCrashes;
+  CallForwarder& forwarder;
+  BrittleTargetLimiter& brittle;
   MonotonicTime started;
   // Sends this host's load report to its hub at once, not only at the next interval.
   std::function<void()> reportLoad;
   // Set once the process stops: callers' connections are then closed after their responses.
   bool shuttingDown = false;
+  // Exchanges that have sent their request to a target and wait for its answer.
+  std::set<Exchange*> waiting;
+};
+
+// What is left of the limits of a call that another entry host forwarded to this one.
+struct ForwardedLimits
+{
+  Duration timeLeft{ 0 };
+  // Number of targets that the call may still be sent to.
+  std::uint64_t sendsLeft = 0;
+  // The last event that the caller has received of a stream that is resumed.
+  std::optional<std::uint64_t> lastEvent;
 };
 
 // Relays one request: resolves its route, selects targets, forwards bytes, and answers the caller
-// when no target does. ExchangeRetryPolicy decides what follows after each attempt.
+// when no target does. ExchangeRetryPolicy decides what follows after each attempt. While this host
+// reaches no target of the service, the call is forwarded to another entry host instead.
 //
 //   Exchange exchange(context, callerChannel, std::move(request));
 //   const bool reusable = co_await exchange.Run();
@@ -69,13 +95,25 @@
 class Exchange
 {
 public:
-  Exchange(EntryContext& aContext, CallerConnection& aCaller, HttpRequestMessage aRequest);
+  // aForwarded is set for a call that another host forwarded; it is not forwarded again.
+  Exchange(EntryContext& aContext,
+           CallerChannel& aCaller,
+           HttpRequestMessage aRequest,
+           std::optional<ForwardedLimits> aForwarded = std::nullopt);
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
 
   // Answers the request. Returns whether the caller's connection can take another request.
   Awaitable<bool> Run();
 
+  // To be called regularly while the exchange is among the waiting ones. Gives up the attempt if
+  // the service is unreachable and the call may be repeated, and checks a target that stays silent.
+  void CheckSilence();
+
+  // The target accepts no connections. Gives up the attempt if it waits for this target and the
+  // call may be repeated. A call that may not waits on, since the target may have it.
+  void OnTargetUnreachable(const TargetId& aTarget);
+
 private:
   // Why the exchange cancelled its pending operations.
   enum class Interrupt
@@ -97,6 +135,19 @@
   // Sets allowedRegions. Returns the refusal when they leave no zone to send the call to.
   std::optional<CallerError> ResolveAllowedRegions();
   Awaitable<bool> Relay();
+  // Makes one attempt and sets lastResult. Returns false if there is no target and no other host.
+  Awaitable<bool> AttemptOnce();
+  // Returns whether the call was refused only because connections failed, and another host may
+  // still take it.
+  Awaitable<bool> MayStillForward(ExchangeStep aStep);
+  std::optional<HostId> ChooseForwardingHost();
+  bool HasOpenConnections() const;
+  Awaitable<AttemptResult> Forward(HostId aHost);
+  Awaitable<AttemptResult> ReceiveForwarded(HostId aHost);
+  Awaitable<AttemptResult> DeliverForwarded(ForwardedHead aHead);
+  ForwardedCall MakeForwardedCall() const;
+  void LogAttemptEnd(ExchangeStep aStep) const;
+  void RecordAttemptEnd(const TargetRecord& aTarget, AttemptResult aResult);
   Awaitable<AttemptResult> Attempt(const TargetRecord& aTarget);
   Awaitable<AttemptResult> SendAndReceive(const TargetRecord& aTarget);
   Awaitable<Result<HttpResponseHead>> ReadMatchingHead(const TargetRecord& aTarget);
@@ -118,6 +169,9 @@
   void ObserveFirstEvent(const TargetRecord& aTarget);
   void ObserveSlotTime();
   CrashReport MakeCrashReport(const TargetRecord& aTarget);
+  void OnBytes(const TargetRecord& aTarget);
+  void OnConnectFailed();
+  void GiveUpAttempt();
   void OnAttemptBroken(const TargetRecord& aTarget);
   void OnAttemptWithoutResponse(const TargetRecord& aTarget);
   // Returns whether the target had surely begun this attempt when it broke off.
@@ -126,8 +180,12 @@
   void ObserveNotices(const TargetRecord& aTarget, const TargetResponseInfo& aFacts);
   // Records the rate limit that a response names for its target.
   void ObserveRateLimit(const TargetRecord& aTarget, const TargetResponseInfo& aFacts);
-  // Sets the targets of the service that this host has no rate permit for at the moment.
+  // Records what a response says about the room for requests at its target.
+  void ObserveRoom(const TargetRecord& aTarget, const TargetResponseInfo& aFacts);
+  // Sets the targets of the service that this host may not send to at the moment.
   void UpdateRateLimited();
+  void ExcludeUnconnected();
+  void ExcludeFull();
   // Returns whether the target has neither left nor asked for rest since it was chosen.
   bool StillTakesCalls(const TargetRecord& aTarget) const;
   // Returns the time until one of the targets that the call may begin on has rested; zero if one of
@@ -155,8 +213,9 @@
   void LogEnd(std::string_view aOutcome, int aStatus) const;
 
   EntryContext& context;
-  CallerConnection& caller;
+  CallerChannel& caller;
   HttpRequestMessage request;
+  std::optional<ForwardedLimits> forwardedLimits;
   MonotonicTime arrived;
 
   // Set by Resolve(). Shared, since a newer table may replace it while this call runs.
@@ -176,6 +235,17 @@
   std::optional<ExchangeRetryPolicy> plan;
   std::optional<Watchdog> deadline;
   std::unique_ptr<TargetConnection> channel;
+  // The response of the host that the call was forwarded to.
+  std::unique_ptr<ForwardedResponse> forwarded;
+  // Hosts that the call was forwarded to, or should have been.
+  std::set<HostId> triedHosts;
+  // The target or host of the last attempt.
+  std::string destination;
+  // The target of this attempt.
+  TargetRecord attemptTarget;
+  // When the target of this attempt last sent something.
+  MonotonicTime lastBytesAt;
+  bool targetChecked = false;
   CallLoad load;
   // Slow stores that this call does not fetch from.
   std::set<std::string> avoidedStores;
--- /dev/null
+++ b/src/program/ExchangeForwarding.cpp
@@ -0,0 +1,171 @@
+// Forwarding of an Exchange's call to another entry host. The rest of the class is in Exchange.cpp,
+// ExchangeRouting.cpp and ExchangeReporting.cpp.
+#include "Exchange.h"
+
+#include "damasklink/state/Units.h"
+#include "damasklink/transport/Log.h"
+
+namespace damasklink {
+namespace {
+
+// Longest wait for the result of a probe, when connections to targets have just failed.
+constexpr Duration kMaxProbeWait = std::chrono::milliseconds(100);
+constexpr Duration kProbeCheckInterval = std::chrono::milliseconds(5);
+
+// Returns whether the status promises that the call was not run.
+bool
+IsRefusal(int aStatus)
+{
+  return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
+}
+
+} // namespace
+
+bool
+Exchange::HasOpenConnections() const
+{
+  const ServiceReachability& paths = this->context.paths;
+  return paths.IsUnreachable(this->service) &&
+         paths.HadBytesWithin(this->service, ServiceReachability::kRecentBytes);
+}
+
+std::optional<HostId>
+Exchange::ChooseForwardingHost()
+{
+  const bool mayForward = !this->forwardedLimits &&
+                          this->context.paths.IsUnreachable(this->service) &&
+                          this->plan->Sent() < this->plan->Limits().mostTargets;
+  return mayForward ? this->context.forwarder.Choose(this->service, this->triedHosts)
+                    : std::nullopt;
+}
+
+// The last of the failed connections may have started the probe that finds the service unreachable.
+Awaitable<bool>
+Exchange::MayStillForward(ExchangeStep aStep)
+{
+  if (aStep != ExchangeStep::Refuse || this->lastResult != AttemptResult::Unreachable) {
+    co_return false;
+  }
+  const MonotonicTime until = this->context.clock.MonotonicNow() + kMaxProbeWait;
+  asio::steady_timer pause(this->context.loop);
+  while (this->context.paths.IsProbing(this->service) && this->interrupt == Interrupt::None &&
+         this->context.clock.MonotonicNow() < until) {
+    pause.expires_after(kProbeCheckInterval);
+    co_await pause.async_wait(kAsValue);
+  }
+  co_return this->interrupt == Interrupt::None&& this->ChooseForwardingHost().has_value();
+}
+
+ForwardedCall
+Exchange::MakeForwardedCall() const
+{
+  ForwardedCall forwardedCall;
+  forwardedCall.head = this->request.head;
+  RemoveHopByHopFields(forwardedCall.head.fields);
+  forwardedCall.body = this->request.body;
+  forwardedCall.service = this->service;
+  forwardedCall.timeLeft = this->TimeLeft();
+  forwardedCall.configuration = this->routes->Config().version;
+  // This attempt counts as one of the sends.
+  forwardedCall.sendsLeft = this->plan->Limits().mostTargets - (this->plan->Sent() - 1);
+  forwardedCall.lastEvent =
+    this->framer.LastEvent() ? this->framer.LastEvent() : this->call.lastEvent;
+  return forwardedCall;
+}
+
+Awaitable<AttemptResult>
+Exchange::Forward(HostId aHost)
+{
+  this->triedHosts.insert(aHost);
+  this->plan->Begin(AttemptId(this->call.request.Value()), TargetId(aHost.Value()));
+  AttemptResult result = AttemptResult::Unreachable;
+  if (co_await this->context.forwarder.Connect(aHost) && this->interrupt == Interrupt::None) {
+    this->plan->Sending();
+    this->forwarded = this->context.forwarder.Send(aHost, this->MakeForwardedCall());
+    LogEvent(LogLevel::Info, "call_forwarded")
+      .With("request", this->call.request)
+      .With("to", aHost)
+      .With("service", this->service)
+      .With("configuration", this->routes->Config().version)
+      .With("left_ms", WholeMilliseconds(this->TimeLeft()));
+    result = co_await this->ReceiveForwarded(aHost);
+    this->forwarded.reset();
+  }
+  if (this->interrupt != Interrupt::None && result != AttemptResult::Delivered) {
+    result = this->ResultOfInterrupt();
+  }
+  this->context.metrics.Add(
+    Counter::ForwardedCalls, MetricKey{ WorkspaceId(), std::string(AttemptResultName(result)) }, 1);
+  co_return result;
+}
+
+Awaitable<AttemptResult>
+Exchange::ReceiveForwarded(HostId aHost)
+{
+  std::optional<HttpResponseHead> head;
+  while (true) {
+    auto received = co_await this->forwarded->Next();
+    if (!received) {
+      this->framer.DiscardPartialEvent();
+      co_return AttemptResult::Broken;
+    }
+    ForwardingMessage& message = received.value();
+    std::string bytes;
+    if (const auto* decline = std::get_if<ForwardingDecline>(&message)) {
+      LogEvent(LogLevel::Info, "forwarding_declined")
+        .With("request", this->call.request)
+        .With("by", aHost)
+        .With("service", this->service)
+        .With("reason", DeclineReasonName(decline->reason));
+      this->context.forwarder.OnDeclined(aHost, this->service, decline->reason);
+      co_return AttemptResult::Declined;
+    }
+    if (auto* first = std::get_if<ForwardedHead>(&message)) {
+      if (first->whole) {
+        co_return co_await this->DeliverForwarded(std::move(*first));
+      }
+      head = std::move(first->head);
+      bytes = std::move(first->bytes);
+    } else if (auto* chunk = std::get_if<ForwardedChunk>(&message)) {
+      bytes = std::move(chunk->bytes);
+    } else if (const auto* end = std::get_if<ForwardedEnd>(&message)) {
+      if (!end->complete || !head || this->framer.HasPartialEvent()) {
+        this->framer.DiscardPartialEvent();
+        co_return AttemptResult::Broken;
+      }
+      this->succeeded = true;
+      this->LogEnd("forwarded", head->status);
+      const bool ended = co_await this->caller.EndStream();
+      co_return ended ? AttemptResult::Delivered : AttemptResult::CallerLeft;
+    }
+    if (!head) {
+      co_return AttemptResult::Broken;
+    }
+    const std::string events = this->framer.Append(bytes);
+    if (!events.empty() && !co_await this->ForwardEvents(*head, events)) {
+      co_return AttemptResult::CallerLeft;
+    }
+  }
+}
+
+// Passes on the response, unless it does not hold for the whole call: it refuses the call, and an
+// earlier attempt may have run it, or the caller already has a part of another response.
+Awaitable<AttemptResult>
+Exchange::DeliverForwarded(ForwardedHead aHead)
+{
+  if (this->plan->PassedOn()) {
+    co_return AttemptResult::Broken;
+  }
+  if (IsRefusal(aHead.head.status) && this->plan->Sent() > 1) {
+    co_return AttemptResult::Refused;
+  }
+  this->deadline->Disarm();
+  this->succeeded = aHead.head.status < 300;
+  this->LogEnd("forwarded", aHead.head.status);
+  HttpResponseMessage response{ std::move(aHead.head), std::move(aHead.bytes) };
+  const bool written =
+    co_await this->caller.WriteWhole(std::move(response), this->ShouldCloseCallerConnection());
+  co_return written ? AttemptResult::Delivered : AttemptResult::CallerLeft;
+}
+
+} // namespace damasklink
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -13,6 +13,10 @@
 // A healthy target begins its response far sooner.
 constexpr Duration kSuspiciousSilence = std::chrono::seconds(1);
 
+// Time without an answer after which a connection is made to the target, to find out whether it can
+// be reached at all.
+constexpr Duration kMaxTargetSilence = std::chrono::milliseconds(600);
+
 // A listener that drops unwanted connections does so sooner.
 constexpr Duration kMaxDropTime = std::chrono::milliseconds(100);
 
@@ -51,6 +55,9 @@
 Exchange::OnAttemptBroken(const TargetRecord& aTarget)
 {
   const CrashReport report = this->MakeCrashReport(aTarget);
+  if (!this->responseBegun) {
+    this->OnConnectFailed();
+  }
   const bool leaving = this->context.state.Targets().Find(aTarget.id) == nullptr;
   LogEvent(LogLevel::Info, "attempt_broken")
     .With("request", this->call.request)
@@ -59,20 +66,21 @@
     .With("target", aTarget.id)
     .With("incarnation", aTarget.incarnation)
     .With("leaves", leaving);
-  if (leaving) {
+  // A host that reaches no target would accuse the requests that it had in progress.
+  if (leaving || this->context.paths.IsUnreachable(this->service)) {
     return;
   }
   const bool wasRunning = this->WasSurelyRunning();
   if (wasRunning) {
     this->context.interrupted.Add(report, aTarget.endpoint);
   }
-  CrashFilter& crashFilter = this->context.crashFilter;
-  this->context.probe.Run(aTarget,
-                          [&crashFilter, report, wasRunning](TerminationEvidence aEvidence) {
-                            if (wasRunning || aEvidence == TerminationEvidence::Refused) {
-                              crashFilter.OnCrash(report);
-                            }
-                          });
+  EntryContext& shared = this->context;
+  this->context.probe.Run(aTarget, [&shared, report, wasRunning](TerminationEvidence aEvidence) {
+    if (wasRunning || aEvidence == TerminationEvidence::Refused) {
+      shared.unconfirmedCrashes.Add(report);
+      shared.prober.Probe(report.service);
+    }
+  });
 }
 
 // A request that was sent after the target had ended may have reached another listener at its
@@ -83,6 +91,58 @@
   return this->responseBegun || this->context.clock.MonotonicNow() - this->sentAt >= kMaxDropTime;
 }
 
+void
+Exchange::OnBytes(const TargetRecord& aTarget)
+{
+  this->lastBytesAt = this->context.clock.MonotonicNow();
+  this->context.reachability.OnBytes(aTarget.zone);
+  this->context.probe.OnBytes(aTarget.id);
+  this->context.paths.OnBytes(this->service);
+}
+
+// Bytes from other targets show that the fault is that of the target.
+void
+Exchange::OnConnectFailed()
+{
+  const bool hadBytes =
+    this->context.paths.HadBytesWithin(this->service, ServiceReachability::kSuspiciousSilence);
+  if (!hadBytes || this->plan->Unreachable() > 0) {
+    this->context.prober.Probe(this->service);
+  }
+}
+
+void
+Exchange::CheckSilence()
+{
+  const MonotonicTime now = this->context.clock.MonotonicNow();
+  const Duration silence = now - this->lastBytesAt;
+  const bool unreachable = this->context.paths.IsUnreachable(this->service);
+  if (unreachable && silence >= ServiceReachability::kSuspiciousSilence) {
+    this->GiveUpAttempt();
+  } else if (!this->responseBegun && !this->targetChecked && silence >= kMaxTargetSilence) {
+    this->targetChecked = true;
+    this->context.prober.CheckTarget(this->attemptTarget);
+  }
+}
+
+void
+Exchange::OnTargetUnreachable(const TargetId& aTarget)
+{
+  const Duration silence = this->context.clock.MonotonicNow() - this->lastBytesAt;
+  if (this->attemptTarget.id == aTarget && silence >= kMaxTargetSilence) {
+    this->GiveUpAttempt();
+  }
+}
+
+void
+Exchange::GiveUpAttempt()
+{
+  if (this->plan->Limits().repeatable && this->channel != nullptr) {
+    this->unacknowledged = true;
+    this->channel->Close();
+  }
+}
+
 // A target that ended without closing its connections shows it only by its silence. Callers that
 // leave before kSuspiciousSilence say nothing about the target.
 void
@@ -90,7 +150,8 @@
 {
   const bool sent = this->sentAt != MonotonicTime();
   const Duration waited = this->context.clock.MonotonicNow() - this->sentAt;
-  if (sent && !this->plan->PassedOn() && waited >= kSuspiciousSilence) {
+  const bool unreachable = this->context.paths.IsUnreachable(this->service);
+  if (sent && !unreachable && !this->plan->PassedOn() && waited >= kSuspiciousSilence) {
     this->context.interrupted.Add(this->MakeCrashReport(aTarget), aTarget.endpoint);
   }
 }
@@ -145,6 +206,34 @@
   this->context.limits.OnAnswer(aTarget, aFacts.limit, this->sentAt);
 }
 
+void
+Exchange::ObserveRoom(const TargetRecord& aTarget, const TargetResponseInfo& aFacts)
+{
+  if (aFacts.wrongTarget) {
+    return;
+  }
+  BrittleTargetLimiter& brittle = this->context.brittle;
+  const bool before = brittle.IsBrittle(this->service);
+  brittle.OnAnswer(aTarget, aFacts.brittle, this->sentAt);
+  const bool now = brittle.IsBrittle(this->service);
+  if (before != now) {
+    LogEvent(LogLevel::Info, now ? "service_brittle" : "service_not_brittle")
+      .With("request", this->call.request)
+      .With("service", this->service)
+      .With("target", aTarget.id)
+      .With("tolerated_per_second", aFacts.brittle.value_or(RequestRate()).perSecond);
+  }
+  if (now && aFacts.full) {
+    const std::uint64_t load = this->context.picker.LoadOf(aTarget.id).requests;
+    brittle.OnRejected(aTarget);
+    LogEvent(LogLevel::Info, "brittle_target_full")
+      .With("request", this->call.request)
+      .With("target", aTarget.id)
+      .With("load", load)
+      .With("slots", aTarget.load.slots);
+  }
+}
+
 void
 Exchange::ReportSuccessfulRun()
 {
@@ -187,6 +276,7 @@
     case AttemptResult::Broken:
       return this->unacknowledged ? HealthSignal::NotReached : HealthSignal::Bad;
     case AttemptResult::NotSent:
+    case AttemptResult::Declined:
     case AttemptResult::CallerLeft:
     case AttemptResult::Expired:
       return HealthSignal::None;
--- a/src/program/ExchangeRouting.cpp
+++ b/src/program/ExchangeRouting.cpp
@@ -130,11 +130,40 @@
 Exchange::UpdateRateLimited()
 {
   this->selection.rateLimited.clear();
-  if (this->context.limits.IsEmpty()) {
-    return;
+  if (!this->context.limits.IsEmpty()) {
+    for (const TargetRecord& target : this->Targets()) {
+      if (!this->context.limits.MaySend(target.id)) {
+        this->selection.rateLimited.insert(target.id);
+      }
+    }
+  }
+  if (this->context.brittle.IsBrittle(this->service)) {
+    this->ExcludeFull();
+  }
+  if (this->HasOpenConnections()) {
+    this->ExcludeUnconnected();
   }
+}
+
+void
+Exchange::ExcludeFull()
+{
+  const TargetDirectory& directory = this->context.state.Targets();
+  const std::uint64_t hosts =
+    this->context.state.EntryHosts() / directory.SubsetCount(this->service);
+  for (const TargetRecord& target : this->Targets()) {
+    const std::uint64_t load = this->context.picker.LoadOf(target.id).requests;
+    if (!this->context.brittle.MaySend(target, load, hosts)) {
+      this->selection.rateLimited.insert(target.id);
+    }
+  }
+}
+
+void
+Exchange::ExcludeUnconnected()
+{
   for (const TargetRecord& target : this->Targets()) {
-    if (!this->context.limits.MaySend(target.id)) {
+    if (!this->context.pool.HasIdle(target.endpoint)) {
       this->selection.rateLimited.insert(target.id);
     }
   }
@@ -161,8 +190,8 @@
   this->selection.compareAll = true;
   chosen = this->context.picker.Choose(this->selection, targets);
   this->selection.compareAll = false;
-  this->overloaded = !this->CanServeInTime(*chosen);
-  if (this->overloaded) {
+  this->overloaded = chosen == nullptr || !this->CanServeInTime(*chosen);
+  if (this->overloaded && chosen != nullptr) {
     this->LogOverload(*chosen);
   }
   return this->overloaded ? nullptr : chosen;
--- a/src/program/ServingUpdatePublisher.cpp
+++ b/src/program/ServingUpdatePublisher.cpp
@@ -93,6 +93,7 @@
     this->publishedIsolated = changes.isolated;
     this->SendTargetChanges(changes, stateChanged);
   }
+  this->hosts.RemoveExpiredCutOffs(this->clock.MonotonicNow());
   if (this->hosts.TakeEntryHostsChanged()) {
     this->SendToControlHosts(Work::Hosts, this->hosts.MakeEntryHostList());
   }
@@ -222,6 +223,13 @@
   }
 }
 
+void
+ServingUpdatePublisher::SendForwardingHosts(const HostId& aEntryHost)
+{
+  this->EncodeAndSend(
+    Work::Hosts, aEntryHost, ForwardingHosts{ this->hosts.ForwardingHostsFor(aEntryHost) });
+}
+
 void
 ServingUpdatePublisher::PublishStores(const std::vector<StoreUpdate>& aUpdates)
 {
--- a/src/program/ServingUpdatePublisher.h
+++ b/src/program/ServingUpdatePublisher.h
@@ -52,6 +52,9 @@
   // Answers a request for a chunk of the configuration document.
   void Answer(const HostId& aEntryHost, const DocumentRequest& aRequest);
 
+  // Sends an entry host those to which it may forward calls.
+  void SendForwardingHosts(const HostId& aEntryHost);
+
   // Sends changes in stores to the entry hosts that report to this one.
   void PublishStores(const std::vector<StoreUpdate>& aUpdates);
 
--- a/src/program/WorkStatistics.cpp
+++ b/src/program/WorkStatistics.cpp
@@ -28,6 +28,8 @@
   Work operator()(const ServingUpdate& /*aUpdate*/) const { return Work::Pictures; }
   Work operator()(const LoadReport& /*aReport*/) const { return Work::Loads; }
   Work operator()(const EntryHostList& /*aList*/) const { return Work::Hosts; }
+  Work operator()(const ForwardingHostsRequest& /*aRequest*/) const { return Work::Hosts; }
+  Work operator()(const ForwardingHosts& /*aHosts*/) const { return Work::Hosts; }
   Work operator()(const DocumentRequest& /*aRequest*/) const { return Work::Documents; }
   Work operator()(const DocumentChunk& /*aChunk*/) const { return Work::Documents; }
 };
--- a/src/protocol/MetricsText.cpp
+++ b/src/protocol/MetricsText.cpp
@@ -123,6 +123,14 @@
       return "damasklink_snapshots_encoded_total";
     case Counter::FailedConnects:
       return "damasklink_failed_connects_total";
+    case Counter::ServiceReachability:
+      return "damasklink_service_reachability_changes_total";
+    case Counter::ForwardedCalls:
+      return "damasklink_forwarded_calls_total";
+    case Counter::ForwardingDeclines:
+      return "damasklink_forwarding_declines_total";
+    case Counter::ServedForwards:
+      return "damasklink_served_forwards_total";
   }
   return "damasklink_unnamed_total";
 }
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -21,6 +21,8 @@
   DocumentChunk = 6,
   // Another message, compressed.
   Compressed = 7,
+  ForwardingHostsRequest = 8,
+  ForwardingHosts = 9,
 };
 
 // Messages smaller than this are not compressed, because they fit into a few packets anyway.
@@ -30,26 +32,28 @@
 // smaller: an update with 12,000 targets has two megabytes.
 constexpr std::size_t kMaxDecompressedBytes = 64 * kMebibyte;
 
+template<typename Id>
 std::vector<std::string>
-TextsOf(const std::vector<HostId>& aHosts)
+TextsOf(const std::vector<Id>& aIds)
 {
   std::vector<std::string> texts;
-  texts.reserve(aHosts.size());
-  for (const HostId& host : aHosts) {
-    texts.push_back(host.Value());
+  texts.reserve(aIds.size());
+  for (const Id& id : aIds) {
+    texts.push_back(id.Value());
   }
   return texts;
 }
 
-std::vector<HostId>
-HostsOf(const std::vector<std::string>& aTexts)
+template<typename Id>
+std::vector<Id>
+IdsOf(const std::vector<std::string>& aTexts)
 {
-  std::vector<HostId> hosts;
-  hosts.reserve(aTexts.size());
+  std::vector<Id> ids;
+  ids.reserve(aTexts.size());
   for (const std::string& text : aTexts) {
-    hosts.emplace_back(text);
+    ids.emplace_back(text);
   }
-  return hosts;
+  return ids;
 }
 
 // Rounds up, so that no target counts as warm too early.
@@ -353,6 +357,23 @@
   {
     this->frame.kind = static_cast<std::uint8_t>(FrameKind::EntryHostList);
     this->frame.entry_host_names = TextsOf(aList.hosts);
+    this->frame.entry_host_zones = TextsOf(aList.zones);
+    this->frame.cut_off_hosts = TextsOf(aList.cutOff);
+  }
+
+  void operator()(const ForwardingHostsRequest& aRequest)
+  {
+    this->frame.kind = static_cast<std::uint8_t>(FrameKind::ForwardingHostsRequest);
+    this->frame.cut_off = aRequest.cutOff;
+  }
+
+  void operator()(const ForwardingHosts& aHosts)
+  {
+    this->frame.kind = static_cast<std::uint8_t>(FrameKind::ForwardingHosts);
+    for (const auto& [host, zone] : aHosts.hosts) {
+      this->frame.entry_host_names.push_back(host.Value());
+      this->frame.entry_host_zones.push_back(zone.Value());
+    }
   }
 
   void operator()(const DocumentRequest& aRequest)
@@ -381,6 +402,18 @@
   }
 };
 
+ForwardingHosts
+ReadForwardingHosts(const wire::ServingFrameT& aFrame)
+{
+  ForwardingHosts hosts;
+  for (std::size_t index = 0; index < aFrame.entry_host_names.size(); ++index) {
+    const bool known = index < aFrame.entry_host_zones.size();
+    hosts.hosts[HostId(aFrame.entry_host_names[index])] =
+      known ? ZoneId(aFrame.entry_host_zones[index]) : ZoneId();
+  }
+  return hosts;
+}
+
 ControlHostZones
 ReadControlHosts(const wire::ServingFrameT& aFrame)
 {
@@ -604,7 +637,13 @@
     case FrameKind::Compressed:
       break;
     case FrameKind::EntryHostList:
-      return ServingMessage(EntryHostList{ HostsOf(frame.entry_host_names) });
+      return ServingMessage(EntryHostList{ IdsOf<HostId>(frame.entry_host_names),
+                                           IdsOf<ZoneId>(frame.entry_host_zones),
+                                           IdsOf<HostId>(frame.cut_off_hosts) });
+    case FrameKind::ForwardingHostsRequest:
+      return ServingMessage(ForwardingHostsRequest{ frame.cut_off });
+    case FrameKind::ForwardingHosts:
+      return ServingMessage(ReadForwardingHosts(frame));
     case FrameKind::DocumentRequest:
       return ServingMessage(DocumentRequest{
         Revision(frame.held), ReadId(frame.transfer.get()), frame.offset, frame.most_bytes });
--- a/src/transport/PeerNetwork.cpp
+++ b/src/transport/PeerNetwork.cpp
@@ -269,6 +269,8 @@
       return "admission";
     case Channel::Serving:
       return "serving";
+    case Channel::Forwarding:
+      return "forwarding";
   }
   return "unknown";
 }
--- a/test/coordination/ExchangeRetryPolicyTest.cpp
+++ b/test/coordination/ExchangeRetryPolicyTest.cpp
@@ -167,5 +167,19 @@
   RC_ASSERT(step != ExchangeStep::Refuse || !mayHaveRun);
 }
 
+TEST_F(ExchangeRetryPolicyTest, DeclinedCallIsTriedElsewhereWithoutARetry)
+{
+  RetryBudget empty{ 0, 0 };
+  ExchangeRetryPolicy plan(MakeLimits(false, 1));
+  for (std::uint64_t decline = 1; decline <= ExchangeRetryPolicy::kMaxDeclined; ++decline) {
+    plan.Begin(AttemptId("a"), TargetId("host"));
+    plan.Sending();
+    const ExchangeStep expected =
+      decline < ExchangeRetryPolicy::kMaxDeclined ? ExchangeStep::TryAnother : ExchangeStep::Refuse;
+    EXPECT_EQ(plan.After(AttemptResult::Declined, kNow, empty), expected);
+    EXPECT_EQ(plan.Sent(), 0U);
+  }
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/coordination/TargetHealthTest.cpp
+++ b/test/coordination/TargetHealthTest.cpp
@@ -154,5 +154,20 @@
   EXPECT_TRUE(this->health.TakeReachabilityReports().empty());
 }
 
+// Guards against hosts that are cut off and have sound targets ejected by all others.
+TEST_F(TargetHealthTest, UnconfirmedReportIsHeldBackAndDropped)
+{
+  const TargetId target("a");
+  const auto never = [](const TargetId&, MonotonicTime) { return false; };
+  this->health.OnEnd(target, HealthSignal::NotReached);
+  EXPECT_TRUE(this->health.TakeReachabilityReports(never).empty());
+  EXPECT_EQ(this->health.TakeReachabilityReports().size(), 1U);
+  this->health.OnRestart(target);
+  this->health.OnEnd(target, HealthSignal::NotReached);
+  this->clock.Advance(TargetHealth::kReportRetention);
+  EXPECT_TRUE(this->health.TakeReachabilityReports(never).empty());
+  EXPECT_TRUE(this->health.TakeReachabilityReports().empty());
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/platform/SettingsTest.cpp
+++ b/test/platform/SettingsTest.cpp
@@ -20,6 +20,7 @@
   EXPECT_EQ(parsed.value.zone, ZoneId("hall-north"));
   EXPECT_EQ(parsed.value.callers, (Endpoint{ "10.1.0.40", 8005 }));
   EXPECT_EQ(parsed.value.peerPort, 7700);
+  EXPECT_EQ(parsed.value.forwardingPort, 7701);
   EXPECT_EQ(parsed.value.seeds, (std::vector<HostId>{ HostId("10.1.0.43"), HostId("10.2.0.40") }));
   EXPECT_TRUE(parsed.value.firstStart);
   EXPECT_EQ(parsed.value.targetHeartbeat, std::chrono::milliseconds(1200));
--- a/test/program/ExchangeFixture.h
+++ b/test/program/ExchangeFixture.h
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include "damasklink/state/Metrics.h"
+#include "damasklink/transport/CallerConnection.h"
 #include "platform/Dialect.h"
 #include "program/Exchange.h"
 #include "support/ScriptedTarget.h"
@@ -246,6 +247,22 @@
   InterruptedRequests interrupted{ this->clock };
   HostId self{ "entry" };
   TargetRateLimiter limits{ this->clock, this->self };
+  ServiceReachability paths{ this->clock };
+  UnconfirmedCrashReports unconfirmedCrashes{ this->clock, this->paths };
+  ServiceProber prober{ this->loop,
+                        this->clock,
+                        this->dialect,
+                        this->state,
+                        this->paths,
+                        { [](const auto&, auto) {}, [](const auto&) {} },
+                        1 };
+  CallForwarder forwarder{ this->loop,
+                           this->clock,
+                           this->settings,
+                           this->metrics,
+                           1,
+                           [](const auto&, auto&, const auto&) { return DeclineReason::Stopping; } };
+  BrittleTargetLimiter brittle{ this->clock, 1 };
   EntryContext context{ this->loop,
                         this->clock,
                         this->settings,
@@ -266,8 +283,15 @@
                         this->interrupted,
                         this->limits,
                         this->rests,
+                        this->paths,
+                        this->prober,
+                        this->unconfirmedCrashes,
+                        this->forwarder,
+                        this->brittle,
                         this->clock.MonotonicNow(),
-                        nullptr };
+                        nullptr,
+                        false,
+                        {} };
   std::thread thread;
   asio::io_context callerLoop;
   TcpSocket caller{ this->callerLoop };
--- a/test/soak/isolated_hosts.py
+++ b/test/soak/isolated_hosts.py
@@ -83,7 +83,7 @@
         return None
 
     async def serve(self, reader, writer):
-        host = self.host_at(writer)
+        host = self.host_at(writer) if self.run.cut_off else None
         self.host_of[writer] = host
         try:
             if self.is_cut_off(host) and self.run.cut_way in ("reset", "new_reset"):
@@ -94,7 +94,9 @@
             del self.host_of[writer]
 
     def cut(self):
-        """Begins a cut: resets the open connections of the hosts, if that is its way."""
+        """Begins a cut: finds out whose the open connections are, and resets them if that is its way."""
+        for writer in self.host_of:
+            self.host_of[writer] = self.host_at(writer)
         if self.run.cut_way == "reset":
             for writer, host in list(self.host_of.items()):
                 if self.is_cut_off(host):
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -21,7 +21,7 @@
 import sys
 import tempfile
 
-from standins import EVENTS, FaultProxy, Target, call, read_head
+from standins import EVENTS, HEALTH_PATH, FaultProxy, Target, call, read_head
 
 ZONES = ("a", "b", "c")
 CONTROLS = 3
@@ -183,7 +183,7 @@
         for name in [f"v{version}" for version in versions] + others:
             routes.append(self.route(name, "idempotent", "app", False))
         tenants = [{"name": "w", "api-keys": ["key"]}]
-        services = [{"name": "app"}, {"name": "lm"}]
+        services = [{"name": name, "health-path": HEALTH_PATH} for name in ("app", "lm")]
         return json.dumps(
             {"version": self.version, "routes": routes, "services": services, "tenants": tenants}
         )
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -6,6 +6,7 @@
 import random
 
 EVENTS = 12
+HEALTH_PATH = "/healthz"
 EVENT_PAUSE = 0.01
 # A body that begins so ends each target that runs it, this long after it has begun.
 CRASHING = b"crash"
@@ -245,6 +246,9 @@
             writer.close()
 
     async def answer(self, path, fields, body, writer):
+        if path == HEALTH_PATH:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            return
         request = fields["x-request-id"]
         echo = f"X-Request-Id: {request}\r\n"
         if fields.get("x-target-instance", self.id) != self.id:
