--- a/src/program/CallForwarder.h
+++ b/src/program/CallForwarder.h
@@ -98,7 +98,8 @@
   // Replaces the hosts to which calls may be forwarded.
   void SetHosts(EntryHostZones aHosts);
 
-  std::size_t HostCount() const { return this->peers.Hosts().size(); }
+  // Returns the hosts to which calls may be forwarded.
+  const EntryHostZones& Hosts() const { return this->peers.Hosts(); }
   // Returns whether hosts are known, or none are needed as forwarding is disabled.
   bool HasHosts() const { return !this->enabled || !this->peers.Hosts().empty(); }
 
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -470,7 +470,7 @@
   LogEvent(LogLevel::Warning, lost ? "service_unreachable" : "service_reachable")
     .With("service", aService)
     .With("targets", this->state.Targets().Usable(aService).size())
-    .With("forwarding_hosts", this->forwarder.HostCount());
+    .With("forwarding_hosts", this->forwarder.Hosts().size());
   this->metrics.Add(
     Counter::ServiceReachability,
     MetricKey{ WorkspaceId(), Concat(lost ? "lost " : "regained ", aService.Value()) },
--- a/src/program/ExchangeForwarding.cpp
+++ b/src/program/ExchangeForwarding.cpp
@@ -35,8 +35,17 @@
   const bool mayForward = !this->forwardedLimits &&
                           this->context.paths.IsUnreachable(this->service) &&
                           this->plan->Sent() < this->plan->Limits().mostTargets;
-  return mayForward ? this->context.forwarder.Choose(this->service, this->triedHosts)
-                    : std::nullopt;
+  if (!mayForward) {
+    return std::nullopt;
+  }
+  // A host outside the allowed regions must not get the call either.
+  std::set<HostId> excluded = this->triedHosts;
+  for (const auto& [host, zone] : this->context.forwarder.Hosts()) {
+    if (!this->allowedRegions.Allows(zone)) {
+      excluded.insert(host);
+    }
+  }
+  return this->context.forwarder.Choose(this->service, excluded);
 }
 
 // The last of the failed connections may have started the probe that finds the service unreachable.
@@ -53,7 +62,9 @@
     pause.expires_after(kProbeCheckInterval);
     co_await pause.async_wait(kAsValue);
   }
-  co_return this->interrupt == Interrupt::None&& this->ChooseForwardingHost().has_value();
+  const bool mayForward =
+    this->interrupt == Interrupt::None && this->ChooseForwardingHost().has_value();
+  co_return mayForward;
 }
 
 ForwardedCall
