A service that was just reached is probed once a second at most

A host with few calls finds targets with much work silent for 250 ms again and again; at hundreds of hosts its probes (three connections and health checks each 250 ms) would add to their work. Not measured; found by reading.

--- a/include/damasklink/coordination/ServiceReachability.h
+++ b/include/damasklink/coordination/ServiceReachability.h
@@ -33,9 +33,12 @@
 class ServiceReachability
 {
 public:
-  // Interval between two probes of a service. Short, as calls take a longer way until the service
-  // is found to be reachable again.
+  // Interval between two probes of an unreachable service. Short, as calls take a longer way until
+  // it is found to be reachable again.
   static constexpr Duration kProbeInterval = std::chrono::milliseconds(250);
+  // Interval after a probe that reached the service: targets with much work are silent for long,
+  // and hundreds of hosts would give them more by their probes.
+  static constexpr Duration kReachedInterval = std::chrono::seconds(1);
   // Time without a byte from any target, while a request waits for one, that calls for a probe. An
   // accepted connection alone then does not show that a target is reachable.
   static constexpr Duration kSuspiciousSilence = std::chrono::milliseconds(250);
--- a/src/coordination/ServiceReachability.cpp
+++ b/src/coordination/ServiceReachability.cpp
@@ -52,7 +52,8 @@
 ServiceReachability::IsDue(const Entry& aEntry) const
 {
   const Duration sinceLast = this->clock.MonotonicNow() - aEntry.lastProbeAt;
-  return !aEntry.probing && (!aEntry.probed || sinceLast >= kProbeInterval);
+  const Duration interval = aEntry.unreachable ? kProbeInterval : kReachedInterval;
+  return !aEntry.probing && (!aEntry.probed || sinceLast >= interval);
 }
 
 bool
--- a/test/coordination/ServiceReachabilityTest.cpp
+++ b/test/coordination/ServiceReachabilityTest.cpp
@@ -18,7 +18,7 @@
   {
     EXPECT_TRUE(this->paths.BeginProbe(kService));
     const ReachabilityChange change = this->paths.EndProbe(kService, aReached);
-    this->clock.Advance(ServiceReachability::kProbeInterval);
+    this->clock.Advance(ServiceReachability::kReachedInterval);
     return change;
   }
 
@@ -55,6 +55,17 @@
   EXPECT_EQ(this->paths.DueForProbe(), std::vector<ServiceName>{ kService });
 }
 
+// Guards against probes of hundreds of hosts that add to the work of targets with much work.
+TEST_F(ServiceReachabilityTest, ReachedServiceIsProbedSeldom)
+{
+  EXPECT_TRUE(this->paths.BeginProbe(kService));
+  this->paths.EndProbe(kService, true);
+  this->clock.Advance(ServiceReachability::kProbeInterval);
+  EXPECT_FALSE(this->paths.BeginProbe(kService));
+  this->clock.Advance(ServiceReachability::kReachedInterval);
+  EXPECT_TRUE(this->paths.BeginProbe(kService));
+}
+
 TEST_F(ServiceReachabilityTest, ServiceIsSuspiciousOnlyWhileARequestWaits)
 {
   this->clock.Advance(std::chrono::hours(1));
