Hosts tell each other which services are brittle

Cause: a host knew that a service is brittle only from answers of its own. With 985 hosts and one target most have had none in time and send as if nothing were wrong.

Change: entry hosts put brittle services into their load reports, at most once a second for all hosts together; control hosts pass them on with the totals. The report has the mean run time, so that hosts without requests of their own know it. A host with less than one place now sends by the free places, as far as it knows the load, and by the rate of its own calls, not by a fixed part.

--- a/include/damasklink/coordination/BrittleTargetLimiter.h
+++ b/include/damasklink/coordination/BrittleTargetLimiter.h
@@ -8,20 +8,25 @@
 //     ...
 //     limiter.OnEnded(target.id, incarnation, took);
 //   }
+//   Send(limiter.TakeReports());    // To the other hosts, which call OnReport().
 //
 // Hosts know the load of a target late, so if each filled the free places that it sees, all
 // together would send several times as many requests as there is room for. Each host therefore
 // keeps to its own part of the places: it limits its requests in progress and gives up a place for
 // each rejection, so that a place too many costs one rejection, not one for each request. Parts of
 // a place are rounded up if the target bears as many rejections. Otherwise a host with less than
-// one place sends requests only as often as its part allows. What one target of a service says
-// holds for all of them, so that a host learns of it with the next answer. Not thread-safe.
+// one place sends a part of its calls, by chance: as many as fill the free places with those of the
+// other hosts. What one target of a service says
+// holds for all of them. Hosts report it to each other, since with many hosts most get no answer in
+// time. Not thread-safe.
 #pragma once
 
 #include <map>
 #include <optional>
 #include <random>
+#include <vector>
 
+#include "damasklink/coordination/ServingMessages.h"
 #include "damasklink/coordination/Target.h"
 #include "damasklink/state/Clock.h"
 
@@ -35,6 +40,8 @@
   static constexpr Duration kAdjustInterval = std::chrono::milliseconds(450);
   // A service counts as brittle for this long after the last answer that said so.
   static constexpr Duration kRetention = std::chrono::seconds(5);
+  // Between two reports on a service by any host.
+  static constexpr Duration kReportInterval = std::chrono::seconds(1);
   // Time after a rejection in which the limit does not rise. Up to as much is added at random.
   static constexpr Duration kRejectionPause = std::chrono::seconds(2);
   // Part of the places that all hosts together leave free, for requests that hosts do not know of.
@@ -44,6 +51,7 @@
   static constexpr double kMaxExcess = 1.5;
   // Places that remain free when requests are sent by rate, in standard deviations of their number.
   static constexpr double kFreeDeviations = 3;
+  // The part of the places that is used at least.
   static constexpr double kMinUse = 0.3;
 
   BrittleTargetLimiter(const Clock& aClock, std::uint64_t aSeed)
@@ -64,6 +72,13 @@
                 const std::optional<RequestRate>& aTolerated,
                 MonotonicTime aSentAt);
 
+  // Another host reports a service.
+  void OnReport(const BrittleService& aReport);
+
+  // Returns the services on which this host had answers that say that they are brittle, and on
+  // which no host has reported of late.
+  std::vector<BrittleService> TakeReports();
+
   // The target had no room for a request.
   void OnRejected(const TargetRecord& aTarget);
 
@@ -88,9 +103,12 @@
     MonotonicTime lastSaidAt;
     // The rejections per second that a target bears.
     RequestRate tolerated;
-    // Mean time that requests take.
+    // Mean time that requests take, and whether it comes from requests of this host.
     Duration runTime = kAdjustInterval;
     bool measured = false;
+    // Whether an answer to this host has said it since the last report.
+    bool unreported = false;
+    std::optional<MonotonicTime> reportedAt;
   };
 
   struct Entry
@@ -113,7 +131,8 @@
   Entry& EntryOf(const TargetRecord& aTarget);
   std::uint64_t RoundAtRandom(double aNumber);
   void Adjust(Entry& aEntry, double aPart, std::uint64_t aMost);
-  bool MaySendByRate(Entry& aEntry, double aSlots, double aHosts);
+  static double UsablePlaces(double aSlots, Duration aRunTime);
+  bool MaySendByRate(Entry& aEntry, double aSlots, double aLoad, double aHosts);
 
   const Clock& clock;
   std::minstd_rand random;
--- a/include/damasklink/coordination/LoadReportAggregator.h
+++ b/include/damasklink/coordination/LoadReportAggregator.h
@@ -1,6 +1,7 @@
 // Adds up load reports on a control host: the in-flight load at targets, the delays of fetches from
-// stores, and which targets were found unreachable or back. The sum over its own entry hosts goes
-// to the other control hosts, and the total over all entry hosts to its own ones.
+// stores, which targets were found unreachable or back, and which services are brittle. The sum
+// over its own entry hosts goes to the other control hosts, and the total over all entry hosts to
+// its own ones.
 //
 //   LoadReportAggregator aggregator;
 //   aggregator.Update(report, clock.MonotonicNow());      // From an entry host.
@@ -58,13 +59,14 @@
   struct PendingUpdate
   {
     void Add(const LoadReport& aReport);
-    // Moves the excesses and findings into aTo.
-    void MoveExcessesAndFindings(LoadReport& aTo);
+    // Moves everything but the sends into aTo.
+    void MoveObservations(LoadReport& aTo);
 
     // Targets whose load has changed, with the parts that were sent there since.
     std::map<TargetId, std::vector<SizedPart>> sends;
     std::map<std::string, StoreFetchDelay> excesses;
     std::map<TargetId, TargetReachabilityReport> findings;
+    std::map<ServiceName, BrittleService> brittle;
   };
 
   LoadCounts TotalOf(const TargetId& aTarget) const;
--- a/include/damasklink/coordination/ServingMessages.h
+++ b/include/damasklink/coordination/ServingMessages.h
@@ -122,6 +122,19 @@
   bool operator==(const LimitReport&) const = default;
 };
 
+// A service whose targets are brittle, as their answers state it: a target fails if it has to
+// reject more requests than it tolerates.
+struct BrittleService
+{
+  ServiceName service;
+  // Rejections per second and target.
+  RequestRate tolerated;
+  // Mean time that a request takes; zero if it is not known yet.
+  Duration runTime{ 0 };
+
+  bool operator==(const BrittleService&) const = default;
+};
+
 // The rate limit of a target and the entry hosts among which it is divided.
 struct TargetLimit
 {
@@ -237,6 +250,8 @@
   std::vector<SuccessfulRun> sound;
   // Limits stated in answers since the previous report.
   std::vector<LimitReport> limitReports;
+  // Services whose targets stated in answers since the previous report that they are brittle.
+  std::vector<BrittleService> brittle;
   // All limits and shares, sent to entry hosts; empty if not included.
   std::optional<std::vector<TargetLimit>> limits;
 
--- a/src/coordination/BrittleTargetLimiter.cpp
+++ b/src/coordination/BrittleTargetLimiter.cpp
@@ -22,12 +22,10 @@
   const MonotonicTime now = this->clock.MonotonicNow();
   const auto found = this->services.find(aTarget.service);
   if (aTolerated) {
-    if (found == this->services.end()) {
-      this->services[aTarget.service] = Service{ now, now, *aTolerated };
-    } else {
-      found->second.lastSaidAt = now;
-      found->second.tolerated = *aTolerated;
-    }
+    Service& service = this->services.try_emplace(aTarget.service, Service{ now }).first->second;
+    service.lastSaidAt = now;
+    service.tolerated = *aTolerated;
+    service.unreported = true;
     return;
   }
   if (found != this->services.end() && aSentAt > found->second.knownSince) {
@@ -35,6 +33,38 @@
   }
 }
 
+void
+BrittleTargetLimiter::OnReport(const BrittleService& aReport)
+{
+  const MonotonicTime now = this->clock.MonotonicNow();
+  Service& service = this->services.try_emplace(aReport.service, Service{ now }).first->second;
+  service.lastSaidAt = now;
+  service.tolerated = aReport.tolerated;
+  service.unreported = false;
+  service.reportedAt = now;
+  if (!service.measured && aReport.runTime > Duration::zero()) {
+    service.runTime = aReport.runTime;
+  }
+}
+
+std::vector<BrittleService>
+BrittleTargetLimiter::TakeReports()
+{
+  std::vector<BrittleService> reports;
+  const MonotonicTime now = this->clock.MonotonicNow();
+  for (auto& [name, service] : this->services) {
+    const bool isDue = !service.reportedAt || now - *service.reportedAt >= kReportInterval;
+    if (!service.unreported || !isDue) {
+      continue;
+    }
+    service.unreported = false;
+    service.reportedAt = now;
+    reports.push_back(BrittleService{
+      name, service.tolerated, service.measured ? service.runTime : Duration::zero() });
+  }
+  return reports;
+}
+
 BrittleTargetLimiter::Entry&
 BrittleTargetLimiter::EntryOf(const TargetRecord& aTarget)
 {
@@ -82,24 +112,35 @@
   aEntry.wanted = false;
 }
 
-// Sends a call with the probability with which this host's part of the rate, since the call before
-// it, covers it. Calls that were not made are not made up for, as all hosts might do so at once.
+// Returns how many of the places may be taken. Requests that end before hosts know of them are not
+// part of a known load, so room must remain for the deviations of their number.
+double
+BrittleTargetLimiter::UsablePlaces(double aSlots, Duration aRunTime)
+{
+  if (aRunTime > kAdjustInterval) {
+    return (1 - kMargin) * aSlots;
+  }
+  return std::max(aSlots - (kFreeDeviations * std::sqrt(aSlots)), kMinUse * aSlots);
+}
+
+// Sends a call with the probability with which the calls of all hosts fill the free places, but no
+// more, until they learn of each other's requests. The time since this host's previous call stands
+// for the rate of its calls.
 bool
-BrittleTargetLimiter::MaySendByRate(Entry& aEntry, double aSlots, double aHosts)
+BrittleTargetLimiter::MaySendByRate(Entry& aEntry, double aSlots, double aLoad, double aHosts)
 {
   const MonotonicTime now = this->clock.MonotonicNow();
-  const Duration runTime =
-    std::max<Duration>(this->services.at(aEntry.service).runTime, std::chrono::milliseconds(1));
-  const bool isFirst = aEntry.consideredAt == MonotonicTime();
-  const Duration elapsed = now - std::exchange(aEntry.consideredAt, now);
-  const Duration since = isFirst ? Duration::zero() : std::min(elapsed, runTime);
+  const Service& service = this->services.at(aEntry.service);
+  const MonotonicTime before =
+    std::max(std::exchange(aEntry.consideredAt, now), service.knownSince);
   if (now < aEntry.pausedUntil) {
     return false;
   }
-  const double used =
-    std::max(aSlots - (kFreeDeviations * std::sqrt(aSlots)), kMinUse * aSlots) / aHosts;
+  const Duration runTime = std::max<Duration>(service.runTime, std::chrono::milliseconds(1));
+  const double free = std::max(UsablePlaces(aSlots, runTime) - aLoad, 0.0) / aHosts;
+  const Duration interval = std::min(runTime, kAdjustInterval);
   const double covered =
-    used * static_cast<double>(since.count()) / static_cast<double>(runTime.count());
+    free * static_cast<double>((now - before).count()) / static_cast<double>(interval.count());
   return std::bernoulli_distribution(std::clamp(covered, 0.0, 1.0))(this->random);
 }
 
@@ -118,7 +159,7 @@
   const double tolerated = this->services.at(aTarget.service).tolerated.perSecond;
   const bool mayRoundUp = (std::ceil(part) * hosts) - slots <= tolerated;
   if (part < 1 && !mayRoundUp) {
-    return this->MaySendByRate(entry, slots, hosts);
+    return this->MaySendByRate(entry, slots, static_cast<double>(aLoad), hosts);
   }
   if (!entry.limit || this->clock.MonotonicNow() - entry.adjustedAt >= kAdjustInterval) {
     const double use = std::max(static_cast<double>(aLoad) / slots, 1 / slots);
--- a/src/coordination/LoadReportAggregator.cpp
+++ b/src/coordination/LoadReportAggregator.cpp
@@ -23,10 +23,18 @@
     finding.gone += entry.gone;
     finding.back += entry.back;
   }
+  for (const BrittleService& entry : aReport.brittle) {
+    BrittleService& brittle = this->brittle[entry.service];
+    const Duration known = brittle.runTime;
+    brittle = entry;
+    if (entry.runTime == Duration::zero()) {
+      brittle.runTime = known;
+    }
+  }
 }
 
 void
-LoadReportAggregator::PendingUpdate::MoveExcessesAndFindings(LoadReport& aTo)
+LoadReportAggregator::PendingUpdate::MoveObservations(LoadReport& aTo)
 {
   for (auto& [store, excess] : std::exchange(this->excesses, {})) {
     aTo.excesses.push_back(std::move(excess));
@@ -34,6 +42,9 @@
   for (const auto& [target, finding] : std::exchange(this->findings, {})) {
     aTo.findings.push_back(finding);
   }
+  for (const auto& [service, brittle] : std::exchange(this->brittle, {})) {
+    aTo.brittle.push_back(brittle);
+  }
 }
 
 void
@@ -103,7 +114,7 @@
   for (auto& [target, parts] : std::exchange(aPending.sends, {})) {
     report.sends.push_back(ToInFlightLoad(target, aLoadOf(target), std::move(parts)));
   }
-  aPending.MoveExcessesAndFindings(report);
+  aPending.MoveObservations(report);
   return report;
 }
 
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -172,6 +172,7 @@
   void UpdateControlLinks();
   void ApplyUpdate(const HostId& aPeer, const ServingUpdate& aUpdate);
   void ApplyRateLimits(const LoadReport& aReport);
+  void ApplyBrittleServices(const LoadReport& aReport);
   std::optional<ColdStartSpec> ColdStartSpecOf(const ServiceName& aService) const;
   void ApplyColdStarts(const std::vector<TargetUpdate>& aTargets);
   void ApplyEvacuations();
@@ -412,6 +413,12 @@
   } else if (this->paths.IsUnreachable(aCall.service)) {
     declined = DeclineReason::Unreachable;
   }
+  const auto call = this->calls.ReadCall(aCall.head);
+  LogEvent(LogLevel::Info, "forwarded_call")
+    .With("request", call ? call.value().request : RequestId())
+    .With("from", aFrom)
+    .With("service", aCall.service)
+    .With("outcome", declined ? DeclineReasonName(*declined) : "taken");
   if (!declined) {
     this->metrics.Add(Counter::ServedForwards, MetricKey{}, 1);
     asio::co_spawn(
@@ -575,9 +582,11 @@
   report.crashes = this->crashFilter.TakeReports();
   report.sound = this->crashFilter.TakeSuccessfulRuns();
   report.limitReports = this->limits.TakeReports();
+  report.brittle = this->brittle.TakeReports();
   const bool hasContent = !report.sends.empty() || !report.excesses.empty() ||
                           !report.findings.empty() || !report.crashes.empty() ||
-                          !report.sound.empty() || !report.limitReports.empty();
+                          !report.sound.empty() || !report.limitReports.empty() ||
+                          !report.brittle.empty();
   if (this->hub.Hub() && (aHubChanged || hasContent)) {
     this->SendReport(*this->hub.Hub(), report);
     if (!report.sends.empty()) {
@@ -658,6 +667,7 @@
     if (this->hub.Hub() == aPeer) {
       this->picker.ApplySum(*report, this->clock.MonotonicNow());
       this->ApplyRateLimits(*report);
+      this->ApplyBrittleServices(*report);
     }
     this->slowStores.Merge(report->excesses);
     this->health.Take(report->findings);
@@ -743,6 +753,21 @@
 }
 
 // Returns how cold targets of the service must be spared; nothing if they can take full load.
+void
+EntryHost::Impl::ApplyBrittleServices(const LoadReport& aReport)
+{
+  for (const BrittleService& report : aReport.brittle) {
+    if (!this->brittle.IsBrittle(report.service)) {
+      LogEvent(LogLevel::Info, "service_brittle")
+        .With("from", aReport.host)
+        .With("service", report.service)
+        .With("tolerated_per_second", report.tolerated.perSecond)
+        .With("run_ms", WholeMilliseconds(report.runTime));
+    }
+    this->brittle.OnReport(report);
+  }
+}
+
 std::optional<ColdStartSpec>
 EntryHost::Impl::ColdStartSpecOf(const ServiceName& aService) const
 {
--- a/src/program/ServingUpdatePublisher.cpp
+++ b/src/program/ServingUpdatePublisher.cpp
@@ -34,7 +34,7 @@
 {
   return !aReport.sends.empty() || !aReport.excesses.empty() || !aReport.findings.empty() ||
          !aReport.crashes.empty() || !aReport.sound.empty() || !aReport.limitReports.empty() ||
-         aReport.limits;
+         !aReport.brittle.empty() || aReport.limits;
 }
 
 } // namespace
@@ -413,6 +413,7 @@
 {
   for (auto& [group, report] : aTo) {
     report.excesses.insert(report.excesses.end(), aTotals.excesses.begin(), aTotals.excesses.end());
+    report.brittle.insert(report.brittle.end(), aTotals.brittle.begin(), aTotals.brittle.end());
   }
   const auto divide = [&](const auto& aEntries, auto aMember) {
     for (const auto& entry : aEntries) {
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -202,6 +202,16 @@
   return row;
 }
 
+std::unique_ptr<wire::BrittleRowT>
+RowOf(const BrittleService& aBrittle)
+{
+  auto row = std::make_unique<wire::BrittleRowT>();
+  row->service = aBrittle.service.Value();
+  row->tolerated = aBrittle.tolerated.perSecond;
+  row->run_ms = MillisecondsOf(aBrittle.runTime);
+  return row;
+}
+
 std::unique_ptr<wire::LimitRowT>
 RowOf(const TargetLimit& aLimit)
 {
@@ -347,6 +357,9 @@
     for (const LimitReport& report : aReport.limitReports) {
       this->frame.limit_reports.push_back(RowOf(report));
     }
+    for (const BrittleService& brittle : aReport.brittle) {
+      this->frame.brittle.push_back(RowOf(brittle));
+    }
     this->frame.tells_limits = aReport.limits.has_value();
     for (const TargetLimit& limit : aReport.limits.value_or(std::vector<TargetLimit>())) {
       this->frame.limits.push_back(RowOf(limit));
@@ -535,6 +548,14 @@
   return report;
 }
 
+BrittleService
+ReadRow(const wire::BrittleRow& aRow)
+{
+  return BrittleService{ ServiceName(TextOf(aRow.service())),
+                         RequestRate{ aRow.tolerated() },
+                         std::chrono::milliseconds(aRow.run_ms()) };
+}
+
 TargetLimit
 ReadRow(const wire::LimitRow& aRow)
 {
@@ -601,6 +622,7 @@
   ReadRows(aFrame.crashes(), report.crashes);
   ReadRows(aFrame.sound(), report.sound);
   ReadRows(aFrame.limit_reports(), report.limitReports);
+  ReadRows(aFrame.brittle(), report.brittle);
   if (aFrame.tells_limits()) {
     ReadRows(aFrame.limits(), report.limits.emplace());
   }
--- a/test/coordination/BrittleModelTest.cpp
+++ b/test/coordination/BrittleModelTest.cpp
@@ -25,6 +25,8 @@
 constexpr Duration kDownFor = seconds(3);
 // How late hosts know of the load that others put on a target.
 constexpr Duration kReportDelay = milliseconds(150);
+// Hosts send reports this often.
+constexpr Duration kReportEvery = milliseconds(50);
 constexpr std::size_t kQueue = 8;
 constexpr RequestRate kTolerated{ 3 };
 
@@ -74,6 +76,7 @@
     while (this->Now() < start + kBrittleFor) {
       this->clock.Advance(kStep);
       this->UpdateTargets();
+      this->ExchangeReports();
       const bool isUsual = this->Now() < this->strictFrom;
       for (int left = isUsual ? usual(this->random) : burst(this->random); left > 0; --left) {
         this->Call(this->random() % this->parameters.hosts);
@@ -117,6 +120,26 @@
     }
   }
 
+  // All hosts, the sender too, get a report some time after it was sent.
+  void ExchangeReports()
+  {
+    while (!this->reports.empty() && this->reports.front().first <= this->Now()) {
+      for (BrittleTargetLimiter& limiter : this->limiters) {
+        limiter.OnReport(this->reports.front().second);
+      }
+      this->reports.pop_front();
+    }
+    if (this->Now() < this->nextReports) {
+      return;
+    }
+    this->nextReports = this->Now() + kReportEvery;
+    for (BrittleTargetLimiter& limiter : this->limiters) {
+      for (BrittleService& report : limiter.TakeReports()) {
+        this->reports.emplace_back(this->Now() + kReportDelay, std::move(report));
+      }
+    }
+  }
+
   std::uint64_t KnownLoad(std::size_t aHost, std::size_t aTarget)
   {
     std::deque<MonotonicTime>& own = this->ownSends[(aHost * this->targets.size()) + aTarget];
@@ -198,6 +221,8 @@
   std::deque<BrittleTargetLimiter> limiters;
   std::vector<TargetState> targets;
   OwnSends ownSends;
+  std::deque<std::pair<MonotonicTime, BrittleService>> reports;
+  MonotonicTime nextReports;
   MonotonicTime strictFrom;
 };
 
@@ -243,5 +268,11 @@
   ExpectNotOverfilled({ 985, 1, 64, milliseconds(400), 2, false });
 }
 
+// Guards against hosts that have had no answer yet and so do not know that the target is brittle.
+TEST(BrittleModelTest, TargetOfLongRequestsIsNotOverfilledBy985Hosts)
+{
+  ExpectNotOverfilled({ 985, 1, 64, milliseconds(2000), 2, false });
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/coordination/BrittleTargetLimiterTest.cpp
+++ b/test/coordination/BrittleTargetLimiterTest.cpp
@@ -111,6 +111,43 @@
   EXPECT_FALSE(this->limiter.IsBrittle(this->target.service));
 }
 
+TEST_F(BrittleTargetLimiterTest, ReportsAServiceOnceInAnInterval)
+{
+  EXPECT_TRUE(this->limiter.TakeReports().empty());
+  this->SayBrittle();
+  const std::vector<BrittleService> first = this->limiter.TakeReports();
+  ASSERT_EQ(first.size(), 1U);
+  EXPECT_EQ(first[0], (BrittleService{ this->target.service, kTolerated, Duration::zero() }));
+  this->SayBrittle();
+  EXPECT_TRUE(this->limiter.TakeReports().empty());
+  this->limiter.OnSent(this->target);
+  this->limiter.OnEnded(this->target.id, this->target.incarnation, milliseconds(20));
+  this->clock.Advance(BrittleTargetLimiter::kReportInterval);
+  const std::vector<BrittleService> second = this->limiter.TakeReports();
+  ASSERT_EQ(second.size(), 1U);
+  EXPECT_EQ(second[0].runTime, milliseconds(20));
+  this->clock.Advance(BrittleTargetLimiter::kReportInterval);
+  EXPECT_TRUE(this->limiter.TakeReports().empty());
+}
+
+TEST_F(BrittleTargetLimiterTest, ReportOfAnotherHostLimitsThisOne)
+{
+  this->limiter.OnReport(BrittleService{ this->target.service, kTolerated, milliseconds(20) });
+  EXPECT_TRUE(this->limiter.IsBrittle(this->target.service));
+  EXPECT_EQ(this->Fill(12, 3), 4);
+  // No host repeats what another one has just reported.
+  this->SayBrittle();
+  EXPECT_TRUE(this->limiter.TakeReports().empty());
+}
+
+TEST_F(BrittleTargetLimiterTest, AnswerThatSaysNothingEndsAReport)
+{
+  this->limiter.OnReport(BrittleService{ this->target.service, kTolerated, Duration::zero() });
+  this->clock.Advance(milliseconds(1));
+  this->limiter.OnAnswer(this->target, std::nullopt, this->Now());
+  EXPECT_FALSE(this->limiter.IsBrittle(this->target.service));
+}
+
 TEST_F(BrittleTargetLimiterTest, ForgetsServicesThatSayNothingForLong)
 {
   this->SayBrittle();
--- a/test/coordination/LoadReportAggregatorTest.cpp
+++ b/test/coordination/LoadReportAggregatorTest.cpp
@@ -51,6 +51,34 @@
   EXPECT_EQ(this->aggregator.TakeChanges(kSelf).sends, std::vector<InFlightLoad>{ Load("a", 1) });
 }
 
+TEST_F(LoadReportAggregatorTest, PassesBrittleServicesOnOnce)
+{
+  const BrittleService measured{ ServiceName("s"),
+                                 RequestRate{ 3 },
+                                 std::chrono::milliseconds(40) };
+  const BrittleService later{ ServiceName("s"), RequestRate{ 2 }, Duration::zero() };
+  for (const BrittleService& brittle : { measured, later }) {
+    LoadReport report;
+    report.host = HostId("x");
+    report.brittle = { brittle };
+    this->aggregator.Update(report, this->clock.MonotonicNow());
+  }
+  const BrittleService merged{ ServiceName("s"), RequestRate{ 2 }, measured.runTime };
+  EXPECT_EQ(this->aggregator.TakeChanges(kSelf).brittle, std::vector<BrittleService>{ merged });
+  EXPECT_EQ(this->aggregator.TakeTotals(kSelf).brittle, std::vector<BrittleService>{ merged });
+  EXPECT_TRUE(this->aggregator.TakeTotals(kSelf).brittle.empty());
+}
+
+TEST_F(LoadReportAggregatorTest, BrittleServicesOfOtherControlHostsGoToEntryHostsOnly)
+{
+  LoadReport report;
+  report.host = HostId("peer");
+  report.brittle = { BrittleService{ ServiceName("s"), RequestRate{ 3 }, Duration::zero() } };
+  this->aggregator.UpdatePeerSum(report, this->clock.MonotonicNow());
+  EXPECT_TRUE(this->aggregator.TakeChanges(kSelf).brittle.empty());
+  EXPECT_EQ(this->aggregator.TakeTotals(kSelf).brittle, report.brittle);
+}
+
 TEST_F(LoadReportAggregatorTest, RemovingAHostSubtractsItsLoad)
 {
   this->Update("x", { Load("a", 2) });
--- a/test/protocol/ServingCodecTest.cpp
+++ b/test/protocol/ServingCodecTest.cpp
@@ -93,6 +93,9 @@
     LimitReport{ TargetId("t"), Incarnation(4), RequestRate{ 3.5 } },
     LimitReport{ TargetId("u"), Incarnation(5), std::nullopt },
   };
+  report.brittle = {
+    BrittleService{ ServiceName("s"), RequestRate{ 2.5 }, std::chrono::milliseconds(400) },
+  };
   report.limits = { TargetLimit{ TargetId("t"),
                                  Incarnation(4),
                                  RequestRate{ 3.5 },
