--- a/src/program/CallForwarder.cpp
+++ b/src/program/CallForwarder.cpp
@@ -267,6 +267,13 @@
   // Added first: the call may end before the handler returns.
   this->served[key] = ServedCall{ caller, bytes };
   this->servedBytes += bytes;
+  if (full) {
+    LogEvent(LogLevel::Warning, "forwarded_call_declined")
+      .With("from", aFrom)
+      .With("service", aCall.service)
+      .With("served", this->served.size())
+      .With("bytes", this->servedBytes);
+  }
   const std::optional<DeclineReason> declined =
     full ? DeclineReason::Overloaded : this->handler(aFrom, aCall, caller);
   if (declined) {
--- a/test/program/ExchangeFixture.h
+++ b/test/program/ExchangeFixture.h
@@ -43,8 +43,9 @@
 class ExchangeFixture : public ::testing::Test
 {
 protected:
-  ExchangeFixture()
+  explicit ExchangeFixture(ServingSettings aSettings = {})
     : acceptor(this->loop, TcpEndpoint(asio::ip::make_address("127.0.0.1"), 0))
+    , settings(std::move(aSettings))
   {
     this->config = std::make_shared<ServingConfig>();
     this->config->version = Revision(1);
@@ -59,7 +60,10 @@
     this->config->routes.back().carriesPrompt = true;
   }
 
-  ~ExchangeFixture() override
+  ~ExchangeFixture() override { this->Stop(); }
+
+  // Ends the event loop. Tests with members of their own on the loop call it before these go.
+  void Stop()
   {
     this->caller.close();
     this->loop.stop();
