Messages behind a large one no longer close the connection

Cause: a message larger than the 8 MiB of the queue may be sent when nothing waits. While it is written, each further message is over the limit and closes the connection: also a keepalive, which the test sends every 20 ms and a deployment every 500 ms. A host on a slow link would never get such a message. On a free machine the write ends before the first keepalive is due, so that the test passes.

Change: behind a larger message that is being written 1 MiB may wait. A peer that does not read is still found by the send timeout and by its silence.

MessagesBehindOneLargerThanTheQueueKeepTheConnection sends a second message at once: the connection is closed before ('the peer does not read'), and both arrive after.

--- a/include/damasklink/transport/PeerMesh.h
+++ b/include/damasklink/transport/PeerMesh.h
@@ -82,8 +82,8 @@
   bool IsUp(const HostId& aPeer) const;
 
   // Sends on the connection that this side dialed, or else on the one that the peer dialed. Drops
-  // the message when neither is up. When more than 8 MiB would be queued, it also closes the
-  // connection: on a new one the peer is sent its full state again.
+  // the message when neither is up. When more than 8 MiB would be queued, or 1 MiB behind a larger
+  // message, it also closes the connection: on a new one the peer is sent its full state again.
   void Send(const HostId& aTo, PeerMessage aMessage) override;
 
   // Closes all connections. The handler is not called any more.
--- a/src/transport/PeerMesh.cpp
+++ b/src/transport/PeerMesh.cpp
@@ -15,6 +15,10 @@
 // snapshot chunk, and small compared to the memory of a control host.
 constexpr std::size_t kMaxQueuedBytes = 8 * kMebibyte;
 
+// Limit of the bytes queued behind a larger message that is being written. Keepalives and reports
+// do not wait for it, and must not close the connection that it is sent on.
+constexpr std::size_t kMaxBytesBehindLarge = kMebibyte;
+
 } // namespace
 
 // One connection. Its pending operations keep the object alive.
@@ -72,7 +76,7 @@
     if (!this->IsUp()) {
       return;
     }
-    if (this->queuedBytes > 0 && this->queuedBytes + aFrame.size() > kMaxQueuedBytes) {
+    if (this->queuedBytes > 0 && this->queuedBytes + aFrame.size() > this->MaxQueuedBytes()) {
       // The peer would not notice the lost message. On a new connection it is sent its full state
       // again.
       LogEvent(LogLevel::Warning, "peer_message_dropped")
@@ -124,6 +128,11 @@
   }
 
 private:
+  std::size_t MaxQueuedBytes() const
+  {
+    return std::max(kMaxQueuedBytes, this->outgoing.size() + kMaxBytesBehindLarge);
+  }
+
   void RestartSilenceTimer()
   {
     this->silenceTimer.expires_after(this->mesh.timing.silenceTimeout);
@@ -230,6 +239,7 @@
     asio::async_write(
       this->socket, asio::buffer(this->outgoing), [self](const IoError& aError, std::size_t) {
         self->writing = false;
+        self->outgoing.clear();
         self->queuedBytes = 0;
         for (const std::string& frame : self->queue) {
           self->queuedBytes += frame.size();
--- a/test/transport/PeerMeshTest.cpp
+++ b/test/transport/PeerMeshTest.cpp
@@ -210,6 +210,24 @@
   EXPECT_EQ(this->secondHandler.payloads.front().size(), 12 * kMebibyte);
 }
 
+// Guards against a large message that never arrives: keepalives, or anything else that is sent
+// while it is being written, closed the connection.
+TEST_F(PeerMeshTest, MessagesBehindOneLargerThanTheQueueKeepTheConnection)
+{
+  PeerMesh dialer(this->loop, this->first, this->port, this->firstHandler, LongTimeout());
+  PeerMesh listener(this->loop, this->second, this->port, this->secondHandler, LongTimeout());
+  ASSERT_TRUE(listener.Listen());
+  dialer.Dial(this->second);
+  this->RunUntil([&] { return dialer.IsUp(this->second); });
+  dialer.Send(this->second, Message(std::string(12 * kMebibyte, 'x')));
+  dialer.Send(this->second, Message("behind"));
+  this->RunUntil(
+    [&] { return this->secondHandler.payloads.size() == 2 || !this->firstHandler.downs.empty(); });
+  EXPECT_TRUE(this->firstHandler.downs.empty());
+  ASSERT_EQ(this->secondHandler.payloads.size(), 2U);
+  EXPECT_EQ(this->secondHandler.payloads.back(), "behind");
+}
+
 // Guards against connections that are closed as silent although bytes of the peer wait to be read:
 // the loop was busy, or the process suspended, while the timeout expired. What was sent on such a
 // connection is lost.
