Tests of the way of brittle services through a host and a control host

The limiter and its model were tested, the way to it was not: that a brittle target which rejected is left out of the choice, and that the control host passes reports on once.

Mechanisms taken out: the exclusion, the lost place, and passing on, each failed the test that names it.

--- a/test/program/ExchangeRoutingTest.cpp
+++ b/test/program/ExchangeRoutingTest.cpp
@@ -74,6 +74,29 @@
   }
 }
 
+// Guards against brittle targets that fail because they have to reject one request after another.
+TEST_F(ExchangeRoutingTest, BrittleTargetThatRejectedIsSentNothingMore)
+{
+  ScriptedTarget target([](const std::string& aRequest, TcpSocket& aSocket) {
+    const std::string brittle = "Server-Brittle: 3\r\n";
+    const bool first = aRequest.find("/idempotent/first") != std::string::npos;
+    Write(aSocket,
+          first ? Answer(200, "done", brittle)
+                : Answer(503, "", brittle + "X-Not-Executed: 1\r\n"));
+    return true;
+  });
+  this->AddTarget("t", target.Address());
+  this->targetUpdates.back().record.load.slots = 1;
+  this->Start();
+  this->Call("/idempotent/first");
+  EXPECT_NE(this->Receive().find("HTTP/1.1 200"), std::string::npos);
+  for (int call = 0; call < 5; ++call) {
+    this->Call("/idempotent/");
+    EXPECT_NE(this->Receive().find("HTTP/1.1 503"), std::string::npos);
+  }
+  EXPECT_EQ(target.Requests().size(), 2U);
+}
+
 class ExchangeZonesTest : public testing::ExchangeFixture
 {
 protected:
--- a/test/program/ServingUpdatePublisherTest.cpp
+++ b/test/program/ServingUpdatePublisherTest.cpp
@@ -105,6 +105,26 @@
 }
 
 // Guards against work for hosts that have given up and will connect again.
+// Guards against hosts that overfill brittle targets because no target has answered them yet.
+TEST_F(ServingUpdatePublisherTest, BrittleServicesGoToAllReportingHosts)
+{
+  this->DiscoverAll(1);
+  for (int host = 0; host < 3; ++host) {
+    this->Connect(host);
+    this->Report(host, 0);
+  }
+  this->publisher.PublishLoads();
+  const std::uint64_t before = this->Sent(Counter::PeerMessagesOut, "totals");
+  LoadReport report;
+  report.host = EntryHost(0);
+  report.brittle = { BrittleService{ ServiceName("s"), RequestRate{ 3 }, Duration::zero() } };
+  this->publisher.OnLoadReport(report.host, report);
+  this->publisher.PublishLoads();
+  EXPECT_EQ(this->Sent(Counter::PeerMessagesOut, "totals") - before, 3U);
+  this->publisher.PublishLoads();
+  EXPECT_EQ(this->Sent(Counter::PeerMessagesOut, "totals") - before, 3U);
+}
+
 TEST_F(ServingUpdatePublisherTest, HostThatWasLostGetsNoSnapshot)
 {
   this->Connect(1);
