--- a/include/damasklink/coordination/BrittleTargetLimiter.h
+++ b/include/damasklink/coordination/BrittleTargetLimiter.h
@@ -16,9 +16,10 @@
 // each rejection, so that a place too many costs one rejection, not one for each request. Parts of
 // a place are rounded up if the target bears as many rejections. Otherwise a host with less than
 // one place sends a part of its calls, by chance: as many as fill the free places with those of the
-// other hosts. What one target of a service says
-// holds for all of them. Hosts report it to each other, since with many hosts most get no answer in
-// time. Not thread-safe.
+// other hosts.
+//
+// What one target of a service says holds for all of them. Hosts report it to each other, since
+// with many hosts most get no answer in time. Not thread-safe.
 #pragma once
 
 #include <map>
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -752,7 +752,6 @@
   }
 }
 
-// Returns how cold targets of the service must be spared; nothing if they can take full load.
 void
 EntryHost::Impl::ApplyBrittleServices(const LoadReport& aReport)
 {
@@ -768,6 +767,7 @@
   }
 }
 
+// Returns how cold targets of the service must be spared; nothing if they can take full load.
 std::optional<ColdStartSpec>
 EntryHost::Impl::ColdStartSpecOf(const ServiceName& aService) const
 {
