--- a/test/program/ExchangeForwardingTest.cpp
+++ b/test/program/ExchangeForwardingTest.cpp
@@ -6,7 +6,6 @@
 namespace damasklink {
 namespace {
 
-using testing::Answer;
 using testing::Chunk;
 using testing::FreeEndpoint;
 using testing::OwnAddress;
@@ -34,10 +33,15 @@
     EXPECT_TRUE(this->forwarder.Listen());
     EXPECT_TRUE(this->otherForwarder.Listen());
     this->forwarder.SetHosts({ { this->otherSettings.host, ZoneId("n") } });
-    this->AddTarget("t", this->target.Address());
+    this->AddTarget("t", this->target->Address());
   }
 
-  ~ExchangeForwardingTest() override { this->Stop(); }
+  // The target's script may wait for the loop.
+  ~ExchangeForwardingTest() override
+  {
+    this->target.reset();
+    this->Stop();
+  }
 
   // The last probe of the service reached no target.
   void LoseService()
@@ -75,14 +79,20 @@
     return this->taken;
   }
 
-  // Breaks streams off after an event, and other calls before the answer.
-  ScriptedTarget target{ [this](const std::string& aRequest, TcpSocket& aSocket) {
+  bool Answer(const std::string& aRequest, TcpSocket& aSocket)
+  {
     if (aRequest.find("/once/") == std::string::npos) {
       Write(aSocket, StreamHead() + Chunk("id: 1\ndata: a\n\n"));
     }
     this->OnLoop([this] { this->LoseService(); });
     return false;
-  } };
+  }
+
+  // Breaks streams off after an event, and other calls before the answer.
+  std::unique_ptr<ScriptedTarget> target =
+    std::make_unique<ScriptedTarget>([this](const std::string& aRequest, TcpSocket& aSocket) {
+      return this->Answer(aRequest, aSocket);
+    });
   absl::Mutex mutex;
   std::vector<ForwardedCall> taken;
   // What the other host does with calls.
@@ -112,7 +122,7 @@
   ASSERT_EQ(this->Taken().size(), 1U);
   EXPECT_EQ(this->Taken()[0].service, testing::kService);
   EXPECT_EQ(this->Taken()[0].configuration, Revision(1));
-  EXPECT_TRUE(this->target.Requests().empty());
+  EXPECT_TRUE(this->target->Requests().empty());
 }
 
 TEST_F(ExchangeForwardingTest, CallOfReachableServiceIsNotForwarded)
