--- a/test/platform/DialectTest.cpp
+++ b/test/platform/DialectTest.cpp
@@ -131,13 +131,20 @@
     std::holds_alternative<RefusedRequestsQuery>(Dialect().ReadControlCall(release).value()));
 }
 
+// Reads the head of a response with the given header.
+TargetResponseInfo
+ReadResponseWith(const std::string& aName, const std::string& aText)
+{
+  HttpResponseHead head;
+  head.status = 200;
+  head.fields.Add(aName, aText);
+  return Dialect().ReadResponse(head);
+}
+
 TEST(DialectTest, ReadsRateLimitOfTargetAndReportsUnreadableOne)
 {
   const auto read = [](const std::string& aText) {
-    HttpResponseHead head;
-    head.status = 200;
-    head.fields.Add("Server-Limit", aText);
-    return Dialect().ReadResponse(head);
+    return ReadResponseWith("Server-Limit", aText);
   };
   EXPECT_EQ(read("3.9").limit, RequestRate{ 3.9 });
   EXPECT_EQ(read("0").limit, RequestRate{ 0 });
@@ -152,10 +159,7 @@
 TEST(DialectTest, ReadsHowManyRejectionsABrittleTargetBears)
 {
   const auto read = [](const std::string& aText) {
-    HttpResponseHead head;
-    head.status = 200;
-    head.fields.Add("Server-Brittle", aText);
-    return Dialect().ReadResponse(head);
+    return ReadResponseWith("Server-Brittle", aText);
   };
   EXPECT_EQ(read("3").brittle, RequestRate{ 3 });
   EXPECT_EQ(read("0").brittle, RequestRate{ 0 });
