--- a/include/damasklink/coordination/Target.h
+++ b/include/damasklink/coordination/Target.h
@@ -90,6 +90,8 @@
   TargetRole role = TargetRole::Both;
   std::vector<ServedModel> models;
   ServiceName service;
+  // Empty if the target does not state it.
+  SoftwareVersion software;
   // How much longer the target can take only a few requests after its start, counted from this
   // announcement.
   Duration coldFor{ 0 };
--- a/include/damasklink/protocol/ServingDialect.h
+++ b/include/damasklink/protocol/ServingDialect.h
@@ -46,6 +46,8 @@
   std::optional<Duration> timeout;
   // The last event that the caller received, if it resumes a stream.
   std::optional<std::uint64_t> lastEvent;
+  // The request that brought the first event of the stream; empty if the caller does not state it.
+  RequestId resumes;
   ModelName model;
   TokenCount promptTokens;
   TokenCount maxAnswerTokens;
--- a/include/damasklink/state/Ids.h
+++ b/include/damasklink/state/Ids.h
@@ -93,6 +93,8 @@
 using ServiceName = StringId<struct ServiceNameTag>;
 using ModelName = StringId<struct ModelNameTag>;
 using WeightVersion = StringId<struct WeightVersionTag>;
+// The version of the program that a target runs; unrelated to the weights of its models.
+using SoftwareVersion = StringId<struct SoftwareVersionTag>;
 using AdapterName = StringId<struct AdapterNameTag>;
 using RequestId = StringId<struct RequestIdTag>;
 using AttemptId = StringId<struct AttemptIdTag>;
--- a/include/damasklink/state/Metrics.h
+++ b/include/damasklink/state/Metrics.h
@@ -40,10 +40,11 @@
   ForwardedCalls,      // Handed to other entry hosts; kind: how that ended.
   ForwardingDeclines,  // By other entry hosts; kind: the reason.
   ServedForwards,      // Calls run for other entry hosts.
+  ResumedStreams,      // Sent to a target to go on; kind: caller or host, whoever resumed it.
 };
 
 // How many counters there are; follows the last one.
-constexpr std::size_t kCounterCount = static_cast<std::size_t>(Counter::ServedForwards) + 1;
+constexpr std::size_t kCounterCount = static_cast<std::size_t>(Counter::ResumedStreams) + 1;
 
 // Durations of which quantiles are kept.
 enum class Sample
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -364,6 +364,7 @@
   this->context.waiting.insert(this);
   const TargetCall call = this->CallFor(aTarget);
   this->LogPromptSent(aTarget, call);
+  this->RecordResumption(aTarget);
   const HttpRequestHead head =
     this->context.dialect.MakeTargetRequestHead(this->request.head, call);
   // A target may answer before it has read the whole body, for example to refuse it, so the
@@ -512,6 +513,9 @@
     co_return co_await this->caller.WriteChunk(aEvents);
   }
   this->plan->MarkPassedOn();
+  if (this->begunOn.Empty()) {
+    this->begunOn = this->attemptTarget.software;
+  }
   this->context.metrics.Observe(Sample::FirstToken,
                                 MetricKey{ WorkspaceId(), this->route->name },
                                 this->context.clock.MonotonicNow() - this->arrived);
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -166,6 +166,7 @@
   TargetCall CallFor(const TargetRecord& aTarget);
   void AddPartTransfers(const TargetRecord& aTarget, TargetCall& aTo);
   void LogPromptSent(const TargetRecord& aTarget, const TargetCall& aCall) const;
+  void RecordResumption(const TargetRecord& aTarget) const;
   void ObserveFirstEvent(const TargetRecord& aTarget);
   void ObserveSlotTime();
   CrashReport MakeCrashReport(const TargetRecord& aTarget);
@@ -258,6 +259,8 @@
   bool responseBegun = false;
   Interrupt interrupt = Interrupt::None;
   EventFramer framer;
+  // The software version of the target whose events the caller has; empty if it is not known.
+  SoftwareVersion begunOn;
   // The last response of a target with status 500 or above.
   std::optional<BufferedResponse> failedResponse;
   AttemptResult lastResult = AttemptResult::Unreachable;
--- a/src/program/ExchangeForwarding.cpp
+++ b/src/program/ExchangeForwarding.cpp
@@ -88,6 +88,7 @@
 Exchange::Forward(HostId aHost)
 {
   this->triedHosts.insert(aHost);
+  this->attemptTarget = TargetRecord();
   this->plan->Begin(AttemptId(this->call.request.Value()), TargetId(aHost.Value()));
   AttemptResult result = AttemptResult::Unreachable;
   if (co_await this->context.forwarder.Connect(aHost) && this->interrupt == Interrupt::None) {
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -305,6 +305,7 @@
   LogEvent(LogLevel::Info, "prompt_sent")
     .With("request", this->call.request)
     .With("target", aTarget.id)
+    .With("software", aTarget.software)
     .With("send", this->plan->Sent())
     .With("prompt", this->selection.promptTokens)
     .With("parts", this->selection.parts.size())
@@ -320,6 +321,27 @@
     .With("weights", this->weights);
 }
 
+// Logs and counts the attempt if it continues a stream.
+void
+Exchange::RecordResumption(const TargetRecord& aTarget) const
+{
+  const bool byHost = this->framer.LastEvent().has_value();
+  if (!byHost && !this->call.lastEvent) {
+    return;
+  }
+  const std::string_view by = byHost ? "host" : "caller";
+  LogEvent(LogLevel::Info, "stream_resumed")
+    .With("request", this->call.request)
+    .With("resumes", this->call.resumes)
+    .With("by", by)
+    .With("last_event", byHost ? *this->framer.LastEvent() : *this->call.lastEvent)
+    .With("target", aTarget.id)
+    .With("software", aTarget.software)
+    .With("begun_on", this->begunOn);
+  this->context.metrics.Add(
+    Counter::ResumedStreams, MetricKey{ WorkspaceId(), std::string(by) }, 1);
+}
+
 // Counts the call under its route, and a refusal or failure under its cause or status.
 void
 Exchange::Count(int aStatus, Duration aTook) const
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -74,6 +74,7 @@
   row->address = record.endpoint.address;
   row->port = record.endpoint.port;
   row->zone = record.zone.Value();
+  row->software = record.software.Value();
   row->sequence = record.sequence.Value();
   row->incarnation = record.incarnation.Value();
   row->slots = static_cast<std::uint32_t>(record.load.slots);
@@ -102,6 +103,7 @@
   record.service = ServiceName(aRow.service);
   record.endpoint = Endpoint{ aRow.address, aRow.port };
   record.zone = ZoneId(aRow.zone);
+  record.software = SoftwareVersion(aRow.software);
   record.sequence = Sequence(aRow.sequence);
   record.incarnation = Incarnation(aRow.incarnation);
   record.load.slots = aRow.slots;
--- a/test/platform/DialectTest.cpp
+++ b/test/platform/DialectTest.cpp
@@ -34,6 +34,18 @@
   EXPECT_EQ(call.value().parts[1], (PromptPart{ PartId("91bd3f06"), TokenCount(410) }));
 }
 
+TEST(DialectTest, ReadsWhichStreamIsResumed)
+{
+  HttpRequestHead head = CallerHead();
+  EXPECT_TRUE(Dialect().ReadCall(head).value().resumes.Empty());
+  head.fields.Set("Last-Event-Id", "12");
+  head.fields.Set("Resumes", "51ab");
+  const auto call = Dialect().ReadCall(head);
+  ASSERT_TRUE(call);
+  EXPECT_EQ(call.value().lastEvent, 12U);
+  EXPECT_EQ(call.value().resumes, RequestId("51ab"));
+}
+
 TEST(DialectTest, MalformedHeaderIsNamedInError)
 {
   for (const char* name : { "X-Token-Usage", "X-Prompt-Prefix", "X-Deadline-Ms" }) {
@@ -246,6 +258,7 @@
   EXPECT_EQ(record.id, TargetId("i-7"));
   EXPECT_EQ(record.endpoint, (Endpoint{ "10.128.0.9", 8080 }));
   EXPECT_EQ(record.sequence, Sequence(4));
+  EXPECT_EQ(record.software, SoftwareVersion("v1"));
   EXPECT_TRUE(record.leaving);
   ASSERT_EQ(record.models.size(), 1U);
   EXPECT_EQ(record.models.front().version, WeightVersion("3"));
@@ -288,6 +301,7 @@
     R"({"service":"s","address":"10.1.0.9:80","zone":"z","state":"ready","sequence":"x"})",
     R"({"service":"s","address":"10.1.0.9:80","zone":"z","state":"ready","born":1.5})",
     R"({"service":"s","address":"10.1.0.9:80","zone":"z","state":"ready","born":"now"})",
+    R"({"service":"s","address":"10.1.0.9:80","zone":"z","state":"ready","version":2})",
     "\xff\xfe{",
     "[]",
     ""
--- a/test/protocol/ServingCodecTest.cpp
+++ b/test/protocol/ServingCodecTest.cpp
@@ -32,6 +32,7 @@
   target.record.service = ServiceName("s");
   target.record.endpoint = Endpoint{ "10.1.0.9", 8080 };
   target.record.zone = ZoneId("z");
+  target.record.software = SoftwareVersion("v1.1");
   target.record.sequence = Sequence(77);
   target.record.incarnation = Incarnation(1'790'000'000'000);
   target.record.load.slots = 64;
