A stream that breaks off goes on at the software version that began it

What callers saw: one response with events of two versions. Cause: after a target had broken off, the host chose the next one among all targets of the service, and a call handed to another host did not say which version had begun it. From the first event that was passed on, the version is a condition for targets, for the host that the call is handed to, and for what that host answers; where no target of the version is left, the response is cut off and its caller may take it up.

--- a/include/damasklink/protocol/ForwardingCodec.h
+++ b/include/damasklink/protocol/ForwardingCodec.h
@@ -37,6 +37,8 @@
   std::uint64_t sendsLeft = 0;
   // The last event that the caller has received of a stream that is resumed.
   std::optional<std::uint64_t> lastEvent;
+  // The software version that began the stream, if it must be continued on the same one.
+  std::optional<SoftwareVersion> software;
 };
 
 // Why a host did not take a call. The numbers are sent between hosts.
@@ -68,6 +70,8 @@
   std::string bytes;
   // The response is complete; otherwise chunks and an end follow.
   bool whole = false;
+  // The software version of the target that streams the response.
+  std::optional<SoftwareVersion> software;
 };
 
 struct ForwardedChunk
--- a/include/damasklink/transport/CallerChannel.h
+++ b/include/damasklink/transport/CallerChannel.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "damasklink/protocol/HttpMessage.h"
+#include "damasklink/state/Ids.h"
 #include "damasklink/transport/EventLoop.h"
 
 namespace damasklink {
@@ -19,6 +20,8 @@
 
   // Writes a response of known length.
   virtual Awaitable<bool> WriteWhole(HttpResponseMessage aResponse, bool aClose) = 0;
+  // Sets the software version of the target whose stream follows. Only another entry host is told.
+  virtual void SetStreamSoftware(const SoftwareVersion& /*aSoftware*/) {}
   // Writes the head of a response of unknown length, together with its first chunk.
   virtual Awaitable<bool> BeginStream(const HttpResponseHead& aHead,
                                       std::string_view aChunk,
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -433,7 +433,9 @@
                                 std::shared_ptr<ForwardedCaller> aCaller)
 {
   const CallNumber number = aCall.number;
-  const ForwardedLimits forwardedLimits{ aCall.timeLeft, aCall.sendsLeft, aCall.lastEvent };
+  const ForwardedLimits forwardedLimits{
+    aCall.timeLeft, aCall.sendsLeft, aCall.lastEvent, aCall.software
+  };
   HttpRequestMessage request{ std::move(aCall.head), std::move(aCall.body) };
   Exchange exchange(this->context, *aCaller, std::move(request), forwardedLimits);
   co_await exchange.Run();
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -101,6 +101,7 @@
     if (this->forwardedLimits->lastEvent) {
       this->call.lastEvent = this->forwardedLimits->lastEvent;
     }
+    this->begunOn = this->forwardedLimits->software;
   }
   this->routes = this->context.state.Routes();
   if (this->routes == nullptr) {
@@ -513,9 +514,10 @@
     co_return co_await this->caller.WriteChunk(aEvents);
   }
   this->plan->MarkPassedOn();
-  if (this->begunOn.Empty()) {
+  if (!this->begunOn) {
     this->begunOn = this->attemptTarget.software;
   }
+  this->caller.SetStreamSoftware(*this->begunOn);
   this->context.metrics.Observe(Sample::FirstToken,
                                 MetricKey{ WorkspaceId(), this->route->name },
                                 this->context.clock.MonotonicNow() - this->arrived);
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -82,6 +82,8 @@
   std::uint64_t sendsLeft = 0;
   // The last event that the caller has received of a stream that is resumed.
   std::optional<std::uint64_t> lastEvent;
+  // The software version that the call's target must have.
+  std::optional<SoftwareVersion> software;
 };
 
 // Relays one request: resolves its route, selects targets, forwards bytes, and answers the caller
@@ -145,6 +147,7 @@
   Awaitable<AttemptResult> Forward(HostId aHost);
   Awaitable<AttemptResult> ReceiveForwarded(HostId aHost);
   Awaitable<AttemptResult> DeliverForwarded(ForwardedHead aHead);
+  bool IsOnSoftwareThatBeganStream(const ForwardedHead& aHead) const;
   ForwardedCall MakeForwardedCall() const;
   void LogAttemptEnd(ExchangeStep aStep) const;
   void RecordAttemptEnd(const TargetRecord& aTarget, AttemptResult aResult);
@@ -161,7 +164,8 @@
   // Records whether the target's zone was reached, and logs when the zone becomes unreachable.
   void RecordReachability(const TargetRecord& aTarget, HealthSignal aSignal);
   const TargetRecord* ChooseTarget();
-  // Returns the usable targets of the call's service in allowed regions.
+  // Returns the usable targets of the call's service in allowed regions that may continue its
+  // stream.
   const std::vector<TargetRecord>& Targets();
   TargetCall CallFor(const TargetRecord& aTarget);
   void AddPartTransfers(const TargetRecord& aTarget, TargetCall& aTo);
@@ -226,8 +230,8 @@
   CallerRequest call;
   ServiceName service;
   RegionRestriction allowedRegions;
-  // The result of Targets() where regions are restricted.
-  std::vector<TargetRecord> allowedTargets;
+  // The result of Targets() unless all usable targets are eligible.
+  std::vector<TargetRecord> eligibleTargets;
   SelectionRequest selection;
   CacheScope scope;
   std::uint64_t weights = 0;
@@ -242,7 +246,7 @@
   std::set<HostId> triedHosts;
   // The target or host of the last attempt.
   std::string destination;
-  // The target of this attempt.
+  // The target of this attempt; only its software version if another host chose it.
   TargetRecord attemptTarget;
   // When the target of this attempt last sent something.
   MonotonicTime lastBytesAt;
@@ -259,8 +263,9 @@
   bool responseBegun = false;
   Interrupt interrupt = Interrupt::None;
   EventFramer framer;
-  // The software version of the target whose events the caller has; empty if it is not known.
-  SoftwareVersion begunOn;
+  // The software version of the target whose events the caller has. Events of two versions do not
+  // fit together, and targets do not check it.
+  std::optional<SoftwareVersion> begunOn;
   // The last response of a target with status 500 or above.
   std::optional<BufferedResponse> failedResponse;
   AttemptResult lastResult = AttemptResult::Unreachable;
--- a/src/program/ExchangeForwarding.cpp
+++ b/src/program/ExchangeForwarding.cpp
@@ -81,6 +81,7 @@
   forwardedCall.sendsLeft = this->plan->Limits().mostTargets - (this->plan->Sent() - 1);
   forwardedCall.lastEvent =
     this->framer.LastEvent() ? this->framer.LastEvent() : this->call.lastEvent;
+  forwardedCall.software = this->begunOn;
   return forwardedCall;
 }
 
@@ -136,6 +137,10 @@
       if (first->whole) {
         co_return co_await this->DeliverForwarded(std::move(*first));
       }
+      if (!this->IsOnSoftwareThatBeganStream(*first)) {
+        co_return AttemptResult::Broken;
+      }
+      this->attemptTarget.software = first->software.value_or(SoftwareVersion());
       head = std::move(first->head);
       bytes = std::move(first->bytes);
     } else if (auto* chunk = std::get_if<ForwardedChunk>(&message)) {
@@ -160,6 +165,13 @@
   }
 }
 
+// A host that runs an older program neither observes nor states software versions.
+bool
+Exchange::IsOnSoftwareThatBeganStream(const ForwardedHead& aHead) const
+{
+  return !this->begunOn || this->begunOn == aHead.software;
+}
+
 // Passes on the response, unless it does not hold for the whole call: it refuses the call, and an
 // earlier attempt may have run it, or the caller already has a part of another response.
 Awaitable<AttemptResult>
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -337,7 +337,7 @@
     .With("last_event", byHost ? *this->framer.LastEvent() : *this->call.lastEvent)
     .With("target", aTarget.id)
     .With("software", aTarget.software)
-    .With("begun_on", this->begunOn);
+    .With("begun_on", this->begunOn.value_or(SoftwareVersion()));
   this->context.metrics.Add(
     Counter::ResumedStreams, MetricKey{ WorkspaceId(), std::string(by) }, 1);
 }
--- a/src/program/ExchangeRouting.cpp
+++ b/src/program/ExchangeRouting.cpp
@@ -102,16 +102,18 @@
 Exchange::Targets()
 {
   const std::vector<TargetRecord>& usable = this->context.state.Targets().Usable(this->service);
-  if (!this->allowedRegions.IsRestricted()) {
+  if (!this->allowedRegions.IsRestricted() && !this->begunOn) {
     return usable;
   }
-  this->allowedTargets.clear();
-  std::copy_if(
-    usable.begin(),
-    usable.end(),
-    std::back_inserter(this->allowedTargets),
-    [this](const TargetRecord& aTarget) { return this->allowedRegions.Allows(aTarget.zone); });
-  return this->allowedTargets;
+  this->eligibleTargets.clear();
+  std::copy_if(usable.begin(),
+               usable.end(),
+               std::back_inserter(this->eligibleTargets),
+               [this](const TargetRecord& aTarget) {
+                 const bool continues = !this->begunOn || *this->begunOn == aTarget.software;
+                 return continues && this->allowedRegions.Allows(aTarget.zone);
+               });
+  return this->eligibleTargets;
 }
 
 // Returns the newest version of weights that was announced or that a target has, 0 if none is
--- a/src/program/ForwardedCaller.cpp
+++ b/src/program/ForwardedCaller.cpp
@@ -18,7 +18,7 @@
 ForwardedCaller::WriteWhole(HttpResponseMessage aResponse, bool /*aClose*/)
 {
   const ForwardedHead head{
-    this->number, std::move(aResponse.head), std::move(aResponse.body), true
+    this->number, std::move(aResponse.head), std::move(aResponse.body), true, std::nullopt
   };
   const bool sent = this->Send(head);
   this->finished = true;
@@ -30,7 +30,7 @@
                              std::string_view aChunk,
                              bool /*aClose*/)
 {
-  const ForwardedHead head{ this->number, aHead, std::string(aChunk), false };
+  const ForwardedHead head{ this->number, aHead, std::string(aChunk), false, this->software };
   co_return this->Send(head);
 }
 
--- a/src/program/ForwardedCaller.h
+++ b/src/program/ForwardedCaller.h
@@ -21,6 +21,7 @@
   }
 
   Awaitable<bool> WriteWhole(HttpResponseMessage aResponse, bool aClose) override;
+  void SetStreamSoftware(const SoftwareVersion& aSoftware) override { this->software = aSoftware; }
   Awaitable<bool> BeginStream(const HttpResponseHead& aHead,
                               std::string_view aChunk,
                               bool aClose) override;
@@ -39,6 +40,7 @@
 
   CallNumber number;
   SendFunction send;
+  std::optional<SoftwareVersion> software;
   std::function<void()> onDisconnect;
   bool finished = false;
   bool cancelled = false;
--- a/src/protocol/ForwardingCodec.cpp
+++ b/src/protocol/ForwardingCodec.cpp
@@ -73,6 +73,7 @@
     this->frame.sends_left = static_cast<std::uint32_t>(aCall.sendsLeft);
     this->frame.has_last_event = aCall.lastEvent.has_value();
     this->frame.last_event = aCall.lastEvent.value_or(0);
+    this->SetSoftware(aCall.software);
   }
 
   void operator()(const ForwardingDecline& aDecline) const
@@ -88,6 +89,7 @@
     this->frame.fields = RowsOf(aHead.head.fields);
     this->frame.bytes = BytesOf(aHead.bytes);
     this->frame.whole = aHead.whole;
+    this->SetSoftware(aHead.software);
   }
 
   void operator()(const ForwardedChunk& aChunk) const
@@ -107,6 +109,12 @@
     this->Begin(FrameKind::Cancel, aCancel.number);
   }
 
+  void SetSoftware(const std::optional<SoftwareVersion>& aSoftware) const
+  {
+    this->frame.has_software = aSoftware.has_value();
+    this->frame.software = aSoftware.value_or(SoftwareVersion()).Value();
+  }
+
   void Begin(FrameKind aKind, CallNumber aNumber) const
   {
     this->frame.kind = static_cast<std::uint8_t>(aKind);
@@ -114,6 +122,12 @@
   }
 };
 
+std::optional<SoftwareVersion>
+ReadSoftware(const wire::ForwardingFrameT& aFrame)
+{
+  return aFrame.has_software ? std::optional(SoftwareVersion(aFrame.software)) : std::nullopt;
+}
+
 ForwardedCall
 ReadCall(wire::ForwardingFrameT& aFrame)
 {
@@ -130,6 +144,7 @@
   if (aFrame.has_last_event) {
     call.lastEvent = aFrame.last_event;
   }
+  call.software = ReadSoftware(aFrame);
   return call;
 }
 
@@ -142,6 +157,7 @@
   head.head.fields = FieldsOf(aFrame.fields);
   head.bytes = TextOf(aFrame.bytes);
   head.whole = aFrame.whole;
+  head.software = ReadSoftware(aFrame);
   return head;
 }
 
--- a/test/program/ExchangeForwardingTest.cpp
+++ b/test/program/ExchangeForwardingTest.cpp
@@ -34,6 +34,7 @@
     EXPECT_TRUE(this->otherForwarder.Listen());
     this->forwarder.SetHosts({ { this->otherSettings.host, ZoneId("n") } });
     this->AddTarget("t", this->target->Address());
+    this->targetUpdates.back().record.software = SoftwareVersion("v1");
   }
 
   // The target's script may wait for the loop.
@@ -65,6 +66,9 @@
   {
     HttpResponseMessage response = this->response;
     if (this->streams) {
+      if (this->streamsOn) {
+        aCaller->SetStreamSoftware(*this->streamsOn);
+      }
       co_await aCaller->BeginStream(response.head, response.body, false);
       co_await aCaller->EndStream();
     } else {
@@ -99,6 +103,8 @@
   std::optional<DeclineReason> declined;
   HttpResponseMessage response{ HttpResponseHead{ 200, {} }, "served elsewhere" };
   bool streams = false;
+  // The software version that the other host states for its streams.
+  std::optional<SoftwareVersion> streamsOn = SoftwareVersion("v1");
   ServingSettings otherSettings = HostSettings(2, this->settings.forwardingPort);
   CallForwarder otherForwarder{ this->loop,
                                 this->clock,
@@ -167,6 +173,31 @@
   EXPECT_EQ(all.find("HTTP/1.1", 1), std::string::npos);
   ASSERT_EQ(this->Taken().size(), 1U);
   EXPECT_EQ(this->Taken()[0].lastEvent, 1U);
+  EXPECT_EQ(this->Taken()[0].software, SoftwareVersion("v1"));
+}
+
+// Guards against streams that another host goes on with at another software version.
+TEST_F(ExchangeForwardingTest, StreamOfAnotherVersionOfAnotherHostIsNotPassedOn)
+{
+  this->streams = true;
+  this->streamsOn = SoftwareVersion("v2");
+  this->response.body = "id: 2\ndata: b\n\n";
+  this->Start();
+  this->Call("/resumable/");
+  const std::string all = this->ReceiveAll();
+  EXPECT_NE(all.find("id: 1\ndata: a\n\n"), std::string::npos) << all;
+  EXPECT_EQ(all.find("data: b"), std::string::npos) << all;
+  EXPECT_EQ(all.find("0\r\n\r\n"), std::string::npos);
+}
+
+TEST_F(ExchangeForwardingTest, StreamOfAHostThatStatesNoVersionIsNotPassedOn)
+{
+  this->streams = true;
+  this->streamsOn = std::nullopt;
+  this->response.body = "id: 2\ndata: b\n\n";
+  this->Start();
+  this->Call("/resumable/");
+  EXPECT_EQ(this->ReceiveAll().find("data: b"), std::string::npos);
 }
 
 // Guards against a stream of which another host runs the beginning again.
--- a/test/protocol/ForwardingCodecTest.cpp
+++ b/test/protocol/ForwardingCodecTest.cpp
@@ -40,6 +40,9 @@
   EXPECT_EQ(read.lastEvent, std::nullopt);
   call.lastEvent = 0;
   EXPECT_EQ(RoundTrip(call).lastEvent, 0U);
+  EXPECT_EQ(read.software, std::nullopt);
+  call.software = SoftwareVersion("v1.1");
+  EXPECT_EQ(RoundTrip(call).software, call.software);
 }
 
 TEST(ForwardingCodecTest, ResponsesKeepTheirParts)
@@ -52,6 +55,9 @@
   EXPECT_EQ(read.head.fields, head.head.fields);
   EXPECT_EQ(read.bytes, "first");
   EXPECT_TRUE(read.whole);
+  EXPECT_EQ(read.software, std::nullopt);
+  head.software = SoftwareVersion();
+  EXPECT_EQ(RoundTrip(head).software, head.software);
   EXPECT_EQ(RoundTrip(ForwardedChunk{ CallNumber(2), "id: 1\n\n" }).bytes, "id: 1\n\n");
   EXPECT_TRUE(RoundTrip(ForwardedEnd{ CallNumber(3), true }).complete);
   EXPECT_FALSE(RoundTrip(ForwardedEnd{ CallNumber(3), false }).complete);
