A stream that its caller takes up again goes on at the software version that began it

What callers saw: a stream that broke off, taken up at another entry host, went on at another version. Cause: which version had begun it was known to nobody but the host that served it, if it still lived. Hosts now record the version with the first event of each stream that may be resumed and report it to their hub, control hosts pass the records on to each other, and a host at which a stream is taken up asks the control hosts it is connected to. A record outlives the host that made it and any control host, and expires with the caller's deadline. If they stay unknown, the call is refused unless the service had one version only for as long as streams live; a control host that has just started or was cut off does not vouch for that. Streams that have begun are no longer refused for the load of targets, since few of these may have their version.

--- a/include/damasklink/coordination/ServingMessages.h
+++ b/include/damasklink/coordination/ServingMessages.h
@@ -110,6 +110,22 @@
   auto operator<=>(const SuccessfulRun&) const = default;
 };
 
+// Names a stream by the request that brought its first event.
+using StreamKey = NumberId<struct StreamKeyTag>;
+
+// The software version that began a stream. Events of two versions do not fit together, so a caller
+// that resumes the stream must get to the same version.
+struct StreamOrigin
+{
+  StreamKey stream;
+  ServiceName service;
+  SoftwareVersion software;
+  // How much longer the caller may resume the stream.
+  Duration keepFor{ 0 };
+
+  bool operator==(const StreamOrigin&) const = default;
+};
+
 // The request rate that a target accepts from all hosts in total, as its answers state it.
 struct LimitReport
 {
@@ -252,6 +268,8 @@
   std::vector<LimitReport> limitReports;
   // Services whose targets stated in answers since the previous report that they are brittle.
   std::vector<BrittleService> brittle;
+  // Streams that were begun since the previous report.
+  std::vector<StreamOrigin> origins;
   // All limits and shares, sent to entry hosts; empty if not included.
   std::optional<std::vector<TargetLimit>> limits;
 
@@ -288,6 +306,33 @@
   bool operator==(const ForwardingHosts&) const = default;
 };
 
+// Numbers the lookups of an entry host.
+using LookupNumber = NumberId<struct LookupNumberTag>;
+
+// An entry host asks which software version began a stream of the service.
+struct StreamOriginRequest
+{
+  LookupNumber number;
+  // Empty if the caller does not name the stream that it resumes.
+  std::optional<StreamKey> stream;
+  ServiceName service;
+
+  bool operator==(const StreamOriginRequest&) const = default;
+};
+
+struct StreamOriginResponse
+{
+  LookupNumber number;
+  // Empty if the control host does not know the origin.
+  std::optional<StreamOrigin> origin;
+  // The versions that the control host has seen of the service while such a stream may have begun.
+  std::set<SoftwareVersion> versions;
+  // Whether it has heard of all targets during that time.
+  bool complete = false;
+
+  bool operator==(const StreamOriginResponse&) const = default;
+};
+
 using ServingMessage = std::variant<Greeting,
                                     ServingUpdate,
                                     LoadReport,
@@ -295,6 +340,8 @@
                                     DocumentRequest,
                                     DocumentChunk,
                                     ForwardingHostsRequest,
-                                    ForwardingHosts>;
+                                    ForwardingHosts,
+                                    StreamOriginRequest,
+                                    StreamOriginResponse>;
 
 } // namespace damasklink
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -1,5 +1,7 @@
 #include "ControlHost.h"
 
+#include <algorithm>
+
 #include "ControlCallHandler.h"
 #include "MetricsServer.h"
 #include "RefusalProposer.h"
@@ -58,9 +60,26 @@
 // Interval between two searches for unused parts. Each search visits all stored parts.
 constexpr Duration kFreeInterval = std::chrono::seconds(1);
 
+// Interval between two removals of expired records. Each visits all of them.
+constexpr Duration kExpiryInterval = std::chrono::seconds(1);
+
 // Time for the transfer of leadership to reach the successor before the process ends.
 constexpr Duration kLeadershipTransferTime = std::chrono::milliseconds(400);
 
+// Returns how long after its beginning a stream may be resumed. A caller that resumes a stream has
+// the time of its route once more.
+Duration
+LongestStream(const ServingConfig& aConfig)
+{
+  Duration longest{ 0 };
+  for (const ServingRoute& route : aConfig.routes) {
+    if (route.resumable) {
+      longest = std::max(longest, route.timeout);
+    }
+  }
+  return longest * 2;
+}
+
 } // namespace
 
 class ControlHost::Impl final : public PeerMeshHandler
@@ -80,7 +99,7 @@
             this->metrics,
             this->mesh,
             [this] { this->OnStateApplied(); })
-    , tracker(this->clock, this->settings.targetHeartbeat * kMaxMissedHeartbeats + kFailoverTime)
+    , tracker(this->clock, this->SilenceLimit())
     , stores(this->loop,
              this->clock,
              aStores,
@@ -112,6 +131,7 @@
   void OnPeerMessage(const HostId& aPeer, PeerMessage aMessage) override;
 
 private:
+  Duration SilenceLimit() const;
   RolloutOptions Options() const;
   void StepRollout();
   void FreeUnusedParts();
@@ -162,9 +182,17 @@
   MonotonicTime nextPublish;
   MonotonicTime nextFreeing;
   MonotonicTime nextLoads;
+  MonotonicTime nextExpiry;
   MonotonicTime failureExitAt;
 };
 
+// Returns how long a target may be silent before it counts as gone.
+Duration
+ControlHost::Impl::SilenceLimit() const
+{
+  return this->settings.targetHeartbeat * kMaxMissedHeartbeats + kFailoverTime;
+}
+
 RolloutOptions
 ControlHost::Impl::Options() const
 {
@@ -253,6 +281,11 @@
   if (this->clock.MonotonicNow() >= this->nextPublish) {
     this->PublishTargets();
   }
+  if (this->clock.MonotonicNow() >= this->nextExpiry) {
+    this->nextExpiry = this->clock.MonotonicNow() + kExpiryInterval;
+    this->publisher.RemoveExpired();
+    this->tracker.Versions().RemoveExpired();
+  }
   if (this->clock.MonotonicNow() >= this->nextLoads || this->publisher.HasUrgentReport()) {
     this->nextLoads = this->clock.MonotonicNow() + kLoadInterval;
     this->publisher.PublishLoads();
@@ -299,6 +332,9 @@
   this->StepRollout();
   this->refusals.Step();
   this->nextPublish = this->clock.MonotonicNow() + kPublishInterval;
+  if (!this->group.HasRecentLeader()) {
+    this->tracker.Versions().OnIsolated();
+  }
   this->publisher.PublishChanges();
 }
 
@@ -338,6 +374,7 @@
       cold.emplace(service.name, *service.cold);
     }
   }
+  this->tracker.Versions().SetRetention(LongestStream(config.value()) + this->SilenceLimit());
   this->tracker.SetServices(std::move(services));
   this->tracker.SetColdStartSpecs(std::move(cold));
 }
@@ -427,6 +464,8 @@
     this->publisher.OnLoadReport(aPeer, *report);
   } else if (const auto* request = std::get_if<DocumentRequest>(&aMessage)) {
     this->publisher.Answer(aPeer, *request);
+  } else if (const auto* lookup = std::get_if<StreamOriginRequest>(&aMessage)) {
+    this->publisher.Answer(aPeer, *lookup);
   } else if (const auto* query = std::get_if<ForwardingHostsRequest>(&aMessage)) {
     this->hosts.SetCutOff(aPeer, query->cutOff, this->clock.MonotonicNow());
     this->publisher.SendForwardingHosts(aPeer);
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -94,6 +94,14 @@
                 [this](const auto& aFrom, auto& aCall, const auto& aCaller) {
                   return this->TakeForwarded(aFrom, aCall, aCaller);
                 })
+    , originResolver(
+        this->loop,
+        this->clock,
+        this->origins,
+        [this] { return this->ReportingControlHosts(); },
+        [this](const HostId& aTo, const StreamOriginRequest& aRequest) {
+          this->SendToControlHost(aTo, aRequest);
+        })
     , mesh(this->loop, this->settings.host, this->settings.peerPort, *this)
     , context{ this->loop,
                this->clock,
@@ -120,6 +128,8 @@
                this->unconfirmedCrashes,
                this->forwarder,
                this->brittle,
+               this->origins,
+               this->originResolver,
                this->clock.MonotonicNow(),
                nullptr,
                false,
@@ -165,9 +175,10 @@
   Awaitable<void> Stop();
   void RunHousekeeping();
   std::vector<HubCandidate> HubCandidates() const;
+  std::vector<HostId> ReportingControlHosts() const;
   void ReportLoadPeriodically();
   void SendLoadReport(bool aHubChanged);
-  void SendReport(const HostId& aTo, const LoadReport& aReport);
+  void SendToControlHost(const HostId& aTo, const ServingMessage& aMessage);
   void AddSeeds(const std::vector<HostId>& aSeeds);
   void UpdateControlLinks();
   void ApplyUpdate(const HostId& aPeer, const ServingUpdate& aUpdate);
@@ -209,6 +220,8 @@
   UnconfirmedCrashReports unconfirmedCrashes{ this->clock, this->paths };
   ServiceProber prober;
   CallForwarder forwarder;
+  StreamOriginTable origins{ this->clock };
+  StreamOriginResolver originResolver;
   PeerMesh mesh;
   EntryContext context;
   ConfigurationUpdater configuration;
@@ -380,6 +393,7 @@
   this->pool.CloseExpired();
   this->rests.RemoveExpired();
   this->brittle.RemoveExpired();
+  this->origins.RemoveExpired();
   this->forwarder.CloseIdle();
   if (this->paths.AnyUnreachable() || !this->forwarder.HasHosts()) {
     this->RequestForwardingHosts();
@@ -450,9 +464,7 @@
   if (!this->hub.Hub()) {
     return;
   }
-  const ForwardingHostsRequest request{ this->paths.AnyUnreachable() };
-  this->mesh.Send(*this->hub.Hub(),
-                  PeerMessage{ Channel::Serving, GroupId(), EncodeServingMessage(request) });
+  this->SendToControlHost(*this->hub.Hub(), ForwardingHostsRequest{ this->paths.AnyUnreachable() });
 }
 
 // Finds services and targets that have become silent, and confirms crashes.
@@ -530,6 +542,18 @@
   return candidates;
 }
 
+std::vector<HostId>
+EntryHost::Impl::ReportingControlHosts() const
+{
+  std::vector<HostId> reporting;
+  for (const auto& [host, zone] : this->links.Known()) {
+    if (this->state.HasReported(host)) {
+      reporting.push_back(host);
+    }
+  }
+  return reporting;
+}
+
 // Selects the hub, sends it what changed, and schedules the next call of itself.
 void
 EntryHost::Impl::ReportLoadPeriodically()
@@ -542,7 +566,7 @@
     LoadReport lastReport;
     lastReport.host = this->settings.host;
     lastReport.last = true;
-    this->SendReport(*before, lastReport);
+    this->SendToControlHost(*before, lastReport);
   }
   this->CheckPaths();
   if (changed) {
@@ -554,6 +578,7 @@
     this->picker.ResendAll();
     this->crashFilter.ResendAll();
     this->limits.ResendAll();
+    this->origins.ResendAll();
     // The sums of the new hub contain everything that those of the former one did.
     this->picker.RemoveSumsBefore(this->clock.MonotonicNow());
   }
@@ -585,12 +610,13 @@
   report.sound = this->crashFilter.TakeSuccessfulRuns();
   report.limitReports = this->limits.TakeReports();
   report.brittle = this->brittle.TakeReports();
+  report.origins = this->origins.TakeAdded();
   const bool hasContent = !report.sends.empty() || !report.excesses.empty() ||
                           !report.findings.empty() || !report.crashes.empty() ||
                           !report.sound.empty() || !report.limitReports.empty() ||
-                          !report.brittle.empty();
+                          !report.brittle.empty() || !report.origins.empty();
   if (this->hub.Hub() && (aHubChanged || hasContent)) {
-    this->SendReport(*this->hub.Hub(), report);
+    this->SendToControlHost(*this->hub.Hub(), report);
     if (!report.sends.empty()) {
       this->hub.OnReportSent();
     }
@@ -598,9 +624,9 @@
 }
 
 void
-EntryHost::Impl::SendReport(const HostId& aTo, const LoadReport& aReport)
+EntryHost::Impl::SendToControlHost(const HostId& aTo, const ServingMessage& aMessage)
 {
-  this->mesh.Send(aTo, PeerMessage{ Channel::Serving, GroupId(), EncodeServingMessage(aReport) });
+  this->mesh.Send(aTo, PeerMessage{ Channel::Serving, GroupId(), EncodeServingMessage(aMessage) });
 }
 
 void
@@ -637,9 +663,7 @@
 void
 EntryHost::Impl::OnPeerUp(const HostId& aPeer, LinkSide /*aSide*/)
 {
-  const Greeting greeting{ HostRole::Entry, this->settings.zone, {} };
-  this->mesh.Send(aPeer,
-                  PeerMessage{ Channel::Serving, GroupId(), EncodeServingMessage(greeting) });
+  this->SendToControlHost(aPeer, Greeting{ HostRole::Entry, this->settings.zone, {} });
   this->state.OnConnection(aPeer, true);
 }
 
@@ -683,6 +707,10 @@
     this->forwarder.SetHosts(hosts->hosts);
     return;
   }
+  if (const auto* response = std::get_if<StreamOriginResponse>(&message.value())) {
+    this->originResolver.OnResponse(aPeer, *response);
+    return;
+  }
   if (const auto* update = std::get_if<ServingUpdate>(&message.value())) {
     this->ApplyUpdate(aPeer, *update);
   }
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -64,15 +64,17 @@
   if (const std::optional<CallerError> refusal = this->Resolve()) {
     co_return co_await this->RespondWithError(*refusal);
   }
-  // The host that forwarded a call has counted it.
-  if (!this->forwardedLimits) {
-    this->context.retries.OnCall(this->service);
-  }
   this->deadline.emplace(this->context.loop.get_executor(),
                          [this] { this->OnInterrupt(Interrupt::Expired); });
   this->deadline->Arm(std::max(this->TimeLeft(), Duration::zero()));
   this->caller.WatchForDisconnect([this] { this->OnInterrupt(Interrupt::CallerLeft); });
-  const bool reusable = co_await this->Relay();
+  const std::optional<CallerError> unknownOrigin = co_await this->ResolveOrigin();
+  // The host that forwarded a call has counted it.
+  if (!this->forwardedLimits) {
+    this->context.retries.OnCall(this->service);
+  }
+  const bool reusable =
+    unknownOrigin ? co_await this->RespondWithError(*unknownOrigin) : co_await this->Relay();
   this->deadline->Disarm();
   this->caller.StopWatching();
   co_return reusable;
@@ -518,6 +520,7 @@
     this->begunOn = this->attemptTarget.software;
   }
   this->caller.SetStreamSoftware(*this->begunOn);
+  this->RecordOrigin();
   this->context.metrics.Observe(Sample::FirstToken,
                                 MetricKey{ WorkspaceId(), this->route->name },
                                 this->context.clock.MonotonicNow() - this->arrived);
@@ -581,7 +584,10 @@
     case ExchangeStep::Refuse: {
       CallerError error =
         Refusal(ErrorKind::Unavailable, "no target took the request", "retry after the given time");
-      error.retryAfter = this->RefusalRetryDelay();
+      // A stream whose version is gone cannot be resumed, so its caller should not come back.
+      if (!this->begunOn || !this->Targets().empty()) {
+        error.retryAfter = this->RefusalRetryDelay();
+      }
       co_return co_await this->RespondWithError(error);
     }
     case ExchangeStep::Expire: {
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -11,6 +11,7 @@
 #include "EntryHostState.h"
 #include "FirstConfiguration.h"
 #include "ServiceProber.h"
+#include "StreamOriginResolver.h"
 #include "TargetProbe.h"
 #include "damasklink/coordination/BrittleTargetLimiter.h"
 #include "damasklink/coordination/CrashFilter.h"
@@ -65,6 +66,8 @@
   UnconfirmedCrashReports& unconfirmedCrashes;
   CallForwarder& forwarder;
   BrittleTargetLimiter& brittle;
+  StreamOriginTable& origins;
+  StreamOriginResolver& originResolver;
   MonotonicTime started;
   // Sends this host's load report to its hub at once, not only at the next interval.
   std::function<void()> reportLoad;
@@ -136,6 +139,13 @@
   std::optional<CallerError> Resolve();
   // Sets allowedRegions. Returns the refusal when they leave no zone to send the call to.
   std::optional<CallerError> ResolveAllowedRegions();
+  // Finds the software version that a resumed stream must continue on, and its service. Returns the
+  // refusal if they are not known.
+  Awaitable<std::optional<CallerError>> ResolveOrigin();
+  bool MayContinueAt(const ServiceName& aService) const;
+  bool HasOnlyVersion(const SoftwareVersion& aSoftware) const;
+  // Records which software version has begun the stream, for callers that resume it elsewhere.
+  void RecordOrigin();
   Awaitable<bool> Relay();
   // Makes one attempt and sets lastResult. Returns false if there is no target and no other host.
   Awaitable<bool> AttemptOnce();
--- a/src/program/ExchangeRouting.cpp
+++ b/src/program/ExchangeRouting.cpp
@@ -47,6 +47,9 @@
 // with older weights this long before the deadline for new ones, since they might begin after it.
 constexpr Duration kMaxEngineQueueTime = std::chrono::milliseconds(3000);
 
+// Added to the time for which a caller may resume its stream, as it counts that time itself.
+constexpr Duration kOriginMargin = std::chrono::seconds(1);
+
 } // namespace
 
 // Fills the selection request for targets with this version of weights. Part keys depend on the
@@ -116,6 +119,82 @@
   return this->eligibleTargets;
 }
 
+Awaitable<std::optional<CallerError>>
+Exchange::ResolveOrigin()
+{
+  const bool resumes = this->route->kind == CallKind::Streaming && this->call.lastEvent;
+  if (!resumes || this->begunOn) {
+    co_return std::nullopt;
+  }
+  const MonotonicTime start = this->context.clock.MonotonicNow();
+  std::optional<StreamKey> stream;
+  if (!this->call.resumes.Empty()) {
+    stream = StreamKeyOf(this->call.resumes);
+  }
+  const std::optional<StreamOrigin> origin =
+    co_await this->context.originResolver.Resolve(stream, this->service);
+  const bool recorded = origin && origin->stream != StreamKey();
+  const bool continues = origin && this->MayContinueAt(origin->service) &&
+                         (recorded || this->HasOnlyVersion(origin->software));
+  LogEvent(LogLevel::Info, "stream_origin")
+    .With("request", this->call.request)
+    .With("resumes", this->call.resumes)
+    .With("known", origin.has_value())
+    .With("recorded", recorded)
+    .With("service", origin ? origin->service : this->service)
+    .With("software", origin ? origin->software : SoftwareVersion())
+    .With("continues", continues)
+    .With("took_ms", WholeMilliseconds(this->context.clock.MonotonicNow() - start));
+  if (!continues) {
+    const Error unknown{ ErrorKind::Unavailable,
+                         "the software version that began the stream is not known",
+                         "begin the stream anew" };
+    co_return CallerError{ unknown, RunOutcome::NotRun, std::nullopt };
+  }
+  this->service = origin->service;
+  this->begunOn = origin->software;
+  co_return std::nullopt;
+}
+
+// A route may be split among several services. Events of two services do not fit together either.
+bool
+Exchange::MayContinueAt(const ServiceName& aService) const
+{
+  return std::any_of(
+    this->route->shares.begin(), this->route->shares.end(), [&](const ServiceShare& aShare) {
+      return aShare.service == aService && aShare.weight > 0;
+    });
+}
+
+// Returns whether this host, too, knows of no target with another version.
+bool
+Exchange::HasOnlyVersion(const SoftwareVersion& aSoftware) const
+{
+  const std::vector<TargetRecord>& targets = this->context.state.Targets().Usable(this->service);
+  return std::all_of(targets.begin(), targets.end(), [&](const TargetRecord& aTarget) {
+    return aTarget.software == aSoftware;
+  });
+}
+
+void
+Exchange::RecordOrigin()
+{
+  if (!this->route->resumable) {
+    return;
+  }
+  const RequestId& first =
+    this->call.resumes.Empty() || !this->call.lastEvent ? this->call.request : this->call.resumes;
+  const Duration patience = this->call.timeout.value_or(this->route->timeout);
+  const Duration elapsed = this->context.clock.MonotonicNow() - this->arrived;
+  const bool recorded = this->context.origins.Add(StreamOrigin{
+    StreamKeyOf(first), this->service, *this->begunOn, patience - elapsed + kOriginMargin });
+  if (!recorded) {
+    LogEvent(LogLevel::Warning, "stream_origin_not_kept")
+      .With("request", this->call.request)
+      .With("kept", this->context.origins.Size());
+  }
+}
+
 // Returns the newest version of weights that was announced or that a target has, 0 if none is
 // known.
 std::uint64_t
@@ -219,21 +298,25 @@
 
 // A call is refused at once when it would wait behind others for longer than its limit, or when its
 // caller would leave before the first event: the target's prefill for it would be wasted. More
-// urgent calls have a higher limit, because targets run them ahead of others.
+// urgent calls have a higher limit, because targets run them ahead of others. A stream that has
+// begun is only refused in the latter case: few targets may have its version, and new streams can
+// begin at others.
 bool
 Exchange::IsExpectedInTime(const TargetRecord& aTarget) const
 {
-  const Duration wait = this->context.picker.ExpectedWait(this->selection, aTarget);
   const Duration expected = this->context.picker.ExpectedFirstEvent(this->selection, aTarget);
+  const Duration wait = this->context.picker.ExpectedWait(this->selection, aTarget);
   const double memory = this->context.picker.MemoryShare(this->selection, aTarget.id);
   const AdmissionLimits& limits = LimitsOf(this->Priority());
   const Duration objective = this->route->latencyObjective;
   const Duration callerPatience = std::max({ kMinCallerPatience,
                                              objective * kCallerPatienceObjectives,
                                              this->route->pauseObjective * kCallerPatiencePauses });
-  const bool inTime =
-    wait <= objective * limits.patience && expected <= std::min(callerPatience, this->TimeLeft());
-  return inTime && memory <= limits.memory;
+  const bool inTime = expected <= std::min(callerPatience, this->TimeLeft());
+  if (this->begunOn) {
+    return inTime;
+  }
+  return inTime && wait <= objective * limits.patience && memory <= limits.memory;
 }
 
 void
--- a/src/program/ServingUpdatePublisher.cpp
+++ b/src/program/ServingUpdatePublisher.cpp
@@ -34,7 +34,7 @@
 {
   return !aReport.sends.empty() || !aReport.excesses.empty() || !aReport.findings.empty() ||
          !aReport.crashes.empty() || !aReport.sound.empty() || !aReport.limitReports.empty() ||
-         !aReport.brittle.empty() || aReport.limits;
+         !aReport.brittle.empty() || !aReport.origins.empty() || aReport.limits;
 }
 
 } // namespace
@@ -60,6 +60,7 @@
   , metrics(aMetrics)
   , account(aAccount)
   , startedAt(aClock.MonotonicNow())
+  , origins(aClock)
 {
 }
 
@@ -223,6 +224,19 @@
   }
 }
 
+void
+ServingUpdatePublisher::Answer(const HostId& aEntryHost, const StreamOriginRequest& aRequest)
+{
+  StreamOriginResponse response;
+  response.number = aRequest.number;
+  if (aRequest.stream) {
+    response.origin = this->origins.Find(*aRequest.stream);
+  }
+  response.versions = this->tracker.Versions().Versions(aRequest.service);
+  response.complete = this->tracker.Versions().IsComplete();
+  this->EncodeAndSend(Work::Origins, aEntryHost, response);
+}
+
 void
 ServingUpdatePublisher::SendForwardingHosts(const HostId& aEntryHost)
 {
@@ -278,8 +292,9 @@
   report.host = this->settings.host;
   report.crashes = this->crashes.All();
   report.limitReports = this->limits.All();
+  report.origins = this->origins.All();
   if (HasAnything(report)) {
-    this->EncodeAndSend(Work::Loads, aControlHost, report);
+    this->Send(Work::Loads, aControlHost, EncodeCompressed(report));
   }
 }
 
@@ -370,6 +385,7 @@
   const bool fromOwnHost = this->hosts.EntryHosts().contains(aFrom);
   this->AddCrashes(aReport, fromOwnHost);
   this->AddLimitReports(aReport, fromOwnHost);
+  this->AddOrigins(aReport, fromOwnHost);
   if (!fromOwnHost) {
     this->sends.UpdatePeerSum(aReport, now);
   } else {
@@ -453,6 +469,18 @@
   }
 }
 
+void
+ServingUpdatePublisher::AddOrigins(const LoadReport& aReport, bool aFromOwnHost)
+{
+  for (const StreamOrigin& origin : aReport.origins) {
+    this->origins.Add(origin);
+  }
+  if (aFromOwnHost) {
+    this->unpublishedOrigins.insert(
+      this->unpublishedOrigins.end(), aReport.origins.begin(), aReport.origins.end());
+  }
+}
+
 std::vector<TargetLimit>
 ServingUpdatePublisher::LimitShares() const
 {
@@ -542,6 +570,7 @@
   own.crashes = std::exchange(this->unpublishedCrashes, {});
   own.sound = std::exchange(this->unpublishedSuccesses, {});
   own.limitReports = std::exchange(this->unpublishedLimits, {});
+  own.origins = std::exchange(this->unpublishedOrigins, {});
   if (HasAnything(own)) {
     this->SendToControlHosts(Work::Loads, own);
   }
--- a/src/program/ServingUpdatePublisher.h
+++ b/src/program/ServingUpdatePublisher.h
@@ -16,6 +16,7 @@
 #include "damasklink/coordination/LoadReportAggregator.h"
 #include "damasklink/coordination/RateLimitAllocator.h"
 #include "damasklink/coordination/RecentHosts.h"
+#include "damasklink/coordination/StreamOriginTable.h"
 #include "damasklink/coordination/TargetSubsets.h"
 #include "damasklink/transport/PeerMesh.h"
 
@@ -52,6 +53,9 @@
   // Answers a request for a chunk of the configuration document.
   void Answer(const HostId& aEntryHost, const DocumentRequest& aRequest);
 
+  // Answers which software version began a stream.
+  void Answer(const HostId& aEntryHost, const StreamOriginRequest& aRequest);
+
   // Sends an entry host those to which it may forward calls.
   void SendForwardingHosts(const HostId& aEntryHost);
 
@@ -75,6 +79,9 @@
   // that report to this one.
   void PublishLoads();
 
+  // Removes what is too old to be of use. Must be called periodically.
+  void RemoveExpired() { this->origins.RemoveExpired(); }
+
   // Returns whether an urgent report was received that is not passed on yet.
   bool HasUrgentReport() const { return this->urgentPending; }
 
@@ -119,6 +126,7 @@
   void AddCrashes(const LoadReport& aReport, bool aFromOwnHost);
   void SendAllReports(const HostId& aControlHost);
   void SendRelayedStores(const HostId& aControlHost);
+  void AddOrigins(const LoadReport& aReport, bool aFromOwnHost);
   void AddLimitReports(const LoadReport& aReport, bool aFromOwnHost);
   std::vector<TargetLimit> LimitShares() const;
   void PublishLimits();
@@ -173,6 +181,10 @@
   std::vector<TargetLimit> publishedLimits;
   // Reports of own entry hosts that are not sent to the other control hosts yet.
   std::vector<LimitReport> unpublishedLimits;
+  // Of the streams of all entry hosts.
+  StreamOriginTable origins;
+  // Origins of own entry hosts that are not sent to the other control hosts yet.
+  std::vector<StreamOrigin> unpublishedOrigins;
 };
 
 } // namespace damasklink
--- a/src/program/TargetTracker.cpp
+++ b/src/program/TargetTracker.cpp
@@ -11,6 +11,7 @@
 
 TargetTracker::TargetTracker(const Clock& aClock, Duration aSilence)
   : registry(aClock, aSilence)
+  , versions(aClock)
 {
 }
 
@@ -40,6 +41,9 @@
   const bool isNew = this->registry.Merge(aRecord);
   if (isNew) {
     this->touched.insert(aRecord.id);
+    if (!aRecord.service.Empty()) {
+      this->versions.Observe(aRecord.service, aRecord.software);
+    }
     this->AddColdTarget(aRecord, aRecord.coldFor);
   }
   return isNew;
--- a/src/program/TargetTracker.h
+++ b/src/program/TargetTracker.h
@@ -11,6 +11,7 @@
 #include "damasklink/coordination/RateLimitAllocator.h"
 #include "damasklink/coordination/ServingConfig.h"
 #include "damasklink/coordination/ServingMessages.h"
+#include "damasklink/coordination/SoftwareVersionHistory.h"
 #include "damasklink/coordination/TargetRegistry.h"
 
 namespace damasklink {
@@ -92,6 +93,8 @@
 
   const TargetRegistry& Registry() const { return this->registry; }
 
+  SoftwareVersionHistory& Versions() { return this->versions; }
+
 private:
   TargetUpdate MakeTargetUpdate(const TargetRecord& aRecord) const;
   bool Merge(const TargetRecord& aRecord);
@@ -101,6 +104,7 @@
   void ListEngines();
 
   TargetRegistry registry;
+  SoftwareVersionHistory versions;
   std::optional<std::set<ServiceName>> services;
   std::map<ServiceName, ColdStartSpec> coldStartSpecs;
   std::vector<ColdTarget> cold;
--- a/src/program/WorkStatistics.cpp
+++ b/src/program/WorkStatistics.cpp
@@ -30,6 +30,8 @@
   Work operator()(const EntryHostList& /*aList*/) const { return Work::Hosts; }
   Work operator()(const ForwardingHostsRequest& /*aRequest*/) const { return Work::Hosts; }
   Work operator()(const ForwardingHosts& /*aHosts*/) const { return Work::Hosts; }
+  Work operator()(const StreamOriginRequest& /*aRequest*/) const { return Work::Origins; }
+  Work operator()(const StreamOriginResponse& /*aResponse*/) const { return Work::Origins; }
   Work operator()(const DocumentRequest& /*aRequest*/) const { return Work::Documents; }
   Work operator()(const DocumentChunk& /*aChunk*/) const { return Work::Documents; }
 };
@@ -64,6 +66,8 @@
       return "stored_parts";
     case Work::Hosts:
       return "hosts";
+    case Work::Origins:
+      return "origins";
     case Work::TargetSteps:
       return "target_steps";
     case Work::Decoding:
--- a/src/program/WorkStatistics.h
+++ b/src/program/WorkStatistics.h
@@ -35,6 +35,7 @@
   Totals,      // The sums of these reports, sent to entry hosts.
   StoredParts, // Content of stores.
   Hosts,       // Greetings, and lists of entry hosts.
+  Origins,     // Lookups of which software version began a stream.
   TargetSteps, // Periodic checks of targets and weights.
   Decoding,    // Decoding of messages of other hosts, whose kind is not known yet.
 };
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -1,6 +1,8 @@
 #include "damasklink/protocol/ServingCodec.h"
 
 #include <algorithm>
+#include <map>
+#include <utility>
 
 #include <Serving_generated.h>
 
@@ -23,6 +25,8 @@
   Compressed = 7,
   ForwardingHostsRequest = 8,
   ForwardingHosts = 9,
+  StreamOriginRequest = 10,
+  StreamOriginResponse = 11,
 };
 
 // Messages smaller than this are not compressed, because they fit into a few packets anyway.
@@ -230,6 +234,24 @@
   return row;
 }
 
+// Streams that the same software version began share a row.
+std::vector<std::unique_ptr<wire::OriginRowT>>
+RowsOf(const std::vector<StreamOrigin>& aOrigins)
+{
+  std::map<std::pair<ServiceName, SoftwareVersion>, wire::OriginRowT*> byVersion;
+  std::vector<std::unique_ptr<wire::OriginRowT>> rows;
+  for (const StreamOrigin& origin : aOrigins) {
+    wire::OriginRowT*& row = byVersion[{ origin.service, origin.software }];
+    if (row == nullptr) {
+      row = rows.emplace_back(std::make_unique<wire::OriginRowT>()).get();
+      row->service = origin.service.Value();
+      row->software = origin.software.Value();
+    }
+    row->streams.emplace_back(origin.stream.Value(), MillisecondsOf(origin.keepFor));
+  }
+  return rows;
+}
+
 template<typename Fingerprints>
 std::vector<std::uint64_t>
 NumbersOf(const Fingerprints& aFingerprints)
@@ -362,6 +384,7 @@
     for (const BrittleService& brittle : aReport.brittle) {
       this->frame.brittle.push_back(RowOf(brittle));
     }
+    this->frame.origins = RowsOf(aReport.origins);
     this->frame.tells_limits = aReport.limits.has_value();
     for (const TargetLimit& limit : aReport.limits.value_or(std::vector<TargetLimit>())) {
       this->frame.limits.push_back(RowOf(limit));
@@ -391,6 +414,28 @@
     }
   }
 
+  void operator()(const StreamOriginRequest& aRequest)
+  {
+    this->frame.kind = static_cast<std::uint8_t>(FrameKind::StreamOriginRequest);
+    this->frame.lookup = aRequest.number.Value();
+    this->frame.names_stream = aRequest.stream.has_value();
+    this->frame.stream = aRequest.stream.value_or(StreamKey()).Value();
+    this->frame.service = aRequest.service.Value();
+  }
+
+  void operator()(const StreamOriginResponse& aResponse)
+  {
+    this->frame.kind = static_cast<std::uint8_t>(FrameKind::StreamOriginResponse);
+    this->frame.lookup = aResponse.number.Value();
+    if (aResponse.origin) {
+      this->frame.origins = RowsOf({ *aResponse.origin });
+    }
+    for (const SoftwareVersion& version : aResponse.versions) {
+      this->frame.software_versions.push_back(version.Value());
+    }
+    this->frame.versions_complete = aResponse.complete;
+  }
+
   void operator()(const DocumentRequest& aRequest)
   {
     this->frame.kind = static_cast<std::uint8_t>(FrameKind::DocumentRequest);
@@ -558,6 +603,61 @@
                          std::chrono::milliseconds(aRow.run_ms()) };
 }
 
+void
+ReadRow(const wire::OriginRow& aRow, std::vector<StreamOrigin>& aTo)
+{
+  if (aRow.streams() == nullptr) {
+    return;
+  }
+  const ServiceName service(TextOf(aRow.service()));
+  const SoftwareVersion software(TextOf(aRow.software()));
+  for (const wire::StreamEntry* entry : *aRow.streams()) {
+    aTo.push_back(StreamOrigin{
+      StreamKey(entry->stream()), service, software, std::chrono::milliseconds(entry->keep_ms()) });
+  }
+}
+
+std::vector<StreamOrigin>
+ReadOrigins(const wire::ServingFrame& aFrame)
+{
+  std::vector<StreamOrigin> origins;
+  if (const auto* rows = aFrame.origins()) {
+    for (const wire::OriginRow* row : *rows) {
+      ReadRow(*row, origins);
+    }
+  }
+  return origins;
+}
+
+StreamOriginRequest
+ReadOriginRequest(const wire::ServingFrame& aFrame)
+{
+  StreamOriginRequest request;
+  request.number = LookupNumber(aFrame.lookup());
+  if (aFrame.names_stream()) {
+    request.stream = StreamKey(aFrame.stream());
+  }
+  request.service = ServiceName(TextOf(aFrame.service()));
+  return request;
+}
+
+StreamOriginResponse
+ReadOriginResponse(const wire::ServingFrame& aFrame)
+{
+  StreamOriginResponse response;
+  response.number = LookupNumber(aFrame.lookup());
+  if (const std::vector<StreamOrigin> origins = ReadOrigins(aFrame); !origins.empty()) {
+    response.origin = origins.front();
+  }
+  if (const auto* versions = aFrame.software_versions()) {
+    for (const flatbuffers::String* version : *versions) {
+      response.versions.insert(SoftwareVersion(TextOf(version)));
+    }
+  }
+  response.complete = aFrame.versions_complete();
+  return response;
+}
+
 TargetLimit
 ReadRow(const wire::LimitRow& aRow)
 {
@@ -625,6 +725,7 @@
   ReadRows(aFrame.sound(), report.sound);
   ReadRows(aFrame.limit_reports(), report.limitReports);
   ReadRows(aFrame.brittle(), report.brittle);
+  report.origins = ReadOrigins(aFrame);
   if (aFrame.tells_limits()) {
     ReadRows(aFrame.limits(), report.limits.emplace());
   }
@@ -650,6 +751,12 @@
   if (kind == FrameKind::LoadReport) {
     return ServingMessage(ReadLoadReport(aRoot));
   }
+  if (kind == FrameKind::StreamOriginRequest) {
+    return ServingMessage(ReadOriginRequest(aRoot));
+  }
+  if (kind == FrameKind::StreamOriginResponse) {
+    return ServingMessage(ReadOriginResponse(aRoot));
+  }
   wire::ServingFrameT frame;
   aRoot.UnPackTo(&frame);
   switch (kind) {
@@ -658,6 +765,8 @@
     case FrameKind::ServingUpdate:
       return ReadServingUpdate(frame);
     case FrameKind::LoadReport:
+    case FrameKind::StreamOriginRequest:
+    case FrameKind::StreamOriginResponse:
     case FrameKind::Compressed:
       break;
     case FrameKind::EntryHostList:
--- a/test/program/ExchangeFixture.h
+++ b/test/program/ExchangeFixture.h
@@ -267,6 +267,22 @@
                            1,
                            [](const auto&, auto&, const auto&) { return DeclineReason::Stopping; } };
   BrittleTargetLimiter brittle{ this->clock, 1 };
+  StreamOriginTable origins{ this->clock };
+  // The control host's answers to lookups.
+  std::function<StreamOriginResponse(const StreamOriginRequest&)> answerLookup =
+    [](const StreamOriginRequest& aRequest) {
+      return StreamOriginResponse{ aRequest.number, std::nullopt, {}, true };
+    };
+  StreamOriginResolver originResolver{ this->loop,
+                                       this->clock,
+                                       this->origins,
+                                       [] { return std::vector<HostId>{ HostId("control") }; },
+                                       [this](const HostId& aTo, const auto& aRequest) {
+                                         asio::post(this->loop, [this, aTo, aRequest] {
+                                           this->originResolver.OnResponse(
+                                             aTo, this->answerLookup(aRequest));
+                                         });
+                                       } };
   EntryContext context{ this->loop,
                         this->clock,
                         this->settings,
@@ -292,6 +308,8 @@
                         this->unconfirmedCrashes,
                         this->forwarder,
                         this->brittle,
+                        this->origins,
+                        this->originResolver,
                         this->clock.MonotonicNow(),
                         nullptr,
                         false,
--- a/test/program/ExchangeSoftwareTest.cpp
+++ b/test/program/ExchangeSoftwareTest.cpp
@@ -95,5 +95,177 @@
   EXPECT_NE(all.find("data: v2\n\n"), std::string::npos) << all;
 }
 
+// Tests of streams that callers resume, with targets of two versions.
+class ResumedStreamTest : public testing::ExchangeFixture
+{
+protected:
+  ResumedStreamTest()
+  {
+    this->AddVersion("old", "v1", this->old.Address());
+    for (int number = 0; number < kTargetsOfOtherVersion; ++number) {
+      this->AddVersion("new" + std::to_string(number), "v2", this->current.Address());
+    }
+  }
+
+  ~ResumedStreamTest() override { this->Stop(); }
+
+  void AddVersion(const std::string& aId, const std::string& aSoftware, const Endpoint& aEndpoint)
+  {
+    this->AddTarget(aId, aEndpoint);
+    this->targetUpdates.back().record.software = SoftwareVersion(aSoftware);
+  }
+
+  static bool Answer(const std::string& aRequest, TcpSocket& aSocket, const std::string& aSoftware)
+  {
+    const bool resumed = aRequest.find("Last-Event-Id: 1") != std::string::npos;
+    Write(aSocket,
+          StreamHead() + Chunk((resumed ? "id: 2\ndata: " : "id: 1\ndata: ") + aSoftware + "\n\n") +
+            "0\r\n\r\n");
+    return true;
+  }
+
+  // Sets the origin that the control host knows of the stream that r0 began.
+  void KnowOrigin(const ServiceName& aService, const std::string& aSoftware)
+  {
+    this->answerLookup = [aService, aSoftware](const StreamOriginRequest& aRequest) {
+      StreamOriginResponse response{ aRequest.number, std::nullopt, {}, false };
+      if (aRequest.stream == StreamKeyOf(RequestId("r0"))) {
+        response.origin = StreamOrigin{
+          *aRequest.stream, aService, SoftwareVersion(aSoftware), std::chrono::seconds(9)
+        };
+      }
+      return response;
+    };
+  }
+
+  void KnowVersions(std::set<SoftwareVersion> aVersions, bool aComplete)
+  {
+    this->answerLookup = [aVersions, aComplete](const StreamOriginRequest& aRequest) {
+      return StreamOriginResponse{ aRequest.number, std::nullopt, aVersions, aComplete };
+    };
+  }
+
+  void Resume(const std::string& aFirst = "Resumes: r0\r\n")
+  {
+    this->Start();
+    this->Call("/resumable/", "Last-Event-Id: 1\r\n" + aFirst);
+  }
+
+  void ExpectRefused()
+  {
+    const std::string answer = this->Receive();
+    EXPECT_NE(answer.find("HTTP/1.1 503"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("not_run"), std::string::npos) << answer;
+    // The stream cannot be resumed later either.
+    EXPECT_EQ(answer.find("Retry-After"), std::string::npos) << answer;
+    EXPECT_TRUE(this->old.Requests().empty());
+    EXPECT_TRUE(this->current.Requests().empty());
+  }
+
+  ScriptedTarget old{ [](const std::string& aRequest, TcpSocket& aSocket) {
+    return Answer(aRequest, aSocket, "v1");
+  } };
+  ScriptedTarget current{ [](const std::string& aRequest, TcpSocket& aSocket) {
+    return Answer(aRequest, aSocket, "v2");
+  } };
+};
+
+// Guards against streams of which callers get events of two software versions over two requests.
+TEST_F(ResumedStreamTest, GoesOnAtTheVersionThatBeganIt)
+{
+  this->KnowOrigin(testing::kService, "v1");
+  this->Resume();
+  EXPECT_NE(this->ReceiveUpTo("0\r\n\r\n").find("data: v1\n\n"), std::string::npos);
+  EXPECT_TRUE(this->current.Requests().empty());
+}
+
+TEST_F(ResumedStreamTest, OfUnknownOriginIsRefusedWhileThereAreSeveralVersions)
+{
+  this->KnowVersions({ SoftwareVersion("v1"), SoftwareVersion("v2") }, true);
+  this->Resume();
+  this->ExpectRefused();
+}
+
+// Guards against a control host that has just started and takes the versions that it has seen so
+// far for all.
+TEST_F(ResumedStreamTest, OfUnknownOriginIsRefusedUnlessAllVersionsAreKnown)
+{
+  this->KnowVersions({ SoftwareVersion("v1") }, false);
+  this->Resume();
+  this->ExpectRefused();
+}
+
+// Guards against control hosts that have not heard yet of a version that this host knows.
+TEST_F(ResumedStreamTest, OfUnknownOriginIsRefusedIfThisHostKnowsOfAnotherVersion)
+{
+  this->KnowVersions({ SoftwareVersion("v1") }, true);
+  this->Resume();
+  this->ExpectRefused();
+}
+
+TEST_F(ResumedStreamTest, OfUnknownOriginGoesOnAtTheOnlyVersion)
+{
+  this->KnowVersions({ SoftwareVersion("v1") }, true);
+  this->targetUpdates.resize(1);
+  this->Resume();
+  EXPECT_NE(this->ReceiveUpTo("0\r\n\r\n").find("data: v1\n\n"), std::string::npos);
+}
+
+TEST_F(ResumedStreamTest, ThatIsNotNamedGoesOnAtTheOnlyVersion)
+{
+  this->KnowVersions({ SoftwareVersion("v1") }, true);
+  this->targetUpdates.resize(1);
+  this->Resume("");
+  EXPECT_NE(this->ReceiveUpTo("0\r\n\r\n").find("data: v1\n\n"), std::string::npos);
+}
+
+TEST_F(ResumedStreamTest, IsRefusedWhereNoTargetOfItsVersionIsLeft)
+{
+  this->KnowOrigin(testing::kService, "v0");
+  this->Resume();
+  this->ExpectRefused();
+}
+
+TEST_F(ResumedStreamTest, OfAServiceThatTheRouteNoLongerUsesIsRefused)
+{
+  this->KnowOrigin(ServiceName("former"), "v1");
+  this->Resume();
+  this->ExpectRefused();
+}
+
+TEST_F(ResumedStreamTest, OriginIsRecordedWithTheFirstEvent)
+{
+  this->Start();
+  this->Call("/resumable/");
+  const bool isNew = this->ReceiveUpTo("0\r\n\r\n").find("data: v2\n\n") != std::string::npos;
+  this->OnLoop([&] {
+    const std::vector<StreamOrigin> origins = this->origins.TakeAdded();
+    ASSERT_EQ(origins.size(), 1U);
+    EXPECT_EQ(origins[0].stream, StreamKeyOf(RequestId("r1")));
+    EXPECT_EQ(origins[0].service, testing::kService);
+    EXPECT_EQ(origins[0].software, SoftwareVersion(isNew ? "v2" : "v1"));
+    EXPECT_GT(origins[0].keepFor, std::chrono::minutes(59));
+  });
+}
+
+// A caller that resumes a stream twice names the request that brought the first event both times.
+TEST_F(ResumedStreamTest, OriginOfAResumedStreamIsThatOfItsFirstRequest)
+{
+  this->KnowOrigin(testing::kService, "v1");
+  this->Resume();
+  this->ReceiveUpTo("0\r\n\r\n");
+  this->OnLoop([&] {
+    EXPECT_EQ(this->origins.Find(StreamKeyOf(RequestId("r0")))->software, SoftwareVersion("v1"));
+  });
+}
+
+TEST_F(ResumedStreamTest, StreamsThatCannotBeResumedAreNotRecorded)
+{
+  this->Start();
+  this->Call("/stream/");
+  this->ReceiveUpTo("0\r\n\r\n");
+  this->OnLoop([&] { EXPECT_EQ(this->origins.Size(), 0U); });
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/protocol/ServingCodecTest.cpp
+++ b/test/protocol/ServingCodecTest.cpp
@@ -80,6 +80,35 @@
   EXPECT_EQ(std::get<DocumentChunk>(decoded.value()), chunk);
 }
 
+TEST(ServingCodecTest, RoundTripsStreamOriginRequest)
+{
+  StreamOriginRequest request{ LookupNumber(7), StreamKey(9), ServiceName("s") };
+  auto decoded = DecodeServingMessage(EncodeServingMessage(request));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(std::get<StreamOriginRequest>(decoded.value()), request);
+  request.stream.reset();
+  decoded = DecodeServingMessage(EncodeServingMessage(request));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(std::get<StreamOriginRequest>(decoded.value()), request);
+}
+
+TEST(ServingCodecTest, RoundTripsStreamOriginResponse)
+{
+  StreamOriginResponse response;
+  response.number = LookupNumber(7);
+  auto decoded = DecodeServingMessage(EncodeServingMessage(response));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(std::get<StreamOriginResponse>(decoded.value()), response);
+  response.origin = StreamOrigin{
+    StreamKey(9), ServiceName("s"), SoftwareVersion(), std::chrono::milliseconds(250)
+  };
+  response.versions = { SoftwareVersion(), SoftwareVersion("v1") };
+  response.complete = true;
+  decoded = DecodeServingMessage(EncodeServingMessage(response));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(std::get<StreamOriginResponse>(decoded.value()), response);
+}
+
 TEST(ServingCodecTest, RoundTripsLoadReport)
 {
   LoadReport report;
@@ -97,6 +126,16 @@
   report.brittle = {
     BrittleService{ ServiceName("s"), RequestRate{ 2.5 }, std::chrono::milliseconds(400) },
   };
+  report.origins = {
+    StreamOrigin{ StreamKey(0xfedcba9876543210U),
+                  ServiceName("s"),
+                  SoftwareVersion("v1"),
+                  std::chrono::milliseconds(15'000) },
+    StreamOrigin{
+      StreamKey(2), ServiceName("s"), SoftwareVersion("v1"), std::chrono::milliseconds(12'000) },
+    StreamOrigin{
+      StreamKey(3), ServiceName("s"), SoftwareVersion("v2"), std::chrono::milliseconds(1) }
+  };
   report.limits = { TargetLimit{ TargetId("t"),
                                  Incarnation(4),
                                  RequestRate{ 3.5 },
--- a/test/soak/software_versions.py
+++ b/test/soak/software_versions.py
@@ -17,7 +17,7 @@
 import sys
 
 from soak import ENTRIES, Soak, soak_one
-from standins import Target, read_head
+from standins import Target, read_head, reset
 
 WAVES = ("side_by_side", "entries", "release", "controls")
 WAVE_LASTS = 6.0
@@ -67,11 +67,13 @@
         for number in range(last + 1, EVENTS + 1):
             writer.write(self.chunk(f"id: {number}\ndata: {version}\n\n".encode()))
             if number == break_after and number < EVENTS:
-                if self.random.random() < 0.5:
+                inside = self.random.random() < 0.5
+                if inside:
                     writer.write(self.chunk(PART_OF_EVENT))
                 await writer.drain()
-                if self.random.random() < 0.5:
-                    writer.transport.abort()
+                # A stream without length or chunks that ends between two events is whole, unless it is reset.
+                if self.random.random() < 0.5 or (self.unframed and not inside):
+                    reset(writer)
                 raise EOFError
             await writer.drain()
             await asyncio.sleep(EVENT_PAUSE)
@@ -99,6 +101,7 @@
         self.models = [target for target in self.targets if target.service == "lm"]
         self.draws = random.Random(-3 * seed)
         self.streams = []
+        self.begun = 0
         self.shares = collections.Counter()
         for number, target in enumerate(self.models):
             target.version = f"v{1 + number % 2}"
@@ -182,11 +185,10 @@
         self.streams.append(stream)
 
     async def call_steadily(self):
-        number = 0
         pending = set()
         while not self.ending:
-            number += 1
-            task = asyncio.create_task(self.one_stream(number))
+            self.begun += 1
+            task = asyncio.create_task(self.one_stream(self.begun))
             pending.add(task)
             task.add_done_callback(pending.discard)
             await asyncio.sleep(CALL_INTERVAL)
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -4,6 +4,8 @@
 import dataclasses
 import json
 import random
+import socket
+import struct
 
 EVENTS = 12
 HEALTH_PATH = "/healthz"
@@ -66,6 +68,13 @@
             writer.close()
 
 
+def reset(writer):
+    """Closes the connection so that the other side sees a reset, not an orderly end."""
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class FaultProxy:
     """Passes connections on to one target, in the way that its mode says."""
 
@@ -133,6 +142,8 @@
                     await asyncio.sleep(0.15)
                 writer.write(data)
                 await writer.drain()
+        except ConnectionResetError:
+            reset(writer)
         except OSError:
             pass
         writer.close()
