--- a/include/damasklink/state/Metrics.h
+++ b/include/damasklink/state/Metrics.h
@@ -40,6 +40,7 @@
   ForwardedCalls,      // Handed to other entry hosts; kind: how that ended.
   ForwardingDeclines,  // By other entry hosts; kind: the reason.
   ServedForwards,      // Calls run for other entry hosts.
+  CrashReports,        // Requests that ran on a target when it ended.
   ResumedStreams,      // Sent to a target to go on; kind: caller or host, whoever resumed it.
 };
 
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -189,6 +189,7 @@
   void ApplyEvacuations();
   void ConfirmTerminations(const ServingUpdate& aUpdate);
   void ReportCrashes(const std::vector<CrashReport>& aReports, std::string_view aEvidence);
+  void AddCrash(CrashReport aReport);
   void ApplyCrashVerdicts(const HostId& aPeer, const CrashingRequests& aVerdicts);
   void OnConfigurationInstalled();
   bool IsReady() const;
@@ -480,7 +481,7 @@
     exchange->CheckSilence();
   }
   for (CrashReport& report : this->unconfirmedCrashes.TakeConfirmed()) {
-    this->crashFilter.OnCrash(std::move(report));
+    this->AddCrash(std::move(report));
   }
 }
 
@@ -778,10 +779,17 @@
       .With("target", report.target)
       .With("incarnation", report.incarnation)
       .With("proof", aEvidence);
-    this->crashFilter.OnCrash(report);
+    this->AddCrash(report);
   }
 }
 
+void
+EntryHost::Impl::AddCrash(CrashReport aReport)
+{
+  this->metrics.Add(Counter::CrashReports, MetricKey{}, 1);
+  this->crashFilter.OnCrash(std::move(aReport));
+}
+
 void
 EntryHost::Impl::ApplyBrittleServices(const LoadReport& aReport)
 {
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -184,6 +184,7 @@
   void ObserveFirstEvent(const TargetRecord& aTarget);
   void ObserveSlotTime();
   CrashReport MakeCrashReport(const TargetRecord& aTarget);
+  std::string SharedPartNames() const;
   void OnBytes(const TargetRecord& aTarget);
   void OnConnectFailed();
   void GiveUpAttempt();
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -65,6 +65,9 @@
     .With("workspace", report.workspace)
     .With("target", aTarget.id)
     .With("incarnation", aTarget.incarnation)
+    .With("parts", this->SharedPartNames())
+    .With("ran_ms", WholeMilliseconds(this->context.clock.MonotonicNow() - this->sentAt))
+    .With("first_event", this->load.firstEventSeen)
     .With("leaves", leaving);
   // A host that reaches no target would accuse the requests that it had in progress.
   if (leaving || this->context.paths.IsUnreachable(this->service)) {
@@ -83,6 +86,17 @@
   });
 }
 
+// Returns the parts of the prompt that other requests may have, too, separated by commas.
+std::string
+Exchange::SharedPartNames() const
+{
+  std::string names;
+  for (std::size_t index = 0; index + 1 < this->call.parts.size(); ++index) {
+    names += (names.empty() ? "" : ",") + this->call.parts[index].id.Value();
+  }
+  return names;
+}
+
 // A request that was sent after the target had ended may have reached another listener at its
 // address, which drops connections quickly. Such a request must not be blamed for the crash.
 bool
--- a/src/protocol/MetricsText.cpp
+++ b/src/protocol/MetricsText.cpp
@@ -131,6 +131,8 @@
       return "damasklink_forwarding_declines_total";
     case Counter::ServedForwards:
       return "damasklink_served_forwards_total";
+    case Counter::CrashReports:
+      return "damasklink_crash_reports_total";
     case Counter::ResumedStreams:
       return "damasklink_resumed_streams_total";
   }
