Requests with a part of their prompts that crashes targets are refused

What callers saw: requests that all differed crashed target after target, and sound requests on these targets broke off. Cause: what was learnt of a crash was kept for the whole request, and no two were alike. Entry hosts now report the parts that others may share, when the request was sent and when it broke off. Control hosts look for a part that was in three crashes, each by a request sent after the crash before, and in no successful run since (CrashingPartFinder); of several such parts the one further behind in the prompt, unless one before it was in more crashes. Crashes at the same moment show nothing, and what is reported late is believed late. The part is refused at every host like a request, and committed to the log.

Evidence was also lost where all targets of a service were down at once: a host then takes itself to be cut off and dropped its reports. It now keeps those with parts until the next start of a target proves the crash.

--- a/include/damasklink/coordination/CrashFilter.h
+++ b/include/damasklink/coordination/CrashFilter.h
@@ -1,4 +1,5 @@
-// Filters out requests that crash targets; used on entry hosts.
+// Filters out requests that crash targets, as a whole or by a part of their prompts; used on entry
+// hosts.
 //
 //   CrashFilter filter(clock);
 //   if (filter.IsActive() && filter.IsRefused(fingerprint)) { ... }
@@ -40,6 +41,8 @@
   void OnCrash(CrashReport aReport);
   // A request ran without a crash. This clears its reports of the same service.
   void OnSuccessfulRun(const SuccessfulRun& aRun);
+  // A request with this part of a prompt ran without a crash.
+  void OnSuccessfulPart(const SuccessfulRun& aRun);
 
   // Replaces the verdicts of a control host.
   void SetVerdicts(const HostId& aFrom, const CrashingRequests& aVerdicts);
--- a/include/damasklink/coordination/CrashRegistry.h
+++ b/include/damasklink/coordination/CrashRegistry.h
@@ -1,4 +1,5 @@
-// Detects requests that crash the targets that run them; used on control hosts.
+// Detects requests, and parts of prompts, that crash the targets that run them; used on control
+// hosts.
 //
 //   CrashRegistry registry(clock);
 //   registry.Add(reports);                   // From entry hosts and other control hosts.
@@ -10,14 +11,17 @@
 // cause: the one that crashes each target that runs it and never succeeds. So the registry counts,
 // for each request, the target incarnations that crashed while they ran it. A successful run resets
 // the count for the same service, and after three crashes the request is refused. Reports are a set
-// of (request, target incarnation): they may arrive late, twice and from several hosts. Not
-// thread-safe.
+// of (request, target incarnation): they may arrive late, twice and from several hosts.
+//
+// Requests that are all different may have a part of their prompts in common that crashes targets
+// (CrashingPartFinder). It is refused by its fingerprint like a request. Not thread-safe.
 #pragma once
 
 #include <map>
 #include <set>
 #include <vector>
 
+#include "damasklink/coordination/CrashingPartFinder.h"
 #include "damasklink/coordination/ServingMessages.h"
 #include "damasklink/coordination/ServingStateMachine.h"
 #include "damasklink/state/Clock.h"
@@ -37,11 +41,13 @@
   // An entry takes about 200 bytes.
   static constexpr std::size_t kMaxRequests = 4096;
   static constexpr std::size_t kMaxSuspects = 256;
+  static constexpr std::size_t kMaxSuspectParts = 256;
   // A refused request is allowed again after this time, in case the fault in the target is fixed.
   static constexpr Duration kRefusalPeriod = std::chrono::hours(24);
 
   explicit CrashRegistry(const Clock& aClock)
     : clock(aClock)
+    , parts(aClock)
   {
   }
 
@@ -65,6 +71,9 @@
   // Returns all reports that count, for a control host that has just connected.
   std::vector<CrashReport> All() const;
 
+  // Returns whether the fingerprint is that of a part.
+  bool IsPart(RequestFingerprint aFingerprint) const { return this->parts.WasFound(aFingerprint); }
+
 private:
   using TargetIncarnation = std::pair<TargetId, Incarnation>;
 
@@ -85,6 +94,7 @@
   RefusedRequests refused;
   // Refused requests that have since run successfully.
   std::set<RequestFingerprint> cleared;
+  CrashingPartFinder parts;
 };
 
 } // namespace damasklink
--- a/include/damasklink/coordination/InterruptedRequests.h
+++ b/include/damasklink/coordination/InterruptedRequests.h
@@ -42,9 +42,11 @@
   // interrupted by then did not crash it, and they are removed.
   void OnAnswered(const TargetId& aTarget, Incarnation aIncarnation, MonotonicTime aSentAt);
 
-  // Removes the requests for a service of which this host reaches no target: their answers broke
-  // off for that reason.
-  void RemoveService(const ServiceName& aService);
+  // This host reaches no target of the service, so the answers may have broken off for that reason.
+  // Only the next start of a target confirms that it had crashed, and it accuses parts of prompts
+  // only: that was long ago, and successful runs void crashes of parts, but not of whole requests,
+  // also if they are reported later.
+  void OnServiceUnreachable(const ServiceName& aService);
 
   // Removes and returns the requests whose target is shown to have crashed by the start of a target
   // with the same id, or with the same address under another id.
@@ -59,6 +61,7 @@
     CrashReport report;
     Endpoint address;
     MonotonicTime interruptedAt;
+    bool confirmedBySilence = true;
   };
 
   void RemoveExpired();
--- a/include/damasklink/coordination/RequestFingerprint.h
+++ b/include/damasklink/coordination/RequestFingerprint.h
@@ -1,4 +1,5 @@
-// Fingerprints of requests, by which every host recognizes a repeated request.
+// Fingerprints of requests, by which every host recognizes a repeated request, and of the parts
+// that requests have in common.
 #pragma once
 
 #include <string_view>
@@ -23,6 +24,10 @@
   std::string_view body;
 };
 
+// Returns the fingerprint of a part of prompts, given by its id. It differs from those of requests.
+RequestFingerprint
+FingerprintOfPart(std::string_view aPart);
+
 // Returns the first 64 bits of a SHA-256 digest of the identity, so that nobody can construct
 // another request with the fingerprint of a given one.
 RequestFingerprint
--- a/include/damasklink/coordination/ServingMessages.h
+++ b/include/damasklink/coordination/ServingMessages.h
@@ -88,6 +88,7 @@
 // A request that was running on a target when that crashed.
 struct CrashReport
 {
+  // Zero if only the parts of the request are reported.
   RequestFingerprint request;
   // Empty on open routes.
   WorkspaceId workspace;
@@ -95,11 +96,27 @@
   TargetId target;
   // The incarnation of the target that crashed.
   Incarnation incarnation;
+  // Parts of the prompt that other requests may have, too, in its order. Empty if the request had
+  // been answered for some time: a part crashes its targets at the beginning.
+  std::vector<RequestFingerprint> parts;
+  // How long before the report the request was sent to the target, and its answer broke off.
+  Duration sentAgo{ 0 };
+  Duration brokenAgo{ 0 };
+
+  // Returns the report as it must be sent after aHeld.
+  CrashReport Aged(Duration aHeld) const
+  {
+    CrashReport aged = *this;
+    aged.sentAgo += aHeld;
+    aged.brokenAgo += aHeld;
+    return aged;
+  }
 
   bool operator==(const CrashReport&) const = default;
 };
 
-// A suspected request that completed at a target of the service without a crash.
+// A suspected request, or one with a suspected part, that completed at a target of the service
+// without a crash.
 struct SuccessfulRun
 {
   RequestFingerprint request;
@@ -167,7 +184,7 @@
   bool operator==(const TargetLimit&) const = default;
 };
 
-// Requests that are known or suspected to crash targets.
+// Requests, and parts of prompts, that are known or suspected to crash targets.
 struct CrashingRequests
 {
   // Must not be sent to targets any more.
--- a/include/damasklink/coordination/UnconfirmedCrashReports.h
+++ b/include/damasklink/coordination/UnconfirmedCrashReports.h
@@ -30,18 +30,24 @@
   {
   }
 
-  void Add(CrashReport aReport);
-
-  // Removes and returns the confirmed reports. Removes those of unreachable services.
-  std::vector<CrashReport> TakeConfirmed();
-
-private:
+  // A report about a target at this address.
   struct Entry
   {
     CrashReport report;
+    Endpoint address;
     MonotonicTime addedAt;
   };
 
+  void Add(CrashReport aReport, const Endpoint& aAddress);
+
+  // Removes and returns the confirmed reports.
+  std::vector<CrashReport> TakeConfirmed();
+
+  // Removes and returns the reports of services that became unreachable. This host may be cut off,
+  // or all targets of the service may have crashed.
+  std::vector<Entry> TakeUnreachable();
+
+private:
   const Clock& clock;
   const ServiceReachability& paths;
   std::deque<Entry> entries;
--- a/src/coordination/CrashFilter.cpp
+++ b/src/coordination/CrashFilter.cpp
@@ -26,6 +26,20 @@
   }
 }
 
+void
+CrashFilter::OnSuccessfulPart(const SuccessfulRun& aRun)
+{
+  const auto hasPart = [&](const PendingReport& aPending) {
+    const std::vector<RequestFingerprint>& parts = aPending.report.parts;
+    return aPending.report.service == aRun.service &&
+           std::find(parts.begin(), parts.end(), aRun.request) != parts.end();
+  };
+  if (this->watched.contains(aRun.request) ||
+      std::any_of(this->reports.begin(), this->reports.end(), hasPart)) {
+    this->successfulRuns.insert(aRun);
+  }
+}
+
 void
 CrashFilter::SetVerdicts(const HostId& aFrom, const CrashingRequests& aVerdicts)
 {
@@ -84,7 +98,7 @@
   std::vector<CrashReport> unsent;
   for (PendingReport& pending : this->reports) {
     if (!std::exchange(pending.sent, true)) {
-      unsent.push_back(pending.report);
+      unsent.push_back(pending.report.Aged(now - pending.reportedAt));
     }
   }
   return unsent;
--- a/src/coordination/CrashRegistry.cpp
+++ b/src/coordination/CrashRegistry.cpp
@@ -9,6 +9,15 @@
 CrashRegistry::Add(const std::vector<CrashReport>& aReports)
 {
   for (const CrashReport& report : aReports) {
+    this->parts.Add(report);
+    // A part that crashes targets explains the crashes of all requests with it.
+    const bool explained =
+      std::any_of(report.parts.begin(), report.parts.end(), [this](RequestFingerprint aPart) {
+        return this->parts.WasFound(aPart);
+      });
+    if (explained || report.request == RequestFingerprint()) {
+      continue;
+    }
     if (!this->entries.contains(report.request) && this->entries.size() >= kMaxRequests) {
       this->EvictOne();
     }
@@ -39,6 +48,7 @@
 CrashRegistry::AddSuccessfulRuns(const std::vector<SuccessfulRun>& aRuns)
 {
   for (const SuccessfulRun& run : aRuns) {
+    this->parts.AddSuccessfulRun(run);
     const auto found = this->entries.find(run.request);
     if (found != this->entries.end()) {
       std::erase_if(found->second.crashed,
@@ -61,6 +71,7 @@
     if (!aRefused.contains(request)) {
       // Released: the count starts again from zero.
       this->entries.erase(request);
+      this->parts.Forget(request);
       this->cleared.erase(request);
     }
   }
@@ -91,6 +102,10 @@
       verdicts.suspected.insert(request);
     }
   }
+  verdicts.refused.merge(this->parts.Crashing());
+  for (const RequestFingerprint part : this->parts.Suspects(kMaxSuspectParts)) {
+    verdicts.suspected.insert(part);
+  }
   return verdicts;
 }
 
@@ -103,6 +118,12 @@
       requests.push_back(RefuseRequest{ request, { entry.workspace, this->clock.WallNow() } });
     }
   }
+  for (const RequestFingerprint part : this->parts.Crashing()) {
+    if (!this->refused.contains(part)) {
+      requests.push_back(
+        RefuseRequest{ part, { this->parts.WorkspaceOf(part), this->clock.WallNow() } });
+    }
+  }
   return requests;
 }
 
@@ -112,7 +133,8 @@
   std::vector<ReleaseRequest> requests;
   for (const auto& [request, facts] : this->refused) {
     const bool over = this->clock.WallNow() - facts.since >= kRefusalPeriod;
-    if (over || this->cleared.contains(request)) {
+    const bool explained = !this->parts.WasFound(request) && this->parts.IsExplained(request);
+    if (over || explained || this->cleared.contains(request)) {
       requests.push_back(ReleaseRequest{ request });
     }
   }
@@ -122,7 +144,7 @@
 std::vector<CrashReport>
 CrashRegistry::All() const
 {
-  std::vector<CrashReport> reports;
+  std::vector<CrashReport> reports = this->parts.All();
   for (const auto& [request, entry] : this->entries) {
     for (const auto& [incarnation, service] : entry.crashed) {
       reports.push_back(
--- a/src/coordination/InterruptedRequests.cpp
+++ b/src/coordination/InterruptedRequests.cpp
@@ -1,8 +1,15 @@
 #include "damasklink/coordination/InterruptedRequests.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace damasklink {
+namespace {
+
+// Longest time from when a request is sent until it crashes its target, as a rule.
+constexpr Duration kCrashDelay = std::chrono::milliseconds(200);
+
+} // namespace
 
 void
 InterruptedRequests::RemoveExpired()
@@ -43,7 +50,7 @@
   std::erase_if(this->requests, [&](const Interrupted& aRequest) {
     const bool matches = aMatches(aRequest);
     if (matches) {
-      taken.push_back(aRequest.report);
+      taken.push_back(aRequest.report.Aged(this->clock.MonotonicNow() - aRequest.interruptedAt));
     }
     return matches;
   });
@@ -51,10 +58,20 @@
 }
 
 void
-InterruptedRequests::RemoveService(const ServiceName& aService)
+InterruptedRequests::OnServiceUnreachable(const ServiceName& aService)
 {
-  std::erase_if(this->requests,
-                [&](const Interrupted& aRequest) { return aRequest.report.service == aService; });
+  const auto isOfService = [&](const Interrupted& aRequest) {
+    return aRequest.report.service == aService;
+  };
+  std::erase_if(this->requests, [&](const Interrupted& aRequest) {
+    return isOfService(aRequest) && aRequest.report.parts.empty();
+  });
+  for (Interrupted& request : this->requests) {
+    if (isOfService(request)) {
+      request.report.request = RequestFingerprint();
+      request.confirmedBySilence = false;
+    }
+  }
 }
 
 std::vector<CrashReport>
@@ -69,13 +86,31 @@
   });
 }
 
+// Requests that were sent after the crash found the target silent, too. Those that were sent first
+// may have caused it, and it happened when these were sent.
 std::vector<CrashReport>
 InterruptedRequests::TakeConfirmedBySilence(const TargetRecord& aTarget)
 {
-  return this->Take([&](const Interrupted& aRequest) {
-    return aRequest.report.target == aTarget.id &&
+  std::vector<CrashReport> reports = this->Take([&](const Interrupted& aRequest) {
+    return aRequest.confirmedBySilence && aRequest.report.target == aTarget.id &&
            aRequest.report.incarnation == aTarget.incarnation;
   });
+  Duration firstSentAgo{ 0 };
+  for (const CrashReport& report : reports) {
+    if (!report.parts.empty()) {
+      firstSentAgo = std::max(firstSentAgo, report.sentAgo);
+    }
+  }
+  for (CrashReport& report : reports) {
+    if (report.sentAgo + kCrashDelay < firstSentAgo) {
+      report.parts.clear();
+    }
+    if (!report.parts.empty()) {
+      report.brokenAgo =
+        std::min(report.sentAgo, std::max(firstSentAgo, kCrashDelay) - kCrashDelay);
+    }
+  }
+  return reports;
 }
 
 } // namespace damasklink
--- a/src/coordination/RequestFingerprint.cpp
+++ b/src/coordination/RequestFingerprint.cpp
@@ -4,6 +4,26 @@
 #include "damasklink/state/Digests.h"
 
 namespace damasklink {
+namespace {
+
+RequestFingerprint
+DigestFingerprint(std::string_view aText)
+{
+  const DigestBytes digest = PackedDigestOf(aText);
+  ByteReader reader(std::string_view(reinterpret_cast<const char*>(digest.data()), digest.size()));
+  return RequestFingerprint(reader.Number());
+}
+
+} // namespace
+
+RequestFingerprint
+FingerprintOfPart(std::string_view aPart)
+{
+  ByteWriter writer;
+  writer.Text("part");
+  writer.Text(aPart);
+  return DigestFingerprint(writer.Take());
+}
 
 RequestFingerprint
 FingerprintOf(const RequestIdentity& aIdentity)
@@ -15,9 +35,7 @@
   writer.Text(aIdentity.method);
   writer.Text(aIdentity.path);
   writer.Text(std::string_view(reinterpret_cast<const char*>(body.data()), body.size()));
-  const DigestBytes whole = PackedDigestOf(writer.Take());
-  ByteReader reader(std::string_view(reinterpret_cast<const char*>(whole.data()), whole.size()));
-  return RequestFingerprint(reader.Number());
+  return DigestFingerprint(writer.Take());
 }
 
 } // namespace damasklink
--- a/src/coordination/UnconfirmedCrashReports.cpp
+++ b/src/coordination/UnconfirmedCrashReports.cpp
@@ -5,9 +5,9 @@
 namespace damasklink {
 
 void
-UnconfirmedCrashReports::Add(CrashReport aReport)
+UnconfirmedCrashReports::Add(CrashReport aReport, const Endpoint& aAddress)
 {
-  this->entries.push_back(Entry{ std::move(aReport), this->clock.MonotonicNow() });
+  this->entries.push_back(Entry{ std::move(aReport), aAddress, this->clock.MonotonicNow() });
 }
 
 std::vector<CrashReport>
@@ -15,22 +15,32 @@
 {
   const MonotonicTime now = this->clock.MonotonicNow();
   std::vector<CrashReport> confirmed;
-  std::deque<Entry> kept;
-  for (Entry& entry : this->entries) {
-    const ServiceName& service = entry.report.service;
-    if (this->paths.IsUnreachable(service)) {
-      continue;
-    }
+  std::erase_if(this->entries, [&](const Entry& aEntry) {
+    const ServiceName& service = aEntry.report.service;
     const bool isConfirmed =
-      this->paths.WasReachedAfter(service, entry.addedAt) || now - entry.addedAt >= kMaxAge;
+      !this->paths.IsUnreachable(service) &&
+      (this->paths.WasReachedAfter(service, aEntry.addedAt) || now - aEntry.addedAt >= kMaxAge);
     if (isConfirmed) {
-      confirmed.push_back(std::move(entry.report));
-    } else {
-      kept.push_back(std::move(entry));
+      confirmed.push_back(aEntry.report.Aged(now - aEntry.addedAt));
     }
-  }
-  this->entries = std::move(kept);
+    return isConfirmed;
+  });
   return confirmed;
 }
 
+std::vector<UnconfirmedCrashReports::Entry>
+UnconfirmedCrashReports::TakeUnreachable()
+{
+  const MonotonicTime now = this->clock.MonotonicNow();
+  std::vector<Entry> unreachable;
+  std::erase_if(this->entries, [&](const Entry& aEntry) {
+    const bool isUnreachable = this->paths.IsUnreachable(aEntry.report.service);
+    if (isUnreachable) {
+      unreachable.push_back(Entry{ aEntry.report.Aged(now - aEntry.addedAt), aEntry.address, now });
+    }
+    return isUnreachable;
+  });
+  return unreachable;
+}
+
 } // namespace damasklink
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -480,6 +480,11 @@
   for (Exchange* exchange : waiting) {
     exchange->CheckSilence();
   }
+  for (UnconfirmedCrashReports::Entry& entry : this->unconfirmedCrashes.TakeUnreachable()) {
+    const ServiceName service = entry.report.service;
+    this->interrupted.Add(std::move(entry.report), entry.address);
+    this->interrupted.OnServiceUnreachable(service);
+  }
   for (CrashReport& report : this->unconfirmedCrashes.TakeConfirmed()) {
     this->AddCrash(std::move(report));
   }
@@ -498,7 +503,7 @@
     MetricKey{ WorkspaceId(), Concat(lost ? "lost " : "regained ", aService.Value()) },
     1);
   if (lost) {
-    this->interrupted.RemoveService(aService);
+    this->interrupted.OnServiceUnreachable(aService);
   } else {
     // What this host learnt of the targets while it could not reach them was its own fault.
     for (const TargetRecord& target : this->state.Targets().Usable(aService)) {
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -130,7 +130,7 @@
   this->service = ChooseService(*this->route, ShortHash(this->call.request.Value()));
   if (this->IsKnownToCrash()) {
     return Refusal(ErrorKind::Unavailable,
-                   "targets ended each time they ran this request",
+                   "targets ended each time they ran this request or a part of its prompt",
                    "change the request, or ask the operator to release it");
   }
   ExchangeLimits exchangeLimits;
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -210,9 +210,13 @@
   // Returns the Retry-After of a call that no target took.
   Duration RefusalRetryDelay();
   void ReportSuccessfulRun();
-  // Computed on first use, since no call needs it while no target crashes.
+  // Both are computed on first use, since no call needs them while no target crashes.
   RequestFingerprint Fingerprint();
-  // Returns whether the request is known to crash targets, so that it must not be sent.
+  // Returns the fingerprints of the parts of the prompt that other requests may have, too.
+  const std::vector<RequestFingerprint>& PartFingerprints();
+  bool MayHaveCrashedByAPart() const;
+  // Returns whether the request, or a part of its prompt, is known to crash targets, so that it
+  // must not be sent.
   bool IsKnownToCrash();
   void PrepareSelection(std::uint64_t aWeights);
   std::uint64_t NewestWeightVersion();
@@ -248,6 +252,9 @@
   std::uint64_t weights = 0;
 
   std::optional<RequestFingerprint> fingerprint;
+  std::optional<std::vector<RequestFingerprint>> partFingerprints;
+  // The request is refused since it crashes targets.
+  bool crashesTargets = false;
   std::optional<ExchangeRetryPolicy> plan;
   std::optional<Watchdog> deadline;
   std::unique_ptr<TargetConnection> channel;
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -17,6 +17,10 @@
 // be reached at all.
 constexpr Duration kMaxTargetSilence = std::chrono::milliseconds(600);
 
+// Time from the first event of an answer within which a part of its prompt would have crashed the
+// target.
+constexpr Duration kMaxCrashDelay = std::chrono::seconds(1);
+
 // A listener that drops unwanted connections does so sooner.
 constexpr Duration kMaxDropTime = std::chrono::milliseconds(100);
 
@@ -42,11 +46,23 @@
 CrashReport
 Exchange::MakeCrashReport(const TargetRecord& aTarget)
 {
-  return CrashReport{ this->Fingerprint(),
+  CrashReport report{ this->Fingerprint(),
                       this->workspace == nullptr ? WorkspaceId() : this->workspace->name,
                       this->service,
                       aTarget.id,
                       aTarget.incarnation };
+  if (this->MayHaveCrashedByAPart()) {
+    report.parts = this->PartFingerprints();
+  }
+  report.sentAgo = this->context.clock.MonotonicNow() - this->sentAt;
+  return report;
+}
+
+bool
+Exchange::MayHaveCrashedByAPart() const
+{
+  return !this->load.firstEventSeen ||
+         this->context.clock.MonotonicNow() - this->firstEventAt < kMaxCrashDelay;
 }
 
 // Reports the request as a suspect once it is proven that the target's process ended while running
@@ -69,21 +85,29 @@
     .With("ran_ms", WholeMilliseconds(this->context.clock.MonotonicNow() - this->sentAt))
     .With("first_event", this->load.firstEventSeen)
     .With("leaves", leaving);
-  // A host that reaches no target would accuse the requests that it had in progress.
-  if (leaving || this->context.paths.IsUnreachable(this->service)) {
+  if (leaving) {
     return;
   }
   const bool wasRunning = this->WasSurelyRunning();
   if (wasRunning) {
     this->context.interrupted.Add(report, aTarget.endpoint);
   }
+  // A host that reaches no target would accuse the requests that it had in progress.
+  if (this->context.paths.IsUnreachable(this->service)) {
+    this->context.interrupted.OnServiceUnreachable(this->service);
+    return;
+  }
   EntryContext& shared = this->context;
-  this->context.probe.Run(aTarget, [&shared, report, wasRunning](TerminationEvidence aEvidence) {
-    if (wasRunning || aEvidence == TerminationEvidence::Refused) {
-      shared.unconfirmedCrashes.Add(report);
-      shared.prober.Probe(report.service);
-    }
-  });
+  const MonotonicTime brokenAt = this->context.clock.MonotonicNow();
+  this->context.probe.Run(aTarget,
+                          [&shared, report, wasRunning, brokenAt, address = aTarget.endpoint](
+                            TerminationEvidence aEvidence) {
+                            if (wasRunning || aEvidence == TerminationEvidence::Refused) {
+                              shared.unconfirmedCrashes.Add(
+                                report.Aged(shared.clock.MonotonicNow() - brokenAt), address);
+                              shared.prober.Probe(report.service);
+                            }
+                          });
 }
 
 // Returns the parts of the prompt that other requests may have, too, separated by commas.
@@ -251,16 +275,46 @@
 void
 Exchange::ReportSuccessfulRun()
 {
-  if (this->succeeded && this->context.crashFilter.IsActive()) {
-    this->context.crashFilter.OnSuccessfulRun(SuccessfulRun{ this->Fingerprint(), this->service });
+  CrashFilter& filter = this->context.crashFilter;
+  if (!this->succeeded || !filter.IsActive()) {
+    return;
+  }
+  filter.OnSuccessfulRun(SuccessfulRun{ this->Fingerprint(), this->service });
+  for (const RequestFingerprint part : this->PartFingerprints()) {
+    filter.OnSuccessfulPart(SuccessfulRun{ part, this->service });
   }
 }
 
 bool
 Exchange::IsKnownToCrash()
 {
-  return this->context.crashFilter.IsActive() &&
-         this->context.crashFilter.IsRefused(this->Fingerprint());
+  const CrashFilter& filter = this->context.crashFilter;
+  if (!filter.IsActive()) {
+    return false;
+  }
+  const std::vector<RequestFingerprint>& parts = this->PartFingerprints();
+  const auto refusedPart = std::find_if(
+    parts.begin(), parts.end(), [&](RequestFingerprint aPart) { return filter.IsRefused(aPart); });
+  if (refusedPart != parts.end()) {
+    LogEvent(LogLevel::Info, "part_refused")
+      .With("request", this->call.request)
+      .With("part", this->call.parts[static_cast<std::size_t>(refusedPart - parts.begin())].id)
+      .With("fingerprint", *refusedPart);
+  }
+  this->crashesTargets = refusedPart != parts.end() || filter.IsRefused(this->Fingerprint());
+  return this->crashesTargets;
+}
+
+const std::vector<RequestFingerprint>&
+Exchange::PartFingerprints()
+{
+  if (!this->partFingerprints) {
+    this->partFingerprints.emplace();
+    for (std::size_t index = 0; index + 1 < this->call.parts.size(); ++index) {
+      this->partFingerprints->push_back(FingerprintOfPart(this->call.parts[index].id.Value()));
+    }
+  }
+  return *this->partFingerprints;
 }
 
 RequestFingerprint
@@ -365,9 +419,9 @@
   metrics.Add(Counter::Requests, MetricKey{ WorkspaceId(), name }, 1);
   metrics.Observe(Sample::WholeRequest, MetricKey{ WorkspaceId(), name }, aTook);
   if (aStatus == 503) {
-    const bool crashes =
-      this->fingerprint && this->context.crashFilter.IsRefused(*this->fingerprint);
-    const char* cause = crashes ? "crashes_targets" : this->overloaded ? "overloaded" : "no_target";
+    const char* cause = this->crashesTargets ? "crashes_targets"
+                        : this->overloaded   ? "overloaded"
+                                             : "no_target";
     metrics.Add(Counter::Refusals, MetricKey{ WorkspaceId(), cause }, 1);
   } else if (aStatus >= 400 || aStatus == 0) {
     metrics.Add(Counter::Failures, MetricKey{ WorkspaceId(), std::to_string(aStatus) }, 1);
--- a/src/program/RefusalProposer.cpp
+++ b/src/program/RefusalProposer.cpp
@@ -6,11 +6,12 @@
 namespace {
 
 void
-LogCommand(const ServingCommand& aCommand, bool aCommitted)
+LogCommand(const ServingCommand& aCommand, bool aCommitted, const CrashRegistry& aRegistry)
 {
   if (const auto* refuse = std::get_if<RefuseRequest>(&aCommand)) {
     LogEvent(LogLevel::Warning, "request_refused_from_now")
       .With("fingerprint", refuse->request)
+      .With("part", aRegistry.IsPart(refuse->request))
       .With("workspace", refuse->facts.workspace)
       .With("crashes", CrashRegistry::kCrashesToRefuse)
       .With("committed", aCommitted);
@@ -48,7 +49,7 @@
 {
   for (const ServingCommand& command : aCommands) {
     const auto result = co_await this->group.Commit(command);
-    LogCommand(command, result.has_value());
+    LogCommand(command, result.has_value(), this->ledger);
   }
   this->committing = false;
 }
--- a/src/program/ServingUpdatePublisher.cpp
+++ b/src/program/ServingUpdatePublisher.cpp
@@ -452,8 +452,9 @@
   this->crashes.Add(aReport.crashes);
   this->crashes.AddSuccessfulRuns(aReport.sound);
   if (aFromOwnHost) {
-    this->unpublishedCrashes.insert(
-      this->unpublishedCrashes.end(), aReport.crashes.begin(), aReport.crashes.end());
+    for (const CrashReport& crash : aReport.crashes) {
+      this->unpublishedCrashes.push_back(HeldReport{ crash, this->clock.MonotonicNow() });
+    }
     this->unpublishedSuccesses.insert(
       this->unpublishedSuccesses.end(), aReport.sound.begin(), aReport.sound.end());
   }
@@ -567,7 +568,9 @@
   const WorkTimer timer(this->account, Work::Loads);
   LoadReport own = this->sends.TakeChanges(this->settings.host);
   own.urgent = std::exchange(this->ownUrgentPending, false);
-  own.crashes = std::exchange(this->unpublishedCrashes, {});
+  for (const HeldReport& held : std::exchange(this->unpublishedCrashes, {})) {
+    own.crashes.push_back(held.report.Aged(this->clock.MonotonicNow() - held.since));
+  }
   own.sound = std::exchange(this->unpublishedSuccesses, {});
   own.limitReports = std::exchange(this->unpublishedLimits, {});
   own.origins = std::exchange(this->unpublishedOrigins, {});
--- a/src/program/ServingUpdatePublisher.h
+++ b/src/program/ServingUpdatePublisher.h
@@ -171,8 +171,14 @@
   std::map<ModelName, std::uint64_t> publishedWeights;
   EvacuatedZones publishedEvacuated;
   CrashingRequests publishedCrashing;
+  struct HeldReport
+  {
+    CrashReport report;
+    MonotonicTime since;
+  };
+
   // Reports of own entry hosts that are not sent to the other control hosts yet.
-  std::vector<CrashReport> unpublishedCrashes;
+  std::vector<HeldReport> unpublishedCrashes;
   std::vector<SuccessfulRun> unpublishedSuccesses;
   // Start of the registry of entry hosts; see kRegistrySettleTime.
   MonotonicTime startedAt;
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -185,6 +185,11 @@
   row->service = aReport.service.Value();
   row->target = aReport.target.Value();
   row->incarnation = aReport.incarnation.Value();
+  for (const RequestFingerprint part : aReport.parts) {
+    row->parts.push_back(part.Value());
+  }
+  row->sent_ms = MillisecondsOf(aReport.sentAgo);
+  row->broken_ms = MillisecondsOf(aReport.brokenAgo);
   return row;
 }
 
@@ -570,11 +575,19 @@
 CrashReport
 ReadRow(const wire::CrashRow& aRow)
 {
-  return CrashReport{ RequestFingerprint(aRow.request()),
+  CrashReport report{ RequestFingerprint(aRow.request()),
                       WorkspaceId(TextOf(aRow.workspace())),
                       ServiceName(TextOf(aRow.service())),
                       TargetId(TextOf(aRow.target())),
                       Incarnation(aRow.incarnation()) };
+  if (aRow.parts() != nullptr) {
+    for (const std::uint64_t part : *aRow.parts()) {
+      report.parts.emplace_back(part);
+    }
+  }
+  report.sentAgo = std::chrono::milliseconds(aRow.sent_ms());
+  report.brokenAgo = std::chrono::milliseconds(aRow.broken_ms());
+  return report;
 }
 
 SuccessfulRun
--- a/test/coordination/CrashFilterTest.cpp
+++ b/test/coordination/CrashFilterTest.cpp
@@ -54,6 +54,36 @@
   EXPECT_EQ(this->filter.TakeSuccessfulRuns(), std::vector<SuccessfulRun>{ suspected });
 }
 
+TEST_F(CrashFilterTest, ReportsStateTheirAge)
+{
+  CrashReport report = kReport;
+  report.sentAgo = std::chrono::milliseconds(300);
+  report.brokenAgo = std::chrono::milliseconds(100);
+  this->filter.OnCrash(report);
+  this->clock.Advance(std::chrono::milliseconds(50));
+  const std::vector<CrashReport> sent = this->filter.TakeReports();
+  ASSERT_EQ(sent.size(), 1U);
+  EXPECT_EQ(sent[0].sentAgo, std::chrono::milliseconds(350));
+  EXPECT_EQ(sent[0].brokenAgo, std::chrono::milliseconds(150));
+}
+
+TEST_F(CrashFilterTest, SendsSuccessfulRunsWithReportedAndSuspectedParts)
+{
+  const SuccessfulRun reported{ RequestFingerprint(21), kService };
+  const SuccessfulRun suspected{ RequestFingerprint(22), kService };
+  CrashReport report = kReport;
+  report.parts = { RequestFingerprint(20), reported.request };
+  this->filter.OnCrash(report);
+  this->filter.SetVerdicts(kOne, CrashingRequests{ {}, { suspected.request } });
+  this->filter.OnSuccessfulPart(reported);
+  this->filter.OnSuccessfulPart(suspected);
+  this->filter.OnSuccessfulPart(SuccessfulRun{ RequestFingerprint(23), kService });
+  this->filter.OnSuccessfulPart(SuccessfulRun{ reported.request, ServiceName("another") });
+  EXPECT_EQ(this->filter.TakeSuccessfulRuns(), (std::vector<SuccessfulRun>{ reported, suspected }));
+  // The report still counts for the other parts.
+  EXPECT_EQ(this->filter.TakeReports().size(), 1U);
+}
+
 TEST_F(CrashFilterTest, OneControlHostIsEnoughToRefuse)
 {
   this->filter.SetVerdicts(kOne, CrashingRequests{});
--- a/test/coordination/InterruptedRequestsTest.cpp
+++ b/test/coordination/InterruptedRequestsTest.cpp
@@ -67,10 +67,46 @@
   this->requests.Add(Report(2, "u"), kAddress);
   this->clock.Advance(InterruptedRequests::kSilenceWindow);
   EXPECT_EQ(this->requests.TakeConfirmedBySilence(Target("t", 1)),
-            std::vector<CrashReport>{ Report(1) });
+            std::vector<CrashReport>{ Report(1).Aged(InterruptedRequests::kSilenceWindow) });
   EXPECT_FALSE(this->requests.IsEmpty());
 }
 
+// Guards against accusing parts of requests that were sent to a target when it had already ended.
+TEST_F(InterruptedRequestsTest, PartsOfTheFirstRequestsToASilentTargetAreReported)
+{
+  for (const std::uint64_t number : { 1, 2, 3 }) {
+    CrashReport report = Report(number);
+    report.parts = { RequestFingerprint(100 + number) };
+    report.sentAgo = std::chrono::seconds(4);
+    this->requests.Add(report, kAddress);
+    this->clock.Advance(milliseconds(150));
+  }
+  const std::vector<CrashReport> reports = this->requests.TakeConfirmedBySilence(Target("t", 1));
+  ASSERT_EQ(reports.size(), 3U);
+  EXPECT_EQ(reports[0].parts.size(), 1U);
+  EXPECT_EQ(reports[1].parts.size(), 1U);
+  EXPECT_TRUE(reports[2].parts.empty());
+  EXPECT_EQ(reports[0].sentAgo, milliseconds(4450));
+  EXPECT_EQ(reports[0].brokenAgo, milliseconds(4250));
+  EXPECT_EQ(reports[1].brokenAgo, milliseconds(4250));
+}
+
+// Guards against accusing the requests of a host that is cut off, and against losing the evidence
+// when all targets of a service have crashed.
+TEST_F(InterruptedRequestsTest, OnlyAStartConfirmsCrashesAtAnUnreachableService)
+{
+  CrashReport report = Report(1);
+  report.parts = { RequestFingerprint(100) };
+  this->requests.Add(report, kAddress);
+  this->requests.Add(Report(2), kAddress);
+  this->requests.OnServiceUnreachable(report.service);
+  EXPECT_TRUE(this->requests.TakeConfirmedBySilence(Target("t", 1)).empty());
+  // Whole requests are not accused.
+  report.request = RequestFingerprint();
+  EXPECT_EQ(this->requests.TakeConfirmedByStart(Target("t", 2)),
+            std::vector<CrashReport>{ report });
+}
+
 // A target may break or garble a single answer and keep running.
 TEST_F(InterruptedRequestsTest, AnswerToALaterRequestClearsTheTarget)
 {
--- a/test/coordination/ServiceReachabilityTest.cpp
+++ b/test/coordination/ServiceReachabilityTest.cpp
@@ -96,6 +96,8 @@
   EXPECT_FALSE(this->paths.HadBytesWithin(kService, milliseconds(1)));
 }
 
+const Endpoint kAddress{ "10.1.0.9", 8080 };
+
 class UnconfirmedCrashReportsTest : public ServiceReachabilityTest
 {
 protected:
@@ -105,20 +107,26 @@
 
 TEST_F(UnconfirmedCrashReportsTest, ReportIsConfirmedWhenAnotherTargetWasReached)
 {
-  this->unconfirmed.Add(this->report);
+  this->unconfirmed.Add(this->report, kAddress);
   EXPECT_TRUE(this->unconfirmed.TakeConfirmed().empty());
   this->clock.Advance(milliseconds(1));
   this->paths.OnBytes(kService);
-  EXPECT_EQ(this->unconfirmed.TakeConfirmed(), std::vector<CrashReport>{ this->report });
+  EXPECT_EQ(this->unconfirmed.TakeConfirmed(),
+            std::vector<CrashReport>{ this->report.Aged(milliseconds(1)) });
   EXPECT_TRUE(this->unconfirmed.TakeConfirmed().empty());
 }
 
 // Guards against requests that are accused because this host is cut off.
 TEST_F(UnconfirmedCrashReportsTest, ReportOfUnreachableServiceIsDropped)
 {
-  this->unconfirmed.Add(this->report);
+  this->unconfirmed.Add(this->report, kAddress);
   this->Probe(false);
   EXPECT_TRUE(this->unconfirmed.TakeConfirmed().empty());
+  const std::vector<UnconfirmedCrashReports::Entry> unreachable =
+    this->unconfirmed.TakeUnreachable();
+  ASSERT_EQ(unreachable.size(), 1U);
+  EXPECT_EQ(unreachable[0].report.request, this->report.request);
+  EXPECT_EQ(unreachable[0].address, kAddress);
   this->Probe(true);
   this->clock.Advance(UnconfirmedCrashReports::kMaxAge);
   EXPECT_TRUE(this->unconfirmed.TakeConfirmed().empty());
@@ -126,7 +134,7 @@
 
 TEST_F(UnconfirmedCrashReportsTest, ReportIsConfirmedInTheEndWithoutOtherTargets)
 {
-  this->unconfirmed.Add(this->report);
+  this->unconfirmed.Add(this->report, kAddress);
   this->clock.Advance(UnconfirmedCrashReports::kMaxAge);
   EXPECT_EQ(this->unconfirmed.TakeConfirmed().size(), 1U);
 }
--- a/test/program/ExchangeTest.cpp
+++ b/test/program/ExchangeTest.cpp
@@ -110,6 +110,77 @@
   EXPECT_NE(this->Receive().find("200 OK"), std::string::npos);
 }
 
+// Guards against requests that all differ and share a part that crashes targets.
+TEST_F(ExchangeTest, RefusesRequestsWithAPartKnownToCrashTargets)
+{
+  ScriptedTarget target([](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, Answer(200, "done"));
+    return true;
+  });
+  this->AddTarget("t", target.Address());
+  this->crashFilter.SetVerdicts(HostId("control"),
+                                CrashingRequests{ { FingerprintOfPart("dead") }, {} });
+  this->Start();
+  this->Call("/once/1", "X-Prompt-Prefix: first:10,dead:10,own1:5\r\n");
+  const std::string refused = this->Receive();
+  EXPECT_NE(refused.find("HTTP/1.1 503"), std::string::npos);
+  EXPECT_NE(refused.find("not_run"), std::string::npos);
+  EXPECT_EQ(refused.find("Retry-After"), std::string::npos);
+  EXPECT_TRUE(target.Requests().empty());
+  this->Call("/once/2", "X-Prompt-Prefix: first:10,own2:5\r\n");
+  EXPECT_NE(this->Receive().find("200 OK"), std::string::npos);
+  // The last part belongs to one request.
+  this->Call("/once/3", "X-Prompt-Prefix: first:10,dead:5\r\n");
+  EXPECT_NE(this->Receive().find("200 OK"), std::string::npos);
+}
+
+TEST_F(ExchangeTest, ReportsSuccessfulRunsWithSuspectedParts)
+{
+  ScriptedTarget target([](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, Answer(200, "done"));
+    return true;
+  });
+  this->AddTarget("t", target.Address());
+  const RequestFingerprint suspected = FingerprintOfPart("first");
+  this->crashFilter.SetVerdicts(HostId("control"), CrashingRequests{ {}, { suspected } });
+  this->Start();
+  this->Call("/once/1", "X-Prompt-Prefix: first:10,own1:5\r\n");
+  this->Receive();
+  this->Call("/nowhere/");
+  this->Receive();
+  this->OnLoop([&] {
+    EXPECT_EQ(this->crashFilter.TakeSuccessfulRuns(),
+              (std::vector<SuccessfulRun>{ SuccessfulRun{ suspected, testing::kService } }));
+  });
+}
+
+TEST_F(ExchangeTest, ReportsThePartsOfARequestThatCrashedItsTarget)
+{
+  auto target = std::make_unique<ScriptedTarget>([this](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, StreamHead());
+    return false;
+  });
+  const Endpoint address = target->Address();
+  this->AddTarget("t", address);
+  this->Start();
+  this->Call("/stream/1", "X-Prompt-Prefix: first:10,dead:10,own1:5\r\n");
+  this->Receive();
+  target.reset();
+  // The check of the target finds nobody listening.
+  std::vector<CrashReport> reports;
+  while (reports.empty()) {
+    this->OnLoop([&] {
+      TargetUpdate restarted = this->targetUpdates.front();
+      restarted.record.id = TargetId("next");
+      reports = this->interrupted.TakeConfirmedByStart(restarted.record);
+    });
+  }
+  EXPECT_EQ(reports[0].target, TargetId("t"));
+  EXPECT_EQ(reports[0].parts,
+            (std::vector{ FingerprintOfPart("first"), FingerprintOfPart("dead") }));
+  EXPECT_GT(reports[0].sentAgo, Duration::zero());
+}
+
 TEST_F(ExchangeTest, ReportsSuccessfulRunOfSuspectedRequest)
 {
   ScriptedTarget target([](const std::string&, TcpSocket& aSocket) {
--- a/test/protocol/ServingCodecTest.cpp
+++ b/test/protocol/ServingCodecTest.cpp
@@ -113,11 +113,15 @@
 {
   LoadReport report;
   report.host = HostId("10.0.0.7");
-  report.crashes = { CrashReport{ RequestFingerprint(7),
-                                  WorkspaceId("w"),
-                                  ServiceName("s"),
-                                  TargetId("t"),
-                                  Incarnation(1'790'000'000'000) } };
+  report.crashes = { CrashReport{
+    RequestFingerprint(7),
+    WorkspaceId("w"),
+    ServiceName("s"),
+    TargetId("t"),
+    Incarnation(1'790'000'000'000),
+    { RequestFingerprint(0xfedcba9876543210U), RequestFingerprint(8) },
+    std::chrono::milliseconds(1200),
+    std::chrono::milliseconds(100) } };
   report.sound = { SuccessfulRun{ RequestFingerprint(9), ServiceName("s") } };
   report.limitReports = {
     LimitReport{ TargetId("t"), Incarnation(4), RequestRate{ 3.5 } },
--- a/test/soak/crashing_parts.py
+++ b/test/soak/crashing_parts.py
@@ -32,6 +32,8 @@
 CALM_FOR = 3.0
 COUNTED_FOR = 5.0
 RECOVERY_FOR = 4.0
+# Until five crashes; a part that is refused earlier has fewer.
+MOST_TIME = 8.0
 MASS_CRASH = 2
 FIRST_PART = "f1057"
 OTHER_PARTS = [f"0be{number}" for number in range(8)]
@@ -136,11 +138,12 @@
             for task in pending:
                 task.cancel()
 
-    def crashes(self):
-        return sorted(moment for target in self.models for moment, _ in target.crashes)
+    def crashes(self, part):
+        return sorted(moment for target in self.models for moment, prompt in target.crashes if part in prompt)
 
-    def arrivals_since(self, moment):
-        return sum(arrival > moment for target in self.models for arrival, _ in target.crashing_arrivals)
+    def arrivals_since(self, part, moment):
+        arrivals = [arrival for target in self.models for arrival in target.crashing_arrivals]
+        return sum(arrived > moment and part in prompt for arrived, prompt in arrivals)
 
     async def count(self, phase, seconds):
         self.phase = phase
@@ -171,21 +174,24 @@
         await self.crash_most_at_once()
         await self.count("calm", CALM_FOR)
         deadly = asyncio.create_task(self.repeat(self.ask_deadly, self.options.interval))
-        while len(self.crashes()) < CRASHES:
+        # Where a part is refused after fewer crashes, the last one counts.
+        begun = self.now()
+        while self.now() < begun + MOST_TIME and any(len(self.crashes(part)) < CRASHES for part in self.deadly):
             await asyncio.sleep(0.05)
-        fifth = self.crashes()[CRASHES - 1]
+        last = {part: self.crashes(part)[:CRASHES][-1] for part in self.deadly}
         silence = SILENCE if self.options.end == "dark" else 0
-        known_at = fifth + NOTICE + silence
-        await asyncio.sleep(max(0.0, fifth + RECOVERED + silence - self.now()))
+        await asyncio.sleep(max(0.0, max(last.values()) + RECOVERED + silence - self.now()))
         await self.count("deadly", COUNTED_FOR)
         await self.kill_all_hosts()
         await self.count("restarted", COUNTED_FOR)
         deadly.cancel()
-        self.counts["crashes"] = len(self.crashes())
-        self.counts["sent_until_notice"] = self.arrivals_since(0) - self.arrivals_since(known_at)
-        self.counts["sent_after_notice"] = self.arrivals_since(known_at)
-        if self.arrivals_since(known_at) > MOST_SENT:
-            self.find("sent_again_after_five_crashes", f"{self.arrivals_since(known_at)} requests reached a target")
+        for part in self.deadly:
+            late = self.arrivals_since(part, last[part] + NOTICE + silence)
+            self.counts["crashes"] += len(self.crashes(part))
+            self.counts["sent_after_notice"] += late
+            self.counts["sent_until_notice"] += self.arrivals_since(part, 0) - late
+            if late > MOST_SENT:
+                self.find("sent_again_after_five_crashes", f"{part}: {late} requests reached a target")
         self.judge("deadly")
         self.judge("restarted")
 
@@ -217,6 +223,7 @@
     parser.add_argument("--seeds", help="FIRST-LAST instead of one seed")
     parser.add_argument("--entries", type=int, default=ENTRIES, help="number of entry hosts, 200 at most")
     parser.add_argument("--end", choices=ENDS, default="refuse", help="how a target ends under the request")
+    parser.add_argument("--models", type=int, default=3, help="number of targets that answer prompts")
     parser.add_argument("--parts", type=int, default=1, help="number of deadly parts")
     parser.add_argument("--interval", type=float, default=0.25, help="seconds between two deadly requests")
     parser.add_argument("--sound", type=float, default=0.05, help="seconds between two sound requests")
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -167,9 +167,10 @@
             self.controls.append(Host("control", number, self))
         self.entries = [Host("entry", number, self) for number in range(getattr(options, "entries", ENTRIES))]
         addresses = [(host.ip, self.port) for host in self.controls]
+        models = getattr(options, "models", 3)
         self.targets = [
             self.target_class(service, ZONES[number % 3], self.ledger, addresses, seed * 100 + number)
-            for number, service in enumerate(["app", "app", "app", "lm", "lm", "lm"])
+            for number, service in enumerate(["app"] * 3 + ["lm"] * models)
         ]
 
     def find(self, what, detail):
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -70,6 +70,8 @@
 
 def reset(writer):
     """Closes the connection so that the other side sees a reset, not an orderly end."""
+    if writer.transport.is_closing():
+        return
     connection = writer.get_extra_info("socket")
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
