A listener without free descriptors waits before it accepts again

Each attempt failed at once and was repeated at once, so the loop did nothing else. Not tested by itself: it takes a process at its limit of descriptors.

--- a/include/damasklink/transport/ConnectionListener.h
+++ b/include/damasklink/transport/ConnectionListener.h
@@ -20,6 +20,7 @@
 
   explicit ConnectionListener(asio::io_context& aLoop)
     : loop(aLoop)
+    , pause(aLoop)
   {
   }
 
@@ -31,8 +32,10 @@
 
 private:
   void Accept();
+  void AcceptLater();
 
   asio::io_context& loop;
+  asio::steady_timer pause;
   Serve serve;
   std::unique_ptr<TcpAcceptor> acceptor;
 };
--- a/src/transport/ConnectionListener.cpp
+++ b/src/transport/ConnectionListener.cpp
@@ -3,6 +3,11 @@
 #include "damasklink/transport/Log.h"
 
 namespace damasklink {
+namespace {
+
+constexpr Duration kPauseAfterFailure = std::chrono::milliseconds(20);
+
+} // namespace
 
 Result<void>
 ConnectionListener::Listen(const Endpoint& aEndpoint, Serve aServe)
@@ -20,6 +25,7 @@
 void
 ConnectionListener::Close()
 {
+  this->pause.cancel();
   if (this->acceptor != nullptr) {
     IoError ignored;
     this->acceptor->close(ignored);
@@ -35,12 +41,25 @@
     }
     if (aError) {
       LogEvent(LogLevel::Warning, "accept_failed").With("reason", aError.message());
-    } else {
-      auto connection = std::make_shared<CallerConnection>(std::move(aSocket));
-      asio::co_spawn(this->loop, this->serve(connection), asio::detached);
+      this->AcceptLater();
+      return;
     }
+    auto connection = std::make_shared<CallerConnection>(std::move(aSocket));
+    asio::co_spawn(this->loop, this->serve(connection), asio::detached);
     this->Accept();
   });
 }
 
+// Without a free descriptor every attempt fails at once, and the connection stays in the queue.
+void
+ConnectionListener::AcceptLater()
+{
+  this->pause.expires_after(kPauseAfterFailure);
+  this->pause.async_wait([this](const IoError& aError) {
+    if (!aError) {
+      this->Accept();
+    }
+  });
+}
+
 } // namespace damasklink
