Entry hosts close connections beyond their capacity before they read anything

The balancer may hand the new connections of a zone or a geo to one host. It read all requests and was late with all of them. Callers may repeat what was closed unread at once, and meet other hosts.

ServingPathTest: of 400 connections at once those beyond the limit are closed without a byte, and none of their requests reached the target.

--- a/include/damasklink/state/Metrics.h
+++ b/include/damasklink/state/Metrics.h
@@ -41,6 +41,7 @@
   ForwardingDeclines,  // By other entry hosts; kind: the reason.
   ServedForwards,      // Calls run for other entry hosts.
   CrashReports,        // Requests that ran on a target when it ended.
+  ClosedUnread,        // Connections of callers that were closed before anything was read.
   ResumedStreams,      // Sent to a target to go on; kind: caller or host, whoever resumed it.
 };
 
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -10,6 +10,7 @@
 #include "ConfigurationUpdater.h"
 #include "Exchange.h"
 #include "MetricsServer.h"
+#include "damasklink/coordination/ConnectionAdmission.h"
 #include "damasklink/coordination/ControlHostSelector.h"
 #include "damasklink/coordination/HubSelector.h"
 #include "damasklink/coordination/ServiceLevelWindows.h"
@@ -30,6 +31,7 @@
 // How often an entry host sends its load report. A prefill takes 20 to 100 ms, so an older report
 // would say little about the prompts that targets have yet to prefill.
 constexpr Duration kLoadReportInterval = std::chrono::milliseconds(100);
+static_assert(kLoadReportInterval == ConnectionAdmission::kInterval);
 
 // Calls that still run are cut off this long before the end of stopWithin, so that the last
 // responses still leave the host.
@@ -133,6 +135,7 @@
                this->clock.MonotonicNow(),
                nullptr,
                false,
+               false,
                {} }
     , configuration(this->loop,
                     this->clock,
@@ -177,6 +180,7 @@
   std::vector<HubCandidate> HubCandidates() const;
   std::vector<HostId> ReportingControlHosts() const;
   void ReportLoadPeriodically();
+  void UpdateAdmission();
   void SendLoadReport(bool aHubChanged);
   void SendToControlHost(const HostId& aTo, const ServingMessage& aMessage);
   void AddSeeds(const std::vector<HostId>& aSeeds);
@@ -238,6 +242,9 @@
   // Selects the control host that gets this host's load reports.
   HubSelector hub{ this->clock, this->settings.zone };
   bool wasReady = false;
+  ConnectionAdmission admission;
+  // When the next load report is due.
+  MonotonicTime nextInterval = this->clock.MonotonicNow();
 };
 
 Result<void>
@@ -294,6 +301,10 @@
 Awaitable<void>
 EntryHost::Impl::ServeCaller(std::shared_ptr<CallerConnection> aChannel)
 {
+  if (!this->admission.TryAdmit()) {
+    aChannel->Close();
+    co_return;
+  }
   const auto position = this->open.insert(this->open.end(), aChannel);
   bool reusable = true;
   while (reusable) {
@@ -560,10 +571,31 @@
   return reporting;
 }
 
+// Adapts the limit of new connections to the delay of the event loop.
+void
+EntryHost::Impl::UpdateAdmission()
+{
+  const MonotonicTime now = this->clock.MonotonicNow();
+  const Duration lag = std::max(now - this->nextInterval, Duration::zero());
+  const std::uint64_t declined = this->admission.Declined();
+  const bool before = this->admission.IsOverloaded();
+  this->admission.OnInterval(lag);
+  this->context.overloaded = this->admission.IsOverloaded();
+  if (declined > 0 || before != this->context.overloaded) {
+    LogEvent(LogLevel::Info, "connections_limited")
+      .With("overloaded", this->context.overloaded)
+      .With("lag_ms", WholeMilliseconds(lag))
+      .With("closed_unread", declined)
+      .With("next_limit", this->admission.Limit());
+    this->metrics.Add(Counter::ClosedUnread, MetricKey{}, declined);
+  }
+}
+
 // Selects the hub, sends it what changed, and schedules the next call of itself.
 void
 EntryHost::Impl::ReportLoadPeriodically()
 {
+  this->UpdateAdmission();
   const std::optional<HostId> before = this->hub.Hub();
   const std::optional<HostId> chosen = this->hub.Choose(this->HubCandidates());
   const bool changed = chosen != before;
@@ -591,6 +623,7 @@
   this->SendLoadReport(changed);
   this->configuration.Step();
   this->picker.RemoveSumsBefore(this->clock.MonotonicNow() - InFlightLoadSum::kSilenceLimit);
+  this->nextInterval = this->clock.MonotonicNow() + kLoadReportInterval;
   this->loadReports.expires_after(kLoadReportInterval);
   this->loadReports.async_wait([this](const IoError& aError) {
     if (!aError) {
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -651,7 +651,7 @@
 bool
 Exchange::ShouldCloseCallerConnection() const
 {
-  return this->context.shuttingDown ||
+  return this->context.shuttingDown || this->context.overloaded ||
          ClosesConnection(this->request.head.fields, this->request.head.version);
 }
 
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -73,6 +73,9 @@
   std::function<void()> reportLoad;
   // Set once the process stops: callers' connections are then closed after their responses.
   bool shuttingDown = false;
+  // The host is overloaded: callers' connections are closed after their responses, too, so that
+  // they come back at other hosts.
+  bool overloaded = false;
   // Exchanges that have sent their request to a target and wait for its answer.
   std::set<Exchange*> waiting;
 };
--- a/src/protocol/MetricsText.cpp
+++ b/src/protocol/MetricsText.cpp
@@ -133,6 +133,8 @@
       return "damasklink_served_forwards_total";
     case Counter::CrashReports:
       return "damasklink_crash_reports_total";
+    case Counter::ClosedUnread:
+      return "damasklink_connections_closed_unread_total";
     case Counter::ResumedStreams:
       return "damasklink_resumed_streams_total";
   }
--- a/test/program/ExchangeFixture.h
+++ b/test/program/ExchangeFixture.h
@@ -313,6 +313,7 @@
                         this->clock.MonotonicNow(),
                         nullptr,
                         false,
+                        false,
                         {} };
   std::thread thread;
   asio::io_context callerLoop;
--- a/test/program/ServingPathTest.cpp
+++ b/test/program/ServingPathTest.cpp
@@ -1,11 +1,13 @@
 // Runs one complete control host and one complete entry host on loopback addresses.
 #include <csignal>
 #include <cstdlib>
+#include <set>
 #include <thread>
 
 #include <absl/synchronization/notification.h>
 #include <gtest/gtest.h>
 
+#include "damasklink/coordination/ConnectionAdmission.h"
 #include "platform/Dialect.h"
 #include "program/ControlHost.h"
 #include "program/EntryHost.h"
@@ -19,6 +21,7 @@
 
 using testing::FreeEndpoint;
 using testing::OwnAddress;
+using testing::ReadMessage;
 using testing::ScriptedTarget;
 using testing::Send;
 using testing::SendUntil;
@@ -220,6 +223,50 @@
   EXPECT_TRUE(this->entrySucceeded);
 }
 
+// Guards against a host that reads more requests than it can serve when it gets the new connections
+// of all others: callers may repeat a request if its connection was closed before it was read.
+TEST_F(ServingPathTest, ConnectionsBeyondTheLimitAreClosedBeforeAnythingIsRead)
+{
+  SendUntil("HTTP/1.1 200", [&] { return this->PutConfig(Config(3)); });
+  SendUntil("HTTP/1.1 200", [&] { return this->Heartbeat("ready", 1); });
+  SendUntil("HTTP/1.1 200", [&] { return this->Call("r0"); });
+  constexpr int kConnections = 400;
+  const std::string callers = FormatEndpoint(this->entrySettings.callers);
+  asio::io_context context;
+  std::vector<TcpSocket> sockets;
+  for (int number = 0; number < kConnections; ++number) {
+    IoError error;
+    sockets.emplace_back(context).connect(ToTcpEndpoint(this->entrySettings.callers), error);
+    ASSERT_FALSE(error) << callers;
+    const std::string request = "POST /jobs/7 HTTP/1.1\r\nHost: h\r\nX-Request-Id: many" +
+                                std::to_string(number) +
+                                "\r\nX-Credential: key\r\nX-Deadline-Ms: 5000\r\n"
+                                "Connection: close\r\nContent-Length: 0\r\n\r\n";
+    asio::write(sockets.back(), asio::buffer(request), error);
+  }
+  int answered = 0;
+  int closed = 0;
+  std::set<std::string> unread;
+  for (int number = 0; number < kConnections; ++number) {
+    std::string buffer;
+    const std::string answer = ReadMessage(sockets[static_cast<std::size_t>(number)], buffer);
+    if (answer.empty()) {
+      EXPECT_EQ(buffer, "");
+      ++closed;
+      unread.insert("X-Request-Id: many" + std::to_string(number) + "\r\n");
+    } else {
+      EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 200");
+      ++answered;
+    }
+  }
+  EXPECT_GT(answered, 0);
+  EXPECT_GT(closed, 0);
+  for (const std::string& sent : this->target.Requests()) {
+    const std::size_t at = sent.find("X-Request-Id: ");
+    EXPECT_FALSE(unread.contains(sent.substr(at, sent.find("\r\n", at) + 2 - at)));
+  }
+}
+
 // A control host that can't form a group, because the other seed never answers.
 class IsolatedControlTest : public ServingPathTest
 {
