--- a/src/program/ServingUpdatePublisher.cpp
+++ b/src/program/ServingUpdatePublisher.cpp
@@ -24,6 +24,10 @@
 // that connect after a fault cost one, they would hear nothing in time, give up and connect again.
 constexpr Duration kMinSnapshotInterval = std::chrono::milliseconds(100);
 
+// Minimum interval between two publications of suspects alone. While targets crash they change all
+// the time.
+constexpr Duration kMinSuspectInterval = std::chrono::milliseconds(200);
+
 // Interval at which control hosts tell each other of heartbeats that changed nothing. Sent together
 // they are compressed, and cost one message for hundreds. The limit of silence of a target is
 // several times longer.
@@ -81,8 +85,12 @@
     changes.controlHosts = this->hosts.AllControlHosts();
   }
   CrashingRequests crashing = this->crashes.Verdicts();
-  const bool crashingChanged = crashing != this->publishedCrashing;
+  const bool crashingChanged =
+    crashing.refused != this->publishedCrashing.refused ||
+    (crashing.suspected != this->publishedCrashing.suspected &&
+     this->clock.MonotonicNow() - this->suspectsPublishedAt >= kMinSuspectInterval);
   if (crashingChanged) {
+    this->suspectsPublishedAt = this->clock.MonotonicNow();
     this->publishedCrashing = crashing;
     changes.crashing = std::move(crashing);
   }
--- a/src/program/ServingUpdatePublisher.h
+++ b/src/program/ServingUpdatePublisher.h
@@ -171,6 +171,7 @@
   std::map<ModelName, std::uint64_t> publishedWeights;
   EvacuatedZones publishedEvacuated;
   CrashingRequests publishedCrashing;
+  MonotonicTime suspectsPublishedAt;
   struct HeldReport
   {
     CrashReport report;
