--- a/include/damasklink/coordination/ConnectionAdmission.h
+++ b/include/damasklink/coordination/ConnectionAdmission.h
@@ -1,7 +1,7 @@
 // Limits the new connections of a host to what its processor can serve.
 //
 //   ConnectionAdmission admission;
-//   if (!admission.TryAdmit()) ...       // Close the connection before anything is read.
+//   if (!admission.TryAdmit(lag)) ...    // Close the connection before anything is read.
 //   admission.OnInterval(lag);           // Every kInterval.
 //
 // A load balancer may send one host the callers of a whole availability zone. What the host reads
@@ -26,12 +26,12 @@
   static constexpr Duration kMaxLag = std::chrono::milliseconds(200);
   // Connections per interval. The first one bounds how much a host takes on before it notices that
   // this is too much.
-  static constexpr std::uint64_t kInitialLimit = 16;
+  static constexpr std::uint64_t kInitialLimit = 64;
   static constexpr std::uint64_t kMinLimit = 1;
   static constexpr std::uint64_t kMaxLimit = 1024;
 
-  // Returns whether a new connection may be served.
-  bool TryAdmit();
+  // Returns whether a new connection may be served. aLag is how late the end of the interval is.
+  bool TryAdmit(Duration aLag);
 
   // Ends an interval. aLag is how late the event loop was at its end.
   void OnInterval(Duration aLag);
--- a/src/coordination/ConnectionAdmission.cpp
+++ b/src/coordination/ConnectionAdmission.cpp
@@ -5,9 +5,9 @@
 namespace damasklink {
 
 bool
-ConnectionAdmission::TryAdmit()
+ConnectionAdmission::TryAdmit(Duration aLag)
 {
-  if (this->admitted >= this->limit) {
+  if (aLag > kMaxLag || this->admitted >= this->limit) {
     ++this->declined;
     return false;
   }
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -181,6 +181,7 @@
   std::vector<HostId> ReportingControlHosts() const;
   void ReportLoadPeriodically();
   void UpdateAdmission();
+  Duration IntervalLag() const;
   void SendLoadReport(bool aHubChanged);
   void SendToControlHost(const HostId& aTo, const ServingMessage& aMessage);
   void AddSeeds(const std::vector<HostId>& aSeeds);
@@ -301,7 +302,7 @@
 Awaitable<void>
 EntryHost::Impl::ServeCaller(std::shared_ptr<CallerConnection> aChannel)
 {
-  if (!this->admission.TryAdmit()) {
+  if (!this->admission.TryAdmit(this->IntervalLag())) {
     aChannel->Close();
     co_return;
   }
@@ -571,12 +572,18 @@
   return reporting;
 }
 
+// Returns how late the next load report is.
+Duration
+EntryHost::Impl::IntervalLag() const
+{
+  return std::max(this->clock.MonotonicNow() - this->nextInterval, Duration::zero());
+}
+
 // Adapts the limit of new connections to the delay of the event loop.
 void
 EntryHost::Impl::UpdateAdmission()
 {
-  const MonotonicTime now = this->clock.MonotonicNow();
-  const Duration lag = std::max(now - this->nextInterval, Duration::zero());
+  const Duration lag = this->IntervalLag();
   const std::uint64_t declined = this->admission.Declined();
   const bool before = this->admission.IsOverloaded();
   this->admission.OnInterval(lag);
--- a/test/coordination/ConnectionAdmissionTest.cpp
+++ b/test/coordination/ConnectionAdmissionTest.cpp
@@ -16,20 +16,27 @@
 {
   ConnectionAdmission admission;
   for (std::uint64_t count = 0; count < ConnectionAdmission::kInitialLimit; ++count) {
-    EXPECT_TRUE(admission.TryAdmit());
+    EXPECT_TRUE(admission.TryAdmit(Duration::zero()));
   }
-  EXPECT_FALSE(admission.TryAdmit());
+  EXPECT_FALSE(admission.TryAdmit(Duration::zero()));
   EXPECT_EQ(admission.Declined(), 1U);
   admission.OnInterval(Duration::zero());
   EXPECT_EQ(admission.Declined(), 0U);
-  EXPECT_TRUE(admission.TryAdmit());
+  EXPECT_TRUE(admission.TryAdmit(Duration::zero()));
+}
+
+TEST(ConnectionAdmissionTest, AdmitsNoneWhileTheIntervalIsOverdue)
+{
+  ConnectionAdmission admission;
+  EXPECT_TRUE(admission.TryAdmit(ConnectionAdmission::kMaxLag));
+  EXPECT_FALSE(admission.TryAdmit(ConnectionAdmission::kMaxLag + milliseconds(1)));
 }
 
 TEST(ConnectionAdmissionTest, LimitRisesWithDemandWhileTheLoopKeepsUp)
 {
   ConnectionAdmission admission;
   for (int interval = 0; interval < 40; ++interval) {
-    while (admission.TryAdmit()) {
+    while (admission.TryAdmit(Duration::zero())) {
     }
     admission.OnInterval(ConnectionAdmission::kMaxLag);
   }
@@ -41,7 +48,7 @@
 {
   ConnectionAdmission admission;
   for (int interval = 0; interval < 10; ++interval) {
-    while (admission.TryAdmit()) {
+    while (admission.TryAdmit(Duration::zero())) {
     }
     admission.OnInterval(ConnectionAdmission::kMaxLag + milliseconds(1));
     EXPECT_TRUE(admission.IsOverloaded());
@@ -80,7 +87,7 @@
         nextInterval += ConnectionAdmission::kInterval;
         continue;
       }
-      this->Arrive(now);
+      this->Arrive(now, nextInterval);
       next += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(pause(random)));
     }
     this->freeAt = Duration::zero();
@@ -95,10 +102,12 @@
   static constexpr Duration kPatience = seconds(1);
   static constexpr int kClosingIsCheaper = 20;
 
-  void Arrive(Duration aNow)
+  void Arrive(Duration aNow, Duration aDue)
   {
     ++this->arrived;
-    if (this->limited && !this->admission.TryAdmit()) {
+    // The connection waits until the processor is free.
+    const Duration lag = std::max(this->freeAt - aDue, Duration::zero());
+    if (this->limited && !this->admission.TryAdmit(lag)) {
       this->freeAt += this->cost / kClosingIsCheaper;
       return;
     }
