Control hosts know the software versions of services after a restart

The versions that may have begun a stream are now in the replicated log: the leader adds one when its first target is heard and removes it when no target has had it for that long. A control host that has a leader vouches for them. While control hosts cannot tell yet and know of no second version, a lookup goes on for 1.5 s at most.

--- a/include/damasklink/coordination/ServingStateMachine.h
+++ b/include/damasklink/coordination/ServingStateMachine.h
@@ -1,6 +1,6 @@
 // The serving state that control hosts replicate: the configuration document, the weight version of
-// each model, the requests that are refused because they crash targets, and the evacuated
-// availability zones.
+// each model, the requests that are refused because they crash targets, the evacuated availability
+// zones, and the software versions of each service that may have begun a stream.
 //
 // A document with a higher version replaces the current one. Any other is acknowledged without
 // effect, so that resending a change never fails. The weight version of a model increases in the
@@ -12,6 +12,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -67,8 +68,22 @@
   RequestFingerprint request;
 };
 
-using ServingCommand = std::
-  variant<PutDocument, SetWeightVersion, ReadBarrier, RefuseRequest, ReleaseRequest, SetEvacuation>;
+using SoftwareVersions = std::set<SoftwareVersion>;
+
+// Sets the software versions of a service that may have begun a stream which can still be resumed.
+struct SetSoftwareVersions
+{
+  ServiceName service;
+  SoftwareVersions versions;
+};
+
+using ServingCommand = std::variant<PutDocument,
+                                    SetWeightVersion,
+                                    ReadBarrier,
+                                    RefuseRequest,
+                                    ReleaseRequest,
+                                    SetEvacuation,
+                                    SetSoftwareVersions>;
 
 std::string
 EncodeServingCommand(const ServingCommand& aCommand);
@@ -109,17 +124,22 @@
 
   const EvacuationRegistry& Evacuated() const { return this->evacuations; }
 
+  // Returns the software versions by service; a service without any is not contained.
+  const std::map<ServiceName, SoftwareVersions>& Software() const { return this->software; }
+
   // Returns a counter that increases with each change of the state.
   std::uint64_t Changes() const { return this->changes; }
 
 private:
   void Refuse(const RefuseRequest& aCommand);
+  void SetSoftware(const SetSoftwareVersions& aCommand);
 
   Revision version;
   std::string document;
   std::map<ModelName, std::uint64_t> weights;
   RefusedRequests refused;
   EvacuationRegistry evacuations;
+  std::map<ServiceName, SoftwareVersions> software;
   std::uint64_t changes = 0;
 };
 
--- a/include/damasklink/coordination/SoftwareVersionHistory.h
+++ b/include/damasklink/coordination/SoftwareVersionHistory.h
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <set>
+#include <vector>
 
 #include "damasklink/state/Clock.h"
 #include "damasklink/state/Ids.h"
@@ -42,6 +43,9 @@
   // Returns the versions that targets of the service have had during the retention time.
   std::set<SoftwareVersion> Versions(const ServiceName& aService) const;
 
+  // Returns the services of which targets have been observed.
+  std::vector<ServiceName> Services() const;
+
   // Returns whether this host has heard of all targets during the retention time.
   bool IsComplete() const;
 
--- a/include/damasklink/coordination/StreamOriginLookup.h
+++ b/include/damasklink/coordination/StreamOriginLookup.h
@@ -32,6 +32,10 @@
   // them has heard of all targets.
   std::optional<StreamOrigin> Result() const;
 
+  // Returns whether the origin may be found once control hosts know more: they know of no more than
+  // one version yet.
+  bool MayBeCertainLater() const { return this->versions.size() <= 1; }
+
 private:
   ServiceName service;
   std::size_t asked;
--- a/src/coordination/ServingStateMachine.cpp
+++ b/src/coordination/ServingStateMachine.cpp
@@ -17,6 +17,7 @@
   RefuseRequest = 4,
   ReleaseRequest = 5,
   SetEvacuation = 6,
+  SetSoftwareVersions = 7,
 };
 
 auto
@@ -74,6 +75,26 @@
   return order;
 }
 
+void
+WriteVersions(ByteWriter& aWriter, const SoftwareVersions& aVersions)
+{
+  aWriter.Number(aVersions.size());
+  for (const SoftwareVersion& version : aVersions) {
+    aWriter.Text(version.Value());
+  }
+}
+
+SoftwareVersions
+ReadVersions(ByteReader& aReader)
+{
+  SoftwareVersions versions;
+  const std::uint64_t count = aReader.Number();
+  for (std::uint64_t index = 0; index < count && aReader.Ok(); ++index) {
+    versions.insert(SoftwareVersion(aReader.Text()));
+  }
+  return versions;
+}
+
 std::optional<ServingCommand>
 DecodeCommand(std::string_view aBytes)
 {
@@ -104,6 +125,11 @@
     case CommandTag::SetEvacuation:
       command = ReadEvacuation(reader);
       break;
+    case CommandTag::SetSoftwareVersions: {
+      const ServiceName service(reader.Text());
+      command = SetSoftwareVersions{ service, ReadVersions(reader) };
+      break;
+    }
     default:
       return std::nullopt;
   }
@@ -154,6 +180,13 @@
     this->writer.Number(aCommand.seenChanges);
     WriteTime(this->writer, aCommand.since);
   }
+
+  void operator()(const SetSoftwareVersions& aCommand)
+  {
+    this->writer.Byte(static_cast<std::uint8_t>(CommandTag::SetSoftwareVersions));
+    this->writer.Text(aCommand.service.Value());
+    WriteVersions(this->writer, aCommand.versions);
+  }
 };
 
 std::string
@@ -219,6 +252,8 @@
       return EncodeResult(this->version, Outcome::Superseded);
     }
     this->changes += result == EvacuationResult::Applied ? 1 : 0;
+  } else if (const auto* set = std::get_if<SetSoftwareVersions>(&*command); set != nullptr) {
+    this->SetSoftware(*set);
   }
   return EncodeResult(this->version, Outcome::Applied);
 }
@@ -239,6 +274,23 @@
   }
 }
 
+void
+ServingStateMachine::SetSoftware(const SetSoftwareVersions& aCommand)
+{
+  const auto known = this->software.find(aCommand.service);
+  const bool changed =
+    known == this->software.end() ? !aCommand.versions.empty() : known->second != aCommand.versions;
+  if (!changed) {
+    return;
+  }
+  if (aCommand.versions.empty()) {
+    this->software.erase(known);
+  } else {
+    this->software[aCommand.service] = aCommand.versions;
+  }
+  ++this->changes;
+}
+
 std::string
 ServingStateMachine::Save() const
 {
@@ -252,7 +304,7 @@
   }
   const std::map<ZoneId, ZoneEvacuation>& zones = this->evacuations.All();
   // Snapshots written by program versions without refused requests end here.
-  if (!this->refused.empty() || !zones.empty()) {
+  if (!this->refused.empty() || !zones.empty() || !this->software.empty()) {
     writer.Number(this->refused.size());
     for (const auto& [request, facts] : this->refused) {
       writer.Number(request.Value());
@@ -260,7 +312,7 @@
     }
   }
   // Snapshots written by program versions without evacuations end here.
-  if (!zones.empty()) {
+  if (!zones.empty() || !this->software.empty()) {
     writer.Number(zones.size());
     for (const auto& [zone, state] : zones) {
       writer.Text(zone.Value());
@@ -269,6 +321,14 @@
       WriteTime(writer, state.since);
     }
   }
+  // Snapshots written by program versions without software versions end here.
+  if (!this->software.empty()) {
+    writer.Number(this->software.size());
+    for (const auto& [service, versions] : this->software) {
+      writer.Text(service.Value());
+      WriteVersions(writer, versions);
+    }
+  }
   return writer.Take();
 }
 
@@ -298,6 +358,12 @@
     state.changes = reader.Number();
     state.since = ReadTime(reader);
   }
+  std::map<ServiceName, SoftwareVersions> loadedSoftware;
+  const std::uint64_t serviceCount = reader.Left() > 0 ? reader.Number() : 0;
+  for (std::uint64_t index = 0; index < serviceCount && reader.Ok(); ++index) {
+    const ServiceName service(reader.Text());
+    loadedSoftware[service] = ReadVersions(reader);
+  }
   if (!reader.Finished()) {
     return Unreadable("cannot decode the serving state of a snapshot");
   }
@@ -306,6 +372,7 @@
   this->weights = std::move(loadedWeights);
   this->refused = std::move(loadedRefused);
   this->evacuations.Restore(std::move(loadedZones));
+  this->software = std::move(loadedSoftware);
   ++this->changes;
   return Success();
 }
--- a/src/coordination/SoftwareVersionHistory.cpp
+++ b/src/coordination/SoftwareVersionHistory.cpp
@@ -24,6 +24,16 @@
   return recent;
 }
 
+std::vector<ServiceName>
+SoftwareVersionHistory::Services() const
+{
+  std::vector<ServiceName> services;
+  for (const auto& [service, versions] : this->observedAt) {
+    services.push_back(service);
+  }
+  return services;
+}
+
 bool
 SoftwareVersionHistory::IsComplete() const
 {
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -9,6 +9,7 @@
 #include "ServingGroup.h"
 #include "ServingSignals.h"
 #include "ServingUpdatePublisher.h"
+#include "SoftwareVersionProposer.h"
 #include "StoreWatcher.h"
 #include "TargetTracker.h"
 #include "damasklink/coordination/ServiceLevelWindows.h"
@@ -167,6 +168,7 @@
   HostRegistry hosts{ this->settings.host, this->settings.zone };
   CrashRegistry crashes{ this->clock };
   RefusalProposer refusals{ this->loop, this->group, this->crashes };
+  SoftwareVersionProposer software{ this->loop, this->group, this->tracker.Versions() };
   ServingUpdatePublisher publisher{ this->clock,   this->settings, this->group,   this->stores,
                                     this->tracker, this->hosts,    this->crashes, this->mesh,
                                     this->metrics, this->account };
@@ -331,6 +333,7 @@
 {
   this->StepRollout();
   this->refusals.Step();
+  this->software.Step();
   this->nextPublish = this->clock.MonotonicNow() + kPublishInterval;
   if (!this->group.HasRecentLeader()) {
     this->tracker.Versions().OnIsolated();
--- a/src/program/ExchangeRouting.cpp
+++ b/src/program/ExchangeRouting.cpp
@@ -50,6 +50,9 @@
 // Added to the time for which a caller may resume its stream, as it counts that time itself.
 constexpr Duration kOriginMargin = std::chrono::seconds(1);
 
+// The lookup of a stream's origin may take this part of the time that is left.
+constexpr int kOriginLookupShare = 3;
+
 } // namespace
 
 // Fills the selection request for targets with this version of weights. Part keys depend on the
@@ -131,8 +134,8 @@
   if (!this->call.resumes.Empty()) {
     stream = StreamKeyOf(this->call.resumes);
   }
-  const std::optional<StreamOrigin> origin =
-    co_await this->context.originResolver.Resolve(stream, this->service);
+  const std::optional<StreamOrigin> origin = co_await this->context.originResolver.Resolve(
+    stream, this->service, this->TimeLeft() / kOriginLookupShare);
   const bool recorded = origin && origin->stream != StreamKey();
   const bool continues = origin && this->MayContinueAt(origin->service) &&
                          (recorded || this->HasOnlyVersion(origin->software));
--- a/src/program/ServingUpdatePublisher.cpp
+++ b/src/program/ServingUpdatePublisher.cpp
@@ -240,8 +240,14 @@
   if (aRequest.stream) {
     response.origin = this->origins.Find(*aRequest.stream);
   }
-  response.versions = this->tracker.Versions().Versions(aRequest.service);
-  response.complete = this->tracker.Versions().IsComplete();
+  const SoftwareVersionHistory& history = this->tracker.Versions();
+  response.versions = history.Versions(aRequest.service);
+  response.complete = history.IsComplete();
+  const auto& committed = this->group.State().Software();
+  if (const auto found = committed.find(aRequest.service); found != committed.end()) {
+    response.versions.insert(found->second.begin(), found->second.end());
+    response.complete = response.complete || this->group.HasRecentLeader();
+  }
   this->EncodeAndSend(Work::Origins, aEntryHost, response);
 }
 
--- a/src/program/StreamOriginResolver.cpp
+++ b/src/program/StreamOriginResolver.cpp
@@ -1,5 +1,6 @@
 #include "StreamOriginResolver.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace damasklink {
@@ -18,9 +19,11 @@
 }
 
 Awaitable<std::optional<StreamOrigin>>
-StreamOriginResolver::Resolve(std::optional<StreamKey> aStream, ServiceName aService)
+StreamOriginResolver::Resolve(std::optional<StreamKey> aStream,
+                              ServiceName aService,
+                              Duration aPatience)
 {
-  const MonotonicTime end = this->clock.MonotonicNow() + kMaxLookupTime;
+  const MonotonicTime start = this->clock.MonotonicNow();
   while (true) {
     if (aStream) {
       if (const std::optional<StreamOrigin> known = this->origins.Find(*aStream)) {
@@ -28,8 +31,11 @@
       }
     }
     const MonotonicTime next = this->clock.MonotonicNow() + kLookupInterval;
-    const std::optional<StreamOrigin> found = co_await this->Ask(aStream, aService);
-    if (found || !aStream || next >= end) {
+    const StreamOriginLookup lookup = co_await this->Ask(aStream, aService);
+    const Duration named = aStream ? kMaxLookupTime : Duration::zero();
+    const Duration most = lookup.MayBeCertainLater() ? kMaxUncertainTime : named;
+    const std::optional<StreamOrigin> found = lookup.Result();
+    if (found || next >= start + std::min(most, aPatience)) {
       co_return found;
     }
     asio::steady_timer pause(this->loop, next - this->clock.MonotonicNow());
@@ -38,12 +44,12 @@
 }
 
 // Asks all control hosts once, and waits for the first origin or for all responses.
-Awaitable<std::optional<StreamOrigin>>
+Awaitable<StreamOriginLookup>
 StreamOriginResolver::Ask(std::optional<StreamKey> aStream, ServiceName aService)
 {
   const std::vector<HostId> asked = this->hosts();
   if (asked.empty()) {
-    co_return std::nullopt;
+    co_return StreamOriginLookup(aService, asked);
   }
   this->lastNumber = this->lastNumber.Next();
   const LookupNumber number = this->lastNumber;
@@ -53,8 +59,8 @@
     this->send(host, StreamOriginRequest{ number, aStream, aService });
   }
   co_await ended->async_wait(kAsValue);
-  const Round round = std::move(this->rounds.extract(number).mapped());
-  co_return round.lookup.Result();
+  Round round = std::move(this->rounds.extract(number).mapped());
+  co_return std::move(round.lookup);
 }
 
 void
--- a/src/program/StreamOriginResolver.h
+++ b/src/program/StreamOriginResolver.h
@@ -18,12 +18,14 @@
 //   const auto origin = co_await resolver.Resolve(StreamKeyOf(resumed), service);
 //
 // Origins arrive at control hosts some hundred milliseconds after the first event, so an unknown
-// one is asked for again for a short time. Runs on the event loop's thread.
+// one is asked for again for a short time; longer if the service may have one version only, which
+// control hosts find out when they have a leader. Runs on the event loop's thread.
 class StreamOriginResolver
 {
 public:
   // Longest time of a lookup, and the interval at which control hosts are asked.
   static constexpr Duration kMaxLookupTime = std::chrono::milliseconds(300);
+  static constexpr Duration kMaxUncertainTime = std::chrono::milliseconds(1500);
   static constexpr Duration kLookupInterval = std::chrono::milliseconds(60);
 
   // Returns the control hosts that answer requests.
@@ -37,8 +39,10 @@
                        SendFunction aSend);
 
   // Returns StreamOriginLookup::Result(); aStream is empty if the caller does not name the stream.
+  // Takes aPatience at most.
   Awaitable<std::optional<StreamOrigin>> Resolve(std::optional<StreamKey> aStream,
-                                                 ServiceName aService);
+                                                 ServiceName aService,
+                                                 Duration aPatience);
 
   void OnResponse(const HostId& aFrom, const StreamOriginResponse& aResponse);
 
@@ -50,8 +54,7 @@
     std::shared_ptr<asio::steady_timer> ended;
   };
 
-  Awaitable<std::optional<StreamOrigin>> Ask(std::optional<StreamKey> aStream,
-                                             ServiceName aService);
+  Awaitable<StreamOriginLookup> Ask(std::optional<StreamKey> aStream, ServiceName aService);
 
   asio::io_context& loop;
   const Clock& clock;
--- a/test/coordination/ServingStateMachineTest.cpp
+++ b/test/coordination/ServingStateMachineTest.cpp
@@ -160,6 +160,26 @@
   EXPECT_EQ(restarted.Evacuated().All(), machine.Evacuated().All());
 }
 
+TEST(ServingStateMachineTest, SoftwareVersionsSurviveRestart)
+{
+  const ServiceName service("s");
+  const SoftwareVersions versions{ SoftwareVersion("v1"), SoftwareVersion() };
+  ServingStateMachine machine;
+  Apply(machine, SetSoftwareVersions{ service, versions });
+  Apply(machine, SetSoftwareVersions{ ServiceName("gone"), versions });
+  const std::uint64_t changes = machine.Changes();
+  Apply(machine, SetSoftwareVersions{ service, versions });
+  EXPECT_EQ(machine.Changes(), changes);
+  Apply(machine, SetSoftwareVersions{ ServiceName("gone"), {} });
+  Apply(machine, SetSoftwareVersions{ ServiceName("never seen"), {} });
+  EXPECT_EQ(machine.Changes(), changes + 1);
+  ServingStateMachine restarted;
+  ASSERT_TRUE(restarted.Load(machine.Save()));
+  EXPECT_EQ(restarted.Software(),
+            (std::map<ServiceName, SoftwareVersions>{ { service, versions } }));
+  EXPECT_TRUE(restarted.Refused().empty());
+}
+
 TEST(ServingStateMachineTest, ReportsSupersededEvacuationOrder)
 {
   ServingStateMachine machine;
--- a/test/program/StreamOriginResolverTest.cpp
+++ b/test/program/StreamOriginResolverTest.cpp
@@ -20,7 +20,7 @@
   {
     std::optional<StreamOrigin> result;
     const auto run = [&]() -> Awaitable<void> {
-      result = co_await this->resolver.Resolve(aStream, kService);
+      result = co_await this->resolver.Resolve(aStream, kService, this->patience);
     };
     asio::co_spawn(this->loop, run(), asio::detached);
     this->loop.run();
@@ -56,6 +56,7 @@
   std::vector<HostId> hosts{ HostId("a"), HostId("b"), HostId("c") };
   Answer answer;
   int requests = 0;
+  Duration patience = std::chrono::seconds(9);
   StreamOriginResolver resolver{ this->loop,
                                  this->clock,
                                  this->origins,
@@ -90,6 +91,22 @@
   EXPECT_GT(this->requests, 3);
 }
 
+// Guards against refusing streams while control hosts have just started and elect a leader.
+TEST_F(StreamOriginResolverTest, WaitsUntilTheOnlyVersionIsCertain)
+{
+  this->answer = [this](const HostId&) { return Unknown({ kOld }, this->requests > 18); };
+  EXPECT_EQ(this->Resolve(std::nullopt)->software, kOld);
+  EXPECT_GT(this->requests, 18);
+}
+
+TEST_F(StreamOriginResolverTest, TakesNoLongerThanTheCallerAllows)
+{
+  this->patience = StreamOriginResolver::kLookupInterval;
+  this->answer = [](const HostId&) { return Unknown({ kOld }, false); };
+  EXPECT_EQ(this->Resolve(std::nullopt), std::nullopt);
+  EXPECT_EQ(this->requests, 3);
+}
+
 TEST_F(StreamOriginResolverTest, KnowsNothingWithoutControlHosts)
 {
   this->hosts.clear();
