--- a/src/coordination/CrashingPartFinder.cpp
+++ b/src/coordination/CrashingPartFinder.cpp
@@ -184,6 +184,7 @@
     }
   }
   std::vector<Candidate> candidates;
+  candidates.reserve(byPart.size());
   for (auto& [part, candidate] : byPart) {
     candidates.push_back(std::move(candidate));
   }
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -50,7 +50,7 @@
   : context(aContext)
   , caller(aCaller)
   , request(std::move(aRequest))
-  , forwardedLimits(aForwarded)
+  , forwardedLimits(std::move(aForwarded))
   , arrived(aContext.clock.MonotonicNow())
 {
 }
--- a/src/protocol/MetricsText.cpp
+++ b/src/protocol/MetricsText.cpp
@@ -1,12 +1,62 @@
 #include "damasklink/protocol/MetricsText.h"
 
+#include <array>
 #include <optional>
+#include <utility>
 
 #include "damasklink/state/Text.h"
 
 namespace damasklink {
 namespace {
 
+// In the order of the counters.
+constexpr std::array<std::pair<Counter, std::string_view>, kCounterCount> kCounterNames{ {
+  { Counter::Requests, "damasklink_requests_total" },
+  { Counter::Refusals, "damasklink_refusals_total" },
+  { Counter::Failures, "damasklink_failures_total" },
+  { Counter::Retries, "damasklink_retries_total" },
+  { Counter::PromptTokens, "damasklink_prompt_tokens_total" },
+  { Counter::ReusedTokens, "damasklink_reused_tokens_total" },
+  { Counter::RecomputedTokens, "damasklink_recomputed_tokens_total" },
+  { Counter::AnswerTokens, "damasklink_answer_tokens_total" },
+  { Counter::LinkBytesIn, "damasklink_link_in_bytes_total" },
+  { Counter::LinkBytesOut, "damasklink_link_out_bytes_total" },
+  { Counter::ClaimsTaken, "damasklink_claims_taken_total" },
+  { Counter::ClaimsRepeated, "damasklink_claims_repeated_total" },
+  { Counter::ConfigChanges, "damasklink_config_changes_total" },
+  { Counter::Elections, "damasklink_elections_total" },
+  { Counter::Orders, "damasklink_orders_total" },
+  { Counter::PeerBytesOut, "damasklink_peer_out_bytes_total" },
+  { Counter::PeerBytesIn, "damasklink_peer_in_bytes_total" },
+  { Counter::PeerMessagesOut, "damasklink_peer_out_messages_total" },
+  { Counter::PeerMessagesIn, "damasklink_peer_in_messages_total" },
+  { Counter::WorkMicroseconds, "damasklink_work_microseconds_total" },
+  { Counter::Evacuations, "damasklink_evacuations_total" },
+  { Counter::TargetNotices, "damasklink_target_notices_total" },
+  { Counter::SnapshotsEncoded, "damasklink_snapshots_encoded_total" },
+  { Counter::FailedConnects, "damasklink_failed_connects_total" },
+  { Counter::ServiceReachability, "damasklink_service_reachability_changes_total" },
+  { Counter::ForwardedCalls, "damasklink_forwarded_calls_total" },
+  { Counter::ForwardingDeclines, "damasklink_forwarding_declines_total" },
+  { Counter::ServedForwards, "damasklink_served_forwards_total" },
+  { Counter::CrashReports, "damasklink_crash_reports_total" },
+  { Counter::ClosedUnread, "damasklink_connections_closed_unread_total" },
+  { Counter::ResumedStreams, "damasklink_resumed_streams_total" },
+} };
+
+constexpr bool
+AreInOrder()
+{
+  for (std::size_t index = 0; index < kCounterNames.size(); ++index) {
+    if (static_cast<std::size_t>(kCounterNames[index].first) != index) {
+      return false;
+    }
+  }
+  return true;
+}
+
+static_assert(AreInOrder(), "each counter has a name, in the order of the counters");
+
 std::string
 EscapeLabel(std::string_view aValue)
 {
@@ -74,71 +124,7 @@
 std::string_view
 CounterName(Counter aCounter)
 {
-  switch (aCounter) {
-    case Counter::Requests:
-      return "damasklink_requests_total";
-    case Counter::Refusals:
-      return "damasklink_refusals_total";
-    case Counter::Failures:
-      return "damasklink_failures_total";
-    case Counter::Retries:
-      return "damasklink_retries_total";
-    case Counter::PromptTokens:
-      return "damasklink_prompt_tokens_total";
-    case Counter::ReusedTokens:
-      return "damasklink_reused_tokens_total";
-    case Counter::RecomputedTokens:
-      return "damasklink_recomputed_tokens_total";
-    case Counter::AnswerTokens:
-      return "damasklink_answer_tokens_total";
-    case Counter::LinkBytesIn:
-      return "damasklink_link_in_bytes_total";
-    case Counter::LinkBytesOut:
-      return "damasklink_link_out_bytes_total";
-    case Counter::ClaimsTaken:
-      return "damasklink_claims_taken_total";
-    case Counter::ClaimsRepeated:
-      return "damasklink_claims_repeated_total";
-    case Counter::ConfigChanges:
-      return "damasklink_config_changes_total";
-    case Counter::Elections:
-      return "damasklink_elections_total";
-    case Counter::Orders:
-      return "damasklink_orders_total";
-    case Counter::PeerBytesOut:
-      return "damasklink_peer_out_bytes_total";
-    case Counter::PeerBytesIn:
-      return "damasklink_peer_in_bytes_total";
-    case Counter::PeerMessagesOut:
-      return "damasklink_peer_out_messages_total";
-    case Counter::PeerMessagesIn:
-      return "damasklink_peer_in_messages_total";
-    case Counter::WorkMicroseconds:
-      return "damasklink_work_microseconds_total";
-    case Counter::Evacuations:
-      return "damasklink_evacuations_total";
-    case Counter::TargetNotices:
-      return "damasklink_target_notices_total";
-    case Counter::SnapshotsEncoded:
-      return "damasklink_snapshots_encoded_total";
-    case Counter::FailedConnects:
-      return "damasklink_failed_connects_total";
-    case Counter::ServiceReachability:
-      return "damasklink_service_reachability_changes_total";
-    case Counter::ForwardedCalls:
-      return "damasklink_forwarded_calls_total";
-    case Counter::ForwardingDeclines:
-      return "damasklink_forwarding_declines_total";
-    case Counter::ServedForwards:
-      return "damasklink_served_forwards_total";
-    case Counter::CrashReports:
-      return "damasklink_crash_reports_total";
-    case Counter::ClosedUnread:
-      return "damasklink_connections_closed_unread_total";
-    case Counter::ResumedStreams:
-      return "damasklink_resumed_streams_total";
-  }
-  return "damasklink_unnamed_total";
+  return kCounterNames[static_cast<std::size_t>(aCounter)].second;
 }
 
 std::string_view
