Requests that were sent to a target that had fallen silent are not blamed for its end

Cause: a target without power closes no connection. Requests that were sent to it during the seconds before it started again broke off like those under which it had ended, and the start confirmed all of them, while the one that was the cause was older than the window of 5 s for such a start and was dropped. So parts of bystanders were in every crash.

Reports now say whether the target fell silent, and when it last sent something for the request. CrashingPartFinder takes as suspects those that were sent until 0.2 s after the first one that was left unanswered after the target was last heard, over all hosts. Targets that break their connections off are judged as before.

SilentTargetTest, InterruptedRequestsTest.LateStartOfASilentTargetConfirmsPartsOnly.

--- a/include/damasklink/coordination/CrashingPartFinder.h
+++ b/include/damasklink/coordination/CrashingPartFinder.h
@@ -20,6 +20,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -50,6 +51,9 @@
   // Least time from a crash until a request is sent that counts as sent after it. The times of
   // other hosts are known this precisely only.
   static constexpr Duration kTimeTolerance = std::chrono::milliseconds(20);
+  // Longest time from when a request is sent until it crashes its target, where the target fell
+  // silent and nothing else shows when.
+  static constexpr Duration kCrashDelay = std::chrono::milliseconds(200);
   // A part in a crash takes about 60 bytes.
   static constexpr std::size_t kMaxCrashes = 256;
   static constexpr std::size_t kMaxReportsPerCrash = 128;
@@ -100,17 +104,30 @@
     WorkspaceId workspace;
     std::vector<RequestFingerprint> parts;
     MonotonicTime sentAt;
+    // See CrashReport.
+    bool silent = false;
+    std::optional<MonotonicTime> heardAt;
   };
 
   struct Crash
   {
     ServiceName service;
-    MonotonicTime at;
-    // Time from the crash until its first report.
+    // When the first answer broke off.
+    MonotonicTime brokenAt;
+    // Time until the first report.
     Duration reportDelay{ 0 };
     std::vector<Report> reports;
   };
 
+  // A crash, and when it was.
+  struct EndedTarget
+  {
+    const Crash* crash = nullptr;
+    MonotonicTime end;
+    // Requests that were sent later found the target silent. The latest time if it was not.
+    MonotonicTime lastSuspect;
+  };
+
   // A crash of which a part may be the cause. Each crash has a number in one evaluation.
   struct Occurrence
   {
@@ -140,7 +157,11 @@
   };
 
   void EvictOldest();
-  bool IsVoid(RequestFingerprint aPart, const Crash& aCrash) const;
+  static EndedTarget EndOf(const Crash& aCrash);
+  bool IsVoid(RequestFingerprint aPart, const EndedTarget& aTarget) const;
+  void AddCandidates(std::size_t aNumber,
+                     const EndedTarget& aTarget,
+                     std::map<RequestFingerprint, Candidate>& aTo) const;
   std::vector<Candidate> Candidates() const;
   static std::size_t CountSequential(const Candidate& aCandidate,
                                      const std::set<std::size_t>& aExplained);
--- a/include/damasklink/coordination/ServingMessages.h
+++ b/include/damasklink/coordination/ServingMessages.h
@@ -102,6 +102,11 @@
   // How long before the report the request was sent to the target, and its answer broke off.
   Duration sentAgo{ 0 };
   Duration brokenAgo{ 0 };
+  // The target fell silent. Requests that were sent to it afterwards found it so, too.
+  bool silent = false;
+  // How long before the report the target last sent something for the request; zero if it never
+  // did.
+  Duration heardAgo{ 0 };
 
   // Returns the report as it must be sent after aHeld.
   CrashReport Aged(Duration aHeld) const
@@ -109,6 +114,7 @@
     CrashReport aged = *this;
     aged.sentAgo += aHeld;
     aged.brokenAgo += aHeld;
+    aged.heardAgo += aged.heardAgo > Duration::zero() ? aHeld : Duration::zero();
     return aged;
   }
 
--- a/src/coordination/CrashingPartFinder.cpp
+++ b/src/coordination/CrashingPartFinder.cpp
@@ -16,23 +16,30 @@
     this->EvictOldest();
   }
   const MonotonicTime now = this->clock.MonotonicNow();
-  const MonotonicTime at = now - aReport.brokenAgo;
+  const MonotonicTime brokenAt = now - aReport.brokenAgo;
   const auto [found, isNew] = this->crashes.try_emplace(incarnation);
   Crash& crash = found->second;
   crash.service = aReport.service;
-  crash.at = isNew ? at : std::min(crash.at, at);
+  crash.brokenAt = isNew ? brokenAt : std::min(crash.brokenAt, brokenAt);
   if (isNew) {
     crash.reportDelay = aReport.brokenAgo;
   }
   const MonotonicTime sentAt = now - aReport.sentAgo;
+  std::optional<MonotonicTime> heardAt;
+  if (aReport.heardAgo > Duration::zero()) {
+    heardAt = now - aReport.heardAgo;
+  }
   const auto known =
     std::find_if(crash.reports.begin(), crash.reports.end(), [&](const Report& aKnown) {
       return aKnown.request == aReport.request && aKnown.parts == aReport.parts;
     });
   if (known != crash.reports.end()) {
-    known->sentAt = std::max(known->sentAt, sentAt);
+    // Of several attempts at a silent target only the first one may have ended it.
+    known->sentAt =
+      aReport.silent ? std::min(known->sentAt, sentAt) : std::max(known->sentAt, sentAt);
   } else if (crash.reports.size() < kMaxReportsPerCrash) {
-    crash.reports.push_back(Report{ aReport.request, aReport.workspace, aReport.parts, sentAt });
+    crash.reports.push_back(
+      Report{ aReport.request, aReport.workspace, aReport.parts, sentAt, aReport.silent, heardAt });
   }
   this->changed = true;
 }
@@ -42,11 +49,33 @@
 {
   const auto oldest = std::min_element(
     this->crashes.begin(), this->crashes.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.second.at < aRight.second.at;
+      return aLeft.second.brokenAt < aRight.second.brokenAt;
     });
   this->crashes.erase(oldest);
 }
 
+// A silent target crashed after it was last heard, under the first request that it left unanswered
+// or another one that was sent about then.
+CrashingPartFinder::EndedTarget
+CrashingPartFinder::EndOf(const Crash& aCrash)
+{
+  MonotonicTime heard = MonotonicTime::min();
+  for (const Report& report : aCrash.reports) {
+    heard = std::max(heard, report.heardAt.value_or(heard));
+  }
+  EndedTarget target{ &aCrash, aCrash.brokenAt, MonotonicTime::max() };
+  for (const Report& report : aCrash.reports) {
+    const MonotonicTime latest = report.sentAt + kCrashDelay;
+    if (report.silent && latest > heard) {
+      target.end = std::min(target.end, latest);
+    }
+    if (report.silent && report.sentAt > heard) {
+      target.lastSuspect = std::min(target.lastSuspect, latest);
+    }
+  }
+  return target;
+}
+
 void
 CrashingPartFinder::AddSuccessfulRun(const SuccessfulRun& aRun)
 {
@@ -136,52 +165,38 @@
       all.incarnation = incarnation.second;
       all.parts = report.parts;
       all.sentAgo = now - report.sentAt;
-      all.brokenAgo = now - crash.at;
+      all.brokenAgo = now - crash.brokenAt;
+      all.silent = report.silent;
+      all.heardAgo = report.heardAt ? now - *report.heardAt : Duration::zero();
     }
   }
   return reports;
 }
 
+// Returns whether a prompt with the part was answered after the end of the target.
 bool
-CrashingPartFinder::IsVoid(RequestFingerprint aPart, const Crash& aCrash) const
+CrashingPartFinder::IsVoid(RequestFingerprint aPart, const EndedTarget& aTarget) const
 {
-  const auto success = this->successes.find({ aPart, aCrash.service });
-  return success != this->successes.end() && success->second >= aCrash.at;
+  const auto success = this->successes.find({ aPart, aTarget.crash->service });
+  return success != this->successes.end() && success->second >= aTarget.end;
 }
 
 // Returns all parts that may be the cause of a crash.
 std::vector<CrashingPartFinder::Candidate>
 CrashingPartFinder::Candidates() const
 {
-  std::vector<const Crash*> ordered;
+  std::vector<EndedTarget> ordered;
+  ordered.reserve(this->crashes.size());
   for (const auto& [incarnation, crash] : this->crashes) {
-    ordered.push_back(&crash);
+    ordered.push_back(EndOf(crash));
   }
-  std::sort(ordered.begin(), ordered.end(), [](const Crash* aLeft, const Crash* aRight) {
-    return aLeft->at < aRight->at;
-  });
+  std::sort(
+    ordered.begin(), ordered.end(), [](const EndedTarget& aLeft, const EndedTarget& aRight) {
+      return aLeft.end < aRight.end;
+    });
   std::map<RequestFingerprint, Candidate> byPart;
   for (std::size_t number = 0; number < ordered.size(); ++number) {
-    const Crash& crash = *ordered[number];
-    for (const Report& report : crash.reports) {
-      for (std::size_t position = 0; position < report.parts.size(); ++position) {
-        const RequestFingerprint part = report.parts[position];
-        if (this->IsVoid(part, crash)) {
-          continue;
-        }
-        const auto [found, isNew] = byPart.try_emplace(part);
-        Candidate& candidate = found->second;
-        candidate.part = part;
-        candidate.position = isNew ? position : std::min(candidate.position, position);
-        candidate.hadSuccess =
-          candidate.hadSuccess || this->successes.contains({ part, crash.service });
-        std::vector<Occurrence>& occurrences = candidate.occurrences;
-        if (occurrences.empty() || occurrences.back().crash != number) {
-          occurrences.push_back(Occurrence{ number, crash.at, crash.reportDelay, report.sentAt });
-        }
-        occurrences.back().sentAt = std::max(occurrences.back().sentAt, report.sentAt);
-      }
-    }
+    this->AddCandidates(number, ordered[number], byPart);
   }
   std::vector<Candidate> candidates;
   candidates.reserve(byPart.size());
@@ -191,6 +206,37 @@
   return candidates;
 }
 
+// Adds the parts of the requests that may have ended the target, as crash aNumber.
+void
+CrashingPartFinder::AddCandidates(std::size_t aNumber,
+                                  const EndedTarget& aTarget,
+                                  std::map<RequestFingerprint, Candidate>& aTo) const
+{
+  const Crash& crash = *aTarget.crash;
+  for (const Report& report : crash.reports) {
+    if (report.sentAt > aTarget.lastSuspect) {
+      continue;
+    }
+    for (std::size_t position = 0; position < report.parts.size(); ++position) {
+      const RequestFingerprint part = report.parts[position];
+      if (this->IsVoid(part, aTarget)) {
+        continue;
+      }
+      const auto [found, isNew] = aTo.try_emplace(part);
+      Candidate& candidate = found->second;
+      candidate.part = part;
+      candidate.position = isNew ? position : std::min(candidate.position, position);
+      candidate.hadSuccess =
+        candidate.hadSuccess || this->successes.contains({ part, crash.service });
+      std::vector<Occurrence>& occurrences = candidate.occurrences;
+      if (occurrences.empty() || occurrences.back().crash != aNumber) {
+        occurrences.push_back(Occurrence{ aNumber, aTarget.end, crash.reportDelay, report.sentAt });
+      }
+      occurrences.back().sentAt = std::max(occurrences.back().sentAt, report.sentAt);
+    }
+  }
+}
+
 // Returns the largest number of crashes of which each was caused by a request that was sent after
 // the one before.
 std::size_t
--- a/src/coordination/InterruptedRequests.cpp
+++ b/src/coordination/InterruptedRequests.cpp
@@ -82,7 +82,11 @@
     const bool sameTarget = aRequest.report.target == aStarted.id;
     const bool earlier = sameTarget ? aRequest.report.incarnation < aStarted.incarnation
                                     : aRequest.address == aStarted.endpoint;
-    return earlier && now - aRequest.interruptedAt <= kRestartWindow;
+    // Only parts: a target that was silent for longer may have gone on with the request.
+    const bool isOfSilentTarget =
+      aRequest.report.silent && aRequest.report.request == RequestFingerprint();
+    const Duration window = isOfSilentTarget ? kSilenceWindow : kRestartWindow;
+    return earlier && now - aRequest.interruptedAt <= window;
   });
 }
 
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -54,7 +54,12 @@
   if (this->MayHaveCrashedByAPart()) {
     report.parts = this->PartFingerprints();
   }
+  const Duration silence = this->context.clock.MonotonicNow() - this->lastBytesAt;
   report.sentAgo = this->context.clock.MonotonicNow() - this->sentAt;
+  report.silent = this->unacknowledged || silence >= kSuspiciousSilence;
+  if (this->lastBytesAt > this->sentAt) {
+    report.heardAgo = std::max<Duration>(silence, std::chrono::milliseconds(1));
+  }
   return report;
 }
 
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -190,6 +190,8 @@
   }
   row->sent_ms = MillisecondsOf(aReport.sentAgo);
   row->broken_ms = MillisecondsOf(aReport.brokenAgo);
+  row->silent = aReport.silent;
+  row->heard_ms = MillisecondsOf(aReport.heardAgo);
   return row;
 }
 
@@ -587,6 +589,8 @@
   }
   report.sentAgo = std::chrono::milliseconds(aRow.sent_ms());
   report.brokenAgo = std::chrono::milliseconds(aRow.broken_ms());
+  report.silent = aRow.silent();
+  report.heardAgo = std::chrono::milliseconds(aRow.heard_ms());
   return report;
 }
 
--- a/test/coordination/CrashingPartFinderTest.cpp
+++ b/test/coordination/CrashingPartFinderTest.cpp
@@ -1,5 +1,7 @@
 #include "damasklink/coordination/CrashingPartFinder.h"
 
+#include <optional>
+
 #include <gtest/gtest.h>
 
 namespace damasklink {
@@ -101,6 +103,89 @@
   EXPECT_FALSE(this->finder.Suspects(9).empty());
 }
 
+// A target that fell silent, with requests that were sent to it before and after that.
+class SilentTargetTest : public CrashingPartFinderTest
+{
+protected:
+  // Reports a request to target aTarget that was sent at this time after the start of the test.
+  void Report(int aTarget,
+              const Parts& aParts,
+              Duration aSentAt,
+              std::optional<Duration> aHeardAt = std::nullopt)
+  {
+    CrashReport report;
+    report.request = RequestFingerprint(1000 + this->requests++);
+    report.service = kService;
+    report.target = TargetId("silent-" + std::to_string(aTarget));
+    report.parts = aParts;
+    report.silent = true;
+    report.sentAgo = kReportedAt - aSentAt;
+    report.brokenAgo = milliseconds(1000);
+    if (aHeardAt) {
+      report.heardAgo = kReportedAt - *aHeardAt;
+    }
+    this->finder.Add(report);
+  }
+
+  std::set<RequestFingerprint> CrashingLater()
+  {
+    this->finder.Crashing();
+    this->clock.Advance(std::chrono::seconds(1));
+    return this->finder.Crashing();
+  }
+
+  static constexpr Duration kReportedAt = std::chrono::seconds(9);
+};
+
+// Guards against refusing the parts of sound requests that were sent to targets after these had
+// crashed without closing their connections.
+TEST_F(SilentTargetTest, RequestsThatWereSentAfterItsEndAreNoSuspects)
+{
+  for (const int target : { 0, 1, 2 }) {
+    const Duration crash = milliseconds(500) * target;
+    this->Report(target, { kFirst, kDeadly }, crash);
+    this->Report(target, { kFirst, kOther }, crash + milliseconds(300));
+    this->Report(target, { kFirst, kOther }, crash + milliseconds(400));
+  }
+  EXPECT_EQ(this->finder.Suspects(9), (std::vector{ kFirst }));
+  EXPECT_EQ(this->CrashingLater(), std::set{ kDeadly });
+  EXPECT_FALSE(this->finder.IsExplained(kOther));
+}
+
+// Guards against passing over the cause because another request had been waiting for longer.
+TEST_F(SilentTargetTest, RequestsThatWereSentWhileItWasHeardAreSuspects)
+{
+  for (const int target : { 0, 1, 2 }) {
+    const Duration crash = milliseconds(1000) * target;
+    this->Report(target, { kFirst, kOther }, crash - milliseconds(900));
+    this->Report(target, { kFirst, kDeadly }, crash, crash);
+    this->Report(target, { kFirst, kAnother }, crash + milliseconds(700));
+    this->Report(target, { kFirst, kAnother }, crash + milliseconds(1000));
+  }
+  this->Succeed(kOther);
+  EXPECT_EQ(this->CrashingLater(), std::set{ kDeadly });
+}
+
+TEST_F(SilentTargetTest, FirstOfSeveralAttemptsIsTheSuspect)
+{
+  for (const int target : { 0, 1, 2 }) {
+    const Duration crash = milliseconds(1000) * target;
+    for (const Duration later : { milliseconds(0), milliseconds(600) }) {
+      CrashReport report;
+      report.request = RequestFingerprint(500 + static_cast<std::uint64_t>(target));
+      report.service = kService;
+      report.target = TargetId("silent-" + std::to_string(target));
+      report.parts = { kFirst, kDeadly };
+      report.silent = true;
+      report.sentAgo = kReportedAt - crash - later;
+      this->finder.Add(report);
+    }
+    this->Report(target, { kFirst, kOther }, crash + milliseconds(50));
+  }
+  this->Succeed(kOther);
+  EXPECT_EQ(this->CrashingLater(), std::set{ kDeadly });
+}
+
 // Hosts find out at different times that targets have ended.
 TEST_F(CrashingPartFinderTest, RequestsThatWereSentBeforeTheFirstCrashDoNotCount)
 {
--- a/test/coordination/InterruptedRequestsTest.cpp
+++ b/test/coordination/InterruptedRequestsTest.cpp
@@ -61,6 +61,21 @@
   EXPECT_TRUE(this->requests.TakeConfirmedByStart(Target("t", 2)).empty());
 }
 
+TEST_F(InterruptedRequestsTest, LateStartOfASilentTargetConfirmsPartsOnly)
+{
+  CrashReport silent = Report(1);
+  silent.parts = { RequestFingerprint(100) };
+  silent.silent = true;
+  this->requests.Add(silent, kAddress);
+  this->requests.Add(Report(2), kAddress);
+  this->requests.OnServiceUnreachable(ServiceName("s"));
+  this->clock.Advance(InterruptedRequests::kRestartWindow + milliseconds(1));
+  const std::vector<CrashReport> confirmed = this->requests.TakeConfirmedByStart(Target("t", 2));
+  ASSERT_EQ(confirmed.size(), 1U);
+  EXPECT_EQ(confirmed[0].request, RequestFingerprint());
+  EXPECT_EQ(confirmed[0].parts, silent.parts);
+}
+
 TEST_F(InterruptedRequestsTest, SilenceConfirmsTheCrash)
 {
   this->requests.Add(Report(1), kAddress);
--- a/test/protocol/ServingCodecTest.cpp
+++ b/test/protocol/ServingCodecTest.cpp
@@ -121,7 +121,9 @@
     Incarnation(1'790'000'000'000),
     { RequestFingerprint(0xfedcba9876543210U), RequestFingerprint(8) },
     std::chrono::milliseconds(1200),
-    std::chrono::milliseconds(100) } };
+    std::chrono::milliseconds(100),
+    true,
+    std::chrono::milliseconds(300) } };
   report.sound = { SuccessfulRun{ RequestFingerprint(9), ServiceName("s") } };
   report.limitReports = {
     LimitReport{ TargetId("t"), Incarnation(4), RequestRate{ 3.5 } },
