--- a/test/program/ExchangeSoftwareTest.cpp
+++ b/test/program/ExchangeSoftwareTest.cpp
@@ -145,6 +145,19 @@
     };
   }
 
+  // Adds a route of prompts, and fills the memory of all targets, so that they take no new prompts.
+  void FillMemory()
+  {
+    this->AddRoute("/resumable/prompts/", CallKind::Streaming, true);
+    this->config->routes.back().carriesPrompt = true;
+    this->cacheTokens = 1000;
+    CallLoad running;
+    running.memory = TokenCount(1100);
+    for (const TargetUpdate& update : this->targetUpdates) {
+      this->picker.OnSent(update.record.id, SelectionRequest{}, running);
+    }
+  }
+
   void Resume(const std::string& aFirst = "Resumes: r0\r\n")
   {
     this->Start();
@@ -226,6 +239,20 @@
   this->ExpectRefused();
 }
 
+// Guards against refusing streams that have begun for a load at which new ones are refused: few
+// targets may have their version.
+TEST_F(ResumedStreamTest, GoesOnAtATargetThatTakesNoNewStreams)
+{
+  const std::string prompt = "X-Model: m\r\nX-Token-Usage: 200,10\r\n";
+  this->KnowOrigin(testing::kService, "v1");
+  this->FillMemory();
+  this->Start();
+  this->Call("/resumable/prompts/", prompt);
+  EXPECT_NE(this->Receive().find("HTTP/1.1 503"), std::string::npos);
+  this->Call("/resumable/prompts/", "Last-Event-Id: 1\r\nResumes: r0\r\n" + prompt);
+  EXPECT_NE(this->ReceiveUpTo("0\r\n\r\n").find("data: v1\n\n"), std::string::npos);
+}
+
 TEST_F(ResumedStreamTest, OfAServiceThatTheRouteNoLongerUsesIsRefused)
 {
   this->KnowOrigin(ServiceName("former"), "v1");
