--- a/test/program/ExchangeTest.cpp
+++ b/test/program/ExchangeTest.cpp
@@ -179,6 +179,29 @@
   EXPECT_EQ(reports[0].parts,
             (std::vector{ FingerprintOfPart("first"), FingerprintOfPart("dead") }));
   EXPECT_GT(reports[0].sentAgo, Duration::zero());
+  EXPECT_FALSE(reports[0].silent);
+  EXPECT_GT(reports[0].heardAgo, Duration::zero());
+}
+
+// Guards against blaming requests for the end of a target that had fallen silent before.
+TEST_F(ExchangeTest, ReportsThatATargetWasSilent)
+{
+  ScriptedTarget target([](const std::string&, TcpSocket&) { return true; });
+  this->AddTarget("t", target.Address());
+  this->Start();
+  Write(this->caller,
+        "GET /stream/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 1200\r\n"
+        "X-Prompt-Prefix: first:10,own1:5\r\n\r\n");
+  EXPECT_NE(this->Receive().find("HTTP/1.1 504"), std::string::npos);
+  this->OnLoop([&] {
+    TargetUpdate restarted = this->targetUpdates.front();
+    restarted.record.id = TargetId("next");
+    const std::vector<CrashReport> reports =
+      this->interrupted.TakeConfirmedByStart(restarted.record);
+    ASSERT_EQ(reports.size(), 1U);
+    EXPECT_TRUE(reports[0].silent);
+    EXPECT_EQ(reports[0].heardAgo, Duration::zero());
+  });
 }
 
 TEST_F(ExchangeTest, ReportsSuccessfulRunOfSuspectedRequest)
