--- a/test/soak/crashing_parts.py
+++ b/test/soak/crashing_parts.py
@@ -10,14 +10,12 @@
     test/soak/crashing_parts.py --build build --seed 1
 """
 
-import argparse
 import asyncio
 import collections
 import random
 import signal
-import sys
 
-from soak import ENTRIES, Soak, soak_one
+from soak import Soak, soak_parser, soak_seeds
 from standins import ENDS, Target, read_head
 
 CRASHES = 5
@@ -217,22 +215,13 @@
 
 
 def main():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
-    parser.add_argument("--build", default="build", help="folder with the binary")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seeds", help="FIRST-LAST instead of one seed")
-    parser.add_argument("--entries", type=int, default=ENTRIES, help="number of entry hosts, 200 at most")
+    parser = soak_parser(__doc__)
     parser.add_argument("--end", choices=ENDS, default="refuse", help="how a target ends under the request")
     parser.add_argument("--models", type=int, default=3, help="number of targets that answer prompts")
     parser.add_argument("--parts", type=int, default=1, help="number of deadly parts")
     parser.add_argument("--interval", type=float, default=0.25, help="seconds between two deadly requests")
     parser.add_argument("--sound", type=float, default=0.05, help="seconds between two sound requests")
-    options = parser.parse_args()
-    options.seconds = 0
-    first, last = (int(end) for end in (options.seeds or f"{options.seed}-{options.seed}").split("-"))
-    results = [soak_one(options, seed, CrashingParts) for seed in range(first, last + 1)]
-    print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
-    sys.exit(0 if all(results) else 1)
+    soak_seeds(parser.parse_args(), CrashingParts)
 
 
 if __name__ == "__main__":
--- a/test/soak/isolated_hosts.py
+++ b/test/soak/isolated_hosts.py
@@ -9,14 +9,12 @@
     test/soak/isolated_hosts.py --build build --seed 1
 """
 
-import argparse
 import asyncio
 import collections
 import random
 import signal
-import sys
 
-from soak import DEADLINE, ENTRIES, Soak, soak_one
+from soak import DEADLINE, Soak, soak_parser, soak_seeds
 from standins import FaultProxy
 
 CUT_WAYS = ("reset", "silent", "new_reset")
@@ -195,18 +193,9 @@
 
 
 def main():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
-    parser.add_argument("--build", default="build", help="folder with the binary")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seeds", help="FIRST-LAST instead of one seed")
-    parser.add_argument("--entries", type=int, default=ENTRIES, help="number of entry hosts, 200 at most")
+    parser = soak_parser(__doc__)
     parser.add_argument("--ways", default=",".join(CUT_WAYS), help="how hosts are cut off, one wave each")
-    options = parser.parse_args()
-    options.seconds = 0
-    first, last = (int(end) for end in (options.seeds or f"{options.seed}-{options.seed}").split("-"))
-    results = [soak_one(options, seed, IsolatedHosts) for seed in range(first, last + 1)]
-    print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
-    sys.exit(0 if all(results) else 1)
+    soak_seeds(parser.parse_args(), IsolatedHosts)
 
 
 if __name__ == "__main__":
--- a/test/soak/resting_targets.py
+++ b/test/soak/resting_targets.py
@@ -9,12 +9,10 @@
     test/soak/resting_targets.py --build build --seed 1
 """
 
-import argparse
 import asyncio
 import collections
-import sys
 
-from soak import ENTRIES, Soak, soak_one
+from soak import Soak, soak_parser, soak_seeds
 
 WAVES = 3
 # Requests that are under way when the target answers may still arrive, and two more.
@@ -177,18 +175,9 @@
 
 
 def main():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
-    parser.add_argument("--build", default="build", help="folder with the binary")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seeds", help="FIRST-LAST instead of one seed")
-    parser.add_argument("--entries", type=int, default=ENTRIES, help="number of entry hosts, 200 at most")
+    parser = soak_parser(__doc__)
     parser.add_argument("--waves", choices=("rest", "leaving", "both"), default="both")
-    options = parser.parse_args()
-    options.seconds = 0
-    first, last = (int(end) for end in (options.seeds or f"{options.seed}-{options.seed}").split("-"))
-    results = [soak_one(options, seed, RestingTargets) for seed in range(first, last + 1)]
-    print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
-    sys.exit(0 if all(results) else 1)
+    soak_seeds(parser.parse_args(), RestingTargets)
 
 
 if __name__ == "__main__":
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -527,19 +527,30 @@
     return not bad
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+def soak_parser(description):
+    """The options that all soaks over several seeds share."""
+    parser = argparse.ArgumentParser(description=description, formatter_class=argparse.RawTextHelpFormatter)
     parser.add_argument("--build", default="build", help="folder with the binary")
-    parser.add_argument("--seconds", type=float, default=20, help="how long faults go on")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", help="FIRST-LAST instead of one seed")
     parser.add_argument("--entries", type=int, default=ENTRIES, help="number of entry hosts, 200 at most")
-    options = parser.parse_args()
+    parser.set_defaults(seconds=0)
+    return parser
+
+
+def soak_seeds(options, kind=Soak):
+    """Runs all seeds of the options and ends the process."""
     first, last = (int(end) for end in (options.seeds or f"{options.seed}-{options.seed}").split("-"))
-    results = [soak_one(options, seed) for seed in range(first, last + 1)]
+    results = [soak_one(options, seed, kind) for seed in range(first, last + 1)]
     print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
     sys.exit(0 if all(results) else 1)
 
 
+def main():
+    parser = soak_parser(__doc__)
+    parser.add_argument("--seconds", type=float, default=20, help="how long faults go on")
+    soak_seeds(parser.parse_args())
+
+
 if __name__ == "__main__":
     main()
--- a/test/soak/software_versions.py
+++ b/test/soak/software_versions.py
@@ -9,14 +9,12 @@
     test/soak/software_versions.py --build build --seed 1
 """
 
-import argparse
 import asyncio
 import collections
 import random
 import signal
-import sys
 
-from soak import ENTRIES, Soak, soak_one
+from soak import Soak, soak_parser, soak_seeds
 from standins import Target, read_head, reset
 
 WAVES = ("side_by_side", "entries", "release", "controls")
@@ -271,19 +269,10 @@
 
 
 def main():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
-    parser.add_argument("--build", default="build", help="folder with the binary")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seeds", help="FIRST-LAST instead of one seed")
-    parser.add_argument("--entries", type=int, default=ENTRIES, help="number of entry hosts, 200 at most")
+    parser = soak_parser(__doc__)
     parser.add_argument("--waves", default=",".join(WAVES), help="what happens beside the breaks, one wave each")
     parser.add_argument("--unframed", action="store_true", help="streams end with their connection")
-    options = parser.parse_args()
-    options.seconds = 0
-    first, last = (int(end) for end in (options.seeds or f"{options.seed}-{options.seed}").split("-"))
-    results = [soak_one(options, seed, SoftwareVersions) for seed in range(first, last + 1)]
-    print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
-    sys.exit(0 if all(results) else 1)
+    soak_seeds(parser.parse_args(), SoftwareVersions)
 
 
 if __name__ == "__main__":
