--- a/test/coordination/CrashingPartModelTest.cpp
+++ b/test/coordination/CrashingPartModelTest.cpp
@@ -5,7 +5,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <random>
 #include <string>
 
@@ -13,6 +12,7 @@
 
 #include "damasklink/coordination/CrashFilter.h"
 #include "damasklink/coordination/CrashRegistry.h"
+#include "support/EventQueue.h"
 
 namespace damasklink {
 namespace {
@@ -90,7 +90,7 @@
     }
     this->Arrive(this->parameters.soundPerSecond, [this] { this->BeginSound(); });
     if (this->parameters.deadlyPerSecond > 0) {
-      this->After(kDeadlyFrom, [this] {
+      this->events.After(kDeadlyFrom, [this] {
         this->Arrive(this->parameters.deadlyPerSecond, [this] { this->BeginDeadly(); });
       });
     }
@@ -100,12 +100,7 @@
     if (this->parameters.killsControlHosts) {
       this->Repeat(seconds(6), [this] { this->KillControl(); });
     }
-    while (!this->events.empty() && this->events.top().at < end) {
-      const Event event = this->events.top();
-      this->events.pop();
-      this->clock.Advance(event.at - this->Now());
-      event.run();
-    }
+    this->events.RunUntil(end);
   }
 
   int crashes = 0;
@@ -117,18 +112,6 @@
   int laterBegun = 0;
 
 private:
-  struct Event
-  {
-    MonotonicTime at;
-    std::uint64_t order;
-    std::function<void()> run;
-
-    bool operator<(const Event& aOther) const
-    {
-      return std::tie(this->at, this->order) > std::tie(aOther.at, aOther.order);
-    }
-  };
-
   struct Control
   {
     HostId host;
@@ -174,28 +157,23 @@
     return milliseconds(this->random() % std::max<std::int64_t>(aMost / milliseconds(1), 1));
   }
 
-  void After(Duration aDelay, std::function<void()> aRun)
-  {
-    this->events.push(Event{ this->Now() + aDelay, this->nextOrder++, std::move(aRun) });
-  }
-
   void Repeat(Duration aInterval, std::function<void()> aRun)
   {
-    this->After(this->RandomTime(aInterval) + milliseconds(1),
-                [this, aInterval, aRun] { this->Again(aInterval, aRun); });
+    this->events.After(this->RandomTime(aInterval) + milliseconds(1),
+                       [this, aInterval, aRun] { this->Again(aInterval, aRun); });
   }
 
   void Again(Duration aInterval, const std::function<void()>& aRun)
   {
     aRun();
-    this->After(aInterval, [this, aInterval, aRun] { this->Again(aInterval, aRun); });
+    this->events.After(aInterval, [this, aInterval, aRun] { this->Again(aInterval, aRun); });
   }
 
   void Arrive(double aPerSecond, const std::function<void()>& aRun)
   {
     std::exponential_distribution<double> pause(aPerSecond);
     const std::chrono::duration<double> next(pause(this->random));
-    this->After(std::chrono::duration_cast<Duration>(next), [this, aPerSecond, aRun] {
+    this->events.After(std::chrono::duration_cast<Duration>(next), [this, aPerSecond, aRun] {
       aRun();
       this->Arrive(aPerSecond, aRun);
     });
@@ -254,7 +232,7 @@
     ++aCall->sends;
     if (this->Now() < target.downUntil) {
       if (aCall->sends < kMaxSends) {
-        this->After(milliseconds(5), [this, aCall] { this->Send(aCall); });
+        this->events.After(milliseconds(5), [this, aCall] { this->Send(aCall); });
       }
       return;
     }
@@ -264,23 +242,23 @@
       const bool isLate = this->crashes >= kCrashesToJudge &&
                           this->Now() > this->lastJudgedCrash + this->parameters.contact;
       this->sentAfterNotice += isLate ? 1 : 0;
-      this->After(milliseconds(30) + this->RandomTime(milliseconds(150)),
-                  [this, index, incarnation] {
-                    if (this->targets[index].incarnation == incarnation) {
-                      this->CountCrash();
-                      this->Crash(index);
-                    }
-                  });
+      this->events.After(milliseconds(30) + this->RandomTime(milliseconds(150)),
+                         [this, index, incarnation] {
+                           if (this->targets[index].incarnation == incarnation) {
+                             this->CountCrash();
+                             this->Crash(index);
+                           }
+                         });
       return;
     }
-    this->After(milliseconds(60), [this, aCall, index, incarnation] {
+    this->events.After(milliseconds(60), [this, aCall, index, incarnation] {
       if (this->targets[index].incarnation == incarnation) {
         this->calmBegun += aCall->calm && !aCall->begun ? 1 : 0;
         this->laterBegun += aCall->later && !aCall->begun ? 1 : 0;
         aCall->begun = true;
       }
     });
-    this->After(kRunTime, [this, aCall, index, incarnation] {
+    this->events.After(kRunTime, [this, aCall, index, incarnation] {
       if (this->targets[index].incarnation == incarnation) {
         this->End(aCall, this->targets[index]);
       }
@@ -320,7 +298,7 @@
       report.parts = running.call->parts;
       report.sentAgo = this->Now() - running.sentAt;
       const Duration delay = this->RandomTime(kTargetDetected);
-      this->After(delay, [this, call = running.call, report, delay] {
+      this->events.After(delay, [this, call = running.call, report, delay] {
         this->entries[call->entry]->OnCrash(report.Aged(delay));
         if (call->sends < kMaxSends) {
           this->Send(call);
@@ -355,7 +333,7 @@
       entry->OnLost(control.host);
       entry->ResendAll();
     }
-    this->After(kHostDown, [this, &control] {
+    this->events.After(kHostDown, [this, &control] {
       for (Control& other : this->controls) {
         if (&other != &control && !this->IsDown(other)) {
           control.registry->Add(other.registry->All());
@@ -383,7 +361,7 @@
       return;
     }
     Control& hub = this->controls[this->HubOf(aEntry)];
-    this->After(this->MessageDelay(), [this, &hub, reports, runs] {
+    this->events.After(this->MessageDelay(), [this, &hub, reports, runs] {
       if (this->IsDown(hub)) {
         return;
       }
@@ -408,7 +386,7 @@
     }
     for (Control& other : this->controls) {
       if (&other != &aControl) {
-        this->After(this->MessageDelay(), [this, &other, reports, runs] {
+        this->events.After(this->MessageDelay(), [this, &other, reports, runs] {
           if (!this->IsDown(other)) {
             other.registry->Add(reports);
             other.registry->AddSuccessfulRuns(runs);
@@ -433,7 +411,7 @@
       const std::size_t distance =
         (self + this->controls.size() - entry % this->controls.size()) % this->controls.size();
       if (distance < kLinks) {
-        this->After(this->MessageDelay(), [this, entry, verdicts, host = aControl.host] {
+        this->events.After(this->MessageDelay(), [this, entry, verdicts, host = aControl.host] {
           this->entries[entry]->SetVerdicts(host, verdicts);
         });
       }
@@ -443,11 +421,10 @@
   Case parameters;
   std::mt19937 random;
   ManualClock clock;
+  testing::EventQueue events{ this->clock };
   std::deque<Control> controls;
   std::vector<std::unique_ptr<CrashFilter>> entries;
   std::vector<TargetState> targets;
-  std::priority_queue<Event> events;
-  std::uint64_t nextOrder = 0;
   std::uint64_t nextRequest = 0;
   // The fifth crash, or the last one if there were fewer.
   MonotonicTime lastJudgedCrash;
--- a/test/coordination/StreamOriginModelTest.cpp
+++ b/test/coordination/StreamOriginModelTest.cpp
@@ -5,7 +5,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <queue>
 #include <random>
 
 #include <gtest/gtest.h>
@@ -13,6 +12,7 @@
 #include "damasklink/coordination/SoftwareVersionHistory.h"
 #include "damasklink/coordination/StreamOriginLookup.h"
 #include "damasklink/coordination/StreamOriginTable.h"
+#include "support/EventQueue.h"
 
 namespace damasklink {
 namespace {
@@ -96,12 +96,7 @@
     }
     this->ScheduleFaults();
     const MonotonicTime end = this->Now() + seconds(20);
-    while (!this->events.empty() && this->events.top().at < end) {
-      const Event event = this->events.top();
-      this->events.pop();
-      this->clock.Advance(event.at - this->Now());
-      event.run();
-    }
+    this->events.RunUntil(end);
   }
 
   int streams = 0;
@@ -130,18 +125,6 @@
     MonotonicTime downUntil;
   };
 
-  struct Event
-  {
-    MonotonicTime at;
-    std::uint64_t order;
-    std::function<void()> run;
-
-    bool operator<(const Event& aOther) const
-    {
-      return std::tie(this->at, this->order) > std::tie(aOther.at, aOther.order);
-    }
-  };
-
   struct Stream
   {
     StreamKey key;
@@ -159,21 +142,16 @@
     return milliseconds(this->random() % (aMost / milliseconds(1)));
   }
 
-  void After(Duration aDelay, std::function<void()> aRun)
-  {
-    this->events.push(Event{ this->Now() + aDelay, this->nextOrder++, std::move(aRun) });
-  }
-
   void Repeat(Duration aInterval, std::function<void()> aRun)
   {
-    this->After(this->RandomTime(aInterval),
-                [this, aInterval, aRun] { this->Again(aInterval, aRun); });
+    this->events.After(this->RandomTime(aInterval),
+                       [this, aInterval, aRun] { this->Again(aInterval, aRun); });
   }
 
   void Again(Duration aInterval, const std::function<void()>& aRun)
   {
     aRun();
-    this->After(aInterval, [this, aInterval, aRun] { this->Again(aInterval, aRun); });
+    this->events.After(aInterval, [this, aInterval, aRun] { this->Again(aInterval, aRun); });
   }
 
   // Most messages take a few milliseconds, some are held up.
@@ -185,8 +163,9 @@
       return;
     }
     const bool isHeldUp = this->random() % 50 == 0;
-    this->After(milliseconds(2) + this->RandomTime(isHeldUp ? milliseconds(200) : milliseconds(10)),
-                std::move(aDeliver));
+    this->events.After(milliseconds(2) +
+                         this->RandomTime(isHeldUp ? milliseconds(200) : milliseconds(10)),
+                       std::move(aDeliver));
   }
 
   template<typename Host>
@@ -234,20 +213,20 @@
     aEntry.origins->Add(StreamOrigin{ aStream->key, kService, aStream->begunOn, kCallerPatience });
     const MonotonicTime startedAt = this->Now();
     const Duration breaksAfter = this->RandomTime(kStreamTime * 3);
-    this->After(std::min<Duration>(breaksAfter, aStream->endsAt - this->Now()),
-                [this, &aEntry, aStream, startedAt] {
-                  const bool killed = aEntry.downUntil > startedAt;
-                  if (!killed && this->Now() < aStream->endsAt) {
-                    this->Resume(aStream);
-                  }
-                });
+    this->events.After(std::min<Duration>(breaksAfter, aStream->endsAt - this->Now()),
+                       [this, &aEntry, aStream, startedAt] {
+                         const bool killed = aEntry.downUntil > startedAt;
+                         if (!killed && this->Now() < aStream->endsAt) {
+                           this->Resume(aStream);
+                         }
+                       });
     this->running[&aEntry].push_back(aStream);
   }
 
   // The caller resumes the stream at any entry host that is up.
   void Resume(const StreamPtr& aStream)
   {
-    this->After(milliseconds(5) + this->RandomTime(milliseconds(60)), [this, aStream] {
+    this->events.After(milliseconds(5) + this->RandomTime(milliseconds(60)), [this, aStream] {
       Entry& entry = this->entries[this->RandomIndex(this->entries.size())];
       if (this->IsUp(entry) && this->Now() < aStream->endsAt) {
         this->Ask(entry, aStream, 1);
@@ -272,7 +251,7 @@
         this->Answer(aEntry, control, aStream, lookup);
       });
     }
-    this->After(kLookupInterval, [this, &aEntry, aStream, aRound, lookup] {
+    this->events.After(kLookupInterval, [this, &aEntry, aStream, aRound, lookup] {
       const std::optional<StreamOrigin> origin = lookup->Result();
       if (!origin && aRound < kMaxRounds && this->IsUp(aEntry)) {
         this->Ask(aEntry, aStream, aRound + 1);
@@ -397,8 +376,8 @@
         });
         break;
       case Faults::ZoneCutOff:
-        this->After(seconds(5), [this] { this->cutZone = 0; });
-        this->After(seconds(12), [this] {
+        this->events.After(seconds(5), [this] { this->cutZone = 0; });
+        this->events.After(seconds(12), [this] {
           this->cutZone.reset();
           this->calmAt = this->Now() + kContact;
           this->ReconnectAll();
@@ -428,7 +407,7 @@
   {
     aControl.downUntil = this->Now() + kHostDown;
     this->StartControl(aControl);
-    this->After(kHostDown, [this] { this->ReconnectAll(); });
+    this->events.After(kHostDown, [this] { this->ReconnectAll(); });
   }
 
   // Hosts that connect again are sent everything.
@@ -452,12 +431,11 @@
   Case parameters;
   std::mt19937 random;
   ManualClock clock;
+  testing::EventQueue events{ this->clock };
   std::deque<Control> controls;
   std::deque<Entry> entries;
   std::map<SoftwareVersion, Span> versions;
   std::map<const Entry*, std::vector<StreamPtr>> running;
-  std::priority_queue<Event> events;
-  std::uint64_t nextOrder = 0;
   std::optional<std::size_t> cutZone;
   // From when on resumed streams must be served again.
   MonotonicTime calmAt;
