Attempts that are given up for the silence of their target are logged and counted

Without a line of their own they looked like attempts that the target had broken off, so a stream that a host cut off itself could not be told from one whose target had ended. No change of behaviour.

--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -190,7 +190,8 @@
   std::string SharedPartNames() const;
   void OnBytes(const TargetRecord& aTarget);
   void OnConnectFailed();
-  void GiveUpAttempt();
+  // aReason is logged.
+  void GiveUpAttempt(std::string_view aReason);
   void OnAttemptBroken(const TargetRecord& aTarget);
   void OnAttemptWithoutResponse(const TargetRecord& aTarget);
   // Returns whether the target had surely begun this attempt when it broke off.
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -161,7 +161,7 @@
   const Duration silence = now - this->lastBytesAt;
   const bool unreachable = this->context.paths.IsUnreachable(this->service);
   if (unreachable && silence >= ServiceReachability::kSuspiciousSilence) {
-    this->GiveUpAttempt();
+    this->GiveUpAttempt("service_unreachable");
   } else if (!this->responseBegun && !this->targetChecked && silence >= kMaxTargetSilence) {
     this->targetChecked = true;
     this->context.prober.CheckTarget(this->attemptTarget);
@@ -173,14 +173,22 @@
 {
   const Duration silence = this->context.clock.MonotonicNow() - this->lastBytesAt;
   if (this->attemptTarget.id == aTarget && silence >= kMaxTargetSilence) {
-    this->GiveUpAttempt();
+    this->GiveUpAttempt("target_unreachable");
   }
 }
 
 void
-Exchange::GiveUpAttempt()
+Exchange::GiveUpAttempt(std::string_view aReason)
 {
   if (this->plan->Limits().repeatable && this->channel != nullptr) {
+    LogEvent(LogLevel::Info, "silent_attempt")
+      .With("request", this->call.request)
+      .With("target", this->attemptTarget.id)
+      .With("reason", aReason)
+      .With("silence_ms", WholeMilliseconds(this->context.clock.MonotonicNow() - this->lastBytesAt))
+      .With("passed_on", this->plan->PassedOn())
+      .With("outcome", "given_up");
+    this->context.metrics.Add(Counter::SilentAttempts, MetricKey{ WorkspaceId(), "given_up" }, 1);
     this->unacknowledged = true;
     this->channel->Close();
   }
--- a/src/protocol/MetricsText.cpp
+++ b/src/protocol/MetricsText.cpp
@@ -41,6 +41,7 @@
   { Counter::ServedForwards, "damasklink_served_forwards_total" },
   { Counter::CrashReports, "damasklink_crash_reports_total" },
   { Counter::ClosedUnread, "damasklink_connections_closed_unread_total" },
+  { Counter::SilentAttempts, "damasklink_silent_attempts_total" },
   { Counter::ResumedStreams, "damasklink_resumed_streams_total" },
 } };
 
