A silent target's calls are given up only if another attempt follows

What callers saw: streams that ended in the middle, and 502 answers, although their target was sound and silent for about a second.

Cause: when a new connection to a silent target was not accepted within 300 ms, everything in progress there was closed first; whether it could go on elsewhere was found out afterwards. All streams of the target are closed in the same moment, and the retry budget of a host allows a few, so most were cut off. The same where no target of the service was reached and no other host could take the call. A stream was given up after 0.9 s of silence, as long as a sound target may be silent.

Change: an attempt is given up only if the retry that follows is taken from the budget before (ExchangeRetryPolicy::ReserveRetry) and another target or host is there to take it. Once the answer has begun, the target may be silent for 1.3 s. Streams that are silent for so long now start the check of their target themselves; before, only calls whose answer had not begun did, and a stream of a target that had ended without a word waited for its deadline.

Why it works: closing the connection is what loses the answer, and nothing is closed any more that has no successor; several streams of one target cannot rely on the same retry.

--- a/include/damasklink/coordination/ExchangeRetryPolicy.h
+++ b/include/damasklink/coordination/ExchangeRetryPolicy.h
@@ -91,6 +91,10 @@
   // earlier attempt can have reached a target.
   ExchangeStep After(AttemptResult aResult, MonotonicTime aNow, RetryBudget& aBudget);
 
+  // Takes the retry that would follow if the attempt in progress were abandoned now. Returns false
+  // if none may follow, so that the attempt should go on.
+  bool ReserveRetry(MonotonicTime aNow, RetryBudget& aBudget);
+
   // Returns the next step when there is no target left to try.
   ExchangeStep WithoutTarget() const;
 
@@ -112,6 +116,8 @@
   std::uint64_t unreachable = 0;
   std::uint64_t declined = 0;
   bool passedOn = false;
+  // The next retry has been taken from the budget.
+  bool reserved = false;
   // Whether a target has answered with a failure, which the caller may still get.
   bool targetFailed = false;
 };
--- a/include/damasklink/state/Metrics.h
+++ b/include/damasklink/state/Metrics.h
@@ -42,7 +42,7 @@
   ServedForwards,      // Calls run for other entry hosts.
   CrashReports,        // Requests that ran on a target when it ended.
   ClosedUnread,        // Connections of callers that were closed before anything was read.
-  SilentAttempts,      // Whose target was silent; kind: given_up or kept.
+  SilentAttempts,      // Whose target was silent; kind: given_up, or kept for want of another way.
   ResumedStreams,      // Sent to a target to go on; kind: caller or host, whoever resumed it.
 };
 
--- a/src/coordination/ExchangeRetryPolicy.cpp
+++ b/src/coordination/ExchangeRetryPolicy.cpp
@@ -101,12 +101,21 @@
   const bool firstSend = aResult == AttemptResult::Unreachable && this->sent == 0;
   const bool isRetry =
     !firstSend && aResult != AttemptResult::NotSent && aResult != AttemptResult::Declined;
-  if (this->MayTryAnother(aResult, aNow) && (!isRetry || aBudget.TryTake())) {
+  const bool isFree = !isRetry || std::exchange(this->reserved, false);
+  if (this->MayTryAnother(aResult, aNow) && (isFree || aBudget.TryTake())) {
     return ExchangeStep::TryAnother;
   }
   return this->GiveUp(aResult);
 }
 
+bool
+ExchangeRetryPolicy::ReserveRetry(MonotonicTime aNow, RetryBudget& aBudget)
+{
+  this->reserved =
+    this->reserved || (this->MayTryAnother(AttemptResult::Broken, aNow) && aBudget.TryTake());
+  return this->reserved;
+}
+
 ExchangeStep
 ExchangeRetryPolicy::WithoutTarget() const
 {
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -268,6 +268,7 @@
   this->context.reachability.OnStart(aTarget.zone);
   this->attemptTarget = aTarget;
   this->targetChecked = false;
+  this->silenceLogged = false;
   AttemptResult result = co_await this->SendAndReceive(aTarget);
   if (this->context.waiting.erase(this) > 0) {
     this->context.paths.OnEnded(this->service);
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -115,11 +115,13 @@
   Awaitable<bool> Run();
 
   // To be called regularly while the exchange is among the waiting ones. Gives up the attempt if
-  // the service is unreachable and the call may be repeated, and checks a target that stays silent.
+  // the service is unreachable and the call can go on elsewhere, and checks a target that stays
+  // silent.
   void CheckSilence();
 
   // The target accepts no connections. Gives up the attempt if it waits for this target and the
-  // call may be repeated. A call that may not waits on, since the target may have it.
+  // call can go on elsewhere. A call that may not be repeated waits on, since the target may have
+  // it.
   void OnTargetUnreachable(const TargetId& aTarget);
 
 private:
@@ -190,8 +192,12 @@
   std::string SharedPartNames() const;
   void OnBytes(const TargetRecord& aTarget);
   void OnConnectFailed();
-  // aReason is logged.
-  void GiveUpAttempt(std::string_view aReason);
+  // Returns how long the target of this attempt has sent nothing, and how long it may.
+  Duration Silence() const;
+  Duration MaxSilence() const;
+  // Gives up the attempt because of its target's silence, if another attempt will follow.
+  void MoveOn(std::string_view aReason);
+  bool HasOtherWay();
   void OnAttemptBroken(const TargetRecord& aTarget);
   void OnAttemptWithoutResponse(const TargetRecord& aTarget);
   // Returns whether the target had surely begun this attempt when it broke off.
@@ -273,6 +279,8 @@
   // When the target of this attempt last sent something.
   MonotonicTime lastBytesAt;
   bool targetChecked = false;
+  // Whether it was logged that the attempt goes on in spite of its target's silence.
+  bool silenceLogged = false;
   CallLoad load;
   // Slow stores that this call does not fetch from.
   std::set<std::string> avoidedStores;
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -17,6 +17,10 @@
 // be reached at all.
 constexpr Duration kMaxTargetSilence = std::chrono::milliseconds(600);
 
+// The same once the answer has begun. A sound target may be silent for a second, and another
+// one would have to read the prompt again.
+constexpr Duration kMaxStreamSilence = std::chrono::milliseconds(1300);
+
 // Time from the first event of an answer within which a part of its prompt would have crashed the
 // target.
 constexpr Duration kMaxCrashDelay = std::chrono::seconds(1);
@@ -157,12 +161,13 @@
 void
 Exchange::CheckSilence()
 {
-  const MonotonicTime now = this->context.clock.MonotonicNow();
-  const Duration silence = now - this->lastBytesAt;
-  const bool unreachable = this->context.paths.IsUnreachable(this->service);
-  if (unreachable && silence >= ServiceReachability::kSuspiciousSilence) {
-    this->GiveUpAttempt("service_unreachable");
-  } else if (!this->responseBegun && !this->targetChecked && silence >= kMaxTargetSilence) {
+  if (this->context.paths.IsUnreachable(this->service)) {
+    const Duration longest =
+      this->responseBegun ? kMaxStreamSilence : ServiceReachability::kSuspiciousSilence;
+    if (this->Silence() >= longest) {
+      this->MoveOn("service_unreachable");
+    }
+  } else if (!this->targetChecked && this->Silence() >= this->MaxSilence()) {
     this->targetChecked = true;
     this->context.prober.CheckTarget(this->attemptTarget);
   }
@@ -171,29 +176,72 @@
 void
 Exchange::OnTargetUnreachable(const TargetId& aTarget)
 {
-  const Duration silence = this->context.clock.MonotonicNow() - this->lastBytesAt;
-  if (this->attemptTarget.id == aTarget && silence >= kMaxTargetSilence) {
-    this->GiveUpAttempt("target_unreachable");
+  if (this->attemptTarget.id == aTarget && this->Silence() >= this->MaxSilence()) {
+    this->MoveOn("target_unreachable");
   }
 }
 
+Duration
+Exchange::Silence() const
+{
+  return this->context.clock.MonotonicNow() - this->lastBytesAt;
+}
+
+Duration
+Exchange::MaxSilence() const
+{
+  return this->responseBegun ? kMaxStreamSilence : kMaxTargetSilence;
+}
+
+// An attempt that no other may follow goes on: the target may be silent for a moment only, and its
+// answer is better than none.
 void
-Exchange::GiveUpAttempt(std::string_view aReason)
+Exchange::MoveOn(std::string_view aReason)
 {
-  if (this->plan->Limits().repeatable && this->channel != nullptr) {
+  if (!this->plan->Limits().repeatable || this->channel == nullptr || this->unacknowledged) {
+    return;
+  }
+  const bool hasOtherWay = this->HasOtherWay();
+  const bool mayMove =
+    hasOtherWay && this->plan->ReserveRetry(this->context.clock.MonotonicNow(),
+                                            this->context.retries.Of(this->service));
+  if (mayMove || !this->silenceLogged) {
+    this->silenceLogged = true;
     LogEvent(LogLevel::Info, "silent_attempt")
       .With("request", this->call.request)
       .With("target", this->attemptTarget.id)
       .With("reason", aReason)
-      .With("silence_ms", WholeMilliseconds(this->context.clock.MonotonicNow() - this->lastBytesAt))
+      .With("silence_ms", WholeMilliseconds(this->Silence()))
       .With("passed_on", this->plan->PassedOn())
-      .With("outcome", "given_up");
-    this->context.metrics.Add(Counter::SilentAttempts, MetricKey{ WorkspaceId(), "given_up" }, 1);
+      .With("other_way", hasOtherWay)
+      .With("outcome", mayMove ? "given_up" : "kept");
+    this->context.metrics.Add(
+      Counter::SilentAttempts, MetricKey{ WorkspaceId(), mayMove ? "given_up" : "kept" }, 1);
+  }
+  if (mayMove) {
     this->unacknowledged = true;
     this->channel->Close();
   }
 }
 
+// Returns whether another target, or another host if this one reaches no target, can take the call.
+bool
+Exchange::HasOtherWay()
+{
+  const bool unreachable = this->context.paths.IsUnreachable(this->service);
+  if (unreachable && this->ChooseForwardingHost()) {
+    return true;
+  }
+  if (unreachable && !this->HasOpenConnections()) {
+    return false;
+  }
+  // Not the verdict on the attempt in progress, which may still succeed.
+  const bool overloadedBefore = this->overloaded;
+  const bool found = this->ChooseTarget() != nullptr;
+  this->overloaded = overloadedBefore;
+  return found;
+}
+
 // A target that ended without closing its connections shows it only by its silence. Callers that
 // leave before kSuspiciousSilence say nothing about the target.
 void
--- a/test/coordination/ExchangeRetryPolicyTest.cpp
+++ b/test/coordination/ExchangeRetryPolicyTest.cpp
@@ -109,6 +109,34 @@
   EXPECT_EQ(this->Send(plan, AttemptResult::Failed), ExchangeStep::PassOn);
 }
 
+// Guards against more attempts that are given up than retries that may follow.
+TEST_F(ExchangeRetryPolicyTest, ReservedRetryIsTakenOnce)
+{
+  this->budget = RetryBudget(0, 1);
+  ExchangeRetryPolicy first(MakeLimits(true, 2));
+  ExchangeRetryPolicy second(MakeLimits(true, 2));
+  for (ExchangeRetryPolicy* plan : { &first, &second }) {
+    plan->Begin(AttemptId("a"), TargetId("t"));
+    plan->Sending();
+  }
+  EXPECT_TRUE(first.ReserveRetry(kNow, this->budget));
+  EXPECT_TRUE(first.ReserveRetry(kNow, this->budget));
+  EXPECT_FALSE(second.ReserveRetry(kNow, this->budget));
+  EXPECT_EQ(first.After(AttemptResult::Broken, kNow, this->budget), ExchangeStep::TryAnother);
+  EXPECT_EQ(second.After(AttemptResult::Broken, kNow, this->budget), ExchangeStep::Fail);
+}
+
+TEST_F(ExchangeRetryPolicyTest, NoRetryIsReservedForCallThatMayNotBeSentAgain)
+{
+  ExchangeRetryPolicy once(MakeLimits(false, 2));
+  ExchangeRetryPolicy sentOften(MakeLimits(true, 1));
+  for (ExchangeRetryPolicy* plan : { &once, &sentOften }) {
+    plan->Begin(AttemptId("a"), TargetId("t"));
+    plan->Sending();
+    EXPECT_FALSE(plan->ReserveRetry(kNow, this->budget));
+  }
+}
+
 TEST_F(ExchangeRetryPolicyTest, ExpiredCallIsNotRetried)
 {
   ExchangeRetryPolicy sent(MakeLimits(true, 3));
