Log: a power cut no longer makes both slots of the mark unreadable

What operators may see: a control host that does not start again after a power cut ("synced: fails its checksum"). It counts as one more lost disk; where disks are lost at the same moment, a majority that holds an acknowledged change may be gone, or the configuration is not read back.

Cause: the mark of what is synced was written after each sync of the log, to its two slots in turn, and synced only with a new log file. A cut may tear every write since a file's last sync, so both slots. The simulated disk did not draw that: it went back to an earlier moment, and never tore a mark.

Change: the slot that was synced last is not written until the other one is synced.

--- a/include/damasklink/state/LogStore.h
+++ b/include/damasklink/state/LogStore.h
@@ -52,6 +52,7 @@
   Result<void> StartSegment();
   Result<void> WriteSnapshot(const Snapshot& aSnapshot);
   Result<void> WriteMark();
+  Result<void> SyncMark();
   Result<void> DropOldSegments();
   Result<void> AppendAndSync(const std::string& aBytes);
 
@@ -62,6 +63,7 @@
   std::uint64_t currentLength = 0;
   std::unique_ptr<DiskFile> mark;
   std::uint64_t markCount = 0;
+  bool markSynced = true;
   HardState hardState;
   LogIndex snapshotIndex;
   std::optional<Error> failure;
--- a/src/state/LogStore.cpp
+++ b/src/state/LogStore.cpp
@@ -68,12 +68,13 @@
   }
   this->mark = std::move(file.value());
   if (!this->segments.empty()) {
-    return Success();
+    // The slot that was read may stand in memory only, and the next write goes to the other one.
+    return this->SyncMark();
   }
   if (auto written = this->WriteMark(); !written) {
     return written;
   }
-  if (auto synced = this->mark->Sync(); !synced) {
+  if (auto synced = this->SyncMark(); !synced) {
     return synced;
   }
   return this->disk.SyncFolder(this->folder);
@@ -180,18 +181,29 @@
   if (auto marked = this->WriteMark(); !marked) {
     return marked;
   }
-  return this->mark->Sync();
+  return this->SyncMark();
 }
 
+// The slot that was synced last stays as it is until the other one is synced, since a power cut may
+// tear all writes in between. A slot is that of its count's parity.
 Result<void>
 LogStore::WriteMark()
 {
-  ++this->markCount;
+  this->markCount += this->markSynced ? 1 : 2;
+  this->markSynced = false;
   const std::uint64_t sequence = this->segments.empty() ? 0 : this->segments.back().sequence;
   const internal::MarkSlot slot{ this->markCount, sequence, this->currentLength };
   return this->mark->Overwrite(internal::MarkOffset(slot), internal::EncodeMark(slot));
 }
 
+Result<void>
+LogStore::SyncMark()
+{
+  auto synced = this->mark->Sync();
+  this->markSynced = synced.has_value();
+  return synced;
+}
+
 Result<void>
 LogStore::WriteSnapshot(const Snapshot& aSnapshot)
 {
--- a/test/state/LogStoreTest.cpp
+++ b/test/state/LogStoreTest.cpp
@@ -163,6 +163,33 @@
   }
 }
 
+// Guards against a host that cannot open its log after a power cut: the mark is written after each
+// sync of the log without one of its own, so a cut may tear all its writes since.
+TEST(LogStoreTest, TornMarkIsReadAfterAPowerCut)
+{
+  for (std::uint64_t seed = 0; seed < 100; ++seed) {
+    FakeDisk disk;
+    std::mt19937_64 random(seed);
+    std::uint64_t written = 0;
+    for (int life = 0; life < 3; ++life) {
+      LogStore store(disk, "g");
+      auto recovered = store.Open();
+      ASSERT_TRUE(recovered) << seed << ": " << recovered.error();
+      ASSERT_EQ(recovered.value().entries.size(), written);
+      for (std::uint64_t count = random() % 4; count > 0; --count) {
+        ++written;
+        ASSERT_TRUE(store.Write({ MakeBatch(written, written) }));
+      }
+      if (random() % 3 == 0) {
+        disk.KillProcess();
+      } else {
+        disk.CutPower(random);
+      }
+    }
+    ASSERT_EQ(Reopen(disk).value().entries.size(), written);
+  }
+}
+
 TEST(LogStoreTest, OtherVersionIsNamed)
 {
   FakeDisk disk;
--- a/test/support/FakeDisk.h
+++ b/test/support/FakeDisk.h
@@ -1,9 +1,11 @@
 // A disk in memory that loses what was not synced.
 #pragma once
 
-#include <deque>
 #include <map>
+#include <memory>
 #include <random>
+#include <string>
+#include <vector>
 
 #include "damasklink/state/Disk.h"
 
@@ -22,15 +24,22 @@
   // Ends the process but not the machine: everything written is still there.
   void KillProcess() { this->callsLeft = -1; }
 
-  // Cuts the power. Of what was not synced, any part may be lost.
+  // Cuts the power. Every write and every change of a name since the last sync is kept or lost on
+  // its own, and a write may also be torn.
   void CutPower(std::mt19937_64& aRandom)
   {
     this->callsLeft = -1;
-    std::uniform_int_distribution<std::size_t> which(0, this->namesSinceSync.size() - 1);
-    this->names = this->namesSinceSync[which(aRandom)];
-    this->namesSinceSync = { this->names };
+    const bool allGone = aRandom() % 3 == 0;
+    this->names = this->syncedNames;
+    for (const NameChange& change : this->nameChanges) {
+      if (!allGone && aRandom() % 2 == 0) {
+        change.ApplyTo(this->names);
+      }
+    }
+    this->nameChanges.clear();
+    this->syncedNames = this->names;
     for (auto& [path, file] : this->names) {
-      Tear(*file, aRandom);
+      Tear(*file, allGone, aRandom);
     }
   }
 
@@ -44,8 +53,7 @@
       if (auto allowed = this->Allow(); !allowed) {
         return Fail(allowed.error());
       }
-      this->names[aPath] = std::make_shared<FileData>();
-      this->namesSinceSync.push_back(this->names);
+      this->Change(NameChange{ "", aPath, std::make_shared<FileData>() });
     }
     return std::unique_ptr<DiskFile>(std::make_unique<File>(*this, this->names[aPath]));
   }
@@ -71,39 +79,84 @@
 
   Result<void> Truncate(const std::string& aPath, std::uint64_t aLength) override
   {
-    return this->Do([&] { this->names.at(aPath)->content.resize(aLength); });
+    return this->Do([&] { this->names.at(aPath)->Make(Write{ aLength, "", true }); });
   }
 
   Result<void> Rename(const std::string& aFrom, const std::string& aTo) override
   {
-    return this->Do([&] {
-      this->names[aTo] = this->names.at(aFrom);
-      this->names.erase(aFrom);
-      this->namesSinceSync.push_back(this->names);
-    });
+    return this->Do([&] { this->Change(NameChange{ aFrom, aTo, this->names.at(aFrom) }); });
   }
 
   Result<void> Remove(const std::string& aPath) override
   {
-    return this->Do([&] {
-      this->names.erase(aPath);
-      this->namesSinceSync.push_back(this->names);
-    });
+    return this->Do([&] { this->Change(NameChange{ aPath, "", nullptr }); });
   }
 
-  Result<void> SyncFolder(const std::string& /*aFolder*/) override
+  // Syncs the names in this folder, not those in folders below it.
+  Result<void> SyncFolder(const std::string& aFolder) override
   {
-    return this->Do([&] { this->namesSinceSync = { this->names }; });
+    return this->Do([&] {
+      std::erase_if(this->nameChanges, [&](const NameChange& aChange) {
+        const bool within = FolderOf(aChange.from.empty() ? aChange.to : aChange.from) == aFolder;
+        if (within) {
+          aChange.ApplyTo(this->syncedNames);
+        }
+        return within;
+      });
+    });
   }
 
 private:
+  // Overwrites from the offset on, or sets the length to it.
+  struct Write
+  {
+    std::uint64_t offset = 0;
+    std::string bytes;
+    bool setsLength = false;
+
+    void ApplyTo(std::string& aContent) const
+    {
+      if (this->setsLength) {
+        aContent.resize(this->offset);
+        return;
+      }
+      aContent.resize(std::max<std::size_t>(aContent.size(), this->offset + this->bytes.size()));
+      aContent.replace(this->offset, this->bytes.size(), this->bytes);
+    }
+  };
+
   struct FileData
   {
     std::string content;
     std::string synced;
+    std::vector<Write> sinceSync;
+
+    void Make(Write aWrite)
+    {
+      aWrite.ApplyTo(this->content);
+      this->sinceSync.push_back(std::move(aWrite));
+    }
   };
   using Names = std::map<std::string, std::shared_ptr<FileData>>;
 
+  // A file created (no former name), renamed or removed (no new name).
+  struct NameChange
+  {
+    std::string from;
+    std::string to;
+    std::shared_ptr<FileData> file;
+
+    void ApplyTo(Names& aNames) const
+    {
+      if (!this->from.empty()) {
+        aNames.erase(this->from);
+      }
+      if (!this->to.empty()) {
+        aNames[this->to] = this->file;
+      }
+    }
+  };
+
   class File final : public DiskFile
   {
   public:
@@ -120,20 +173,21 @@
 
     Result<void> Overwrite(std::uint64_t aOffset, std::string_view aBytes) override
     {
-      std::string& content = this->file->content;
       const bool dying = this->disk.callsLeft == 1;
       // The call in which the process dies writes a part.
       const std::string_view written = dying ? aBytes.substr(0, aBytes.size() / 2) : aBytes;
       if (!this->disk.full && this->disk.callsLeft != 0) {
-        content.resize(std::max<std::size_t>(content.size(), aOffset + written.size()));
-        content.replace(aOffset, written.size(), written);
+        this->file->Make(Write{ aOffset, std::string(written) });
       }
       return this->disk.Allow();
     }
 
     Result<void> Sync() override
     {
-      return this->disk.Do([&] { this->file->synced = this->file->content; });
+      return this->disk.Do([&] {
+        this->file->synced = this->file->content;
+        this->file->sinceSync.clear();
+      });
     }
 
   private:
@@ -141,19 +195,34 @@
     std::shared_ptr<FileData> file;
   };
 
-  static void Tear(FileData& aFile, std::mt19937_64& aRandom)
+  static void Tear(FileData& aFile, bool aAllGone, std::mt19937_64& aRandom)
   {
-    if (aFile.content == aFile.synced) {
-      return;
+    // Content that a test damaged by hand stays as it is.
+    if (!aFile.sinceSync.empty()) {
+      aFile.content = aFile.synced;
     }
-    const std::size_t kept = std::min(aFile.content.size(), aFile.synced.size());
-    std::uniform_int_distribution<std::size_t> length(kept, aFile.content.size());
-    std::string torn = aRandom() % 2 == 0 ? aFile.synced : aFile.content;
-    if (torn == aFile.content) {
-      torn.resize(length(aRandom));
+    for (Write& write : aFile.sinceSync) {
+      const std::uint64_t fate = aAllGone ? 0 : aRandom() % 3;
+      if (fate == 1 && !write.bytes.empty()) {
+        write.bytes.resize(aRandom() % write.bytes.size());
+      }
+      if (fate != 0) {
+        write.ApplyTo(aFile.content);
+      }
     }
-    aFile.content = torn;
-    aFile.synced = torn;
+    aFile.sinceSync.clear();
+    aFile.synced = aFile.content;
+  }
+
+  static std::string FolderOf(const std::string& aPath)
+  {
+    return aPath.substr(0, aPath.rfind('/'));
+  }
+
+  void Change(const NameChange& aChange)
+  {
+    aChange.ApplyTo(this->names);
+    this->nameChanges.push_back(aChange);
   }
 
   Result<void> Allow()
@@ -178,8 +247,9 @@
   }
 
   Names names;
-  // The folder as it may be found after a power cut: any state since its last sync.
-  std::deque<Names> namesSinceSync{ Names() };
+  // The names as of the last sync of their folder, and their changes since.
+  Names syncedNames;
+  std::vector<NameChange> nameChanges;
   int callsLeft = -1;
   bool full = false;
 };
