Log: removed log files leave no gap after a power cut

What operators may see: a control host that does not start again after a power cut ("a log file is missing"), with the same consequence as a lost disk.

Of several such removals a cut may undo any, also the older one and not the newer one.

Change: the folder is synced after each removal, oldest file first.

LogStoreTest.RemovedLogFilesLeaveNoGapAfterAPowerCut fails on the code before with seed 12 of 50, and passes.

--- a/src/state/LogStore.cpp
+++ b/src/state/LogStore.cpp
@@ -238,6 +238,10 @@
         !removed) {
       return removed;
     }
+    // Of several removals that are not synced, a power cut may undo any and so leave a gap.
+    if (auto synced = this->disk.SyncFolder(this->folder); !synced) {
+      return synced;
+    }
     this->segments.pop_front();
   }
   return Success();
--- a/test/state/LogStoreTest.cpp
+++ b/test/state/LogStoreTest.cpp
@@ -163,6 +163,25 @@
   }
 }
 
+// Guards against a host that cannot open its log after a power cut: a snapshot drops several log
+// files at once, and of removals that are not synced any may be undone.
+TEST(LogStoreTest, RemovedLogFilesLeaveNoGapAfterAPowerCut)
+{
+  for (std::uint64_t seed = 0; seed < 50; ++seed) {
+    FakeDisk disk;
+    ASSERT_TRUE(WriteBatches(disk, { MakeBatch(1, 3) }));
+    ASSERT_TRUE(WriteBatches(disk, { MakeBatch(4, 4) }));
+    PersistBatch snapshot;
+    snapshot.snapshot = MakeSnapshot(5);
+    ASSERT_TRUE(WriteBatches(disk, { MakeBatch(5, 6), snapshot, MakeBatch(7, 7) }));
+    std::mt19937_64 random(seed);
+    disk.CutPower(random);
+    auto recovered = Reopen(disk);
+    ASSERT_TRUE(recovered) << seed << ": " << recovered.error();
+    ASSERT_EQ(recovered.value().entries.size(), 2U);
+  }
+}
+
 // Guards against a host that cannot open its log after a power cut: the mark is written after each
 // sync of the log without one of its own, so a cut may tear all its writes since.
 TEST(LogStoreTest, TornMarkIsReadAfterAPowerCut)
