Limits of a connection are those in force when its request begins

Cause: the entry host looked up the limits before the wait on an idle connection. The first request after a change was judged by the older header and body limits, and a wait that had begun kept the older idle timeout.

Change: the connection asks a source of limits when the first bytes of a request arrive. When a new configuration has another idle timeout, the entry host tells its open connections, which change the delay of their wait; the time that has passed counts. request_unreadable names the version of the limits.

Tests: RequestAfterChangeIsReadWithLimitsInForceWhenItBegins (413 before), RequestAfterChangeIsHeldToLoweredHeaderLimit (read before), RaisedIdleTimeoutHoldsForConnectionThatWaits (ended before), LoweredIdleTimeoutCountsTimeThatHasPassed (still waiting before). All four failed with the limits looked up before the wait and no word of the change, behind the new interface, and pass now, as do the other tests of CallerConnectionTest.

--- a/include/damasklink/transport/CallerConnection.h
+++ b/include/damasklink/transport/CallerConnection.h
@@ -17,6 +17,22 @@
 
 namespace damasklink {
 
+// Limits of the configuration with this version.
+struct LimitsInForce
+{
+  CallerLimits limits;
+  Revision version;
+};
+
+// Knows the limits in force, which may change while a connection waits for its next request.
+class CallerLimitsSource
+{
+public:
+  virtual ~CallerLimitsSource() = default;
+
+  virtual LimitsInForce Current() const = 0;
+};
+
 class CallerConnection final : public CallerChannel
 {
 public:
@@ -31,8 +47,16 @@
   // - Overloaded when the head exceeds its limit, NotPermitted when the body does,
   // - InvalidArgument when the bytes are not a valid request or their framing is ambiguous.
   // After a failure the connection must be closed, once the error response has been written.
+  // The limits are those in force when the request begins. aSource must outlive the read.
+  Awaitable<Result<HttpRequestMessage>> Read(const CallerLimitsSource& aSource);
   Awaitable<Result<HttpRequestMessage>> Read(const CallerLimits& aLimits);
 
+  // Applies the idle timeout in force to a connection that is waiting for a request.
+  void OnLimitsChanged();
+
+  // Returns the version of the limits that the last request was read with.
+  Revision LimitsVersion() const { return this->limitsVersion; }
+
   Awaitable<bool> WriteWhole(HttpResponseMessage aResponse, bool aClose) override;
   Awaitable<bool> BeginStream(const HttpResponseHead& aHead,
                               std::string_view aChunk,
@@ -56,7 +80,12 @@
 private:
   class Impl;
 
+  Awaitable<IoError> AwaitRequest(const CallerLimitsSource& aSource);
+
   std::unique_ptr<Impl> impl;
+  // Set while the connection waits for a request.
+  const CallerLimitsSource* waitsWith = nullptr;
+  Revision limitsVersion;
   bool idle = true;
 };
 
--- a/include/damasklink/transport/EventLoop.h
+++ b/include/damasklink/transport/EventLoop.h
@@ -51,7 +51,7 @@
 void
 SetNoDelay(TcpSocket& aSocket);
 
-// Runs a callback once after a delay; arming again replaces the delay. Belongs to one event loop.
+// Runs a callback once after a delay; arming again begins a new delay. Belongs to one event loop.
 //
 //   Watchdog watchdog(executor, [&] { connection.Close(); });
 //   watchdog.Arm(std::chrono::seconds(1));
@@ -66,6 +66,8 @@
   Watchdog& operator=(const Watchdog&) = delete;
 
   void Arm(Duration aAfter);
+  // Replaces the delay, which still counts from the last Arm().
+  void ChangeDelay(Duration aAfter);
   void Disarm();
 
 private:
@@ -77,7 +79,10 @@
     std::uint64_t armed = 0;
   };
 
+  void Wait();
+
   asio::steady_timer timer;
+  asio::steady_timer::time_point start;
   std::shared_ptr<State> state;
 };
 
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -72,11 +72,14 @@
   return Success();
 }
 
-CallerLimits
-EntryHost::Impl::Limits() const
+LimitsInForce
+EntryHost::Impl::Current() const
 {
   const auto& routes = this->state.Routes();
-  return routes == nullptr ? CallerLimits() : routes->Config().limits;
+  if (routes == nullptr) {
+    return LimitsInForce{};
+  }
+  return LimitsInForce{ routes->Config().limits, routes->Config().version };
 }
 
 Awaitable<void>
@@ -89,7 +92,7 @@
   const auto position = this->open.insert(this->open.end(), aChannel);
   bool reusable = true;
   while (reusable) {
-    auto request = co_await aChannel->Read(this->Limits());
+    auto request = co_await aChannel->Read(*this);
     if (!request) {
       co_await this->RespondToUnreadable(*aChannel, request.error());
       break;
@@ -107,7 +110,9 @@
   if (aError.kind == ErrorKind::Interrupted) {
     co_return;
   }
-  LogEvent(LogLevel::Info, "request_unreadable").With("error", aError);
+  LogEvent(LogLevel::Info, "request_unreadable")
+    .With("error", aError)
+    .With("version", aChannel.LimitsVersion());
   HttpResponseMessage response = this->calls.FailureResponse(
     CallerError{ aError, RunOutcome::NotRun, std::nullopt }, RequestId());
   if (aError.kind == ErrorKind::DeadlineExceeded) {
--- a/src/program/EntryHostImpl.h
+++ b/src/program/EntryHostImpl.h
@@ -22,7 +22,9 @@
 
 namespace damasklink {
 
-class EntryHost::Impl final : public PeerMeshHandler
+class EntryHost::Impl final
+  : public PeerMeshHandler
+  , public CallerLimitsSource
 {
 public:
   Impl(ServingSettings aSettings,
@@ -126,6 +128,8 @@
   void OnPeerDown(const HostId& aPeer, LinkSide aSide) override;
   void OnPeerMessage(const HostId& aPeer, PeerMessage aMessage) override;
 
+  LimitsInForce Current() const override;
+
 private:
   static std::uint64_t RandomSeed() { return std::random_device()(); }
 
@@ -169,7 +173,6 @@
   void ApplyCrashVerdicts(const HostId& aPeer, const CrashingRequests& aVerdicts);
   void OnConfigurationInstalled();
   bool IsReady() const;
-  CallerLimits Limits() const;
 
   ServingSettings settings;
   const CallDialect& calls;
@@ -210,6 +213,8 @@
   ConnectionListener probes{ this->loop };
   // The callers' connections.
   Channels open;
+  // The one that the callers' connections wait with.
+  Duration idleTimeout = CallerLimits().idleTimeout;
   ControlHostSelector links{ this->settings.host, this->settings.zone };
   // Selects the control host that gets this host's load reports.
   HubSelector hub{ this->clock, this->settings.zone };
--- a/src/program/EntryHostUpdates.cpp
+++ b/src/program/EntryHostUpdates.cpp
@@ -406,6 +406,13 @@
 EntryHost::Impl::OnConfigurationInstalled()
 {
   this->firstConfiguration.OnInForce();
+  const Duration newIdleTimeout = this->Current().limits.idleTimeout;
+  if (newIdleTimeout != this->idleTimeout) {
+    this->idleTimeout = newIdleTimeout;
+    for (const std::shared_ptr<CallerConnection>& channel : this->open) {
+      channel->OnLimitsChanged();
+    }
+  }
   if (this->IsReady() && !this->wasReady) {
     this->wasReady = true;
     LogEvent(LogLevel::Info, "ready").With("version", this->state.Routes()->Config().version);
--- a/src/transport/CallerConnection.cpp
+++ b/src/transport/CallerConnection.cpp
@@ -23,6 +23,21 @@
 // Minimum buffer size for reading: usual request heads fit into one read.
 constexpr std::size_t kReadBytes = 4096;
 
+// Limits that do not change.
+class FixedLimits final : public CallerLimitsSource
+{
+public:
+  explicit FixedLimits(const CallerLimits& aLimits)
+    : limits(aLimits)
+  {
+  }
+
+  LimitsInForce Current() const override { return LimitsInForce{ this->limits, Revision() }; }
+
+private:
+  CallerLimits limits;
+};
+
 HttpRequestMessage
 ReleaseRequest(RequestParser& aParser)
 {
@@ -133,28 +148,55 @@
   ++*this->impl->watch;
 }
 
+// Waits until the caller sends something, for no longer than the idle timeout.
+Awaitable<IoError>
+CallerConnection::AwaitRequest(const CallerLimitsSource& aSource)
+{
+  Impl& connection = *this->impl;
+  // An idle connection needs no memory but its socket.
+  connection.buffer.shrink_to_fit();
+  this->waitsWith = &aSource;
+  connection.StartTimeout(aSource.Current().limits.idleTimeout);
+  const auto [error] = co_await connection.socket.async_wait(TcpSocket::wait_read, kAsValue);
+  connection.watchdog.Disarm();
+  this->waitsWith = nullptr;
+  co_return error;
+}
+
+void
+CallerConnection::OnLimitsChanged()
+{
+  if (this->waitsWith != nullptr) {
+    this->impl->watchdog.ChangeDelay(this->waitsWith->Current().limits.idleTimeout);
+  }
+}
+
 Awaitable<Result<HttpRequestMessage>>
 CallerConnection::Read(const CallerLimits& aLimits)
+{
+  const FixedLimits source(aLimits);
+  co_return co_await this->Read(source);
+}
+
+Awaitable<Result<HttpRequestMessage>>
+CallerConnection::Read(const CallerLimitsSource& aSource)
 {
   Impl& connection = *this->impl;
-  const auto headerTimeout = aLimits.headerTimeout;
-  const auto idleTimeout = aLimits.idleTimeout;
   if (connection.buffer.size() == 0) {
-    // An idle connection needs no memory but its socket.
-    connection.buffer.shrink_to_fit();
-    connection.StartTimeout(idleTimeout);
-    const auto [waitError] = co_await connection.socket.async_wait(TcpSocket::wait_read, kAsValue);
-    connection.watchdog.Disarm();
+    const IoError waitError = co_await this->AwaitRequest(aSource);
     if (waitError) {
       co_return ReadFailure(waitError, connection.timedOut, false);
     }
   }
   this->idle = false;
+  const LimitsInForce inForce = aSource.Current();
+  const CallerLimits& limits = inForce.limits;
+  this->limitsVersion = inForce.version;
   RequestParser parser;
-  parser.header_limit(static_cast<std::uint32_t>(aLimits.headerBytes));
-  parser.body_limit(aLimits.bodyBytes);
+  parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+  parser.body_limit(limits.bodyBytes);
   connection.buffer.reserve(kReadBytes);
-  connection.StartTimeout(headerTimeout);
+  connection.StartTimeout(limits.headerTimeout);
   const auto [headError, headBytes] =
     co_await http::async_read_header(connection.socket, connection.buffer, parser, kAsValue);
   connection.watchdog.Disarm();
@@ -166,7 +208,7 @@
   }
   while (!parser.is_done()) {
     // The timeout begins again with each chunk: a caller that is sending its body is not idle.
-    connection.StartTimeout(idleTimeout);
+    connection.StartTimeout(limits.idleTimeout);
     const auto [bodyError, bodyBytes] =
       co_await http::async_read_some(connection.socket, connection.buffer, parser, kAsValue);
     connection.watchdog.Disarm();
--- a/src/transport/EventLoop.cpp
+++ b/src/transport/EventLoop.cpp
@@ -73,7 +73,20 @@
 void
 Watchdog::Arm(Duration aAfter)
 {
-  this->timer.expires_after(aAfter);
+  this->start = asio::steady_timer::clock_type::now();
+  this->ChangeDelay(aAfter);
+}
+
+void
+Watchdog::ChangeDelay(Duration aAfter)
+{
+  this->timer.expires_at(this->start + aAfter);
+  this->Wait();
+}
+
+void
+Watchdog::Wait()
+{
   const std::uint64_t armed = ++this->state->armed;
   this->timer.async_wait([shared = this->state, armed](const IoError& aError) {
     if (!aError && shared->armed == armed) {
--- a/test/transport/CallerConnectionTest.cpp
+++ b/test/transport/CallerConnectionTest.cpp
@@ -9,6 +9,15 @@
 namespace damasklink {
 namespace {
 
+// Limits that a test changes.
+class ChangingLimits final : public CallerLimitsSource
+{
+public:
+  LimitsInForce Current() const override { return this->inForce; }
+
+  LimitsInForce inForce;
+};
+
 // Writes to one end of a connection and reads requests from the other.
 class CallerConnectionTest : public ::testing::Test
 {
@@ -37,6 +46,25 @@
     aTo = co_await this->connection->Read(this->limits);
   }
 
+  // Begins to wait for a request with limits that may change, while nothing has arrived.
+  void BeginIdleWait()
+  {
+    asio::co_spawn(this->loop, this->ReadChangingInto(this->waiting), asio::detached);
+    this->loop.restart();
+    this->loop.poll();
+  }
+
+  Awaitable<void> ReadChangingInto(std::optional<Result<HttpRequestMessage>>& aTo)
+  {
+    aTo = co_await this->connection->Read(this->changing);
+  }
+
+  void RunFor(Duration aTime)
+  {
+    this->loop.restart();
+    this->loop.run_for(aTime);
+  }
+
   // Returns the error with which reading the bytes fails, Internal if it succeeds.
   ErrorKind ErrorOf(const std::string& aBytes)
   {
@@ -50,6 +78,8 @@
   TcpSocket caller{ this->loop };
   std::unique_ptr<CallerConnection> connection;
   CallerLimits limits;
+  ChangingLimits changing;
+  std::optional<Result<HttpRequestMessage>> waiting;
 };
 
 TEST_F(CallerConnectionTest, ReadsBodyWithContentLength)
@@ -153,6 +183,60 @@
   EXPECT_EQ(error, asio::error::eof);
 }
 
+// Guards against 413 for a body that the newer limits of a connection idle over a change allow.
+TEST_F(CallerConnectionTest, RequestAfterChangeIsReadWithLimitsInForceWhenItBegins)
+{
+  this->changing.inForce.limits.bodyBytes = 10;
+  this->BeginIdleWait();
+  this->changing.inForce = LimitsInForce{ CallerLimits{}, Revision(2) };
+  this->Send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\nhello world");
+  this->RunFor(std::chrono::seconds(5));
+  ASSERT_TRUE(this->waiting);
+  EXPECT_TRUE(*this->waiting);
+  EXPECT_EQ(this->connection->LimitsVersion(), Revision(2));
+}
+
+// Guards against a lowered header limit that the next request still evades.
+TEST_F(CallerConnectionTest, RequestAfterChangeIsHeldToLoweredHeaderLimit)
+{
+  this->BeginIdleWait();
+  this->changing.inForce.limits.headerBytes = 100;
+  this->Send("GET /a HTTP/1.1\r\nHost: " + std::string(200, 'h') + "\r\n\r\n");
+  this->RunFor(std::chrono::seconds(5));
+  ASSERT_TRUE(this->waiting);
+  ASSERT_FALSE(*this->waiting);
+  EXPECT_EQ(this->waiting->error().kind, ErrorKind::Overloaded);
+}
+
+// Guards against the end of an idle connection that callers may still use by the raised timeout.
+TEST_F(CallerConnectionTest, RaisedIdleTimeoutHoldsForConnectionThatWaits)
+{
+  this->changing.inForce.limits.idleTimeout = std::chrono::milliseconds(200);
+  this->BeginIdleWait();
+  this->changing.inForce.limits.idleTimeout = std::chrono::seconds(20);
+  this->connection->OnLimitsChanged();
+  this->RunFor(std::chrono::milliseconds(400));
+  EXPECT_FALSE(this->waiting);
+  this->Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  this->RunFor(std::chrono::seconds(5));
+  ASSERT_TRUE(this->waiting);
+  EXPECT_TRUE(*this->waiting);
+}
+
+// Guards against idle connections that outlive a lowered timeout, or begin a new one in full.
+TEST_F(CallerConnectionTest, LoweredIdleTimeoutCountsTimeThatHasPassed)
+{
+  this->BeginIdleWait();
+  this->RunFor(std::chrono::milliseconds(300));
+  EXPECT_FALSE(this->waiting);
+  this->changing.inForce.limits.idleTimeout = std::chrono::milliseconds(250);
+  this->connection->OnLimitsChanged();
+  this->RunFor(std::chrono::milliseconds(100));
+  ASSERT_TRUE(this->waiting);
+  ASSERT_FALSE(*this->waiting);
+  EXPECT_EQ(this->waiting->error().kind, ErrorKind::Interrupted);
+}
+
 // The idle timeout does not limit a whole body: on a slow link it takes longer than that.
 TEST_F(CallerConnectionTest, ReadsSlowBodyThatKeepsArriving)
 {
