Lingering close after the last response of a connection

Cause: a socket that is closed with unread bytes is reset, and the caller that still sends a body, or has sent a next request, sees the reset instead of the 413, 431, 408, 400 or the last response.

Change: after a whole response that ends the connection, entry hosts and control hosts shut down the send side, read and drop what arrives until the caller closes, and close then. Bounds: time, bytes and connections at a time of a host; beyond these the connection is closed at once. A stopping host waits for lingering connections within its limit, and CloseIfIdle() leaves them. Cut streams, callers that left and idle connections are closed at once as before.

Tests: CallerThatSendsTooLargeBodyReadsRefusal failed before with "Connection reset by peer" at the caller; CallerReadsLastResponseThoughItHasSentMore, LingeringCloseEndsAfterItsTime and LingeringCloseEndsAfterItsBytes failed before, since the connection was closed at once (run with a lingering close that closes at once). All of CallerConnectionTest passes. CutStreamIsClosedAtOnceAndNotComplete and ConnectionBeyondLimitOfLingeringOnesIsClosedAtOnce hold the bounds of the change; they passed before, too.

--- a/include/damasklink/transport/CallerConnection.h
+++ b/include/damasklink/transport/CallerConnection.h
@@ -13,6 +13,7 @@
 #include <memory>
 
 #include "damasklink/coordination/ServingConfig.h"
+#include "damasklink/state/Units.h"
 #include "damasklink/transport/CallerChannel.h"
 
 namespace damasklink {
@@ -33,6 +34,22 @@
   virtual LimitsInForce Current() const = 0;
 };
 
+// How long and how much a lingering close reads at most.
+struct LingerBounds
+{
+  Duration time = std::chrono::seconds(2);
+  std::uint64_t bytes = 32 * kMebibyte;
+};
+
+enum class LingerEnd
+{
+  NotBegun, // The last response is not whole, or the connection was closed already.
+  CallerClosed,
+  TimeExceeded,
+  BytesExceeded,
+  TooMany, // Too many other connections were lingering.
+};
+
 class CallerConnection final : public CallerChannel
 {
 public:
@@ -68,7 +85,12 @@
   void WatchForDisconnect(std::function<void()> aHandler) override;
   void StopWatching() override;
 
-  // Closes the connection unless a request is in progress or waits to be read.
+  // Closes the connection once the caller has closed it or a bound is reached. Until then, what
+  // arrives is dropped: closed with unread bytes, the connection would be reset and the caller lose
+  // the response. Closes at once unless a whole response was written since the last Read().
+  Awaitable<LingerEnd> Linger(LingerBounds aBounds);
+
+  // Closes the connection unless a request is in progress or waits to be read, or it lingers.
   void CloseIfIdle();
 
   // Returns whether no request has begun since the last response.
@@ -87,6 +109,9 @@
   const CallerLimitsSource* waitsWith = nullptr;
   Revision limitsVersion;
   bool idle = true;
+  // A response was written to its end, and no Read() has begun since.
+  bool answered = false;
+  bool lingering = false;
 };
 
 } // namespace damasklink
--- a/src/program/ControlCallHandler.cpp
+++ b/src/program/ControlCallHandler.cpp
@@ -70,7 +70,7 @@
     const bool close = ClosesConnection(head.fields, head.version);
     keepAlive = co_await aChannel->WriteWhole(std::move(answer), close) && !close;
   }
-  aChannel->Close();
+  co_await this->lingering.End(*aChannel);
 }
 
 Awaitable<HttpResponseMessage>
--- a/src/program/ControlCallHandler.h
+++ b/src/program/ControlCallHandler.h
@@ -10,6 +10,7 @@
 #include "damasklink/protocol/ServingDialect.h"
 #include "damasklink/state/Metrics.h"
 #include "damasklink/transport/CallerConnection.h"
+#include "damasklink/transport/LingeringClose.h"
 
 namespace damasklink {
 
@@ -53,6 +54,7 @@
   Metrics& metrics;
   WorkStatistics& account;
   std::function<void()> publishTargets;
+  LingeringClose lingering;
 };
 
 } // namespace damasklink
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -100,7 +100,7 @@
     Exchange exchange(this->context, *aChannel, std::move(request.value()));
     reusable = co_await exchange.Run();
   }
-  aChannel->Close();
+  co_await this->lingering.End(*aChannel);
   this->open.erase(position);
 }
 
@@ -175,8 +175,12 @@
     const auto busy = std::count_if(this->open.begin(), this->open.end(), [](const auto& aChannel) {
       return !aChannel->IsIdle();
     });
-    if ((busy == 0 && this->forwarder.Served() == 0) || now >= deadline) {
-      LogEvent(LogLevel::Info, "stop_ends").With("open", this->open.size()).With("busy", busy);
+    const bool ended = busy == 0 && this->lingering.Count() == 0 && this->forwarder.Served() == 0;
+    if (ended || now >= deadline) {
+      LogEvent(LogLevel::Info, "stop_ends")
+        .With("open", this->open.size())
+        .With("busy", busy)
+        .With("lingering", this->lingering.Count());
       break;
     }
   }
--- a/src/program/EntryHostImpl.h
+++ b/src/program/EntryHostImpl.h
@@ -18,6 +18,7 @@
 #include "damasklink/coordination/ServiceLevelWindows.h"
 #include "damasklink/state/MetricsRegistry.h"
 #include "damasklink/transport/ConnectionListener.h"
+#include "damasklink/transport/LingeringClose.h"
 #include "damasklink/transport/PeerMesh.h"
 
 namespace damasklink {
@@ -213,6 +214,7 @@
   ConnectionListener probes{ this->loop };
   // The callers' connections.
   Channels open;
+  LingeringClose lingering;
   // The one that the callers' connections wait with.
   Duration idleTimeout = CallerLimits().idleTimeout;
   ControlHostSelector links{ this->settings.host, this->settings.zone };
--- a/src/transport/CallerConnection.cpp
+++ b/src/transport/CallerConnection.cpp
@@ -23,6 +23,9 @@
 // Minimum buffer size for reading: usual request heads fit into one read.
 constexpr std::size_t kReadBytes = 4096;
 
+// Bytes that a lingering close drops before other connections have their turn.
+constexpr std::size_t kDropBytes = std::size_t{ 64 } * 1024;
+
 // Limits that do not change.
 class FixedLimits final : public CallerLimitsSource
 {
@@ -127,6 +130,36 @@
     co_return !error;
   }
 
+  // Reads and drops bytes that have arrived. Returns how many.
+  std::size_t Drop(IoError& aError)
+  {
+    std::array<char, kDropBytes> dropped;
+    this->socket.non_blocking(true, aError);
+    const std::size_t count = this->socket.receive(asio::buffer(dropped), 0, aError);
+    if (aError == asio::error::would_block) {
+      aError = IoError();
+    }
+    return count;
+  }
+
+  Awaitable<LingerEnd> DropUntilClosed(std::uint64_t aMostBytes)
+  {
+    std::uint64_t bytes = 0;
+    while (!this->timedOut) {
+      if (bytes > aMostBytes) {
+        co_return LingerEnd::BytesExceeded;
+      }
+      auto [error] = co_await this->socket.async_wait(TcpSocket::wait_read, kAsValue);
+      if (!error) {
+        bytes += this->Drop(error);
+      }
+      if (error && !this->timedOut) {
+        co_return LingerEnd::CallerClosed;
+      }
+    }
+    co_return LingerEnd::TimeExceeded;
+  }
+
   TcpSocket socket;
   Watchdog watchdog;
   bool timedOut = false;
@@ -182,6 +215,7 @@
 CallerConnection::Read(const CallerLimitsSource& aSource)
 {
   Impl& connection = *this->impl;
+  this->answered = false;
   if (connection.buffer.size() == 0) {
     const IoError waitError = co_await this->AwaitRequest(aSource);
     if (waitError) {
@@ -226,6 +260,7 @@
     FormatResponseHead(aResponse.head, BodyFraming::Length, aResponse.body.size(), aClose);
   const bool written = co_await this->impl->Write(head, aResponse.body);
   this->idle = true;
+  this->answered = written;
   co_return written;
 }
 
@@ -250,6 +285,7 @@
   constexpr std::string_view kLastChunk = "0\r\n\r\n";
   const bool written = co_await this->impl->Write(kLastChunk);
   this->idle = true;
+  this->answered = written;
   co_return written;
 }
 
@@ -284,11 +320,30 @@
   this->impl->socket.cancel(ignored);
 }
 
+Awaitable<LingerEnd>
+CallerConnection::Linger(LingerBounds aBounds)
+{
+  Impl& connection = *this->impl;
+  IoError ignored;
+  if (this->answered && connection.socket.is_open()) {
+    this->lingering = true;
+    connection.buffer = beast::flat_buffer();
+    connection.socket.shutdown(TcpSocket::shutdown_send, ignored);
+    connection.StartTimeout(aBounds.time);
+    const LingerEnd end = co_await connection.DropUntilClosed(aBounds.bytes);
+    connection.watchdog.Disarm();
+    this->Close();
+    co_return end;
+  }
+  this->Close();
+  co_return LingerEnd::NotBegun;
+}
+
 void
 CallerConnection::CloseIfIdle()
 {
   IoError error;
-  if (this->idle && this->impl->socket.available(error) == 0) {
+  if (this->idle && !this->lingering && this->impl->socket.available(error) == 0) {
     this->Close();
   }
 }
--- a/test/transport/CallerConnectionTest.cpp
+++ b/test/transport/CallerConnectionTest.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "damasklink/state/Units.h"
+#include "damasklink/transport/LingeringClose.h"
 
 namespace damasklink {
 namespace {
@@ -65,6 +66,23 @@
     this->loop.run_for(aTime);
   }
 
+  // Writes a response that ends the connection, and ends it.
+  Awaitable<void> AnswerAndEnd(LingeringClose& aLingering)
+  {
+    HttpResponseMessage response;
+    response.head.status = 413;
+    co_await this->connection->WriteWhole(std::move(response), true);
+    this->lingerEnd = co_await aLingering.End(*this->connection);
+  }
+
+  // Returns all that the caller receives. aError is how it ends.
+  std::string ReceiveAll(IoError& aError)
+  {
+    std::string received;
+    asio::read(this->caller, asio::dynamic_buffer(received), aError);
+    return received;
+  }
+
   // Returns the error with which reading the bytes fails, Internal if it succeeds.
   ErrorKind ErrorOf(const std::string& aBytes)
   {
@@ -80,6 +98,7 @@
   CallerLimits limits;
   ChangingLimits changing;
   std::optional<Result<HttpRequestMessage>> waiting;
+  std::optional<LingerEnd> lingerEnd;
 };
 
 TEST_F(CallerConnectionTest, ReadsBodyWithContentLength)
@@ -237,6 +256,100 @@
   EXPECT_EQ(this->waiting->error().kind, ErrorKind::Interrupted);
 }
 
+// Guards against a reset instead of the 413 for a caller that sends its whole body first.
+TEST_F(CallerConnectionTest, CallerThatSendsTooLargeBodyReadsRefusal)
+{
+  this->limits.bodyBytes = 100'000;
+  const std::size_t size = 3 * kMebibyte;
+  std::string received;
+  IoError sendError;
+  IoError end;
+  std::thread sender([&] {
+    const std::string request =
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n";
+    asio::write(this->caller, asio::buffer(request + std::string(size, 'x')), sendError);
+    received = this->ReceiveAll(end);
+    this->caller.close();
+  });
+  const auto read = this->Read();
+  LingeringClose lingering;
+  asio::co_spawn(this->loop, this->AnswerAndEnd(lingering), asio::detached);
+  this->RunFor(std::chrono::seconds(10));
+  sender.join();
+  EXPECT_FALSE(read);
+  EXPECT_FALSE(sendError) << sendError.message();
+  EXPECT_EQ(end, asio::error::eof) << end.message();
+  EXPECT_EQ(received.rfind("HTTP/1.1 413", 0), 0U) << received;
+  EXPECT_EQ(this->lingerEnd, LingerEnd::CallerClosed);
+}
+
+// Guards against an answer before "Connection: close" that is lost with the request behind it.
+TEST_F(CallerConnectionTest, CallerReadsLastResponseThoughItHasSentMore)
+{
+  this->Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_TRUE(this->Read());
+  this->Send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  LingeringClose lingering;
+  asio::co_spawn(this->loop, this->AnswerAndEnd(lingering), asio::detached);
+  this->RunFor(std::chrono::milliseconds(50));
+  EXPECT_EQ(lingering.Count(), 1U);
+  this->connection->CloseIfIdle();
+  IoError sendError;
+  asio::write(this->caller, asio::buffer(std::string(10, 'x')), sendError);
+  IoError end;
+  EXPECT_EQ(this->ReceiveAll(end).rfind("HTTP/1.1 413", 0), 0U);
+  EXPECT_EQ(end, asio::error::eof) << end.message();
+  this->caller.close();
+  this->RunFor(std::chrono::seconds(5));
+  EXPECT_EQ(this->lingerEnd, LingerEnd::CallerClosed);
+  EXPECT_EQ(lingering.Count(), 0U);
+}
+
+// Guards against lingering connections of callers that neither read nor close.
+TEST_F(CallerConnectionTest, LingeringCloseEndsAfterItsTime)
+{
+  LingeringClose lingering(LingerBounds{ std::chrono::milliseconds(50), kMebibyte });
+  asio::co_spawn(this->loop, this->AnswerAndEnd(lingering), asio::detached);
+  this->RunFor(std::chrono::seconds(5));
+  EXPECT_EQ(this->lingerEnd, LingerEnd::TimeExceeded);
+}
+
+// Guards against a caller that keeps a lingering connection busy.
+TEST_F(CallerConnectionTest, LingeringCloseEndsAfterItsBytes)
+{
+  LingeringClose lingering(LingerBounds{ std::chrono::seconds(60), 1000 });
+  this->Send(std::string(5000, 'x'));
+  asio::co_spawn(this->loop, this->AnswerAndEnd(lingering), asio::detached);
+  this->RunFor(std::chrono::seconds(5));
+  EXPECT_EQ(this->lingerEnd, LingerEnd::BytesExceeded);
+}
+
+// Guards against lingering connections without a limit to their number.
+TEST_F(CallerConnectionTest, ConnectionBeyondLimitOfLingeringOnesIsClosedAtOnce)
+{
+  LingeringClose lingering(LingerBounds{}, 0);
+  asio::co_spawn(this->loop, this->AnswerAndEnd(lingering), asio::detached);
+  this->RunFor(std::chrono::seconds(5));
+  EXPECT_EQ(this->lingerEnd, LingerEnd::TooMany);
+}
+
+// Guards against a lingering close that delays or hides the cut of a stream.
+TEST_F(CallerConnectionTest, CutStreamIsClosedAtOnceAndNotComplete)
+{
+  LingeringClose lingering;
+  const auto cut = [&]() -> Awaitable<void> {
+    const HttpResponseHead head;
+    co_await this->connection->BeginStream(head, "data", false);
+    this->lingerEnd = co_await lingering.End(*this->connection);
+  };
+  asio::co_spawn(this->loop, cut(), asio::detached);
+  this->loop.restart();
+  this->loop.run();
+  EXPECT_EQ(this->lingerEnd, LingerEnd::NotBegun);
+  IoError end;
+  EXPECT_EQ(this->ReceiveAll(end).find("0\r\n\r\n"), std::string::npos);
+}
+
 // The idle timeout does not limit a whole body: on a slow link it takes longer than that.
 TEST_F(CallerConnectionTest, ReadsSlowBodyThatKeepsArriving)
 {
