A timeout does not end a read whose bytes have arrived

Cause: when the process stood still, or more sockets were ready than one turn of the loop takes, a timer that was due ran before the connection was read. It ended an idle connection whose next request had arrived, or answered 408 to a request that had arrived whole. A timer that fired in the same turn as its read ended left the rest of a head without a limit.

Change: a read timeout that fires while the socket has bytes lets the read go on and checks again soon after; it stays armed until the read has ended. Write timeouts and the lingering close are as before.

Tests: RequestThatArrivedBeforeIdleTimeoutRanIsRead, HeadThatArrivedBeforeItsTimeoutRanIsRead and BodyThatArrivedBeforeItsTimeoutRanIsRead failed on the code before (read fails) and pass now. HeadThatStallsAfterItsTimeoutFoundBytesExceedsDeadline passed before, too: it holds that the timeout stays in force.

--- a/src/transport/CallerConnection.cpp
+++ b/src/transport/CallerConnection.cpp
@@ -23,6 +23,9 @@
 // Minimum buffer size for reading: usual request heads fit into one read.
 constexpr std::size_t kReadBytes = 4096;
 
+// How often a read whose timeout has passed is checked again, as long as bytes wait to be read.
+constexpr Duration kRecheckInterval = std::chrono::milliseconds(20);
+
 // Bytes that a lingering close drops before other connections have their turn.
 constexpr std::size_t kDropBytes = std::size_t{ 64 } * 1024;
 
@@ -97,20 +100,39 @@
 public:
   explicit Impl(TcpSocket aSocket)
     : socket(std::move(aSocket))
-    , watchdog(this->socket.get_executor(), [this] {
-      this->timedOut = true;
-      IoError ignored;
-      this->socket.cancel(ignored);
-    })
+    , watchdog(this->socket.get_executor(), [this] { this->OnTimeout(); })
   {
   }
 
   void StartTimeout(Duration aTimeout)
   {
     this->timedOut = false;
+    this->reading = false;
     this->watchdog.Arm(aTimeout);
   }
 
+  // Like StartTimeout(), but bytes that have arrived in time are read even if the process stood
+  // still meanwhile.
+  void StartReadTimeout(Duration aTimeout)
+  {
+    this->StartTimeout(aTimeout);
+    this->reading = true;
+  }
+
+  void OnTimeout()
+  {
+    IoError ignored;
+    if (this->reading) {
+      // An operation that has just ended cannot be cancelled, and another one may follow.
+      this->watchdog.Arm(kRecheckInterval);
+      if (this->socket.available(ignored) > 0) {
+        return;
+      }
+    }
+    this->timedOut = true;
+    this->socket.cancel(ignored);
+  }
+
   Awaitable<bool> Write(std::string_view aFirst, std::string_view aSecond = {})
   {
     this->StartTimeout(kWriteTimeout);
@@ -163,6 +185,8 @@
   TcpSocket socket;
   Watchdog watchdog;
   bool timedOut = false;
+  // Whether the timeout limits a read.
+  bool reading = false;
   // Number of the current WatchForDisconnect(). Shared with its pending wait, which may end after
   // this object was destroyed.
   std::shared_ptr<std::uint64_t> watch = std::make_shared<std::uint64_t>(0);
@@ -189,7 +213,7 @@
   // An idle connection needs no memory but its socket.
   connection.buffer.shrink_to_fit();
   this->waitsWith = &aSource;
-  connection.StartTimeout(aSource.Current().limits.idleTimeout);
+  connection.StartReadTimeout(aSource.Current().limits.idleTimeout);
   const auto [error] = co_await connection.socket.async_wait(TcpSocket::wait_read, kAsValue);
   connection.watchdog.Disarm();
   this->waitsWith = nullptr;
@@ -230,7 +254,7 @@
   parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
   parser.body_limit(limits.bodyBytes);
   connection.buffer.reserve(kReadBytes);
-  connection.StartTimeout(limits.headerTimeout);
+  connection.StartReadTimeout(limits.headerTimeout);
   const auto [headError, headBytes] =
     co_await http::async_read_header(connection.socket, connection.buffer, parser, kAsValue);
   connection.watchdog.Disarm();
@@ -242,7 +266,7 @@
   }
   while (!parser.is_done()) {
     // The timeout begins again with each chunk: a caller that is sending its body is not idle.
-    connection.StartTimeout(limits.idleTimeout);
+    connection.StartReadTimeout(limits.idleTimeout);
     const auto [bodyError, bodyBytes] =
       co_await http::async_read_some(connection.socket, connection.buffer, parser, kAsValue);
     connection.watchdog.Disarm();
--- a/test/transport/CallerConnectionTest.cpp
+++ b/test/transport/CallerConnectionTest.cpp
@@ -66,6 +66,23 @@
     this->loop.run_for(aTime);
   }
 
+  // Lets the time pass while the loop stands still, then has more sockets ready than one turn of
+  // the loop takes, so that timers that are due run before the connection is read.
+  void StandStill(Duration aTime, const std::string& aArrives)
+  {
+    std::this_thread::sleep_for(aTime);
+    for (int count = 0; count < 200; ++count) {
+      auto near = std::make_unique<asio::local::stream_protocol::socket>(this->loop);
+      auto far = std::make_unique<asio::local::stream_protocol::socket>(this->loop);
+      asio::local::connect_pair(*near, *far);
+      near->async_wait(asio::socket_base::wait_read, [](const IoError& /*aError*/) {});
+      asio::write(*far, asio::buffer("x", 1));
+      this->others.push_back(std::move(near));
+      this->others.push_back(std::move(far));
+    }
+    this->Send(aArrives);
+  }
+
   // Writes a response that ends the connection, and ends it.
   Awaitable<void> AnswerAndEnd(LingeringClose& aLingering)
   {
@@ -99,6 +116,7 @@
   ChangingLimits changing;
   std::optional<Result<HttpRequestMessage>> waiting;
   std::optional<LingerEnd> lingerEnd;
+  std::vector<std::unique_ptr<asio::local::stream_protocol::socket>> others;
 };
 
 TEST_F(CallerConnectionTest, ReadsBodyWithContentLength)
@@ -350,6 +368,54 @@
   EXPECT_EQ(this->ReceiveAll(end).find("0\r\n\r\n"), std::string::npos);
 }
 
+// Guards against an idle timeout that ends a connection whose next request has arrived.
+TEST_F(CallerConnectionTest, RequestThatArrivedBeforeIdleTimeoutRanIsRead)
+{
+  this->changing.inForce.limits.idleTimeout = std::chrono::milliseconds(20);
+  this->BeginIdleWait();
+  this->StandStill(std::chrono::milliseconds(40), "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  this->RunFor(std::chrono::seconds(5));
+  ASSERT_TRUE(this->waiting);
+  EXPECT_TRUE(*this->waiting);
+}
+
+// Guards against 408 for a head that has arrived while the process stood still.
+TEST_F(CallerConnectionTest, HeadThatArrivedBeforeItsTimeoutRanIsRead)
+{
+  this->changing.inForce.limits.headerTimeout = std::chrono::milliseconds(20);
+  this->Send("GET /a HTT");
+  this->BeginIdleWait();
+  this->StandStill(std::chrono::milliseconds(40), "P/1.1\r\nHost: h\r\n\r\n");
+  this->RunFor(std::chrono::seconds(5));
+  ASSERT_TRUE(this->waiting);
+  EXPECT_TRUE(*this->waiting);
+}
+
+// Guards against 408 for a body that has arrived while the process stood still.
+TEST_F(CallerConnectionTest, BodyThatArrivedBeforeItsTimeoutRanIsRead)
+{
+  this->changing.inForce.limits.idleTimeout = std::chrono::milliseconds(20);
+  this->Send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab");
+  this->BeginIdleWait();
+  this->StandStill(std::chrono::milliseconds(40), "cd");
+  this->RunFor(std::chrono::seconds(5));
+  ASSERT_TRUE(this->waiting);
+  EXPECT_TRUE(*this->waiting);
+}
+
+// Guards against a head without a limit of time once its timeout found bytes.
+TEST_F(CallerConnectionTest, HeadThatStallsAfterItsTimeoutFoundBytesExceedsDeadline)
+{
+  this->changing.inForce.limits.headerTimeout = std::chrono::milliseconds(20);
+  this->Send("GET /a HTT");
+  this->BeginIdleWait();
+  this->StandStill(std::chrono::milliseconds(40), "P/1.1\r\n");
+  this->RunFor(std::chrono::seconds(5));
+  ASSERT_TRUE(this->waiting);
+  ASSERT_FALSE(*this->waiting);
+  EXPECT_EQ(this->waiting->error().kind, ErrorKind::DeadlineExceeded);
+}
+
 // The idle timeout does not limit a whole body: on a slow link it takes longer than that.
 TEST_F(CallerConnectionTest, ReadsSlowBodyThatKeepsArriving)
 {
