Test: a target that reads nothing for a second closes its connection itself

The red test hung after its call was answered, and the code it tests is not at fault. Cause: once the caller had its answer, the test closed the host's idle connections, but the host puts the connection among them only after it has written the answer. When the test was first, the target waited for a close that never came. The transfer took about 0.1 s, so the small receive buffer was not the cause.

The target now closes the connection after its answer. It is silent for 1.2 s from the first bytes it could read, not from accepting. The request is 4 MB, as 0.19 of 3 MB were left to wait in the host and now 1.19 MB are. The target must have received the whole body.

--- a/test/program/ExchangeTest.cpp
+++ b/test/program/ExchangeTest.cpp
@@ -823,29 +823,31 @@
 // (TCP_USER_TIMEOUT).
 TEST_F(ExchangeTest, TargetThatReadsNothingForASecondKeepsItsCall)
 {
+  // Longer than the buffers on the way take, so that a part of it waits in the host.
+  const std::string body(4'000'000, 'x');
   asio::io_context targetLoop;
   TcpAcceptor listener(targetLoop, TcpEndpoint(asio::ip::make_address("127.0.0.1"), 0));
-  // Small, so that the request does not fit into the buffers on the way.
   listener.set_option(asio::socket_base::receive_buffer_size(4096));
+  std::string received;
   std::thread target([&] {
     TcpSocket socket = listener.accept();
+    socket.wait(TcpSocket::wait_read);
     std::this_thread::sleep_for(std::chrono::milliseconds(1200));
     std::string buffer;
-    if (!testing::ReadMessage(socket, buffer).empty()) {
-      Write(socket, Answer(200, "done"));
-      ScriptedTarget::AwaitClose(socket);
-    }
+    received = testing::ReadMessage(socket, buffer);
+    // Ends the connection itself: the host keeps it for later calls at a time of its own.
+    Write(socket, Answer(200, "done"));
   });
   this->AddTarget("t", Endpoint{ "127.0.0.1", listener.local_endpoint().port() });
   this->Start();
-  const std::string body(3'000'000, 'x');
   Write(this->caller,
         "POST /once/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 3600000\r\n"
         "Content-Length: " +
           std::to_string(body.size()) + "\r\n\r\n" + body);
-  EXPECT_NE(this->Receive().find("HTTP/1.1 200"), std::string::npos);
-  this->OnLoop([&] { this->pool.CloseAll(); });
+  const std::string answer = this->Receive();
   target.join();
+  EXPECT_NE(answer.find("HTTP/1.1 200"), std::string::npos);
+  EXPECT_TRUE(received.ends_with(body));
 }
 
 } // namespace
