A leader holds no lease while it is behind its own group

The followers may commit a change that the leader's slow disk has not synced, and one of them may acknowledge it to a proposer that asked a second time. The leader had not applied it, yet answered reads as the holder of the lease for up to twice the longest election timeout.

The cluster of the tests checks at each step that whoever holds the lease has applied all that was acknowledged; it can also play discovered hosts, hosts at new addresses, and steps in which messages and disks take uneven time.

--- a/src/coordination/RaftLeader.cpp
+++ b/src/coordination/RaftLeader.cpp
@@ -300,8 +300,12 @@
 bool
 RaftCore::LeaseHeld() const
 {
-  if (this->role != RaftRole::Leader || this->transferringLeadership ||
-      this->deliveredIndex < this->termStartIndex) {
+  if (this->role != RaftRole::Leader || this->transferringLeadership) {
+    return false;
+  }
+  // The followers may have committed and acknowledged an entry that this replica has not synced
+  // yet.
+  if (this->deliveredIndex < std::max(this->termStartIndex, this->committed)) {
     return false;
   }
   constexpr int kTenths = 10;
--- a/test/coordination/GroupReplicaTest.cpp
+++ b/test/coordination/GroupReplicaTest.cpp
@@ -428,6 +428,18 @@
   EXPECT_EQ(this->cluster.Acknowledged().size(), 4U);
 }
 
+// Guards against reads of an older state: the followers commit a command that the leader has not
+// synced and so not applied, and one of them acknowledges it. The cluster asserts at each step that
+// whoever holds the lease has applied all that was acknowledged.
+TEST_F(GroupReplicaTest, LeaderWithSlowDiskHoldsNoLeaseWhileItIsBehind)
+{
+  this->cluster.Node(this->Leader()).diskHangs = true;
+  this->cluster.Propose(this->Follower());
+  this->cluster.Run(std::chrono::seconds(3));
+  EXPECT_EQ(this->cluster.Acknowledged().size(), 4U);
+  EXPECT_FALSE(this->cluster.Leader().has_value());
+}
+
 TEST_F(GroupReplicaTest, IdleGroupSendsOnlyHeartbeats)
 {
   const std::size_t before = this->cluster.MessagesSent();
--- a/test/support/GroupCluster.h
+++ b/test/support/GroupCluster.h
@@ -39,14 +39,26 @@
   std::unique_ptr<Process> process;
   bool frozen = false;
   bool diskHangs = false;
+  // Whether the host may form the group: it has never lost its disk, and is no later successor.
+  bool firstStart = true;
+};
+
+struct ClusterOptions
+{
+  RaftTiming timing;
+  std::size_t maxMessageBytes = 64;
+  // If set, the first founders form the group with each other, and all other hosts are discovered.
+  std::optional<std::size_t> maxVoters;
+  std::size_t founders = 3;
 };
 
 // Asserts after every step what must always hold.
 class GroupCluster
 {
 public:
-  GroupCluster(std::size_t aNodes, std::uint64_t aSeed)
-    : random(aSeed)
+  GroupCluster(std::size_t aNodes, std::uint64_t aSeed, const ClusterOptions& aOptions = {})
+    : clusterOptions(aOptions)
+    , random(aSeed)
   {
     for (std::size_t index = 0; index < aNodes; ++index) {
       this->hosts.push_back(HostId("host-" + std::to_string(index)));
@@ -82,15 +94,35 @@
     options.raft.host = node.host;
     options.raft.replica = process->replica;
     options.raft.seed = this->random();
-    options.raft.maxMessageBytes = 64;
+    options.raft.timing = this->clusterOptions.timing;
+    options.raft.maxMessageBytes = this->clusterOptions.maxMessageBytes;
     options.raft.trailingEntries = 3;
     options.listedVoters = this->hosts;
+    if (this->clusterOptions.maxVoters) {
+      options.listedVoters.resize(std::min(this->Size(), this->clusterOptions.founders));
+      options.mayFormGroup = node.firstStart;
+      options.maxVoters = this->clusterOptions.maxVoters;
+    }
     options.snapshotEntries = 12;
     process->group =
       std::make_unique<GroupReplica>(this->clock, options, std::move(recovered.value()));
     process->group->Machines().Add(StateMachineId::Claims, process->machine);
     process->tracker = std::make_unique<ProposalForwarder>(this->clock, node.host, this->random());
     node.process = std::move(process);
+    if (this->clusterOptions.maxVoters) {
+      this->Introduce(aNode);
+    }
+  }
+
+  // Adds a host with an empty disk while the others run.
+  std::size_t Add()
+  {
+    this->hosts.push_back(HostId("host-" + std::to_string(this->Size())));
+    ClusterNode& added = this->nodes.emplace_back();
+    added.host = this->hosts.back();
+    added.firstStart = false;
+    this->Start(this->Size() - 1);
+    return this->Size() - 1;
   }
 
   void Kill(std::size_t aNode, bool aCutPower)
@@ -107,6 +139,7 @@
   {
     this->nodes[aNode].process.reset();
     this->nodes[aNode].disk = std::make_unique<FakeDisk>();
+    this->nodes[aNode].firstStart = false;
     this->Start(aNode);
   }
 
@@ -144,6 +177,17 @@
 
   void HealNetwork() { this->cuts.clear(); }
 
+  // Ends the cuts from and to one node.
+  void Reconnect(std::size_t aNode)
+  {
+    std::erase_if(this->cuts, [&](const auto& aCut) {
+      return aCut.first == this->hosts[aNode] || aCut.second == this->hosts[aNode];
+    });
+  }
+
+  // Drops all messages under way.
+  void ResetConnections() { this->network.clear(); }
+
   void Propose(std::size_t aNode)
   {
     if (this->nodes[aNode].process == nullptr) {
@@ -154,6 +198,10 @@
       if (aAnswer) {
         RC_ASSERT(aAnswer.value() == command);
         this->acknowledged.insert(command);
+        const auto position = std::find(this->applied.begin(), this->applied.end(), command);
+        RC_ASSERT(position != this->applied.end());
+        this->leastApplied =
+          std::max<std::size_t>(this->leastApplied, position - this->applied.begin() + 1);
       } else if (aAnswer.error().kind != ErrorKind::DeadlineExceeded) {
         this->refused.insert(command);
       }
@@ -246,6 +294,28 @@
     }
   }
 
+  // Lets time pass in one step, in which some messages and some disks take longer than the step.
+  void RunUnevenly(Duration aStep)
+  {
+    this->Advance(aStep);
+    for (std::size_t node = 0; node < this->Size(); ++node) {
+      this->Tick(node);
+    }
+    std::size_t waiting = 0;
+    for (std::size_t moves = this->network.size() * 2; moves > 0; --moves) {
+      const bool moved = this->random() % 4 != 0 && this->Move(waiting, Fate::Deliver);
+      waiting += moved ? 0 : 1;
+      if (waiting >= this->network.size()) {
+        break;
+      }
+    }
+    for (std::size_t node = 0; node < this->Size(); ++node) {
+      if (this->random() % 2 == 0) {
+        this->Sync(node);
+      }
+    }
+  }
+
   // Returns the node that may act as leader, nothing while there is none.
   std::optional<std::size_t> Leader() const
   {
@@ -291,6 +361,17 @@
   }
 
 private:
+  // Lets a node and all others that run know of each other.
+  void Introduce(std::size_t aNode)
+  {
+    for (ClusterNode& other : this->nodes) {
+      this->nodes[aNode].process->group->AddDiscoveredHost(other.host);
+      if (other.process != nullptr) {
+        other.process->group->AddDiscoveredHost(this->hosts[aNode]);
+      }
+    }
+  }
+
   // Only a schedule that ended the process in the middle may keep it from starting.
   void FailStart(std::size_t aNode, const Error& aError)
   {
@@ -331,6 +412,8 @@
       RC_ASSERT(!overruled);
     }
     const auto& commands = aProcess.machine.commands;
+    // Whoever may answer reads knows all that was acknowledged.
+    RC_ASSERT(!core.LeaseHeld() || commands.size() >= this->leastApplied);
     for (std::size_t index = 0; index < commands.size(); ++index) {
       if (index == this->applied.size()) {
         this->applied.push_back(commands[index]);
@@ -340,6 +423,7 @@
   }
 
   GroupId id{ "claims/hall" };
+  ClusterOptions clusterOptions;
   ManualClock clock;
   std::mt19937_64 random;
   std::vector<HostId> hosts;
@@ -349,6 +433,8 @@
   std::map<Term, ReplicaId> leaders;
   Term committedTerm;
   std::vector<std::string> applied;
+  // How many commands cover all that was acknowledged.
+  std::size_t leastApplied = 0;
   std::set<std::string> acknowledged;
   std::set<std::string> refused;
   std::uint64_t nextCommand = 0;
