A lost replica is removed before its host's new one votes

The new replica of a host became a voter beside the former one. If its disk was lost too at that moment, two voters of one host could never answer, and with three hosts the others waited for ever: what was acknowledged was on their disks, and no leader could be elected. Now the silent former replica is removed as soon as the new one has caught up. Its own quorum is as large either way.

--- a/include/damasklink/coordination/MembershipRepair.h
+++ b/include/damasklink/coordination/MembershipRepair.h
@@ -11,9 +11,9 @@
 
 // Proposes one membership change at a time.
 //
-// A host that lost its disk returns as a new replica. That replica is added as a learner, becomes a
-// voter once it has caught up, and then the host's former replica is removed. A host that does not
-// answer and is no longer listed in the settings is removed too.
+// A host that lost its disk returns as a new replica. That replica is added as a learner. Once it
+// has caught up, the host's former replica is removed and the new one becomes a voter. A host that
+// does not answer and is no longer listed in the settings is removed too.
 //
 // If hosts are discovered rather than listed, each host that asks to join becomes a learner.
 // Learners become voters in pairs up to a maximum number of voters, or one at a time to replace a
@@ -45,7 +45,7 @@
   bool MayAddVoter(const Membership& aNow, const RaftCore& aCore) const;
   std::optional<Membership> RemoveRetired(const Membership& aNow, const RaftCore& aCore) const;
   std::optional<Membership> Promote(const Membership& aNow, const RaftCore& aCore) const;
-  std::optional<Membership> RemoveReplaced(const Membership& aNow) const;
+  std::optional<Membership> RemoveReplaced(const Membership& aNow, const RaftCore& aCore) const;
   std::optional<Membership> AddLearner(const Membership& aNow);
 
   std::vector<HostId> listed;
--- a/src/coordination/MembershipRepair.cpp
+++ b/src/coordination/MembershipRepair.cpp
@@ -38,7 +38,7 @@
 MembershipRepair::Next(const RaftCore& aCore)
 {
   const Membership& now = aCore.Log().NewestMembership();
-  if (auto removed = this->RemoveReplaced(now)) {
+  if (auto removed = this->RemoveReplaced(now, aCore)) {
     return removed;
   }
   if (auto promoted = this->Promote(now, aCore)) {
@@ -90,14 +90,18 @@
   return std::nullopt;
 }
 
-// Removes the former replica of a host that has a newer voter. New members are appended, so the
+// Removes the former replica of a host that has a newer one: once the newer one votes, or before
+// that if the former one is silent and the newer one has caught up. The number of others that must
+// answer is the same either way. But if the newer one voted first and its disk were lost as well,
+// two members could never answer, and the others might be too few. New members are appended, so the
 // newer one comes later in the list.
 std::optional<Membership>
-MembershipRepair::RemoveReplaced(const Membership& aNow) const
+MembershipRepair::RemoveReplaced(const Membership& aNow, const RaftCore& aCore) const
 {
   for (auto older = aNow.members.begin(); older != aNow.members.end(); ++older) {
+    const bool lost = older->voter && !aCore.HeardRecentlyFrom(older->replica);
     const bool replaced = std::any_of(older + 1, aNow.members.end(), [&](const Member& aMember) {
-      return aMember.host == older->host && aMember.voter;
+      return aMember.host == older->host && (aMember.voter || (lost && IsCaughtUp(aMember, aCore)));
     });
     if (replaced) {
       Membership next = aNow;
--- a/test/coordination/MembershipRepairTest.cpp
+++ b/test/coordination/MembershipRepairTest.cpp
@@ -183,5 +183,29 @@
   EXPECT_FALSE(this->Step());
 }
 
+// Guards against a group that waits forever for two lost replicas of one host: the newer one is
+// lost as well before the change that makes it a voter is committed.
+TEST_F(DiscoveredMembershipTest, RemovesSilentFormerReplicaBeforeSuccessorVotes)
+{
+  constexpr ReplicaId kSuccessor(6);
+  this->Join("stranger", kNewDisk);
+  this->Join("another", kNewerDisk);
+  this->Step();
+  this->AcknowledgeAll();
+  this->Step();
+  this->AcknowledgeAll();
+  this->joined = { kNewerDisk };
+  this->Join("stranger", kSuccessor);
+  this->clock.Advance(RaftTiming().electionTimeoutMax);
+  this->AcknowledgeAll();
+  ASSERT_TRUE(this->Step());
+  EXPECT_EQ(this->Find(kNewDisk), nullptr);
+  EXPECT_FALSE(this->Find(kSuccessor)->voter);
+  this->AcknowledgeAll();
+  ASSERT_TRUE(this->Step());
+  EXPECT_TRUE(this->Find(kSuccessor)->voter);
+  EXPECT_EQ(this->Voters(), 3U);
+}
+
 } // namespace
 } // namespace damasklink
