Ends of callers' connections are counted by reason, unusual ones logged

Without it a connection that a limit ended, one whose lingering close reached a bound, and one that a stop cut could not be told apart. request_unreadable names the unread bytes and the end. No change of behaviour. Connections that are not admitted stay under closed_unread; those that are cut at the end of a stop are not counted.

--- a/include/damasklink/state/Metrics.h
+++ b/include/damasklink/state/Metrics.h
@@ -40,6 +40,8 @@
   ForwardedCalls,      // Handed to other entry hosts; kind: how that ended.
   ForwardingDeclines,  // By other entry hosts; kind: the reason.
   ServedForwards,      // Calls run for other entry hosts.
+  ConnectionEnds,      // Of callers; kind: the reason.
+  LingeringCloses,     // Of callers' connections; kind: how they ended.
   CrashReports,        // Requests that ran on a target when it ended.
   ClosedUnread,        // Connections of callers that were closed before anything was read.
   SilentAttempts,      // Whose target was silent; kind: given_up, or kept for want of another way.
--- a/include/damasklink/transport/CallerConnection.h
+++ b/include/damasklink/transport/CallerConnection.h
@@ -11,6 +11,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string_view>
 
 #include "damasklink/coordination/ServingConfig.h"
 #include "damasklink/state/Units.h"
@@ -34,6 +36,24 @@
   virtual LimitsInForce Current() const = 0;
 };
 
+// Why a connection ended.
+enum class ConnectionEnd
+{
+  Answered, // After a whole response.
+  CutOff,   // Before or within a response.
+  NotTaken, // The caller did not take a response.
+  CallerClosed,
+  HostClosed, // While it was idle.
+  IdleTimeout,
+  TooSlow,
+  HeadTooLarge,
+  BodyTooLarge,
+  Malformed,
+};
+
+std::string_view
+ConnectionEndName(ConnectionEnd aEnd);
+
 // How long and how much a lingering close reads at most.
 struct LingerBounds
 {
@@ -50,6 +70,9 @@
   TooMany, // Too many other connections were lingering.
 };
 
+std::string_view
+LingerEndName(LingerEnd aEnd);
+
 class CallerConnection final : public CallerChannel
 {
 public:
@@ -90,6 +113,16 @@
   // the response. Closes at once unless a whole response was written since the last Read().
   Awaitable<LingerEnd> Linger(LingerBounds aBounds);
 
+  // Returns whether Linger() would wait for the caller.
+  bool MayLinger() const;
+
+  // Requires that the connection has ended, or that Read() has failed.
+  ConnectionEnd End() const;
+  // Returns how many bytes were unread when Read() failed or the connection was closed.
+  std::uint64_t UnreadBytes() const { return this->unread; }
+  // Returns how many bytes a lingering close has dropped.
+  std::uint64_t DroppedBytes() const;
+
   // Closes the connection unless a request is in progress or waits to be read, or it lingers.
   void CloseIfIdle();
 
@@ -102,12 +135,17 @@
 private:
   class Impl;
 
+  void NoteReadFailure(ConnectionEnd aEnd);
+  ConnectionEnd ReadEnd(const IoError& aError) const;
+  void CountUnread();
   Awaitable<IoError> AwaitRequest(const CallerLimitsSource& aSource);
 
   std::unique_ptr<Impl> impl;
   // Set while the connection waits for a request.
   const CallerLimitsSource* waitsWith = nullptr;
   Revision limitsVersion;
+  std::optional<ConnectionEnd> readEnd;
+  std::uint64_t unread = 0;
   bool idle = true;
   // A response was written to its end, and no Read() has begun since.
   bool answered = false;
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -100,7 +100,8 @@
     Exchange exchange(this->context, *aChannel, std::move(request.value()));
     reusable = co_await exchange.Run();
   }
-  co_await this->lingering.End(*aChannel);
+  const LingerEnd lingerEnd = co_await this->lingering.End(*aChannel);
+  this->ends.OnEnd(*aChannel, lingerEnd);
   this->open.erase(position);
 }
 
@@ -110,9 +111,7 @@
   if (aError.kind == ErrorKind::Interrupted) {
     co_return;
   }
-  LogEvent(LogLevel::Info, "request_unreadable")
-    .With("error", aError)
-    .With("version", aChannel.LimitsVersion());
+  this->ends.OnUnreadable(aChannel, aError);
   HttpResponseMessage response = this->calls.FailureResponse(
     CallerError{ aError, RunOutcome::NotRun, std::nullopt }, RequestId());
   if (aError.kind == ErrorKind::DeadlineExceeded) {
--- a/src/program/EntryHostImpl.h
+++ b/src/program/EntryHostImpl.h
@@ -17,6 +17,7 @@
 #include "damasklink/coordination/HubSelector.h"
 #include "damasklink/coordination/ServiceLevelWindows.h"
 #include "damasklink/state/MetricsRegistry.h"
+#include "damasklink/transport/ConnectionEndLog.h"
 #include "damasklink/transport/ConnectionListener.h"
 #include "damasklink/transport/LingeringClose.h"
 #include "damasklink/transport/PeerMesh.h"
@@ -215,6 +216,7 @@
   // The callers' connections.
   Channels open;
   LingeringClose lingering;
+  ConnectionEndLog ends{ this->metrics };
   // The one that the callers' connections wait with.
   Duration idleTimeout = CallerLimits().idleTimeout;
   ControlHostSelector links{ this->settings.host, this->settings.zone };
--- a/src/program/EntryHostUpdates.cpp
+++ b/src/program/EntryHostUpdates.cpp
@@ -59,6 +59,7 @@
   const std::uint64_t declined = this->admission.Declined();
   const bool before = this->admission.IsOverloaded();
   this->admission.OnInterval(lag);
+  this->ends.OnInterval();
   this->context.overloaded = this->admission.IsOverloaded();
   if (declined > 0 || before != this->context.overloaded) {
     LogEvent(LogLevel::Info, "connections_limited")
--- a/src/protocol/MetricsText.cpp
+++ b/src/protocol/MetricsText.cpp
@@ -39,6 +39,8 @@
   { Counter::ForwardedCalls, "damasklink_forwarded_calls_total" },
   { Counter::ForwardingDeclines, "damasklink_forwarding_declines_total" },
   { Counter::ServedForwards, "damasklink_served_forwards_total" },
+  { Counter::ConnectionEnds, "damasklink_connection_ends_total" },
+  { Counter::LingeringCloses, "damasklink_lingering_closes_total" },
   { Counter::CrashReports, "damasklink_crash_reports_total" },
   { Counter::ClosedUnread, "damasklink_connections_closed_unread_total" },
   { Counter::SilentAttempts, "damasklink_silent_attempts_total" },
--- a/src/transport/CallerConnection.cpp
+++ b/src/transport/CallerConnection.cpp
@@ -95,6 +95,52 @@
 
 } // namespace
 
+std::string_view
+ConnectionEndName(ConnectionEnd aEnd)
+{
+  switch (aEnd) {
+    case ConnectionEnd::Answered:
+      return "answered";
+    case ConnectionEnd::CutOff:
+      return "cut_off";
+    case ConnectionEnd::NotTaken:
+      return "not_taken";
+    case ConnectionEnd::CallerClosed:
+      return "caller_closed";
+    case ConnectionEnd::HostClosed:
+      return "host_closed";
+    case ConnectionEnd::IdleTimeout:
+      return "idle_timeout";
+    case ConnectionEnd::TooSlow:
+      return "too_slow";
+    case ConnectionEnd::HeadTooLarge:
+      return "head_too_large";
+    case ConnectionEnd::BodyTooLarge:
+      return "body_too_large";
+    case ConnectionEnd::Malformed:
+      return "malformed";
+  }
+  return "unknown";
+}
+
+std::string_view
+LingerEndName(LingerEnd aEnd)
+{
+  switch (aEnd) {
+    case LingerEnd::NotBegun:
+      return "not_begun";
+    case LingerEnd::CallerClosed:
+      return "caller_closed";
+    case LingerEnd::TimeExceeded:
+      return "time_exceeded";
+    case LingerEnd::BytesExceeded:
+      return "bytes_exceeded";
+    case LingerEnd::TooMany:
+      return "too_many";
+  }
+  return "unknown";
+}
+
 class CallerConnection::Impl
 {
 public:
@@ -149,6 +195,7 @@
     };
     const auto [error, bytes] = co_await asio::async_write(this->socket, buffers, more, kAsValue);
     this->watchdog.Disarm();
+    this->writeFailed = error && this->socket.is_open();
     co_return !error;
   }
 
@@ -166,14 +213,13 @@
 
   Awaitable<LingerEnd> DropUntilClosed(std::uint64_t aMostBytes)
   {
-    std::uint64_t bytes = 0;
     while (!this->timedOut) {
-      if (bytes > aMostBytes) {
+      if (this->dropped > aMostBytes) {
         co_return LingerEnd::BytesExceeded;
       }
       auto [error] = co_await this->socket.async_wait(TcpSocket::wait_read, kAsValue);
       if (!error) {
-        bytes += this->Drop(error);
+        this->dropped += this->Drop(error);
       }
       if (error && !this->timedOut) {
         co_return LingerEnd::CallerClosed;
@@ -187,6 +233,9 @@
   bool timedOut = false;
   // Whether the timeout limits a read.
   bool reading = false;
+  bool writeFailed = false;
+  bool callerLeft = false;
+  std::uint64_t dropped = 0;
   // Number of the current WatchForDisconnect(). Shared with its pending wait, which may end after
   // this object was destroyed.
   std::shared_ptr<std::uint64_t> watch = std::make_shared<std::uint64_t>(0);
@@ -243,6 +292,7 @@
   if (connection.buffer.size() == 0) {
     const IoError waitError = co_await this->AwaitRequest(aSource);
     if (waitError) {
+      this->NoteReadFailure(this->ReadEnd(waitError));
       co_return ReadFailure(waitError, connection.timedOut, false);
     }
   }
@@ -259,9 +309,11 @@
     co_await http::async_read_header(connection.socket, connection.buffer, parser, kAsValue);
   connection.watchdog.Disarm();
   if (headError) {
+    this->NoteReadFailure(this->ReadEnd(headError));
     co_return ReadFailure(headError, connection.timedOut, true);
   }
   if (auto framed = CheckFraming(HeadOf(parser)); !framed) {
+    this->NoteReadFailure(ConnectionEnd::Malformed);
     co_return Fail(framed.error());
   }
   while (!parser.is_done()) {
@@ -271,6 +323,7 @@
       co_await http::async_read_some(connection.socket, connection.buffer, parser, kAsValue);
     connection.watchdog.Disarm();
     if (bodyError) {
+      this->NoteReadFailure(this->ReadEnd(bodyError));
       co_return ReadFailure(bodyError, connection.timedOut, true);
     }
   }
@@ -331,6 +384,7 @@
       // Readable bytes belong to the next request. The end of the stream or an error is a
       // disconnect.
       if (error && error != asio::error::would_block) {
+        impl->callerLeft = true;
         handler();
       }
     });
@@ -349,7 +403,7 @@
 {
   Impl& connection = *this->impl;
   IoError ignored;
-  if (this->answered && connection.socket.is_open()) {
+  if (this->MayLinger()) {
     this->lingering = true;
     connection.buffer = beast::flat_buffer();
     connection.socket.shutdown(TcpSocket::shutdown_send, ignored);
@@ -372,9 +426,71 @@
   }
 }
 
+bool
+CallerConnection::MayLinger() const
+{
+  return this->answered && this->impl->socket.is_open();
+}
+
+ConnectionEnd
+CallerConnection::End() const
+{
+  if (this->readEnd) {
+    return *this->readEnd;
+  }
+  if (this->impl->callerLeft) {
+    return ConnectionEnd::CallerClosed;
+  }
+  if (this->impl->writeFailed) {
+    return ConnectionEnd::NotTaken;
+  }
+  return this->answered ? ConnectionEnd::Answered : ConnectionEnd::CutOff;
+}
+
+std::uint64_t
+CallerConnection::DroppedBytes() const
+{
+  return this->impl->dropped;
+}
+
+void
+CallerConnection::NoteReadFailure(ConnectionEnd aEnd)
+{
+  this->readEnd = aEnd;
+  this->CountUnread();
+}
+
+ConnectionEnd
+CallerConnection::ReadEnd(const IoError& aError) const
+{
+  if (this->impl->timedOut) {
+    return this->idle ? ConnectionEnd::IdleTimeout : ConnectionEnd::TooSlow;
+  }
+  if (aError == http::error::header_limit) {
+    return ConnectionEnd::HeadTooLarge;
+  }
+  if (aError == http::error::body_limit) {
+    return ConnectionEnd::BodyTooLarge;
+  }
+  if (internal::IsMalformed(aError)) {
+    return ConnectionEnd::Malformed;
+  }
+  return this->impl->socket.is_open() ? ConnectionEnd::CallerClosed : ConnectionEnd::HostClosed;
+}
+
+void
+CallerConnection::CountUnread()
+{
+  if (this->impl->socket.is_open()) {
+    IoError ignored;
+    this->unread = this->impl->socket.available(ignored) + this->impl->buffer.size();
+  }
+}
+
 void
 CallerConnection::Close()
 {
+  this->CountUnread();
   IoError ignored;
   this->impl->socket.close(ignored);
 }
--- a/src/transport/LingeringClose.cpp
+++ b/src/transport/LingeringClose.cpp
@@ -5,7 +5,7 @@
 Awaitable<LingerEnd>
 LingeringClose::End(CallerConnection& aConnection)
 {
-  if (this->count >= this->most) {
+  if (this->count >= this->most && aConnection.MayLinger()) {
     aConnection.Close();
     co_return LingerEnd::TooMany;
   }
