A reserved retry is left until it is sent

What callers can see: a stream that is cut off although a retry had been reserved for it.

Cause: the retry was used up when the attempt had ended. If the next target was not reached, nothing had been sent, and still another retry was asked for.

Change: a retry that was taken from the budget stays with the call until the next attempt begins to send. The number of retries that are sent stays within the budget.

--- a/include/damasklink/coordination/ExchangeRetryPolicy.h
+++ b/include/damasklink/coordination/ExchangeRetryPolicy.h
@@ -91,8 +91,10 @@
   // earlier attempt can have reached a target.
   ExchangeStep After(AttemptResult aResult, MonotonicTime aNow, RetryBudget& aBudget);
 
-  // Takes the retry that would follow if the attempt in progress were abandoned now. Returns false
-  // if none may follow, so that the attempt should go on.
+  // Returns whether a retry may follow if the attempt in progress is abandoned now.
+  bool MayRetry(MonotonicTime aNow, const RetryBudget& aBudget) const;
+
+  // Takes that retry from the budget. Returns false if none may follow.
   bool ReserveRetry(MonotonicTime aNow, RetryBudget& aBudget);
 
   // Returns the next step when there is no target left to try.
@@ -107,6 +109,7 @@
 
 private:
   bool MayTryAnother(AttemptResult aResult, MonotonicTime aNow) const;
+  bool TakeRetry(RetryBudget& aBudget);
   ExchangeStep GiveUp(AttemptResult aResult) const;
   bool CertainlyNotRun() const;
 
@@ -116,7 +119,7 @@
   std::uint64_t unreachable = 0;
   std::uint64_t declined = 0;
   bool passedOn = false;
-  // The next retry has been taken from the budget.
+  // A retry has been taken from the budget and not been sent yet.
   bool reserved = false;
   // Whether a target has answered with a failure, which the caller may still get.
   bool targetFailed = false;
--- a/include/damasklink/coordination/RetryBudget.h
+++ b/include/damasklink/coordination/RetryBudget.h
@@ -33,6 +33,9 @@
   // Changes the capacity. Balance beyond it is lost; a larger capacity adds no balance.
   void SetReserve(double aReserve);
 
+  // Returns whether a retry is allowed.
+  bool Allows() const { return this->balance >= 1; }
+
   // Returns whether a retry is allowed, and if so deducts it from the balance.
   bool TryTake();
 
--- a/src/coordination/ExchangeRetryPolicy.cpp
+++ b/src/coordination/ExchangeRetryPolicy.cpp
@@ -63,6 +63,7 @@
 {
   this->record.Advance(AttemptStage::Sending);
   ++this->sent;
+  this->reserved = false;
 }
 
 ExchangeStep
@@ -96,26 +97,36 @@
     case AttemptResult::Expired:
       break;
   }
-  // After an attempt that cannot have reached its target, the next one is not a retry. The retry
-  // that an attempt took from the budget and did not send is left for the next one.
+  // After an attempt that cannot have reached its target, the next one is not a retry.
   const bool firstSend = aResult == AttemptResult::Unreachable && this->sent == 0;
   const bool isRetry =
     !firstSend && aResult != AttemptResult::NotSent && aResult != AttemptResult::Declined;
-  const bool isFree = !isRetry || std::exchange(this->reserved, false);
-  if (this->MayTryAnother(aResult, aNow) && (isFree || aBudget.TryTake())) {
+  if (this->MayTryAnother(aResult, aNow) && (!isRetry || this->TakeRetry(aBudget))) {
     return ExchangeStep::TryAnother;
   }
   return this->GiveUp(aResult);
 }
 
+// A retry that was taken from the budget and not sent is left for the next attempt.
 bool
-ExchangeRetryPolicy::ReserveRetry(MonotonicTime aNow, RetryBudget& aBudget)
+ExchangeRetryPolicy::TakeRetry(RetryBudget& aBudget)
 {
-  this->reserved =
-    this->reserved || (this->MayTryAnother(AttemptResult::Broken, aNow) && aBudget.TryTake());
+  this->reserved = this->reserved || aBudget.TryTake();
   return this->reserved;
 }
 
+bool
+ExchangeRetryPolicy::MayRetry(MonotonicTime aNow, const RetryBudget& aBudget) const
+{
+  return this->MayTryAnother(AttemptResult::Broken, aNow) && (this->reserved || aBudget.Allows());
+}
+
+bool
+ExchangeRetryPolicy::ReserveRetry(MonotonicTime aNow, RetryBudget& aBudget)
+{
+  return this->MayTryAnother(AttemptResult::Broken, aNow) && this->TakeRetry(aBudget);
+}
+
 ExchangeStep
 ExchangeRetryPolicy::WithoutTarget() const
 {
--- a/src/coordination/RetryBudget.cpp
+++ b/src/coordination/RetryBudget.cpp
@@ -20,7 +20,7 @@
 bool
 RetryBudget::TryTake()
 {
-  if (this->balance < 1) {
+  if (!this->Allows()) {
     return false;
   }
   this->balance -= 1;
--- a/test/coordination/ExchangeRetryPolicyTest.cpp
+++ b/test/coordination/ExchangeRetryPolicyTest.cpp
@@ -126,6 +126,20 @@
   EXPECT_EQ(second.After(AttemptResult::Broken, kNow, this->budget), ExchangeStep::Fail);
 }
 
+// Guards against calls that end because a target, which the reserved retry was meant for, was not
+// reached.
+TEST_F(ExchangeRetryPolicyTest, ReservedRetryIsLeftByTargetThatIsNotReached)
+{
+  this->budget = RetryBudget(0, 1);
+  ExchangeRetryPolicy plan(MakeLimits(true, 3));
+  plan.Begin(AttemptId("a"), TargetId("silent"));
+  plan.Sending();
+  ASSERT_TRUE(plan.ReserveRetry(kNow, this->budget));
+  ASSERT_EQ(plan.After(AttemptResult::Broken, kNow, this->budget), ExchangeStep::TryAnother);
+  EXPECT_EQ(this->Send(plan, AttemptResult::Unreachable), ExchangeStep::TryAnother);
+  EXPECT_EQ(this->Send(plan, AttemptResult::Broken), ExchangeStep::Fail);
+}
+
 TEST_F(ExchangeRetryPolicyTest, NoRetryIsReservedForCallThatMayNotBeSentAgain)
 {
   ExchangeRetryPolicy once(MakeLimits(false, 2));
