A connection between hosts is not idle while the other side's calls run on it

What callers can see: forwarded calls that break off or wait to their deadline, in steady state.

Cause: a host closed a connection that it had made five seconds before when none of its own calls ran on it; calls that the other host had forwarded to it were not looked at.

Change: it is kept while calls of the other side are served.

IdleLinkTest.ConnectionIsKeptWhileCallsOfTheOtherSideRun, with one and with two connections, failed before.

--- a/src/program/CallForwarder.cpp
+++ b/src/program/CallForwarder.cpp
@@ -1,5 +1,6 @@
 #include "CallForwarder.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "damasklink/transport/Log.h"
@@ -181,7 +182,9 @@
 {
   const MonotonicTime now = this->clock.MonotonicNow();
   for (auto used = this->usedAt.begin(); used != this->usedAt.end();) {
-    if (now - used->second < kIdleTimeout || this->peers.IsInUse(used->first)) {
+    // The other side's calls may run on the connection that this host has made.
+    const bool inUse = this->peers.IsInUse(used->first) || this->ServesCallsOf(used->first);
+    if (inUse || now - used->second < kIdleTimeout) {
       ++used;
       continue;
     }
@@ -191,6 +194,14 @@
   }
 }
 
+bool
+CallForwarder::ServesCallsOf(const HostId& aHost) const
+{
+  return std::any_of(this->served.begin(), this->served.end(), [&](const auto& aItem) {
+    return aItem.first.first == aHost;
+  });
+}
+
 void
 CallForwarder::SendMessage(const HostId& aHost, const ForwardingMessage& aMessage)
 {
--- a/src/program/CallForwarder.h
+++ b/src/program/CallForwarder.h
@@ -142,6 +142,7 @@
     std::size_t bytes = 0;
   };
 
+  bool ServesCallsOf(const HostId& aHost) const;
   void SendMessage(const HostId& aHost, const ForwardingMessage& aMessage);
   void OnCall(const HostId& aFrom, ForwardedCall aCall);
   void Remove(const ForwardedResponse& aResponse);
--- /dev/null
+++ b/test/program/CallForwarderTest.cpp
@@ -0,0 +1,84 @@
+#include "program/CallForwarder.h"
+
+#include <gtest/gtest.h>
+
+#include "damasklink/state/Clock.h"
+#include "damasklink/state/Metrics.h"
+#include "support/OwnAddress.h"
+
+namespace damasklink {
+namespace {
+
+using testing::FreeEndpoint;
+using testing::OwnAddress;
+
+ServingSettings
+HostSettings(int aNumber, std::uint16_t aPort)
+{
+  ServingSettings settings;
+  settings.host = HostId(OwnAddress(aNumber));
+  settings.forwardingPort = aPort;
+  return settings;
+}
+
+// Guards against connections between hosts that the side that dialed them closes as idle while the
+// other side's calls run on them. Where the second host takes no notice in time of the connection
+// of the first one, it dials one of its own.
+class IdleLinkTest : public ::testing::TestWithParam<int>
+{};
+
+TEST_P(IdleLinkTest, ConnectionIsKeptWhileCallsOfTheOtherSideRun)
+{
+  asio::io_context loop{ 1 };
+  ManualClock clock;
+  NoMetrics metrics;
+  const std::uint16_t port = FreeEndpoint(OwnAddress(1)).port;
+  const ServingSettings first = HostSettings(1, port);
+  const ServingSettings second = HostSettings(2, port);
+  std::shared_ptr<ForwardedCaller> served;
+  std::string outcome = "none";
+  CallForwarder a(loop, clock, first, metrics, 1, [](const auto&, auto&, const auto&) {
+    return std::optional(DeclineReason::Unreachable);
+  });
+  CallForwarder b(loop, clock, second, metrics, 2, [&](const auto&, auto&, const auto& aCaller) {
+    served = aCaller;
+    return std::optional<DeclineReason>();
+  });
+  ASSERT_TRUE(a.Listen());
+  ASSERT_TRUE(b.Listen());
+  const auto run = [&]() -> Awaitable<void> {
+    asio::steady_timer pause(loop);
+    // The second host was cut off and used the first one.
+    EXPECT_TRUE(co_await b.Connect(first.host));
+    pause.expires_after(std::chrono::milliseconds(GetParam()));
+    co_await pause.async_wait(kAsValue);
+    clock.Advance(std::chrono::seconds(4));
+    // Now the first one is cut off.
+    EXPECT_TRUE(co_await a.Connect(second.host));
+    auto response = a.Send(second.host, ForwardedCall());
+    pause.expires_after(std::chrono::milliseconds(100));
+    co_await pause.async_wait(kAsValue);
+    EXPECT_NE(served, nullptr);
+    clock.Advance(std::chrono::seconds(2));
+    a.CloseIdle();
+    b.CloseIdle();
+    pause.expires_after(std::chrono::milliseconds(100));
+    co_await pause.async_wait(kAsValue);
+    if (served != nullptr) {
+      HttpResponseMessage answer;
+      answer.head.status = 200;
+      co_await served->WriteWhole(answer, false);
+    }
+    const auto message = co_await response->Next();
+    outcome = message ? "answered" : "lost";
+    loop.stop();
+  };
+  asio::co_spawn(loop, run(), asio::detached);
+  loop.run_for(std::chrono::seconds(3));
+  EXPECT_EQ(outcome, "answered");
+}
+
+INSTANTIATE_TEST_SUITE_P(BeforeAndAfterTheFirstFrame, IdleLinkTest, ::testing::Values(50, 900));
+
+} // namespace
+} // namespace damasklink
