An answer that arrives is not silent

What callers can see: an answer that is thrown away while it arrives, and a call that runs once more.

Cause: the silence of a target was counted from the head of a response that is not a stream, and went on while the response was written to the caller.

Change: each part of a body counts as a sign of life, and an attempt whose response was received to its end is not given up.

--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -268,6 +268,7 @@
   this->context.reachability.OnStart(aTarget.zone);
   this->attemptTarget = aTarget;
   this->targetChecked = false;
+  this->received = false;
   this->silenceLogged = false;
   AttemptResult result = co_await this->SendAndReceive(aTarget);
   if (this->context.waiting.erase(this) > 0) {
@@ -445,7 +446,8 @@
 Awaitable<AttemptResult>
 Exchange::ForwardWholeResponse(HttpResponseHead aHead)
 {
-  auto body = co_await this->channel->ReadRest(kMaxBufferedResponse);
+  auto body = co_await this->channel->ReadRest(kMaxBufferedResponse,
+                                               [this] { this->OnBytes(this->attemptTarget); });
   if (!body) {
     LogEvent(LogLevel::Info, "target_broke")
       .With("request", this->call.request)
@@ -453,6 +455,7 @@
       .With("error", body.error());
     co_return AttemptResult::Broken;
   }
+  this->received = true;
   RemoveHopByHopFields(aHead.fields);
   if (aHead.status >= 500) {
     this->failedResponse = BufferedResponse{ std::move(aHead), std::move(body.value()) };
@@ -484,6 +487,7 @@
       co_return AttemptResult::Broken;
     }
     if (!piece.value()) {
+      this->received = true;
       break;
     }
     this->OnBytes(aTarget);
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -286,6 +286,8 @@
   std::set<std::string> avoidedStores;
   // The store that holds the largest part fetched for this attempt; empty for none.
   std::string fetchedFrom;
+  // Whether the response of this attempt has been received to its end.
+  bool received = false;
   // When this attempt was sent; the default value before that.
   MonotonicTime sentAt;
   MonotonicTime firstEventAt;
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -198,7 +198,8 @@
 void
 Exchange::MoveOn(std::string_view aReason)
 {
-  if (!this->plan->Limits().repeatable || this->channel == nullptr || this->unacknowledged) {
+  if (!this->plan->Limits().repeatable || this->channel == nullptr || this->received ||
+      this->unacknowledged) {
     return;
   }
   const bool hasOtherWay = this->HasOtherWay();
