--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -267,7 +267,7 @@
   this->context.health.OnStart(aTarget.id);
   this->context.reachability.OnStart(aTarget.zone);
   this->attemptTarget = aTarget;
-  this->targetChecked = false;
+  this->checkedAt = MonotonicTime();
   this->received = false;
   this->silenceLogged = false;
   AttemptResult result = co_await this->SendAndReceive(aTarget);
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -278,7 +278,8 @@
   TargetRecord attemptTarget;
   // When the target of this attempt last sent something.
   MonotonicTime lastBytesAt;
-  bool targetChecked = false;
+  // When the target of this attempt was last checked because of its silence.
+  MonotonicTime checkedAt;
   // Whether it was logged that the attempt goes on in spite of its target's silence.
   bool silenceLogged = false;
   CallLoad load;
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -21,6 +21,9 @@
 // one would have to read the prompt again.
 constexpr Duration kMaxStreamSilence = std::chrono::milliseconds(1300);
 
+// Interval between two checks of a target that stays silent.
+constexpr Duration kTargetCheckInterval = std::chrono::seconds(1);
+
 // Time from the first event of an answer within which a part of its prompt would have crashed the
 // target.
 constexpr Duration kMaxCrashDelay = std::chrono::seconds(1);
@@ -167,8 +170,11 @@
     if (this->Silence() >= longest) {
       this->MoveOn("service_unreachable");
     }
-  } else if (!this->targetChecked && this->Silence() >= this->MaxSilence()) {
-    this->targetChecked = true;
+    return;
+  }
+  const MonotonicTime now = this->context.clock.MonotonicNow();
+  if (this->Silence() >= this->MaxSilence() && now - this->checkedAt >= kTargetCheckInterval) {
+    this->checkedAt = now;
     this->context.prober.CheckTarget(this->attemptTarget);
   }
 }
