A stream that was given up waits for a target before it is cut off

What callers can see: a stream of a sound target that is cut off, since what should have taken the target's place has gone in the meantime, or must not have the request.

Cause: several streams are given up in one turn of the loop, and each sees the same target with room for one; and a request that is known to crash targets was given up to be refused.

Change: a request that no other target may get is not given up. A stream that was given up looks for another way until its caller would leave, as long as callers wait for an event.

--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -22,6 +22,9 @@
 // Retry-After of a refused call: a target's queue takes some hundred milliseconds to drain.
 constexpr Duration kDefaultRetryDelay = std::chrono::milliseconds(250);
 
+// How often a stream that was given up looks for a target to go on at.
+constexpr Duration kOtherWayInterval = std::chrono::milliseconds(50);
+
 // Number of responses to other requests after which a connection is abandoned.
 constexpr int kMaxForeignResponses = 3;
 
@@ -169,35 +172,62 @@
   return std::nullopt;
 }
 
+// Makes one attempt and returns the next step.
+Awaitable<ExchangeStep>
+Exchange::AttemptNext()
+{
+  if (!co_await this->AttemptOnce()) {
+    co_return this->plan->WithoutTarget();
+  }
+  ExchangeStep step = this->plan->After(
+    this->lastResult, this->context.clock.MonotonicNow(), this->context.retries.Of(this->service));
+  if (co_await this->MayStillForward(step)) {
+    step = ExchangeStep::TryAnother;
+  }
+  if (step == ExchangeStep::TryAnother && this->IsKnownToCrash()) {
+    step = this->plan->WithoutTarget();
+  }
+  this->LogAttemptEnd(step);
+  co_return step;
+}
+
 Awaitable<bool>
 Exchange::Relay()
 {
   ExchangeStep step = ExchangeStep::TryAnother;
   while (step == ExchangeStep::TryAnother) {
-    if (!co_await this->AttemptOnce()) {
-      step = this->plan->WithoutTarget();
-      break;
-    }
-    step = this->plan->After(this->lastResult,
-                             this->context.clock.MonotonicNow(),
-                             this->context.retries.Of(this->service));
-    if (co_await this->MayStillForward(step)) {
+    step = co_await this->AttemptNext();
+    if (step == ExchangeStep::CutOff && co_await this->AwaitOtherWay()) {
       step = ExchangeStep::TryAnother;
     }
-    if (step == ExchangeStep::TryAnother && this->IsKnownToCrash()) {
-      step = this->plan->WithoutTarget();
-    }
     if (step == ExchangeStep::TryAnother) {
       this->context.metrics.Add(
         Counter::Retries,
         MetricKey{ WorkspaceId(), std::string(AttemptResultName(this->lastResult)) },
         1);
     }
-    this->LogAttemptEnd(step);
   }
   co_return co_await this->Finish(step);
 }
 
+// The target that was given up might have answered, so its stream is not cut off at once because
+// what should take its place has gone meanwhile.
+Awaitable<bool>
+Exchange::AwaitOtherWay()
+{
+  const MonotonicTime until = this->lastBytesAt + this->CallerPatience();
+  asio::steady_timer pause(this->context.loop);
+  while (this->givenUp && this->interrupt == Interrupt::None &&
+         this->context.clock.MonotonicNow() < until) {
+    if (this->ReserveOtherWay()) {
+      co_return true;
+    }
+    pause.expires_after(kOtherWayInterval);
+    co_await pause.async_wait(kAsValue);
+  }
+  co_return false;
+}
+
 void
 Exchange::LogAttemptEnd(ExchangeStep aStep) const
 {
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -152,6 +152,7 @@
   // Records which software version has begun the stream, for callers that resume it elsewhere.
   void RecordOrigin();
   Awaitable<bool> Relay();
+  Awaitable<ExchangeStep> AttemptNext();
   // Makes one attempt and sets lastResult. Returns false if there is no target and no other host.
   Awaitable<bool> AttemptOnce();
   // Returns whether the call was refused only because connections failed, and another host may
@@ -197,7 +198,14 @@
   Duration MaxSilence() const;
   // Gives up the attempt because of its target's silence, if another attempt will follow.
   void MoveOn(std::string_view aReason);
+  // Returns whether another attempt may follow at another target or host. If so, takes the retry.
+  bool ReserveOtherWay();
   bool HasOtherWay();
+  // Waits until a stream that was given up can go on elsewhere. Returns false if it cannot before
+  // its caller leaves.
+  Awaitable<bool> AwaitOtherWay();
+  // Returns how long the caller waits for the next event of a stream.
+  Duration CallerPatience() const;
   void OnAttemptBroken(const TargetRecord& aTarget);
   void OnAttemptWithoutResponse(const TargetRecord& aTarget);
   // Returns whether the target had surely begun this attempt when it broke off.
@@ -289,6 +297,8 @@
   std::string fetchedFrom;
   // Whether the response of this attempt has been received to its end.
   bool received = false;
+  // Whether an attempt was given up because its target was silent.
+  bool givenUp = false;
   // When this attempt was sent; the default value before that.
   MonotonicTime sentAt;
   MonotonicTime firstEventAt;
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -204,33 +204,40 @@
 void
 Exchange::MoveOn(std::string_view aReason)
 {
-  if (!this->plan->Limits().repeatable || this->channel == nullptr || this->received ||
-      this->unacknowledged) {
+  const bool ended = this->channel == nullptr || this->received || this->unacknowledged;
+  if (!this->plan->Limits().repeatable || ended) {
     return;
   }
-  const bool hasOtherWay = this->HasOtherWay();
-  const bool mayMove =
-    hasOtherWay && this->plan->ReserveRetry(this->context.clock.MonotonicNow(),
-                                            this->context.retries.Of(this->service));
-  if (mayMove || !this->silenceLogged) {
+  const bool moves = this->ReserveOtherWay();
+  if (moves || !this->silenceLogged) {
     this->silenceLogged = true;
+    const std::string_view outcome = moves ? "given_up" : "kept";
     LogEvent(LogLevel::Info, "silent_attempt")
       .With("request", this->call.request)
       .With("target", this->attemptTarget.id)
       .With("reason", aReason)
       .With("silence_ms", WholeMilliseconds(this->Silence()))
       .With("passed_on", this->plan->PassedOn())
-      .With("other_way", hasOtherWay)
-      .With("outcome", mayMove ? "given_up" : "kept");
+      .With("outcome", outcome);
     this->context.metrics.Add(
-      Counter::SilentAttempts, MetricKey{ WorkspaceId(), mayMove ? "given_up" : "kept" }, 1);
+      Counter::SilentAttempts, MetricKey{ WorkspaceId(), std::string(outcome) }, 1);
   }
-  if (mayMove) {
+  if (moves) {
+    this->givenUp = true;
     this->unacknowledged = true;
     this->channel->Close();
   }
 }
 
+bool
+Exchange::ReserveOtherWay()
+{
+  const MonotonicTime now = this->context.clock.MonotonicNow();
+  RetryBudget& budget = this->context.retries.Of(this->service);
+  return this->plan->MayRetry(now, budget) && !this->IsKnownToCrash() && this->HasOtherWay() &&
+         this->plan->ReserveRetry(now, budget);
+}
+
 // Returns whether another target, or another host if this one reaches no target, can take the call.
 bool
 Exchange::HasOtherWay()
--- a/src/program/ExchangeRouting.cpp
+++ b/src/program/ExchangeRouting.cpp
@@ -312,16 +312,21 @@
   const double memory = this->context.picker.MemoryShare(this->selection, aTarget.id);
   const AdmissionLimits& limits = LimitsOf(this->Priority());
   const Duration objective = this->route->latencyObjective;
-  const Duration callerPatience = std::max({ kMinCallerPatience,
-                                             objective * kCallerPatienceObjectives,
-                                             this->route->pauseObjective * kCallerPatiencePauses });
-  const bool inTime = expected <= std::min(callerPatience, this->TimeLeft());
+  const bool inTime = expected <= std::min(this->CallerPatience(), this->TimeLeft());
   if (this->begunOn) {
     return inTime;
   }
   return inTime && wait <= objective * limits.patience && memory <= limits.memory;
 }
 
+Duration
+Exchange::CallerPatience() const
+{
+  return std::max({ kMinCallerPatience,
+                    this->route->latencyObjective * kCallerPatienceObjectives,
+                    this->route->pauseObjective * kCallerPatiencePauses });
+}
+
 void
 Exchange::LogOverload(const TargetRecord& aBest) const
 {
