Calls wait out a second of silence of a whole service

What callers can see: 502 for calls that may be repeated, 0.3 s after they were sent, although their target is sound.

Cause: once no target of a service was reached, calls in progress were given up after 0.25 s of silence, for a host that may have found the same and declines.

Change: they are given up after 1.3 s, like streams that have begun. New calls go by another host at once, as before.

A silence of more than 1.3 s at every host still ends so.

--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -17,9 +17,9 @@
 // be reached at all.
 constexpr Duration kMaxTargetSilence = std::chrono::milliseconds(600);
 
-// The same once the answer has begun. A sound target may be silent for a second, and another
-// one would have to read the prompt again.
-constexpr Duration kMaxStreamSilence = std::chrono::milliseconds(1300);
+// The same once the answer has begun, or if no target of the service answers. A sound target may be
+// silent for a second, and another one would have to read the prompt again.
+constexpr Duration kMaxSoundSilence = std::chrono::milliseconds(1300);
 
 // Interval between two checks of a target that stays silent.
 constexpr Duration kTargetCheckInterval = std::chrono::seconds(1);
@@ -165,9 +165,7 @@
 Exchange::CheckSilence()
 {
   if (this->context.paths.IsUnreachable(this->service)) {
-    const Duration longest =
-      this->responseBegun ? kMaxStreamSilence : ServiceReachability::kSuspiciousSilence;
-    if (this->Silence() >= longest) {
+    if (this->Silence() >= kMaxSoundSilence) {
       this->MoveOn("service_unreachable");
     }
     return;
@@ -196,7 +194,7 @@
 Duration
 Exchange::MaxSilence() const
 {
-  return this->responseBegun ? kMaxStreamSilence : kMaxTargetSilence;
+  return this->responseBegun ? kMaxSoundSilence : kMaxTargetSilence;
 }
 
 // An attempt that no other may follow goes on: the target may be silent for a moment only, and its
