--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -66,6 +66,9 @@
     "taken_up_streams_refused",
     "sent_again_after_five_crashes",
     "sound_prompts_refused",
+    "request_lost",
+    "allowed_body_refused",
+    "refusal_lost",
 )
 
 
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -19,6 +19,8 @@
 # Until a target that answers nothing is started again: hosts must have found it silent.
 DARK_FOR = 9.0
 RESTART_AFTER = 0.005
+# Connections that fill an accept queue of length zero, with some to spare.
+FILLERS = 3
 
 
 @dataclasses.dataclass
@@ -78,13 +80,16 @@
 
 
 class FaultProxy:
-    """Passes connections on to one target, in the way that its mode says."""
+    """Passes connections on to one target, in the way that its mode says. Mode "pause" is that of pause()."""
 
     MODES = ("delay", "reset", "one_way", "silent")
 
     def __init__(self, target):
         self.target = target
         self.mode = "pass"
+        self.going = asyncio.Event()
+        self.going.set()
+        self.fillers = []
         self.writers = set()
         # The writer towards the host by the address from which the target is reached for it.
         self.near = {}
@@ -102,6 +107,38 @@
     async def start_again(self):
         self.server = await asyncio.start_server(self.serve, *self.address)
 
+    def pause(self):
+        """Stands still as a process does that gets no processor: it reads nothing and accepts nothing."""
+        self.mode = "pause"
+        self.going.clear()
+        # The copy still listens. Once its queue is full the kernel drops further connections.
+        self.listener = self.server.sockets[0].dup()
+        self.server.close()
+        self.listener.listen(0)
+        for _ in range(FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.address)
+            self.fillers.append(filler)
+
+    async def go_on(self):
+        """Ends a pause. Nothing that was sent meanwhile is lost."""
+        fillers = [filler.getsockname() for filler in self.fillers]
+        self.server = await asyncio.start_server(
+            lambda reader, writer: self.serve_others(fillers, reader, writer), sock=self.listener
+        )
+        for filler in self.fillers:
+            filler.close()
+        self.fillers.clear()
+        self.mode = "pass"
+        self.going.set()
+
+    async def serve_others(self, fillers, reader, writer):
+        if writer.get_extra_info("peername") in fillers:
+            writer.close()
+            return
+        await self.serve(reader, writer)
+
     def set_mode(self, mode):
         self.mode = mode
         if mode == "reset":
@@ -138,6 +175,7 @@
     async def pump(self, reader, writer, near, towards):
         try:
             while data := await reader.read(16384):
+                await self.going.wait()
                 if self.drops(near, towards):
                     continue
                 if self.mode == "delay":
@@ -145,9 +183,11 @@
                 writer.write(data)
                 await writer.drain()
         except ConnectionResetError:
+            await self.going.wait()
             reset(writer)
         except OSError:
             pass
+        await self.going.wait()
         writer.close()
 
 
@@ -240,7 +280,7 @@
 
     async def announce(self):
         while True:
-            if self.state == "crashed":
+            if self.state == "crashed" or self.proxy.mode == "pause":
                 await asyncio.sleep(0.05)
                 continue
             self.sequence += 1
@@ -303,7 +343,7 @@
             self.begin_stream(echo, writer)
             return
         echo += "X-Response-Stamp: " + self.id + "\r\n"
-        if path.startswith("/streams/"):
+        if path.startswith("/streams"):
             await self.stream(request, int(fields.get("last-event-id", "0")), echo, writer)
             return
         await asyncio.sleep(self.random.uniform(0.005, 0.04))
