--- a/test/soak/kept_connections.py
+++ b/test/soak/kept_connections.py
@@ -36,8 +36,9 @@
 STOP_LIMIT = 8.0
 LAST_SIXTH = STOP_LIMIT * 5 / 6
 EARLY_IN_STOP = 3.0
-# Targets that are silent at the same time.
+# Targets that are silent at the same time, at most, and for how long.
 MOST_SILENT = 3
+SILENCE = "1.0-1.2"
 # A target that is silent for longer is not expected to be waited for.
 LONGEST_SILENCE = 1.5
 # The program that plays the targets stood still itself.
@@ -419,16 +420,22 @@
     async def silence(self, target):
         begun = now()
         target.proxy.pause()
-        await asyncio.sleep(self.pauses.uniform(1.0, 1.2))
+        shortest, longest = (float(end) for end in self.options.silence.split("-"))
+        await asyncio.sleep(self.pauses.uniform(shortest, longest))
         await target.proxy.go_on()
         self.silences.append((begun, now()))
         self.counts["silences"] += 1
 
+    def choose_silent(self, last):
+        if self.options.silent >= len(self.targets):
+            return self.targets
+        rested = [target for target in self.targets if target not in last]
+        return self.pauses.sample(rested, self.pauses.randint(1, min(self.options.silent, len(rested))))
+
     async def silence_targets(self):
         last = []
         while not self.ending:
-            rested = [target for target in self.targets if target not in last]
-            chosen = self.pauses.sample(rested, self.pauses.randint(1, MOST_SILENT))
+            chosen = self.choose_silent(last)
             await asyncio.gather(*(self.silence(target) for target in chosen))
             last = chosen
             await asyncio.sleep(self.pauses.uniform(0.3, 1.5))
@@ -605,7 +612,7 @@
         work = [self.caller(f"c{number}") for number in range(CALLERS)]
         work += [self.idle_caller(f"i{number}") for number in range(IDLE_CALLERS)]
         work += [self.switch_limits(), self.disturb()]
-        if not self.options.calm_targets:
+        if self.options.silent > 0:
             work.append(self.silence_targets())
         tasks = [asyncio.create_task(task) for task in work]
         await asyncio.sleep(self.seconds)
@@ -624,7 +631,10 @@
 def main():
     parser = soak_parser(__doc__)
     parser.add_argument("--seconds", type=float, default=22, help="how long changes and disturbances go on")
-    parser.add_argument("--calm-targets", action="store_true", help="targets are never silent")
+    parser.add_argument(
+        "--silent", type=int, default=MOST_SILENT, help="targets that are silent at a time, 0 to 6; 6: always all"
+    )
+    parser.add_argument("--silence", default=SILENCE, help="SHORTEST-LONGEST in seconds")
     soak_seeds(parser.parse_args(), KeptConnections)
 
 
