A connection is closed after a response only if the response announced it

What callers can see: the next request on a kept connection gets neither an answer nor a refusal.

Cause: whether a host closes a caller's connection was decided for the head of the response and again after its end. If the host began to stop, or its event loop began to lag (a large configuration is one reason), in between, the connection was closed although the caller had been told nothing. Streams last long enough for that.

Change: the decision is taken once. A stopping host closes the connection once it is idle and the time for new connections is over, as it does with all others.

--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -495,8 +495,7 @@
   this->succeeded = aHead.status < 300;
   this->LogEnd("answered", aHead.status);
   HttpResponseMessage response{ std::move(aHead), std::move(body.value()) };
-  const bool written =
-    co_await this->caller.WriteWhole(std::move(response), this->ShouldCloseCallerConnection());
+  const bool written = co_await this->WriteResponse(std::move(response));
   co_return written ? AttemptResult::Delivered : AttemptResult::CallerLeft;
 }
 
@@ -534,8 +533,7 @@
   if (!this->plan->PassedOn()) {
     // The stream ended without any event.
     HttpResponseMessage empty{ aHead, "" };
-    const bool written =
-      co_await this->caller.WriteWhole(std::move(empty), this->ShouldCloseCallerConnection());
+    const bool written = co_await this->WriteResponse(std::move(empty));
     co_return written ? AttemptResult::Delivered : AttemptResult::CallerLeft;
   }
   this->succeeded = true;
@@ -559,7 +557,8 @@
   this->context.metrics.Observe(Sample::FirstToken,
                                 MetricKey{ WorkspaceId(), this->route->name },
                                 this->context.clock.MonotonicNow() - this->arrived);
-  co_return co_await this->caller.BeginStream(aHead, aEvents, this->ShouldCloseCallerConnection());
+  this->closeAnnounced = this->ShouldCloseCallerConnection();
+  co_return co_await this->caller.BeginStream(aHead, aEvents, this->closeAnnounced);
 }
 
 Duration
@@ -606,15 +605,13 @@
 {
   switch (aStep) {
     case ExchangeStep::Done:
-      co_return this->lastResult == AttemptResult::Delivered &&
-        !this->ShouldCloseCallerConnection();
+      co_return this->lastResult == AttemptResult::Delivered && !this->closeAnnounced;
     case ExchangeStep::PassOn: {
       this->LogEnd("target_failed", this->failedResponse->head.status);
       HttpResponseMessage response{ std::move(this->failedResponse->head),
                                     std::move(this->failedResponse->body) };
-      const bool written =
-        co_await this->caller.WriteWhole(std::move(response), this->ShouldCloseCallerConnection());
-      co_return written && !this->ShouldCloseCallerConnection();
+      const bool written = co_await this->WriteResponse(std::move(response));
+      co_return written && !this->closeAnnounced;
     }
     case ExchangeStep::Refuse: {
       CallerError error =
@@ -653,9 +650,17 @@
 {
   HttpResponseMessage response = this->context.dialect.FailureResponse(aError, this->call.request);
   this->LogEnd(aError.error.message, response.head.status);
-  const bool close = this->ShouldCloseCallerConnection();
-  const bool written = co_await this->caller.WriteWhole(std::move(response), close);
-  co_return written && !close;
+  const bool written = co_await this->WriteResponse(std::move(response));
+  co_return written && !this->closeAnnounced;
+}
+
+// A connection is closed after its response only if the response has announced it: the caller may
+// have sent its next request already.
+Awaitable<bool>
+Exchange::WriteResponse(HttpResponseMessage aResponse)
+{
+  this->closeAnnounced = this->ShouldCloseCallerConnection();
+  co_return co_await this->caller.WriteWhole(std::move(aResponse), this->closeAnnounced);
 }
 
 void
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -176,6 +176,7 @@
   Awaitable<bool> ForwardEvents(const HttpResponseHead& aHead, std::string_view aEvents);
   Awaitable<bool> Finish(ExchangeStep aStep);
   Awaitable<bool> RespondWithError(const CallerError& aError);
+  Awaitable<bool> WriteResponse(HttpResponseMessage aResponse);
   Awaitable<std::unique_ptr<TargetConnection>> Connect(const TargetRecord& aTarget);
   // Records whether the target's zone was reached, and logs when the zone becomes unreachable.
   void RecordReachability(const TargetRecord& aTarget, HealthSignal aSignal);
@@ -297,6 +298,8 @@
   std::string fetchedFrom;
   // Whether the response of this attempt has been received to its end.
   bool received = false;
+  // Whether the response has told the caller that its connection is closed afterwards.
+  bool closeAnnounced = false;
   // Whether an attempt was given up because its target was silent.
   bool givenUp = false;
   // When this attempt was sent; the default value before that.
--- a/src/program/ExchangeForwarding.cpp
+++ b/src/program/ExchangeForwarding.cpp
@@ -187,8 +187,7 @@
   this->succeeded = aHead.head.status < 300;
   this->LogEnd("forwarded", aHead.head.status);
   HttpResponseMessage response{ std::move(aHead.head), std::move(aHead.bytes) };
-  const bool written =
-    co_await this->caller.WriteWhole(std::move(response), this->ShouldCloseCallerConnection());
+  const bool written = co_await this->WriteResponse(std::move(response));
   co_return written ? AttemptResult::Delivered : AttemptResult::CallerLeft;
 }
 
