--- a/test/program/ExchangeGivenUpTest.cpp
+++ b/test/program/ExchangeGivenUpTest.cpp
@@ -1,30 +1,21 @@
 // Tests of attempts that are given up, or not, depending on what would take their place.
-#include <absl/synchronization/notification.h>
-
-#include "ExchangeFixture.h"
+#include "SilentTargetFixture.h"
 #include "support/OwnAddress.h"
 
 namespace damasklink {
 namespace {
 
 using testing::Answer;
-using testing::Chunk;
+using testing::Event;
 using testing::FreeEndpoint;
+using testing::kLongSilence;
 using testing::kService;
 using testing::OwnAddress;
+using testing::RestOfEvents;
 using testing::ScriptedTarget;
 using testing::StreamHead;
 using testing::Write;
 
-constexpr auto kLongSilence = std::chrono::milliseconds(1400);
-
-std::string
-Event(int aNumber)
-{
-  const std::string number = std::to_string(aNumber);
-  return Chunk("id: " + number + "\ndata: " + number + "\n\n");
-}
-
 ServingSettings
 HostSettings(int aNumber, std::uint16_t aPort)
 {
@@ -34,49 +25,12 @@
   return settings;
 }
 
-class ExchangeGivenUpTest : public testing::ExchangeFixture
+class ExchangeGivenUpTest : public testing::SilentTargetFixture
 {
 protected:
   ExchangeGivenUpTest()
-    : ExchangeFixture(HostSettings(1, FreeEndpoint(OwnAddress(1)).port))
-  {
-  }
-
-  bool PauseInStream(TcpSocket& aSocket)
-  {
-    Write(aSocket, StreamHead() + Event(1));
-    this->speaks.WaitForNotification();
-    Write(aSocket, Event(2) + "0\r\n\r\n");
-    return true;
-  }
-
-  void AddOther(const Endpoint& aEndpoint, const std::string& aName = "other")
-  {
-    TargetUpdate update = this->targetUpdates.front();
-    update.record.id = TargetId(aName);
-    update.record.endpoint = aEndpoint;
-    this->TakeUpdate(update);
-  }
-
-  void ReportUnreachableAfter(Duration aSilence)
+    : SilentTargetFixture(HostSettings(1, FreeEndpoint(OwnAddress(1)).port))
   {
-    std::this_thread::sleep_for(aSilence);
-    this->OnLoop([&] {
-      const std::set<Exchange*> waiting = this->context.waiting;
-      for (Exchange* exchange : waiting) {
-        exchange->OnTargetUnreachable(TargetId("t"));
-      }
-    });
-  }
-
-  void CheckAll()
-  {
-    this->OnLoop([&] {
-      const std::set<Exchange*> waiting = this->context.waiting;
-      for (Exchange* exchange : waiting) {
-        exchange->CheckSilence();
-      }
-    });
   }
 
   void LeaveRetries(int aCount)
@@ -104,32 +58,18 @@
     }
     return true;
   }
-
-  std::string RestOfStream()
-  {
-    this->speaks.Notify();
-    return this->ReceiveUpTo("0\r\n\r\n");
-  }
-
-  absl::Notification speaks;
 };
 
 TEST_F(ExchangeGivenUpTest, StreamOfSilentTargetGoesOnAtTargetThatAnswers)
 {
   ScriptedTarget target(
     [this](const auto&, TcpSocket& aSocket) { return this->PauseInStream(aSocket); });
-  this->AddTarget("t", target.Address());
-  this->Start();
-  this->Call("/resumable/");
-  this->ReceiveUpTo("data: 1\n\n\r\n");
-  ScriptedTarget other([](const auto&, TcpSocket& aSocket) {
-    Write(aSocket, StreamHead() + Event(2) + "0\r\n\r\n");
-    return true;
-  });
+  this->BeginStreamAt(target);
+  ScriptedTarget other([](const auto&, TcpSocket& aSocket) { return ContinueStream(aSocket); });
   this->AddOther(other.Address());
   this->LeaveRetries(1);
   this->ReportUnreachableAfter(kLongSilence);
-  EXPECT_EQ(this->RestOfStream(), Event(2) + "0\r\n\r\n");
+  EXPECT_EQ(this->RestOfStream(), RestOfEvents());
 }
 
 // Guards against streams that are cut off because the target that was to go on with them is not
@@ -138,21 +78,15 @@
 {
   ScriptedTarget target(
     [this](const auto&, TcpSocket& aSocket) { return this->PauseInStream(aSocket); });
-  ScriptedTarget other([](const auto&, TcpSocket& aSocket) {
-    Write(aSocket, StreamHead() + Event(2) + "0\r\n\r\n");
-    return true;
-  });
-  this->AddTarget("t", target.Address());
-  this->Start();
-  this->Call("/resumable/");
-  this->ReceiveUpTo("data: 1\n\n\r\n");
+  ScriptedTarget other([](const auto&, TcpSocket& aSocket) { return ContinueStream(aSocket); });
+  this->BeginStreamAt(target);
   this->AddOther(FreeEndpoint("127.0.0.1"), "gone");
   this->AddOther(other.Address());
   // So that the one that is gone is chosen first.
   this->OnLoop([&] { this->health.OnEnd(TargetId("other"), HealthSignal::NotReached); });
   this->LeaveRetries(1);
   this->ReportUnreachableAfter(kLongSilence);
-  EXPECT_EQ(this->RestOfStream(), Event(2) + "0\r\n\r\n");
+  EXPECT_EQ(this->RestOfStream(), RestOfEvents());
 }
 
 // Guards against several streams of a silent target that are given up for the one place that
@@ -161,21 +95,14 @@
 {
   ScriptedTarget target(
     [this](const auto&, TcpSocket& aSocket) { return this->PauseInStream(aSocket); });
-  ScriptedTarget other([](const auto&, TcpSocket& aSocket) {
-    Write(aSocket, StreamHead() + Event(2) + "0\r\n\r\n");
-    return true;
-  });
-  this->AddTarget("t", target.Address());
-  this->Start();
-  this->Call("/resumable/");
-  this->ReceiveUpTo("data: 1\n\n\r\n");
+  ScriptedTarget other([](const auto&, TcpSocket& aSocket) { return ContinueStream(aSocket); });
+  this->BeginStreamAt(target);
   // A second caller with a stream of the same target.
   asio::co_spawn(this->loop, this->Serve(), asio::detached);
   TcpSocket second(this->callerLoop);
   second.connect(this->acceptor.local_endpoint());
   std::swap(this->caller, second);
-  this->Call("/resumable/");
-  this->ReceiveUpTo("data: 1\n\n\r\n");
+  this->BeginStream();
   this->AddOther(other.Address());
   this->OnLoop([&] {
     // One send is allowed after a second, the next one a second later.
@@ -190,9 +117,9 @@
   this->ReportUnreachableAfter(kLongSilence);
   std::this_thread::sleep_for(std::chrono::milliseconds(100));
   this->speaks.Notify();
-  EXPECT_EQ(this->ReceiveUpTo("0\r\n\r\n"), Event(2) + "0\r\n\r\n");
+  EXPECT_EQ(this->ReceiveUpTo("0\r\n\r\n"), RestOfEvents());
   std::swap(this->caller, second);
-  EXPECT_EQ(this->ReceiveUpTo("0\r\n\r\n"), Event(2) + "0\r\n\r\n");
+  EXPECT_EQ(this->ReceiveUpTo("0\r\n\r\n"), RestOfEvents());
 }
 
 // Guards against answers that are given up while they arrive: the silence is counted from their
@@ -237,18 +164,11 @@
   this->forwarder.SetHosts({ { otherSettings.host, ZoneId("n") } });
   ScriptedTarget target(
     [this](const auto&, TcpSocket& aSocket) { return this->PauseInStream(aSocket); });
-  this->AddTarget("t", target.Address());
-  this->Start();
-  this->Call("/resumable/");
-  this->ReceiveUpTo("data: 1\n\n\r\n");
+  this->BeginStreamAt(target);
   std::this_thread::sleep_for(kLongSilence);
-  this->OnLoop([&] {
-    this->paths.BeginProbe(kService);
-    this->paths.EndProbe(kService, false);
-  });
-  this->CheckAll();
+  this->ReportServiceLostAfter(Duration(0));
   std::this_thread::sleep_for(std::chrono::milliseconds(200));
-  EXPECT_EQ(this->RestOfStream(), Event(2) + "0\r\n\r\n");
+  EXPECT_EQ(this->RestOfStream(), RestOfEvents());
   this->Stop();
 }
 
@@ -272,11 +192,7 @@
   this->Start();
   this->Call("/idempotent/");
   std::this_thread::sleep_for(std::chrono::milliseconds(300));
-  this->OnLoop([&] {
-    this->paths.BeginProbe(kService);
-    this->paths.EndProbe(kService, false);
-  });
-  this->CheckAll();
+  this->ReportServiceLostAfter(Duration(0));
   std::this_thread::sleep_for(std::chrono::milliseconds(200));
   this->speaks.Notify();
   EXPECT_NE(this->Receive().find("HTTP/1.1 200"), std::string::npos);
@@ -289,14 +205,8 @@
 {
   ScriptedTarget target(
     [this](const auto&, TcpSocket& aSocket) { return this->PauseInStream(aSocket); });
-  this->AddTarget("t", target.Address());
-  this->Start();
-  this->Call("/resumable/");
-  this->ReceiveUpTo("data: 1\n\n\r\n");
-  ScriptedTarget other([](const auto&, TcpSocket& aSocket) {
-    Write(aSocket, StreamHead() + Event(2) + "0\r\n\r\n");
-    return true;
-  });
+  this->BeginStreamAt(target);
+  ScriptedTarget other([](const auto&, TcpSocket& aSocket) { return ContinueStream(aSocket); });
   this->AddOther(other.Address());
   RequestIdentity identity;
   identity.host = "h";
@@ -308,7 +218,7 @@
     this->crashFilter.SetVerdicts(HostId("control"), verdicts);
   });
   this->ReportUnreachableAfter(kLongSilence);
-  EXPECT_EQ(this->RestOfStream(), Event(2) + "0\r\n\r\n");
+  EXPECT_EQ(this->RestOfStream(), RestOfEvents());
 }
 
 // Guards against streams that wait to the end for a target that has ended, because it was found to
@@ -346,14 +256,8 @@
 {
   ScriptedTarget target(
     [this](const auto&, TcpSocket& aSocket) { return this->PauseInStream(aSocket); });
-  this->AddTarget("t", target.Address());
-  this->Start();
-  this->Call("/resumable/");
-  this->ReceiveUpTo("data: 1\n\n\r\n");
-  ScriptedTarget other([](const auto&, TcpSocket& aSocket) {
-    Write(aSocket, StreamHead() + Event(2) + "0\r\n\r\n");
-    return true;
-  });
+  this->BeginStreamAt(target);
+  ScriptedTarget other([](const auto&, TcpSocket& aSocket) { return ContinueStream(aSocket); });
   this->AddOther(other.Address());
   this->LeaveRetries(0);
   std::this_thread::sleep_for(kLongSilence);
--- a/test/program/ExchangeSilenceTest.cpp
+++ b/test/program/ExchangeSilenceTest.cpp
@@ -1,94 +1,18 @@
 // Tests of what an exchange does while its target sends nothing.
-#include <absl/synchronization/notification.h>
-
-#include "ExchangeFixture.h"
+#include "SilentTargetFixture.h"
 
 namespace damasklink {
 namespace {
 
 using testing::Answer;
-using testing::Chunk;
-using testing::kService;
+using testing::kLongSilence;
+using testing::kSoundSilence;
+using testing::RestOfEvents;
 using testing::ScriptedTarget;
-using testing::StreamHead;
 using testing::Write;
 
-// As long as a sound target may be silent.
-constexpr auto kSoundSilence = std::chrono::milliseconds(1100);
-// Longer than a sound target is silent.
-constexpr auto kLongSilence = std::chrono::milliseconds(1400);
-
-std::string
-Event(int aNumber)
-{
-  const std::string number = std::to_string(aNumber);
-  return Chunk("id: " + number + "\ndata: " + number + "\n\n");
-}
-
-class ExchangeSilenceTest : public testing::ExchangeFixture
-{
-protected:
-  // Sends an event, is silent, and completes its response when it may.
-  bool PauseInStream(TcpSocket& aSocket)
-  {
-    Write(aSocket, StreamHead() + Event(1));
-    this->speaks.WaitForNotification();
-    Write(aSocket, Event(2) + "0\r\n\r\n");
-    return true;
-  }
-
-  // Makes another target known while the first one is busy.
-  void AddOther(const Endpoint& aEndpoint)
-  {
-    TargetUpdate update = this->targetUpdates.front();
-    update.record.id = TargetId("other");
-    update.record.endpoint = aEndpoint;
-    this->TakeUpdate(update);
-  }
-
-  // Waits and reports to all exchanges that the target accepts no connections.
-  void ReportUnreachableAfter(Duration aSilence)
-  {
-    std::this_thread::sleep_for(aSilence);
-    this->OnLoop([&] {
-      const std::set<Exchange*> waiting = this->context.waiting;
-      for (Exchange* exchange : waiting) {
-        exchange->OnTargetUnreachable(TargetId("t"));
-      }
-    });
-  }
-
-  // Waits and reports that this host reaches no target of the service.
-  void ReportServiceLostAfter(Duration aSilence)
-  {
-    std::this_thread::sleep_for(aSilence);
-    this->OnLoop([&] {
-      this->paths.BeginProbe(kService);
-      this->paths.EndProbe(kService, false);
-      const std::set<Exchange*> waiting = this->context.waiting;
-      for (Exchange* exchange : waiting) {
-        exchange->CheckSilence();
-      }
-    });
-  }
-
-  void UseUpRetries()
-  {
-    this->OnLoop([&] {
-      while (this->retries.Of(kService).TryTake()) {
-      }
-    });
-  }
-
-  // Lets the target speak again and returns what the caller gets up to the end of the stream.
-  std::string RestOfStream()
-  {
-    this->speaks.Notify();
-    return this->ReceiveUpTo("0\r\n\r\n");
-  }
-
-  absl::Notification speaks;
-};
+class ExchangeSilenceTest : public testing::SilentTargetFixture
+{};
 
 // Guards against streams that are cut off because their target is silent for a second and no other
 // target can continue them.
@@ -96,12 +20,9 @@
 {
   ScriptedTarget target(
     [this](const auto&, TcpSocket& aSocket) { return this->PauseInStream(aSocket); });
-  this->AddTarget("t", target.Address());
-  this->Start();
-  this->Call("/resumable/");
-  this->ReceiveUpTo("data: 1\n\n\r\n");
+  this->BeginStreamAt(target);
   this->ReportUnreachableAfter(kLongSilence);
-  EXPECT_EQ(this->RestOfStream(), Event(2) + "0\r\n\r\n");
+  EXPECT_EQ(this->RestOfStream(), RestOfEvents());
 }
 
 // Guards against streams that are cut off because their target is silent for a second and the retry
@@ -110,15 +31,12 @@
 {
   ScriptedTarget target(
     [this](const auto&, TcpSocket& aSocket) { return this->PauseInStream(aSocket); });
-  this->AddTarget("t", target.Address());
-  this->Start();
-  this->Call("/resumable/");
-  this->ReceiveUpTo("data: 1\n\n\r\n");
+  this->BeginStreamAt(target);
   ScriptedTarget other([](const auto&, TcpSocket&) { return false; });
   this->AddOther(other.Address());
   this->UseUpRetries();
   this->ReportUnreachableAfter(kLongSilence);
-  EXPECT_EQ(this->RestOfStream(), Event(2) + "0\r\n\r\n");
+  EXPECT_EQ(this->RestOfStream(), RestOfEvents());
   EXPECT_TRUE(other.Requests().empty());
 }
 
@@ -146,17 +64,11 @@
 {
   ScriptedTarget target(
     [this](const auto&, TcpSocket& aSocket) { return this->PauseInStream(aSocket); });
-  ScriptedTarget other([](const auto&, TcpSocket& aSocket) {
-    Write(aSocket, StreamHead() + Event(2) + "0\r\n\r\n");
-    return true;
-  });
-  this->AddTarget("t", target.Address());
-  this->Start();
-  this->Call("/resumable/");
-  this->ReceiveUpTo("data: 1\n\n\r\n");
+  ScriptedTarget other([](const auto&, TcpSocket& aSocket) { return ContinueStream(aSocket); });
+  this->BeginStreamAt(target);
   this->AddOther(other.Address());
   this->ReportUnreachableAfter(kSoundSilence);
-  EXPECT_EQ(this->RestOfStream(), Event(2) + "0\r\n\r\n");
+  EXPECT_EQ(this->RestOfStream(), RestOfEvents());
   EXPECT_TRUE(other.Requests().empty());
 }
 
@@ -165,17 +77,11 @@
 {
   ScriptedTarget target(
     [this](const auto&, TcpSocket& aSocket) { return this->PauseInStream(aSocket); });
-  ScriptedTarget other([](const auto&, TcpSocket& aSocket) {
-    Write(aSocket, StreamHead() + Event(2) + "0\r\n\r\n");
-    return true;
-  });
-  this->AddTarget("t", target.Address());
-  this->Start();
-  this->Call("/resumable/");
-  this->ReceiveUpTo("data: 1\n\n\r\n");
+  ScriptedTarget other([](const auto&, TcpSocket& aSocket) { return ContinueStream(aSocket); });
+  this->BeginStreamAt(target);
   this->AddOther(other.Address());
   this->ReportUnreachableAfter(kLongSilence);
-  EXPECT_EQ(this->ReceiveUpTo("0\r\n\r\n"), Event(2) + "0\r\n\r\n");
+  EXPECT_EQ(this->ReceiveUpTo("0\r\n\r\n"), RestOfEvents());
   this->speaks.Notify();
 }
 
@@ -185,12 +91,9 @@
 {
   ScriptedTarget target(
     [this](const auto&, TcpSocket& aSocket) { return this->PauseInStream(aSocket); });
-  this->AddTarget("t", target.Address());
-  this->Start();
-  this->Call("/resumable/");
-  this->ReceiveUpTo("data: 1\n\n\r\n");
+  this->BeginStreamAt(target);
   this->ReportServiceLostAfter(kLongSilence);
-  EXPECT_EQ(this->RestOfStream(), Event(2) + "0\r\n\r\n");
+  EXPECT_EQ(this->RestOfStream(), RestOfEvents());
 }
 
 } // namespace
