--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -22,9 +22,6 @@
 // Retry-After of a refused call: a target's queue takes some hundred milliseconds to drain.
 constexpr Duration kDefaultRetryDelay = std::chrono::milliseconds(250);
 
-// How often a stream that was given up looks for a target to go on at.
-constexpr Duration kOtherWayInterval = std::chrono::milliseconds(50);
-
 // Number of responses to other requests after which a connection is abandoned.
 constexpr int kMaxForeignResponses = 3;
 
@@ -210,24 +207,6 @@
   co_return co_await this->Finish(step);
 }
 
-// The target that was given up might have answered, so its stream is not cut off at once because
-// what should take its place has gone meanwhile.
-Awaitable<bool>
-Exchange::AwaitOtherWay()
-{
-  const MonotonicTime until = this->lastBytesAt + this->CallerPatience();
-  asio::steady_timer pause(this->context.loop);
-  while (this->givenUp && this->interrupt == Interrupt::None &&
-         this->context.clock.MonotonicNow() < until) {
-    if (this->ReserveOtherWay()) {
-      co_return true;
-    }
-    pause.expires_after(kOtherWayInterval);
-    co_await pause.async_wait(kAsValue);
-  }
-  co_return false;
-}
-
 void
 Exchange::LogAttemptEnd(ExchangeStep aStep) const
 {
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -1,5 +1,5 @@
 // What an Exchange reports: health, crashes and rate limits of its targets, logs and metrics. The
-// rest of the class is in Exchange.cpp and ExchangeRouting.cpp.
+// rest of the class is in the other Exchange*.cpp files.
 #include "Exchange.h"
 
 #include <algorithm>
@@ -13,17 +13,6 @@
 // A healthy target begins its response far sooner.
 constexpr Duration kSuspiciousSilence = std::chrono::seconds(1);
 
-// Time without an answer after which a connection is made to the target, to find out whether it can
-// be reached at all.
-constexpr Duration kMaxTargetSilence = std::chrono::milliseconds(600);
-
-// The same once the answer has begun, or if no target of the service answers. A sound target may be
-// silent for a second, and another one would have to read the prompt again.
-constexpr Duration kMaxSoundSilence = std::chrono::milliseconds(1300);
-
-// Interval between two checks of a target that stays silent.
-constexpr Duration kTargetCheckInterval = std::chrono::seconds(1);
-
 // Time from the first event of an answer within which a part of its prompt would have crashed the
 // target.
 constexpr Duration kMaxCrashDelay = std::chrono::seconds(1);
@@ -161,99 +150,6 @@
   }
 }
 
-void
-Exchange::CheckSilence()
-{
-  if (this->context.paths.IsUnreachable(this->service)) {
-    if (this->Silence() >= kMaxSoundSilence) {
-      this->MoveOn("service_unreachable");
-    }
-    return;
-  }
-  const MonotonicTime now = this->context.clock.MonotonicNow();
-  if (this->Silence() >= this->MaxSilence() && now - this->checkedAt >= kTargetCheckInterval) {
-    this->checkedAt = now;
-    this->context.prober.CheckTarget(this->attemptTarget);
-  }
-}
-
-void
-Exchange::OnTargetUnreachable(const TargetId& aTarget)
-{
-  if (this->attemptTarget.id == aTarget && this->Silence() >= this->MaxSilence()) {
-    this->MoveOn("target_unreachable");
-  }
-}
-
-Duration
-Exchange::Silence() const
-{
-  return this->context.clock.MonotonicNow() - this->lastBytesAt;
-}
-
-Duration
-Exchange::MaxSilence() const
-{
-  return this->responseBegun ? kMaxSoundSilence : kMaxTargetSilence;
-}
-
-// An attempt that no other may follow goes on: the target may be silent for a moment only, and its
-// answer is better than none.
-void
-Exchange::MoveOn(std::string_view aReason)
-{
-  const bool ended = this->channel == nullptr || this->received || this->unacknowledged;
-  if (!this->plan->Limits().repeatable || ended) {
-    return;
-  }
-  const bool moves = this->ReserveOtherWay();
-  if (moves || !this->silenceLogged) {
-    this->silenceLogged = true;
-    const std::string_view outcome = moves ? "given_up" : "kept";
-    LogEvent(LogLevel::Info, "silent_attempt")
-      .With("request", this->call.request)
-      .With("target", this->attemptTarget.id)
-      .With("reason", aReason)
-      .With("silence_ms", WholeMilliseconds(this->Silence()))
-      .With("passed_on", this->plan->PassedOn())
-      .With("outcome", outcome);
-    this->context.metrics.Add(
-      Counter::SilentAttempts, MetricKey{ WorkspaceId(), std::string(outcome) }, 1);
-  }
-  if (moves) {
-    this->givenUp = true;
-    this->unacknowledged = true;
-    this->channel->Close();
-  }
-}
-
-bool
-Exchange::ReserveOtherWay()
-{
-  const MonotonicTime now = this->context.clock.MonotonicNow();
-  RetryBudget& budget = this->context.retries.Of(this->service);
-  return this->plan->MayRetry(now, budget) && !this->IsKnownToCrash() && this->HasOtherWay() &&
-         this->plan->ReserveRetry(now, budget);
-}
-
-// Returns whether another target, or another host if this one reaches no target, can take the call.
-bool
-Exchange::HasOtherWay()
-{
-  const bool unreachable = this->context.paths.IsUnreachable(this->service);
-  if (unreachable && this->ChooseForwardingHost()) {
-    return true;
-  }
-  if (unreachable && !this->HasOpenConnections()) {
-    return false;
-  }
-  // Not the verdict on the attempt in progress, which may still succeed.
-  const bool overloadedBefore = this->overloaded;
-  const bool found = this->ChooseTarget() != nullptr;
-  this->overloaded = overloadedBefore;
-  return found;
-}
-
 // A target that ended without closing its connections shows it only by its silence. Callers that
 // leave before kSuspiciousSilence say nothing about the target.
 void
