A silent attempt stays open until another one's response has begun

Cause: an attempt whose target was silent was closed on suspicion, and only then was the call sent elsewhere. Where the other target or host then refused, declined or broke off, the stream was cut off although its target was sound. How long a sound target may be silent was a constant that decided who lost the answer. Change: beside the silent attempt a standby attempt is made. It connects anew (a pooled connection to a silent target looks open), takes a retry from the budget once it is connected, and takes the place of the first one only when its response has begun. A standby that is refused, declined, not reached or broken costs the call nothing. If the first attempt ends by itself, the standby is waited for. Constants only start the search. Not done: a model of the search at 1,970 hosts.

--- a/include/damasklink/coordination/DispatchRecord.h
+++ b/include/damasklink/coordination/DispatchRecord.h
@@ -37,13 +37,16 @@
     AttemptStage stage = AttemptStage::Prepared;
   };
 
-  // Starts an attempt in the stage Prepared.
-  void Begin(AttemptId aAttempt, TargetId aTarget);
+  // Starts an attempt in the stage Prepared. Returns its index.
+  std::size_t Begin(AttemptId aAttempt, TargetId aTarget);
 
   // Sets the stage of the last attempt. Requires Begin(). A transition that contradicts what is
   // known (Sending back to Prepared, Answering to Refused) is ignored.
   void Advance(AttemptStage aStage);
 
+  // The same for any attempt, since two may be in progress.
+  void Advance(std::size_t aIndex, AttemptStage aStage);
+
   // Adds the outcome of earlier calls with the same idempotency key, from the ClaimRegistry.
   void AddEarlierOutcome(RunOutcome aOutcome);
 
--- a/include/damasklink/coordination/ExchangeRetryPolicy.h
+++ b/include/damasklink/coordination/ExchangeRetryPolicy.h
@@ -84,6 +84,17 @@
   // Must be called before the first byte of the attempt leaves.
   void Sending();
 
+  // Starts a second attempt beside the one in progress, and tells that its first byte is about to
+  // leave. Requires ReserveRetry().
+  void BeginStandby(AttemptId aAttempt, TargetId aTarget);
+
+  // The second attempt has ended without taking the place of the first one. aDeclined: the host
+  // that it was forwarded to sent it to no target.
+  void EndStandby(AttemptStage aStage, bool aDeclined);
+
+  // The attempt in progress has ended with this result, and the second one takes its place.
+  void ContinueAtStandby(AttemptResult aResult);
+
   // Tells that part of the answer has been passed on to the caller.
   void MarkPassedOn() { this->passedOn = true; }
 
@@ -115,6 +126,9 @@
 
   ExchangeLimits limits;
   DispatchRecord record;
+  // Indices in the record.
+  std::size_t current = 0;
+  std::size_t standby = 0;
   std::uint64_t sent = 0;
   std::uint64_t unreachable = 0;
   std::uint64_t declined = 0;
--- a/include/damasklink/state/Metrics.h
+++ b/include/damasklink/state/Metrics.h
@@ -44,7 +44,8 @@
   LingeringCloses,     // Of callers' connections; kind: how they ended.
   CrashReports,        // Requests that ran on a target when it ended.
   ClosedUnread,        // Connections of callers that were closed before anything was read.
-  SilentAttempts,      // Whose target was silent; kind: given_up, or kept for want of another way.
+  SilentAttempts,      // Whose target was silent; kind: why another way was looked for.
+  StandbyAttempts,     // Made beside silent ones; kind: how they ended.
   ResumedStreams,      // Sent to a target to go on; kind: caller or host, whoever resumed it.
 };
 
--- a/src/coordination/DispatchRecord.cpp
+++ b/src/coordination/DispatchRecord.cpp
@@ -43,17 +43,24 @@
 
 } // namespace
 
-void
+std::size_t
 DispatchRecord::Begin(AttemptId aAttempt, TargetId aTarget)
 {
   this->attempts.push_back(
     Attempt{ std::move(aAttempt), std::move(aTarget), AttemptStage::Prepared });
+  return this->attempts.size() - 1;
 }
 
 void
 DispatchRecord::Advance(AttemptStage aStage)
 {
-  AttemptStage& stage = this->attempts.back().stage;
+  this->Advance(this->attempts.size() - 1, aStage);
+}
+
+void
+DispatchRecord::Advance(std::size_t aIndex, AttemptStage aStage)
+{
+  AttemptStage& stage = this->attempts.at(aIndex).stage;
   if (IsValidTransition(stage, aStage)) {
     stage = aStage;
   }
--- a/src/coordination/ExchangeRetryPolicy.cpp
+++ b/src/coordination/ExchangeRetryPolicy.cpp
@@ -55,23 +55,52 @@
 void
 ExchangeRetryPolicy::Begin(AttemptId aAttempt, TargetId aTarget)
 {
-  this->record.Begin(std::move(aAttempt), std::move(aTarget));
+  this->current = this->record.Begin(std::move(aAttempt), std::move(aTarget));
 }
 
 void
 ExchangeRetryPolicy::Sending()
 {
-  this->record.Advance(AttemptStage::Sending);
+  this->record.Advance(this->current, AttemptStage::Sending);
   ++this->sent;
   this->reserved = false;
 }
 
+void
+ExchangeRetryPolicy::BeginStandby(AttemptId aAttempt, TargetId aTarget)
+{
+  this->standby = this->record.Begin(std::move(aAttempt), std::move(aTarget));
+  this->record.Advance(this->standby, AttemptStage::Sending);
+  ++this->sent;
+  this->reserved = false;
+}
+
+void
+ExchangeRetryPolicy::EndStandby(AttemptStage aStage, bool aDeclined)
+{
+  this->record.Advance(this->standby, aStage);
+  if (aDeclined) {
+    --this->sent;
+    // No target was sent what the budget was charged for.
+    this->reserved = true;
+  }
+}
+
+void
+ExchangeRetryPolicy::ContinueAtStandby(AttemptResult aResult)
+{
+  const bool refused = aResult == AttemptResult::Refused;
+  this->record.Advance(this->current, refused ? AttemptStage::Refused : AttemptStage::Lost);
+  this->targetFailed = this->targetFailed || aResult == AttemptResult::Failed;
+  this->current = this->standby;
+}
+
 ExchangeStep
 ExchangeRetryPolicy::After(AttemptResult aResult, MonotonicTime aNow, RetryBudget& aBudget)
 {
   switch (aResult) {
     case AttemptResult::Delivered:
-      this->record.Advance(AttemptStage::Finished);
+      this->record.Advance(this->current, AttemptStage::Finished);
       return ExchangeStep::Done;
     case AttemptResult::CallerLeft:
       return ExchangeStep::Done;
@@ -79,10 +108,10 @@
       ++this->unreachable;
       break;
     case AttemptResult::Refused:
-      this->record.Advance(AttemptStage::Refused);
+      this->record.Advance(this->current, AttemptStage::Refused);
       break;
     case AttemptResult::Declined:
-      this->record.Advance(AttemptStage::Refused);
+      this->record.Advance(this->current, AttemptStage::Refused);
       // No target was sent the call.
       --this->sent;
       ++this->declined;
@@ -91,7 +120,7 @@
       this->targetFailed = true;
       [[fallthrough]];
     case AttemptResult::Broken:
-      this->record.Advance(AttemptStage::Lost);
+      this->record.Advance(this->current, AttemptStage::Lost);
       break;
     case AttemptResult::NotSent:
     case AttemptResult::Expired:
--- a/src/program/CallForwarder.cpp
+++ b/src/program/CallForwarder.cpp
@@ -35,14 +35,20 @@
   }
 }
 
-Awaitable<Result<ForwardingMessage>>
-ForwardedResponse::Next()
+Awaitable<const ForwardingMessage*>
+ForwardedResponse::Peek()
 {
   while (this->messages.empty() && !this->ended) {
     this->wakeUp.expires_at(asio::steady_timer::time_point::max());
     co_await this->wakeUp.async_wait(kAsValue);
   }
-  if (this->messages.empty()) {
+  co_return this->messages.empty() ? nullptr : &this->messages.front();
+}
+
+Awaitable<Result<ForwardingMessage>>
+ForwardedResponse::Next()
+{
+  if (co_await this->Peek() == nullptr) {
     co_return Fail(ErrorKind::Interrupted,
                    "the connection to the host that runs the call was lost",
                    "check that entry hosts reach each other on their internal ports");
--- a/src/program/CallForwarder.h
+++ b/src/program/CallForwarder.h
@@ -48,6 +48,10 @@
   // other host was lost, or after Close().
   Awaitable<Result<ForwardingMessage>> Next();
 
+  // Waits for the next message and returns it without taking it, null where Next() would fail.
+  // Valid until Next() or Close().
+  Awaitable<const ForwardingMessage*> Peek();
+
   // Cancels the call; a pending Next() fails.
   void Close();
 
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -75,6 +75,7 @@
   }
   const bool reusable =
     unknownOrigin ? co_await this->RespondWithError(*unknownOrigin) : co_await this->Relay();
+  this->CancelStandby();
   this->deadline->Disarm();
   this->caller.StopWatching();
   co_return reusable;
@@ -176,6 +177,15 @@
   if (!co_await this->AttemptOnce()) {
     co_return this->plan->WithoutTarget();
   }
+  const bool replaceable = this->lastResult == AttemptResult::Broken ||
+                           this->lastResult == AttemptResult::Failed ||
+                           this->lastResult == AttemptResult::Refused;
+  if (replaceable && co_await this->AwaitStandby()) {
+    this->plan->ContinueAtStandby(this->lastResult);
+    this->LogAttemptEnd(ExchangeStep::TryAnother);
+    co_return ExchangeStep::TryAnother;
+  }
+  this->CancelStandby();
   ExchangeStep step = this->plan->After(
     this->lastResult, this->context.clock.MonotonicNow(), this->context.retries.Of(this->service));
   if (co_await this->MayStillForward(step)) {
@@ -223,28 +233,24 @@
     .With("next", ExchangeStepName(aStep));
 }
 
-// Open connections to targets may go on working while new ones fail, so they are used first.
 Awaitable<bool>
 Exchange::AttemptOnce()
 {
-  const TargetRecord* chosen = this->HasOpenConnections() ? this->ChooseTarget() : nullptr;
-  if (chosen == nullptr) {
-    if (const std::optional<HostId> host = this->ChooseForwardingHost()) {
-      this->destination = host->Value();
-      this->lastResult = co_await this->Forward(*host);
-      co_return true;
-    }
-    // Connections would only fail once more. A probe finds out when that has changed.
-    if (this->context.paths.IsUnreachable(this->service)) {
-      co_return false;
-    }
-    chosen = this->ChooseTarget();
+  if (this->standby != nullptr) {
+    this->lastResult = co_await this->ContinueAtStandby();
+    co_return true;
+  }
+  const NextDestination next = this->ChooseDestination();
+  if (next.host) {
+    this->destination = next.host->Value();
+    this->lastResult = co_await this->Forward(*next.host);
+    co_return true;
   }
-  if (chosen == nullptr) {
+  if (next.target == nullptr) {
     co_return false;
   }
   // Copied, because the directory of targets may change while this call waits.
-  const TargetRecord target = *chosen;
+  const TargetRecord target = *next.target;
   this->destination = target.id.Value();
   this->lastResult = co_await this->Attempt(target);
   co_return true;
@@ -255,18 +261,42 @@
 {
   this->plan->Begin(AttemptId(this->call.request.Value()), aTarget.id);
   this->selection.excluded.insert(aTarget.id);
+  this->ResetAttempt();
+  this->load = this->MakeLoad(aTarget);
+  this->CountSend(aTarget, this->load);
+  this->attemptTarget = aTarget;
+  co_return this->EndAttempt(aTarget, co_await this->SendAndReceive(aTarget));
+}
+
+void
+Exchange::ResetAttempt()
+{
   this->load = CallLoad{};
   this->sentAt = MonotonicTime();
   this->responseBegun = false;
   this->refused = false;
   this->unacknowledged = false;
-  this->load.uncachedTokens = this->context.picker.UncachedTokens(this->selection, aTarget.id);
-  this->load.memory =
-    TokenCount(this->call.promptTokens.Value() + this->call.maxAnswerTokens.Value());
-  this->load.incarnation = aTarget.incarnation;
-  this->load.queuedBehindOthers =
+  this->checkedAt = MonotonicTime();
+  this->received = false;
+  this->silenceLogged = false;
+}
+
+CallLoad
+Exchange::MakeLoad(const TargetRecord& aTarget)
+{
+  CallLoad made;
+  made.uncachedTokens = this->context.picker.UncachedTokens(this->selection, aTarget.id);
+  made.memory = TokenCount(this->call.promptTokens.Value() + this->call.maxAnswerTokens.Value());
+  made.incarnation = aTarget.incarnation;
+  made.queuedBehindOthers =
     this->context.picker.LoadOf(aTarget.id).unread >= TargetSelector::kLongPrefill;
-  this->context.picker.OnSent(aTarget.id, this->selection, this->load);
+  return made;
+}
+
+void
+Exchange::CountSend(const TargetRecord& aTarget, const CallLoad& aLoad)
+{
+  this->context.picker.OnSent(aTarget.id, this->selection, aLoad);
   this->context.limits.OnSent(aTarget.id);
   this->context.brittle.OnSent(aTarget);
   this->context.retryScheduler.OnAdmitted();
@@ -275,11 +305,13 @@
   }
   this->context.health.OnStart(aTarget.id);
   this->context.reachability.OnStart(aTarget.zone);
-  this->attemptTarget = aTarget;
-  this->checkedAt = MonotonicTime();
-  this->received = false;
-  this->silenceLogged = false;
-  AttemptResult result = co_await this->SendAndReceive(aTarget);
+}
+
+// Returns the result, which is another one if the call was interrupted.
+AttemptResult
+Exchange::EndAttempt(const TargetRecord& aTarget, AttemptResult aResult)
+{
+  AttemptResult result = aResult;
   if (this->context.waiting.erase(this) > 0) {
     this->context.paths.OnEnded(this->service);
   }
@@ -295,7 +327,7 @@
   // Closing a connection that was not pooled cancels the rest of the response at the target.
   this->channel.reset();
   this->RecordAttemptEnd(aTarget, result);
-  co_return result;
+  return result;
 }
 
 // Tells everything that follows the attempts at a target how this one ended.
@@ -377,7 +409,7 @@
   this->context.paths.OnSent(this->service);
   this->context.waiting.insert(this);
   const TargetCall call = this->CallFor(aTarget);
-  this->LogPromptSent(aTarget, call);
+  this->LogPromptSent(aTarget, call, this->load);
   this->RecordResumption(aTarget);
   const HttpRequestHead head =
     this->context.dialect.MakeTargetRequestHead(this->request.head, call);
@@ -431,14 +463,7 @@
 {
   const TargetResponseInfo facts = this->context.dialect.ReadResponse(aHead);
   this->responseBegun = true;
-  this->ObserveRateLimit(aTarget, facts);
-  this->ObserveRoom(aTarget, facts);
-  if (facts.coldFor > Duration::zero()) {
-    this->context.limits.OnCold(aTarget, facts.coldFor);
-  }
-  if (facts.wrongTarget && facts.target != aTarget.id && !facts.target.Empty()) {
-    this->context.state.Targets().MarkRemoved(aTarget.id);
-  }
+  this->ObserveResponse(aTarget, facts, this->sentAt);
   if (facts.notRun) {
     auto rest = co_await this->channel->ReadRest(kMaxBufferedResponse);
     if (!rest) {
@@ -446,6 +471,9 @@
     }
     co_return AttemptResult::Refused;
   }
+  if (aHead.status < 500) {
+    this->CancelStandby();
+  }
   if (IsEventStream(aHead)) {
     co_return co_await this->ForwardStream(aTarget, std::move(aHead));
   }
@@ -499,6 +527,7 @@
       break;
     }
     this->OnBytes(aTarget);
+    this->CancelStandby();
     this->ObserveFirstEvent(aTarget);
     const std::string events = this->framer.Append(*piece.value());
     if (!events.empty() && !co_await this->ForwardEvents(aHead, events)) {
@@ -523,6 +552,15 @@
 
 Awaitable<bool>
 Exchange::ForwardEvents(const HttpResponseHead& aHead, std::string_view aEvents)
+{
+  this->forwarding = true;
+  const bool written = co_await this->WriteEvents(aHead, aEvents);
+  this->forwarding = false;
+  co_return written;
+}
+
+Awaitable<bool>
+Exchange::WriteEvents(const HttpResponseHead& aHead, std::string_view aEvents)
 {
   if (this->plan->PassedOn()) {
     co_return co_await this->caller.WriteChunk(aEvents);
@@ -649,6 +687,7 @@
     return;
   }
   this->interrupt = aReason;
+  this->CancelStandby();
   if (this->channel != nullptr) {
     this->channel->Close();
   }
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -11,6 +11,7 @@
 #include "EntryHostState.h"
 #include "FirstConfiguration.h"
 #include "ServiceProber.h"
+#include "StandbyAttempt.h"
 #include "StreamOriginResolver.h"
 #include "TargetProbe.h"
 #include "damasklink/coordination/BrittleTargetLimiter.h"
@@ -78,6 +79,8 @@
   bool overloaded = false;
   // Exchanges that have sent their request to a target and wait for its answer.
   std::set<Exchange*> waiting;
+  // Standby attempts in progress.
+  std::size_t standbys = 0;
 };
 
 // What is left of the limits of a call that another entry host forwarded to this one.
@@ -114,14 +117,12 @@
   // Answers the request. Returns whether the caller's connection can take another request.
   Awaitable<bool> Run();
 
-  // To be called regularly while the exchange is among the waiting ones. Gives up the attempt if
-  // the service is unreachable and the call can go on elsewhere, and checks a target that stays
-  // silent.
+  // To be called regularly while the exchange is among the waiting ones. Checks a target that stays
+  // silent, and starts a standby attempt if the whole service is unreachable.
   void CheckSilence();
 
-  // The target accepts no connections. Gives up the attempt if it waits for this target and the
-  // call can go on elsewhere. A call that may not be repeated waits on, since the target may have
-  // it.
+  // The target accepts no connections. Starts a standby attempt if the call waits for this target.
+  // A call that may not be repeated waits on, since the target may have it.
   void OnTargetUnreachable(const TargetId& aTarget);
 
 private:
@@ -133,6 +134,13 @@
     CallerLeft,
   };
 
+  // Where a call goes next: to another host, to a target, or nowhere.
+  struct NextDestination
+  {
+    std::optional<HostId> host;
+    const TargetRecord* target = nullptr;
+  };
+
   // A complete response of a target: read to its end before anything of it is forwarded.
   struct BufferedResponse
   {
@@ -161,6 +169,9 @@
   std::optional<HostId> ChooseForwardingHost();
   bool HasOpenConnections() const;
   Awaitable<AttemptResult> Forward(HostId aHost);
+  // Receives the response of the host, and ends the attempt.
+  Awaitable<AttemptResult> EndForward(HostId aHost);
+  void CountForward(AttemptResult aResult) const;
   Awaitable<AttemptResult> ReceiveForwarded(HostId aHost);
   Awaitable<AttemptResult> DeliverForwarded(ForwardedHead aHead);
   bool IsOnSoftwareThatBeganStream(const ForwardedHead& aHead) const;
@@ -168,12 +179,19 @@
   void LogAttemptEnd(ExchangeStep aStep) const;
   void RecordAttemptEnd(const TargetRecord& aTarget, AttemptResult aResult);
   Awaitable<AttemptResult> Attempt(const TargetRecord& aTarget);
+  // Forgets what is known of the last attempt.
+  void ResetAttempt();
+  CallLoad MakeLoad(const TargetRecord& aTarget);
+  // Tells all that count the calls of a target that it is sent one more.
+  void CountSend(const TargetRecord& aTarget, const CallLoad& aLoad);
+  AttemptResult EndAttempt(const TargetRecord& aTarget, AttemptResult aResult);
   Awaitable<AttemptResult> SendAndReceive(const TargetRecord& aTarget);
   Awaitable<Result<HttpResponseHead>> ReadMatchingHead(const TargetRecord& aTarget);
   Awaitable<AttemptResult> HandleResponse(const TargetRecord& aTarget, HttpResponseHead aHead);
   Awaitable<AttemptResult> ForwardWholeResponse(HttpResponseHead aHead);
   Awaitable<AttemptResult> ForwardStream(const TargetRecord& aTarget, HttpResponseHead aHead);
   Awaitable<bool> ForwardEvents(const HttpResponseHead& aHead, std::string_view aEvents);
+  Awaitable<bool> WriteEvents(const HttpResponseHead& aHead, std::string_view aEvents);
   Awaitable<bool> Finish(ExchangeStep aStep);
   Awaitable<bool> RespondWithError(const CallerError& aError);
   Awaitable<bool> WriteResponse(HttpResponseMessage aResponse);
@@ -181,24 +199,58 @@
   // Records whether the target's zone was reached, and logs when the zone becomes unreachable.
   void RecordReachability(const TargetRecord& aTarget, HealthSignal aSignal);
   const TargetRecord* ChooseTarget();
+  // Returns where to send the call next.
+  NextDestination ChooseDestination();
   // Returns the usable targets of the call's service in allowed regions that may continue its
   // stream.
   const std::vector<TargetRecord>& Targets();
   TargetCall CallFor(const TargetRecord& aTarget);
   void AddPartTransfers(const TargetRecord& aTarget, TargetCall& aTo);
-  void LogPromptSent(const TargetRecord& aTarget, const TargetCall& aCall) const;
+  void LogPromptSent(const TargetRecord& aTarget,
+                     const TargetCall& aCall,
+                     const CallLoad& aLoad) const;
   void RecordResumption(const TargetRecord& aTarget) const;
   void ObserveFirstEvent(const TargetRecord& aTarget);
   void ObserveSlotTime();
   CrashReport MakeCrashReport(const TargetRecord& aTarget);
+  // The same for an attempt of which nothing was received.
+  CrashReport MakeCrashReport(const TargetRecord& aTarget, MonotonicTime aSentAt);
+  // Reports the request as a suspect once it is proven that the target has ended.
+  void SuspectCrash(const TargetRecord& aTarget, CrashReport aReport, bool aWasRunning);
   std::string SharedPartNames() const;
   void OnBytes(const TargetRecord& aTarget);
+  // Tells all that observe whether targets are reached that this one has sent something.
+  void CountBytes(const TargetRecord& aTarget);
   void OnConnectFailed();
   // Returns how long the target of this attempt has sent nothing, and how long it may.
   Duration Silence() const;
   Duration MaxSilence() const;
-  // Gives up the attempt because of its target's silence, if another attempt will follow.
-  void MoveOn(std::string_view aReason);
+  // Starts a standby attempt because of the target's silence, if the call may be repeated. The
+  // attempt in progress goes on.
+  void OnSilent(std::string_view aReason);
+  bool StartStandby();
+  Awaitable<void> RunStandby(std::shared_ptr<StandbyAttempt> aStandby);
+  Awaitable<void> TryStandby(std::shared_ptr<StandbyAttempt> aStandby);
+  Awaitable<void> TryStandbyTarget(std::shared_ptr<StandbyAttempt> aStandby, TargetRecord aTarget);
+  Awaitable<void> TryStandbyHost(std::shared_ptr<StandbyAttempt> aStandby, HostId aHost);
+  Awaitable<void> SendStandby(std::shared_ptr<StandbyAttempt> aStandby);
+  void BeginStandby(StandbyAttempt& aStandby);
+  void OnStandbyHead(StandbyAttempt& aStandby, HttpResponseHead aHead);
+  void OnStandbyBroken(StandbyAttempt& aStandby);
+  // aFirst is the first message of the host, null if the connection to it was lost.
+  void OnStandbyHostAnswer(StandbyAttempt& aStandby, const ForwardingMessage* aFirst);
+  bool MayTakeForwarded(const ForwardedHead& aHead) const;
+  void EndStandby(StandbyAttempt& aStandby,
+                  AttemptStage aStage,
+                  HealthSignal aSignal,
+                  std::string_view aOutcome);
+  void LogStandbyEnd(const StandbyAttempt& aStandby, std::string_view aOutcome) const;
+  void RetryUnreached(StandbyAttempt& aStandby);
+  void GiveUpSilentAttempt();
+  void CancelStandby();
+  void ForgetStandby();
+  Awaitable<bool> AwaitStandby();
+  Awaitable<AttemptResult> ContinueAtStandby();
   // Returns whether another attempt may follow at another target or host. If so, takes the retry.
   bool ReserveOtherWay();
   bool HasOtherWay();
@@ -211,12 +263,22 @@
   void OnAttemptWithoutResponse(const TargetRecord& aTarget);
   // Returns whether the target had surely begun this attempt when it broke off.
   bool WasSurelyRunning() const;
+  // Returns whether more time has passed than a listener takes that drops connections.
+  bool IsLongerThanADrop(MonotonicTime aSentAt) const;
+  // Records what a response to a request of this time says about its target.
+  void ObserveResponse(const TargetRecord& aTarget,
+                       const TargetResponseInfo& aFacts,
+                       MonotonicTime aSentAt);
   // Records, logs and counts what a response says about the availability of its target.
   void ObserveNotices(const TargetRecord& aTarget, const TargetResponseInfo& aFacts);
   // Records the rate limit that a response names for its target.
-  void ObserveRateLimit(const TargetRecord& aTarget, const TargetResponseInfo& aFacts);
+  void ObserveRateLimit(const TargetRecord& aTarget,
+                        const TargetResponseInfo& aFacts,
+                        MonotonicTime aSentAt);
   // Records what a response says about the room for requests at its target.
-  void ObserveRoom(const TargetRecord& aTarget, const TargetResponseInfo& aFacts);
+  void ObserveRoom(const TargetRecord& aTarget,
+                   const TargetResponseInfo& aFacts,
+                   MonotonicTime aSentAt);
   // Sets the targets of the service that this host may not send to at the moment.
   void UpdateRateLimited();
   void ExcludeUnconnected();
@@ -291,6 +353,10 @@
   MonotonicTime checkedAt;
   // Whether it was logged that the attempt goes on in spite of its target's silence.
   bool silenceLogged = false;
+  // Whether the caller is sent something, so that nothing is read from the target.
+  bool forwarding = false;
+  // The attempt beside the one in progress.
+  std::shared_ptr<StandbyAttempt> standby;
   CallLoad load;
   // Slow stores that this call does not fetch from.
   std::set<std::string> avoidedStores;
@@ -300,7 +366,7 @@
   bool received = false;
   // Whether the response has told the caller that its connection is closed afterwards.
   bool closeAnnounced = false;
-  // Whether an attempt was given up because its target was silent.
+  // Whether an attempt was given up for a standby attempt.
   bool givenUp = false;
   // When this attempt was sent; the default value before that.
   MonotonicTime sentAt;
--- a/src/program/ExchangeForwarding.cpp
+++ b/src/program/ExchangeForwarding.cpp
@@ -91,7 +91,6 @@
   this->triedHosts.insert(aHost);
   this->attemptTarget = TargetRecord();
   this->plan->Begin(AttemptId(this->call.request.Value()), TargetId(aHost.Value()));
-  AttemptResult result = AttemptResult::Unreachable;
   if (co_await this->context.forwarder.Connect(aHost) && this->interrupt == Interrupt::None) {
     this->plan->Sending();
     this->forwarded = this->context.forwarder.Send(aHost, this->MakeForwardedCall());
@@ -101,17 +100,34 @@
       .With("service", this->service)
       .With("configuration", this->routes->Config().version)
       .With("left_ms", WholeMilliseconds(this->TimeLeft()));
-    result = co_await this->ReceiveForwarded(aHost);
-    this->forwarded.reset();
+    co_return co_await this->EndForward(aHost);
   }
+  const bool interrupted = this->interrupt != Interrupt::None;
+  const AttemptResult result = interrupted ? this->ResultOfInterrupt() : AttemptResult::Unreachable;
+  this->CountForward(result);
+  co_return result;
+}
+
+Awaitable<AttemptResult>
+Exchange::EndForward(HostId aHost)
+{
+  AttemptResult result = co_await this->ReceiveForwarded(aHost);
+  this->forwarded.reset();
   if (this->interrupt != Interrupt::None && result != AttemptResult::Delivered) {
     result = this->ResultOfInterrupt();
   }
-  this->context.metrics.Add(
-    Counter::ForwardedCalls, MetricKey{ WorkspaceId(), std::string(AttemptResultName(result)) }, 1);
+  this->CountForward(result);
   co_return result;
 }
 
+void
+Exchange::CountForward(AttemptResult aResult) const
+{
+  this->context.metrics.Add(Counter::ForwardedCalls,
+                            MetricKey{ WorkspaceId(), std::string(AttemptResultName(aResult)) },
+                            1);
+}
+
 Awaitable<AttemptResult>
 Exchange::ReceiveForwarded(HostId aHost)
 {
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -40,18 +40,25 @@
 }
 
 CrashReport
-Exchange::MakeCrashReport(const TargetRecord& aTarget)
+Exchange::MakeCrashReport(const TargetRecord& aTarget, MonotonicTime aSentAt)
 {
   CrashReport report{ this->Fingerprint(),
                       this->workspace == nullptr ? WorkspaceId() : this->workspace->name,
                       this->service,
                       aTarget.id,
                       aTarget.incarnation };
+  report.sentAgo = this->context.clock.MonotonicNow() - aSentAt;
+  return report;
+}
+
+CrashReport
+Exchange::MakeCrashReport(const TargetRecord& aTarget)
+{
+  CrashReport report = this->MakeCrashReport(aTarget, this->sentAt);
   if (this->MayHaveCrashedByAPart()) {
     report.parts = this->PartFingerprints();
   }
   const Duration silence = this->context.clock.MonotonicNow() - this->lastBytesAt;
-  report.sentAgo = this->context.clock.MonotonicNow() - this->sentAt;
   report.silent = this->unacknowledged || silence >= kSuspiciousSilence;
   if (this->lastBytesAt > this->sentAt) {
     report.heardAgo = std::max<Duration>(silence, std::chrono::milliseconds(1));
@@ -89,9 +96,14 @@
   if (leaving) {
     return;
   }
-  const bool wasRunning = this->WasSurelyRunning();
-  if (wasRunning) {
-    this->context.interrupted.Add(report, aTarget.endpoint);
+  this->SuspectCrash(aTarget, report, this->WasSurelyRunning());
+}
+
+void
+Exchange::SuspectCrash(const TargetRecord& aTarget, CrashReport aReport, bool aWasRunning)
+{
+  if (aWasRunning) {
+    this->context.interrupted.Add(aReport, aTarget.endpoint);
   }
   // A host that reaches no target would accuse the requests that it had in progress.
   if (this->context.paths.IsUnreachable(this->service)) {
@@ -100,15 +112,15 @@
   }
   EntryContext& shared = this->context;
   const MonotonicTime brokenAt = this->context.clock.MonotonicNow();
-  this->context.probe.Run(aTarget,
-                          [&shared, report, wasRunning, brokenAt, address = aTarget.endpoint](
-                            TerminationEvidence aEvidence) {
-                            if (wasRunning || aEvidence == TerminationEvidence::Refused) {
-                              shared.unconfirmedCrashes.Add(
-                                report.Aged(shared.clock.MonotonicNow() - brokenAt), address);
-                              shared.prober.Probe(report.service);
-                            }
-                          });
+  this->context.probe.Run(
+    aTarget,
+    [&shared, report = std::move(aReport), aWasRunning, brokenAt, address = aTarget.endpoint](
+      TerminationEvidence aEvidence) {
+      if (aWasRunning || aEvidence == TerminationEvidence::Refused) {
+        shared.unconfirmedCrashes.Add(report.Aged(shared.clock.MonotonicNow() - brokenAt), address);
+        shared.prober.Probe(report.service);
+      }
+    });
 }
 
 // Returns the parts of the prompt that other requests may have, too, separated by commas.
@@ -127,13 +139,25 @@
 bool
 Exchange::WasSurelyRunning() const
 {
-  return this->responseBegun || this->context.clock.MonotonicNow() - this->sentAt >= kMaxDropTime;
+  return this->responseBegun || this->IsLongerThanADrop(this->sentAt);
+}
+
+bool
+Exchange::IsLongerThanADrop(MonotonicTime aSentAt) const
+{
+  return this->context.clock.MonotonicNow() - aSentAt >= kMaxDropTime;
 }
 
 void
 Exchange::OnBytes(const TargetRecord& aTarget)
 {
   this->lastBytesAt = this->context.clock.MonotonicNow();
+  this->CountBytes(aTarget);
+}
+
+void
+Exchange::CountBytes(const TargetRecord& aTarget)
+{
   this->context.reachability.OnBytes(aTarget.zone);
   this->context.probe.OnBytes(aTarget.id);
   this->context.paths.OnBytes(this->service);
@@ -197,7 +221,24 @@
 }
 
 void
-Exchange::ObserveRateLimit(const TargetRecord& aTarget, const TargetResponseInfo& aFacts)
+Exchange::ObserveResponse(const TargetRecord& aTarget,
+                          const TargetResponseInfo& aFacts,
+                          MonotonicTime aSentAt)
+{
+  this->ObserveRateLimit(aTarget, aFacts, aSentAt);
+  this->ObserveRoom(aTarget, aFacts, aSentAt);
+  if (aFacts.coldFor > Duration::zero()) {
+    this->context.limits.OnCold(aTarget, aFacts.coldFor);
+  }
+  if (aFacts.wrongTarget && aFacts.target != aTarget.id && !aFacts.target.Empty()) {
+    this->context.state.Targets().MarkRemoved(aTarget.id);
+  }
+}
+
+void
+Exchange::ObserveRateLimit(const TargetRecord& aTarget,
+                           const TargetResponseInfo& aFacts,
+                           MonotonicTime aSentAt)
 {
   if (aFacts.unreadable) {
     LogEvent(LogLevel::Warning, "target_answer_unreadable")
@@ -210,18 +251,20 @@
   if (aFacts.wrongTarget || (aFacts.notRun && !aFacts.limit)) {
     return;
   }
-  this->context.limits.OnAnswer(aTarget, aFacts.limit, this->sentAt);
+  this->context.limits.OnAnswer(aTarget, aFacts.limit, aSentAt);
 }
 
 void
-Exchange::ObserveRoom(const TargetRecord& aTarget, const TargetResponseInfo& aFacts)
+Exchange::ObserveRoom(const TargetRecord& aTarget,
+                      const TargetResponseInfo& aFacts,
+                      MonotonicTime aSentAt)
 {
   if (aFacts.wrongTarget) {
     return;
   }
   BrittleTargetLimiter& brittle = this->context.brittle;
   const bool before = brittle.IsBrittle(this->service);
-  brittle.OnAnswer(aTarget, aFacts.brittle, this->sentAt);
+  brittle.OnAnswer(aTarget, aFacts.brittle, aSentAt);
   const bool now = brittle.IsBrittle(this->service);
   if (before != now) {
     LogEvent(LogLevel::Info, now ? "service_brittle" : "service_not_brittle")
@@ -328,7 +371,9 @@
 // Logs one line for each prompt that is sent, with what decided the selection: how much of it is
 // fetched or must be prefilled, and the target's estimated load without this call.
 void
-Exchange::LogPromptSent(const TargetRecord& aTarget, const TargetCall& aCall) const
+Exchange::LogPromptSent(const TargetRecord& aTarget,
+                        const TargetCall& aCall,
+                        const CallLoad& aLoad) const
 {
   if (this->selection.promptTokens == TokenCount()) {
     return;
@@ -347,12 +392,12 @@
     .With("prompt", this->selection.promptTokens)
     .With("parts", this->selection.parts.size())
     .With("last_part", this->selection.parts.empty() ? PartKey() : this->selection.parts.back().key)
-    .With("to_read", this->load.uncachedTokens)
+    .With("to_read", aLoad.uncachedTokens)
     .With("fetches", countTransfers(aCall.fetches))
     .With("fetched_from", this->fetchedFrom)
     .With("saves", countTransfers(aCall.saves))
     .With("slow_stores", this->avoidedStores.size())
-    .With("unread", load.unread - std::min(load.unread, this->load.uncachedTokens.Value()))
+    .With("unread", load.unread - std::min(load.unread, aLoad.uncachedTokens.Value()))
     .With("running", load.requests - std::min<std::uint64_t>(load.requests, 1))
     .With("memory", load.memory)
     .With("weights", this->weights);
--- a/src/program/ExchangeRouting.cpp
+++ b/src/program/ExchangeRouting.cpp
@@ -281,6 +281,25 @@
   return this->overloaded ? nullptr : chosen;
 }
 
+// Open connections to targets may go on working while new ones fail, so they are used first.
+Exchange::NextDestination
+Exchange::ChooseDestination()
+{
+  if (this->HasOpenConnections()) {
+    if (const TargetRecord* chosen = this->ChooseTarget()) {
+      return NextDestination{ std::nullopt, chosen };
+    }
+  }
+  if (std::optional<HostId> host = this->ChooseForwardingHost()) {
+    return NextDestination{ std::move(host), nullptr };
+  }
+  // Connections would only fail once more. A probe finds out when that has changed.
+  if (this->context.paths.IsUnreachable(this->service)) {
+    return NextDestination{};
+  }
+  return NextDestination{ std::nullopt, this->ChooseTarget() };
+}
+
 bool
 Exchange::StillTakesCalls(const TargetRecord& aTarget) const
 {
--- a/src/program/ExchangeSilence.cpp
+++ b/src/program/ExchangeSilence.cpp
@@ -29,7 +29,7 @@
 {
   if (this->context.paths.IsUnreachable(this->service)) {
     if (this->Silence() >= kMaxSoundSilence) {
-      this->MoveOn("service_unreachable");
+      this->OnSilent("service_unreachable");
     }
     return;
   }
@@ -44,7 +44,7 @@
 Exchange::OnTargetUnreachable(const TargetId& aTarget)
 {
   if (this->attemptTarget.id == aTarget && this->Silence() >= this->MaxSilence()) {
-    this->MoveOn("target_unreachable");
+    this->OnSilent("target_unreachable");
   }
 }
 
@@ -60,33 +60,24 @@
   return this->responseBegun ? kMaxSoundSilence : kMaxTargetSilence;
 }
 
-// An attempt that no other may follow goes on: the target may be silent for a moment only, and its
-// answer is better than none.
 void
-Exchange::MoveOn(std::string_view aReason)
+Exchange::OnSilent(std::string_view aReason)
 {
   const bool ended = this->channel == nullptr || this->received || this->unacknowledged;
-  if (!this->plan->Limits().repeatable || ended) {
+  const bool waits = !ended && !this->forwarding;
+  if (!this->plan->Limits().repeatable || !waits || !this->StartStandby()) {
     return;
   }
-  const bool moves = this->ReserveOtherWay();
-  if (moves || !this->silenceLogged) {
+  if (!this->silenceLogged) {
     this->silenceLogged = true;
-    const std::string_view outcome = moves ? "given_up" : "kept";
     LogEvent(LogLevel::Info, "silent_attempt")
       .With("request", this->call.request)
       .With("target", this->attemptTarget.id)
       .With("reason", aReason)
       .With("silence_ms", WholeMilliseconds(this->Silence()))
-      .With("passed_on", this->plan->PassedOn())
-      .With("outcome", outcome);
+      .With("passed_on", this->plan->PassedOn());
     this->context.metrics.Add(
-      Counter::SilentAttempts, MetricKey{ WorkspaceId(), std::string(outcome) }, 1);
-  }
-  if (moves) {
-    this->givenUp = true;
-    this->unacknowledged = true;
-    this->channel->Close();
+      Counter::SilentAttempts, MetricKey{ WorkspaceId(), std::string(aReason) }, 1);
   }
 }
 
@@ -103,18 +94,8 @@
 bool
 Exchange::HasOtherWay()
 {
-  const bool unreachable = this->context.paths.IsUnreachable(this->service);
-  if (unreachable && this->ChooseForwardingHost()) {
-    return true;
-  }
-  if (unreachable && !this->HasOpenConnections()) {
-    return false;
-  }
-  // Not the verdict on the attempt in progress, which may still succeed.
-  const bool overloadedBefore = this->overloaded;
-  const bool found = this->ChooseTarget() != nullptr;
-  this->overloaded = overloadedBefore;
-  return found;
+  const NextDestination next = this->ChooseDestination();
+  return next.host.has_value() || next.target != nullptr;
 }
 
 // The target that was given up might have answered, so its stream is not cut off at once because
--- a/src/protocol/MetricsText.cpp
+++ b/src/protocol/MetricsText.cpp
@@ -44,6 +44,7 @@
   { Counter::CrashReports, "damasklink_crash_reports_total" },
   { Counter::ClosedUnread, "damasklink_connections_closed_unread_total" },
   { Counter::SilentAttempts, "damasklink_silent_attempts_total" },
+  { Counter::StandbyAttempts, "damasklink_standby_attempts_total" },
   { Counter::ResumedStreams, "damasklink_resumed_streams_total" },
 } };
 
--- a/test/coordination/ExchangeRetryPolicyTest.cpp
+++ b/test/coordination/ExchangeRetryPolicyTest.cpp
@@ -209,6 +209,56 @@
   RC_ASSERT(step != ExchangeStep::Refuse || !mayHaveRun);
 }
 
+// Guards against a refusal of the silent target that is told as "not run" though another target may
+// run the call.
+TEST_F(ExchangeRetryPolicyTest, CallWhoseStandbyMayHaveRunIsNotRefused)
+{
+  ExchangeRetryPolicy plan(MakeLimits(true, 2));
+  plan.Begin(AttemptId("a"), TargetId("silent"));
+  plan.Sending();
+  EXPECT_TRUE(plan.ReserveRetry(kNow, this->budget));
+  plan.BeginStandby(AttemptId("a"), TargetId("other"));
+  EXPECT_EQ(plan.Sent(), 2U);
+  plan.EndStandby(AttemptStage::Lost, false);
+  EXPECT_EQ(plan.After(AttemptResult::Refused, kNow, this->budget), ExchangeStep::Fail);
+}
+
+TEST_F(ExchangeRetryPolicyTest, RefusedStandbyDoesNotChangeTheFirstAttempt)
+{
+  ExchangeRetryPolicy plan(MakeLimits(true, 3));
+  plan.Begin(AttemptId("a"), TargetId("silent"));
+  plan.Sending();
+  EXPECT_TRUE(plan.ReserveRetry(kNow, this->budget));
+  plan.BeginStandby(AttemptId("a"), TargetId("other"));
+  plan.EndStandby(AttemptStage::Refused, false);
+  EXPECT_EQ(plan.Record().Outcome(), RunOutcome::MayHaveRun);
+  EXPECT_EQ(plan.After(AttemptResult::Delivered, kNow, this->budget), ExchangeStep::Done);
+}
+
+TEST_F(ExchangeRetryPolicyTest, DeclinedStandbyIsNotCountedAsASend)
+{
+  ExchangeRetryPolicy plan(MakeLimits(true, 2));
+  plan.Begin(AttemptId("a"), TargetId("silent"));
+  plan.Sending();
+  EXPECT_TRUE(plan.ReserveRetry(kNow, this->budget));
+  plan.BeginStandby(AttemptId("a"), TargetId("host"));
+  plan.EndStandby(AttemptStage::Refused, true);
+  EXPECT_EQ(plan.Sent(), 1U);
+  EXPECT_TRUE(plan.ReserveRetry(kNow, this->budget));
+}
+
+TEST_F(ExchangeRetryPolicyTest, StandbyThatTakesOverIsTheAttemptInProgress)
+{
+  ExchangeRetryPolicy plan(MakeLimits(true, 2));
+  plan.Begin(AttemptId("a"), TargetId("silent"));
+  plan.Sending();
+  EXPECT_TRUE(plan.ReserveRetry(kNow, this->budget));
+  plan.BeginStandby(AttemptId("a"), TargetId("other"));
+  plan.ContinueAtStandby(AttemptResult::Broken);
+  EXPECT_EQ(plan.After(AttemptResult::Refused, kNow, this->budget), ExchangeStep::Fail);
+  EXPECT_EQ(plan.Record().Attempts().back().stage, AttemptStage::Refused);
+}
+
 TEST_F(ExchangeRetryPolicyTest, DeclinedCallIsTriedElsewhereWithoutARetry)
 {
   RetryBudget empty{ 0, 0 };
