Red test: lines of what succeeded have an error field

Change: the field is added by a function of its own, AddError, so that a test can read what it writes. What the lines say is unchanged.

--- a/src/program/ControlCallHandler.cpp
+++ b/src/program/ControlCallHandler.cpp
@@ -6,6 +6,7 @@
 #include "damasklink/state/Text.h"
 #include "damasklink/state/Units.h"
 #include "damasklink/transport/Log.h"
+#include "damasklink/transport/ResultLog.h"
 
 namespace damasklink {
 namespace {
@@ -182,11 +183,12 @@
   const Revision before = this->group.State().Version();
   const ServingCommand command = PutDocument{ version, aChange.document };
   auto result = co_await this->group.Commit(command);
-  LogEvent(LogLevel::Info, result ? "configuration_acknowledged" : "configuration_not_committed")
-    .With("version", version)
+  LogEvent event(LogLevel::Info,
+                 result ? "configuration_acknowledged" : "configuration_not_committed");
+  event.With("version", version)
     .With("before", before)
-    .With("in_force", result ? result.value().version : Revision())
-    .With("error", result ? Error{} : result.error());
+    .With("in_force", result ? result.value().version : Revision());
+  AddError(event, result);
   if (result) {
     this->metrics.Add(Counter::ConfigChanges, MetricKey{}, 1);
   }
@@ -228,12 +230,13 @@
     SetEvacuation{ aChange.zone, aChange.evacuated, seen, this->clock.WallNow() };
   const auto result = co_await this->group.Commit(command);
   const bool acknowledged = result && !result.value().superseded;
-  LogEvent(LogLevel::Info, acknowledged ? "evacuation_acknowledged" : "evacuation_not_committed")
-    .With("zone", aChange.zone)
+  LogEvent event(LogLevel::Info,
+                 acknowledged ? "evacuation_acknowledged" : "evacuation_not_committed");
+  event.With("zone", aChange.zone)
     .With("evacuated", aChange.evacuated)
     .With("seen_changes", seen)
-    .With("superseded", result && result.value().superseded)
-    .With("error", result ? Error{} : result.error());
+    .With("superseded", result && result.value().superseded);
+  AddError(event, result);
   if (result && result.value().superseded) {
     co_return this->dialect.ControlErrorResponse(
       Error{ ErrorKind::Unavailable,
--- a/test/transport/LogTest.cpp
+++ b/test/transport/LogTest.cpp
@@ -1,5 +1,7 @@
 #include "damasklink/transport/Log.h"
 
+#include "damasklink/transport/ResultLog.h"
+
 #include <unistd.h>
 
 #include <ctime>
@@ -89,5 +91,22 @@
             static_cast<std::size_t>(seconds) * kMaxLinesPerSecond);
 }
 
+// Guards against a field that tells of an error where there was none.
+TEST(LogTest, OnlyAFailureHasAnError)
+{
+  PipeOutput output;
+  LogToStandardOutput();
+  {
+    LogEvent event(LogLevel::Info, "succeeded");
+    AddError(event, Result<int>(1));
+  }
+  EXPECT_EQ(CountOf(output.Read(), "error="), 0U);
+  {
+    LogEvent event(LogLevel::Info, "failed");
+    AddError(event, Result<int>(Fail(ErrorKind::NotFound, "no such zone", "name another")));
+  }
+  EXPECT_EQ(CountOf(output.Read(), "error=\"not_found: no such zone; name another\""), 1U);
+}
+
 } // namespace
 } // namespace damasklink
