Only what failed is logged with an error

Cause: a line about a committed change or evacuation printed the empty error of its success, error="internal: ". Change: AddError() adds the field only where the operation failed. The lines weights_not_committed and release_not_committed, which had no error at all, have one now. The other lines with this field in src and platform are written where there is an error.

--- a/include/damasklink/transport/ResultLog.h
+++ b/include/damasklink/transport/ResultLog.h
@@ -9,12 +9,14 @@
 
 namespace damasklink {
 
-// Adds the field "error" with the error of the result.
+// Adds the field "error" where the operation failed.
 template<typename T>
 void
 AddError(LogEvent& aEvent, const Result<T>& aResult)
 {
-  aEvent.With("error", aResult ? Error{} : aResult.error());
+  if (!aResult) {
+    aEvent.With("error", aResult.error());
+  }
 }
 
 } // namespace damasklink
--- a/src/program/ControlCallHandler.cpp
+++ b/src/program/ControlCallHandler.cpp
@@ -200,9 +200,9 @@
 {
   const ServingCommand command = SetWeightVersion{ aNamed.model, aNamed.version };
   auto result = co_await this->group.Commit(command);
-  LogEvent(LogLevel::Info, result ? "weights_acknowledged" : "weights_not_committed")
-    .With("model", aNamed.model)
-    .With("version", aNamed.version);
+  LogEvent event(LogLevel::Info, result ? "weights_acknowledged" : "weights_not_committed");
+  event.With("model", aNamed.model).With("version", aNamed.version);
+  AddError(event, result);
   co_return this->MakeCommitAnswer(result);
 }
 
@@ -211,8 +211,9 @@
 {
   const ServingCommand command = ReleaseRequest{ aRelease.request };
   auto result = co_await this->group.Commit(command);
-  LogEvent(LogLevel::Info, result ? "release_acknowledged" : "release_not_committed")
-    .With("fingerprint", aRelease.request);
+  LogEvent event(LogLevel::Info, result ? "release_acknowledged" : "release_not_committed");
+  event.With("fingerprint", aRelease.request);
+  AddError(event, result);
   co_return this->MakeCommitAnswer(result);
 }
 
