New connections that are not admitted get a refusal

Cause: a host that takes no more connections closed new ones unread, so their requests got neither an answer nor a refusal. Change: ConnectionRefuser waits up to a second for the first bytes of the request, answers 503 with Retry-After and Connection: close without parsing or relaying anything, and ends the connection with a lingering close of its own bounds (1 s, 1 MiB). RefusalLimiter bounds refusals to 1000 a second, 500 in a burst and 512 at once; beyond that, connections are closed unread as before. Retry-After comes from a RetryScheduler fed with the admitted connections, so callers return at different times (0.3 to 2 s). The request is read by nobody, so the response has no X-Request-Id, like those to unreadable requests. A stopping host waits for refusals in progress.

--- a/include/damasklink/coordination/ConnectionAdmission.h
+++ b/include/damasklink/coordination/ConnectionAdmission.h
@@ -1,12 +1,12 @@
 // Limits the new connections of a host to what its processor can serve.
 //
 //   ConnectionAdmission admission;
-//   if (!admission.TryAdmit(lag)) ...    // Close the connection before anything is read.
+//   if (!admission.TryAdmit(lag)) ...    // Refuse the connection before anything is read.
 //   admission.OnInterval(lag);           // Every kInterval.
 //
 // A load balancer may send one host the callers of a whole availability zone. What the host reads
 // beyond its capacity waits, and in the end everything that it has read is late. A connection that
-// is closed unread costs little, and its caller can try another host at once.
+// is refused unread costs little, and its caller can try another host.
 //
 // The limit adapts to the delay of the event loop: it falls while the loop lags, and rises again
 // otherwise. Not thread-safe.
--- a/include/damasklink/transport/CallerConnection.h
+++ b/include/damasklink/transport/CallerConnection.h
@@ -91,6 +91,10 @@
   Awaitable<Result<HttpRequestMessage>> Read(const CallerLimitsSource& aSource);
   Awaitable<Result<HttpRequestMessage>> Read(const CallerLimits& aLimits);
 
+  // Waits until the caller has sent something, and reads nothing of it. Returns false if nothing
+  // comes within aTimeout, or the caller closes the connection.
+  Awaitable<bool> AwaitBytes(Duration aTimeout);
+
   // Applies the idle timeout in force to a connection that is waiting for a request.
   void OnLimitsChanged();
 
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -86,9 +86,10 @@
 EntryHost::Impl::ServeCaller(std::shared_ptr<CallerConnection> aChannel)
 {
   if (!this->admission.TryAdmit(this->IntervalLag())) {
-    aChannel->Close();
+    co_await this->refuser.Refuse(*aChannel);
     co_return;
   }
+  this->refuser.OnAdmitted();
   const auto position = this->open.insert(this->open.end(), aChannel);
   bool reusable = true;
   while (reusable) {
@@ -174,7 +175,8 @@
     const auto busy = std::count_if(this->open.begin(), this->open.end(), [](const auto& aChannel) {
       return !aChannel->IsIdle();
     });
-    const bool ended = busy == 0 && this->lingering.Count() == 0 && this->forwarder.Served() == 0;
+    const bool ended = busy == 0 && this->lingering.Count() == 0 && this->refuser.Pending() == 0 &&
+                       this->forwarder.Served() == 0;
     if (ended || now >= deadline) {
       LogEvent(LogLevel::Info, "stop_ends")
         .With("open", this->open.size())
--- a/src/program/EntryHostImpl.h
+++ b/src/program/EntryHostImpl.h
@@ -9,6 +9,7 @@
 
 #include "CallForwarder.h"
 #include "ConfigurationUpdater.h"
+#include "ConnectionRefuser.h"
 #include "EntryHost.h"
 #include "Exchange.h"
 #include "MetricsServer.h"
@@ -224,6 +225,7 @@
   HubSelector hub{ this->clock, this->settings.zone };
   bool wasReady = false;
   ConnectionAdmission admission;
+  ConnectionRefuser refuser{ this->clock, this->calls, RandomSeed() };
   // When the next load report is due.
   MonotonicTime nextInterval = this->clock.MonotonicNow();
 };
--- a/src/program/EntryHostUpdates.cpp
+++ b/src/program/EntryHostUpdates.cpp
@@ -56,18 +56,22 @@
 EntryHost::Impl::UpdateAdmission()
 {
   const Duration lag = this->IntervalLag();
-  const std::uint64_t declined = this->admission.Declined();
+  const RefusalCounts declined = this->refuser.TakeCounts();
   const bool before = this->admission.IsOverloaded();
   this->admission.OnInterval(lag);
   this->ends.OnInterval();
   this->context.overloaded = this->admission.IsOverloaded();
-  if (declined > 0 || before != this->context.overloaded) {
+  const bool limited = declined.refused > 0 || declined.closedUnread > 0;
+  if (limited || before != this->context.overloaded) {
     LogEvent(LogLevel::Info, "connections_limited")
       .With("overloaded", this->context.overloaded)
       .With("lag_ms", WholeMilliseconds(lag))
-      .With("closed_unread", declined)
+      .With("refused", declined.refused)
+      .With("closed_unread", declined.closedUnread)
       .With("next_limit", this->admission.Limit());
-    this->metrics.Add(Counter::ClosedUnread, MetricKey{}, declined);
+    this->metrics.Add(Counter::ClosedUnread, MetricKey{}, declined.closedUnread);
+    this->metrics.Add(
+      Counter::Refusals, MetricKey{ WorkspaceId(), "connection_limit" }, declined.refused);
   }
 }
 
--- a/src/transport/CallerConnection.cpp
+++ b/src/transport/CallerConnection.cpp
@@ -269,6 +269,18 @@
   co_return error;
 }
 
+Awaitable<bool>
+CallerConnection::AwaitBytes(Duration aTimeout)
+{
+  Impl& connection = *this->impl;
+  connection.StartReadTimeout(aTimeout);
+  const auto [error] = co_await connection.socket.async_wait(TcpSocket::wait_read, kAsValue);
+  connection.watchdog.Disarm();
+  IoError failure = error;
+  // Readable without any bytes: the caller has closed its side.
+  co_return !failure && connection.socket.available(failure) > 0;
+}
+
 void
 CallerConnection::OnLimitsChanged()
 {
--- a/test/soak/new_connections.py
+++ b/test/soak/new_connections.py
@@ -86,7 +86,7 @@
         asked = []
         for burst in range(int(FOR / EVERY)):
             await asyncio.sleep(max(0, begun + burst * EVERY - loop.time()))
-            asked += [asyncio.create_task(self.ask_anew(f"n{burst}-{number}")) for number in range(BURST)]
+            asked += [asyncio.create_task(self.ask_anew(f"n{burst}-{number}")) for number in range(self.options.burst)]
         await asyncio.gather(*asked)
         used = processor_seconds(host) - before
         print(f"  processor time of the host {used:.2f} s for {len(asked)} requests in {loop.time() - begun:.1f} s")
@@ -99,6 +99,7 @@
 
 def main():
     parser = soak_parser(__doc__)
+    parser.add_argument("--burst", type=int, default=BURST, help="new connections each half second")
     parser.set_defaults(entries=1)
     soak_seeds(parser.parse_args(), NewConnections)
 
