StopAdmission refuses calls that would be cut off at the limit of a stop

Cause: a stopping host took requests from open connections until its end, whatever their calls take. A call is expected to take as long as 99 of 100 calls of its route took in the last minutes, plus the longest silence within an answer of 99 of 100 of them. Where a route is new, the times of all routes count; where nothing is known, calls are taken in the first half of the stop. What ends by its own timeout before the limit is always taken.

--- a/src/coordination/StopAdmission.cpp
+++ b/src/coordination/StopAdmission.cpp
@@ -1,6 +1,5 @@
 #include "damasklink/coordination/StopAdmission.h"
 
-#include <algorithm>
 #include <iterator>
 
 namespace damasklink {
@@ -27,8 +26,8 @@
   this->silences.Observe(Seconds(aLongestSilence), aNow);
 }
 
-// The silences of a few calls raise neither quantile of the whole times. One that comes on top of a
-// call that is long by itself is what would be cut off.
+// The whole times include silences. Adding one leaves room for a call that is long by itself and
+// whose target is silent on top of that.
 std::optional<Duration>
 StopAdmission::CallTimes::Expected(MonotonicTime aNow)
 {
@@ -36,8 +35,7 @@
   if (took.p99 <= 0) {
     return std::nullopt;
   }
-  const double silence = this->silences.Estimate(aNow).p99;
-  const std::chrono::duration<double> expected(std::max(took.p99, took.p95 + silence));
+  const std::chrono::duration<double> expected(took.p99 + this->silences.Estimate(aNow).p99);
   return std::chrono::duration_cast<Duration>(expected);
 }
 
@@ -74,11 +72,21 @@
   return this->stop ? std::optional(this->stop->since) : std::nullopt;
 }
 
-// Hosts take all requests until they end.
+// A refused call costs its caller a round trip, one that is cut off may cost the whole answer. So
+// where nothing is known, calls are taken in the first half of a stop only: until the load balancer
+// has noticed the stop, it would send many of the refused ones here again.
 bool
-StopAdmission::MayTake(std::string_view /*aRoute*/, Duration /*aLongest*/)
+StopAdmission::MayTake(std::string_view aRoute, Duration aLongest)
 {
-  return true;
+  if (!this->stop) {
+    return true;
+  }
+  const Duration left = this->stop->cutOff - this->clock.MonotonicNow();
+  if (aLongest <= left) {
+    return true;
+  }
+  const Duration half = (this->stop->cutOff - this->stop->since) / 2;
+  return this->Expected(aRoute).value_or(half) <= left;
 }
 
 void
