A stopping host takes only what it can finish, and answers what it can't

A kept connection whose response began before SIGTERM may bring a request until the host ends, and the host passed it on whatever its call takes; at the limit the loop stopped with calls in progress, which left no line in the log and no answer, also for calls of which no byte had been passed on. Change: each answered call tells StopAdmission its time and the longest silence within its answer. A request that a stopping host reads is refused with 503, not run, Connection: close and Retry-After 0.05 when its call isn't expected to end before the limit. At the limit (stop-within less 0.4 s, as before) a call without a byte passed on is answered with 504, or 503 if it surely did not run; a stream is cut as before; a call of another host is given back to that host. Each has a line call_cut_at_stop with the time since the stop and the silence of its target. Responses have 0.15 s more to leave the host; what has not left by then has a line too. The end of a call by the stop says nothing about its target.

--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -1,9 +1,7 @@
 // Life of an entry host: its listeners, callers, forwarded calls and its end. What it hears from
-// and tells control hosts is in EntryHostUpdates.cpp.
+// and tells control hosts is in EntryHostUpdates.cpp, how it stops in EntryHostStop.cpp.
 #include "EntryHost.h"
 
-#include <algorithm>
-
 #include "EntryHostImpl.h"
 #include "damasklink/state/Text.h"
 #include "damasklink/transport/Log.h"
@@ -14,18 +12,6 @@
 // How often idle connections to targets and links to control hosts are checked.
 constexpr Duration kHousekeepingInterval = std::chrono::seconds(1);
 
-// Calls that still run are cut off this long before the end of stopWithin, so that the last
-// responses still leave the host.
-constexpr Duration kStopMargin = std::chrono::milliseconds(400);
-
-// How long connections are still accepted after the signal to stop. The load balancer probes once a
-// second and stops sending after two failed probes. A call that arrives after three seconds might
-// not end in time.
-constexpr Duration kAcceptAfterStop = std::chrono::milliseconds(2600);
-
-// How often a stopping host checks whether all calls have ended.
-constexpr Duration kStopCheckInterval = std::chrono::milliseconds(100);
-
 } // namespace
 
 Result<void>
@@ -150,44 +136,6 @@
   return !this->context.shuttingDown && this->state.Routes() != nullptr;
 }
 
-// Readiness already fails when this begins. New connections are served as long as the load balancer
-// may still open some (kAcceptAfterStop). Then idle connections are closed, and the loop stops with
-// the last call.
-Awaitable<void>
-EntryHost::Impl::Stop()
-{
-  const MonotonicTime start = this->clock.MonotonicNow();
-  const MonotonicTime deadline = start + this->settings.stopWithin - kStopMargin;
-  asio::steady_timer timer(this->loop);
-  while (true) {
-    timer.expires_after(kStopCheckInterval);
-    co_await timer.async_wait(kAsValue);
-    const MonotonicTime now = this->clock.MonotonicNow();
-    if (now < start + kAcceptAfterStop) {
-      continue;
-    }
-    // A request on an idle connection might not end before the process does.
-    this->callers.Close();
-    for (const std::shared_ptr<CallerConnection>& channel : this->open) {
-      channel->CloseIfIdle();
-    }
-    const auto busy = std::count_if(this->open.begin(), this->open.end(), [](const auto& aChannel) {
-      return !aChannel->IsIdle();
-    });
-    const bool ended = busy == 0 && this->lingering.Count() == 0 && this->forwarder.Served() == 0;
-    if (ended || now >= deadline) {
-      LogEvent(LogLevel::Info, "stop_ends")
-        .With("open", this->open.size())
-        .With("busy", busy)
-        .With("lingering", this->lingering.Count());
-      break;
-    }
-  }
-  this->forwarder.Stop();
-  this->mesh.Stop();
-  this->loop.stop();
-}
-
 void
 EntryHost::Impl::RunHousekeeping()
 {
@@ -195,6 +143,7 @@
   this->rests.RemoveExpired();
   this->brittle.RemoveExpired();
   this->origins.RemoveExpired();
+  this->stopAdmission.RemoveExpired();
   this->forwarder.CloseIdle();
   if (this->paths.AnyUnreachable() || !this->forwarder.HasHosts()) {
     this->RequestForwardingHosts();
--- a/src/program/EntryHostImpl.h
+++ b/src/program/EntryHostImpl.h
@@ -105,10 +105,12 @@
                this->brittle,
                this->origins,
                this->originResolver,
+               this->stopAdmission,
                this->clock.MonotonicNow(),
                nullptr,
                false,
                false,
+               {},
                {} }
     , configuration(this->loop,
                     this->clock,
@@ -153,6 +155,11 @@
   void OnTargetUnreachable(const TargetId& aTarget);
   bool IsFailureConfirmed(const TargetId& aTarget, MonotonicTime aSince);
   Awaitable<void> Stop();
+  // Waits until no call is in progress. Returns false if that is not so at this time.
+  Awaitable<bool> AwaitCallsEnd(MonotonicTime aUntil);
+  // Answers or cuts off the calls that targets have not answered.
+  void EndCalls();
+  std::size_t BusyConnections() const;
   void RunHousekeeping();
   std::vector<HubCandidate> HubCandidates() const;
   std::vector<HostId> ReportingControlHosts() const;
@@ -204,6 +211,7 @@
   CallForwarder forwarder;
   StreamOriginTable origins{ this->clock };
   StreamOriginResolver originResolver;
+  StopAdmission stopAdmission{ this->clock };
   PeerMesh mesh;
   EntryContext context;
   ConfigurationUpdater configuration;
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -64,6 +64,10 @@
   if (const std::optional<CallerError> refusal = this->Resolve()) {
     co_return co_await this->RespondWithError(*refusal);
   }
+  if (const std::optional<CallerError> refusal = this->RefusalAtStop()) {
+    co_return co_await this->RespondWithError(*refusal);
+  }
+  this->context.inProgress.insert(this);
   this->deadline.emplace(this->context.loop.get_executor(),
                          [this] { this->OnInterrupt(Interrupt::Expired); });
   this->deadline->Arm(std::max(this->TimeLeft(), Duration::zero()));
@@ -77,6 +81,8 @@
     unknownOrigin ? co_await this->RespondWithError(*unknownOrigin) : co_await this->Relay();
   this->deadline->Disarm();
   this->caller.StopWatching();
+  this->context.inProgress.erase(this);
+  this->LearnCallTime();
   co_return reusable;
 }
 
@@ -602,9 +608,13 @@
       co_return co_await this->RespondWithError(error);
     }
     case ExchangeStep::Expire: {
-      const Error expired{ ErrorKind::DeadlineExceeded,
-                           "the target did not answer in time",
-                           "allow more time, or check the service" };
+      const Error expired = this->interrupt == Interrupt::HostStops
+                              ? Error{ ErrorKind::DeadlineExceeded,
+                                       "this host stopped before the target answered",
+                                       "send the request again if it may run twice" }
+                              : Error{ ErrorKind::DeadlineExceeded,
+                                       "the target did not answer in time",
+                                       "allow more time, or check the service" };
       const CallerError error{ expired, this->plan->Record().Outcome(), std::nullopt };
       co_return co_await this->RespondWithError(error);
     }
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -25,6 +25,7 @@
 #include "damasklink/coordination/ServiceRetryBudgets.h"
 #include "damasklink/coordination/SlowStoreDetector.h"
 #include "damasklink/coordination/StartupRetryDelay.h"
+#include "damasklink/coordination/StopAdmission.h"
 #include "damasklink/coordination/TargetRateLimiter.h"
 #include "damasklink/coordination/TargetRestPeriods.h"
 #include "damasklink/coordination/TargetSelector.h"
@@ -68,6 +69,7 @@
   BrittleTargetLimiter& brittle;
   StreamOriginTable& origins;
   StreamOriginResolver& originResolver;
+  StopAdmission& stopping;
   MonotonicTime started;
   // Sends this host's load report to its hub at once, not only at the next interval.
   std::function<void()> reportLoad;
@@ -78,6 +80,8 @@
   bool overloaded = false;
   // Exchanges that have sent their request to a target and wait for its answer.
   std::set<Exchange*> waiting;
+  // Exchanges whose route is known and whose response is not complete.
+  std::set<Exchange*> inProgress;
 };
 
 // What is left of the limits of a call that another entry host forwarded to this one.
@@ -124,6 +128,13 @@
   // it.
   void OnTargetUnreachable(const TargetId& aTarget);
 
+  // The stopping host waits no longer for targets. Ends a stream that has begun without its rest,
+  // and answers any other call unless its response is complete already.
+  void OnStopLimit();
+
+  // Logs that the host stops before the response was sent to its end.
+  void LogCutAtStop(std::string_view aOutcome) const;
+
 private:
   // Why the exchange cancelled its pending operations.
   enum class Interrupt
@@ -131,6 +142,7 @@
     None,
     Expired,
     CallerLeft,
+    HostStops,
   };
 
   // A complete response of a target: read to its end before anything of it is forwarded.
@@ -147,6 +159,10 @@
   // Finds the software version that a resumed stream must continue on, and its service. Returns the
   // refusal if they are not known.
   Awaitable<std::optional<CallerError>> ResolveOrigin();
+  // Returns the refusal if this host stops before the call is expected to end.
+  std::optional<CallerError> RefusalAtStop();
+  // Learns how long a call takes that a target has answered.
+  void LearnCallTime();
   bool MayContinueAt(const ServiceName& aService) const;
   bool HasOnlyVersion(const SoftwareVersion& aSoftware) const;
   // Records which software version has begun the stream, for callers that resume it elsewhere.
@@ -289,6 +305,8 @@
   MonotonicTime lastBytesAt;
   // When the target of this attempt was last checked because of its silence.
   MonotonicTime checkedAt;
+  // The longest time within the responses of targets in which they sent nothing.
+  Duration longestSilence{ 0 };
   // Whether it was logged that the attempt goes on in spite of its target's silence.
   bool silenceLogged = false;
   CallLoad load;
@@ -319,6 +337,8 @@
   bool unacknowledged = false;
   // Whether the target refused the connection of this attempt, which proves its zone reachable.
   bool refused = false;
+  // Whether the call was refused since this host stops.
+  bool refusedAtStop = false;
   // Whether no target is expected to answer in time.
   bool overloaded = false;
   // Whether an attempt brought a complete successful response.
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -133,7 +133,11 @@
 void
 Exchange::OnBytes(const TargetRecord& aTarget)
 {
-  this->lastBytesAt = this->context.clock.MonotonicNow();
+  const MonotonicTime now = this->context.clock.MonotonicNow();
+  if (this->responseBegun) {
+    this->longestSilence = std::max(this->longestSilence, now - this->lastBytesAt);
+  }
+  this->lastBytesAt = now;
   this->context.reachability.OnBytes(aTarget.zone);
   this->context.probe.OnBytes(aTarget.id);
   this->context.paths.OnBytes(this->service);
@@ -158,7 +162,8 @@
   const bool sent = this->sentAt != MonotonicTime();
   const Duration waited = this->context.clock.MonotonicNow() - this->sentAt;
   const bool unreachable = this->context.paths.IsUnreachable(this->service);
-  if (sent && !unreachable && !this->plan->PassedOn() && waited >= kSuspiciousSilence) {
+  if (sent && this->interrupt != Interrupt::HostStops && !unreachable && !this->plan->PassedOn() &&
+      waited >= kSuspiciousSilence) {
     this->context.interrupted.Add(this->MakeCrashReport(aTarget), aTarget.endpoint);
   }
 }
@@ -388,9 +393,10 @@
   metrics.Add(Counter::Requests, MetricKey{ WorkspaceId(), name }, 1);
   metrics.Observe(Sample::WholeRequest, MetricKey{ WorkspaceId(), name }, aTook);
   if (aStatus == 503) {
-    const char* cause = this->crashesTargets ? "crashes_targets"
-                        : this->overloaded   ? "overloaded"
-                                             : "no_target";
+    const char* cause = this->crashesTargets  ? "crashes_targets"
+                        : this->refusedAtStop ? "stopping"
+                        : this->overloaded    ? "overloaded"
+                                              : "no_target";
     metrics.Add(Counter::Refusals, MetricKey{ WorkspaceId(), cause }, 1);
   } else if (aStatus >= 400 || aStatus == 0) {
     metrics.Add(Counter::Failures, MetricKey{ WorkspaceId(), std::to_string(aStatus) }, 1);
--- a/test/program/ExchangeFixture.h
+++ b/test/program/ExchangeFixture.h
@@ -283,6 +283,7 @@
                                              aTo, this->answerLookup(aRequest));
                                          });
                                        } };
+  StopAdmission stopAdmission{ this->clock };
   EntryContext context{ this->loop,
                         this->clock,
                         this->settings,
@@ -310,10 +311,12 @@
                         this->brittle,
                         this->origins,
                         this->originResolver,
+                        this->stopAdmission,
                         this->clock.MonotonicNow(),
                         nullptr,
                         false,
                         false,
+                        {},
                         {} };
   std::thread thread;
   asio::io_context callerLoop;
