--- /dev/null
+++ b/src/coordination/StopAdmission.cpp
@@ -0,0 +1,113 @@
+#include "damasklink/coordination/StopAdmission.h"
+
+#include <iterator>
+
+namespace damasklink {
+namespace {
+
+double
+Seconds(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+} // namespace
+
+StopAdmission::CallTimes::CallTimes(MonotonicTime aNow)
+  : whole(aNow)
+  , silences(aNow)
+{
+}
+
+void
+StopAdmission::CallTimes::Observe(Duration aTook, Duration aLongestSilence, MonotonicTime aNow)
+{
+  this->whole.Observe(Seconds(aTook), aNow);
+  this->silences.Observe(Seconds(aLongestSilence), aNow);
+}
+
+// The whole times include silences. Adding one leaves room for a call that is long by itself and
+// whose target is silent on top of that.
+std::optional<Duration>
+StopAdmission::CallTimes::Expected(MonotonicTime aNow)
+{
+  const RecentQuantiles::Values took = this->whole.Estimate(aNow);
+  if (took.p99 <= 0) {
+    return std::nullopt;
+  }
+  const std::chrono::duration<double> expected(took.p99 + this->silences.Estimate(aNow).p99);
+  return std::chrono::duration_cast<Duration>(expected);
+}
+
+StopAdmission::StopAdmission(const Clock& aClock)
+  : clock(aClock)
+  , allRoutes(aClock.MonotonicNow())
+{
+}
+
+void
+StopAdmission::OnAnswered(std::string_view aRoute, Duration aTook, Duration aLongestSilence)
+{
+  const MonotonicTime now = this->clock.MonotonicNow();
+  this->allRoutes.Observe(aTook, aLongestSilence, now);
+  auto position = this->routes.find(aRoute);
+  if (position == this->routes.end()) {
+    if (this->routes.size() >= kMaxRoutes) {
+      return;
+    }
+    position = this->routes.emplace(std::string(aRoute), CallTimes(now)).first;
+  }
+  position->second.Observe(aTook, aLongestSilence, now);
+}
+
+void
+StopAdmission::BeginStop(MonotonicTime aCutOff)
+{
+  this->stop = Stop{ this->clock.MonotonicNow(), aCutOff };
+}
+
+std::optional<MonotonicTime>
+StopAdmission::StoppingSince() const
+{
+  return this->stop ? std::optional(this->stop->since) : std::nullopt;
+}
+
+// A refused call costs its caller a round trip, one that is cut off may cost the whole answer. So
+// where nothing is known, calls are taken in the first half of a stop only: until the load balancer
+// has noticed the stop, it would send many of the refused ones here again.
+bool
+StopAdmission::MayTake(std::string_view aRoute, Duration aLongest)
+{
+  if (!this->stop) {
+    return true;
+  }
+  const Duration left = this->stop->cutOff - this->clock.MonotonicNow();
+  if (aLongest <= left) {
+    return true;
+  }
+  const Duration half = (this->stop->cutOff - this->stop->since) / 2;
+  return this->Expected(aRoute).value_or(half) <= left;
+}
+
+void
+StopAdmission::RemoveExpired()
+{
+  const MonotonicTime now = this->clock.MonotonicNow();
+  for (auto position = this->routes.begin(); position != this->routes.end();) {
+    position = position->second.Expected(now) ? std::next(position) : this->routes.erase(position);
+  }
+}
+
+std::optional<Duration>
+StopAdmission::Expected(std::string_view aRoute)
+{
+  const MonotonicTime now = this->clock.MonotonicNow();
+  if (const auto position = this->routes.find(aRoute); position != this->routes.end()) {
+    if (const std::optional<Duration> expected = position->second.Expected(now)) {
+      return expected;
+    }
+  }
+  return this->allRoutes.Expected(now);
+}
+
+} // namespace damasklink
