--- a/test/program/CallForwarderTest.cpp
+++ b/test/program/CallForwarderTest.cpp
@@ -80,5 +80,103 @@
 
 INSTANTIATE_TEST_SUITE_P(BeforeAndAfterTheFirstFrame, IdleLinkTest, ::testing::Values(50, 900));
 
+// Two hosts with a loop each, so that one can stand still while the other goes on.
+class SilentHostTest : public ::testing::Test
+{
+protected:
+  // A host that stands still does not run its loop. Its kernel still acknowledges what arrives.
+  static void Run(asio::io_context& aLoop, std::chrono::milliseconds aTime)
+  {
+    aLoop.restart();
+    aLoop.run_for(aTime);
+  }
+
+  void RunBoth(std::chrono::milliseconds aTime)
+  {
+    const auto until = std::chrono::steady_clock::now() + aTime;
+    while (std::chrono::steady_clock::now() < until) {
+      Run(this->originLoop, std::chrono::milliseconds(5));
+      Run(this->serverLoop, std::chrono::milliseconds(5));
+    }
+  }
+
+  Awaitable<void> Forward()
+  {
+    EXPECT_TRUE(co_await this->origin.Connect(this->serverSettings.host));
+    auto response = this->origin.Send(this->serverSettings.host, ForwardedCall());
+    const auto message = co_await response->Next();
+    this->outcome = message ? "answered" : "lost";
+  }
+
+  // Forwards a call and returns once the other host runs it.
+  void BeginCall()
+  {
+    ASSERT_TRUE(this->origin.Listen());
+    ASSERT_TRUE(this->server.Listen());
+    asio::co_spawn(this->originLoop, this->Forward(), asio::detached);
+    this->RunBoth(std::chrono::milliseconds(200));
+    ASSERT_NE(this->served, nullptr);
+    this->served->WatchForDisconnect([this] { this->cancelled = true; });
+  }
+
+  void Answer()
+  {
+    HttpResponseMessage answer;
+    answer.head.status = 200;
+    asio::co_spawn(this->serverLoop, this->served->WriteWhole(answer, false), asio::detached);
+    this->RunBoth(std::chrono::milliseconds(200));
+  }
+
+  static constexpr std::chrono::milliseconds kStandstill{ 2500 };
+
+  asio::io_context originLoop{ 1 };
+  asio::io_context serverLoop{ 1 };
+  ManualClock clock;
+  NoMetrics metrics;
+  ServingSettings originSettings = HostSettings(1, FreeEndpoint(OwnAddress(1)).port);
+  ServingSettings serverSettings = HostSettings(2, this->originSettings.forwardingPort);
+  std::shared_ptr<ForwardedCaller> served;
+  bool cancelled = false;
+  std::string outcome = "none";
+  CallForwarder origin{ this->originLoop,
+                        this->clock,
+                        this->originSettings,
+                        this->metrics,
+                        1,
+                        [](const auto&, auto&, const auto&) {
+                          return std::optional(DeclineReason::Unreachable);
+                        } };
+  CallForwarder server{ this->serverLoop,
+                        this->clock,
+                        this->serverSettings,
+                        this->metrics,
+                        2,
+                        [this](const auto&, auto&, const auto& aCaller) {
+                          this->served = aCaller;
+                          return std::optional<DeclineReason>();
+                        } };
+};
+
+// Guards against calls that are given up because the host that runs them is silent for a moment.
+TEST_F(SilentHostTest, CallIsAnsweredByAHostThatStoodStill)
+{
+  this->BeginCall();
+  Run(this->originLoop, kStandstill);
+  EXPECT_EQ(this->outcome, "none");
+  this->Answer();
+  EXPECT_EQ(this->outcome, "answered");
+}
+
+// Guards against calls that are cancelled at their target because the host of their caller is
+// silent for a moment.
+TEST_F(SilentHostTest, CallOfAHostThatStoodStillIsNotCancelled)
+{
+  this->BeginCall();
+  Run(this->serverLoop, kStandstill);
+  EXPECT_FALSE(this->cancelled);
+  this->Answer();
+  EXPECT_EQ(this->outcome, "answered");
+}
+
 } // namespace
 } // namespace damasklink
