Calls between hosts go on while the connection is silent

Cause: a connection between entry hosts was closed after 1.7 s without a byte, with all calls that ran on it in both directions. A process that stands still is silent, although its machine acknowledges what it is sent, and answers afterwards. Change: a silent connection is kept while calls of or for the host run on it, and no new call is sent on it. A call that may be repeated goes on elsewhere if there is another way and a retry, as at a silent target; others wait. A machine that acknowledges nothing still loses its connections by TCP_USER_TIMEOUT (1.7 s). Event peer_silent. Not run: a host without power, beyond what the kernel is documented to do.

--- a/include/damasklink/transport/PeerMesh.h
+++ b/include/damasklink/transport/PeerMesh.h
@@ -40,6 +40,10 @@
   virtual void OnPeerUp(const HostId& aPeer, LinkSide aSide) = 0;
   // An established connection was closed.
   virtual void OnPeerDown(const HostId& aPeer, LinkSide aSide) = 0;
+  // An established connection has received nothing for the silence timeout; called again each time
+  // that it passes. Returns whether the connection is closed. One that is kept counts as down for
+  // IsUp() until something arrives, and is closed when the peer's machine acknowledges nothing.
+  virtual bool OnPeerSilent(const HostId& /*aPeer*/) { return true; }
   virtual void OnPeerMessage(const HostId& aPeer, PeerMessage aMessage) = 0;
 };
 
@@ -48,8 +52,9 @@
 {
   // Idle time after which a keepalive is sent.
   Duration keepaliveInterval = std::chrono::milliseconds(500);
-  // A connection that received no byte for this long is closed. It corresponds to three lost
-  // keepalives; one or two retransmitted packets do not cause that.
+  // A connection that received no byte for this long is silent, and closed unless the handler keeps
+  // it. It corresponds to three lost keepalives; one or two retransmitted packets do not cause
+  // that.
   Duration silenceTimeout = std::chrono::milliseconds(1700);
   DialTiming dial;
 };
@@ -78,7 +83,7 @@
 
   bool IsDialed(const HostId& aPeer) const { return this->dialed.contains(aPeer); }
 
-  // Returns whether a connection to the host is up, whichever side dialed it.
+  // Returns whether a connection to the host is up and not silent, whichever side dialed it.
   bool IsUp(const HostId& aPeer) const;
 
   // Sends on the connection that this side dialed, or else on the one that the peer dialed. Drops
--- a/src/program/CallForwarder.cpp
+++ b/src/program/CallForwarder.cpp
@@ -80,6 +80,14 @@
   this->wakeUp.cancel();
 }
 
+void
+ForwardedResponse::OnSilence()
+{
+  if (!this->ended && this->onSilence) {
+    this->onSilence();
+  }
+}
+
 CallForwarder::CallForwarder(asio::io_context& aLoop,
                              const Clock& aClock,
                              const ServingSettings& aSettings,
@@ -183,8 +191,7 @@
   const MonotonicTime now = this->clock.MonotonicNow();
   for (auto used = this->usedAt.begin(); used != this->usedAt.end();) {
     // The other side's calls may run on the connection that this host has made.
-    const bool inUse = this->peers.IsInUse(used->first) || this->ServesCallsOf(used->first);
-    if (inUse || now - used->second < kIdleTimeout) {
+    if (this->HasCalls(used->first) || now - used->second < kIdleTimeout) {
       ++used;
       continue;
     }
@@ -195,11 +202,12 @@
 }
 
 bool
-CallForwarder::ServesCallsOf(const HostId& aHost) const
+CallForwarder::HasCalls(const HostId& aHost) const
 {
-  return std::any_of(this->served.begin(), this->served.end(), [&](const auto& aItem) {
-    return aItem.first.first == aHost;
-  });
+  return this->peers.IsInUse(aHost) ||
+         std::any_of(this->served.begin(), this->served.end(), [&](const auto& aItem) {
+           return aItem.first.first == aHost;
+         });
 }
 
 void
@@ -241,6 +249,18 @@
   }
 }
 
+// The calls go on: a host that stands still for a moment answers them afterwards.
+bool
+CallForwarder::OnPeerSilent(const HostId& aPeer)
+{
+  for (const auto& [key, response] : this->forwarded) {
+    if (key.first == aPeer) {
+      response->OnSilence();
+    }
+  }
+  return !this->HasCalls(aPeer);
+}
+
 void
 CallForwarder::OnPeerMessage(const HostId& aPeer, PeerMessage aMessage)
 {
--- a/src/program/CallForwarder.h
+++ b/src/program/CallForwarder.h
@@ -51,17 +51,23 @@
   // Cancels the call; a pending Next() fails.
   void Close();
 
+  // Calls the handler each time that the other host has been silent for a while. The call goes on
+  // unless the handler closes it.
+  void WatchForSilence(std::function<void()> aHandler) { this->onSilence = std::move(aHandler); }
+
 private:
   friend class CallForwarder;
 
   void OnMessage(ForwardingMessage aMessage);
   void OnLost();
+  void OnSilence();
 
   // Null once the forwarder is destroyed.
   CallForwarder* forwarder;
   HostId host;
   CallNumber number;
   asio::steady_timer wakeUp;
+  std::function<void()> onSilence;
   std::deque<ForwardingMessage> messages;
   // No more messages will arrive.
   bool ended = false;
@@ -128,6 +134,7 @@
 
   void OnPeerUp(const HostId& aPeer, LinkSide aSide) override;
   void OnPeerDown(const HostId& aPeer, LinkSide aSide) override;
+  bool OnPeerSilent(const HostId& aPeer) override;
   void OnPeerMessage(const HostId& aPeer, PeerMessage aMessage) override;
 
 private:
@@ -142,7 +149,8 @@
     std::size_t bytes = 0;
   };
 
-  bool ServesCallsOf(const HostId& aHost) const;
+  // Returns whether calls to or from the host are in progress.
+  bool HasCalls(const HostId& aHost) const;
   void SendMessage(const HostId& aHost, const ForwardingMessage& aMessage);
   void OnCall(const HostId& aFrom, ForwardedCall aCall);
   void Remove(const ForwardedResponse& aResponse);
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -165,6 +165,8 @@
   Awaitable<AttemptResult> DeliverForwarded(ForwardedHead aHead);
   bool IsOnSoftwareThatBeganStream(const ForwardedHead& aHead) const;
   ForwardedCall MakeForwardedCall() const;
+  // The host that the call was forwarded to is silent. Gives up the attempt if another will follow.
+  void OnForwardingHostSilent();
   void LogAttemptEnd(ExchangeStep aStep) const;
   void RecordAttemptEnd(const TargetRecord& aTarget, AttemptResult aResult);
   Awaitable<AttemptResult> Attempt(const TargetRecord& aTarget);
--- a/src/program/ExchangeForwarding.cpp
+++ b/src/program/ExchangeForwarding.cpp
@@ -2,6 +2,8 @@
 // ExchangeRouting.cpp and ExchangeReporting.cpp.
 #include "Exchange.h"
 
+#include <utility>
+
 #include "damasklink/state/Units.h"
 #include "damasklink/transport/Log.h"
 
@@ -90,11 +92,14 @@
 {
   this->triedHosts.insert(aHost);
   this->attemptTarget = TargetRecord();
+  this->silenceLogged = false;
   this->plan->Begin(AttemptId(this->call.request.Value()), TargetId(aHost.Value()));
   AttemptResult result = AttemptResult::Unreachable;
   if (co_await this->context.forwarder.Connect(aHost) && this->interrupt == Interrupt::None) {
     this->plan->Sending();
     this->forwarded = this->context.forwarder.Send(aHost, this->MakeForwardedCall());
+    this->forwarded->WatchForSilence([this] { this->OnForwardingHostSilent(); });
+    this->lastBytesAt = this->context.clock.MonotonicNow();
     LogEvent(LogLevel::Info, "call_forwarded")
       .With("request", this->call.request)
       .With("to", aHost)
@@ -122,6 +127,7 @@
       this->framer.DiscardPartialEvent();
       co_return AttemptResult::Broken;
     }
+    this->lastBytesAt = this->context.clock.MonotonicNow();
     ForwardingMessage& message = received.value();
     std::string bytes;
     if (const auto* decline = std::get_if<ForwardingDecline>(&message)) {
@@ -165,6 +171,31 @@
   }
 }
 
+// A call that no other attempt may follow waits on, like one at a silent target.
+void
+Exchange::OnForwardingHostSilent()
+{
+  const bool moves = this->plan->Limits().repeatable && this->interrupt == Interrupt::None &&
+                     this->ReserveOtherWay();
+  if (!moves && std::exchange(this->silenceLogged, true)) {
+    return;
+  }
+  const std::string_view outcome = moves ? "given_up" : "kept";
+  LogEvent(LogLevel::Info, "silent_attempt")
+    .With("request", this->call.request)
+    .With("target", this->destination)
+    .With("reason", "host_silent")
+    .With("silence_ms", WholeMilliseconds(this->Silence()))
+    .With("passed_on", this->plan->PassedOn())
+    .With("outcome", outcome);
+  this->context.metrics.Add(
+    Counter::SilentAttempts, MetricKey{ WorkspaceId(), std::string(outcome) }, 1);
+  if (moves) {
+    this->givenUp = true;
+    this->forwarded->Close();
+  }
+}
+
 // A host that runs an older program neither observes nor states software versions.
 bool
 Exchange::IsOnSoftwareThatBeganStream(const ForwardedHead& aHead) const
--- a/src/transport/PeerMesh.cpp
+++ b/src/transport/PeerMesh.cpp
@@ -38,6 +38,7 @@
   const HostId& Peer() const { return this->peer; }
   void SetPeer(HostId aPeer) { this->peer = std::move(aPeer); }
   bool IsUp() const { return this->up && !this->closed; }
+  bool IsSilent() const { return this->silent; }
   bool IsClosed() const { return this->closed; }
 
   void Connect(const TcpEndpoint& aEndpoint, Duration aTimeout)
@@ -139,6 +140,26 @@
     this->StartSilenceTimer();
   }
 
+  void OnReceived()
+  {
+    this->silent = false;
+    this->RestartSilenceTimer();
+  }
+
+  // A process that stands still is silent although its machine acknowledges what it is sent.
+  void OnSilence()
+  {
+    const bool isNamed = this->up && !this->peer.Empty();
+    if (!isNamed || this->mesh.handler.OnPeerSilent(this->peer)) {
+      this->Close("silence");
+      return;
+    }
+    if (!std::exchange(this->silent, true)) {
+      LogEvent(LogLevel::Info, "peer_silent").With("peer", this->peer);
+    }
+    this->RestartSilenceTimer();
+  }
+
   void StartSilenceTimer()
   {
     auto self = this->shared_from_this();
@@ -147,7 +168,7 @@
       // handler ran.
       const bool expired = self->silenceTimer.expiry() <= asio::steady_timer::clock_type::now();
       if (!aError && expired) {
-        self->Close("silence");
+        self->OnSilence();
       }
     });
   }
@@ -179,7 +200,7 @@
         if (aError) {
           self->Close(aError.message());
         } else {
-          self->RestartSilenceTimer();
+          self->OnReceived();
           self->ReadBody();
         }
       });
@@ -199,7 +220,7 @@
       // A peer is alive while its message is arriving: on a shared link of 10 Mbit/s a message of a
       // megabyte takes longer than the timeout.
       if (aRead > self->bodyRead) {
-        self->RestartSilenceTimer();
+        self->OnReceived();
       }
       self->bodyRead = aRead;
       return aError ? 0 : self->body.size() - aRead;
@@ -212,7 +233,7 @@
                          self->Close(aError.message());
                          return;
                        }
-                       self->RestartSilenceTimer();
+                       self->OnReceived();
                        self->bodyRead = 0;
                        self->mesh.OnFrame(self, std::exchange(self->body, {}));
                        if (!self->closed) {
@@ -260,6 +281,8 @@
   HostId peer;
   bool up = false;
   bool closed = false;
+  // Nothing has arrived for the silence timeout.
+  bool silent = false;
   std::string closeReason;
   bool writing = false;
   bool sentSinceKeepalive = false;
@@ -364,7 +387,8 @@
 {
   for (const auto* links : { &this->dialed, &this->accepted }) {
     const auto found = links->find(aPeer);
-    if (found != links->end() && found->second != nullptr && found->second->IsUp()) {
+    if (found != links->end() && found->second != nullptr && found->second->IsUp() &&
+        !found->second->IsSilent()) {
       return true;
     }
   }
--- a/test/program/ExchangeForwardingTest.cpp
+++ b/test/program/ExchangeForwardingTest.cpp
@@ -223,6 +223,26 @@
   EXPECT_EQ(this->Taken().size(), 1U);
 }
 
+// Guards against calls that wait for a host that stands still while another one could run them.
+TEST_F(ExchangeForwardingTest, RepeatableCallOfASilentHostGoesOnAtAnother)
+{
+  const HostId silent(OwnAddress(3));
+  TcpAcceptor acceptor(
+    this->loop, TcpEndpoint(asio::ip::make_address(silent.Value()), this->settings.forwardingPort));
+  this->forwarder.SetHosts({ { silent, ZoneId("n") } });
+  this->LoseService();
+  this->Start();
+  this->Call("/idempotent/");
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  this->OnLoop([&] {
+    this->forwarder.SetHosts(
+      { { silent, ZoneId("n") }, { this->otherSettings.host, ZoneId("n") } });
+  });
+  const std::string answer = this->Receive();
+  EXPECT_NE(answer.find("HTTP/1.1 200"), std::string::npos) << answer;
+  EXPECT_EQ(this->Taken().size(), 1U);
+}
+
 // Guards against two hosts that run the same call: the first one's part may have run.
 TEST_F(ExchangeForwardingTest, CallThatMayRunOnceIsNotForwardedAfterItWasSent)
 {
