--- a/test/program/CallForwarderTest.cpp
+++ b/test/program/CallForwarderTest.cpp
@@ -178,5 +178,24 @@
   EXPECT_EQ(this->outcome, "answered");
 }
 
+// Guards against calls that arrive on a connection while the host that dialed it closes it as idle.
+TEST_F(SilentHostTest, CallIsNotLostWithAnIdleConnectionOfTheOtherHost)
+{
+  ASSERT_TRUE(this->origin.Listen());
+  ASSERT_TRUE(this->server.Listen());
+  // The server was cut off once and used the origin.
+  asio::co_spawn(this->serverLoop, this->server.Connect(this->originSettings.host), asio::detached);
+  this->RunBoth(std::chrono::milliseconds(900));
+  this->clock.Advance(std::chrono::seconds(6));
+  asio::co_spawn(this->originLoop, this->Forward(), asio::detached);
+  Run(this->originLoop, std::chrono::milliseconds(100));
+  this->server.CloseIdle();
+  this->RunBoth(std::chrono::milliseconds(400));
+  EXPECT_EQ(this->outcome, "none");
+  ASSERT_NE(this->served, nullptr);
+  this->Answer();
+  EXPECT_EQ(this->outcome, "answered");
+}
+
 } // namespace
 } // namespace damasklink
