A connection between hosts with unread bytes is not closed as idle

Cause: housekeeping closed the connection that this host had dialed 5 s after its last own call. After a standstill it runs before what has arrived meanwhile is read, and a call of the other host was reset unread. The idle time also began at the last call sent, so that the connection could go at the end of a long call, or of one for the other host. Change: bytes that wait to be read and calls in progress begin the idle time anew. Result: SilentHostTest.CallIsNotLostWithAnIdleConnectionOfTheOtherHost passes (failed before). Tried and reverted: calls on the host's own connection only; the call was served, but its origin still took it as lost with the other connection. A call that is on its way in the network when the other host closes can still be lost.

--- a/include/damasklink/transport/PeerMesh.h
+++ b/include/damasklink/transport/PeerMesh.h
@@ -86,6 +86,10 @@
   // Returns whether a connection to the host is up and not silent, whichever side dialed it.
   bool IsUp(const HostId& aPeer) const;
 
+  // Returns whether bytes have arrived from the host that are not read yet, as when this process
+  // stood still.
+  bool HasUnread(const HostId& aPeer) const;
+
   // Sends on the connection that this side dialed, or else on the one that the peer dialed. Drops
   // the message when neither is up. When more than 8 MiB would be queued, or 1 MiB behind a larger
   // message, it also closes the connection: on a new one the peer is sent its full state again.
--- a/src/program/CallForwarder.cpp
+++ b/src/program/CallForwarder.cpp
@@ -191,7 +191,10 @@
   const MonotonicTime now = this->clock.MonotonicNow();
   for (auto used = this->usedAt.begin(); used != this->usedAt.end();) {
     // The other side's calls may run on the connection that this host has made.
-    if (this->HasCalls(used->first) || now - used->second < kIdleTimeout) {
+    if (this->HasCalls(used->first) || this->mesh.HasUnread(used->first)) {
+      used->second = now;
+    }
+    if (now - used->second < kIdleTimeout) {
       ++used;
       continue;
     }
--- a/src/transport/PeerMesh.cpp
+++ b/src/transport/PeerMesh.cpp
@@ -39,6 +39,11 @@
   void SetPeer(HostId aPeer) { this->peer = std::move(aPeer); }
   bool IsUp() const { return this->up && !this->closed; }
   bool IsSilent() const { return this->silent; }
+  bool HasUnread() const
+  {
+    IoError error;
+    return this->socket.is_open() && this->socket.available(error) > 0;
+  }
   bool IsClosed() const { return this->closed; }
 
   void Connect(const TcpEndpoint& aEndpoint, Duration aTimeout)
@@ -395,6 +400,18 @@
   return false;
 }
 
+bool
+PeerMesh::HasUnread(const HostId& aPeer) const
+{
+  for (const auto* links : { &this->dialed, &this->accepted }) {
+    const auto found = links->find(aPeer);
+    if (found != links->end() && found->second != nullptr && found->second->HasUnread()) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void
 PeerMesh::Send(const HostId& aTo, PeerMessage aMessage)
 {
