--- a/src/program/CallForwarder.h
+++ b/src/program/CallForwarder.h
@@ -127,8 +127,8 @@
   // Closes connections that were not used for a while. Must be called periodically.
   void CloseIdle();
 
-  // Returns the number of calls that this host runs for others.
-  std::size_t Served() const { return this->served.size(); }
+  // Returns whether this host runs no call for another.
+  bool IsFinished() const { return this->served.empty(); }
 
   void Stop() { this->mesh.Stop(); }
 
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -174,7 +174,7 @@
     const auto busy = std::count_if(this->open.begin(), this->open.end(), [](const auto& aChannel) {
       return !aChannel->IsIdle();
     });
-    const bool ended = busy == 0 && this->lingering.Count() == 0 && this->forwarder.Served() == 0;
+    const bool ended = busy == 0 && this->lingering.Count() == 0 && this->forwarder.IsFinished();
     if (ended || now >= deadline) {
       LogEvent(LogLevel::Info, "stop_ends")
         .With("open", this->open.size())
--- a/test/program/CallForwarderTest.cpp
+++ b/test/program/CallForwarderTest.cpp
@@ -136,6 +136,7 @@
   ServingSettings originSettings = HostSettings(1, FreeEndpoint(OwnAddress(1)).port);
   ServingSettings serverSettings = HostSettings(2, this->originSettings.forwardingPort);
   std::shared_ptr<ForwardedCaller> served;
+  CallNumber servedNumber;
   bool cancelled = false;
   std::string outcome = "none";
   CallForwarder origin{ this->originLoop,
@@ -151,8 +152,9 @@
                         this->serverSettings,
                         this->metrics,
                         2,
-                        [this](const auto&, auto&, const auto& aCaller) {
+                        [this](const auto&, auto& aCall, const auto& aCaller) {
                           this->served = aCaller;
+                          this->servedNumber = aCall.number;
                           return std::optional<DeclineReason>();
                         } };
 };
@@ -197,5 +199,26 @@
   EXPECT_EQ(this->outcome, "answered");
 }
 
+// Guards against answers that are lost because the host that gave them stops before they are sent.
+TEST_F(SilentHostTest, LargeAnswerIsSentBeforeTheHostStops)
+{
+  this->BeginCall();
+  HttpResponseMessage answer;
+  answer.head.status = 200;
+  answer.body.assign(std::size_t{ 16 } * 1024 * 1024, 'a');
+  asio::co_spawn(
+    this->serverLoop, this->served->WriteWhole(std::move(answer), false), asio::detached);
+  Run(this->serverLoop, std::chrono::milliseconds(50));
+  this->server.EndServed(this->originSettings.host, this->servedNumber);
+  // As a stopping entry host does.
+  for (int check = 0; check < 100 && !this->server.IsFinished(); ++check) {
+    this->RunBoth(std::chrono::milliseconds(20));
+  }
+  EXPECT_TRUE(this->server.IsFinished());
+  this->server.Stop();
+  this->RunBoth(std::chrono::milliseconds(400));
+  EXPECT_EQ(this->outcome, "answered");
+}
+
 } // namespace
 } // namespace damasklink
