A stopping host waits until its answers to other hosts are acknowledged

Cause: a call for another host counted as ended once its answer was queued. The connections between hosts were then closed, and what waited in the queue was dropped. Change: the stop also waits, within its limit, until the queues are empty and the other hosts' machines have acknowledged. Result: SilentHostTest.LargeAnswerIsSentBeforeTheHostStops passes (failed before). Not played with processes.

--- a/include/damasklink/transport/PeerMesh.h
+++ b/include/damasklink/transport/PeerMesh.h
@@ -90,6 +90,9 @@
   // stood still.
   bool HasUnread(const HostId& aPeer) const;
 
+  // Returns whether anything that was sent has not been acknowledged by its host's machine.
+  bool HasUnsent() const;
+
   // Sends on the connection that this side dialed, or else on the one that the peer dialed. Drops
   // the message when neither is up. When more than 8 MiB would be queued, or 1 MiB behind a larger
   // message, it also closes the connection: on a new one the peer is sent its full state again.
--- a/src/program/CallForwarder.h
+++ b/src/program/CallForwarder.h
@@ -127,8 +127,9 @@
   // Closes connections that were not used for a while. Must be called periodically.
   void CloseIdle();
 
-  // Returns whether this host runs no call for another.
-  bool IsFinished() const { return this->served.empty(); }
+  // Returns whether this host runs no call for another, and the answers have reached the hosts that
+  // wait for them.
+  bool IsFinished() const { return this->served.empty() && !this->mesh.HasUnsent(); }
 
   void Stop() { this->mesh.Stop(); }
 
--- a/src/transport/PeerMesh.cpp
+++ b/src/transport/PeerMesh.cpp
@@ -1,5 +1,8 @@
 #include "damasklink/transport/PeerMesh.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <algorithm>
 #include <deque>
 
@@ -44,6 +47,15 @@
     IoError error;
     return this->socket.is_open() && this->socket.available(error) > 0;
   }
+  bool HasUnsent()
+  {
+    if (!this->IsUp()) {
+      return false;
+    }
+    int unacknowledged = 0;
+    ::ioctl(this->socket.native_handle(), SIOCOUTQ, &unacknowledged);
+    return this->queuedBytes > 0 || unacknowledged > 0;
+  }
   bool IsClosed() const { return this->closed; }
 
   void Connect(const TcpEndpoint& aEndpoint, Duration aTimeout)
@@ -412,6 +424,20 @@
   return false;
 }
 
+bool
+PeerMesh::HasUnsent() const
+{
+  for (const auto* links : { &this->dialed, &this->accepted }) {
+    const bool unsent = std::any_of(links->begin(), links->end(), [](const auto& aItem) {
+      return aItem.second != nullptr && aItem.second->HasUnsent();
+    });
+    if (unsent) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void
 PeerMesh::Send(const HostId& aTo, PeerMessage aMessage)
 {
