--- a/test/transport/PeerMeshTest.cpp
+++ b/test/transport/PeerMeshTest.cpp
@@ -14,6 +14,7 @@
 
 using testing::FreeEndpoint;
 using testing::OwnAddress;
+using StreamSocket = asio::local::stream_protocol::socket;
 
 // Records the callbacks for one host's connections.
 class RecordingHandler final : public PeerMeshHandler
@@ -253,6 +254,42 @@
   EXPECT_TRUE(this->secondHandler.downs.empty());
 }
 
+// The same in a host with many connections: after a standstill more of them are ready than the loop
+// takes from the kernel at a time, and due timers run before the rest are read.
+TEST_F(PeerMeshTest, ConnectionBehindManyOthersThatAreReadyIsNotSilent)
+{
+  PeerMeshTiming timing = LongTimeout();
+  timing.silenceTimeout = std::chrono::milliseconds(500);
+  PeerMesh dialer(this->loop, this->first, this->port, this->firstHandler, timing);
+  PeerMesh listener(this->loop, this->second, this->port, this->secondHandler, timing);
+  ASSERT_TRUE(listener.Listen());
+  dialer.Dial(this->second);
+  this->RunUntil([&] { return dialer.IsUp(this->second) && listener.IsUp(this->first); });
+  std::vector<std::pair<StreamSocket, StreamSocket>> others;
+  for (int index = 0; index < 300; ++index) {
+    StreamSocket reader(this->loop);
+    StreamSocket writer(this->loop);
+    asio::local::connect_pair(reader, writer);
+    reader.async_wait(StreamSocket::wait_read, [](const IoError&) {});
+    others.emplace_back(std::move(reader), std::move(writer));
+  }
+  this->loop.run_for(std::chrono::milliseconds(100));
+  this->firstHandler.downs.clear();
+  this->secondHandler.downs.clear();
+  for (auto& [reader, writer] : others) {
+    asio::write(writer, asio::buffer("x", 1));
+  }
+  dialer.Send(this->second, Message("there"));
+  listener.Send(this->first, Message("and back"));
+  std::this_thread::sleep_for(timing.silenceTimeout * 2);
+  this->RunUntil(
+    [&] { return !this->firstHandler.payloads.empty() || !this->firstHandler.downs.empty(); });
+  this->RunUntil(
+    [&] { return !this->secondHandler.payloads.empty() || !this->secondHandler.downs.empty(); });
+  EXPECT_TRUE(this->firstHandler.downs.empty());
+  EXPECT_TRUE(this->secondHandler.downs.empty());
+}
+
 TEST_F(PeerMeshTest, InvalidFrameClosesConnection)
 {
   PeerMesh listener(this->loop, this->second, this->port, this->secondHandler, LongTimeout());
