--- a/include/damasklink/coordination/StopAdmission.h
+++ b/include/damasklink/coordination/StopAdmission.h
@@ -3,10 +3,10 @@
 //   StopAdmission admission(clock);
 //   admission.OnAnswered(route, took, longestSilence);    // After each whole answer.
 //   admission.BeginStop(cutOff);                          // Calls that run then are cut off.
-//   if (!admission.MayTake(route, longest)) ...           // Refuse it: another host can take it.
+//   if (!admission.MayTake(route, bounds)) ...            // Refuse it: another host can take it.
 //
 // A call is expected to take as long as nearly all calls of its route took lately, with room for
-// its target to be silent meanwhile. Not thread-safe.
+// its target to be silent meanwhile for as long as its caller bears. Not thread-safe.
 #pragma once
 
 #include <functional>
@@ -38,9 +38,18 @@
   // Returns when the stop began, or nothing while the host does not stop.
   std::optional<MonotonicTime> StoppingSince() const;
 
-  // Returns whether a new call of the route is expected to end before it would be cut off. aLongest
-  // is the time after which it ends in any case. Always true while the host does not stop.
-  bool MayTake(std::string_view aRoute, Duration aLongest);
+  // What ends a call in any case.
+  struct CallBounds
+  {
+    // The time until its deadline.
+    Duration timeLeft{ 0 };
+    // How long its caller waits for a target that sends nothing.
+    Duration patience{ 0 };
+  };
+
+  // Returns whether a new call of the route is expected to end before it would be cut off. Always
+  // true while the host does not stop.
+  bool MayTake(std::string_view aRoute, const CallBounds& aBounds);
 
   // Removes routes without recent calls. Must be called periodically.
   void RemoveExpired();
@@ -51,8 +60,9 @@
     explicit CallTimes(MonotonicTime aNow);
 
     void Observe(Duration aTook, Duration aLongestSilence, MonotonicTime aNow);
-    // Returns the expected time of a call, or nothing when none was observed lately.
-    std::optional<Duration> Expected(MonotonicTime aNow);
+    // Returns the expected time of a call whose target may be silent for this long, or nothing when
+    // none was observed lately.
+    std::optional<Duration> Expected(MonotonicTime aNow, Duration aPatience);
 
     RecentQuantiles whole;
     RecentQuantiles silences;
@@ -65,7 +75,7 @@
   };
 
   // Returns the expected time of a call of the route, or nothing when no call was observed lately.
-  std::optional<Duration> Expected(std::string_view aRoute);
+  std::optional<Duration> Expected(std::string_view aRoute, Duration aPatience);
 
   const Clock& clock;
   std::map<std::string, CallTimes, std::less<>> routes;
--- a/include/damasklink/transport/PeerMesh.h
+++ b/include/damasklink/transport/PeerMesh.h
@@ -40,6 +40,10 @@
   virtual void OnPeerUp(const HostId& aPeer, LinkSide aSide) = 0;
   // An established connection was closed.
   virtual void OnPeerDown(const HostId& aPeer, LinkSide aSide) = 0;
+  // An established connection has received nothing for the silence timeout; called again each time
+  // that it passes. Returns whether the connection is closed. One that is kept counts as down for
+  // IsUp() until something arrives, and is closed when the peer's machine acknowledges nothing.
+  virtual bool OnPeerSilent(const HostId& /*aPeer*/) { return true; }
   virtual void OnPeerMessage(const HostId& aPeer, PeerMessage aMessage) = 0;
 };
 
@@ -48,8 +52,9 @@
 {
   // Idle time after which a keepalive is sent.
   Duration keepaliveInterval = std::chrono::milliseconds(500);
-  // A connection that received no byte for this long is closed. It corresponds to three lost
-  // keepalives; one or two retransmitted packets do not cause that.
+  // A connection that received no byte for this long is silent, and closed unless the handler keeps
+  // it. It corresponds to three lost keepalives; one or two retransmitted packets do not cause
+  // that.
   Duration silenceTimeout = std::chrono::milliseconds(1700);
   DialTiming dial;
 };
@@ -78,9 +83,16 @@
 
   bool IsDialed(const HostId& aPeer) const { return this->dialed.contains(aPeer); }
 
-  // Returns whether a connection to the host is up, whichever side dialed it.
+  // Returns whether a connection to the host is up and not silent, whichever side dialed it.
   bool IsUp(const HostId& aPeer) const;
 
+  // Returns whether bytes have arrived from the host that are not read yet, as when this process
+  // stood still.
+  bool HasUnread(const HostId& aPeer) const;
+
+  // Returns whether anything that was sent has not been acknowledged by its host's machine.
+  bool HasUnsent() const;
+
   // Sends on the connection that this side dialed, or else on the one that the peer dialed. Drops
   // the message when neither is up. When more than 8 MiB would be queued, or 1 MiB behind a larger
   // message, it also closes the connection: on a new one the peer is sent its full state again.
--- a/src/coordination/ExchangeRetryPolicy.cpp
+++ b/src/coordination/ExchangeRetryPolicy.cpp
@@ -89,7 +89,9 @@
 void
 ExchangeRetryPolicy::ContinueAtStandby(AttemptResult aResult)
 {
-  const bool refused = aResult == AttemptResult::Refused;
+  const bool declined = aResult == AttemptResult::Declined;
+  const bool refused = declined || aResult == AttemptResult::Refused;
+  this->sent -= declined ? 1 : 0;
   this->record.Advance(this->current, refused ? AttemptStage::Refused : AttemptStage::Lost);
   this->targetFailed = this->targetFailed || aResult == AttemptResult::Failed;
   this->current = this->standby;
--- a/src/coordination/StopAdmission.cpp
+++ b/src/coordination/StopAdmission.cpp
@@ -1,5 +1,6 @@
 #include "damasklink/coordination/StopAdmission.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace damasklink {
@@ -27,15 +28,17 @@
 }
 
 // The whole times include silences. Adding one leaves room for a call that is long by itself and
-// whose target is silent on top of that.
+// whose target is silent on top of that. All targets may be silent for the first time during the
+// stop, so what was observed is not the bound.
 std::optional<Duration>
-StopAdmission::CallTimes::Expected(MonotonicTime aNow)
+StopAdmission::CallTimes::Expected(MonotonicTime aNow, Duration aPatience)
 {
   const RecentQuantiles::Values took = this->whole.Estimate(aNow);
   if (took.p99 <= 0) {
     return std::nullopt;
   }
-  const std::chrono::duration<double> expected(took.p99 + this->silences.Estimate(aNow).p99);
+  const double silence = std::max(this->silences.Estimate(aNow).p99, Seconds(aPatience));
+  const std::chrono::duration<double> expected(took.p99 + silence);
   return std::chrono::duration_cast<Duration>(expected);
 }
 
@@ -76,17 +79,17 @@
 // where nothing is known, calls are taken in the first half of a stop only: until the load balancer
 // has noticed the stop, it would send many of the refused ones here again.
 bool
-StopAdmission::MayTake(std::string_view aRoute, Duration aLongest)
+StopAdmission::MayTake(std::string_view aRoute, const CallBounds& aBounds)
 {
   if (!this->stop) {
     return true;
   }
   const Duration left = this->stop->cutOff - this->clock.MonotonicNow();
-  if (aLongest <= left) {
+  if (aBounds.timeLeft <= left) {
     return true;
   }
   const Duration half = (this->stop->cutOff - this->stop->since) / 2;
-  return this->Expected(aRoute).value_or(half) <= left;
+  return this->Expected(aRoute, aBounds.patience).value_or(half) <= left;
 }
 
 void
@@ -94,20 +97,21 @@
 {
   const MonotonicTime now = this->clock.MonotonicNow();
   for (auto position = this->routes.begin(); position != this->routes.end();) {
-    position = position->second.Expected(now) ? std::next(position) : this->routes.erase(position);
+    position = position->second.Expected(now, Duration::zero()) ? std::next(position)
+                                                                : this->routes.erase(position);
   }
 }
 
 std::optional<Duration>
-StopAdmission::Expected(std::string_view aRoute)
+StopAdmission::Expected(std::string_view aRoute, Duration aPatience)
 {
   const MonotonicTime now = this->clock.MonotonicNow();
   if (const auto position = this->routes.find(aRoute); position != this->routes.end()) {
-    if (const std::optional<Duration> expected = position->second.Expected(now)) {
+    if (const std::optional<Duration> expected = position->second.Expected(now, aPatience)) {
       return expected;
     }
   }
-  return this->allRoutes.Expected(now);
+  return this->allRoutes.Expected(now, aPatience);
 }
 
 } // namespace damasklink
--- a/src/program/CallForwarder.cpp
+++ b/src/program/CallForwarder.cpp
@@ -86,6 +86,14 @@
   this->wakeUp.cancel();
 }
 
+void
+ForwardedResponse::OnSilence()
+{
+  if (!this->ended && this->onSilence) {
+    this->onSilence();
+  }
+}
+
 CallForwarder::CallForwarder(asio::io_context& aLoop,
                              const Clock& aClock,
                              const ServingSettings& aSettings,
@@ -189,8 +197,10 @@
   const MonotonicTime now = this->clock.MonotonicNow();
   for (auto used = this->usedAt.begin(); used != this->usedAt.end();) {
     // The other side's calls may run on the connection that this host has made.
-    const bool inUse = this->peers.IsInUse(used->first) || this->ServesCallsOf(used->first);
-    if (inUse || now - used->second < kIdleTimeout) {
+    if (this->HasCalls(used->first) || this->mesh.HasUnread(used->first)) {
+      used->second = now;
+    }
+    if (now - used->second < kIdleTimeout) {
       ++used;
       continue;
     }
@@ -201,11 +211,12 @@
 }
 
 bool
-CallForwarder::ServesCallsOf(const HostId& aHost) const
+CallForwarder::HasCalls(const HostId& aHost) const
 {
-  return std::any_of(this->served.begin(), this->served.end(), [&](const auto& aItem) {
-    return aItem.first.first == aHost;
-  });
+  return this->peers.IsInUse(aHost) ||
+         std::any_of(this->served.begin(), this->served.end(), [&](const auto& aItem) {
+           return aItem.first.first == aHost;
+         });
 }
 
 void
@@ -247,6 +258,18 @@
   }
 }
 
+// The calls go on: a host that stands still for a moment answers them afterwards.
+bool
+CallForwarder::OnPeerSilent(const HostId& aPeer)
+{
+  for (const auto& [key, response] : this->forwarded) {
+    if (key.first == aPeer) {
+      response->OnSilence();
+    }
+  }
+  return !this->HasCalls(aPeer);
+}
+
 void
 CallForwarder::OnPeerMessage(const HostId& aPeer, PeerMessage aMessage)
 {
--- a/src/program/CallForwarder.h
+++ b/src/program/CallForwarder.h
@@ -55,17 +55,23 @@
   // Cancels the call; a pending Next() fails.
   void Close();
 
+  // Calls the handler each time that the other host has been silent for a while. The call goes on
+  // unless the handler closes it.
+  void WatchForSilence(std::function<void()> aHandler) { this->onSilence = std::move(aHandler); }
+
 private:
   friend class CallForwarder;
 
   void OnMessage(ForwardingMessage aMessage);
   void OnLost();
+  void OnSilence();
 
   // Null once the forwarder is destroyed.
   CallForwarder* forwarder;
   HostId host;
   CallNumber number;
   asio::steady_timer wakeUp;
+  std::function<void()> onSilence;
   std::deque<ForwardingMessage> messages;
   // No more messages will arrive.
   bool ended = false;
@@ -125,13 +131,15 @@
   // Closes connections that were not used for a while. Must be called periodically.
   void CloseIdle();
 
-  // Returns the number of calls that this host runs for others.
-  std::size_t Served() const { return this->served.size(); }
+  // Returns whether this host runs no call for another, and the answers have reached the hosts that
+  // wait for them.
+  bool IsFinished() const { return this->served.empty() && !this->mesh.HasUnsent(); }
 
   void Stop() { this->mesh.Stop(); }
 
   void OnPeerUp(const HostId& aPeer, LinkSide aSide) override;
   void OnPeerDown(const HostId& aPeer, LinkSide aSide) override;
+  bool OnPeerSilent(const HostId& aPeer) override;
   void OnPeerMessage(const HostId& aPeer, PeerMessage aMessage) override;
 
 private:
@@ -146,7 +154,8 @@
     std::size_t bytes = 0;
   };
 
-  bool ServesCallsOf(const HostId& aHost) const;
+  // Returns whether calls to or from the host are in progress.
+  bool HasCalls(const HostId& aHost) const;
   void SendMessage(const HostId& aHost, const ForwardingMessage& aMessage);
   void OnCall(const HostId& aFrom, ForwardedCall aCall);
   void Remove(const ForwardedResponse& aResponse);
--- a/src/program/EntryHostStop.cpp
+++ b/src/program/EntryHostStop.cpp
@@ -63,7 +63,7 @@
     }
     const bool busy =
       this->BusyConnections() > 0 || this->lingering.Count() > 0 || this->refuser.Pending() > 0;
-    if (!busy && this->forwarder.Served() == 0) {
+    if (!busy && this->forwarder.IsFinished()) {
       co_return true;
     }
     const MonotonicTime now = this->clock.MonotonicNow();
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -183,9 +183,9 @@
   if (!co_await this->AttemptOnce()) {
     co_return this->plan->WithoutTarget();
   }
-  const bool replaceable = this->lastResult == AttemptResult::Broken ||
-                           this->lastResult == AttemptResult::Failed ||
-                           this->lastResult == AttemptResult::Refused;
+  const bool replaceable =
+    this->lastResult == AttemptResult::Broken || this->lastResult == AttemptResult::Failed ||
+    this->lastResult == AttemptResult::Declined || this->lastResult == AttemptResult::Refused;
   if (replaceable && co_await this->AwaitStandby()) {
     this->plan->ContinueAtStandby(this->lastResult);
     this->LogAttemptEnd(ExchangeStep::TryAnother);
@@ -559,9 +559,9 @@
 Awaitable<bool>
 Exchange::ForwardEvents(const HttpResponseHead& aHead, std::string_view aEvents)
 {
-  this->forwarding = true;
+  this->writing = true;
   const bool written = co_await this->WriteEvents(aHead, aEvents);
-  this->forwarding = false;
+  this->writing = false;
   co_return written;
 }
 
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -372,7 +372,7 @@
   // Whether it was logged that the attempt goes on in spite of its target's silence.
   bool silenceLogged = false;
   // Whether the caller is sent something, so that nothing is read from the target.
-  bool forwarding = false;
+  bool writing = false;
   // The attempt beside the one in progress.
   std::shared_ptr<StandbyAttempt> standby;
   CallLoad load;
--- a/src/program/ExchangeForwarding.cpp
+++ b/src/program/ExchangeForwarding.cpp
@@ -89,11 +89,14 @@
 Exchange::Forward(HostId aHost)
 {
   this->triedHosts.insert(aHost);
+  this->ResetAttempt();
   this->attemptTarget = TargetRecord();
   this->plan->Begin(AttemptId(this->call.request.Value()), TargetId(aHost.Value()));
   if (co_await this->context.forwarder.Connect(aHost) && this->interrupt == Interrupt::None) {
     this->plan->Sending();
     this->forwarded = this->context.forwarder.Send(aHost, this->MakeForwardedCall());
+    this->forwarded->WatchForSilence([this] { this->OnSilent("host_silent"); });
+    this->lastBytesAt = this->context.clock.MonotonicNow();
     LogEvent(LogLevel::Info, "call_forwarded")
       .With("request", this->call.request)
       .With("to", aHost)
@@ -138,6 +141,7 @@
       this->framer.DiscardPartialEvent();
       co_return AttemptResult::Broken;
     }
+    this->lastBytesAt = this->context.clock.MonotonicNow();
     ForwardingMessage& message = received.value();
     std::string bytes;
     if (const auto* decline = std::get_if<ForwardingDecline>(&message)) {
@@ -174,6 +178,7 @@
     if (!head) {
       co_return AttemptResult::Broken;
     }
+    this->CancelStandby();
     const std::string events = this->framer.Append(bytes);
     if (!events.empty() && !co_await this->ForwardEvents(*head, events)) {
       co_return AttemptResult::CallerLeft;
@@ -199,6 +204,7 @@
   if (IsRefusal(aHead.head.status) && this->plan->Sent() > 1) {
     co_return AttemptResult::Refused;
   }
+  this->CancelStandby();
   this->deadline->Disarm();
   this->succeeded = aHead.head.status < 300;
   this->LogEnd("forwarded", aHead.head.status);
--- a/src/program/ExchangeSilence.cpp
+++ b/src/program/ExchangeSilence.cpp
@@ -63,8 +63,9 @@
 void
 Exchange::OnSilent(std::string_view aReason)
 {
-  const bool ended = this->channel == nullptr || this->received || this->unacknowledged;
-  const bool waits = !ended && !this->forwarding;
+  const bool open = this->channel != nullptr || this->forwarded != nullptr;
+  const bool ended = !open || this->received || this->unacknowledged;
+  const bool waits = !ended && !this->writing;
   if (!this->plan->Limits().repeatable || !waits || !this->StartStandby()) {
     return;
   }
@@ -72,7 +73,7 @@
     this->silenceLogged = true;
     LogEvent(LogLevel::Info, "silent_attempt")
       .With("request", this->call.request)
-      .With("target", this->attemptTarget.id)
+      .With("target", this->destination)
       .With("reason", aReason)
       .With("silence_ms", WholeMilliseconds(this->Silence()))
       .With("passed_on", this->plan->PassedOn());
--- a/src/program/ExchangeStandby.cpp
+++ b/src/program/ExchangeStandby.cpp
@@ -66,9 +66,15 @@
 void
 Exchange::GiveUpSilentAttempt()
 {
-  if (this->channel != nullptr) {
-    this->givenUp = true;
-    this->unacknowledged = true;
+  const bool toHost = this->forwarded != nullptr;
+  if (this->channel == nullptr && !toHost) {
+    return;
+  }
+  this->givenUp = true;
+  this->unacknowledged = true;
+  if (toHost) {
+    this->forwarded->Close();
+  } else {
     this->channel->Close();
   }
 }
@@ -297,7 +303,7 @@
   LogEvent(LogLevel::Info, "standby_attempt")
     .With("request", this->call.request)
     .With("service", this->service)
-    .With("beside", this->attemptTarget.id)
+    .With("beside", this->destination)
     .With("at", aStandby.host ? aStandby.host->Value() : aStandby.target.id.Value())
     .With("silence_ms", WholeMilliseconds(this->Silence()))
     .With("sends", this->plan->Sent())
@@ -356,6 +362,7 @@
   if (next->host) {
     this->destination = next->host->Value();
     this->forwarded = std::move(next->forwarded);
+    this->forwarded->WatchForSilence([this] { this->OnSilent("host_silent"); });
     co_return co_await this->EndForward(*next->host);
   }
   const TargetRecord target = next->target;
--- a/src/program/ExchangeStop.cpp
+++ b/src/program/ExchangeStop.cpp
@@ -20,7 +20,8 @@
   if (this->forwardedLimits) {
     return std::nullopt;
   }
-  this->refusedAtStop = !this->context.stopping.MayTake(this->route->name, this->TimeLeft());
+  this->refusedAtStop = !this->context.stopping.MayTake(
+    this->route->name, { this->TimeLeft(), this->CallerPatience() });
   if (!this->refusedAtStop) {
     return std::nullopt;
   }
--- a/test/coordination/StopAdmissionTest.cpp
+++ b/test/coordination/StopAdmissionTest.cpp
@@ -29,11 +29,11 @@
   void BeginStop() { this->admission.BeginStop(this->clock.MonotonicNow() + kStop); }
 
   // Returns how long after the signal calls of the route are taken.
-  Duration TakenFor(const char* aRoute)
+  Duration TakenFor(const char* aRoute, Duration aPatience = kNoSilence)
   {
     constexpr Duration kStep = milliseconds(10);
     Duration taken{ 0 };
-    while (taken <= kStop && this->admission.MayTake(aRoute, kTimeout)) {
+    while (taken <= kStop && this->admission.MayTake(aRoute, { kTimeout, aPatience })) {
       this->clock.Advance(kStep);
       taken += kStep;
     }
@@ -47,7 +47,7 @@
 TEST_F(StopAdmissionTest, TakesAllWhileTheHostDoesNotStop)
 {
   this->Learn("streams", seconds(60));
-  EXPECT_TRUE(this->admission.MayTake("streams", seconds(60)));
+  EXPECT_TRUE(this->admission.MayTake("streams", { seconds(60), kNoSilence }));
   EXPECT_EQ(this->admission.StoppingSince(), std::nullopt);
 }
 
@@ -56,9 +56,9 @@
   this->Learn("streams", seconds(4));
   this->BeginStop();
   this->clock.Advance(milliseconds(3500));
-  EXPECT_TRUE(this->admission.MayTake("streams", kTimeout));
+  EXPECT_TRUE(this->admission.MayTake("streams", { kTimeout, kNoSilence }));
   this->clock.Advance(milliseconds(1000));
-  EXPECT_FALSE(this->admission.MayTake("streams", kTimeout));
+  EXPECT_FALSE(this->admission.MayTake("streams", { kTimeout, kNoSilence }));
 }
 
 TEST_F(StopAdmissionTest, LeavesRoomForASilenceSuchAsWereObserved)
@@ -73,6 +73,17 @@
   EXPECT_GE(taken, kStop - milliseconds(4500));
 }
 
+// Guards against calls that are cut off because targets are silent for the first time while the
+// host stops.
+TEST_F(StopAdmissionTest, LeavesRoomForTheFirstSilence)
+{
+  this->Learn("streams", seconds(1));
+  this->BeginStop();
+  const Duration taken = this->TakenFor("streams", milliseconds(2400));
+  EXPECT_LE(taken, kStop - milliseconds(3300));
+  EXPECT_GE(taken, kStop - milliseconds(3500));
+}
+
 TEST_F(StopAdmissionTest, OneLongSilenceDoesNotTurnAllAway)
 {
   this->Learn("streams", seconds(3), 1000);
@@ -95,8 +106,8 @@
   this->Learn("streams", seconds(7));
   this->BeginStop();
   this->clock.Advance(seconds(5));
-  EXPECT_FALSE(this->admission.MayTake("streams", seconds(3) + milliseconds(1)));
-  EXPECT_TRUE(this->admission.MayTake("streams", seconds(3)));
+  EXPECT_FALSE(this->admission.MayTake("streams", { seconds(3) + milliseconds(1), kNoSilence }));
+  EXPECT_TRUE(this->admission.MayTake("streams", { seconds(3), kNoSilence }));
 }
 
 TEST_F(StopAdmissionTest, ARouteWithoutCallsIsExpectedToTakeAsLongAsOthers)
@@ -170,7 +181,7 @@
   int cut = 0;
   for (int call = 0; call < 8000; ++call) {
     this->clock.Advance(milliseconds(1));
-    if (this->admission.MayTake("streams", kTimeout)) {
+    if (this->admission.MayTake("streams", { kTimeout, kNoSilence })) {
       ++taken;
       cut += this->clock.MonotonicNow() + draw(silence) > cutOff ? 1 : 0;
     }
