Warnings and errors in the log outlive load and slow readers

Cause: a line that standard output did not take at once was dropped whatever its level, and lines of one event were limited to 100 a second: what is logged of lost requests went with the rest, when there were many. Change: LogLineQueue keeps up to 256 KiB of warnings and errors that cannot be written, and writes them before the next line that can be; other lines are dropped as before, counted by event in log_lines_dropped (64 names at most, the 16 most frequent are named). LogLineLimiter, taken out of Log.cpp, permits 1000 warnings or errors of one event a second. Nothing waits for the reader. Kept lines are written when the next line is logged, not by a timer. PipeOutput moved to test/support without a change of what LogTest checks.

--- a/src/transport/Log.cpp
+++ b/src/transport/Log.cpp
@@ -7,7 +7,6 @@
 #include <atomic>
 #include <climits>
 #include <iostream>
-#include <map>
 #include <optional>
 #include <utility>
 
@@ -25,6 +24,9 @@
 #include <boost/smart_ptr/make_shared.hpp>
 
 #include "damasklink/state/Text.h"
+#include "damasklink/transport/LogLineLimiter.h"
+#include "damasklink/transport/LogLineQueue.h"
+
 namespace damasklink {
 namespace {
 
@@ -45,7 +47,7 @@
   return kLevelNames.at(static_cast<std::size_t>(aLevel)).second;
 }
 
-// Writes whole lines to standard output, and drops those that cannot be written without blocking.
+// Writes whole lines to standard output, as far as that is possible without blocking.
 class PipeBackend
   : public logging::sinks::basic_formatted_sink_backend<char, logging::sinks::synchronized_feeding>
 {
@@ -54,13 +56,7 @@
   // NOLINTNEXTLINE(readability-identifier-naming)
   void consume(const logging::record_view& /*aRecord*/, const string_type& aLine)
   {
-    if (this->dropped > 0 &&
-        Write(Concat("level=warning event=log_lines_dropped count=", this->dropped, "\n"))) {
-      this->dropped = 0;
-    }
-    if (!Write(aLine + "\n")) {
-      ++this->dropped;
-    }
+    this->queue.Add(aLine);
   }
 
 private:
@@ -75,41 +71,24 @@
     return write(STDOUT_FILENO, aText.data(), length) == static_cast<ssize_t>(length);
   }
 
-  std::uint64_t dropped = 0;
+  LogLineQueue queue{ &PipeBackend::Write };
 };
 
-// Limits the lines per second of each event name.
-class LineLimiter
+// A limiter that several threads may use.
+class SharedLimiter
 {
 public:
-  // Returns how many lines of this name were suppressed before this one, or nullopt if this one
-  // must be suppressed, too.
-  std::optional<std::uint64_t> Admit(const std::string& aName, std::int64_t aSecond)
+  std::optional<std::uint64_t> Admit(const std::string& aName,
+                                     LogLevel aLevel,
+                                     std::int64_t aSecond)
   {
     absl::MutexLock lock(&this->mutex);
-    Count& count = this->counts[aName];
-    if (count.second != aSecond) {
-      count.second = aSecond;
-      count.lines = 0;
-    }
-    if (++count.lines > kMaxLinesPerSecond) {
-      ++count.suppressed;
-      return std::nullopt;
-    }
-    return std::exchange(count.suppressed, 0);
+    return this->limiter.Admit(aName, aLevel, aSecond);
   }
 
 private:
-  struct Count
-  {
-    std::int64_t second = 0;
-    int lines = 0;
-    std::uint64_t suppressed = 0;
-  };
-
   absl::Mutex mutex;
-  // By event name. All names are literals in the source, so there are only a few dozen.
-  std::map<std::string, Count> counts ABSL_GUARDED_BY(mutex);
+  LogLineLimiter limiter ABSL_GUARDED_BY(mutex);
 };
 
 bool
@@ -191,8 +170,9 @@
   if (aLevel < currentLevel.load()) {
     return;
   }
-  static LineLimiter limiter;
-  const auto suppressed = limiter.Admit(std::string(aName), absl::ToUnixSeconds(absl::Now()));
+  static SharedLimiter limiter;
+  const auto suppressed =
+    limiter.Admit(std::string(aName), aLevel, absl::ToUnixSeconds(absl::Now()));
   if (!suppressed) {
     return;
   }
--- a/test/transport/LogTest.cpp
+++ b/test/transport/LogTest.cpp
@@ -2,48 +2,17 @@
 
 #include "damasklink/transport/ResultLog.h"
 
-#include <unistd.h>
-
 #include <ctime>
 #include <string>
 
 #include <gtest/gtest.h>
 
+#include "support/PipeOutput.h"
+
 namespace damasklink {
 namespace {
 
-// Redirects standard output to a pipe during its lifetime.
-class PipeOutput
-{
-public:
-  PipeOutput()
-    : original(dup(STDOUT_FILENO))
-  {
-    EXPECT_EQ(pipe(this->ends), 0);
-    dup2(this->ends[1], STDOUT_FILENO);
-  }
-
-  ~PipeOutput()
-  {
-    dup2(this->original, STDOUT_FILENO);
-    close(this->original);
-    close(this->ends[0]);
-    close(this->ends[1]);
-  }
-
-  // Returns what has been written and not read yet, at most the capacity of the pipe.
-  std::string Read() const
-  {
-    std::string text(1 << 20, '\0');
-    const ssize_t count = read(this->ends[0], text.data(), text.size());
-    text.resize(count < 0 ? 0 : static_cast<std::size_t>(count));
-    return text;
-  }
-
-private:
-  int original;
-  int ends[2] = { -1, -1 };
-};
+using testing::PipeOutput;
 
 std::size_t
 CountOf(const std::string& aText, const std::string& aPart)
