Each request without a whole answer has a line that says why

Cause: of a call whose deadline passed or whose caller left in the middle of its answer, or whose answer could not be written, the log had attempt_ended at most, and only a stream that was cut off had an end, at level info. None told of the silence of the target or whether the host was stopping. Change: Exchange logs the warning answer_lost with request, reason (cut_off, deadline_passed, caller_left, not_taken), target, silence, configuration, and whether it ran for another host; damasklink_failures_total counts the reasons. Calls run for another host use the same class, so they have the line at both hosts.

--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -622,13 +622,15 @@
 {
   switch (aStep) {
     case ExchangeStep::Done:
+      if (this->lastResult != AttemptResult::Delivered) {
+        this->LogLoss("not_taken");
+      }
       co_return this->lastResult == AttemptResult::Delivered && !this->closeAnnounced;
     case ExchangeStep::PassOn: {
       this->LogEnd("target_failed", this->failedResponse->head.status);
       HttpResponseMessage response{ std::move(this->failedResponse->head),
                                     std::move(this->failedResponse->body) };
-      const bool written = co_await this->WriteResponse(std::move(response));
-      co_return written && !this->closeAnnounced;
+      co_return co_await this->WriteLastResponse(std::move(response));
     }
     case ExchangeStep::Refuse: {
       CallerError error =
@@ -656,6 +658,7 @@
     }
     case ExchangeStep::CutOff:
       this->LogEnd("cut_off", 0);
+      this->LogLoss("cut_off");
       this->caller.Close();
       co_return false;
   }
@@ -667,7 +670,17 @@
 {
   HttpResponseMessage response = this->context.dialect.FailureResponse(aError, this->call.request);
   this->LogEnd(aError.error.message, response.head.status);
-  const bool written = co_await this->WriteResponse(std::move(response));
+  co_return co_await this->WriteLastResponse(std::move(response));
+}
+
+// Returns whether the caller's connection can take another request.
+Awaitable<bool>
+Exchange::WriteLastResponse(HttpResponseMessage aResponse)
+{
+  const bool written = co_await this->WriteResponse(std::move(aResponse));
+  if (!written) {
+    this->LogLoss("not_taken");
+  }
   co_return written && !this->closeAnnounced;
 }
 
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -195,6 +195,7 @@
   Awaitable<bool> Finish(ExchangeStep aStep);
   Awaitable<bool> RespondWithError(const CallerError& aError);
   Awaitable<bool> WriteResponse(HttpResponseMessage aResponse);
+  Awaitable<bool> WriteLastResponse(HttpResponseMessage aResponse);
   Awaitable<std::unique_ptr<TargetConnection>> Connect(const TargetRecord& aTarget);
   // Records whether the target's zone was reached, and logs when the zone becomes unreachable.
   void RecordReachability(const TargetRecord& aTarget, HealthSignal aSignal);
@@ -312,6 +313,10 @@
   HealthSignal HealthSignalOf(AttemptResult aResult) const;
   void Count(int aStatus, Duration aTook) const;
   void LogEnd(std::string_view aOutcome, int aStatus) const;
+  // Logs and counts that the caller gets no whole response. aOtherwise is the reason unless the
+  // exchange was interrupted.
+  void LogLoss(std::string_view aOtherwise) const;
+  std::string_view LossReason(std::string_view aOtherwise) const;
 
   EntryContext& context;
   CallerChannel& caller;
