--- a/src/program/ExchangeLoss.cpp
+++ b/src/program/ExchangeLoss.cpp
@@ -16,6 +16,8 @@
       return "caller_left";
     case Interrupt::Expired:
       return "deadline_passed";
+    case Interrupt::HostStops:
+      return "host_stopped";
     case Interrupt::None:
       break;
   }
@@ -30,7 +32,9 @@
   const std::string_view reason = this->LossReason(aOtherwise);
   this->context.metrics.Add(
     Counter::Failures, MetricKey{ WorkspaceId(), Concat("lost ", reason) }, 1);
-  LogEvent(LogLevel::Warning, "answer_lost")
+  // A caller that leaves loses nothing that it still wants.
+  const bool left = this->interrupt == Interrupt::CallerLeft;
+  LogEvent(left ? LogLevel::Info : LogLevel::Warning, "answer_lost")
     .With("request", this->call.request)
     .With("reason", reason)
     .With("target", this->destination)
