--- a/test/soak/kept_connections.py
+++ b/test/soak/kept_connections.py
@@ -60,13 +60,16 @@
 class SlowTarget(Target):
     """Answers after up to 1.2 s, and pauses in its streams."""
 
+    # Seconds between two events.
+    pauses = (0.02, 0.05, 0.1, 0.15)
+
     async def answer(self, path, fields, body, host, writer):
         if path != HEALTH_PATH:
             await asyncio.sleep(self.random.uniform(0.015, 1.16))
         await super().answer(path, fields, body, host, writer)
 
     async def stream(self, request, last, echo, writer):
-        pause = self.random.choice((0.02, 0.05, 0.1, 0.15))
+        pause = self.random.choice(self.pauses)
         self.begin_stream(echo, writer)
         for number in range(last + 1, EVENTS + 1):
             event = f"id: {number}\ndata: {request}-{number}\n\n"
@@ -119,6 +122,8 @@
         self.changes = random.Random(-3 * seed)
         self.stops = random.Random(-5 * seed)
         self.pauses = random.Random(-7 * seed)
+        # How long after each signal to stop all targets become silent.
+        self.stop_silences = [float(offset) for offset in options.stop_silences.split(",") if offset]
         self.body = SMALL_BODY
         self.idle = LONG_IDLE
         # Since when the idle timeout is acknowledged, and the one before.
@@ -135,6 +140,8 @@
         self.restarting = set()
         # By host the connections that it says it closed unread: the time and how many are not accounted for yet.
         self.unread = {}
+        # Held while all targets are silent beside a stop.
+        self.all_silent = asyncio.Lock()
         # When each host was told to stop.
         self.stopped_at = {host.name: [] for host in self.entries}
 
@@ -440,6 +447,13 @@
             last = chosen
             await asyncio.sleep(self.pauses.uniform(0.3, 1.5))
 
+    async def silence_beside_stop(self, offset):
+        await asyncio.sleep(offset)
+        if self.all_silent.locked():
+            return
+        async with self.all_silent:
+            await asyncio.gather(*(self.silence(target) for target in self.targets))
+
     async def reload_often(self, host):
         child = host.child
         for pause in [self.stops.uniform(0.02, 0.4) for _ in range(self.stops.randint(1, 3))]:
@@ -453,10 +467,12 @@
         host.leaving = True
         self.restarting.add(host)
         self.stopped_at[host.name].append(now())
+        silences = [asyncio.create_task(self.silence_beside_stop(offset)) for offset in self.stop_silences]
         for _ in range(times):
             host.signal(signal.SIGTERM)
             await asyncio.sleep(self.stops.uniform(0.02, 0.8))
         await host.restart()
+        await asyncio.gather(*silences)
         await self.within(lambda: self.takes_connections(host))
         self.restarting.discard(host)
 
@@ -635,7 +651,21 @@
         "--silent", type=int, default=MOST_SILENT, help="targets that are silent at a time, 0 to 6; 6: always all"
     )
     parser.add_argument("--silence", default=SILENCE, help="SHORTEST-LONGEST in seconds")
-    soak_seeds(parser.parse_args(), KeptConnections)
+    parser.add_argument(
+        "--stop-silences",
+        default="",
+        metavar="SECONDS,...",
+        help="all targets become silent so long after each signal to stop; with --silent 0",
+    )
+    parser.add_argument(
+        "--pauses", metavar="SECONDS,...", help="pauses between the events of streams, one of which a stream has"
+    )
+    options = parser.parse_args()
+    if options.pauses:
+        SlowTarget.pauses = tuple(float(pause) for pause in options.pauses.split(","))
+    if options.stop_silences and options.silent > 0:
+        parser.error("--stop-silences needs --silent 0: a target that is silent cannot become silent")
+    soak_seeds(options, KeptConnections)
 
 
 if __name__ == "__main__":
