--- a/include/damasklink/coordination/ExchangeRetryPolicy.h
+++ b/include/damasklink/coordination/ExchangeRetryPolicy.h
@@ -105,6 +105,9 @@
   // Returns whether a retry may follow if the attempt in progress is abandoned now.
   bool MayRetry(MonotonicTime aNow, const RetryBudget& aBudget) const;
 
+  // Returns whether the call's own limits allow another attempt, whatever the budget allows.
+  bool MaySendAgain() const;
+
   // Takes that retry from the budget. Returns false if none may follow.
   bool ReserveRetry(MonotonicTime aNow, RetryBudget& aBudget);
 
--- a/src/coordination/ExchangeRetryPolicy.cpp
+++ b/src/coordination/ExchangeRetryPolicy.cpp
@@ -158,6 +158,12 @@
   return this->MayTryAnother(AttemptResult::Broken, aNow) && this->TakeRetry(aBudget);
 }
 
+bool
+ExchangeRetryPolicy::MaySendAgain() const
+{
+  return this->limits.repeatable && this->sent < this->limits.mostTargets;
+}
+
 ExchangeStep
 ExchangeRetryPolicy::WithoutTarget() const
 {
--- a/src/coordination/StopAdmission.cpp
+++ b/src/coordination/StopAdmission.cpp
@@ -6,6 +6,10 @@
 namespace damasklink {
 namespace {
 
+// Of a stop, this part at most is left for a silence, so that calls with patient callers are taken
+// at its beginning, when new ones still arrive.
+constexpr int kSilenceShare = 3;
+
 double
 Seconds(Duration aTime)
 {
@@ -89,7 +93,8 @@
     return true;
   }
   const Duration half = (this->stop->cutOff - this->stop->since) / 2;
-  return this->Expected(aRoute, aBounds.patience).value_or(half) <= left;
+  const Duration silence = std::min(aBounds.patience, half * 2 / kSilenceShare);
+  return this->Expected(aRoute, silence).value_or(half) <= left;
 }
 
 void
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -33,14 +33,6 @@
                       std::nullopt };
 }
 
-// Only responses of this content type are forwarded event by event.
-bool
-IsEventStream(const HttpResponseHead& aHead)
-{
-  return aHead.status == 200 &&
-         aHead.fields.Get("Content-Type").substr(0, 17) == "text/event-stream";
-}
-
 } // namespace
 
 Exchange::Exchange(EntryContext& aContext,
@@ -433,7 +425,7 @@
       this->unacknowledged || responseHead.error().kind == ErrorKind::DeadlineExceeded;
     co_return AttemptResult::Broken;
   }
-  co_return co_await this->HandleResponse(aTarget, std::move(responseHead.value()));
+  co_return co_await this->HandleResponse(aTarget, std::move(responseHead.value()), "");
 }
 
 // Reads the head of the response to this call. Responses to other requests that precede it on the
@@ -465,7 +457,7 @@
 }
 
 Awaitable<AttemptResult>
-Exchange::HandleResponse(const TargetRecord& aTarget, HttpResponseHead aHead)
+Exchange::HandleResponse(const TargetRecord& aTarget, HttpResponseHead aHead, std::string aFirst)
 {
   const TargetResponseInfo facts = this->context.dialect.ReadResponse(aHead);
   this->responseBegun = true;
@@ -481,7 +473,12 @@
     this->CancelStandby();
   }
   if (IsEventStream(aHead)) {
-    co_return co_await this->ForwardStream(aTarget, std::move(aHead));
+    co_return co_await this->ForwardStream(aTarget, std::move(aHead), std::move(aFirst));
+  }
+  if (this->plan->PassedOn()) {
+    // The caller has a part of another response.
+    this->channel->Close();
+    co_return AttemptResult::Broken;
   }
   co_return co_await this->ForwardWholeResponse(std::move(aHead));
 }
@@ -489,8 +486,13 @@
 Awaitable<AttemptResult>
 Exchange::ForwardWholeResponse(HttpResponseHead aHead)
 {
-  auto body = co_await this->channel->ReadRest(kMaxBufferedResponse,
-                                               [this] { this->OnBytes(this->attemptTarget); });
+  const bool failed = aHead.status >= 500;
+  auto body = co_await this->channel->ReadRest(kMaxBufferedResponse, [this, failed] {
+    this->OnBytes(this->attemptTarget);
+    if (!failed) {
+      this->CancelStandby();
+    }
+  });
   if (!body) {
     LogEvent(LogLevel::Info, "target_broke")
       .With("request", this->call.request)
@@ -513,9 +515,12 @@
 }
 
 Awaitable<AttemptResult>
-Exchange::ForwardStream(const TargetRecord& aTarget, HttpResponseHead aHead)
+Exchange::ForwardStream(const TargetRecord& aTarget, HttpResponseHead aHead, std::string aFirst)
 {
   RemoveHopByHopFields(aHead.fields);
+  if (!aFirst.empty() && !co_await this->ForwardBytes(aHead, aFirst)) {
+    co_return AttemptResult::CallerLeft;
+  }
   while (true) {
     auto piece = co_await this->channel->ReadChunk();
     if (!piece) {
@@ -532,11 +537,7 @@
       this->received = true;
       break;
     }
-    this->OnBytes(aTarget);
-    this->CancelStandby();
-    this->ObserveFirstEvent(aTarget);
-    const std::string events = this->framer.Append(*piece.value());
-    if (!events.empty() && !co_await this->ForwardEvents(aHead, events)) {
+    if (!co_await this->ForwardBytes(aHead, *piece.value())) {
       co_return AttemptResult::CallerLeft;
     }
   }
@@ -556,6 +557,23 @@
   co_return ended ? AttemptResult::Delivered : AttemptResult::CallerLeft;
 }
 
+Awaitable<bool>
+Exchange::ForwardBytes(const HttpResponseHead& aHead, std::string_view aBytes)
+{
+  this->OnBytes(this->attemptTarget);
+  this->CancelStandby();
+  this->ObserveFirstEvent(this->attemptTarget);
+  const std::string events = this->framer.Append(aBytes);
+  co_return events.empty() || co_await this->ForwardEvents(aHead, events);
+}
+
+bool
+Exchange::IsEventStream(const HttpResponseHead& aHead)
+{
+  return aHead.status == 200 &&
+         aHead.fields.Get("Content-Type").substr(0, 17) == "text/event-stream";
+}
+
 Awaitable<bool>
 Exchange::ForwardEvents(const HttpResponseHead& aHead, std::string_view aEvents)
 {
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -83,8 +84,9 @@
   std::set<Exchange*> waiting;
   // Exchanges whose route is known and whose response is not complete.
   std::set<Exchange*> inProgress;
-  // Standby attempts in progress.
+  // Calls that look for another way, and connections that are being made for them.
   std::size_t standbys = 0;
+  std::map<ServiceName, std::size_t> standbyConnections = {};
 };
 
 // What is left of the limits of a call that another entry host forwarded to this one.
@@ -203,9 +205,18 @@
   AttemptResult EndAttempt(const TargetRecord& aTarget, AttemptResult aResult);
   Awaitable<AttemptResult> SendAndReceive(const TargetRecord& aTarget);
   Awaitable<Result<HttpResponseHead>> ReadMatchingHead(const TargetRecord& aTarget);
-  Awaitable<AttemptResult> HandleResponse(const TargetRecord& aTarget, HttpResponseHead aHead);
+  // aFirst: bytes of the body that were read already.
+  Awaitable<AttemptResult> HandleResponse(const TargetRecord& aTarget,
+                                          HttpResponseHead aHead,
+                                          std::string aFirst);
   Awaitable<AttemptResult> ForwardWholeResponse(HttpResponseHead aHead);
-  Awaitable<AttemptResult> ForwardStream(const TargetRecord& aTarget, HttpResponseHead aHead);
+  Awaitable<AttemptResult> ForwardStream(const TargetRecord& aTarget,
+                                         HttpResponseHead aHead,
+                                         std::string aFirst);
+  // Returns false if the caller takes nothing any more.
+  Awaitable<bool> ForwardBytes(const HttpResponseHead& aHead, std::string_view aBytes);
+  // Only responses of this content type are forwarded event by event.
+  static bool IsEventStream(const HttpResponseHead& aHead);
   Awaitable<bool> ForwardEvents(const HttpResponseHead& aHead, std::string_view aEvents);
   Awaitable<bool> WriteEvents(const HttpResponseHead& aHead, std::string_view aEvents);
   Awaitable<bool> Finish(ExchangeStep aStep);
@@ -252,8 +263,10 @@
   Awaitable<void> TryStandbyHost(std::shared_ptr<StandbyAttempt> aStandby, HostId aHost);
   Awaitable<void> SendStandby(std::shared_ptr<StandbyAttempt> aStandby);
   void BeginStandby(StandbyAttempt& aStandby);
-  void OnStandbyHead(StandbyAttempt& aStandby, HttpResponseHead aHead);
-  void OnStandbyBroken(StandbyAttempt& aStandby);
+  bool MayTakeHead(StandbyAttempt& aStandby, const HttpResponseHead& aHead);
+  void OnStandbyBroken(StandbyAttempt& aStandby, const Error& aError);
+  void CheckStandby();
+  void GiveUpStandbyAt(const TargetId& aTarget);
   // aFirst is the first message of the host, null if the connection to it was lost.
   void OnStandbyHostAnswer(StandbyAttempt& aStandby, const ForwardingMessage* aFirst);
   bool MayTakeForwarded(const ForwardedHead& aHead) const;
--- a/src/program/ExchangeRouting.cpp
+++ b/src/program/ExchangeRouting.cpp
@@ -275,7 +275,7 @@
   chosen = this->context.picker.Choose(this->selection, targets);
   this->selection.compareAll = false;
   this->overloaded = chosen == nullptr || !this->CanServeInTime(*chosen);
-  if (this->overloaded && chosen != nullptr) {
+  if (this->overloaded && chosen != nullptr && this->standby == nullptr) {
     this->LogOverload(*chosen);
   }
   return this->overloaded ? nullptr : chosen;
--- a/src/program/ExchangeSilence.cpp
+++ b/src/program/ExchangeSilence.cpp
@@ -27,6 +27,7 @@
 void
 Exchange::CheckSilence()
 {
+  this->CheckStandby();
   if (this->context.paths.IsUnreachable(this->service)) {
     if (this->Silence() >= kMaxSoundSilence) {
       this->OnSilent("service_unreachable");
@@ -43,6 +44,7 @@
 void
 Exchange::OnTargetUnreachable(const TargetId& aTarget)
 {
+  this->GiveUpStandbyAt(aTarget);
   if (this->attemptTarget.id == aTarget && this->Silence() >= this->MaxSilence()) {
     this->OnSilent("target_unreachable");
   }
@@ -99,15 +101,19 @@
   return next.host.has_value() || next.target != nullptr;
 }
 
-// The target that was given up might have answered, so its stream is not cut off at once because
-// what should take its place has gone meanwhile.
+// A target that was given up, or that TCP did not reach for a while, might have gone on. Its stream
+// is not cut off at once if there is nothing to take its place at the moment, and may go on there.
 Awaitable<bool>
 Exchange::AwaitOtherWay()
 {
   const MonotonicTime until = this->lastBytesAt + this->CallerPatience();
+  const bool unreached = this->unacknowledged || this->context.paths.IsUnreachable(this->service);
+  if (this->unacknowledged && !this->HasOtherWay()) {
+    this->selection.excluded.erase(this->attemptTarget.id);
+  }
   asio::steady_timer pause(this->context.loop);
-  while (this->givenUp && this->interrupt == Interrupt::None &&
-         this->context.clock.MonotonicNow() < until) {
+  while ((this->givenUp || unreached) && this->plan->MaySendAgain() &&
+         this->interrupt == Interrupt::None && this->context.clock.MonotonicNow() < until) {
     if (this->ReserveOtherWay()) {
       co_return true;
     }
--- a/src/program/ExchangeStandby.cpp
+++ b/src/program/ExchangeStandby.cpp
@@ -1,5 +1,6 @@
 // The attempt that an Exchange makes beside one whose target is silent. The rest of the class is in
 // the other Exchange*.cpp files.
+#include <algorithm>
 #include <utility>
 
 #include "Exchange.h"
@@ -14,19 +15,22 @@
 // A silent target accepts no connections, while others take a few milliseconds.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 
+// Time without an answer after which the target of a standby attempt is checked, too.
+constexpr Duration kMaxStandbySilence = std::chrono::milliseconds(600);
+
 // How often a call looks for another way while there is none.
 constexpr Duration kSearchInterval = std::chrono::milliseconds(50);
 
-// Calls of a host that look for another way at the same time. If all targets of a service are
-// silent, all calls would.
-constexpr std::size_t kMaxStandbys = 32;
+// Connections to targets of a service that a host makes at the same time for calls that look for
+// another way. If all targets are silent, all calls do.
+constexpr std::size_t kMaxConnecting = 32;
 
 } // namespace
 
 bool
 Exchange::StartStandby()
 {
-  if (this->standby != nullptr || this->context.standbys >= kMaxStandbys) {
+  if (this->standby != nullptr || this->interrupt != Interrupt::None) {
     return false;
   }
   this->standby = std::make_shared<StandbyAttempt>(this->context.loop);
@@ -84,7 +88,8 @@
 {
   const MonotonicTime now = this->context.clock.MonotonicNow();
   const RetryBudget& budget = this->context.retries.Of(this->service);
-  if (!this->plan->MayRetry(now, budget) || this->IsKnownToCrash()) {
+  const bool mayConnect = this->context.standbyConnections[this->service] < kMaxConnecting;
+  if (!mayConnect || !this->plan->MayRetry(now, budget) || this->IsKnownToCrash()) {
     co_return;
   }
   // Not the verdict on the attempt in progress, which may still succeed.
@@ -123,7 +128,10 @@
   if (aStandby->channel == nullptr) {
     aStandby->channel =
       std::make_unique<TargetConnection>(shared.loop.get_executor(), shared.clock);
+    const ServiceName connecting = this->service;
+    ++shared.standbyConnections[connecting];
     const auto connected = co_await aStandby->channel->Connect(aTarget.endpoint, kConnectTimeout);
+    --shared.standbyConnections[connecting];
     if (aStandby->cancelled) {
       co_return;
     }
@@ -136,8 +144,11 @@
       co_return;
     }
   }
+  // Other calls may have taken the target's places meanwhile.
+  this->UpdateRateLimited();
   RetryBudget& budget = shared.retries.Of(this->service);
   if (!this->StillTakesCalls(aTarget) ||
+      (!onlyOpen && this->selection.rateLimited.contains(aTarget.id)) ||
       !this->plan->ReserveRetry(shared.clock.MonotonicNow(), budget)) {
     co_return;
   }
@@ -151,6 +162,8 @@
   const TargetRecord& target = aStandby.target;
   this->plan->BeginStandby(AttemptId(this->call.request.Value()), target.id);
   this->selection.excluded.insert(target.id);
+  aStandby.givenUp = false;
+  aStandby.checkedAt = MonotonicTime();
   aStandby.load = this->MakeLoad(target);
   aStandby.sentAt = this->context.clock.MonotonicNow();
   aStandby.SetStage(Stage::Sent);
@@ -181,40 +194,63 @@
     co_return;
   }
   if (!head) {
-    this->OnStandbyBroken(*aStandby);
+    this->OnStandbyBroken(*aStandby, head.error());
+    co_return;
+  }
+  if (!this->MayTakeHead(*aStandby, head.value())) {
     co_return;
   }
-  this->OnStandbyHead(*aStandby, std::move(head.value()));
+  aStandby->head = std::move(head.value());
+  if (IsEventStream(aStandby->head)) {
+    // A head alone is no reason to close a connection on which the stream may go on.
+    const auto first = co_await aStandby->channel->ReadChunk();
+    if (aStandby->cancelled) {
+      co_return;
+    }
+    if (!first || !first.value()) {
+      const Error ended{ ErrorKind::Interrupted, "no event came", "check the target's log" };
+      this->OnStandbyBroken(*aStandby, first ? ended : first.error());
+      co_return;
+    }
+    aStandby->firstBytes = *first.value();
+  }
+  aStandby->SetStage(Stage::Accepted);
+  this->LogStandbyEnd(*aStandby, "accepted");
 }
 
-void
-Exchange::OnStandbyHead(StandbyAttempt& aStandby, HttpResponseHead aHead)
+// Returns whether the response may take the place of the first attempt; otherwise ends the standby.
+bool
+Exchange::MayTakeHead(StandbyAttempt& aStandby, const HttpResponseHead& aHead)
 {
   const TargetRecord& target = aStandby.target;
   const TargetResponseInfo facts = this->context.dialect.ReadResponse(aHead);
   this->CountBytes(target);
   this->ObserveNotices(target, facts);
   const bool foreign = facts.request != this->call.request && !facts.request.Empty();
+  // A part of another response was passed on already.
+  const bool unfit = this->plan->PassedOn() && !IsEventStream(aHead);
   if (facts.notRun && !foreign) {
     this->ObserveResponse(target, facts, aStandby.sentAt);
     this->EndStandby(aStandby, AttemptStage::Refused, HealthSignal::Good, "refused");
-  } else if (foreign || aHead.status >= 500) {
+    return false;
+  }
+  if (foreign || unfit || aHead.status >= 500) {
     this->EndStandby(aStandby, AttemptStage::Lost, HealthSignal::Bad, "failed");
-  } else {
-    aStandby.head = std::move(aHead);
-    aStandby.SetStage(Stage::Accepted);
-    this->LogStandbyEnd(aStandby, "accepted");
+    return false;
   }
+  return true;
 }
 
 void
-Exchange::OnStandbyBroken(StandbyAttempt& aStandby)
+Exchange::OnStandbyBroken(StandbyAttempt& aStandby, const Error& aError)
 {
   CrashReport report = this->MakeCrashReport(aStandby.target, aStandby.sentAt);
   report.parts = this->PartFingerprints();
+  report.silent = aStandby.givenUp || aError.kind == ErrorKind::DeadlineExceeded;
   const TargetRecord target = aStandby.target;
   const bool wasRunning = this->IsLongerThanADrop(aStandby.sentAt);
-  this->EndStandby(aStandby, AttemptStage::Lost, HealthSignal::Bad, "broken");
+  const HealthSignal signal = report.silent ? HealthSignal::NotReached : HealthSignal::Bad;
+  this->EndStandby(aStandby, AttemptStage::Lost, signal, report.silent ? "silent" : "broken");
   if (this->context.state.Targets().Find(target.id) != nullptr) {
     this->SuspectCrash(target, std::move(report), wasRunning);
   }
@@ -226,6 +262,7 @@
   EntryContext& shared = this->context;
   aStandby->host = aHost;
   aStandby->target = TargetRecord();
+  aStandby->triedHosts.insert(aHost);
   this->triedHosts.insert(aHost);
   const bool connected = co_await shared.forwarder.Connect(aHost);
   if (aStandby->cancelled) {
@@ -331,6 +368,9 @@
 Exchange::ForgetStandby()
 {
   this->RetryUnreached(*this->standby);
+  for (const HostId& host : this->standby->triedHosts) {
+    this->triedHosts.erase(host);
+  }
   this->standby.reset();
 }
 
@@ -343,13 +383,49 @@
     co_return false;
   }
   next->isLast = true;
+  this->received = false;
+  // Its target is checked for silence meanwhile.
+  this->context.waiting.insert(this);
   while (next->stage == Stage::Sent && this->interrupt == Interrupt::None) {
     next->changed.expires_at(asio::steady_timer::time_point::max());
     co_await next->changed.async_wait(kAsValue);
   }
+  this->context.waiting.erase(this);
   co_return next->stage == Stage::Accepted&& this->interrupt == Interrupt::None;
 }
 
+// Checks the target of the standby attempt if it is silent, too.
+void
+Exchange::CheckStandby()
+{
+  if (this->standby == nullptr || this->standby->stage != Stage::Sent || this->standby->host) {
+    return;
+  }
+  const MonotonicTime now = this->context.clock.MonotonicNow();
+  const MonotonicTime heardAt = std::max(this->standby->sentAt, this->standby->checkedAt);
+  if (now - heardAt >= kMaxStandbySilence) {
+    this->standby->checkedAt = now;
+    this->context.prober.CheckTarget(this->standby->target);
+  }
+}
+
+// Another target is tried in the place of one that accepts no connections either.
+void
+Exchange::GiveUpStandbyAt(const TargetId& aTarget)
+{
+  if (this->standby == nullptr || this->standby->stage != Stage::Sent ||
+      this->standby->target.id != aTarget) {
+    return;
+  }
+  const MonotonicTime now = this->context.clock.MonotonicNow();
+  const bool replaceable =
+    this->plan->MayRetry(now, this->context.retries.Of(this->service)) && this->HasOtherWay();
+  if (now - this->standby->sentAt >= kMaxStandbySilence && replaceable) {
+    this->standby->givenUp = true;
+    this->standby->channel->Close();
+  }
+}
+
 // Makes the standby attempt the one in progress, and receives its response.
 Awaitable<AttemptResult>
 Exchange::ContinueAtStandby()
@@ -372,7 +448,9 @@
   this->fetchedFrom = next->fetchedFrom;
   this->sentAt = next->sentAt;
   this->context.waiting.insert(this);
-  co_return this->EndAttempt(target, co_await this->HandleResponse(target, std::move(next->head)));
+  const AttemptResult result =
+    co_await this->HandleResponse(target, std::move(next->head), std::move(next->firstBytes));
+  co_return this->EndAttempt(target, result);
 }
 
 } // namespace damasklink
--- a/src/program/StandbyAttempt.h
+++ b/src/program/StandbyAttempt.h
@@ -52,12 +52,16 @@
 
   Stage stage = Stage::Searching;
   bool cancelled = false;
+  // Its target is silent, too.
+  bool givenUp = false;
   // The first attempt has ended, so this one is not followed by another.
   bool isLast = false;
   // Waited on for a change of the stage.
   asio::steady_timer changed;
   // Targets that were not reached, while others are left to try.
   std::set<TargetId> unreached;
+  // Hosts that this attempt was or should have been forwarded to.
+  std::set<HostId> triedHosts;
 
   // The target, or the host that the call is forwarded to.
   TargetRecord target;
@@ -67,8 +71,11 @@
   CallLoad load;
   std::string fetchedFrom;
   MonotonicTime sentAt;
-  // The head of the target's response.
+  // When the target of this attempt was last checked because of its silence.
+  MonotonicTime checkedAt;
+  // The head of the target's response, and the first bytes of its body if it is a stream.
   HttpResponseHead head;
+  std::string firstBytes;
 };
 
 } // namespace damasklink
