Events are forwarded without a condition that g++ 12 evaluates wrongly

Cause: 'co_return a || co_await b' ran b although a was true, so a stream began with an empty chunk, which ends it. ExchangeSoftwareTest.StreamWithoutAnyEventMayBeginAtAnotherVersion failed. Change: a plain condition; no other return of this form is in src.

--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -564,7 +564,10 @@
   this->CancelStandby();
   this->ObserveFirstEvent(this->attemptTarget);
   const std::string events = this->framer.Append(aBytes);
-  co_return events.empty() || co_await this->ForwardEvents(aHead, events);
+  if (events.empty()) {
+    co_return true;
+  }
+  co_return co_await this->ForwardEvents(aHead, events);
 }
 
 bool
