--- a/review/3/case.py
+++ b/review/3/case.py
@@ -16,6 +16,9 @@
 STEADY = 18
 BURST = 1.7
 BURST_S = 3.0
+# How long a consumer takes for a request. Those of the burst begin spread over this time, and one whose request ended
+# without an answer waits as long, so that no more requests come than the burst allows.
+CYCLE_S = 0.6
 CALM_S = 5.0
 BODY = b"x" * 4_000_000
 assert len(BODY) <= harness.LIMITS["max-body-bytes"]
@@ -38,7 +41,8 @@
         # Requests sent on kept channels that ended without an answer, by entry host.
         self.unanswered = collections.defaultdict(list)
 
-    async def consumer(self, host, name, end):
+    async def consumer(self, host, name, end, delay=0.0):
+        await asyncio.sleep(delay)
         channel = Channel(host)
         kept = False
         count = 0
@@ -59,7 +63,7 @@
                     self.unanswered[host.name].append(request)
                 channel.close()
                 kept = False
-                await asyncio.sleep(0.3)
+                await asyncio.sleep(CYCLE_S)
             await asyncio.sleep(0.02)
         channel.close()
 
@@ -99,7 +103,9 @@
         if TROUBLE:
             more = int(STEADY * (BURST - 1))
             consumers += [
-                asyncio.create_task(run.consumer(host, f"{host.name}-b{number}", time.monotonic() + BURST_S))
+                asyncio.create_task(
+                    run.consumer(host, f"{host.name}-b{number}", time.monotonic() + BURST_S, CYCLE_S * number / more)
+                )
                 for host in system.entries
                 for number in range(more)
             ]
