--- a/include/damasklink/coordination/EventFramer.h
+++ b/include/damasklink/coordination/EventFramer.h
@@ -27,6 +27,9 @@
   // Returns whether the buffer has bytes of an incomplete event.
   bool HasPartialEvent() const { return !this->buffer.empty(); }
 
+  // Returns how much of an incomplete event the buffer has.
+  std::size_t PartialBytes() const { return this->buffer.size(); }
+
   // Removes the bytes of the incomplete event from the buffer and returns them. Call it before
   // another target continues the stream.
   std::string DiscardPartialEvent();
--- a/include/damasklink/coordination/ExchangeRetryPolicy.h
+++ b/include/damasklink/coordination/ExchangeRetryPolicy.h
@@ -98,6 +98,10 @@
   // Tells that part of the answer has been passed on to the caller.
   void MarkPassedOn() { this->passedOn = true; }
 
+  // Tells that no other attempt may follow one that was sent: nothing could continue its answer, or
+  // the request is no longer kept. One that cannot have run may still be followed.
+  void ForbidRepeats() { this->limits.repeatable = false; }
+
   // Ends the attempt and returns the next step. TryAnother takes a retry from the budget, unless no
   // earlier attempt can have reached a target.
   ExchangeStep After(AttemptResult aResult, MonotonicTime aNow, RetryBudget& aBudget);
--- a/include/damasklink/coordination/RouteTable.h
+++ b/include/damasklink/coordination/RouteTable.h
@@ -44,4 +44,8 @@
 const ServiceName&
 ChooseService(const ServingRoute& aRoute, std::uint64_t aNumber);
 
+// Returns the priority of a call; 0 is the most urgent. aWorkspace may be null.
+int
+PriorityOf(const ServingRoute& aRoute, const WorkspaceEntry* aWorkspace);
+
 } // namespace damasklink
--- a/include/damasklink/protocol/HttpMessage.h
+++ b/include/damasklink/protocol/HttpMessage.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "damasklink/coordination/MemoryBudget.h"
 #include "damasklink/state/Error.h"
 
 namespace damasklink {
@@ -72,6 +73,8 @@
 {
   HttpRequestHead head;
   std::string body;
+  // What the body counts against the memory of this host; empty for requests of its own.
+  MemoryReservation memory{};
 };
 
 struct HttpResponseHead
--- a/include/damasklink/protocol/MetricsText.h
+++ b/include/damasklink/protocol/MetricsText.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "damasklink/coordination/MemoryBudget.h"
 #include "damasklink/state/MetricsRegistry.h"
 
 namespace damasklink {
@@ -21,4 +22,8 @@
 std::string
 FormatMetrics(const MetricsSnapshot& aSnapshot, const HostId& aHost);
 
+// Returns the gauges of the bytes that a process keeps for others, by use, and of their limit.
+std::string
+FormatMemory(const MemoryBudget& aMemory, const HostId& aHost);
+
 } // namespace damasklink
--- a/include/damasklink/state/Metrics.h
+++ b/include/damasklink/state/Metrics.h
@@ -47,10 +47,11 @@
   SilentAttempts,      // Whose target was silent; kind: why another way was looked for.
   StandbyAttempts,     // Made beside silent ones; kind: how they ended.
   ResumedStreams,      // Sent to a target to go on; kind: caller or host, whoever resumed it.
+  MemoryRefusals,      // Requests refused for want of memory; kind: why at that moment.
 };
 
 // How many counters there are; follows the last one.
-constexpr std::size_t kCounterCount = static_cast<std::size_t>(Counter::ResumedStreams) + 1;
+constexpr std::size_t kCounterCount = static_cast<std::size_t>(Counter::MemoryRefusals) + 1;
 
 // Durations of which quantiles are kept.
 enum class Sample
--- a/include/damasklink/state/ServingSettings.h
+++ b/include/damasklink/state/ServingSettings.h
@@ -9,6 +9,7 @@
 #include "damasklink/state/Clock.h"
 #include "damasklink/state/Ids.h"
 #include "damasklink/state/Settings.h"
+#include "damasklink/state/Units.h"
 
 namespace damasklink {
 
@@ -53,6 +54,8 @@
   bool firstStart = false;
   // Empty on a host without a disk.
   std::string dataFolder;
+  // What the process may use in total; it is ended beyond that.
+  ByteCount memory{ 256 * kMebibyte };
   // Between two signs of life of a target.
   Duration targetHeartbeat = std::chrono::milliseconds(1200);
   // From SIGTERM until the process is killed.
--- a/include/damasklink/state/Text.h
+++ b/include/damasklink/state/Text.h
@@ -44,4 +44,11 @@
   return absl::StrCat(internal::ConcatPiece(aPieces)...);
 }
 
+// Empties the text and gives back its memory, which assigning an empty text would keep.
+inline void
+FreeText(std::string& aText)
+{
+  std::string().swap(aText);
+}
+
 } // namespace damasklink
--- a/include/damasklink/transport/CallerConnection.h
+++ b/include/damasklink/transport/CallerConnection.h
@@ -1,7 +1,7 @@
 // The server side of one HTTP/1.1 connection, on the event loop.
 //
 //   CallerConnection connection(std::move(socket));
-//   auto request = co_await connection.Read(limits);
+//   auto request = co_await connection.Read(limits, memory);
 //   if (!request) ...   // The error says how to respond, or that the caller closed.
 //   co_await connection.WriteWhole(response, close);
 //
@@ -17,6 +17,7 @@
 #include "damasklink/coordination/ServingConfig.h"
 #include "damasklink/state/Units.h"
 #include "damasklink/transport/CallerChannel.h"
+#include "damasklink/transport/RequestMemory.h"
 
 namespace damasklink {
 
@@ -48,6 +49,7 @@
   TooSlow,
   HeadTooLarge,
   BodyTooLarge,
+  NoMemory,
   Malformed,
 };
 
@@ -85,11 +87,13 @@
   // - Interrupted when the caller closed the connection, or was idle for too long between requests,
   // - DeadlineExceeded when the head or the body arrived too slowly,
   // - Overloaded when the head exceeds its limit, NotPermitted when the body does,
+  // - Unavailable when there is no memory for the body, of which a part may be unread,
   // - InvalidArgument when the bytes are not a valid request or their framing is ambiguous.
   // After a failure the connection must be closed, once the error response has been written.
-  // The limits are those in force when the request begins. aSource must outlive the read.
-  Awaitable<Result<HttpRequestMessage>> Read(const CallerLimitsSource& aSource);
-  Awaitable<Result<HttpRequestMessage>> Read(const CallerLimits& aLimits);
+  // The limits are those in force when the request begins. The arguments must outlive the read.
+  Awaitable<Result<HttpRequestMessage>> Read(const CallerLimitsSource& aSource,
+                                             RequestMemory& aMemory);
+  Awaitable<Result<HttpRequestMessage>> Read(const CallerLimits& aLimits, RequestMemory& aMemory);
 
   // Waits until the caller has sent something, and reads nothing of it. Returns false if nothing
   // comes within aTimeout, or the caller closes the connection.
@@ -138,11 +142,16 @@
 
 private:
   class Impl;
+  class RequestParser;
 
   void NoteReadFailure(ConnectionEnd aEnd);
   ConnectionEnd ReadEnd(const IoError& aError) const;
   void CountUnread();
   Awaitable<IoError> AwaitRequest(const CallerLimitsSource& aSource);
+  Awaitable<Result<void>> ReadBody(RequestParser& aParser,
+                                   const CallerLimits& aLimits,
+                                   RequestMemory& aMemory,
+                                   HttpRequestMessage& aTo);
 
   std::unique_ptr<Impl> impl;
   // Set while the connection waits for a request.
--- a/include/damasklink/transport/EventLoop.h
+++ b/include/damasklink/transport/EventLoop.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <string_view>
 // boost/asio.hpp uses std::exchange without including its header.
 #include <utility>
 
@@ -47,6 +48,23 @@
 void
 SetSendTimeout(TcpSocket& aSocket, Duration aTimeout);
 
+// Logs that an option could not be set, unless aError is none.
+void
+LogRefusedOption(std::string_view aOption, const IoError& aError);
+
+// Bounds what the system receives for a connection before it is read. Otherwise it grows to
+// megabytes, which count as memory of this process. Must be called before the connection is made;
+// accepted connections inherit it from their listener.
+template<typename Socket>
+void
+LimitReceiveBuffer(Socket& aSocket)
+{
+  constexpr int kReceiveBufferBytes = 128 * 1024;
+  IoError error;
+  aSocket.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes), error);
+  LogRefusedOption("SO_RCVBUF", error);
+}
+
 // Disables Nagle's algorithm (TCP_NODELAY), so that small writes are sent immediately.
 void
 SetNoDelay(TcpSocket& aSocket);
--- a/include/damasklink/transport/PeerMesh.h
+++ b/include/damasklink/transport/PeerMesh.h
@@ -5,7 +5,7 @@
 // when they have nothing else to send, so that either side detects a connection that fell silent
 // without a reset.
 //
-//   PeerMesh mesh(context, HostId("10.1.0.4"), 7700, handler);
+//   PeerMesh mesh(context, HostId("10.1.0.4"), 7700, memory, handler);
 //   mesh.Listen();                       // Accepts connections of other hosts.
 //   mesh.Dial(HostId("10.2.0.4"));       // Connects, and reconnects after failures.
 //   mesh.Send(HostId("10.2.0.4"), message);
@@ -16,6 +16,7 @@
 #include <string>
 #include <vector>
 
+#include "damasklink/coordination/MemoryBudget.h"
 #include "damasklink/transport/DialBackoff.h"
 #include "damasklink/transport/EventLoop.h"
 #include "damasklink/transport/PeerNetwork.h"
@@ -65,6 +66,7 @@
   PeerMesh(asio::io_context& aContext,
            HostId aSelf,
            std::uint16_t aPort,
+           MemoryBudget& aMemory,
            PeerMeshHandler& aHandler,
            PeerMeshTiming aTiming = PeerMeshTiming());
   ~PeerMesh() override;
@@ -95,7 +97,8 @@
 
   // Sends on the connection that this side dialed, or else on the one that the peer dialed. Drops
   // the message when neither is up. When more than 8 MiB would be queued, or 1 MiB behind a larger
-  // message, it also closes the connection: on a new one the peer is sent its full state again.
+  // message, or there is no memory for it, it also closes the connection: on a new one the peer is
+  // sent its full state again.
   void Send(const HostId& aTo, PeerMessage aMessage) override;
 
   // Closes all connections. The handler is not called any more.
@@ -107,12 +110,13 @@
   void Accept();
   void OnLinkUp(const std::shared_ptr<Link>& aLink);
   void OnLinkDown(const std::shared_ptr<Link>& aLink);
-  void OnFrame(const std::shared_ptr<Link>& aLink, const std::string& aFrame);
+  void OnFrame(const std::shared_ptr<Link>& aLink, std::string aFrame);
   void Connect(const HostId& aPeer);
 
   asio::io_context& context;
   HostId self;
   std::uint16_t port;
+  MemoryBudget& memory;
   PeerMeshHandler& handler;
   PeerMeshTiming timing;
   std::unique_ptr<TcpAcceptor> acceptor;
--- a/include/damasklink/transport/TargetConnection.h
+++ b/include/damasklink/transport/TargetConnection.h
@@ -24,6 +24,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include "damasklink/coordination/CountedBuffer.h"
 #include "damasklink/protocol/HttpMessage.h"
 #include "damasklink/transport/EventLoop.h"
 
@@ -49,19 +50,30 @@
   // nothing; then it may have received a part of the request.
   Awaitable<Result<void>> Send(const HttpRequestHead& aHead, std::string_view aBody);
 
-  // Reads the head of the response and skips interim (1xx) ones. Fails with Interrupted when the
-  // target closed the connection, with DeadlineExceeded when TCP got no acknowledgement of the
-  // request, and with Corrupt when the bytes are not an HTTP response.
+  // Reads the head of the response and skips interim (1xx) ones, of which a few may come. Fails
+  // with Interrupted when the target closed the connection, with DeadlineExceeded when TCP got no
+  // acknowledgement of the request, and with Corrupt when the bytes are not an HTTP response.
   Awaitable<Result<HttpResponseHead>> ReadHead();
 
+  // Returns the length of the body that the last head states.
+  std::optional<std::uint64_t> BodyLength() const;
+
   // Returns the next chunk of the body, valid until the next call, or nullopt at its end. Fails
   // with Interrupted when the response broke off and with Corrupt when its framing is invalid.
   Awaitable<Result<std::optional<std::string_view>>> ReadChunk();
 
   // Reads the rest of the body and calls aOnChunk after each chunk. Fails as ReadChunk() does, and
-  // with Overloaded when the rest is longer than aMaxBytes.
-  Awaitable<Result<std::string>> ReadRest(std::size_t aMaxBytes,
-                                          std::function<void()> aOnChunk = nullptr);
+  // with Overloaded when the rest is longer than aMaxBytes or there is no memory for it.
+  Awaitable<Result<void>> ReadRest(CountedBuffer& aTo,
+                                   std::size_t aMaxBytes,
+                                   std::function<void()> aOnChunk = nullptr);
+
+  // Reads the rest of the body and keeps nothing of it. Fails as ReadChunk() does, and with
+  // Overloaded when the rest is longer than aMaxBytes.
+  Awaitable<Result<void>> Discard(std::size_t aMaxBytes);
+
+  // Gives back the memory that only a connection in use needs.
+  void ReleaseBuffers();
 
   // Returns whether the last response is complete and another request may be sent.
   bool IsReusable() const;
@@ -80,6 +92,9 @@
 private:
   class Impl;
 
+  // Returns the head that was read.
+  HttpResponseHead TakeHead();
+
   const Clock& clock;
   std::unique_ptr<Impl> impl;
   // When to stop reusing the connection, because the target may soon close it as idle.
--- a/src/coordination/RouteTable.cpp
+++ b/src/coordination/RouteTable.cpp
@@ -67,4 +67,10 @@
   return aRoute.shares.front().service;
 }
 
+int
+PriorityOf(const ServingRoute& aRoute, const WorkspaceEntry* aWorkspace)
+{
+  return aWorkspace == nullptr ? aRoute.priority : aWorkspace->priority.value_or(aRoute.priority);
+}
+
 } // namespace damasklink
--- a/src/program/CallForwarder.cpp
+++ b/src/program/CallForwarder.cpp
@@ -14,16 +14,29 @@
 // How long an unused connection to another host is kept.
 constexpr Duration kIdleTimeout = std::chrono::seconds(5);
 
+// Returns how many bytes of a body the message carries.
+std::size_t
+BodyBytes(const ForwardingMessage& aMessage)
+{
+  if (const auto* head = std::get_if<ForwardedHead>(&aMessage)) {
+    return head->bytes.size();
+  }
+  const auto* chunk = std::get_if<ForwardedChunk>(&aMessage);
+  return chunk == nullptr ? 0 : chunk->bytes.size();
+}
+
 } // namespace
 
 ForwardedResponse::ForwardedResponse(CallForwarder& aForwarder,
                                      asio::io_context& aLoop,
                                      HostId aHost,
-                                     CallNumber aNumber)
+                                     CallNumber aNumber,
+                                     MemoryReservation aMemory)
   : forwarder(&aForwarder)
   , host(std::move(aHost))
   , number(aNumber)
   , wakeUp(aLoop)
+  , memory(std::move(aMemory))
 {
 }
 
@@ -55,6 +68,7 @@
   }
   ForwardingMessage message = std::move(this->messages.front());
   this->messages.pop_front();
+  this->memory.TryResize(this->memory.Bytes() - BodyBytes(message));
   co_return message;
 }
 
@@ -65,12 +79,25 @@
     this->forwarder->SendMessage(this->host, ForwardingCancel{ this->number });
   }
   this->messages.clear();
+  this->memory.TryResize(0);
   this->OnLost();
 }
 
 void
 ForwardedResponse::OnMessage(ForwardingMessage aMessage)
 {
+  if (this->ended) {
+    return;
+  }
+  // The caller reads more slowly than the other host sends.
+  if (!this->memory.TryResize(this->memory.Bytes() + BodyBytes(aMessage))) {
+    LogEvent(LogLevel::Warning, "forwarded_response_given_up")
+      .With("host", this->host)
+      .With("queued", this->memory.Bytes())
+      .With("reason", "no_memory");
+    this->Close();
+    return;
+  }
   const auto* head = std::get_if<ForwardedHead>(&aMessage);
   this->answered = std::holds_alternative<ForwardingDecline>(aMessage) ||
                    std::holds_alternative<ForwardedEnd>(aMessage) ||
@@ -98,15 +125,17 @@
                              const Clock& aClock,
                              const ServingSettings& aSettings,
                              Metrics& aMetrics,
+                             MemoryBudget& aMemory,
                              std::uint64_t aSeed,
                              CallHandler aHandler)
   : loop(aLoop)
   , clock(aClock)
   , enabled(aSettings.forwardingPort != 0)
   , metrics(aMetrics)
+  , memory(aMemory)
   , handler(std::move(aHandler))
   , peers(aClock, aSeed, aSettings.zone)
-  , mesh(aLoop, aSettings.host, aSettings.forwardingPort, *this)
+  , mesh(aLoop, aSettings.host, aSettings.forwardingPort, aMemory, *this)
   , lastNumber(aSeed)
 {
 }
@@ -168,7 +197,12 @@
 {
   this->lastNumber = this->lastNumber.Next();
   aCall.number = this->lastNumber;
-  auto response = std::make_unique<ForwardedResponse>(*this, this->loop, aHost, this->lastNumber);
+  auto response =
+    std::make_unique<ForwardedResponse>(*this,
+                                        this->loop,
+                                        aHost,
+                                        this->lastNumber,
+                                        *this->memory.TryReserve(MemoryUse::ForwardedCalls, 0));
   this->forwarded[{ aHost, aCall.number }] = response.get();
   this->peers.OnSent(aHost);
   this->SendMessage(aHost, aCall);
@@ -302,10 +336,11 @@
     aCall.number,
     [this, aFrom](const ForwardingMessage& aMessage) { this->SendMessage(aFrom, aMessage); });
   const std::size_t bytes = aCall.body.size();
+  auto memory = this->memory.TryReserve(MemoryUse::ForwardedCalls, bytes);
   const bool full =
-    this->served.size() >= kMaxServed || this->servedBytes + bytes > kMaxServedBytes;
+    !memory || this->served.size() >= kMaxServed || this->servedBytes + bytes > kMaxServedBytes;
   // Added first: the call may end before the handler returns.
-  this->served[key] = ServedCall{ caller, bytes };
+  this->served[key] = ServedCall{ caller, bytes, std::move(memory).value_or(MemoryReservation()) };
   this->servedBytes += bytes;
   if (full) {
     LogEvent(LogLevel::Warning, "forwarded_call_declined")
--- a/src/program/CallForwarder.h
+++ b/src/program/CallForwarder.h
@@ -39,7 +39,8 @@
   ForwardedResponse(CallForwarder& aForwarder,
                     asio::io_context& aLoop,
                     HostId aHost,
-                    CallNumber aNumber);
+                    CallNumber aNumber,
+                    MemoryReservation aMemory);
   ~ForwardedResponse();
   ForwardedResponse(const ForwardedResponse&) = delete;
   ForwardedResponse& operator=(const ForwardedResponse&) = delete;
@@ -72,7 +73,9 @@
   CallNumber number;
   asio::steady_timer wakeUp;
   std::function<void()> onSilence;
+  // Messages that were not taken yet, and what they count.
   std::deque<ForwardingMessage> messages;
+  MemoryReservation memory;
   // No more messages will arrive.
   bool ended = false;
   // The other host has ended the call.
@@ -96,6 +99,7 @@
                 const Clock& aClock,
                 const ServingSettings& aSettings,
                 Metrics& aMetrics,
+                MemoryBudget& aMemory,
                 std::uint64_t aSeed,
                 CallHandler aHandler);
   ~CallForwarder() override;
@@ -152,6 +156,7 @@
   {
     std::shared_ptr<ForwardedCaller> caller;
     std::size_t bytes = 0;
+    MemoryReservation memory;
   };
 
   // Returns whether calls to or from the host are in progress.
@@ -164,6 +169,7 @@
   const Clock& clock;
   bool enabled;
   Metrics& metrics;
+  MemoryBudget& memory;
   CallHandler handler;
   ForwardingPeers peers;
   PeerMesh mesh;
--- a/src/program/ControlCallHandler.cpp
+++ b/src/program/ControlCallHandler.cpp
@@ -42,6 +42,7 @@
                                        TargetTracker& aTracker,
                                        Metrics& aMetrics,
                                        WorkStatistics& aAccount,
+                                       MemoryBudget& aMemory,
                                        std::function<void()> aPublish)
   : clock(aClock)
   , settings(aSettings)
@@ -50,6 +51,7 @@
   , tracker(aTracker)
   , metrics(aMetrics)
   , account(aAccount)
+  , memory(aMemory)
   , publishTargets(std::move(aPublish))
 {
 }
@@ -59,7 +61,7 @@
 {
   bool keepAlive = true;
   while (keepAlive) {
-    auto request = co_await aChannel->Read(ControlLimits());
+    auto request = co_await aChannel->Read(ControlLimits(), this->memory);
     if (!request) {
       if (request.error().kind != ErrorKind::Interrupted) {
         co_await aChannel->WriteWhole(this->dialect.ControlErrorResponse(request.error()), true);
--- a/src/program/ControlCallHandler.h
+++ b/src/program/ControlCallHandler.h
@@ -28,6 +28,7 @@
                      TargetTracker& aTracker,
                      Metrics& aMetrics,
                      WorkStatistics& aAccount,
+                     MemoryBudget& aMemory,
                      std::function<void()> aPublish);
 
   // Serves the calls of one connection until it is closed.
@@ -53,6 +54,7 @@
   TargetTracker& tracker;
   Metrics& metrics;
   WorkStatistics& account;
+  ImmediateRequestMemory memory;
   std::function<void()> publishTargets;
   LingeringClose lingering;
 };
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -12,10 +12,12 @@
 #include "SoftwareVersionProposer.h"
 #include "StoreWatcher.h"
 #include "TargetTracker.h"
+#include "damasklink/coordination/OwnMemory.h"
 #include "damasklink/coordination/ServiceLevelWindows.h"
 #include "damasklink/coordination/StableWeightVersions.h"
 #include "damasklink/protocol/ServingCodec.h"
 #include "damasklink/state/MetricsRegistry.h"
+#include "damasklink/state/ProcessMemory.h"
 #include "damasklink/transport/ConnectionListener.h"
 #include "damasklink/transport/Log.h"
 #include "damasklink/transport/PeerMesh.h"
@@ -93,7 +95,7 @@
        SettingsReader aReader)
     : settings(std::move(aSettings))
     , dialect(aDialect)
-    , mesh(this->loop, this->settings.host, this->settings.peerPort, *this)
+    , mesh(this->loop, this->settings.host, this->settings.peerPort, this->memory, *this)
     , group(this->loop,
             this->clock,
             this->settings,
@@ -105,11 +107,13 @@
              this->clock,
              aStores,
              this->storePlan,
+             this->memory,
              { [this](const auto& aUpdates) { this->publisher.PublishStores(aUpdates); },
                [this](const auto& aUpdates) { this->publisher.RelayStores(aUpdates); } })
     , rollout(this->loop,
               this->clock,
               aEngines,
+              this->memory,
               this->Options(),
               [this] { return this->group.Authority(); })
     , calls(this->clock,
@@ -119,6 +123,7 @@
             this->tracker,
             this->metrics,
             this->account,
+            this->memory,
             [this] { this->PublishTargets(); })
     , signals(this->loop, std::move(aReader))
     , ticker(this->loop)
@@ -140,6 +145,8 @@
   void Tick();
   void StepGroup();
   bool StopAfterFailure();
+  // Measures what the process uses for itself.
+  void UpdateMemory();
   void PublishTargets();
   void OnStateApplied();
   void ApplyServices();
@@ -157,6 +164,9 @@
   ServiceLevelWindows serviceLevels{ this->clock, kMostMetricSeries };
   MetricsRegistry metrics{ this->clock, this->serviceLevels, kMostMetricSeries };
   WorkStatistics account{ this->clock, this->metrics };
+  // Outlives what is cut off when the loop is destroyed.
+  MemoryBudget memory{ this->settings.memory };
+  OwnMemory ownMemory;
   asio::io_context loop{ 1 };
   PeerMesh mesh;
   ServingGroup group;
@@ -172,7 +182,7 @@
   ServingUpdatePublisher publisher{ this->clock,   this->settings, this->group,   this->stores,
                                     this->tracker, this->hosts,    this->crashes, this->mesh,
                                     this->metrics, this->account };
-  MetricsServer metricsPage{ this->loop, this->metrics, this->settings.host };
+  MetricsServer metricsPage{ this->loop, this->metrics, this->memory, this->settings.host };
   ControlCallHandler calls;
   ConnectionListener callers{ this->loop };
   ServingSignals signals;
@@ -285,6 +295,7 @@
   }
   if (this->clock.MonotonicNow() >= this->nextExpiry) {
     this->nextExpiry = this->clock.MonotonicNow() + kExpiryInterval;
+    this->UpdateMemory();
     this->publisher.RemoveExpired();
     this->tracker.Versions().RemoveExpired();
   }
@@ -301,6 +312,17 @@
   });
 }
 
+void
+ControlHost::Impl::UpdateMemory()
+{
+  const auto resident = ReadResidentMemory();
+  if (!resident) {
+    LogEvent(LogLevel::Debug, "memory_not_read").With("error", resident.error());
+    return;
+  }
+  this->ownMemory.Update(resident.value(), this->memory);
+}
+
 void
 ControlHost::Impl::StepGroup()
 {
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -3,6 +3,7 @@
 #include "EntryHost.h"
 
 #include "EntryHostImpl.h"
+#include "damasklink/state/ProcessMemory.h"
 #include "damasklink/state/Text.h"
 #include "damasklink/transport/Log.h"
 
@@ -12,6 +13,9 @@
 // How often idle connections to targets and links to control hosts are checked.
 constexpr Duration kHousekeepingInterval = std::chrono::seconds(1);
 
+// Priority of requests whose route is not known.
+constexpr int kLeastUrgent = 9;
+
 } // namespace
 
 Result<void>
@@ -79,7 +83,7 @@
   const auto position = this->open.insert(this->open.end(), aChannel);
   bool reusable = true;
   while (reusable) {
-    auto request = co_await aChannel->Read(*this);
+    auto request = co_await aChannel->Read(*this, this->requestMemory);
     if (!request) {
       co_await this->RespondToUnreadable(*aChannel, request.error());
       break;
@@ -99,8 +103,11 @@
     co_return;
   }
   this->ends.OnUnreadable(aChannel, aError);
-  HttpResponseMessage response = this->calls.FailureResponse(
-    CallerError{ aError, RunOutcome::NotRun, std::nullopt }, RequestId());
+  CallerError refusal{ aError, RunOutcome::NotRun, std::nullopt };
+  if (aError.kind == ErrorKind::Unavailable) {
+    refusal.retryAfter = this->requestMemory.RetryDelay();
+  }
+  HttpResponseMessage response = this->calls.FailureResponse(refusal, RequestId());
   if (aError.kind == ErrorKind::DeadlineExceeded) {
     response.head.status = 408;
   } else if (aError.kind == ErrorKind::Overloaded) {
@@ -117,7 +124,7 @@
 EntryHost::Impl::ServeProbes(std::shared_ptr<CallerConnection> aChannel)
 {
   while (true) {
-    auto request = co_await aChannel->Read(CallerLimits());
+    auto request = co_await aChannel->Read(CallerLimits(), this->probeMemory);
     if (!request) {
       break;
     }
@@ -137,9 +144,56 @@
   return !this->context.shuttingDown && this->state.Routes() != nullptr;
 }
 
+RequestUrgency
+EntryHost::Impl::UrgencyOf(const HttpRequestHead& aHead) const
+{
+  RequestUrgency urgency;
+  urgency.priority = kLeastUrgent;
+  const auto call = this->calls.ReadCall(aHead);
+  const RoutesPtr& routes = this->state.Routes();
+  if (!call) {
+    return urgency;
+  }
+  urgency.request = call.value().request;
+  urgency.patience = call.value().timeout.value_or(Duration::zero());
+  const ServingRoute* route =
+    routes == nullptr ? nullptr : routes->FindRoute(call.value().host, PathOf(aHead.target));
+  if (route != nullptr) {
+    const WorkspaceEntry* workspace = routes->FindWorkspace(call.value().key);
+    urgency.priority = PriorityOf(*route, workspace);
+    urgency.patience = std::min(call.value().timeout.value_or(route->timeout), route->timeout);
+  }
+  return urgency;
+}
+
+void
+EntryHost::Impl::GiveBackBodies(std::size_t aBytes)
+{
+  std::size_t given = 0;
+  for (Exchange* exchange : this->context.waiting) {
+    if (given >= aBytes) {
+      return;
+    }
+    given += exchange->GiveBackBody();
+  }
+}
+
+void
+EntryHost::Impl::UpdateMemory()
+{
+  const auto resident = ReadResidentMemory();
+  if (!resident) {
+    LogEvent(LogLevel::Debug, "memory_not_read").With("error", resident.error());
+    return;
+  }
+  this->ownMemory.Update(resident.value(), this->memory);
+  this->requestMemory.CheckState();
+}
+
 void
 EntryHost::Impl::RunHousekeeping()
 {
+  this->UpdateMemory();
   this->pool.CloseExpired();
   this->rests.RemoveExpired();
   this->brittle.RemoveExpired();
--- a/src/program/EntryHostImpl.h
+++ b/src/program/EntryHostImpl.h
@@ -13,9 +13,11 @@
 #include "EntryHost.h"
 #include "Exchange.h"
 #include "MetricsServer.h"
+#include "QueuedRequestMemory.h"
 #include "damasklink/coordination/ConnectionAdmission.h"
 #include "damasklink/coordination/ControlHostSelector.h"
 #include "damasklink/coordination/HubSelector.h"
+#include "damasklink/coordination/OwnMemory.h"
 #include "damasklink/coordination/ServiceLevelWindows.h"
 #include "damasklink/state/MetricsRegistry.h"
 #include "damasklink/transport/ConnectionEndLog.h"
@@ -66,6 +68,7 @@
                 this->clock,
                 this->settings,
                 this->metrics,
+                this->memory,
                 RandomSeed(),
                 [this](const auto& aFrom, auto& aCall, const auto& aCaller) {
                   return this->TakeForwarded(aFrom, aCall, aCaller);
@@ -78,9 +81,10 @@
         [this](const HostId& aTo, const StreamOriginRequest& aRequest) {
           this->SendToControlHost(aTo, aRequest);
         })
-    , mesh(this->loop, this->settings.host, this->settings.peerPort, *this)
+    , mesh(this->loop, this->settings.host, this->settings.peerPort, this->memory, *this)
     , context{ this->loop,
                this->clock,
+               this->memory,
                this->settings,
                this->calls,
                this->metrics,
@@ -183,12 +187,20 @@
   void ApplyCrashVerdicts(const HostId& aPeer, const CrashingRequests& aVerdicts);
   void OnConfigurationInstalled();
   bool IsReady() const;
+  RequestUrgency UrgencyOf(const HttpRequestHead& aHead) const;
+  // Gives back this many bytes of bodies that targets have, as far as there are any.
+  void GiveBackBodies(std::size_t aBytes);
+  // Measures what the process uses for itself.
+  void UpdateMemory();
 
   ServingSettings settings;
   const CallDialect& calls;
   SystemClock clock;
   ServiceLevelWindows serviceLevels{ this->clock, kMostMetricSeries };
   MetricsRegistry metrics{ this->clock, this->serviceLevels, kMostMetricSeries };
+  // Outlives the calls that are cut off when the loop is destroyed.
+  MemoryBudget memory{ this->settings.memory };
+  OwnMemory ownMemory;
   asio::io_context loop{ 1 };
   EntryHostState state;
   FirstConfiguration firstConfiguration;
@@ -216,7 +228,7 @@
   PeerMesh mesh;
   EntryContext context;
   ConfigurationUpdater configuration;
-  MetricsServer metricsPage{ this->loop, this->metrics, this->settings.host };
+  MetricsServer metricsPage{ this->loop, this->metrics, this->memory, this->settings.host };
   ServingSignals signals;
   asio::steady_timer housekeeping;
   asio::steady_timer loadReports;
@@ -233,6 +245,14 @@
   HubSelector hub{ this->clock, this->settings.zone };
   bool wasReady = false;
   ConnectionAdmission admission;
+  QueuedRequestMemory requestMemory{ this->loop,
+                                     this->clock,
+                                     this->memory,
+                                     this->metrics,
+                                     [this](const auto& aHead) { return this->UrgencyOf(aHead); },
+                                     [this](std::size_t aBytes) { this->GiveBackBodies(aBytes); },
+                                     RandomSeed() };
+  ImmediateRequestMemory probeMemory{ this->memory };
   ConnectionRefuser refuser{ this->clock, this->calls, RandomSeed() };
   // When the next load report is due.
   MonotonicTime nextInterval = this->clock.MonotonicNow();
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -15,16 +15,21 @@
 // A host without power never answers; a longer timeout would waste time that other targets need.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 
-// Largest response that is buffered, so that another target can be tried when it breaks off.
-// Streams are not buffered; a larger response counts as broken.
-constexpr std::size_t kMaxBufferedResponse = std::size_t{ 4 } * 1024 * 1024;
+// Largest body of a refusal, of which nothing is kept. The connection is closed beyond it.
+constexpr std::size_t kMaxRefusalBytes = std::size_t{ 64 } * 1024;
 
 // Retry-After of a refused call: a target's queue takes some hundred milliseconds to drain.
 constexpr Duration kDefaultRetryDelay = std::chrono::milliseconds(250);
 
+// How often a call past its deadline is checked that its caller is still taking the response.
+constexpr Duration kWriteCheckInterval = std::chrono::milliseconds(200);
+
 // Number of responses to other requests after which a connection is abandoned.
 constexpr int kMaxForeignResponses = 3;
 
+// Largest body of a response to another request. The connection is abandoned beyond it.
+constexpr std::size_t kMaxForeignBytes = std::size_t{ 4 } * 1024 * 1024;
+
 CallerError
 Refusal(ErrorKind aKind, std::string aMessage, std::string aRemedy)
 {
@@ -41,9 +46,10 @@
                    std::optional<ForwardedLimits> aForwarded)
   : context(aContext)
   , caller(aCaller)
-  , request(std::move(aRequest))
+  , request(std::make_shared<HttpRequestMessage>(std::move(aRequest)))
   , forwardedLimits(std::move(aForwarded))
   , arrived(aContext.clock.MonotonicNow())
+  , eventMemory(*aContext.memory.TryReserve(MemoryUse::Events, 0))
 {
 }
 
@@ -82,17 +88,17 @@
 Awaitable<void>
 Exchange::AwaitConfiguration()
 {
-  const auto read = this->context.dialect.ReadCall(this->request.head);
+  const auto read = this->context.dialect.ReadCall(this->request->head);
   const Duration patience =
     read ? read.value().timeout.value_or(Duration::zero()) : Duration::zero();
-  co_await this->context.firstConfiguration.Wait(patience, this->request.body.size());
+  co_await this->context.firstConfiguration.Wait(patience, this->request->body.size());
 }
 
 // Reads the call and finds its route, workspace and service. Returns why it cannot be relayed.
 std::optional<CallerError>
 Exchange::Resolve()
 {
-  auto read = this->context.dialect.ReadCall(this->request.head);
+  auto read = this->context.dialect.ReadCall(this->request->head);
   if (!read) {
     return CallerError{ read.error(), RunOutcome::NotRun, std::nullopt };
   }
@@ -112,7 +118,7 @@
       this->context.clock.MonotonicNow() - this->context.started);
     return error;
   }
-  this->route = this->routes->FindRoute(this->call.host, PathOf(this->request.head.target));
+  this->route = this->routes->FindRoute(this->call.host, PathOf(this->request->head.target));
   if (this->route == nullptr) {
     return Refusal(ErrorKind::NotFound, "no route matches this host and path", "check both");
   }
@@ -133,8 +139,7 @@
                    "change the request, or ask the operator to release it");
   }
   ExchangeLimits exchangeLimits;
-  const bool resumable = this->route->kind == CallKind::Streaming && this->route->resumable;
-  exchangeLimits.repeatable = this->route->kind == CallKind::Idempotent || resumable;
+  exchangeLimits.repeatable = this->route->kind == CallKind::Idempotent || this->IsResumable();
   exchangeLimits.mostTargets = std::max<std::uint64_t>(this->route->mostTargets, 1);
   if (this->forwardedLimits) {
     exchangeLimits.mostTargets =
@@ -147,6 +152,13 @@
   return std::nullopt;
 }
 
+// Returns whether another target can continue the response after its first events.
+bool
+Exchange::IsResumable() const
+{
+  return this->route->kind == CallKind::Streaming && this->route->resumable;
+}
+
 std::optional<CallerError>
 Exchange::ResolveAllowedRegions()
 {
@@ -189,7 +201,7 @@
   if (co_await this->MayStillForward(step)) {
     step = ExchangeStep::TryAnother;
   }
-  if (step == ExchangeStep::TryAnother && this->IsKnownToCrash()) {
+  if (step == ExchangeStep::TryAnother && (this->bodyGivenBack || this->IsKnownToCrash())) {
     step = this->plan->WithoutTarget();
   }
   this->LogAttemptEnd(step);
@@ -410,10 +422,12 @@
   this->LogPromptSent(aTarget, call, this->load);
   this->RecordResumption(aTarget);
   const HttpRequestHead head =
-    this->context.dialect.MakeTargetRequestHead(this->request.head, call);
+    this->context.dialect.MakeTargetRequestHead(this->request->head, call);
   // A target may answer before it has read the whole body, for example to refuse it, so the
   // response is read even if the send failed.
-  auto sent = co_await this->channel->Send(head, this->request.body);
+  this->bodySent = false;
+  auto sent = co_await this->channel->Send(head, this->request->body);
+  this->bodySent = sent.has_value();
   auto responseHead = co_await this->ReadMatchingHead(aTarget);
   if (!responseHead) {
     LogEvent(LogLevel::Info, "target_broke")
@@ -448,7 +462,7 @@
       .With("request", this->call.request)
       .With("target", aTarget.id)
       .With("belongs_to", facts.request);
-    if (auto rest = co_await this->channel->ReadRest(kMaxBufferedResponse); !rest) {
+    if (auto rest = co_await this->channel->Discard(kMaxForeignBytes); !rest) {
       co_return Fail(rest.error());
     }
   }
@@ -463,8 +477,7 @@
   this->responseBegun = true;
   this->ObserveResponse(aTarget, facts, this->sentAt);
   if (facts.notRun) {
-    auto rest = co_await this->channel->ReadRest(kMaxBufferedResponse);
-    if (!rest) {
+    if (!co_await this->channel->Discard(kMaxRefusalBytes)) {
       this->channel->Close();
     }
     co_return AttemptResult::Refused;
@@ -483,43 +496,15 @@
   co_return co_await this->ForwardWholeResponse(std::move(aHead));
 }
 
-Awaitable<AttemptResult>
-Exchange::ForwardWholeResponse(HttpResponseHead aHead)
-{
-  const bool failed = aHead.status >= 500;
-  auto body = co_await this->channel->ReadRest(kMaxBufferedResponse, [this, failed] {
-    this->OnBytes(this->attemptTarget);
-    if (!failed) {
-      this->CancelStandby();
-    }
-  });
-  if (!body) {
-    LogEvent(LogLevel::Info, "target_broke")
-      .With("request", this->call.request)
-      .With("status", aHead.status)
-      .With("error", body.error());
-    co_return AttemptResult::Broken;
-  }
-  this->received = true;
-  RemoveHopByHopFields(aHead.fields);
-  if (aHead.status >= 500) {
-    this->failedResponse = BufferedResponse{ std::move(aHead), std::move(body.value()) };
-    co_return AttemptResult::Failed;
-  }
-  this->deadline->Disarm();
-  this->succeeded = aHead.status < 300;
-  this->LogEnd("answered", aHead.status);
-  HttpResponseMessage response{ std::move(aHead), std::move(body.value()) };
-  const bool written = co_await this->WriteResponse(std::move(response));
-  co_return written ? AttemptResult::Delivered : AttemptResult::CallerLeft;
-}
-
 Awaitable<AttemptResult>
 Exchange::ForwardStream(const TargetRecord& aTarget, HttpResponseHead aHead, std::string aFirst)
 {
   RemoveHopByHopFields(aHead.fields);
-  if (!aFirst.empty() && !co_await this->ForwardBytes(aHead, aFirst)) {
-    co_return AttemptResult::CallerLeft;
+  if (!aFirst.empty()) {
+    const AttemptResult passed = co_await this->ForwardBytes(aHead, aFirst);
+    if (passed != AttemptResult::Delivered) {
+      co_return passed;
+    }
   }
   while (true) {
     auto piece = co_await this->channel->ReadChunk();
@@ -530,19 +515,20 @@
         .With("last_event", this->framer.LastEvent().value_or(0))
         .With("passed_on", this->plan->PassedOn())
         .With("error", piece.error());
-      this->framer.DiscardPartialEvent();
+      this->DiscardPartialEvent();
       co_return AttemptResult::Broken;
     }
     if (!piece.value()) {
       this->received = true;
       break;
     }
-    if (!co_await this->ForwardBytes(aHead, *piece.value())) {
-      co_return AttemptResult::CallerLeft;
+    const AttemptResult passed = co_await this->ForwardBytes(aHead, *piece.value());
+    if (passed != AttemptResult::Delivered) {
+      co_return passed;
     }
   }
   if (this->framer.HasPartialEvent()) {
-    this->framer.DiscardPartialEvent();
+    this->DiscardPartialEvent();
     co_return AttemptResult::Broken;
   }
   if (!this->plan->PassedOn()) {
@@ -557,17 +543,47 @@
   co_return ended ? AttemptResult::Delivered : AttemptResult::CallerLeft;
 }
 
-Awaitable<bool>
+Awaitable<AttemptResult>
 Exchange::ForwardBytes(const HttpResponseHead& aHead, std::string_view aBytes)
 {
   this->OnBytes(this->attemptTarget);
   this->CancelStandby();
   this->ObserveFirstEvent(this->attemptTarget);
   const std::string events = this->framer.Append(aBytes);
-  if (events.empty()) {
-    co_return true;
+  if (!this->CountPartialEvent()) {
+    this->DiscardPartialEvent();
+    this->channel->Close();
+    co_return AttemptResult::Broken;
+  }
+  if (!events.empty() && !co_await this->ForwardEvents(aHead, events)) {
+    co_return AttemptResult::CallerLeft;
+  }
+  co_return AttemptResult::Delivered;
+}
+
+// Returns whether the incomplete event may be kept until its rest arrives.
+bool
+Exchange::CountPartialEvent()
+{
+  const std::size_t bytes = this->framer.PartialBytes();
+  if (this->eventMemory.TryResize(bytes)) {
+    return true;
   }
-  co_return co_await this->ForwardEvents(aHead, events);
+  LogEvent(LogLevel::Warning, "event_given_up")
+    .With("request", this->call.request)
+    .With("target", this->destination)
+    .With("bytes", bytes)
+    .With("reason", "no_memory")
+    .With("held", this->context.memory.Held())
+    .With("limit", this->context.memory.Limit());
+  return false;
+}
+
+void
+Exchange::DiscardPartialEvent()
+{
+  this->framer.DiscardPartialEvent();
+  this->eventMemory.TryResize(0);
 }
 
 bool
@@ -593,6 +609,9 @@
     co_return co_await this->caller.WriteChunk(aEvents);
   }
   this->plan->MarkPassedOn();
+  if (!this->IsResumable()) {
+    this->plan->ForbidRepeats();
+  }
   if (!this->begunOn) {
     this->begunOn = this->attemptTarget.software;
   }
@@ -656,7 +675,7 @@
     case ExchangeStep::PassOn: {
       this->LogEnd("target_failed", this->failedResponse->head.status);
       HttpResponseMessage response{ std::move(this->failedResponse->head),
-                                    std::move(this->failedResponse->body) };
+                                    this->failedResponse->body.TakeBytes() };
       co_return co_await this->WriteLastResponse(std::move(response));
     }
     case ExchangeStep::Refuse: {
@@ -730,6 +749,11 @@
   if (this->interrupt != Interrupt::None) {
     return;
   }
+  // The caller still takes an answer that is there; writing it has a timeout of its own.
+  if (aReason == Interrupt::Expired && this->partsBegun && this->writing) {
+    this->deadline->Arm(kWriteCheckInterval);
+    return;
+  }
   this->interrupt = aReason;
   this->CancelStandby();
   if (this->channel != nullptr) {
@@ -754,7 +778,7 @@
 Exchange::ShouldCloseCallerConnection() const
 {
   return this->context.shuttingDown || this->context.overloaded ||
-         ClosesConnection(this->request.head.fields, this->request.head.version);
+         ClosesConnection(this->request->head.fields, this->request->head.version);
 }
 
 Duration
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -46,6 +46,7 @@
 {
   asio::io_context& loop;
   const Clock& clock;
+  MemoryBudget& memory;
   const ServingSettings& settings;
   const CallDialect& dialect;
   Metrics& metrics;
@@ -135,6 +136,10 @@
   // and answers any other call unless its response is complete already.
   void OnStopLimit();
 
+  // Gives back the memory of a body that was sent to its end, after which the call can't be sent to
+  // another target. Returns how many bytes that are.
+  std::size_t GiveBackBody();
+
   // Logs that the host stops before the response was sent to its end.
   void LogCutAtStop(std::string_view aOutcome) const;
 
@@ -148,6 +153,9 @@
     HostStops,
   };
 
+  // Copies of a body that exist while it is encoded for another host.
+  static constexpr std::size_t kForwardingCopies = 3;
+
   // Where a call goes next: to another host, to a target, or nowhere.
   struct NextDestination
   {
@@ -159,7 +167,7 @@
   struct BufferedResponse
   {
     HttpResponseHead head;
-    std::string body;
+    CountedBuffer body;
   };
 
   Awaitable<void> AwaitConfiguration();
@@ -210,11 +218,27 @@
                                           HttpResponseHead aHead,
                                           std::string aFirst);
   Awaitable<AttemptResult> ForwardWholeResponse(HttpResponseHead aHead);
+  Awaitable<std::optional<std::optional<std::string_view>>> ReadResponseChunk(
+    const HttpResponseHead& aHead,
+    std::size_t aSoFar);
+  Awaitable<std::optional<MemoryReservation>> ReserveCopies(std::size_t aBytes);
+  Awaitable<AttemptResult> DeliverWhole(HttpResponseHead aHead, CountedBuffer aBody);
+  bool MayPassOnParts() const;
+  Awaitable<AttemptResult> PassOnParts(HttpResponseHead aHead,
+                                       std::string_view aFirst,
+                                       std::string_view aSecond);
+  Awaitable<bool> WritePart(const HttpResponseHead& aHead, std::string_view aPart);
+  Awaitable<AttemptResult> ForwardOnceThereIsMemory(HttpResponseHead aHead,
+                                                    CountedBuffer aBody,
+                                                    std::string_view aUnkept);
   Awaitable<AttemptResult> ForwardStream(const TargetRecord& aTarget,
                                          HttpResponseHead aHead,
                                          std::string aFirst);
-  // Returns false if the caller takes nothing any more.
-  Awaitable<bool> ForwardBytes(const HttpResponseHead& aHead, std::string_view aBytes);
+  // Returns Delivered if the stream may go on.
+  Awaitable<AttemptResult> ForwardBytes(const HttpResponseHead& aHead, std::string_view aBytes);
+  bool CountPartialEvent();
+  void DiscardPartialEvent();
+  bool IsResumable() const;
   // Only responses of this content type are forwarded event by event.
   static bool IsEventStream(const HttpResponseHead& aHead);
   Awaitable<bool> ForwardEvents(const HttpResponseHead& aHead, std::string_view aEvents);
@@ -349,7 +373,8 @@
 
   EntryContext& context;
   CallerChannel& caller;
-  HttpRequestMessage request;
+  // Shared with a standby attempt, which may still be sending it when this object is gone.
+  std::shared_ptr<HttpRequestMessage> request;
   std::optional<ForwardedLimits> forwardedLimits;
   MonotonicTime arrived;
 
@@ -411,6 +436,13 @@
   bool responseBegun = false;
   Interrupt interrupt = Interrupt::None;
   EventFramer framer;
+  // Counts the incomplete event.
+  MemoryReservation eventMemory;
+  // Whether the body was sent to its end in the last attempt, and was given up since.
+  bool bodySent = false;
+  bool bodyGivenBack = false;
+  // Whether a part of a response that is no stream was passed on.
+  bool partsBegun = false;
   // The software version of the target whose events the caller has. Events of two versions do not
   // fit together, and targets do not check it.
   std::optional<SoftwareVersion> begunOn;
--- a/src/program/ExchangeForwarding.cpp
+++ b/src/program/ExchangeForwarding.cpp
@@ -71,9 +71,9 @@
 Exchange::MakeForwardedCall() const
 {
   ForwardedCall forwardedCall;
-  forwardedCall.head = this->request.head;
+  forwardedCall.head = this->request->head;
   RemoveHopByHopFields(forwardedCall.head.fields);
-  forwardedCall.body = this->request.body;
+  forwardedCall.body = this->request->body;
   forwardedCall.service = this->service;
   forwardedCall.timeLeft = this->TimeLeft();
   forwardedCall.configuration = this->routes->Config().version;
@@ -92,7 +92,17 @@
   this->ResetAttempt();
   this->attemptTarget = TargetRecord();
   this->plan->Begin(AttemptId(this->call.request.Value()), TargetId(aHost.Value()));
-  if (co_await this->context.forwarder.Connect(aHost) && this->interrupt == Interrupt::None) {
+  const auto copies = this->context.memory.TryReserve(
+    MemoryUse::ForwardedCalls, kForwardingCopies * this->request->body.size());
+  if (!copies) {
+    LogEvent(LogLevel::Info, "call_not_forwarded")
+      .With("request", this->call.request)
+      .With("reason", "no_memory")
+      .With("held", this->context.memory.Held())
+      .With("limit", this->context.memory.Limit());
+  }
+  if (copies && co_await this->context.forwarder.Connect(aHost) &&
+      this->interrupt == Interrupt::None) {
     this->plan->Sending();
     this->forwarded = this->context.forwarder.Send(aHost, this->MakeForwardedCall());
     this->forwarded->WatchForSilence([this] { this->OnSilent("host_silent"); });
@@ -138,7 +148,7 @@
   while (true) {
     auto received = co_await this->forwarded->Next();
     if (!received) {
-      this->framer.DiscardPartialEvent();
+      this->DiscardPartialEvent();
       co_return AttemptResult::Broken;
     }
     this->lastBytesAt = this->context.clock.MonotonicNow();
@@ -167,7 +177,7 @@
       bytes = std::move(chunk->bytes);
     } else if (const auto* end = std::get_if<ForwardedEnd>(&message)) {
       if (!end->complete || !head || this->framer.HasPartialEvent()) {
-        this->framer.DiscardPartialEvent();
+        this->DiscardPartialEvent();
         co_return AttemptResult::Broken;
       }
       this->succeeded = true;
@@ -180,6 +190,11 @@
     }
     this->CancelStandby();
     const std::string events = this->framer.Append(bytes);
+    if (!this->CountPartialEvent()) {
+      this->DiscardPartialEvent();
+      this->forwarded->Close();
+      co_return AttemptResult::Broken;
+    }
     if (!events.empty() && !co_await this->ForwardEvents(*head, events)) {
       co_return AttemptResult::CallerLeft;
     }
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -345,9 +345,9 @@
     identity.workspace = this->workspace->name;
   }
   identity.host = this->call.host;
-  identity.method = this->request.head.method;
-  identity.path = this->request.head.target;
-  identity.body = this->request.body;
+  identity.method = this->request->head.method;
+  identity.path = this->request->head.target;
+  identity.body = this->request->body;
   this->fingerprint = FingerprintOf(identity);
   return *this->fingerprint;
 }
--- a/src/program/ExchangeRouting.cpp
+++ b/src/program/ExchangeRouting.cpp
@@ -367,10 +367,7 @@
 int
 Exchange::Priority() const
 {
-  if (this->workspace == nullptr) {
-    return this->route->priority;
-  }
-  return this->workspace->priority.value_or(this->route->priority);
+  return PriorityOf(*this->route, this->workspace);
 }
 
 TargetCall
--- a/src/program/ExchangeStandby.cpp
+++ b/src/program/ExchangeStandby.cpp
@@ -30,7 +30,7 @@
 bool
 Exchange::StartStandby()
 {
-  if (this->standby != nullptr || this->interrupt != Interrupt::None) {
+  if (this->standby != nullptr || this->interrupt != Interrupt::None || this->bodyGivenBack) {
     return false;
   }
   this->standby = std::make_shared<StandbyAttempt>(this->context.loop);
@@ -182,10 +182,10 @@
   aStandby->fetchedFrom = std::exchange(this->fetchedFrom, fetchedBefore);
   this->RecordResumption(target);
   const HttpRequestHead requestHead =
-    this->context.dialect.MakeTargetRequestHead(this->request.head, toSend);
-  // The exchange may end meanwhile, and its request with it.
-  const std::string body = this->request.body;
-  co_await aStandby->channel->Send(requestHead, body);
+    this->context.dialect.MakeTargetRequestHead(this->request->head, toSend);
+  // The exchange may end meanwhile, but not its request.
+  const std::shared_ptr<const HttpRequestMessage> kept = this->request;
+  co_await aStandby->channel->Send(requestHead, kept->body);
   if (aStandby->cancelled) {
     co_return;
   }
--- a/src/program/MetricsServer.cpp
+++ b/src/program/MetricsServer.cpp
@@ -18,7 +18,7 @@
 MetricsServer::Serve(std::shared_ptr<CallerConnection> aChannel)
 {
   while (true) {
-    auto request = co_await aChannel->Read(CallerLimits());
+    auto request = co_await aChannel->Read(CallerLimits(), this->requestMemory);
     if (!request) {
       break;
     }
@@ -28,6 +28,7 @@
       answer.head.status = 200;
       answer.head.fields.Add("Content-Type", "text/plain; version=0.0.4");
       answer.body = FormatMetrics(this->registry.Snapshot(), this->host);
+      answer.body += FormatMemory(this->memory, this->host);
     }
     if (!co_await aChannel->WriteWhole(std::move(answer), false)) {
       break;
--- a/src/program/MetricsServer.h
+++ b/src/program/MetricsServer.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 
+#include "damasklink/coordination/MemoryBudget.h"
 #include "damasklink/state/MetricsRegistry.h"
 #include "damasklink/transport/ConnectionListener.h"
 
@@ -10,15 +11,20 @@
 
 // Serves "/metrics" in the Prometheus text format. Runs on the event loop; not thread-safe.
 //
-//   MetricsServer metrics(loop, registry, host);
+//   MetricsServer metrics(loop, registry, memory, host);
 //   auto listening = metrics.Listen(endpoint);
 class MetricsServer
 {
 public:
   // Requires that all arguments outlive the server.
-  MetricsServer(asio::io_context& aLoop, const MetricsRegistry& aRegistry, const HostId& aHost)
+  MetricsServer(asio::io_context& aLoop,
+                const MetricsRegistry& aRegistry,
+                MemoryBudget& aMemory,
+                const HostId& aHost)
     : listener(aLoop)
     , registry(aRegistry)
+    , memory(aMemory)
+    , requestMemory(aMemory)
     , host(aHost)
   {
   }
@@ -31,6 +37,8 @@
 
   ConnectionListener listener;
   const MetricsRegistry& registry;
+  const MemoryBudget& memory;
+  ImmediateRequestMemory requestMemory;
   const HostId& host;
 };
 
--- a/src/program/RolloutExecutor.cpp
+++ b/src/program/RolloutExecutor.cpp
@@ -19,11 +19,13 @@
 RolloutExecutor::RolloutExecutor(asio::io_context& aLoop,
                                  const Clock& aClock,
                                  const EngineDialect& aDialect,
+                                 MemoryBudget& aMemory,
                                  RolloutOptions aOptions,
                                  std::function<OrderAuthority()> aAuthority)
   : loop(aLoop)
   , clock(aClock)
   , dialect(aDialect)
+  , memory(aMemory)
   , authority(std::move(aAuthority))
   , rollout(aClock, aOptions)
   , rests(aClock)
@@ -108,13 +110,13 @@
   if (!head) {
     co_return Fail(head.error());
   }
-  auto body = co_await channel.ReadRest(kMaxAnswerBytes);
-  if (!body) {
-    co_return Fail(body.error());
+  CountedBuffer body(this->memory, MemoryUse::Responses);
+  if (const auto read = co_await channel.ReadRest(body, kMaxAnswerBytes); !read) {
+    co_return Fail(read.error());
   }
   HttpResponseMessage answer;
   answer.head = std::move(head.value());
-  answer.body = std::move(body.value());
+  answer.body = body.TakeBytes();
   co_return answer;
 }
 
--- a/src/program/RolloutExecutor.h
+++ b/src/program/RolloutExecutor.h
@@ -32,6 +32,7 @@
   RolloutExecutor(asio::io_context& aLoop,
                   const Clock& aClock,
                   const EngineDialect& aDialect,
+                  MemoryBudget& aMemory,
                   RolloutOptions aOptions,
                   std::function<OrderAuthority()> aAuthority);
 
@@ -54,6 +55,7 @@
   asio::io_context& loop;
   const Clock& clock;
   const EngineDialect& dialect;
+  MemoryBudget& memory;
   std::function<OrderAuthority()> authority;
   WeightRollout rollout;
   TargetRestPeriods rests;
--- a/src/program/ServingSetup.cpp
+++ b/src/program/ServingSetup.cpp
@@ -1,5 +1,6 @@
 #include "ServingSetup.h"
 
+#include "damasklink/state/ProcessMemory.h"
 #include "damasklink/state/Text.h"
 #include "damasklink/transport/Log.h"
 #include "platform/Settings.h"
@@ -45,6 +46,7 @@
 ExitCode
 RunServing(const Arguments& aArguments, const ServingRun& aRun)
 {
+  ReturnLargeBlocks();
   LogToStandardOutput();
   const std::string file = ServingSettingsFile(TextOf(aArguments, "--settings"));
   std::optional<ServingSettings> settings = LoadServingSettings(file);
--- a/src/program/StoreWatcher.cpp
+++ b/src/program/StoreWatcher.cpp
@@ -94,11 +94,13 @@
                            const Clock& aClock,
                            const StoreDialect& aDialect,
                            const StoreWatchPlan& aPlan,
+                           MemoryBudget& aMemory,
                            Handlers aHandlers)
   : loop(aLoop)
   , clock(aClock)
   , dialect(aDialect)
   , plan(aPlan)
+  , memory(aMemory)
   , handlers(std::move(aHandlers))
 {
 }
@@ -387,11 +389,15 @@
   // A long list may take longer than the timeout while other transfers load the store's link, so
   // the timeout restarts with each piece.
   const auto onProgress = [&watchdog] { watchdog.Arm(kStoreAnswerTimeout); };
-  auto body = co_await channel->ReadRest(kMaxStoreAnswer, onProgress);
-  if (body && head.value().status != 200) {
+  CountedBuffer body(this->memory, MemoryUse::Responses);
+  const auto read = co_await channel->ReadRest(body, kMaxStoreAnswer, onProgress);
+  if (!read) {
+    co_return Fail(read.error());
+  }
+  if (head.value().status != 200) {
     co_return Fail(ErrorKind::Unavailable, "the store refused the request", "retry later");
   }
-  co_return body;
+  co_return body.TakeBytes();
 }
 
 void
--- a/src/program/StoreWatcher.h
+++ b/src/program/StoreWatcher.h
@@ -18,7 +18,7 @@
 // Gets each store's events by long polling, so that an idle store costs few requests, and its full
 // list at the start, after a gap in the events, and at intervals, since a few events get lost.
 //
-//   StoreWatcher watcher(loop, clock, dialect, plan, { onChanges, onRelay });
+//   StoreWatcher watcher(loop, clock, dialect, plan, memory, { onChanges, onRelay });
 //   watcher.Follow(services);         // After each change of the configuration.
 //   watcher.UpdateRoles();            // At intervals.
 //   watcher.PublishChanges();         // At intervals.
@@ -46,6 +46,7 @@
                const Clock& aClock,
                const StoreDialect& aDialect,
                const StoreWatchPlan& aPlan,
+               MemoryBudget& aMemory,
                Handlers aHandlers);
   ~StoreWatcher();
   StoreWatcher(const StoreWatcher&) = delete;
@@ -95,6 +96,7 @@
   const Clock& clock;
   const StoreDialect& dialect;
   const StoreWatchPlan& plan;
+  MemoryBudget& memory;
   Handlers handlers;
   RelayedStoreContents relayed;
   // The version of the plan that all roles correspond to; 0 if some do not.
--- a/src/protocol/MetricsText.cpp
+++ b/src/protocol/MetricsText.cpp
@@ -46,6 +46,7 @@
   { Counter::SilentAttempts, "damasklink_silent_attempts_total" },
   { Counter::StandbyAttempts, "damasklink_standby_attempts_total" },
   { Counter::ResumedStreams, "damasklink_resumed_streams_total" },
+  { Counter::MemoryRefusals, "damasklink_memory_refusals_total" },
 } };
 
 constexpr bool
@@ -177,4 +178,20 @@
   return text;
 }
 
+std::string
+FormatMemory(const MemoryBudget& aMemory, const HostId& aHost)
+{
+  std::string text = "# TYPE damasklink_held_bytes gauge\n";
+  for (std::size_t index = 0; index < kMemoryUseCount; ++index) {
+    const auto use = static_cast<MemoryUse>(index);
+    const MetricKey key{ WorkspaceId(), std::string(MemoryUseName(use)) };
+    text +=
+      Concat("damasklink_held_bytes", Labels(aHost, key).Text(), " ", aMemory.HeldFor(use), "\n");
+  }
+  text += "# TYPE damasklink_held_limit_bytes gauge\n";
+  text += Concat(
+    "damasklink_held_limit_bytes", Labels(aHost, MetricKey()).Text(), " ", aMemory.Limit(), "\n");
+  return text;
+}
+
 } // namespace damasklink
--- a/src/transport/CallerConnection.cpp
+++ b/src/transport/CallerConnection.cpp
@@ -1,5 +1,6 @@
 #include "damasklink/transport/CallerConnection.h"
 
+#include <algorithm>
 #include <array>
 
 #include "BeastText.h"
@@ -11,8 +12,6 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
-using RequestParser = http::request_parser<http::string_body>;
-
 // A write fails when the caller reads nothing for this long, since a stream occupies a slot of its
 // target meanwhile.
 constexpr Duration kWriteTimeout = std::chrono::seconds(10);
@@ -23,6 +22,19 @@
 // Minimum buffer size for reading: usual request heads fit into one read.
 constexpr std::size_t kReadBytes = 4096;
 
+// A body without a stated length is given memory in steps: this much, then by this factor.
+constexpr std::size_t kFirstBodyBytes = std::size_t{ 32 } * 1024;
+constexpr std::size_t kBodyGrowth = 8;
+
+// Maximum buffer size for reading a body.
+constexpr std::size_t kBodyRead = std::size_t{ 16 } * 1024;
+
+// Bytes by which the body in use grows within its memory.
+constexpr std::size_t kBodyStep = std::size_t{ 64 } * 1024;
+
+// What a request takes besides its body: its head, buffers and the state of its call.
+constexpr std::size_t kRequestOverhead = std::size_t{ 32 } * 1024;
+
 // How often a read whose timeout has passed is checked again, as long as bytes wait to be read.
 constexpr Duration kRecheckInterval = std::chrono::milliseconds(20);
 
@@ -44,27 +56,14 @@
   CallerLimits limits;
 };
 
-HttpRequestMessage
-ReleaseRequest(RequestParser& aParser)
-{
-  auto message = aParser.release();
-  HttpRequestMessage request;
-  request.head.method = internal::TextOf(message.method_string());
-  request.head.target = internal::TextOf(message.target());
-  request.head.version = static_cast<int>(message.version());
-  for (const auto& field : message) {
-    request.head.fields.Add(internal::TextOf(field.name_string()), internal::TextOf(field.value()));
-  }
-  request.body = std::move(message.body());
-  return request;
-}
-
 HttpRequestHead
-HeadOf(const RequestParser& aParser)
+HeadOf(const http::request<http::buffer_body>& aMessage)
 {
   HttpRequestHead head;
-  head.version = static_cast<int>(aParser.get().version());
-  for (const auto& field : aParser.get()) {
+  head.method = internal::TextOf(aMessage.method_string());
+  head.target = internal::TextOf(aMessage.target());
+  head.version = static_cast<int>(aMessage.version());
+  for (const auto& field : aMessage) {
     head.fields.Add(internal::TextOf(field.name_string()), internal::TextOf(field.value()));
   }
   return head;
@@ -117,6 +116,8 @@
       return "head_too_large";
     case ConnectionEnd::BodyTooLarge:
       return "body_too_large";
+    case ConnectionEnd::NoMemory:
+      return "no_memory";
     case ConnectionEnd::Malformed:
       return "malformed";
   }
@@ -141,6 +142,9 @@
   return "unknown";
 }
 
+class CallerConnection::RequestParser : public http::request_parser<http::buffer_body>
+{};
+
 class CallerConnection::Impl
 {
 public:
@@ -290,14 +294,14 @@
 }
 
 Awaitable<Result<HttpRequestMessage>>
-CallerConnection::Read(const CallerLimits& aLimits)
+CallerConnection::Read(const CallerLimits& aLimits, RequestMemory& aMemory)
 {
   const FixedLimits source(aLimits);
-  co_return co_await this->Read(source);
+  co_return co_await this->Read(source, aMemory);
 }
 
 Awaitable<Result<HttpRequestMessage>>
-CallerConnection::Read(const CallerLimitsSource& aSource)
+CallerConnection::Read(const CallerLimitsSource& aSource, RequestMemory& aMemory)
 {
   Impl& connection = *this->impl;
   this->answered = false;
@@ -324,22 +328,78 @@
     this->NoteReadFailure(this->ReadEnd(headError));
     co_return ReadFailure(headError, connection.timedOut, true);
   }
-  if (auto framed = CheckFraming(HeadOf(parser)); !framed) {
+  HttpRequestMessage request;
+  request.head = HeadOf(parser.get());
+  if (auto framed = CheckFraming(request.head); !framed) {
     this->NoteReadFailure(ConnectionEnd::Malformed);
     co_return Fail(framed.error());
   }
-  while (!parser.is_done()) {
+  if (auto read = co_await this->ReadBody(parser, limits, aMemory, request); !read) {
+    co_return Fail(read.error());
+  }
+  if (connection.buffer.size() == 0) {
+    connection.buffer.shrink_to_fit();
+  }
+  co_return request;
+}
+
+// Memory for a body of stated length is reserved before any of it is read.
+Awaitable<Result<void>>
+CallerConnection::ReadBody(RequestParser& aParser,
+                           const CallerLimits& aLimits,
+                           RequestMemory& aMemory,
+                           HttpRequestMessage& aTo)
+{
+  Impl& connection = *this->impl;
+  std::string& body = aTo.body;
+  const bool chunked = aParser.chunked();
+  std::size_t capacity = chunked ? std::min<std::size_t>(kFirstBodyBytes, aLimits.bodyBytes)
+                                 : aParser.content_length().value_or(0);
+  auto reserved = co_await aMemory.Reserve(aTo.head, kRequestOverhead + capacity);
+  if (!reserved) {
+    this->NoteReadFailure(ConnectionEnd::NoMemory);
+    co_return Fail(reserved.error());
+  }
+  aTo.memory = std::move(reserved.value());
+  body.reserve(capacity);
+  connection.buffer.reserve(std::clamp(capacity, kReadBytes, kBodyRead));
+  std::size_t used = 0;
+  while (!aParser.is_done()) {
+    if (used == capacity && chunked && capacity < aLimits.bodyBytes) {
+      capacity = std::min<std::size_t>(capacity * kBodyGrowth, aLimits.bodyBytes);
+      // Both copies exist while the body is moved.
+      auto larger = co_await aMemory.Reserve(aTo.head, kRequestOverhead + capacity);
+      if (!larger) {
+        this->NoteReadFailure(ConnectionEnd::NoMemory);
+        co_return Fail(larger.error());
+      }
+      body.reserve(capacity);
+      aTo.memory = std::move(larger.value());
+    }
+    if (used == body.size()) {
+      body.resize(std::min(used + kBodyStep, capacity));
+    }
+    auto& target = aParser.get().body();
+    target.data = body.data() + used;
+    target.size = body.size() - used;
+    target.more = true;
     // The timeout begins again with each chunk: a caller that is sending its body is not idle.
-    connection.StartReadTimeout(limits.idleTimeout);
-    const auto [bodyError, bodyBytes] =
-      co_await http::async_read_some(connection.socket, connection.buffer, parser, kAsValue);
+    connection.StartReadTimeout(aLimits.idleTimeout);
+    const auto [error, bytes] =
+      co_await http::async_read_some(connection.socket, connection.buffer, aParser, kAsValue);
     connection.watchdog.Disarm();
-    if (bodyError) {
-      this->NoteReadFailure(this->ReadEnd(bodyError));
-      co_return ReadFailure(bodyError, connection.timedOut, true);
+    if (error && error != http::error::need_buffer) {
+      this->NoteReadFailure(this->ReadEnd(error));
+      co_return ReadFailure(error, connection.timedOut, true);
     }
+    used = body.size() - aParser.get().body().size;
+  }
+  body.resize(used);
+  if (capacity <= kFirstBodyBytes) {
+    body.shrink_to_fit();
   }
-  co_return ReleaseRequest(parser);
+  aTo.memory.TryResize(kRequestOverhead + used);
+  co_return Success();
 }
 
 Awaitable<bool>
--- a/src/transport/EventLoop.cpp
+++ b/src/transport/EventLoop.cpp
@@ -21,6 +21,7 @@
   IoError error;
   acceptor.open(endpoint.protocol(), error);
   acceptor.set_option(TcpAcceptor::reuse_address(true), error);
+  LimitReceiveBuffer(acceptor);
   acceptor.bind(endpoint, error);
   if (!error) {
     acceptor.listen(asio::socket_base::max_listen_connections, error);
@@ -40,11 +41,7 @@
   using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
   IoError error;
   aSocket.set_option(UserTimeout(static_cast<int>(milliseconds.count())), error);
-  if (error) {
-    LogEvent(LogLevel::Warning, "socket_option_refused")
-      .With("option", "TCP_USER_TIMEOUT")
-      .With("reason", error.message());
-  }
+  LogRefusedOption("TCP_USER_TIMEOUT", error);
 }
 
 void
@@ -52,10 +49,16 @@
 {
   IoError error;
   aSocket.set_option(asio::ip::tcp::no_delay(true), error);
-  if (error) {
+  LogRefusedOption("TCP_NODELAY", error);
+}
+
+void
+LogRefusedOption(std::string_view aOption, const IoError& aError)
+{
+  if (aError) {
     LogEvent(LogLevel::Warning, "socket_option_refused")
-      .With("option", "TCP_NODELAY")
-      .With("reason", error.message());
+      .With("option", aOption)
+      .With("reason", aError.message());
   }
 }
 
--- a/src/transport/PeerMesh.cpp
+++ b/src/transport/PeerMesh.cpp
@@ -22,6 +22,17 @@
 // do not wait for it, and must not close the connection that it is sent on.
 constexpr std::size_t kMaxBytesBehindLarge = kMebibyte;
 
+// Copies of a frame that exist while its message is taken out of it.
+constexpr std::size_t kFrameCopies = 2;
+
+// How often a frame that is not read for want of memory is tried again, and how long. A peer that
+// could not go on for longer would close the connection.
+constexpr Duration kMemoryCheckInterval = std::chrono::milliseconds(20);
+constexpr int kMaxMemoryChecks = 50;
+
+// The buffer of written frames is given back if it is larger.
+constexpr std::size_t kKeptBufferBytes = std::size_t{ 64 } * 1024;
+
 } // namespace
 
 // One connection. Its pending operations keep the object alive.
@@ -33,7 +44,10 @@
     , socket(std::move(aSocket))
     , keepaliveTimer(this->socket.get_executor())
     , silenceTimer(this->socket.get_executor())
+    , memoryTimer(this->socket.get_executor())
     , side(aSide)
+    , queueMemory(*aMesh.memory.TryReserve(MemoryUse::PeerQueues, 0))
+    , frameMemory(*aMesh.memory.TryReserve(MemoryUse::PeerFrames, 0))
   {
   }
 
@@ -63,6 +77,9 @@
     this->silenceTimer.expires_after(aTimeout);
     this->StartSilenceTimer();
     auto self = this->shared_from_this();
+    IoError ignored;
+    this->socket.open(aEndpoint.protocol(), ignored);
+    LimitReceiveBuffer(this->socket);
     this->socket.async_connect(aEndpoint, [self](const IoError& aError) {
       if (aError) {
         self->Close(aError.message());
@@ -94,14 +111,18 @@
     if (!this->IsUp()) {
       return;
     }
-    if (this->queuedBytes > 0 && this->queuedBytes + aFrame.size() > this->MaxQueuedBytes()) {
+    const std::size_t queued = this->queuedBytes + aFrame.size();
+    const bool tooMuch = this->queuedBytes > 0 && queued > this->MaxQueuedBytes();
+    if (tooMuch || !this->queueMemory.TryResize(queued)) {
       // The peer would not notice the lost message. On a new connection it is sent its full state
       // again.
       LogEvent(LogLevel::Warning, "peer_message_dropped")
         .With("peer", this->peer)
         .With("bytes", aFrame.size())
-        .With("queued", this->queuedBytes);
-      this->CloseLater("the peer does not read");
+        .With("queued", this->queuedBytes)
+        .With("held", this->mesh.memory.Held())
+        .With("limit", this->mesh.memory.Limit());
+      this->CloseLater(tooMuch ? "the peer does not read" : "no memory to send");
       return;
     }
     this->queuedBytes += aFrame.size();
@@ -121,6 +142,7 @@
     this->socket.close(ignored);
     this->keepaliveTimer.cancel();
     this->silenceTimer.cancel();
+    this->memoryTimer.cancel();
     this->mesh.OnLinkDown(this->shared_from_this());
   }
 
@@ -218,12 +240,14 @@
           self->Close(aError.message());
         } else {
           self->OnReceived();
-          self->ReadBody();
+          self->BeginBody(0);
         }
       });
   }
 
-  void ReadBody()
+  // Begins to read the body of a frame once there is memory for it. aChecks: how often there was
+  // none.
+  void BeginBody(int aChecks)
   {
     const std::size_t length = DecodeFrameLength(this->prefix);
     if (length > kMaxFrameBytes) {
@@ -231,7 +255,33 @@
       this->Close("frame too large");
       return;
     }
-    this->body.resize(length);
+    if (this->frameMemory.TryResize(kFrameCopies * length)) {
+      this->ReadBody(length);
+      return;
+    }
+    if (aChecks >= kMaxMemoryChecks) {
+      LogEvent(LogLevel::Warning, "peer_frame_refused")
+        .With("peer", this->peer)
+        .With("bytes", length)
+        .With("held", this->mesh.memory.Held())
+        .With("limit", this->mesh.memory.Limit());
+      this->Close("no memory for a frame");
+      return;
+    }
+    // The peer is not silent: this host does not read.
+    this->RestartSilenceTimer();
+    auto self = this->shared_from_this();
+    this->memoryTimer.expires_after(kMemoryCheckInterval);
+    this->memoryTimer.async_wait([self, aChecks](const IoError& aError) {
+      if (!aError && !self->closed) {
+        self->BeginBody(aChecks + 1);
+      }
+    });
+  }
+
+  void ReadBody(std::size_t aLength)
+  {
+    this->body.resize(aLength);
     auto self = this->shared_from_this();
     const auto remaining = [self](const IoError& aError, std::size_t aRead) {
       // A peer is alive while its message is arriving: on a shared link of 10 Mbit/s a message of a
@@ -253,6 +303,7 @@
                        self->OnReceived();
                        self->bodyRead = 0;
                        self->mesh.OnFrame(self, std::exchange(self->body, {}));
+                       self->frameMemory.TryResize(0);
                        if (!self->closed) {
                          self->ReadNext();
                        }
@@ -266,11 +317,11 @@
     }
     this->writing = true;
     // Writes all queued frames at once.
-    this->outgoing.clear();
-    for (const std::string& frame : this->queue) {
+    this->outgoing.reserve(this->queuedBytes + this->queue.size() * kFramePrefixBytes);
+    for (std::string& frame : this->queue) {
       const FramePrefix length = EncodeFrameLength(frame.size());
       this->outgoing.append(reinterpret_cast<const char*>(length.data()), length.size());
-      this->outgoing.append(frame);
+      this->outgoing.append(std::exchange(frame, {}));
     }
     this->queue.clear();
     auto self = this->shared_from_this();
@@ -278,10 +329,14 @@
       this->socket, asio::buffer(this->outgoing), [self](const IoError& aError, std::size_t) {
         self->writing = false;
         self->outgoing.clear();
+        if (self->outgoing.capacity() > kKeptBufferBytes) {
+          FreeText(self->outgoing);
+        }
         self->queuedBytes = 0;
         for (const std::string& frame : self->queue) {
           self->queuedBytes += frame.size();
         }
+        self->queueMemory.TryResize(self->queuedBytes);
         if (aError) {
           self->Close(aError.message());
         } else {
@@ -294,6 +349,7 @@
   TcpSocket socket;
   asio::steady_timer keepaliveTimer;
   asio::steady_timer silenceTimer;
+  asio::steady_timer memoryTimer;
   LinkSide side;
   HostId peer;
   bool up = false;
@@ -310,16 +366,21 @@
   std::string outgoing;
   std::deque<std::string> queue;
   std::size_t queuedBytes = 0;
+  // What the queue and the frame that is being read count.
+  MemoryReservation queueMemory;
+  MemoryReservation frameMemory;
 };
 
 PeerMesh::PeerMesh(asio::io_context& aContext,
                    HostId aSelf,
                    std::uint16_t aPort,
+                   MemoryBudget& aMemory,
                    PeerMeshHandler& aHandler,
                    PeerMeshTiming aTiming)
   : context(aContext)
   , self(std::move(aSelf))
   , port(aPort)
+  , memory(aMemory)
   , handler(aHandler)
   , timing(aTiming)
 {
@@ -525,9 +586,10 @@
 }
 
 void
-PeerMesh::OnFrame(const std::shared_ptr<Link>& aLink, const std::string& aFrame)
+PeerMesh::OnFrame(const std::shared_ptr<Link>& aLink, std::string aFrame)
 {
   auto envelope = DecodeEnvelope(aFrame);
+  FreeText(aFrame);
   if (!envelope) {
     LogEvent(LogLevel::Warning, "peer_frame_refused").With("error", envelope.error());
     aLink->Close("unreadable frame");
--- a/src/transport/TargetConnection.cpp
+++ b/src/transport/TargetConnection.cpp
@@ -60,7 +60,8 @@
   TcpSocket socket;
   beast::flat_buffer buffer;
   std::optional<ResponseParser> parser;
-  std::array<char, kChunkBytes> chunk{};
+  // Where the body is read to; empty while the connection is idle.
+  std::string chunk;
   // Whether the response has no body, because the request was HEAD.
   bool bodyless = false;
   bool sending = false;
@@ -86,6 +87,9 @@
     this->Close();
   });
   watchdog.Arm(aTimeout);
+  IoError ignored;
+  this->impl->socket.open(asio::ip::tcp::v4(), ignored);
+  LimitReceiveBuffer(this->impl->socket);
   const auto [error] =
     co_await this->impl->socket.async_connect(ToTcpEndpoint(aEndpoint), kAsValue);
   watchdog.Disarm();
@@ -148,6 +152,8 @@
 TargetConnection::ReadHead()
 {
   Impl& connection = *this->impl;
+  // Without it the library reads half a kilobyte at a time.
+  connection.buffer.reserve(kChunkBytes);
   while (true) {
     connection.parser.emplace();
     connection.parser->header_limit(kMaxHeadBytes);
@@ -159,11 +165,16 @@
       connection.broken = true;
       co_return ReadFailure(error);
     }
-    const auto& message = connection.parser->get();
-    if (message.result_int() >= 200) {
-      break;
+    if (connection.parser->get().result_int() >= 200) {
+      co_return this->TakeHead();
     }
   }
+}
+
+HttpResponseHead
+TargetConnection::TakeHead()
+{
+  Impl& connection = *this->impl;
   const auto& message = connection.parser->get();
   HttpResponseHead head;
   head.status = static_cast<int>(message.result_int());
@@ -174,13 +185,14 @@
   const auto seconds = KeepAliveSeconds(head.fields);
   const Duration kept = seconds ? Duration(std::chrono::seconds(*seconds)) : kDefaultIdleTimeout;
   this->idleUntil = this->clock.MonotonicNow() + kept - kIdleMargin;
-  co_return head;
+  return head;
 }
 
 Awaitable<Result<std::optional<std::string_view>>>
 TargetConnection::ReadChunk()
 {
   Impl& connection = *this->impl;
+  connection.chunk.resize(kChunkBytes);
   while (!connection.parser->is_done()) {
     auto& body = connection.parser->get().body();
     body.data = connection.chunk.data();
@@ -201,31 +213,68 @@
   co_return std::optional<std::string_view>();
 }
 
-Awaitable<Result<std::string>>
-TargetConnection::ReadRest(std::size_t aMaxBytes, std::function<void()> aOnChunk)
+Awaitable<Result<void>>
+TargetConnection::ReadRest(CountedBuffer& aTo,
+                           std::size_t aMaxBytes,
+                           std::function<void()> aOnChunk)
 {
-  std::string rest;
   while (true) {
-    auto chunk = co_await this->ReadChunk();
+    const auto chunk = co_await this->ReadChunk();
     if (!chunk) {
       co_return Fail(chunk.error());
     }
     if (!chunk.value()) {
-      co_return rest;
+      co_return Success();
+    }
+    const bool fits = aTo.Size() + chunk.value()->size() <= aMaxBytes;
+    if (!fits || !aTo.Append(*chunk.value())) {
+      this->impl->broken = true;
+      co_return Fail(ErrorKind::Overloaded,
+                     fits ? "there is no memory for the response" : "the response is too long",
+                     "check the target's log, and the memory of this host");
     }
-    rest.append(*chunk.value());
     if (aOnChunk) {
       aOnChunk();
     }
-    if (rest.size() > aMaxBytes) {
+  }
+}
+
+Awaitable<Result<void>>
+TargetConnection::Discard(std::size_t aMaxBytes)
+{
+  std::size_t discarded = 0;
+  while (true) {
+    const auto chunk = co_await this->ReadChunk();
+    if (!chunk) {
+      co_return Fail(chunk.error());
+    }
+    if (!chunk.value()) {
+      co_return Success();
+    }
+    discarded += chunk.value()->size();
+    if (discarded > aMaxBytes) {
       this->impl->broken = true;
       co_return Fail(ErrorKind::Overloaded,
-                     "the target's response exceeds the limit for responses that are not streamed",
-                     "declare the route as a stream");
+                     "the target's response is too long to be skipped",
+                     "check the target's log");
     }
   }
 }
 
+std::optional<std::uint64_t>
+TargetConnection::BodyLength() const
+{
+  const auto length = this->impl->parser->content_length();
+  return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+void
+TargetConnection::ReleaseBuffers()
+{
+  this->impl->buffer.shrink_to_fit();
+  FreeText(this->impl->chunk);
+}
+
 bool
 TargetConnection::IsReusable() const
 {
@@ -293,6 +342,7 @@
   if (!aConnection->IsReusable() || this->clock.MonotonicNow() >= aConnection->IdleUntil()) {
     return;
   }
+  aConnection->ReleaseBuffers();
   auto& connections = this->idle[FormatEndpoint(aEndpoint)];
   connections.push_back(std::move(aConnection));
   if (connections.size() > kMaxIdle) {
--- a/test/program/CallForwarderTest.cpp
+++ b/test/program/CallForwarderTest.cpp
@@ -29,6 +29,7 @@
 
 TEST_P(IdleLinkTest, ConnectionIsKeptWhileCallsOfTheOtherSideRun)
 {
+  MemoryBudget memory(ByteCount(256 * kMebibyte));
   asio::io_context loop{ 1 };
   ManualClock clock;
   NoMetrics metrics;
@@ -37,13 +38,14 @@
   const ServingSettings second = HostSettings(2, port);
   std::shared_ptr<ForwardedCaller> served;
   std::string outcome = "none";
-  CallForwarder a(loop, clock, first, metrics, 1, [](const auto&, auto&, const auto&) {
+  CallForwarder a(loop, clock, first, metrics, memory, 1, [](const auto&, auto&, const auto&) {
     return std::optional(DeclineReason::Unreachable);
   });
-  CallForwarder b(loop, clock, second, metrics, 2, [&](const auto&, auto&, const auto& aCaller) {
-    served = aCaller;
-    return std::optional<DeclineReason>();
-  });
+  CallForwarder b(
+    loop, clock, second, metrics, memory, 2, [&](const auto&, auto&, const auto& aCaller) {
+      served = aCaller;
+      return std::optional<DeclineReason>();
+    });
   ASSERT_TRUE(a.Listen());
   ASSERT_TRUE(b.Listen());
   const auto run = [&]() -> Awaitable<void> {
@@ -129,6 +131,7 @@
 
   static constexpr std::chrono::milliseconds kStandstill{ 2500 };
 
+  MemoryBudget memory{ ByteCount(256 * kMebibyte) };
   asio::io_context originLoop{ 1 };
   asio::io_context serverLoop{ 1 };
   ManualClock clock;
@@ -143,6 +146,7 @@
                         this->clock,
                         this->originSettings,
                         this->metrics,
+                        this->memory,
                         1,
                         [](const auto&, auto&, const auto&) {
                           return std::optional(DeclineReason::Unreachable);
@@ -151,6 +155,7 @@
                         this->clock,
                         this->serverSettings,
                         this->metrics,
+                        this->memory,
                         2,
                         [this](const auto&, auto& aCall, const auto& aCaller) {
                           this->served = aCaller;
--- a/test/program/ExchangeFixture.h
+++ b/test/program/ExchangeFixture.h
@@ -172,7 +172,7 @@
     CallerConnection channel(std::move(socket));
     bool reusable = true;
     while (reusable) {
-      auto request = co_await channel.Read(CallerLimits());
+      auto request = co_await channel.Read(CallerLimits(), this->requestMemory);
       if (!request) {
         break;
       }
@@ -223,6 +223,8 @@
     return read;
   }
 
+  MemoryBudget memory{ ByteCount(256 * kMebibyte) };
+  ImmediateRequestMemory requestMemory{ this->memory };
   asio::io_context loop{ 1 };
   TcpAcceptor acceptor;
   std::shared_ptr<ServingConfig> config;
@@ -264,8 +266,11 @@
                            this->clock,
                            this->settings,
                            this->metrics,
+                           this->memory,
                            1,
-                           [](const auto&, auto&, const auto&) { return DeclineReason::Stopping; } };
+                           [](const auto&, auto&, const auto&) {
+                             return DeclineReason::Stopping;
+                           } };
   BrittleTargetLimiter brittle{ this->clock, 1 };
   StreamOriginTable origins{ this->clock };
   // The control host's answers to lookups.
@@ -286,6 +291,7 @@
   StopAdmission stopAdmission{ this->clock };
   EntryContext context{ this->loop,
                         this->clock,
+                        this->memory,
                         this->settings,
                         this->dialect,
                         this->metrics,
--- a/test/program/ExchangeForwardingTest.cpp
+++ b/test/program/ExchangeForwardingTest.cpp
@@ -110,6 +110,7 @@
                                 this->clock,
                                 this->otherSettings,
                                 this->metrics,
+                                this->memory,
                                 2,
                                 [this](const auto&, auto& aCall, const auto& aCaller) {
                                   return this->TakeForwarded(aCall, aCaller);
--- a/test/program/ExchangeGivenUpTest.cpp
+++ b/test/program/ExchangeGivenUpTest.cpp
@@ -157,9 +157,13 @@
   EXPECT_TRUE(this->forwarder.Listen());
   ServingSettings otherSettings = HostSettings(2, this->settings.forwardingPort);
   CallForwarder otherForwarder(
-    this->loop, this->clock, otherSettings, this->metrics, 2, [](const auto&, auto&, const auto&) {
-      return DeclineReason::Unreachable;
-    });
+    this->loop,
+    this->clock,
+    otherSettings,
+    this->metrics,
+    this->memory,
+    2,
+    [](const auto&, auto&, const auto&) { return DeclineReason::Unreachable; });
   EXPECT_TRUE(otherForwarder.Listen());
   this->forwarder.SetHosts({ { otherSettings.host, ZoneId("n") } });
   ScriptedTarget target(
@@ -178,9 +182,13 @@
   EXPECT_TRUE(this->forwarder.Listen());
   ServingSettings otherSettings = HostSettings(2, this->settings.forwardingPort);
   CallForwarder otherForwarder(
-    this->loop, this->clock, otherSettings, this->metrics, 2, [](const auto&, auto&, const auto&) {
-      return DeclineReason::Unreachable;
-    });
+    this->loop,
+    this->clock,
+    otherSettings,
+    this->metrics,
+    this->memory,
+    2,
+    [](const auto&, auto&, const auto&) { return DeclineReason::Unreachable; });
   EXPECT_TRUE(otherForwarder.Listen());
   this->forwarder.SetHosts({ { otherSettings.host, ZoneId("n") } });
   ScriptedTarget target([this](const auto&, TcpSocket& aSocket) {
--- a/test/program/PublisherFixture.h
+++ b/test/program/PublisherFixture.h
@@ -93,19 +93,17 @@
   }
 
   ManualClock clock;
+  MemoryBudget memory{ ByteCount(256 * kMebibyte) };
   asio::io_context loop{ 1 };
   ServingSettings settings;
   CountingMetrics metrics;
   IgnoringHandler handler;
-  PeerMesh mesh{ this->loop, HostId("control"), 0, this->handler };
+  PeerMesh mesh{ this->loop, HostId("control"), 0, this->memory, this->handler };
   platform::Dialect dialect;
   ServingGroup group{ this->loop, this->clock, this->settings, this->metrics, this->mesh, [] {} };
   StoreWatchPlan plan{ HostId("control"), ZoneId("z") };
-  StoreWatcher stores{ this->loop,
-                       this->clock,
-                       this->dialect,
-                       this->plan,
-                       { [](const auto&) {}, [](const auto&) {} } };
+  StoreWatcher stores{ this->loop, this->clock,  this->dialect,
+                       this->plan, this->memory, { [](const auto&) {}, [](const auto&) {} } };
   TargetTracker tracker{ this->clock, std::chrono::seconds(4) };
   HostRegistry hosts{ HostId("control"), ZoneId("z") };
   CrashRegistry crashes{ this->clock };
--- a/test/program/RolloutExecutorTest.cpp
+++ b/test/program/RolloutExecutorTest.cpp
@@ -44,12 +44,16 @@
   }
 
   ManualClock clock;
+  MemoryBudget memory{ ByteCount(256 * kMebibyte) };
   asio::io_context loop{ 1 };
   platform::Dialect dialect;
   TargetRecord engine;
-  RolloutExecutor executor{ this->loop, this->clock, this->dialect, Options(), [] {
-                             return OrderAuthority{ true, HostId("control"), FencingNumber(1) };
-                           } };
+  RolloutExecutor executor{
+    this->loop,    this->clock,
+    this->dialect, this->memory,
+    Options(),     [] {
+                             return OrderAuthority{ true, HostId("control"), FencingNumber(1) }; }
+  };
 };
 
 // Guards against a control host that goes on reading an engine that asked it for rest.
--- a/test/program/StoreWatcherTest.cpp
+++ b/test/program/StoreWatcherTest.cpp
@@ -51,6 +51,7 @@
   });
   asio::io_context loop;
   SystemClock clock;
+  MemoryBudget memory(ByteCount(256 * kMebibyte));
   platform::Dialect dialect;
   std::size_t known = 0;
   bool unreachable = false;
@@ -60,7 +61,7 @@
       unreachable = unreachable || !update.live;
     }
   };
-  StoreWatcher watcher(loop, clock, dialect, kOnlyHost, { onChanges, kIgnore });
+  StoreWatcher watcher(loop, clock, dialect, kOnlyHost, memory, { onChanges, kIgnore });
   ServingService service;
   service.name = ServiceName("store");
   service.store = PromptStoreSpec{};
@@ -98,6 +99,7 @@
   });
   asio::io_context loop;
   SystemClock clock;
+  MemoryBudget memory(ByteCount(256 * kMebibyte));
   platform::Dialect dialect;
   std::size_t calls = 0;
   std::size_t known = 0;
@@ -107,7 +109,7 @@
       known += update.added.size();
     }
   };
-  StoreWatcher watcher(loop, clock, dialect, kOnlyHost, { onChanges, kIgnore });
+  StoreWatcher watcher(loop, clock, dialect, kOnlyHost, memory, { onChanges, kIgnore });
   ServingService service;
   service.name = ServiceName("store");
   service.store = PromptStoreSpec{};
@@ -166,6 +168,7 @@
                           this->clock,
                           this->dialect,
                           *this->plan,
+                          this->memory,
                           StoreWatcher::Handlers{ append(this->published), append(this->relayed) });
     this->watcher->Follow({ this->service });
   }
@@ -207,6 +210,7 @@
   } };
   ServingService service;
   std::vector<HostId> ranking;
+  MemoryBudget memory{ ByteCount(256 * kMebibyte) };
   asio::io_context loop;
   SystemClock clock;
   platform::Dialect dialect;
--- /dev/null
+++ b/test/soak/machine_memory.py
@@ -0,0 +1,279 @@
+#!/usr/bin/env python3
+"""Guards against hosts that use more memory than their machines have.
+
+Callers send or get large bodies at entry hosts of little memory, more of them for a while, beside callers of small
+requests. A watcher does what the platform does: it ends a process that uses more than its machine has, unread bytes of
+its sockets included. Build first.
+
+    test/soak/machine_memory.py --build build --seed 1 --load bodies
+"""
+
+import asyncio
+import collections
+import pathlib
+import time
+import types
+
+from soak import REFUSALS, Soak, soak_parser, soak_seeds
+from standins import Target, read_head
+
+MEMORY_MB = 110
+LARGE = 4_000_000
+SMALL = 300
+DEADLINE = 10.0
+WORK = 0.4
+SLOTS = 200
+RESTART_DELAY = 0.5
+CHECK_EVERY = 0.02
+CALM = 3.0
+BURST = 4.0
+# Bytes a second that callers of large answers read.
+READ_RATE = 2_000_000
+# Callers of large requests at each host, and with those that come in the burst.
+CALLERS = {"bodies": (18, 30), "chunks": (18, 30), "pauses": (18, 30), "answers": (80, 136), "endless": (18, 30)}
+SMALL_CALLERS = 3
+# What a faulty target sends without end: in place of an answer, or within one.
+ENDLESS = ("head", "line", "interim", "event", "body", "extension", "trailer")
+PIECE = b"x" * 65536
+FIELDS = (b"X-More: " + b"y" * 1000 + b"\r\n") * 64
+
+
+def unread_bytes(ip):
+    """Returns what waits unread in the sockets of this address."""
+    address = "".join(f"{int(part):02X}" for part in reversed(ip.split(".")))
+    total = 0
+    for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        fields = line.split()
+        # The queue of a listening socket counts connections.
+        if fields[1].startswith(address) and fields[3] != "0A":
+            total += int(fields[4].split(":")[1], 16)
+    return total
+
+
+def resident_bytes(process):
+    try:
+        lines = pathlib.Path(f"/proc/{process.pid}/status").read_text().splitlines()
+    except OSError:
+        return 0
+    line = next((line for line in lines if line.startswith("VmRSS:")), "VmRSS: 0")
+    return int(line.split()[1]) * 1024
+
+
+class Pace:
+    """Holds a reader to a rate in bytes a second, None for none."""
+
+    def __init__(self, rate):
+        self.rate = rate
+        self.begun = time.monotonic()
+        self.taken = 0
+
+    async def take(self, count):
+        self.taken += count
+        if self.rate is not None:
+            await asyncio.sleep(max(0, self.begun + self.taken / self.rate - time.monotonic()))
+
+
+class LargeTarget(Target):
+    """Takes and sends large bodies. One that is faulty answers without end."""
+
+    faulty = None
+
+    async def start(self, address):
+        server = await asyncio.start_server(self.serve, address, 0)
+        self.server = server
+        self.proxy = types.SimpleNamespace(address=server.sockets[0].getsockname()[:2], mode="pass", near={})
+
+    def announcement(self):
+        return super().announcement() | {"slots": SLOTS}
+
+    async def answer(self, path, fields, body, host, writer):
+        if fields.get("x-request-id", "").startswith(("large-", "small-", "answer-", "endless-")):
+            await self.answer_call(fields, writer)
+            return
+        await super().answer(path, fields, body, host, writer)
+
+    async def answer_call(self, fields, writer):
+        request = fields["x-request-id"]
+        self.ledger[request] = self.ledger.get(request, 0) + 1
+        kind = request.split("-")[0]
+        head = f"X-Request-Id: {request}\r\nX-Response-Stamp: {self.id}\r\n"
+        if kind != "small":
+            await asyncio.sleep(WORK if kind == "large" else 0)
+        if kind == "endless" and self.faulty:
+            await self.answer_without_end(head, writer)
+            return
+        content = b"a" * (LARGE if kind == "answer" else SMALL)
+        writer.write(f"HTTP/1.1 200 OK\r\n{head}Content-Length: {len(content)}\r\n\r\n".encode() + content)
+
+    async def answer_without_end(self, head, writer):
+        chunked = f"HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n"
+        begin, piece = {
+            "head": (f"HTTP/1.1 200 OK\r\n{head}", FIELDS),
+            "line": (f"HTTP/1.1 200 OK\r\n{head}X-More: ", PIECE),
+            "interim": ("", b"HTTP/1.1 102 Processing\r\n\r\n"),
+            "event": (f"{chunked}Content-Type: text/event-stream\r\n\r\n", b"10000\r\n" + PIECE + b"\r\n"),
+            "body": (f"{chunked}\r\n", b"10000\r\n" + PIECE + b"\r\n"),
+            "extension": (f"{chunked}\r\n5;", PIECE),
+            "trailer": (f"{chunked}\r\n0\r\n", FIELDS),
+        }[self.faulty]
+        writer.write(begin.encode())
+        while not writer.is_closing():
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(0.001)
+        raise ConnectionResetError
+
+
+class MachineMemory(Soak):
+    target_class = LargeTarget
+
+    def __init__(self, options, seed):
+        super().__init__(options, seed)
+        self.load = options.load
+        for host in self.entries:
+            host.memory_mb = MEMORY_MB
+        if self.load == "endless":
+            self.targets[0].faulty = options.endless or self.random.choice(ENDLESS)
+        self.peak = collections.Counter()
+        self.done = False
+        self.times = []
+
+    def document(self):
+        # Nothing may be refused for another reason than memory.
+        return super().document().replace('"timeout-ms": 4', '"timeout-ms": 14')
+
+    async def hold_to_memory(self, host):
+        while not self.done:
+            used = resident_bytes(host.child) + unread_bytes(host.ip)
+            self.peak[host.name] = max(self.peak[host.name], used)
+            if used > MEMORY_MB * 1024 * 1024:
+                self.find("killed_for_memory", f"{host.name} uses {used // 1024 // 1024} MB")
+                host.child.kill()
+                host.child.wait()
+                await asyncio.sleep(RESTART_DELAY)
+                host.first_start = False
+                host.start()
+            await asyncio.sleep(CHECK_EVERY)
+
+    async def large_caller(self, host, name, until, delay):
+        await asyncio.sleep(delay)
+        kind = {"answers": "answer", "endless": "endless"}.get(self.load, "large")
+        number = 0
+        while time.monotonic() < until:
+            number += 1
+            await self.ask_once(host, "jobs", f"{kind}-{name}-{number}", kind)
+            await asyncio.sleep(0.02)
+
+    async def small_caller(self, host, name, until):
+        number = 0
+        while time.monotonic() < until:
+            number += 1
+            await self.ask_once(host, "jobs", f"small-{name}-{number}", "small")
+            await asyncio.sleep(0.05)
+
+    async def send_body(self, writer, kind):
+        if kind == "small" or self.load in ("answers", "endless"):
+            writer.write(f"Content-Length: {SMALL}\r\n\r\n".encode() + b"s" * SMALL)
+            return
+        if self.load == "chunks":
+            writer.write(b"Transfer-Encoding: chunked\r\n\r\n")
+            for _ in range(LARGE // len(PIECE)):
+                writer.write(b"%x\r\n" % len(PIECE) + PIECE + b"\r\n")
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+            return
+        writer.write(f"Content-Length: {LARGE}\r\n\r\n".encode() + b"b" * (LARGE - 1))
+        if self.load == "pauses":
+            await writer.drain()
+            await asyncio.sleep(1.5)
+        writer.write(b"b")
+
+    async def read_body(self, reader, length, pace):
+        left = length
+        while left:
+            data = await reader.read(min(left, 65536))
+            if not data:
+                raise EOFError
+            left -= len(data)
+            await pace.take(len(data))
+
+    async def read_chunks(self, reader, pace):
+        while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
+            await self.read_body(reader, size, pace)
+            await reader.readexactly(2)
+        await reader.readexactly(2)
+
+    async def ask_once(self, host, route, request, kind):
+        self.once.add(request)
+        writer = None
+        begun = time.monotonic()
+        try:
+            async with asyncio.timeout(DEADLINE + 3):
+                reader, writer = await asyncio.open_connection(host.ip, self.port + 1)
+                writer.write(
+                    f"POST /{route}/7 HTTP/1.1\r\nHost: h\r\nX-Request-Id: {request}\r\nX-Credential: key\r\n"
+                    f"X-Deadline-Ms: {int(DEADLINE * 1000)}\r\n".encode()
+                )
+                sending = asyncio.create_task(self.send_body(writer, kind))
+                try:
+                    first, fields = await read_head(reader)
+                    pace = Pace(READ_RATE if kind == "answer" else None)
+                    if "content-length" in fields:
+                        await self.read_body(reader, int(fields["content-length"]), pace)
+                    else:
+                        await self.read_chunks(reader, pace)
+                finally:
+                    sending.cancel()
+        except (OSError, EOFError, TimeoutError, asyncio.IncompleteReadError) as error:
+            self.counts[f"{kind}_without_answer"] += 1
+            self.find("request_lost", f"{request} {type(error).__name__} {time.monotonic() - begun:.2f} s")
+            return
+        finally:
+            if writer is not None:
+                writer.close()
+        status = int(first.split()[1])
+        self.counts[f"{kind}_{status}"] += 1
+        self.take_status(request, kind, status, time.monotonic() - begun)
+
+    def take_status(self, request, kind, status, lasted):
+        if status in REFUSALS:
+            self.refused.add(request)
+            if kind == "small":
+                self.find("small_request_refused", f"{request} {status}")
+        if kind == "endless" and lasted > DEADLINE / 2:
+            self.find("endless_answer_until_deadline", f"{request} {status} after {lasted:.2f} s")
+
+    async def run(self):
+        await self.start()
+        self.ending = True
+        await self.operating
+        watching = [asyncio.create_task(self.hold_to_memory(host)) for host in self.entries]
+        steady, most = CALLERS[self.load]
+        begun = time.monotonic()
+        end = begun + 2 * CALM + BURST
+        work = []
+        for host in self.entries:
+            work += [self.large_caller(host, f"{host.name}.s{number}", end, 0.05 * number) for number in range(steady)]
+            work += [self.small_caller(host, f"{host.name}.{number}", end) for number in range(SMALL_CALLERS)]
+            work += [
+                self.large_caller(host, f"{host.name}.b{number}", begun + CALM + BURST, CALM + 0.6 * number / (most - steady))
+                for number in range(most - steady)
+            ]
+        await asyncio.gather(*work)
+        self.done = True
+        await asyncio.gather(*watching)
+        print("  peaks in MB: " + ", ".join(f"{name} {peak / 1024 / 1024:.0f}" for name, peak in sorted(self.peak.items())))
+        self.stop_announcing()
+        self.count_runs()
+
+
+def main():
+    parser = soak_parser(__doc__)
+    parser.add_argument("--load", choices=CALLERS, default="bodies", help="what the large requests are")
+    parser.add_argument("--endless", choices=ENDLESS, help="what one target sends without end")
+    parser.set_defaults(entries=3)
+    soak_seeds(parser.parse_args(), MachineMemory)
+
+
+if __name__ == "__main__":
+    main()
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -69,6 +69,9 @@
     "request_lost",
     "allowed_body_refused",
     "refusal_lost",
+    "killed_for_memory",
+    "small_request_refused",
+    "endless_answer_until_deadline",
 )
 
 
@@ -84,6 +87,8 @@
         self.folder = run.folder / self.name
         self.folder.mkdir()
         self.first_start = True
+        # What the process may use, None where it is not told.
+        self.memory_mb = None
         self.child = None
         self.leaving = False
         # What is done to it at the moment; a graceful stop counts only by itself.
@@ -101,6 +106,8 @@
             "heartbeat-ms=400",
             "bounds.grace-s=8",
         ]
+        if self.memory_mb is not None:
+            lines.append(f"limits.memory-mb={self.memory_mb}")
         if self.role == "control":
             lines += [f"listen.control={self.ip}:{self.run.port}", f"data-dir={self.folder / 'data'}"]
         else:
--- a/test/transport/CallerConnectionTest.cpp
+++ b/test/transport/CallerConnectionTest.cpp
@@ -39,12 +39,12 @@
     asio::co_spawn(this->loop, this->ReadInto(read), asio::detached);
     this->loop.restart();
     this->loop.run();
-    return *read;
+    return std::move(*read);
   }
 
   Awaitable<void> ReadInto(std::optional<Result<HttpRequestMessage>>& aTo)
   {
-    aTo = co_await this->connection->Read(this->limits);
+    aTo = co_await this->connection->Read(this->limits, this->memory);
   }
 
   // Begins to wait for a request with limits that may change, while nothing has arrived.
@@ -57,7 +57,7 @@
 
   Awaitable<void> ReadChangingInto(std::optional<Result<HttpRequestMessage>>& aTo)
   {
-    aTo = co_await this->connection->Read(this->changing);
+    aTo = co_await this->connection->Read(this->changing, this->memory);
   }
 
   void RunFor(Duration aTime)
@@ -108,6 +108,8 @@
     return read ? ErrorKind::Internal : read.error().kind;
   }
 
+  MemoryBudget budget{ ByteCount(16 * kMebibyte) };
+  ImmediateRequestMemory memory{ this->budget };
   asio::io_context loop;
   TcpAcceptor acceptor;
   TcpSocket caller{ this->loop };
@@ -440,6 +442,53 @@
             ErrorKind::DeadlineExceeded);
 }
 
+// Guards against bodies that are kept without being counted against the memory of the host.
+TEST_F(CallerConnectionTest, BodyCountsAgainstTheMemoryUntilTheRequestIsGone)
+{
+  const std::string body(200 * kKibibyte, 'x');
+  this->Send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 204800\r\n\r\n" + body);
+  {
+    const auto request = this->Read();
+    ASSERT_TRUE(request);
+    EXPECT_EQ(request.value().body, body);
+    EXPECT_GE(this->budget.Held(), body.size());
+  }
+  EXPECT_EQ(this->budget.Held(), 0U);
+}
+
+TEST_F(CallerConnectionTest, BodyOfStatedLengthIsRefusedUnreadWithoutMemory)
+{
+  const auto held = this->budget.TryReserve(MemoryUse::Responses, this->budget.Limit() * 7 / 8);
+  EXPECT_EQ(this->ErrorOf("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\nx"),
+            ErrorKind::Unavailable);
+  EXPECT_EQ(this->connection->End(), ConnectionEnd::NoMemory);
+}
+
+TEST_F(CallerConnectionTest, ChunkedBodyIsRefusedOnceItOutgrowsTheMemory)
+{
+  const auto held = this->budget.TryReserve(MemoryUse::Responses, this->budget.Limit() * 7 / 8);
+  const std::string chunk = "8000\r\n" + std::string(0x8000, 'x') + "\r\n";
+  this->Send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk);
+  EXPECT_EQ(this->ErrorOf(chunk), ErrorKind::Unavailable);
+}
+
+TEST_F(CallerConnectionTest, ReadsLargeChunkedBody)
+{
+  const std::string piece(0x8000, 'x');
+  std::string chunks;
+  for (int count = 0; count < 32; ++count) {
+    chunks += "8000\r\n" + piece + "\r\n";
+  }
+  std::thread sender([&] {
+    this->Send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks +
+               "0\r\n\r\n");
+  });
+  const auto request = this->Read();
+  sender.join();
+  ASSERT_TRUE(request);
+  EXPECT_EQ(request.value().body, std::string(32 * piece.size(), 'x'));
+}
+
 // Writing a response continues as long as the caller reads from it.
 TEST_F(CallerConnectionTest, WritesLargeResponseToSlowReader)
 {
--- a/test/transport/ConnectionEndLogTest.cpp
+++ b/test/transport/ConnectionEndLogTest.cpp
@@ -34,7 +34,7 @@
   // Reads a request, answers it or its failure, and ends the connection.
   Awaitable<void> Serve(LingeringClose& aLingering)
   {
-    const auto read = co_await this->connection->Read(this->limits);
+    const auto read = co_await this->connection->Read(this->limits, this->memory);
     if (read || read.error().kind != ErrorKind::Interrupted) {
       co_await this->connection->WriteWhole(this->response, true);
     }
@@ -55,6 +55,8 @@
     return this->metrics.counts[{ aCounter, aKind }];
   }
 
+  MemoryBudget budget{ ByteCount(16 * kMebibyte) };
+  ImmediateRequestMemory memory{ this->budget };
   asio::io_context loop;
   TcpAcceptor acceptor;
   TcpSocket caller{ this->loop };
--- a/test/transport/PeerMeshTest.cpp
+++ b/test/transport/PeerMeshTest.cpp
@@ -82,6 +82,7 @@
     return PeerMessage{ Channel::Serving, GroupId(), std::move(aPayload) };
   }
 
+  MemoryBudget memory{ ByteCount(256 * kMebibyte) };
   asio::io_context loop;
   HostId first{ OwnAddress(4) };
   HostId second{ OwnAddress(5) };
@@ -92,8 +93,10 @@
 
 TEST_F(PeerMeshTest, BothSidesSendOnOneConnection)
 {
-  PeerMesh dialer(this->loop, this->first, this->port, this->firstHandler, LongTimeout());
-  PeerMesh listener(this->loop, this->second, this->port, this->secondHandler, LongTimeout());
+  PeerMesh dialer(
+    this->loop, this->first, this->port, this->memory, this->firstHandler, LongTimeout());
+  PeerMesh listener(
+    this->loop, this->second, this->port, this->memory, this->secondHandler, LongTimeout());
   ASSERT_TRUE(listener.Listen());
   dialer.Dial(this->second);
   this->RunUntil([&] { return dialer.IsUp(this->second); });
@@ -108,11 +111,13 @@
 
 TEST_F(PeerMeshTest, RedialsUntilPeerListens)
 {
-  PeerMesh dialer(this->loop, this->first, this->port, this->firstHandler, LongTimeout());
+  PeerMesh dialer(
+    this->loop, this->first, this->port, this->memory, this->firstHandler, LongTimeout());
   dialer.Dial(this->second);
   this->loop.run_for(std::chrono::milliseconds(60));
   EXPECT_TRUE(this->firstHandler.ups.empty());
-  PeerMesh listener(this->loop, this->second, this->port, this->secondHandler, LongTimeout());
+  PeerMesh listener(
+    this->loop, this->second, this->port, this->memory, this->secondHandler, LongTimeout());
   ASSERT_TRUE(listener.Listen());
   this->RunUntil([&] { return dialer.IsUp(this->second); });
 }
@@ -132,7 +137,8 @@
     });
   };
   accept();
-  PeerMesh dialer(this->loop, this->first, this->port, this->firstHandler, ShortTimeout());
+  PeerMesh dialer(
+    this->loop, this->first, this->port, this->memory, this->firstHandler, ShortTimeout());
   dialer.Dial(this->second);
   this->RunUntil([&] { return !this->firstHandler.downs.empty(); });
   this->RunUntil([&] { return sockets.size() >= 2; });
@@ -154,7 +160,8 @@
     });
   };
   acceptor.async_accept(socket, [&](const IoError&) { read(); });
-  PeerMesh dialer(this->loop, this->first, this->port, this->firstHandler, LongTimeout());
+  PeerMesh dialer(
+    this->loop, this->first, this->port, this->memory, this->firstHandler, LongTimeout());
   dialer.Dial(this->second);
   this->RunUntil([&] { return bytes > 0; });
   const std::size_t firstKeepalive = bytes;
@@ -170,8 +177,10 @@
   link.Relay(Endpoint{ this->second.Value(), relayed },
              Endpoint{ this->second.Value(), this->port });
   link.Start();
-  PeerMesh dialer(this->loop, this->first, relayed, this->firstHandler, MediumTimeout());
-  PeerMesh listener(this->loop, this->second, this->port, this->secondHandler, LongTimeout());
+  PeerMesh dialer(
+    this->loop, this->first, relayed, this->memory, this->firstHandler, MediumTimeout());
+  PeerMesh listener(
+    this->loop, this->second, this->port, this->memory, this->secondHandler, LongTimeout());
   ASSERT_TRUE(listener.Listen());
   dialer.Dial(this->second);
   this->RunUntil([&] { return listener.IsUp(this->first); });
@@ -190,7 +199,8 @@
   std::vector<TcpSocket> sockets;
   acceptor.async_accept(
     [&](const IoError&, TcpSocket aSocket) { sockets.push_back(std::move(aSocket)); });
-  PeerMesh dialer(this->loop, this->first, this->port, this->firstHandler, LongTimeout());
+  PeerMesh dialer(
+    this->loop, this->first, this->port, this->memory, this->firstHandler, LongTimeout());
   dialer.Dial(this->second);
   this->RunUntil([&] { return dialer.IsUp(this->second); });
   for (int message = 0; message < 20; ++message) {
@@ -201,8 +211,10 @@
 
 TEST_F(PeerMeshTest, MessageLargerThanTheQueueIsSentWhenNothingWaits)
 {
-  PeerMesh dialer(this->loop, this->first, this->port, this->firstHandler, LongTimeout());
-  PeerMesh listener(this->loop, this->second, this->port, this->secondHandler, LongTimeout());
+  PeerMesh dialer(
+    this->loop, this->first, this->port, this->memory, this->firstHandler, LongTimeout());
+  PeerMesh listener(
+    this->loop, this->second, this->port, this->memory, this->secondHandler, LongTimeout());
   ASSERT_TRUE(listener.Listen());
   dialer.Dial(this->second);
   this->RunUntil([&] { return dialer.IsUp(this->second); });
@@ -215,8 +227,10 @@
 // while it is being written, closed the connection.
 TEST_F(PeerMeshTest, MessagesBehindOneLargerThanTheQueueKeepTheConnection)
 {
-  PeerMesh dialer(this->loop, this->first, this->port, this->firstHandler, LongTimeout());
-  PeerMesh listener(this->loop, this->second, this->port, this->secondHandler, LongTimeout());
+  PeerMesh dialer(
+    this->loop, this->first, this->port, this->memory, this->firstHandler, LongTimeout());
+  PeerMesh listener(
+    this->loop, this->second, this->port, this->memory, this->secondHandler, LongTimeout());
   ASSERT_TRUE(listener.Listen());
   dialer.Dial(this->second);
   this->RunUntil([&] { return dialer.IsUp(this->second); });
@@ -236,8 +250,9 @@
 {
   PeerMeshTiming timing = LongTimeout();
   timing.silenceTimeout = std::chrono::milliseconds(500);
-  PeerMesh dialer(this->loop, this->first, this->port, this->firstHandler, timing);
-  PeerMesh listener(this->loop, this->second, this->port, this->secondHandler, timing);
+  PeerMesh dialer(this->loop, this->first, this->port, this->memory, this->firstHandler, timing);
+  PeerMesh listener(
+    this->loop, this->second, this->port, this->memory, this->secondHandler, timing);
   ASSERT_TRUE(listener.Listen());
   dialer.Dial(this->second);
   this->RunUntil([&] { return dialer.IsUp(this->second) && listener.IsUp(this->first); });
@@ -260,8 +275,9 @@
 {
   PeerMeshTiming timing = LongTimeout();
   timing.silenceTimeout = std::chrono::milliseconds(500);
-  PeerMesh dialer(this->loop, this->first, this->port, this->firstHandler, timing);
-  PeerMesh listener(this->loop, this->second, this->port, this->secondHandler, timing);
+  PeerMesh dialer(this->loop, this->first, this->port, this->memory, this->firstHandler, timing);
+  PeerMesh listener(
+    this->loop, this->second, this->port, this->memory, this->secondHandler, timing);
   ASSERT_TRUE(listener.Listen());
   dialer.Dial(this->second);
   this->RunUntil([&] { return dialer.IsUp(this->second) && listener.IsUp(this->first); });
@@ -292,7 +308,8 @@
 
 TEST_F(PeerMeshTest, InvalidFrameClosesConnection)
 {
-  PeerMesh listener(this->loop, this->second, this->port, this->secondHandler, LongTimeout());
+  PeerMesh listener(
+    this->loop, this->second, this->port, this->memory, this->secondHandler, LongTimeout());
   ASSERT_TRUE(listener.Listen());
   TcpSocket stranger(this->loop);
   stranger.connect(TcpEndpoint(asio::ip::make_address(this->second.Value()), this->port));
