Bytes without end from a target or in a chunk's extension are given up

Callers saw 504 at their deadline, or a host ended for its memory.

Cause: ReadHead() skipped interim heads without a bound, the read buffers of both sides had none (an extension or trailer is kept until its line ends), EventFramer kept an event of any size and searched all of it again for each chunk.

The connection is closed, the caller gets a 502, the target counts as failed.

--- a/include/damasklink/coordination/EventFramer.h
+++ b/include/damasklink/coordination/EventFramer.h
@@ -18,6 +18,9 @@
 class EventFramer
 {
 public:
+  // An event beyond this size is no event: nothing that sends one is followed further.
+  static constexpr std::size_t kMaxEventBytes = std::size_t{ 1024 } * 1024;
+
   // Adds bytes to the buffer and returns all events that are complete now, unchanged.
   std::string Append(std::string_view aBytes);
 
--- a/src/coordination/EventFramer.cpp
+++ b/src/coordination/EventFramer.cpp
@@ -9,16 +9,22 @@
 
 constexpr std::string_view kIdField = "id:";
 
-// Returns the end of the last complete event, 0 if there is none. Lines end with LF or CR LF.
+// Bytes of the longest separator of events.
+constexpr std::size_t kMaxSeparatorBytes = 3;
+
+// Returns the end of the last complete event, 0 if there is none. Lines end with LF or CR LF. No
+// event ends within the first aSearched bytes.
 std::size_t
-FindEndOfLastEvent(std::string_view aBytes)
+FindEndOfLastEvent(std::string_view aBytes, std::size_t aSearched)
 {
+  const std::size_t from = aSearched - std::min(aSearched, kMaxSeparatorBytes - 1);
+  const std::string_view rest = aBytes.substr(from);
   std::size_t end = 0;
   for (const std::string_view separator :
        { std::string_view("\n\n"), std::string_view("\n\r\n") }) {
-    const std::size_t found = aBytes.rfind(separator);
+    const std::size_t found = rest.rfind(separator);
     if (found != std::string_view::npos) {
-      end = std::max(end, found + separator.size());
+      end = std::max(end, from + found + separator.size());
     }
   }
   return end;
@@ -29,8 +35,9 @@
 std::string
 EventFramer::Append(std::string_view aBytes)
 {
+  const std::size_t searched = this->buffer.size();
   this->buffer.append(aBytes);
-  const std::size_t end = FindEndOfLastEvent(this->buffer);
+  const std::size_t end = FindEndOfLastEvent(this->buffer, searched);
   if (end == 0) {
     return "";
   }
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -566,14 +566,15 @@
 Exchange::CountPartialEvent()
 {
   const std::size_t bytes = this->framer.PartialBytes();
-  if (this->eventMemory.TryResize(bytes)) {
+  const bool sound = bytes <= EventFramer::kMaxEventBytes;
+  if (sound && this->eventMemory.TryResize(bytes)) {
     return true;
   }
   LogEvent(LogLevel::Warning, "event_given_up")
     .With("request", this->call.request)
     .With("target", this->destination)
     .With("bytes", bytes)
-    .With("reason", "no_memory")
+    .With("reason", sound ? "no_memory" : "too_large")
     .With("held", this->context.memory.Held())
     .With("limit", this->context.memory.Limit());
   return false;
--- a/src/transport/CallerConnection.cpp
+++ b/src/transport/CallerConnection.cpp
@@ -22,6 +22,9 @@
 // Minimum buffer size for reading: usual request heads fit into one read.
 constexpr std::size_t kReadBytes = 4096;
 
+// Size of the buffer beyond the limit of the head. It bounds the extension of a chunk, too.
+constexpr std::size_t kBufferMargin = std::size_t{ 64 } * 1024;
+
 // A body without a stated length is given memory in steps: this much, then by this factor.
 constexpr std::size_t kFirstBodyBytes = std::size_t{ 32 } * 1024;
 constexpr std::size_t kBodyGrowth = 8;
@@ -319,6 +322,7 @@
   RequestParser parser;
   parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
   parser.body_limit(limits.bodyBytes);
+  connection.buffer.max_size(limits.headerBytes + kBufferMargin);
   connection.buffer.reserve(kReadBytes);
   connection.StartReadTimeout(limits.headerTimeout);
   const auto [headError, headBytes] =
--- a/src/transport/TargetConnection.cpp
+++ b/src/transport/TargetConnection.cpp
@@ -18,6 +18,12 @@
 constexpr std::uint64_t kMaxResponseBytes = std::uint64_t{ 1 } << 30U;
 constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
 
+// Also bounds the extension of a chunk, and trailers.
+constexpr std::size_t kMaxBufferBytes = kMaxHeadBytes + kChunkBytes;
+
+// Interim (1xx) heads before a response. A sound target sends one or two.
+constexpr int kMaxInterimHeads = 8;
+
 // An isolated target or one without power acknowledges nothing. The timeout is longer than a sound
 // target may be silent, so that the requests in progress there survive that; the system call also
 // makes it the limit for keepalive probes.
@@ -58,7 +64,7 @@
   }
 
   TcpSocket socket;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{ kMaxBufferBytes };
   std::optional<ResponseParser> parser;
   // Where the body is read to; empty while the connection is idle.
   std::string chunk;
@@ -154,7 +160,7 @@
   Impl& connection = *this->impl;
   // Without it the library reads half a kilobyte at a time.
   connection.buffer.reserve(kChunkBytes);
-  while (true) {
+  for (int heads = 0; heads <= kMaxInterimHeads; ++heads) {
     connection.parser.emplace();
     connection.parser->header_limit(kMaxHeadBytes);
     connection.parser->body_limit(kMaxResponseBytes);
@@ -169,6 +175,9 @@
       co_return this->TakeHead();
     }
   }
+  connection.broken = true;
+  co_return Fail(
+    ErrorKind::Corrupt, "the target sent interim responses only", "check the target's log");
 }
 
 HttpResponseHead
--- a/test/transport/CallerConnectionTest.cpp
+++ b/test/transport/CallerConnectionTest.cpp
@@ -489,6 +489,21 @@
   EXPECT_EQ(request.value().body, std::string(32 * piece.size(), 'x'));
 }
 
+// Guards against a caller that fills the memory of the host with what is no body.
+TEST_F(CallerConnectionTest, ExtensionOfAChunkWithoutEndIsRefused)
+{
+  this->Send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+  std::thread sender([&] {
+    IoError error;
+    asio::write(this->caller, asio::buffer("3;" + std::string(kMebibyte, 'x')), error);
+  });
+  const auto request = this->Read();
+  this->connection->Close();
+  sender.join();
+  ASSERT_FALSE(request);
+  EXPECT_EQ(request.error().kind, ErrorKind::InvalidArgument);
+}
+
 // Writing a response continues as long as the caller reads from it.
 TEST_F(CallerConnectionTest, WritesLargeResponseToSlowReader)
 {
