--- a/test/program/ExchangeTest.cpp
+++ b/test/program/ExchangeTest.cpp
@@ -35,6 +35,24 @@
   EXPECT_NE(target.Requests().front().find("X-Target-Instance: t\r\n"), std::string::npos);
 }
 
+// Guards against a stream that is continued with the whole stream of another target.
+TEST_F(ExchangeTest, EventStreamThatCannotBeResumedIsNotContinuedElsewhere)
+{
+  const auto breakOff = [](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, StreamHead() + Chunk("id: 1\ndata: a\n\n"));
+    return false;
+  };
+  ScriptedTarget first(breakOff);
+  ScriptedTarget second(breakOff);
+  this->AddTarget("t1", first.Address());
+  this->AddTarget("t2", second.Address());
+  this->Start();
+  this->Call("/idempotent/");
+  const std::string response = this->ReceiveAll();
+  EXPECT_EQ(response.find("\r\n0\r\n\r\n"), std::string::npos);
+  EXPECT_EQ(first.Requests().size() + second.Requests().size(), 1U);
+}
+
 TEST_F(ExchangeTest, RespondsNotFoundForUnknownRouteAndKeepsConnection)
 {
   this->Start();
