A response without an id is not taken for the answer to the next request

Cause: ReadMatchingHead() took a response without an id for its own. Fix: once a response on a connection has named its request, all later ones must; one that doesn't is skipped like a late answer to another request. Targets that never send ids are served as before. The same holds for standby attempts.

--- a/include/damasklink/transport/TargetConnection.h
+++ b/include/damasklink/transport/TargetConnection.h
@@ -83,6 +83,10 @@
   // that received any must not be used.
   bool IsClean();
 
+  // A response on this connection has named its request. From then on all are expected to.
+  void MarkNamesRequests() { this->namesRequests = true; }
+  bool NamesRequests() const { return this->namesRequests; }
+
   // Returns until when the connection may be reused.
   MonotonicTime IdleUntil() const { return this->idleUntil; }
 
@@ -99,6 +103,7 @@
   std::unique_ptr<Impl> impl;
   // When to stop reusing the connection, because the target may soon close it as idle.
   MonotonicTime idleUntil;
+  bool namesRequests = false;
 };
 
 // Idle connections by address. The most recently used one is reused first. Belongs to one event
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -442,6 +442,18 @@
   co_return co_await this->HandleResponse(aTarget, std::move(responseHead.value()), "");
 }
 
+// Returns whether the response belongs to this call. A response without an id may be additional
+// bytes of a faulty target, unless the target sends no ids.
+bool
+Exchange::IsResponseToCall(TargetConnection& aConnection, const TargetResponseInfo& aFacts) const
+{
+  if (aFacts.request == this->call.request) {
+    aConnection.MarkNamesRequests();
+    return true;
+  }
+  return aFacts.request.Empty() && !aConnection.NamesRequests();
+}
+
 // Reads the head of the response to this call. Responses to other requests that precede it on the
 // connection are dropped.
 Awaitable<Result<HttpResponseHead>>
@@ -455,7 +467,7 @@
     const TargetResponseInfo facts = this->context.dialect.ReadResponse(head.value());
     this->OnBytes(aTarget);
     this->ObserveNotices(aTarget, facts);
-    if (facts.request == this->call.request || facts.request.Empty()) {
+    if (this->IsResponseToCall(*this->channel, facts)) {
       co_return head;
     }
     LogEvent(LogLevel::Warning, "foreign_answer_dropped")
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -212,6 +212,7 @@
   void CountSend(const TargetRecord& aTarget, const CallLoad& aLoad);
   AttemptResult EndAttempt(const TargetRecord& aTarget, AttemptResult aResult);
   Awaitable<AttemptResult> SendAndReceive(const TargetRecord& aTarget);
+  bool IsResponseToCall(TargetConnection& aConnection, const TargetResponseInfo& aFacts) const;
   Awaitable<Result<HttpResponseHead>> ReadMatchingHead(const TargetRecord& aTarget);
   // aFirst: bytes of the body that were read already.
   Awaitable<AttemptResult> HandleResponse(const TargetRecord& aTarget,
--- a/src/program/ExchangeStandby.cpp
+++ b/src/program/ExchangeStandby.cpp
@@ -226,7 +226,7 @@
   const TargetResponseInfo facts = this->context.dialect.ReadResponse(aHead);
   this->CountBytes(target);
   this->ObserveNotices(target, facts);
-  const bool foreign = facts.request != this->call.request && !facts.request.Empty();
+  const bool foreign = !this->IsResponseToCall(*aStandby.channel, facts);
   // A part of another response was passed on already.
   const bool unfit = this->plan->PassedOn() && !IsEventStream(aHead);
   if (facts.notRun && !foreign) {
--- a/test/program/ExchangeTest.cpp
+++ b/test/program/ExchangeTest.cpp
@@ -35,6 +35,41 @@
   EXPECT_NE(target.Requests().front().find("X-Target-Instance: t\r\n"), std::string::npos);
 }
 
+// Guards against a caller that gets what a faulty target sent after its answer to another one.
+TEST_F(ExchangeTest, AdditionalResponseWithoutIdIsNotTakenForTheNextCall)
+{
+  ScriptedTarget target([&](const std::string&, TcpSocket& aSocket) {
+    const bool first = target.Requests().size() == 1;
+    Write(aSocket,
+          first ? Answer(200, "one")
+                : "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign" + Answer(200, "two"));
+    return true;
+  });
+  this->AddTarget("t", target.Address());
+  this->Start();
+  this->Call("/once/");
+  EXPECT_EQ(this->Receive().substr(0, 12), "HTTP/1.1 200");
+  this->Call("/once/");
+  const std::string second = this->Receive();
+  EXPECT_EQ(second.substr(second.size() - 3), "two");
+  EXPECT_EQ(target.Connections(), 1U);
+}
+
+TEST_F(ExchangeTest, ResponsesOfATargetThatNeverSendsIdsAreTaken)
+{
+  ScriptedTarget target([](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes");
+    return true;
+  });
+  this->AddTarget("t", target.Address());
+  this->Start();
+  for (int call = 0; call < 2; ++call) {
+    this->Call("/once/");
+    const std::string answer = this->Receive();
+    EXPECT_EQ(answer.substr(answer.size() - 3), "yes");
+  }
+}
+
 // Guards against a stream that is continued with the whole stream of another target.
 TEST_F(ExchangeTest, EventStreamThatCannotBeResumedIsNotContinuedElsewhere)
 {
