A request whose caller has left before it was read is not sent

Fix: Exchange::Run() looks whether the caller is there before it sends anything.

Test: RequestOfACallerThatHasLeftIsNotSent failed before (2 requests sent, 1 allowed).

--- a/include/damasklink/transport/CallerChannel.h
+++ b/include/damasklink/transport/CallerChannel.h
@@ -29,6 +29,8 @@
   virtual Awaitable<bool> WriteChunk(std::string_view aChunk) = 0;
   virtual Awaitable<bool> EndStream() = 0;
 
+  // Returns whether the caller has left, as far as this host has heard.
+  virtual bool HasLeft() { return false; }
   // Calls aHandler once if the caller leaves before StopWatching().
   virtual void WatchForDisconnect(std::function<void()> aHandler) = 0;
   virtual void StopWatching() = 0;
--- a/include/damasklink/transport/CallerConnection.h
+++ b/include/damasklink/transport/CallerConnection.h
@@ -112,6 +112,7 @@
   Awaitable<bool> WriteChunk(std::string_view aChunk) override;
   Awaitable<bool> EndStream() override;
 
+  bool HasLeft() override;
   // Requires that no Read() is pending until StopWatching().
   void WatchForDisconnect(std::function<void()> aHandler) override;
   void StopWatching() override;
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -65,6 +65,14 @@
   if (const std::optional<CallerError> refusal = this->RefusalAtStop()) {
     co_return co_await this->RespondWithError(*refusal);
   }
+  // A host that lags reads a request and the end of its connection together.
+  if (this->caller.HasLeft()) {
+    LogEvent(LogLevel::Info, "request_dropped")
+      .With("request", this->call.request)
+      .With("route", this->route->name)
+      .With("reason", "caller_left");
+    co_return false;
+  }
   this->context.inProgress.insert(this);
   this->deadline.emplace(this->context.loop.get_executor(),
                          [this] { this->OnInterrupt(Interrupt::Expired); });
--- a/src/transport/CallerConnection.cpp
+++ b/src/transport/CallerConnection.cpp
@@ -206,6 +206,17 @@
     co_return !error;
   }
 
+  // Returns whether the other side has closed the connection and nothing is left to read.
+  bool LooksClosed()
+  {
+    char byte = 0;
+    IoError error;
+    this->socket.non_blocking(true, error);
+    this->socket.receive(asio::buffer(&byte, 1), TcpSocket::message_peek, error);
+    // Readable bytes belong to the next request. The end of the stream or an error is a disconnect.
+    return error && error != asio::error::would_block;
+  }
+
   // Reads and drops bytes that have arrived. Returns how many.
   std::size_t Drop(IoError& aError)
   {
@@ -453,19 +464,20 @@
       if (aError || *watch != number) {
         return;
       }
-      char byte = 0;
-      IoError error;
-      impl->socket.non_blocking(true, error);
-      impl->socket.receive(asio::buffer(&byte, 1), TcpSocket::message_peek, error);
-      // Readable bytes belong to the next request. The end of the stream or an error is a
-      // disconnect.
-      if (error && error != asio::error::would_block) {
+      if (impl->LooksClosed()) {
         impl->callerLeft = true;
         handler();
       }
     });
 }
 
+bool
+CallerConnection::HasLeft()
+{
+  this->impl->callerLeft = this->impl->callerLeft || this->impl->LooksClosed();
+  return this->impl->callerLeft;
+}
+
 void
 CallerConnection::StopWatching()
 {
--- a/test/program/ExchangeTest.cpp
+++ b/test/program/ExchangeTest.cpp
@@ -88,6 +88,27 @@
   EXPECT_EQ(first.Requests().size() + second.Requests().size(), 1U);
 }
 
+// Guards against requests that are sent on although their caller left before they were read.
+TEST_F(ExchangeTest, RequestOfACallerThatHasLeftIsNotSent)
+{
+  ScriptedTarget target([](const std::string&, TcpSocket& aSocket) {
+    Write(aSocket, Answer(200, "late"));
+    return true;
+  });
+  this->AddTarget("t", target.Address());
+  this->Start();
+  // Leaves a connection to the target on which the next request could be sent at once.
+  this->Call("/idempotent/");
+  this->Receive();
+  absl::Notification goOn;
+  asio::post(this->loop, [&] { goOn.WaitForNotification(); });
+  this->Call("/idempotent/");
+  this->caller.close();
+  goOn.Notify();
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  EXPECT_EQ(target.Requests().size(), 1U);
+}
+
 TEST_F(ExchangeTest, RespondsNotFoundForUnknownRouteAndKeepsConnection)
 {
   this->Start();
