--- a/test/transport/PeerMeshTest.cpp
+++ b/test/transport/PeerMeshTest.cpp
@@ -306,6 +306,59 @@
   EXPECT_TRUE(this->secondHandler.downs.empty());
 }
 
+// Two hosts of which the listening one has little memory, all of it taken by others.
+class FullPeerMeshTest : public PeerMeshTest
+{
+protected:
+  FullPeerMeshTest()
+  {
+    EXPECT_TRUE(this->listener.Listen());
+    this->dialer.Dial(this->second);
+    this->RunUntil([&] { return this->listener.IsUp(this->first); });
+    this->taken = this->little.TryReserve(MemoryUse::Responses, this->little.Limit() * 7 / 8);
+  }
+
+  MemoryBudget little{ ByteCount(16 * kMebibyte) };
+  std::optional<MemoryReservation> taken;
+  PeerMesh dialer{ this->loop,   this->first,        this->port,
+                   this->memory, this->firstHandler, LongTimeout() };
+  PeerMesh listener{ this->loop,   this->second,        this->port,
+                     this->little, this->secondHandler, LongTimeout() };
+};
+
+// Guards against frames that are read beyond the memory of the host.
+TEST_F(FullPeerMeshTest, LargeFrameIsReadOnceThereIsMemory)
+{
+  this->dialer.Send(this->second, Message(std::string(kMebibyte, 'x')));
+  this->loop.run_for(std::chrono::milliseconds(200));
+  EXPECT_TRUE(this->secondHandler.payloads.empty());
+  this->taken.reset();
+  this->RunUntil([&] { return !this->secondHandler.payloads.empty(); });
+  EXPECT_TRUE(this->secondHandler.downs.empty());
+  EXPECT_EQ(this->little.Held(), 0U);
+}
+
+TEST_F(FullPeerMeshTest, SmallFramesGoOn)
+{
+  this->dialer.Send(this->second, Message("small"));
+  this->RunUntil([&] { return !this->secondHandler.payloads.empty(); });
+}
+
+TEST_F(FullPeerMeshTest, ConnectionIsClosedIfAFrameWaitsForTooLong)
+{
+  this->dialer.Send(this->second, Message(std::string(kMebibyte, 'x')));
+  this->RunUntil([&] { return !this->secondHandler.downs.empty(); });
+  EXPECT_TRUE(this->secondHandler.payloads.empty());
+}
+
+// Guards against queues that grow beyond the memory of the host.
+TEST_F(FullPeerMeshTest, MessageThatCannotBeQueuedClosesTheConnection)
+{
+  this->listener.Send(this->first, Message(std::string(kMebibyte, 'x')));
+  this->RunUntil([&] { return !this->secondHandler.downs.empty(); });
+  EXPECT_TRUE(this->firstHandler.payloads.empty());
+}
+
 TEST_F(PeerMeshTest, InvalidFrameClosesConnection)
 {
   PeerMesh listener(
