Routes whose host has a capital letter match

Callers got 404 for each request of such a route: RouteTable lowered the caller's host only. It lowers the configured one, too.

--- a/src/coordination/RouteTable.cpp
+++ b/src/coordination/RouteTable.cpp
@@ -10,7 +10,8 @@
   : config(std::move(aConfig))
 {
   for (const ServingRoute& route : this->config->routes) {
-    this->routes[Concat(route.host, route.prefix)] = &route;
+    const std::string host = absl::AsciiStrToLower(ForAbsl(route.host));
+    this->routes[Concat(host, route.prefix)] = &route;
   }
   for (const WorkspaceEntry& workspace : this->config->workspaces) {
     for (const std::string& key : workspace.keys) {
--- a/test/coordination/RouteTableTest.cpp
+++ b/test/coordination/RouteTableTest.cpp
@@ -55,6 +55,14 @@
   EXPECT_EQ(this->Found("shop.example", "/a"), "");
 }
 
+// Guards against routes that no request matches because their host has a capital letter.
+TEST_F(RouteTableTest, CaseOfTheHostInTheConfigurationIsIgnored)
+{
+  this->config.routes = { Route("capital", "Shop.Example", "/a/") };
+  EXPECT_EQ(this->Found("shop.example", "/a/c"), "capital");
+  EXPECT_EQ(this->Found("SHOP.example", "/a/c"), "capital");
+}
+
 TEST_F(RouteTableTest, PathEqualToPrefixMatches)
 {
   EXPECT_EQ(this->Found("shop.example", "/a/b/"), "long");
