A response to HEAD has no body

A caller of HEAD on a kept connection read the body of a refusal of ours as the beginning of its next response (seen by the review). Cause: WriteWhole() did not know the method. Test: ResponseToHeadHasNoBody failed before.

--- a/src/transport/CallerConnection.cpp
+++ b/src/transport/CallerConnection.cpp
@@ -253,6 +253,8 @@
   bool reading = false;
   bool writeFailed = false;
   bool callerLeft = false;
+  // Whether the response has no body, because the request was HEAD.
+  bool bodyless = false;
   std::uint64_t dropped = 0;
   // Number of the current WatchForDisconnect(). Shared with its pending wait, which may end after
   // this object was destroyed.
@@ -345,6 +347,7 @@
   }
   HttpRequestMessage request;
   request.head = HeadOf(parser.get());
+  connection.bodyless = request.head.method == "HEAD";
   if (auto framed = CheckFraming(request.head); !framed) {
     this->NoteReadFailure(ConnectionEnd::Malformed);
     co_return Fail(framed.error());
@@ -422,7 +425,8 @@
 {
   const std::string head =
     FormatResponseHead(aResponse.head, BodyFraming::Length, aResponse.body.size(), aClose);
-  const bool written = co_await this->impl->Write(head, aResponse.body);
+  const std::string_view body = this->impl->bodyless ? std::string_view() : aResponse.body;
+  const bool written = co_await this->impl->Write(head, body);
   this->idle = true;
   this->answered = written;
   co_return written;
--- a/test/transport/CallerConnectionTest.cpp
+++ b/test/transport/CallerConnectionTest.cpp
@@ -442,6 +442,26 @@
             ErrorKind::DeadlineExceeded);
 }
 
+// Guards against the body of a refusal that a caller takes for the response to its next request.
+TEST_F(CallerConnectionTest, ResponseToHeadHasNoBody)
+{
+  this->Send("HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_TRUE(this->Read());
+  HttpResponseMessage response;
+  response.head.status = 404;
+  response.body = "refusal";
+  const auto write = [&]() -> Awaitable<void> {
+    co_await this->connection->WriteWhole(std::move(response), true);
+    this->connection->Close();
+  };
+  asio::co_spawn(this->loop, write(), asio::detached);
+  this->loop.restart();
+  this->loop.run();
+  IoError end;
+  const std::string received = this->ReceiveAll(end);
+  EXPECT_EQ(received.substr(received.size() - 4), "\r\n\r\n");
+}
+
 // Guards against bodies that are kept without being counted against the memory of the host.
 TEST_F(CallerConnectionTest, BodyCountsAgainstTheMemoryUntilTheRequestIsGone)
 {
