--- a/include/damasklink/state/ProcessMemory.h
+++ b/include/damasklink/state/ProcessMemory.h
@@ -9,7 +9,8 @@
 namespace damasklink {
 
 // Makes the allocator return large blocks to the system as soon as they are freed. By default it
-// raises its threshold when the first one is freed, and later ones stay resident.
+// raises its threshold when the first one is freed, and later ones stay resident. To be called at
+// the start of the process.
 void
 ReturnLargeBlocks();
 
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -181,13 +181,13 @@
 void
 EntryHost::Impl::UpdateMemory()
 {
+  this->requestMemory.CheckState();
   const auto resident = ReadResidentMemory();
   if (!resident) {
     LogEvent(LogLevel::Debug, "memory_not_read").With("error", resident.error());
     return;
   }
   this->ownMemory.Update(resident.value(), this->memory);
-  this->requestMemory.CheckState();
 }
 
 void
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -570,14 +570,14 @@
   this->CancelStandby();
   this->ObserveFirstEvent(this->attemptTarget);
   const std::string events = this->framer.Append(aBytes);
+  if (!events.empty() && !co_await this->ForwardEvents(aHead, events)) {
+    co_return AttemptResult::CallerLeft;
+  }
   if (!this->CountPartialEvent()) {
     this->DiscardPartialEvent();
     this->channel->Close();
     co_return AttemptResult::Broken;
   }
-  if (!events.empty() && !co_await this->ForwardEvents(aHead, events)) {
-    co_return AttemptResult::CallerLeft;
-  }
   co_return AttemptResult::Delivered;
 }
 
--- a/src/program/ExchangeForwarding.cpp
+++ b/src/program/ExchangeForwarding.cpp
@@ -101,8 +101,11 @@
       .With("held", this->context.memory.Held())
       .With("limit", this->context.memory.Limit());
   }
-  if (copies && co_await this->context.forwarder.Connect(aHost) &&
-      this->interrupt == Interrupt::None) {
+  bool connected = false;
+  if (copies) {
+    connected = co_await this->context.forwarder.Connect(aHost);
+  }
+  if (connected && this->interrupt == Interrupt::None) {
     this->plan->Sending();
     this->forwarded = this->context.forwarder.Send(aHost, this->MakeForwardedCall());
     this->forwarded->WatchForSilence([this] { this->OnSilent("host_silent"); });
@@ -190,14 +193,14 @@
     }
     this->CancelStandby();
     const std::string events = this->framer.Append(bytes);
+    if (!events.empty() && !co_await this->ForwardEvents(*head, events)) {
+      co_return AttemptResult::CallerLeft;
+    }
     if (!this->CountPartialEvent()) {
       this->DiscardPartialEvent();
       this->forwarded->Close();
       co_return AttemptResult::Broken;
     }
-    if (!events.empty() && !co_await this->ForwardEvents(*head, events)) {
-      co_return AttemptResult::CallerLeft;
-    }
   }
 }
 
--- a/src/program/QueuedRequestMemory.cpp
+++ b/src/program/QueuedRequestMemory.cpp
@@ -33,6 +33,11 @@
   aBudget.OnRelease([this](MemoryUse aUse, std::size_t aBytes) { this->OnReleased(aUse, aBytes); });
 }
 
+QueuedRequestMemory::~QueuedRequestMemory()
+{
+  this->budget.OnRelease(nullptr);
+}
+
 Awaitable<Result<MemoryReservation>>
 QueuedRequestMemory::Reserve(const HttpRequestHead& aHead, std::size_t aBytes)
 {
--- a/src/program/QueuedRequestMemory.h
+++ b/src/program/QueuedRequestMemory.h
@@ -1,5 +1,6 @@
 // The memory of callers' requests at an entry host: large requests wait for a moment when it is
-// full, and what cannot have it soon is refused.
+// full, and what cannot have it soon is refused. The budget may be used for longer than this object
+// lives.
 //
 //   QueuedRequestMemory memory(loop, clock, budget, metrics, describe, makeRoom, seed);
 //   auto request = co_await connection.Read(limits, memory);
@@ -46,6 +47,9 @@
                       Describe aDescribe,
                       MakeRoom aMakeRoom,
                       std::uint64_t aSeed);
+  ~QueuedRequestMemory() override;
+  QueuedRequestMemory(const QueuedRequestMemory&) = delete;
+  QueuedRequestMemory& operator=(const QueuedRequestMemory&) = delete;
 
   Awaitable<Result<MemoryReservation>> Reserve(const HttpRequestHead& aHead,
                                                std::size_t aBytes) override;
--- a/src/state/ProcessMemory.cpp
+++ b/src/state/ProcessMemory.cpp
@@ -24,8 +24,9 @@
 void
 ReturnLargeBlocks()
 {
-  ::mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes);
-  ::mallopt(M_TRIM_THRESHOLD, kMappedBlockBytes);
+  // Called before other threads use the allocator.
+  ::mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes); // NOLINT(concurrency-mt-unsafe)
+  ::mallopt(M_TRIM_THRESHOLD, kMappedBlockBytes); // NOLINT(concurrency-mt-unsafe)
 }
 
 Result<ByteCount>
--- a/test/program/ExchangeMemoryTest.cpp
+++ b/test/program/ExchangeMemoryTest.cpp
@@ -119,6 +119,28 @@
   EXPECT_EQ(first.Requests().size() + second.Requests().size(), 1U);
 }
 
+// Guards against events that are lost since the one after them cannot be kept.
+TEST_F(ExchangeMemoryTest, CompleteEventsArePassedOnBeforeTheStreamIsGivenUp)
+{
+  std::vector<MemoryReservation> all;
+  ScriptedTarget target([&](const auto&, TcpSocket& aSocket) {
+    this->OnLoop([&] {
+      for (std::size_t bytes = this->memory.Limit(); bytes > 0; bytes /= 2) {
+        while (auto reserved = this->memory.TryReserve(MemoryUse::PeerQueues, bytes)) {
+          all.push_back(std::move(*reserved));
+        }
+      }
+    });
+    Write(aSocket, StreamHead() + Chunk("id: 1\ndata: a\n\nid: 2\ndata: b"));
+    return true;
+  });
+  this->AddTarget("t", target.Address());
+  this->Start();
+  this->Call("/stream/");
+  EXPECT_NE(this->ReceiveAll().find("data: a\n\n"), std::string::npos);
+  this->Stop();
+}
+
 TEST_F(ExchangeMemoryTest, SentBodyCanBeGivenBack)
 {
   absl::Notification given;
