--- a/test/platform/SettingsTest.cpp
+++ b/test/platform/SettingsTest.cpp
@@ -28,6 +28,15 @@
   EXPECT_DOUBLE_EQ(parsed.value.retries.reserve, 58);
 }
 
+// Guards against a host that does not know the memory of its machine.
+TEST(PlatformSettingsTest, ReadsTheMemoryOfTheMachine)
+{
+  EXPECT_EQ(ParseSettings(kEntry + "limits.memory-mb=110\n", "file").value.memory,
+            ByteCount(110 * kMebibyte));
+  EXPECT_EQ(ParseSettings(kEntry, "file").value.memory, ServingSettings().memory);
+  EXPECT_FALSE(ParseSettings(kEntry + "limits.memory-mb=much\n", "file").Ok());
+}
+
 TEST(PlatformSettingsTest, ReportsEveryMissingKey)
 {
   const auto parsed = ParseSettings("node=x\n", "file");
