--- a/test/soak/machine_memory.py
+++ b/test/soak/machine_memory.py
@@ -70,8 +70,10 @@
 
     async def take(self, count):
         self.taken += count
-        if self.rate is not None:
-            await asyncio.sleep(max(0, self.begun + self.taken / self.rate - time.monotonic()))
+        ahead = self.begun + self.taken / self.rate - time.monotonic() if self.rate is not None else 0
+        # One that lags takes all that has come before others have their turn.
+        if ahead > 0:
+            await asyncio.sleep(ahead)
 
 
 class LargeTarget(Target):
