--- a/src/coordination/MemoryWaitQueue.cpp
+++ b/src/coordination/MemoryWaitQueue.cpp
@@ -9,8 +9,8 @@
 // Time constant of the average of the release rate.
 constexpr std::chrono::duration<double> kRateTime = std::chrono::seconds(1);
 
-// The rate says nothing before it was measured for this long, and once nothing was given back for
-// as long.
+// Minimum age of a usable rate, and maximum time since memory was last given back. A shorter
+// history would refuse requests that get their memory in time.
 constexpr Duration kMinRateTime = std::chrono::seconds(1);
 
 } // namespace
--- a/test/program/ExchangeMemoryTest.cpp
+++ b/test/program/ExchangeMemoryTest.cpp
@@ -38,6 +38,20 @@
     return held;
   }
 
+  // Waits until a call has sent its body, and returns how many bytes were given back.
+  std::size_t GiveBackBodies()
+  {
+    std::size_t bytes = 0;
+    while (bytes == 0) {
+      this->OnLoop([&] {
+        for (Exchange* exchange : this->context.waiting) {
+          bytes += exchange->GiveBackBody();
+        }
+      });
+    }
+    return bytes;
+  }
+
   std::optional<MemoryReservation> taken;
 };
 
@@ -152,15 +166,7 @@
   this->AddTarget("t", target.Address());
   this->Start();
   this->Post("/once/", std::string(1000000, 'b'));
-  std::size_t bytes = 0;
-  while (bytes == 0) {
-    this->OnLoop([&] {
-      for (Exchange* exchange : this->context.waiting) {
-        bytes += exchange->GiveBackBody();
-      }
-    });
-  }
-  EXPECT_EQ(bytes, 1000000U);
+  EXPECT_EQ(this->GiveBackBodies(), 1000000U);
   EXPECT_LE(this->HeldFor(MemoryUse::RequestBodies), MemoryBudget::kSmallBytes);
   given.Notify();
   EXPECT_NE(this->Receive().find("done"), std::string::npos);
@@ -179,14 +185,7 @@
   this->AddTarget("t2", full.Address());
   this->Start();
   this->Post("/once/", std::string(1000000, 'b'));
-  std::size_t bytes = 0;
-  while (bytes == 0) {
-    this->OnLoop([&] {
-      for (Exchange* exchange : this->context.waiting) {
-        bytes += exchange->GiveBackBody();
-      }
-    });
-  }
+  EXPECT_EQ(this->GiveBackBodies(), 1000000U);
   given.Notify();
   EXPECT_EQ(this->Receive().substr(0, 12), "HTTP/1.1 503");
   EXPECT_EQ(full.Requests().size(), 1U);
