Hosts send in turns while most targets are loaded, and calls wait at their host for room

A target in which room became free was chosen by all hosts at once: up to 76 sends of 29 hosts in 0.2 s, while in two thirds of all such spans a target got none. Targets were overfilled, preempted and read prompts again.

Change: TargetTurns draws which hosts may send to a target, AdmissionWaitQueue and RoomWaiters keep calls without room in the order of workspace and route. Both act only while fewer than half of a service's targets have plenty of room.

--- a/include/damasklink/coordination/TargetSelector.h
+++ b/include/damasklink/coordination/TargetSelector.h
@@ -12,6 +12,7 @@
 // the other hosts is known some hundred milliseconds late. Not thread-safe.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -146,16 +147,34 @@
   const TargetRecord* Choose(const SelectionRequest& aRequest,
                              const std::vector<TargetRecord>& aTargets);
 
+  // Returns the target of least cost of those that fit, or nullptr when none does. aFits should
+  // leave few of them, or different ones to each host: all hosts would choose the same target.
+  const TargetRecord* ChooseFitting(const SelectionRequest& aRequest,
+                                    const std::vector<TargetRecord>& aTargets,
+                                    const std::function<bool(const TargetRecord&)>& aFits) const;
+
+  // Returns whether the target is believed to have all shared parts of the prompt cached.
+  bool HoldsAllParts(const SelectionRequest& aRequest, const TargetId& aTarget) const;
+
+  // Returns whether fewer than half of the targets that take calls have plenty of room, so that the
+  // calls of all hosts would gather at those. aCacheTokens is the memory of each of them.
+  bool IsCrowded(const std::vector<TargetRecord>& aTargets, TokenCount aCacheTokens) const;
+
   // Returns how long the call is expected to wait at the target before its own prefill starts: for
   // the prefill of earlier prompts, for a slot, and for memory.
-  Duration ExpectedWait(const SelectionRequest& aRequest, const TargetRecord& aTarget) const;
+  // aUnseen is load that the target has in addition to what is known.
+  Duration ExpectedWait(const SelectionRequest& aRequest,
+                        const TargetRecord& aTarget,
+                        const LoadCounts& aUnseen = LoadCounts()) const;
 
   // Returns the expected time to the call's first event at the target, including ExpectedWait().
   Duration ExpectedFirstEvent(const SelectionRequest& aRequest, const TargetRecord& aTarget) const;
 
   // Returns the share of the target's memory that requests would occupy with this call; above 1
   // some of them would have to wait for others to end. 0 when the memory is not known.
-  double MemoryShare(const SelectionRequest& aRequest, const TargetId& aTarget) const;
+  double MemoryShare(const SelectionRequest& aRequest,
+                     const TargetId& aTarget,
+                     const LoadCounts& aUnseen = LoadCounts()) const;
 
   // Returns the prompt tokens that the target would have to prefill itself.
   TokenCount UncachedTokens(const SelectionRequest& aRequest, const TargetId& aTarget) const;
@@ -215,6 +234,9 @@
   EngineCacheModel& Held() { return this->held; }
 
 private:
+  // Returns the targets that may be sent the call now.
+  std::vector<const TargetRecord*> Eligible(const SelectionRequest& aRequest,
+                                            const std::vector<TargetRecord>& aTargets) const;
   std::vector<const TargetRecord*> Candidates(const SelectionRequest& aRequest,
                                               const std::vector<const TargetRecord*>& aEligible);
   std::vector<const TargetRecord*> LocalCandidates(
@@ -225,9 +247,10 @@
   const TargetRecord* ChooseOfTwo(const std::vector<const TargetRecord*>& aEligible);
   bool IsLightlyLoaded(const TargetRecord& aTarget) const;
   bool IsOfEarlierIncarnation(const TargetId& aTarget, const CallLoad& aLoad) const;
-  bool HoldsAllParts(const SelectionRequest& aRequest, const TargetId& aTarget) const;
   double CostOf(const SelectionRequest& aRequest, const TargetRecord& aTarget) const;
-  double QueueDelay(const SelectionRequest& aRequest, const TargetRecord& aTarget) const;
+  double QueueDelay(const SelectionRequest& aRequest,
+                    const TargetRecord& aTarget,
+                    const LoadCounts& aUnseen = LoadCounts()) const;
 
   const TargetHealth& health;
   const ZoneReachability& reach;
--- a/include/damasklink/state/Metrics.h
+++ b/include/damasklink/state/Metrics.h
@@ -48,10 +48,11 @@
   StandbyAttempts,     // Made beside silent ones; kind: how they ended.
   ResumedStreams,      // Sent to a target to go on; kind: caller or host, whoever resumed it.
   MemoryRefusals,      // Requests refused for want of memory; kind: why at that moment.
+  RoomWaits,           // Calls that waited for room at a target; kind: how the wait ended.
 };
 
 // How many counters there are; follows the last one.
-constexpr std::size_t kCounterCount = static_cast<std::size_t>(Counter::MemoryRefusals) + 1;
+constexpr std::size_t kCounterCount = static_cast<std::size_t>(Counter::RoomWaits) + 1;
 
 // Durations of which quantiles are kept.
 enum class Sample
@@ -63,10 +64,11 @@
   ClaimWait,
   ConfigSpread,
   RouteChoice,
+  RoomWait, // For room at a target, at the host.
 };
 
 // How many samples there are; follows the last one.
-constexpr std::size_t kSampleCount = static_cast<std::size_t>(Sample::RouteChoice) + 1;
+constexpr std::size_t kSampleCount = static_cast<std::size_t>(Sample::RoomWait) + 1;
 
 // Which series: either field may be empty.
 struct MetricKey
--- a/src/coordination/TargetSelector.cpp
+++ b/src/coordination/TargetSelector.cpp
@@ -25,6 +25,10 @@
 // targets could not absorb what the hosts of the zone send before they learn of each other's sends.
 constexpr std::size_t kMinLocalTargets = kSampleSize + kSameZoneSampleSize;
 
+// A target of which less is taken has plenty of room: enough for what other hosts send there until
+// this one knows of it.
+constexpr double kRoomyShare = 0.6;
+
 std::vector<const TargetRecord*>
 InZone(const ZoneId& aZone, const std::vector<const TargetRecord*>& aTargets)
 {
@@ -68,8 +72,9 @@
 {
 }
 
-const TargetRecord*
-TargetSelector::Choose(const SelectionRequest& aRequest, const std::vector<TargetRecord>& aTargets)
+std::vector<const TargetRecord*>
+TargetSelector::Eligible(const SelectionRequest& aRequest,
+                         const std::vector<TargetRecord>& aTargets) const
 {
   std::vector<const TargetRecord*> eligible;
   std::vector<const TargetRecord*> ejected;
@@ -94,9 +99,13 @@
   if (eligible.size() < ejected.size()) {
     eligible.insert(eligible.end(), ejected.begin(), ejected.end());
   }
-  if (eligible.empty()) {
-    eligible = std::move(inUnreachableZone);
-  }
+  return eligible.empty() ? inUnreachableZone : eligible;
+}
+
+const TargetRecord*
+TargetSelector::Choose(const SelectionRequest& aRequest, const std::vector<TargetRecord>& aTargets)
+{
+  const std::vector<const TargetRecord*> eligible = this->Eligible(aRequest, aTargets);
   if (eligible.empty()) {
     return nullptr;
   }
@@ -115,6 +124,46 @@
   return best;
 }
 
+const TargetRecord*
+TargetSelector::ChooseFitting(const SelectionRequest& aRequest,
+                              const std::vector<TargetRecord>& aTargets,
+                              const std::function<bool(const TargetRecord&)>& aFits) const
+{
+  const TargetRecord* best = nullptr;
+  double least = 0;
+  for (const TargetRecord* target : this->Eligible(aRequest, aTargets)) {
+    if (!aFits(*target)) {
+      continue;
+    }
+    const double cost = this->CostOf(aRequest, *target);
+    if (best == nullptr || cost < least) {
+      best = target;
+      least = cost;
+    }
+  }
+  return best;
+}
+
+bool
+TargetSelector::IsCrowded(const std::vector<TargetRecord>& aTargets, TokenCount aCacheTokens) const
+{
+  std::size_t taking = 0;
+  std::size_t roomy = 0;
+  for (const TargetRecord& target : aTargets) {
+    if (this->health.IsEjected(target.id) || this->reach.IsUnreachable(target.zone)) {
+      continue;
+    }
+    ++taking;
+    const LoadCounts load = this->LoadOf(target.id);
+    const bool hasSlots =
+      static_cast<double>(load.requests) <= kRoomyShare * static_cast<double>(target.load.slots);
+    const bool hasMemory =
+      static_cast<double>(load.memory) <= kRoomyShare * static_cast<double>(aCacheTokens.Value());
+    roomy += hasSlots && hasMemory ? 1U : 0U;
+  }
+  return roomy * 2 < taking;
+}
+
 // Returns the targets to compare for a prompt. Among equals the first one is chosen, so each sample
 // starts at a random position.
 std::vector<const TargetRecord*>
@@ -280,10 +329,13 @@
 }
 
 Duration
-TargetSelector::ExpectedWait(const SelectionRequest& aRequest, const TargetRecord& aTarget) const
+TargetSelector::ExpectedWait(const SelectionRequest& aRequest,
+                             const TargetRecord& aTarget,
+                             const LoadCounts& aUnseen) const
 {
-  double milliseconds = this->costs.prefillInterleaving * this->QueueDelay(aRequest, aTarget);
-  const double used = this->MemoryShare(aRequest, aTarget.id);
+  double milliseconds =
+    this->costs.prefillInterleaving * this->QueueDelay(aRequest, aTarget, aUnseen);
+  const double used = this->MemoryShare(aRequest, aTarget.id, aUnseen);
   milliseconds += this->costs.memoryOverflow * std::max(used - 1, 0.0);
   return Milliseconds(milliseconds);
 }
@@ -292,10 +344,13 @@
 // free. Requests that wait for a slot have not been prefilled either, so the longer of the two
 // times includes the other.
 double
-TargetSelector::QueueDelay(const SelectionRequest& aRequest, const TargetRecord& aTarget) const
+TargetSelector::QueueDelay(const SelectionRequest& aRequest,
+                           const TargetRecord& aTarget,
+                           const LoadCounts& aUnseen) const
 {
   const EngineLatencyModel& pace = this->LatencyModelOf(aRequest.model);
-  const LoadCounts load = this->LoadOf(aTarget.id);
+  LoadCounts load = this->LoadOf(aTarget.id);
+  load += aUnseen;
   const double prefill = pace.MillisecondsPerToken() * static_cast<double>(load.unread);
   const std::uint64_t slots = aTarget.load.slots;
   if (slots == 0 || load.requests < slots) {
@@ -306,12 +361,15 @@
 }
 
 double
-TargetSelector::MemoryShare(const SelectionRequest& aRequest, const TargetId& aTarget) const
+TargetSelector::MemoryShare(const SelectionRequest& aRequest,
+                            const TargetId& aTarget,
+                            const LoadCounts& aUnseen) const
 {
   if (aRequest.cacheTokens == TokenCount()) {
     return 0;
   }
-  const std::uint64_t tokens = aRequest.promptTokens.Value() + this->LoadOf(aTarget).memory;
+  const std::uint64_t tokens =
+    aRequest.promptTokens.Value() + this->LoadOf(aTarget).memory + aUnseen.memory;
   return static_cast<double>(tokens) / static_cast<double>(aRequest.cacheTokens.Value());
 }
 
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -33,6 +33,7 @@
   this->signals.Wait([this](const ServingSettings& aSettings) { this->AddSeeds(aSettings.seeds); },
                      [this] {
                        this->context.shuttingDown = true;
+                       this->room.EndAll();
                        asio::co_spawn(this->loop, this->Stop(), asio::detached);
                      });
   this->RunHousekeeping();
--- a/src/program/EntryHostImpl.h
+++ b/src/program/EntryHostImpl.h
@@ -111,6 +111,8 @@
                this->origins,
                this->originResolver,
                this->stopAdmission,
+               this->turns,
+               this->room,
                this->clock.MonotonicNow(),
                nullptr,
                false,
@@ -170,6 +172,7 @@
   std::vector<HostId> ReportingControlHosts() const;
   void ReportLoadPeriodically();
   void UpdateAdmission();
+  void UpdateCrowded();
   Duration IntervalLag() const;
   void SendLoadReport(bool aHubChanged);
   void SendToControlHost(const HostId& aTo, const ServingMessage& aMessage);
@@ -225,6 +228,8 @@
   StreamOriginTable origins{ this->clock };
   StreamOriginResolver originResolver;
   StopAdmission stopAdmission{ this->clock };
+  TargetTurns turns{ this->clock, this->settings.host };
+  RoomWaiters room{ this->loop, this->clock, this->metrics };
   PeerMesh mesh;
   EntryContext context;
   ConfigurationUpdater configuration;
--- a/src/program/EntryHostUpdates.cpp
+++ b/src/program/EntryHostUpdates.cpp
@@ -80,6 +80,7 @@
 EntryHost::Impl::ReportLoadPeriodically()
 {
   this->UpdateAdmission();
+  this->UpdateCrowded();
   const std::optional<HostId> before = this->hub.Hub();
   const std::optional<HostId> chosen = this->hub.Choose(this->HubCandidates());
   const bool changed = chosen != before;
@@ -116,6 +117,36 @@
   });
 }
 
+// Finds the services most of whose targets are loaded.
+void
+EntryHost::Impl::UpdateCrowded()
+{
+  if (this->state.Routes() == nullptr) {
+    return;
+  }
+  for (const ServingService& service : this->state.Routes()->Config().services) {
+    if (!service.engine) {
+      continue;
+    }
+    const bool before = this->context.crowded.contains(service.name);
+    const bool now = this->picker.IsCrowded(this->state.Targets().Usable(service.name),
+                                            service.engine->cacheTokens);
+    if (now == before) {
+      continue;
+    }
+    if (now) {
+      this->context.crowded.insert(service.name);
+    } else {
+      this->context.crowded.erase(service.name);
+    }
+    LogEvent(LogLevel::Info, now ? "service_crowded" : "service_not_crowded")
+      .With("service", service.name)
+      .With("targets", this->state.Targets().Usable(service.name).size())
+      .With("hosts", this->state.EntryHosts())
+      .With("waiting", this->room.Count());
+  }
+}
+
 void
 EntryHost::Impl::SendLoadReport(bool aHubChanged)
 {
@@ -411,6 +442,7 @@
 EntryHost::Impl::OnConfigurationInstalled()
 {
   this->firstConfiguration.OnInForce();
+  this->room.OnConfiguration();
   const Duration newIdleTimeout = this->Current().limits.idleTimeout;
   if (newIdleTimeout != this->idleTimeout) {
     this->idleTimeout = newIdleTimeout;
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -264,11 +264,17 @@
     this->lastResult = co_await this->Forward(*next.host);
     co_return true;
   }
-  if (next.target == nullptr) {
+  // Copied, because the directory of targets may change while this call waits.
+  std::optional<TargetRecord> found;
+  if (next.target != nullptr) {
+    found = *next.target;
+  } else if (this->MayAwaitRoom()) {
+    found = co_await this->AwaitRoom();
+  }
+  if (!found) {
     co_return false;
   }
-  // Copied, because the directory of targets may change while this call waits.
-  const TargetRecord target = *next.target;
+  const TargetRecord target = std::move(*found);
   this->destination = target.id.Value();
   this->lastResult = co_await this->Attempt(target);
   co_return true;
@@ -315,6 +321,8 @@
 Exchange::CountSend(const TargetRecord& aTarget, const CallLoad& aLoad)
 {
   this->context.picker.OnSent(aTarget.id, this->selection, aLoad);
+  this->context.turns.OnSent(aTarget.id,
+                             LoadCounts{ 1, aLoad.uncachedTokens.Value(), aLoad.memory.Value() });
   this->context.limits.OnSent(aTarget.id);
   this->context.brittle.OnSent(aTarget);
   this->context.retryScheduler.OnAdmitted();
@@ -345,6 +353,7 @@
   // Closing a connection that was not pooled cancels the rest of the response at the target.
   this->channel.reset();
   this->RecordAttemptEnd(aTarget, result);
+  this->context.room.OnRoomFreed();
   return result;
 }
 
@@ -776,6 +785,9 @@
     return;
   }
   this->interrupt = aReason;
+  if (this->roomTicket) {
+    this->context.room.Leave(*this->roomTicket);
+  }
   this->CancelStandby();
   if (this->channel != nullptr) {
     this->channel->Close();
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -11,11 +11,13 @@
 #include "CallForwarder.h"
 #include "EntryHostState.h"
 #include "FirstConfiguration.h"
+#include "RoomWaiters.h"
 #include "ServiceProber.h"
 #include "StandbyAttempt.h"
 #include "StreamOriginResolver.h"
 #include "TargetProbe.h"
 #include "damasklink/coordination/BrittleTargetLimiter.h"
+#include "damasklink/coordination/CallRank.h"
 #include "damasklink/coordination/CrashFilter.h"
 #include "damasklink/coordination/EventFramer.h"
 #include "damasklink/coordination/ExchangeRetryPolicy.h"
@@ -31,6 +33,7 @@
 #include "damasklink/coordination/TargetRateLimiter.h"
 #include "damasklink/coordination/TargetRestPeriods.h"
 #include "damasklink/coordination/TargetSelector.h"
+#include "damasklink/coordination/TargetTurns.h"
 #include "damasklink/coordination/UnconfirmedCrashReports.h"
 #include "damasklink/protocol/ServingDialect.h"
 #include "damasklink/state/Metrics.h"
@@ -73,6 +76,8 @@
   StreamOriginTable& origins;
   StreamOriginResolver& originResolver;
   StopAdmission& stopping;
+  TargetTurns& turns;
+  RoomWaiters& room;
   MonotonicTime started;
   // Sends this host's load report to its hub at once, not only at the next interval.
   std::function<void()> reportLoad;
@@ -88,6 +93,8 @@
   // Calls that look for another way, and connections that are being made for them.
   std::size_t standbys = 0;
   std::map<ServiceName, std::size_t> standbyConnections = {};
+  // Services most of whose targets are loaded.
+  std::set<ServiceName> crowded = {};
 };
 
 // What is left of the limits of a call that another entry host forwarded to this one.
@@ -360,7 +367,19 @@
   AttemptResult ResultOfInterrupt() const;
   bool ShouldCloseCallerConnection() const;
   Duration TimeLeft() const;
-  int Priority() const;
+  CallRank Rank() const;
+  const TargetRecord* ChooseInTurn(const std::vector<TargetRecord>& aTargets);
+  bool HasRoom(const TargetRecord& aTarget) const;
+  Duration LongestQueueing(Duration aOwn, double aPatience) const;
+  // Returns how many hosts send to each target of the service.
+  std::uint64_t HostsPerTarget() const;
+  // Waits until a target has room, for a call that found none. Returns the target, or nothing if
+  // the call is to be refused.
+  Awaitable<std::optional<TargetRecord>> AwaitRoom();
+  bool MayAwaitRoom() const;
+  AdmissionRequest MakeAdmissionRequest() const;
+  // Returns the rank under the configuration in force, which may have changed meanwhile.
+  CallRank CurrentRank() const;
   bool CanServeInTime(const TargetRecord& aTarget);
   bool IsExpectedInTime(const TargetRecord& aTarget) const;
   void LogOverload(const TargetRecord& aBest) const;
@@ -458,6 +477,9 @@
   bool refusedAtStop = false;
   // Whether no target is expected to answer in time.
   bool overloaded = false;
+  // Whether the call waits for room at a target, and its place among those that do.
+  bool waitsForRoom = false;
+  std::optional<AdmissionTicket> roomTicket;
   // Whether an attempt brought a complete successful response.
   bool succeeded = false;
 };
--- a/src/program/ExchangeRouting.cpp
+++ b/src/program/ExchangeRouting.cpp
@@ -28,6 +28,13 @@
 constexpr AdmissionLimits kNormalPriorityLimits{ 1.1, 1.0 };
 constexpr AdmissionLimits kLowPriorityLimits{ 0.85, 0.75 };
 
+// Share of the memory by which the limits of routes differ within one priority of a workspace.
+constexpr double kMemoryStep = 0.1;
+constexpr int kMiddlePriority = 1;
+
+// A call that can't meet its objective any more leaves the places before it to others.
+constexpr int kLateQueueing = 2;
+
 const AdmissionLimits&
 LimitsOf(int aPriority)
 {
@@ -232,9 +239,7 @@
 void
 Exchange::ExcludeFull()
 {
-  const TargetDirectory& directory = this->context.state.Targets();
-  const std::uint64_t hosts =
-    this->context.state.EntryHosts() / directory.SubsetCount(this->service);
+  const std::uint64_t hosts = this->HostsPerTarget();
   for (const TargetRecord& target : this->Targets()) {
     const std::uint64_t load = this->context.picker.LoadOf(target.id).requests;
     if (!this->context.brittle.MaySend(target, load, hosts)) {
@@ -264,6 +269,11 @@
       this->call.model, this->context.settings.weightsWithin - kMaxEngineQueueTime);
   }
   const std::vector<TargetRecord>& targets = this->Targets();
+  if (hasPrompt && !this->begunOn && this->context.crowded.contains(this->service)) {
+    const TargetRecord* inTurn = this->ChooseInTurn(targets);
+    this->overloaded = inTurn == nullptr;
+    return inTurn;
+  }
   const TargetRecord* chosen = this->context.picker.Choose(this->selection, targets);
   if (!hasPrompt || chosen == nullptr || this->CanServeInTime(*chosen)) {
     this->overloaded = false;
@@ -281,6 +291,62 @@
   return this->overloaded ? nullptr : chosen;
 }
 
+// Most targets are loaded, so that all hosts would send to the others at once. This host sends to a
+// target in its turn only.
+const TargetRecord*
+Exchange::ChooseInTurn(const std::vector<TargetRecord>& aTargets)
+{
+  const double share = TargetTurns::ShareOf(this->HostsPerTarget(), aTargets.size());
+  return this->context.picker.ChooseFitting(
+    this->selection, aTargets, [this, share](const TargetRecord& aTarget) {
+      // Few calls have the same last part, so they do not gather at the targets that hold it.
+      const bool mayUse = this->context.turns.Has(aTarget.id, share) ||
+                          this->context.picker.HoldsAllParts(this->selection, aTarget.id);
+      return mayUse && WeightsOf(aTarget, this->call.model) == this->weights &&
+             this->HasRoom(aTarget);
+    });
+}
+
+// Returns whether the call is expected to be served in time at the target, with what other hosts
+// may have sent there in this turn.
+bool
+Exchange::HasRoom(const TargetRecord& aTarget) const
+{
+  const TargetSelector& picker = this->context.picker;
+  const LoadCounts unseen = this->context.turns.Unseen(aTarget.id);
+  const Duration wait = picker.ExpectedWait(this->selection, aTarget, unseen);
+  const Duration own = picker.ExpectedFirstEvent(this->selection, aTarget) -
+                       picker.ExpectedWait(this->selection, aTarget);
+  const AdmissionLimits& limits = LimitsOf(this->Rank().workspace);
+  double memory = limits.memory;
+  if (this->workspace != nullptr && this->workspace->priority) {
+    const int route = std::clamp(this->route->priority, 0, 2 * kMiddlePriority);
+    memory += kMemoryStep * (kMiddlePriority - route);
+  }
+  return own + wait <= std::min(this->CallerPatience(), this->TimeLeft()) &&
+         wait <= this->LongestQueueing(own, limits.patience) &&
+         picker.MemoryShare(this->selection, aTarget.id, unseen) <= memory;
+}
+
+// Returns how long the call may wait behind others at a target that needs aOwn for it alone. It may
+// wait until its objective is lost; one that has lost it anyway may wait a part of the usual time.
+Duration
+Exchange::LongestQueueing(Duration aOwn, double aPatience) const
+{
+  const Duration objective = this->route->latencyObjective;
+  const Duration elapsed = this->context.clock.MonotonicNow() - this->arrived;
+  const auto usual = std::chrono::duration_cast<Duration>(objective * aPatience);
+  const Duration left = objective - elapsed - aOwn;
+  return left > Duration::zero() ? std::min(left, usual) : usual / kLateQueueing;
+}
+
+std::uint64_t
+Exchange::HostsPerTarget() const
+{
+  const TargetDirectory& directory = this->context.state.Targets();
+  return this->context.state.EntryHosts() / directory.SubsetCount(this->service);
+}
+
 // Open connections to targets may go on working while new ones fail, so they are used first.
 Exchange::NextDestination
 Exchange::ChooseDestination()
@@ -329,7 +395,7 @@
   const Duration expected = this->context.picker.ExpectedFirstEvent(this->selection, aTarget);
   const Duration wait = this->context.picker.ExpectedWait(this->selection, aTarget);
   const double memory = this->context.picker.MemoryShare(this->selection, aTarget.id);
-  const AdmissionLimits& limits = LimitsOf(this->Priority());
+  const AdmissionLimits& limits = LimitsOf(this->Rank().workspace);
   const Duration objective = this->route->latencyObjective;
   const bool inTime = expected <= std::min(this->CallerPatience(), this->TimeLeft());
   if (this->begunOn) {
@@ -350,7 +416,7 @@
 Exchange::LogOverload(const TargetRecord& aBest) const
 {
   const TargetSelector& picker = this->context.picker;
-  const AdmissionLimits& limits = LimitsOf(this->Priority());
+  const AdmissionLimits& limits = LimitsOf(this->Rank().workspace);
   LogEvent(LogLevel::Info, "refused_as_overloaded")
     .With("request", this->call.request)
     .With("best_target", aBest.id)
@@ -364,10 +430,10 @@
     .With("weights", this->weights);
 }
 
-int
-Exchange::Priority() const
+CallRank
+Exchange::Rank() const
 {
-  return PriorityOf(*this->route, this->workspace);
+  return RankOf(*this->route, this->workspace);
 }
 
 TargetCall
@@ -376,7 +442,7 @@
   TargetCall call;
   call.target = aTarget.id;
   call.timeLeft = this->TimeLeft();
-  call.priority = this->Priority();
+  call.priority = this->Rank().workspace;
   if (this->workspace != nullptr) {
     call.workspace = this->workspace->name;
   }
--- a/src/protocol/MetricsText.cpp
+++ b/src/protocol/MetricsText.cpp
@@ -47,6 +47,7 @@
   { Counter::StandbyAttempts, "damasklink_standby_attempts_total" },
   { Counter::ResumedStreams, "damasklink_resumed_streams_total" },
   { Counter::MemoryRefusals, "damasklink_memory_refusals_total" },
+  { Counter::RoomWaits, "damasklink_room_waits_total" },
 } };
 
 constexpr bool
@@ -150,6 +151,8 @@
       return "damasklink_config_spread_seconds";
     case Sample::RouteChoice:
       return "damasklink_route_choice_seconds";
+    case Sample::RoomWait:
+      return "damasklink_room_wait_seconds";
   }
   return "damasklink_unnamed_seconds";
 }
--- a/test/program/ExchangeFixture.h
+++ b/test/program/ExchangeFixture.h
@@ -289,6 +289,8 @@
                                          });
                                        } };
   StopAdmission stopAdmission{ this->clock };
+  TargetTurns turns{ this->clock, HostId("own") };
+  RoomWaiters room{ this->loop, this->clock, this->metrics };
   EntryContext context{ this->loop,
                         this->clock,
                         this->memory,
@@ -318,6 +320,8 @@
                         this->origins,
                         this->originResolver,
                         this->stopAdmission,
+                        this->turns,
+                        this->room,
                         this->clock.MonotonicNow(),
                         nullptr,
                         false,
