--- a/include/damasklink/coordination/TargetSelector.h
+++ b/include/damasklink/coordination/TargetSelector.h
@@ -147,8 +147,10 @@
   const TargetRecord* Choose(const SelectionRequest& aRequest,
                              const std::vector<TargetRecord>& aTargets);
 
-  // Returns the target of least cost of those that fit, or nullptr when none does. aFits should
-  // leave few of them, or different ones to each host: all hosts would choose the same target.
+  // Returns the target of least cost of those that fit, or nullptr when none does. Those of this
+  // host's zone come first: a call that stays in its zone does not end when the link between zones
+  // is lost. aFits should leave few targets, or different ones to each host: all hosts would choose
+  // the same one.
   const TargetRecord* ChooseFitting(const SelectionRequest& aRequest,
                                     const std::vector<TargetRecord>& aTargets,
                                     const std::function<bool(const TargetRecord&)>& aFits) const;
--- a/src/coordination/TargetSelector.cpp
+++ b/src/coordination/TargetSelector.cpp
@@ -129,19 +129,25 @@
                               const std::vector<TargetRecord>& aTargets,
                               const std::function<bool(const TargetRecord&)>& aFits) const
 {
-  const TargetRecord* best = nullptr;
-  double least = 0;
-  for (const TargetRecord* target : this->Eligible(aRequest, aTargets)) {
-    if (!aFits(*target)) {
-      continue;
+  const std::vector<const TargetRecord*> eligible = this->Eligible(aRequest, aTargets);
+  for (const bool local : { true, false }) {
+    const TargetRecord* best = nullptr;
+    double least = 0;
+    for (const TargetRecord* target : eligible) {
+      if ((target->zone == aRequest.zone) != local || !aFits(*target)) {
+        continue;
+      }
+      const double cost = this->CostOf(aRequest, *target);
+      if (best == nullptr || cost < least) {
+        best = target;
+        least = cost;
+      }
     }
-    const double cost = this->CostOf(aRequest, *target);
-    if (best == nullptr || cost < least) {
-      best = target;
-      least = cost;
+    if (best != nullptr) {
+      return best;
     }
   }
-  return best;
+  return nullptr;
 }
 
 bool
--- a/src/program/ExchangeRouting.cpp
+++ b/src/program/ExchangeRouting.cpp
@@ -28,9 +28,10 @@
 constexpr AdmissionLimits kNormalPriorityLimits{ 1.1, 1.0 };
 constexpr AdmissionLimits kLowPriorityLimits{ 0.85, 0.75 };
 
-// Share of the memory by which the limits of routes differ within one priority of a workspace.
+// Share of the memory that routes may fill beyond those of the next lower priority, within one
+// priority of a workspace. Routes of kLowestPriority and below have the limit of the workspace.
 constexpr double kMemoryStep = 0.1;
-constexpr int kMiddlePriority = 1;
+constexpr int kLowestPriority = 2;
 
 // A call that can't meet its objective any more leaves the places before it to others.
 constexpr int kLateQueueing = 2;
@@ -320,8 +321,8 @@
   const AdmissionLimits& limits = LimitsOf(this->Rank().workspace);
   double memory = limits.memory;
   if (this->workspace != nullptr && this->workspace->priority) {
-    const int route = std::clamp(this->route->priority, 0, 2 * kMiddlePriority);
-    memory += kMemoryStep * (kMiddlePriority - route);
+    memory +=
+      kMemoryStep * (kLowestPriority - std::clamp(this->route->priority, 0, kLowestPriority));
   }
   return own + wait <= std::min(this->CallerPatience(), this->TimeLeft()) &&
          wait <= this->LongestQueueing(own, limits.patience) &&
--- a/src/program/ExchangeWaiting.cpp
+++ b/src/program/ExchangeWaiting.cpp
@@ -8,6 +8,13 @@
 #include "damasklink/transport/Log.h"
 
 namespace damasklink {
+namespace {
+
+// Calls wait no longer than this many times their objective: a caller that is told when to come
+// back has more of its time left then.
+constexpr int kLongestWait = 2;
+
+} // namespace
 
 // A call that another host forwarded waits there no longer than one that it had sent to a target.
 bool
@@ -30,8 +37,9 @@
   made.rank = this->Rank();
   made.tokens = this->selection.promptTokens;
   made.beginBy = this->arrived + this->route->latencyObjective - ownTime;
-  made.leavesAt =
-    std::min(this->arrived + this->CallerPatience(), this->plan->Limits().endsAt) - ownTime;
+  const Duration longest =
+    std::min(this->CallerPatience(), kLongestWait * this->route->latencyObjective);
+  made.leavesAt = std::min(this->arrived + longest, this->plan->Limits().endsAt) - ownTime;
   return made;
 }
 
--- a/test/coordination/TargetSelectorTest.cpp
+++ b/test/coordination/TargetSelectorTest.cpp
@@ -53,6 +53,42 @@
   EXPECT_EQ(this->Choose(), "b");
 }
 
+TEST_F(TargetSelectorTest, FittingTargetOfLeastCostIsChosen)
+{
+  this->AddRequests("b", 1);
+  const auto fits = [](const TargetRecord& aTarget) { return aTarget.id != TargetId("a"); };
+  EXPECT_EQ(this->picker.ChooseFitting(this->request, this->targets, fits)->id, TargetId("c"));
+  const auto none = [](const TargetRecord& /*aTarget*/) { return false; };
+  EXPECT_EQ(this->picker.ChooseFitting(this->request, this->targets, none), nullptr);
+}
+
+TEST_F(TargetSelectorTest, FittingTargetOfThisZoneComesFirst)
+{
+  this->request.zone = ZoneId("y");
+  this->targets.push_back(Target("near", "y"));
+  this->AddRequests("near", 5);
+  const auto all = [](const TargetRecord& /*aTarget*/) { return true; };
+  EXPECT_EQ(this->picker.ChooseFitting(this->request, this->targets, all)->id, TargetId("near"));
+}
+
+// Load: engines with free slots whose memory is full, and engines with memory but no slots.
+TEST_F(TargetSelectorTest, ServiceIsCrowdedWhenMostTargetsLackMemoryOrSlots)
+{
+  constexpr TokenCount kMemory(1000);
+  for (TargetRecord& target : this->targets) {
+    target.load.slots = 10;
+  }
+  EXPECT_FALSE(this->picker.IsCrowded(this->targets, kMemory));
+  CallLoad large;
+  large.memory = TokenCount(700);
+  this->picker.OnSent(TargetId("a"), SelectionRequest{}, large);
+  EXPECT_FALSE(this->picker.IsCrowded(this->targets, kMemory));
+  this->AddRequests("b", 7);
+  EXPECT_TRUE(this->picker.IsCrowded(this->targets, kMemory));
+  this->picker.OnEnd(TargetId("a"), large);
+  EXPECT_FALSE(this->picker.IsCrowded(this->targets, kMemory));
+}
+
 // Many targets in two availability zones; this host is in the first one.
 class TargetSelectorZoneTest : public TargetSelectorTest
 {
