--- a/test/soak/machine_memory.py
+++ b/test/soak/machine_memory.py
@@ -14,6 +14,7 @@
 import time
 import types
 
+from flooder import Flooder
 from soak import REFUSALS, Soak, soak_parser, soak_seeds
 from standins import Target, read_head
 
@@ -30,10 +31,25 @@
 # Bytes a second that callers of large answers read.
 READ_RATE = 2_000_000
 # Callers of large requests at each host, and with those that come in the burst.
-CALLERS = {"bodies": (18, 30), "chunks": (18, 30), "pauses": (18, 30), "answers": (80, 136), "endless": (18, 30)}
+CALLERS = {
+    "bodies": (18, 30),
+    "chunks": (18, 30),
+    "pauses": (18, 30),
+    "answers": (80, 136),
+    "endless": (18, 30),
+    "flood": (40, 68),
+}
 SMALL_CALLERS = 3
 # What a faulty target sends without end: in place of an answer, or within one.
-ENDLESS = ("head", "line", "interim", "event", "body", "extension", "trailer")
+ENDLESS = ("head", "line", "interim", "event", "body", "extension", "trailer", "length", "slow_body", "slow_length")
+# Seconds between the pieces.
+PAUSES = {"endless": 0.001, "flood": 0.002}
+SLOW_PAUSE = 0.1
+# The bounds of a flood: what a host may use, and how much of the small requests must be served.
+FLOOD_PEAK_MB = 100
+FLOOD_SMALL_SHARE = 0.97
+# After this time a faulty target may get half of an even share of the calls at most.
+FLOOD_LEARNING = 2.0
 PIECE = b"x" * 65536
 NO_MEMORY = b"no memory"
 FIELDS = (b"X-More: " + b"y" * 1000 + b"\r\n") * 64
@@ -80,6 +96,9 @@
     """Takes and sends large bodies. One that is faulty answers without end."""
 
     faulty = None
+    pause = PAUSES["endless"]
+    # Sends what has no end from another process, None for this one.
+    flooder = None
 
     async def start(self, address):
         server = await asyncio.start_server(self.serve, address, 0)
@@ -98,6 +117,7 @@
     async def answer_call(self, fields, writer):
         request = fields["x-request-id"]
         self.ledger[request] = self.ledger.get(request, 0) + 1
+        self.calls.append((time.monotonic(), request))
         kind = request.split("-")[0]
         head = f"X-Request-Id: {request}\r\nX-Response-Stamp: {self.id}\r\n"
         if kind != "small":
@@ -118,12 +138,20 @@
             "body": (f"{chunked}\r\n", b"10000\r\n" + PIECE + b"\r\n"),
             "extension": (f"{chunked}\r\n5;", PIECE),
             "trailer": (f"{chunked}\r\n0\r\n", FIELDS),
+            "length": (f"HTTP/1.1 200 OK\r\n{head}Content-Length: {1 << 29}\r\n\r\n", PIECE),
+            "slow_body": (f"{chunked}\r\n", b"1\r\nx\r\n"),
+            "slow_length": (f"HTTP/1.1 200 OK\r\n{head}Content-Length: {LARGE}\r\n\r\n", b"x"),
         }[self.faulty]
+        pause = SLOW_PAUSE if self.faulty.startswith("slow") else self.pause
         writer.write(begin.encode())
+        if self.flooder is not None:
+            await writer.drain()
+            self.flooder.take(writer.get_extra_info("socket"), pause, piece)
+            raise ConnectionResetError
         while not writer.is_closing():
             writer.write(piece)
             await writer.drain()
-            await asyncio.sleep(0.001)
+            await asyncio.sleep(pause)
         raise ConnectionResetError
 
 
@@ -135,8 +163,14 @@
         self.load = options.load
         for host in self.entries:
             host.memory_mb = MEMORY_MB
-        if self.load == "endless":
-            self.targets[0].faulty = options.endless or self.random.choice(ENDLESS)
+        for target in self.targets:
+            target.calls = []
+            target.pause = PAUSES.get(self.load, target.pause)
+        if self.load in PAUSES:
+            faulty = options.endless or self.random.choice(ENDLESS)
+            for target in self.targets[: options.faulty]:
+                target.faulty = faulty
+                target.flooder = Flooder() if self.load == "flood" else None
         self.peak = collections.Counter()
         self.done = False
         self.times = []
@@ -160,7 +194,7 @@
 
     async def large_caller(self, host, name, until, delay):
         await asyncio.sleep(delay)
-        kind = {"answers": "answer", "endless": "endless"}.get(self.load, "large")
+        kind = {"answers": "answer", "endless": "endless", "flood": "endless"}.get(self.load, "large")
         number = 0
         while time.monotonic() < until:
             number += 1
@@ -168,14 +202,15 @@
             await asyncio.sleep(0.02)
 
     async def small_caller(self, host, name, until):
+        route = "status" if self.load == "flood" else "jobs"
         number = 0
         while time.monotonic() < until:
             number += 1
-            await self.ask_once(host, "jobs", f"small-{name}-{number}", "small")
+            await self.ask_once(host, route, f"small-{name}-{number}", "small")
             await asyncio.sleep(0.05)
 
     async def send_body(self, writer, kind):
-        if kind == "small" or self.load in ("answers", "endless"):
+        if kind == "small" or self.load in ("answers", "endless", "flood"):
             writer.write(f"Content-Length: {SMALL}\r\n\r\n".encode() + b"s" * SMALL)
             return
         if self.load == "chunks":
@@ -211,7 +246,8 @@
         await reader.readexactly(2)
 
     async def ask_once(self, host, route, request, kind):
-        self.once.add(request)
+        if route == "jobs":
+            self.once.add(request)
         writer = None
         begun = time.monotonic()
         try:
@@ -249,7 +285,8 @@
             # The stand-ins of targets are one process: if it stands still, hosts refuse for want of targets.
             if kind == "small" and NO_MEMORY in content:
                 self.find("small_request_refused", f"{request} {status}")
-        if kind == "endless" and lasted > DEADLINE / 2:
+        slow = self.load == "flood" and self.targets[0].faulty.startswith("slow")
+        if kind == "endless" and not slow and lasted > DEADLINE / 2:
             self.find("endless_answer_until_deadline", f"{request} {status} after {lasted:.2f} s")
 
     async def run(self):
@@ -258,28 +295,53 @@
         await self.operating
         watching = [asyncio.create_task(self.hold_to_memory(host)) for host in self.entries]
         steady, most = CALLERS[self.load]
+        # The callers of a flood come at once.
+        apart, spread = (0, 0) if self.load == "flood" else (0.05, 0.6)
         begun = time.monotonic()
         end = begun + 2 * CALM + BURST
         work = []
         for host in self.entries:
-            work += [self.large_caller(host, f"{host.name}.s{number}", end, 0.05 * number) for number in range(steady)]
+            work += [self.large_caller(host, f"{host.name}.s{number}", end, apart * number) for number in range(steady)]
             work += [self.small_caller(host, f"{host.name}.{number}", end) for number in range(SMALL_CALLERS)]
             work += [
-                self.large_caller(host, f"{host.name}.b{number}", begun + CALM + BURST, CALM + 0.6 * number / (most - steady))
+                self.large_caller(host, f"{host.name}.b{number}", begun + CALM + BURST, CALM + spread * number / (most - steady))
                 for number in range(most - steady)
             ]
         await asyncio.gather(*work)
         self.done = True
         await asyncio.gather(*watching)
         print("  peaks in MB: " + ", ".join(f"{name} {peak / 1024 / 1024:.0f}" for name, peak in sorted(self.peak.items())))
+        if self.load == "flood":
+            self.check_flood(begun)
+        for target in self.targets:
+            if target.flooder is not None:
+                target.flooder.stop()
         self.stop_announcing()
         self.count_runs()
 
+    def check_flood(self, begun):
+        for name, peak in self.peak.items():
+            if peak > FLOOD_PEAK_MB * 1024 * 1024:
+                self.find("peak_too_high", f"{name} {peak // 1024 // 1024} MB")
+        small = [count for name, count in self.counts.items() if name.startswith("small_") and name != "small_request_refused"]
+        served = self.counts["small_200"] / max(sum(small), 1)
+        print(f"  small requests served: {served:.3f} of {sum(small)}")
+        if served < FLOOD_SMALL_SHARE:
+            self.find("small_requests_not_served", f"{served:.3f}")
+        sent = [
+            sum(1 for at, request in target.calls if at > begun + FLOOD_LEARNING and request.startswith("endless-"))
+            for target in self.targets[:3]
+        ]
+        print(f"  calls to each target after {FLOOD_LEARNING:.0f} s: {sent}")
+        if self.options.faulty == 1 and sent[0] > sum(sent) / 3 / 2:
+            self.find("endless_target_still_asked", f"{sent[0]} of {sum(sent)}")
+
 
 def main():
     parser = soak_parser(__doc__)
     parser.add_argument("--load", choices=CALLERS, default="bodies", help="what the large requests are")
-    parser.add_argument("--endless", choices=ENDLESS, help="what one target sends without end")
+    parser.add_argument("--endless", choices=ENDLESS, help="what a target sends without end")
+    parser.add_argument("--faulty", type=int, default=1, help="how many targets do")
     parser.set_defaults(entries=3)
     soak_seeds(parser.parse_args(), MachineMemory)
 
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -72,6 +72,9 @@
     "killed_for_memory",
     "small_request_refused",
     "endless_answer_until_deadline",
+    "peak_too_high",
+    "small_requests_not_served",
+    "endless_target_still_asked",
 )
 
 
