Bodies without end no longer fill an entry host's memory

Callers saw: entry hosts of 110 MB were killed, requests ended without an answer, when one target sent chunks without end to many calls. Cause: PassOnParts() kept the counted buffer to the end of the call and copied it whole, BeginStream() copied it twice more, none of the copies counted. In the trace 134 MB were resident where 64.8 MB were held of a limit of 77.3 MB. Parts are passed on 64 KiB at a time. Three answers without end eject their target (HealthSignal::Endless).

--- a/include/damasklink/coordination/CountedBuffer.h
+++ b/include/damasklink/coordination/CountedBuffer.h
@@ -30,6 +30,8 @@
 
   std::size_t Size() const { return this->bytes.size(); }
   const std::string& Bytes() const { return this->bytes; }
+  // Returns how many bytes are reserved.
+  std::size_t Capacity() const { return this->capacity; }
 
   // Returns the bytes, which stay counted until this object goes out of scope.
   std::string TakeBytes() { return std::move(this->bytes); }
--- a/include/damasklink/coordination/TargetHealth.h
+++ b/include/damasklink/coordination/TargetHealth.h
@@ -18,6 +18,7 @@
 {
   Good,       // It answered, even if only that it is overloaded.
   Bad,        // The answer broke off, or none came.
+  Endless,    // The answer went on beyond all bounds of size or time.
   NotReached, // No connection, or the data sent was not acknowledged (TCP).
   None,       // No evidence: the caller left, or this host was stopping.
 };
@@ -31,6 +32,9 @@
 //   health.OnEnd(target, HealthSignal::Bad);
 //   std::vector<TargetRecord> healthy = health.Filter(targets);
 //
+// Answers without end count apart: a target may answer other calls well meanwhile, so these don't
+// make up for them. It stays half-open until it has sent none for kEndlessMemory.
+//
 // Hosts report unreachable targets to each other. Otherwise each of 72 hosts would lose a request
 // of its own to each unreachable target, and another one at each probe. A target that several hosts
 // have reported is ejected on all of them; the ejections end at different times, so that one host
@@ -44,6 +48,7 @@
   static constexpr int kConsecutiveFailures = 3;
   static constexpr Duration kFirstEjection = std::chrono::seconds(2);
   static constexpr Duration kMaxEjection = std::chrono::seconds(60);
+  static constexpr Duration kEndlessMemory = std::chrono::seconds(60);
   // Number of hosts that must report a target unreachable within kReportWindow before the other
   // hosts eject it. On a lossy link one or two hosts fail to connect by chance.
   static constexpr std::uint64_t kReportsToEject = 3;
@@ -91,11 +96,17 @@
   // that enforce a minimum pool size themselves.
   bool IsEjected(const TargetId& aTarget) const;
 
+  // Returns whether the target has sent several answers without end lately.
+  bool SendsWithoutEnd(const TargetId& aTarget) const;
+
 private:
   struct Entry
   {
     int failures = 0;
     int ejections = 0;
+    // Answers without end, and when the last one was given up.
+    int endless = 0;
+    MonotonicTime lastEndless;
     MonotonicTime ejectedUntil;
     bool probing = false;
     // Reports of hosts that could not reach it, and when the first of them arrived.
@@ -112,6 +123,9 @@
   };
 
   PendingReport& PendingReportOf(const TargetId& aTarget);
+  void OnGood(const TargetId& aTarget);
+  bool HasEndless(const Entry& aEntry) const;
+  void CountEndless(Entry& aEntry) const;
   void Eject(Entry& aEntry);
   void TakeUnreachable(const TargetReachabilityReport& aReport);
 
--- a/include/damasklink/transport/TargetConnection.h
+++ b/include/damasklink/transport/TargetConnection.h
@@ -55,7 +55,7 @@
   // acknowledgement of the request, and with Corrupt when the bytes are not an HTTP response.
   Awaitable<Result<HttpResponseHead>> ReadHead();
 
-  // Returns the length of the body that the last head states.
+  // Returns the length of the body that the last head states, nothing for a response to HEAD.
   std::optional<std::uint64_t> BodyLength() const;
 
   // Returns the next chunk of the body, valid until the next call, or nullopt at its end. Fails
--- a/src/coordination/TargetHealth.cpp
+++ b/src/coordination/TargetHealth.cpp
@@ -18,13 +18,7 @@
 TargetHealth::OnEnd(const TargetId& aTarget, HealthSignal aSign)
 {
   if (aSign == HealthSignal::Good) {
-    const auto found = this->entries.find(aTarget);
-    if (found != this->entries.end()) {
-      if (found->second.reportedUnreachable) {
-        this->PendingReportOf(aTarget).report.back = 1;
-      }
-      this->entries.erase(found);
-    }
+    this->OnGood(aTarget);
     return;
   }
   if (aSign == HealthSignal::None) {
@@ -35,6 +29,9 @@
   }
   Entry& entry = this->entries[aTarget];
   ++entry.failures;
+  if (aSign == HealthSignal::Endless) {
+    this->CountEndless(entry);
+  }
   const bool probeFailed = entry.probing;
   entry.probing = false;
   const bool alreadyEjected = this->clock.MonotonicNow() < entry.ejectedUntil;
@@ -42,12 +39,56 @@
       this->pendingReports.size() < kMaxPendingReports) {
     this->PendingReportOf(aTarget).report.gone = 1;
   }
-  const bool failed = entry.failures >= kConsecutiveFailures || aSign == HealthSignal::NotReached;
+  const bool endless = aSign == HealthSignal::Endless && entry.endless >= kConsecutiveFailures;
+  const bool failed =
+    entry.failures >= kConsecutiveFailures || endless || aSign == HealthSignal::NotReached;
   if (!alreadyEjected && (probeFailed || failed)) {
     this->Eject(entry);
   }
 }
 
+void
+TargetHealth::OnGood(const TargetId& aTarget)
+{
+  const auto found = this->entries.find(aTarget);
+  if (found == this->entries.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  if (entry.reportedUnreachable) {
+    this->PendingReportOf(aTarget).report.back = 1;
+  }
+  if (!this->HasEndless(entry)) {
+    this->entries.erase(found);
+    return;
+  }
+  entry.failures = 0;
+  entry.probing = false;
+  entry.reports = 0;
+  entry.reportedUnreachable = false;
+}
+
+bool
+TargetHealth::HasEndless(const Entry& aEntry) const
+{
+  return aEntry.endless > 0 && this->clock.MonotonicNow() - aEntry.lastEndless < kEndlessMemory;
+}
+
+void
+TargetHealth::CountEndless(Entry& aEntry) const
+{
+  aEntry.endless = this->HasEndless(aEntry) ? aEntry.endless + 1 : 1;
+  aEntry.lastEndless = this->clock.MonotonicNow();
+}
+
+bool
+TargetHealth::SendsWithoutEnd(const TargetId& aTarget) const
+{
+  const auto found = this->entries.find(aTarget);
+  return found != this->entries.end() && this->HasEndless(found->second) &&
+         found->second.endless >= kConsecutiveFailures;
+}
+
 void
 TargetHealth::OnRestart(const TargetId& aTarget)
 {
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -298,6 +298,7 @@
   this->load = CallLoad{};
   this->sentAt = MonotonicTime();
   this->responseBegun = false;
+  this->endless = false;
   this->refused = false;
   this->unacknowledged = false;
   this->checkedAt = MonotonicTime();
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -24,6 +24,7 @@
 #include "damasklink/coordination/InterruptedRequests.h"
 #include "damasklink/coordination/RegionRestriction.h"
 #include "damasklink/coordination/RequestFingerprint.h"
+#include "damasklink/coordination/ResponseBuffer.h"
 #include "damasklink/coordination/RetryScheduler.h"
 #include "damasklink/coordination/ServiceReachability.h"
 #include "damasklink/coordination/ServiceRetryBudgets.h"
@@ -233,12 +234,14 @@
   Awaitable<AttemptResult> DeliverWhole(HttpResponseHead aHead, CountedBuffer aBody);
   bool MayPassOnParts() const;
   Awaitable<AttemptResult> PassOnParts(HttpResponseHead aHead,
-                                       std::string_view aFirst,
-                                       std::string_view aSecond);
+                                       CountedBuffer aKept,
+                                       std::string_view aUnkept);
+  Awaitable<bool> WriteKept(const HttpResponseHead& aHead, CountedBuffer aKept);
   Awaitable<bool> WritePart(const HttpResponseHead& aHead, std::string_view aPart);
-  Awaitable<AttemptResult> ForwardOnceThereIsMemory(HttpResponseHead aHead,
-                                                    CountedBuffer aBody,
-                                                    std::string_view aUnkept);
+  AttemptResult GiveUpResponse(int aStatus, std::string_view aReason);
+  // Waits until the bytes are kept. Returns false if they are not to be waited for any longer.
+  Awaitable<bool> AwaitMemory(ResponseBuffer& aBody, std::string_view aBytes, bool aStated);
+  bool IsSlowWithoutEnd() const;
   Awaitable<AttemptResult> ForwardStream(const TargetRecord& aTarget,
                                          HttpResponseHead aHead,
                                          std::string aFirst);
@@ -454,6 +457,10 @@
   MonotonicTime firstEventAt;
   // Whether the target of this attempt has begun its response.
   bool responseBegun = false;
+  // When the target began the body of a response that is no stream.
+  MonotonicTime bodyBegunAt;
+  // Whether the response of this attempt was given up because it did not end.
+  bool endless = false;
   Interrupt interrupt = Interrupt::None;
   EventFramer framer;
   // Counts the incomplete event.
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -359,11 +359,15 @@
     case AttemptResult::Unreachable:
       return HealthSignal::NotReached;
     case AttemptResult::Broken:
-      return this->unacknowledged ? HealthSignal::NotReached : HealthSignal::Bad;
+      if (this->unacknowledged) {
+        return HealthSignal::NotReached;
+      }
+      return this->endless ? HealthSignal::Endless : HealthSignal::Bad;
+    case AttemptResult::Expired:
+      return this->endless ? HealthSignal::Endless : HealthSignal::None;
     case AttemptResult::NotSent:
     case AttemptResult::Declined:
     case AttemptResult::CallerLeft:
-    case AttemptResult::Expired:
       return HealthSignal::None;
     case AttemptResult::Delivered:
     case AttemptResult::Refused:
--- a/src/program/ExchangeResponse.cpp
+++ b/src/program/ExchangeResponse.cpp
@@ -2,6 +2,8 @@
 // response. The rest of the class is in the other Exchange*.cpp files.
 #include "Exchange.h"
 
+#include <algorithm>
+
 #include "damasklink/state/Text.h"
 #include "damasklink/state/Units.h"
 #include "damasklink/transport/Log.h"
@@ -9,42 +11,76 @@
 namespace damasklink {
 namespace {
 
-// Largest response that is buffered, so that another target can be tried when it breaks off.
-// Streams are not buffered; a larger response counts as broken.
-constexpr std::size_t kMaxBufferedResponse = std::size_t{ 4 } * 1024 * 1024;
-
 // How often a response that must be whole before it is passed on looks for memory.
 constexpr Duration kMemoryCheckInterval = std::chrono::milliseconds(20);
 
+// How long a response of unknown length looks for memory before it is passed on in parts. Meanwhile
+// others end, or show that their target sends without end.
+constexpr Duration kMaxMemoryWait = std::chrono::seconds(2);
+
+// A body that still comes after this time, and after half of the call, has no end.
+constexpr Duration kMinEndlessTime = std::chrono::seconds(2);
+
+// A target that has been silent for longer may stand still, or its connection.
+constexpr Duration kMaxPause = std::chrono::seconds(1);
+
+constexpr std::size_t kPartBytes = std::size_t{ 64 } * 1024;
+
+constexpr std::string_view kTooLong = "the response is too long; declare the route as a stream";
+
 } // namespace
 
 Awaitable<AttemptResult>
 Exchange::ForwardWholeResponse(HttpResponseHead aHead)
 {
   RemoveHopByHopFields(aHead.fields);
-  CountedBuffer body(this->context.memory, MemoryUse::Responses);
+  const std::optional<std::uint64_t> length = this->channel->BodyLength();
+  if (length.value_or(0) > ResponseBuffer::kMaxBytes) {
+    this->endless = true;
+    co_return this->GiveUpResponse(aHead.status, kTooLong);
+  }
+  ResponseBuffer body(this->context.memory, length);
+  this->bodyBegunAt = this->context.clock.MonotonicNow();
   const bool failed = aHead.status >= 500;
-  const std::uint64_t length = this->channel->BodyLength().value_or(0);
-  bool fits = length > kMaxBufferedResponse || body.Reserve(length);
-  std::string_view unkept;
-  while (fits) {
+  while (true) {
     const auto chunk = co_await this->ReadResponseChunk(aHead, body.Size());
     if (!chunk) {
       co_return AttemptResult::Broken;
     }
     if (!chunk->has_value()) {
-      co_return co_await this->DeliverWhole(std::move(aHead), std::move(body));
+      co_return co_await this->DeliverWhole(std::move(aHead), std::move(body).TakeBuffer());
     }
     if (!failed) {
       this->CancelStandby();
     }
-    unkept = **chunk;
-    fits = body.Append(unkept);
-  }
-  if (!this->MayPassOnParts()) {
-    co_return co_await this->ForwardOnceThereIsMemory(std::move(aHead), std::move(body), unkept);
+    const std::string_view bytes = **chunk;
+    if (body.Append(bytes)) {
+      continue;
+    }
+    const bool kept = co_await this->AwaitMemory(body, bytes, length.has_value());
+    if (kept) {
+      continue;
+    }
+    if (this->interrupt != Interrupt::None) {
+      co_return this->ResultOfInterrupt();
+    }
+    if (this->endless) {
+      co_return this->GiveUpResponse(aHead.status, "there is no memory for a body without end");
+    }
+    co_return co_await this->PassOnParts(std::move(aHead), std::move(body).TakeBuffer(), bytes);
   }
-  co_return co_await this->PassOnParts(std::move(aHead), body.Bytes(), unkept);
+}
+
+AttemptResult
+Exchange::GiveUpResponse(int aStatus, std::string_view aReason)
+{
+  LogEvent(LogLevel::Info, "target_broke")
+    .With("request", this->call.request)
+    .With("target", this->destination)
+    .With("status", aStatus)
+    .With("error", aReason);
+  this->channel->Close();
+  return AttemptResult::Broken;
 }
 
 // Returns the next chunk of the body, an empty one at its end, or nothing if the response is
@@ -53,25 +89,38 @@
 Exchange::ReadResponseChunk(const HttpResponseHead& aHead, std::size_t aSoFar)
 {
   const auto chunk = co_await this->channel->ReadChunk();
-  const bool tooLong =
-    chunk && chunk.value() && aSoFar + chunk.value()->size() > kMaxBufferedResponse;
-  if (!chunk || tooLong) {
-    LogEvent event(LogLevel::Info, "target_broke");
-    event.With("request", this->call.request).With("status", aHead.status);
-    if (tooLong) {
-      event.With("error", "the response is too long; declare the route as a stream");
-      this->channel->Close();
-    } else {
-      event.With("error", chunk.error());
-    }
+  if (!chunk) {
+    this->endless = this->interrupt == Interrupt::Expired && this->IsSlowWithoutEnd();
+    LogEvent(LogLevel::Info, "target_broke")
+      .With("request", this->call.request)
+      .With("status", aHead.status)
+      .With("endless", this->endless)
+      .With("error", chunk.error());
     co_return std::nullopt;
   }
-  if (chunk.value()) {
-    this->OnBytes(this->attemptTarget);
+  if (!chunk.value()) {
+    co_return chunk.value();
+  }
+  if (aSoFar + chunk.value()->size() > ResponseBuffer::kMaxBytes) {
+    this->endless = true;
+    this->GiveUpResponse(aHead.status, kTooLong);
+    co_return std::nullopt;
   }
+  this->OnBytes(this->attemptTarget);
   co_return chunk.value();
 }
 
+// Returns whether the target went on sending a body for most of the call. A caller that takes parts
+// slowly holds up its target, which says nothing.
+bool
+Exchange::IsSlowWithoutEnd() const
+{
+  const MonotonicTime now = this->context.clock.MonotonicNow();
+  const Duration lasted = now - this->bodyBegunAt;
+  return !this->partsBegun && lasted >= kMinEndlessTime && 2 * lasted >= now - this->arrived &&
+         this->Silence() <= kMaxPause;
+}
+
 Awaitable<AttemptResult>
 Exchange::DeliverWhole(HttpResponseHead aHead, CountedBuffer aBody)
 {
@@ -119,7 +168,7 @@
 // Passes on a response for which there is no memory while it comes. A retry can't follow, and if
 // the response breaks off, so does what the caller gets.
 Awaitable<AttemptResult>
-Exchange::PassOnParts(HttpResponseHead aHead, std::string_view aFirst, std::string_view aSecond)
+Exchange::PassOnParts(HttpResponseHead aHead, CountedBuffer aKept, std::string_view aUnkept)
 {
   LogEvent(LogLevel::Info, "response_passed_on_in_parts")
     .With("request", this->call.request)
@@ -130,16 +179,10 @@
   this->plan->MarkPassedOn();
   this->plan->ForbidRepeats();
   this->closeAnnounced = this->ShouldCloseCallerConnection();
-  std::size_t passedOn = aFirst.size() + aSecond.size();
-  std::string first(aFirst);
-  first += aSecond;
-  while (true) {
-    if (!first.empty()) {
-      const bool written = co_await this->WritePart(aHead, first);
-      if (!written) {
-        co_return AttemptResult::CallerLeft;
-      }
-    }
+  std::size_t passedOn = aKept.Size() + aUnkept.size();
+  bool written = co_await this->WriteKept(aHead, std::move(aKept));
+  written = written && co_await this->WritePart(aHead, aUnkept);
+  while (written) {
     const auto chunk = co_await this->ReadResponseChunk(aHead, passedOn);
     if (!chunk) {
       co_return AttemptResult::Broken;
@@ -147,21 +190,32 @@
     if (!chunk->has_value()) {
       break;
     }
-    first = **chunk;
-    passedOn += first.size();
+    passedOn += (*chunk)->size();
+    written = co_await this->WritePart(aHead, **chunk);
+  }
+  if (!written) {
+    co_return AttemptResult::CallerLeft;
   }
   this->received = true;
   this->succeeded = aHead.status < 300;
   this->LogEnd("answered", aHead.status);
-  if (passedOn == 0) {
-    HttpResponseMessage empty{ std::move(aHead), "" };
-    const bool written = co_await this->WriteResponse(std::move(empty));
-    co_return written ? AttemptResult::Delivered : AttemptResult::CallerLeft;
-  }
   const bool ended = co_await this->caller.EndStream();
   co_return ended ? AttemptResult::Delivered : AttemptResult::CallerLeft;
 }
 
+// Passes on what was kept, piece by piece, since each write copies it, and frees it.
+Awaitable<bool>
+Exchange::WriteKept(const HttpResponseHead& aHead, CountedBuffer aKept)
+{
+  std::string_view rest = aKept.Bytes();
+  bool written = true;
+  while (written && !rest.empty()) {
+    written = co_await this->WritePart(aHead, rest.substr(0, kPartBytes));
+    rest.remove_prefix(std::min(rest.size(), kPartBytes));
+  }
+  co_return written;
+}
+
 Awaitable<bool>
 Exchange::WritePart(const HttpResponseHead& aHead, std::string_view aPart)
 {
@@ -177,28 +231,28 @@
   co_return written;
 }
 
-Awaitable<AttemptResult>
-Exchange::ForwardOnceThereIsMemory(HttpResponseHead aHead,
-                                   CountedBuffer aBody,
-                                   std::string_view aUnkept)
+Awaitable<bool>
+Exchange::AwaitMemory(ResponseBuffer& aBody, std::string_view aBytes, bool aStated)
 {
+  const MonotonicTime until = this->context.clock.MonotonicNow() + kMaxMemoryWait;
   asio::steady_timer pause(this->context.loop);
-  std::string unkept(aUnkept);
-  while (this->interrupt == Interrupt::None) {
-    while (!aBody.Append(unkept) && this->interrupt == Interrupt::None) {
-      pause.expires_after(kMemoryCheckInterval);
-      co_await pause.async_wait(kAsValue);
-    }
-    const auto chunk = co_await this->ReadResponseChunk(aHead, aBody.Size());
-    if (!chunk) {
-      co_return AttemptResult::Broken;
-    }
-    if (!chunk->has_value()) {
-      co_return co_await this->DeliverWhole(std::move(aHead), std::move(aBody));
+  // Nothing is read meanwhile, so the target's silence says nothing.
+  this->writing = true;
+  bool kept = false;
+  while (!kept && !this->endless && this->interrupt == Interrupt::None) {
+    const bool waited = aStated || this->context.clock.MonotonicNow() >= until;
+    if (waited && this->MayPassOnParts()) {
+      break;
     }
-    unkept = **chunk;
+    pause.expires_after(kMemoryCheckInterval);
+    co_await pause.async_wait(kAsValue);
+    kept = aBody.Append(aBytes);
+    this->endless =
+      !kept && !aStated && this->context.health.SendsWithoutEnd(this->attemptTarget.id);
   }
-  co_return this->ResultOfInterrupt();
+  this->writing = false;
+  this->lastBytesAt = this->context.clock.MonotonicNow();
+  co_return kept;
 }
 
 std::size_t
--- a/src/transport/TargetConnection.cpp
+++ b/src/transport/TargetConnection.cpp
@@ -274,7 +274,7 @@
 TargetConnection::BodyLength() const
 {
   const auto length = this->impl->parser->content_length();
-  return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+  return length && !this->impl->bodyless ? std::optional<std::uint64_t>(*length) : std::nullopt;
 }
 
 void
--- a/test/soak/machine_memory.py
+++ b/test/soak/machine_memory.py
@@ -16,7 +16,7 @@
 
 from flooder import Flooder
 from soak import REFUSALS, Soak, soak_parser, soak_seeds
-from standins import Target, read_head
+from standins import Target, call, read_head
 
 MEMORY_MB = 110
 LARGE = 4_000_000
@@ -26,6 +26,7 @@
 SLOTS = 200
 RESTART_DELAY = 0.5
 CHECK_EVERY = 0.02
+TRACE_EVERY = 0.1
 CALM = 3.0
 BURST = 4.0
 # Bytes a second that callers of large answers read.
@@ -192,6 +193,17 @@
                 host.start()
             await asyncio.sleep(CHECK_EVERY)
 
+    async def trace(self, host, begun):
+        """Writes the memory of the process beside its own account of it."""
+        with open(self.options.trace, "a", encoding="utf-8") as output:
+            while not self.done:
+                used = resident_bytes(host.child)
+                unread = unread_bytes(host.ip)
+                _, page = await call((host.ip, self.port + 2), "GET", "/metrics", "", 1)
+                gauges = [line for line in page.decode().splitlines() if line.startswith("damasklink_memory")]
+                output.write(f"{time.monotonic() - begun:.2f} {host.name} resident={used} unread={unread} {gauges}\n")
+                await asyncio.sleep(TRACE_EVERY)
+
     async def large_caller(self, host, name, until, delay):
         await asyncio.sleep(delay)
         kind = {"answers": "answer", "endless": "endless", "flood": "endless"}.get(self.load, "large")
@@ -299,6 +311,8 @@
         apart, spread = (0, 0) if self.load == "flood" else (0.05, 0.6)
         begun = time.monotonic()
         end = begun + 2 * CALM + BURST
+        if self.options.trace:
+            watching += [asyncio.create_task(self.trace(host, begun)) for host in self.entries]
         work = []
         for host in self.entries:
             work += [self.large_caller(host, f"{host.name}.s{number}", end, apart * number) for number in range(steady)]
@@ -342,6 +356,7 @@
     parser.add_argument("--load", choices=CALLERS, default="bodies", help="what the large requests are")
     parser.add_argument("--endless", choices=ENDLESS, help="what a target sends without end")
     parser.add_argument("--faulty", type=int, default=1, help="how many targets do")
+    parser.add_argument("--trace", help="file for the memory of each host beside its account")
     parser.set_defaults(entries=3)
     soak_seeds(parser.parse_args(), MachineMemory)
 
