--- a/include/damasklink/coordination/ExchangeRetryPolicy.h
+++ b/include/damasklink/coordination/ExchangeRetryPolicy.h
@@ -38,6 +38,7 @@
   Declined,    // The entry host that the call was forwarded to did not send it to a target.
   Failed,      // The target answered with a failure; the call may have run.
   Broken,      // No complete answer came.
+  Overtaken,   // A hedge responded first, and this attempt was closed for it.
   Expired,     // The time limit was reached.
   CallerLeft,
 };
@@ -85,7 +86,7 @@
   void Sending();
 
   // Starts a second attempt beside the one in progress, and tells that its first byte is about to
-  // leave. Requires ReserveRetry().
+  // leave. Requires ReserveRetry(), or MayHedge() and a hedge of the budget for these.
   void BeginStandby(AttemptId aAttempt, TargetId aTarget);
 
   // The second attempt has ended without taking the place of the first one. aDeclined: the host
@@ -109,6 +110,10 @@
   // Returns whether a retry may follow if the attempt in progress is abandoned now.
   bool MayRetry(MonotonicTime aNow, const RetryBudget& aBudget) const;
 
+  // Returns whether the call may be sent to a second target while its first attempt, of which the
+  // caller has nothing yet, goes on.
+  bool MayHedge(MonotonicTime aNow) const;
+
   // Returns whether the call's own limits allow another attempt, whatever the budget allows.
   bool MaySendAgain() const;
 
--- a/include/damasklink/state/Metrics.h
+++ b/include/damasklink/state/Metrics.h
@@ -49,10 +49,11 @@
   ResumedStreams,      // Sent to a target to go on; kind: caller or host, whoever resumed it.
   MemoryRefusals,      // Requests refused for want of memory; kind: why at that moment.
   RoomWaits,           // Calls that waited for room at a target; kind: how the wait ended.
+  Hedges,              // Second tries beside slow ones; kind: how they ended, or why none was made.
 };
 
 // How many counters there are; follows the last one.
-constexpr std::size_t kCounterCount = static_cast<std::size_t>(Counter::RoomWaits) + 1;
+constexpr std::size_t kCounterCount = static_cast<std::size_t>(Counter::Hedges) + 1;
 
 // Durations of which quantiles are kept.
 enum class Sample
--- a/include/damasklink/state/ServingSettings.h
+++ b/include/damasklink/state/ServingSettings.h
@@ -65,6 +65,9 @@
   // From an accepted version of weights until no call begins on an older one.
   Duration weightsWithin = std::chrono::seconds(10);
   RetryAllowance retries;
+  // Share of the calls of a service that all entry hosts together may send to a second target as
+  // well, when the first is slow; 0 for none.
+  double hedgeShare = 0;
 };
 
 } // namespace damasklink
--- a/src/coordination/ExchangeRetryPolicy.cpp
+++ b/src/coordination/ExchangeRetryPolicy.cpp
@@ -22,6 +22,8 @@
       return "failed";
     case AttemptResult::Broken:
       return "broken";
+    case AttemptResult::Overtaken:
+      return "overtaken";
     case AttemptResult::Expired:
       return "expired";
     case AttemptResult::CallerLeft:
@@ -122,6 +124,7 @@
       this->targetFailed = true;
       [[fallthrough]];
     case AttemptResult::Broken:
+    case AttemptResult::Overtaken:
       this->record.Advance(this->current, AttemptStage::Lost);
       break;
     case AttemptResult::NotSent:
@@ -158,6 +161,13 @@
   return this->MayTryAnother(AttemptResult::Broken, aNow) && this->TakeRetry(aBudget);
 }
 
+bool
+ExchangeRetryPolicy::MayHedge(MonotonicTime aNow) const
+{
+  return this->limits.repeatable && !this->passedOn && this->sent == 1 &&
+         this->MayTryAnother(AttemptResult::Broken, aNow);
+}
+
 bool
 ExchangeRetryPolicy::MaySendAgain() const
 {
--- a/src/coordination/RetryBudget.cpp
+++ b/src/coordination/RetryBudget.cpp
@@ -7,7 +7,10 @@
 void
 RetryBudget::OnRequest()
 {
-  this->balance = std::min(this->balance + this->share, std::max(this->reserve, 1.0));
+  const double capacity = std::max(this->reserve, 1.0);
+  const double added = this->balance + this->share;
+  this->balance = std::min(added, capacity);
+  this->surplus = std::min(this->surplus + added - this->balance, kMaxSurplus);
 }
 
 void
@@ -27,4 +30,14 @@
   return true;
 }
 
+bool
+RetryBudget::TryTakeSurplus()
+{
+  if (!this->HasSurplus()) {
+    return false;
+  }
+  this->surplus -= 1;
+  return true;
+}
+
 } // namespace damasklink
--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -28,7 +28,10 @@
     .With("host", this->settings.host)
     .With("name", this->settings.name)
     .With("zone", this->settings.zone)
-    .With("callers", FormatEndpoint(this->settings.callers));
+    .With("callers", FormatEndpoint(this->settings.callers))
+    .With("hedge_share", this->settings.hedgeShare);
+  this->context.hedgePolicy = HedgePolicy(this->settings.hedgeShare);
+  this->context.hedges = HedgeBudgets(this->settings.hedgeShare, RandomSeed());
   this->AddSeeds(this->settings.seeds);
   this->signals.Wait([this](const ServingSettings& aSettings) { this->AddSeeds(aSettings.seeds); },
                      [this] {
--- a/src/program/EntryHostImpl.h
+++ b/src/program/EntryHostImpl.h
@@ -173,6 +173,7 @@
   void ReportLoadPeriodically();
   void UpdateAdmission();
   void UpdateCrowded();
+  void UpdateHedges();
   Duration IntervalLag() const;
   void SendLoadReport(bool aHubChanged);
   void SendToControlHost(const HostId& aTo, const ServingMessage& aMessage);
--- a/src/program/EntryHostUpdates.cpp
+++ b/src/program/EntryHostUpdates.cpp
@@ -75,12 +75,34 @@
   }
 }
 
+// Averages the use of the services, which decides whether there is room for hedges.
+void
+EntryHost::Impl::UpdateHedges()
+{
+  HedgePolicy& policy = this->context.hedgePolicy;
+  if (!policy.IsOn() || this->state.Routes() == nullptr) {
+    return;
+  }
+  for (const ServingService& service : this->state.Routes()->Config().services) {
+    std::uint64_t taken = 0;
+    std::uint64_t slots = 0;
+    for (const TargetRecord& target : this->state.Targets().Usable(service.name)) {
+      taken += this->picker.LoadOf(target.id).requests;
+      slots += target.load.slots;
+    }
+    if (slots > 0) {
+      policy.ObserveUse(service.name, static_cast<double>(taken) / static_cast<double>(slots));
+    }
+  }
+}
+
 // Selects the hub, sends it what changed, and schedules the next call of itself.
 void
 EntryHost::Impl::ReportLoadPeriodically()
 {
   this->UpdateAdmission();
   this->UpdateCrowded();
+  this->UpdateHedges();
   const std::optional<HostId> before = this->hub.Hub();
   const std::optional<HostId> chosen = this->hub.Choose(this->HubCandidates());
   const bool changed = chosen != before;
@@ -297,6 +319,7 @@
   this->ApplyColdStarts(aUpdate.targets);
   this->ApplyEvacuations();
   this->retries.SetHosts(this->state.EntryHosts());
+  this->context.hedges.SetHosts(this->state.EntryHosts());
   const bool discovered = this->links.AddHosts(this->state.TakeDiscoveredControlHosts());
   if (discovered || this->state.IsHealthy(aPeer) != wasHealthy) {
     this->UpdateControlLinks();
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -82,6 +82,7 @@
   // The host that forwarded a call has counted it.
   if (!this->forwardedLimits) {
     this->context.retries.OnCall(this->service);
+    this->context.hedges.OnCall(this->service, this->context.clock.MonotonicNow());
   }
   const bool reusable =
     unknownOrigin ? co_await this->RespondWithError(*unknownOrigin) : co_await this->Relay();
@@ -197,7 +198,8 @@
   }
   const bool replaceable =
     this->lastResult == AttemptResult::Broken || this->lastResult == AttemptResult::Failed ||
-    this->lastResult == AttemptResult::Declined || this->lastResult == AttemptResult::Refused;
+    this->lastResult == AttemptResult::Declined || this->lastResult == AttemptResult::Refused ||
+    this->lastResult == AttemptResult::Overtaken;
   if (replaceable && co_await this->AwaitStandby()) {
     this->plan->ContinueAtStandby(this->lastResult);
     this->LogAttemptEnd(ExchangeStep::TryAnother);
@@ -303,6 +305,7 @@
   this->checkedAt = MonotonicTime();
   this->received = false;
   this->silenceLogged = false;
+  this->overtaken = false;
 }
 
 CallLoad
@@ -341,6 +344,12 @@
   if (this->context.waiting.erase(this) > 0) {
     this->context.paths.OnEnded(this->service);
   }
+  if (this->hedgeTimer) {
+    this->hedgeTimer->Disarm();
+  }
+  if (this->overtaken && result == AttemptResult::Broken) {
+    result = AttemptResult::Overtaken;
+  }
   if (this->interrupt != Interrupt::None && result != AttemptResult::Delivered) {
     result = this->ResultOfInterrupt();
   }
@@ -433,6 +442,7 @@
   this->plan->Sending();
   this->sentAt = this->context.clock.MonotonicNow();
   this->lastBytesAt = this->sentAt;
+  this->ArmHedge();
   this->context.paths.OnSent(this->service);
   this->context.waiting.insert(this);
   const TargetCall call = this->CallFor(aTarget);
@@ -511,9 +521,14 @@
     }
     co_return AttemptResult::Refused;
   }
-  if (aHead.status < 500) {
+  // Of two streams, the one that brings the first event is the caller's.
+  const bool awaitsEvent = IsEventStream(aHead) && this->IsHedging();
+  if (aHead.status < 500 && !awaitsEvent) {
     this->CancelStandby();
   }
+  if (!IsEventStream(aHead)) {
+    this->EndHedgeWait();
+  }
   if (IsEventStream(aHead)) {
     co_return co_await this->ForwardStream(aTarget, std::move(aHead), std::move(aFirst));
   }
@@ -576,6 +591,7 @@
 Exchange::ForwardBytes(const HttpResponseHead& aHead, std::string_view aBytes)
 {
   this->OnBytes(this->attemptTarget);
+  this->EndHedgeWait();
   this->CancelStandby();
   this->ObserveFirstEvent(this->attemptTarget);
   const std::string events = this->framer.Append(aBytes);
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -21,6 +21,8 @@
 #include "damasklink/coordination/CrashFilter.h"
 #include "damasklink/coordination/EventFramer.h"
 #include "damasklink/coordination/ExchangeRetryPolicy.h"
+#include "damasklink/coordination/HedgeBudget.h"
+#include "damasklink/coordination/HedgePolicy.h"
 #include "damasklink/coordination/InterruptedRequests.h"
 #include "damasklink/coordination/RegionRestriction.h"
 #include "damasklink/coordination/RequestFingerprint.h"
@@ -95,6 +97,9 @@
   std::map<ServiceName, std::size_t> standbyConnections = {};
   // Services most of whose targets are loaded.
   std::set<ServiceName> crowded = {};
+  // Both off unless the operator sets a share.
+  HedgePolicy hedgePolicy = {};
+  HedgeBudgets hedges = {};
 };
 
 // What is left of the limits of a call that another entry host forwarded to this one.
@@ -288,13 +293,29 @@
   // Starts a standby attempt because of the target's silence, if the call may be repeated. The
   // attempt in progress goes on.
   void OnSilent(std::string_view aReason);
-  bool StartStandby();
+  bool StartStandby(bool aHedge = false);
   Awaitable<void> RunStandby(std::shared_ptr<StandbyAttempt> aStandby);
   Awaitable<void> TryStandby(std::shared_ptr<StandbyAttempt> aStandby);
   Awaitable<void> TryStandbyTarget(std::shared_ptr<StandbyAttempt> aStandby, TargetRecord aTarget);
   Awaitable<void> TryStandbyHost(std::shared_ptr<StandbyAttempt> aStandby, HostId aHost);
   Awaitable<void> SendStandby(std::shared_ptr<StandbyAttempt> aStandby);
+  bool ReserveStandby(const StandbyAttempt& aStandby);
   void BeginStandby(StandbyAttempt& aStandby);
+  // Arms the timer that decides on a hedge of the attempt that was just sent.
+  void ArmHedge();
+  void AskForHedgeLater();
+  void OnHedgeDue();
+  // The first bytes of a response that the caller may get have arrived.
+  void EndHedgeWait();
+  bool IsHedging() const;
+  HedgeKind KindOfHedge() const;
+  HedgeSituation SituationOfHedge() const;
+  // Returns the target of a hedge, or nullptr if none is better than waiting.
+  const TargetRecord* ChooseHedgeTarget();
+  Awaitable<void> TryHedge(std::shared_ptr<StandbyAttempt> aStandby);
+  void CountHedge(std::string_view aOutcome) const;
+  // Closes the first attempt, in whose place the hedge comes.
+  void GiveUpForHedge();
   bool MayTakeHead(StandbyAttempt& aStandby, const HttpResponseHead& aHead);
   void OnStandbyBroken(StandbyAttempt& aStandby, const Error& aError);
   void CheckStandby();
@@ -438,6 +459,12 @@
   bool writing = false;
   // The attempt beside the one in progress.
   std::shared_ptr<StandbyAttempt> standby;
+  // Fires when the call has waited for as long as its kind usually takes; set only when the
+  // operator allows hedges.
+  std::optional<Watchdog> hedgeTimer;
+  bool hedgeTimed = false;
+  // The attempt in progress was closed since a hedge responded first.
+  bool overtaken = false;
   CallLoad load;
   // Slow stores that this call does not fetch from.
   std::set<std::string> avoidedStores;
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -364,6 +364,7 @@
     case AttemptResult::Declined:
     case AttemptResult::CallerLeft:
     case AttemptResult::Expired:
+    case AttemptResult::Overtaken:
       return HealthSignal::None;
     case AttemptResult::Delivered:
     case AttemptResult::Refused:
--- a/src/program/ExchangeStandby.cpp
+++ b/src/program/ExchangeStandby.cpp
@@ -28,12 +28,17 @@
 } // namespace
 
 bool
-Exchange::StartStandby()
+Exchange::StartStandby(bool aHedge)
 {
+  // Whoever needs another way does not wait for a hedge that may be silent, too.
+  if (!aHedge && this->IsHedging() && this->standby->stage != Stage::Accepted) {
+    this->CancelStandby();
+  }
   if (this->standby != nullptr || this->interrupt != Interrupt::None || this->bodyGivenBack) {
     return false;
   }
   this->standby = std::make_shared<StandbyAttempt>(this->context.loop);
+  this->standby->hedge = aHedge;
   asio::co_spawn(this->context.loop, this->RunStandby(this->standby), asio::detached);
   return true;
 }
@@ -48,7 +53,7 @@
   ++shared.standbys;
   while (!aStandby->cancelled && !aStandby->isLast && shared.clock.MonotonicNow() < until) {
     co_await this->TryStandby(aStandby);
-    if (aStandby->cancelled || aStandby->stage == Stage::Accepted) {
+    if (aStandby->cancelled || aStandby->stage == Stage::Accepted || aStandby->hedge) {
       break;
     }
     pause.expires_after(kSearchInterval);
@@ -58,7 +63,9 @@
   if (aStandby->cancelled) {
     co_return;
   }
-  if (aStandby->stage == Stage::Accepted) {
+  if (aStandby->stage == Stage::Accepted && aStandby->hedge) {
+    this->GiveUpForHedge();
+  } else if (aStandby->stage == Stage::Accepted) {
     this->GiveUpSilentAttempt();
   } else {
     aStandby->SetStage(Stage::Ended);
@@ -86,6 +93,10 @@
 Awaitable<void>
 Exchange::TryStandby(std::shared_ptr<StandbyAttempt> aStandby)
 {
+  if (aStandby->hedge) {
+    co_await this->TryHedge(std::move(aStandby));
+    co_return;
+  }
   const MonotonicTime now = this->context.clock.MonotonicNow();
   const RetryBudget& budget = this->context.retries.Of(this->service);
   const bool mayConnect = this->context.standbyConnections[this->service] < kMaxConnecting;
@@ -116,7 +127,7 @@
 }
 
 // A pooled connection to a silent target looks open, so a new one is made, unless none can be made
-// at all.
+// at all. The target of a hedge was heard lately.
 Awaitable<void>
 Exchange::TryStandbyTarget(std::shared_ptr<StandbyAttempt> aStandby, TargetRecord aTarget)
 {
@@ -124,7 +135,8 @@
   aStandby->target = aTarget;
   aStandby->host.reset();
   const bool onlyOpen = this->HasOpenConnections();
-  aStandby->channel = onlyOpen ? shared.pool.TakeIdle(aTarget.endpoint) : nullptr;
+  aStandby->channel =
+    onlyOpen || aStandby->hedge ? shared.pool.TakeIdle(aTarget.endpoint) : nullptr;
   if (aStandby->channel == nullptr) {
     aStandby->channel =
       std::make_unique<TargetConnection>(shared.loop.get_executor(), shared.clock);
@@ -146,15 +158,25 @@
   }
   // Other calls may have taken the target's places meanwhile.
   this->UpdateRateLimited();
-  RetryBudget& budget = shared.retries.Of(this->service);
   if (!this->StillTakesCalls(aTarget) ||
       (!onlyOpen && this->selection.rateLimited.contains(aTarget.id)) ||
-      !this->plan->ReserveRetry(shared.clock.MonotonicNow(), budget)) {
+      !this->ReserveStandby(*aStandby)) {
     co_return;
   }
   co_await this->SendStandby(std::move(aStandby));
 }
 
+// A hedge has been taken from the budget before its target was connected to.
+bool
+Exchange::ReserveStandby(const StandbyAttempt& aStandby)
+{
+  const MonotonicTime now = this->context.clock.MonotonicNow();
+  if (aStandby.hedge) {
+    return this->plan->MayHedge(now);
+  }
+  return this->plan->ReserveRetry(now, this->context.retries.Of(this->service));
+}
+
 // Tells all that count the calls of a target that it has one more.
 void
 Exchange::BeginStandby(StandbyAttempt& aStandby)
@@ -337,16 +359,21 @@
 void
 Exchange::LogStandbyEnd(const StandbyAttempt& aStandby, std::string_view aOutcome) const
 {
-  LogEvent(LogLevel::Info, "standby_attempt")
+  const bool lost = aStandby.hedge && aOutcome == "cancelled" && this->interrupt == Interrupt::None;
+  const std::string_view outcome = lost                                       ? "lost"
+                                   : aStandby.hedge && aOutcome == "accepted" ? "won"
+                                                                              : aOutcome;
+  LogEvent(LogLevel::Info, aStandby.hedge ? "hedge" : "standby_attempt")
     .With("request", this->call.request)
     .With("service", this->service)
     .With("beside", this->destination)
     .With("at", aStandby.host ? aStandby.host->Value() : aStandby.target.id.Value())
     .With("silence_ms", WholeMilliseconds(this->Silence()))
     .With("sends", this->plan->Sent())
-    .With("outcome", aOutcome);
-  this->context.metrics.Add(
-    Counter::StandbyAttempts, MetricKey{ WorkspaceId(), std::string(aOutcome) }, 1);
+    .With("outcome", outcome);
+  this->context.metrics.Add(aStandby.hedge ? Counter::Hedges : Counter::StandbyAttempts,
+                            MetricKey{ WorkspaceId(), std::string(outcome) },
+                            1);
 }
 
 void
--- a/src/protocol/MetricsText.cpp
+++ b/src/protocol/MetricsText.cpp
@@ -48,6 +48,7 @@
   { Counter::ResumedStreams, "damasklink_resumed_streams_total" },
   { Counter::MemoryRefusals, "damasklink_memory_refusals_total" },
   { Counter::RoomWaits, "damasklink_room_waits_total" },
+  { Counter::Hedges, "damasklink_hedges_total" },
 } };
 
 constexpr bool
--- a/test/program/CommandsTest.cpp
+++ b/test/program/CommandsTest.cpp
@@ -52,6 +52,15 @@
   }
 }
 
+TEST_F(CommandsTest, BadShareOfHedgesIsAnErrorThatNamesTheOptionAndTheRemedy)
+{
+  for (const std::string bad : { "0.21", "-0.01", "3%", "nan", "0.03x", "much" }) {
+    EXPECT_EQ(this->Run({ "entry", "--hedge-share=" + bad }), ExitCode::InvalidUsage) << bad;
+    EXPECT_THAT(this->err, HasSubstr("--hedge-share '" + bad + "'"));
+    EXPECT_THAT(this->err, HasSubstr("from 0 (no hedges) to 0.2"));
+  }
+}
+
 TEST_F(CommandsTest, OverviewListsEveryCommand)
 {
   EXPECT_EQ(this->Run({ "--help" }), ExitCode::Done);
