--- a/src/program/StandbyAttempt.h
+++ b/src/program/StandbyAttempt.h
@@ -52,8 +52,8 @@
 
   Stage stage = Stage::Searching;
   bool cancelled = false;
-  // Made because the first attempt is slow, not because its target may be gone: once, and within the
-  // operator's limit.
+  // Made because the first attempt is slow, not because its target may be gone: once, and within
+  // the operator's limit.
   bool hedge = false;
   // Its target is silent, too.
   bool givenUp = false;
