--- a/src/program/ExchangeStandby.cpp
+++ b/src/program/ExchangeStandby.cpp
@@ -25,6 +25,16 @@
 // another way. If all targets are silent, all calls do.
 constexpr std::size_t kMaxConnecting = 32;
 
+// Returns the outcome of a hedge as logged, which races with the first attempt.
+std::string_view
+HedgeOutcome(std::string_view aOutcome, bool aInterrupted)
+{
+  if (aOutcome == "accepted") {
+    return "won";
+  }
+  return aOutcome == "cancelled" && !aInterrupted ? "lost" : aOutcome;
+}
+
 } // namespace
 
 bool
@@ -359,16 +369,16 @@
 void
 Exchange::LogStandbyEnd(const StandbyAttempt& aStandby, std::string_view aOutcome) const
 {
-  const bool lost = aStandby.hedge && aOutcome == "cancelled" && this->interrupt == Interrupt::None;
-  const std::string_view outcome = lost                                       ? "lost"
-                                   : aStandby.hedge && aOutcome == "accepted" ? "won"
-                                                                              : aOutcome;
+  const bool interrupted = this->interrupt != Interrupt::None;
+  const std::string_view outcome = aStandby.hedge ? HedgeOutcome(aOutcome, interrupted) : aOutcome;
+  const Duration waited = this->context.clock.MonotonicNow() - this->sentAt;
   LogEvent(LogLevel::Info, aStandby.hedge ? "hedge" : "standby_attempt")
     .With("request", this->call.request)
     .With("service", this->service)
     .With("beside", this->destination)
     .With("at", aStandby.host ? aStandby.host->Value() : aStandby.target.id.Value())
-    .With("silence_ms", WholeMilliseconds(this->Silence()))
+    .With(aStandby.hedge ? "waited_ms" : "silence_ms",
+          WholeMilliseconds(aStandby.hedge ? waited : this->Silence()))
     .With("sends", this->plan->Sent())
     .With("outcome", outcome);
   this->context.metrics.Add(aStandby.hedge ? Counter::Hedges : Counter::StandbyAttempts,
