--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -368,6 +368,8 @@
     case AttemptResult::NotSent:
     case AttemptResult::Declined:
     case AttemptResult::CallerLeft:
+    case AttemptResult::Expired:
+    case AttemptResult::Overtaken:
       return HealthSignal::None;
     case AttemptResult::Delivered:
     case AttemptResult::Refused:
