--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -368,7 +368,6 @@
     case AttemptResult::NotSent:
     case AttemptResult::Declined:
     case AttemptResult::CallerLeft:
-    case AttemptResult::Expired:
     case AttemptResult::Overtaken:
       return HealthSignal::None;
     case AttemptResult::Delivered:
