--- a/src/program/ExchangeResponse.cpp
+++ b/src/program/ExchangeResponse.cpp
@@ -181,7 +181,9 @@
   this->closeAnnounced = this->ShouldCloseCallerConnection();
   std::size_t passedOn = aKept.Size() + aUnkept.size();
   bool written = co_await this->WriteKept(aHead, std::move(aKept));
-  written = written && co_await this->WritePart(aHead, aUnkept);
+  if (written) {
+    written = co_await this->WritePart(aHead, aUnkept);
+  }
   while (written) {
     const auto chunk = co_await this->ReadResponseChunk(aHead, passedOn);
     if (!chunk) {
