Calls wait for room only while most targets are loaded

Cause: a call that no target could serve was kept at its host also when the service was not crowded; RefusesPromptWithTooLongExpectedWait hung. Change: outside of it such a call is refused at once, as before.

--- a/src/program/ExchangeWaiting.cpp
+++ b/src/program/ExchangeWaiting.cpp
@@ -20,8 +20,9 @@
 bool
 Exchange::MayAwaitRoom() const
 {
-  return this->overloaded && this->interrupt == Interrupt::None && !this->forwardedLimits &&
-         !this->begunOn && !this->context.shuttingDown && this->plan->Sent() == 0;
+  return this->overloaded && this->context.crowded.contains(this->service) &&
+         this->interrupt == Interrupt::None && !this->forwardedLimits && !this->begunOn &&
+         !this->context.shuttingDown && this->plan->Sent() == 0;
 }
 
 AdmissionRequest
