--- a/test/soak/machine_memory.py
+++ b/test/soak/machine_memory.py
@@ -16,7 +16,7 @@
 
 from flooder import Flooder
 from soak import REFUSALS, Soak, soak_parser, soak_seeds
-from standins import Target, call, read_head
+from standins import Target, read_head
 
 MEMORY_MB = 110
 LARGE = 4_000_000
@@ -194,14 +194,12 @@
             await asyncio.sleep(CHECK_EVERY)
 
     async def trace(self, host, begun):
-        """Writes the memory of the process beside its own account of it."""
+        """Writes the memory of the process and what waits unread in its sockets."""
         with open(self.options.trace, "a", encoding="utf-8") as output:
             while not self.done:
                 used = resident_bytes(host.child)
                 unread = unread_bytes(host.ip)
-                _, page = await call((host.ip, self.port + 2), "GET", "/metrics", "", 1)
-                gauges = [line for line in page.decode().splitlines() if line.startswith("damasklink_memory")]
-                output.write(f"{time.monotonic() - begun:.2f} {host.name} resident={used} unread={unread} {gauges}\n")
+                output.write(f"{time.monotonic() - begun:.2f} {host.name} resident={used} unread={unread}\n")
                 await asyncio.sleep(TRACE_EVERY)
 
     async def large_caller(self, host, name, until, delay):
@@ -356,7 +354,7 @@
     parser.add_argument("--load", choices=CALLERS, default="bodies", help="what the large requests are")
     parser.add_argument("--endless", choices=ENDLESS, help="what a target sends without end")
     parser.add_argument("--faulty", type=int, default=1, help="how many targets do")
-    parser.add_argument("--trace", help="file for the memory of each host beside its account")
+    parser.add_argument("--trace", help="file for the memory of each host over time")
     parser.set_defaults(entries=3)
     soak_seeds(parser.parse_args(), MachineMemory)
 
