What the review of turns and waits found

A prompt that fits no empty target, a service that is not reached and one without any target that takes calls are refused at once instead of waiting; services that leave the configuration are no longer crowded; a waiter on an open route keeps the route's rank, one whose key has gone its own; the sends of past turns are bounded (100,000 targets: ManyTargetsThatWereSentSomethingAreForgotten).

--- a/include/damasklink/coordination/TargetTurns.h
+++ b/include/damasklink/coordination/TargetTurns.h
@@ -1,7 +1,7 @@
 // Decides which hosts may send to a target while most targets of its service are loaded.
 //
 //   TargetTurns turns(clock, ownHost);
-//   if (turns.Has(target, hosts)) ...
+//   if (turns.Has(target, TargetTurns::ShareOf(hosts, targets))) ...
 //   turns.OnSent(target, load);
 //   turns.Unseen(target);             // What the other hosts of the turn may have sent meanwhile.
 //
@@ -28,18 +28,18 @@
 class TargetTurns
 {
 public:
-  // Most hosts know of a send by the end of the turn in which it was made.
+  // About as long as hosts take to learn of each other's sends.
   static constexpr Duration kTurn = std::chrono::milliseconds(200);
   // Hosts that have their turn at a target at the same time, on average. With one, the turn would
   // often be that of a host that has nothing to send.
   static constexpr double kHostsPerTurn = 2;
 
-  TargetTurns(const Clock& aClock, const HostId& aSelf);
-
   // Targets at which a host has its turn at the same time, on average. With fewer, hosts that are
   // more numerous than targets would often find none.
   static constexpr double kTargetsPerHost = 5;
 
+  TargetTurns(const Clock& aClock, const HostId& aSelf);
+
   // Returns the share of all turns at a target that a host has, where so many hosts send to so many
   // targets. With few of either, hosts have their turns always.
   static double ShareOf(std::uint64_t aHosts, std::uint64_t aTargets);
@@ -54,6 +54,9 @@
   // as this host, which each of them sees only later.
   LoadCounts Unseen(const TargetId& aTarget) const;
 
+  // Returns how many targets' sends are kept.
+  std::size_t Remembered() const { return this->sends.size(); }
+
 private:
   struct OwnSends
   {
@@ -61,6 +64,9 @@
     LoadCounts load;
   };
 
+  // Sends of earlier turns are forgotten when there are more than this.
+  static constexpr std::size_t kMostSends = 1024;
+
   std::uint64_t TurnOf(const TargetId& aTarget) const;
 
   const Clock& clock;
--- a/src/coordination/TargetSelector.cpp
+++ b/src/coordination/TargetSelector.cpp
@@ -161,7 +161,9 @@
     }
     ++taking;
     const LoadCounts load = this->LoadOf(target.id);
+    // Targets that declare no slots are not limited by them.
     const bool hasSlots =
+      target.load.slots == 0 ||
       static_cast<double>(load.requests) <= kRoomyShare * static_cast<double>(target.load.slots);
     const bool hasMemory =
       static_cast<double>(load.memory) <= kRoomyShare * static_cast<double>(aCacheTokens.Value());
--- a/src/coordination/TargetTurns.cpp
+++ b/src/coordination/TargetTurns.cpp
@@ -64,6 +64,11 @@
 void
 TargetTurns::OnSent(const TargetId& aTarget, const LoadCounts& aLoad)
 {
+  if (this->sends.size() >= kMostSends) {
+    absl::erase_if(this->sends, [this](const auto& aItem) {
+      return aItem.second.turn != this->TurnOf(aItem.first);
+    });
+  }
   const std::uint64_t turn = this->TurnOf(aTarget);
   OwnSends& own = this->sends[aTarget];
   if (own.turn != turn) {
--- a/src/program/EntryHostUpdates.cpp
+++ b/src/program/EntryHostUpdates.cpp
@@ -146,7 +146,12 @@
   if (this->state.Routes() == nullptr) {
     return;
   }
-  for (const ServingService& service : this->state.Routes()->Config().services) {
+  const ServingConfig& config = this->state.Routes()->Config();
+  std::erase_if(this->context.crowded, [&config](const ServiceName& aName) {
+    const ServingService* service = config.FindService(aName);
+    return service == nullptr || !service->engine;
+  });
+  for (const ServingService& service : config.services) {
     if (!service.engine) {
       continue;
     }
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -325,8 +325,10 @@
 Exchange::CountSend(const TargetRecord& aTarget, const CallLoad& aLoad)
 {
   this->context.picker.OnSent(aTarget.id, this->selection, aLoad);
-  this->context.turns.OnSent(aTarget.id,
-                             LoadCounts{ 1, aLoad.uncachedTokens.Value(), aLoad.memory.Value() });
+  if (this->context.crowded.contains(this->service)) {
+    this->context.turns.OnSent(aTarget.id,
+                               LoadCounts{ 1, aLoad.uncachedTokens.Value(), aLoad.memory.Value() });
+  }
   this->context.limits.OnSent(aTarget.id);
   this->context.brittle.OnSent(aTarget);
   this->context.retryScheduler.OnAdmitted();
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -394,6 +394,9 @@
   CallRank Rank() const;
   const TargetRecord* ChooseInTurn(const std::vector<TargetRecord>& aTargets);
   bool HasRoom(const TargetRecord& aTarget) const;
+  bool HasEligibleTarget(const std::vector<TargetRecord>& aTargets);
+  double MemoryLimit() const;
+  bool FitsEmptyTarget() const;
   Duration LongestQueueing(Duration aOwn, double aPatience) const;
   // Returns how many hosts send to each target of the service.
   std::uint64_t HostsPerTarget() const;
--- a/src/program/ExchangeRouting.cpp
+++ b/src/program/ExchangeRouting.cpp
@@ -272,7 +272,9 @@
   const std::vector<TargetRecord>& targets = this->Targets();
   if (hasPrompt && !this->begunOn && this->context.crowded.contains(this->service)) {
     const TargetRecord* inTurn = this->ChooseInTurn(targets);
-    this->overloaded = inTurn == nullptr;
+    // Without any target that takes calls, waiting for room would be in vain.
+    this->overloaded =
+      inTurn == nullptr && (this->waitsForRoom || this->HasEligibleTarget(targets));
     return inTurn;
   }
   const TargetRecord* chosen = this->context.picker.Choose(this->selection, targets);
@@ -308,6 +310,32 @@
     });
 }
 
+bool
+Exchange::HasEligibleTarget(const std::vector<TargetRecord>& aTargets)
+{
+  return this->context.picker.Choose(this->selection, aTargets) != nullptr;
+}
+
+// Returns the share of a target's memory that calls of this rank may fill.
+double
+Exchange::MemoryLimit() const
+{
+  const double limit = LimitsOf(this->Rank().workspace).memory;
+  if (this->workspace == nullptr || !this->workspace->priority) {
+    return limit;
+  }
+  const int route = std::clamp(this->route->priority, 0, kLowestPriority);
+  return limit + kMemoryStep * (kLowestPriority - route);
+}
+
+bool
+Exchange::FitsEmptyTarget() const
+{
+  const auto capacity = static_cast<double>(this->selection.cacheTokens.Value());
+  const auto needed = static_cast<double>(this->selection.promptTokens.Value());
+  return capacity == 0 || needed <= this->MemoryLimit() * capacity;
+}
+
 // Returns whether the call is expected to be served in time at the target, with what other hosts
 // may have sent there in this turn.
 bool
@@ -318,15 +346,9 @@
   const Duration wait = picker.ExpectedWait(this->selection, aTarget, unseen);
   const Duration own = picker.ExpectedFirstEvent(this->selection, aTarget) -
                        picker.ExpectedWait(this->selection, aTarget);
-  const AdmissionLimits& limits = LimitsOf(this->Rank().workspace);
-  double memory = limits.memory;
-  if (this->workspace != nullptr && this->workspace->priority) {
-    memory +=
-      kMemoryStep * (kLowestPriority - std::clamp(this->route->priority, 0, kLowestPriority));
-  }
   return own + wait <= std::min(this->CallerPatience(), this->TimeLeft()) &&
-         wait <= this->LongestQueueing(own, limits.patience) &&
-         picker.MemoryShare(this->selection, aTarget.id, unseen) <= memory;
+         wait <= this->LongestQueueing(own, LimitsOf(this->Rank().workspace).patience) &&
+         picker.MemoryShare(this->selection, aTarget.id, unseen) <= this->MemoryLimit();
 }
 
 // Returns how long the call may wait behind others at a target that needs aOwn for it alone. It may
--- a/src/program/ExchangeWaiting.cpp
+++ b/src/program/ExchangeWaiting.cpp
@@ -21,6 +21,7 @@
 Exchange::MayAwaitRoom() const
 {
   return this->overloaded && this->context.crowded.contains(this->service) &&
+         !this->context.paths.IsUnreachable(this->service) && this->FitsEmptyTarget() &&
          this->interrupt == Interrupt::None && !this->forwardedLimits && !this->begunOn &&
          !this->context.shuttingDown && this->plan->Sent() == 0;
 }
@@ -50,8 +51,12 @@
   const std::shared_ptr<const RouteTable>& newest = this->context.state.Routes();
   const ServingRoute* current =
     newest->FindRoute(this->call.host, PathOf(this->request->head.target));
-  return current == nullptr ? this->Rank()
-                            : RankOf(*current, newest->FindWorkspace(this->call.key));
+  if (current == nullptr) {
+    return this->Rank();
+  }
+  const WorkspaceEntry* owner = current->open ? nullptr : newest->FindWorkspace(this->call.key);
+  const bool keyIsGone = owner == nullptr && this->workspace != nullptr;
+  return keyIsGone ? this->Rank() : RankOf(*current, owner);
 }
 
 Awaitable<std::optional<TargetRecord>>
@@ -73,8 +78,10 @@
     co_await this->context.room.Wait(admission, std::move(waiter), this->roomTicket);
   this->waitsForRoom = false;
   const Duration waited = this->context.clock.MonotonicNow() - since;
-  this->context.metrics.Observe(
-    Sample::RoomWait, MetricKey{ WorkspaceId(), this->route->name }, waited);
+  if (end != RoomWaitEnd::Refused) {
+    this->context.metrics.Observe(
+      Sample::RoomWait, MetricKey{ WorkspaceId(), this->route->name }, waited);
+  }
   LogEvent(LogLevel::Info, "room_wait")
     .With("request", this->call.request)
     .With("route", this->route->name)
--- a/src/program/RoomWaiters.h
+++ b/src/program/RoomWaiters.h
@@ -40,7 +40,7 @@
 
   RoomWaiters(asio::io_context& aLoop, const Clock& aClock, Metrics& aMetrics);
 
-  // What a call that waits provides. Both are called until Wait() returns.
+  // What a call that waits provides. Both may be called until its wait ends.
   struct Waiter
   {
     FindRoom findRoom;
--- a/test/coordination/TargetTurnsTest.cpp
+++ b/test/coordination/TargetTurnsTest.cpp
@@ -94,6 +94,19 @@
   EXPECT_TRUE(host.Unseen(Target(0)).IsEmpty());
 }
 
+// Targets that come and go under new names leave nothing behind.
+TEST(TargetTurnsTest, ManyTargetsThatWereSentSomethingAreForgotten)
+{
+  ManualClock clock;
+  TargetTurns host(clock, HostId("h"));
+  for (int target = 0; target < 100'000; ++target) {
+    host.OnSent(Target(target), LoadCounts{ 1, 0, 0 });
+    clock.Advance(std::chrono::milliseconds(1));
+  }
+  EXPECT_LE(host.Remembered(), 2000U);
+  EXPECT_EQ(host.Unseen(Target(99'999)).requests, 1U);
+}
+
 // Load: all targets but one are full, and all hosts have calls for the one in which room is free.
 // They learn of each other's sends at the end of a turn.
 TEST(TargetTurnsTest, TargetWithFreeRoomIsNotOverfilledByHostsThatLearnLate)
