An entry host no longer ends while calls become late in its queue

Cause: the order of waiting calls was sorted with the time of each comparison. A call that became late in between made the order inconsistent, and std::sort() read before the beginning of the vector. Change: one time for all comparisons. OrderHasEachCallOnceWhileCallsBecomeLate failed with just that exception before.

--- a/src/coordination/AdmissionWaitQueue.cpp
+++ b/src/coordination/AdmissionWaitQueue.cpp
@@ -12,6 +12,14 @@
 // Time constant of the rate at which waiting calls begin.
 constexpr double kRateSeconds = 1;
 
+// Calls get room in the order of their keys.
+std::tuple<CallRank, bool, MonotonicTime, AdmissionTicket>
+KeyOf(const AdmissionRequest& aRequest, AdmissionTicket aTicket, MonotonicTime aNow)
+{
+  const bool late = aRequest.beginBy < aNow;
+  return { aRequest.rank, late, late ? aRequest.leavesAt : aRequest.beginBy, aTicket };
+}
+
 } // namespace
 
 std::optional<AdmissionTicket>
@@ -84,9 +92,14 @@
   for (const auto& [ticket, request] : this->waiting) {
     ordered.push_back(ticket);
   }
+  // At one and the same time: whether calls are late must not change while they are sorted.
+  const MonotonicTime now = this->clock.MonotonicNow();
+  const auto key = [&](AdmissionTicket aTicket) {
+    return KeyOf(this->waiting.at(aTicket), aTicket, now);
+  };
   std::sort(
-    ordered.begin(), ordered.end(), [this](AdmissionTicket aFirst, AdmissionTicket aSecond) {
-      return this->Precedes(aFirst, aSecond);
+    ordered.begin(), ordered.end(), [&key](AdmissionTicket aFirst, AdmissionTicket aSecond) {
+      return key(aFirst) < key(aSecond);
     });
   return ordered;
 }
@@ -123,12 +136,8 @@
 AdmissionWaitQueue::Precedes(AdmissionTicket aFirst, AdmissionTicket aSecond) const
 {
   const MonotonicTime now = this->clock.MonotonicNow();
-  const auto key = [&](AdmissionTicket aTicket) {
-    const AdmissionRequest& request = this->waiting.at(aTicket);
-    const bool late = request.beginBy < now;
-    return std::tuple(request.rank, late, late ? request.leavesAt : request.beginBy, aTicket);
-  };
-  return key(aFirst) < key(aSecond);
+  return KeyOf(this->waiting.at(aFirst), aFirst, now) <
+         KeyOf(this->waiting.at(aSecond), aSecond, now);
 }
 
 // Returns whether the calls that come before this one are expected to have begun in time.
--- a/test/coordination/AdmissionWaitQueueTest.cpp
+++ b/test/coordination/AdmissionWaitQueueTest.cpp
@@ -1,5 +1,7 @@
 #include "damasklink/coordination/AdmissionWaitQueue.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 namespace damasklink {
@@ -113,6 +115,40 @@
   EXPECT_EQ(this->queue.InOrder().size(), 1U);
 }
 
+// Time goes on each time that it is asked for.
+class RunningClock final : public Clock
+{
+public:
+  MonotonicTime MonotonicNow() const override { return this->now += std::chrono::microseconds(1); }
+  WallTime WallNow() const override { return WallTime(); }
+
+private:
+  mutable MonotonicTime now;
+};
+
+// Calls become late while they are put in order. The entry host ended when they were compared with
+// different times.
+TEST(AdmissionWaitQueueClockTest, OrderHasEachCallOnceWhileCallsBecomeLate)
+{
+  const RunningClock clock;
+  AdmissionWaitQueue queue(clock);
+  const MonotonicTime start = clock.MonotonicNow();
+  for (std::size_t index = 0; index < AdmissionWaitQueue::kMostWaiting; ++index) {
+    const Duration beginWithin = std::chrono::milliseconds(2 + (index * 37) % 64);
+    const Duration leavesWithin = std::chrono::seconds(60) - std::chrono::seconds(index % 7);
+    ASSERT_TRUE(queue.Add(
+      AdmissionRequest{ kUrgent, TokenCount(1000), start + beginWithin, start + leavesWithin }));
+  }
+  for (int round = 0; round < 1000; ++round) {
+    std::vector<AdmissionTicket> order = queue.InOrder();
+    std::sort(order.begin(), order.end());
+    ASSERT_EQ(order.size(), AdmissionWaitQueue::kMostWaiting);
+    for (std::size_t index = 0; index < order.size(); ++index) {
+      ASSERT_EQ(order[index].Value(), index + 1);
+    }
+  }
+}
+
 // An operator has changed a priority while calls wait.
 TEST_F(AdmissionWaitQueueTest, NewRankChangesTheOrder)
 {
