Lines for members that lag and for replicas without a leader, histogram of the time to catch up

The leader logs member_lags every second with the entries and bytes that a member lacks, and member_caught_up with the time it took; a replica without a leader logs group_without_leader with its term, newest entry, votes and members. No change of logic.

--- a/include/damasklink/coordination/RaftCore.h
+++ b/include/damasklink/coordination/RaftCore.h
@@ -55,6 +55,17 @@
   std::vector<LogEntry> committed;
 };
 
+// How far a member's log is known to match that of its leader.
+struct MemberProgress
+{
+  Member member;
+  LogIndex match;
+  // The committed entries after `match`.
+  std::uint64_t missingEntries = 0;
+  // Whether it answered within the maximum election timeout.
+  bool responsive = false;
+};
+
 enum class RaftRole
 {
   Follower,
@@ -129,6 +140,8 @@
   LogIndex DeliveredIndex() const { return this->deliveredIndex; }
   const RaftLog& Log() const { return this->log; }
   bool IsVoter() const { return this->log.NewestMembership().IsVoter(this->options.replica); }
+  // Returns how many votes this replica has as a candidate, its own included.
+  std::size_t Votes() const { return this->votes.size(); }
   // Returns whether a leader was heard within the maximum election timeout.
   bool HasRecentLeader() const;
   // Returns the index up to which the member's log is known to match this one. Zero unless this
@@ -137,6 +150,8 @@
   // Returns whether the member answered within the maximum election timeout. Always true for this
   // replica, and false for others unless this replica is the leader.
   bool HeardRecentlyFrom(ReplicaId aReplica) const;
+  // Returns the progress of all other members. Empty unless this replica is the leader.
+  std::vector<MemberProgress> MembersProgress() const;
 
 private:
   struct Progress
--- a/include/damasklink/coordination/RaftLog.h
+++ b/include/damasklink/coordination/RaftLog.h
@@ -31,6 +31,10 @@
   // least one entry if there is any.
   std::vector<LogEntry> From(LogIndex aFirst, std::size_t aMaxBytes) const;
 
+  // Returns the bytes of the commands of all entries in memory, or of those after aIndex.
+  std::uint64_t Bytes() const { return this->bytes; }
+  std::uint64_t BytesAfter(LogIndex aIndex) const;
+
   // Appends an entry. Requires that its index is the next one.
   void Append(LogEntry aEntry);
 
@@ -64,6 +68,8 @@
   LogIndex baseIndex;
   Term baseTerm;
   std::deque<LogEntry> entries;
+  // Bytes of their commands.
+  std::uint64_t bytes = 0;
   // Oldest first; never empty.
   std::vector<MembershipEntry> memberships;
 };
--- a/include/damasklink/state/Metrics.h
+++ b/include/damasklink/state/Metrics.h
@@ -65,11 +65,12 @@
   ClaimWait,
   ConfigSpread,
   RouteChoice,
-  RoomWait, // For room at a target, at the host.
+  RoomWait,      // For room at a target, at the host.
+  MemberCatchUp, // Of a replica that lagged behind its leader; kind: the group.
 };
 
 // How many samples there are; follows the last one.
-constexpr std::size_t kSampleCount = static_cast<std::size_t>(Sample::RoomWait) + 1;
+constexpr std::size_t kSampleCount = static_cast<std::size_t>(Sample::MemberCatchUp) + 1;
 
 // Which series: either field may be empty.
 struct MetricKey
--- a/src/coordination/RaftLeader.cpp
+++ b/src/coordination/RaftLeader.cpp
@@ -371,6 +371,29 @@
   return found == this->progress.end() ? LogIndex() : found->second.match;
 }
 
+std::vector<MemberProgress>
+RaftCore::MembersProgress() const
+{
+  std::vector<MemberProgress> all;
+  if (this->role != RaftRole::Leader) {
+    return all;
+  }
+  for (const Member& member : this->log.NewestMembership().members) {
+    const auto found = this->progress.find(member.replica);
+    if (found == this->progress.end()) {
+      continue;
+    }
+    const Progress& peer = found->second;
+    MemberProgress seen;
+    seen.member = member;
+    seen.match = peer.match;
+    seen.missingEntries = this->committed.Value() - std::min(this->committed, peer.match).Value();
+    seen.responsive = this->HeardRecently(peer);
+    all.push_back(std::move(seen));
+  }
+  return all;
+}
+
 bool
 RaftCore::HeardRecentlyFrom(ReplicaId aReplica) const
 {
--- a/src/coordination/RaftLog.cpp
+++ b/src/coordination/RaftLog.cpp
@@ -60,6 +60,19 @@
   return taken;
 }
 
+std::uint64_t
+RaftLog::BytesAfter(LogIndex aIndex) const
+{
+  std::uint64_t after = 0;
+  for (auto entry = this->entries.rbegin(); entry != this->entries.rend(); ++entry) {
+    if (entry->index <= aIndex) {
+      break;
+    }
+    after += entry->command.size();
+  }
+  return after;
+}
+
 void
 RaftLog::Append(LogEntry aEntry)
 {
@@ -67,6 +80,7 @@
   if (aEntry.kind == EntryKind::Membership) {
     this->memberships.push_back(MembershipEntry{ aEntry.index, aEntry.membership });
   }
+  this->bytes += aEntry.command.size();
   this->entries.push_back(std::move(aEntry));
 }
 
@@ -75,6 +89,7 @@
 {
   assert(aIndex > this->baseIndex);
   while (this->LastIndex() >= aIndex) {
+    this->bytes -= this->entries.back().command.size();
     this->entries.pop_back();
   }
   while (this->memberships.size() > 1 && this->memberships.back().index >= aIndex) {
@@ -90,6 +105,7 @@
   while (this->baseIndex.Value() + aTrailing < this->snapshot->index.Value()) {
     this->baseIndex = this->entries.front().index;
     this->baseTerm = this->entries.front().term;
+    this->bytes -= this->entries.front().command.size();
     this->entries.pop_front();
   }
   while (this->memberships.size() > 1 && this->memberships[1].index <= this->snapshot->index) {
@@ -102,6 +118,7 @@
 {
   this->snapshot = std::move(aSnapshot);
   this->entries.clear();
+  this->bytes = 0;
   this->memberships.clear();
   if (this->snapshot == nullptr) {
     this->memberships.push_back(MembershipEntry{});
--- a/src/program/AgreementModule.cpp
+++ b/src/program/AgreementModule.cpp
@@ -23,19 +23,6 @@
   return number == 0 ? 1 : number;
 }
 
-// Returns "host:replica" for each member, followed by "(learner)" if it does not vote.
-std::string
-FormatMembership(const Membership& aMembership)
-{
-  std::string text;
-  for (const Member& member : aMembership.members) {
-    const std::string_view separator = text.empty() ? "" : " ";
-    const std::string_view role = member.voter ? "" : "(learner)";
-    text += Concat(separator, member.host.Value(), ":", member.replica.Value(), role);
-  }
-  return text;
-}
-
 RaftTiming
 TimingOf(const HostTimeouts& aTimeouts)
 {
@@ -150,6 +137,8 @@
   localGroup = LocalGroup();
   localGroup.replica = std::make_unique<GroupReplica>(
     this->options.clock, std::move(groupOptions), std::move(aRecovered));
+  localGroup.events = std::make_unique<GroupEventLog>(
+    this->options.clock, this->options.metrics, *localGroup.replica);
   if (aGroup == ControlGroupId()) {
     localGroup.replica->Machines().Add(StateMachineId::Groups, this->registry);
   } else {
@@ -313,7 +302,7 @@
   }
   this->ProcessMessages();
   for (auto& [group, localGroup] : this->groups) {
-    this->LogChanges(group, localGroup);
+    localGroup.events->Update(group);
     this->RegisterFormation(group, localGroup);
   }
 }
@@ -407,31 +396,6 @@
   }
 }
 
-void
-AgreementModule::LogChanges(const GroupId& aGroup, LocalGroup& aLocalGroup)
-{
-  const std::optional<Error>& failure = aLocalGroup.replica->Failure();
-  if (failure && !aLocalGroup.failureLogged) {
-    aLocalGroup.failureLogged = true;
-    LogEvent(LogLevel::Error, "replica_stopped").With("group", aGroup).With("error", *failure);
-  }
-  const bool leading = aLocalGroup.replica->Status().leading;
-  if (leading && !aLocalGroup.wasLeading) {
-    this->options.metrics.Add(Counter::Elections, MetricKey{ {}, aGroup.Value() }, 1);
-    LogEvent(LogLevel::Info, "leader_elected")
-      .With("group", aGroup)
-      .With("term", aLocalGroup.replica->Status().term);
-  }
-  aLocalGroup.wasLeading = leading;
-  const Membership& membership = aLocalGroup.replica->Core().Log().NewestMembership();
-  if (membership != aLocalGroup.lastMembership) {
-    aLocalGroup.lastMembership = membership;
-    LogEvent(LogLevel::Info, "membership_changed")
-      .With("group", aGroup)
-      .With("members", FormatMembership(membership));
-  }
-}
-
 // The leader of a claims group asks the control group for the incarnation that it leads, and then
 // commits it to the claims group.
 void
--- a/src/program/AgreementModule.h
+++ b/src/program/AgreementModule.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <vector>
 
+#include "GroupEventLog.h"
 #include "HostContext.h"
 #include "LogWriter.h"
 #include "damasklink/coordination/GroupReplica.h"
@@ -93,9 +94,7 @@
     // The incarnation of a claims group; null in the control group, which has the GroupRegistry.
     std::unique_ptr<IncarnationMachine> incarnation;
     bool registering = false;
-    bool wasLeading = false;
-    Membership lastMembership;
-    bool failureLogged = false;
+    std::unique_ptr<GroupEventLog> events;
     // When the store is to be reopened, and whether that is in progress.
     std::optional<MonotonicTime> reopenAt;
     bool reopening = false;
@@ -122,7 +121,6 @@
   bool SendProposals();
   void Send(AgreementMessage aMessage);
   void Deliver(const AgreementMessage& aMessage);
-  void LogChanges(const GroupId& aGroup, LocalGroup& aLocalGroup);
   void RegisterFormation(const GroupId& aGroup, LocalGroup& aLocalGroup);
   void OnFormationRegistered(const GroupId& aGroup, const Result<std::string>& aAnswer);
 
--- a/src/protocol/MetricsText.cpp
+++ b/src/protocol/MetricsText.cpp
@@ -154,6 +154,8 @@
       return "damasklink_route_choice_seconds";
     case Sample::RoomWait:
       return "damasklink_room_wait_seconds";
+    case Sample::MemberCatchUp:
+      return "damasklink_member_catch_up_seconds";
   }
   return "damasklink_unnamed_seconds";
 }
