Failing tests: a control host that lost its disk does not vote again after 900 changes

Three control hosts in virtual time whose connections hold 8 MiB and carry 100 Mbit/s, as PeerMesh does. After 900 changes of 16 KB the host that lost its disk is a learner without an entry after 4 s, a host that was down during as many changes costs 20 connections, and with a second disk lost while all processes end no leader is elected within 12 s: what the record shows.

So the fault needs a log of 8 MiB within the 1,024 entries that are kept.

--- /dev/null
+++ b/test/program/GroupCatchUpTest.cpp
@@ -0,0 +1,279 @@
+// Three control hosts whose connections hold a limited number of bytes, in virtual time.
+#include <atomic>
+#include <deque>
+#include <map>
+
+#include <gtest/gtest.h>
+
+#include "damasklink/coordination/ServingStateMachine.h"
+#include "program/AgreementModule.h"
+#include "support/TempFolder.h"
+
+namespace damasklink {
+namespace {
+
+using testing::FolderInMemory;
+using testing::TempFolder;
+
+// What a connection between hosts holds before it is closed.
+constexpr std::size_t kQueueBytes = std::size_t{ 8 } * 1024 * 1024;
+
+// 100 Mbit/s, a tenth of what control hosts have.
+constexpr std::size_t kLinkBytesPerSecond = 12'500'000;
+
+// What the users allow a host that lost its disk to catch up, and all hosts to recover.
+constexpr Duration kCatchUp = std::chrono::seconds(4);
+constexpr Duration kRecover = std::chrono::seconds(12);
+
+constexpr std::size_t kDocumentBytes = std::size_t{ 16 } * 1024;
+// Fewer than the entries that a replica keeps in memory, and more bytes than a connection holds.
+constexpr std::uint64_t kChanges = 900;
+
+constexpr RaftTiming kTiming{ std::chrono::milliseconds(200),
+                              std::chrono::milliseconds(700),
+                              std::chrono::milliseconds(1400) };
+
+// The connections of one host. One that holds too much is closed, and what it holds is lost.
+class BoundedSender final : public PeerSender
+{
+public:
+  void Send(const HostId& aTo, PeerMessage aMessage) override
+  {
+    Connection& connection = this->connections[aTo];
+    const std::size_t bytes = aMessage.payload.size();
+    connection.closing |= connection.bytes > 0 && connection.bytes + bytes > kQueueBytes;
+    if (connection.closing) {
+      return;
+    }
+    connection.bytes += bytes;
+    connection.queue.push_back(std::move(aMessage));
+  }
+
+  // Returns what arrives at the peer within aTime.
+  std::vector<PeerMessage> Deliver(const HostId& aTo, Duration aTime)
+  {
+    Connection& connection = this->connections[aTo];
+    std::vector<PeerMessage> arrived;
+    if (connection.closing) {
+      connection = Connection();
+      ++this->closed;
+      return arrived;
+    }
+    const double seconds = std::chrono::duration<double>(aTime).count();
+    connection.credit += seconds * kLinkBytesPerSecond;
+    while (!connection.queue.empty() &&
+           connection.credit >= static_cast<double>(connection.queue.front().payload.size())) {
+      const std::size_t bytes = connection.queue.front().payload.size();
+      connection.credit -= static_cast<double>(bytes);
+      connection.bytes -= bytes;
+      arrived.push_back(std::move(connection.queue.front()));
+      connection.queue.pop_front();
+    }
+    if (connection.queue.empty()) {
+      connection.credit = 0;
+    }
+    return arrived;
+  }
+
+  std::size_t closed = 0;
+
+private:
+  struct Connection
+  {
+    std::deque<PeerMessage> queue;
+    std::size_t bytes = 0;
+    double credit = 0;
+    bool closing = false;
+  };
+
+  std::map<HostId, Connection> connections;
+};
+
+class GroupCatchUpTest : public ::testing::Test
+{
+protected:
+  struct Host
+  {
+    Host(const Clock& aClock,
+         const std::vector<PeerSettings>& aPeers,
+         const HostId& aSelf,
+         const std::string& aFolder,
+         bool aFirstStart)
+      : module(AgreementOptions{ aClock,
+                                 metrics,
+                                 sender,
+                                 [] {},
+                                 aSelf,
+                                 aFolder,
+                                 aPeers,
+                                 { ControlGroupId() },
+                                 kTiming,
+                                 aFirstStart,
+                                 5,
+                                 std::chrono::seconds(1) })
+    {
+      this->module.AddMachine(ControlGroupId(), StateMachineId::Serving, this->machine);
+    }
+
+    NoMetrics metrics;
+    BoundedSender sender;
+    ServingStateMachine machine;
+    AgreementModule module;
+  };
+
+  GroupCatchUpTest()
+  {
+    for (const char* name : { "a", "b", "c" }) {
+      PeerSettings peer;
+      peer.host = HostId(name);
+      peer.disk = true;
+      this->peers.push_back(peer);
+      this->folders.try_emplace(peer.host, std::make_unique<TempFolder>(FolderInMemory()));
+    }
+    for (const PeerSettings& peer : this->peers) {
+      this->Start(peer.host, true);
+    }
+    this->Run(kRecover);
+  }
+
+  void Start(const HostId& aHost, bool aFirstStart = false)
+  {
+    this->hosts[aHost] = std::make_unique<Host>(
+      this->clock, this->peers, aHost, this->folders.at(aHost)->Path() + "/data", aFirstStart);
+    EXPECT_TRUE(this->hosts.at(aHost)->module.Open());
+  }
+
+  void Stop(const HostId& aHost) { this->hosts.erase(aHost); }
+
+  void LoseDisk(const HostId& aHost)
+  {
+    this->Stop(aHost);
+    this->folders[aHost] = std::make_unique<TempFolder>(FolderInMemory());
+  }
+
+  void Run(Duration aTime)
+  {
+    for (Duration passed{}; passed < aTime; passed += kControlTick) {
+      this->Step();
+    }
+  }
+
+  void Step()
+  {
+    this->clock.Advance(kControlTick);
+    for (auto& [name, host] : this->hosts) {
+      host->module.OnTick(this->clock.MonotonicNow());
+      host->module.WaitForWrites();
+    }
+    for (auto& [from, sender] : this->hosts) {
+      for (const PeerSettings& peer : this->peers) {
+        for (PeerMessage& message : sender->sender.Deliver(peer.host, kControlTick)) {
+          const auto found = this->hosts.find(peer.host);
+          if (found != this->hosts.end()) {
+            found->second->module.OnPeerMessage(from, message);
+          }
+        }
+      }
+    }
+  }
+
+  // Sends changes through one host, a few at a time, until all are acknowledged.
+  void Change(const HostId& aHost, std::uint64_t aCount)
+  {
+    constexpr std::uint64_t kMaxOpen = 8;
+    const std::uint64_t last = this->version + aCount;
+    std::uint64_t open = 0;
+    while (this->acknowledged < last) {
+      for (; open < kMaxOpen && this->version < last; ++open) {
+        const Revision next(++this->version);
+        const ServingCommand command = PutDocument{ next, std::string(kDocumentBytes, 'x') };
+        this->hosts.at(aHost)->module.Propose(ControlGroupId(),
+                                              StateMachineId::Serving,
+                                              EncodeServingCommand(command),
+                                              std::chrono::seconds(60),
+                                              [&, next](const Result<std::string>& aAnswer) {
+                                                EXPECT_TRUE(aAnswer);
+                                                --open;
+                                                this->acknowledged =
+                                                  std::max(this->acknowledged, next.Value());
+                                              });
+      }
+      this->Step();
+    }
+  }
+
+  const RaftCore& CoreOf(const HostId& aHost)
+  {
+    return this->hosts.at(aHost)->module.ReplicaOf(ControlGroupId())->Core();
+  }
+
+  std::size_t ClosedConnections() const
+  {
+    std::size_t closed = 0;
+    for (const auto& [name, host] : this->hosts) {
+      closed += host->sender.closed;
+    }
+    return closed;
+  }
+
+  const HostId a{ "a" };
+  const HostId b{ "b" };
+  const HostId c{ "c" };
+  ManualClock clock;
+  std::vector<PeerSettings> peers;
+  std::map<HostId, std::unique_ptr<TempFolder>> folders;
+  std::map<HostId, std::unique_ptr<Host>> hosts;
+  std::uint64_t version = 0;
+  std::uint64_t acknowledged = 0;
+};
+
+// Guards against a host that lost its disk and never votes again, because its leader sends it a
+// long log faster than the connection bears.
+TEST_F(GroupCatchUpTest, HostThatLostItsDiskVotesAgainAfterHundredsOfChanges)
+{
+  this->Change(this->a, kChanges);
+  this->LoseDisk(this->c);
+  this->Run(std::chrono::seconds(2));
+  this->Start(this->c);
+  this->Run(kCatchUp);
+  EXPECT_TRUE(this->CoreOf(this->c).IsVoter());
+  EXPECT_EQ(this->hosts.at(this->c)->machine.Version(), Revision(kChanges));
+  EXPECT_EQ(this->ClosedConnections(), 0U);
+}
+
+// Guards against a host that was cut off or down during many changes and never catches up.
+TEST_F(GroupCatchUpTest, HostThatWasDownDuringHundredsOfChangesCatchesUp)
+{
+  this->Change(this->a, kChanges);
+  this->Stop(this->c);
+  this->Change(this->a, kChanges);
+  this->Start(this->c);
+  this->Run(kCatchUp);
+  EXPECT_EQ(this->hosts.at(this->c)->machine.Version(), Revision(2 * kChanges));
+  EXPECT_EQ(this->ClosedConnections(), 0U);
+}
+
+// Guards against a group without a leader after a second disk is lost while all processes end.
+TEST_F(GroupCatchUpTest, SecondLostDiskWithAllProcessesKilledLeavesALeaderAndTheNewestDocument)
+{
+  this->Change(this->a, kChanges);
+  this->LoseDisk(this->c);
+  this->Run(std::chrono::seconds(2));
+  this->Start(this->c);
+  this->Run(kCatchUp);
+  this->Change(this->a, 10);
+  this->LoseDisk(this->b);
+  this->Stop(this->a);
+  this->Stop(this->c);
+  for (const PeerSettings& peer : this->peers) {
+    this->Start(peer.host);
+  }
+  this->Run(kRecover);
+  for (const PeerSettings& peer : this->peers) {
+    EXPECT_TRUE(this->CoreOf(peer.host).HasRecentLeader());
+    EXPECT_EQ(this->hosts.at(peer.host)->machine.Version(), Revision(this->acknowledged));
+  }
+}
+
+} // namespace
+} // namespace damasklink
