--- a/include/damasklink/coordination/RaftCore.h
+++ b/include/damasklink/coordination/RaftCore.h
@@ -38,8 +38,13 @@
   std::uint64_t seed = 1;
   // Maximum size of a snapshot piece and, approximately, of an append request, in bytes.
   std::size_t maxMessageBytes = std::size_t{ 256 } * 1024;
-  // Entries that stay in memory after a snapshot covers them, for replicas that lag behind.
+  // Bytes of entries that are sent to a replica before it acknowledges them; a larger entry is sent
+  // alone. Far below what a connection holds, and on a slow link not much longer than a heartbeat.
+  std::size_t maxBytesInFlight = std::size_t{ 512 } * 1024;
+  // Entries that stay in memory after a snapshot covers them, for replicas that lag behind: at most
+  // so many, and at most so many bytes of commands. A replica that lags by more gets the snapshot.
   std::uint64_t trailingEntries = 1024;
+  std::uint64_t trailingBytes = std::uint64_t{ 1024 } * 1024;
 };
 
 // Work for the owner of a RaftCore, in any order, except that `install` comes before `committed`.
@@ -62,6 +67,8 @@
   LogIndex match;
   // The committed entries after `match`.
   std::uint64_t missingEntries = 0;
+  // Bytes of entries that were sent and are not acknowledged.
+  std::size_t bytesInFlight = 0;
   // Whether it answered within the maximum election timeout.
   bool responsive = false;
 };
@@ -154,11 +161,21 @@
   std::vector<MemberProgress> MembersProgress() const;
 
 private:
+  // Entries that were sent to a replica in one message.
+  struct SentEntries
+  {
+    LogIndex last;
+    std::size_t bytes = 0;
+  };
+
   struct Progress
   {
     HostId host;
     LogIndex match;
     LogIndex next;
+    // Entries before `next` that are not acknowledged; empty while probing.
+    std::deque<SentEntries> inFlight;
+    std::size_t bytesInFlight = 0;
     // If set, no further entries are sent before the next answer or heartbeat.
     bool probing = true;
     // The snapshot that is being sent, and the offset of its next piece.
@@ -221,6 +238,9 @@
   bool HeardRecently(const Progress& aProgress) const;
   void AppendAsLeader(LogEntry aEntry);
   void UpdateProgressMembers();
+  bool HasRoom(const Progress& aProgress) const;
+  static void AddInFlight(Progress& aProgress, const std::vector<LogEntry>& aEntries);
+  static void RemoveInFlight(Progress& aProgress, LogIndex aUntil);
   void SendNewEntries();
   void SendHeartbeats();
   void SendAppend(ReplicaId aTo, Progress& aProgress, bool aHeartbeat);
--- a/include/damasklink/coordination/RaftLog.h
+++ b/include/damasklink/coordination/RaftLog.h
@@ -42,8 +42,9 @@
   void TruncateFrom(LogIndex aIndex);
 
   // Replaces the snapshot by a newer one of the same log and drops the entries that it covers,
-  // except the last aTrailing of them, which are kept for replicas that lag slightly behind.
-  void Compact(SnapshotPtr aSnapshot, std::uint64_t aTrailing);
+  // except the last of them, which are kept for replicas that lag slightly behind: at most
+  // aMaxTrailing entries, whose commands take at most aMaxTrailingBytes together.
+  void Compact(SnapshotPtr aSnapshot, std::uint64_t aMaxTrailing, std::uint64_t aMaxTrailingBytes);
 
   // Replaces the whole log by a snapshot from another replica.
   void Reset(SnapshotPtr aSnapshot);
--- a/src/coordination/GroupReplica.cpp
+++ b/src/coordination/GroupReplica.cpp
@@ -186,7 +186,8 @@
     }
   }
   const MonotonicTime now = this->clock.MonotonicNow();
-  if (!this->core.HasRecentLeader() && now >= this->nextJoinRequest) {
+  const bool mayJoin = this->core.Formation() != FormationId() && !this->core.HasRecentLeader();
+  if (mayJoin && now >= this->nextJoinRequest) {
     this->nextJoinRequest = now + kJoinInterval;
     this->SendJoinRequests();
   }
@@ -213,9 +214,6 @@
 void
 GroupReplica::SendJoinRequests()
 {
-  if (this->core.Formation() == FormationId()) {
-    return;
-  }
   for (const HostId& host : this->options.listedVoters) {
     if (host != this->options.raft.host) {
       this->outbox.push_back(this->MakeMessage(host, ReplicaId(), JoinRequest{}));
--- a/src/coordination/RaftLeader.cpp
+++ b/src/coordination/RaftLeader.cpp
@@ -104,13 +104,41 @@
   }
 }
 
+// What is sent at once waits in the connection, which is closed if too much does.
+bool
+RaftCore::HasRoom(const Progress& aProgress) const
+{
+  return aProgress.bytesInFlight < this->options.maxBytesInFlight &&
+         aProgress.next.Value() - aProgress.match.Value() < kMaxInFlightEntries;
+}
+
+void
+RaftCore::AddInFlight(Progress& aProgress, const std::vector<LogEntry>& aEntries)
+{
+  SentEntries sent;
+  for (const LogEntry& entry : aEntries) {
+    sent.last = entry.index;
+    sent.bytes += entry.command.size();
+  }
+  aProgress.bytesInFlight += sent.bytes;
+  aProgress.inFlight.push_back(sent);
+}
+
+void
+RaftCore::RemoveInFlight(Progress& aProgress, LogIndex aUntil)
+{
+  while (!aProgress.inFlight.empty() && aProgress.inFlight.front().last <= aUntil) {
+    aProgress.bytesInFlight -= aProgress.inFlight.front().bytes;
+    aProgress.inFlight.pop_front();
+  }
+}
+
 void
 RaftCore::SendNewEntries()
 {
   for (auto& [replica, peer] : this->progress) {
-    const bool hasRoom = peer.next.Value() - peer.match.Value() < kMaxInFlightEntries;
     const bool sendable = !peer.probing && this->HeardRecently(peer);
-    if (sendable && hasRoom && peer.next <= this->log.LastIndex()) {
+    if (sendable && this->HasRoom(peer) && peer.next <= this->log.LastIndex()) {
       this->SendAppend(replica, peer, false);
     }
   }
@@ -133,13 +161,14 @@
   request.previousTerm = *this->log.TermAt(request.previousIndex);
   request.committed = this->committed;
   request.sentAt = EncodeSentAt(this->clock.MonotonicNow());
-  if (isResponsive && !needsSnapshot) {
+  if (isResponsive && !needsSnapshot && (aProgress.probing || this->HasRoom(aProgress))) {
     // A replica that does not answer gets only heartbeats, so that no entries queue up on the way
     // to it.
     request.entries = this->log.From(aProgress.next, this->options.maxMessageBytes);
   }
-  if (!aProgress.probing) {
-    aProgress.next = LogIndex(aProgress.next.Value() + request.entries.size());
+  if (!aProgress.probing && !request.entries.empty()) {
+    aProgress.next = request.entries.back().index.Next();
+    AddInFlight(aProgress, request.entries);
   }
   this->SendImmediately(aTo, aProgress.host, std::move(request));
 }
@@ -226,6 +255,8 @@
     if (!stale) {
       peer.next = std::max(peer.match, aBody.index).Next();
       peer.probing = true;
+      peer.inFlight.clear();
+      peer.bytesInFlight = 0;
       this->SendAppend(aMessage.from, peer, false);
     }
     return;
@@ -233,6 +264,7 @@
   peer.match = std::max(peer.match, aBody.index);
   peer.next = std::max(peer.next, peer.match.Next());
   peer.probing = false;
+  RemoveInFlight(peer, peer.match);
   if (peer.snapshotBytes != nullptr && peer.match >= peer.snapshotIndex) {
     peer.snapshotBytes = nullptr;
   }
@@ -352,7 +384,8 @@
     return;
   }
   this->snapshotToPersist = aSnapshot;
-  this->log.Compact(std::move(aSnapshot), this->options.trailingEntries);
+  this->log.Compact(
+    std::move(aSnapshot), this->options.trailingEntries, this->options.trailingBytes);
 }
 
 HostId
@@ -388,6 +421,7 @@
     seen.member = member;
     seen.match = peer.match;
     seen.missingEntries = this->committed.Value() - std::min(this->committed, peer.match).Value();
+    seen.bytesInFlight = peer.bytesInFlight;
     seen.responsive = this->HeardRecently(peer);
     all.push_back(std::move(seen));
   }
--- a/src/coordination/RaftLog.cpp
+++ b/src/coordination/RaftLog.cpp
@@ -98,11 +98,14 @@
 }
 
 void
-RaftLog::Compact(SnapshotPtr aSnapshot, std::uint64_t aTrailing)
+RaftLog::Compact(SnapshotPtr aSnapshot, std::uint64_t aMaxTrailing, std::uint64_t aMaxTrailingBytes)
 {
   assert(aSnapshot->index <= this->LastIndex() && aSnapshot->index >= this->baseIndex);
   this->snapshot = std::move(aSnapshot);
-  while (this->baseIndex.Value() + aTrailing < this->snapshot->index.Value()) {
+  const std::uint64_t newer = this->BytesAfter(this->snapshot->index);
+  while (this->baseIndex < this->snapshot->index &&
+         (this->baseIndex.Value() + aMaxTrailing < this->snapshot->index.Value() ||
+          this->bytes - newer > aMaxTrailingBytes)) {
     this->baseIndex = this->entries.front().index;
     this->baseTerm = this->entries.front().term;
     this->bytes -= this->entries.front().command.size();
--- a/src/program/GroupEventLog.cpp
+++ b/src/program/GroupEventLog.cpp
@@ -103,6 +103,7 @@
       .With("match", progress.match)
       .With("missing_entries", progress.missingEntries)
       .With("missing_bytes", change.missingBytes)
+      .With("bytes_in_flight", progress.bytesInFlight)
       .With("answers", progress.responsive);
     if (change.caughtUpAfter) {
       line.With("after_ms", Milliseconds(*change.caughtUpAfter));
--- a/test/program/GroupCatchUpTest.cpp
+++ b/test/program/GroupCatchUpTest.cpp
@@ -25,6 +25,9 @@
 constexpr Duration kCatchUp = std::chrono::seconds(4);
 constexpr Duration kRecover = std::chrono::seconds(12);
 
+// What the users allow until a change is acknowledged.
+constexpr Duration kAcknowledgement = std::chrono::seconds(4);
+
 constexpr std::size_t kDocumentBytes = std::size_t{ 16 } * 1024;
 // Fewer than the entries that a replica keeps in memory, and more bytes than a connection holds.
 constexpr std::uint64_t kChanges = 900;
@@ -186,7 +189,7 @@
     while (this->acknowledged < last) {
       for (; open < kMaxOpen && this->version < last; ++open) {
         const Revision next(++this->version);
-        const ServingCommand command = PutDocument{ next, std::string(kDocumentBytes, 'x') };
+        const ServingCommand command = PutDocument{ next, std::string(this->documentBytes, 'x') };
         this->hosts.at(aHost)->module.Propose(ControlGroupId(),
                                               StateMachineId::Serving,
                                               EncodeServingCommand(command),
@@ -223,6 +226,7 @@
   std::vector<PeerSettings> peers;
   std::map<HostId, std::unique_ptr<TempFolder>> folders;
   std::map<HostId, std::unique_ptr<Host>> hosts;
+  std::size_t documentBytes = kDocumentBytes;
   std::uint64_t version = 0;
   std::uint64_t acknowledged = 0;
 };
@@ -253,6 +257,18 @@
   EXPECT_EQ(this->ClosedConnections(), 0U);
 }
 
+// Guards against large changes of several operators that reach no leader, because their host sends
+// them all at once over a connection that does not hold as much.
+TEST_F(GroupCatchUpTest, LargeChangesThroughAFollowerReachTheLeader)
+{
+  this->documentBytes = std::size_t{ 1'250'000 };
+  const HostId follower = this->CoreOf(this->a).Role() == RaftRole::Leader ? this->b : this->a;
+  const MonotonicTime begun = this->clock.MonotonicNow();
+  this->Change(follower, 8);
+  EXPECT_LT(this->clock.MonotonicNow() - begun, kAcknowledgement);
+  EXPECT_EQ(this->ClosedConnections(), 0U);
+}
+
 // Guards against a group without a leader after a second disk is lost while all processes end.
 TEST_F(GroupCatchUpTest, SecondLostDiskWithAllProcessesKilledLeavesALeaderAndTheNewestDocument)
 {
