A host bounds the bytes of proposals that are on their way to a leader

The same cause as in the log's replication: all proposals that wait are sent again at once when a leader is reported or an attempt is not answered, and a host that does not lead passes on up to eight changes at a time. Eight changes of 1.25 MB close the connection to the leader (8 MiB), and the next attempt does so again until they time out.

Now at most 1 MiB is on its way to one other host, a larger proposal goes alone, and the next ones follow as answers arrive.

--- a/include/damasklink/coordination/ProposalForwarder.h
+++ b/include/damasklink/coordination/ProposalForwarder.h
@@ -62,6 +62,9 @@
     MonotonicTime nextAttempt;
     // Attempts that were not refused; any of them may have been applied.
     std::set<Sequence> openAttempts;
+    // Where the last attempt was sent that is still waited for. Empty while the proposal waits to
+    // be sent.
+    HostId sentTo;
     int redirectsFollowed = 0;
   };
 
@@ -77,8 +80,11 @@
     std::map<Sequence, Pending> pending;
   };
 
+  // Sends the proposals that wait, oldest first, as far as the connection to the leader has room.
+  void SendWaiting(const GroupId& aGroup, Group& aState);
+  bool HasRoom(const Group& aState) const;
   void Send(const GroupId& aGroup, Group& aState, Sequence aSequence, Pending& aPending);
-  void OnAnswer(Group& aState, const AgreementMessage& aMessage, const ProposalAnswer& aAnswer);
+  void OnAnswer(const AgreementMessage& aMessage, Group& aState, const ProposalAnswer& aAnswer);
   void OnRefusal(const GroupId& aGroup, Group& aState, const ProposalRefusal& aRefusal);
   void TickGroup(const GroupId& aGroup, Group& aState);
 
--- a/src/coordination/ProposalForwarder.cpp
+++ b/src/coordination/ProposalForwarder.cpp
@@ -18,6 +18,9 @@
 constexpr int kMaxRedirects = 3;
 // Replicas drop pending answers after twice this time (kMaxWait in GroupReplica.cpp).
 constexpr Duration kMaxTimeout = std::chrono::minutes(5);
+// Bytes of proposals that are on their way to another host at once; a larger proposal is sent
+// alone. Far below what a connection holds, since one that holds too much is closed.
+constexpr std::size_t kMaxBytesInFlight = std::size_t{ 1024 } * 1024;
 
 Error
 TimeoutError(const GroupId& aGroup, bool aMayBeApplied)
@@ -62,8 +65,40 @@
   pending.machineId = aMachineId;
   pending.command = std::move(aCommand);
   pending.done = std::move(aDone);
-  pending.deadline = this->clock.MonotonicNow() + std::min<Duration>(aTimeout, kMaxTimeout);
-  this->Send(aGroup, state, state.lastSequence, pending);
+  const MonotonicTime now = this->clock.MonotonicNow();
+  pending.deadline = now + std::min<Duration>(aTimeout, kMaxTimeout);
+  pending.nextAttempt = now;
+  this->SendWaiting(aGroup, state);
+}
+
+void
+ProposalForwarder::SendWaiting(const GroupId& aGroup, Group& aState)
+{
+  const MonotonicTime now = this->clock.MonotonicNow();
+  for (auto& [sequence, pending] : aState.pending) {
+    if (!pending.sentTo.Empty() || now < pending.nextAttempt) {
+      continue;
+    }
+    if (!this->HasRoom(aState)) {
+      return;
+    }
+    this->Send(aGroup, aState, sequence, pending);
+  }
+}
+
+bool
+ProposalForwarder::HasRoom(const Group& aState) const
+{
+  if (aState.leader == this->host) {
+    return true;
+  }
+  std::size_t bytes = 0;
+  for (const auto& [sequence, pending] : aState.pending) {
+    if (!pending.sentTo.Empty() && pending.sentTo == aState.leader) {
+      bytes += pending.command.size();
+    }
+  }
+  return bytes < kMaxBytesInFlight;
 }
 
 void
@@ -77,6 +112,7 @@
   }
   this->lastAttempt = this->lastAttempt.Next();
   aPending.openAttempts.insert(this->lastAttempt);
+  aPending.sentTo = aState.leader;
   aPending.nextAttempt = this->clock.MonotonicNow() + kAttemptTimeout;
   ForwardedProposal proposal;
   proposal.attempt = this->lastAttempt;
@@ -99,15 +135,15 @@
     return;
   }
   if (const auto* answer = std::get_if<ProposalAnswer>(&aMessage.body)) {
-    this->OnAnswer(found->second, aMessage, *answer);
+    this->OnAnswer(aMessage, found->second, *answer);
   } else if (const auto* refusal = std::get_if<ProposalRefusal>(&aMessage.body)) {
     this->OnRefusal(aMessage.group, found->second, *refusal);
   }
 }
 
 void
-ProposalForwarder::OnAnswer(Group& aState,
-                            const AgreementMessage& aMessage,
+ProposalForwarder::OnAnswer(const AgreementMessage& aMessage,
+                            Group& aState,
                             const ProposalAnswer& aAnswer)
 {
   if (aAnswer.proposal.proposer != this->proposer) {
@@ -116,6 +152,7 @@
   aState.leader = aMessage.fromHost;
   auto node = aState.pending.extract(aAnswer.proposal.sequence);
   if (!node.empty()) {
+    this->SendWaiting(aMessage.group, aState);
     node.mapped().done(aAnswer.answer);
   }
 }
@@ -131,16 +168,19 @@
   pending.openAttempts.erase(aRefusal.attempt);
   const bool isVoter =
     std::find(aState.voters.begin(), aState.voters.end(), aRefusal.leader) != aState.voters.end();
+  const MonotonicTime now = this->clock.MonotonicNow();
+  pending.sentTo = HostId();
   if (isVoter && pending.openAttempts.empty() && pending.redirectsFollowed < kMaxRedirects) {
     ++pending.redirectsFollowed;
     aState.leader = aRefusal.leader;
-    this->Send(aGroup, aState, found->first, pending);
-    return;
+    pending.nextAttempt = now;
+  } else {
+    // Hosts that name each other as leader are asked again only after a delay.
+    pending.redirectsFollowed = 0;
+    aState.leader = HostId();
+    pending.nextAttempt = now + kRefusalRetryDelay;
   }
-  // Hosts that name each other as leader are asked again only after a delay.
-  pending.redirectsFollowed = 0;
-  aState.leader = HostId();
-  pending.nextAttempt = this->clock.MonotonicNow() + kRefusalRetryDelay;
+  this->SendWaiting(aGroup, aState);
 }
 
 void
@@ -156,8 +196,10 @@
   }
   found->second.leader = aLeader;
   for (auto& [sequence, pending] : found->second.pending) {
-    this->Send(aGroup, found->second, sequence, pending);
+    pending.sentTo = HostId();
+    pending.nextAttempt = this->clock.MonotonicNow();
   }
+  this->SendWaiting(aGroup, found->second);
 }
 
 void
@@ -179,16 +221,17 @@
     } else if (pending.openAttempts.empty() && pending.deadline - now < kMinAttemptTime) {
       // There is not enough time left for a refusal, so another attempt would only make the outcome
       // unknown.
-      continue;
-    } else if (now >= pending.nextAttempt) {
+      pending.nextAttempt = pending.deadline;
+    } else if (now >= pending.nextAttempt && !pending.sentTo.Empty()) {
+      pending.sentTo = HostId();
       aState.leader = HostId();
-      this->Send(aGroup, aState, sequence, pending);
     }
   }
   for (const Sequence sequence : expired) {
     auto node = aState.pending.extract(sequence);
     node.mapped().done(Fail(TimeoutError(aGroup, !node.mapped().openAttempts.empty())));
   }
+  this->SendWaiting(aGroup, aState);
 }
 
 HostId
--- a/test/coordination/ProposalForwarderTest.cpp
+++ b/test/coordination/ProposalForwarderTest.cpp
@@ -141,5 +141,57 @@
   EXPECT_EQ(this->ended, "unavailable");
 }
 
+// Guards against a connection that is closed because a host hands it all its proposals at once.
+TEST_F(ProposalForwarderTest, SendsNoMoreThanOneConnectionHolds)
+{
+  this->forwarder.ReportLeader(kGroup, kVoters[0]);
+  constexpr std::size_t kBytes = std::size_t{ 700 } * 1024;
+  int answered = 0;
+  for (int count = 0; count < 5; ++count) {
+    this->forwarder.Start(kGroup,
+                          kVoters,
+                          StateMachineId::Configuration,
+                          std::string(kBytes, 'x'),
+                          std::chrono::seconds(30),
+                          [&](const Result<std::string>&) { ++answered; });
+  }
+  std::vector<AgreementMessage> open = this->forwarder.TakeMessages();
+  EXPECT_EQ(open.size(), 2U);
+  while (!open.empty()) {
+    AgreementMessage answer;
+    answer.group = kGroup;
+    answer.fromHost = open.front().toHost;
+    answer.body =
+      ProposalAnswer{ std::get<ForwardedProposal>(open.front().body).proposal, "applied" };
+    open.erase(open.begin());
+    this->forwarder.Receive(answer);
+    for (AgreementMessage& message : this->forwarder.TakeMessages()) {
+      open.push_back(std::move(message));
+    }
+    EXPECT_LE(open.size(), 2U);
+  }
+  EXPECT_EQ(answered, 5);
+}
+
+// Guards against the same with a leader that is reported while proposals wait for another one.
+TEST_F(ProposalForwarderTest, SendsToAReportedLeaderNoMoreThanOneConnectionHolds)
+{
+  constexpr std::size_t kBytes = std::size_t{ 700 } * 1024;
+  for (int count = 0; count < 5; ++count) {
+    this->forwarder.Start(kGroup,
+                          kVoters,
+                          StateMachineId::Configuration,
+                          std::string(kBytes, 'x'),
+                          std::chrono::seconds(30),
+                          [](const Result<std::string>&) {});
+  }
+  const HostId first = this->forwarder.TakeMessages().front().toHost;
+  const HostId other = first == kVoters[0] ? kVoters[1] : kVoters[0];
+  this->forwarder.ReportLeader(kGroup, other);
+  EXPECT_EQ(this->forwarder.TakeMessages().size(), 2U);
+  this->Advance(std::chrono::seconds(1));
+  EXPECT_EQ(this->forwarder.TakeMessages().size(), 2U);
+}
+
 } // namespace
 } // namespace damasklink
