--- a/include/damasklink/state/LogStore.h
+++ b/include/damasklink/state/LogStore.h
@@ -49,7 +49,8 @@
   Result<void> OpenMark();
   Result<void> WriteAll(const std::vector<PersistBatch>& aBatches);
   void EncodeBatch(const PersistBatch& aBatch, std::string& aBytes);
-  Result<void> StartSegment();
+  // Starts a new log file; with aReset, what it holds does not continue the entries before.
+  Result<void> StartSegment(bool aReset = false);
   Result<void> WriteSnapshot(const Snapshot& aSnapshot);
   Result<void> WriteMark();
   Result<void> SyncMark();
--- a/src/state/LogRecovery.cpp
+++ b/src/state/LogRecovery.cpp
@@ -79,10 +79,15 @@
     if (!rest.empty() && rest.front().index != base.Next()) {
       return CorruptFile(aFolder, "entries are missing after the snapshot");
     }
+    const bool reachesBase = !this->entries.empty() && this->entries.back().index == base &&
+                             this->entries.back().term == this->snapshot->term;
+    this->needsReset = rest.empty() && !this->entries.empty() && !reachesBase;
     return RecoveredLog{ this->hardState, this->snapshot, std::move(rest) };
   }
 
   LogIndex last;
+  // As in RecoveredFiles; set by Finish().
+  bool needsReset = false;
 
 private:
   Result<void> TakeHardState(std::string_view aPayload)
@@ -177,7 +182,9 @@
   if (this->segments.empty() && snapshot.value() != nullptr) {
     return CorruptFile(this->folder, "has a snapshot but no log");
   }
-  return RecoveredFiles{ std::move(log.value()), this->segments, this->mark.count };
+  return RecoveredFiles{
+    std::move(log.value()), this->segments, this->mark.count, replay.needsReset
+  };
 }
 
 Result<SnapshotPtr>
--- a/src/state/LogRecovery.h
+++ b/src/state/LogRecovery.h
@@ -17,6 +17,9 @@
   std::deque<LogSegment> segments;
   // How often the mark was written.
   std::uint64_t markCount = 0;
+  // Whether the snapshot has replaced all entries but no record says so yet. What is appended does
+  // not continue these entries.
+  bool needsReset = false;
 };
 
 // Reads all files of the folder. A tail that was never acknowledged is cut off; what is left is
--- a/src/state/LogStore.cpp
+++ b/src/state/LogStore.cpp
@@ -52,7 +52,7 @@
     return Fail(opened.error());
   }
   // A log file of its own for this life keeps appending apart from what was read.
-  if (auto started = this->StartSegment(); !started) {
+  if (auto started = this->StartSegment(files.needsReset); !started) {
     return Fail(started.error());
   }
   return std::move(files.log);
@@ -157,7 +157,7 @@
 }
 
 Result<void>
-LogStore::StartSegment()
+LogStore::StartSegment(bool aReset)
 {
   const std::uint64_t sequence = this->segments.empty() ? 1 : this->segments.back().sequence + 1;
   auto file = this->disk.Open(SegmentPath(this->folder, sequence));
@@ -165,6 +165,9 @@
     return Fail(file.error());
   }
   std::string bytes = internal::SegmentHeader();
+  if (aReset) {
+    internal::AppendRecord(bytes, RecordType::Reset, "");
+  }
   internal::AppendRecord(bytes, RecordType::HardState, EncodeHardState(this->hardState));
   if (auto appended = file.value()->Append(bytes); !appended) {
     return appended;
--- a/test/state/LogStoreTest.cpp
+++ b/test/state/LogStoreTest.cpp
@@ -104,6 +104,58 @@
   EXPECT_TRUE(recovered.value().entries.empty());
 }
 
+// Guards against a host that can never read its log again, or loses entries that it acknowledged,
+// after its process ended while the snapshot of another replica replaced its log. aTerm: the term
+// of the entries that the snapshot replaces.
+void
+SurvivesAnInterruptedInstall(std::uint64_t aLast, std::uint64_t aTerm, bool aCutPower)
+{
+  constexpr int kWritingCalls = 14;
+  for (int calls = 0; calls < kWritingCalls; ++calls) {
+    FakeDisk disk;
+    PersistBatch install;
+    install.snapshot = MakeSnapshot(10, 2);
+    install.replacesLog = true;
+    ASSERT_TRUE(WriteBatches(disk, { MakeBatch(1, aLast, aTerm) }));
+    {
+      LogStore store(disk, "g");
+      ASSERT_TRUE(store.Open());
+      disk.FailAfter(calls);
+      static_cast<void>(store.Write({ install }));
+    }
+    if (aCutPower) {
+      std::mt19937_64 random(calls);
+      disk.CutPower(random);
+    } else {
+      disk.KillProcess();
+    }
+    LogStore store(disk, "g");
+    const auto recovered = store.Open();
+    ASSERT_TRUE(recovered) << calls << ": " << recovered.error();
+    if (recovered.value().snapshot == nullptr) {
+      continue;
+    }
+    EXPECT_TRUE(recovered.value().entries.empty());
+    ASSERT_TRUE(store.Write({ MakeBatch(11, 12, 2) }));
+    const auto again = Reopen(disk);
+    ASSERT_TRUE(again) << calls << ": " << again.error();
+    ASSERT_EQ(again.value().entries.size(), 2U) << calls;
+    EXPECT_EQ(again.value().entries.back(), MakeEntry(12, 2));
+  }
+}
+
+TEST(LogStoreTest, ShorterLogIsReadAfterAnInterruptedInstall)
+{
+  SurvivesAnInterruptedInstall(5, 1, false);
+  SurvivesAnInterruptedInstall(5, 1, true);
+}
+
+TEST(LogStoreTest, DifferingLogIsReadAfterAnInterruptedInstall)
+{
+  SurvivesAnInterruptedInstall(15, 1, false);
+  SurvivesAnInterruptedInstall(15, 1, true);
+}
+
 TEST(LogStoreTest, CutsTailThatWasNeverAcknowledged)
 {
   FakeDisk disk;
