Small proposals do not wait for large ones, a late refusal sends nothing

A large change whose answer was lost kept reads and other small proposals of its host from being sent for up to a second, and the refusal of an earlier attempt sent the whole proposal again while a later attempt was open. What is on its way is counted per host, so that a proposal is not compared with all others.

ProposalForwarderTest.SmallProposalsDoNotWaitForLargeOnes and LateRefusalOfAnEarlierAttemptSendsNothing failed before.

--- a/include/damasklink/coordination/ProposalForwarder.h
+++ b/include/damasklink/coordination/ProposalForwarder.h
@@ -62,6 +62,7 @@
     MonotonicTime nextAttempt;
     // Attempts that were not refused; any of them may have been applied.
     std::set<Sequence> openAttempts;
+    Sequence lastAttempt;
     // Where the last attempt was sent that is still waited for. Empty while the proposal waits to
     // be sent.
     HostId sentTo;
@@ -78,11 +79,23 @@
     HostId reportedLeader;
     Sequence lastSequence;
     std::map<Sequence, Pending> pending;
+    // Those that wait to be sent.
+    std::set<Sequence> waiting;
+    // Bytes of the others, by the host that they were sent to.
+    std::map<HostId, std::size_t> bytesInFlight;
   };
 
   // Sends the proposals that wait, oldest first, as far as the connection to the leader has room.
   void SendWaiting(const GroupId& aGroup, Group& aState);
-  bool HasRoom(const Group& aState) const;
+  // Sets the host to ask if no leader is known.
+  void ChooseLeader(Group& aState, const Pending& aPending) const;
+  bool HasRoom(const Group& aState, const Pending& aPending) const;
+  // Makes a proposal wait until it is due at aNextAttempt.
+  static void Wait(Group& aState,
+                   Sequence aSequence,
+                   Pending& aPending,
+                   MonotonicTime aNextAttempt);
+  static void RemoveInFlight(Group& aState, Pending& aPending);
   void Send(const GroupId& aGroup, Group& aState, Sequence aSequence, Pending& aPending);
   void OnAnswer(const AgreementMessage& aMessage, Group& aState, const ProposalAnswer& aAnswer);
   void OnRefusal(const GroupId& aGroup, Group& aState, const ProposalRefusal& aRefusal);
--- a/src/coordination/ProposalForwarder.cpp
+++ b/src/coordination/ProposalForwarder.cpp
@@ -21,6 +21,8 @@
 // Bytes of proposals that are on their way to another host at once; a larger proposal is sent
 // alone. Far below what a connection holds, since one that holds too much is closed.
 constexpr std::size_t kMaxBytesInFlight = std::size_t{ 1024 } * 1024;
+// Proposals up to this size never wait for others.
+constexpr std::size_t kSmallBytes = std::size_t{ 16 } * 1024;
 
 Error
 TimeoutError(const GroupId& aGroup, bool aMayBeApplied)
@@ -67,7 +69,7 @@
   pending.done = std::move(aDone);
   const MonotonicTime now = this->clock.MonotonicNow();
   pending.deadline = now + std::min<Duration>(aTimeout, kMaxTimeout);
-  pending.nextAttempt = now;
+  Wait(state, state.lastSequence, pending, now);
   this->SendWaiting(aGroup, state);
 }
 
@@ -75,44 +77,74 @@
 ProposalForwarder::SendWaiting(const GroupId& aGroup, Group& aState)
 {
   const MonotonicTime now = this->clock.MonotonicNow();
-  for (auto& [sequence, pending] : aState.pending) {
-    if (!pending.sentTo.Empty() || now < pending.nextAttempt) {
+  for (auto next = aState.waiting.begin(); next != aState.waiting.end();) {
+    const Sequence sequence = *next++;
+    Pending& pending = aState.pending.at(sequence);
+    if (now < pending.nextAttempt) {
       continue;
     }
-    if (!this->HasRoom(aState)) {
-      return;
+    this->ChooseLeader(aState, pending);
+    if (this->HasRoom(aState, pending)) {
+      this->Send(aGroup, aState, sequence, pending);
     }
-    this->Send(aGroup, aState, sequence, pending);
   }
 }
 
 bool
-ProposalForwarder::HasRoom(const Group& aState) const
+ProposalForwarder::HasRoom(const Group& aState, const Pending& aPending) const
 {
-  if (aState.leader == this->host) {
+  if (aPending.command.size() <= kSmallBytes || aState.leader == this->host) {
     return true;
   }
-  std::size_t bytes = 0;
-  for (const auto& [sequence, pending] : aState.pending) {
-    if (!pending.sentTo.Empty() && pending.sentTo == aState.leader) {
-      bytes += pending.command.size();
-    }
+  const auto found = aState.bytesInFlight.find(aState.leader);
+  return found == aState.bytesInFlight.end() || found->second < kMaxBytesInFlight;
+}
+
+void
+ProposalForwarder::Wait(Group& aState,
+                        Sequence aSequence,
+                        Pending& aPending,
+                        MonotonicTime aNextAttempt)
+{
+  RemoveInFlight(aState, aPending);
+  aPending.nextAttempt = aNextAttempt;
+  aState.waiting.insert(aSequence);
+}
+
+void
+ProposalForwarder::RemoveInFlight(Group& aState, Pending& aPending)
+{
+  const auto found = aState.bytesInFlight.find(std::exchange(aPending.sentTo, HostId()));
+  if (found == aState.bytesInFlight.end()) {
+    return;
+  }
+  found->second -= aPending.command.size();
+  if (found->second == 0) {
+    aState.bytesInFlight.erase(found);
   }
-  return bytes < kMaxBytesInFlight;
 }
 
 void
-ProposalForwarder::Send(const GroupId& aGroup, Group& aState, Sequence aSequence, Pending& aPending)
+ProposalForwarder::ChooseLeader(Group& aState, const Pending& aPending) const
 {
-  if (aState.leader.Empty()) {
-    // The replica on this host is asked first, since it knows the group best.
-    const auto own = std::find(aState.voters.begin(), aState.voters.end(), this->host);
-    const bool askOwn = own != aState.voters.end() && aPending.openAttempts.empty();
-    aState.leader = askOwn ? this->host : aState.voters[aState.nextVoter++ % aState.voters.size()];
+  if (!aState.leader.Empty()) {
+    return;
   }
+  // The replica on this host is asked first, since it knows the group best.
+  const auto own = std::find(aState.voters.begin(), aState.voters.end(), this->host);
+  const bool askOwn = own != aState.voters.end() && aPending.openAttempts.empty();
+  aState.leader = askOwn ? this->host : aState.voters[aState.nextVoter++ % aState.voters.size()];
+}
+
+void
+ProposalForwarder::Send(const GroupId& aGroup, Group& aState, Sequence aSequence, Pending& aPending)
+{
   this->lastAttempt = this->lastAttempt.Next();
   aPending.openAttempts.insert(this->lastAttempt);
+  aPending.lastAttempt = this->lastAttempt;
   aPending.sentTo = aState.leader;
+  aState.bytesInFlight[aState.leader] += aPending.command.size();
+  aState.waiting.erase(aSequence);
   aPending.nextAttempt = this->clock.MonotonicNow() + kAttemptTimeout;
   ForwardedProposal proposal;
   proposal.attempt = this->lastAttempt;
@@ -152,6 +184,8 @@
   aState.leader = aMessage.fromHost;
   auto node = aState.pending.extract(aAnswer.proposal.sequence);
   if (!node.empty()) {
+    RemoveInFlight(aState, node.mapped());
+    aState.waiting.erase(node.key());
     this->SendWaiting(aMessage.group, aState);
     node.mapped().done(aAnswer.answer);
   }
@@ -168,17 +202,20 @@
   pending.openAttempts.erase(aRefusal.attempt);
   const bool isVoter =
     std::find(aState.voters.begin(), aState.voters.end(), aRefusal.leader) != aState.voters.end();
+  if (aRefusal.attempt != pending.lastAttempt) {
+    // A later attempt is still waited for.
+    return;
+  }
   const MonotonicTime now = this->clock.MonotonicNow();
-  pending.sentTo = HostId();
   if (isVoter && pending.openAttempts.empty() && pending.redirectsFollowed < kMaxRedirects) {
     ++pending.redirectsFollowed;
     aState.leader = aRefusal.leader;
-    pending.nextAttempt = now;
+    Wait(aState, found->first, pending, now);
   } else {
     // Hosts that name each other as leader are asked again only after a delay.
     pending.redirectsFollowed = 0;
     aState.leader = HostId();
-    pending.nextAttempt = now + kRefusalRetryDelay;
+    Wait(aState, found->first, pending, now + kRefusalRetryDelay);
   }
   this->SendWaiting(aGroup, aState);
 }
@@ -196,8 +233,7 @@
   }
   found->second.leader = aLeader;
   for (auto& [sequence, pending] : found->second.pending) {
-    pending.sentTo = HostId();
-    pending.nextAttempt = this->clock.MonotonicNow();
+    Wait(found->second, sequence, pending, this->clock.MonotonicNow());
   }
   this->SendWaiting(aGroup, found->second);
 }
@@ -223,12 +259,14 @@
       // unknown.
       pending.nextAttempt = pending.deadline;
     } else if (now >= pending.nextAttempt && !pending.sentTo.Empty()) {
-      pending.sentTo = HostId();
+      Wait(aState, sequence, pending, now);
       aState.leader = HostId();
     }
   }
   for (const Sequence sequence : expired) {
     auto node = aState.pending.extract(sequence);
+    RemoveInFlight(aState, node.mapped());
+    aState.waiting.erase(sequence);
     node.mapped().done(Fail(TimeoutError(aGroup, !node.mapped().openAttempts.empty())));
   }
   this->SendWaiting(aGroup, aState);
--- a/test/coordination/ProposalForwarderTest.cpp
+++ b/test/coordination/ProposalForwarderTest.cpp
@@ -193,5 +193,36 @@
   EXPECT_EQ(this->forwarder.TakeMessages().size(), 2U);
 }
 
+// Guards against reads that wait for large changes whose answers were lost.
+TEST_F(ProposalForwarderTest, SmallProposalsDoNotWaitForLargeOnes)
+{
+  this->forwarder.ReportLeader(kGroup, kVoters[0]);
+  constexpr std::size_t kBytes = std::size_t{ 2 } * 1024 * 1024;
+  for (int count = 0; count < 2; ++count) {
+    this->forwarder.Start(kGroup,
+                          kVoters,
+                          StateMachineId::Configuration,
+                          std::string(kBytes, 'x'),
+                          std::chrono::seconds(30),
+                          [](const Result<std::string>&) {});
+  }
+  const auto sent = this->forwarder.TakeMessages();
+  ASSERT_EQ(sent.size(), 1U);
+  this->Start();
+  EXPECT_EQ(this->Sent().toHost, sent.front().toHost);
+}
+
+// Guards against a proposal that is sent again because an earlier attempt was refused late.
+TEST_F(ProposalForwarderTest, LateRefusalOfAnEarlierAttemptSendsNothing)
+{
+  this->Start();
+  const AgreementMessage first = this->Sent();
+  this->Advance(std::chrono::seconds(1));
+  EXPECT_NE(this->Sent().toHost, first.toHost);
+  this->Refuse(first);
+  this->Advance(std::chrono::milliseconds(200));
+  EXPECT_TRUE(this->forwarder.TakeMessages().empty());
+}
+
 } // namespace
 } // namespace damasklink
