Repeated attempts append a proposal once in a term

A change that takes longer than a second to commit is sent again, and the leader appended, wrote and replicated the whole document once more, which made the next commit slower: the log grew with the attempts. A leader keeps what it has appended in its term, so another attempt in the same term only renews whom to answer.

GroupReplicaProposalTest.RepeatedAttemptsAppendAProposalOnce failed before.

--- a/include/damasklink/coordination/GroupReplica.h
+++ b/include/damasklink/coordination/GroupReplica.h
@@ -91,6 +91,8 @@
     HostId host;
     ReplicaId replica;
     MonotonicTime since;
+    // The term in which the proposal was appended.
+    Term term;
   };
 
   // The last attempt that was seen of a host's proposer.
--- a/src/coordination/GroupReplica.cpp
+++ b/src/coordination/GroupReplica.cpp
@@ -135,7 +135,9 @@
     return;
   }
   seen = AttemptHistory{ aProposal.proposal.proposer, aProposal.attempt };
-  const PendingAnswer pending{ aMessage.fromHost, aMessage.from, this->clock.MonotonicNow() };
+  const PendingAnswer pending{
+    aMessage.fromHost, aMessage.from, this->clock.MonotonicNow(), this->core.CurrentTerm()
+  };
   if (auto known = this->machines.FindAnswer(aProposal.proposal)) {
     this->Answer(pending, aProposal.proposal, std::move(*known));
     return;
@@ -144,12 +146,21 @@
     this->Refuse(aMessage, aProposal);
     return;
   }
-  // Duplicates in the log are applied only once, so each attempt may append the proposal again.
+  const ProposalKey key{ aProposal.proposal.proposer, aProposal.proposal.sequence };
+  const auto earlier = this->pendingAnswers.find(key);
+  if (earlier != this->pendingAnswers.end() && this->core.Role() == RaftRole::Leader &&
+      earlier->second.term == pending.term) {
+    // A leader keeps what it has appended in its term.
+    earlier->second = pending;
+    return;
+  }
+  // Duplicates in the log are applied only once, so an attempt in another term may append the
+  // proposal again.
   if (!this->core.Propose(aProposal.part, aProposal.proposal, aProposal.command)) {
     this->Refuse(aMessage, aProposal);
     return;
   }
-  this->pendingAnswers[{ aProposal.proposal.proposer, aProposal.proposal.sequence }] = pending;
+  this->pendingAnswers[key] = pending;
 }
 
 void
--- a/test/coordination/GroupReplicaTest.cpp
+++ b/test/coordination/GroupReplicaTest.cpp
@@ -263,6 +263,39 @@
   EXPECT_TRUE(machine.commands.empty());
 }
 
+// Guards against a log that grows with the attempts of a large proposal instead of with proposals.
+TEST(GroupReplicaProposalTest, RepeatedAttemptsAppendAProposalOnce)
+{
+  ManualClock clock;
+  GroupOptions options;
+  options.raft = testing::MakeRaftOptions();
+  options.listedVoters = { HostId("self") };
+  GroupReplica replica(clock, options, RecoveredLog{});
+  testing::ListMachine machine;
+  replica.Machines().Add(StateMachineId::Claims, machine);
+  const auto settle = [&] {
+    for (int round = 0; round < 10; ++round) {
+      replica.Tick();
+      if (const auto batch = replica.TakeActions().persist) {
+        replica.OnPersisted(batch->number);
+      }
+    }
+  };
+  settle();
+  ASSERT_TRUE(replica.Status().leaseHeld);
+  const LogIndex before = replica.Core().Log().LastIndex();
+  const auto part = static_cast<std::uint8_t>(StateMachineId::Claims);
+  for (std::uint64_t attempt = 1; attempt <= 3; ++attempt) {
+    const ForwardedProposal sent{
+      Sequence(attempt), part, { 7, Sequence(1), Sequence(1) }, "command"
+    };
+    replica.Receive(testing::MessageFrom(ReplicaId(), Term(), sent));
+  }
+  EXPECT_EQ(replica.Core().Log().LastIndex(), before.Next());
+  settle();
+  EXPECT_EQ(machine.commands, std::vector<std::string>{ "command" });
+}
+
 TEST(GroupFormationTest, SingleVoterFormsAtOnce)
 {
   GroupCluster cluster(1, 1);
