One of two voters is never removed

A leader of two voters could remove the other one once it was silent and commit that alone; a single lost disk would then take everything acknowledged.

DiscoveredMembershipTest.KeepsASilentVoterOfTwo failed before.

--- a/src/coordination/MembershipRepair.cpp
+++ b/src/coordination/MembershipRepair.cpp
@@ -115,11 +115,14 @@
 // Removes a host that does not answer and is no longer listed. A host that still answers stays,
 // since the settings of this host may be the wrong ones. If hosts are discovered, a voter that does
 // not answer stays until its successor votes and makes the number of voters even, because it may
-// hold acknowledged entries.
+// hold acknowledged entries. One of two voters always stays: the other one alone would commit what
+// a single lost disk takes away.
 std::optional<Membership>
 MembershipRepair::RemoveRetired(const Membership& aNow, const RaftCore& aCore) const
 {
-  const bool tooManyVoters = this->maxVoters && aNow.VoterCount() % 2 == 0;
+  constexpr std::size_t kMinVoters = 2;
+  const bool tooManyVoters =
+    this->maxVoters && aNow.VoterCount() % 2 == 0 && aNow.VoterCount() > kMinVoters;
   const auto retired =
     std::find_if(aNow.members.begin(), aNow.members.end(), [&](const Member& aMember) {
       const bool surplus =
--- a/test/coordination/MembershipRepairTest.cpp
+++ b/test/coordination/MembershipRepairTest.cpp
@@ -183,6 +183,19 @@
   EXPECT_FALSE(this->Step());
 }
 
+// Guards against a group whose only voter holds all that was acknowledged.
+TEST_F(DiscoveredMembershipTest, KeepsASilentVoterOfTwo)
+{
+  this->Join("stranger", kNewDisk);
+  this->Join("another", kNewerDisk);
+  ASSERT_TRUE(this->Step());
+  this->AcknowledgeAll();
+  ASSERT_EQ(this->Voters(), 2U);
+  this->clock.Advance(RaftTiming().electionTimeoutMax);
+  const auto next = this->repair.Next(this->core);
+  EXPECT_TRUE(!next || next->VoterCount() == 2U);
+}
+
 // Guards against a group that waits forever for two lost replicas of one host: the newer one is
 // lost as well before the change that makes it a voter is committed.
 TEST_F(DiscoveredMembershipTest, RemovesSilentFormerReplicaBeforeSuccessorVotes)
