Members are dialed also when the log is read after the start

They are dialed with each second's housekeeping; a known one costs a look-up. No test of its own: two such hosts need replaced seeds and disks that refuse at once.

--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -263,9 +263,6 @@
     .With("first_start", this->settings.firstStart)
     .With("control", FormatEndpoint(this->settings.control));
   this->AddControlHosts(this->settings.seeds);
-  // Members that are not seeds are dialed, too. After a restart of all hosts, the seeds would
-  // otherwise wait until the other members connect to them.
-  this->AddControlHosts(this->group.Members());
   this->signals.Wait(
     [this](const ServingSettings& aFresh) {
       this->settings.regions = aFresh.regions;
@@ -296,6 +293,9 @@
   if (this->clock.MonotonicNow() >= this->nextExpiry) {
     this->nextExpiry = this->clock.MonotonicNow() + kExpiryInterval;
     this->UpdateMemory();
+    // Members that are not seeds are dialed, too: after a restart of all hosts nobody else may name
+    // them. The log may be read only later, when the disk works.
+    this->AddControlHosts(this->group.Members());
     this->publisher.RemoveExpired();
     this->tracker.Versions().RemoveExpired();
   }
