--- a/test/soak/lost_disks.py
+++ b/test/soak/lost_disks.py
@@ -101,7 +101,8 @@
             what = f"the disk of {victim.name} was lost" + (", all processes killed" if all_killed else "")
             if not await self.await_read_back(RECOVER, what):
                 return
-            await asyncio.sleep(RECOVER if all_killed else CATCH_UP)
+            if number + 1 < ROUNDS:
+                await asyncio.sleep(RECOVER if all_killed else CATCH_UP)
 
 
 def main():
