--- a/include/damasklink/coordination/GroupReplica.h
+++ b/include/damasklink/coordination/GroupReplica.h
@@ -26,7 +26,7 @@
   std::optional<std::size_t> maxVoters;
   // Number of applied entries, or bytes of their commands, after which a snapshot is taken.
   std::uint64_t snapshotEntries = 10'000;
-  std::uint64_t snapshotBytes = std::uint64_t{ 4 } * 1024 * 1024;
+  std::uint64_t snapshotBytes = std::uint64_t{ 1024 } * 1024;
 };
 
 // Work for the owner of a GroupReplica.
--- a/include/damasklink/coordination/RaftCore.h
+++ b/include/damasklink/coordination/RaftCore.h
@@ -36,11 +36,13 @@
   RaftTiming timing;
   // Seed of the random election timeouts.
   std::uint64_t seed = 1;
-  // Maximum size of a snapshot piece and, approximately, of an append request, in bytes.
-  std::size_t maxMessageBytes = std::size_t{ 256 } * 1024;
+  // Maximum size of a snapshot piece and, approximately, of an append request, in bytes. Over a
+  // link of 10 Mbit/s it is answered before the next heartbeat, which would repeat it.
+  std::size_t maxMessageBytes = std::size_t{ 64 } * 1024;
   // Bytes of entries that are sent to a replica before it acknowledges them; a larger entry is sent
-  // alone. Far below what a connection holds, and on a slow link not much longer than a heartbeat.
-  std::size_t maxBytesInFlight = std::size_t{ 512 } * 1024;
+  // alone. Far below what a connection holds, and heartbeats to several replicas that lag are not
+  // delayed by an election timeout on a link of 10 Mbit/s.
+  std::size_t maxBytesInFlight = std::size_t{ 128 } * 1024;
   // Entries that stay in memory after a snapshot covers them, for replicas that lag behind: at most
   // so many, and at most so many bytes of commands. A replica that lags by more gets the snapshot.
   std::uint64_t trailingEntries = 1024;
--- a/test/program/GroupCatchUpTest.cpp
+++ b/test/program/GroupCatchUpTest.cpp
@@ -18,8 +18,9 @@
 // What a connection between hosts holds before it is closed.
 constexpr std::size_t kQueueBytes = std::size_t{ 8 } * 1024 * 1024;
 
-// 100 Mbit/s, a tenth of what control hosts have.
-constexpr std::size_t kLinkBytesPerSecond = 12'500'000;
+// 100 Mbit/s, and 10 Mbit/s, the least that control hosts have.
+constexpr double kLinkBytesPerSecond = 12'500'000;
+constexpr double kSlowLinkBytesPerSecond = 1'250'000;
 
 // What the users allow a host that lost its disk to catch up, and all hosts to recover.
 constexpr Duration kCatchUp = std::chrono::seconds(4);
@@ -53,7 +54,7 @@
   }
 
   // Returns what arrives at the peer within aTime.
-  std::vector<PeerMessage> Deliver(const HostId& aTo, Duration aTime)
+  std::vector<PeerMessage> Deliver(const HostId& aTo, Duration aTime, double aBytesPerSecond)
   {
     Connection& connection = this->connections[aTo];
     std::vector<PeerMessage> arrived;
@@ -63,7 +64,7 @@
       return arrived;
     }
     const double seconds = std::chrono::duration<double>(aTime).count();
-    connection.credit += seconds * kLinkBytesPerSecond;
+    connection.credit += seconds * aBytesPerSecond;
     while (!connection.queue.empty() &&
            connection.credit >= static_cast<double>(connection.queue.front().payload.size())) {
       const std::size_t bytes = connection.queue.front().payload.size();
@@ -170,7 +171,8 @@
     }
     for (auto& [from, sender] : this->hosts) {
       for (const PeerSettings& peer : this->peers) {
-        for (PeerMessage& message : sender->sender.Deliver(peer.host, kControlTick)) {
+        for (PeerMessage& message :
+             sender->sender.Deliver(peer.host, kControlTick, this->linkBytesPerSecond)) {
           const auto found = this->hosts.find(peer.host);
           if (found != this->hosts.end()) {
             found->second->module.OnPeerMessage(from, message);
@@ -226,6 +228,7 @@
   std::vector<PeerSettings> peers;
   std::map<HostId, std::unique_ptr<TempFolder>> folders;
   std::map<HostId, std::unique_ptr<Host>> hosts;
+  double linkBytesPerSecond = kLinkBytesPerSecond;
   std::size_t documentBytes = kDocumentBytes;
   std::uint64_t version = 0;
   std::uint64_t acknowledged = 0;
@@ -245,6 +248,21 @@
   EXPECT_EQ(this->ClosedConnections(), 0U);
 }
 
+// Guards against the same where the link is so slow that the leader's log takes longer than a host
+// may take to catch up.
+TEST_F(GroupCatchUpTest, HostThatLostItsDiskVotesAgainOverASlowLink)
+{
+  this->Change(this->a, kChanges);
+  this->LoseDisk(this->c);
+  this->Run(std::chrono::seconds(2));
+  this->linkBytesPerSecond = kSlowLinkBytesPerSecond;
+  this->Start(this->c);
+  this->Run(kCatchUp);
+  EXPECT_TRUE(this->CoreOf(this->c).IsVoter());
+  EXPECT_EQ(this->hosts.at(this->c)->machine.Version(), Revision(kChanges));
+  EXPECT_EQ(this->ClosedConnections(), 0U);
+}
+
 // Guards against a host that was cut off or down during many changes and never catches up.
 TEST_F(GroupCatchUpTest, HostThatWasDownDuringHundredsOfChangesCatchesUp)
 {
