A stream of unknown origin on a route of several services is refused

What callers saw: a stream of a route that is divided among services, taken up after all entry hosts had ended, could be answered 200 with the rest of its events from another service than the one that began it.

Cause: without a record of the stream, a host asked control hosts for the versions of the service that it had drawn for the new request. The draw follows the request's id, which differs for each try. Where that service had one version, this was taken for the version that began the stream.

Evidence: ResumedStreamTest.OfUnknownOriginIsRefusedWhereTheRouteIsDividedAmongServices failed before.

A route with one service leaves no doubt about the service; only there the only version is the origin. Streams with a record go on at their service as before (OfKnownOriginGoesOnWhereTheRouteIsDividedAmongServices).

--- a/src/program/ExchangeRouting.cpp
+++ b/src/program/ExchangeRouting.cpp
@@ -61,6 +61,15 @@
 // The lookup of a stream's origin may take this part of the time that is left.
 constexpr int kOriginLookupShare = 3;
 
+// Returns whether all streams of the route begin at the same service.
+bool
+HasOneService(const ServingRoute& aRoute)
+{
+  return std::count_if(aRoute.shares.begin(), aRoute.shares.end(), [](const ServiceShare& aShare) {
+           return aShare.weight > 0;
+         }) == 1;
+}
+
 } // namespace
 
 // Fills the selection request for targets with this version of weights. Part keys depend on the
@@ -145,8 +154,10 @@
   const std::optional<StreamOrigin> origin = co_await this->context.originResolver.Resolve(
     stream, this->service, this->TimeLeft() / kOriginLookupShare);
   const bool recorded = origin && origin->stream != StreamKey();
-  const bool continues = origin && this->MayContinueAt(origin->service) &&
-                         (recorded || this->HasOnlyVersion(origin->software));
+  // Without a record the service is only that of the new request.
+  const bool certain =
+    recorded || (origin && HasOneService(*this->route) && this->HasOnlyVersion(origin->software));
+  const bool continues = certain && this->MayContinueAt(origin->service);
   LogEvent(LogLevel::Info, "stream_origin")
     .With("request", this->call.request)
     .With("resumes", this->call.resumes)
--- a/test/program/ExchangeSoftwareTest.cpp
+++ b/test/program/ExchangeSoftwareTest.cpp
@@ -138,7 +138,7 @@
     };
   }
 
-  void KnowVersions(std::set<SoftwareVersion> aVersions, bool aComplete)
+  void KnowVersions(const std::set<SoftwareVersion>& aVersions, bool aComplete)
   {
     this->answerLookup = [aVersions, aComplete](const StreamOriginRequest& aRequest) {
       return StreamOriginResponse{ aRequest.number, std::nullopt, aVersions, aComplete };
@@ -158,9 +158,34 @@
     }
   }
 
+  // Divides the route among two services, which have one target each.
+  void SplitRoute()
+  {
+    this->targetUpdates.resize(2);
+    this->targetUpdates.back().record.service = ServiceName("other");
+    this->splitDocument =
+      R"({"version":2,"routes":[{"name":"r","host":"h","path-prefix":"/resumable/",)"
+      R"("kind":"streaming","timeout-ms":3600000,"target-latency-ms":20000,"max-attempts":2,)"
+      R"("public":true,"resumable":true,"traffic-split":[{"service":"app","weight":1},)"
+      R"({"service":"other","weight":1}]}],"services":[{"name":"app"},{"name":"other"}]})";
+  }
+
+  // Each service has one version, and the control host has no record of any stream.
+  void KnowVersionOfEachService()
+  {
+    this->answerLookup = [](const StreamOriginRequest& aRequest) {
+      const SoftwareVersion only(aRequest.service == testing::kService ? "v1" : "v2");
+      return StreamOriginResponse{ aRequest.number, std::nullopt, { only }, true };
+    };
+  }
+
   void Resume(const std::string& aFirst = "Resumes: r0\r\n")
   {
     this->Start();
+    if (!this->splitDocument.empty()) {
+      this->OnLoop(
+        [&] { this->state.InstallRoutes(ReadRoutes(this->dialect, this->splitDocument).value()); });
+    }
     this->Call("/resumable/", "Last-Event-Id: 1\r\n" + aFirst);
   }
 
@@ -175,6 +200,7 @@
     EXPECT_TRUE(this->current.Requests().empty());
   }
 
+  std::string splitDocument;
   ScriptedTarget old{ [](const std::string& aRequest, TcpSocket& aSocket) {
     return Answer(aRequest, aSocket, "v1");
   } };
@@ -224,6 +250,24 @@
   EXPECT_NE(this->ReceiveUpTo("0\r\n\r\n").find("data: v1\n\n"), std::string::npos);
 }
 
+// Guards against streams of unknown origin that go on at another service than the one that began
+// them: each service has one version, but the route does not tell which one it was.
+TEST_F(ResumedStreamTest, OfUnknownOriginIsRefusedWhereTheRouteIsDividedAmongServices)
+{
+  this->SplitRoute();
+  this->KnowVersionOfEachService();
+  this->Resume();
+  this->ExpectRefused();
+}
+
+TEST_F(ResumedStreamTest, OfKnownOriginGoesOnWhereTheRouteIsDividedAmongServices)
+{
+  this->SplitRoute();
+  this->KnowOrigin(ServiceName("other"), "v2");
+  this->Resume();
+  EXPECT_NE(this->ReceiveUpTo("0\r\n\r\n").find("data: v2\n\n"), std::string::npos);
+}
+
 TEST_F(ResumedStreamTest, ThatIsNotNamedGoesOnAtTheOnlyVersion)
 {
   this->KnowVersions({ SoftwareVersion("v1") }, true);
