A request that ends all targets of its service is refused although no host reaches a target

Cause: once all targets of the service are down, every host takes itself to be cut off and drops its reports of whole requests before they are confirmed.

Such reports come late, when requests that were running beside the cause have run again. So a successful run counts from the crash on and not from its report: hosts drop what they hold of a request that ran since, control hosts ignore crashes before a run that they heard of, and hosts tell of runs of the last 5 s once a request is suspected.

--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -293,10 +293,13 @@
 Exchange::ReportSuccessfulRun()
 {
   CrashFilter& filter = this->context.crashFilter;
-  if (!this->succeeded || !filter.IsActive()) {
+  const bool isOfInterest = filter.IsActive() || !this->context.interrupted.IsEmpty();
+  if (!this->succeeded || !isOfInterest) {
     return;
   }
-  filter.OnSuccessfulRun(SuccessfulRun{ this->Fingerprint(), this->service });
+  const SuccessfulRun run{ this->Fingerprint(), this->service };
+  this->context.interrupted.OnSuccessfulRun(run);
+  filter.OnSuccessfulRun(run);
   for (const RequestFingerprint part : this->PartFingerprints()) {
     filter.OnSuccessfulPart(SuccessfulRun{ part, this->service });
   }
