An answer without a length that is reset while its request is sent is not taken as whole

Callers got a 200 with the target's stamp and an empty or short body, framed as whole, and streams that ended as complete, if their target stopped while it was still being sent a long request and its answer had no length.

Cause: the write that fails takes the socket's error. Reads then return what had arrived and an end without error, as after a close, and an answer that ends with its connection was complete. The same happens if TCP gives the connection up because the target reads nothing. A cut head itself is never taken as whole, nor is a cut body with a length or in chunks.

Fix: TargetConnection keeps the error of the write, and an answer that ends with its connection is then broken.

--- a/src/transport/TargetConnection.cpp
+++ b/src/transport/TargetConnection.cpp
@@ -71,6 +71,9 @@
   // Whether the response has no body, because the request was HEAD.
   bool bodyless = false;
   bool sending = false;
+  // Why a request could not be sent, if reads can't tell it any more: the write took the socket's
+  // error, and the end that reads find is none that the target sent.
+  std::optional<IoError> lostWhileSending;
   bool broken = false;
   // Whether the target closes the connection after the response.
   bool closes = false;
@@ -149,6 +152,10 @@
   connection.sending = false;
   if (error) {
     connection.broken = true;
+    // The system reports a broken pipe if the target had ended its side before.
+    if (error != asio::error::broken_pipe) {
+      connection.lostWhileSending = error;
+    }
     co_return ReadFailure(error);
   }
   co_return Success();
@@ -219,6 +226,9 @@
       co_return std::optional(std::string_view(connection.chunk.data(), length));
     }
   }
+  if (connection.parser->need_eof() && connection.lostWhileSending) {
+    co_return ReadFailure(*connection.lostWhileSending);
+  }
   co_return std::optional<std::string_view>();
 }
 
