Taken back: reports of hosts that reach no target are kept until a start confirms them

The second that a late report gives for news of sound runs passed without a target to run on, and a refused request never runs well, so nobody releases it. Before the change such reports were dropped and the bystanders went free.

--- a/include/damasklink/coordination/CrashFilter.h
+++ b/include/damasklink/coordination/CrashFilter.h
@@ -26,10 +26,6 @@
   // passed them on.
   static constexpr Duration kReportLifetime = std::chrono::seconds(10);
   static constexpr std::size_t kMaxReports = 1024;
-  // Successful runs are remembered for this long, in case another host reports later that a target
-  // had ended under the request. No target may be up by then that could run it again.
-  static constexpr Duration kRecentRun = std::chrono::seconds(5);
-  static constexpr std::size_t kMaxRecentRuns = 1024;
 
   explicit CrashFilter(const Clock& aClock)
     : clock(aClock)
@@ -43,8 +39,7 @@
 
   // A target crashed while it ran a request.
   void OnCrash(CrashReport aReport);
-  // A request ran without a crash. This clears its reports of the same service. Control hosts are
-  // told if it is watched, or once it is soon after.
+  // A request ran without a crash. This clears its reports of the same service.
   void OnSuccessfulRun(const SuccessfulRun& aRun);
   // A request with this part of a prompt ran without a crash.
   void OnSuccessfulPart(const SuccessfulRun& aRun);
@@ -78,8 +73,6 @@
   };
 
   void MergeVerdicts();
-  void RememberRun(const SuccessfulRun& aRun);
-  void ReportRecentRuns();
 
   const Clock& clock;
   std::map<HostId, Verdicts> verdicts;
@@ -89,8 +82,6 @@
   // Oldest first.
   std::vector<PendingReport> reports;
   std::set<SuccessfulRun> successfulRuns;
-  // Runs of requests that were not watched.
-  std::map<SuccessfulRun, MonotonicTime> recentRuns;
 };
 
 } // namespace damasklink
--- a/include/damasklink/coordination/CrashRegistry.h
+++ b/include/damasklink/coordination/CrashRegistry.h
@@ -38,13 +38,6 @@
   // request that many callers send was running on all of them, and the reports of its successful
   // runs arrive later.
   static constexpr Duration kSettleTime = std::chrono::milliseconds(500);
-  // A crash that is reported at least this long after it happened is late. Many reports may be late
-  // together, and requests that ran on the targets have run again meanwhile, so one late report
-  // makes a request suspected, and refusal waits longer for news of its successful runs.
-  static constexpr Duration kLateReport = std::chrono::seconds(1);
-  static constexpr Duration kLateSettleTime = std::chrono::seconds(1);
-  // Successful runs are remembered for this long: no report comes later.
-  static constexpr Duration kMaxReportAge = std::chrono::seconds(20);
   // An entry takes about 200 bytes.
   static constexpr std::size_t kMaxRequests = 4096;
   static constexpr std::size_t kMaxSuspects = 256;
@@ -59,8 +52,7 @@
   }
 
   void Add(const std::vector<CrashReport>& aReports);
-  // Removes the crashes at the service of each run, also those that are reported later, and marks
-  // refused requests for release.
+  // Removes the crashes at the service of each run, and marks refused requests for release.
   void AddSuccessfulRuns(const std::vector<SuccessfulRun>& aRuns);
   // Sets the requests that the replicated log refuses. Those that are missing now were released and
   // are counted from zero again.
@@ -92,21 +84,13 @@
     std::map<TargetIncarnation, ServiceName> crashed;
     // When the last of them was reported.
     MonotonicTime lastCrash;
-    // Whether any of them was reported late.
-    bool late = false;
   };
 
-  void AddRequest(const CrashReport& aReport);
-  bool IsVoid(const CrashReport& aReport) const;
-  void RememberRun(const SuccessfulRun& aRun);
   bool ShouldRefuse(const Entry& aEntry) const;
-  void AddSuspects(CrashingRequests& aVerdicts) const;
   void EvictOne();
 
   const Clock& clock;
   std::map<RequestFingerprint, Entry> entries;
-  // When the latest successful run was reported.
-  std::map<SuccessfulRun, MonotonicTime> successfulRuns;
   RefusedRequests refused;
   // Refused requests that have since run successfully.
   std::set<RequestFingerprint> cleared;
--- a/include/damasklink/coordination/InterruptedRequests.h
+++ b/include/damasklink/coordination/InterruptedRequests.h
@@ -42,14 +42,10 @@
   // interrupted by then did not crash it, and they are removed.
   void OnAnswered(const TargetId& aTarget, Incarnation aIncarnation, MonotonicTime aSentAt);
 
-  // The request ran without a crash at this host, so neither it nor a part of its prompt is the
-  // cause. The interrupted ones like it are removed, except those of silent targets: the first one
-  // of these shows when its target ended.
-  void OnSuccessfulRun(const SuccessfulRun& aRun);
-
   // This host reaches no target of the service, so the answers may have broken off for that reason.
-  // Only the next start of a target confirms that it had crashed. A start after silence accuses
-  // parts of prompts only: the target may have gone on with the request.
+  // Only the next start of a target confirms that it had crashed, and it accuses parts of prompts
+  // only: that was long ago, and successful runs void crashes of parts, but not of whole requests,
+  // also if they are reported later.
   void OnServiceUnreachable(const ServiceName& aService);
 
   // Removes and returns the requests whose target is shown to have crashed by the start of a target
--- a/src/coordination/CrashFilter.cpp
+++ b/src/coordination/CrashFilter.cpp
@@ -23,38 +23,9 @@
   const bool wasReported = std::erase_if(this->reports, isSameRequest) > 0;
   if (wasReported || this->watched.contains(aRun.request)) {
     this->successfulRuns.insert(aRun);
-  } else {
-    this->RememberRun(aRun);
   }
 }
 
-void
-CrashFilter::RememberRun(const SuccessfulRun& aRun)
-{
-  const MonotonicTime now = this->clock.MonotonicNow();
-  if (this->recentRuns.size() >= kMaxRecentRuns) {
-    std::erase_if(this->recentRuns,
-                  [&](const auto& aItem) { return now - aItem.second >= kRecentRun; });
-  }
-  if (this->recentRuns.size() < kMaxRecentRuns || this->recentRuns.contains(aRun)) {
-    this->recentRuns[aRun] = now;
-  }
-}
-
-void
-CrashFilter::ReportRecentRuns()
-{
-  const MonotonicTime now = this->clock.MonotonicNow();
-  std::erase_if(this->recentRuns, [&](const auto& aItem) {
-    const bool isWatched = this->watched.contains(aItem.first.request);
-    const bool isRecent = now - aItem.second < kRecentRun;
-    if (isWatched && isRecent) {
-      this->successfulRuns.insert(aItem.first);
-    }
-    return isWatched || !isRecent;
-  });
-}
-
 void
 CrashFilter::OnSuccessfulPart(const SuccessfulRun& aRun)
 {
@@ -107,7 +78,6 @@
                          hostVerdicts.requests.suspected.end());
   }
   this->watched.insert(this->refused.begin(), this->refused.end());
-  this->ReportRecentRuns();
 }
 
 void
--- a/src/coordination/CrashRegistry.cpp
+++ b/src/coordination/CrashRegistry.cpp
@@ -15,47 +15,19 @@
       std::any_of(report.parts.begin(), report.parts.end(), [this](RequestFingerprint aPart) {
         return this->parts.WasFound(aPart);
       });
-    if (!explained && report.request != RequestFingerprint() && !this->IsVoid(report)) {
-      this->AddRequest(report);
+    if (explained || report.request == RequestFingerprint()) {
+      continue;
+    }
+    if (!this->entries.contains(report.request) && this->entries.size() >= kMaxRequests) {
+      this->EvictOne();
+    }
+    Entry& entry = this->entries[report.request];
+    entry.workspace = report.workspace;
+    const bool counts = entry.crashed.size() < kCrashesToRefuse;
+    const TargetIncarnation incarnation{ report.target, report.incarnation };
+    if (counts && entry.crashed.emplace(incarnation, report.service).second) {
+      entry.lastCrash = this->clock.MonotonicNow();
     }
-  }
-}
-
-void
-CrashRegistry::AddRequest(const CrashReport& aReport)
-{
-  if (!this->entries.contains(aReport.request) && this->entries.size() >= kMaxRequests) {
-    this->EvictOne();
-  }
-  Entry& entry = this->entries[aReport.request];
-  entry.workspace = aReport.workspace;
-  const bool counts = entry.crashed.size() < kCrashesToRefuse;
-  const TargetIncarnation incarnation{ aReport.target, aReport.incarnation };
-  if (counts && entry.crashed.emplace(incarnation, aReport.service).second) {
-    entry.lastCrash = this->clock.MonotonicNow();
-    entry.late = entry.late || aReport.brokenAgo >= kLateReport;
-  }
-}
-
-// Returns whether the request ran successfully since the crash.
-bool
-CrashRegistry::IsVoid(const CrashReport& aReport) const
-{
-  const auto found = this->successfulRuns.find(SuccessfulRun{ aReport.request, aReport.service });
-  return found != this->successfulRuns.end() &&
-         this->clock.MonotonicNow() - aReport.brokenAgo < found->second;
-}
-
-void
-CrashRegistry::RememberRun(const SuccessfulRun& aRun)
-{
-  const MonotonicTime now = this->clock.MonotonicNow();
-  if (this->successfulRuns.size() >= kMaxRequests) {
-    std::erase_if(this->successfulRuns,
-                  [&](const auto& aItem) { return now - aItem.second >= kMaxReportAge; });
-  }
-  if (this->successfulRuns.size() < kMaxRequests || this->successfulRuns.contains(aRun)) {
-    this->successfulRuns[aRun] = now;
   }
 }
 
@@ -77,7 +49,6 @@
 {
   for (const SuccessfulRun& run : aRuns) {
     this->parts.AddSuccessfulRun(run);
-    this->RememberRun(run);
     const auto found = this->entries.find(run.request);
     if (found != this->entries.end()) {
       std::erase_if(found->second.crashed,
@@ -110,9 +81,8 @@
 bool
 CrashRegistry::ShouldRefuse(const Entry& aEntry) const
 {
-  const Duration settleTime = aEntry.late ? kLateSettleTime : kSettleTime;
   return aEntry.crashed.size() >= kCrashesToRefuse &&
-         this->clock.MonotonicNow() - aEntry.lastCrash >= settleTime;
+         this->clock.MonotonicNow() - aEntry.lastCrash >= kSettleTime;
 }
 
 CrashingRequests
@@ -127,9 +97,11 @@
   for (const auto& [request, entry] : this->entries) {
     if (this->ShouldRefuse(entry)) {
       verdicts.refused.insert(request);
+    } else if (entry.crashed.size() >= kCrashesToSuspect &&
+               verdicts.suspected.size() < kMaxSuspects) {
+      verdicts.suspected.insert(request);
     }
   }
-  this->AddSuspects(verdicts);
   verdicts.refused.merge(this->parts.Crashing());
   for (const RequestFingerprint part : this->parts.Suspects(kMaxSuspectParts)) {
     verdicts.suspected.insert(part);
@@ -137,21 +109,6 @@
   return verdicts;
 }
 
-// Those with more crashes come first, in case there are too many.
-void
-CrashRegistry::AddSuspects(CrashingRequests& aVerdicts) const
-{
-  for (std::size_t crashes = kCrashesToRefuse; crashes > 0; --crashes) {
-    for (const auto& [request, entry] : this->entries) {
-      const bool suspected = entry.late || crashes >= kCrashesToSuspect;
-      if (entry.crashed.size() == crashes && suspected && !this->ShouldRefuse(entry) &&
-          aVerdicts.suspected.size() < kMaxSuspects) {
-        aVerdicts.suspected.insert(request);
-      }
-    }
-  }
-}
-
 std::vector<RefuseRequest>
 CrashRegistry::ToRefuse() const
 {
--- a/src/coordination/InterruptedRequests.cpp
+++ b/src/coordination/InterruptedRequests.cpp
@@ -64,27 +64,16 @@
     return aRequest.report.service == aService;
   };
   std::erase_if(this->requests, [&](const Interrupted& aRequest) {
-    return isOfService(aRequest) && aRequest.report.silent && aRequest.report.parts.empty();
+    return isOfService(aRequest) && aRequest.report.parts.empty();
   });
   for (Interrupted& request : this->requests) {
     if (isOfService(request)) {
+      request.report.request = RequestFingerprint();
       request.confirmedBySilence = false;
-      if (request.report.silent) {
-        request.report.request = RequestFingerprint();
-      }
     }
   }
 }
 
-void
-InterruptedRequests::OnSuccessfulRun(const SuccessfulRun& aRun)
-{
-  std::erase_if(this->requests, [&](const Interrupted& aRequest) {
-    const CrashReport& report = aRequest.report;
-    return !report.silent && report.request == aRun.request && report.service == aRun.service;
-  });
-}
-
 std::vector<CrashReport>
 InterruptedRequests::TakeConfirmedByStart(const TargetRecord& aStarted)
 {
--- a/src/program/ExchangeReporting.cpp
+++ b/src/program/ExchangeReporting.cpp
@@ -293,13 +293,10 @@
 Exchange::ReportSuccessfulRun()
 {
   CrashFilter& filter = this->context.crashFilter;
-  const bool isOfInterest = filter.IsActive() || !this->context.interrupted.IsEmpty();
-  if (!this->succeeded || !isOfInterest) {
+  if (!this->succeeded || !filter.IsActive()) {
     return;
   }
-  const SuccessfulRun run{ this->Fingerprint(), this->service };
-  this->context.interrupted.OnSuccessfulRun(run);
-  filter.OnSuccessfulRun(run);
+  filter.OnSuccessfulRun(SuccessfulRun{ this->Fingerprint(), this->service });
   for (const RequestFingerprint part : this->PartFingerprints()) {
     filter.OnSuccessfulPart(SuccessfulRun{ part, this->service });
   }
--- a/test/coordination/CrashFilterTest.cpp
+++ b/test/coordination/CrashFilterTest.cpp
@@ -54,32 +54,6 @@
   EXPECT_EQ(this->filter.TakeSuccessfulRuns(), std::vector<SuccessfulRun>{ suspected });
 }
 
-// Guards against refusing a request that ran well shortly before another host reports it.
-TEST_F(CrashFilterTest, SendsRecentSuccessfulRunsOfRequestsThatBecomeSuspected)
-{
-  const SuccessfulRun early{ RequestFingerprint(9), kService };
-  this->filter.OnSuccessfulRun(early);
-  this->clock.Advance(std::chrono::milliseconds(1));
-  this->filter.OnSuccessfulRun(kSuccessfulRun);
-  this->clock.Advance(CrashFilter::kRecentRun - std::chrono::milliseconds(1));
-  EXPECT_TRUE(this->filter.TakeSuccessfulRuns().empty());
-  this->filter.SetVerdicts(kOne, CrashingRequests{ {}, { early.request, kRequest } });
-  EXPECT_EQ(this->filter.TakeSuccessfulRuns(), std::vector<SuccessfulRun>{ kSuccessfulRun });
-  this->filter.SetVerdicts(kOne, CrashingRequests{ {}, { early.request, kRequest } });
-  EXPECT_TRUE(this->filter.TakeSuccessfulRuns().empty());
-}
-
-TEST_F(CrashFilterTest, RecentSuccessfulRunsAreBounded)
-{
-  CrashingRequests verdicts;
-  for (std::uint64_t index = 0; index < 2 * CrashFilter::kMaxRecentRuns; ++index) {
-    this->filter.OnSuccessfulRun(SuccessfulRun{ RequestFingerprint(index), kService });
-    verdicts.suspected.insert(RequestFingerprint(index));
-  }
-  this->filter.SetVerdicts(kOne, verdicts);
-  EXPECT_EQ(this->filter.TakeSuccessfulRuns().size(), CrashFilter::kMaxRecentRuns);
-}
-
 TEST_F(CrashFilterTest, ReportsStateTheirAge)
 {
   CrashReport report = kReport;
--- a/test/coordination/CrashRegistryTest.cpp
+++ b/test/coordination/CrashRegistryTest.cpp
@@ -77,39 +77,6 @@
   EXPECT_TRUE(this->IsRefused());
 }
 
-// Guards against accusing a request when a host reports late under which targets ended.
-TEST_F(CrashRegistryTest, SuccessfulRunVoidsEarlierCrashesThatAreReportedLater)
-{
-  this->registry.Add({ Crash("a") });
-  this->registry.AddSuccessfulRuns({ kSuccessfulRun });
-  this->clock.Advance(std::chrono::milliseconds(100));
-  for (const char* target : { "b", "c", "d" }) {
-    CrashReport late = Crash(target);
-    late.brokenAgo = std::chrono::milliseconds(101);
-    this->registry.Add({ late });
-  }
-  this->clock.Advance(CrashRegistry::kLateSettleTime);
-  EXPECT_FALSE(this->IsRefused());
-  this->registry.Add({ Crash("e"), Crash("f"), Crash("g") });
-  this->PassSettleTime();
-  EXPECT_TRUE(this->IsRefused());
-}
-
-// Hosts tell of successful runs of suspects only, and they need time for that.
-TEST_F(CrashRegistryTest, LateReportIsEnoughToSuspectAndIsBelievedLate)
-{
-  CrashReport late = Crash("a");
-  late.brokenAgo = CrashRegistry::kLateReport;
-  this->registry.Add({ late });
-  EXPECT_TRUE(this->registry.Verdicts().suspected.contains(kRequest));
-  this->registry.Add({ Crash("b"), Crash("c") });
-  this->PassSettleTime();
-  EXPECT_FALSE(this->IsRefused());
-  EXPECT_TRUE(this->registry.Verdicts().suspected.contains(kRequest));
-  this->clock.Advance(CrashRegistry::kLateSettleTime - CrashRegistry::kSettleTime);
-  EXPECT_TRUE(this->IsRefused());
-}
-
 TEST_F(CrashRegistryTest, LaterCrashesDoNotDelayTheRefusal)
 {
   this->registry.Add({ Crash("a"), Crash("b"), Crash("c") });
--- a/test/coordination/InterruptedRequestsTest.cpp
+++ b/test/coordination/InterruptedRequestsTest.cpp
@@ -116,43 +116,12 @@
   this->requests.Add(Report(2), kAddress);
   this->requests.OnServiceUnreachable(report.service);
   EXPECT_TRUE(this->requests.TakeConfirmedBySilence(Target("t", 1)).empty());
-  EXPECT_TRUE(this->requests.TakeConfirmedByStart(Target("t", 1)).empty());
-  EXPECT_EQ(this->requests.TakeConfirmedByStart(Target("t", 2)),
-            (std::vector<CrashReport>{ report, Report(2) }));
-}
-
-// The target may have gone on with a request that it did not answer.
-TEST_F(InterruptedRequestsTest, SilentTargetOfAnUnreachableServiceAccusesPartsOnly)
-{
-  CrashReport report = Report(1);
-  report.silent = true;
-  this->requests.Add(report, kAddress);
-  report.parts = { RequestFingerprint(100) };
-  this->requests.Add(report, kAddress);
-  this->requests.OnServiceUnreachable(report.service);
+  // Whole requests are not accused.
   report.request = RequestFingerprint();
   EXPECT_EQ(this->requests.TakeConfirmedByStart(Target("t", 2)),
             std::vector<CrashReport>{ report });
 }
 
-// Guards against accusing requests that were running on targets that others crashed.
-TEST_F(InterruptedRequestsTest, RequestThatRanSinceIsNotAccused)
-{
-  CrashReport report = Report(1);
-  report.parts = { RequestFingerprint(100) };
-  this->requests.Add(report, kAddress);
-  this->requests.Add(Report(2), kAddress);
-  this->requests.Add(Report(3), kAddress);
-  CrashReport silent = Report(1);
-  silent.silent = true;
-  this->requests.Add(silent, kAddress);
-  this->requests.OnSuccessfulRun(SuccessfulRun{ RequestFingerprint(1), report.service });
-  this->requests.OnSuccessfulRun(SuccessfulRun{ RequestFingerprint(2), report.service });
-  this->requests.OnSuccessfulRun(SuccessfulRun{ RequestFingerprint(3), ServiceName("another") });
-  EXPECT_EQ(this->requests.TakeConfirmedByStart(Target("t", 2)),
-            (std::vector<CrashReport>{ Report(3), silent }));
-}
-
 // A target may break or garble a single answer and keep running.
 TEST_F(InterruptedRequestsTest, AnswerToALaterRequestClearsTheTarget)
 {
