--- a/test/coordination/GroupReplicaTest.cpp
+++ b/test/coordination/GroupReplicaTest.cpp
@@ -234,66 +234,68 @@
   cluster.HealAndCheck();
 }
 
-// The proposer was told that the attempt was refused, so a late duplicate of it must have no
-// effect, even if the host leads by then.
-TEST(GroupReplicaProposalTest, LateDuplicateOfARefusedAttemptIsDropped)
+// One replica, which leads its group alone once it has settled.
+class GroupReplicaProposalTest : public ::testing::Test
 {
-  ManualClock clock;
-  GroupOptions options;
-  options.raft = testing::MakeRaftOptions();
-  options.listedVoters = { HostId("self") };
-  GroupReplica replica(clock, options, RecoveredLog{});
-  testing::ListMachine machine;
-  replica.Machines().Add(StateMachineId::Claims, machine);
-  const auto part = static_cast<std::uint8_t>(StateMachineId::Claims);
-  const ForwardedProposal sent{ Sequence(1), part, { 7, Sequence(1), Sequence(1) }, "command" };
-  const auto settle = [&] {
+protected:
+  static constexpr auto kPart = static_cast<std::uint8_t>(StateMachineId::Claims);
+
+  GroupReplicaProposalTest()
+  {
+    this->replica.Machines().Add(StateMachineId::Claims, this->machine);
+  }
+
+  static GroupOptions Options()
+  {
+    GroupOptions options;
+    options.raft = testing::MakeRaftOptions();
+    options.listedVoters = { HostId("self") };
+    return options;
+  }
+
+  void Settle()
+  {
     for (int round = 0; round < 10; ++round) {
-      replica.Tick();
-      if (const auto batch = replica.TakeActions().persist) {
-        replica.OnPersisted(batch->number);
+      this->replica.Tick();
+      if (const auto batch = this->replica.TakeActions().persist) {
+        this->replica.OnPersisted(batch->number);
       }
     }
-  };
-  replica.Receive(testing::MessageFrom(ReplicaId(), Term(), sent));
-  settle();
-  ASSERT_TRUE(replica.Status().leaseHeld);
-  replica.Receive(testing::MessageFrom(ReplicaId(), Term(), sent));
-  settle();
-  EXPECT_TRUE(machine.commands.empty());
+  }
+
+  ManualClock clock;
+  testing::ListMachine machine;
+  GroupReplica replica{ this->clock, Options(), RecoveredLog{} };
+};
+
+// The proposer was told that the attempt was refused, so a late duplicate of it must have no
+// effect, even if the host leads by then.
+TEST_F(GroupReplicaProposalTest, LateDuplicateOfARefusedAttemptIsDropped)
+{
+  const ForwardedProposal sent{ Sequence(1), kPart, { 7, Sequence(1), Sequence(1) }, "command" };
+  this->replica.Receive(testing::MessageFrom(ReplicaId(), Term(), sent));
+  this->Settle();
+  ASSERT_TRUE(this->replica.Status().leaseHeld);
+  this->replica.Receive(testing::MessageFrom(ReplicaId(), Term(), sent));
+  this->Settle();
+  EXPECT_TRUE(this->machine.commands.empty());
 }
 
 // Guards against a log that grows with the attempts of a large proposal instead of with proposals.
-TEST(GroupReplicaProposalTest, RepeatedAttemptsAppendAProposalOnce)
+TEST_F(GroupReplicaProposalTest, RepeatedAttemptsAppendAProposalOnce)
 {
-  ManualClock clock;
-  GroupOptions options;
-  options.raft = testing::MakeRaftOptions();
-  options.listedVoters = { HostId("self") };
-  GroupReplica replica(clock, options, RecoveredLog{});
-  testing::ListMachine machine;
-  replica.Machines().Add(StateMachineId::Claims, machine);
-  const auto settle = [&] {
-    for (int round = 0; round < 10; ++round) {
-      replica.Tick();
-      if (const auto batch = replica.TakeActions().persist) {
-        replica.OnPersisted(batch->number);
-      }
-    }
-  };
-  settle();
-  ASSERT_TRUE(replica.Status().leaseHeld);
-  const LogIndex before = replica.Core().Log().LastIndex();
-  const auto part = static_cast<std::uint8_t>(StateMachineId::Claims);
+  this->Settle();
+  ASSERT_TRUE(this->replica.Status().leaseHeld);
+  const LogIndex before = this->replica.Core().Log().LastIndex();
   for (std::uint64_t attempt = 1; attempt <= 3; ++attempt) {
     const ForwardedProposal sent{
-      Sequence(attempt), part, { 7, Sequence(1), Sequence(1) }, "command"
+      Sequence(attempt), kPart, { 7, Sequence(1), Sequence(1) }, "command"
     };
-    replica.Receive(testing::MessageFrom(ReplicaId(), Term(), sent));
+    this->replica.Receive(testing::MessageFrom(ReplicaId(), Term(), sent));
   }
-  EXPECT_EQ(replica.Core().Log().LastIndex(), before.Next());
-  settle();
-  EXPECT_EQ(machine.commands, std::vector<std::string>{ "command" });
+  EXPECT_EQ(this->replica.Core().Log().LastIndex(), before.Next());
+  this->Settle();
+  EXPECT_EQ(this->machine.commands, std::vector<std::string>{ "command" });
 }
 
 TEST(GroupFormationTest, SingleVoterFormsAtOnce)
--- a/test/coordination/ProposalForwarderTest.cpp
+++ b/test/coordination/ProposalForwarderTest.cpp
@@ -25,6 +25,18 @@
                           });
   }
 
+  void StartLarge(int aCount, std::size_t aBytes)
+  {
+    for (int count = 0; count < aCount; ++count) {
+      this->forwarder.Start(kGroup,
+                            kVoters,
+                            StateMachineId::Configuration,
+                            std::string(aBytes, 'x'),
+                            std::chrono::seconds(30),
+                            [this](const Result<std::string>&) { ++this->largeAnswered; });
+    }
+  }
+
   // Takes the only message to be sent.
   AgreementMessage Sent()
   {
@@ -53,6 +65,7 @@
   ManualClock clock;
   ProposalForwarder forwarder{ clock, HostId("c"), 7 };
   std::string ended;
+  int largeAnswered = 0;
 };
 
 TEST_F(ProposalForwarderTest, RedirectsToLeaderNamedInRefusal)
@@ -145,16 +158,7 @@
 TEST_F(ProposalForwarderTest, SendsNoMoreThanOneConnectionHolds)
 {
   this->forwarder.ReportLeader(kGroup, kVoters[0]);
-  constexpr std::size_t kBytes = std::size_t{ 700 } * 1024;
-  int answered = 0;
-  for (int count = 0; count < 5; ++count) {
-    this->forwarder.Start(kGroup,
-                          kVoters,
-                          StateMachineId::Configuration,
-                          std::string(kBytes, 'x'),
-                          std::chrono::seconds(30),
-                          [&](const Result<std::string>&) { ++answered; });
-  }
+  this->StartLarge(5, std::size_t{ 700 } * 1024);
   std::vector<AgreementMessage> open = this->forwarder.TakeMessages();
   EXPECT_EQ(open.size(), 2U);
   while (!open.empty()) {
@@ -170,21 +174,13 @@
     }
     EXPECT_LE(open.size(), 2U);
   }
-  EXPECT_EQ(answered, 5);
+  EXPECT_EQ(this->largeAnswered, 5);
 }
 
 // Guards against the same with a leader that is reported while proposals wait for another one.
 TEST_F(ProposalForwarderTest, SendsToAReportedLeaderNoMoreThanOneConnectionHolds)
 {
-  constexpr std::size_t kBytes = std::size_t{ 700 } * 1024;
-  for (int count = 0; count < 5; ++count) {
-    this->forwarder.Start(kGroup,
-                          kVoters,
-                          StateMachineId::Configuration,
-                          std::string(kBytes, 'x'),
-                          std::chrono::seconds(30),
-                          [](const Result<std::string>&) {});
-  }
+  this->StartLarge(5, std::size_t{ 700 } * 1024);
   const HostId first = this->forwarder.TakeMessages().front().toHost;
   const HostId other = first == kVoters[0] ? kVoters[1] : kVoters[0];
   this->forwarder.ReportLeader(kGroup, other);
@@ -197,15 +193,7 @@
 TEST_F(ProposalForwarderTest, SmallProposalsDoNotWaitForLargeOnes)
 {
   this->forwarder.ReportLeader(kGroup, kVoters[0]);
-  constexpr std::size_t kBytes = std::size_t{ 2 } * 1024 * 1024;
-  for (int count = 0; count < 2; ++count) {
-    this->forwarder.Start(kGroup,
-                          kVoters,
-                          StateMachineId::Configuration,
-                          std::string(kBytes, 'x'),
-                          std::chrono::seconds(30),
-                          [](const Result<std::string>&) {});
-  }
+  this->StartLarge(2, std::size_t{ 2 } * 1024 * 1024);
   const auto sent = this->forwarder.TakeMessages();
   ASSERT_EQ(sent.size(), 1U);
   this->Start();
--- a/test/program/GroupCatchUpTest.cpp
+++ b/test/program/GroupCatchUpTest.cpp
@@ -155,6 +155,15 @@
     this->folders[aHost] = std::make_unique<TempFolder>(FolderInMemory());
   }
 
+  // The host comes back with an empty disk, and has the time that it may take to catch up.
+  void ReplaceDisk(const HostId& aHost)
+  {
+    this->LoseDisk(aHost);
+    this->Run(std::chrono::seconds(2));
+    this->Start(aHost);
+    this->Run(kCatchUp);
+  }
+
   void Run(Duration aTime)
   {
     for (Duration passed{}; passed < aTime; passed += kControlTick) {
@@ -239,10 +248,7 @@
 TEST_F(GroupCatchUpTest, HostThatLostItsDiskVotesAgainAfterHundredsOfChanges)
 {
   this->Change(this->a, kChanges);
-  this->LoseDisk(this->c);
-  this->Run(std::chrono::seconds(2));
-  this->Start(this->c);
-  this->Run(kCatchUp);
+  this->ReplaceDisk(this->c);
   EXPECT_TRUE(this->CoreOf(this->c).IsVoter());
   EXPECT_EQ(this->hosts.at(this->c)->machine.Version(), Revision(kChanges));
   EXPECT_EQ(this->ClosedConnections(), 0U);
@@ -253,11 +259,8 @@
 TEST_F(GroupCatchUpTest, HostThatLostItsDiskVotesAgainOverASlowLink)
 {
   this->Change(this->a, kChanges);
-  this->LoseDisk(this->c);
-  this->Run(std::chrono::seconds(2));
   this->linkBytesPerSecond = kSlowLinkBytesPerSecond;
-  this->Start(this->c);
-  this->Run(kCatchUp);
+  this->ReplaceDisk(this->c);
   EXPECT_TRUE(this->CoreOf(this->c).IsVoter());
   EXPECT_EQ(this->hosts.at(this->c)->machine.Version(), Revision(kChanges));
   EXPECT_EQ(this->ClosedConnections(), 0U);
@@ -291,10 +294,7 @@
 TEST_F(GroupCatchUpTest, SecondLostDiskWithAllProcessesKilledLeavesALeaderAndTheNewestDocument)
 {
   this->Change(this->a, kChanges);
-  this->LoseDisk(this->c);
-  this->Run(std::chrono::seconds(2));
-  this->Start(this->c);
-  this->Run(kCatchUp);
+  this->ReplaceDisk(this->c);
   this->Change(this->a, 10);
   this->LoseDisk(this->b);
   this->Stop(this->a);
