--- a/test/coordination/RaftCoreTest.cpp
+++ b/test/coordination/RaftCoreTest.cpp
@@ -191,5 +191,46 @@
   EXPECT_EQ(granted, 1);
 }
 
+// Guards against a connection that is closed because a leader hands it all that a replica lacks.
+TEST(RaftCoreTest, LeaderBoundsTheBytesOnTheirWayToAReplica)
+{
+  JumpingClock clock;
+  const RaftOptions options = MakeRaftOptions();
+  RaftCore core(clock, options, MakeFoundedLog(true));
+  clock.monotonic += std::chrono::seconds(3);
+  core.Tick();
+  core.Receive(MessageFrom(kPeer, Term(1), PreVoteAnswer{ Term(2), true, false }));
+  Settle(core);
+  core.Receive(MessageFrom(kPeer, Term(2), VoteAnswer{ true }));
+  const auto acknowledge = [&](LogIndex aIndex) {
+    core.Receive(MessageFrom(kPeer, Term(2), AppendAnswer{ true, aIndex, aIndex, 0 }));
+  };
+  acknowledge(core.Log().LastIndex());
+  Settle(core);
+  ASSERT_EQ(core.Role(), RaftRole::Leader);
+  for (int count = 0; count < 100; ++count) {
+    ASSERT_TRUE(core.Propose(1, {}, std::string(std::size_t{ 16 } * 1024, 'x')));
+  }
+  LogIndex sent;
+  while (sent < core.Log().LastIndex()) {
+    std::size_t bytes = 0;
+    for (int round = 0; round < 100; ++round) {
+      for (const AgreementMessage& message : core.TakeActions().messages) {
+        const auto* append = std::get_if<AppendRequest>(&message.body);
+        if (append == nullptr || message.to != kPeer) {
+          continue;
+        }
+        for (const LogEntry& entry : append->entries) {
+          bytes += entry.command.size();
+          sent = entry.index;
+        }
+      }
+    }
+    ASSERT_GT(bytes, 0U);
+    ASSERT_LE(bytes, options.maxBytesInFlight + options.maxMessageBytes);
+    acknowledge(sent);
+  }
+}
+
 } // namespace
 } // namespace damasklink
