Tests listen on addresses of their own process

Change: a test listens on an address that follows from its process id, as hosts in tests do already, so that no test can use up the ports of another one. All cases and checks are as before.

--- a/test/program/CallerErrorsTest.cpp
+++ b/test/program/CallerErrorsTest.cpp
@@ -14,6 +14,7 @@
 #include "damasklink/state/Text.h"
 #include "damasklink/transport/EngineStream.h"
 #include "program/TestHost.h"
+#include "support/OwnAddress.h"
 
 namespace damasklink::testing {
 namespace {
@@ -35,7 +36,8 @@
 {
 public:
   EndlessEngine()
-    : server({ Endpoint{ "127.0.0.1", 0 }, 8, ByteCount(kMebibyte), std::chrono::seconds(5) })
+    : server(
+        { Endpoint{ testing::OwnAddress(1), 0 }, 8, ByteCount(kMebibyte), std::chrono::seconds(5) })
   {
     this->server.Route("POST", "/v1/completions", [this](const HttpRequest& aRequest) {
       HttpResponse response;
--- a/test/program/ConnectionRefuserTest.cpp
+++ b/test/program/ConnectionRefuserTest.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "platform/Dialect.h"
+#include "support/OwnAddress.h"
 
 namespace damasklink {
 namespace {
@@ -17,7 +18,7 @@
 {
 protected:
   ConnectionRefuserTest()
-    : acceptor(this->loop, TcpEndpoint(asio::ip::make_address("127.0.0.1"), 0))
+    : acceptor(testing::ListenOnFreePort(this->loop))
   {
     this->Connect();
   }
--- a/test/program/ExchangeCutHeadTest.cpp
+++ b/test/program/ExchangeCutHeadTest.cpp
@@ -348,10 +348,7 @@
 
   ~ResettingTarget() { this->thread.join(); }
 
-  Endpoint Address() const
-  {
-    return Endpoint{ "127.0.0.1", this->acceptor.local_endpoint().port() };
-  }
+  Endpoint Address() const { return testing::AddressOf(this->acceptor); }
 
 private:
   void Serve()
@@ -366,7 +363,7 @@
 
   std::string part;
   asio::io_context loop;
-  TcpAcceptor acceptor{ loop, TcpEndpoint(asio::ip::make_address("127.0.0.1"), 0) };
+  TcpAcceptor acceptor = testing::ListenOnFreePort(loop);
   std::thread thread;
 };
 
--- a/test/program/ExchangeFixture.h
+++ b/test/program/ExchangeFixture.h
@@ -44,7 +44,7 @@
 {
 protected:
   explicit ExchangeFixture(ServingSettings aSettings = {})
-    : acceptor(this->loop, TcpEndpoint(asio::ip::make_address("127.0.0.1"), 0))
+    : acceptor(ListenOnFreePort(this->loop))
     , settings(std::move(aSettings))
   {
     this->config = std::make_shared<ServingConfig>();
--- a/test/program/ExchangeRoutingTest.cpp
+++ b/test/program/ExchangeRoutingTest.cpp
@@ -210,8 +210,8 @@
   {
     std::vector<TcpAcceptor> probes;
     for (int port = 0; port < 6; ++port) {
-      probes.emplace_back(this->callerLoop, TcpEndpoint(asio::ip::make_address("127.0.0.1"), 0));
-      ended.push_back(Endpoint{ "127.0.0.1", probes.back().local_endpoint().port() });
+      probes.push_back(testing::ListenOnFreePort(this->callerLoop));
+      ended.push_back(testing::AddressOf(probes.back()));
     }
   }
   for (const Endpoint& address : ended) {
--- a/test/program/ExchangeTest.cpp
+++ b/test/program/ExchangeTest.cpp
@@ -843,8 +843,8 @@
   // A port where nobody listens: it was bound and released.
   Endpoint unreachable;
   {
-    TcpAcceptor probe(this->callerLoop, TcpEndpoint(asio::ip::make_address("127.0.0.1"), 0));
-    unreachable = Endpoint{ "127.0.0.1", probe.local_endpoint().port() };
+    const TcpAcceptor probe = testing::ListenOnFreePort(this->callerLoop);
+    unreachable = testing::AddressOf(probe);
   }
   this->AddTarget("unreachable", unreachable);
   this->AddTarget("t", target.Address());
@@ -900,7 +900,7 @@
   // Longer than the buffers on the way take, so that a part of it waits in the host.
   const std::string body(4'000'000, 'x');
   asio::io_context targetLoop;
-  TcpAcceptor listener(targetLoop, TcpEndpoint(asio::ip::make_address("127.0.0.1"), 0));
+  TcpAcceptor listener = testing::ListenOnFreePort(targetLoop);
   listener.set_option(asio::socket_base::receive_buffer_size(4096));
   std::string received;
   std::thread target([&] {
@@ -912,7 +912,7 @@
     // Ends the connection itself: the host keeps it for later calls at a time of its own.
     Write(socket, Answer(200, "done"));
   });
-  this->AddTarget("t", Endpoint{ "127.0.0.1", listener.local_endpoint().port() });
+  this->AddTarget("t", testing::AddressOf(listener));
   this->Start();
   Write(this->caller,
         "POST /once/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 3600000\r\n"
--- a/test/program/OperatorPartTest.cpp
+++ b/test/program/OperatorPartTest.cpp
@@ -7,6 +7,7 @@
 #include "damasklink/transport/Log.h"
 #include "program/Commands.h"
 #include "program/TestHost.h"
+#include "support/OwnAddress.h"
 
 namespace damasklink::testing {
 namespace {
@@ -123,7 +124,7 @@
 {
   // After the server has stopped, nothing listens on its port.
   HttpServer stopped(
-    { Endpoint{ "127.0.0.1", 0 }, 1, ByteCount(kMebibyte), std::chrono::seconds(1) });
+    { Endpoint{ testing::OwnAddress(1), 0 }, 1, ByteCount(kMebibyte), std::chrono::seconds(1) });
   ASSERT_TRUE(stopped.Start());
   const std::string unreachable = FormatEndpoint(stopped.Address());
   stopped.Stop();
--- a/test/program/OrderSenderTest.cpp
+++ b/test/program/OrderSenderTest.cpp
@@ -6,16 +6,18 @@
 #include <gtest/gtest.h>
 
 #include "damasklink/transport/HttpServer.h"
+#include "support/OwnAddress.h"
 
 namespace damasklink {
 namespace {
 
 // A target that counts the orders it receives, and a sender whose lease the test sets.
-class OrderSenderTest : public testing::Test
+class OrderSenderTest : public ::testing::Test
 {
 protected:
   OrderSenderTest()
-    : server({ Endpoint{ "127.0.0.1", 0 }, 2, ByteCount(kMebibyte), std::chrono::seconds(1) })
+    : server(
+        { Endpoint{ testing::OwnAddress(1), 0 }, 2, ByteCount(kMebibyte), std::chrono::seconds(1) })
   {
     this->server.Route("POST", "/v1/orders", [this](const HttpRequest&) {
       this->arrived.fetch_add(1);
--- a/test/program/TrafficFixture.h
+++ b/test/program/TrafficFixture.h
@@ -7,6 +7,7 @@
 #include "TrafficSubsystem.h"
 #include "damasklink/state/Digests.h"
 #include "damasklink/transport/HttpClient.h"
+#include "support/OwnAddress.h"
 #include "support/MemoryReplicator.h"
 
 namespace damasklink {
@@ -47,7 +48,7 @@
   static HttpServer::Options Options()
   {
     HttpServer::Options options;
-    options.endpoint.address = "127.0.0.1";
+    options.endpoint.address = testing::OwnAddress(1);
     return options;
   }
 
--- a/test/support/OwnAddress.h
+++ b/test/support/OwnAddress.h
@@ -22,6 +22,23 @@
          std::to_string(process % kByte) + "." + std::to_string(aHost);
 }
 
+// Listens on a free port of an address of this process alone. The kernel offers a port again only a
+// minute after its last connection, so the ports of an address that all tests share run out.
+inline TcpAcceptor
+ListenOnFreePort(asio::io_context& aContext)
+{
+  constexpr int kHost = 254;
+  return TcpAcceptor(aContext, TcpEndpoint(asio::ip::make_address(OwnAddress(kHost)), 0));
+}
+
+// Returns where the acceptor listens.
+inline Endpoint
+AddressOf(const TcpAcceptor& aAcceptor)
+{
+  const TcpEndpoint endpoint = aAcceptor.local_endpoint();
+  return Endpoint{ endpoint.address().to_string(), endpoint.port() };
+}
+
 // Returns an endpoint of the address that was free a moment ago, with a port that no earlier call
 // returned for any address: nobody listens on those yet, so the kernel may offer them again.
 inline Endpoint
--- a/test/support/ScriptedTarget.h
+++ b/test/support/ScriptedTarget.h
@@ -9,6 +9,7 @@
 #include <absl/synchronization/mutex.h>
 
 #include "damasklink/transport/EventLoop.h"
+#include "support/OwnAddress.h"
 
 namespace damasklink::testing {
 
@@ -49,7 +50,7 @@
 
   explicit ScriptedTarget(Script aScript)
     : script(std::move(aScript))
-    , acceptor(this->context, TcpEndpoint(asio::ip::make_address("127.0.0.1"), 0))
+    , acceptor(ListenOnFreePort(this->context))
     , thread([this] { this->Run(); })
   {
   }
@@ -76,10 +77,7 @@
     }
   }
 
-  Endpoint Address() const
-  {
-    return Endpoint{ "127.0.0.1", this->acceptor.local_endpoint().port() };
-  }
+  Endpoint Address() const { return AddressOf(this->acceptor); }
 
   std::deque<std::string> Requests()
   {
--- a/test/transport/CallerConnectionTest.cpp
+++ b/test/transport/CallerConnectionTest.cpp
@@ -6,6 +6,7 @@
 
 #include "damasklink/state/Units.h"
 #include "damasklink/transport/LingeringClose.h"
+#include "support/OwnAddress.h"
 
 namespace damasklink {
 namespace {
@@ -24,7 +25,7 @@
 {
 protected:
   CallerConnectionTest()
-    : acceptor(this->loop, TcpEndpoint(asio::ip::make_address("127.0.0.1"), 0))
+    : acceptor(testing::ListenOnFreePort(this->loop))
   {
     this->caller.connect(this->acceptor.local_endpoint());
     this->connection = std::make_unique<CallerConnection>(this->acceptor.accept());
--- a/test/transport/ConnectionEndLogTest.cpp
+++ b/test/transport/ConnectionEndLogTest.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include "support/OwnAddress.h"
+
 namespace damasklink {
 namespace {
 
@@ -25,7 +27,7 @@
 {
 protected:
   ConnectionEndLogTest()
-    : acceptor(this->loop, TcpEndpoint(asio::ip::make_address("127.0.0.1"), 0))
+    : acceptor(testing::ListenOnFreePort(this->loop))
   {
     this->caller.connect(this->acceptor.local_endpoint());
     this->connection = std::make_unique<CallerConnection>(this->acceptor.accept());
--- a/test/transport/CutHeadTest.cpp
+++ b/test/transport/CutHeadTest.cpp
@@ -44,7 +44,7 @@
   // Serves one connection in a thread while the client runs.
   Taken Take(const Script& aScript, const std::function<Taken(const Endpoint&)>& aClient)
   {
-    const Endpoint endpoint{ "127.0.0.1", this->acceptor.local_endpoint().port() };
+    const Endpoint endpoint = testing::AddressOf(this->acceptor);
     std::thread target([&] {
       TcpSocket socket(this->targetLoop);
       this->acceptor.accept(socket);
@@ -167,7 +167,7 @@
   SystemClock clock;
   asio::io_context loop{ 1 };
   asio::io_context targetLoop;
-  TcpAcceptor acceptor{ targetLoop, TcpEndpoint(asio::ip::make_address("127.0.0.1"), 0) };
+  TcpAcceptor acceptor = testing::ListenOnFreePort(targetLoop);
 };
 
 // Guards against a cut answer that is taken as whole: the target stops after any byte.
--- a/test/transport/HttpClientTest.cpp
+++ b/test/transport/HttpClientTest.cpp
@@ -3,18 +3,19 @@
 #include <gtest/gtest.h>
 
 #include "damasklink/transport/HttpServer.h"
+#include "support/OwnAddress.h"
 
 namespace damasklink {
 namespace {
 
 // Serves POST /x with a handler of the test.
-class HttpClientTest : public testing::Test
+class HttpClientTest : public ::testing::Test
 {
 protected:
   void Serve(HttpHandler aHandler)
   {
     HttpServer::Options options;
-    options.endpoint.address = "127.0.0.1";
+    options.endpoint.address = testing::OwnAddress(1);
     this->server = std::make_unique<HttpServer>(options);
     this->server->Route("POST", "/x", std::move(aHandler));
     ASSERT_TRUE(this->server->Start());
--- a/test/transport/HttpServerTest.cpp
+++ b/test/transport/HttpServerTest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "support/OwnAddress.h"
+
 namespace damasklink {
 namespace {
 
@@ -9,7 +11,7 @@
 OptionsWithAnyPort()
 {
   HttpServer::Options options;
-  options.endpoint.address = "127.0.0.1";
+  options.endpoint.address = testing::OwnAddress(1);
   return options;
 }
 
