Answers of forwarded calls wait for room on the connection

Cause: a host that serves calls for another one handed the connection whole answers of up to 4 MiB and streams at the rate of their targets. A connection holds 8 MiB and is closed beyond that, which broke all calls on it in both directions; callers got 502 where the call may have run.

Change: ForwardingRoom admits messages by the bytes that the connection has queued. A caller that leaves, a call that is closed and a lost connection end the wait. PeerMesh tells how much is queued, and when it was written. The format between hosts is the same.

Result: four tests of SharedConnectionTest. Before, on untouched code, all four failed: LargeAnswersOfSeveralCallsAllArrive: peer_lost why="the peer does not read" queued=4194444; none of four answers of 4 MiB arrived FastStreamWaitsForTheConnectionAndOtherCallsGoOn: peer_lost queued=8340984; none of three arrived CallerThatLeavesEndsTheWaitOfItsCallOnly, LostConnectionEndsTheWaitOfAllCalls: nothing waited, and 8332296 bytes stayed queued for the closed connection Now they pass, with the other tests of CallForwarderTest, PeerMeshTest, ExchangeForwardingTest and the forwarded cases of ExchangeCutHeadTest. Not shown: a play of a whole deployment.

--- a/include/damasklink/transport/PeerMesh.h
+++ b/include/damasklink/transport/PeerMesh.h
@@ -46,6 +46,8 @@
   // IsUp() until something arrives, and is closed when the peer's machine acknowledges nothing.
   virtual bool OnPeerSilent(const HostId& /*aPeer*/) { return true; }
   virtual void OnPeerMessage(const HostId& aPeer, PeerMessage aMessage) = 0;
+  // Bytes that were queued have been written.
+  virtual void OnPeerWritten(const HostId& /*aPeer*/, std::size_t /*aBytes*/) {}
 };
 
 // Timeouts of connections.
@@ -95,6 +97,9 @@
   // Returns whether anything that was sent has not been acknowledged by its host's machine.
   bool HasUnsent() const;
 
+  // Returns how many bytes wait to be written on the connection that Send() uses.
+  std::size_t QueuedBytes(const HostId& aPeer) const;
+
   // Sends on the connection that this side dialed, or else on the one that the peer dialed. Drops
   // the message when neither is up. When more than 8 MiB would be queued, or 1 MiB behind a larger
   // message, or there is no memory for it, it also closes the connection: on a new one the peer is
@@ -108,8 +113,11 @@
   class Link;
 
   void Accept();
+  // Returns the connection that messages to the host are sent on, or null.
+  Link* SendingLink(const HostId& aPeer) const;
   void OnLinkUp(const std::shared_ptr<Link>& aLink);
   void OnLinkDown(const std::shared_ptr<Link>& aLink);
+  void OnWritten(const std::shared_ptr<Link>& aLink, std::size_t aBytes);
   void OnFrame(const std::shared_ptr<Link>& aLink, std::string aFrame);
   void Connect(const HostId& aPeer);
 
--- a/src/program/CallForwarder.cpp
+++ b/src/program/CallForwarder.cpp
@@ -136,6 +136,7 @@
   , handler(std::move(aHandler))
   , peers(aClock, aSeed, aSettings.zone)
   , mesh(aLoop, aSettings.host, aSettings.forwardingPort, aMemory, *this)
+  , room(aLoop, aClock, aMemory, this->mesh)
   , lastNumber(aSeed)
 {
 }
@@ -290,6 +291,7 @@
   for (const auto& caller : callers) {
     caller->OnCancelled();
   }
+  this->room.OnLost(aPeer);
 }
 
 // The calls go on: a host that stands still for a moment answers them afterwards.
@@ -333,8 +335,9 @@
 {
   const CallKey key{ aFrom, aCall.number };
   auto caller = std::make_shared<ForwardedCaller>(
-    aCall.number,
-    [this, aFrom](const ForwardingMessage& aMessage) { this->SendMessage(aFrom, aMessage); });
+    aCall.number, aFrom, this->room, [this, aFrom](const ForwardingMessage& aMessage) {
+      this->SendMessage(aFrom, aMessage);
+    });
   const std::size_t bytes = aCall.body.size();
   auto memory = this->memory.TryReserve(MemoryUse::ForwardedCalls, bytes);
   const bool full =
--- a/src/program/CallForwarder.h
+++ b/src/program/CallForwarder.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "ForwardedCaller.h"
+#include "ForwardingRoom.h"
 #include "damasklink/coordination/ForwardingPeers.h"
 #include "damasklink/protocol/ForwardingCodec.h"
 #include "damasklink/state/Metrics.h"
@@ -145,6 +146,10 @@
   void OnPeerDown(const HostId& aPeer, LinkSide aSide) override;
   bool OnPeerSilent(const HostId& aPeer) override;
   void OnPeerMessage(const HostId& aPeer, PeerMessage aMessage) override;
+  void OnPeerWritten(const HostId& aPeer, std::size_t aBytes) override
+  {
+    this->room.OnWritten(aPeer, aBytes);
+  }
 
 private:
   friend class ForwardedResponse;
@@ -173,6 +178,7 @@
   CallHandler handler;
   ForwardingPeers peers;
   PeerMesh mesh;
+  ForwardingRoom room;
   CallNumber lastNumber;
   std::map<CallKey, ForwardedResponse*> forwarded;
   std::map<CallKey, ServedCall> served;
--- a/src/program/ForwardedCaller.h
+++ b/src/program/ForwardedCaller.h
@@ -3,19 +3,23 @@
 
 #include <functional>
 
+#include "ForwardingRoom.h"
 #include "damasklink/protocol/ForwardingCodec.h"
 #include "damasklink/transport/CallerChannel.h"
 
 namespace damasklink {
 
-// Sends the response to the host that forwarded the call. Not thread-safe.
+// Sends the response to the host that forwarded the call, as soon as there is room for it on the
+// connection. Not thread-safe.
 class ForwardedCaller final : public CallerChannel
 {
 public:
   using SendFunction = std::function<void(const ForwardingMessage&)>;
 
-  ForwardedCaller(CallNumber aNumber, SendFunction aSend)
+  ForwardedCaller(CallNumber aNumber, HostId aHost, ForwardingRoom& aRoom, SendFunction aSend)
     : number(aNumber)
+    , host(std::move(aHost))
+    , room(aRoom)
     , send(std::move(aSend))
   {
   }
@@ -36,9 +40,16 @@
 
 private:
   bool IsOver() const { return this->finished || this->cancelled; }
+  // Returns whether a message can be sent, which is done at once.
+  Awaitable<bool> AwaitRoom(RoomRequest aRequest);
+  void EndWait();
   bool Send(const ForwardingMessage& aMessage);
 
   CallNumber number;
+  HostId host;
+  ForwardingRoom& room;
+  // Set while a message waits.
+  std::shared_ptr<RoomWait> wait;
   SendFunction send;
   std::optional<SoftwareVersion> software;
   std::function<void()> onDisconnect;
--- a/src/transport/PeerMesh.cpp
+++ b/src/transport/PeerMesh.cpp
@@ -70,6 +70,7 @@
     ::ioctl(this->socket.native_handle(), SIOCOUTQ, &unacknowledged);
     return this->queuedBytes > 0 || unacknowledged > 0;
   }
+  std::size_t QueuedBytes() const { return this->queuedBytes; }
   bool IsClosed() const { return this->closed; }
 
   void Connect(const TcpEndpoint& aEndpoint, Duration aTimeout)
@@ -332,7 +333,7 @@
         if (self->outgoing.capacity() > kKeptBufferBytes) {
           FreeText(self->outgoing);
         }
-        self->queuedBytes = 0;
+        const std::size_t before = std::exchange(self->queuedBytes, 0);
         for (const std::string& frame : self->queue) {
           self->queuedBytes += frame.size();
         }
@@ -341,6 +342,7 @@
           self->Close(aError.message());
         } else {
           self->WriteNext();
+          self->mesh.OnWritten(self, before - self->queuedBytes);
         }
       });
   }
@@ -499,22 +501,38 @@
   return false;
 }
 
+PeerMesh::Link*
+PeerMesh::SendingLink(const HostId& aPeer) const
+{
+  for (const auto* links : { &this->dialed, &this->accepted }) {
+    const auto found = links->find(aPeer);
+    if (found != links->end() && found->second != nullptr && found->second->IsUp()) {
+      return found->second.get();
+    }
+  }
+  return nullptr;
+}
+
+std::size_t
+PeerMesh::QueuedBytes(const HostId& aPeer) const
+{
+  const Link* link = this->SendingLink(aPeer);
+  return link == nullptr ? 0 : link->QueuedBytes();
+}
+
 void
 PeerMesh::Send(const HostId& aTo, PeerMessage aMessage)
 {
-  for (auto* links : { &this->dialed, &this->accepted }) {
-    const auto found = links->find(aTo);
-    if (found == links->end() || found->second == nullptr || !found->second->IsUp()) {
-      continue;
-    }
-    Envelope envelope;
-    envelope.from = this->self;
-    envelope.channel = static_cast<std::uint8_t>(aMessage.channel);
-    envelope.group = std::move(aMessage.group);
-    envelope.payload = std::move(aMessage.payload);
-    found->second->Send(EncodeEnvelope(envelope));
+  Link* link = this->SendingLink(aTo);
+  if (link == nullptr) {
     return;
   }
+  Envelope envelope;
+  envelope.from = this->self;
+  envelope.channel = static_cast<std::uint8_t>(aMessage.channel);
+  envelope.group = std::move(aMessage.group);
+  envelope.payload = std::move(aMessage.payload);
+  link->Send(EncodeEnvelope(envelope));
 }
 
 void
@@ -585,6 +603,14 @@
   }
 }
 
+void
+PeerMesh::OnWritten(const std::shared_ptr<Link>& aLink, std::size_t aBytes)
+{
+  if (!this->stopped && !aLink->Peer().Empty()) {
+    this->handler.OnPeerWritten(aLink->Peer(), aBytes);
+  }
+}
+
 void
 PeerMesh::OnFrame(const std::shared_ptr<Link>& aLink, std::string aFrame)
 {
--- a/test/program/CallForwarderTest.cpp
+++ b/test/program/CallForwarderTest.cpp
@@ -1,5 +1,8 @@
 #include "program/CallForwarder.h"
 
+#include <algorithm>
+#include <array>
+
 #include <gtest/gtest.h>
 
 #include "damasklink/state/Clock.h"
@@ -139,6 +142,8 @@
   ServingSettings originSettings = HostSettings(1, FreeEndpoint(OwnAddress(1)).port);
   ServingSettings serverSettings = HostSettings(2, this->originSettings.forwardingPort);
   std::shared_ptr<ForwardedCaller> served;
+  // Of all calls that the server runs.
+  std::vector<std::shared_ptr<ForwardedCaller>> callers;
   CallNumber servedNumber;
   bool cancelled = false;
   std::string outcome = "none";
@@ -159,6 +164,7 @@
                         2,
                         [this](const auto&, auto& aCall, const auto& aCaller) {
                           this->served = aCaller;
+                          this->callers.push_back(aCaller);
                           this->servedNumber = aCall.number;
                           return std::optional<DeclineReason>();
                         } };
@@ -225,5 +231,196 @@
   EXPECT_EQ(this->outcome, "answered");
 }
 
+// Several calls that the server runs for the origin over one connection.
+class SharedConnectionTest : public SilentHostTest
+{
+protected:
+  // What the origin has received of a call.
+  struct Received
+  {
+    std::unique_ptr<ForwardedResponse> response;
+    std::size_t bytes = 0;
+    bool complete = false;
+    bool lost = false;
+  };
+
+  // What the server was told about its answer.
+  struct Written
+  {
+    int parts = 0;
+    bool ended = false;
+    bool taken = false;
+  };
+
+  ~SharedConnectionTest() override
+  {
+    for (Received& received : this->received) {
+      received.response.reset();
+    }
+  }
+
+  Awaitable<void> Receive(Received& aTo)
+  {
+    EXPECT_TRUE(co_await this->origin.Connect(this->serverSettings.host));
+    aTo.response = this->origin.Send(this->serverSettings.host, ForwardedCall());
+    while (!aTo.complete && !aTo.lost) {
+      const auto message = co_await aTo.response->Next();
+      if (!message) {
+        aTo.lost = true;
+      } else if (const auto* head = std::get_if<ForwardedHead>(&message.value())) {
+        aTo.bytes += head->bytes.size();
+        aTo.complete = head->whole;
+      } else if (const auto* chunk = std::get_if<ForwardedChunk>(&message.value())) {
+        aTo.bytes += chunk->bytes.size();
+      } else if (const auto* end = std::get_if<ForwardedEnd>(&message.value())) {
+        aTo.complete = end->complete;
+        aTo.lost = !end->complete;
+      }
+    }
+  }
+
+  void BeginCalls(std::size_t aCount)
+  {
+    ASSERT_TRUE(this->origin.Listen());
+    ASSERT_TRUE(this->server.Listen());
+    this->received.resize(aCount);
+    for (Received& received : this->received) {
+      asio::co_spawn(this->originLoop, this->Receive(received), asio::detached);
+    }
+    this->RunBoth(std::chrono::milliseconds(200));
+    ASSERT_EQ(this->callers.size(), aCount);
+  }
+
+  Awaitable<void> WriteWhole(std::size_t aCall, std::size_t aBytes, Written& aWritten)
+  {
+    HttpResponseMessage answer;
+    answer.head.status = 200;
+    answer.body.assign(aBytes, 'a');
+    aWritten.taken = co_await this->callers[aCall]->WriteWhole(std::move(answer), false);
+    aWritten.ended = true;
+  }
+
+  Awaitable<void> WriteStream(std::size_t aCall, int aChunks, Written& aWritten)
+  {
+    HttpResponseHead head;
+    head.status = 200;
+    aWritten.taken = co_await this->callers[aCall]->BeginStream(head, "", false);
+    const std::string chunk(kChunk, 'c');
+    while (aWritten.taken && aWritten.parts < aChunks) {
+      aWritten.taken = co_await this->callers[aCall]->WriteChunk(chunk);
+      ++aWritten.parts;
+    }
+    if (aWritten.taken) {
+      aWritten.taken = co_await this->callers[aCall]->EndStream();
+    }
+    aWritten.ended = true;
+  }
+
+  void Spawn(Awaitable<void> aWriter)
+  {
+    asio::co_spawn(this->serverLoop, std::move(aWriter), asio::detached);
+  }
+
+  template<typename Condition>
+  void RunUntil(Condition aCondition)
+  {
+    for (int turn = 0; turn < 500 && !aCondition(); ++turn) {
+      this->RunBoth(std::chrono::milliseconds(20));
+    }
+  }
+
+  bool IsEach(bool Received::*aState) const
+  {
+    return std::all_of(this->received.begin(), this->received.end(), [&](const Received& aItem) {
+      return aItem.*aState;
+    });
+  }
+
+  static constexpr std::size_t kWhole = std::size_t{ 4 } * 1024 * 1024;
+  static constexpr std::size_t kChunk = std::size_t{ 64 } * 1024;
+  // A stream of more bytes than a connection may queue.
+  static constexpr int kChunks = 256;
+
+  std::vector<Received> received;
+};
+
+// Guards against large answers of several calls that close the connection of all calls.
+TEST_F(SharedConnectionTest, LargeAnswersOfSeveralCallsAllArrive)
+{
+  this->BeginCalls(4);
+  std::array<Written, 4> written;
+  for (std::size_t call = 0; call < written.size(); ++call) {
+    this->Spawn(this->WriteWhole(call, kWhole, written[call]));
+  }
+  Run(this->serverLoop, std::chrono::milliseconds(50));
+  this->RunUntil([&] { return this->IsEach(&Received::complete); });
+  for (const Received& received : this->received) {
+    EXPECT_TRUE(received.complete);
+    EXPECT_EQ(received.bytes, kWhole);
+  }
+}
+
+// Guards against a stream that its target sends faster than it is read, and that takes all calls of
+// the connection with it.
+TEST_F(SharedConnectionTest, FastStreamWaitsForTheConnectionAndOtherCallsGoOn)
+{
+  this->BeginCalls(3);
+  std::array<Written, 3> written;
+  this->Spawn(this->WriteStream(0, kChunks, written[0]));
+  this->Spawn(this->WriteWhole(1, kWhole, written[1]));
+  Run(this->serverLoop, std::chrono::milliseconds(50));
+  // The stream and the large answer wait, a short one does not.
+  EXPECT_LT(this->memory.HeldFor(MemoryUse::PeerQueues), kWhole + 2 * kMebibyte);
+  this->Spawn(this->WriteWhole(2, 100, written[2]));
+  Run(this->serverLoop, std::chrono::milliseconds(50));
+  EXPECT_TRUE(written[2].taken);
+  this->RunUntil([&] { return this->IsEach(&Received::complete); });
+  EXPECT_TRUE(this->IsEach(&Received::complete));
+  EXPECT_EQ(this->received[0].bytes, kChunks * kChunk);
+  EXPECT_EQ(this->received[1].bytes, kWhole);
+}
+
+// Guards against answers that stay in memory, or in the way of others, after their callers left.
+TEST_F(SharedConnectionTest, CallerThatLeavesEndsTheWaitOfItsCallOnly)
+{
+  this->BeginCalls(4);
+  std::array<Written, 4> written;
+  for (std::size_t call = 0; call < 3; ++call) {
+    this->Spawn(this->WriteWhole(call, kWhole, written[call]));
+  }
+  this->Spawn(this->WriteStream(3, kChunks, written[3]));
+  Run(this->serverLoop, std::chrono::milliseconds(50));
+  EXPECT_FALSE(written[1].ended);
+  EXPECT_FALSE(written[3].ended);
+  this->callers[1]->OnCancelled();
+  this->callers[3]->OnCancelled();
+  Run(this->serverLoop, std::chrono::milliseconds(20));
+  EXPECT_TRUE(written[1].ended);
+  EXPECT_FALSE(written[1].taken);
+  EXPECT_TRUE(written[3].ended);
+  this->RunUntil([&] { return this->received[0].complete && this->received[2].complete; });
+  EXPECT_TRUE(this->received[0].complete);
+  EXPECT_TRUE(this->received[2].complete);
+  EXPECT_EQ(this->received[1].bytes, 0U);
+}
+
+// Guards against calls that wait for a connection that no longer exists.
+TEST_F(SharedConnectionTest, LostConnectionEndsTheWaitOfAllCalls)
+{
+  this->BeginCalls(3);
+  std::array<Written, 3> written;
+  this->Spawn(this->WriteWhole(0, kWhole, written[0]));
+  this->Spawn(this->WriteWhole(1, kWhole, written[1]));
+  this->Spawn(this->WriteStream(2, kChunks, written[2]));
+  Run(this->serverLoop, std::chrono::milliseconds(50));
+  this->origin.Stop();
+  this->RunUntil([&] { return written[1].ended && written[2].ended; });
+  EXPECT_TRUE(written[1].ended);
+  EXPECT_FALSE(written[1].taken);
+  EXPECT_TRUE(written[2].ended);
+  EXPECT_FALSE(written[2].taken);
+  EXPECT_EQ(this->memory.HeldFor(MemoryUse::PeerQueues), 0U);
+}
+
 } // namespace
 } // namespace damasklink
