Heartbeats no longer repeat the entries of a probe

Seen by callers: a host that lost its disk, or was down during a large change, votes late, and its connection to the leader may be closed.

Cause: a leader that looks for the place where a replica's log matches sent the entries from there again with each heartbeat until the replica answered. They did not count as bytes in flight. A message of 64 KiB is answered before the next heartbeat, but an entry that is larger is sent whole: seven copies within an election timeout of 1.4 s.

Change: the entries of a probe count as in flight and are sent once. Heartbeats behind it carry none. An accepted answer ends the probe and forgets what is not acknowledged, so entries that were lost with a connection are sent again.

--- a/include/damasklink/coordination/RaftCore.h
+++ b/include/damasklink/coordination/RaftCore.h
@@ -175,10 +175,11 @@
     HostId host;
     LogIndex match;
     LogIndex next;
-    // Entries before `next` that are not acknowledged; empty while probing.
+    // Entries before `next` that are not acknowledged. While probing, those that were sent from
+    // `next` on.
     std::deque<SentEntries> inFlight;
     std::size_t bytesInFlight = 0;
-    // If set, no further entries are sent before the next answer or heartbeat.
+    // If set, no further entries are sent before the next answer.
     bool probing = true;
     // The snapshot that is being sent, and the offset of its next piece.
     std::shared_ptr<const std::string> snapshotBytes;
@@ -243,6 +244,7 @@
   bool HasRoom(const Progress& aProgress) const;
   static void AddInFlight(Progress& aProgress, const std::vector<LogEntry>& aEntries);
   static void RemoveInFlight(Progress& aProgress, LogIndex aUntil);
+  static void ClearInFlight(Progress& aProgress);
   void SendNewEntries();
   void SendHeartbeats();
   void SendAppend(ReplicaId aTo, Progress& aProgress, bool aHeartbeat);
--- a/src/coordination/RaftLeader.cpp
+++ b/src/coordination/RaftLeader.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <cassert>
 #include <functional>
+#include <utility>
 
 #include "damasklink/coordination/RaftCore.h"
 #include "damasklink/state/LogCodec.h"
@@ -133,6 +134,13 @@
   }
 }
 
+void
+RaftCore::ClearInFlight(Progress& aProgress)
+{
+  aProgress.inFlight.clear();
+  aProgress.bytesInFlight = 0;
+}
+
 void
 RaftCore::SendNewEntries()
 {
@@ -161,14 +169,17 @@
   request.previousTerm = *this->log.TermAt(request.previousIndex);
   request.committed = this->committed;
   request.sentAt = EncodeSentAt(this->clock.MonotonicNow());
-  if (isResponsive && !needsSnapshot && (aProgress.probing || this->HasRoom(aProgress))) {
+  const bool hasRoom = aProgress.probing ? aProgress.inFlight.empty() : this->HasRoom(aProgress);
+  if (isResponsive && !needsSnapshot && hasRoom) {
     // A replica that does not answer gets only heartbeats, so that no entries queue up on the way
     // to it.
     request.entries = this->log.From(aProgress.next, this->options.maxMessageBytes);
   }
-  if (!aProgress.probing && !request.entries.empty()) {
-    aProgress.next = request.entries.back().index.Next();
+  if (!request.entries.empty()) {
     AddInFlight(aProgress, request.entries);
+    if (!aProgress.probing) {
+      aProgress.next = request.entries.back().index.Next();
+    }
   }
   this->SendImmediately(aTo, aProgress.host, std::move(request));
 }
@@ -255,15 +266,17 @@
     if (!stale) {
       peer.next = std::max(peer.match, aBody.index).Next();
       peer.probing = true;
-      peer.inFlight.clear();
-      peer.bytesInFlight = 0;
+      ClearInFlight(peer);
       this->SendAppend(aMessage.from, peer, false);
     }
     return;
   }
   peer.match = std::max(peer.match, aBody.index);
   peer.next = std::max(peer.next, peer.match.Next());
-  peer.probing = false;
+  if (std::exchange(peer.probing, false)) {
+    // If this answers a heartbeat that came after them, the probe's entries were lost.
+    ClearInFlight(peer);
+  }
   RemoveInFlight(peer, peer.match);
   if (peer.snapshotBytes != nullptr && peer.match >= peer.snapshotIndex) {
     peer.snapshotBytes = nullptr;
--- a/test/coordination/RaftCoreTest.cpp
+++ b/test/coordination/RaftCoreTest.cpp
@@ -232,5 +232,38 @@
   }
 }
 
+// Guards against a connection that is closed because each heartbeat carries a large entry again to
+// a replica that needs long to receive it.
+TEST(RaftCoreTest, LargeEntryIsNotRepeatedByHeartbeatsBeforeItIsAnswered)
+{
+  constexpr std::size_t kEntryBytes = 1'250'000;
+  JumpingClock clock;
+  RecoveredLog recovered = MakeFoundedLog(true);
+  LogEntry large;
+  large.index = LogIndex(2);
+  large.term = Term(1);
+  large.command.assign(kEntryBytes, 'x');
+  recovered.entries.push_back(large);
+  RaftCore core(clock, MakeRaftOptions(), std::move(recovered));
+  Elect(core, clock);
+  core.TakeActions();
+  core.Receive(MessageFrom(kPeer, Term(2), AppendAnswer{ false, LogIndex(1), LogIndex(2), 0 }));
+  std::size_t bytes = 0;
+  const RaftTiming timing;
+  for (Duration passed{}; passed < timing.electionTimeoutMax; passed += timing.heartbeat) {
+    for (const AgreementMessage& message : core.TakeActions().messages) {
+      const auto* append = std::get_if<AppendRequest>(&message.body);
+      if (append != nullptr && message.to == kPeer) {
+        for (const LogEntry& entry : append->entries) {
+          bytes += entry.command.size();
+        }
+      }
+    }
+    clock.monotonic += timing.heartbeat;
+    core.Tick();
+  }
+  EXPECT_EQ(bytes, kEntryBytes);
+}
+
 } // namespace
 } // namespace damasklink
