A late event loop logs where its time went

Cause: connections_limited tells that a loop was late, not whether it worked, waited for a processor, or was stopped or blocked.

--- a/src/program/EntryHostImpl.h
+++ b/src/program/EntryHostImpl.h
@@ -20,6 +20,7 @@
 #include "damasklink/coordination/OwnMemory.h"
 #include "damasklink/coordination/ServiceLevelWindows.h"
 #include "damasklink/state/MetricsRegistry.h"
+#include "damasklink/state/ThreadTimes.h"
 #include "damasklink/transport/ConnectionEndLog.h"
 #include "damasklink/transport/ConnectionListener.h"
 #include "damasklink/transport/LingeringClose.h"
@@ -171,6 +172,7 @@
   std::vector<HubCandidate> HubCandidates() const;
   std::vector<HostId> ReportingControlHosts() const;
   void ReportLoadPeriodically();
+  void LogLateness(Duration aLag);
   void UpdateAdmission();
   void UpdateCrowded();
   void UpdateHedges();
@@ -260,6 +262,9 @@
                                      RandomSeed() };
   ImmediateRequestMemory probeMemory{ this->memory };
   ConnectionRefuser refuser{ this->clock, this->calls, RandomSeed() };
+  // The times of the event loop's thread at the end of the last interval.
+  ThreadTimes loopTimes;
+  MonotonicTime loopTimesAt = this->clock.MonotonicNow();
   // When the next load report is due.
   MonotonicTime nextInterval = this->clock.MonotonicNow();
 };
--- a/src/program/EntryHostUpdates.cpp
+++ b/src/program/EntryHostUpdates.cpp
@@ -51,11 +51,33 @@
   return std::max(this->clock.MonotonicNow() - this->nextInterval, Duration::zero());
 }
 
+// Logs what a late event loop did since the last interval: it ran, waited for a processor, or was
+// blocked for the rest.
+void
+EntryHost::Impl::LogLateness(Duration aLag)
+{
+  const Result<ThreadTimes> times = ReadThreadTimes();
+  const MonotonicTime now = this->clock.MonotonicNow();
+  if (times && aLag > ConnectionAdmission::kMaxLag) {
+    const Duration running = times.value().running - this->loopTimes.running;
+    const Duration waiting =
+      times.value().waitingForProcessor - this->loopTimes.waitingForProcessor;
+    LogEvent(LogLevel::Warning, "event_loop_late")
+      .With("lag_ms", WholeMilliseconds(aLag))
+      .With("since_ms", WholeMilliseconds(now - this->loopTimesAt))
+      .With("running_ms", WholeMilliseconds(running))
+      .With("waiting_for_processor_ms", WholeMilliseconds(waiting));
+  }
+  this->loopTimes = times ? times.value() : ThreadTimes{};
+  this->loopTimesAt = now;
+}
+
 // Adapts the limit of new connections to the delay of the event loop.
 void
 EntryHost::Impl::UpdateAdmission()
 {
   const Duration lag = this->IntervalLag();
+  this->LogLateness(lag);
   const RefusalCounts declined = this->refuser.TakeCounts();
   const bool before = this->admission.IsOverloaded();
   this->admission.OnInterval(lag);
