--- a/test/program/TrafficFixture.h
+++ b/test/program/TrafficFixture.h
@@ -7,8 +7,8 @@
 #include "TrafficSubsystem.h"
 #include "damasklink/state/Digests.h"
 #include "damasklink/transport/HttpClient.h"
-#include "support/OwnAddress.h"
 #include "support/MemoryReplicator.h"
+#include "support/OwnAddress.h"
 
 namespace damasklink {
 
