Calls that are forwarded wait for room on the connection

A host that reaches no target hands calls of up to 4 MiB to the connection all at once; three of them closed it, with the answers that were on their way to it.

Change: before a call is sent, ConnectWithRoom() waits for room for its body. An interrupted call, a standby attempt that is cancelled and a lost connection end the wait; the call was not sent, so it goes to another host or is refused as not run. Small calls do not wait for large ones.

Result: SharedConnectionTest.LargeCallsAtOnceKeepTheConnection failed on the code before, where its calls were sent after Connect(): peer_lost why="the peer does not read" queued=8386840; the other host got none of three calls, and a call in progress was lost. Now two arrive, the third is declined by the other host's limit of 8 MiB, and the call in progress goes on. With it CallerThatLeavesEndsTheWaitOfItsLargeCall, which has no counterpart before.

--- a/src/program/CallForwarder.cpp
+++ b/src/program/CallForwarder.cpp
@@ -193,6 +193,16 @@
   co_return false;
 }
 
+Awaitable<bool>
+CallForwarder::ConnectWithRoom(HostId aHost, std::size_t aBytes, std::shared_ptr<RoomWait> aWait)
+{
+  if (!co_await this->Connect(aHost)) {
+    co_return false;
+  }
+  const RoomRequest request{ aBytes, true };
+  co_return co_await this->room.Wait(aHost, request, std::move(aWait));
+}
+
 std::unique_ptr<ForwardedResponse>
 CallForwarder::Send(const HostId& aHost, ForwardedCall aCall)
 {
--- a/src/program/CallForwarder.h
+++ b/src/program/CallForwarder.h
@@ -2,7 +2,8 @@
 //
 //   CallForwarder forwarder(loop, clock, settings, metrics, handler);
 //   forwarder.Listen();
-//   if (auto host = forwarder.Choose(service, tried); host && co_await forwarder.Connect(*host)) {
+//   if (auto host = forwarder.Choose(service, tried);
+//       host && co_await forwarder.ConnectWithRoom(*host, bytes, wait)) {
 //     auto response = forwarder.Send(*host, std::move(call));
 //     auto message = co_await response->Next();
 //   }
@@ -124,7 +125,15 @@
   // Connects to the host unless it is connected. Returns whether it is.
   Awaitable<bool> Connect(HostId aHost);
 
-  // Forwards the call. Requires a connection to the host.
+  std::shared_ptr<RoomWait> MakeWait() { return this->room.MakeWait(); }
+
+  // Connects to the host, and waits until a call of this size can be sent there. Returns false if
+  // there is no connection, or the wait was ended.
+  Awaitable<bool> ConnectWithRoom(HostId aHost,
+                                  std::size_t aBytes,
+                                  std::shared_ptr<RoomWait> aWait);
+
+  // Forwards the call. Requires a connection to the host with room for the call.
   std::unique_ptr<ForwardedResponse> Send(const HostId& aHost, ForwardedCall aCall);
 
   // The host declined a call for the service.
--- a/src/program/Exchange.cpp
+++ b/src/program/Exchange.cpp
@@ -811,6 +811,9 @@
   if (this->channel != nullptr) {
     this->channel->Close();
   }
+  if (this->forwardingWait != nullptr) {
+    this->forwardingWait->End();
+  }
   if (this->forwarded != nullptr) {
     this->forwarded->Close();
   }
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -445,6 +445,8 @@
   std::optional<ExchangeRetryPolicy> plan;
   std::optional<Watchdog> deadline;
   std::unique_ptr<TargetConnection> channel;
+  // Set while the call waits until it can be sent to another host.
+  std::shared_ptr<RoomWait> forwardingWait;
   // The response of the host that the call was forwarded to.
   std::unique_ptr<ForwardedResponse> forwarded;
   // Hosts that the call was forwarded to, or should have been.
--- a/src/program/ExchangeForwarding.cpp
+++ b/src/program/ExchangeForwarding.cpp
@@ -103,7 +103,10 @@
   }
   bool connected = false;
   if (copies) {
-    connected = co_await this->context.forwarder.Connect(aHost);
+    this->forwardingWait = this->context.forwarder.MakeWait();
+    connected = co_await this->context.forwarder.ConnectWithRoom(
+      aHost, this->request->body.size(), this->forwardingWait);
+    this->forwardingWait = nullptr;
   }
   if (connected && this->interrupt == Interrupt::None) {
     this->plan->Sending();
--- a/src/program/ExchangeStandby.cpp
+++ b/src/program/ExchangeStandby.cpp
@@ -296,7 +296,10 @@
   aStandby->target = TargetRecord();
   aStandby->triedHosts.insert(aHost);
   this->triedHosts.insert(aHost);
-  const bool connected = co_await shared.forwarder.Connect(aHost);
+  aStandby->forwardingWait = shared.forwarder.MakeWait();
+  const bool connected = co_await shared.forwarder.ConnectWithRoom(
+    aHost, this->request->body.size(), aStandby->forwardingWait);
+  aStandby->forwardingWait = nullptr;
   if (aStandby->cancelled) {
     co_return;
   }
--- a/src/program/StandbyAttempt.h
+++ b/src/program/StandbyAttempt.h
@@ -44,6 +44,9 @@
     if (this->channel != nullptr) {
       this->channel->Close();
     }
+    if (this->forwardingWait != nullptr) {
+      this->forwardingWait->End();
+    }
     if (this->forwarded != nullptr) {
       this->forwarded->Close();
     }
@@ -70,6 +73,8 @@
   TargetRecord target;
   std::optional<HostId> host;
   std::unique_ptr<TargetConnection> channel;
+  // Set while the call waits until it can be sent to another host.
+  std::shared_ptr<RoomWait> forwardingWait;
   std::unique_ptr<ForwardedResponse> forwarded;
   CallLoad load;
   std::string fetchedFrom;
--- a/test/program/CallForwarderTest.cpp
+++ b/test/program/CallForwarderTest.cpp
@@ -259,10 +259,13 @@
     }
   }
 
-  Awaitable<void> Receive(Received& aTo)
+  Awaitable<void> Receive(Received& aTo, std::size_t aBody = 0)
   {
-    EXPECT_TRUE(co_await this->origin.Connect(this->serverSettings.host));
-    aTo.response = this->origin.Send(this->serverSettings.host, ForwardedCall());
+    EXPECT_TRUE(co_await this->origin.ConnectWithRoom(
+      this->serverSettings.host, aBody, this->origin.MakeWait()));
+    ForwardedCall call;
+    call.body.assign(aBody, 'b');
+    aTo.response = this->origin.Send(this->serverSettings.host, std::move(call));
     while (!aTo.complete && !aTo.lost) {
       const auto message = co_await aTo.response->Next();
       if (!message) {
@@ -422,5 +425,42 @@
   EXPECT_EQ(this->memory.HeldFor(MemoryUse::PeerQueues), 0U);
 }
 
+// Guards against large calls at the same moment that close the connection of all calls.
+TEST_F(SharedConnectionTest, LargeCallsAtOnceKeepTheConnection)
+{
+  this->BeginCalls(1);
+  std::vector<Received> large(3);
+  for (Received& call : large) {
+    asio::co_spawn(this->originLoop, this->Receive(call, kWhole - 1024), asio::detached);
+  }
+  Run(this->originLoop, std::chrono::milliseconds(50));
+  this->RunUntil([&] { return this->callers.size() == 3; });
+  EXPECT_EQ(this->callers.size(), 3U);
+  EXPECT_FALSE(this->received[0].lost);
+  for (Received& call : large) {
+    call.response.reset();
+  }
+}
+
+// Guards against calls that wait for a connection after their callers left.
+TEST_F(SharedConnectionTest, CallerThatLeavesEndsTheWaitOfItsLargeCall)
+{
+  this->BeginCalls(1);
+  Received large;
+  asio::co_spawn(this->originLoop, this->Receive(large, kWhole), asio::detached);
+  const auto wait = this->origin.MakeWait();
+  std::optional<bool> connected;
+  const auto connect = [&]() -> Awaitable<void> {
+    connected = co_await this->origin.ConnectWithRoom(this->serverSettings.host, kWhole, wait);
+  };
+  asio::co_spawn(this->originLoop, connect(), asio::detached);
+  Run(this->originLoop, std::chrono::milliseconds(50));
+  EXPECT_EQ(connected, std::nullopt);
+  wait->End();
+  Run(this->originLoop, std::chrono::milliseconds(20));
+  EXPECT_EQ(connected, false);
+  large.response.reset();
+}
+
 } // namespace
 } // namespace damasklink
