A host that lacks large changes is sent the tree if that is smaller

PeerNetwork drops a message that does not fit into 64 MiB without a word, and the next answer is as large: such a host stays behind.

Change: changes of more than 1 MiB together are compared with the whole tree, and the smaller is sent. Hosts of older programs take either, as before.

Now the tree is sent, and the host has the newest revision. The dropping itself is not changed, and the bytes of changes that are kept or buffered are not bounded yet.

--- a/src/coordination/ConfigDistributor.cpp
+++ b/src/coordination/ConfigDistributor.cpp
@@ -7,6 +7,9 @@
 
 constexpr std::size_t kMostBuffered = 256;
 
+// Above this size, changes are compared with the whole tree. Packing that costs more than they do.
+constexpr std::size_t kMaxUncomparedBytes = std::size_t{ 1024 } * 1024;
+
 // Puts the peers of this host's zone first: they are the nearest ones, and the only ones that a
 // partitioned zone can reach.
 std::vector<HostId>
@@ -23,6 +26,42 @@
   return near;
 }
 
+std::string
+PackTree(const RevisionedTree& aTree)
+{
+  CompactWriter writer;
+  aTree.Pack(writer);
+  return std::move(writer).Take();
+}
+
+// Returns the changes after the revision, or nothing if the whole tree is smaller.
+std::optional<std::string>
+PackDeltas(const std::deque<TreeChange>& aChanges, Revision aHeld, const RevisionedTree& aTree)
+{
+  std::vector<std::string> packed;
+  std::size_t bytes = 0;
+  std::optional<std::size_t> treeBytes;
+  for (const TreeChange& change : aChanges) {
+    if (change.revision <= aHeld) {
+      continue;
+    }
+    packed.push_back(PackChange(change));
+    bytes += packed.back().size();
+    if (bytes > kMaxUncomparedBytes && !treeBytes) {
+      treeBytes = PackTree(aTree).size();
+    }
+    if (treeBytes && bytes >= *treeBytes) {
+      return std::nullopt;
+    }
+  }
+  CompactWriter writer;
+  writer.Number(packed.size());
+  for (const std::string& change : packed) {
+    writer.Text(change);
+  }
+  return std::move(writer).Take();
+}
+
 } // namespace
 
 ConfigDistributor::ConfigDistributor(const Clock& aClock,
@@ -292,28 +331,18 @@
     this->Send(aFrom, std::move(report));
     return;
   }
-  if (!this->CanCatchUp(aHeld)) {
-    ConfigMessage fullTree = this->MakeMessage(ConfigMessageKind::FullTree);
-    CompactWriter writer;
-    this->tree.Pack(writer);
-    fullTree.body = std::move(writer).Take();
-    this->Send(aFrom, std::move(fullTree));
-    return;
+  ConfigMessage answer = this->MakeMessage(ConfigMessageKind::Deltas);
+  std::optional<std::string> deltas;
+  if (this->CanCatchUp(aHeld)) {
+    deltas = PackDeltas(this->recentChanges, aHeld, this->tree);
   }
-  std::vector<std::string> packed;
-  for (const TreeChange& change : this->recentChanges) {
-    if (change.revision > aHeld) {
-      packed.push_back(PackChange(change));
-    }
-  }
-  CompactWriter writer;
-  writer.Number(packed.size());
-  for (const std::string& change : packed) {
-    writer.Text(change);
+  if (deltas) {
+    answer.body = std::move(*deltas);
+  } else {
+    answer.kind = ConfigMessageKind::FullTree;
+    answer.body = PackTree(this->tree);
   }
-  ConfigMessage deltas = this->MakeMessage(ConfigMessageKind::Deltas);
-  deltas.body = std::move(writer).Take();
-  this->Send(aFrom, std::move(deltas));
+  this->Send(aFrom, std::move(answer));
 }
 
 bool
--- a/test/coordination/ConfigDistributorTest.cpp
+++ b/test/coordination/ConfigDistributorTest.cpp
@@ -331,6 +331,39 @@
   EXPECT_EQ(hosts.At(3).InForce(), Revision());
 }
 
+// Guards against an answer of all changes that a host lacks, which together are many times larger
+// than the configuration and more than a connection takes.
+TEST(ConfigDistributorTest, HostThatLacksManyLargeChangesIsSentTheTreeInstead)
+{
+  FakeHosts hosts;
+  WorkspaceNode workspace;
+  for (int number = 0; number < 10'000; ++number) {
+    workspace.teams[TeamId("a team with a long name, number " + std::to_string(number))];
+  }
+  constexpr std::uint64_t kChanges = 100;
+  for (std::uint64_t change = 1; change <= kChanges; ++change) {
+    workspace.policy.share = change;
+    const Subtree subtree{ WorkspaceSubtree(WorkspaceId("w")),
+                           std::make_shared<const SubtreeContent>(workspace) };
+    hosts.At(0).OnCommitted(TreeChange{ Revision(change), subtree }, false);
+    if (change == 1) {
+      hosts.At(1).OnCommitted(TreeChange{ Revision(change), subtree }, false);
+    }
+  }
+  ConfigMessage query;
+  query.kind = ConfigMessageKind::Query;
+  query.revision = Revision(1);
+  hosts.At(0).TakeOutgoing();
+  hosts.At(0).OnMessage(HostName(1), query);
+  const std::vector<OutgoingConfigMessage> answers = hosts.At(0).TakeOutgoing();
+  ASSERT_EQ(answers.size(), 1U);
+  CompactWriter tree;
+  hosts.At(0).Tree().Pack(tree);
+  EXPECT_LE(answers[0].message.body.size(), std::move(tree).Take().size());
+  hosts.At(1).OnMessage(HostName(0), answers[0].message);
+  EXPECT_EQ(hosts.At(1).Tree().Current(), Revision(kChanges));
+}
+
 TEST(ConfigDistributorTest, IgnoresTreesAndChangesOfLowerRevision)
 {
   FakeHosts hosts;
