Messages to a host that does not read are not dropped without a word

Cause: PeerNetwork drops a message above 64 MiB queued for a host, and its queue when the connection is lost, and nothing tells so.

Change: a line peer_message_dropped for each dropped message, under the log's limit for warnings, and peer_queue_dropped once for a connection that is lost with messages queued. A metric is still missing.

No test for peer_queue_dropped.

--- a/src/transport/PeerNetwork.cpp
+++ b/src/transport/PeerNetwork.cpp
@@ -99,9 +99,10 @@
 class OutgoingLink
 {
 public:
-  OutgoingLink(asio::io_context& aContext, Endpoint aEndpoint)
+  OutgoingLink(asio::io_context& aContext, HostId aPeer, Endpoint aEndpoint)
     : socket(aContext)
     , timer(aContext)
+    , peer(std::move(aPeer))
     , endpoint(std::move(aEndpoint))
   {
   }
@@ -109,6 +110,10 @@
   void Send(std::string aFrame)
   {
     if (this->queuedBytes + aFrame.size() > kMaxQueuedBytes) {
+      LogEvent(LogLevel::Warning, "peer_message_dropped")
+        .With("peer", this->peer)
+        .With("bytes", aFrame.size())
+        .With("queued", this->queuedBytes);
       return;
     }
     if (!this->connected && !this->connecting) {
@@ -163,7 +168,12 @@
   {
     ErrorCode ignored;
     this->socket.close(ignored);
-    this->connected = false;
+    if (std::exchange(this->connected, false) && this->queuedBytes > 0) {
+      LogEvent(LogLevel::Info, "peer_queue_dropped")
+        .With("peer", this->peer)
+        .With("messages", this->queue.size())
+        .With("bytes", this->queuedBytes);
+    }
     this->queue.clear();
     this->queuedBytes = 0;
     // Delays the next attempt.
@@ -178,6 +188,7 @@
 
   Tcp::socket socket;
   asio::steady_timer timer;
+  HostId peer;
   Endpoint endpoint;
   bool connected = false;
   bool connecting = false;
@@ -202,7 +213,8 @@
   {
     for (const PeerSettings& peer : aSettings.peers) {
       if (peer.host != this->self) {
-        this->links.emplace(peer.host, std::make_unique<OutgoingLink>(this->context, peer.peers));
+        this->links.emplace(peer.host,
+                            std::make_unique<OutgoingLink>(this->context, peer.host, peer.peers));
       }
     }
   }
