An empty control host asks to join as soon as a connection is up

Seen by callers: a host that lost its disk votes a second later than it could, and until then the next lost disk can take the majority.

Cause: a host that starts asks the others for the formation at once, before any connection is up, so the question is lost; the next round comes a second later. The same holds for a host that is learnt from a greeting, and for a request to join that was sent over a connection of the host's former process.

Change: when a connection is up, or a host with one is learnt, it is asked again within the current round, or for membership if the formation is known and no leader is heard. One small message for each connection.

Test: GroupReplicaJoinTest.EmptyReplicaAsksAHostAtOnceWhenItIsUp; with an empty OnHostUp() it fails with 0 messages instead of 1.

Where all processes start at once, it still becomes a learner after 1.0 s: its request comes before a leader is elected, and is repeated after a second.

--- a/include/damasklink/coordination/GroupFormation.h
+++ b/include/damasklink/coordination/GroupFormation.h
@@ -41,6 +41,10 @@
 
   Outcome Receive(const AgreementMessage& aMessage, const FormationAnswer& aAnswer);
 
+  // Must be called when a connection to the host is up: what was sent to it before is lost. Asks it
+  // again in the current round.
+  Outcome OnHostUp(const HostId& aHost) const;
+
   // Cancels the current round: answers to earlier queries are ignored.
   void CancelRound();
 
@@ -61,6 +65,8 @@
     return this->mayFormGroup && this->listed.front() == this->self.host;
   }
 
+  FormationQuery MakeQuery() const;
+
   const Clock& clock;
   Member self;
   std::vector<HostId> listed;
--- a/include/damasklink/coordination/GroupReplica.h
+++ b/include/damasklink/coordination/GroupReplica.h
@@ -70,6 +70,10 @@
   // replica to the group.
   void AddDiscoveredHost(const HostId& aHost);
 
+  // Must be called when a connection to the host is up: what was sent to it before is lost. A
+  // replica that is not in the group asks it at once.
+  void OnHostUp(const HostId& aHost);
+
   // Transfers leadership to another voter.
   void TransferLeadership() { this->core.TransferLeadership(); }
 
--- a/src/coordination/GroupFormation.cpp
+++ b/src/coordination/GroupFormation.cpp
@@ -1,5 +1,6 @@
 #include "damasklink/coordination/GroupFormation.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace damasklink {
@@ -35,10 +36,7 @@
   this->nextRound = this->clock.MonotonicNow() + kRoundInterval;
   this->neverFormed.clear();
   this->nonce = this->random() | 1U;
-  outcome.query.nonce = this->nonce;
-  if (this->MayFormGroup()) {
-    outcome.query.proposed = this->proposed;
-  }
+  outcome.query = this->MakeQuery();
   for (const HostId& host : this->listed) {
     if (host != this->self.host) {
       outcome.queriedHosts.push_back(host);
@@ -47,6 +45,30 @@
   return outcome;
 }
 
+FormationQuery
+GroupFormation::MakeQuery() const
+{
+  FormationQuery query;
+  query.nonce = this->nonce;
+  if (this->MayFormGroup()) {
+    query.proposed = this->proposed;
+  }
+  return query;
+}
+
+GroupFormation::Outcome
+GroupFormation::OnHostUp(const HostId& aHost) const
+{
+  Outcome outcome;
+  const bool asked =
+    std::find(this->listed.begin(), this->listed.end(), aHost) != this->listed.end();
+  if (asked && aHost != this->self.host && this->nonce != 0) {
+    outcome.query = this->MakeQuery();
+    outcome.queriedHosts.push_back(aHost);
+  }
+  return outcome;
+}
+
 GroupFormation::Outcome
 GroupFormation::Receive(const AgreementMessage& aMessage, const FormationAnswer& aAnswer)
 {
--- a/src/coordination/GroupReplica.cpp
+++ b/src/coordination/GroupReplica.cpp
@@ -220,6 +220,23 @@
   if (!this->options.mayFormGroup) {
     this->formation.AddQueriedHost(aHost);
   }
+  this->OnHostUp(aHost);
+}
+
+void
+GroupReplica::OnHostUp(const HostId& aHost)
+{
+  const std::vector<HostId>& known = this->options.listedVoters;
+  const bool isOther =
+    aHost != this->options.raft.host && std::find(known.begin(), known.end(), aHost) != known.end();
+  if (this->failure || !isOther) {
+    return;
+  }
+  if (this->core.Formation() == FormationId()) {
+    this->ApplyOutcome(this->formation.OnHostUp(aHost));
+  } else if (!this->core.HasRecentLeader()) {
+    this->outbox.push_back(this->MakeMessage(aHost, ReplicaId(), JoinRequest{}));
+  }
 }
 
 void
--- a/src/program/AgreementModule.cpp
+++ b/src/program/AgreementModule.cpp
@@ -255,6 +255,14 @@
   }
 }
 
+void
+AgreementModule::OnHostUp(const HostId& aHost)
+{
+  for (auto& [group, localGroup] : this->groups) {
+    localGroup.replica->OnHostUp(aHost);
+  }
+}
+
 const GroupReplica*
 AgreementModule::ReplicaOf(const GroupId& aGroup) const
 {
--- a/src/program/AgreementModule.h
+++ b/src/program/AgreementModule.h
@@ -77,6 +77,9 @@
   // Adds a host with a disk that was discovered at run time. It may vote and lead.
   void AddDiscoveredHost(const HostId& aHost);
 
+  // Must be called when a connection to the host is up.
+  void OnHostUp(const HostId& aHost);
+
   // Returns this host's replica of the group, or null.
   const GroupReplica* ReplicaOf(const GroupId& aGroup) const;
 
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -433,6 +433,7 @@
 void
 ControlHost::Impl::OnPeerUp(const HostId& aPeer, LinkSide aSide)
 {
+  this->group.OnPeerUp(aPeer);
   if (aSide == LinkSide::Dialed) {
     this->storePlan.OnConnection(aPeer, true);
     this->publisher.SendGreeting(aPeer);
--- a/src/program/ServingGroup.h
+++ b/src/program/ServingGroup.h
@@ -46,6 +46,7 @@
 
   void OnPeerMessage(const HostId& aFrom, const PeerMessage& aMessage);
   void AddDiscoveredHost(const HostId& aHost) { this->agreement.AddDiscoveredHost(aHost); }
+  void OnPeerUp(const HostId& aHost) { this->agreement.OnHostUp(aHost); }
 
   // Transfers leadership to another host, because the process stops.
   void TransferLeadership();
--- a/test/coordination/GroupReplicaTest.cpp
+++ b/test/coordination/GroupReplicaTest.cpp
@@ -494,5 +494,35 @@
   EXPECT_LE(log.LastIndex().Value() - log.BaseIndex().Value(), 30U);
 }
 
+// Guards against a host that lost its disk and votes a second later, because what it asks before
+// its connections are up is lost.
+TEST(GroupReplicaJoinTest, EmptyReplicaAsksAHostAtOnceWhenItIsUp)
+{
+  ManualClock clock;
+  GroupOptions options;
+  options.raft = testing::MakeRaftOptions();
+  options.listedVoters = { HostId("peer"), HostId("self") };
+  options.mayFormGroup = false;
+  options.maxVoters = 3;
+  GroupReplica replica(clock, options, RecoveredLog());
+  replica.Tick();
+  replica.TakeActions();
+  replica.OnHostUp(HostId("peer"));
+  const GroupActions asked = replica.TakeActions();
+  ASSERT_EQ(asked.messages.size(), 1U);
+  AgreementMessage answer = asked.messages[0];
+  ASSERT_TRUE(std::holds_alternative<FormationQuery>(answer.body));
+  answer.body = FormationAnswer{ std::get<FormationQuery>(answer.body).nonce, FormationId(7) };
+  replica.Receive(answer);
+  replica.Tick();
+  replica.TakeActions();
+  replica.OnHostUp(HostId("peer"));
+  const GroupActions joining = replica.TakeActions();
+  ASSERT_EQ(joining.messages.size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<JoinRequest>(joining.messages[0].body));
+  replica.AddDiscoveredHost(HostId("other"));
+  EXPECT_EQ(replica.TakeActions().messages.size(), 1U);
+}
+
 } // namespace
 } // namespace damasklink
