Requests to join a group expire

Seen by callers: a host that lost its disk twice may vote seconds later than it could, and until then the next lost disk can take the majority.

Cause: a leader kept a request until it was fulfilled, also while it did not lead. If the host lost its disk again and its newer replica was added by another leader, the former leader, once elected again, removed that learner for the old request and added a replica that no longer exists.

Change: requests expire after 1.5 s. A replica that hears no leader asks again every second, so no request that still counts is lost.

Test: MembershipRepairTest.OldJoinRequestDoesNotReplaceALearner; before the fix the learner was removed. The fixture passes its clock to the constructor; no other test changes.

--- a/include/damasklink/coordination/MembershipRepair.h
+++ b/include/damasklink/coordination/MembershipRepair.h
@@ -25,8 +25,9 @@
 class MembershipRepair
 {
 public:
-  explicit MembershipRepair(std::vector<HostId> aListedVoters)
-    : listed(std::move(aListedVoters))
+  MembershipRepair(const Clock& aClock, std::vector<HostId> aListedVoters)
+    : clock(aClock)
+    , listed(std::move(aListedVoters))
   {
   }
 
@@ -34,13 +35,22 @@
   void EnableDiscovery(std::size_t aMaxVoters) { this->maxVoters = aMaxVoters; }
 
   // Records that a replica asks to join. Ignores hosts that are not listed, unless discovery is
-  // enabled.
+  // enabled. A replica must ask again every kJoinInterval until it hears a leader, since requests
+  // expire.
   void OnJoinRequest(const HostId& aHost, ReplicaId aReplica);
 
   // Returns the membership to propose next, or nothing if no change is needed.
   std::optional<Membership> Next(const RaftCore& aCore);
 
+  static constexpr Duration kJoinInterval = std::chrono::seconds(1);
+
 private:
+  struct Joining
+  {
+    ReplicaId replica;
+    MonotonicTime askedAt;
+  };
+
   bool IsListed(const HostId& aHost) const;
   bool MayAddVoter(const Membership& aNow, const RaftCore& aCore) const;
   std::optional<Membership> RemoveRetired(const Membership& aNow, const RaftCore& aCore) const;
@@ -48,10 +58,11 @@
   std::optional<Membership> RemoveReplaced(const Membership& aNow, const RaftCore& aCore) const;
   std::optional<Membership> AddLearner(const Membership& aNow);
 
+  const Clock& clock;
   std::vector<HostId> listed;
   // Set if hosts are discovered rather than listed.
   std::optional<std::size_t> maxVoters;
-  std::map<HostId, ReplicaId> joining;
+  std::map<HostId, Joining> joining;
 };
 
 } // namespace damasklink
--- a/src/coordination/GroupReplica.cpp
+++ b/src/coordination/GroupReplica.cpp
@@ -6,7 +6,6 @@
 namespace damasklink {
 namespace {
 
-constexpr Duration kJoinInterval = std::chrono::seconds(1);
 // Pending answers older than this are dropped. Proposers wait for half of it at most (kMaxTimeout
 // in ProposalForwarder.cpp).
 constexpr Duration kMaxWait = std::chrono::minutes(10);
@@ -22,7 +21,7 @@
               Member{ this->options.raft.host, this->options.raft.replica, true },
               this->options.listedVoters,
               this->options.raft.seed)
-  , repair(this->options.listedVoters)
+  , repair(aClock, this->options.listedVoters)
 {
   if (!this->options.mayFormGroup) {
     this->formation.DisableForming();
@@ -199,7 +198,7 @@
   const MonotonicTime now = this->clock.MonotonicNow();
   const bool mayJoin = this->core.Formation() != FormationId() && !this->core.HasRecentLeader();
   if (mayJoin && now >= this->nextJoinRequest) {
-    this->nextJoinRequest = now + kJoinInterval;
+    this->nextJoinRequest = now + MembershipRepair::kJoinInterval;
     this->SendJoinRequests();
   }
   if (now >= this->nextExpiryCheck) {
--- a/src/coordination/MembershipRepair.cpp
+++ b/src/coordination/MembershipRepair.cpp
@@ -30,7 +30,7 @@
 MembershipRepair::OnJoinRequest(const HostId& aHost, ReplicaId aReplica)
 {
   if (this->IsListed(aHost)) {
-    this->joining[aHost] = aReplica;
+    this->joining[aHost] = Joining{ aReplica, this->clock.MonotonicNow() };
   }
 }
 
@@ -140,12 +140,16 @@
 std::optional<Membership>
 MembershipRepair::AddLearner(const Membership& aNow)
 {
-  std::erase_if(this->joining,
-                [&](const auto& aItem) { return aNow.Find(aItem.second) != nullptr; });
+  // A host may have lost its disk again since an old request, and its newer replica have joined
+  // under another leader.
+  const MonotonicTime oldest = this->clock.MonotonicNow() - kJoinInterval * 3 / 2;
+  std::erase_if(this->joining, [&](const auto& aItem) {
+    return aNow.Find(aItem.second.replica) != nullptr || aItem.second.askedAt < oldest;
+  });
   if (this->joining.empty()) {
     return std::nullopt;
   }
-  const auto& [host, replica] = *this->joining.begin();
+  const auto& [host, request] = *this->joining.begin();
   Membership next = aNow;
   // The host's former learner was lost before it caught up.
   const auto lost = std::find_if(
@@ -156,7 +160,7 @@
     next.members.erase(lost);
     return next;
   }
-  next.members.push_back(Member{ host, replica, false });
+  next.members.push_back(Member{ host, request.replica, false });
   return next;
 }
 
--- a/test/coordination/MembershipRepairTest.cpp
+++ b/test/coordination/MembershipRepairTest.cpp
@@ -45,7 +45,7 @@
 
   ManualClock clock;
   RaftCore core{ clock, MakeRaftOptions(), MakeFoundedLog(false) };
-  MembershipRepair repair{ { HostId("peer"), HostId("self") } };
+  MembershipRepair repair{ this->clock, { HostId("peer"), HostId("self") } };
 };
 
 TEST_F(MembershipRepairTest, NewReplicaIsLearnerUntilCaughtUp)
@@ -91,11 +91,25 @@
   EXPECT_NE(this->Find(kNewerDisk), nullptr);
 }
 
+// Guards against a replica that is taken out of the group because of what its host's former replica
+// asked this leader before another one led.
+TEST_F(MembershipRepairTest, OldJoinRequestDoesNotReplaceALearner)
+{
+  this->repair.OnJoinRequest(HostId("peer"), kNewDisk);
+  MembershipRepair other(this->clock, { HostId("peer"), HostId("self") });
+  other.OnJoinRequest(HostId("peer"), kNewerDisk);
+  ASSERT_TRUE(this->core.ProposeMembership(*other.Next(this->core)));
+  Settle(this->core);
+  this->clock.Advance(std::chrono::seconds(2));
+  EXPECT_FALSE(this->Step());
+  EXPECT_NE(this->Find(kNewerDisk), nullptr);
+}
+
 TEST_F(MembershipRepairTest, RemovesSilentHostThatIsNoLongerListed)
 {
   this->repair.OnJoinRequest(HostId("peer"), kNewDisk);
   this->Step();
-  MembershipRepair without{ { HostId("self") } };
+  MembershipRepair without{ this->clock, { HostId("self") } };
   EXPECT_FALSE(without.Next(this->core).has_value());
   this->clock.Advance(RaftTiming().electionTimeoutMax);
   const auto next = without.Next(this->core);
