A replica that asked to join before the election is added by the new leader

A host that lost its disk while all processes end begins to catch up a second later than it could.

Cause: only a leader took requests to join. One that came shortly before the election was lost, and is repeated after a second.

Change: every replica records requests; a new leader serves those that have not expired.

Test: GroupReplicaJoinTest.RequestBeforeTheElectionIsServedByTheNewLeader; before the change the replica was not in the membership.

--- a/include/damasklink/coordination/MembershipRepair.h
+++ b/include/damasklink/coordination/MembershipRepair.h
@@ -34,9 +34,9 @@
   // Accepts any host that asks to join, with at most aMaxVoters voters, which must be odd.
   void EnableDiscovery(std::size_t aMaxVoters) { this->maxVoters = aMaxVoters; }
 
-  // Records that a replica asks to join. Ignores hosts that are not listed, unless discovery is
-  // enabled. A replica must ask again every kJoinInterval until it hears a leader, since requests
-  // expire.
+  // Records that a replica asks to join, also on a host that does not lead: it may be elected next.
+  // Ignores hosts that are not listed, unless discovery is enabled. A replica must ask again every
+  // kJoinInterval until it hears a leader, since requests expire.
   void OnJoinRequest(const HostId& aHost, ReplicaId aReplica);
 
   // Returns the membership to propose next, or nothing if no change is needed.
--- a/src/coordination/GroupReplica.cpp
+++ b/src/coordination/GroupReplica.cpp
@@ -67,9 +67,7 @@
     return;
   }
   if (std::holds_alternative<JoinRequest>(aMessage.body)) {
-    if (this->core.Role() == RaftRole::Leader) {
-      this->repair.OnJoinRequest(aMessage.fromHost, aMessage.from);
-    }
+    this->repair.OnJoinRequest(aMessage.fromHost, aMessage.from);
     return;
   }
   if (aMessage.to == this->options.raft.replica) {
--- a/test/coordination/GroupReplicaTest.cpp
+++ b/test/coordination/GroupReplicaTest.cpp
@@ -524,5 +524,27 @@
   EXPECT_EQ(replica.TakeActions().messages.size(), 1U);
 }
 
+// Guards against a host that lost its disk and votes a second later, because it asked to join just
+// before the leader was elected.
+TEST(GroupReplicaJoinTest, RequestBeforeTheElectionIsServedByTheNewLeader)
+{
+  ManualClock clock;
+  GroupOptions options;
+  options.raft = testing::MakeRaftOptions();
+  options.listedVoters = { HostId("peer"), HostId("self") };
+  options.maxVoters = 3;
+  GroupReplica replica(clock, options, testing::MakeFoundedLog(false));
+  ASSERT_NE(replica.Core().Role(), RaftRole::Leader);
+  replica.Receive(testing::MessageFrom(testing::kPeer, Term(1), JoinRequest{}));
+  for (int round = 0; round < 10; ++round) {
+    replica.Tick();
+    if (const auto batch = replica.TakeActions().persist) {
+      replica.OnPersisted(batch->number);
+    }
+  }
+  ASSERT_EQ(replica.Core().Role(), RaftRole::Leader);
+  EXPECT_NE(replica.Core().Log().NewestMembership().Find(testing::kPeer), nullptr);
+}
+
 } // namespace
 } // namespace damasklink
