--- a/src/coordination/GroupReplica.cpp
+++ b/src/coordination/GroupReplica.cpp
@@ -6,7 +6,6 @@
 namespace damasklink {
 namespace {
 
-constexpr Duration kJoinInterval = std::chrono::seconds(1);
 // Pending answers older than this are dropped. Proposers wait for half of it at most (kMaxTimeout
 // in ProposalForwarder.cpp).
 constexpr Duration kMaxWait = std::chrono::minutes(10);
@@ -22,7 +21,7 @@
               Member{ this->options.raft.host, this->options.raft.replica, true },
               this->options.listedVoters,
               this->options.raft.seed)
-  , repair(this->options.listedVoters)
+  , repair(aClock, this->options.listedVoters)
 {
   if (!this->options.mayFormGroup) {
     this->formation.DisableForming();
@@ -68,9 +67,7 @@
     return;
   }
   if (std::holds_alternative<JoinRequest>(aMessage.body)) {
-    if (this->core.Role() == RaftRole::Leader) {
-      this->repair.OnJoinRequest(aMessage.fromHost, aMessage.from);
-    }
+    this->repair.OnJoinRequest(aMessage.fromHost, aMessage.from);
     return;
   }
   if (aMessage.to == this->options.raft.replica) {
@@ -199,7 +196,7 @@
   const MonotonicTime now = this->clock.MonotonicNow();
   const bool mayJoin = this->core.Formation() != FormationId() && !this->core.HasRecentLeader();
   if (mayJoin && now >= this->nextJoinRequest) {
-    this->nextJoinRequest = now + kJoinInterval;
+    this->nextJoinRequest = now + MembershipRepair::kJoinInterval;
     this->SendJoinRequests();
   }
   if (now >= this->nextExpiryCheck) {
@@ -220,6 +217,23 @@
   if (!this->options.mayFormGroup) {
     this->formation.AddQueriedHost(aHost);
   }
+  this->OnHostUp(aHost);
+}
+
+void
+GroupReplica::OnHostUp(const HostId& aHost)
+{
+  const std::vector<HostId>& known = this->options.listedVoters;
+  const bool isOther =
+    aHost != this->options.raft.host && std::find(known.begin(), known.end(), aHost) != known.end();
+  if (this->failure || !isOther) {
+    return;
+  }
+  if (this->core.Formation() == FormationId()) {
+    this->ApplyOutcome(this->formation.OnHostUp(aHost));
+  } else if (!this->core.HasRecentLeader()) {
+    this->outbox.push_back(this->MakeMessage(aHost, ReplicaId(), JoinRequest{}));
+  }
 }
 
 void
