A host that stood still once does not refuse callers after it

Cause: ConnectionAdmission took each late interval for overload. A loop that stands still for 0.9 s admits one or two connections in that interval, so the limit fell to 1 connection in 100 ms and took over a second to rise again; callers got 503 (connection_limit) while the loop was on time. Told apart by: whether small requests are refused during the stall or after it (after: lag_ms=0 refused=35, 46, 33 in the intervals that follow, next_limit=2, 11, 27), and what the refusal says ('takes no further connections'). Change: StallFilter. Lag counts as overload if the loop itself ran for more than 200 ms of it, or was late within the last ten intervals. A host short of processor time is late again soon, so the second lag counts. event_loop_late says overloaded=. StallFilterTest, ConnectionAdmissionTest pass.

--- a/src/program/EntryHost.cpp
+++ b/src/program/EntryHost.cpp
@@ -79,7 +79,7 @@
 Awaitable<void>
 EntryHost::Impl::ServeCaller(std::shared_ptr<CallerConnection> aChannel)
 {
-  if (!this->admission.TryAdmit(this->IntervalLag())) {
+  if (!this->admission.TryAdmit(this->LagOfLoad())) {
     co_await this->refuser.Refuse(*aChannel);
     co_return;
   }
--- a/src/program/EntryHostImpl.h
+++ b/src/program/EntryHostImpl.h
@@ -19,6 +19,7 @@
 #include "damasklink/coordination/HubSelector.h"
 #include "damasklink/coordination/OwnMemory.h"
 #include "damasklink/coordination/ServiceLevelWindows.h"
+#include "damasklink/coordination/StallFilter.h"
 #include "damasklink/state/MetricsRegistry.h"
 #include "damasklink/state/ThreadTimes.h"
 #include "damasklink/transport/ConnectionEndLog.h"
@@ -172,11 +173,12 @@
   std::vector<HubCandidate> HubCandidates() const;
   std::vector<HostId> ReportingControlHosts() const;
   void ReportLoadPeriodically();
-  void LogLateness(Duration aLag);
+  void LogLateness(Duration aLag, bool aOverloaded);
   void UpdateAdmission();
   void UpdateCrowded();
   void UpdateHedges();
   Duration IntervalLag() const;
+  Duration LagOfLoad() const;
   void SendLoadReport(bool aHubChanged);
   void SendToControlHost(const HostId& aTo, const ServingMessage& aMessage);
   void AddSeeds(const std::vector<HostId>& aSeeds);
@@ -253,6 +255,7 @@
   HubSelector hub{ this->clock, this->settings.zone };
   bool wasReady = false;
   ConnectionAdmission admission;
+  StallFilter stalls;
   QueuedRequestMemory requestMemory{ this->loop,
                                      this->clock,
                                      this->memory,
--- a/src/program/EntryHostUpdates.cpp
+++ b/src/program/EntryHostUpdates.cpp
@@ -51,10 +51,23 @@
   return std::max(this->clock.MonotonicNow() - this->nextInterval, Duration::zero());
 }
 
+// Returns how late the next load report is because of this host's load. The system is asked for the
+// thread's times only if it is late.
+Duration
+EntryHost::Impl::LagOfLoad() const
+{
+  const Duration lag = this->IntervalLag();
+  if (lag <= ConnectionAdmission::kMaxLag) {
+    return lag;
+  }
+  const Result<ThreadTimes> times = ReadThreadTimes();
+  return times ? this->stalls.LagOfLoad(lag, times.value().running - this->loopTimes.running) : lag;
+}
+
 // Logs what a late event loop did since the last interval: it ran, waited for a processor, or was
 // blocked for the rest.
 void
-EntryHost::Impl::LogLateness(Duration aLag)
+EntryHost::Impl::LogLateness(Duration aLag, bool aOverloaded)
 {
   const Result<ThreadTimes> times = ReadThreadTimes();
   const MonotonicTime now = this->clock.MonotonicNow();
@@ -66,7 +79,8 @@
       .With("lag_ms", WholeMilliseconds(aLag))
       .With("since_ms", WholeMilliseconds(now - this->loopTimesAt))
       .With("running_ms", WholeMilliseconds(running))
-      .With("waiting_for_processor_ms", WholeMilliseconds(waiting));
+      .With("waiting_for_processor_ms", WholeMilliseconds(waiting))
+      .With("overloaded", aOverloaded);
   }
   this->loopTimes = times ? times.value() : ThreadTimes{};
   this->loopTimesAt = now;
@@ -77,10 +91,11 @@
 EntryHost::Impl::UpdateAdmission()
 {
   const Duration lag = this->IntervalLag();
-  this->LogLateness(lag);
   const RefusalCounts declined = this->refuser.TakeCounts();
   const bool before = this->admission.IsOverloaded();
-  this->admission.OnInterval(lag);
+  this->admission.OnInterval(this->LagOfLoad());
+  this->stalls.OnInterval(lag);
+  this->LogLateness(lag, this->admission.IsOverloaded());
   this->ends.OnInterval();
   this->context.overloaded = this->admission.IsOverloaded();
   const bool limited = declined.refused > 0 || declined.closedUnread > 0;
--- a/test/soak/machine_memory.py
+++ b/test/soak/machine_memory.py
@@ -11,6 +11,7 @@
 import asyncio
 import collections
 import pathlib
+import signal
 import time
 import types
 
@@ -26,6 +27,8 @@
 SLOTS = 200
 RESTART_DELAY = 0.5
 CHECK_EVERY = 0.02
+# When a host is suspended.
+SUSPEND_AFTER = 3.0
 TRACE_EVERY = 0.1
 CALM = 3.0
 BURST = 4.0
@@ -299,6 +302,12 @@
         if kind == "endless" and not slow and lasted > DEADLINE / 2:
             self.find("endless_answer_until_deadline", f"{request} {status} after {lasted:.2f} s")
 
+    async def suspend(self, host, lasts):
+        await asyncio.sleep(SUSPEND_AFTER)
+        host.signal(signal.SIGSTOP)
+        await asyncio.sleep(lasts)
+        host.signal(signal.SIGCONT)
+
     async def run(self):
         await self.start()
         self.ending = True
@@ -311,7 +320,7 @@
         end = begun + 2 * CALM + BURST
         if self.options.trace:
             watching += [asyncio.create_task(self.trace(host, begun)) for host in self.entries]
-        work = []
+        work = [self.suspend(self.entries[0], self.options.suspend)] if self.options.suspend else []
         for host in self.entries:
             work += [self.large_caller(host, f"{host.name}.s{number}", end, apart * number) for number in range(steady)]
             work += [self.small_caller(host, f"{host.name}.{number}", end) for number in range(SMALL_CALLERS)]
@@ -354,6 +363,7 @@
     parser.add_argument("--load", choices=CALLERS, default="bodies", help="what the large requests are")
     parser.add_argument("--endless", choices=ENDLESS, help="what a target sends without end")
     parser.add_argument("--faulty", type=int, default=1, help="how many targets do")
+    parser.add_argument("--suspend", type=float, help="suspends one entry host for this many seconds")
     parser.add_argument("--trace", help="file for the memory of each host over time")
     parser.set_defaults(entries=3)
     soak_seeds(parser.parse_args(), MachineMemory)
