Tests of shares of a rate limit that must follow calls (known red)

LimitModelTest.SharesFollowCallsOfFewHosts and LimitModelTest.SharesFollowCallsThatMove: a target with a limit of 3/s, two hosts with calls of 5, 72 and 985, entry and control hosts that restart, late and doubled messages; the calls stay or move to the next hosts every 6 s. At least 0.5 (stay) and 0.3 (move) of the limit must be sent in the counted 27 s, and the bound of the limit holds.

Cause of the failure: RateLimitAllocator chooses the hosts by rendezvous hashing over all entry hosts, whether they have calls or not.

--- a/test/coordination/LimitModelTest.cpp
+++ b/test/coordination/LimitModelTest.cpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <optional>
 #include <random>
+#include <string>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -35,12 +36,27 @@
   std::size_t controlHosts;
 };
 
+// The entry hosts that get calls: `hosts` neighbours, beginning with `first`.
+struct Callers
+{
+  std::size_t hosts;
+  std::size_t first = 0;
+  // The calls move to the next hosts after each such time; zero if they stay.
+  Duration moveEvery{ 0 };
+};
+
 class LimitModel
 {
 public:
   LimitModel(const Size& aSize, RequestRate aLimit, std::uint32_t aSeed)
+    : LimitModel(aSize, aLimit, aSeed, Callers{ aSize.entryHosts })
+  {
+  }
+
+  LimitModel(const Size& aSize, RequestRate aLimit, std::uint32_t aSeed, const Callers& aCallers)
     : random(aSeed)
     , limit(aLimit)
+    , callers(aCallers)
   {
     this->record.id = kTarget;
     this->record.incarnation = Incarnation(1);
@@ -156,11 +172,24 @@
     }
   }
 
-  // Each host has more calls than the target accepts from all hosts together.
+  bool HasCalls(std::size_t aEntry) const
+  {
+    const std::size_t count = this->entries.size();
+    std::size_t first = this->callers.first;
+    if (this->callers.moveEvery > Duration::zero()) {
+      const Duration passed = this->Now().time_since_epoch();
+      first += static_cast<std::size_t>(passed / this->callers.moveEvery) * this->callers.hosts;
+    }
+    return (aEntry + count - (first % count)) % count < this->callers.hosts;
+  }
+
+  // Each host with calls has more than the target accepts from all hosts together.
   void Send()
   {
-    for (Entry& entry : this->entries) {
-      if (!this->IsUp(entry) || !this->Chance(0.2) || !entry.limiter->MaySend(kTarget)) {
+    for (std::size_t index = 0; index < this->entries.size(); ++index) {
+      Entry& entry = this->entries[index];
+      if (!this->HasCalls(index) || !this->IsUp(entry) || !this->Chance(0.2) ||
+          !entry.limiter->MaySend(kTarget)) {
         continue;
       }
       entry.limiter->OnSent(kTarget);
@@ -247,6 +276,7 @@
   ManualClock clock;
   std::mt19937 random;
   RequestRate limit;
+  Callers callers;
   TargetRecord record;
   std::deque<Entry> entries;
   std::vector<Control> controls;
@@ -284,5 +314,46 @@
   }
 }
 
+// Runs the model for callers who begin at each of some hosts. All sent requests must be at least
+// aUsedPart of what the limit allows.
+void
+ExpectSharesFollowCalls(const Size& aSize, Callers aCallers, double aUsedPart)
+{
+  constexpr RequestRate kLimit{ 3 };
+  constexpr std::size_t kPlaces = 5;
+  const double counted = std::chrono::duration<double>(kLimitedFor - kReactionTime).count();
+  for (std::size_t place = 0; place < kPlaces; ++place) {
+    aCallers.first = place * aSize.entryHosts / kPlaces;
+    const auto seed = static_cast<std::uint32_t>(place + 1);
+    SCOPED_TRACE("first host with calls: " + std::to_string(aCallers.first));
+    LimitModel model(aSize, kLimit, seed, aCallers);
+    model.Run();
+    EXPECT_LE(static_cast<double>(model.MaxInWindow()), MaxAllowed(kLimit));
+    EXPECT_GE(static_cast<double>(model.arrivals.size()), aUsedPart * kLimit.perSecond * counted);
+  }
+}
+
+constexpr Size kSmall{ 5, 3 };
+constexpr Size kMedium{ 72, 5 };
+constexpr Size kLarge{ 985, 5 };
+
+// Guards against shares that lie idle at hosts without calls while hosts with calls have none.
+TEST(LimitModelTest, SharesFollowCallsOfFewHosts)
+{
+  for (const Size& size : { kSmall, kMedium, kLarge }) {
+    SCOPED_TRACE(std::to_string(size.entryHosts) + " hosts");
+    ExpectSharesFollowCalls(size, Callers{ 2 }, 0.5);
+  }
+}
+
+// Guards against shares that stay where calls were.
+TEST(LimitModelTest, SharesFollowCallsThatMove)
+{
+  for (const Size& size : { kSmall, kMedium, kLarge }) {
+    SCOPED_TRACE(std::to_string(size.entryHosts) + " hosts");
+    ExpectSharesFollowCalls(size, Callers{ 2, 0, seconds(6) }, 0.3);
+  }
+}
+
 } // namespace
 } // namespace damasklink
