A large message does not delay heartbeats and votes

What callers see: while a large change passes between control hosts over a slow link, reads and other changes are refused, because the leader loses its lease and then its role.

Cause: a connection between hosts wrote messages one after another, so heartbeats, their answers and votes waited behind a log entry or a proposal for longer than an election timeout. A leader that did not know yet what a replica has also repeated a large entry with each heartbeat.

Change: - A connection sends messages above 32 KiB in fragments, with other messages between them. Messages of the same channel, group and stream stay in order. The receiver counts the whole message against its memory before it reads on after the first fragment, and drops an incomplete one when the connection ends. At most 64 KiB are handed to the connection at once, and 64 KiB of it are left unsent by the system (TCP_NOTSENT_LOWAT). - Each frame says whether its sender puts fragments together. A peer that has not said so is sent whole messages. Proposals are a stream of their own. Votes and answers may overtake both. While entries are on their way to a replica it is also sent a heartbeat that refers only to what it has acknowledged, which may overtake them. - A leader that probes a replica does not send it an entry of more than 64 KiB before the answer. - A connection holds 8 MiB, or its largest message and 1 MiB, whichever of them was queued first.

The model of a connection in GroupCatchUpTest uses the scheduler of the real one; before, it was a queue.

FullPeerMeshTest takes the memory only once the keepalive of the listening side is sent, and asserts that it got it: with the keepalive counted, the reservation was refused and the test ran with free memory. Its checks are unchanged.

Not run: the other tests of programs, the soak, mixed builds.

--- a/include/damasklink/coordination/AgreementMessage.h
+++ b/include/damasklink/coordination/AgreementMessage.h
@@ -193,6 +193,8 @@
   ReplicaId to;
   Term term;
   AgreementBody body;
+  // Whether it may overtake what the sender sent before. Not sent along.
+  bool independent = false;
 
   bool operator==(const AgreementMessage&) const = default;
 };
--- a/include/damasklink/coordination/RaftCore.h
+++ b/include/damasklink/coordination/RaftCore.h
@@ -245,6 +245,7 @@
   static void RemoveInFlight(Progress& aProgress, LogIndex aUntil);
   void SendNewEntries();
   void SendHeartbeats();
+  void SendIndependentHeartbeat(ReplicaId aTo, const Progress& aProgress);
   void SendAppend(ReplicaId aTo, Progress& aProgress, bool aHeartbeat);
   void StartSnapshot(Progress& aProgress);
   void SendSnapshotPiece(ReplicaId aTo, Progress& aProgress);
--- a/include/damasklink/protocol/Envelope.h
+++ b/include/damasklink/protocol/Envelope.h
@@ -16,6 +16,12 @@
   std::uint8_t channel = 0;
   GroupId group;
   std::string payload;
+  // Whether the sender puts fragments together.
+  bool takesFragments = false;
+  // Of which message of this connection the payload is a fragment, and the bytes of that message.
+  // Zero for a whole message.
+  std::uint64_t message = 0;
+  std::uint64_t totalBytes = 0;
 
   bool operator==(const Envelope&) const = default;
 };
--- a/include/damasklink/transport/EventLoop.h
+++ b/include/damasklink/transport/EventLoop.h
@@ -65,6 +65,11 @@
   LogRefusedOption("SO_RCVBUF", error);
 }
 
+// Leaves what is not sent yet with this process (TCP_NOTSENT_LOWAT), which can still put an urgent
+// message before it.
+void
+LimitUnsent(TcpSocket& aSocket);
+
 // Disables Nagle's algorithm (TCP_NODELAY), so that small writes are sent immediately.
 void
 SetNoDelay(TcpSocket& aSocket);
--- a/include/damasklink/transport/PeerMesh.h
+++ b/include/damasklink/transport/PeerMesh.h
@@ -96,9 +96,10 @@
   bool HasUnsent() const;
 
   // Sends on the connection that this side dialed, or else on the one that the peer dialed. Drops
-  // the message when neither is up. When more than 8 MiB would be queued, or 1 MiB behind a larger
+  // the message when neither is up. When more than 8 MiB would be queued, or 1 MiB beside a larger
   // message, or there is no memory for it, it also closes the connection: on a new one the peer is
-  // sent its full state again.
+  // sent its full state again. A large message does not delay those of other channels, groups and
+  // streams, unless the peer does not take fragments.
   void Send(const HostId& aTo, PeerMessage aMessage) override;
 
   // Closes all connections. The handler is not called any more.
--- a/include/damasklink/transport/PeerNetwork.h
+++ b/include/damasklink/transport/PeerNetwork.h
@@ -31,12 +31,23 @@
 std::string_view
 ChannelName(Channel aChannel);
 
+// What a message waits for. Messages of the same channel, group and stream arrive in the order in
+// which they were sent; others may overtake a large message.
+enum class MessageStream : std::uint8_t
+{
+  Main,
+  Proposals,
+  // Messages that are valid whatever arrives before them.
+  Independent,
+};
+
 // A message between two hosts. The payload is a FlatBuffer whose schema depends on the channel.
 struct PeerMessage
 {
   Channel channel = Channel::Membership;
   GroupId group;
   std::string payload;
+  MessageStream stream = MessageStream::Main;
 };
 
 // Sends to peers without blocking. Messages may be lost, repeated after a reconnect or reordered
--- a/src/coordination/RaftLeader.cpp
+++ b/src/coordination/RaftLeader.cpp
@@ -20,6 +20,16 @@
     std::chrono::duration_cast<std::chrono::nanoseconds>(aTime.time_since_epoch()).count());
 }
 
+std::size_t
+BytesOf(const std::vector<LogEntry>& aEntries)
+{
+  std::size_t bytes = 0;
+  for (const LogEntry& entry : aEntries) {
+    bytes += entry.command.size();
+  }
+  return bytes;
+}
+
 MonotonicTime
 DecodeSentAt(std::uint64_t aNanoseconds)
 {
@@ -100,10 +110,30 @@
 {
   this->heartbeatAt = this->clock.MonotonicNow() + this->options.timing.heartbeat;
   for (auto& [replica, peer] : this->progress) {
+    this->SendIndependentHeartbeat(replica, peer);
     this->SendAppend(replica, peer, true);
   }
 }
 
+// A heartbeat behind the entries that are on their way is late if these take long. This one refers
+// only to what the replica has acknowledged, so it is accepted before they arrive.
+void
+RaftCore::SendIndependentHeartbeat(ReplicaId aTo, const Progress& aProgress)
+{
+  const std::optional<Term> matchTerm = this->log.TermAt(aProgress.match);
+  if (aProgress.inFlight.empty() || !matchTerm) {
+    return;
+  }
+  AppendRequest request;
+  request.previousIndex = aProgress.match;
+  request.previousTerm = *matchTerm;
+  request.committed = this->committed;
+  request.sentAt = EncodeSentAt(this->clock.MonotonicNow());
+  AgreementMessage message = this->MakeMessage(aTo, aProgress.host, std::move(request));
+  message.independent = true;
+  this->outbox.push_back(std::move(message));
+}
+
 // What is sent at once waits in the connection, which is closed if too much does.
 bool
 RaftCore::HasRoom(const Progress& aProgress) const
@@ -116,10 +146,8 @@
 RaftCore::AddInFlight(Progress& aProgress, const std::vector<LogEntry>& aEntries)
 {
   SentEntries sent;
-  for (const LogEntry& entry : aEntries) {
-    sent.last = entry.index;
-    sent.bytes += entry.command.size();
-  }
+  sent.last = aEntries.back().index;
+  sent.bytes = BytesOf(aEntries);
   aProgress.bytesInFlight += sent.bytes;
   aProgress.inFlight.push_back(sent);
 }
@@ -166,6 +194,10 @@
     // to it.
     request.entries = this->log.From(aProgress.next, this->options.maxMessageBytes);
   }
+  if (aProgress.probing && BytesOf(request.entries) > this->options.maxMessageBytes) {
+    // Each heartbeat would repeat it until it is answered.
+    request.entries.clear();
+  }
   if (!aProgress.probing && !request.entries.empty()) {
     aProgress.next = request.entries.back().index.Next();
     AddInFlight(aProgress, request.entries);
--- a/src/program/AgreementModule.cpp
+++ b/src/program/AgreementModule.cpp
@@ -29,6 +29,19 @@
   return RaftTiming{ aTimeouts.heartbeat, aTimeouts.electionLeast, aTimeouts.electionMost };
 }
 
+// A leader concludes from the answer to an append request that those before it were lost, so these
+// stay in order. Proposals stay in order among themselves.
+MessageStream
+StreamOf(const AgreementMessage& aMessage)
+{
+  if (std::holds_alternative<ForwardedProposal>(aMessage.body)) {
+    return MessageStream::Proposals;
+  }
+  const bool ordered = std::holds_alternative<AppendRequest>(aMessage.body) ||
+                       std::holds_alternative<SnapshotPiece>(aMessage.body);
+  return ordered && !aMessage.independent ? MessageStream::Main : MessageStream::Independent;
+}
+
 AgreementOptions
 OptionsOf(const HostContext& aContext)
 {
@@ -377,7 +390,9 @@
     this->toSelf.push_back(std::move(aMessage));
     return;
   }
-  PeerMessage message{ Channel::Agreement, aMessage.group, EncodeAgreementMessage(aMessage) };
+  PeerMessage message{
+    Channel::Agreement, aMessage.group, EncodeAgreementMessage(aMessage), StreamOf(aMessage)
+  };
   this->options.peers.Send(aMessage.toHost, std::move(message));
 }
 
--- a/src/protocol/Envelope.cpp
+++ b/src/protocol/Envelope.cpp
@@ -18,8 +18,15 @@
   const auto group = builder.CreateString(aEnvelope.group.Value());
   const auto* bytes = reinterpret_cast<const std::uint8_t*>(aEnvelope.payload.data());
   const auto payload = builder.CreateVector(bytes, aEnvelope.payload.size());
-  const auto envelope =
-    wire::CreateEnvelope(builder, kWireVersion, from, aEnvelope.channel, group, payload);
+  const auto envelope = wire::CreateEnvelope(builder,
+                                             kWireVersion,
+                                             from,
+                                             aEnvelope.channel,
+                                             group,
+                                             payload,
+                                             aEnvelope.takesFragments,
+                                             aEnvelope.message,
+                                             aEnvelope.totalBytes);
   wire::FinishEnvelopeBuffer(builder, envelope);
   return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
 }
@@ -50,6 +57,9 @@
     const auto* payload = reinterpret_cast<const char*>(envelope->payload()->data());
     decoded.payload.assign(payload, envelope->payload()->size());
   }
+  decoded.takesFragments = envelope->takes_fragments();
+  decoded.message = envelope->message();
+  decoded.totalBytes = envelope->total_bytes();
   return decoded;
 }
 
--- a/src/transport/EventLoop.cpp
+++ b/src/transport/EventLoop.cpp
@@ -52,6 +52,16 @@
   LogRefusedOption("TCP_NODELAY", error);
 }
 
+void
+LimitUnsent(TcpSocket& aSocket)
+{
+  constexpr int kUnsentBytes = 64 * 1024;
+  using UnsentLimit = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
+  IoError error;
+  aSocket.set_option(UnsentLimit(kUnsentBytes), error);
+  LogRefusedOption("TCP_NOTSENT_LOWAT", error);
+}
+
 void
 LogRefusedOption(std::string_view aOption, const IoError& aError)
 {
--- a/src/transport/PeerMesh.cpp
+++ b/src/transport/PeerMesh.cpp
@@ -4,11 +4,11 @@
 #include <sys/ioctl.h>
 
 #include <algorithm>
-#include <deque>
 
 #include "damasklink/protocol/Envelope.h"
 #include "damasklink/state/Text.h"
 #include "damasklink/transport/FrameCodec.h"
+#include "damasklink/transport/FrameScheduler.h"
 #include "damasklink/transport/Log.h"
 
 namespace damasklink {
@@ -18,9 +18,9 @@
 // snapshot chunk, and small compared to the memory of a control host.
 constexpr std::size_t kMaxQueuedBytes = 8 * kMebibyte;
 
-// Limit of the bytes queued behind a larger message that is being written. Keepalives and reports
-// do not wait for it, and must not close the connection that it is sent on.
-constexpr std::size_t kMaxBytesBehindLarge = kMebibyte;
+// Limit of the bytes queued beside a larger message. Neither may close the connection because of
+// the other.
+constexpr std::size_t kMaxBytesBesideLarge = kMebibyte;
 
 // Copies of a frame that exist while its message is taken out of it.
 constexpr std::size_t kFrameCopies = 2;
@@ -30,8 +30,8 @@
 constexpr Duration kMemoryCheckInterval = std::chrono::milliseconds(20);
 constexpr int kMaxMemoryChecks = 50;
 
-// The buffer of written frames is given back if it is larger.
-constexpr std::size_t kKeptBufferBytes = std::size_t{ 64 } * 1024;
+// Bytes that are handed to the connection at once. What comes later waits for them.
+constexpr std::size_t kWriteBytes = std::size_t{ 64 } * 1024;
 
 } // namespace
 
@@ -46,6 +46,7 @@
     , silenceTimer(this->socket.get_executor())
     , memoryTimer(this->socket.get_executor())
     , side(aSide)
+    , scheduler(aMesh.self)
     , queueMemory(*aMesh.memory.TryReserve(MemoryUse::PeerQueues, 0))
     , frameMemory(*aMesh.memory.TryReserve(MemoryUse::PeerFrames, 0))
   {
@@ -68,7 +69,7 @@
     }
     int unacknowledged = 0;
     ::ioctl(this->socket.native_handle(), SIOCOUTQ, &unacknowledged);
-    return this->queuedBytes > 0 || unacknowledged > 0;
+    return this->QueuedBytes() > 0 || unacknowledged > 0;
   }
   bool IsClosed() const { return this->closed; }
 
@@ -96,37 +97,39 @@
       return;
     }
     SetNoDelay(this->socket);
+    LimitUnsent(this->socket);
     SetSendTimeout(this->socket, this->mesh.timing.silenceTimeout);
     this->up = true;
     this->RestartSilenceTimer();
     this->ReadNext();
     this->ScheduleKeepalive();
     if (this->side == LinkSide::Dialed) {
+      this->SendKeepalive();
       this->mesh.OnLinkUp(this->shared_from_this());
     }
   }
 
-  void Send(std::string aFrame)
+  void Send(PeerMessage aMessage)
   {
     if (!this->IsUp()) {
       return;
     }
-    const std::size_t queued = this->queuedBytes + aFrame.size();
-    const bool tooMuch = this->queuedBytes > 0 && queued > this->MaxQueuedBytes();
+    const std::size_t bytes = FrameScheduler::BytesOf(aMessage);
+    const std::size_t queued = this->QueuedBytes() + bytes;
+    const bool tooMuch = this->QueuedBytes() > 0 && queued > this->MaxQueuedBytes(bytes);
     if (tooMuch || !this->queueMemory.TryResize(queued)) {
       // The peer would not notice the lost message. On a new connection it is sent its full state
       // again.
       LogEvent(LogLevel::Warning, "peer_message_dropped")
         .With("peer", this->peer)
-        .With("bytes", aFrame.size())
-        .With("queued", this->queuedBytes)
+        .With("bytes", bytes)
+        .With("queued", this->QueuedBytes())
         .With("held", this->mesh.memory.Held())
         .With("limit", this->mesh.memory.Limit());
       this->CloseLater(tooMuch ? "the peer does not read" : "no memory to send");
       return;
     }
-    this->queuedBytes += aFrame.size();
-    this->queue.push_back(std::move(aFrame));
+    this->scheduler.Push(std::move(aMessage));
     this->sentSinceKeepalive = true;
     this->WriteNext();
   }
@@ -143,6 +146,7 @@
     this->keepaliveTimer.cancel();
     this->silenceTimer.cancel();
     this->memoryTimer.cancel();
+    this->assembler.Clear();
     this->mesh.OnLinkDown(this->shared_from_this());
   }
 
@@ -154,6 +158,13 @@
                [self, reason = std::move(aReason)]() mutable { self->Close(std::move(reason)); });
   }
 
+  // Also tells the peer what this process understands.
+  void SendKeepalive()
+  {
+    this->Send(PeerMessage{ Channel::Serving, GroupId(), "", MessageStream::Independent });
+    this->sentSinceKeepalive = false;
+  }
+
   bool WasUp() const { return this->up; }
 
   // Logs why the connection was closed and what was in transit on it.
@@ -164,13 +175,25 @@
       .With("why", this->closeReason)
       .With("frame_bytes", this->body.size())
       .With("frame_read", this->bodyRead)
-      .With("queued", this->queuedBytes);
+      .With("queued", this->QueuedBytes());
+  }
+
+  void AllowFragments() { this->scheduler.AllowFragments(); }
+
+  Result<std::optional<Envelope>> Assemble(Envelope aEnvelope)
+  {
+    return this->assembler.Add(std::move(aEnvelope));
   }
 
 private:
-  std::size_t MaxQueuedBytes() const
+  // What waits or is being written.
+  std::size_t QueuedBytes() const { return this->scheduler.QueuedBytes() + this->outgoing.size(); }
+
+  std::size_t MaxQueuedBytes(std::size_t aAdded) const
   {
-    return std::max(kMaxQueuedBytes, this->outgoing.size() + kMaxBytesBehindLarge);
+    const std::size_t largest =
+      std::max({ aAdded, this->scheduler.LargestBytes(), this->outgoing.size() });
+    return std::max(kMaxQueuedBytes, largest + kMaxBytesBesideLarge);
   }
 
   void RestartSilenceTimer()
@@ -221,11 +244,7 @@
         return;
       }
       if (!std::exchange(self->sentSinceKeepalive, false)) {
-        Envelope envelope;
-        envelope.from = self->mesh.self;
-        envelope.channel = static_cast<std::uint8_t>(Channel::Serving);
-        self->Send(EncodeEnvelope(envelope));
-        self->sentSinceKeepalive = false;
+        self->SendKeepalive();
       }
       self->ScheduleKeepalive();
     });
@@ -255,7 +274,7 @@
       this->Close("frame too large");
       return;
     }
-    if (this->frameMemory.TryResize(kFrameCopies * length)) {
+    if (this->frameMemory.TryResize(kFrameCopies * (this->assembler.Bytes() + length))) {
       this->ReadBody(length);
       return;
     }
@@ -303,7 +322,7 @@
                        self->OnReceived();
                        self->bodyRead = 0;
                        self->mesh.OnFrame(self, std::exchange(self->body, {}));
-                       self->frameMemory.TryResize(0);
+                       self->frameMemory.TryResize(kFrameCopies * self->assembler.Bytes());
                        if (!self->closed) {
                          self->ReadNext();
                        }
@@ -312,31 +331,17 @@
 
   void WriteNext()
   {
-    if (this->writing || this->queue.empty() || this->closed) {
+    if (this->writing || this->scheduler.QueuedBytes() == 0 || this->closed) {
       return;
     }
     this->writing = true;
-    // Writes all queued frames at once.
-    this->outgoing.reserve(this->queuedBytes + this->queue.size() * kFramePrefixBytes);
-    for (std::string& frame : this->queue) {
-      const FramePrefix length = EncodeFrameLength(frame.size());
-      this->outgoing.append(reinterpret_cast<const char*>(length.data()), length.size());
-      this->outgoing.append(std::exchange(frame, {}));
-    }
-    this->queue.clear();
+    this->outgoing = this->scheduler.Next(kWriteBytes);
     auto self = this->shared_from_this();
     asio::async_write(
       this->socket, asio::buffer(this->outgoing), [self](const IoError& aError, std::size_t) {
         self->writing = false;
-        self->outgoing.clear();
-        if (self->outgoing.capacity() > kKeptBufferBytes) {
-          FreeText(self->outgoing);
-        }
-        self->queuedBytes = 0;
-        for (const std::string& frame : self->queue) {
-          self->queuedBytes += frame.size();
-        }
-        self->queueMemory.TryResize(self->queuedBytes);
+        FreeText(self->outgoing);
+        self->queueMemory.TryResize(self->scheduler.QueuedBytes());
         if (aError) {
           self->Close(aError.message());
         } else {
@@ -363,9 +368,10 @@
   std::string body;
   // Bytes of the body that have arrived.
   std::size_t bodyRead = 0;
+  // What is being written.
   std::string outgoing;
-  std::deque<std::string> queue;
-  std::size_t queuedBytes = 0;
+  FrameScheduler scheduler;
+  FragmentAssembler assembler;
   // What the queue and the frame that is being read count.
   MemoryReservation queueMemory;
   MemoryReservation frameMemory;
@@ -507,12 +513,7 @@
     if (found == links->end() || found->second == nullptr || !found->second->IsUp()) {
       continue;
     }
-    Envelope envelope;
-    envelope.from = this->self;
-    envelope.channel = static_cast<std::uint8_t>(aMessage.channel);
-    envelope.group = std::move(aMessage.group);
-    envelope.payload = std::move(aMessage.payload);
-    found->second->Send(EncodeEnvelope(envelope));
+    found->second->Send(std::move(aMessage));
     return;
   }
 }
@@ -605,15 +606,29 @@
       old->Close("the peer reconnected");
     }
     this->accepted[decoded.from] = aLink;
+    aLink->SendKeepalive();
     this->OnLinkUp(aLink);
   }
+  if (decoded.takesFragments) {
+    aLink->AllowFragments();
+  }
   if (decoded.payload.empty()) {
     return;
   }
+  auto assembled = aLink->Assemble(std::move(decoded));
+  if (!assembled) {
+    LogEvent(LogLevel::Warning, "peer_frame_refused").With("error", assembled.error());
+    aLink->Close("unreadable frame");
+    return;
+  }
+  if (!assembled.value()) {
+    return;
+  }
+  Envelope& whole = *assembled.value();
   PeerMessage message;
-  message.channel = static_cast<Channel>(decoded.channel);
-  message.group = std::move(decoded.group);
-  message.payload = std::move(decoded.payload);
+  message.channel = static_cast<Channel>(whole.channel);
+  message.group = std::move(whole.group);
+  message.payload = std::move(whole.payload);
   this->handler.OnPeerMessage(aLink->Peer(), std::move(message));
 }
 
--- a/test/program/GroupCatchUpTest.cpp
+++ b/test/program/GroupCatchUpTest.cpp
@@ -1,11 +1,13 @@
 // Three control hosts whose connections hold a limited number of bytes, in virtual time.
 #include <atomic>
-#include <deque>
+#include <functional>
 #include <map>
 
 #include <gtest/gtest.h>
 
 #include "damasklink/coordination/ServingStateMachine.h"
+#include "damasklink/transport/FrameCodec.h"
+#include "damasklink/transport/FrameScheduler.h"
 #include "program/AgreementModule.h"
 #include "support/TempFolder.h"
 
@@ -15,7 +17,8 @@
 using testing::FolderInMemory;
 using testing::TempFolder;
 
-// What a connection between hosts holds before it is closed.
+// What a connection between hosts takes at once, and holds before it is closed.
+constexpr std::size_t kWriteBytes = std::size_t{ 64 } * 1024;
 constexpr std::size_t kQueueBytes = std::size_t{ 8 } * 1024 * 1024;
 
 // 100 Mbit/s, and 10 Mbit/s, the least that control hosts have.
@@ -44,13 +47,12 @@
   void Send(const HostId& aTo, PeerMessage aMessage) override
   {
     Connection& connection = this->connections[aTo];
-    const std::size_t bytes = aMessage.payload.size();
-    connection.closing |= connection.bytes > 0 && connection.bytes + bytes > kQueueBytes;
-    if (connection.closing) {
-      return;
+    const std::size_t before = connection.scheduler.QueuedBytes();
+    const std::size_t bytes = FrameScheduler::BytesOf(aMessage);
+    connection.closing |= before > 0 && before + bytes > kQueueBytes;
+    if (!connection.closing) {
+      connection.scheduler.Push(std::move(aMessage));
     }
-    connection.bytes += bytes;
-    connection.queue.push_back(std::move(aMessage));
   }
 
   // Returns what arrives at the peer within aTime.
@@ -65,16 +67,14 @@
     }
     const double seconds = std::chrono::duration<double>(aTime).count();
     connection.credit += seconds * aBytesPerSecond;
-    while (!connection.queue.empty() &&
-           connection.credit >= static_cast<double>(connection.queue.front().payload.size())) {
-      const std::size_t bytes = connection.queue.front().payload.size();
-      connection.credit -= static_cast<double>(bytes);
-      connection.bytes -= bytes;
-      arrived.push_back(std::move(connection.queue.front()));
-      connection.queue.pop_front();
-    }
-    if (connection.queue.empty()) {
-      connection.credit = 0;
+    while (connection.credit >= static_cast<double>(connection.writing.size())) {
+      connection.credit -= static_cast<double>(connection.writing.size());
+      Receive(connection, arrived);
+      connection.writing = connection.scheduler.Next(kWriteBytes);
+      if (connection.writing.empty()) {
+        connection.credit = 0;
+        break;
+      }
     }
     return arrived;
   }
@@ -84,12 +84,34 @@
 private:
   struct Connection
   {
-    std::deque<PeerMessage> queue;
-    std::size_t bytes = 0;
+    Connection() { this->scheduler.AllowFragments(); }
+
+    FrameScheduler scheduler{ HostId("sender") };
+    FragmentAssembler assembler;
+    std::string writing;
     double credit = 0;
     bool closing = false;
   };
 
+  // Takes the messages out of the bytes that have arrived.
+  static void Receive(Connection& aConnection, std::vector<PeerMessage>& aArrived)
+  {
+    std::string_view bytes = aConnection.writing;
+    while (!bytes.empty()) {
+      FramePrefix prefix{};
+      std::copy_n(bytes.begin(), prefix.size(), prefix.begin());
+      const std::size_t length = DecodeFrameLength(prefix);
+      auto envelope = DecodeEnvelope(bytes.substr(prefix.size(), length));
+      auto whole = aConnection.assembler.Add(std::move(envelope.value()));
+      if (whole.value()) {
+        aArrived.push_back(PeerMessage{ static_cast<Channel>(whole.value()->channel),
+                                        whole.value()->group,
+                                        whole.value()->payload });
+      }
+      bytes.remove_prefix(prefix.size() + length);
+    }
+  }
+
   std::map<HostId, Connection> connections;
 };
 
@@ -199,23 +221,44 @@
     std::uint64_t open = 0;
     while (this->acknowledged < last) {
       for (; open < kMaxOpen && this->version < last; ++open) {
-        const Revision next(++this->version);
-        const ServingCommand command = PutDocument{ next, std::string(this->documentBytes, 'x') };
-        this->hosts.at(aHost)->module.Propose(ControlGroupId(),
-                                              StateMachineId::Serving,
-                                              EncodeServingCommand(command),
-                                              std::chrono::seconds(60),
-                                              [&, next](const Result<std::string>& aAnswer) {
-                                                EXPECT_TRUE(aAnswer);
-                                                --open;
-                                                this->acknowledged =
-                                                  std::max(this->acknowledged, next.Value());
-                                              });
+        this->Propose(aHost, [&] { --open; });
       }
       this->Step();
     }
   }
 
+  // Sends the next change through one host.
+  void Propose(
+    const HostId& aHost,
+    std::function<void()> aDone = [] {})
+  {
+    const Revision next(++this->version);
+    const ServingCommand command = PutDocument{ next, std::string(this->documentBytes, 'x') };
+    this->hosts.at(aHost)->module.Propose(
+      ControlGroupId(),
+      StateMachineId::Serving,
+      EncodeServingCommand(command),
+      std::chrono::seconds(60),
+      [this, next, done = std::move(aDone)](const Result<std::string>& aAnswer) {
+        EXPECT_TRUE(aAnswer);
+        this->acknowledged = std::max(this->acknowledged, next.Value());
+        done();
+      });
+  }
+
+  HostId Leader()
+  {
+    for (const PeerSettings& peer : this->peers) {
+      if (this->CoreOf(peer.host).Role() == RaftRole::Leader) {
+        return peer.host;
+      }
+    }
+    ADD_FAILURE() << "no leader";
+    return this->a;
+  }
+
+  HostId Follower() { return this->Leader() == this->a ? this->b : this->a; }
+
   const RaftCore& CoreOf(const HostId& aHost)
   {
     return this->hosts.at(aHost)->module.ReplicaOf(ControlGroupId())->Core();
@@ -283,13 +326,69 @@
 TEST_F(GroupCatchUpTest, LargeChangesThroughAFollowerReachTheLeader)
 {
   this->documentBytes = std::size_t{ 1'250'000 };
-  const HostId follower = this->CoreOf(this->a).Role() == RaftRole::Leader ? this->b : this->a;
+  const HostId follower = this->Follower();
   const MonotonicTime begun = this->clock.MonotonicNow();
   this->Change(follower, 8);
   EXPECT_LT(this->clock.MonotonicNow() - begun, kAcknowledgement);
   EXPECT_EQ(this->ClosedConnections(), 0U);
 }
 
+// Guards against a leader that loses its role, and a host that takes itself to be cut off, because
+// heartbeats wait behind a large change on a slow link.
+TEST_F(GroupCatchUpTest, LeaderKeepsItsRoleWhileALargeChangeIsSent)
+{
+  const HostId leader = this->Leader();
+  const Term term = this->CoreOf(leader).CurrentTerm();
+  this->linkBytesPerSecond = kSlowLinkBytesPerSecond;
+  this->documentBytes = std::size_t{ 4 } * 1024 * 1024;
+  this->Propose(leader);
+  int steps = 0;
+  while (this->acknowledged < this->version) {
+    this->Step();
+    ASSERT_EQ(this->CoreOf(leader).CurrentTerm(), term);
+    // What is committed by a message is delivered at the next tick; there is no lease in between.
+    steps = this->CoreOf(leader).LeaseHeld() ? 0 : steps + 1;
+    ASSERT_LT(steps, 2);
+  }
+  EXPECT_EQ(this->ClosedConnections(), 0U);
+}
+
+// Guards against the same where the change comes through another host.
+TEST_F(GroupCatchUpTest, LeaderKeepsItsRoleWhileAFollowerSendsItALargeChange)
+{
+  const HostId leader = this->Leader();
+  const Term term = this->CoreOf(leader).CurrentTerm();
+  this->linkBytesPerSecond = kSlowLinkBytesPerSecond;
+  this->documentBytes = std::size_t{ 1'250'000 };
+  for (const PeerSettings& peer : this->peers) {
+    if (peer.host != leader) {
+      this->Propose(peer.host);
+    }
+  }
+  int steps = 0;
+  while (this->acknowledged < this->version) {
+    this->Step();
+    ASSERT_EQ(this->CoreOf(leader).CurrentTerm(), term);
+    // What is committed by a message is delivered at the next tick; there is no lease in between.
+    steps = this->CoreOf(leader).LeaseHeld() ? 0 : steps + 1;
+    ASSERT_LT(steps, 2);
+  }
+}
+
+// Guards against an empty disk that takes longer than allowed because heartbeats, and what repeats
+// with them, wait behind a large change.
+TEST_F(GroupCatchUpTest, HostThatLostItsDiskVotesAgainWithALargeDocumentOverASlowLink)
+{
+  this->documentBytes = std::size_t{ 1'250'000 };
+  this->Change(this->Leader(), 3);
+  this->linkBytesPerSecond = kSlowLinkBytesPerSecond;
+  const HostId follower = this->Follower();
+  this->ReplaceDisk(follower);
+  EXPECT_TRUE(this->CoreOf(follower).IsVoter());
+  EXPECT_EQ(this->hosts.at(follower)->machine.Version(), Revision(3));
+  EXPECT_EQ(this->ClosedConnections(), 0U);
+}
+
 // Guards against a group without a leader after a second disk is lost while all processes end.
 TEST_F(GroupCatchUpTest, SecondLostDiskWithAllProcessesKilledLeavesALeaderAndTheNewestDocument)
 {
--- a/test/transport/PeerMeshTest.cpp
+++ b/test/transport/PeerMeshTest.cpp
@@ -5,7 +5,9 @@
 
 #include <gtest/gtest.h>
 
+#include "damasklink/protocol/Envelope.h"
 #include "damasklink/state/Units.h"
+#include "damasklink/transport/FrameCodec.h"
 #include "support/OwnAddress.h"
 #include "support/SlowLink.h"
 
@@ -243,6 +245,63 @@
   EXPECT_EQ(this->secondHandler.payloads.back(), "behind");
 }
 
+// Guards against heartbeats and votes that wait behind a large message for longer than an election
+// timeout.
+TEST_F(PeerMeshTest, SmallMessagesPassALargeOneOfAnotherChannel)
+{
+  testing::SlowLink link(1'250'000);
+  const std::uint16_t relayed = FreeEndpoint(this->second.Value()).port;
+  link.Relay(Endpoint{ this->second.Value(), relayed },
+             Endpoint{ this->second.Value(), this->port });
+  link.Start();
+  PeerMesh dialer(
+    this->loop, this->first, relayed, this->memory, this->firstHandler, LongTimeout());
+  PeerMesh listener(
+    this->loop, this->second, this->port, this->memory, this->secondHandler, LongTimeout());
+  ASSERT_TRUE(listener.Listen());
+  dialer.Dial(this->second);
+  this->RunUntil([&] { return listener.IsUp(this->first); });
+  const std::string large(3 * kMebibyte, 'x');
+  listener.Send(this->first, Message(large));
+  listener.Send(this->first, Message("behind"));
+  listener.Send(this->first, PeerMessage{ Channel::Agreement, GroupId(), "heartbeat" });
+  this->RunUntil([&] { return !this->firstHandler.payloads.empty(); });
+  EXPECT_EQ(this->firstHandler.payloads.front(), "heartbeat");
+  EXPECT_LT(link.Received(), kMebibyte);
+  this->RunUntil([&] { return this->firstHandler.payloads.size() == 3; });
+  EXPECT_TRUE(this->firstHandler.payloads[1] == large);
+  EXPECT_EQ(this->firstHandler.payloads[2], "behind");
+}
+
+// Guards against fragments for a process of an earlier version, which takes each for a message.
+TEST_F(PeerMeshTest, PeerThatDoesNotTakeFragmentsIsSentWholeMessages)
+{
+  PeerMesh listener(
+    this->loop, this->second, this->port, this->memory, this->secondHandler, LongTimeout());
+  ASSERT_TRUE(listener.Listen());
+  TcpSocket earlier(this->loop);
+  earlier.connect(TcpEndpoint(asio::ip::make_address(this->second.Value()), this->port));
+  Envelope envelope;
+  envelope.from = this->first;
+  const std::string hello = EncodeEnvelope(envelope);
+  asio::write(earlier, asio::buffer(EncodeFrameLength(hello.size())));
+  asio::write(earlier, asio::buffer(hello));
+  this->RunUntil([&] { return listener.IsUp(this->first); });
+  const std::string large(kMebibyte, 'x');
+  listener.Send(this->first, Message(large));
+  std::thread running([&] { this->loop.run_for(std::chrono::seconds(1)); });
+  std::string payload;
+  while (payload.empty()) {
+    FramePrefix prefix{};
+    asio::read(earlier, asio::buffer(prefix));
+    std::string frame(DecodeFrameLength(prefix), '\0');
+    asio::read(earlier, asio::buffer(frame));
+    payload = DecodeEnvelope(frame).value().payload;
+  }
+  running.join();
+  EXPECT_TRUE(payload == large);
+}
+
 // Guards against connections that are closed as silent although bytes of the peer wait to be read:
 // the loop was busy, or the process suspended, while the timeout expired. What was sent on such a
 // connection is lost.
@@ -314,8 +373,9 @@
   {
     EXPECT_TRUE(this->listener.Listen());
     this->dialer.Dial(this->second);
-    this->RunUntil([&] { return this->listener.IsUp(this->first); });
+    this->RunUntil([&] { return this->listener.IsUp(this->first) && this->little.Held() == 0; });
     this->taken = this->little.TryReserve(MemoryUse::Responses, this->little.Limit() * 7 / 8);
+    EXPECT_TRUE(this->taken.has_value());
   }
 
   MemoryBudget little{ ByteCount(16 * kMebibyte) };
