--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -292,8 +292,9 @@
                         b"",
                     )
                 else:
-                    request = fields["x-request-id"]
-                    self.arrived.append((self.deployment.record.now(), request))
+                    request = fields.get("x-request-id", "")
+                    if not path.startswith("/-/"):
+                        self.arrived.append((self.deployment.record.now(), request))
                     await self.run(request, method, path, fields, body, writer)
                 await writer.drain()
         except (OSError, EOFError, asyncio.IncompleteReadError, asyncio.CancelledError):
