--- a/review/5/case.py
+++ b/review/5/case.py
@@ -5,6 +5,7 @@
 import random
 import sys
 
+sys.dont_write_bytecode = True
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import harness_2 as harness  # noqa: E402
 
