Keep a workspace's cached parts from others once it is isolated

Cause: the scope under which shared parts are cached did not depend on which workspaces are isolated.

The scope of shared parts now contains a digest of the set of isolated workspaces. Whoever writes under a digest is not in its set, whatever changes came before, and there is no state to lose. It is taken from the newest configuration with each attempt: a call that is sent again after a change used the former scope, too.

--- a/include/damasklink/coordination/PromptParts.h
+++ b/include/damasklink/coordination/PromptParts.h
@@ -21,6 +21,8 @@
   WorkspaceId isolatedWorkspace;
   // The regions that the call may not leave, as one text; empty if it is unrestricted.
   std::string allowedRegions;
+  // Set only for parts that workspaces share: RouteTable::IsolationDigest().
+  std::string isolationDigest;
 
   bool operator==(const PartScope&) const = default;
 };
--- a/include/damasklink/coordination/RouteTable.h
+++ b/include/damasklink/coordination/RouteTable.h
@@ -30,12 +30,18 @@
 
   const ServingConfig& Config() const { return *this->config; }
 
+  // Returns a digest of the set of isolated workspaces, which is empty if there are none. Parts of
+  // prompts that are shared under one digest were made by workspaces that are not in its set, so a
+  // workspace that becomes isolated leaves nothing behind that the others still use.
+  const std::string& IsolationDigest() const { return this->isolationDigest; }
+
 private:
   std::shared_ptr<const ServingConfig> config;
   // By the concatenation of host and prefix. Unambiguous: a prefix begins with a slash, and no host
   // contains one.
   absl::flat_hash_map<std::string, const ServingRoute*> routes;
   absl::flat_hash_map<std::string, const WorkspaceEntry*> workspaces;
+  std::string isolationDigest;
 };
 
 // Returns the service of the route for a call with this number. The same number always selects the
--- a/src/coordination/PromptParts.cpp
+++ b/src/coordination/PromptParts.cpp
@@ -10,8 +10,19 @@
 
 namespace {
 
-// Separates the workspace from the allowed regions, if there are any.
-constexpr char kAllowedRegionsSeparator = ';';
+// Separates the workspace, the allowed regions and the isolation digest. Empty ones at the end are
+// left out.
+constexpr char kFieldSeparator = ';';
+
+// Returns the text up to the next separator and removes both from aRest.
+std::string
+TakeField(std::string_view& aRest)
+{
+  const std::size_t separator = aRest.find(kFieldSeparator);
+  std::string field(aRest.substr(0, separator));
+  aRest.remove_prefix(separator == std::string_view::npos ? aRest.size() : separator + 1);
+  return field;
+}
 
 } // namespace
 
@@ -20,8 +31,11 @@
 {
   std::string scope =
     Concat(aScope.model.Value(), "/", aScope.weights, "/", aScope.isolatedWorkspace.Value());
-  if (!aScope.allowedRegions.empty()) {
-    scope += kAllowedRegionsSeparator + aScope.allowedRegions;
+  if (!aScope.allowedRegions.empty() || !aScope.isolationDigest.empty()) {
+    scope += kFieldSeparator + aScope.allowedRegions;
+  }
+  if (!aScope.isolationDigest.empty()) {
+    scope += kFieldSeparator + aScope.isolationDigest;
   }
   return scope;
 }
@@ -38,12 +52,10 @@
   }
   PartScope scope;
   scope.model = ModelName(std::string(aText.substr(0, middle)));
-  const std::string_view owner = aText.substr(last + 1);
-  const std::size_t separator = owner.find(kAllowedRegionsSeparator);
-  scope.isolatedWorkspace = WorkspaceId(std::string(owner.substr(0, separator)));
-  if (separator != std::string_view::npos) {
-    scope.allowedRegions = std::string(owner.substr(separator + 1));
-  }
+  std::string_view fields = aText.substr(last + 1);
+  scope.isolatedWorkspace = WorkspaceId(TakeField(fields));
+  scope.allowedRegions = TakeField(fields);
+  scope.isolationDigest = TakeField(fields);
   const std::string_view version = aText.substr(middle + 1, last - middle - 1);
   const char* end = version.data() + version.size();
   const auto [stop, error] = std::from_chars(version.data(), end, scope.weights);
--- a/src/coordination/RouteTable.cpp
+++ b/src/coordination/RouteTable.cpp
@@ -1,13 +1,43 @@
 #include "damasklink/coordination/RouteTable.h"
 
+#include <set>
+
 #include <absl/strings/ascii.h>
 
+#include "damasklink/state/Bytes.h"
+#include "damasklink/state/Digests.h"
 #include "damasklink/state/Text.h"
 
 namespace damasklink {
+namespace {
+
+// Hex digits of the digest that are kept. It is sent with each call that contains a prompt.
+constexpr std::size_t kDigestDigits = 16;
+
+std::string
+DigestOfIsolated(const std::vector<WorkspaceEntry>& aWorkspaces)
+{
+  std::set<std::string> isolated;
+  for (const WorkspaceEntry& workspace : aWorkspaces) {
+    if (workspace.isolated) {
+      isolated.insert(workspace.name.Value());
+    }
+  }
+  if (isolated.empty()) {
+    return "";
+  }
+  ByteWriter writer;
+  for (const std::string& name : isolated) {
+    writer.Text(name);
+  }
+  return DigestOf(writer.Take()).Value().substr(0, kDigestDigits);
+}
+
+} // namespace
 
 RouteTable::RouteTable(std::shared_ptr<const ServingConfig> aConfig)
   : config(std::move(aConfig))
+  , isolationDigest(DigestOfIsolated(this->config->workspaces))
 {
   for (const ServingRoute& route : this->config->routes) {
     const std::string host = absl::AsciiStrToLower(ForAbsl(route.host));
--- a/src/program/Exchange.h
+++ b/src/program/Exchange.h
@@ -385,6 +385,7 @@
   // Returns whether the request, or a part of its prompt, is known to crash targets, so that it
   // must not be sent.
   bool IsKnownToCrash();
+  PartScope MakePartScope(std::uint64_t aWeights) const;
   void PrepareSelection(std::uint64_t aWeights);
   std::uint64_t NewestWeightVersion();
   void OnInterrupt(Interrupt aReason);
--- a/src/program/ExchangeRouting.cpp
+++ b/src/program/ExchangeRouting.cpp
@@ -72,8 +72,28 @@
 
 } // namespace
 
+// Returns the scope of the call's parts under the newest configuration: workspaces may have become
+// isolated while the call waited.
+PartScope
+Exchange::MakePartScope(std::uint64_t aWeights) const
+{
+  const std::shared_ptr<const RouteTable>& newest = this->context.state.Routes();
+  PartScope made{ this->call.model, aWeights, WorkspaceId(), this->allowedRegions.Text(), "" };
+  if (this->workspace != nullptr) {
+    const WorkspaceEntry* current = newest->FindWorkspace(this->call.key);
+    // A workspace whose key is gone may be isolated by now.
+    const bool known = current != nullptr && current->name == this->workspace->name;
+    const bool isolated = this->workspace->isolated || !known || current->isolated;
+    made.isolatedWorkspace = isolated ? this->workspace->name : WorkspaceId();
+  }
+  if (made.isolatedWorkspace.Empty()) {
+    made.isolationDigest = newest->IsolationDigest();
+  }
+  return made;
+}
+
 // Fills the selection request for targets with this version of weights. Part keys depend on the
-// weights, the allowed regions and, if the workspace is isolated, the workspace.
+// scope of the parts, which contains the weights.
 void
 Exchange::PrepareSelection(std::uint64_t aWeights)
 {
@@ -87,10 +107,7 @@
   }
   this->selection.parts.clear();
   this->selection.stored.clear();
-  const bool isolated = this->workspace != nullptr && this->workspace->isolated;
-  const WorkspaceId isolatedWorkspace = isolated ? this->workspace->name : WorkspaceId();
-  this->scope = CacheScope(FormatPartScope(
-    PartScope{ this->call.model, aWeights, isolatedWorkspace, this->allowedRegions.Text() }));
+  this->scope = CacheScope(FormatPartScope(this->MakePartScope(aWeights)));
   // The last part is specific to this call, so no other call could reuse it.
   for (std::size_t index = 0; index + 1 < this->call.parts.size(); ++index) {
     const PromptPart& part = this->call.parts[index];
--- a/test/coordination/PromptPartsTest.cpp
+++ b/test/coordination/PromptPartsTest.cpp
@@ -21,6 +21,16 @@
   EXPECT_FALSE(ParsePartScope("/"));
 }
 
+TEST(PromptPartsTest, SharedScopesDifferByIsolationDigest)
+{
+  const PartScope all{ ModelName("m"), 3, WorkspaceId(), "", "" };
+  const PartScope some{ ModelName("m"), 3, WorkspaceId(), "", "12ab" };
+  const PartScope restricted{ ModelName("m"), 3, WorkspaceId(), "north", "12ab" };
+  EXPECT_NE(FormatPartScope(all), FormatPartScope(some));
+  EXPECT_EQ(ParsePartScope(FormatPartScope(some)), some);
+  EXPECT_EQ(ParsePartScope(FormatPartScope(restricted)), restricted);
+}
+
 TEST(PromptPartsTest, ScopesDifferByAllowedRegions)
 {
   const PartScope open{ ModelName("m"), 3, WorkspaceId() };
--- a/test/coordination/RouteTableTest.cpp
+++ b/test/coordination/RouteTableTest.cpp
@@ -88,6 +88,29 @@
   EXPECT_EQ(table.FindWorkspace(""), nullptr);
 }
 
+std::string
+DigestOfIsolated(const std::vector<std::string>& aIsolated, const std::vector<std::string>& aOthers)
+{
+  ServingConfig config;
+  for (const auto& [names, isolated] : { std::pair(aIsolated, true), std::pair(aOthers, false) }) {
+    for (const std::string& name : names) {
+      WorkspaceEntry workspace;
+      workspace.name = WorkspaceId(name);
+      workspace.isolated = isolated;
+      config.workspaces.push_back(workspace);
+    }
+  }
+  return RouteTable(std::make_shared<const ServingConfig>(config)).IsolationDigest();
+}
+
+TEST(IsolationDigestTest, DependsOnTheSetOfIsolatedWorkspacesOnly)
+{
+  EXPECT_EQ(DigestOfIsolated({}, { "a", "b" }), "");
+  EXPECT_EQ(DigestOfIsolated({ "a", "b" }, { "c" }), DigestOfIsolated({ "b", "a" }, {}));
+  EXPECT_NE(DigestOfIsolated({ "a" }, { "b" }), DigestOfIsolated({ "b" }, { "a" }));
+  EXPECT_NE(DigestOfIsolated({ "a", "b" }, {}), DigestOfIsolated({ "ab" }, {}));
+}
+
 TEST(ChooseServiceTest, DistributesCallsByWeight)
 {
   ServingRoute route;
