Commit departures of targets to the log before acknowledging them

Cause: departures were in the memory of control hosts only, so a late heartbeat had nothing to be compared with. Evidence: all three control hosts published the departure within 30 ms; after the restart no log has a line of the target until the late heartbeat makes it usable.

Departures, and heartbeats that say draining, are committed to the replicated log before they are acknowledged, several in one command.

--- a/include/damasklink/coordination/ServingStateMachine.h
+++ b/include/damasklink/coordination/ServingStateMachine.h
@@ -1,6 +1,7 @@
 // The serving state that control hosts replicate: the configuration document, the weight version of
 // each model, the requests that are refused because they crash targets, the evacuated availability
-// zones, and the software versions of each service that may have begun a stream.
+// zones, the software versions of each service that may have begun a stream, and the targets that
+// have departed.
 //
 // A document with a higher version replaces the current one. Any other is acknowledged without
 // effect, so that resending a change never fails. The weight version of a model increases in the
@@ -16,7 +17,9 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
+#include "damasklink/coordination/DepartedTargets.h"
 #include "damasklink/coordination/EvacuationRegistry.h"
 #include "damasklink/coordination/Replication.h"
 #include "damasklink/coordination/RequestFingerprint.h"
@@ -77,13 +80,20 @@
   SoftwareVersions versions;
 };
 
+// Records departures of targets, which are acknowledged once this is committed.
+struct RecordDepartures
+{
+  std::vector<DepartedTarget> departures;
+};
+
 using ServingCommand = std::variant<PutDocument,
                                     SetWeightVersion,
                                     ReadBarrier,
                                     RefuseRequest,
                                     ReleaseRequest,
                                     SetEvacuation,
-                                    SetSoftwareVersions>;
+                                    SetSoftwareVersions,
+                                    RecordDepartures>;
 
 std::string
 EncodeServingCommand(const ServingCommand& aCommand);
@@ -127,7 +137,9 @@
   // Returns the software versions by service; a service without any is not contained.
   const std::map<ServiceName, SoftwareVersions>& Software() const { return this->software; }
 
-  // Returns a counter that increases with each change of the state.
+  const DepartedTargets& Departed() const { return this->departed; }
+
+  // Returns a counter that increases with each change of the state, except that of departures.
   std::uint64_t Changes() const { return this->changes; }
 
 private:
@@ -140,6 +152,7 @@
   RefusedRequests refused;
   EvacuationRegistry evacuations;
   std::map<ServiceName, SoftwareVersions> software;
+  DepartedTargets departed;
   std::uint64_t changes = 0;
 };
 
--- a/src/coordination/ServingStateMachine.cpp
+++ b/src/coordination/ServingStateMachine.cpp
@@ -18,6 +18,7 @@
   ReleaseRequest = 5,
   SetEvacuation = 6,
   SetSoftwareVersions = 7,
+  RecordDepartures = 8,
 };
 
 auto
@@ -95,6 +96,28 @@
   return versions;
 }
 
+void
+WriteDepartures(ByteWriter& aWriter, const std::vector<DepartedTarget>& aDepartures)
+{
+  aWriter.Number(aDepartures.size());
+  for (const DepartedTarget& departure : aDepartures) {
+    aWriter.Text(departure.target.Value());
+    aWriter.Number(departure.incarnation.Value());
+  }
+}
+
+std::vector<DepartedTarget>
+ReadDepartures(ByteReader& aReader)
+{
+  std::vector<DepartedTarget> departures;
+  const std::uint64_t count = aReader.Number();
+  for (std::uint64_t index = 0; index < count && aReader.Ok(); ++index) {
+    const TargetId target(aReader.Text());
+    departures.push_back(DepartedTarget{ target, Incarnation(aReader.Number()) });
+  }
+  return departures;
+}
+
 std::optional<ServingCommand>
 DecodeCommand(std::string_view aBytes)
 {
@@ -130,6 +153,9 @@
       command = SetSoftwareVersions{ service, ReadVersions(reader) };
       break;
     }
+    case CommandTag::RecordDepartures:
+      command = RecordDepartures{ ReadDepartures(reader) };
+      break;
     default:
       return std::nullopt;
   }
@@ -187,6 +213,12 @@
     this->writer.Text(aCommand.service.Value());
     WriteVersions(this->writer, aCommand.versions);
   }
+
+  void operator()(const RecordDepartures& aCommand)
+  {
+    this->writer.Byte(static_cast<std::uint8_t>(CommandTag::RecordDepartures));
+    WriteDepartures(this->writer, aCommand.departures);
+  }
 };
 
 std::string
@@ -254,6 +286,10 @@
     this->changes += result == EvacuationResult::Applied ? 1 : 0;
   } else if (const auto* set = std::get_if<SetSoftwareVersions>(&*command); set != nullptr) {
     this->SetSoftware(*set);
+  } else if (const auto* record = std::get_if<RecordDepartures>(&*command); record != nullptr) {
+    for (const DepartedTarget& departure : record->departures) {
+      this->departed.Add(departure);
+    }
   }
   return EncodeResult(this->version, Outcome::Applied);
 }
@@ -304,7 +340,9 @@
   }
   const std::map<ZoneId, ZoneEvacuation>& zones = this->evacuations.All();
   // Snapshots written by program versions without refused requests end here.
-  if (!this->refused.empty() || !zones.empty() || !this->software.empty()) {
+  const bool hasDepartures = !this->departed.IsEmpty();
+  const bool hasSoftware = !this->software.empty() || hasDepartures;
+  if (!this->refused.empty() || !zones.empty() || hasSoftware) {
     writer.Number(this->refused.size());
     for (const auto& [request, facts] : this->refused) {
       writer.Number(request.Value());
@@ -312,7 +350,7 @@
     }
   }
   // Snapshots written by program versions without evacuations end here.
-  if (!zones.empty() || !this->software.empty()) {
+  if (!zones.empty() || hasSoftware) {
     writer.Number(zones.size());
     for (const auto& [zone, state] : zones) {
       writer.Text(zone.Value());
@@ -322,13 +360,18 @@
     }
   }
   // Snapshots written by program versions without software versions end here.
-  if (!this->software.empty()) {
+  if (hasSoftware) {
     writer.Number(this->software.size());
     for (const auto& [service, versions] : this->software) {
       writer.Text(service.Value());
       WriteVersions(writer, versions);
     }
   }
+  // Snapshots written by program versions without departures end here.
+  if (hasDepartures) {
+    writer.Number(this->departed.Count());
+    WriteDepartures(writer, this->departed.After(0));
+  }
   return writer.Take();
 }
 
@@ -364,6 +407,9 @@
     const ServiceName service(reader.Text());
     loadedSoftware[service] = ReadVersions(reader);
   }
+  const std::uint64_t departedCount = reader.Left() > 0 ? reader.Number() : 0;
+  const std::vector<DepartedTarget> loadedDepartures =
+    departedCount > 0 ? ReadDepartures(reader) : std::vector<DepartedTarget>();
   if (!reader.Finished()) {
     return Unreadable("cannot decode the serving state of a snapshot");
   }
@@ -373,6 +419,7 @@
   this->refused = std::move(loadedRefused);
   this->evacuations.Restore(std::move(loadedZones));
   this->software = std::move(loadedSoftware);
+  this->departed.Restore(departedCount, loadedDepartures);
   ++this->changes;
   return Success();
 }
--- a/src/program/ControlCallHandler.cpp
+++ b/src/program/ControlCallHandler.cpp
@@ -43,6 +43,7 @@
                                        Metrics& aMetrics,
                                        WorkStatistics& aAccount,
                                        MemoryBudget& aMemory,
+                                       asio::io_context& aLoop,
                                        std::function<void()> aPublish)
   : clock(aClock)
   , settings(aSettings)
@@ -53,6 +54,16 @@
   , account(aAccount)
   , memory(aMemory)
   , publishTargets(std::move(aPublish))
+  , departures(aLoop,
+               aGroup.State().Departed(),
+               [&aGroup](const RecordDepartures& aDepartures) -> Awaitable<Result<void>> {
+                 const ServingCommand command = aDepartures;
+                 const auto result = co_await aGroup.Commit(command);
+                 if (!result) {
+                   co_return Fail(result.error());
+                 }
+                 co_return Success();
+               })
 {
 }
 
@@ -87,10 +98,10 @@
     co_return this->dialect.ControlErrorResponse(call.error());
   }
   if (const auto* heartbeat = std::get_if<TargetHeartbeat>(&call.value())) {
-    co_return this->HandleHeartbeat(*heartbeat);
+    co_return co_await this->HandleHeartbeat(*heartbeat);
   }
   if (const auto* departure = std::get_if<TargetDeparture>(&call.value())) {
-    co_return this->HandleDeparture(*departure);
+    co_return co_await this->HandleDeparture(*departure);
   }
   if (const auto* change = std::get_if<ConfigChange>(&call.value())) {
     co_return co_await this->HandleChange(*change);
@@ -121,32 +132,58 @@
   return this->dialect.ReadControlCall(aRequest);
 }
 
-HttpResponseMessage
+Awaitable<HttpResponseMessage>
 ControlCallHandler::HandleHeartbeat(const TargetHeartbeat& aHeartbeat)
 {
-  const WorkTimer timer(this->account, Work::Heartbeats);
-  if (!this->tracker.OnHeartbeat(aHeartbeat.record)) {
+  const TargetRecord& record = aHeartbeat.record;
+  bool accepted = false;
+  {
+    const WorkTimer timer(this->account, Work::Heartbeats);
+    accepted = this->tracker.OnHeartbeat(record);
+  }
+  if (!accepted) {
     LogEvent(LogLevel::Warning, "target_refused")
-      .With("target", aHeartbeat.record.id)
-      .With("service", aHeartbeat.record.service);
-    return this->dialect.ControlErrorResponse(
+      .With("target", record.id)
+      .With("service", record.service);
+    co_return this->dialect.ControlErrorResponse(
       Error{ ErrorKind::InvalidArgument,
              "the configuration has no such service",
              "put a configuration with the service first" });
   }
-  if (aHeartbeat.record.leaving) {
-    // Published at once: entry hosts must learn in time of a departure that was acknowledged.
-    this->publishTargets();
+  if (!record.leaving) {
+    co_return this->MakeTargetAnswer();
   }
-  return this->MakeTargetAnswer();
+  // Published at once: entry hosts must learn in time of a departure that was acknowledged.
+  this->publishTargets();
+  const TargetDeparture departure{ record.id, record.incarnation };
+  co_return co_await this->AcknowledgeDeparture(departure);
 }
 
-HttpResponseMessage
+Awaitable<HttpResponseMessage>
 ControlCallHandler::HandleDeparture(const TargetDeparture& aDeparture)
 {
   this->tracker.OnDeparture(aDeparture.target, aDeparture.incarnation);
   this->publishTargets();
-  return this->MakeTargetAnswer();
+  TargetDeparture departure = aDeparture;
+  const TargetRecord* known = this->tracker.Registry().Find(departure.target);
+  if (departure.incarnation == Incarnation() && known != nullptr) {
+    departure.incarnation = known->incarnation;
+  }
+  co_return co_await this->AcknowledgeDeparture(departure);
+}
+
+// A departure is acknowledged once it is in the replicated log. Otherwise a heartbeat that is late
+// would bring the target back after all control hosts were restarted.
+Awaitable<HttpResponseMessage>
+ControlCallHandler::AcknowledgeDeparture(const TargetDeparture& aDeparture)
+{
+  if (!this->group.HasRecentLeader()) {
+    co_return this->MakeTargetAnswer();
+  }
+  const DepartedTarget departed{ aDeparture.target, aDeparture.incarnation };
+  const auto recorded = co_await this->departures.Record(departed);
+  co_return recorded ? this->dialect.Acknowledgement()
+                     : this->dialect.ControlErrorResponse(recorded.error());
 }
 
 // A host without a recent leader is isolated: what targets report to it may reach no other host. It
--- a/src/program/ControlCallHandler.h
+++ b/src/program/ControlCallHandler.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 
+#include "DepartureRecorder.h"
 #include "ServingGroup.h"
 #include "TargetTracker.h"
 #include "WorkStatistics.h"
@@ -14,8 +15,8 @@
 
 namespace damasklink {
 
-// Heartbeats and departures go to the TargetTracker, changes to the replicated log, and queries
-// are answered from its state. Not thread-safe.
+// Heartbeats and departures go to the TargetTracker, changes and departures to the replicated log,
+// and queries are answered from its state. Not thread-safe.
 class ControlCallHandler
 {
 public:
@@ -29,6 +30,7 @@
                      Metrics& aMetrics,
                      WorkStatistics& aAccount,
                      MemoryBudget& aMemory,
+                     asio::io_context& aLoop,
                      std::function<void()> aPublish);
 
   // Serves the calls of one connection until it is closed.
@@ -42,8 +44,9 @@
   Awaitable<HttpResponseMessage> HandleWeights(const WeightVersionChange& aNamed);
   Awaitable<HttpResponseMessage> HandleEvacuation(const EvacuationChange& aChange);
   Awaitable<HttpResponseMessage> HandleConfigQuery();
-  HttpResponseMessage HandleHeartbeat(const TargetHeartbeat& aHeartbeat);
-  HttpResponseMessage HandleDeparture(const TargetDeparture& aDeparture);
+  Awaitable<HttpResponseMessage> HandleHeartbeat(const TargetHeartbeat& aHeartbeat);
+  Awaitable<HttpResponseMessage> HandleDeparture(const TargetDeparture& aDeparture);
+  Awaitable<HttpResponseMessage> AcknowledgeDeparture(const TargetDeparture& aDeparture);
   HttpResponseMessage MakeTargetAnswer() const;
   HttpResponseMessage MakeCommitAnswer(const Result<ServingCommandResult>& aResult) const;
 
@@ -56,6 +59,7 @@
   WorkStatistics& account;
   ImmediateRequestMemory memory;
   std::function<void()> publishTargets;
+  DepartureRecorder departures;
   LingeringClose lingering;
 };
 
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -124,10 +124,12 @@
             this->metrics,
             this->account,
             this->memory,
+            this->loop,
             [this] { this->PublishTargets(); })
     , signals(this->loop, std::move(aReader))
     , ticker(this->loop)
   {
+    this->tracker.SetCommittedDepartures(this->group.State().Departed());
   }
 
   Result<void> Run();
@@ -150,6 +152,7 @@
   void PublishTargets();
   void OnStateApplied();
   void ApplyServices();
+  void ApplyDepartures();
   void ApplyEvacuations();
   void RecordEvacuation(const ZoneId& aZone, bool aEvacuated);
   Result<ServingMessage> Decode(const std::string& aPayload);
@@ -189,6 +192,8 @@
   asio::steady_timer ticker;
   // The version of the configuration whose services were applied last.
   Revision appliedVersion;
+  // The number of departures that were applied.
+  std::uint64_t appliedDepartures = 0;
   // Zones that were evacuated in the state that was applied last.
   std::set<ZoneId> evacuated;
   MonotonicTime nextPublish;
@@ -353,6 +358,7 @@
 void
 ControlHost::Impl::PublishTargets()
 {
+  this->ApplyDepartures();
   this->StepRollout();
   this->refusals.Step();
   this->software.Step();
@@ -404,6 +410,18 @@
   this->tracker.SetColdStartSpecs(std::move(cold));
 }
 
+// Targets may be known as usable from heartbeats that were handled before the departures were
+// applied, as after a restart.
+void
+ControlHost::Impl::ApplyDepartures()
+{
+  const DepartedTargets& departed = this->group.State().Departed();
+  for (const DepartedTarget& departure : departed.After(this->appliedDepartures)) {
+    this->tracker.OnDepartureCommitted(departure);
+  }
+  this->appliedDepartures = departed.Count();
+}
+
 void
 ControlHost::Impl::ApplyEvacuations()
 {
--- a/src/program/TargetTracker.cpp
+++ b/src/program/TargetTracker.cpp
@@ -24,7 +24,8 @@
     return false;
   }
   if (this->Merge(aRecord)) {
-    this->directRecords[aRecord.id] = aRecord;
+    // With the departure that it may have been found to contradict.
+    this->directRecords[aRecord.id] = *this->registry.Find(aRecord.id);
   }
   return true;
 }
@@ -36,8 +37,17 @@
 }
 
 bool
-TargetTracker::Merge(const TargetRecord& aRecord)
+TargetTracker::Merge(TargetRecord aRecord)
 {
+  const bool hasDeparted =
+    this->departed != nullptr && this->departed->Contains(aRecord.id, aRecord.incarnation);
+  if (hasDeparted && !aRecord.leaving) {
+    LogEvent(LogLevel::Info, "late_heartbeat")
+      .With("target", aRecord.id)
+      .With("incarnation", aRecord.incarnation)
+      .With("sequence", aRecord.sequence);
+    aRecord.leaving = true;
+  }
   const bool isNew = this->registry.Merge(aRecord);
   if (isNew) {
     this->touched.insert(aRecord.id);
@@ -93,6 +103,15 @@
   }
 }
 
+void
+TargetTracker::OnDepartureCommitted(const DepartedTarget& aDeparture)
+{
+  const TargetRecord* known = this->registry.Find(aDeparture.target);
+  if (known != nullptr && !known->leaving && known->incarnation <= aDeparture.incarnation) {
+    this->OnDeparture(aDeparture.target, aDeparture.incarnation);
+  }
+}
+
 TargetUpdate
 TargetTracker::MakeTargetUpdate(const TargetRecord& aRecord) const
 {
--- a/src/program/TargetTracker.h
+++ b/src/program/TargetTracker.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "damasklink/coordination/DepartedTargets.h"
 #include "damasklink/coordination/RateLimitAllocator.h"
 #include "damasklink/coordination/ServingConfig.h"
 #include "damasklink/coordination/ServingMessages.h"
@@ -40,6 +41,13 @@
   // earlier incarnation is ignored.
   void OnDeparture(const TargetId& aTarget, Incarnation aIncarnation = Incarnation());
 
+  // Sets the departures that are in the replicated log, which this object consults from now on. A
+  // heartbeat of such a target does not bring it back. aDeparted must outlive this object.
+  void SetCommittedDepartures(const DepartedTargets& aDeparted) { this->departed = &aDeparted; }
+
+  // Departures were committed. To be called for each, since the targets may be known as usable.
+  void OnDepartureCommitted(const DepartedTarget& aDeparture);
+
   // Sets the services of the configuration. Before the first call every service is accepted.
   void SetServices(std::set<ServiceName> aServices) { this->services = std::move(aServices); }
 
@@ -97,13 +105,15 @@
 
 private:
   TargetUpdate MakeTargetUpdate(const TargetRecord& aRecord) const;
-  bool Merge(const TargetRecord& aRecord);
+  bool Merge(TargetRecord aRecord);
   void AddColdTarget(const TargetRecord& aRecord, Duration aColdFor);
   void FindChanges();
   void CountTarget(const TargetUpdate& aBefore, const TargetUpdate& aNow);
   void ListEngines();
 
   TargetRegistry registry;
+  // Null until SetCommittedDepartures() is called.
+  const DepartedTargets* departed = nullptr;
   SoftwareVersionHistory versions;
   std::optional<std::set<ServiceName>> services;
   std::map<ServiceName, ColdStartSpec> coldStartSpecs;
--- a/test/coordination/ServingStateMachineTest.cpp
+++ b/test/coordination/ServingStateMachineTest.cpp
@@ -213,5 +213,19 @@
   RC_ASSERT(machine.Save() == replica.Save());
 }
 
+TEST(ServingStateMachineTest, DeparturesSurviveRestart)
+{
+  ServingStateMachine machine;
+  Apply(machine, PutDocument{ Revision(9), "nine" });
+  const DepartedTarget first{ TargetId("t"), Incarnation(5) };
+  const DepartedTarget second{ TargetId("u"), Incarnation() };
+  EXPECT_TRUE(Apply(machine, RecordDepartures{ { first, second, first } }).understood);
+  ServingStateMachine restarted;
+  ASSERT_TRUE(restarted.Load(machine.Save()));
+  EXPECT_EQ(restarted.Departed().After(0), (std::vector<DepartedTarget>{ first, second }));
+  EXPECT_EQ(restarted.Departed().Count(), 2U);
+  EXPECT_EQ(restarted.Version(), Revision(9));
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/program/ServingPathTest.cpp
+++ b/test/program/ServingPathTest.cpp
@@ -66,18 +66,33 @@
     entry.peerPort = peers;
     entry.seeds = { control.host };
     this->controlAddress = control.control;
+    this->controlSettings = control;
     this->entrySettings = entry;
+    this->StartHosts();
+  }
+
+  ~ServingPathTest() override { this->Stop(); }
+
+  void StartHosts()
+  {
     const auto noReload = [] { return std::optional<ServingSettings>(); };
-    this->controlHost =
-      std::make_unique<ControlHost>(control, this->dialect, this->dialect, this->dialect, noReload);
-    this->entryHost = std::make_unique<EntryHost>(entry, this->dialect, this->dialect, noReload);
+    this->controlHost = std::make_unique<ControlHost>(
+      this->controlSettings, this->dialect, this->dialect, this->dialect, noReload);
+    this->entryHost =
+      std::make_unique<EntryHost>(this->entrySettings, this->dialect, this->dialect, noReload);
     this->controlThread =
       std::thread([this] { this->controlSucceeded = Succeeds(this->controlHost->Run()); });
     this->entryThread =
       std::thread([this] { this->entrySucceeded = Succeeds(this->entryHost->Run()); });
   }
 
-  ~ServingPathTest() override { this->Stop(); }
+  // Starts both hosts again; the control host keeps its data folder.
+  void Restart()
+  {
+    this->Stop();
+    this->controlSettings.firstStart = false;
+    this->StartHosts();
+  }
 
   void Stop()
   {
@@ -147,6 +162,7 @@
   absl::Notification release;
   ScriptedTarget target;
   Endpoint controlAddress;
+  ServingSettings controlSettings;
   ServingSettings entrySettings;
   std::unique_ptr<ControlHost> controlHost;
   std::unique_ptr<EntryHost> entryHost;
@@ -195,6 +211,47 @@
   EXPECT_NE(refused.find("not_run"), std::string::npos);
 }
 
+// Guards against acknowledged departures that are forgotten when all control hosts are restarted, so
+// that a late heartbeat brings the target back.
+class DepartureTest : public ServingPathTest
+{
+protected:
+  void SetUp() override
+  {
+    SendUntil("HTTP/1.1 200", [&] { return this->PutConfig(Config(3)); });
+    SendUntil("HTTP/1.1 200", [&] { return this->Heartbeat("ready", 1); });
+    SendUntil("HTTP/1.1 200", [&] { return this->Call("r1"); });
+  }
+
+  void ExpectNoCallsAfterRestart()
+  {
+    this->Restart();
+    const std::size_t requests = this->target.Requests().size();
+    SendUntil("HTTP/1.1 200", [&] { return this->Heartbeat("ready", 2); });
+    SendUntil("HTTP/1.1 200", [&] { return this->Ready(); });
+    const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(1500);
+    while (std::chrono::steady_clock::now() < until) {
+      EXPECT_EQ(this->Call("r2").substr(0, 12), "HTTP/1.1 503");
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    EXPECT_EQ(this->target.Requests().size(), requests);
+  }
+};
+
+TEST_F(DepartureTest, TargetThatSignedOffStaysGone)
+{
+  const std::string answer =
+    Send(this->controlAddress, "DELETE /-/instances/i-1 HTTP/1.1\r\nHost: c\r\n", "");
+  ASSERT_EQ(answer.substr(0, 12), "HTTP/1.1 200");
+  this->ExpectNoCallsAfterRestart();
+}
+
+TEST_F(DepartureTest, DrainingTargetStaysDraining)
+{
+  ASSERT_EQ(this->Heartbeat("draining", 3).substr(0, 12), "HTTP/1.1 200");
+  this->ExpectNoCallsAfterRestart();
+}
+
 TEST_F(ServingPathTest, SignalStopsBothHostsCleanly)
 {
   SendUntil("HTTP/1.1 200", [&] { return this->PutConfig(Config(3)); });
--- a/test/program/TargetTrackerTest.cpp
+++ b/test/program/TargetTrackerTest.cpp
@@ -257,5 +257,44 @@
   EXPECT_EQ(cold[0].coldFor, spec.lasts);
 }
 
+// Guards against a control host that starts without memory of the targets that have left.
+TEST_F(TargetTrackerTest, LateHeartbeatOfACommittedDepartureDoesNotBringTheTargetBack)
+{
+  DepartedTargets departed;
+  departed.Add(DepartedTarget{ TargetId("t"), Incarnation() });
+  this->tracker.SetCommittedDepartures(departed);
+  EXPECT_TRUE(this->tracker.OnHeartbeat(Record("t", 7)));
+  this->tracker.OnRelayedRecord(Record("u", 1, 8081));
+  std::vector<TargetUpdate> changes = this->tracker.TakeChanges();
+  ASSERT_EQ(changes.size(), 2U);
+  EXPECT_EQ(changes[0].standing, TargetAvailability::Leaving);
+  EXPECT_EQ(changes[1].standing, TargetAvailability::Usable);
+  const std::vector<TargetUpdate> relayed = this->tracker.TakeDirectUpdates();
+  ASSERT_EQ(relayed.size(), 1U);
+  EXPECT_TRUE(relayed.front().record.leaving);
+  // Known as usable before the departure is applied.
+  const DepartedTarget later{ TargetId("u"), Incarnation() };
+  departed.Add(later);
+  this->tracker.OnDepartureCommitted(later);
+  changes = this->tracker.TakeChanges();
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes[0].standing, TargetAvailability::Leaving);
+}
+
+TEST_F(TargetTrackerTest, LaterIncarnationOfADepartedTargetIsUsable)
+{
+  DepartedTargets departed;
+  const DepartedTarget earlier{ TargetId("t"), Incarnation(4) };
+  departed.Add(earlier);
+  this->tracker.SetCommittedDepartures(departed);
+  TargetRecord restarted = Record("t", 1);
+  restarted.incarnation = Incarnation(5);
+  this->tracker.OnHeartbeat(restarted);
+  this->tracker.OnDepartureCommitted(earlier);
+  const std::vector<TargetUpdate> changes = this->tracker.TakeChanges();
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes[0].standing, TargetAvailability::Usable);
+}
+
 } // namespace
 } // namespace damasklink
