Take a status that HTTP lacks for no response

A caller whose target answered with status 000 or 099 waited for its whole deadline and got 504; 600 to 999 were passed on. Cause: ReadHead skipped every head below 200 as an interim one, and took all others for responses; the other HTTP client of the program took any status.

Such a head is no response now: 502 at once, or another target.

The reset within an upload did not happen: tests of it passed before.

--- a/src/transport/BeastText.h
+++ b/src/transport/BeastText.h
@@ -16,6 +16,15 @@
   return std::string(aText.data(), aText.size());
 }
 
+// Returns whether a response may have this status. The library reads any three digits.
+inline bool
+IsHttpStatus(unsigned aStatus)
+{
+  constexpr unsigned kMin = 100;
+  constexpr unsigned kMax = 599;
+  return aStatus >= kMin && aStatus <= kMax;
+}
+
 // Returns whether the bytes that were read are not valid HTTP. Returns false for messages that are
 // only incomplete.
 inline bool
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -4,6 +4,7 @@
 #include <cerrno>
 #include <limits>
 
+#include "BeastText.h"
 #include "damasklink/state/Text.h"
 #include <arpa/inet.h>
 #include <boost/asio/buffer.hpp>
@@ -243,6 +244,16 @@
   if (code) {
     return Fail(ReadFailure(code, this->impl->call.endpoint));
   }
+  if (const unsigned status = this->impl->parser.get().result_int();
+      !internal::IsHttpStatus(status)) {
+    return Fail(ErrorKind::Corrupt,
+                Concat("the response of ",
+                       FormatEndpoint(this->impl->call.endpoint),
+                       " has the status ",
+                       status,
+                       ", which HTTP lacks"),
+                "check what listens at the address");
+  }
   return Success();
 }
 
--- a/src/transport/TargetConnection.cpp
+++ b/src/transport/TargetConnection.cpp
@@ -21,6 +21,9 @@
 // Also bounds the extension of a chunk, and trailers.
 constexpr std::size_t kMaxBufferBytes = kMaxHeadBytes + kChunkBytes;
 
+// Lower ones are those of interim responses.
+constexpr unsigned kMinFinalStatus = 200;
+
 // Interim (1xx) heads before a response. A sound target sends one or two.
 constexpr int kMaxInterimHeads = 8;
 
@@ -178,7 +181,14 @@
       connection.broken = true;
       co_return ReadFailure(error);
     }
-    if (connection.parser->get().result_int() >= 200) {
+    const unsigned status = connection.parser->get().result_int();
+    if (!internal::IsHttpStatus(status)) {
+      connection.broken = true;
+      co_return Fail(ErrorKind::Corrupt,
+                     Concat("the target's response has the status ", status, ", which HTTP lacks"),
+                     "check the target's log");
+    }
+    if (status >= kMinFinalStatus) {
       co_return this->TakeHead();
     }
   }
--- a/test/transport/HttpClientTest.cpp
+++ b/test/transport/HttpClientTest.cpp
@@ -46,6 +46,22 @@
   EXPECT_EQ(response.value().body, "answer to question");
 }
 
+// Guards against a status that HTTP lacks and that is taken for one.
+TEST_F(HttpClientTest, ResponseWithoutAStatusOfHttpIsCorrupt)
+{
+  for (const int status : { 600, 999 }) {
+    SCOPED_TRACE(status);
+    this->Serve([status](const HttpRequest&) {
+      HttpResponse response;
+      response.status = status;
+      return response;
+    });
+    const auto response = CallHttp(MakeCall(), ByteCount(1024));
+    ASSERT_FALSE(response);
+    EXPECT_EQ(response.error().kind, ErrorKind::Corrupt);
+  }
+}
+
 TEST_F(HttpClientTest, TruncatedStreamIsInterrupted)
 {
   this->Serve([](const HttpRequest&) {
