End a planned stop in time on a machine that was suspended before

A host that stops could be killed at the end of its grace with calls in progress. Cause: its timers were set to times of the clock, which counts the time in which the machine was suspended, while timers do not; each wait lasted longer by that time. Timers are set to what is left.

Test: ClockTimerTest guards the conversion; the waits of the stop themselves have none with a suspended machine.

--- a/src/program/EntryHostStop.cpp
+++ b/src/program/EntryHostStop.cpp
@@ -1,6 +1,7 @@
 // How an entry host stops. The rest of the class is in EntryHost.cpp and EntryHostUpdates.cpp.
 #include <algorithm>
 
+#include "ClockTimer.h"
 #include "EntryHostImpl.h"
 #include "damasklink/transport/Log.h"
 
@@ -33,7 +34,7 @@
     start + std::max(this->settings.stopWithin, kStopMargin) - kStopMargin;
   this->stopAdmission.BeginStop(cutOff);
   asio::steady_timer timer(this->loop);
-  timer.expires_at(std::min(start + kAcceptAfterStop, cutOff));
+  ExpireAt(timer, this->clock, std::min(start + kAcceptAfterStop, cutOff));
   co_await timer.async_wait(kAsValue);
   this->callers.Close();
   if (!co_await this->AwaitCallsEnd(cutOff)) {
@@ -70,7 +71,7 @@
     if (now >= aUntil) {
       co_return false;
     }
-    timer.expires_at(std::min(now + kStopCheckInterval, aUntil));
+    ExpireAt(timer, this->clock, std::min(now + kStopCheckInterval, aUntil));
     co_await timer.async_wait(kAsValue);
   }
 }
