Do not vouch for software versions right after a stand-still

By reading: a control host that stood still answered that a service had one version only, before its periodic step noticed the pause, or once it had handled an old message of the leader. An entry host connected to it alone would have gone on with a stream of a new version at an old one (ORDER).

A pause of over 1 s between two steps makes the history incomplete, which is checked before each answer; the committed versions are not vouched for in the 3 s after it.

Tests: SoftwareVersionHistoryTest.IsNotCompleteAfterTheHostStoodStill.

--- a/include/damasklink/coordination/SoftwareVersionHistory.h
+++ b/include/damasklink/coordination/SoftwareVersionHistory.h
@@ -3,6 +3,7 @@
 //   SoftwareVersionHistory history(clock);
 //   history.SetRetention(longestStream);
 //   history.Observe(service, software);       // With each heartbeat of a target.
+//   history.OnStep();                         // Regularly, and before what follows is used.
 //   history.OnIsolated();                     // Heartbeats may be missed.
 //   if (history.IsComplete()) ... history.Versions(service);
 //
@@ -11,6 +12,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -25,6 +27,12 @@
   // Used until SetRetention() is called.
   static constexpr Duration kDefaultRetention = std::chrono::seconds(60);
 
+  // A host whose calls of OnStep() are further apart stood still, and may have missed heartbeats.
+  static constexpr Duration kMaxPause = std::chrono::seconds(1);
+
+  // How long such a host may still handle what was sent to it before and while it stood still.
+  static constexpr Duration kCatchUpTime = std::chrono::seconds(3);
+
   explicit SoftwareVersionHistory(const Clock& aClock)
     : clock(aClock)
     , completeSince(aClock.MonotonicNow())
@@ -37,6 +45,13 @@
   // A target of the service with this version is alive.
   void Observe(const ServiceName& aService, const SoftwareVersion& aSoftware);
 
+  // This host runs.
+  void OnStep();
+
+  // Returns whether the host stood still so recently that what it knows may be old, even if it seems
+  // to hear of everything.
+  bool HasJustStoodStill() const;
+
   // This host may not hear of all targets.
   void OnIsolated() { this->completeSince = this->clock.MonotonicNow(); }
 
@@ -57,6 +72,10 @@
 
   const Clock& clock;
   MonotonicTime completeSince;
+  // The last call of OnStep().
+  std::optional<MonotonicTime> stepAt;
+  // When the host was found to have stood still.
+  std::optional<MonotonicTime> pausedAt;
   Duration retention = kDefaultRetention;
   std::map<ServiceName, std::map<SoftwareVersion, MonotonicTime>> observedAt;
 };
--- a/src/coordination/SoftwareVersionHistory.cpp
+++ b/src/coordination/SoftwareVersionHistory.cpp
@@ -34,6 +34,23 @@
   return services;
 }
 
+void
+SoftwareVersionHistory::OnStep()
+{
+  const MonotonicTime now = this->clock.MonotonicNow();
+  if (this->stepAt && now - *this->stepAt > kMaxPause) {
+    this->completeSince = now;
+    this->pausedAt = now;
+  }
+  this->stepAt = now;
+}
+
+bool
+SoftwareVersionHistory::HasJustStoodStill() const
+{
+  return this->pausedAt && this->clock.MonotonicNow() - *this->pausedAt < kCatchUpTime;
+}
+
 bool
 SoftwareVersionHistory::IsComplete() const
 {
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -358,14 +358,15 @@
 void
 ControlHost::Impl::PublishTargets()
 {
+  this->tracker.Versions().OnStep();
+  if (!this->group.HasRecentLeader()) {
+    this->tracker.Versions().OnIsolated();
+  }
   this->ApplyDepartures();
   this->StepRollout();
   this->refusals.Step();
   this->software.Step();
   this->nextPublish = this->clock.MonotonicNow() + kPublishInterval;
-  if (!this->group.HasRecentLeader()) {
-    this->tracker.Versions().OnIsolated();
-  }
   this->publisher.PublishChanges();
 }
 
--- a/src/program/ServingUpdatePublisher.cpp
+++ b/src/program/ServingUpdatePublisher.cpp
@@ -240,13 +240,16 @@
   if (aRequest.stream) {
     response.origin = this->origins.Find(*aRequest.stream);
   }
-  const SoftwareVersionHistory& history = this->tracker.Versions();
+  // The request may be the first event after the host stood still.
+  SoftwareVersionHistory& history = this->tracker.Versions();
+  history.OnStep();
   response.versions = history.Versions(aRequest.service);
   response.complete = history.IsComplete();
   const auto& committed = this->group.State().Software();
   if (const auto found = committed.find(aRequest.service); found != committed.end()) {
     response.versions.insert(found->second.begin(), found->second.end());
-    response.complete = response.complete || this->group.HasRecentLeader();
+    const bool current = this->group.HasRecentLeader() && !history.HasJustStoodStill();
+    response.complete = response.complete || current;
   }
   this->EncodeAndSend(Work::Origins, aEntryHost, response);
 }
--- a/test/coordination/SoftwareVersionHistoryTest.cpp
+++ b/test/coordination/SoftwareVersionHistoryTest.cpp
@@ -48,5 +48,23 @@
   EXPECT_TRUE(this->history.IsComplete());
 }
 
+// Guards against a host that stood still while targets of a new version joined, and then vouches for
+// the versions that it knows.
+TEST_F(SoftwareVersionHistoryTest, IsNotCompleteAfterTheHostStoodStill)
+{
+  for (int step = 0; step < 31; ++step) {
+    this->history.OnStep();
+    this->clock.Advance(seconds(1));
+  }
+  EXPECT_TRUE(this->history.IsComplete());
+  EXPECT_FALSE(this->history.HasJustStoodStill());
+  this->clock.Advance(seconds(5));
+  this->history.OnStep();
+  EXPECT_FALSE(this->history.IsComplete());
+  EXPECT_TRUE(this->history.HasJustStoodStill());
+  this->clock.Advance(SoftwareVersionHistory::kCatchUpTime);
+  EXPECT_FALSE(this->history.HasJustStoodStill());
+}
+
 } // namespace
 } // namespace damasklink
--- a/test/soak/software_versions.py
+++ b/test/soak/software_versions.py
@@ -5,7 +5,8 @@
 event. Callers take them up again at any entry host. In the waves beside it entry hosts are killed, control hosts are
 killed, or one version replaces the other. In the waves all_entries and all_hosts, which run only where they are named,
 all entry hosts are killed at once as each target is replaced: guards against streams whose record is lost and that go
-on at the version that is left. In all_hosts the control hosts are killed shortly before.
+on at the version that is left. In all_hosts the control hosts are killed shortly before. In stopped_hosts a host of each
+role is stopped while a target is replaced, and handles what came meanwhile when it goes on.
 
 Counts the streams that hold events of two versions, and the shares of new streams that begin and of taken-up streams
 that go on while two targets of their version serve. Build first.
@@ -22,7 +23,7 @@
 from standins import Target, read_head, reset
 
 WAVES = ("side_by_side", "entries", "release", "controls")
-MORE_WAVES = ("all_entries", "all_hosts")
+MORE_WAVES = ("all_entries", "all_hosts", "stopped_hosts")
 WAVE_LASTS = 6.0
 # What the users allow.
 MOST_MIXED = 2
@@ -279,6 +280,25 @@
     async def all_hosts(self):
         await self.replace(True)
 
+    async def stopped_hosts(self):
+        self.releases += 1
+        for target in self.models:
+            stopped = [self.draws.choice(self.entries), self.draws.choice(self.controls)]
+            for host in stopped:
+                host.faults += 1
+                host.signal(signal.SIGSTOP)
+            await asyncio.sleep(self.draws.uniform(0, 0.5))
+            target.state = "draining"
+            await asyncio.sleep(0.5)
+            target.version = f"s{self.releases}"
+            target.restart()
+            await asyncio.sleep(self.draws.uniform(1, 2.5))
+            for host in stopped:
+                host.signal(signal.SIGCONT)
+            await asyncio.sleep(1)
+            for host in stopped:
+                host.faults -= 1
+
     async def wave(self, name):
         self.streams.clear()
         self.shares.clear()
@@ -289,6 +309,7 @@
             "controls": self.controls_wave,
             "all_entries": self.all_entries,
             "all_hosts": self.all_hosts,
+            "stopped_hosts": self.stopped_hosts,
         }
         self.ending = False
         calling = asyncio.create_task(self.call_steadily())
