--- a/include/damasklink/coordination/DepartedTargets.h
+++ b/include/damasklink/coordination/DepartedTargets.h
@@ -31,9 +31,9 @@
 class DepartedTargets
 {
 public:
-  // Beyond this the earliest departures are forgotten. Heartbeats are late by as long as the network
-  // is disrupted, which is short compared to the time in which so many targets depart: 20 minutes of
-  // a rollout that replaces three targets each second.
+  // Beyond this the earliest departures are forgotten. Heartbeats are late by as long as the
+  // network is disrupted, which is short compared to the time in which so many targets depart: 20
+  // minutes of a rollout that replaces three targets each second.
   static constexpr std::size_t kMaxKept = 4096;
 
   // Returns whether the departure was not contained before.
--- a/include/damasklink/coordination/SoftwareVersionHistory.h
+++ b/include/damasklink/coordination/SoftwareVersionHistory.h
@@ -48,8 +48,8 @@
   // This host runs.
   void OnStep();
 
-  // Returns whether the host stood still so recently that what it knows may be old, even if it seems
-  // to hear of everything.
+  // Returns whether the host stood still so recently that what it knows may be old, even if it
+  // seems to hear of everything.
   bool HasJustStoodStill() const;
 
   // This host may not hear of all targets.
--- a/src/coordination/DepartedTargets.cpp
+++ b/src/coordination/DepartedTargets.cpp
@@ -49,8 +49,8 @@
   return added;
 }
 
-// The departures get the highest numbers up to aCount. Numbers that were not kept lie below them, so
-// After() returns at least what it would have returned before.
+// The departures get the highest numbers up to aCount. Numbers that were not kept lie below them,
+// so After() returns at least what it would have returned before.
 void
 DepartedTargets::Restore(std::uint64_t aCount, const std::vector<DepartedTarget>& aDepartures)
 {
--- a/src/program/DepartureRecorder.h
+++ b/src/program/DepartureRecorder.h
@@ -24,8 +24,8 @@
   // aRecorded is the replicated state that aCommit changes. It must outlive the work of the loop.
   DepartureRecorder(asio::io_context& aLoop, const DepartedTargets& aRecorded, Commit aCommit);
 
-  // Returns when the departure is committed, at once if it was before. Fails as the commit does; the
-  // departure may be committed later then.
+  // Returns when the departure is committed, at once if it was before. Fails as the commit does;
+  // the departure may be committed later then.
   Awaitable<Result<void>> Record(const DepartedTarget& aDeparture);
 
 private:
--- a/test/coordination/SoftwareVersionHistoryTest.cpp
+++ b/test/coordination/SoftwareVersionHistoryTest.cpp
@@ -48,8 +48,8 @@
   EXPECT_TRUE(this->history.IsComplete());
 }
 
-// Guards against a host that stood still while targets of a new version joined, and then vouches for
-// the versions that it knows.
+// Guards against a host that stood still while targets of a new version joined, and then vouches
+// for the versions that it knows.
 TEST_F(SoftwareVersionHistoryTest, IsNotCompleteAfterTheHostStoodStill)
 {
   for (int step = 0; step < 31; ++step) {
--- a/test/program/ExchangeCutHeadTest.cpp
+++ b/test/program/ExchangeCutHeadTest.cpp
@@ -383,14 +383,15 @@
   }
 }
 
-// Guards against a status that HTTP lacks: it was awaited until the caller's deadline if it was lower
-// than the others, and passed on if it was higher.
+// Guards against a status that HTTP lacks: it was awaited until the caller's deadline if it was
+// lower than the others, and passed on if it was higher.
 TEST(ExchangeCutHeadTest, ResponseWithoutAStatusOfHttpIsNoResponse)
 {
   for (const std::string status : { "000", "099", "600", "999" }) {
     SCOPED_TRACE(status);
     testing::ScriptedTarget target([&](const std::string&, TcpSocket& aSocket) {
-      testing::Write(aSocket, "HTTP/1.1 " + status + " X\r\nX-Request-Id: r1\r\nContent-Length: 2\r\n\r\nno");
+      testing::Write(
+        aSocket, "HTTP/1.1 " + status + " X\r\nX-Request-Id: r1\r\nContent-Length: 2\r\n\r\nno");
       testing::ScriptedTarget::AwaitClose(aSocket);
       return false;
     });
--- a/test/program/ServingPathTest.cpp
+++ b/test/program/ServingPathTest.cpp
@@ -211,8 +211,8 @@
   EXPECT_NE(refused.find("not_run"), std::string::npos);
 }
 
-// Guards against acknowledged departures that are forgotten when all control hosts are restarted, so
-// that a late heartbeat brings the target back.
+// Guards against acknowledged departures that are forgotten when all control hosts are restarted,
+// so that a late heartbeat brings the target back.
 class DepartureTest : public ServingPathTest
 {
 protected:
--- a/test/soak/software_versions.py
+++ b/test/soak/software_versions.py
@@ -329,7 +329,8 @@
         for kind, count in shares.items():
             self.counts[f"{name}_{kind}"] += count
         if mixed > (MOST_MIXED if name in WAVES else 0):
-            self.find("streams_of_two_versions", f"{name}: {mixed} of {len(self.streams)}")
+            named = [f"{stream.begun_as} {stream.versions}" for stream in self.streams if len(stream.versions) > 1]
+            self.find("streams_of_two_versions", f"{name}: {mixed} of {len(self.streams)}: {', '.join(named[:3])}")
         if shares["taken_up_asked"] < LEAST_TAKEN_UP:
             self.find("too_few_calls_counted", f"{name}: {shares['taken_up_asked']} taken up")
         elif taken_up < LEAST_RATIO * new:
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -284,9 +284,11 @@
                 await asyncio.sleep(0.05)
                 continue
             self.sequence += 1
+            # Kept with the body: the target may start anew while it looks for a control host that answers.
+            path = f"/-/instances/{self.id}"
             body = json.dumps(self.announcement())
             for control in self.random.sample(self.controls, len(self.controls)):
-                status, _ = await call(control, "PUT", f"/-/instances/{self.id}", body, 1)
+                status, _ = await call(control, "PUT", path, body, 1)
                 if status == 200:
                     break
             await asyncio.sleep(0.4)
