Order the engines with the oldest weights first

Cause: the rollout went through the engines by id, so those that had just been updated came first again with each version.

Test: WeightRolloutTest.NoEngineStarvesWhileVersionsKeepComing failed without the sort (engines still at version 1 after 11 versions) and passes.

--- a/include/damasklink/coordination/WeightRollout.h
+++ b/include/damasklink/coordination/WeightRollout.h
@@ -144,6 +144,8 @@
   bool AreUnchanged(const std::vector<TargetRecord>& aEngines) const;
   void UpdateEngines(const std::vector<TargetRecord>& aEngines);
   std::optional<RolloutAction> Advance(const TargetRecord& aEngine, EngineUpdate& aUpdate);
+  // Returns the newest version that the engine announced or reported.
+  std::uint64_t KnownVersion(const TargetRecord& aEngine, const ModelName& aModel) const;
   static std::uint64_t VersionOf(const std::vector<ServedModel>& aModels, const ModelName& aModel);
 
   const Clock& clock;
--- a/src/coordination/WeightRollout.cpp
+++ b/src/coordination/WeightRollout.cpp
@@ -39,14 +39,18 @@
     for (const TargetRecord& engine : aEngines) {
       const std::uint64_t announced = VersionOf(engine.models, model);
       serving += announced > 0 ? 1 : 0;
-      const bool isOutdated = announced > 0 && announced < version;
-      if (isOutdated && this->ReportedVersion(engine.id, model) < version) {
+      if (announced > 0 && this->KnownVersion(engine, model) < version) {
         outdated.push_back(&engine);
       } else if (const auto done = this->updates.find(engine.id);
                  done != this->updates.end() && done->second.model == model) {
         this->updates.erase(done);
       }
     }
+    // Engines with the oldest weights go first: while versions come faster than all engines load one,
+    // those that were just updated are outdated again.
+    std::stable_sort(outdated.begin(), outdated.end(), [&](const auto* aLeft, const auto* aRight) {
+      return this->KnownVersion(*aLeft, model) < this->KnownVersion(*aRight, model);
+    });
     const auto maxUnavailable = static_cast<std::size_t>(
       std::ceil(static_cast<double>(serving) * this->options.maxUnavailableShare));
     for (const TargetRecord* engine : outdated) {
@@ -194,6 +198,12 @@
   return found == this->reported.end() ? 0 : found->second;
 }
 
+std::uint64_t
+WeightRollout::KnownVersion(const TargetRecord& aEngine, const ModelName& aModel) const
+{
+  return std::max(VersionOf(aEngine.models, aModel), this->ReportedVersion(aEngine.id, aModel));
+}
+
 bool
 WeightRollout::MayOrder() const
 {
--- a/test/coordination/WeightRolloutTest.cpp
+++ b/test/coordination/WeightRolloutTest.cpp
@@ -131,6 +131,21 @@
   EXPECT_EQ(this->refused, 0);
 }
 
+// Guards against engines that get no version for as long as new ones are named, because those that
+// were just updated come first again.
+TEST_F(WeightRolloutTest, NoEngineStarvesWhileVersionsKeepComing)
+{
+  for (std::uint64_t version = 2; version <= 12; ++version) {
+    this->desired[kModel] = version;
+    this->Run(std::chrono::seconds(4));
+  }
+  EXPECT_EQ(this->CountAt(1), 0U);
+  // An engine may be behind by what is named within 18 s.
+  for (const Engine& engine : this->engines) {
+    EXPECT_GE(engine.version, 8U) << engine.record.id.Value();
+  }
+}
+
 TEST_F(WeightRolloutTest, UnavailableEnginesStayWithinTheShare)
 {
   this->Run(std::chrono::seconds(13));
