Begin no call on weights whose time is over while newer ones are on their way

Cause: the minimum of weights was dropped whenever no target met it. Calls are refused now while a control host with a leader is connected, which orders the newer weights; without one, older weights serve as before.

Test: TargetSelectorTest.WeightsBelowTheMinimumAreNeverUsedWhileNewerOnesAreOnTheirWay; the former logic has no such state, so it could not be run there.

--- a/include/damasklink/coordination/TargetSelector.h
+++ b/include/damasklink/coordination/TargetSelector.h
@@ -58,6 +58,8 @@
   std::uint64_t weights = 0;
   // Targets with older weights are excluded while there is a target with these or newer ones.
   std::uint64_t minWeights = 0;
+  // They are excluded even if there is none.
+  bool neverBelowMinWeights = false;
   // Targets that have been tried already.
   std::set<TargetId> excluded;
   // Targets with a rate limit of which this host has used up its share for now.
--- a/src/coordination/TargetSelector.cpp
+++ b/src/coordination/TargetSelector.cpp
@@ -82,9 +82,10 @@
   const auto isNewEnough = [&](const TargetRecord& aTarget) {
     return WeightsOf(aTarget, aRequest.model) >= aRequest.minWeights;
   };
-  const bool anyNewEnough = std::any_of(aTargets.begin(), aTargets.end(), isNewEnough);
+  const bool excludesOlder = aRequest.neverBelowMinWeights ||
+                             std::any_of(aTargets.begin(), aTargets.end(), isNewEnough);
   for (const TargetRecord& target : aTargets) {
-    const bool tooOld = anyNewEnough && !isNewEnough(target);
+    const bool tooOld = excludesOlder && !isNewEnough(target);
     if (tooOld || aRequest.excluded.contains(target.id) ||
         aRequest.rateLimited.contains(target.id) ||
         this->rests.IsResting(target.id, target.incarnation)) {
--- a/src/program/EntryHostState.cpp
+++ b/src/program/EntryHostState.cpp
@@ -133,6 +133,14 @@
   return this->reported.contains(aHost) && !this->isolated.contains(aHost);
 }
 
+bool
+EntryHostState::HasHealthyControlHost() const
+{
+  return std::any_of(this->reported.begin(), this->reported.end(), [this](const HostId& aHost) {
+    return this->IsHealthy(aHost);
+  });
+}
+
 void
 EntryHostState::SelectStoreSource(const std::optional<HostId>& aHub)
 {
--- a/src/program/EntryHostState.h
+++ b/src/program/EntryHostState.h
@@ -84,6 +84,9 @@
   // leader.
   bool IsHealthy(const HostId& aHost) const;
 
+  // Returns whether any control host is healthy.
+  bool HasHealthyControlHost() const;
+
   // Returns the number of entry hosts: the largest count that a connected control host reports.
   std::uint64_t EntryHosts() const;
 
--- a/src/program/ExchangeRouting.cpp
+++ b/src/program/ExchangeRouting.cpp
@@ -296,6 +296,8 @@
     this->PrepareSelection(this->NewestWeightVersion());
     this->selection.minWeights = this->context.state.WeightVersionKnownFor(
       this->call.model, this->context.settings.weightsWithin - kMaxEngineQueueTime);
+    // Without a leader nobody orders newer weights, and older ones are better than none.
+    this->selection.neverBelowMinWeights = this->context.state.HasHealthyControlHost();
   }
   const std::vector<TargetRecord>& targets = this->Targets();
   if (hasPrompt && !this->begunOn && this->context.crowded.contains(this->service)) {
--- a/test/coordination/TargetSelectorTest.cpp
+++ b/test/coordination/TargetSelectorTest.cpp
@@ -308,6 +308,23 @@
   EXPECT_NE(this->Choose(), "");
 }
 
+// Guards against calls that begin on weights whose time is over because no target has newer ones.
+TEST_F(TargetSelectorTest, WeightsBelowTheMinimumAreNeverUsedWhileNewerOnesAreOnTheirWay)
+{
+  for (TargetRecord& target : this->targets) {
+    target.models = { ServedModel{ ModelName("m"), WeightVersion("1"), {} } };
+  }
+  this->request.promptTokens = TokenCount(100);
+  this->request.model = ModelName("m");
+  this->request.weights = 2;
+  this->request.minWeights = 2;
+  EXPECT_NE(this->Choose(), "");
+  this->request.neverBelowMinWeights = true;
+  EXPECT_EQ(this->Choose(), "");
+  this->targets[1].models.front().version = WeightVersion("2");
+  EXPECT_EQ(this->Choose(), "b");
+}
+
 TEST_F(TargetSelectorTest, LoadFromOtherHostsCounts)
 {
   const InFlightLoad many{ TargetId("a"), 9, TokenCount(), TokenCount(), {} };
