Measure what a thread has run for after it has run

ThreadTimesTest.ThisThreadHasRun failed on kernels that count the running time in steps of 4 ms: a process that had run for less reads 0. The test was wrong, not the code.

--- a/test/state/ThreadTimesTest.cpp
+++ b/test/state/ThreadTimesTest.cpp
@@ -1,5 +1,7 @@
 #include "damasklink/state/ThreadTimes.h"
 
+#include <ctime>
+
 #include <gtest/gtest.h>
 
 namespace damasklink {
@@ -19,9 +21,19 @@
   EXPECT_FALSE(ParseThreadTimes("5000 300"));
 }
 
+// Some kernels count the running time in steps of several milliseconds.
 TEST(ThreadTimesTest, ThisThreadHasRun)
 {
-  EXPECT_GT(ReadThreadTimes().value().running, Duration::zero());
+  const auto processorTime = [] {
+    timespec now{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+    return std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+  };
+  const Duration before = ReadThreadTimes().value().running;
+  const auto end = processorTime() + std::chrono::milliseconds(50);
+  while (processorTime() < end) {
+  }
+  EXPECT_GT(ReadThreadTimes().value().running - before, std::chrono::milliseconds(25));
 }
 
 } // namespace
