--- a/include/damasklink/coordination/WeightRollout.h
+++ b/include/damasklink/coordination/WeightRollout.h
@@ -144,6 +144,7 @@
   bool AreUnchanged(const std::vector<TargetRecord>& aEngines) const;
   void UpdateEngines(const std::vector<TargetRecord>& aEngines);
   std::optional<RolloutAction> Advance(const TargetRecord& aEngine, EngineUpdate& aUpdate);
+  void SortByVersion(const ModelName& aModel, std::vector<const TargetRecord*>& aEngines) const;
   // Returns the newest version that the engine announced or reported.
   std::uint64_t KnownVersion(const TargetRecord& aEngine, const ModelName& aModel) const;
   static std::uint64_t VersionOf(const std::vector<ServedModel>& aModels, const ModelName& aModel);
--- a/src/coordination/TargetSelector.cpp
+++ b/src/coordination/TargetSelector.cpp
@@ -82,8 +82,8 @@
   const auto isNewEnough = [&](const TargetRecord& aTarget) {
     return WeightsOf(aTarget, aRequest.model) >= aRequest.minWeights;
   };
-  const bool excludesOlder = aRequest.neverBelowMinWeights ||
-                             std::any_of(aTargets.begin(), aTargets.end(), isNewEnough);
+  const bool excludesOlder =
+    aRequest.neverBelowMinWeights || std::any_of(aTargets.begin(), aTargets.end(), isNewEnough);
   for (const TargetRecord& target : aTargets) {
     const bool tooOld = excludesOlder && !isNewEnough(target);
     if (tooOld || aRequest.excluded.contains(target.id) ||
--- a/src/coordination/WeightRollout.cpp
+++ b/src/coordination/WeightRollout.cpp
@@ -46,11 +46,7 @@
         this->updates.erase(done);
       }
     }
-    // Engines with the oldest weights go first: while versions come faster than all engines load one,
-    // those that were just updated are outdated again.
-    std::stable_sort(outdated.begin(), outdated.end(), [&](const auto* aLeft, const auto* aRight) {
-      return this->KnownVersion(*aLeft, model) < this->KnownVersion(*aRight, model);
-    });
+    this->SortByVersion(model, outdated);
     const auto maxUnavailable = static_cast<std::size_t>(
       std::ceil(static_cast<double>(serving) * this->options.maxUnavailableShare));
     for (const TargetRecord* engine : outdated) {
@@ -198,6 +194,17 @@
   return found == this->reported.end() ? 0 : found->second;
 }
 
+// Engines with the oldest weights go first: while versions come faster than all engines load one,
+// those that were just updated are outdated again.
+void
+WeightRollout::SortByVersion(const ModelName& aModel,
+                             std::vector<const TargetRecord*>& aEngines) const
+{
+  std::stable_sort(aEngines.begin(), aEngines.end(), [&](const auto* aLeft, const auto* aRight) {
+    return this->KnownVersion(*aLeft, aModel) < this->KnownVersion(*aRight, aModel);
+  });
+}
+
 std::uint64_t
 WeightRollout::KnownVersion(const TargetRecord& aEngine, const ModelName& aModel) const
 {
