--- a/src/program/TargetTracker.cpp
+++ b/src/program/TargetTracker.cpp
@@ -24,7 +24,7 @@
     return false;
   }
   if (this->Merge(aRecord)) {
-    // With the departure that it may have been found to contradict.
+    // As merged: a late heartbeat is passed on as that of a target that leaves.
     this->directRecords[aRecord.id] = *this->registry.Find(aRecord.id);
   }
   return true;
