Tell hosts how long ago each version of weights was acknowledged

Cause: a host counted the age of a version from when it heard of it itself, and control hosts told only the newest version, without its age. Control hosts keep and exchange ages now and tell them with each version; one that was restarted says that it does not know them, and entry hosts take such a version for old. The limit also holds for 5 s after the last contact with a control host that follows a leader.

--- a/include/damasklink/coordination/ServingMessages.h
+++ b/include/damasklink/coordination/ServingMessages.h
@@ -18,6 +18,7 @@
 #include "damasklink/coordination/RequestFingerprint.h"
 #include "damasklink/coordination/Target.h"
 #include "damasklink/coordination/TargetSubsets.h"
+#include "damasklink/coordination/WeightVersionAges.h"
 #include "damasklink/state/Clock.h"
 #include "damasklink/state/Ids.h"
 #include "damasklink/state/Units.h"
@@ -207,7 +208,8 @@
   // The version of the configuration document that is in force. Included in every update, so that
   // an entry host that missed a version learns of it. Zero if there is none yet.
   Revision documentVersion;
-  std::map<ModelName, std::uint64_t> weights;
+  // The recent versions of each model's weights, older ones first; empty if not included.
+  std::vector<AnnouncedWeights> weights;
   std::vector<TargetUpdate> targets;
   // The number of known entry hosts, among which shared budgets are divided; 0 if not included.
   std::uint64_t entryHosts = 0;
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -15,6 +15,7 @@
 #include "damasklink/coordination/OwnMemory.h"
 #include "damasklink/coordination/ServiceLevelWindows.h"
 #include "damasklink/coordination/StableWeightVersions.h"
+#include "damasklink/coordination/WeightAgeTracker.h"
 #include "damasklink/protocol/ServingCodec.h"
 #include "damasklink/state/MetricsRegistry.h"
 #include "damasklink/state/ProcessMemory.h"
@@ -146,6 +147,8 @@
   void Stop();
   void Tick();
   void StepGroup();
+  void StepWeightAges();
+  void LogWeightAges(const HostId& aFrom);
   bool StopAfterFailure();
   // Measures what the process uses for itself.
   void UpdateMemory();
@@ -177,14 +180,15 @@
   StoreWatchPlan storePlan{ this->settings.host, this->settings.zone };
   StoreWatcher stores;
   RolloutExecutor rollout;
+  WeightAgeTracker weightAges{ this->clock, this->settings.weightsWithin };
   StableWeightVersions settledWeights{ this->clock, kWeightsSettleTime };
   HostRegistry hosts{ this->settings.host, this->settings.zone };
   CrashRegistry crashes{ this->clock };
   RefusalProposer refusals{ this->loop, this->group, this->crashes };
   SoftwareVersionProposer software{ this->loop, this->group, this->tracker.Versions() };
   ServingUpdatePublisher publisher{ this->clock,   this->settings, this->group,   this->stores,
-                                    this->tracker, this->hosts,    this->crashes, this->mesh,
-                                    this->metrics, this->account };
+                                    this->tracker, this->hosts,    this->crashes, this->weightAges,
+                                    this->mesh,    this->metrics,  this->account };
   MetricsServer metricsPage{ this->loop, this->metrics, this->memory, this->settings.host };
   ControlCallHandler calls;
   ConnectionListener callers{ this->loop };
@@ -194,6 +198,8 @@
   Revision appliedVersion;
   // The number of departures that were applied.
   std::uint64_t appliedDepartures = 0;
+  // The changes of the ages of weights that were logged.
+  std::uint64_t loggedWeightAges = 0;
   // Zones that were evacuated in the state that was applied last.
   std::set<ZoneId> evacuated;
   MonotonicTime nextPublish;
@@ -287,6 +293,7 @@
 ControlHost::Impl::Tick()
 {
   this->StepGroup();
+  this->StepWeightAges();
   this->account.Step();
   if (this->StopAfterFailure()) {
     return;
@@ -335,6 +342,32 @@
   this->group.Step();
 }
 
+void
+ControlHost::Impl::StepWeightAges()
+{
+  this->weightAges.Step(this->group.HasRecentLeader());
+  this->LogWeightAges(this->settings.host);
+  this->publisher.PublishWeights();
+}
+
+// Logs what this host knows of the ages of weights if that has changed.
+void
+ControlHost::Impl::LogWeightAges(const HostId& aFrom)
+{
+  if (std::exchange(this->loggedWeightAges, this->weightAges.Changes()) ==
+      this->weightAges.Changes()) {
+    return;
+  }
+  for (const AnnouncedWeights& announced : this->weightAges.Ages().All()) {
+    LogEvent(LogLevel::Info, "weights_known")
+      .With("model", announced.model)
+      .With("version", announced.version)
+      .With("age_known", announced.age.has_value())
+      .With("age_ms", WholeMilliseconds(announced.age.value_or(Duration::zero())))
+      .With("from", aFrom);
+  }
+}
+
 // Stops the event loop when the log has failed for good, and returns whether it did; Run() then
 // returns the error. A disk that only refuses writes is no such failure: the log is retried, this
 // host sends nothing to the group meanwhile, so the others elect a leader without it, and it still
@@ -378,7 +411,9 @@
     .With("version", state.Version())
     .With("entry_hosts", this->hosts.EntryHosts().size());
   this->ApplyEvacuations();
+  this->weightAges.OnApplied(state.Weights());
   this->publisher.PublishGroupState();
+  this->publisher.PublishWeights();
   if (state.Version() != this->appliedVersion) {
     this->appliedVersion = state.Version();
     this->ApplyServices();
@@ -521,6 +556,8 @@
       this->tracker.OnRelayedRecord(target.record);
     }
     this->stores.OnRelayed(aPeer, update->stores);
+    this->weightAges.OnTold(update->weights);
+    this->LogWeightAges(aPeer);
   }
 }
 
--- a/src/program/EntryHostImpl.h
+++ b/src/program/EntryHostImpl.h
@@ -40,7 +40,7 @@
        SettingsReader aReader)
     : settings(std::move(aSettings))
     , calls(aCalls)
-    , state(this->clock, this->settings.host)
+    , state(this->clock, this->settings.host, this->settings.weightsWithin)
     , firstConfiguration(this->loop)
     , retries(this->settings.retries, RandomSeed())
     , health(this->clock, RandomSeed())
--- a/src/program/EntryHostState.cpp
+++ b/src/program/EntryHostState.cpp
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <utility>
 
+#include "damasklink/state/Units.h"
 #include "damasklink/transport/Log.h"
 
 namespace damasklink {
@@ -22,20 +23,11 @@
 void
 EntryHostState::Apply(const HostId& aFrom, const ServingUpdate& aUpdate)
 {
+  this->KeepHealthyTime();
   if (this->connected.contains(aFrom) && this->reported.insert(aFrom).second) {
     this->targets.OnLink(aFrom, true);
   }
-  for (const auto& [model, version] : aUpdate.weights) {
-    std::uint64_t& newest = this->weights[model];
-    if (version > newest) {
-      newest = version;
-      this->weightsAnnouncedAt[model][version] = this->clock.MonotonicNow();
-      LogEvent(LogLevel::Info, "weights_named")
-        .With("model", model)
-        .With("version", version)
-        .With("from", aFrom);
-    }
-  }
+  this->ApplyWeights(aFrom, aUpdate.weights);
   if (!aUpdate.subsets.empty()) {
     this->targets.SetSubsets(aFrom, aUpdate.subsets);
     LogEvent(LogLevel::Info, "target_subsets_told")
@@ -69,6 +61,21 @@
   this->discoveredControlHosts.insert(aUpdate.controlHosts.begin(), aUpdate.controlHosts.end());
 }
 
+void
+EntryHostState::ApplyWeights(const HostId& aFrom, const std::vector<AnnouncedWeights>& aAnnounced)
+{
+  for (const AnnouncedWeights& announced : aAnnounced) {
+    if (this->weights.Take(announced)) {
+      LogEvent(LogLevel::Info, "weights_named")
+        .With("model", announced.model)
+        .With("version", announced.version)
+        .With("age_known", announced.age.has_value())
+        .With("age_ms", WholeMilliseconds(announced.age.value_or(Duration::zero())))
+        .With("from", aFrom);
+    }
+  }
+}
+
 void
 EntryHostState::ApplyEvacuations(const HostId& aFrom, const EvacuatedZones& aEvacuations)
 {
@@ -117,6 +124,7 @@
     this->connected.insert(aHost);
     return;
   }
+  this->KeepHealthyTime();
   this->targets.OnLink(aHost, false);
   this->connected.erase(aHost);
   this->reported.erase(aHost);
@@ -141,6 +149,20 @@
   });
 }
 
+bool
+EntryHostState::HadHealthyControlHost(Duration aTime) const
+{
+  return this->HasHealthyControlHost() || this->clock.MonotonicNow() - this->healthyAt < aTime;
+}
+
+void
+EntryHostState::KeepHealthyTime()
+{
+  if (this->HasHealthyControlHost()) {
+    this->healthyAt = this->clock.MonotonicNow();
+  }
+}
+
 void
 EntryHostState::SelectStoreSource(const std::optional<HostId>& aHub)
 {
@@ -154,24 +176,13 @@
 std::uint64_t
 EntryHostState::WeightVersionOf(const ModelName& aModel) const
 {
-  const auto found = this->weights.find(aModel);
-  return found == this->weights.end() ? 0 : found->second;
+  return this->weights.Newest(aModel);
 }
 
 std::uint64_t
-EntryHostState::WeightVersionKnownFor(const ModelName& aModel, Duration aAge) const
+EntryHostState::WeightVersionOfAge(const ModelName& aModel, Duration aAge) const
 {
-  const auto found = this->weightsAnnouncedAt.find(aModel);
-  if (found == this->weightsAnnouncedAt.end()) {
-    return 0;
-  }
-  std::uint64_t known = 0;
-  for (const auto& [version, announcedAt] : found->second) {
-    if (this->clock.MonotonicNow() - announcedAt >= aAge) {
-      known = version;
-    }
-  }
-  return known;
+  return this->weights.NewestOfAge(aModel, aAge);
 }
 
 const StoredPartIndex*
--- a/src/program/EntryHostState.h
+++ b/src/program/EntryHostState.h
@@ -13,7 +13,9 @@
 #include "damasklink/coordination/ServingMessages.h"
 #include "damasklink/coordination/StoredPartIndex.h"
 #include "damasklink/coordination/TargetDirectory.h"
+#include "damasklink/coordination/WeightVersionAges.h"
 #include "damasklink/protocol/ServingDialect.h"
+#include "damasklink/state/ServingSettings.h"
 
 namespace damasklink {
 
@@ -38,9 +40,14 @@
 class EntryHostState
 {
 public:
-  explicit EntryHostState(const Clock& aClock, const HostId& aSelf = HostId())
+  // Calls begin on older weights for at most aWeightsWithin.
+  explicit EntryHostState(const Clock& aClock,
+                          const HostId& aSelf = HostId(),
+                          Duration aWeightsWithin = ServingSettings().weightsWithin)
     : clock(aClock)
     , targets(aSelf)
+    , weights(aClock, aWeightsWithin)
+    , healthyAt(aClock.MonotonicNow())
   {
   }
 
@@ -62,9 +69,9 @@
   // announced.
   std::uint64_t WeightVersionOf(const ModelName& aModel) const;
 
-  // Returns the newest version that this host has known for at least aAge; 0 for none. The age of a
-  // version counts from its first announcement and isn't reset by later versions.
-  std::uint64_t WeightVersionKnownFor(const ModelName& aModel, Duration aAge) const;
+  // Returns the newest version that was acknowledged at least aAge ago, as far as control hosts
+  // know; 0 for none. The age of a version isn't reset by later versions.
+  std::uint64_t WeightVersionOfAge(const ModelName& aModel, Duration aAge) const;
 
   // Selects the control host whose reports of stored parts are used, and drops what an earlier one
   // reported.
@@ -84,8 +91,9 @@
   // leader.
   bool IsHealthy(const HostId& aHost) const;
 
-  // Returns whether any control host is healthy.
-  bool HasHealthyControlHost() const;
+  // Returns whether any control host is healthy, or was so within aTime. A host counts as healthy
+  // when it starts.
+  bool HadHealthyControlHost(Duration aTime) const;
 
   // Returns the number of entry hosts: the largest count that a connected control host reports.
   std::uint64_t EntryHosts() const;
@@ -98,14 +106,18 @@
   std::set<ZoneId> TakeReturned() { return std::exchange(this->pendingReturned, {}); }
 
 private:
+  void ApplyWeights(const HostId& aFrom, const std::vector<AnnouncedWeights>& aAnnounced);
   void ApplyEvacuations(const HostId& aFrom, const EvacuatedZones& aEvacuations);
+  bool HasHealthyControlHost() const;
+  // Must be called before the health of a control host changes.
+  void KeepHealthyTime();
 
   const Clock& clock;
   RoutesPtr routes;
   TargetDirectory targets;
-  std::map<ModelName, std::uint64_t> weights;
-  // When each version was first announced, by model. Never pruned: there are a few a day.
-  std::map<ModelName, std::map<std::uint64_t, MonotonicTime>> weightsAnnouncedAt;
+  WeightVersionAges weights;
+  // When a control host was last healthy, if none is now.
+  MonotonicTime healthyAt;
   std::map<HostId, std::uint64_t> entryHosts;
   // The control host whose reports of stored parts are used, and what it reported.
   std::optional<HostId> hub;
--- a/src/program/ExchangeRouting.cpp
+++ b/src/program/ExchangeRouting.cpp
@@ -51,9 +51,9 @@
 constexpr int kCallerPatienceObjectives = 4;
 constexpr int kCallerPatiencePauses = 8;
 
-// Longest time that a call waits at an engine before it begins. Calls are no longer sent to engines
-// with older weights this long before the deadline for new ones, since they might begin after it.
-constexpr Duration kMaxEngineQueueTime = std::chrono::milliseconds(3000);
+// Longest time in which a new leader takes over, also after a restart of all control hosts. Newer
+// weights are on their way again then.
+constexpr Duration kMaxLeaderChange = std::chrono::seconds(5);
 
 // Added to the time for which a caller may resume its stream, as it counts that time itself.
 constexpr Duration kOriginMargin = std::chrono::seconds(1);
@@ -294,10 +294,11 @@
   const bool hasPrompt = this->route->carriesPrompt && !this->call.model.Empty();
   if (hasPrompt) {
     this->PrepareSelection(this->NewestWeightVersion());
-    this->selection.minWeights = this->context.state.WeightVersionKnownFor(
+    this->selection.minWeights = this->context.state.WeightVersionOfAge(
       this->call.model, this->context.settings.weightsWithin - kMaxEngineQueueTime);
     // Without a leader nobody orders newer weights, and older ones are better than none.
-    this->selection.neverBelowMinWeights = this->context.state.HasHealthyControlHost();
+    this->selection.neverBelowMinWeights =
+      this->context.state.HadHealthyControlHost(kMaxLeaderChange);
   }
   const std::vector<TargetRecord>& targets = this->Targets();
   if (hasPrompt && !this->begunOn && this->context.crowded.contains(this->service)) {
--- a/src/program/ServingUpdatePublisher.cpp
+++ b/src/program/ServingUpdatePublisher.cpp
@@ -50,6 +50,7 @@
                                                TargetTracker& aTracker,
                                                HostRegistry& aHosts,
                                                CrashRegistry& aCrashes,
+                                               const WeightAgeTracker& aWeightAges,
                                                PeerMesh& aMesh,
                                                Metrics& aMetrics,
                                                WorkStatistics& aAccount)
@@ -60,6 +61,7 @@
   , tracker(aTracker)
   , hosts(aHosts)
   , crashes(aCrashes)
+  , weightAges(aWeightAges)
   , mesh(aMesh)
   , metrics(aMetrics)
   , account(aAccount)
@@ -192,7 +194,7 @@
 ServingUpdatePublisher::MakeStateUpdate() const
 {
   ServingUpdate update = this->MakeBaseUpdate();
-  update.weights = this->group.State().Weights();
+  update.weights = this->weightAges.Ages().All();
   update.entryHosts = this->hosts.CountEntryHosts();
   update.controlHosts = this->hosts.AllControlHosts();
   update.crashing = this->publishedCrashing;
@@ -202,8 +204,7 @@
 }
 
 // Sends the version of the document only: a host that does not have the document requests it from
-// one of the hosts that announced the version. Weights are included if they have changed, not with
-// each configuration.
+// one of the hosts that announced the version.
 void
 ServingUpdatePublisher::PublishGroupState()
 {
@@ -211,10 +212,6 @@
   const WorkTimer timer(this->account, Work::Pictures);
   this->document.Publish(this->group.State().Version(), this->group.State().Document());
   ServingUpdate update = this->MakeBaseUpdate();
-  if (this->publishedWeights != this->group.State().Weights()) {
-    this->publishedWeights = this->group.State().Weights();
-    update.weights = this->publishedWeights;
-  }
   EvacuatedZones evacuated = this->group.State().Evacuated().Current();
   if (this->publishedEvacuated != evacuated) {
     this->publishedEvacuated = std::move(evacuated);
@@ -223,6 +220,25 @@
   this->SendToEntryHosts(Work::Pictures, update);
 }
 
+void
+ServingUpdatePublisher::PublishWeights()
+{
+  const WeightVersionAges& ages = this->weightAges.Ages();
+  const MonotonicTime now = this->clock.MonotonicNow();
+  const bool changed = this->publishedWeights != this->weightAges.Changes();
+  if (!changed && (now < this->nextWeights || !ages.HasRecent())) {
+    return;
+  }
+  this->SendPendingSnapshots();
+  const WorkTimer timer(this->account, Work::Pictures);
+  this->publishedWeights = this->weightAges.Changes();
+  this->nextWeights = now + WeightAgeTracker::kRepeatInterval;
+  ServingUpdate update = this->MakeBaseUpdate();
+  update.weights = ages.All();
+  this->SendToEntryHosts(Work::Pictures, update);
+  this->SendToControlHosts(Work::Pictures, update);
+}
+
 void
 ServingUpdatePublisher::Answer(const HostId& aEntryHost, const DocumentRequest& aRequest)
 {
@@ -355,6 +371,7 @@
 {
   const WorkTimer timer(this->account, Work::Snapshots);
   ServingUpdate all = this->MakeBaseUpdate();
+  all.weights = this->weightAges.Ages().All();
   all.targets = this->tracker.AllOf([](const TargetRecord&) { return true; });
   this->Send(Work::Snapshots, aControlHost, EncodeCompressed(all));
 }
--- a/src/program/ServingUpdatePublisher.h
+++ b/src/program/ServingUpdatePublisher.h
@@ -18,6 +18,7 @@
 #include "damasklink/coordination/RecentHosts.h"
 #include "damasklink/coordination/StreamOriginTable.h"
 #include "damasklink/coordination/TargetSubsets.h"
+#include "damasklink/coordination/WeightAgeTracker.h"
 #include "damasklink/transport/PeerMesh.h"
 
 namespace damasklink {
@@ -38,6 +39,7 @@
                          TargetTracker& aTracker,
                          HostRegistry& aHosts,
                          CrashRegistry& aCrashes,
+                         const WeightAgeTracker& aWeightAges,
                          PeerMesh& aMesh,
                          Metrics& aMetrics,
                          WorkStatistics& aAccount);
@@ -46,10 +48,14 @@
   // targets of its subset (TargetSubsets.h).
   void PublishChanges();
 
-  // Sends the version of the configuration document to all entry hosts, and the versions of weights
-  // and the evacuated zones if they have changed.
+  // Sends the version of the configuration document to all entry hosts, and the evacuated zones if
+  // they have changed.
   void PublishGroupState();
 
+  // Sends the versions of weights with their ages to all hosts if any has changed, and repeatedly
+  // while one is recent.
+  void PublishWeights();
+
   // Answers a request for a chunk of the configuration document.
   void Answer(const HostId& aEntryHost, const DocumentRequest& aRequest);
 
@@ -138,6 +144,7 @@
   TargetTracker& tracker;
   HostRegistry& hosts;
   CrashRegistry& crashes;
+  const WeightAgeTracker& weightAges;
   PeerMesh& mesh;
   Metrics& metrics;
   WorkStatistics& account;
@@ -168,7 +175,9 @@
   // What was last sent to entry hosts.
   std::uint64_t publishedEntryHosts = 0;
   bool publishedIsolated = false;
-  std::map<ModelName, std::uint64_t> publishedWeights;
+  // The changes of the ages of weights that were published, and when they are repeated.
+  std::uint64_t publishedWeights = 0;
+  MonotonicTime nextWeights;
   EvacuatedZones publishedEvacuated;
   CrashingRequests publishedCrashing;
   MonotonicTime suspectsPublishedAt;
--- a/src/protocol/ServingCodec.cpp
+++ b/src/protocol/ServingCodec.cpp
@@ -29,6 +29,9 @@
   StreamOriginResponse = 11,
 };
 
+// The highest age of a version of weights that is read. Such a version is old in any case.
+constexpr std::uint64_t kMaxAgeMilliseconds = 100'000'000;
+
 // Messages smaller than this are not compressed, because they fit into a few packets anyway.
 constexpr std::size_t kMinCompressedBytes = 4 * kKibibyte;
 
@@ -176,6 +179,30 @@
   return update;
 }
 
+std::unique_ptr<wire::NamedWeightsRowT>
+RowOf(const AnnouncedWeights& aAnnounced)
+{
+  auto row = std::make_unique<wire::NamedWeightsRowT>();
+  row->model = aAnnounced.model.Value();
+  row->version = aAnnounced.version;
+  row->age_unknown = !aAnnounced.age;
+  const Duration age = std::max(aAnnounced.age.value_or(Duration::zero()), Duration::zero());
+  row->age_ms = static_cast<std::uint64_t>(WholeMilliseconds(age));
+  return row;
+}
+
+// A host of a program version that states no age sends a version once it is named.
+AnnouncedWeights
+ReadRow(const wire::NamedWeightsRowT& aRow)
+{
+  AnnouncedWeights announced{ ModelName(aRow.model), aRow.version, std::nullopt };
+  if (!aRow.age_unknown) {
+    // Bounded, as the sum with a time must not overflow.
+    announced.age = std::chrono::milliseconds(std::min(aRow.age_ms, kMaxAgeMilliseconds));
+  }
+  return announced;
+}
+
 std::unique_ptr<wire::CrashRowT>
 RowOf(const CrashReport& aReport)
 {
@@ -317,11 +344,8 @@
   {
     this->frame.kind = static_cast<std::uint8_t>(FrameKind::ServingUpdate);
     this->frame.document_version = aUpdate.documentVersion.Value();
-    for (const auto& [model, version] : aUpdate.weights) {
-      auto row = std::make_unique<wire::NamedWeightsRowT>();
-      row->model = model.Value();
-      row->version = version;
-      this->frame.weights.push_back(std::move(row));
+    for (const AnnouncedWeights& announced : aUpdate.weights) {
+      this->frame.weights.push_back(RowOf(announced));
     }
     for (const TargetUpdate& update : aUpdate.targets) {
       this->frame.targets.push_back(RowOf(update));
@@ -524,7 +548,7 @@
   ServingUpdate update;
   update.documentVersion = Revision(aFrame.document_version);
   for (const auto& row : aFrame.weights) {
-    update.weights[ModelName(row->model)] = row->version;
+    update.weights.push_back(ReadRow(*row));
   }
   for (const auto& row : aFrame.targets) {
     if (!ReadRow(*row, update.targets.emplace_back())) {
--- a/test/program/EntryHostStateTest.cpp
+++ b/test/program/EntryHostStateTest.cpp
@@ -34,7 +34,7 @@
   void AnnounceWeights(std::uint64_t aVersion)
   {
     ServingUpdate update;
-    update.weights[kModel] = aVersion;
+    update.weights = { AnnouncedWeights{ kModel, aVersion, Duration::zero() } };
     this->state.Apply(kFirst, update);
   }
 
@@ -74,10 +74,52 @@
   this->AnnounceWeights(3);
   this->clock.Advance(std::chrono::seconds(3));
   EXPECT_EQ(this->state.WeightVersionOf(kModel), 3U);
-  EXPECT_EQ(this->state.WeightVersionKnownFor(kModel, std::chrono::seconds(7)), 2U);
-  EXPECT_EQ(this->state.WeightVersionKnownFor(kModel, std::chrono::seconds(9)), 0U);
+  EXPECT_EQ(this->state.WeightVersionOfAge(kModel, std::chrono::seconds(7)), 2U);
+  EXPECT_EQ(this->state.WeightVersionOfAge(kModel, std::chrono::seconds(9)), 0U);
   this->clock.Advance(std::chrono::seconds(5));
-  EXPECT_EQ(this->state.WeightVersionKnownFor(kModel, std::chrono::seconds(7)), 3U);
+  EXPECT_EQ(this->state.WeightVersionOfAge(kModel, std::chrono::seconds(7)), 3U);
+}
+
+// Guards against a restarted host that allows older weights for the whole time once more.
+TEST_F(EntryHostStateTest, AgeOfWeightsCountsFromTheirAcknowledgement)
+{
+  ServingUpdate update;
+  update.weights = { AnnouncedWeights{ kModel, 2, std::chrono::seconds(8) },
+                     AnnouncedWeights{ kModel, 3, std::chrono::seconds(4) } };
+  this->state.Apply(kFirst, update);
+  this->clock.Advance(std::chrono::seconds(1));
+  EXPECT_EQ(this->state.WeightVersionOfAge(kModel, std::chrono::seconds(9)), 2U);
+  EXPECT_EQ(this->state.WeightVersionOf(kModel), 3U);
+}
+
+// Guards against a host that allows weights whose age it does not know, as when it hears first from
+// a control host that was restarted, too.
+TEST_F(EntryHostStateTest, WeightsOfUnknownAgeCountAsOld)
+{
+  ServingUpdate update;
+  update.weights = { AnnouncedWeights{ kModel, 2, std::nullopt } };
+  this->state.Apply(kFirst, update);
+  EXPECT_EQ(this->state.WeightVersionOfAge(kModel, std::chrono::seconds(9)), 2U);
+  update.weights = { AnnouncedWeights{ kModel, 2, std::chrono::seconds(1) } };
+  this->state.Apply(kSecond, update);
+  EXPECT_EQ(this->state.WeightVersionOfAge(kModel, std::chrono::seconds(9)), 0U);
+}
+
+// Guards against calls on old weights during an election, or before the host has heard of a leader.
+TEST_F(EntryHostStateTest, LackOfAHealthyControlHostCountsFromItsLoss)
+{
+  EXPECT_TRUE(this->state.HadHealthyControlHost(std::chrono::seconds(5))) << "it has just started";
+  this->clock.Advance(std::chrono::seconds(5));
+  EXPECT_FALSE(this->state.HadHealthyControlHost(std::chrono::seconds(5)));
+  ServingUpdate update;
+  this->state.Apply(kFirst, update);
+  this->clock.Advance(std::chrono::seconds(30));
+  update.isolated = true;
+  this->state.Apply(kFirst, update);
+  this->clock.Advance(std::chrono::seconds(4));
+  EXPECT_TRUE(this->state.HadHealthyControlHost(std::chrono::seconds(5)));
+  this->clock.Advance(std::chrono::seconds(1));
+  EXPECT_FALSE(this->state.HadHealthyControlHost(std::chrono::seconds(5)));
 }
 
 TEST_F(EntryHostStateTest, IgnoresOlderWeightVersion)
--- a/test/program/PublisherFixture.h
+++ b/test/program/PublisherFixture.h
@@ -107,10 +107,11 @@
   TargetTracker tracker{ this->clock, std::chrono::seconds(4) };
   HostRegistry hosts{ HostId("control"), ZoneId("z") };
   CrashRegistry crashes{ this->clock };
+  WeightAgeTracker weightAges{ this->clock, std::chrono::seconds(12) };
   WorkStatistics account{ this->clock, this->metrics };
   ServingUpdatePublisher publisher{ this->clock,   this->settings, this->group,   this->stores,
-                                    this->tracker, this->hosts,    this->crashes, this->mesh,
-                                    this->metrics, this->account };
+                                    this->tracker, this->hosts,    this->crashes, this->weightAges,
+                                    this->mesh,    this->metrics,  this->account };
 };
 
 class PublisherFixture
--- a/test/program/ServingUpdatePublisherTest.cpp
+++ b/test/program/ServingUpdatePublisherTest.cpp
@@ -56,6 +56,27 @@
   EXPECT_LE(this->Sent(Counter::PeerMessagesOut, "pictures") - before, kSeconds + 1U);
 }
 
+// Guards against hosts that know too low an age for good, as they stood still while the message was
+// on its way. Old versions cost nothing.
+TEST_F(ServingUpdatePublisherTest, RecentWeightsAreRepeatedUntilTheyAreOld)
+{
+  constexpr int kSecondsRecent = 12;
+  this->Connect(1);
+  this->weightAges.OnTold({ AnnouncedWeights{ ModelName("m"), 2, Duration::zero() } });
+  std::uint64_t before = this->Sent(Counter::PeerMessagesOut, "pictures");
+  for (int second = 0; second < kSecondsRecent; ++second) {
+    this->publisher.PublishWeights();
+    this->publisher.PublishWeights();
+    this->clock.Advance(std::chrono::seconds(1));
+  }
+  const std::uint64_t repeated = this->Sent(Counter::PeerMessagesOut, "pictures") - before;
+  EXPECT_GE(repeated, kSecondsRecent - 2U);
+  EXPECT_LE(repeated, static_cast<std::uint64_t>(kSecondsRecent));
+  before = this->Sent(Counter::PeerMessagesOut, "pictures");
+  this->publisher.PublishWeights();
+  EXPECT_EQ(this->Sent(Counter::PeerMessagesOut, "pictures"), before);
+}
+
 // Guards against entry hosts that hear, keep and compare all targets of a deployment: with ten
 // thousand of them that was most of their work.
 TEST_F(ServingUpdatePublisherTest, HostIsSentTheTargetsOfItsSubsetOnly)
--- a/test/protocol/ServingCodecTest.cpp
+++ b/test/protocol/ServingCodecTest.cpp
@@ -22,7 +22,8 @@
 {
   ServingUpdate update;
   update.documentVersion = Revision(12);
-  update.weights[ModelName("m")] = 3;
+  update.weights = { AnnouncedWeights{ ModelName("m"), 2, std::chrono::milliseconds(1500) },
+                     AnnouncedWeights{ ModelName("m"), 3, std::nullopt } };
   update.entryHosts = 9;
   update.isolated = true;
   update.controlHosts = { { HostId("10.0.0.1"), ZoneId("z1") }, { HostId("10.0.0.2"), ZoneId() } };
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -76,6 +76,10 @@
     "peak_too_high",
     "small_requests_not_served",
     "endless_target_still_asked",
+    "begun_on_old_weights",
+    "engines_ready_late",
+    "engines_starved",
+    "calls_not_served",
 )
 
 
@@ -110,6 +114,7 @@
             "heartbeat-ms=400",
             "bounds.grace-s=8",
         ]
+        lines += self.run.more_settings
         if self.memory_mb is not None:
             lines.append(f"limits.memory-mb={self.memory_mb}")
         if self.role == "control":
@@ -156,6 +161,8 @@
 
 class Soak:
     target_class = Target
+    # Lines of the settings of all hosts beside those that each run has.
+    more_settings = ()
 
     def __init__(self, options, seed):
         self.binary = pathlib.Path(options.build).resolve() / "damasklink"
