End the update of an engine with its load

Cause: WeightRollout held an update until the engine had the newest version. An update ends with the load that was ordered now, and the version is chosen when the order goes out. An engine that hangs gives its place to others that wait.

--- a/include/damasklink/coordination/WeightRollout.h
+++ b/include/damasklink/coordination/WeightRollout.h
@@ -1,6 +1,9 @@
 // Rolls out new weights to the engines of each model, a limited share of them at a time. Performs
 // no I/O.
 //
+// The update of an engine ends with its load, also if a newer version was named meanwhile: engines
+// with the oldest weights go first, so that each gets its turn while versions come quickly.
+//
 // The leader of the control group gives the orders. A new leader first waits until no order of the
 // former one can still be in flight (RolloutOptions::orderLease). Each order carries the number of
 // orders that the engine had accepted when it was last read; the engine refuses an order with
@@ -33,8 +36,9 @@
 {
   // Minimum time between the orders of two leaders.
   Duration orderLease = std::chrono::milliseconds(3300);
-  // Largest share of a model's engines that are out of service at the same time. The others
-  // recompute prompts meanwhile, and have the less capacity for the load of those that are out.
+  // Largest share of a model's engines that an update takes out of service at the same time. The
+  // others recompute prompts meanwhile, and have the less capacity for the load of those that are
+  // out.
   double maxUnavailableShare = 0.2;
   // How long an engine gets no new work before it is ordered. Most of its requests end in that
   // time. The others continue under the new weights, which is worth less to their callers than
@@ -48,6 +52,9 @@
   // An engine loads within a second or two. If it does not report the new weights much later than
   // that, its order was lost or will be carried out late.
   Duration orderTimeout = std::chrono::milliseconds(2500);
+  // An engine that has not loaded for this long gives its place to others that wait for one, and is
+  // tried again after as long.
+  Duration updateTimeout = std::chrono::milliseconds(5000);
   // Time between two reads of an engine that has an order.
   Duration reportInterval = std::chrono::milliseconds(300);
 };
@@ -126,16 +133,19 @@
     Ordered,  // The sending has ended, with or without an answer.
   };
 
-  // The update of one engine to a version of its model's weights.
+  // The update of one engine.
   struct EngineUpdate
   {
     ModelName model;
-    std::uint64_t version = 0;
+    // The version of the last order; 0 before the first.
+    std::uint64_t ordered = 0;
     Stage stage = Stage::Reading;
     EngineReport report;
     // Whether `report` is valid: of the current incarnation, and the last read succeeded.
     bool hasReport = false;
     MonotonicTime startedAt;
+    // When the engine may be ordered: calls that it has taken had time to end.
+    MonotonicTime drainedAt;
     MonotonicTime orderedAt;
     MonotonicTime nextRead;
   };
@@ -143,8 +153,19 @@
   bool MayOrder() const;
   bool AreUnchanged(const std::vector<TargetRecord>& aEngines) const;
   void UpdateEngines(const std::vector<TargetRecord>& aEngines);
-  std::optional<RolloutAction> Advance(const TargetRecord& aEngine, EngineUpdate& aUpdate);
-  void SortByVersion(const ModelName& aModel, std::vector<const TargetRecord*>& aEngines) const;
+  std::optional<RolloutAction> Advance(const TargetRecord& aEngine,
+                                       std::uint64_t aVersion,
+                                       EngineUpdate& aUpdate);
+  void EndUpdates(const ModelName& aModel,
+                  std::uint64_t aVersion,
+                  const std::vector<TargetRecord>& aEngines);
+  std::vector<const TargetRecord*> Outdated(const ModelName& aModel,
+                                            std::uint64_t aVersion,
+                                            const std::vector<TargetRecord>& aEngines) const;
+  bool HasPlace(std::size_t aEngines) const;
+  bool MayStart(const TargetRecord& aEngine) const;
+  RolloutAction Start(const ModelName& aModel, const TargetRecord& aEngine, std::size_t aEngines);
+  void GiveUpStuck();
   // Returns the newest version that the engine announced or reported.
   std::uint64_t KnownVersion(const TargetRecord& aEngine, const ModelName& aModel) const;
   static std::uint64_t VersionOf(const std::vector<ServedModel>& aModels, const ModelName& aModel);
@@ -155,6 +176,8 @@
   MonotonicTime leadingSince;
   MonotonicTime nextStart;
   std::map<TargetId, EngineUpdate> updates;
+  // When engines that gave up their place may be tried again.
+  std::map<TargetId, MonotonicTime> retryAt;
   // The incarnation of each engine that `updates` and `reported` refer to.
   std::map<TargetId, Incarnation> incarnations;
   // Reported versions by engine and model; kept until the engine is removed.
--- a/src/coordination/WeightRollout.cpp
+++ b/src/coordination/WeightRollout.cpp
@@ -34,46 +34,114 @@
     this->UpdateEngines(aEngines);
   }
   for (const auto& [model, version] : aDesired) {
-    std::size_t serving = 0;
-    std::vector<const TargetRecord*> outdated;
-    for (const TargetRecord& engine : aEngines) {
-      const std::uint64_t announced = VersionOf(engine.models, model);
-      serving += announced > 0 ? 1 : 0;
-      if (announced > 0 && this->KnownVersion(engine, model) < version) {
-        outdated.push_back(&engine);
-      } else if (const auto done = this->updates.find(engine.id);
-                 done != this->updates.end() && done->second.model == model) {
-        this->updates.erase(done);
+    this->EndUpdates(model, version, aEngines);
+    const auto all = static_cast<std::size_t>(
+      std::count_if(aEngines.begin(), aEngines.end(), [&model](const TargetRecord& aEngine) {
+        return VersionOf(aEngine.models, model) > 0;
+      }));
+    bool someWait = false;
+    for (const TargetRecord* engine : this->Outdated(model, version, aEngines)) {
+      if (const auto found = this->updates.find(engine->id); found != this->updates.end()) {
+        if (auto action = this->Advance(*engine, version, found->second)) {
+          actions.push_back(std::move(*action));
+        }
+      } else if (!this->HasPlace(all)) {
+        someWait = true;
+      } else if (this->MayStart(*engine)) {
+        actions.push_back(this->Start(model, *engine, all));
       }
     }
-    this->SortByVersion(model, outdated);
-    const auto maxUnavailable = static_cast<std::size_t>(
-      std::ceil(static_cast<double>(serving) * this->options.maxUnavailableShare));
-    for (const TargetRecord* engine : outdated) {
-      const bool inProgress = this->updates.contains(engine->id);
-      if (!inProgress && (this->updates.size() >= maxUnavailable || now < this->nextStart)) {
-        continue;
-      }
-      if (!inProgress) {
-        this->nextStart = std::max(this->nextStart + this->options.rolloutDuration / serving,
-                                   now - this->options.rolloutDuration / serving);
-      }
-      EngineUpdate& update = this->updates[engine->id];
-      if (!inProgress || update.version != version) {
-        update.model = model;
-        update.version = version;
-      }
-      if (!inProgress) {
-        update.startedAt = now;
-        actions.push_back(ReadEngine{ engine->id, engine->incarnation, engine->endpoint });
-      } else if (auto action = this->Advance(*engine, update)) {
-        actions.push_back(std::move(*action));
-      }
+    if (someWait) {
+      this->GiveUpStuck();
     }
   }
   return actions;
 }
 
+// Ends the updates of engines that have loaded what they were ordered.
+void
+WeightRollout::EndUpdates(const ModelName& aModel,
+                          std::uint64_t aVersion,
+                          const std::vector<TargetRecord>& aEngines)
+{
+  for (const TargetRecord& engine : aEngines) {
+    const auto found = this->updates.find(engine.id);
+    if (found == this->updates.end() || found->second.model != aModel) {
+      continue;
+    }
+    const std::uint64_t ordered = found->second.ordered;
+    const std::uint64_t known = this->KnownVersion(engine, aModel);
+    if (known >= aVersion || (ordered > 0 && known >= ordered)) {
+      this->updates.erase(found);
+    }
+  }
+}
+
+// Returns the engines that lack this version, the oldest weights first: while versions come faster
+// than all engines load one, those that were just updated are outdated again.
+std::vector<const TargetRecord*>
+WeightRollout::Outdated(const ModelName& aModel,
+                        std::uint64_t aVersion,
+                        const std::vector<TargetRecord>& aEngines) const
+{
+  std::vector<const TargetRecord*> outdated;
+  for (const TargetRecord& engine : aEngines) {
+    if (VersionOf(engine.models, aModel) > 0 && this->KnownVersion(engine, aModel) < aVersion) {
+      outdated.push_back(&engine);
+    }
+  }
+  std::stable_sort(outdated.begin(), outdated.end(), [&](const auto* aLeft, const auto* aRight) {
+    return this->KnownVersion(*aLeft, aModel) < this->KnownVersion(*aRight, aModel);
+  });
+  return outdated;
+}
+
+// Returns whether another one of so many engines may be updated.
+bool
+WeightRollout::HasPlace(std::size_t aEngines) const
+{
+  return this->updates.size() <
+         static_cast<std::size_t>(
+           std::ceil(static_cast<double>(aEngines) * this->options.maxUnavailableShare));
+}
+
+// Returns whether it is time to start the update. They are spread.
+bool
+WeightRollout::MayStart(const TargetRecord& aEngine) const
+{
+  const MonotonicTime now = this->clock.MonotonicNow();
+  const auto retry = this->retryAt.find(aEngine.id);
+  const bool failedLately = retry != this->retryAt.end() && now < retry->second;
+  return !failedLately && now >= this->nextStart;
+}
+
+RolloutAction
+WeightRollout::Start(const ModelName& aModel, const TargetRecord& aEngine, std::size_t aEngines)
+{
+  const MonotonicTime now = this->clock.MonotonicNow();
+  const Duration interval = this->options.rolloutDuration / aEngines;
+  this->nextStart = std::max(this->nextStart + interval, now - interval);
+  EngineUpdate& update = this->updates[aEngine.id];
+  update.model = aModel;
+  update.startedAt = now;
+  update.drainedAt = now + this->options.drain;
+  return ReadEngine{ aEngine.id, aEngine.incarnation, aEngine.endpoint };
+}
+
+// Ends updates that take too long. An engine may be paused without end, and orders may be lost.
+void
+WeightRollout::GiveUpStuck()
+{
+  const MonotonicTime now = this->clock.MonotonicNow();
+  std::erase_if(this->updates, [&](const auto& aItem) {
+    const bool stuck = now - aItem.second.startedAt >= this->options.updateTimeout;
+    if (stuck) {
+      this->retryAt[aItem.first] = now + this->options.updateTimeout;
+    }
+    return stuck;
+  });
+}
+
 // Returns whether the engines and their incarnations are those of the last call. Called several
 // times a second with thousands of engines, so it copies nothing.
 bool
@@ -101,6 +169,7 @@
       continue;
     }
     this->updates.erase(engine.id);
+    this->retryAt.erase(engine.id);
     std::erase_if(this->reported,
                   [&](const auto& aItem) { return aItem.first.first == engine.id; });
   }
@@ -108,12 +177,14 @@
   const auto isRemoved = [this](const TargetId& aTarget) {
     return !this->incarnations.contains(aTarget);
   };
-  std::erase_if(this->updates, [&](const auto& aItem) { return isRemoved(aItem.first); });
+  const auto isItemRemoved = [&](const auto& aItem) { return isRemoved(aItem.first); };
+  std::erase_if(this->updates, isItemRemoved);
+  std::erase_if(this->retryAt, isItemRemoved);
   std::erase_if(this->reported, [&](const auto& aItem) { return isRemoved(aItem.first.first); });
 }
 
 std::optional<RolloutAction>
-WeightRollout::Advance(const TargetRecord& aEngine, EngineUpdate& aUpdate)
+WeightRollout::Advance(const TargetRecord& aEngine, std::uint64_t aVersion, EngineUpdate& aUpdate)
 {
   const MonotonicTime now = this->clock.MonotonicNow();
   switch (aUpdate.stage) {
@@ -123,14 +194,16 @@
     case Stage::Read: {
       const bool mustWait = aUpdate.report.busy ||
                             now - aUpdate.orderedAt < this->options.orderTimeout ||
-                            now - aUpdate.startedAt < this->options.drain;
+                            now < aUpdate.drainedAt;
       if (!aUpdate.hasReport || mustWait) {
         break;
       }
       aUpdate.stage = Stage::Ordering;
       aUpdate.orderedAt = now;
-      return OrderWeights{ aEngine.id,    aEngine.incarnation, aEngine.endpoint,
-                           aUpdate.model, aUpdate.version,     aUpdate.report.ordersAccepted };
+      aUpdate.ordered = aVersion;
+      return OrderWeights{ aEngine.id,       aEngine.incarnation,
+                           aEngine.endpoint, aUpdate.model,
+                           aVersion,         aUpdate.report.ordersAccepted };
     }
     case Stage::Ordered:
       break;
@@ -194,17 +267,6 @@
   return found == this->reported.end() ? 0 : found->second;
 }
 
-// Engines with the oldest weights go first: while versions come faster than all engines load one,
-// those that were just updated are outdated again.
-void
-WeightRollout::SortByVersion(const ModelName& aModel,
-                             std::vector<const TargetRecord*>& aEngines) const
-{
-  std::stable_sort(aEngines.begin(), aEngines.end(), [&](const auto* aLeft, const auto* aRight) {
-    return this->KnownVersion(*aLeft, aModel) < this->KnownVersion(*aRight, aModel);
-  });
-}
-
 std::uint64_t
 WeightRollout::KnownVersion(const TargetRecord& aEngine, const ModelName& aModel) const
 {
--- a/test/coordination/WeightRolloutTest.cpp
+++ b/test/coordination/WeightRolloutTest.cpp
@@ -19,6 +19,9 @@
   std::uint64_t accepted = 0;
   std::uint64_t loading = 0;
   MonotonicTime loadedAt;
+  int loads = 0;
+  // It loads nothing any more.
+  bool hangs = false;
 };
 
 class WeightRolloutTest : public ::testing::Test
@@ -82,8 +85,10 @@
     for (Duration passed{ 0 }; passed < aTime; passed += kStep) {
       std::vector<TargetRecord> records;
       for (Engine& engine : this->engines) {
-        if (engine.loading != 0 && this->clock.MonotonicNow() >= engine.loadedAt) {
+        const bool loaded = engine.loading != 0 && this->clock.MonotonicNow() >= engine.loadedAt;
+        if (loaded && !engine.hangs) {
           engine.version = std::exchange(engine.loading, 0);
+          ++engine.loads;
         }
         records.push_back(engine.record);
       }
@@ -146,6 +151,35 @@
   }
 }
 
+// Guards against engines that keep their place while versions come faster than a load, so that the
+// others get none.
+TEST_F(WeightRolloutTest, EnginesTakeTurnsWhileVersionsComeFasterThanALoad)
+{
+  for (std::uint64_t version = 2; version <= 60; ++version) {
+    this->desired[kModel] = version;
+    this->Run(std::chrono::seconds(1));
+  }
+  const auto [least, most] = std::minmax_element(
+    this->engines.begin(), this->engines.end(), [](const Engine& aLeft, const Engine& aRight) {
+      return aLeft.loads < aRight.loads;
+    });
+  EXPECT_GE(least->loads, 4);
+  EXPECT_LE(most->loads - least->loads, 1);
+}
+
+// Guards against an engine that hangs in its update and holds its place without end, which stops
+// all others where there is one place only.
+TEST_F(WeightRolloutTest, EngineThatHangsGivesItsPlaceToOthers)
+{
+  this->engines.resize(5);
+  this->engines.front().hangs = true;
+  this->Run(std::chrono::seconds(30));
+  EXPECT_EQ(this->CountAt(2), 4U);
+  this->engines.front().hangs = false;
+  this->Run(std::chrono::seconds(20));
+  EXPECT_EQ(this->CountAt(2), 5U);
+}
+
 TEST_F(WeightRolloutTest, UnavailableEnginesStayWithinTheShare)
 {
   this->Run(std::chrono::seconds(13));
