Update engines that may serve nobody without sparing callers

Cause: the share of engines out of service, the pauses between starts and the draining protect callers, but entry hosts sent these engines nothing. The rollout knows now the version below which calls no longer begin; engines below it are updated without pauses, up to half of all at a time.

--- a/include/damasklink/coordination/WeightRollout.h
+++ b/include/damasklink/coordination/WeightRollout.h
@@ -40,6 +40,9 @@
   // others recompute prompts meanwhile, and have the less capacity for the load of those that are
   // out.
   double maxUnavailableShare = 0.2;
+  // Largest share of a model's engines under update, those included that serve nobody before it.
+  // Loads that run side by side take longer, and the first engine should serve soon.
+  double maxUpdatingShare = 0.5;
   // How long an engine gets no new work before it is ordered. Most of its requests end in that
   // time. The others continue under the new weights, which is worth less to their callers than
   // complete answers, but takes the engine out of service for a second instead of the duration of
@@ -59,6 +62,15 @@
   Duration reportInterval = std::chrono::milliseconds(300);
 };
 
+// The weights that the engines of a model are to have.
+struct DesiredWeights
+{
+  std::uint64_t version = 0;
+  // The version below which calls no longer begin. An engine with an older one serves nobody, so
+  // that its update takes nothing out of service.
+  std::uint64_t least = 0;
+};
+
 // The state that an engine reports.
 struct EngineReport
 {
@@ -98,10 +110,9 @@
   WeightRollout(const Clock& aClock, RolloutOptions aOptions);
 
   // Returns the actions to take now. Must be called several times a second while any engine has
-  // outdated weights. aDesired has the desired version of each model, aEngines the engines that may
-  // get work, ordered by id.
+  // outdated weights. aEngines has the engines that may get work, ordered by id.
   std::vector<RolloutAction> Plan(bool aLeaseHeld,
-                                  const std::map<ModelName, std::uint64_t>& aDesired,
+                                  const std::map<ModelName, DesiredWeights>& aDesired,
                                   const std::vector<TargetRecord>& aEngines);
 
   // Takes the report of an engine, or nothing when it did not answer. The report of an earlier
@@ -157,12 +168,15 @@
                                        std::uint64_t aVersion,
                                        EngineUpdate& aUpdate);
   void EndUpdates(const ModelName& aModel,
-                  std::uint64_t aVersion,
+                  const DesiredWeights& aDesired,
                   const std::vector<TargetRecord>& aEngines);
+  void NoteIdle(const ModelName& aModel,
+                const DesiredWeights& aDesired,
+                const std::vector<TargetRecord>& aEngines);
   std::vector<const TargetRecord*> Outdated(const ModelName& aModel,
                                             std::uint64_t aVersion,
                                             const std::vector<TargetRecord>& aEngines) const;
-  bool HasPlace(std::size_t aEngines) const;
+  bool HasPlace(const TargetRecord& aEngine, std::size_t aEngines) const;
   bool MayStart(const TargetRecord& aEngine) const;
   RolloutAction Start(const ModelName& aModel, const TargetRecord& aEngine, std::size_t aEngines);
   void GiveUpStuck();
@@ -178,6 +192,8 @@
   std::map<TargetId, EngineUpdate> updates;
   // When engines that gave up their place may be tried again.
   std::map<TargetId, MonotonicTime> retryAt;
+  // When each engine whose weights are too old to serve was first seen so.
+  std::map<TargetId, MonotonicTime> idleSince;
   // The incarnation of each engine that `updates` and `reported` refer to.
   std::map<TargetId, Incarnation> incarnations;
   // Reported versions by engine and model; kept until the engine is removed.
--- a/src/coordination/WeightRollout.cpp
+++ b/src/coordination/WeightRollout.cpp
@@ -13,7 +13,7 @@
 
 std::vector<RolloutAction>
 WeightRollout::Plan(bool aLeaseHeld,
-                    const std::map<ModelName, std::uint64_t>& aDesired,
+                    const std::map<ModelName, DesiredWeights>& aDesired,
                     const std::vector<TargetRecord>& aEngines)
 {
   std::vector<RolloutAction> actions;
@@ -33,19 +33,20 @@
   if (!this->AreUnchanged(aEngines)) {
     this->UpdateEngines(aEngines);
   }
-  for (const auto& [model, version] : aDesired) {
-    this->EndUpdates(model, version, aEngines);
+  for (const auto& [model, desired] : aDesired) {
+    this->EndUpdates(model, desired, aEngines);
+    this->NoteIdle(model, desired, aEngines);
     const auto all = static_cast<std::size_t>(
       std::count_if(aEngines.begin(), aEngines.end(), [&model](const TargetRecord& aEngine) {
         return VersionOf(aEngine.models, model) > 0;
       }));
     bool someWait = false;
-    for (const TargetRecord* engine : this->Outdated(model, version, aEngines)) {
+    for (const TargetRecord* engine : this->Outdated(model, desired.version, aEngines)) {
       if (const auto found = this->updates.find(engine->id); found != this->updates.end()) {
-        if (auto action = this->Advance(*engine, version, found->second)) {
+        if (auto action = this->Advance(*engine, desired.version, found->second)) {
           actions.push_back(std::move(*action));
         }
-      } else if (!this->HasPlace(all)) {
+      } else if (!this->HasPlace(*engine, all)) {
         someWait = true;
       } else if (this->MayStart(*engine)) {
         actions.push_back(this->Start(model, *engine, all));
@@ -61,7 +62,7 @@
 // Ends the updates of engines that have loaded what they were ordered.
 void
 WeightRollout::EndUpdates(const ModelName& aModel,
-                          std::uint64_t aVersion,
+                          const DesiredWeights& aDesired,
                           const std::vector<TargetRecord>& aEngines)
 {
   for (const TargetRecord& engine : aEngines) {
@@ -71,12 +72,30 @@
     }
     const std::uint64_t ordered = found->second.ordered;
     const std::uint64_t known = this->KnownVersion(engine, aModel);
-    if (known >= aVersion || (ordered > 0 && known >= ordered)) {
+    if (known >= aDesired.version || (ordered > 0 && known >= ordered)) {
       this->updates.erase(found);
     }
   }
 }
 
+// Keeps since when engines have served nobody, as their weights are too old.
+void
+WeightRollout::NoteIdle(const ModelName& aModel,
+                        const DesiredWeights& aDesired,
+                        const std::vector<TargetRecord>& aEngines)
+{
+  for (const TargetRecord& engine : aEngines) {
+    if (VersionOf(engine.models, aModel) == 0) {
+      continue;
+    }
+    if (this->KnownVersion(engine, aModel) < aDesired.least) {
+      this->idleSince.try_emplace(engine.id, this->clock.MonotonicNow());
+    } else {
+      this->idleSince.erase(engine.id);
+    }
+  }
+}
+
 // Returns the engines that lack this version, the oldest weights first: while versions come faster
 // than all engines load one, those that were just updated are outdated again.
 std::vector<const TargetRecord*>
@@ -96,35 +115,43 @@
   return outdated;
 }
 
-// Returns whether another one of so many engines may be updated.
+// Returns whether the engine may be updated beside those that are. aEngines is the number of all
+// engines of the model.
 bool
-WeightRollout::HasPlace(std::size_t aEngines) const
+WeightRollout::HasPlace(const TargetRecord& aEngine, std::size_t aEngines) const
 {
+  const bool idle = this->idleSince.contains(aEngine.id);
+  const double share = idle ? this->options.maxUpdatingShare : this->options.maxUnavailableShare;
   return this->updates.size() <
-         static_cast<std::size_t>(
-           std::ceil(static_cast<double>(aEngines) * this->options.maxUnavailableShare));
+         static_cast<std::size_t>(std::ceil(static_cast<double>(aEngines) * share));
 }
 
-// Returns whether it is time to start the update. They are spread.
+// Returns whether it is time to start the update. Those of engines that serve are spread.
 bool
 WeightRollout::MayStart(const TargetRecord& aEngine) const
 {
   const MonotonicTime now = this->clock.MonotonicNow();
   const auto retry = this->retryAt.find(aEngine.id);
   const bool failedLately = retry != this->retryAt.end() && now < retry->second;
-  return !failedLately && now >= this->nextStart;
+  return !failedLately && (this->idleSince.contains(aEngine.id) || now >= this->nextStart);
 }
 
 RolloutAction
 WeightRollout::Start(const ModelName& aModel, const TargetRecord& aEngine, std::size_t aEngines)
 {
   const MonotonicTime now = this->clock.MonotonicNow();
-  const Duration interval = this->options.rolloutDuration / aEngines;
-  this->nextStart = std::max(this->nextStart + interval, now - interval);
-  EngineUpdate& update = this->updates[aEngine.id];
+  EngineUpdate update;
   update.model = aModel;
   update.startedAt = now;
-  update.drainedAt = now + this->options.drain;
+  const auto idle = this->idleSince.find(aEngine.id);
+  if (idle == this->idleSince.end()) {
+    const Duration interval = this->options.rolloutDuration / aEngines;
+    this->nextStart = std::max(this->nextStart + interval, now - interval);
+    update.drainedAt = now + this->options.drain;
+  } else {
+    update.drainedAt = idle->second + this->options.drain;
+  }
+  this->updates[aEngine.id] = update;
   return ReadEngine{ aEngine.id, aEngine.incarnation, aEngine.endpoint };
 }
 
@@ -170,6 +197,7 @@
     }
     this->updates.erase(engine.id);
     this->retryAt.erase(engine.id);
+    this->idleSince.erase(engine.id);
     std::erase_if(this->reported,
                   [&](const auto& aItem) { return aItem.first.first == engine.id; });
   }
@@ -180,6 +208,7 @@
   const auto isItemRemoved = [&](const auto& aItem) { return isRemoved(aItem.first); };
   std::erase_if(this->updates, isItemRemoved);
   std::erase_if(this->retryAt, isItemRemoved);
+  std::erase_if(this->idleSince, isItemRemoved);
   std::erase_if(this->reported, [&](const auto& aItem) { return isRemoved(aItem.first.first); });
 }
 
--- a/src/program/ControlHost.cpp
+++ b/src/program/ControlHost.cpp
@@ -142,6 +142,7 @@
 private:
   Duration SilenceLimit() const;
   RolloutOptions Options() const;
+  std::map<ModelName, DesiredWeights> DesiredWeightsOfModels() const;
   void StepRollout();
   void FreeUnusedParts();
   void Stop();
@@ -241,11 +242,22 @@
   }
 }
 
+std::map<ModelName, DesiredWeights>
+ControlHost::Impl::DesiredWeightsOfModels() const
+{
+  const Duration allowed = this->settings.weightsWithin - kMaxEngineQueueTime;
+  std::map<ModelName, DesiredWeights> desired;
+  for (const auto& [model, version] : this->group.State().Weights()) {
+    desired[model] = DesiredWeights{ version, this->weightAges.Ages().NewestOfAge(model, allowed) };
+  }
+  return desired;
+}
+
 void
 ControlHost::Impl::StepRollout()
 {
   const WorkTimer timer(this->account, Work::TargetSteps);
-  this->rollout.Step(this->group.State().Weights(), this->tracker.UsableEngines());
+  this->rollout.Step(this->DesiredWeightsOfModels(), this->tracker.UsableEngines());
   this->FreeUnusedParts();
   this->tracker.SetPaused(this->rollout.Rollout().Paused());
   this->tracker.SetReportedWeights(this->rollout.Rollout().Reported());
--- a/src/program/RolloutExecutor.cpp
+++ b/src/program/RolloutExecutor.cpp
@@ -33,7 +33,7 @@
 }
 
 void
-RolloutExecutor::Step(const std::map<ModelName, std::uint64_t>& aDesired,
+RolloutExecutor::Step(const std::map<ModelName, DesiredWeights>& aDesired,
                       const std::vector<TargetRecord>& aEngines)
 {
   const bool leaseHeld = this->authority().leaseHeld;
--- a/src/program/RolloutExecutor.h
+++ b/src/program/RolloutExecutor.h
@@ -36,9 +36,9 @@
                   RolloutOptions aOptions,
                   std::function<OrderAuthority()> aAuthority);
 
-  // Starts the reads and orders that are due. aDesired has the desired version of the weights of
-  // each model. Must be called several times a second.
-  void Step(const std::map<ModelName, std::uint64_t>& aDesired,
+  // Starts the reads and orders that are due. aDesired has the desired weights of each model. Must
+  // be called several times a second.
+  void Step(const std::map<ModelName, DesiredWeights>& aDesired,
             const std::vector<TargetRecord>& aEngines);
 
   const WeightRollout& Rollout() const { return this->rollout; }
--- a/test/coordination/WeightRolloutTest.cpp
+++ b/test/coordination/WeightRolloutTest.cpp
@@ -110,7 +110,7 @@
 
   ManualClock clock;
   WeightRollout rollout{ this->clock, RolloutOptions() };
-  std::map<ModelName, std::uint64_t> desired{ { kModel, 2 } };
+  std::map<ModelName, DesiredWeights> desired{ { kModel, DesiredWeights{ 2 } } };
   std::deque<Engine> engines;
   std::deque<OrderWeights> late;
   bool delayOrders = false;
@@ -130,7 +130,7 @@
 TEST_F(WeightRolloutTest, SecondRolloutReachesAllEngines)
 {
   this->Run(std::chrono::seconds(13));
-  this->desired[kModel] = 3;
+  this->desired[kModel].version = 3;
   this->Run(std::chrono::seconds(13));
   EXPECT_EQ(this->CountAt(3), 10U);
   EXPECT_EQ(this->refused, 0);
@@ -141,7 +141,7 @@
 TEST_F(WeightRolloutTest, NoEngineStarvesWhileVersionsKeepComing)
 {
   for (std::uint64_t version = 2; version <= 12; ++version) {
-    this->desired[kModel] = version;
+    this->desired[kModel].version = version;
     this->Run(std::chrono::seconds(4));
   }
   EXPECT_EQ(this->CountAt(1), 0U);
@@ -156,7 +156,7 @@
 TEST_F(WeightRolloutTest, EnginesTakeTurnsWhileVersionsComeFasterThanALoad)
 {
   for (std::uint64_t version = 2; version <= 60; ++version) {
-    this->desired[kModel] = version;
+    this->desired[kModel].version = version;
     this->Run(std::chrono::seconds(1));
   }
   const auto [least, most] = std::minmax_element(
@@ -186,6 +186,32 @@
   EXPECT_EQ(this->mostPaused, 2U);
 }
 
+// Guards against a rollout that spares callers whom no engine may serve: all came back with weights
+// whose time is over.
+TEST_F(WeightRolloutTest, EnginesThatServeNobodyAreUpdatedWithoutPauses)
+{
+  this->Run(RolloutOptions().orderLease);
+  ASSERT_EQ(this->ordered, 0);
+  this->desired[kModel].least = 2;
+  this->Run(std::chrono::milliseconds(4500));
+  EXPECT_EQ(this->CountAt(2), 10U);
+  EXPECT_EQ(this->mostPaused, 5U);
+}
+
+TEST_F(WeightRolloutTest, EnginesThatServeAreSparedBesideOthersThatDoNot)
+{
+  for (int number = 0; number < 8; ++number) {
+    this->engines[static_cast<std::size_t>(number)].record.models.front().version =
+      WeightVersion("3");
+    this->engines[static_cast<std::size_t>(number)].version = 3;
+  }
+  this->desired[kModel] = DesiredWeights{ 4, 3 };
+  this->Run(RolloutOptions().orderLease + std::chrono::milliseconds(1500));
+  EXPECT_EQ(this->mostPaused, 2U);
+  this->Run(std::chrono::seconds(13));
+  EXPECT_EQ(this->CountAt(4), 10U);
+}
+
 TEST_F(WeightRolloutTest, OnlyTheLeaderOrders)
 {
   this->Run(std::chrono::seconds(13), false);
@@ -215,7 +241,7 @@
   this->Run(std::chrono::seconds(6));
   ASSERT_FALSE(this->late.empty());
   this->delayOrders = false;
-  this->desired[kModel] = 3;
+  this->desired[kModel].version = 3;
   this->Run(std::chrono::seconds(20));
   EXPECT_EQ(this->CountAt(3), 10U);
   for (const OrderWeights& order : this->late) {
--- a/test/program/RolloutExecutorTest.cpp
+++ b/test/program/RolloutExecutorTest.cpp
@@ -36,7 +36,7 @@
   void RunSteps()
   {
     for (int step = 0; step < 20; ++step) {
-      this->executor.Step({ { ModelName("m"), 2 } }, { this->engine });
+      this->executor.Step({ { ModelName("m"), DesiredWeights{ 2 } } }, { this->engine });
       this->loop.restart();
       this->loop.run();
       this->clock.Advance(Options().reportInterval);
