List a part of sound prompts that is refused after two ends of all targets

Failed try: ends within kTimeTolerance of each other counted as one. It passes the new test and fails CrashesInTwoWavesAreEnough, where a part ends three targets in the same moment; the two cases have the same evidence.

--- a/test/coordination/CrashingPartFinderTest.cpp
+++ b/test/coordination/CrashingPartFinderTest.cpp
@@ -103,6 +103,20 @@
   EXPECT_FALSE(this->finder.Suspects(9).empty());
 }
 
+// Guards against refusing a common part for good after all targets ended at once two times, with no
+// time in between for a prompt to be answered.
+TEST_F(CrashingPartFinderTest, TargetsThatEndTogetherTwiceAreNotEndedByAPart)
+{
+  for (int wave = 0; wave < 2; ++wave) {
+    this->clock.Advance(std::chrono::seconds(5));
+    for (int target = 0; target < 12; ++target) {
+      this->clock.Advance(milliseconds(2));
+      this->Crash({ { kFirst, kOther }, { kFirst, kAnother } });
+    }
+  }
+  EXPECT_TRUE(this->Crashing().empty());
+}
+
 // A target that fell silent, with requests that were sent to it before and after that.
 class SilentTargetTest : public CrashingPartFinderTest
 {
