--- a/test/soak/old_weights.py
+++ b/test/soak/old_weights.py
@@ -5,7 +5,8 @@
 Twelve engines load weights on orders, which takes longer while many of them load. In the waves versions are named in
 quick succession while entry hosts are killed (entries, late), also after a control host (control_first) or all control
 hosts (all_controls) were killed; all engines end three times while a version is named (away), and half of the entry
-hosts are killed meanwhile (away_killed); a version is named each second (quick). Build first.
+hosts are killed meanwhile (away_killed); a version is named each second (quick). In the wave mixed hosts are killed, stopped,
+reloaded and suspended, and engines end, in a drawn order that overlaps, beside versions at drawn times. Build first.
 
     test/soak/old_weights.py --build build --seed 1
 """
@@ -19,6 +20,8 @@
 from standins import Target, call, read_head
 
 WAVES = ("entries", "control_first", "all_controls", "late", "away", "away_killed", "quick")
+# Runs only where it is named.
+MORE_WAVES = ("mixed",)
 ENGINES = 12
 MODEL = "m"
 # The users' bound, in seconds: bounds.version-ms.
@@ -35,6 +38,7 @@
 LAST_READY = 4.8
 LEAST_SERVED = 0.9
 QUICK_VERSIONS = 44
+MIXED_VERSIONS = 12
 
 
 class Engine(Target):
@@ -314,6 +318,29 @@
         if self.served < LEAST_SERVED * (self.asked - 40):
             self.find("calls_not_served", f"{self.served} of {self.asked} while a version is named each second")
 
+    async def one_fault(self, fault, host):
+        host.faults += 1
+        await fault(host)
+        host.faults -= 1
+
+    async def end_engine(self, _):
+        engine = self.draws.choice(self.engines)
+        if engine.state == "ready":
+            await engine.end_for(self.draws.uniform(0.5, 4))
+
+    async def mixed(self):
+        naming = asyncio.create_task(self.name_versions(MIXED_VERSIONS, self.draws.uniform(1, 3)))
+        pending = set()
+        while not naming.done():
+            await asyncio.sleep(self.draws.uniform(0.2, 1.5))
+            fault = self.draws.choice((self.kill, self.kill, self.stop, self.reload, self.pause, self.end_engine))
+            # Most of the control hosts stay: without them the bound begins anew.
+            busy = any(host.faults > 0 for host in self.controls)
+            host = self.draws.choice(self.entries if busy else self.entries + self.controls)
+            if host.faults == 0:
+                pending.add(asyncio.create_task(self.one_fault(fault, host)))
+        await asyncio.gather(naming, *pending)
+
     async def wave(self, name):
         waves = {
             "entries": self.entries_wave,
@@ -323,6 +350,7 @@
             "away": self.away,
             "away_killed": self.away_killed,
             "quick": self.quick,
+            "mixed": self.mixed,
         }
         self.late.clear()
         self.asked = self.served = 0
@@ -361,7 +389,7 @@
 def main():
     parser = soak_parser(__doc__)
     parser.set_defaults(entries=7)
-    parser.add_argument("--waves", default=",".join(WAVES), help="one after the other")
+    parser.add_argument("--waves", default=",".join(WAVES), help=f"one after the other; also {', '.join(MORE_WAVES)}")
     soak_seeds(parser.parse_args(), OldWeights)
 
 
