--- a/include/damasklink/coordination/WeightAgeTracker.h
+++ b/include/damasklink/coordination/WeightAgeTracker.h
@@ -30,8 +30,8 @@
   // they send it upon connecting, and each kRepeatInterval.
   static constexpr Duration kSettleTime = std::chrono::milliseconds(1500);
 
-  // Interval at which recent versions are told again. What a host that stood still, or a link that
-  // was lost, held up in between states too low an age.
+  // Interval at which recent versions are told again. A message that was held up on its way, or
+  // whose receiver stood still, states too low an age.
   static constexpr Duration kRepeatInterval = std::chrono::seconds(1);
 
   // Longest time between an acknowledgement and the moment at which a new leader applies the
