--- a/src/coordination/WeightRollout.cpp
+++ b/src/coordination/WeightRollout.cpp
@@ -36,9 +36,9 @@
   for (const auto& [model, desired] : aDesired) {
     this->EndUpdates(model, desired, aEngines);
     this->NoteIdle(model, desired, aEngines);
-    const auto all = static_cast<std::size_t>(
-      std::count_if(aEngines.begin(), aEngines.end(), [&model](const TargetRecord& aEngine) {
-        return VersionOf(aEngine.models, model) > 0;
+    const auto all = static_cast<std::size_t>(std::count_if(
+      aEngines.begin(), aEngines.end(), [&wanted = model](const TargetRecord& aEngine) {
+        return VersionOf(aEngine.models, wanted) > 0;
       }));
     bool someWait = false;
     for (const TargetRecord* engine : this->Outdated(model, desired.version, aEngines)) {
